--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Two commands for a newcomer: `make demo` and `make test`.
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+JOBS ?= 4
+
+.PHONY: setup demo test format lint types check
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e . \
+		|| $(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: setup
+	$(BIN)/python -m camphordrift demo
+
+test: setup
+	$(BIN)/python -m black --check --quiet camphordrift
+	$(BIN)/python -m ruff check camphordrift
+	$(BIN)/python -m mypy camphordrift
+	$(BIN)/python -m pytest -n $(JOBS)
+
+format: setup
+	$(BIN)/python -m black --quiet camphordrift
+	$(BIN)/python -m ruff check --fix --quiet camphordrift
--- /dev/null
+++ b/camphordrift/backend_servers/__init__.py
@@ -0,0 +1,45 @@
+"""What backend servers offer to the system: the messages, and the clients' interfaces."""
+
+from camphordrift.backend_servers._client import EngineClient
+from camphordrift.backend_servers._errors import (
+    BackendError,
+    BackendRefusedError,
+    BackendSilentError,
+    BackendUnreachableError,
+    StreamBrokenError,
+)
+from camphordrift.backend_servers._messages import (
+    CacheEvent,
+    CacheEventBatch,
+    CacheEventKind,
+    EngineOrder,
+    EngineRole,
+    GenerationRequest,
+    KvPart,
+    LoadReport,
+    MemoryHold,
+    OrderKind,
+    OrderReply,
+    TokenChunk,
+)
+
+__all__ = [
+    "BackendError",
+    "BackendRefusedError",
+    "BackendSilentError",
+    "BackendUnreachableError",
+    "CacheEvent",
+    "CacheEventBatch",
+    "CacheEventKind",
+    "EngineClient",
+    "EngineOrder",
+    "EngineRole",
+    "GenerationRequest",
+    "KvPart",
+    "LoadReport",
+    "MemoryHold",
+    "OrderKind",
+    "OrderReply",
+    "StreamBrokenError",
+    "TokenChunk",
+]
--- /dev/null
+++ b/camphordrift/results/__init__.py
@@ -0,0 +1,13 @@
+"""Numbered result codes, and the failure that carries one to a caller or an operator."""
+
+from camphordrift.results._codes import CodeMeaning, ResultCode, RunState, code_table, meaning_of
+from camphordrift.results._failure import Failure
+
+__all__ = [
+    "CodeMeaning",
+    "Failure",
+    "ResultCode",
+    "RunState",
+    "code_table",
+    "meaning_of",
+]
