Add the log writer and the log follower

Cause: every part that keeps something in the log needs appends that are batched under one budget, and reads that hand on each record once. Change: LogWriter batches what waits together within a token bucket and resolves an append whose answer was lost by reading on from an offset known to lie before it; what is not found is repeated under its record id, whose second copy readers drop. LogFollower reads in order through outages, truncation and a lost tail, and never goes back. A token bucket without a rounding margin waited for ever on a missing 1e-17 of a token; the margin is kept.

--- a/camphordrift/platform_log/__init__.py
+++ b/camphordrift/platform_log/__init__.py
@@ -1,5 +1,17 @@
 """The platform's append-only log service, as the system uses it."""
 
+from camphordrift.platform_log._duplicates import DuplicateFilter
+from camphordrift.platform_log._envelope import (
+    RecordEnvelope,
+    RecordId,
+    decode_envelope,
+    encode_envelope,
+    new_record_id,
+)
+from camphordrift.platform_log._follower import LogFollower, LogHandler
+from camphordrift.platform_log._pacing import AppendBudget, Backoff
+from camphordrift.platform_log._settings import FollowerSettings, WriterSettings
+from camphordrift.platform_log._stream_position import FollowedRecord, LogGap, StreamPosition
 from camphordrift.platform_log._transport import (
     AppendRefusedError,
     AppendUnsureError,
@@ -9,13 +21,31 @@
     OffsetTruncatedError,
     ReadBatch,
 )
+from camphordrift.platform_log._writer import LogWriter, WriterStatistics
 
 __all__ = [
+    "AppendBudget",
     "AppendRefusedError",
     "AppendUnsureError",
+    "Backoff",
+    "DuplicateFilter",
+    "FollowedRecord",
+    "FollowerSettings",
+    "LogFollower",
+    "LogGap",
+    "LogHandler",
     "LogRecord",
     "LogTransport",
     "LogUnavailableError",
+    "LogWriter",
     "OffsetTruncatedError",
     "ReadBatch",
+    "RecordEnvelope",
+    "RecordId",
+    "StreamPosition",
+    "WriterSettings",
+    "WriterStatistics",
+    "decode_envelope",
+    "encode_envelope",
+    "new_record_id",
 ]
--- /dev/null
+++ b/camphordrift/platform_log/tests/test_writer.py
@@ -0,0 +1,210 @@
+"""Tests of appending under faults of the log service."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import testtools
+import trio
+from returns import result
+
+from camphordrift.platform_log import (
+    LogWriter,
+    RecordId,
+    WriterSettings,
+    decode_envelope,
+)
+from camphordrift.results import Failure, ResultCode, RunState
+from camphordrift.standins import AnswerLoss, InMemoryLogService, LogLimits
+from camphordrift.testing import run_in_virtual_time
+
+_STREAM = "claims"
+_SETTINGS = WriterSettings()
+_LIMITS = LogLimits()
+
+_Answer = result.Result[int, Failure]
+
+
+def _run(
+    body: Callable[[InMemoryLogService, LogWriter], Awaitable[None]],
+    settings: WriterSettings = _SETTINGS,
+    limits: LogLimits = _LIMITS,
+) -> None:
+    async def main() -> None:
+        service = InMemoryLogService(trio.current_time, limits)
+        writer = LogWriter(service, "vm-1", settings, trio.current_time, Random(1))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(writer.run)
+            await body(service, writer)
+            nursery.cancel_scope.cancel()
+
+    run_in_virtual_time(main)
+
+
+def _first_places(service: InMemoryLogService) -> dict[RecordId, int]:
+    places: dict[RecordId, int] = {}
+    for record in service.records_of(_STREAM):
+        envelope = decode_envelope(record.payload)
+        assert envelope is not None
+        places.setdefault(envelope.record_id, record.offset)
+    return places
+
+
+async def _append_many(writer: LogWriter, count: int, seconds: float) -> list[_Answer]:
+    answers: list[_Answer] = []
+
+    async def one(number: int) -> None:
+        deadline = trio.current_time() + seconds
+        answers.append(await writer.append(_STREAM, b"%d" % number, deadline))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(one, number)
+    return answers
+
+
+def _code(answer: _Answer) -> Any:
+    return answer.failure().code
+
+
+class LogWriterTest(testtools.TestCase):
+    def test_records_that_wait_together_go_out_together(self) -> None:
+        async def body(service: InMemoryLogService, writer: LogWriter) -> None:
+            answers = await _append_many(writer, 100, 5.0)
+            self.assertEqual(set(range(100)), {answer.unwrap() for answer in answers})
+            self.assertTrue(service.append_count <= 2, str(service.append_count))
+
+        _run(body)
+
+    def test_keeps_within_its_share_of_the_rate(self) -> None:
+        async def body(service: InMemoryLogService, writer: LogWriter) -> None:
+            started_at = trio.current_time()
+            await _append_many(writer, 100, 60.0)
+            seconds = trio.current_time() - started_at
+            self.assertTrue(service.append_count <= 10 + 20 * seconds)
+            self.assertTrue(seconds >= 4.0, str(seconds))
+
+        _run(body, WriterSettings(appends_per_second=20.0, batch_records=1))
+
+    def test_an_append_that_was_never_sent_is_reported_as_not_run(self) -> None:
+        async def body(service: InMemoryLogService, writer: LogWriter) -> None:
+            answers = await _append_many(writer, 30, 0.5)
+            late = [answer for answer in answers if isinstance(answer, result.Failure)]
+            self.assertTrue(late)
+            for answer in late:
+                self.assertEqual(ResultCode.LOG_APPEND_BUDGET_SPENT, _code(answer))
+                self.assertEqual(RunState.NOT_RUN, answer.failure().run_state)
+            await trio.sleep(60)
+            self.assertEqual(30 - len(late), len(service.records_of(_STREAM)))
+
+        _run(body, WriterSettings(appends_per_second=1.0, burst_appends=1.0, batch_records=10))
+
+    def test_an_outage_is_waited_out(self) -> None:
+        async def body(service: InMemoryLogService, writer: LogWriter) -> None:
+            await writer.append(_STREAM, b"first", trio.current_time() + 1)
+            service.faults.begin_outage()
+            answer = await writer.append(_STREAM, b"a", trio.current_time() + 3)
+            self.assertEqual(ResultCode.LOG_UNAVAILABLE, _code(answer))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._end_outage_after, service, 20.0)
+                answer = await writer.append(_STREAM, b"b", trio.current_time() + 60)
+            self.assertEqual(result.Success(1), answer)
+            self.assertTrue(trio.current_time() < 20.0 + 3.0 + 1.0 + 2.5)
+
+        _run(body)
+
+    async def _end_outage_after(self, service: InMemoryLogService, seconds: float) -> None:
+        await trio.sleep(seconds)
+        service.faults.end_outage()
+
+    def test_a_lost_answer_is_resolved_by_reading(self) -> None:
+        cases = (
+            AnswerLoss(takes_effect=True),
+            AnswerLoss(takes_effect=True, effect_delay_seconds=0.4),
+            AnswerLoss(takes_effect=True, effect_delay_seconds=1.2),
+            AnswerLoss(takes_effect=True, effect_delay_seconds=5.0),
+            AnswerLoss(takes_effect=False),
+        )
+        for loss in cases:
+            for losses in (1, 2, 3):
+                self._check_lost_answers(loss, losses)
+
+    def _check_lost_answers(self, loss: AnswerLoss, losses: int) -> None:
+        async def body(service: InMemoryLogService, writer: LogWriter) -> None:
+            await writer.append(_STREAM, b"before", trio.current_time() + 1)
+            service.faults.lose_next_answers(losses, loss)
+            answers = await _append_many(writer, 5, 30.0)
+            await trio.sleep(10)
+            places = _first_places(service)
+            offsets = {answer.unwrap() for answer in answers}
+            self.assertEqual(6, len(places))
+            self.assertEqual(set(places.values()) - {0}, offsets)
+
+        _run(body)
+
+    def test_only_reading_on_leaves_an_append_without_effect_unsure(self) -> None:
+        async def body(service: InMemoryLogService, writer: LogWriter) -> None:
+            service.faults.lose_next_answers(1, AnswerLoss(takes_effect=False))
+            answer = await writer.append(_STREAM, b"a", trio.current_time() + 5)
+            self.assertEqual(ResultCode.LOG_APPEND_UNSURE, _code(answer))
+            self.assertEqual(RunState.OUTCOME_UNKNOWN, answer.failure().run_state)
+            await trio.sleep(30)
+            self.assertEqual((), service.records_of(_STREAM))
+
+        _run(body, WriterSettings(reappend_after_seconds=None))
+
+    def test_a_slow_service_makes_appends_unsure_but_not_double(self) -> None:
+        async def body(service: InMemoryLogService, writer: LogWriter) -> None:
+            await writer.append(_STREAM, b"before", trio.current_time() + 1)
+            service.faults.slow_down(3.0)
+            answers = await _append_many(writer, 5, 60.0)
+            places = _first_places(service)
+            self.assertEqual(set(places.values()) - {0}, {a.unwrap() for a in answers})
+
+        _run(body)
+
+    def test_a_lost_answer_and_an_outage_at_once(self) -> None:
+        async def body(service: InMemoryLogService, writer: LogWriter) -> None:
+            await writer.append(_STREAM, b"before", trio.current_time() + 1)
+            service.faults.lose_next_answers(1, AnswerLoss(takes_effect=True))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._outage_between, service, 0.004, 20.0)
+                answer = await writer.append(_STREAM, b"a", trio.current_time() + 60)
+            self.assertEqual(result.Success(1), answer)
+            self.assertEqual(2, len(service.records_of(_STREAM)))
+
+        _run(body)
+
+    async def _outage_between(self, service: InMemoryLogService, begin: float, end: float) -> None:
+        await trio.sleep(begin)
+        service.faults.begin_outage()
+        await trio.sleep(end - begin)
+        service.faults.end_outage()
+
+    def test_a_search_over_a_truncated_part_never_repeats_the_append(self) -> None:
+        async def body(service: InMemoryLogService, writer: LogWriter) -> None:
+            await writer.append(_STREAM, b"before", trio.current_time() + 1)
+            service.faults.lose_next_answers(1, AnswerLoss(takes_effect=True))
+            service.faults.slow_down(0.2)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._truncate_after, service, 0.25)
+                answer = await writer.append(_STREAM, b"a", trio.current_time() + 20)
+            self.assertEqual(ResultCode.LOG_APPEND_UNSURE, _code(answer))
+            self.assertEqual(0, writer.statistics.repeated)
+
+        _run(body)
+
+    async def _truncate_after(self, service: InMemoryLogService, seconds: float) -> None:
+        await trio.sleep(seconds)
+        service.truncate(_STREAM, 2)
+
+    def test_a_caller_that_goes_away_withdraws_what_was_not_sent(self) -> None:
+        async def body(service: InMemoryLogService, writer: LogWriter) -> None:
+            service.faults.begin_outage()
+            with trio.move_on_after(1):
+                await writer.append(_STREAM, b"a", trio.current_time() + 60)
+            service.faults.end_outage()
+            await trio.sleep(10)
+            self.assertEqual((), service.records_of(_STREAM))
+
+        _run(body)
