--- /dev/null
+++ b/camphordrift/backend_http/__init__.py
@@ -0,0 +1,40 @@
+"""Calls to backend servers over HTTP."""
+
+from camphordrift.backend_http._connections import (
+    HttpAnswer,
+    HttpCall,
+    HttpConnections,
+    HttpStream,
+)
+from camphordrift.backend_http._engine_client import HttpEngineClient
+from camphordrift.backend_http._engine_wire import (
+    decode_generation,
+    decode_hold,
+    decode_order,
+    decode_part,
+    encode_cache_events,
+    encode_chunk,
+    encode_hold,
+    encode_load,
+    encode_order_reply,
+)
+from camphordrift.backend_http._sse import EventSplitter, EventTooLongError
+
+__all__ = [
+    "EventSplitter",
+    "EventTooLongError",
+    "HttpAnswer",
+    "HttpCall",
+    "HttpConnections",
+    "HttpEngineClient",
+    "HttpStream",
+    "decode_generation",
+    "decode_hold",
+    "decode_order",
+    "decode_part",
+    "encode_cache_events",
+    "encode_chunk",
+    "encode_hold",
+    "encode_load",
+    "encode_order_reply",
+]
--- /dev/null
+++ b/camphordrift/backend_http/_connections.py
@@ -0,0 +1,183 @@
+"""HTTP connections to backend servers and to the platform, over httpcore."""
+
+import ssl
+from collections.abc import AsyncGenerator, AsyncIterator, Iterator, Mapping
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass
+from typing import Optional
+
+import httpcore
+import trio
+
+from camphordrift.backend_servers import (
+    BackendSilentError,
+    BackendUnreachableError,
+    StreamBrokenError,
+)
+
+#: Connections kept open for each backend server's address.
+MAX_IDLE_CONNECTIONS = 64
+
+#: A connection unused for this long is closed, since something on the way may have forgotten it.
+KEEPALIVE_SECONDS = 5.0
+
+#: Time to make a connection.
+CONNECT_TIMEOUT_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """A whole answer to an HTTP request."""
+
+    #: The HTTP status.
+    status: int
+
+    #: Header names in lower case.
+    headers: Mapping[str, str]
+
+    #: The body.
+    body: bytes
+
+
+@dataclass(frozen=True)
+class HttpCall:
+    """An HTTP request to a backend server."""
+
+    #: Such as ``POST``.
+    method: str
+
+    #: Such as ``http://127.0.0.1:9001``.
+    base_url: str
+
+    #: Path and query.
+    target: str
+
+    #: The body; empty for none.
+    body: bytes = b""
+
+    #: Header lines besides ``Host`` and ``Content-Length``.
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class HttpStream:
+    """An answer that is still arriving."""
+
+    def __init__(self, response: httpcore.Response) -> None:
+        self._response = response
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Header names in lower case."""
+        return {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in self._response.headers
+        }
+
+    @property
+    def parts(self) -> AsyncGenerator[bytes, None]:
+        """The body's bytes as they arrive. Close the generator if you leave it early."""
+        return self._read_parts()
+
+    async def _read_parts(self) -> AsyncGenerator[bytes, None]:
+        async for part in self._response.aiter_stream():
+            yield part
+
+
+@contextmanager
+def _translated_errors(call: HttpCall) -> Iterator[None]:
+    where = f"{call.method} {call.base_url}{call.target}"
+    try:
+        yield
+    except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
+        raise BackendUnreachableError(f"{where}: no connection: {error}") from error
+    except (httpcore.ReadTimeout, httpcore.WriteTimeout) as error:
+        raise BackendSilentError(f"{where}: no byte for too long") from error
+    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        raise StreamBrokenError(f"{where}: the connection broke: {error}") from error
+
+
+class HttpConnections:
+    """Sends requests and tells apart failures before and after the first byte was sent.
+
+    A request that may not be repeated goes over a connection of its own (``fresh_connection``): a
+    pooled one may have gone silent, and the request would be lost in it without anyone knowing
+    whether it ran.
+    """
+
+    def __init__(
+        self, idle_timeout_seconds: float, ssl_context: Optional[ssl.SSLContext] = None
+    ) -> None:
+        if idle_timeout_seconds <= 0:
+            raise ValueError(f"idle_timeout_seconds must be positive, not {idle_timeout_seconds}")
+        self._idle_timeout_seconds = idle_timeout_seconds
+        self._ssl_context = ssl_context
+        self._pool = self._make_pool(KEEPALIVE_SECONDS)
+
+    def _make_pool(self, keepalive_seconds: float) -> httpcore.AsyncConnectionPool:
+        return httpcore.AsyncConnectionPool(
+            ssl_context=self._ssl_context,
+            max_connections=None,
+            max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+            keepalive_expiry=keepalive_seconds,
+            retries=0,
+        )
+
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        await self._pool.aclose()
+
+    async def fetch(
+        self, call: HttpCall, timeout_seconds: float, fresh_connection: bool = False
+    ) -> HttpAnswer:
+        """Sends ``call`` and returns the whole answer.
+
+        Raises ``BackendUnreachableError`` if no byte was sent, ``BackendSilentError`` if nothing
+        came for ``timeout_seconds``, and ``StreamBrokenError`` otherwise.
+        """
+        async with self.stream(call, timeout_seconds, fresh_connection) as response:
+            body = b"".join([part async for part in response.parts])
+        return HttpAnswer(response.status, response.headers, body)
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        call: HttpCall,
+        timeout_seconds: Optional[float] = None,
+        fresh_connection: bool = False,
+    ) -> AsyncIterator[HttpStream]:
+        """Sends ``call`` and yields the answer while it arrives; raises what :meth:`fetch` does."""
+        pool = self._make_pool(0.0) if fresh_connection else self._pool
+        try:
+            with _translated_errors(call):
+                async with pool.stream(
+                    call.method,
+                    call.base_url + call.target,
+                    headers=self._headers(call),
+                    content=call.body or None,
+                    extensions={"timeout": self._timeouts(timeout_seconds)},
+                ) as response:
+                    yield HttpStream(response)
+        finally:
+            if fresh_connection:
+                with trio.CancelScope(shield=True):
+                    await pool.aclose()
+
+    def _headers(self, call: HttpCall) -> list[tuple[str, str]]:
+        headers = list(call.headers)
+        if call.body or call.method in ("POST", "PUT", "PATCH"):
+            headers.append(("Content-Length", str(len(call.body))))
+        return headers
+
+    def _timeouts(self, timeout_seconds: Optional[float]) -> Mapping[str, float]:
+        idle = self._idle_timeout_seconds if timeout_seconds is None else timeout_seconds
+        return {
+            "connect": min(CONNECT_TIMEOUT_SECONDS, idle),
+            "pool": CONNECT_TIMEOUT_SECONDS,
+            "read": idle,
+            "write": idle,
+        }
--- /dev/null
+++ b/camphordrift/backend_http/_engine_client.py
@@ -0,0 +1,222 @@
+"""The engine client that speaks HTTP."""
+
+import json
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Sequence
+from contextlib import aclosing, asynccontextmanager, suppress
+from dataclasses import replace
+from typing import Any, Optional
+
+import trio
+
+from camphordrift.backend_http._connections import HttpCall, HttpConnections, HttpStream
+from camphordrift.backend_http._engine_wire import (
+    decode_cache_events,
+    decode_chunk,
+    decode_hold,
+    decode_load,
+    decode_order_reply,
+    encode_generation,
+    encode_hold,
+    encode_order,
+    encode_part,
+)
+from camphordrift.backend_http._sse import EventSplitter, EventTooLongError
+from camphordrift.backend_servers import (
+    BackendError,
+    BackendRefusedError,
+    BackendUnreachableError,
+    CacheEventBatch,
+    EngineOrder,
+    GenerationRequest,
+    KvPart,
+    LoadReport,
+    MemoryHold,
+    OrderReply,
+    StreamBrokenError,
+    TokenChunk,
+)
+from camphordrift.identifiers import BackendServerId, HoldId, RequestId
+
+#: Time for a short call that only reads or changes the engine's books.
+CONTROL_TIMEOUT_SECONDS = 2.0
+
+#: Time for telling an engine to cancel, after the caller's own time is over.
+CANCEL_TIMEOUT_SECONDS = 1.0
+
+#: Header with which an engine says that it refused without running anything.
+NOT_RUN_HEADER = "x-not-run"
+
+#: Data of the event that ends a stream.
+END_OF_STREAM = b"[DONE]"
+
+#: Header lines of a call with a JSON body.
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+AddressBook = Callable[[BackendServerId], Optional[str]]
+
+
+class HttpEngineClient:
+    """An :class:`EngineClient` over HTTP.
+
+    ``address_of`` returns an engine's base URL, such as ``http://127.0.0.1:9001``, or ``None`` if
+    the configuration does not name it.
+    """
+
+    def __init__(self, connections: HttpConnections, address_of: AddressBook) -> None:
+        self._connections = connections
+        self._address_of = address_of
+
+    @asynccontextmanager
+    async def generate(
+        self, engine_id: BackendServerId, request: GenerationRequest
+    ) -> AsyncIterator[AsyncIterator[TokenChunk]]:
+        """Runs one attempt; leaving the context before the end cancels it on the engine."""
+        target = "/v1/chat/completions" if request.is_chat else "/v1/completions"
+        call = self._call(engine_id, "POST", target, encode_generation(request))
+        ended = False
+
+        async def chunks(stream: HttpStream) -> AsyncGenerator[TokenChunk, None]:
+            nonlocal ended
+            async with aclosing(_chunks_of(stream)) as source:
+                async for chunk in source:
+                    ended = chunk.finish_reason is not None
+                    yield chunk
+
+        try:
+            async with self._connections.stream(call) as stream:
+                await _raise_for_refusal(stream)
+                async with aclosing(chunks(stream)) as iterator:
+                    yield iterator
+        except BackendUnreachableError:
+            ended = True
+            raise
+        finally:
+            if not ended:
+                await self._cancel_quietly(engine_id, request.request_id)
+
+    async def prefill_part(self, part: KvPart, request: GenerationRequest) -> None:
+        """Prefills one part of a prompt under its hold and keeps the KV cache there."""
+        body = {"part": encode_part(part), "request": json.loads(encode_generation(request))}
+        call = self._call(part.engine_id, "POST", "/kv/prefill", _json_bytes(body))
+        async with self._connections.stream(call) as stream:
+            await _raise_for_refusal(stream)
+            async for _ in stream.parts:
+                pass
+
+    async def cancel(self, engine_id: BackendServerId, request_id: RequestId) -> None:
+        """Cancels whatever the engine does for the request."""
+        await self._control(engine_id, "POST", "/cancel", {"request_id": request_id})
+
+    async def read_load(self, engine_id: BackendServerId) -> LoadReport:
+        """Returns the engine's newest load report."""
+        return decode_load(await self._control(engine_id, "GET", "/load"))
+
+    async def read_cache_events(
+        self, engine_id: BackendServerId, after_sequence: int
+    ) -> CacheEventBatch:
+        """Returns the cache events after ``after_sequence`` that the engine still keeps."""
+        target = f"/cache_events?after={after_sequence}"
+        return decode_cache_events(await self._control(engine_id, "GET", target))
+
+    async def place_hold(self, engine_id: BackendServerId, hold: MemoryHold) -> None:
+        """Reserves memory, or renews the hold of the same id and owner."""
+        await self._control(engine_id, "POST", "/holds", encode_hold(hold))
+
+    async def release_hold(self, engine_id: BackendServerId, hold_id: HoldId) -> None:
+        """Gives a hold back; does nothing if the engine knows no such hold."""
+        await self._control(engine_id, "POST", "/holds/release", {"hold_id": hold_id})
+
+    async def list_holds(self, engine_id: BackendServerId) -> tuple[MemoryHold, ...]:
+        """Returns all holds of the engine, whoever owns them."""
+        body = await self._control(engine_id, "GET", "/holds")
+        return tuple(decode_hold(hold) for hold in body["holds"])
+
+    async def send_order(self, engine_id: BackendServerId, order: EngineOrder) -> OrderReply:
+        """Gives the engine an order."""
+        return decode_order_reply(
+            await self._control(engine_id, "POST", "/orders", encode_order(order))
+        )
+
+    def _call(
+        self, engine_id: BackendServerId, method: str, target: str, body: bytes = b""
+    ) -> HttpCall:
+        base_url = self._address_of(engine_id)
+        if base_url is None:
+            raise BackendUnreachableError(f"no address is known of engine {engine_id}")
+        return HttpCall(method, base_url, target, body, JSON_HEADERS)
+
+    async def _control(
+        self, engine_id: BackendServerId, method: str, target: str, body: Any = None
+    ) -> Any:
+        content = b"" if body is None else _json_bytes(body)
+        call = self._call(engine_id, method, target, content)
+        async with self._connections.stream(call, CONTROL_TIMEOUT_SECONDS) as stream:
+            await _raise_for_refusal(stream)
+            answer = b"".join([part async for part in stream.parts])
+        try:
+            return json.loads(answer)
+        except ValueError as error:
+            raise StreamBrokenError(f"{target}: the answer is not JSON") from error
+
+    async def _cancel_quietly(self, engine_id: BackendServerId, request_id: RequestId) -> None:
+        """Tells the engine to stop, even while this task is being cancelled."""
+        with trio.move_on_after(CANCEL_TIMEOUT_SECONDS) as scope:
+            scope.shield = True
+            # Closing the connection cancels the work too; this call only makes it certain.
+            with suppress(BackendError):
+                await self.cancel(engine_id, request_id)
+
+
+async def _raise_for_refusal(stream: HttpStream) -> None:
+    if stream.status < 400:
+        return
+    body = b"".join([part async for part in stream.parts])
+    not_run = stream.headers.get(NOT_RUN_HEADER) == "1"
+    raise BackendRefusedError(body[:500].decode("utf-8", "replace"), stream.status, not_run)
+
+
+async def _chunks_of(stream: HttpStream) -> AsyncGenerator[TokenChunk, None]:
+    splitter = EventSplitter()
+    async with aclosing(stream.parts) as parts:
+        async for part in parts:
+            for chunk in merge_adjacent(_decode_events(splitter, part)):
+                yield chunk
+
+
+def _decode_events(splitter: EventSplitter, part: bytes) -> list[TokenChunk]:
+    try:
+        return [decode_chunk(event) for event in splitter.feed(part) if event != END_OF_STREAM]
+    except (ValueError, KeyError, TypeError, IndexError, EventTooLongError) as error:
+        raise StreamBrokenError(f"an event cannot be read: {error!r}") from error
+
+
+def merge_adjacent(chunks: Sequence[TokenChunk]) -> list[TokenChunk]:
+    """Joins chunks that follow each other in one attempt, so that they are relayed in one write."""
+    merged: list[TokenChunk] = []
+    for chunk in chunks:
+        if merged and _continues(merged[-1], chunk):
+            merged[-1] = _joined(merged[-1], chunk)
+        else:
+            merged.append(chunk)
+    return merged
+
+
+def _continues(earlier: TokenChunk, later: TokenChunk) -> bool:
+    return (
+        earlier.finish_reason is None
+        and (earlier.request_id, earlier.attempt) == (later.request_id, later.attempt)
+        and earlier.first_token + earlier.token_count == later.first_token
+    )
+
+
+def _joined(earlier: TokenChunk, later: TokenChunk) -> TokenChunk:
+    return replace(
+        earlier,
+        token_count=earlier.token_count + later.token_count,
+        text=earlier.text + later.text,
+        finish_reason=later.finish_reason,
+    )
+
+
+def _json_bytes(body: Any) -> bytes:
+    return json.dumps(body).encode("utf-8")
--- a/camphordrift/backend_servers/_client.py
+++ b/camphordrift/backend_servers/_client.py
@@ -22,6 +22,8 @@
 
     The implementations are the HTTP client of the gateway and the stand-in engines in memory. Every
     method raises a :class:`BackendError`; a cancelled ``generate`` cancels the work on the engine.
+    Engines send keep-alives while they prefill; a server that sends nothing for the client's idle
+    timeout raises ``BackendSilentError``.
     """
 
     def generate(
--- a/camphordrift/backend_servers/_messages.py
+++ b/camphordrift/backend_servers/_messages.py
@@ -92,6 +92,12 @@
     #: For a prompt placed over several engines, where its parts lie; empty otherwise.
     kv_parts: tuple[KvPart, ...] = ()
 
+    #: True if ``prompt`` is the JSON text of a chat's messages, False if it is plain text.
+    is_chat: bool = False
+
+    #: Sampling options for the engine, as the text of a JSON object.
+    options_json: bytes = b"{}"
+
 
 @dataclass(frozen=True)
 class TokenChunk:
--- /dev/null
+++ b/camphordrift/gateway/_errors.py
@@ -0,0 +1,41 @@
+"""How failures look to callers."""
+
+import json
+import math
+
+from starlette.responses import Response
+
+from camphordrift.gateway._headers import REQUEST_ID_HEADER
+from camphordrift.identifiers import RequestId
+from camphordrift.results import Failure
+
+
+def error_body(failure: Failure, request_id: RequestId) -> bytes:
+    """Returns the JSON body for ``failure``."""
+    error = {
+        "message": failure.detail,
+        "type": failure.code.name.lower(),
+        "code": int(failure.code),
+        "run_state": failure.run_state.value,
+        "request_id": request_id,
+        "retry_after_seconds": failure.retry_after_seconds,
+    }
+    return json.dumps({"error": error}).encode("utf-8")
+
+
+def error_response(failure: Failure, request_id: RequestId) -> Response:
+    """Returns the HTTP response for ``failure``."""
+    headers: dict[str, str] = {REQUEST_ID_HEADER: request_id}
+    if failure.retry_after_seconds is not None:
+        headers["retry-after"] = str(max(1, math.ceil(failure.retry_after_seconds)))
+    return Response(
+        error_body(failure, request_id),
+        status_code=failure.http_status,
+        headers=headers,
+        media_type="application/json",
+    )
+
+
+def error_event(failure: Failure, request_id: RequestId) -> bytes:
+    """Returns the server-sent event that ends a stream which cannot be finished."""
+    return b"data: " + error_body(failure, request_id) + b"\n\n"
--- /dev/null
+++ b/camphordrift/gateway/_headers.py
@@ -0,0 +1,61 @@
+"""Reads the headers that callers may set."""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Optional
+
+from returns import result
+
+from camphordrift.results import Failure, ResultCode
+
+#: The caller's timeout for the whole request, in seconds.
+TIMEOUT_HEADER = "camphordrift-timeout-seconds"
+
+#: The key under which a call may run once.
+IDEMPOTENCY_KEY_HEADER = "idempotency-key"
+
+#: The id of the request, in every answer.
+REQUEST_ID_HEADER = "camphordrift-request-id"
+
+
+@dataclass(frozen=True)
+class TimeoutBounds:
+    """The timeouts that a service allows."""
+
+    #: Used where the caller names none, in seconds.
+    default_seconds: float
+
+    #: The longest that a caller may ask for, in seconds.
+    maximum_seconds: float
+
+
+def read_timeout(
+    headers: Mapping[str, str], bounds: TimeoutBounds
+) -> result.Result[float, Failure]:
+    """Returns the request's timeout in seconds; a longer one than allowed is cut to the maximum."""
+    text = headers.get(TIMEOUT_HEADER)
+    if text is None:
+        return result.Success(bounds.default_seconds)
+    seconds = _positive_number(text)
+    if seconds is None:
+        detail = f"{TIMEOUT_HEADER}: expected a number of seconds above 0"
+        return result.Failure(Failure(ResultCode.BAD_HEADER, detail))
+    return result.Success(min(seconds, bounds.maximum_seconds))
+
+
+def read_bearer_key(headers: Mapping[str, str]) -> result.Result[str, Failure]:
+    """Returns the caller's key from the ``Authorization`` header."""
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        detail = "Authorization: expected 'Bearer' and the key of a client account"
+        return result.Failure(Failure(ResultCode.UNAUTHENTICATED, detail))
+    return result.Success(key.strip())
+
+
+def _positive_number(text: str) -> Optional[float]:
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number > 0 else None
