--- /dev/null
+++ b/camphordrift/gateway/_context.py
@@ -0,0 +1,93 @@
+"""What the gateway needs of the rest of the process."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Optional, Protocol
+
+from returns import result
+
+from camphordrift.backend_http import HttpConnections
+from camphordrift.backend_servers import EngineClient
+from camphordrift.configuration import ConfigurationSnapshot
+from camphordrift.gateway._active_requests import ActiveRequests
+from camphordrift.gateway._bodies import BodyMemory
+from camphordrift.gateway._generation import AttemptObserver
+from camphordrift.gateway._service_calls import ServiceCaller
+from camphordrift.identifiers import AccountId, VmId
+from camphordrift.results import Failure
+from camphordrift.routing import GrantSource
+
+
+@dataclass(frozen=True)
+class GatewayLimits:
+    """Bounds on what callers may send and how long they may take."""
+
+    #: The largest body, in bytes.
+    max_body_bytes: int = 16_000_000
+
+    #: Time for a body to arrive, in seconds.
+    body_timeout_seconds: float = 20.0
+
+    #: Time for a caller to take what is written to it, in seconds.
+    write_timeout_seconds: float = 20.0
+
+    #: A stream that has had nothing to send for this long gets a keep-alive, in seconds.
+    keep_alive_seconds: float = 10.0
+
+
+class AdmissionGate(Protocol):
+    """The limits of client accounts, and whether the VM takes new requests at all."""
+
+    def try_admit(
+        self, account_id: AccountId, tokens: int, is_long: bool
+    ) -> result.Result[Callable[[], None], Failure]:
+        """Returns what to call when the request has ended, or why it is refused."""
+        ...
+
+
+class OpenGate:
+    """An :class:`AdmissionGate` without limits, for tests."""
+
+    def try_admit(
+        self, account_id: AccountId, tokens: int, is_long: bool
+    ) -> result.Result[Callable[[], None], Failure]:
+        """Admits every request."""
+        return result.Success(lambda: None)
+
+
+@dataclass(frozen=True)
+class GatewayContext:
+    """The parts of the process that serve requests."""
+
+    #: This VM.
+    vm_id: VmId
+
+    #: Returns the configuration in force; ``None`` before any is known.
+    snapshot: Callable[[], Optional[ConfigurationSnapshot]]
+
+    #: Decides which engine runs a request, and when.
+    grants: GrantSource
+
+    #: Calls engines.
+    engines: EngineClient
+
+    #: Calls plain services.
+    services: ServiceCaller
+
+    #: Sends HTTP requests.
+    connections: HttpConnections
+
+    #: Learns how engines behave.
+    observer: AttemptObserver
+
+    #: Limits of client accounts.
+    gate: AdmissionGate
+
+    #: Admitted requests.
+    active: ActiveRequests
+
+    #: Memory for bodies.
+    body_memory: BodyMemory
+
+    #: Bounds on callers.
+    limits: GatewayLimits
--- /dev/null
+++ b/camphordrift/gateway/_generation_endpoint.py
@@ -0,0 +1,247 @@
+"""The OpenAI-compatible endpoints."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from returns import result
+from returns.pipeline import is_successful
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+from camphordrift.backend_servers import GenerationRequest, TokenChunk
+from camphordrift.gateway._active_requests import ActiveRequest
+from camphordrift.gateway._admission import Caller, identify_caller, new_request_id
+from camphordrift.gateway._bodies import BodyReader
+from camphordrift.gateway._caller_stream import CallerGoneError, CallerStream
+from camphordrift.gateway._context import GatewayContext
+from camphordrift.gateway._errors import error_event, error_response
+from camphordrift.gateway._generation import ChunkSink, GenerationRunner, GenerationSummary
+from camphordrift.gateway._headers import REQUEST_ID_HEADER, read_timeout
+from camphordrift.gateway._lengths import prefix_block_hashes
+from camphordrift.gateway._openai_answers import KEEP_ALIVE, AnswerFormat
+from camphordrift.gateway._openai_bodies import GenerationBody
+from camphordrift.gateway._permissions import GenerationPermission, permit_generation
+from camphordrift.gateway._request_scope import run_while_connected
+from camphordrift.identifiers import ModelName, RequestId
+from camphordrift.results import Failure
+from camphordrift.routing import GrantAsk
+
+BodyParser = Callable[[bytes], result.Result[GenerationBody, Failure]]
+Outcome = result.Result[GenerationSummary, Failure]
+
+
+@dataclass(frozen=True)
+class AdmittedGeneration:
+    """A generation request that may run."""
+
+    #: The request.
+    request_id: RequestId
+
+    #: What was asked.
+    body: GenerationBody
+
+    #: What its account may use.
+    permission: GenerationPermission
+
+    #: Its time, in seconds.
+    timeout_seconds: float
+
+    #: Whether its prompt counts as long.
+    is_long: bool
+
+
+class GenerationEndpoint:
+    """An ASGI application that answers one of the OpenAI-compatible paths."""
+
+    def __init__(self, context: GatewayContext, parse: BodyParser) -> None:
+        self._context = context
+        self._parse = parse
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answers one request."""
+        request = Request(scope, receive)
+        request_id = new_request_id()
+        limits = self._context.limits
+        reader = BodyReader(
+            self._context.body_memory, limits.max_body_bytes, limits.body_timeout_seconds
+        )
+        with reader:
+            admitted = await self._admit(request, request_id, reader)
+            if not is_successful(admitted):
+                response = error_response(admitted.failure(), request_id)
+                await response(scope, receive, send)
+                return
+            await self._run(admitted.unwrap(), scope, receive, send)
+
+    async def _admit(
+        self, request: Request, request_id: RequestId, reader: BodyReader
+    ) -> result.Result[AdmittedGeneration, Failure]:
+        caller = identify_caller(self._context, request)
+        if not is_successful(caller):
+            return result.Failure(caller.failure())
+        raw = await reader.read(request)
+        parsed = raw.bind(self._parse)
+        if not is_successful(parsed):
+            return result.Failure(parsed.failure())
+        return self._permit(request, request_id, caller.unwrap(), parsed.unwrap())
+
+    def _permit(
+        self, request: Request, request_id: RequestId, caller: Caller, body: GenerationBody
+    ) -> result.Result[AdmittedGeneration, Failure]:
+        permitted = permit_generation(caller.snapshot, caller.account.account_id, body)
+        if not is_successful(permitted):
+            return result.Failure(permitted.failure())
+        permission = permitted.unwrap()
+        timeout = read_timeout(request.headers, permission.timeouts)
+        is_long = body.prompt_tokens > caller.snapshot.tuning.long_prompt_tokens
+        return timeout.map(
+            lambda seconds: AdmittedGeneration(request_id, body, permission, seconds, is_long)
+        )
+
+    async def _run(
+        self, admitted: AdmittedGeneration, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        tokens = admitted.body.prompt_tokens + admitted.body.max_output_tokens
+        account_id = admitted.permission.account_id
+        gate = self._context.gate.try_admit(account_id, tokens, admitted.is_long)
+        if not is_successful(gate):
+            await error_response(gate.failure(), admitted.request_id)(scope, receive, send)
+            return
+        release = gate.unwrap()
+        try:
+            with self._context.active.track(_active_request(admitted)):
+                answer = _GenerationAnswer(self._context, admitted, scope, receive, send)
+                await run_while_connected(receive, answer.run)
+        finally:
+            release()
+
+
+class _GenerationAnswer:
+    """Runs one admitted request and writes its answer."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        admitted: AdmittedGeneration,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        self._context = context
+        self._admitted = admitted
+        self._scope = scope
+        self._receive = receive
+        self._send = send
+        self._format = AnswerFormat(admitted.request_id, admitted.body, int(time.time()))
+        self._texts: list[str] = []
+        headers = {
+            "content-type": "text/event-stream",
+            "cache-control": "no-store",
+            REQUEST_ID_HEADER: admitted.request_id,
+        }
+        self._stream = CallerStream(send, headers, context.limits.write_timeout_seconds)
+
+    async def run(self) -> None:
+        """Runs the request to its end."""
+        try:
+            if self._admitted.body.stream:
+                await self._run_streamed()
+            else:
+                await self._run_whole()
+        except CallerGoneError:
+            # Leaving here has cancelled the work on the engine; nobody is left to be told.
+            return
+
+    async def _run_streamed(self) -> None:
+        async with trio.open_nursery() as nursery:
+            interval = self._context.limits.keep_alive_seconds
+            nursery.start_soon(self._stream.keep_alive, KEEP_ALIVE, interval)
+            outcome = await self._runner(self._write_event).run()
+            nursery.cancel_scope.cancel()
+        if is_successful(outcome):
+            await self._stream.write(self._format.ending(outcome.unwrap().output_tokens))
+            await self._stream.end()
+        elif self._stream.is_started:
+            await self._stream.write(error_event(outcome.failure(), self._admitted.request_id))
+            await self._stream.end()
+        else:
+            await self._refuse(outcome.failure())
+
+    async def _run_whole(self) -> None:
+        outcome = await self._runner(self._collect).run()
+        if not is_successful(outcome):
+            await self._refuse(outcome.failure())
+            return
+        summary = outcome.unwrap()
+        text = "".join(self._texts)
+        body = self._format.whole(text, summary.finish_reason, summary.output_tokens)
+        headers = {REQUEST_ID_HEADER: str(self._admitted.request_id)}
+        response = Response(body, media_type="application/json", headers=headers)
+        await response(self._scope, self._receive, self._send)
+
+    async def _write_event(self, chunk: TokenChunk) -> None:
+        await self._stream.write(self._format.event(chunk))
+
+    async def _collect(self, chunk: TokenChunk) -> None:
+        self._texts.append(chunk.text)
+
+    async def _refuse(self, failure: Failure) -> None:
+        response = error_response(failure, self._admitted.request_id)
+        await response(self._scope, self._receive, self._send)
+
+    def _runner(self, sink: ChunkSink) -> GenerationRunner:
+        return GenerationRunner(
+            grants=self._context.grants,
+            engines=self._context.engines,
+            observer=self._context.observer,
+            ask=_grant_ask(self._context, self._admitted),
+            request=_generation_request(self._admitted),
+            sink=sink,
+        )
+
+
+def _active_request(admitted: AdmittedGeneration) -> ActiveRequest:
+    now = trio.current_time()
+    return ActiveRequest(
+        request_id=admitted.request_id,
+        account_id=admitted.permission.account_id,
+        subject=admitted.body.model,
+        admitted_at=now,
+        deadline=now + admitted.timeout_seconds,
+    )
+
+
+def _grant_ask(context: GatewayContext, admitted: AdmittedGeneration) -> GrantAsk:
+    body = admitted.body
+    return GrantAsk(
+        request_id=admitted.request_id,
+        attempt=1,
+        vm_id=context.vm_id,
+        account_id=admitted.permission.account_id,
+        model=ModelName(body.model),
+        prompt_tokens=body.prompt_tokens,
+        expected_output_tokens=body.max_output_tokens,
+        max_output_tokens=body.max_output_tokens,
+        remaining_seconds=admitted.timeout_seconds,
+        prefix_blocks=prefix_block_hashes(admitted.permission.account_id, body.prompt),
+        permitted_engines=admitted.permission.engines,
+    )
+
+
+def _generation_request(admitted: AdmittedGeneration) -> GenerationRequest:
+    body = admitted.body
+    return GenerationRequest(
+        request_id=admitted.request_id,
+        attempt=1,
+        model=ModelName(body.model),
+        prompt_tokens=body.prompt_tokens,
+        max_output_tokens=body.max_output_tokens,
+        prompt=body.prompt,
+        prefix_blocks=prefix_block_hashes(admitted.permission.account_id, body.prompt),
+        remaining_seconds=admitted.timeout_seconds,
+        is_chat=body.is_chat,
+        options_json=body.options_json,
+    )
--- /dev/null
+++ b/camphordrift/gateway/_permissions.py
@@ -0,0 +1,127 @@
+"""Decides who a caller is and what its client account may use."""
+
+from dataclasses import dataclass
+from typing import Optional
+
+from returns import result
+
+from camphordrift.configuration import (
+    ClientAccount,
+    ConfigurationSnapshot,
+    Model,
+    ModelService,
+    PlainService,
+    Policy,
+)
+from camphordrift.gateway._headers import TimeoutBounds
+from camphordrift.gateway._openai_bodies import GenerationBody
+from camphordrift.identifiers import AccountId, BackendServerId, ModelName
+from camphordrift.results import Failure, ResultCode
+
+
+@dataclass(frozen=True)
+class GenerationPermission:
+    """What an account may use for one generation request."""
+
+    #: The account that pays.
+    account_id: AccountId
+
+    #: The service whose engines answer.
+    service: ModelService
+
+    #: The policy that permits it.
+    policy: Policy
+
+    #: Engines that the account may reach, which are all that serve the model if there is no limit.
+    engines: frozenset[BackendServerId]
+
+    @property
+    def timeouts(self) -> TimeoutBounds:
+        """The timeouts that the service allows."""
+        return _bounds_of(self.service)
+
+
+@dataclass(frozen=True)
+class ServicePermission:
+    """What an account may use for one call of a plain service."""
+
+    #: The account that pays.
+    account_id: AccountId
+
+    #: The service that is called.
+    service: PlainService
+
+    #: Backend servers that the account may reach, in the order of their names.
+    servers: tuple[BackendServerId, ...]
+
+    @property
+    def timeouts(self) -> TimeoutBounds:
+        """The timeouts that the service allows."""
+        return _bounds_of(self.service)
+
+
+def authenticate(
+    snapshot: ConfigurationSnapshot, key_hash: str
+) -> result.Result[ClientAccount, Failure]:
+    """Returns the account whose key has ``key_hash``."""
+    account = snapshot.account_by_key_hash(key_hash)
+    if account is None:
+        detail = "the key belongs to no client account"
+        return result.Failure(Failure(ResultCode.UNAUTHENTICATED, detail))
+    return result.Success(account)
+
+
+def permit_generation(
+    snapshot: ConfigurationSnapshot, account_id: AccountId, body: GenerationBody
+) -> result.Result[GenerationPermission, Failure]:
+    """Returns what ``account_id`` may use to answer ``body``, or why it may not."""
+    model = snapshot.models.get(ModelName(body.model))
+    service = snapshot.model_service_for(ModelName(body.model))
+    if model is None or service is None:
+        detail = "model: the configuration names no such model"
+        return result.Failure(Failure(ResultCode.UNKNOWN_MODEL, detail))
+    policy = snapshot.policy_for(account_id, service.name)
+    if policy is None:
+        detail = f"client account {account_id} may not use model {model.name}"
+        return result.Failure(Failure(ResultCode.NOT_PERMITTED, detail))
+    refusal = _length_refusal(body, model, policy)
+    if refusal is not None:
+        return result.Failure(refusal)
+    servers = snapshot.permitted_servers(account_id, service.name)
+    engines = frozenset(server.server_id for server in servers)
+    if not engines:
+        detail = f"the configuration names no engine that {account_id} may reach"
+        return result.Failure(Failure(ResultCode.NO_ENGINE_AVAILABLE, detail))
+    return result.Success(GenerationPermission(account_id, service, policy, engines))
+
+
+def permit_service_call(
+    snapshot: ConfigurationSnapshot, account_id: AccountId, path: str
+) -> result.Result[ServicePermission, Failure]:
+    """Returns what ``account_id`` may use to call ``path``, or why it may not."""
+    service = snapshot.plain_service_for_path(path)
+    if service is None:
+        detail = "the path belongs to no service"
+        return result.Failure(Failure(ResultCode.UNKNOWN_PATH, detail))
+    if snapshot.policy_for(account_id, service.name) is None:
+        detail = f"client account {account_id} may not use service {service.name}"
+        return result.Failure(Failure(ResultCode.NOT_PERMITTED, detail))
+    servers = snapshot.permitted_servers(account_id, service.name)
+    names = tuple(server.server_id for server in servers)
+    return result.Success(ServicePermission(account_id, service, names))
+
+
+def _length_refusal(body: GenerationBody, model: Model, policy: Policy) -> Optional[Failure]:
+    if body.prompt_tokens + body.max_output_tokens > model.maximum_context_tokens:
+        limit = model.maximum_context_tokens
+        detail = f"prompt and answer exceed the model's context of {limit} tokens"
+        return Failure(ResultCode.PROMPT_NEVER_FITS, detail)
+    limit_of_policy = policy.maximum_prompt_tokens
+    if limit_of_policy is not None and body.prompt_tokens > limit_of_policy:
+        detail = f"the prompt exceeds the client account's limit of {limit_of_policy} tokens"
+        return Failure(ResultCode.PROMPT_NEVER_FITS, detail)
+    return None
+
+
+def _bounds_of(service: ModelService | PlainService) -> TimeoutBounds:
+    return TimeoutBounds(service.default_timeout_seconds, service.maximum_timeout_seconds)
