--- /dev/null
+++ b/camphordrift/gateway/__init__.py
@@ -0,0 +1,39 @@
+"""What callers reach: authentication, bodies, deadlines, answers and errors."""
+
+from camphordrift.gateway._active_requests import ActiveRequest, ActiveRequests
+from camphordrift.gateway._answer import AnswerAssembler, AnswerMismatchError, AnswerProgress
+from camphordrift.gateway._app import gateway_app
+from camphordrift.gateway._bodies import BodyMemory
+from camphordrift.gateway._context import AdmissionGate, GatewayContext, GatewayLimits, OpenGate
+from camphordrift.gateway._generation import (
+    AttemptObserver,
+    GenerationRunner,
+    GenerationSummary,
+    NoDelayObserver,
+)
+from camphordrift.gateway._lengths import estimate_tokens, prefix_block_hashes
+from camphordrift.gateway._server_choice import ServerChoice
+from camphordrift.gateway._service_calls import ServiceCaller, ServiceRequest
+
+__all__ = [
+    "ActiveRequest",
+    "ActiveRequests",
+    "AdmissionGate",
+    "AnswerAssembler",
+    "AnswerMismatchError",
+    "AnswerProgress",
+    "AttemptObserver",
+    "BodyMemory",
+    "GatewayContext",
+    "GatewayLimits",
+    "GenerationRunner",
+    "GenerationSummary",
+    "NoDelayObserver",
+    "OpenGate",
+    "ServerChoice",
+    "ServiceCaller",
+    "ServiceRequest",
+    "estimate_tokens",
+    "gateway_app",
+    "prefix_block_hashes",
+]
--- a/camphordrift/gateway/_caller_stream.py
+++ b/camphordrift/gateway/_caller_stream.py
@@ -36,12 +36,16 @@
         """Writes ``data``; raises :class:`CallerGoneError` if the caller does not take it."""
         async with self._lock:
             await self._start()
-            await self._send_in_time({"type": "http.response.body", "body": data, "more_body": True})
+            await self._send_in_time(
+                {"type": "http.response.body", "body": data, "more_body": True}
+            )
 
     async def end(self) -> None:
         """Ends the response."""
         async with self._lock:
-            await self._send_in_time({"type": "http.response.body", "body": b"", "more_body": False})
+            await self._send_in_time(
+                {"type": "http.response.body", "body": b"", "more_body": False}
+            )
 
     async def keep_alive(self, comment: bytes, interval_seconds: float) -> None:
         """Writes ``comment`` whenever nothing has been written for ``interval_seconds``."""
@@ -56,9 +60,7 @@
             return
         self._started = True
         headers = [(name.encode(), value.encode()) for name, value in self._headers.items()]
-        await self._send_in_time(
-            {"type": "http.response.start", "status": 200, "headers": headers}
-        )
+        await self._send_in_time({"type": "http.response.start", "status": 200, "headers": headers})
 
     async def _send_in_time(self, message: dict[str, object]) -> None:
         try:
--- /dev/null
+++ b/camphordrift/gateway/_service_endpoint.py
@@ -0,0 +1,145 @@
+"""The endpoint of plain services, by path."""
+
+from collections.abc import Callable
+
+import trio
+from returns import result
+from returns.pipeline import is_successful
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+from camphordrift.backend_http import HttpAnswer
+from camphordrift.gateway._active_requests import ActiveRequest
+from camphordrift.gateway._admission import identify_caller, new_request_id
+from camphordrift.gateway._bodies import BodyReader
+from camphordrift.gateway._context import GatewayContext
+from camphordrift.gateway._errors import error_response
+from camphordrift.gateway._headers import REQUEST_ID_HEADER, read_timeout
+from camphordrift.gateway._permissions import ServicePermission, permit_service_call
+from camphordrift.gateway._request_scope import run_while_connected
+from camphordrift.gateway._service_calls import ServiceRequest
+from camphordrift.identifiers import RequestId
+from camphordrift.results import Failure
+
+#: Headers that are passed on to a service.
+PASSED_REQUEST_HEADERS = ("content-type", "accept", "accept-language", "idempotency-key")
+
+#: Headers of a service's answer that are passed on to the caller.
+PASSED_ANSWER_HEADERS = ("content-type", "content-language", "retry-after", "location")
+
+
+class ServiceEndpoint:
+    """An ASGI application that passes calls on to plain services."""
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answers one call."""
+        request = Request(scope, receive)
+        request_id = new_request_id()
+        limits = self._context.limits
+        reader = BodyReader(
+            self._context.body_memory, limits.max_body_bytes, limits.body_timeout_seconds
+        )
+        with reader:
+            permitted = self._permit(request)
+            if not is_successful(permitted):
+                await error_response(permitted.failure(), request_id)(scope, receive, send)
+                return
+            body = await reader.read(request)
+            if not is_successful(body):
+                await error_response(body.failure(), request_id)(scope, receive, send)
+                return
+            await self._run(request, request_id, permitted.unwrap(), body.unwrap(), send)
+
+    def _permit(self, request: Request) -> result.Result[ServicePermission, Failure]:
+        caller = identify_caller(self._context, request)
+        return caller.bind(
+            lambda known: permit_service_call(
+                known.snapshot, known.account.account_id, request.url.path
+            )
+        )
+
+    async def _run(
+        self,
+        request: Request,
+        request_id: RequestId,
+        permission: ServicePermission,
+        body: bytes,
+        send: Send,
+    ) -> None:
+        timeout = read_timeout(request.headers, permission.timeouts)
+        admitted = timeout.bind(lambda _: self._pass_gate(permission))
+        if not is_successful(admitted):
+            response = error_response(admitted.failure(), request_id)
+            await response(request.scope, request.receive, send)
+            return
+        release = admitted.unwrap()
+        seconds = timeout.unwrap()
+        call = _service_request(request, request_id, permission, body)
+
+        async def work() -> None:
+            answer = await self._call(call, permission, seconds)
+            response = _response_to(answer, request_id)
+            await response(request.scope, request.receive, send)
+
+        try:
+            with self._context.active.track(_active_request(request_id, permission, seconds)):
+                if call.repeatable:
+                    await run_while_connected(request.receive, work)
+                else:
+                    # A call that may not be repeated is finished even if its caller goes away.
+                    await work()
+        finally:
+            release()
+
+    def _pass_gate(
+        self, permission: ServicePermission
+    ) -> result.Result[Callable[[], None], Failure]:
+        return self._context.gate.try_admit(permission.account_id, 0, False)
+
+    async def _call(
+        self, call: ServiceRequest, permission: ServicePermission, seconds: float
+    ) -> result.Result[HttpAnswer, Failure]:
+        return await self._context.services.call(call, permission.servers, seconds)
+
+
+def _service_request(
+    request: Request, request_id: RequestId, permission: ServicePermission, body: bytes
+) -> ServiceRequest:
+    path = request.url.path
+    query = f"?{request.url.query}" if request.url.query else ""
+    headers = {
+        name: request.headers[name] for name in PASSED_REQUEST_HEADERS if name in request.headers
+    }
+    headers[REQUEST_ID_HEADER] = request_id
+    return ServiceRequest(
+        request_id=request_id,
+        method=request.method,
+        target=path + query,
+        headers=headers,
+        body=body,
+        repeatable=permission.service.is_repeatable(request.method, path),
+    )
+
+
+def _active_request(
+    request_id: RequestId, permission: ServicePermission, seconds: float
+) -> ActiveRequest:
+    now = trio.current_time()
+    return ActiveRequest(
+        request_id, permission.account_id, permission.service.name, now, now + seconds
+    )
+
+
+def _response_to(answer: result.Result[HttpAnswer, Failure], request_id: RequestId) -> Response:
+    if not is_successful(answer):
+        return error_response(answer.failure(), request_id)
+    received = answer.unwrap()
+    headers = {
+        name: received.headers[name] for name in PASSED_ANSWER_HEADERS if name in received.headers
+    }
+    headers[REQUEST_ID_HEADER] = request_id
+    return Response(received.body, status_code=received.status, headers=headers)
--- a/camphordrift/standins/_engines.py
+++ b/camphordrift/standins/_engines.py
@@ -178,6 +178,14 @@
         engine.state.set_speed(0.0 if frozen else 1.0)
         engine.wake.set()
 
+    def is_frozen(self, engine_id: BackendServerId) -> bool:
+        """Returns whether the engine is silent."""
+        return self._engines[engine_id].frozen
+
+    def is_alive(self, engine_id: BackendServerId) -> bool:
+        """Returns whether the engine's process runs."""
+        return self._engines[engine_id].alive
+
     def slow(self, engine_id: BackendServerId, speed: float) -> None:
         """Sets the engine's speed as a share of the normal one."""
         engine = self._engines[engine_id]
--- /dev/null
+++ b/camphordrift/standins/_fleet.py
@@ -0,0 +1,155 @@
+"""Runs all stand-ins of one process over HTTP."""
+
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import trio
+
+from camphordrift.http_server import HttpAddress, serve_http
+from camphordrift.identifiers import BackendServerId
+from camphordrift.settings import (
+    EngineSettings,
+    SocketAddress,
+    StandinSettings,
+)
+from camphordrift.standins._control import StandinControl, control_app
+from camphordrift.standins._engine_model import EngineModel
+from camphordrift.standins._engines import InMemoryEngines
+from camphordrift.standins._http_engine import engine_app
+from camphordrift.standins._http_log import log_app
+from camphordrift.standins._log_service import InMemoryLogService, LogLimits
+from camphordrift.standins._plain_service import (
+    BookingBooks,
+    PlainServiceFaults,
+    plain_service_app,
+)
+from camphordrift.standins._vm_list import StandinVmList, vm_list_app
+from camphordrift.standins._weight_store import StandinWeightStore, weight_store_app
+
+#: How often it is checked whether an engine's process shall be up or down, in seconds.
+ENGINE_WATCH_SECONDS = 0.02
+
+
+class StandinFleet:
+    """The platform and the backend servers of one fleet, as stand-ins.
+
+    Example::
+
+        fleet = StandinFleet(settings)
+        await nursery.start(fleet.run)
+    """
+
+    def __init__(self, settings: StandinSettings) -> None:
+        self._settings = settings
+        models = [_engine_model(engine) for engine in settings.engines]
+        self._engines = InMemoryEngines(models, network_delay_seconds=0.0, seed=1)
+        limits = LogLimits(
+            appends_per_second=settings.log.appends_per_second,
+            keep_seconds=settings.log.retention_seconds,
+        )
+        self._log = InMemoryLogService(time.time, limits)
+        self._vm_list = StandinVmList(time.monotonic, settings.vm_list.lag_seconds)
+        self._vm_list.set_entries(_listed_vms(settings))
+        self._weights = StandinWeightStore(time.monotonic, settings.weight_store.reads_per_second)
+        self._books = BookingBooks()
+        self._plain_faults = {
+            str(service.server_id): PlainServiceFaults(delay_seconds=service.call_seconds)
+            for service in settings.services
+        }
+        self._control = StandinControl(
+            self._engines, self._log, self._vm_list, self._books, self._plain_faults
+        )
+
+    @property
+    def control(self) -> StandinControl:
+        """The switches of all faults."""
+        return self._control
+
+    @property
+    def engines(self) -> InMemoryEngines:
+        """The engines."""
+        return self._engines
+
+    @property
+    def log(self) -> InMemoryLogService:
+        """The log service."""
+        return self._log
+
+    @property
+    def books(self) -> BookingBooks:
+        """What the plain service's servers have run."""
+        return self._books
+
+    async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Serves until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._engines.run)
+            for app, listen in self._apps():
+                await nursery.start(serve_http, app, _address(listen))
+            for engine in self._settings.engines:
+                await nursery.start(self._run_engine, engine)
+            task_status.started()
+
+    def _apps(self) -> Sequence[tuple[Any, SocketAddress]]:
+        settings = self._settings
+        apps: list[tuple[Any, SocketAddress]] = [
+            (log_app(self._log), settings.log.listen),
+            (vm_list_app(self._vm_list), settings.vm_list.listen),
+            (weight_store_app(self._weights), settings.weight_store.listen),
+            (control_app(self._control), settings.control),
+        ]
+        for service in settings.services:
+            faults = self._plain_faults[str(service.server_id)]
+            app = plain_service_app(self._books, faults, f"/{service.service}")
+            apps.append((app, service.listen))
+        return apps
+
+    async def _run_engine(
+        self, engine: EngineSettings, task_status: Any = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serves one engine; while it is dead its port is closed and its connections are cut."""
+        app = engine_app(self._engines, engine.engine_id)
+        while True:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_http, app, _address(engine.listen))
+                task_status.started()
+                task_status = trio.TASK_STATUS_IGNORED
+                await self._wait_until(engine.engine_id, alive=False)
+                nursery.cancel_scope.cancel()
+            await self._wait_until(engine.engine_id, alive=True)
+
+    async def _wait_until(self, engine_id: BackendServerId, alive: bool) -> None:
+        while self._engines.is_alive(engine_id) is not alive:
+            await trio.sleep(ENGINE_WATCH_SECONDS)
+
+
+def _engine_model(settings: EngineSettings) -> EngineModel:
+    return EngineModel(
+        engine_id=settings.engine_id,
+        models=settings.models,
+        prefill_tokens_per_second=settings.prefill_tokens_per_second,
+        step_seconds=1.0 / settings.decode_tokens_per_second,
+        memory_tokens=settings.memory_tokens,
+        max_running_requests=settings.max_batch_requests,
+        load_lag_seconds=settings.load_lag_seconds,
+        cache_event_lag_seconds=settings.cache_event_lag_seconds,
+        checks_fencing=settings.checks_fencing,
+    )
+
+
+def _listed_vms(settings: StandinSettings) -> tuple[dict[str, Any], ...]:
+    return tuple(
+        {
+            "vm_id": vm.vm_id,
+            "address": vm.peers.host,
+            "peer_port": vm.peers.port,
+            "zone": vm.availability_zone,
+            "leaving": False,
+        }
+        for vm in settings.vm_list.vms
+    )
+
+
+def _address(listen: SocketAddress) -> HttpAddress:
+    return HttpAddress(listen.host, listen.port)
