Add settings and telemetry

Cause: the entry daemon needs checked settings, logs, metrics and a state dump before it can be wired. Change: TOML settings through strict models into frozen data classes, one line for each fault; key=value log lines through absl.logging with redaction of keys; metrics by OpenTelemetry with the Prometheus reader in a registry of each VM's own; a state dump with SIGUSR1; a record of decisions; example settings of both fleets, loaded by a test. Conclusion: the packages can be wired.

--- /dev/null
+++ b/camphordrift/settings/_fields.py
@@ -0,0 +1,150 @@
+"""Types of single settings: how each is checked, and what is said when it is wrong."""
+
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import pydantic
+from pydantic import AfterValidator, Field
+
+from camphordrift.settings._addresses import (
+    SocketAddress,
+    parse_base_url,
+    parse_socket_address,
+)
+
+#: Longest time that a setting may give, in seconds.
+MAX_SECONDS = 7 * 24 * 3600.0
+
+#: Largest size that a setting may give, in bytes.
+MAX_BYTES = 1 << 40
+
+#: Largest count or rate that a setting may give.
+MAX_COUNT = 1_000_000_000
+
+_NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
+_VARIABLE_PATTERN = r"^[A-Z_][A-Z0-9_]{0,127}$"
+_KEY_HASH_PATTERN = r"^sha256:[0-9a-f]{64}$"
+
+
+@dataclass(frozen=True)
+class Expected:
+    """Metadata of a field's type: what a right value looks like, for error lines and documents."""
+
+    #: Completes the sentence "expected ...".
+    text: str
+
+    #: True if a wrong value must not be shown, since it may be a secret.
+    secret: bool = False
+
+
+class SettingsModel(pydantic.BaseModel):
+    """Base of the models of settings: strict types, and no unknown keys."""
+
+    model_config = pydantic.ConfigDict(strict=True, extra="forbid", frozen=True)
+
+
+def _not_any_address(address: SocketAddress) -> SocketAddress:
+    if address.host in ("0.0.0.0", "::"):
+        raise ValueError("other VMs cannot connect to it")
+    return address
+
+
+def _read_address(value: Any) -> SocketAddress:
+    if not isinstance(value, str):
+        raise ValueError("not a string")
+    return parse_socket_address(value)
+
+
+#: The name of a VM, an availability zone, a region, a model or a backend server.
+Name = Annotated[
+    str,
+    Field(pattern=_NAME_PATTERN),
+    Expected("a name of lower-case letters, digits, '-' and '.', such as \"oliwa-1\""),
+]
+
+#: An availability zone's name.
+ZoneName = Annotated[
+    str,
+    Field(pattern=_NAME_PATTERN),
+    Expected('the name of an availability zone, such as "oliwa"'),
+]
+
+#: An address to listen on.
+ListenAddress = Annotated[
+    SocketAddress,
+    pydantic.BeforeValidator(_read_address),
+    Expected('an IP number and a port, such as "10.0.0.1:8080"'),
+]
+
+#: An address that other VMs connect to.
+PeerAddress = Annotated[
+    SocketAddress,
+    pydantic.BeforeValidator(_read_address),
+    AfterValidator(_not_any_address),
+    Expected('an IP number that other VMs reach and a port, such as "10.0.0.1:8082"'),
+]
+
+#: Where a service of the platform answers.
+BaseUrl = Annotated[
+    str,
+    AfterValidator(parse_base_url),
+    Expected('an http or https URL with an IP number, such as "http://10.0.0.9:9000"'),
+]
+
+#: A time span above zero.
+Seconds = Annotated[
+    float,
+    Field(gt=0, le=MAX_SECONDS, allow_inf_nan=False),
+    Expected(f"a number of seconds without a unit, above 0 and at most {MAX_SECONDS:.0f}"),
+]
+
+#: A time span that may be zero.
+SecondsOrZero = Annotated[
+    float,
+    Field(ge=0, le=MAX_SECONDS, allow_inf_nan=False),
+    Expected(f"a number of seconds without a unit, from 0 to {MAX_SECONDS:.0f}"),
+]
+
+#: A size.
+ByteCount = Annotated[
+    int,
+    Field(gt=0, le=MAX_BYTES),
+    Expected(f"a whole number of bytes without a unit, from 1 to {MAX_BYTES}"),
+]
+
+#: A count.
+Count = Annotated[int, Field(gt=0, le=MAX_COUNT), Expected(f"a whole number from 1 to {MAX_COUNT}")]
+
+#: A rate.
+PerSecond = Annotated[
+    float,
+    Field(gt=0, le=MAX_COUNT, allow_inf_nan=False),
+    Expected(f"a number a second, above 0 and at most {MAX_COUNT}"),
+]
+
+#: The path of a file, from the directory of the settings file on.
+FilePath = Annotated[
+    str,
+    Field(min_length=1, max_length=4096, pattern=r"^[^\x00]+$"),
+    Expected("the path of a file, relative to the settings file or absolute"),
+]
+
+#: The name of an environment variable.
+EnvironmentVariable = Annotated[
+    str,
+    Field(pattern=_VARIABLE_PATTERN),
+    Expected('the name of an environment variable, such as "CAMPHORDRIFT_FLEET_KEY"'),
+]
+
+#: The hash of a key, as printed by ``camphordrift keygen``.
+KeyHash = Annotated[
+    str,
+    Field(pattern=_KEY_HASH_PATTERN),
+    Expected(
+        "the hash that `camphordrift keygen` prints, 'sha256:' and 64 hexadecimal digits",
+        secret=True,
+    ),
+]
+
+#: A switch.
+Switch = Annotated[bool, Expected("true or false")]
--- /dev/null
+++ b/camphordrift/telemetry/__init__.py
@@ -0,0 +1,45 @@
+"""What a process tells of itself: logs, metrics, its state and its recent decisions."""
+
+from camphordrift.telemetry._decisions import Decision, DecisionRecord
+from camphordrift.telemetry._logging import (
+    LogLevel,
+    configure_logging,
+    format_event,
+    log_event,
+    redact_keys,
+    request_context,
+)
+from camphordrift.telemetry._metrics import (
+    METRICS_CONTENT_TYPE,
+    Counter,
+    InstrumentDescription,
+    Level,
+    Metrics,
+    SecondsHistogram,
+    render_metrics,
+)
+from camphordrift.telemetry._signals import call_on_stop_signal, dump_on_signal
+from camphordrift.telemetry._state_dump import StateDump, plain_data, render_dump
+
+__all__ = [
+    "METRICS_CONTENT_TYPE",
+    "Counter",
+    "Decision",
+    "DecisionRecord",
+    "InstrumentDescription",
+    "Level",
+    "LogLevel",
+    "Metrics",
+    "SecondsHistogram",
+    "StateDump",
+    "call_on_stop_signal",
+    "configure_logging",
+    "dump_on_signal",
+    "format_event",
+    "log_event",
+    "plain_data",
+    "redact_keys",
+    "render_dump",
+    "render_metrics",
+    "request_context",
+]
--- /dev/null
+++ b/camphordrift/telemetry/_logging.py
@@ -0,0 +1,167 @@
+"""Logs: one line of key=value pairs for each event."""
+
+import contextlib
+import datetime
+import logging as standard_logging
+import math
+import re
+import sys
+from collections.abc import Iterator, Mapping
+from contextvars import ContextVar
+from enum import Enum
+from typing import Optional, TextIO
+
+from absl import logging
+
+from camphordrift.identifiers import RequestId
+
+#: Longest value in a line, in characters; the rest is cut off and marked.
+MAX_VALUE_CHARACTERS = 500
+
+#: What stands in a line in place of a secret.
+REDACTED = "[redacted]"
+
+_SECRET_FIELDS = frozenset({"authorization", "cookie", "key", "keys", "secret", "password"})
+_SECRET_SUFFIXES = ("_key", "_keys", "_secret", "_password")
+_PUBLIC_FIELDS = frozenset({"idempotency_key"})
+
+#: The form of every key of the system, wherever it appears in a value.
+_KEY_PATTERN = re.compile(r"cd-(?:account|operator|fleet)-[A-Za-z0-9_-]+")
+
+_PLAIN_VALUE = re.compile(r"[A-Za-z0-9_.,:/@+\[\]()*<>;%#~^!?&|{}-]+")
+
+_REQUEST_ID: ContextVar[Optional[RequestId]] = ContextVar("request_id", default=None)
+
+
+class LogLevel(Enum):
+    """How serious an event is."""
+
+    DEBUG = logging.DEBUG
+    INFO = logging.INFO
+    WARNING = logging.WARNING
+    ERROR = logging.ERROR
+
+
+def configure_logging(level: str, stream: TextIO = sys.stderr) -> None:
+    """Sends log lines from ``level`` on (``debug`` to ``error``) to ``stream``.
+
+    Lines that libraries log are put into the same form. A second call replaces the first one.
+    """
+    root = standard_logging.getLogger()
+    for handler in [handler for handler in root.handlers if isinstance(handler, _LineHandler)]:
+        root.removeHandler(handler)
+    root.addHandler(_LineHandler(stream))
+    root.setLevel(standard_logging.WARNING)
+    logging.set_verbosity(LogLevel[level.upper()].value)
+
+
+def log_event(event: str, *, level: LogLevel = LogLevel.INFO, **fields: object) -> None:
+    """Logs one event.
+
+    The line has the event, the request id if one is set, and the fields in the given order. Fields
+    whose names say that they are secrets are redacted, and so are keys within values.
+
+    Example::
+
+        log_event("engine_unreachable", level=LogLevel.WARNING, engine="engine-3", attempt=2)
+    """
+    if level.value <= logging.get_verbosity():
+        logging.log(level.value, "%s", format_event(event, fields, _REQUEST_ID.get()))
+
+
+def format_event(
+    event: str, fields: Mapping[str, object], request_id: Optional[RequestId] = None
+) -> str:
+    """Returns the line of key=value pairs for an event, without time and level."""
+    pairs: dict[str, object] = {"event": event}
+    if request_id is not None:
+        pairs["request_id"] = request_id
+    pairs.update(fields)
+    return " ".join(f"{name}={_format_field(name, value)}" for name, value in pairs.items())
+
+
+@contextlib.contextmanager
+def request_context(request_id: RequestId) -> Iterator[None]:
+    """Puts ``request_id`` into every line logged inside, by tasks started inside as well."""
+    token = _REQUEST_ID.set(request_id)
+    try:
+        yield
+    finally:
+        _REQUEST_ID.reset(token)
+
+
+def redact_keys(text: str) -> str:
+    """Returns ``text`` with every key of the system replaced."""
+    return _KEY_PATTERN.sub(REDACTED, text)
+
+
+def _format_field(name: str, value: object) -> str:
+    if _is_secret(name):
+        return REDACTED
+    return _quote_if_needed(redact_keys(_plain_text(value)))
+
+
+def _is_secret(name: str) -> bool:
+    lowered = name.lower()
+    if lowered in _PUBLIC_FIELDS:
+        return False
+    return lowered in _SECRET_FIELDS or lowered.endswith(_SECRET_SUFFIXES)
+
+
+def _plain_text(value: object) -> str:
+    match value:
+        case None:
+            return "none"
+        case bool():
+            return "true" if value else "false"
+        case float():
+            return f"{value:.6g}" if math.isfinite(value) else str(value)
+        case Enum():
+            return value.name.lower()
+        case bytes():
+            return value.decode("utf-8", errors="backslashreplace")
+        case _:
+            return str(value)
+
+
+def _quote_if_needed(text: str) -> str:
+    if len(text) > MAX_VALUE_CHARACTERS:
+        text = text[:MAX_VALUE_CHARACTERS] + "..."
+    if _PLAIN_VALUE.fullmatch(text):
+        return text
+    return '"' + "".join(_escape(character) for character in text) + '"'
+
+
+def _escape(character: str) -> str:
+    if character in '"\\':
+        return "\\" + character
+    if character.isprintable():
+        return character
+    return character.encode("unicode_escape").decode("ascii")
+
+
+class _LineFormatter(standard_logging.Formatter):
+    """Puts time and level before the pairs of an event; turns other lines into an event."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        message = record.getMessage()
+        if record.name != "absl" or not message.startswith("event="):
+            message = format_event("message", {"logger": record.name, "text": message})
+        if record.exc_info and record.exc_info[1] is not None:
+            message += " " + _exception_pairs(record.exc_info[1])
+        moment = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+        stamp = moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+        return f"time={stamp} level={record.levelname.lower()} {message}"
+
+
+class _LineHandler(standard_logging.StreamHandler[TextIO]):
+    """Writes lines in the form of :class:`_LineFormatter`."""
+
+    def __init__(self, stream: TextIO) -> None:
+        super().__init__(stream)
+        self.setFormatter(_LineFormatter())
+
+
+def _exception_pairs(error: BaseException) -> str:
+    pairs = {"error": type(error).__name__, "error_detail": str(error)}
+    return " ".join(f"{name}={_format_field(name, value)}" for name, value in pairs.items())
--- /dev/null
+++ b/camphordrift/telemetry/_metrics.py
@@ -0,0 +1,179 @@
+"""Metrics by OpenTelemetry, collected when they are read; no thread takes part.
+
+The periodic readers of the library start threads. The Prometheus reader collects in the caller's
+task, which suits one loop on one thread.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import Histogram as SdkHistogram
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+#: Upper bounds of the buckets of time spans, in seconds.
+SECONDS_BUCKETS = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0, 900.0,
+)  # fmt: skip
+
+#: The content type of what ``Metrics.render`` returns.
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+#: Names and values that tell the series of one instrument apart.
+Labels = Mapping[str, str]
+
+
+@dataclass(frozen=True)
+class InstrumentDescription:
+    """One metric, for the documents."""
+
+    #: The name, without the prefix that the renderer adds.
+    name: str
+
+    #: ``counter``, ``histogram`` or ``level``.
+    kind: str
+
+    #: What it counts.
+    description: str
+
+
+class Counter:
+    """Counts events; only grows."""
+
+    def __init__(self, provider: MeterProvider, name: str, description: str) -> None:
+        meter = provider.get_meter("camphordrift")
+        self._counter = meter.create_counter(name, description=description)
+
+    def add(self, amount: int = 1, **labels: str) -> None:
+        """Adds ``amount``, which is not negative."""
+        self._counter.add(amount, labels)
+
+
+class Level:
+    """Follows a quantity that goes up and down, such as requests running."""
+
+    def __init__(self, provider: MeterProvider, name: str, description: str) -> None:
+        meter = provider.get_meter("camphordrift")
+        self._counter = meter.create_up_down_counter(name, description=description)
+
+    def change(self, amount: int, **labels: str) -> None:
+        """Adds ``amount``, which may be negative."""
+        self._counter.add(amount, labels)
+
+
+class SecondsHistogram:
+    """Gathers time spans in buckets."""
+
+    def __init__(self, provider: MeterProvider, name: str, description: str) -> None:
+        meter = provider.get_meter("camphordrift")
+        self._histogram = meter.create_histogram(name, unit="s", description=description)
+
+    def record(self, seconds: float, **labels: str) -> None:
+        """Adds one time span."""
+        self._histogram.record(seconds, labels)
+
+
+class Metrics:
+    """All instruments of one process, each a public attribute.
+
+    Every object has a registry of its own, so that several VMs can run in one process.
+
+    Example::
+
+        metrics = Metrics("oliwa-1")
+        metrics.requests.add(interface="chat", code="0")
+        page = metrics.render()
+    """
+
+    def __init__(self, vm_id: str) -> None:
+        self._registry = CollectorRegistry()
+        self._reader = PrometheusMetricReader(
+            disable_target_info=True,
+            prefix="camphordrift",
+            scope_info_enabled=False,
+            registry=self._registry,
+        )
+        buckets = ExplicitBucketHistogramAggregation(SECONDS_BUCKETS)
+        self._provider = MeterProvider(
+            metric_readers=[self._reader],
+            resource=Resource({"service.name": "camphordrift", "service.instance.id": vm_id}),
+            views=[View(instrument_type=SdkHistogram, aggregation=buckets)],
+            shutdown_on_exit=False,
+        )
+        self._descriptions: list[InstrumentDescription] = []
+        self._create_request_instruments()
+        self._create_backend_instruments()
+        self._create_platform_instruments()
+
+    @property
+    def descriptions(self) -> tuple[InstrumentDescription, ...]:
+        """All instruments in the order of their creation."""
+        return tuple(self._descriptions)
+
+    def render(self) -> bytes:
+        """Returns all metrics in Prometheus' text format."""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Gives the registry back. The object is not used afterwards."""
+        self._provider.shutdown()
+
+    def _create_request_instruments(self) -> None:
+        self.requests = self._counter("requests", "Answered requests, by interface and code.")
+        self.requests_running = self._level("requests_running", "Requests admitted and not ended.")
+        self.refusals = self._counter("refusals", "Requests refused before running, by code.")
+        self.body_bytes_held = self._level("body_bytes_held", "Bytes of request bodies in memory.")
+        self.request_seconds = self._seconds(
+            "request_seconds", "Time from request to whole answer."
+        )
+        self.first_token_seconds = self._seconds(
+            "first_token_seconds", "Time from request to first token, by band of prompt length."
+        )
+        self.queue_seconds = self._seconds("queue_seconds", "Time that an ask waited for a grant.")
+
+    def _create_backend_instruments(self) -> None:
+        self.attempts = self._counter("attempts", "Attempts on backend servers, by outcome.")
+        self.retries = self._counter("retries", "Attempts after the first one, by service.")
+        self.output_tokens = self._counter("output_tokens", "Tokens passed on to callers.")
+        self.backend_failures = self._counter(
+            "backend_failures", "Failures of backend servers, by server and kind."
+        )
+        self.foreign_chunks = self._counter(
+            "foreign_chunks", "Chunks dropped because they belonged to another request."
+        )
+        self.holds_released = self._counter(
+            "holds_released", "Memory holds without an owner that were released."
+        )
+        self.orders = self._counter("orders", "Orders given to engines, by kind and outcome.")
+
+    def _create_platform_instruments(self) -> None:
+        self.log_appends = self._counter("log_appends", "Appends to the log service, by outcome.")
+        self.claims = self._counter("claims", "Claims of calls without repetition, by outcome.")
+        self.configuration_changes = self._counter(
+            "configuration_changes", "Configuration records folded, by verdict."
+        )
+        self.peer_bytes = self._counter("peer_bytes", "Bytes to and from other VMs, by direction.")
+        self.peer_failures = self._counter("peer_failures", "Streams to other VMs that failed.")
+        self.loop_lag_seconds = self._seconds(
+            "loop_lag_seconds", "How late the event loop ran a timer."
+        )
+
+    def _counter(self, name: str, description: str) -> Counter:
+        self._descriptions.append(InstrumentDescription(name, "counter", description))
+        return Counter(self._provider, name, description)
+
+    def _level(self, name: str, description: str) -> Level:
+        self._descriptions.append(InstrumentDescription(name, "level", description))
+        return Level(self._provider, name, description)
+
+    def _seconds(self, name: str, description: str) -> SecondsHistogram:
+        self._descriptions.append(InstrumentDescription(name, "histogram", description))
+        return SecondsHistogram(self._provider, name, description)
+
+
+def render_metrics(metrics: Metrics) -> bytes:
+    """Returns all metrics in Prometheus' text format."""
+    return metrics.render()
--- /dev/null
+++ b/camphordrift/telemetry/tests/test_metrics.py
@@ -0,0 +1,39 @@
+"""Metrics."""
+
+import threading
+
+import testtools
+
+from camphordrift.telemetry import Metrics, render_metrics
+
+
+class MetricsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.metrics = Metrics("oliwa-1")
+        self.addCleanup(self.metrics.close)
+
+    def test_page_has_what_was_counted(self) -> None:
+        self.metrics.requests.add(interface="chat", code="0")
+        self.metrics.requests.add(2, interface="chat", code="0")
+        self.metrics.requests_running.change(3)
+        self.metrics.requests_running.change(-1)
+        self.metrics.first_token_seconds.record(0.03, band="1k")
+        page = render_metrics(self.metrics).decode()
+        self.assertIn('camphordrift_requests_total{code="0",interface="chat"} 3.0', page)
+        self.assertIn("camphordrift_requests_running 2.0", page)
+        self.assertIn('camphordrift_first_token_seconds_bucket{band="1k",le="0.05"} 1.0', page)
+
+    def test_two_vms_in_one_process_do_not_share_counts(self) -> None:
+        other = Metrics("oliwa-2")
+        self.addCleanup(other.close)
+        self.metrics.retries.add(service="booking-office")
+        self.assertNotIn(b"camphordrift_retries_total{", other.render())
+
+    def test_no_thread_is_started(self) -> None:
+        self.metrics.render()
+        self.assertEqual([threading.main_thread()], threading.enumerate())
+
+    def test_every_instrument_is_described_once(self) -> None:
+        names = [item.name for item in self.metrics.descriptions]
+        self.assertEqual(sorted(set(names)), sorted(names))
--- /dev/null
+++ b/camphordrift/telemetry/tests/test_state_dump.py
@@ -0,0 +1,105 @@
+"""State dumps, signals and the record of decisions."""
+
+import json
+import os
+import signal
+from dataclasses import dataclass
+
+import testtools
+import trio
+
+from camphordrift.identifiers import RequestId
+from camphordrift.telemetry import (
+    Decision,
+    DecisionRecord,
+    LogLevel,
+    StateDump,
+    dump_on_signal,
+    render_dump,
+)
+
+
+@dataclass(frozen=True)
+class Sample:
+    """A snapshot with all kinds of values."""
+
+    queue: tuple[int, ...]
+    level: LogLevel
+    parts: frozenset[str]
+    fleet_key: str
+    note: str
+    ratio: float
+    body: bytes
+
+
+class StateDumpTest(testtools.TestCase):
+    def test_renders_data_classes_without_secrets(self) -> None:
+        dump = StateDump()
+        sample = Sample(
+            (1, 2), LogLevel.INFO, frozenset("ba"), "k", "cd-fleet-abc", float("inf"), b"123"
+        )
+        dump.register("sample", lambda: {("a", 1): sample})
+        self.assertEqual(
+            {
+                "queue": [1, 2],
+                "level": LogLevel.INFO.value,
+                "parts": ["a", "b"],
+                "fleet_key": "[redacted]",
+                "note": "[redacted]",
+                "ratio": "inf",
+                "body": "3 bytes",
+            },
+            json.loads(render_dump(dump))["sample"]["('a', 1)"],
+        )
+
+    def test_component_that_fails_does_not_hide_the_others(self) -> None:
+        dump = StateDump()
+        dump.register("broken", lambda: 1 // 0)
+        dump.register("whole", lambda: 7)
+        collected = dump.collect()
+        self.assertIn("ZeroDivisionError", collected["broken"]["dump_failed"])
+        self.assertEqual(7, collected["whole"])
+
+    def test_endless_nesting_is_cut(self) -> None:
+        loop: list[object] = []
+        loop.append(loop)
+        dump = StateDump()
+        dump.register("loop", lambda: loop)
+        self.assertIsInstance(json.loads(dump.render()), dict)
+
+    def test_name_is_taken_once(self) -> None:
+        dump = StateDump()
+        dump.register("members", dict)
+        self.assertRaises(ValueError, dump.register, "members", dict)
+
+
+class DumpOnSignalTest(testtools.TestCase):
+    def test_signal_writes_a_dump(self) -> None:
+        dump = StateDump()
+        dump.register("answer", lambda: 42)
+        written: list[bytes] = []
+
+        async def main() -> None:
+            with trio.fail_after(30):
+                async with trio.open_nursery() as nursery:
+
+                    def write(content: bytes) -> None:
+                        written.append(content)
+                        nursery.cancel_scope.cancel()
+
+                    await nursery.start(dump_on_signal, dump, write)
+                    os.kill(os.getpid(), signal.SIGUSR1)
+
+        trio.run(main)
+        self.assertEqual({"answer": 42}, json.loads(written[0]))
+
+
+class DecisionRecordTest(testtools.TestCase):
+    def test_oldest_decisions_give_way(self) -> None:
+        record = DecisionRecord(capacity=2)
+        for number in range(3):
+            record.add(Decision(number, "routing", "grant", "why", RequestId(f"r{number}")))
+        self.assertEqual([2, 1], [item.at_seconds for item in record.snapshot()])
+        self.assertEqual(3, record.total)
+        self.assertEqual((), record.for_request(RequestId("r0")))
+        self.assertEqual(1, len(record.for_request(RequestId("r2"))))
