Open signal receivers before the tasks that read them

Cause: a SIGUSR1 that arrives before its receiver is open ends the process. Change: the caller opens the receiver and hands it to the task. Conclusion: no window in which the signal has its default effect.

--- a/camphordrift/telemetry/__init__.py
+++ b/camphordrift/telemetry/__init__.py
@@ -18,11 +18,18 @@
     SecondsHistogram,
     render_metrics,
 )
-from camphordrift.telemetry._signals import call_on_stop_signal, dump_on_signal
+from camphordrift.telemetry._signals import (
+    DUMP_SIGNAL,
+    STOP_SIGNALS,
+    call_on_stop_signal,
+    dump_on_signal,
+)
 from camphordrift.telemetry._state_dump import StateDump, plain_data, render_dump
 
 __all__ = [
+    "DUMP_SIGNAL",
     "METRICS_CONTENT_TYPE",
+    "STOP_SIGNALS",
     "Counter",
     "Decision",
     "DecisionRecord",
--- a/camphordrift/telemetry/_signals.py
+++ b/camphordrift/telemetry/_signals.py
@@ -1,22 +1,25 @@
-"""Signals, received in the loop."""
+"""Signals, received in the loop.
+
+The receiver is opened by the caller before the tasks start, so that no signal arrives too early.
+
+Example::
+
+    with trio.open_signal_receiver(DUMP_SIGNAL) as signals:
+        nursery.start_soon(dump_on_signal, signals, dump)
+"""
 
 import signal
 import sys
-from collections.abc import Callable
-from typing import Protocol
-
-import trio
+from collections.abc import AsyncIterator, Callable
 
 from camphordrift.telemetry._logging import log_event
 from camphordrift.telemetry._state_dump import StateDump
 
+#: Asks a process for its state dump.
+DUMP_SIGNAL = signal.SIGUSR1
 
-class StartReport(Protocol):
-    """What ``nursery.start`` hands to a task, which reports that it has started."""
-
-    def started(self) -> None:
-        """Lets the caller of ``nursery.start`` go on."""
-        ...
+#: Ask a process for a graceful shutdown.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def write_to_standard_error(content: bytes) -> None:
@@ -26,30 +29,20 @@
 
 
 async def dump_on_signal(
+    signals: AsyncIterator[int],
     dump: StateDump,
     write: Callable[[bytes], None] = write_to_standard_error,
-    task_status: StartReport = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Writes the state dump whenever SIGUSR1 arrives. Runs until cancelled.
-
-    Start it with ``nursery.start`` so that no signal arrives before it listens.
-    """
-    with trio.open_signal_receiver(signal.SIGUSR1) as received:
-        task_status.started()
-        async for _ in received:
-            content = dump.render()
-            log_event("state_dump", size_bytes=len(content))
-            write(content)
-
-
-async def call_on_stop_signal(
-    stop: Callable[[], None],
-    task_status: StartReport = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Calls ``stop`` when SIGTERM or SIGINT arrives first, then returns."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        task_status.started()
-        async for number in received:
-            log_event("stop_requested", signal=signal.Signals(number).name)
-            stop()
-            return
+    """Writes the state dump whenever a signal arrives. Runs until cancelled."""
+    async for _ in signals:
+        content = dump.render()
+        log_event("state_dump", size_bytes=len(content))
+        write(content)
+
+
+async def call_on_stop_signal(signals: AsyncIterator[int], stop: Callable[[], None]) -> None:
+    """Calls ``stop`` when the first signal arrives, then returns."""
+    async for number in signals:
+        log_event("stop_requested", signal=signal.Signals(number).name)
+        stop()
+        return
--- a/camphordrift/telemetry/tests/test_state_dump.py
+++ b/camphordrift/telemetry/tests/test_state_dump.py
@@ -2,7 +2,6 @@
 
 import json
 import os
-import signal
 from dataclasses import dataclass
 
 import testtools
@@ -10,10 +9,13 @@
 
 from camphordrift.identifiers import RequestId
 from camphordrift.telemetry import (
+    DUMP_SIGNAL,
+    STOP_SIGNALS,
     Decision,
     DecisionRecord,
     LogLevel,
     StateDump,
+    call_on_stop_signal,
     dump_on_signal,
     render_dump,
 )
@@ -73,26 +75,37 @@
         self.assertRaises(ValueError, dump.register, "members", dict)
 
 
-class DumpOnSignalTest(testtools.TestCase):
+class SignalsTest(testtools.TestCase):
     def test_signal_writes_a_dump(self) -> None:
         dump = StateDump()
         dump.register("answer", lambda: 42)
         written: list[bytes] = []
 
         async def main() -> None:
-            with trio.fail_after(30):
+            with trio.fail_after(30), trio.open_signal_receiver(DUMP_SIGNAL) as signals:
                 async with trio.open_nursery() as nursery:
 
                     def write(content: bytes) -> None:
                         written.append(content)
                         nursery.cancel_scope.cancel()
 
-                    await nursery.start(dump_on_signal, dump, write)
-                    os.kill(os.getpid(), signal.SIGUSR1)
+                    nursery.start_soon(dump_on_signal, signals, dump, write)
+                    os.kill(os.getpid(), DUMP_SIGNAL)
 
         trio.run(main)
         self.assertEqual({"answer": 42}, json.loads(written[0]))
 
+    def test_stop_signal_stops(self) -> None:
+        stopped = trio.Event()
+
+        async def main() -> None:
+            with trio.fail_after(30), trio.open_signal_receiver(*STOP_SIGNALS) as signals:
+                os.kill(os.getpid(), STOP_SIGNALS[0])
+                await call_on_stop_signal(signals, stopped.set)
+
+        trio.run(main)
+        self.assertTrue(stopped.is_set())
+
 
 class DecisionRecordTest(testtools.TestCase):
     def test_oldest_decisions_give_way(self) -> None:
