--- a/camphordrift/http_server/_server.py
+++ b/camphordrift/http_server/_server.py
@@ -1,14 +1,14 @@
 """Runs hypercorn in the current trio loop, without processes or threads of its own."""
 
-import ipaddress
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Optional, Protocol
+from typing import Any, Optional
 
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from camphordrift.settings import SocketAddress
+
 #: Connections that wait to be accepted.
 LISTEN_BACKLOG = 512
 
@@ -19,49 +19,14 @@
 MAX_HEADER_BYTES = 32_768
 
 
-@dataclass(frozen=True)
-class HttpAddress:
-    """An IP number and a TCP port to listen on."""
-
-    #: The IP number.
-    host: str
-
-    #: The port.
-    port: int
-
-    def __post_init__(self) -> None:
-        ipaddress.ip_address(self.host)
-        if not 0 < self.port < 65_536:
-            raise ValueError(f"port must lie in 1 to 65535, not {self.port}")
-
-    @property
-    def bind(self) -> str:
-        """The address as hypercorn writes it."""
-        is_v6 = ipaddress.ip_address(self.host).version == 6
-        return f"[{self.host}]:{self.port}" if is_v6 else f"{self.host}:{self.port}"
-
-    @property
-    def base_url(self) -> str:
-        """The address as a URL of plain HTTP."""
-        return f"http://{self.bind}"
-
-
-class Started(Protocol):
-    """How a task tells ``trio.Nursery.start`` that it is ready."""
-
-    def started(self, value: None = None) -> None:
-        """Tells that the address is bound."""
-        ...
-
-
 async def serve_http(
     app: Any,
-    address: HttpAddress,
+    address: SocketAddress,
     shutdown: Optional[trio.Event] = None,
     graceful_seconds: float = 5.0,
     certificate: Optional[Path] = None,
     private_key: Optional[Path] = None,
-    task_status: Started = trio.TASK_STATUS_IGNORED,
+    task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves ``app`` until ``shutdown`` is set, then waits for its requests to end.
 
@@ -69,7 +34,7 @@
     it speaks TLS. Raises ``OSError`` if the address cannot be bound.
     """
     config = Config()
-    config.bind = [address.bind]
+    config.bind = [str(address)]
     config.backlog = LISTEN_BACKLOG
     config.keep_alive_timeout = IDLE_CONNECTION_SECONDS
     config.graceful_timeout = graceful_seconds
--- a/camphordrift/settings/_standins.py
+++ b/camphordrift/settings/_standins.py
@@ -130,6 +130,9 @@
     #: The weight store.
     weight_store: WeightStoreSettings
 
+    #: Where faults are switched on and off, and counts are read.
+    control: SocketAddress
+
     #: The engines.
     engines: tuple[EngineSettings, ...]
 
--- a/camphordrift/settings/_standins_model.py
+++ b/camphordrift/settings/_standins_model.py
@@ -63,6 +63,12 @@
     reads_per_second: PerSecond = Field(default=2.0, description="Reads that it takes a second.")
 
 
+class ControlModel(SettingsModel):
+    """The switches of the stand-ins' faults."""
+
+    listen: ListenAddress = Field(description="Where it listens.")
+
+
 class EngineModel(SettingsModel):
     """One stand-in for a model engine."""
 
@@ -105,6 +111,7 @@
     log: LogServiceModel = Field(description="The log service.")
     vm_list: VmListModel = Field(description="The list of live and leaving VMs.")
     weight_store: WeightStoreModel = Field(description="The weight store.")
+    control: ControlModel = Field(description="The switches of the stand-ins' faults.")
     engines: list[EngineModel] = Field(default_factory=list, description="The engines.")
     services: list[PlainServiceModel] = Field(
         default_factory=list, description="The servers of plain services."
@@ -122,6 +129,7 @@
         weight_store=WeightStoreSettings(
             model.weight_store.listen, model.weight_store.reads_per_second
         ),
+        control=model.control.listen,
         engines=tuple(_engine(engine) for engine in model.engines),
         services=tuple(_plain_service(server) for server in model.services),
         logging_level=model.logging.level,
--- a/camphordrift/standins/_fleet.py
+++ b/camphordrift/standins/_fleet.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from camphordrift.http_server import HttpAddress, serve_http
+from camphordrift.http_server import serve_http
 from camphordrift.identifiers import BackendServerId
 from camphordrift.settings import (
     EngineSettings,
@@ -86,7 +86,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._engines.run)
             for app, listen in self._apps():
-                await nursery.start(serve_http, app, _address(listen))
+                await nursery.start(serve_http, app, listen)
             for engine in self._settings.engines:
                 await nursery.start(self._run_engine, engine)
             task_status.started()
@@ -112,7 +112,7 @@
         app = engine_app(self._engines, engine.engine_id)
         while True:
             async with trio.open_nursery() as nursery:
-                await nursery.start(serve_http, app, _address(engine.listen))
+                await nursery.start(serve_http, app, engine.listen)
                 task_status.started()
                 task_status = trio.TASK_STATUS_IGNORED
                 await self._wait_until(engine.engine_id, alive=False)
@@ -149,7 +149,3 @@
         }
         for vm in settings.vm_list.vms
     )
-
-
-def _address(listen: SocketAddress) -> HttpAddress:
-    return HttpAddress(listen.host, listen.port)
