--- /dev/null
+++ b/camphordrift/routing/_engine_view.py
@@ -0,0 +1,188 @@
+"""What a scheduler believes of one engine, from its own grants and the engine's late reports."""
+
+from dataclasses import dataclass
+from typing import Optional
+
+from camphordrift.backend_servers import EngineRole, LoadReport
+from camphordrift.routing._grants import GrantAsk
+from camphordrift.routing._scheduler import AttemptKey, EngineFacts
+
+#: A failed engine gets no work for this time, unless it reports before.
+FAILED_SECONDS = 5.0
+
+#: An engine whose last report is older than this is used only if no other can be.
+STALE_REPORT_SECONDS = 5.0
+
+
+@dataclass(eq=False)
+class Flight:
+    """A granted attempt that has not ended."""
+
+    #: The ask that was granted.
+    ask: GrantAsk
+
+    #: The priority given to the engine; lower runs first.
+    priority: int
+
+    #: Order of the grant.
+    number: int
+
+    #: Instant at which its time is up.
+    deadline: float
+
+    #: Estimate of the prompt's computation that is left, in seconds of the engine alone.
+    prefill_left: float
+
+    #: Estimate of the tokens that are left to generate.
+    output_left: float
+
+    #: What it takes of this engine's memory, in tokens.
+    memory_tokens: int
+
+    #: True once the first token has been reported.
+    decoding: bool = False
+
+
+class EngineView:
+    """Estimates of an engine's work, advanced with time and corrected by reports."""
+
+    def __init__(self, facts: EngineFacts, now: float) -> None:
+        self._facts = facts
+        self._flights: dict[AttemptKey, Flight] = {}
+        self._clock = now
+        self._report: Optional[LoadReport] = None
+        self._reported_at = now
+        self._failed_until = now
+        self._leaving = False
+        self._foreign_prefill = 0.0
+        self._foreign_memory = 0
+
+    @property
+    def facts(self) -> EngineFacts:
+        """What the engine is."""
+        return self._facts
+
+    @property
+    def flights(self) -> dict[AttemptKey, Flight]:
+        """The attempts granted on it that have not ended."""
+        return self._flights
+
+    @property
+    def free_memory_tokens(self) -> int:
+        """Memory that neither grants nor others' work take, in tokens."""
+        own = sum(flight.memory_tokens for flight in self._flights.values())
+        return self._facts.memory_tokens - own - self._foreign_memory
+
+    def set_facts(self, facts: EngineFacts) -> None:
+        """Replaces what the engine is."""
+        self._facts = facts
+        self._leaving = False
+
+    def mark_leaving(self) -> None:
+        """Gives it no new work."""
+        self._leaving = True
+
+    def mark_failed(self, now: float) -> None:
+        """Gives it no new work for some seconds, unless it reports before."""
+        self._failed_until = now + FAILED_SECONDS
+        self._foreign_prefill = 0.0
+
+    def is_usable(self, now: float) -> bool:
+        """Tells whether the engine may get new work."""
+        if self._report is not None and self._report.leaving:
+            return False
+        if self._report is not None and self._report.role is EngineRole.DECODE:
+            return False
+        return not self._leaving and now >= self._failed_until
+
+    def is_fresh(self, now: float) -> bool:
+        """Tells whether the engine has reported lately, or not begun to report."""
+        return self._report is None or now - self._reported_at <= STALE_REPORT_SECONDS
+
+    def advance(self, now: float) -> None:
+        """Lets the estimated work progress up to ``now``."""
+        elapsed = max(0.0, now - self._clock)
+        self._clock = max(now, self._clock)
+        if elapsed == 0.0:
+            return
+        self._foreign_prefill = max(0.0, self._foreign_prefill - elapsed)
+        prefilling = self._prefilling()
+        self._advance_decoding(elapsed, bool(prefilling))
+        self._advance_prefill(elapsed * self._prefill_share(), prefilling)
+
+    def add(self, key: AttemptKey, flight: Flight) -> None:
+        """Notes a grant."""
+        self._flights[key] = flight
+
+    def note_first_token(self, key: AttemptKey) -> None:
+        """Notes that the prompt has been prefilled."""
+        flight = self._flights.get(key)
+        if flight is not None:
+            flight.decoding = True
+            flight.prefill_left = 0.0
+
+    def remove(self, key: AttemptKey) -> Optional[Flight]:
+        """Drops an attempt that has ended."""
+        return self._flights.pop(key, None)
+
+    def drop_overdue(self, now: float) -> None:
+        """Drops attempts whose time is up: whoever ran them must have stopped."""
+        for key, flight in list(self._flights.items()):
+            if flight.deadline <= now:
+                del self._flights[key]
+
+    def observe(self, report: LoadReport, now: float) -> None:
+        """Takes a report, unless a newer one of the same incarnation is known."""
+        known = self._report
+        same_life = known is not None and known.incarnation == report.incarnation
+        if known is not None and same_life and report.sequence <= known.sequence:
+            return
+        if known is None or same_life or report.incarnation > known.incarnation:
+            self._take_report(report, now)
+
+    def prefill_seconds(self, tokens: float) -> float:
+        """Returns the time to compute ``tokens`` of a prompt on the engine alone."""
+        return tokens / self._facts.prefill_tokens_per_second
+
+    def backlog_seconds(self, priority: int) -> float:
+        """Returns the prefill that runs before a new attempt of ``priority``."""
+        own = sum(
+            flight.prefill_left for flight in self._prefilling() if flight.priority <= priority
+        )
+        return own + self._foreign_prefill
+
+    def _take_report(self, report: LoadReport, now: float) -> None:
+        own = sum(flight.prefill_left for flight in self._prefilling())
+        reported = self.prefill_seconds(report.pending_prefill_tokens)
+        self._foreign_prefill = max(0.0, reported - own)
+        own_memory = sum(flight.memory_tokens for flight in self._flights.values())
+        self._foreign_memory = max(0, report.used_memory_tokens - own_memory)
+        self._report = report
+        self._reported_at = now
+        self._failed_until = now
+
+    def _prefilling(self) -> list[Flight]:
+        return [flight for flight in self._flights.values() if not flight.decoding]
+
+    def _decoding(self) -> list[Flight]:
+        return [flight for flight in self._flights.values() if flight.decoding]
+
+    def _chunk_seconds(self) -> float:
+        return self.prefill_seconds(self._facts.prefill_chunk_tokens)
+
+    def _prefill_share(self) -> float:
+        """Returns the share of the time that goes to prefill while some requests decode."""
+        if not any(flight.decoding for flight in self._flights.values()):
+            return 1.0
+        return self._chunk_seconds() / (self._chunk_seconds() + self._facts.step_seconds)
+
+    def _advance_decoding(self, elapsed: float, prefilling: bool) -> None:
+        step = self._facts.step_seconds + (self._chunk_seconds() if prefilling else 0.0)
+        for flight in self._decoding():
+            flight.output_left = max(1.0, flight.output_left - elapsed / step)
+
+    def _advance_prefill(self, seconds: float, prefilling: list[Flight]) -> None:
+        for flight in sorted(prefilling, key=lambda flight: (flight.priority, flight.number)):
+            used = min(seconds, flight.prefill_left)
+            flight.prefill_left -= used
+            seconds -= used
