--- /dev/null
+++ b/camphordrift/entry/_process.py
@@ -0,0 +1,88 @@
+"""Puts the parts of an entry VM's process together and runs them."""
+
+import random
+from typing import Any, Optional
+
+import trio
+
+from camphordrift.backend_http import HttpConnections, HttpEngineClient
+from camphordrift.configuration import ConfigurationSnapshot
+from camphordrift.entry._engine_watch import EngineWatch
+from camphordrift.gateway import (
+    ActiveRequests,
+    BodyMemory,
+    GatewayContext,
+    GatewayLimits,
+    NoDelayObserver,
+    OpenGate,
+    ServerChoice,
+    ServiceCaller,
+    gateway_app,
+)
+from camphordrift.http_server import serve_http
+from camphordrift.identifiers import BackendServerId
+from camphordrift.routing import local_grant_source, pool_scheduler
+from camphordrift.settings import EntrySettings
+
+
+class EntryProcess:
+    """An entry VM's process.
+
+    Example::
+
+        process = EntryProcess(settings)
+        await nursery.start(process.run)
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._snapshot: Optional[ConfigurationSnapshot] = None
+        idle_seconds = settings.limits.between_bytes_timeout_seconds
+        self._connections = HttpConnections(idle_seconds)
+        self._engines = HttpEngineClient(self._connections, self._address_of)
+        self._grants = local_grant_source(pool_scheduler())
+        self._watch = EngineWatch(self._engines, self._grants, self._grants.mark_leaving)
+        self._active = ActiveRequests()
+
+    def apply(self, snapshot: ConfigurationSnapshot) -> None:
+        """Puts ``snapshot`` in force."""
+        self._snapshot = snapshot
+        self._watch.configure(snapshot)
+
+    async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        """Serves until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._grants.run)
+            nursery.start_soon(self._watch.run)
+            app = gateway_app(self._context())
+            await nursery.start(serve_http, app, self._settings.listen.callers)
+            task_status.started()
+
+    def _context(self) -> GatewayContext:
+        limits = self._settings.limits
+        choice = ServerChoice(self._address_of, lambda server: True, random.Random())
+        return GatewayContext(
+            vm_id=self._settings.vm.vm_id,
+            snapshot=lambda: self._snapshot,
+            grants=self._grants,
+            engines=self._engines,
+            services=ServiceCaller(self._connections, choice),
+            connections=self._connections,
+            observer=NoDelayObserver(),
+            gate=OpenGate(),
+            active=self._active,
+            body_memory=BodyMemory(limits.max_held_body_bytes),
+            limits=GatewayLimits(
+                max_body_bytes=limits.max_body_bytes,
+                body_timeout_seconds=limits.body_timeout_seconds,
+            ),
+        )
+
+    def _address_of(self, server_id: BackendServerId) -> Optional[str]:
+        if self._snapshot is None:
+            return None
+        server = self._snapshot.server_named(server_id)
+        if server is None:
+            return None
+        host = f"[{server.address}]" if ":" in server.address else server.address
+        return f"http://{host}:{server.port}"
--- a/camphordrift/gateway/_app.py
+++ b/camphordrift/gateway/_app.py
@@ -27,8 +27,8 @@
     chat = GenerationEndpoint(context, parse_chat)
     return Starlette(
         routes=[
-            Route("/v1/completions", completions, methods=["POST"]),
-            Route("/v1/chat/completions", chat, methods=["POST"]),
+            Route("/v1/completions", completions),
+            Route("/v1/chat/completions", chat),
             Route("/v1/models", models, methods=["GET"]),
             Mount("/", ServiceEndpoint(context)),
         ],
--- a/camphordrift/gateway/_generation_endpoint.py
+++ b/camphordrift/gateway/_generation_endpoint.py
@@ -26,7 +26,7 @@
 from camphordrift.gateway._permissions import GenerationPermission, permit_generation
 from camphordrift.gateway._request_scope import run_while_connected
 from camphordrift.identifiers import ModelName, RequestId
-from camphordrift.results import Failure
+from camphordrift.results import Failure, ResultCode
 from camphordrift.routing import GrantAsk
 
 BodyParser = Callable[[bytes], result.Result[GenerationBody, Failure]]
@@ -79,6 +79,9 @@
     async def _admit(
         self, request: Request, request_id: RequestId, reader: BodyReader
     ) -> result.Result[AdmittedGeneration, Failure]:
+        if request.method != "POST":
+            detail = f"the path takes POST, not {request.method}"
+            return result.Failure(Failure(ResultCode.METHOD_NOT_ALLOWED, detail))
         caller = identify_caller(self._context, request)
         if not is_successful(caller):
             return result.Failure(caller.failure())
--- a/camphordrift/standins/__init__.py
+++ b/camphordrift/standins/__init__.py
@@ -3,6 +3,7 @@
 from camphordrift.standins._engine_model import EngineModel
 from camphordrift.standins._engine_state import EngineState
 from camphordrift.standins._engines import InMemoryEngines, open_in_memory_engines
+from camphordrift.standins._fleet import StandinFleet
 from camphordrift.standins._log_service import (
     AnswerLoss,
     InMemoryLogService,
@@ -18,5 +19,6 @@
     "InMemoryLogService",
     "LogFaults",
     "LogLimits",
+    "StandinFleet",
     "open_in_memory_engines",
 ]
--- a/camphordrift/standins/_engines.py
+++ b/camphordrift/standins/_engines.py
@@ -53,7 +53,7 @@
         self._delay = network_delay_seconds
         self._engines: dict[BackendServerId, _Engine] = {}
         for model in models:
-            state = EngineState(model, Incarnation(_FIRST_INCARNATION), 0.0, self._rng)
+            state = EngineState(model, Incarnation(_FIRST_INCARNATION), self._now(), self._rng)
             self._engines[model.engine_id] = _Engine(state)
 
     @property
