Write key hashes as bare hexadecimal digits

Cause: configuration records keep the hashes of account keys as 64 hexadecimal digits, settings kept those of operators' keys with a prefix. Conclusion: what keygen prints fits both places.

--- a/camphordrift/security/_keys.py
+++ b/camphordrift/security/_keys.py
@@ -20,8 +20,7 @@
 #: Longest text that is looked at as a key, in characters. Longer ones are wrong without hashing.
 MAX_KEY_CHARACTERS = 200
 
-_HASH_PREFIX = "sha256:"
-_HASH_PATTERN = re.compile(r"sha256:[0-9a-f]{64}")
+_HASH_PATTERN = re.compile(r"[0-9a-f]{64}")
 
 
 class KeyKind(Enum):
@@ -43,9 +42,8 @@
 
 
 def hash_key(key: str) -> str:
-    """Returns the form in which a key is kept: ``sha256:`` and 64 hexadecimal digits."""
-    digest = hashlib.sha256(key.encode("utf-8", errors="surrogatepass")).hexdigest()
-    return _HASH_PREFIX + digest
+    """Returns the form in which a key is kept: its SHA-256 in 64 lower-case hex digits."""
+    return hashlib.sha256(key.encode("utf-8", errors="surrogatepass")).hexdigest()
 
 
 def is_key_hash(text: str) -> bool:
--- a/camphordrift/settings/_fields.py
+++ b/camphordrift/settings/_fields.py
@@ -23,7 +23,7 @@
 
 _NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
 _VARIABLE_PATTERN = r"^[A-Z_][A-Z0-9_]{0,127}$"
-_KEY_HASH_PATTERN = r"^sha256:[0-9a-f]{64}$"
+_KEY_HASH_PATTERN = r"^[0-9a-f]{64}$"
 
 
 @dataclass(frozen=True)
@@ -141,7 +141,7 @@
     str,
     Field(pattern=_KEY_HASH_PATTERN),
     Expected(
-        "the hash that `camphordrift keygen` prints, 'sha256:' and 64 hexadecimal digits",
+        "the hash that `camphordrift keygen` prints, 64 hexadecimal digits in lower case",
         secret=True,
     ),
 ]
