--- a/camphordrift/demo/__init__.py
+++ b/camphordrift/demo/__init__.py
@@ -3,6 +3,7 @@
 from camphordrift.demo._fleet import DemoFleet, open_demo_fleet
 from camphordrift.demo._plan import (
     DEMO_ACCOUNT_KEYS,
+    DEMO_FLEET_KEY_VARIABLE,
     DEMO_MODEL,
     DEMO_OPERATOR_KEY,
     DEMO_SERVICE,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "DEMO_ACCOUNT_KEYS",
+    "DEMO_FLEET_KEY_VARIABLE",
     "DEMO_MODEL",
     "DEMO_OPERATOR_KEY",
     "DEMO_SERVICE",
--- a/camphordrift/gateway/_admission.py
+++ b/camphordrift/gateway/_admission.py
@@ -1,6 +1,5 @@
 """What every endpoint does with a request before it runs: who asks, body, limits."""
 
-import hashlib
 from dataclasses import dataclass
 from typing import Optional
 
@@ -15,6 +14,7 @@
 from camphordrift.gateway._permissions import authenticate
 from camphordrift.identifiers import RequestId
 from camphordrift.results import Failure, ResultCode
+from camphordrift.security import hash_key
 
 #: After this long a caller may ask again at a VM that has no configuration yet.
 NOT_READY_RETRY_AFTER_SECONDS = 2.0
@@ -46,5 +46,5 @@
     key = read_bearer_key(request.headers)
     if not is_successful(key):
         return result.Failure(key.failure())
-    key_hash = hashlib.sha256(key.unwrap().encode("utf-8")).hexdigest()
+    key_hash = hash_key(key.unwrap())
     return authenticate(snapshot, key_hash).map(lambda account: Caller(snapshot, account))
--- a/camphordrift/testing/__init__.py
+++ b/camphordrift/testing/__init__.py
@@ -1,5 +1,6 @@
 """Helpers for the tests of every package."""
 
+from camphordrift.testing._loopback import own_loopback_network
 from camphordrift.testing._virtual_time import run_in_virtual_time
 
-__all__ = ["run_in_virtual_time"]
+__all__ = ["own_loopback_network", "run_in_virtual_time"]
--- /dev/null
+++ b/camphordrift/tests/test_whole_path.py
@@ -0,0 +1,202 @@
+"""Tests of the whole path over real sockets: callers, entry VMs and stand-ins."""
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any, Optional
+
+import testtools
+import trio
+
+from camphordrift.backend_http import HttpAnswer, HttpCall, HttpConnections
+from camphordrift.demo import DEMO_ACCOUNT_KEYS, DemoFleet, demo_plan, open_demo_fleet
+from camphordrift.identifiers import AccountId
+from camphordrift.testing import own_loopback_network
+
+KEY = DEMO_ACCOUNT_KEYS[AccountId("instructors")]
+
+#: A test that has not ended by then hangs, in seconds.
+HANG_SECONDS = 60.0
+
+
+class Client:
+    """A caller of one entry VM."""
+
+    def __init__(self, fleet: DemoFleet, connections: HttpConnections, vm: int = 0) -> None:
+        self._base_url = f"http://{fleet.plan.entries[vm].listen.callers}"
+        self._connections = connections
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        body: Any = None,
+        key: Optional[str] = KEY,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> HttpAnswer:
+        """Sends one request; a body that is not bytes is sent as JSON."""
+        content = body if isinstance(body, bytes) else b"" if body is None else _json(body)
+        lines = headers if key is None else (("Authorization", f"Bearer {key}"), *headers)
+        call = HttpCall(method, self._base_url, target, content, lines)
+        return await self._connections.fetch(call, 20.0)
+
+
+def _json(body: Any) -> bytes:
+    return json.dumps(body).encode("utf-8")
+
+
+def with_fleet(
+    test: Callable[[DemoFleet, HttpConnections], Awaitable[None]], vm_count: int = 2
+) -> None:
+    """Runs ``test`` against a fleet of its own."""
+
+    async def main() -> None:
+        connections = HttpConnections(20.0)
+        with trio.fail_after(HANG_SECONDS):
+            async with open_demo_fleet(demo_plan(own_loopback_network(), vm_count)) as fleet:
+                await test(fleet, connections)
+                await connections.close()
+
+    trio.run(main)
+
+
+class GenerationTest(testtools.TestCase):
+    def test_streams_every_token_in_order_and_ends(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            client = Client(fleet, connections)
+            body = {
+                "model": "course-assistant",
+                "prompt": "How is a spinal injury secured in water?",
+                "max_tokens": 30,
+                "stream": True,
+            }
+            answer = await client.send("POST", "/v1/completions", body)
+            self.assertEqual(200, answer.status)
+            events = [line for line in answer.body.split(b"\n\n") if line.startswith(b"data: ")]
+            self.assertEqual(b"data: [DONE]", events[-1])
+            chunks = [json.loads(event.removeprefix(b"data: ")) for event in events[:-1]]
+            text = "".join(chunk["choices"][0]["text"] for chunk in chunks)
+            numbers = [word.split(".")[0] for word in text.split()]
+            self.assertEqual([f"t{index}" for index in range(30)], numbers)
+
+        with_fleet(test)
+
+    def test_answers_a_chat_as_a_whole(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            body = {
+                "model": "course-assistant",
+                "messages": [{"role": "user", "content": "Which knots are examined?"}],
+                "max_tokens": 5,
+            }
+            answer = await Client(fleet, connections, 1).send("POST", "/v1/chat/completions", body)
+            self.assertEqual(200, answer.status)
+            decoded = json.loads(answer.body)
+            self.assertEqual(5, decoded["usage"]["completion_tokens"])
+            self.assertEqual(5, len(decoded["choices"][0]["message"]["content"].split()))
+
+        with_fleet(test)
+
+    def test_continues_an_answer_whose_engine_died(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            body = {"model": "course-assistant", "prompt": "x" * 100, "max_tokens": 100}
+            answers: list[HttpAnswer] = []
+
+            async def ask() -> None:
+                answers.append(
+                    await Client(fleet, connections).send("POST", "/v1/completions", body)
+                )
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.6)
+                for engine_id in fleet.standins.engines.engine_ids:
+                    if fleet.standins.engines.state(engine_id).load_now().running_requests:
+                        fleet.standins.engines.die(engine_id)
+            self.assertEqual(200, answers[0].status)
+            words = json.loads(answers[0].body)["choices"][0]["text"].split()
+            self.assertEqual(
+                [f"t{index}" for index in range(100)], [word.split(".")[0] for word in words]
+            )
+
+        with_fleet(test)
+
+
+class PlainServiceTest(testtools.TestCase):
+    def test_passes_calls_on_by_path(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            client = Client(fleet, connections)
+            looked_up = await client.send("GET", "/booking-office/bookings/b-1")
+            self.assertEqual(200, looked_up.status)
+            self.assertEqual({"reference": "b-1", "booked": False}, json.loads(looked_up.body))
+
+        with_fleet(test)
+
+
+class BadInputTest(testtools.TestCase):
+    CASES: tuple[tuple[str, str, Any, Optional[str], tuple[tuple[str, str], ...], int], ...] = (
+        ("POST", "/v1/completions", b"{", KEY, (), 400),
+        ("POST", "/v1/completions", b"\xff\xfe", KEY, (), 400),
+        ("POST", "/v1/completions", b"[]", KEY, (), 400),
+        ("POST", "/v1/completions", b"", KEY, (), 400),
+        ("POST", "/v1/completions", {"model": 3, "prompt": "x"}, KEY, (), 400),
+        ("POST", "/v1/completions", {"model": "course-assistant"}, KEY, (), 400),
+        (
+            "POST",
+            "/v1/completions",
+            {"model": "course-assistant", "prompt": "x", "max_tokens": -1},
+            KEY,
+            (),
+            400,
+        ),
+        (
+            "POST",
+            "/v1/completions",
+            {"model": "course-assistant", "prompt": "x", "max_tokens": 10**30},
+            KEY,
+            (),
+            400,
+        ),
+        ("POST", "/v1/completions", {"model": "other", "prompt": "x"}, KEY, (), 404),
+        ("POST", "/v1/completions", {"model": "course-assistant", "prompt": "x"}, "no", (), 401),
+        ("POST", "/v1/completions", {"model": "course-assistant", "prompt": "x"}, None, (), 401),
+        (
+            "POST",
+            "/v1/completions",
+            {"model": "course-assistant", "prompt": "x"},
+            KEY,
+            (("Camphordrift-Timeout-Seconds", "soon"),),
+            400,
+        ),
+        (
+            "POST",
+            "/v1/completions",
+            {"model": "course-assistant", "prompt": "x"},
+            KEY,
+            (("Camphordrift-Timeout-Seconds", "nan"),),
+            400,
+        ),
+        ("POST", "/v1/completions", b"x" * 17_000_000, KEY, (), 413),
+        ("GET", "/v1/completions", None, KEY, (), 405),
+        ("GET", "/nowhere", None, KEY, (), 404),
+        (
+            "POST",
+            "/v1/chat/completions",
+            {"model": "course-assistant", "messages": "hello"},
+            KEY,
+            (),
+            400,
+        ),
+    )
+
+    def test_gets_the_right_status_and_is_never_run(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            client = Client(fleet, connections)
+            for method, target, body, key, headers, status in self.CASES:
+                answer = await client.send(method, target, body, key, headers)
+                self.assertEqual(
+                    status,
+                    answer.status,
+                    f"{method} {target} was answered with {answer.body!r}",
+                )
+                self.assertEqual("not_run", json.loads(answer.body)["error"]["run_state"])
+
+        with_fleet(test)
