Add the operators' port

Cause: operators need health, metrics, the state dump, the configuration and planned stops over HTTP, behind a key. Change: a Starlette application whose providers are injected through protocols; every answer of failure carries its numbered code; results gains describe_failure, the JSON form of a failure. Conclusion: ready to be wired into the entry daemon.

--- /dev/null
+++ b/camphordrift/operations/_responses.py
@@ -0,0 +1,44 @@
+"""Answers of the operators' port."""
+
+import json
+import math
+from collections.abc import Callable
+from typing import Any
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+from starlette.responses import Response
+
+from camphordrift.results import Failure, describe_failure
+from camphordrift.telemetry import plain_data
+
+
+def data_response(value: object, status: int = 200) -> Response:
+    """Returns data classes or plain data as JSON, indented for people."""
+    return _json_response(plain_data(value), status)
+
+
+def failure_response(failure: Failure) -> Response:
+    """Returns a failure as JSON with its numbered code."""
+    response = _json_response({"error": describe_failure(failure)}, failure.http_status)
+    if failure.retry_after_seconds is not None:
+        response.headers["retry-after"] = str(max(1, math.ceil(failure.retry_after_seconds)))
+    return response
+
+
+def result_response(
+    result: Result[Any, Failure], respond: Callable[[Any], Response] = data_response
+) -> Response:
+    """Returns the answer for a result, good or bad."""
+    match result:
+        case Success(value):
+            return respond(value)
+        case Failed(failure):
+            return failure_response(failure)
+    raise AssertionError(f"neither success nor failure: {result!r}")
+
+
+def _json_response(content: object, status: int) -> Response:
+    text = json.dumps(content, indent=2, ensure_ascii=False, allow_nan=False)
+    body = text.encode("utf-8", errors="backslashreplace") + b"\n"
+    return Response(body, status, media_type="application/json")
--- /dev/null
+++ b/camphordrift/operations/tests/test_app.py
@@ -0,0 +1,262 @@
+"""The operators' port, called in the process by way of ASGI."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any, Optional
+
+import testtools
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from camphordrift.identifiers import RequestId, VmId
+from camphordrift.operations import OperatorServices, operators_app
+from camphordrift.results import Failure, ResultCode
+from camphordrift.security import KeyKind, generate_key, hash_key
+from camphordrift.telemetry import Decision, DecisionRecord, Metrics, StateDump
+from camphordrift.testing import run_in_virtual_time
+
+KEY = generate_key(KeyKind.OPERATOR)
+
+
+@dataclass
+class Configuration:
+    """Remembers what it was asked for."""
+
+    calls: list[tuple[object, ...]] = field(default_factory=list)
+    failure: Optional[Failure] = None
+
+    def answer(self, *call: object) -> Result[object, Failure]:
+        self.calls.append(call)
+        return Success({"version": 7}) if self.failure is None else Failed(self.failure)
+
+    async def show(self, version: Optional[int]) -> Result[object, Failure]:
+        return self.answer("show", version)
+
+    async def history(self, limit: int) -> Result[object, Failure]:
+        return self.answer("history", limit)
+
+    async def diff(self, old_version: int, new_version: Optional[int]) -> Result[object, Failure]:
+        return self.answer("diff", old_version, new_version)
+
+    async def publish(self, record: Mapping[str, Any], dry_run: bool) -> Result[object, Failure]:
+        return self.answer("publish", dict(record), dry_run)
+
+
+@dataclass
+class Drain:
+    """Remembers that it was started."""
+
+    reasons: list[str] = field(default_factory=list)
+
+    def start(self, reason: str) -> None:
+        self.reasons.append(reason)
+
+    def progress(self) -> object:
+        return {"draining": bool(self.reasons)}
+
+
+class Answer:
+    """What came back."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b""
+
+    @property
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+class OperatorsAppCase(testtools.TestCase):
+    """Common parts of the tests."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.not_ready: Optional[Failure] = None
+        self.configuration = Configuration()
+        self.drain = Drain()
+        self.metrics = Metrics("oliwa-1")
+        self.addCleanup(self.metrics.close)
+        self.decisions = DecisionRecord()
+        dump = StateDump()
+        dump.register("members", lambda: ["oliwa-1"])
+        self.app = operators_app(
+            OperatorServices(
+                vm_id=VmId("oliwa-1"),
+                key_hashes=(hash_key("another"), hash_key(KEY)),
+                readiness=lambda: self.not_ready,
+                metrics=self.metrics,
+                dump=dump,
+                decisions=self.decisions,
+                configuration=self.configuration,
+                drain=self.drain,
+            )
+        )
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        body: Optional[bytes] = b"",
+        authorization: Optional[str] = f"Bearer {KEY}",
+    ) -> Answer:
+        """Sends one request; a ``body`` of ``None`` never arrives."""
+        path, _, query = target.partition("?")
+        headers = [] if authorization is None else [(b"authorization", authorization.encode())]
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": query.encode(),
+            "headers": headers,
+            "http_version": "1.1",
+            "scheme": "http",
+            "server": ("127.0.0.1", 1),
+        }
+        answer = Answer()
+
+        async def receive() -> dict[str, Any]:
+            if body is None:
+                await trio.sleep_forever()
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        async def send(message: Any) -> None:
+            if message["type"] == "http.response.start":
+                answer.status = message["status"]
+                answer.headers = {k.decode(): v.decode() for k, v in message["headers"]}
+            else:
+                answer.body += message["body"]
+
+        async def main() -> None:
+            await self.app(scope, receive, send)
+
+        run_in_virtual_time(main)
+        return answer
+
+    def check_failure(self, code: ResultCode, answer: Answer) -> None:
+        self.assertEqual(int(code), answer.json["error"]["code"], str(answer.body))
+
+
+class HealthTest(OperatorsAppCase):
+    def test_open_to_the_balancer(self) -> None:
+        self.assertEqual(200, self.call("GET", "/health", authorization=None).status)
+        self.assertEqual(200, self.call("GET", "/ready", authorization=None).status)
+
+    def test_not_ready(self) -> None:
+        self.not_ready = Failure(ResultCode.VM_DRAINING, "stopping", retry_after_seconds=0.5)
+        answer = self.call("GET", "/ready", authorization=None)
+        self.assertEqual(503, answer.status)
+        self.assertEqual("1", answer.headers["retry-after"])
+        self.check_failure(ResultCode.VM_DRAINING, answer)
+        self.assertEqual(200, self.call("GET", "/health", authorization=None).status)
+
+
+class OperatorKeyTest(OperatorsAppCase):
+    def test_everything_else_needs_a_key(self) -> None:
+        targets = [("GET", f"/{name}") for name in ("metrics", "dump", "decisions")]
+        targets += [("GET", f"/configuration{tail}") for tail in ("", "/history", "/diff?from=1")]
+        targets += [("POST", "/configuration"), ("POST", "/drain"), ("GET", "/drain")]
+        for method, target in targets:
+            for header in (None, "", "Bearer wrong", f"Basic {KEY}", f"Bearer {hash_key(KEY)}"):
+                answer = self.call(method, target, b"{}", header)
+                self.assertEqual(401, answer.status, target)
+                self.check_failure(ResultCode.UNAUTHENTICATED, answer)
+        self.assertEqual([], self.drain.reasons)
+        self.assertEqual([], self.configuration.calls)
+
+
+class ReadingTest(OperatorsAppCase):
+    def test_metrics_and_dump(self) -> None:
+        self.metrics.retries.add(service="booking")
+        self.assertIn(b"camphordrift_retries_total", self.call("GET", "/metrics").body)
+        self.assertEqual({"members": ["oliwa-1"]}, self.call("GET", "/dump").json)
+
+    def test_decisions_on_one_request(self) -> None:
+        for name in ("r-1", "r-2"):
+            self.decisions.add(Decision(1.0, "routing", "granted", "least cost", RequestId(name)))
+        found = self.call("GET", "/decisions?request_id=r-2").json["decisions"]
+        self.assertEqual(["r-2"], [item["request_id"] for item in found])
+        self.assertEqual(2, len(self.call("GET", "/decisions").json["decisions"]))
+
+    def test_unknown_path_and_method(self) -> None:
+        self.check_failure(ResultCode.UNKNOWN_PATH, self.call("GET", "/nothing"))
+        self.check_failure(ResultCode.METHOD_NOT_ALLOWED, self.call("DELETE", "/configuration"))
+
+
+class ConfigurationTest(OperatorsAppCase):
+    def test_calls_reach_the_provider(self) -> None:
+        cases: list[tuple[str, str, bytes, tuple[object, ...]]] = [
+            ("GET", "/configuration", b"", ("show", None)),
+            ("GET", "/configuration?version=3", b"", ("show", 3)),
+            ("GET", "/configuration/history", b"", ("history", 20)),
+            ("GET", "/configuration/history?limit=5", b"", ("history", 5)),
+            ("GET", "/configuration/diff?from=2&to=4", b"", ("diff", 2, 4)),
+            ("GET", "/configuration/diff?from=2", b"", ("diff", 2, None)),
+            ("POST", "/configuration", b'{"a": 1}', ("publish", {"a": 1}, False)),
+            ("POST", "/configuration?dry_run=true", b"{}", ("publish", {}, True)),
+        ]
+        for method, target, body, expected in cases:
+            answer = self.call(method, target, body)
+            self.assertEqual((200, {"version": 7}), (answer.status, answer.json))
+            self.assertEqual(expected, self.configuration.calls.pop())
+
+    def test_failures_of_the_provider_are_passed_on(self) -> None:
+        self.configuration.failure = Failure(ResultCode.RECORD_VERSION_CONFLICT, "7 is in force")
+        answer = self.call("POST", "/configuration", b"{}")
+        self.assertEqual(409, answer.status)
+        self.check_failure(ResultCode.RECORD_VERSION_CONFLICT, answer)
+
+    def test_bad_input_is_refused_before_the_provider(self) -> None:
+        cases = [
+            ("GET", "/configuration?version=-1", b""),
+            ("GET", "/configuration?version=" + "9" * 400, b""),
+            ("GET", "/configuration?versoin=1", b""),
+            ("GET", "/configuration?version=1&version=2", b""),
+            ("GET", "/configuration/history?limit=1001", b""),
+            ("GET", "/configuration/diff", b""),
+            ("GET", "/configuration/diff?from=x", b""),
+            ("GET", "/configuration/diff?from=1&to=x", b""),
+            ("POST", "/configuration?dry_run=yes", b"{}"),
+            ("POST", "/configuration", b""),
+            ("POST", "/configuration", b"[]"),
+            ("POST", "/configuration", b'{"a": NaN}'),
+            ("POST", "/configuration", b'{"a": 1, "a": 2}'),
+            ("POST", "/configuration", b"\xff\xfe"),
+            ("POST", "/configuration", b'{"a":' * 100_000),
+        ]
+        for method, target, body in cases:
+            answer = self.call(method, target, body)
+            self.assertEqual(400, answer.status, target)
+            self.check_failure(ResultCode.MALFORMED_REQUEST, answer)
+        self.assertEqual([], self.configuration.calls)
+
+    def test_body_too_large(self) -> None:
+        answer = self.call("POST", "/configuration", b" " * 4_000_001)
+        self.check_failure(ResultCode.BODY_TOO_LARGE, answer)
+
+    def test_body_that_never_arrives(self) -> None:
+        self.check_failure(ResultCode.BODY_TIMEOUT, self.call("POST", "/configuration", None))
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(body=st.binary(max_size=60))
+    def test_any_body_gets_an_answer(self, body: bytes) -> None:
+        self.assertIn(self.call("POST", "/configuration", body).status, (200, 400))
+
+
+class DrainTest(OperatorsAppCase):
+    def test_start_and_progress(self) -> None:
+        self.assertEqual({"draining": False}, self.call("GET", "/drain").json)
+        answer = self.call("POST", "/drain", b'{"reason": "new version"}')
+        self.assertEqual((202, {"draining": True}), (answer.status, answer.json))
+        self.assertEqual(["new version"], self.drain.reasons)
+
+    def test_bad_reasons(self) -> None:
+        for body in (b"", b'{"reason": 3}', b'{"why": "x"}', b'{"reason": "' + b"x" * 201 + b'"}'):
+            self.check_failure(ResultCode.MALFORMED_REQUEST, self.call("POST", "/drain", body))
+        self.assertEqual([], self.drain.reasons)
--- a/camphordrift/results/__init__.py
+++ b/camphordrift/results/__init__.py
@@ -1,7 +1,7 @@
 """Numbered result codes, and the failure that carries one to a caller or an operator."""
 
 from camphordrift.results._codes import CodeMeaning, ResultCode, RunState, code_table, meaning_of
-from camphordrift.results._failure import Failure
+from camphordrift.results._failure import Failure, describe_failure
 
 __all__ = [
     "CodeMeaning",
@@ -9,5 +9,6 @@
     "ResultCode",
     "RunState",
     "code_table",
+    "describe_failure",
     "meaning_of",
 ]
--- a/camphordrift/results/_failure.py
+++ b/camphordrift/results/_failure.py
@@ -42,3 +42,14 @@
     def http_status(self) -> int:
         """The HTTP status that goes with the code."""
         return meaning_of(self.code).http_status
+
+
+def describe_failure(failure: Failure) -> dict[str, object]:
+    """Returns the failure as the JSON object that callers and operators receive."""
+    return {
+        "message": failure.detail,
+        "type": failure.code.name.lower(),
+        "code": int(failure.code),
+        "run_state": failure.run_state.value,
+        "retry_after_seconds": failure.retry_after_seconds,
+    }
