Add claims of idempotency keys as a fold over the log

Cause: a call that may not be repeated needs one referee over all VMs. Change: keys (UUID version 7) scoped to the client account, claim, void, outcome and mark records, the ledger that folds them, the attempt that may dispatch once, and the coordinator's first form.

--- /dev/null
+++ b/camphordrift/calls/__init__.py
@@ -0,0 +1,103 @@
+"""Calls of plain services that may not be repeated: claims, dispatches and recorded outcomes."""
+
+from camphordrift.calls._attempt import (
+    AttemptStage,
+    ClaimAttempt,
+    DispatchPermit,
+    TwoClocks,
+    new_claim_attempt,
+)
+from camphordrift.calls._coordinator import CallCoordinator
+from camphordrift.calls._keys import KEY_MAX_AHEAD_SECONDS, CallKey, parse_call_key
+from camphordrift.calls._ledger import ClaimLedger, ClaimVerdict
+from camphordrift.calls._log_access import ClaimLog
+from camphordrift.calls._messages import (
+    CallOutcome,
+    Dispatch,
+    DispatchAnswered,
+    DispatchNotSent,
+    DispatchReply,
+    DispatchUnanswered,
+    Repeatability,
+    SendGate,
+    ServiceCall,
+    digest_of_call,
+)
+from camphordrift.calls._partitions import CLAIM_PARTITION_COUNT, claim_partition, claim_stream
+from camphordrift.calls._records import (
+    MAX_OUTCOME_BODY_BYTES,
+    Claimant,
+    ClaimRecord,
+    MarkRecord,
+    OutcomeKind,
+    OutcomeRecord,
+    VoidRecord,
+    decode_call_record,
+    encode_call_record,
+)
+from camphordrift.calls._settings import CallSettings
+from camphordrift.calls._standing import (
+    KeyFinished,
+    KeyFree,
+    KeyFromFuture,
+    KeyOtherBody,
+    KeyOutcomeUnknown,
+    KeyRunning,
+    KeyStanding,
+    KeyTooOld,
+    KeyUndecidable,
+    failure_of_standing,
+)
+from camphordrift.calls._state import CallCounts, CallInFlight, CallsState, PartitionState
+
+__all__ = [
+    "CLAIM_PARTITION_COUNT",
+    "KEY_MAX_AHEAD_SECONDS",
+    "MAX_OUTCOME_BODY_BYTES",
+    "AttemptStage",
+    "CallCoordinator",
+    "CallCounts",
+    "CallInFlight",
+    "CallKey",
+    "CallOutcome",
+    "CallSettings",
+    "CallsState",
+    "ClaimAttempt",
+    "ClaimLedger",
+    "ClaimLog",
+    "ClaimRecord",
+    "ClaimVerdict",
+    "Claimant",
+    "Dispatch",
+    "DispatchAnswered",
+    "DispatchNotSent",
+    "DispatchPermit",
+    "DispatchReply",
+    "DispatchUnanswered",
+    "KeyFinished",
+    "KeyFree",
+    "KeyFromFuture",
+    "KeyOtherBody",
+    "KeyOutcomeUnknown",
+    "KeyRunning",
+    "KeyStanding",
+    "KeyTooOld",
+    "KeyUndecidable",
+    "MarkRecord",
+    "OutcomeKind",
+    "OutcomeRecord",
+    "PartitionState",
+    "Repeatability",
+    "SendGate",
+    "ServiceCall",
+    "TwoClocks",
+    "VoidRecord",
+    "claim_partition",
+    "claim_stream",
+    "decode_call_record",
+    "digest_of_call",
+    "encode_call_record",
+    "failure_of_standing",
+    "new_claim_attempt",
+    "parse_call_key",
+]
--- /dev/null
+++ b/camphordrift/calls/_gates.py
@@ -0,0 +1,62 @@
+"""The gates that calls pass right before their first byte."""
+
+from collections.abc import Callable
+
+from returns import result
+
+from camphordrift.calls._attempt import ClaimAttempt, TwoClocks
+from camphordrift.results import Failure, ResultCode
+
+
+class ClaimGate:
+    """Opens once, while the attempt's claim stands and has not expired."""
+
+    def __init__(self, attempt: ClaimAttempt, read_clocks: Callable[[], TwoClocks]) -> None:
+        self._attempt = attempt
+        self._read_clocks = read_clocks
+
+    def authorize(self) -> result.Result[None, Failure]:
+        """Permits sending now, at most once."""
+        return self._attempt.authorize_dispatch(self._read_clocks()).map(lambda _: None)
+
+
+class SingleGate:
+    """Opens once, before a limit; for calls without a key that are never sent twice."""
+
+    def __init__(self, send_before: TwoClocks, read_clocks: Callable[[], TwoClocks]) -> None:
+        self._send_before = send_before
+        self._read_clocks = read_clocks
+        self._opened = False
+
+    @property
+    def opened(self) -> bool:
+        """True once the call may have been sent."""
+        return self._opened
+
+    def authorize(self) -> result.Result[None, Failure]:
+        """Permits sending now, at most once."""
+        if self._opened:
+            detail = "the call was sent before and may not be repeated"
+            return result.Failure(Failure(ResultCode.SERVICE_OUTCOME_UNKNOWN, detail))
+        if self._read_clocks().is_past(self._send_before):
+            detail = "the time ran out before the call was sent"
+            return result.Failure(Failure(ResultCode.DEADLINE_PASSED_IN_QUEUE, detail))
+        self._opened = True
+        return result.Success(None)
+
+
+class OpenGate:
+    """Always opens; for calls that may be repeated."""
+
+    def __init__(self) -> None:
+        self._opened = False
+
+    @property
+    def opened(self) -> bool:
+        """True once the call may have been sent."""
+        return self._opened
+
+    def authorize(self) -> result.Result[None, Failure]:
+        """Permits sending now."""
+        self._opened = True
+        return result.Success(None)
--- /dev/null
+++ b/camphordrift/calls/_outcome_cache.py
@@ -0,0 +1,51 @@
+"""Recent answers kept in memory, so that a repeat is answered while the log is down."""
+
+from collections import OrderedDict
+from typing import Optional
+
+from camphordrift.calls._keys import CallKey
+from camphordrift.calls._messages import CallOutcome
+
+#: Memory of the cached bodies, in bytes.
+OUTCOME_CACHE_BYTES = 2 * 1024 * 1024
+
+#: What an answer without a body counts for, in bytes.
+_ENTRY_BYTES = 256
+
+
+class OutcomeCache:
+    """Keeps the answers used last, up to a number of bytes."""
+
+    def __init__(self, capacity_bytes: int = OUTCOME_CACHE_BYTES) -> None:
+        self._capacity_bytes = capacity_bytes
+        self._used_bytes = 0
+        self._outcomes: OrderedDict[CallKey, CallOutcome] = OrderedDict()
+
+    @property
+    def used_bytes(self) -> int:
+        """Memory used, in bytes."""
+        return self._used_bytes
+
+    def get(self, key: CallKey) -> Optional[CallOutcome]:
+        """Returns the answer under a key, if it is still cached."""
+        outcome = self._outcomes.get(key)
+        if outcome is not None:
+            self._outcomes.move_to_end(key)
+        return outcome
+
+    def put(self, key: CallKey, outcome: CallOutcome) -> None:
+        """Adds an answer and drops those used longest ago."""
+        self._remove(key)
+        self._outcomes[key] = outcome
+        self._used_bytes += _size_of(outcome)
+        while self._used_bytes > self._capacity_bytes:
+            self._remove(next(iter(self._outcomes)))
+
+    def _remove(self, key: CallKey) -> None:
+        outcome = self._outcomes.pop(key, None)
+        if outcome is not None:
+            self._used_bytes -= _size_of(outcome)
+
+
+def _size_of(outcome: CallOutcome) -> int:
+    return _ENTRY_BYTES + len(outcome.body or b"")
--- /dev/null
+++ b/camphordrift/calls/_outcomes.py
@@ -0,0 +1,73 @@
+"""Turns answers into outcome records and back."""
+
+from typing import Optional
+
+from camphordrift.calls._messages import CallOutcome
+from camphordrift.calls._records import (
+    MAX_OUTCOME_BODY_BYTES,
+    ClaimRecord,
+    ClaimRecordTooNewError,
+    OutcomeKind,
+    OutcomeRecord,
+    decode_call_record,
+    new_record_id,
+)
+from camphordrift.calls._standing import KeyFinished
+
+
+def outcome_record(claim: ClaimRecord, outcome: CallOutcome) -> OutcomeRecord:
+    """Returns the record of an answer; a body over the limit is left out."""
+    keeps_body = outcome.body_size <= MAX_OUTCOME_BODY_BYTES
+    return OutcomeRecord(
+        record_id=new_record_id(),
+        attempt_id=claim.attempt_id,
+        key=claim.key,
+        kind=OutcomeKind.COMPLETED,
+        status=outcome.status,
+        content_type=outcome.content_type,
+        body=outcome.body if keeps_body else None,
+        answer_digest=outcome.answer_digest,
+        body_size=outcome.body_size,
+    )
+
+
+def unknown_record(claim: ClaimRecord) -> OutcomeRecord:
+    """Returns the record of a call that was sent and not answered."""
+    return OutcomeRecord(
+        record_id=new_record_id(),
+        attempt_id=claim.attempt_id,
+        key=claim.key,
+        kind=OutcomeKind.UNKNOWN,
+        status=0,
+        content_type="",
+        body=None,
+        answer_digest=b"",
+        body_size=0,
+    )
+
+
+def outcome_of_finished(finished: KeyFinished, payload: Optional[bytes]) -> CallOutcome:
+    """Returns what a repeat gets; ``payload`` is the outcome record, if it could be read.
+
+    Without it the repeat gets status, digest and size, and no body.
+    """
+    return CallOutcome(
+        status=finished.status,
+        content_type=finished.content_type,
+        body=None if payload is None else _body_of(finished, payload),
+        answer_digest=finished.answer_digest,
+        body_size=finished.body_size,
+        repeated=True,
+    )
+
+
+def _body_of(finished: KeyFinished, payload: bytes) -> Optional[bytes]:
+    try:
+        record = decode_call_record(payload)
+    except ClaimRecordTooNewError:
+        return None
+    match record:
+        case OutcomeRecord(attempt_id=attempt_id, body=body) if attempt_id == finished.attempt_id:
+            return body
+        case _:
+            return None
--- /dev/null
+++ b/camphordrift/calls/_partitions.py
@@ -0,0 +1,19 @@
+"""Claims are spread over a fixed number of streams by a hash of their key."""
+
+import xxhash
+
+from camphordrift.calls._keys import CallKey
+
+#: How many streams carry claims. Part of the format: a key must always lie in the same stream.
+CLAIM_PARTITION_COUNT = 4
+
+
+def claim_partition(key: CallKey) -> int:
+    """Returns the partition of a key, from 0 to ``CLAIM_PARTITION_COUNT`` - 1."""
+    scoped = key.account_id.encode() + b"\x00" + key.value.bytes
+    return int(xxhash.xxh64_intdigest(scoped) % CLAIM_PARTITION_COUNT)
+
+
+def claim_stream(partition: int) -> str:
+    """Returns the name of the log stream that carries a partition's claims."""
+    return f"call-claims-{partition}"
--- /dev/null
+++ b/camphordrift/calls/_state_dump.py
@@ -0,0 +1,35 @@
+"""Builds what a state dump shows of calls."""
+
+from collections.abc import Iterable, Sequence
+
+from camphordrift.calls._attempt import ClaimAttempt
+from camphordrift.calls._ledger import ClaimLedger
+from camphordrift.calls._state import CallInFlight, PartitionState
+
+
+def partition_states(ledgers: Sequence[ClaimLedger]) -> tuple[PartitionState, ...]:
+    """Returns one row for each claims stream."""
+    return tuple(
+        PartitionState(
+            partition=number,
+            next_offset=ledger.next_offset,
+            log_time=ledger.log_time,
+            oldest_decidable_key=ledger.oldest_decidable_key,
+            key_count=ledger.key_count,
+            undecidable=ledger.undecidable,
+        )
+        for number, ledger in enumerate(ledgers)
+    )
+
+
+def calls_in_flight(attempts: Iterable[ClaimAttempt]) -> tuple[CallInFlight, ...]:
+    """Returns one row for each call that this process is handling."""
+    return tuple(
+        CallInFlight(
+            account_id=attempt.claim.key.account_id,
+            key=str(attempt.claim.key.value),
+            attempt_id=attempt.attempt_id,
+            stage=attempt.stage.value,
+        )
+        for attempt in attempts
+    )
--- /dev/null
+++ b/camphordrift/calls/tests/builders.py
@@ -0,0 +1,92 @@
+"""Builds keys, claims and records for the tests of this package."""
+
+import uuid
+
+from camphordrift.calls import (
+    CallKey,
+    Claimant,
+    ClaimLedger,
+    ClaimRecord,
+    ClaimVerdict,
+    OutcomeKind,
+    OutcomeRecord,
+    VoidRecord,
+    encode_call_record,
+)
+from camphordrift.calls._records import CallRecord, new_record_id
+from camphordrift.identifiers import AccountId, Incarnation, VmId
+from camphordrift.platform_log import LogRecord
+
+#: A wall-clock time, in seconds since 1970.
+WALL_START = 1_800_000_000.0
+
+BOOKING_DIGEST = b"booking"
+OTHER_DIGEST = b"other"
+
+
+def timed_uuid(made_at: float, tail: int = 1) -> uuid.UUID:
+    """Returns a UUID of version 7 made at a given time."""
+    milliseconds = int(made_at * 1000)
+    return uuid.UUID(int=(milliseconds << 80) | (7 << 76) | (2 << 62) | tail)
+
+
+def call_key(made_at: float = WALL_START, tail: int = 1, account: str = "seller") -> CallKey:
+    return CallKey(account_id=AccountId(account), value=timed_uuid(made_at, tail))
+
+
+def claim(key: CallKey, attempt_id: str, digest: bytes = BOOKING_DIGEST) -> ClaimRecord:
+    return ClaimRecord(
+        record_id=new_record_id(),
+        attempt_id=attempt_id,
+        key=key,
+        body_digest=digest,
+        claimant=Claimant(vm_id=VmId("vm-1"), incarnation=Incarnation(1)),
+        dispatch_within_seconds=5.0,
+        run_timeout_seconds=30.0,
+    )
+
+
+def void(key: CallKey, attempt_id: str) -> VoidRecord:
+    return VoidRecord(record_id=new_record_id(), attempt_id=attempt_id, key=key)
+
+
+def outcome(
+    key: CallKey, attempt_id: str, kind: OutcomeKind = OutcomeKind.COMPLETED, status: int = 201
+) -> OutcomeRecord:
+    return OutcomeRecord(
+        record_id=new_record_id(),
+        attempt_id=attempt_id,
+        key=key,
+        kind=kind,
+        status=status,
+        content_type="application/json",
+        body=b"{}",
+        answer_digest=b"digest",
+        body_size=2,
+    )
+
+
+class FoldedStream:
+    """A claims stream and a ledger that has folded all of it."""
+
+    def __init__(self, key_max_age_seconds: float = 3600.0, first_offset: int = 0) -> None:
+        self.ledger = ClaimLedger(key_max_age_seconds)
+        self.records: list[LogRecord] = []
+        self._next_offset = first_offset
+        if first_offset > 0:
+            self.ledger.note_gap()
+
+    def append(self, record: CallRecord, at: float = WALL_START) -> "ClaimVerdict | None":
+        taken = LogRecord(
+            offset=self._next_offset, payload=encode_call_record(record), appended_at=at
+        )
+        self._next_offset += 1
+        self.records.append(taken)
+        verdict = self.ledger.apply(taken)
+        self.ledger.check_invariants()
+        return verdict
+
+    def stands(self, record: ClaimRecord, at: float = WALL_START) -> bool:
+        verdict = self.append(record, at)
+        assert verdict is not None
+        return verdict.stands
--- /dev/null
+++ b/camphordrift/calls/tests/test_attempt.py
@@ -0,0 +1,85 @@
+"""Tests of one attempt's way to its only dispatch."""
+
+import testtools
+from returns.pipeline import is_successful
+
+from camphordrift.calls import (
+    AttemptStage,
+    Claimant,
+    ClaimAttempt,
+    ClaimVerdict,
+    KeyFree,
+    KeyOutcomeUnknown,
+    TwoClocks,
+    new_claim_attempt,
+)
+from camphordrift.calls.tests.builders import BOOKING_DIGEST, WALL_START, call_key
+from camphordrift.identifiers import Incarnation, VmId
+from camphordrift.results import ResultCode
+
+_START = TwoClocks(monotonic=100.0, wall=WALL_START)
+
+
+def _attempt() -> ClaimAttempt:
+    return new_claim_attempt(
+        key=call_key(),
+        body_digest=BOOKING_DIGEST,
+        claimant=Claimant(VmId("vm-1"), Incarnation(1)),
+        now=_START,
+        dispatch_within_seconds=5.0,
+        run_timeout_seconds=30.0,
+    )
+
+
+def _granted() -> ClaimAttempt:
+    attempt = _attempt()
+    attempt.note_verdict(ClaimVerdict(attempt.attempt_id, 0, stands=True, standing=KeyFree()))
+    return attempt
+
+
+class DispatchTest(testtools.TestCase):
+    def test_permits_one_dispatch_and_no_second(self) -> None:
+        attempt = _granted()
+        self.assertTrue(is_successful(attempt.authorize_dispatch(_START)))
+        self.assertFalse(is_successful(attempt.authorize_dispatch(_START)))
+
+    def test_refuses_without_a_verdict(self) -> None:
+        self.assertFalse(is_successful(_attempt().authorize_dispatch(_START)))
+
+    def test_refuses_once_either_clock_has_passed_the_limit(self) -> None:
+        cases = (
+            (4.9, 4.9, True),
+            (5.0, 0.0, False),
+            (0.0, 5.0, False),
+        )
+        for monotonic, wall, permitted in cases:
+            now = TwoClocks(_START.monotonic + monotonic, _START.wall + wall)
+            decision = _granted().authorize_dispatch(now)
+            self.assertEqual(permitted, is_successful(decision), str((monotonic, wall)))
+            if not permitted:
+                self.assertEqual(ResultCode.CLAIM_EXPIRED, decision.failure().code)
+
+    def test_only_the_first_verdict_counts(self) -> None:
+        attempt = _attempt()
+        lost = KeyOutcomeUnknown(attempt_id="other")
+        attempt.note_verdict(ClaimVerdict(attempt.attempt_id, 1, stands=False, standing=lost))
+        attempt.note_verdict(ClaimVerdict(attempt.attempt_id, 2, stands=True, standing=KeyFree()))
+        self.assertEqual(AttemptStage.LOST, attempt.stage)
+
+
+class AbandonTest(testtools.TestCase):
+    def test_an_abandoned_attempt_never_dispatches_even_if_its_claim_stands(self) -> None:
+        attempt = _attempt()
+        self.assertIsNotNone(attempt.abandon())
+        attempt.note_verdict(ClaimVerdict(attempt.attempt_id, 0, stands=True, standing=KeyFree()))
+        self.assertFalse(is_successful(attempt.authorize_dispatch(_START)))
+
+    def test_a_dispatched_attempt_cannot_be_abandoned(self) -> None:
+        attempt = _granted()
+        attempt.authorize_dispatch(_START)
+        self.assertRaises(ValueError, attempt.abandon)
+
+    def test_a_claim_that_never_reached_the_log_needs_no_void(self) -> None:
+        attempt = _attempt()
+        attempt.note_not_appended()
+        self.assertIsNone(attempt.abandon())
