--- /dev/null
+++ b/camphordrift/telemetry/_signals.py
@@ -0,0 +1,48 @@
+"""Signals, received in the loop.
+
+The receiver is opened by the caller before the tasks start, so that no signal arrives too early.
+
+Example::
+
+    with trio.open_signal_receiver(DUMP_SIGNAL) as signals:
+        nursery.start_soon(dump_on_signal, signals, dump)
+"""
+
+import signal
+import sys
+from collections.abc import AsyncIterator, Callable
+
+from camphordrift.telemetry._logging import log_event
+from camphordrift.telemetry._state_dump import StateDump
+
+#: Asks a process for its state dump.
+DUMP_SIGNAL = signal.SIGUSR1
+
+#: Ask a process for a graceful shutdown.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def write_to_standard_error(content: bytes) -> None:
+    """Writes a dump where log lines go."""
+    sys.stderr.buffer.write(content)
+    sys.stderr.buffer.flush()
+
+
+async def dump_on_signal(
+    signals: AsyncIterator[int],
+    dump: StateDump,
+    write: Callable[[bytes], None] = write_to_standard_error,
+) -> None:
+    """Writes the state dump whenever a signal arrives. Runs until cancelled."""
+    async for _ in signals:
+        content = dump.render()
+        log_event("state_dump", size_bytes=len(content))
+        write(content)
+
+
+async def call_on_stop_signal(signals: AsyncIterator[int], stop: Callable[[], None]) -> None:
+    """Calls ``stop`` when the first signal arrives, then returns."""
+    async for number in signals:
+        log_event("stop_requested", signal=signal.Signals(number).name)
+        stop()
+        return
