Decide on configuration records and keep them on each VM

Cause: operators race, VMs start and fall behind, schemas differ, and the configuration in force must be the same everywhere and never revert. Change: validated records whose changes each name the version they replace, a fold that is a function of the log alone, checks of references and of orders that are unsafe without fencing, checkpoints, a replica that stops at what it cannot read, and the keeper that follows the log, takes peers' states and publishes. Conclusion: versions count accepted records over the whole fleet and removed entries keep theirs, so that a second copy of a record can never be accepted; the property test shows it.

--- a/camphordrift/configuration/__init__.py
+++ b/camphordrift/configuration/__init__.py
@@ -1,6 +1,63 @@
 """The configuration: what operators publish, and what is in force."""
 
+from camphordrift.configuration._encoding import (
+    Checkpoint,
+    Decoded,
+    Unreadable,
+    decode,
+    encode_checkpoint,
+    encode_record,
+)
+from camphordrift.configuration._fold import (
+    Accepted,
+    Conflict,
+    FieldDifference,
+    Rejected,
+    Verdict,
+    decide,
+    differences_between,
+    fold,
+)
+from camphordrift.configuration._keeper import ConfigurationKeeper, KeeperStatus
+from camphordrift.configuration._keeper_settings import CONFIGURATION_STREAM, KeeperSettings
+from camphordrift.configuration._publishing import (
+    EntryDifference,
+    NotPublished,
+    Published,
+    PublishResult,
+    difference,
+    prepare_record,
+    publishable_schema_version,
+)
+from camphordrift.configuration._readiness import Readiness
+from camphordrift.configuration._records import (
+    FLEET_TUNING_KEY,
+    HIGHEST_SCHEMA_VERSION,
+    NEVER_PUBLISHED,
+    AuthorName,
+    Change,
+    ConfigurationRecord,
+    EntryKey,
+    PublishedValue,
+    RawValue,
+    RecordKind,
+    UnreadableSchema,
+    entry_key_of,
+)
+from camphordrift.configuration._replica import (
+    Block,
+    BlockReason,
+    ConfigurationReplica,
+    PeerStateOutcome,
+)
 from camphordrift.configuration._snapshot import ConfigurationSnapshot, snapshot_of
+from camphordrift.configuration._state import ConfigurationState, Entry, HistoryEntry
+from camphordrift.configuration._validation import (
+    record_to_raw,
+    validate_record,
+    validate_value,
+)
+from camphordrift.configuration._value_models import value_models
 from camphordrift.configuration._values import (
     ORDERS_UNSAFE_WHEN_LATE,
     AccountLimits,
@@ -20,21 +77,70 @@
 )
 
 __all__ = [
+    "CONFIGURATION_STREAM",
+    "FLEET_TUNING_KEY",
+    "HIGHEST_SCHEMA_VERSION",
+    "NEVER_PUBLISHED",
     "ORDERS_UNSAFE_WHEN_LATE",
+    "Accepted",
     "AccountLimits",
+    "AuthorName",
     "BackendServer",
     "BackendServerKind",
+    "Block",
+    "BlockReason",
+    "Change",
+    "Checkpoint",
     "ClientAccount",
+    "ConfigurationKeeper",
+    "ConfigurationRecord",
+    "ConfigurationReplica",
     "ConfigurationSnapshot",
+    "ConfigurationState",
     "ConfigurationValue",
+    "Conflict",
+    "Decoded",
+    "Entry",
+    "EntryDifference",
+    "EntryKey",
+    "FieldDifference",
     "FleetTuning",
+    "HistoryEntry",
+    "KeeperSettings",
+    "KeeperStatus",
     "Model",
     "ModelService",
+    "NotPublished",
     "OrderGiver",
+    "PeerStateOutcome",
     "PlainService",
     "Policy",
+    "PublishResult",
+    "Published",
+    "PublishedValue",
+    "RawValue",
+    "Readiness",
+    "RecordKind",
+    "Rejected",
     "RepeatableCalls",
     "Service",
+    "Unreadable",
+    "UnreadableSchema",
+    "Verdict",
+    "decide",
+    "decode",
+    "difference",
+    "differences_between",
+    "encode_checkpoint",
+    "encode_record",
+    "entry_key_of",
+    "fold",
     "is_path_below",
+    "prepare_record",
+    "publishable_schema_version",
+    "record_to_raw",
     "snapshot_of",
+    "validate_record",
+    "validate_value",
+    "value_models",
 ]
--- /dev/null
+++ b/camphordrift/configuration/_encoding.py
@@ -0,0 +1,210 @@
+"""The bytes of records and checkpoints, in the log and between VMs."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Optional, Union
+
+import msgpack
+from returns import result
+
+from camphordrift.configuration._records import (
+    HIGHEST_SCHEMA_VERSION,
+    ConfigurationRecord,
+    EntryKey,
+    RecordKind,
+    UnreadableSchema,
+)
+from camphordrift.configuration._state import (
+    CheckpointMark,
+    ConfigurationState,
+    Entry,
+    HistoryEntry,
+    restored_state,
+)
+from camphordrift.configuration._validation import (
+    record_to_raw,
+    validate_record,
+    validate_value,
+)
+from camphordrift.results import Failure, ResultCode
+
+_LOWEST_SCHEMA_VERSION = 1
+
+
+class _Type(Enum):
+    RECORD = "record"
+    CHECKPOINT = "checkpoint"
+
+
+@dataclass(frozen=True)
+class Checkpoint:
+    """A whole state, taken out of the log or from a peer."""
+
+    #: The state; it covers the log up to its offset.
+    state: ConfigurationState
+
+
+@dataclass(frozen=True)
+class Unreadable:
+    """Bytes in a schema that this program does not know."""
+
+    #: The schema's version.
+    schema_version: int
+
+    #: Up to which offset a checkpoint covers the log; ``None`` for a record.
+    offset: Optional[int] = None
+
+
+#: What the bytes can turn out to be.
+Decoded = Union[ConfigurationRecord, Checkpoint, Unreadable]
+
+
+def encode_record(record: ConfigurationRecord) -> bytes:
+    """Returns a record as it is appended to the log."""
+    return _pack(_Type.RECORD, record.schema_version, {"record": record_to_raw(record)})
+
+
+def encode_checkpoint(state: ConfigurationState) -> bytes:
+    """Returns the whole state, as for the log and for peers.
+
+    Its schema is the newest of its entries, so that every program that can read all of them can
+    read the checkpoint. Equal states have equal bytes.
+    """
+    entries = sorted(state.entries.values(), key=lambda entry: str(entry.key))
+    schema_version = max(
+        (entry.schema_version for entry in entries), default=_LOWEST_SCHEMA_VERSION
+    )
+    body = {
+        "offset": state.offset,
+        "version": state.version,
+        "entries": [_entry_to_raw(entry) for entry in entries],
+        "checkpoint": _mark_to_raw(state.checkpoint),
+        "history": [_history_to_raw(remembered) for remembered in state.history],
+    }
+    return _pack(_Type.CHECKPOINT, schema_version, body)
+
+
+def decode(
+    encoded: bytes, readable_schema_version: int = HIGHEST_SCHEMA_VERSION
+) -> result.Result[Decoded, Failure]:
+    """Returns what the bytes hold, or ``RECORD_MALFORMED``.
+
+    Only the header is looked at in bytes of a later schema.
+    """
+    try:
+        fields = msgpack.unpackb(encoded, strict_map_key=True)
+    except (ValueError, msgpack.UnpackException):
+        return _malformed("the bytes are not a record")
+    if not isinstance(fields, Mapping):
+        return _malformed("the bytes are not a map")
+    schema_version = fields.get("schema_version")
+    if type(schema_version) is not int or schema_version < _LOWEST_SCHEMA_VERSION:
+        return _malformed("schema_version: expected a whole number above 0")
+    if schema_version > readable_schema_version:
+        offset = fields.get("offset")
+        return result.Success(Unreadable(schema_version, offset if type(offset) is int else None))
+    match fields.get("type"):
+        case _Type.RECORD.value:
+            return _decode_record(fields, schema_version)
+        case _Type.CHECKPOINT.value:
+            return _decode_checkpoint(fields)
+        case other:
+            return _malformed(f"type = {other!r}: expected 'record' or 'checkpoint'")
+
+
+def _pack(kind: _Type, schema_version: int, body: Mapping[str, object]) -> bytes:
+    return bytes(msgpack.packb({"type": kind.value, "schema_version": schema_version, **body}))
+
+
+def _decode_record(
+    fields: Mapping[str, Any], schema_version: int
+) -> result.Result[Decoded, Failure]:
+    raw = fields.get("record")
+    if not isinstance(raw, Mapping) or raw.get("schema_version") != schema_version:
+        return _malformed("record: expected a map of the schema version of its header")
+    match validate_record(raw, schema_version):
+        case result.Success(ConfigurationRecord() as record):
+            return result.Success(record)
+        case result.Success(UnreadableSchema(later)):
+            return result.Success(Unreadable(later))
+        case result.Failure(failure):
+            return result.Failure(failure)
+        case _:
+            raise AssertionError("unreachable")
+
+
+def _decode_checkpoint(fields: Mapping[str, Any]) -> result.Result[Decoded, Failure]:
+    try:
+        state = restored_state(
+            int(fields["offset"]),
+            int(fields["version"]),
+            [_entry_from_raw(raw) for raw in fields["entries"]],
+            [_history_from_raw(raw) for raw in fields["history"]],
+            _mark_from_raw(fields["checkpoint"]),
+        )
+    except (LookupError, TypeError, ValueError) as error:
+        return _malformed(f"checkpoint: {error!r}")
+    return result.Success(Checkpoint(state))
+
+
+def _mark_to_raw(mark: Optional[CheckpointMark]) -> Optional[list[object]]:
+    return None if mark is None else [mark.offset, mark.appended_at]
+
+
+def _mark_from_raw(raw: Any) -> Optional[CheckpointMark]:
+    return None if raw is None else CheckpointMark(int(raw[0]), float(raw[1]))
+
+
+def _entry_to_raw(entry: Entry) -> dict[str, object]:
+    return {
+        "kind": entry.key.kind.value,
+        "name": entry.key.name,
+        "version": entry.version,
+        "schema_version": entry.schema_version,
+        "author": entry.author,
+        "value": None if entry.value is None else _sorted_map(entry.value.raw),
+    }
+
+
+def _sorted_map(raw: Mapping[str, object]) -> dict[str, object]:
+    return {field: raw[field] for field in sorted(raw)}
+
+
+def _entry_from_raw(raw: Mapping[str, Any]) -> Entry:
+    key = EntryKey(RecordKind(raw["kind"]), str(raw["name"]))
+    schema_version = int(raw["schema_version"])
+    value = None
+    if raw["value"] is not None:
+        match validate_value(key.kind, key.name, raw["value"], schema_version):
+            case result.Success(published):
+                value = published
+            case result.Failure(failure):
+                raise ValueError(failure.detail)
+    return Entry(key, int(raw["version"]), schema_version, str(raw["author"]), value)
+
+
+def _history_to_raw(remembered: HistoryEntry) -> dict[str, object]:
+    return {
+        "version": remembered.version,
+        "offset": remembered.offset,
+        "record_id": remembered.record_id,
+        "author": remembered.author,
+        "note": remembered.note,
+        "keys": [[key.kind.value, key.name] for key in remembered.keys],
+    }
+
+
+def _history_from_raw(raw: Mapping[str, Any]) -> HistoryEntry:
+    return HistoryEntry(
+        int(raw["version"]),
+        int(raw["offset"]),
+        str(raw["record_id"]),
+        str(raw["author"]),
+        str(raw["note"]),
+        tuple(EntryKey(RecordKind(kind), str(name)) for kind, name in raw["keys"]),
+    )
+
+
+def _malformed(detail: str) -> result.Result[Decoded, Failure]:
+    return result.Failure(Failure(ResultCode.RECORD_MALFORMED, detail))
--- /dev/null
+++ b/camphordrift/configuration/_publishing.py
@@ -0,0 +1,168 @@
+"""The decisions on a record that an operator wants to publish."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Optional
+
+from returns import result
+
+from camphordrift.configuration._fold import (
+    Accepted,
+    Conflict,
+    FieldDifference,
+    Rejected,
+    Verdict,
+    decide,
+    differences_between,
+)
+from camphordrift.configuration._records import (
+    HIGHEST_SCHEMA_VERSION,
+    ConfigurationRecord,
+    EntryKey,
+    UnreadableSchema,
+)
+from camphordrift.configuration._state import ConfigurationState
+from camphordrift.configuration._validation import validate_record
+from camphordrift.identifiers import VmId
+from camphordrift.results import Failure, ResultCode
+
+
+@dataclass(frozen=True)
+class Published:
+    """A record that is in force, or in a dry run, one that would be accepted."""
+
+    #: The fleet-wide version that it made, or would make.
+    version: int
+
+    #: Its place in the log; ``None`` in a dry run.
+    offset: Optional[int] = None
+
+
+@dataclass(frozen=True)
+class NotPublished:
+    """A record that is not in force, or not known to be."""
+
+    #: The numbered reason; ``PUBLISH_UNSURE`` if the record may still come into force.
+    failure: Failure
+
+    #: The entries that another operator changed, if that is the reason.
+    conflicts: tuple[Conflict, ...] = ()
+
+
+@dataclass(frozen=True)
+class EntryDifference:
+    """What a record would change in one entry."""
+
+    #: The entry.
+    key: EntryKey
+
+    #: Its version in force; 0 if it has never been published.
+    version: int
+
+    #: True if the record removes it.
+    removes: bool
+
+    #: The fields that would change.
+    fields: tuple[FieldDifference, ...]
+
+
+#: How publishing ended.
+PublishResult = result.Result[Published, NotPublished]
+
+
+def publishable_schema_version(
+    live_schema_versions: Mapping[VmId, int], own_schema_version: int = HIGHEST_SCHEMA_VERSION
+) -> int:
+    """Returns the highest schema that this program writes and all live VMs read."""
+    return min([own_schema_version, *live_schema_versions.values()])
+
+
+def prepare_record(
+    raw: Mapping[str, object], schema_version: int
+) -> result.Result[ConfigurationRecord, Failure]:
+    """Validates what an operator wrote; a missing ``schema_version`` becomes the given one."""
+    completed = {"schema_version": schema_version, **raw}
+    match validate_record(completed):
+        case result.Success(ConfigurationRecord() as record):
+            return result.Success(record)
+        case result.Success(UnreadableSchema(later)):
+            detail = f"schema_version = {later}: expected at most {HIGHEST_SCHEMA_VERSION}"
+            return result.Failure(Failure(ResultCode.RECORD_SCHEMA_TOO_NEW, detail))
+        case result.Failure(failure):
+            return result.Failure(failure)
+        case _:
+            raise AssertionError("unreachable")
+
+
+def check_before_append(
+    state: ConfigurationState,
+    record: ConfigurationRecord,
+    live_schema_versions: Mapping[VmId, int],
+) -> PublishResult:
+    """Returns what would become of the record if it were appended next."""
+    too_old = [
+        vm for vm, version in live_schema_versions.items() if version < record.schema_version
+    ]
+    if too_old:
+        return result.Failure(NotPublished(_unreadable_for(sorted(too_old), record)))
+    return published_or_not(decide(state, record), None)
+
+
+def published_or_not(verdict: Verdict, offset: Optional[int]) -> PublishResult:
+    """Returns a verdict in the operator's terms."""
+    match verdict:
+        case Accepted(version):
+            return result.Success(Published(version, offset))
+        case Rejected(failure, conflicts):
+            return result.Failure(NotPublished(failure, conflicts))
+
+
+def unsure_or_rejected(
+    state: ConfigurationState, record: ConfigurationRecord, record_id: str, offset: Optional[int]
+) -> PublishResult:
+    """Returns what is known of a record when the time is up and no verdict was seen.
+
+    A VM that took a later state from a peer has passed the record without deciding on it. The
+    state's history then tells whether it was accepted.
+    """
+    for remembered in state.history:
+        if remembered.record_id == record_id:
+            return result.Success(Published(remembered.version, remembered.offset))
+    if offset is not None and state.offset > offset:
+        match decide(state, record):
+            case Rejected(failure, conflicts):
+                return result.Failure(NotPublished(failure, conflicts))
+            case Accepted():
+                pass
+    return result.Failure(
+        NotPublished(
+            Failure(
+                ResultCode.PUBLISH_UNSURE,
+                "the record may still come into force; look at the history before publishing again",
+            )
+        )
+    )
+
+
+def difference(
+    state: ConfigurationState, record: ConfigurationRecord
+) -> tuple[EntryDifference, ...]:
+    """Returns what the record would change, whether or not it would be accepted."""
+    found = []
+    for change in record.changes:
+        entry = state.entry(change.key)
+        in_force = None if entry is None or entry.value is None else entry.value.raw
+        wanted = None if change.value is None else change.value.raw
+        fields = differences_between(in_force, wanted)
+        version = state.version_of(change.key)
+        found.append(EntryDifference(change.key, version, change.value is None, fields))
+    return tuple(found)
+
+
+def _unreadable_for(vm_ids: list[VmId], record: ConfigurationRecord) -> Failure:
+    names = ", ".join(vm_ids)
+    return Failure(
+        ResultCode.RECORD_SCHEMA_TOO_NEW,
+        f"schema {record.schema_version} cannot be read by {names}; upgrade these VMs first,"
+        " or publish in an earlier schema",
+    )
--- /dev/null
+++ b/camphordrift/configuration/tests/test_fold.py
@@ -0,0 +1,233 @@
+"""Tests of the decisions on records."""
+
+from typing import Any
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphordrift.configuration import (
+    Accepted,
+    ConfigurationRecord,
+    ConfigurationState,
+    RecordKind,
+    Rejected,
+    decide,
+    encode_checkpoint,
+)
+from camphordrift.configuration.tests import samples
+from camphordrift.configuration.tests.samples import (
+    account,
+    base_state,
+    engine,
+    fold_next,
+    model_service,
+    plain_service,
+    policy,
+    raw_change,
+    record,
+)
+from camphordrift.results import ResultCode
+
+
+def _code(state: ConfigurationState, *changes: dict[str, Any]) -> ResultCode:
+    match fold_next(state, record(*changes)):
+        case Accepted():
+            return ResultCode.OK
+        case Rejected(failure):
+            return failure.code
+
+
+class RacingOperatorsTest(testtools.TestCase):
+    def test_one_wins_and_the_other_is_told_what_changed(self) -> None:
+        state = base_state()
+        first = record(raw_change("backend_server", "engine-1", 1, engine(port=9001)), author="ala")
+        second = record(
+            raw_change("backend_server", "engine-1", 1, engine(port=9002)), author="bob"
+        )
+        self.assertEqual(Accepted(2), fold_next(state, first))
+        verdict = fold_next(state, second)
+        assert isinstance(verdict, Rejected)
+        self.assertEqual(ResultCode.RECORD_VERSION_CONFLICT, verdict.failure.code)
+        (conflict,) = verdict.conflicts
+        self.assertEqual((1, 2, "ala"), (conflict.replaces, conflict.version, conflict.author))
+        (difference,) = conflict.differences
+        self.assertEqual(("port", 9001, 9002), _fields(difference))
+        self.assertIn("port is 9001, the record wants 9002", verdict.failure.detail)
+
+    def test_changes_of_other_entries_do_not_conflict(self) -> None:
+        state = base_state()
+        self.assertEqual(
+            ResultCode.OK, _code(state, raw_change("service", "x", 0, model_service()))
+        )
+        self.assertEqual(
+            ResultCode.OK, _code(state, raw_change("backend_server", "engine-1", 1, engine(9001)))
+        )
+
+    def test_a_version_is_never_used_again(self) -> None:
+        state = base_state()
+        create = raw_change("client_account", "guest", 0, account("b"))
+        self.assertEqual(ResultCode.OK, _code(state, create))
+        self.assertEqual(ResultCode.OK, _code(state, raw_change("client_account", "guest", 2)))
+        self.assertEqual(ResultCode.RECORD_VERSION_CONFLICT, _code(state, create))
+        create_again = raw_change("client_account", "guest", 3, account("b"))
+        self.assertEqual(ResultCode.OK, _code(state, create_again))
+
+    def test_a_record_is_accepted_whole_or_not_at_all(self) -> None:
+        state = base_state()
+        before = encode_checkpoint(state)
+        verdict = decide(
+            state,
+            record(
+                raw_change("backend_server", "engine-1", 1, engine(9001)),
+                raw_change("policy", "school-assistant", 7, policy()),
+            ),
+        )
+        self.assertIsInstance(verdict, Rejected)
+        self.assertEqual(before, encode_checkpoint(state))
+
+
+class ReferencesTest(testtools.TestCase):
+    def test_faults_between_entries_are_refused(self) -> None:
+        inconsistent = ResultCode.RECORD_INCONSISTENT
+        in_use = ResultCode.RECORD_IN_USE
+        other = engine(9001)
+        cases: tuple[tuple[ResultCode, tuple[dict[str, Any], ...]], ...] = (
+            (inconsistent, (raw_change("backend_server", "e", 0, engine(1, service="none")),)),
+            (inconsistent, (raw_change("backend_server", "e", 0, engine(1, service="booking")),)),
+            (inconsistent, (raw_change("backend_server", "e", 0, engine(9000)),)),
+            (inconsistent, (raw_change("client_account", "guest", 0, account("a")),)),
+            (inconsistent, (raw_change("service", "shop", 0, plain_service("/booking")),)),
+            (inconsistent, (raw_change("policy", "p", 0, policy()),)),
+            (inconsistent, (raw_change("policy", "p", 0, policy(account="nobody")),)),
+            (inconsistent, (raw_change("model", "m", 0, _model("booking")),)),
+            (inconsistent, (raw_change("account_limits", "nobody", 0, _limits()),)),
+            (inconsistent, (raw_change("client_account", "guest", 0),)),
+            (inconsistent, (raw_change("service", "assistant", 1, plain_service("/a")),)),
+            (in_use, (raw_change("service", "assistant", 1),)),
+            (in_use, (raw_change("client_account", "school", 1),)),
+            (ResultCode.OK, (raw_change("backend_server", "engine-1", 1),)),
+            (ResultCode.OK, (raw_change("backend_server", "e", 0, other),)),
+            (
+                ResultCode.OK,
+                (
+                    raw_change("backend_server", "engine-1", 1, other),
+                    raw_change("backend_server", "e", 0, engine(9000)),
+                ),
+            ),
+            (
+                ResultCode.OK,
+                (
+                    raw_change("policy", "school-assistant", 1),
+                    raw_change("client_account", "school", 1),
+                ),
+            ),
+        )
+        for expected, changes in cases:
+            state = base_state()
+            self.assertEqual(expected, _code(state, *changes), str(changes))
+            state.check_invariants()
+
+    def test_a_policy_names_only_servers_of_its_service(self) -> None:
+        state = base_state()
+        self.assertEqual(
+            ResultCode.OK, _code(state, raw_change("service", "x", 0, model_service()))
+        )
+        narrow = raw_change("policy", "school-assistant", 1, policy(servers=["engine-1"]))
+        self.assertEqual(ResultCode.OK, _code(state, narrow))
+        moved = raw_change("backend_server", "engine-1", 1, engine(service="x"))
+        self.assertEqual(ResultCode.RECORD_INCONSISTENT, _code(state, moved))
+        self.assertEqual(
+            ResultCode.RECORD_IN_USE, _code(state, raw_change("backend_server", "engine-1", 1))
+        )
+
+
+class OrderSafetyTest(testtools.TestCase):
+    def test_orders_that_are_unsafe_without_fencing_are_refused(self) -> None:
+        unsafe = ResultCode.RECORD_UNSAFE_ORDERS
+        cases: tuple[tuple[ResultCode, bool, list[str], list[str]], ...] = (
+            (ResultCode.OK, False, ["fleet"], ["load_model", "load_adapter"]),
+            (unsafe, False, ["fleet"], ["load_model", "change_role"]),
+            (unsafe, False, ["fleet"], ["unload_model"]),
+            (unsafe, False, ["fleet", "operator"], ["load_model"]),
+            (ResultCode.OK, False, ["operator"], ["change_role"]),
+            (ResultCode.OK, True, ["fleet", "operator"], ["change_role", "unload_model"]),
+            (ResultCode.RECORD_INCONSISTENT, True, [], ["load_model"]),
+        )
+        for expected, checks, givers, orders in cases:
+            value = engine(checks_fencing=checks, order_givers=givers, allowed_orders=orders)
+            change = raw_change("backend_server", "engine-1", 1, value)
+            self.assertEqual(expected, _code(base_state(), change), str(value))
+
+    def test_orders_change_hands_only_by_way_of_nobody(self) -> None:
+        state = base_state()
+
+        def code(version: int, *givers: str) -> ResultCode:
+            value = engine(order_givers=list(givers))
+            return _code(state, raw_change("backend_server", "engine-1", version, value))
+
+        self.assertEqual(ResultCode.OK, code(1, "fleet"))
+        self.assertEqual(ResultCode.RECORD_UNSAFE_ORDERS, code(2, "operator"))
+        self.assertEqual(ResultCode.OK, code(2))
+        self.assertEqual(ResultCode.OK, code(3, "operator"))
+
+
+class SchemaTest(testtools.TestCase):
+    def test_an_older_schema_does_not_overwrite_what_it_cannot_say(self) -> None:
+        state = base_state()
+        newer = record(
+            raw_change("model", "coach", 0, _model(adapters=["polish@2"])), schema_version=2
+        )
+        self.assertEqual(Accepted(2), fold_next(state, newer))
+        older = raw_change("model", "coach", 2, _model())
+        self.assertEqual(ResultCode.RECORD_SCHEMA_TOO_NEW, _code(state, older))
+
+
+_NAMES = st.sampled_from(["a", "b", "c"])
+_DIGITS = st.sampled_from("abc")
+_PORTS = st.integers(min_value=1, max_value=3)
+_VALUES: st.SearchStrategy[tuple[str, Any]] = st.one_of(
+    st.tuples(st.just("service"), st.builds(model_service)),
+    st.tuples(st.just("service"), st.builds(plain_service, st.sampled_from(["/a", "/b"]))),
+    st.tuples(st.just("client_account"), st.builds(account, _DIGITS)),
+    st.tuples(st.just("backend_server"), st.builds(engine, _PORTS, service=_NAMES)),
+    st.tuples(st.just("policy"), st.builds(policy, account=_NAMES, service=_NAMES)),
+    st.tuples(st.sampled_from(["service", "client_account", "backend_server"]), st.none()),
+)
+
+
+def _model(service: str = "assistant", **fields: Any) -> dict[str, Any]:
+    return {"version": "1", "service": service, "maximum_context_tokens": 1_000, **fields}
+
+
+def _limits() -> dict[str, Any]:
+    return {"requests_per_second": 1, "tokens_per_second": 1, "concurrency": 1}
+
+
+def _fields(difference: Any) -> tuple[str, object, object]:
+    return (difference.field, difference.in_force, difference.wanted)
+
+
+class FoldPropertiesTest(testtools.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(st.lists(st.tuples(_NAMES, _VALUES, st.booleans()), max_size=25))
+    def test_accepted_versions_grow_and_copies_have_no_effect(
+        self, steps: list[tuple[str, tuple[str, Any], bool]]
+    ) -> None:
+        state = ConfigurationState()
+        accepted: list[ConfigurationRecord] = []
+        for name, (kind, value), stale in steps:
+            replaces = state.version_of(samples.key(RecordKind(kind), name))
+            folded = record(raw_change(kind, name, max(0, replaces - stale), value))
+            version = state.version
+            expected = decide(state, folded)
+            self.assertEqual(expected, fold_next(state, folded))
+            if isinstance(expected, Accepted):
+                accepted.append(folded)
+            self.assertEqual(version + isinstance(expected, Accepted), state.version)
+            state.check_invariants()
+        version = state.version
+        for copy in accepted:
+            self.assertIsInstance(fold_next(state, copy), Rejected)
+        self.assertEqual(version, state.version)
+        state.check_invariants()
--- a/camphordrift/platform_log/_follower.py
+++ b/camphordrift/platform_log/_follower.py
@@ -59,6 +59,8 @@
             settings.first_backoff_seconds, settings.maximum_backoff_seconds, random
         )
         self._contact_at: Optional[float] = None
+        self._reads_begun = 0
+        self._newest_answered_read = 0
         self._poked = trio.Event()
         self._progress = trio.Event()
 
@@ -98,6 +100,12 @@
         while self._position.next_offset <= offset:
             await self._progress.wait()
 
+    async def wait_for_read(self) -> None:
+        """Waits until a read that begins after this call has been answered."""
+        target = self._reads_begun + 1
+        while self._newest_answered_read < target:
+            await self._progress.wait()
+
     async def run(self) -> None:
         """Follows the stream until it is cancelled."""
         while True:
@@ -113,6 +121,7 @@
                     await self._poked.wait()
 
     async def _read_once(self) -> bool:
+        self._reads_begun += 1
         try:
             with trio.fail_after(self._settings.read_timeout_seconds):
                 batch = await self._transport.read(
@@ -125,6 +134,7 @@
         except (LogUnavailableError, trio.TooSlowError):
             return False
         self._contact_at = self._clock()
+        self._newest_answered_read = self._reads_begun
         for record in self._position.on_read(batch):
             self._handler.on_record(record)
         self._tell_progress()
