Add the measuring tool with the usual policies as baselines

Cause: the routing policy has to be decided by figures. Change: seeded loads of both deployments, a run of real routing code against the stand-in engines under virtual time, figures, table, JSON, plot, and four baselines.

--- /dev/null
+++ b/camphordrift/experiments/__init__.py
@@ -0,0 +1,31 @@
+"""Measures the routing under virtual time: loads, runs, figures, reports."""
+
+from camphordrift.experiments._commands import measure_app
+from camphordrift.experiments._deployments import BAZARNIK, DEPLOYMENTS, KOWALCZYK, Deployment
+from camphordrift.experiments._figures import Figures, Spread
+from camphordrift.experiments._fleet import Policy
+from camphordrift.experiments._measure import Case, Measurement, measure, run_measure
+from camphordrift.experiments._plot import draw
+from camphordrift.experiments._report import as_json, as_table
+from camphordrift.experiments._workload import Arrival, Shape, arrivals
+
+__all__ = [
+    "BAZARNIK",
+    "DEPLOYMENTS",
+    "KOWALCZYK",
+    "Arrival",
+    "Case",
+    "Deployment",
+    "Figures",
+    "Measurement",
+    "Policy",
+    "Shape",
+    "Spread",
+    "arrivals",
+    "as_json",
+    "as_table",
+    "draw",
+    "measure",
+    "measure_app",
+    "run_measure",
+]
--- /dev/null
+++ b/camphordrift/experiments/_commands.py
@@ -0,0 +1,58 @@
+"""The command ``camphordrift measure``."""
+
+from pathlib import Path
+from typing import Optional
+
+import cyclopts
+
+from camphordrift.experiments._deployments import DEPLOYMENTS
+from camphordrift.experiments._fleet import Policy
+from camphordrift.experiments._measure import run_measure
+from camphordrift.experiments._plot import draw
+from camphordrift.experiments._report import as_json, as_table
+from camphordrift.experiments._workload import Shape
+
+measure_app = cyclopts.App(name="measure", help="Measures routing policies under virtual time.")
+
+
+@measure_app.default
+def measure_command(
+    *,
+    deployments: tuple[str, ...] = tuple(DEPLOYMENTS),
+    policies: tuple[Policy, ...] = tuple(Policy),
+    loads: tuple[float, ...] = (0.7, 0.9),
+    seconds: float = 120.0,
+    seed: int = 1,
+    shape: Shape = Shape.STEADY,
+    json_path: Optional[Path] = None,
+    plot_path: Optional[Path] = None,
+) -> None:
+    """Measures every policy at every load and prints a table.
+
+    Parameters
+    ----------
+    deployments
+        Names of the deployments whose load is run.
+    policies
+        Who decides for the engines.
+    loads
+        Arrival rates as shares of the fleet's token capacity.
+    seconds
+        Length of the arrivals, in virtual seconds.
+    seed
+        The same seed gives the same figures.
+    shape
+        How the arrival rate moves.
+    json_path
+        Where all figures go as JSON.
+    plot_path
+        Where the plot goes as PNG.
+
+    """
+    chosen = [DEPLOYMENTS[name] for name in deployments]
+    found = run_measure(chosen, policies, loads, seconds, seed, shape)
+    print(as_table(found))
+    if json_path is not None:
+        json_path.write_text(as_json(found), encoding="utf-8")
+    if plot_path is not None:
+        draw(found, plot_path)
--- /dev/null
+++ b/camphordrift/experiments/_figures.py
@@ -0,0 +1,176 @@
+"""The figures of a run."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Optional
+
+import numpy as np
+
+from camphordrift.experiments._deployments import BANDS, LONG, SHORT, Deployment, LengthBand
+from camphordrift.experiments._records import Record
+from camphordrift.experiments._run import RunResult
+
+
+@dataclass(frozen=True)
+class Spread:
+    """Percentiles of a quantity; all ``None`` if there was nothing to measure."""
+
+    #: How many values there were.
+    count: int
+
+    #: The median.
+    p50: Optional[float]
+
+    #: The 95th percentile.
+    p95: Optional[float]
+
+    #: The 99th percentile.
+    p99: Optional[float]
+
+    #: The largest value.
+    largest: Optional[float]
+
+
+@dataclass(frozen=True)
+class Figures:
+    """What one policy made of one load."""
+
+    #: Time to first token in seconds, by length band.
+    first_token: dict[str, Spread]
+
+    #: Total time of a short request over its total time in the run of the short ones alone.
+    short_slowdown: Spread
+
+    #: Total time of a long request over its time on an idle engine.
+    long_slowdown: Spread
+
+    #: Requests that arrived.
+    offered: int
+
+    #: Whole answers in time.
+    completed: int
+
+    #: Whole answers in time a second of arrivals.
+    goodput: float
+
+    #: Prompt tokens of whole answers in time, a second of arrivals.
+    goodput_tokens: float
+
+    #: Refusals that were not run, by code name.
+    refusals: dict[str, int]
+
+    #: Requests that failed after they were sent, by code name.
+    failures: dict[str, int]
+
+    #: The latest refusal as a share of the time that its request had.
+    refusal_lateness: Spread
+
+    #: Requests that did not end.
+    unfinished: int
+
+    #: Least and largest share of an account's requests that completed in time.
+    account_completion: tuple[float, float]
+
+    #: Jain's index of these shares; 1 is even.
+    account_fairness: float
+
+    #: Control messages a second of the run.
+    control_messages: float
+
+    #: Control bytes a second and VM.
+    control_bytes_per_vm: float
+
+
+def spread(values: Iterable[Optional[float]]) -> Spread:
+    """Returns the percentiles of the values that are there."""
+    present = [value for value in values if value is not None]
+    if not present:
+        return Spread(0, None, None, None, None)
+    p50, p95, p99 = (float(value) for value in np.percentile(present, [50, 95, 99]))
+    return Spread(len(present), p50, p95, p99, float(max(present)))
+
+
+def figures(deployment: Deployment, run: RunResult, alone: RunResult, seconds: float) -> Figures:
+    """Returns the figures of a run; ``alone`` is the run of its short requests alone."""
+    records = run.records
+    shares = _completion_shares(records)
+    completed = [record for record in records if record.completed]
+    refused = [record for record in records if record.refused]
+    failed = [record for record in records if not record.completed and not record.refused]
+    return Figures(
+        first_token={band.name: _first_tokens(records, band) for band in BANDS},
+        short_slowdown=spread(_short_slowdowns(records, alone.records)),
+        long_slowdown=spread(_long_slowdowns(deployment, records)),
+        offered=len(records),
+        completed=len(completed),
+        goodput=len(completed) / seconds,
+        goodput_tokens=sum(record.arrival.prompt_tokens for record in completed) / seconds,
+        refusals=_by_code(refused),
+        failures=_by_code(failed),
+        refusal_lateness=spread(_lateness(record) for record in refused),
+        unfinished=sum(1 for record in records if record.ended_at is None),
+        account_completion=(min(shares), max(shares)),
+        account_fairness=jain_index(shares),
+        control_messages=run.cost.messages / run.seconds,
+        control_bytes_per_vm=run.cost.byte_count / run.seconds / deployment.vm_count,
+    )
+
+
+def jain_index(shares: Sequence[float]) -> float:
+    """Returns Jain's fairness index, from 1/n (one has all) to 1 (all have the same)."""
+    total = sum(shares)
+    squares = sum(share * share for share in shares)
+    return 1.0 if squares == 0.0 else total * total / (len(shares) * squares)
+
+
+def idle_seconds(deployment: Deployment, record: Record) -> float:
+    """Returns the total time of a request on an idle engine that has none of its prefix."""
+    model = deployment.engine_models()[0]
+    prefill = record.arrival.prompt_tokens / model.prefill_tokens_per_second
+    step = model.step_seconds + model.step_seconds_per_request
+    return prefill + (record.arrival.output_tokens - 1) * step
+
+
+def _first_tokens(records: Iterable[Record], band: LengthBand) -> Spread:
+    return spread(record.first_token_seconds for record in records if record.arrival.band is band)
+
+
+def _short_slowdowns(records: Iterable[Record], alone: Iterable[Record]) -> list[Optional[float]]:
+    times = {record.arrival.index: record.total_seconds for record in alone if record.completed}
+    slowdowns: list[Optional[float]] = []
+    for record in records:
+        time_alone = times.get(record.arrival.index)
+        if record.arrival.band is SHORT and record.completed and time_alone is not None:
+            slowdowns.append(_ratio(record.total_seconds, time_alone))
+    return slowdowns
+
+
+def _long_slowdowns(deployment: Deployment, records: Iterable[Record]) -> list[Optional[float]]:
+    return [
+        _ratio(record.total_seconds, idle_seconds(deployment, record))
+        for record in records
+        if record.arrival.band is LONG and record.completed
+    ]
+
+
+def _ratio(seconds: Optional[float], reference: float) -> Optional[float]:
+    return None if seconds is None else seconds / reference
+
+
+def _lateness(record: Record) -> Optional[float]:
+    return _ratio(record.total_seconds, record.arrival.band.timeout_seconds)
+
+
+def _by_code(records: Iterable[Record]) -> dict[str, int]:
+    counts = Counter(record.code.name for record in records if record.code is not None)
+    return dict(sorted(counts.items()))
+
+
+def _completion_shares(records: Iterable[Record]) -> list[float]:
+    offered: Counter[str] = Counter()
+    completed: Counter[str] = Counter()
+    for record in records:
+        offered[record.arrival.account_id] += 1
+        completed[record.arrival.account_id] += int(record.completed)
+    return [completed[account] / offered[account] for account in sorted(offered)]
--- a/camphordrift/standins/_engines.py
+++ b/camphordrift/standins/_engines.py
@@ -67,6 +67,11 @@
         self._advance(engine)
         return engine.state
 
+    def answers(self, engine_id: BackendServerId) -> bool:
+        """Tells whether the engine is alive and not frozen."""
+        engine = self._engines[engine_id]
+        return engine.alive and not engine.frozen
+
     async def run(self) -> None:
         """Drives all engines; runs until cancelled."""
         async with trio.open_nursery() as nursery:
