Add the command line for operators, keys, settings and codes

Cause: operators drive a fleet from a shell, and a wrong input has to be told in one line. Change: publish, show, diff, history, dump, decisions, metrics, drain against the operators' port; keygen, settings check and codes without a VM; six documented exit codes, of which one says that a change may have taken effect. Heavy libraries are imported by the commands that need them. Conclusion: lazy imports stay.

--- a/camphordrift/daemons/_command_line.py
+++ b/camphordrift/daemons/_command_line.py
@@ -1,16 +1,54 @@
-"""The command line."""
+"""The command line: what commands there are, and how they end."""
+
+import sys
+from collections.abc import Sequence
+from typing import Optional
 
 import cyclopts
 
 import camphordrift
+from camphordrift.daemons._commands_local import add_local_commands
+from camphordrift.daemons._commands_operator import add_operator_commands
+from camphordrift.daemons._exit_codes import EXIT_CODES_HELP, CommandError, ExitCode
+
+
+def command_line() -> cyclopts.App:
+    """Returns the command line with all its commands."""
+    app = cyclopts.App(
+        name="camphordrift",
+        version=camphordrift.__version__,
+        help="A serving layer for prompts of widely differing lengths.",
+        help_epilogue=EXIT_CODES_HELP,
+    )
+    add_operator_commands(app)
+    add_local_commands(app)
+    return app
+
 
-app = cyclopts.App(
-    name="camphordrift",
-    version=camphordrift.__version__,
-    help="A serving layer for prompts of widely differing lengths.",
-)
+def run_command(tokens: Optional[Sequence[str]] = None) -> ExitCode:
+    """Runs one command and returns its exit code; errors go to standard error, a line each."""
+    app = command_line()
+    try:
+        code = app(tokens, exit_on_error=False, print_error=False, result_action="return_value")
+    except cyclopts.CycloptsError as error:
+        _print_error(f"{_one_line(str(error))} Try --help.")
+        return ExitCode.BAD_INPUT
+    except CommandError as error:
+        for line in str(error).splitlines():
+            _print_error(line)
+        return error.exit_code
+    return ExitCode.DONE if code is None else ExitCode(code)
 
 
 def main() -> None:
     """Runs the command line and exits with its code."""
-    app()
+    sys.exit(run_command())
+
+
+def _one_line(text: str) -> str:
+    return " ".join(text.split())
+
+
+def _print_error(line: str) -> None:
+    printable = "".join(character if character.isprintable() else "?" for character in line)
+    print(f"camphordrift: {printable}", file=sys.stderr)
--- /dev/null
+++ b/camphordrift/daemons/_commands_local.py
@@ -0,0 +1,91 @@
+"""Commands that need no process running: keys, settings and result codes."""
+
+from pathlib import Path
+from typing import Literal, Optional
+
+import cyclopts
+
+from camphordrift.daemons._exit_codes import CommandError, ExitCode
+from camphordrift.results import CodeMeaning, ResultCode, code_table, meaning_of
+
+
+def keygen(kind: Literal["account", "operator", "fleet"]) -> ExitCode:
+    """Make a new random key, and print it with its hash.
+
+    The key of a client account goes to its callers and the hash into a configuration record; the
+    key of an operator goes to the operator and the hash into settings; the key of a fleet goes into
+    the key file of every VM. Nothing is kept: print it once, store it safely.
+
+    Parameters
+    ----------
+    kind:
+        Whom the key is for.
+
+    """
+    # Imported here, as below, so that the help of all commands is quick.
+    from camphordrift.security import KeyKind, generate_key, hash_key
+
+    key = generate_key(KeyKind(kind))
+    print(f"key  {key}")
+    print(f"hash {hash_key(key)}")
+    return ExitCode.DONE
+
+
+def check_settings(*files: Path, standins: bool = False) -> ExitCode:
+    """Check settings files without starting anything.
+
+    Parameters
+    ----------
+    files:
+        The settings files.
+    standins:
+        They are settings of stand-ins, not of entry VMs.
+
+    """
+    from camphordrift.daemons._settings_files import problems_of_files
+
+    if not files:
+        raise CommandError(ExitCode.BAD_INPUT, "no settings file is named")
+    problems = problems_of_files(files, standins)
+    for file in files:
+        if file not in problems:
+            print(f"{file}: good")
+    if problems:
+        raise CommandError(ExitCode.BAD_INPUT, "\n".join(problems.values()))
+    return ExitCode.DONE
+
+
+def codes(code: Optional[int] = None) -> ExitCode:
+    """Print the table of result codes, or explain one.
+
+    Parameters
+    ----------
+    code:
+        The code to explain.
+
+    """
+    if code is None:
+        for row in code_table():
+            print(_code_line(row))
+        return ExitCode.DONE
+    if code not in ResultCode.__members__.values():
+        raise CommandError(ExitCode.BAD_INPUT, f"there is no result code {code}")
+    print(_code_line(meaning_of(ResultCode(code))))
+    return ExitCode.DONE
+
+
+def add_local_commands(app: cyclopts.App) -> None:
+    """Adds the commands of this module."""
+    group = cyclopts.Group("Without a VM", sort_key=3)
+    settings = cyclopts.App(name="settings", help="Work with settings files.", group=group)
+    settings.command(check_settings, name="check")
+    app.command(settings)
+    app.command(keygen, group=group)
+    app.command(codes, group=group)
+
+
+def _code_line(row: CodeMeaning) -> str:
+    return (
+        f"{int(row.code):4} {row.code.name:28} HTTP {row.http_status} "
+        f"{row.run_state.value:15} {row.summary}"
+    )
--- /dev/null
+++ b/camphordrift/daemons/_record_files.py
@@ -0,0 +1,61 @@
+"""Reads files with configuration records."""
+
+import json
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from camphordrift.daemons._exit_codes import CommandError, ExitCode
+
+#: Largest record file that is read, in bytes.
+MAX_RECORD_FILE_BYTES = 4_000_000
+
+
+def read_record_file(path: Path) -> dict[str, Any]:
+    """Returns the record in a TOML or JSON file, by the file's suffix."""
+    text = _read_text(path)
+    match path.suffix:
+        case ".toml":
+            return _parse_toml(path, text)
+        case ".json":
+            return _parse_json(path, text)
+        case _:
+            raise _bad_file(path, "expected a file named .toml or .json")
+
+
+def _read_text(path: Path) -> str:
+    try:
+        with path.open("rb") as stream:
+            content = stream.read(MAX_RECORD_FILE_BYTES + 1)
+        if len(content) > MAX_RECORD_FILE_BYTES:
+            raise _bad_file(path, f"expected at most {MAX_RECORD_FILE_BYTES} bytes")
+        return content.decode("utf-8")
+    except OSError as error:
+        raise _bad_file(path, f"cannot be read: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise _bad_file(path, "expected text in UTF-8") from error
+
+
+def _parse_toml(path: Path, text: str) -> dict[str, Any]:
+    try:
+        record = tomllib.loads(text)
+        json.dumps(record, allow_nan=False)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        raise _bad_file(path, f"expected TOML: {error}") from error
+    except (TypeError, ValueError) as error:
+        raise _bad_file(path, f"has a value that JSON does not know: {error}") from error
+    return record
+
+
+def _parse_json(path: Path, text: str) -> dict[str, Any]:
+    try:
+        record = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise _bad_file(path, f"expected JSON: {error}") from error
+    if not isinstance(record, dict):
+        raise _bad_file(path, "expected a JSON object")
+    return record
+
+
+def _bad_file(path: Path, detail: str) -> CommandError:
+    return CommandError(ExitCode.BAD_INPUT, f"{path}: {' '.join(detail.split())}")
--- /dev/null
+++ b/camphordrift/daemons/tests/test_command_line.py
@@ -0,0 +1,148 @@
+"""The command line: output, exit codes and error lines."""
+
+import contextlib
+import io
+import os
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+import camphordrift
+from camphordrift.daemons._command_line import run_command
+from camphordrift.daemons._exit_codes import ExitCode
+from camphordrift.security import hash_key
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+#: Commands that start nothing and reach no VM, for input made at random.
+SAFE_COMMANDS = (
+    "codes",
+    "settings check",
+    "publish",
+    "show",
+    "diff",
+    "history",
+    "drain",
+    "nothing",
+)
+
+
+class CommandLineCase(testtools.TestCase):
+    """Common parts of the tests."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.useFixtureEnvironment({})
+
+    def useFixtureEnvironment(self, variables: dict[str, str]) -> None:
+        """Replaces the variables of the program by ``variables``."""
+        kept = {k: v for k, v in os.environ.items() if not k.startswith("CAMPHORDRIFT_")}
+        patch = mock.patch.dict(os.environ, {**kept, **variables}, clear=True)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def run_tokens(self, *tokens: str) -> tuple[ExitCode, str, list[str]]:
+        """Returns exit code, standard output, and the lines of standard error."""
+        output, errors = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
+            code = run_command(tokens)
+        return code, output.getvalue(), errors.getvalue().splitlines()
+
+
+class LocalCommandsTest(CommandLineCase):
+    def test_version(self) -> None:
+        self.assertEqual(
+            (ExitCode.DONE, camphordrift.__version__ + "\n", []), self.run_tokens("--version")
+        )
+
+    def test_help_names_the_exit_codes(self) -> None:
+        for tokens in (("--help",), ("publish", "--help"), ("settings", "check", "--help")):
+            code, output, _ = self.run_tokens(*tokens)
+            self.assertEqual(ExitCode.DONE, code)
+            self.assertIn("5 outcome unknown", " ".join(output.split()))
+
+    def test_keygen_prints_the_key_and_its_hash(self) -> None:
+        _, output, _ = self.run_tokens("keygen", "account")
+        lines = dict(line.split() for line in output.splitlines())
+        self.assertEqual(hash_key(lines["key"]), lines["hash"])
+
+    def test_codes(self) -> None:
+        _, output, _ = self.run_tokens("codes", "4004")
+        self.assertRegex(output, r"^4004 CALL_STILL_RUNNING +HTTP 409 outcome_unknown")
+        self.assertEqual(ExitCode.BAD_INPUT, self.run_tokens("codes", "4999")[0])
+
+    def test_settings_check(self) -> None:
+        good = str(EXAMPLES / "bazarnik" / "zlin-c-1.toml")
+        self.assertEqual(
+            (ExitCode.DONE, f"{good}: good\n", []), self.run_tokens("settings", "check", good)
+        )
+        code, output, errors = self.run_tokens("settings", "check", good, "missing.toml")
+        self.assertEqual((ExitCode.BAD_INPUT, f"{good}: good\n"), (code, output))
+        self.assertEqual(
+            ["camphordrift: missing.toml: the file: cannot be read: No such file or directory"],
+            errors,
+        )
+
+
+class BadInputTest(CommandLineCase):
+    """Wrong input gets one line on standard error and exit code 2."""
+
+    def check(self, expected: str, *tokens: str) -> None:
+        code, output, errors = self.run_tokens(*tokens)
+        self.assertEqual((ExitCode.BAD_INPUT, "", 1), (code, output, len(errors)), str(errors))
+        self.assertIn(expected, errors[0])
+
+    def test_usage(self) -> None:
+        self.check("Did you mean", "publsh", "x.toml")
+        self.check("requires an argument", "publish")
+        self.check('unable to convert "x" into int', "codes", "x")
+        self.check("no settings file is named", "settings", "check")
+
+    def test_access(self) -> None:
+        self.check("no VM is named", "dump")
+        self.check("is not an IP number", "dump", "--vm", "localhost:8081")
+        self.check("no operator's key in", "dump", "--vm", "127.0.0.1:1")
+        self.check("cannot be read", "dump", "--vm", "127.0.0.1:1", "--key-file", "/nonexistent")
+
+    def test_record_files(self) -> None:
+        self.useFixtureEnvironment(
+            {"CAMPHORDRIFT_VM": "127.0.0.1:1", "CAMPHORDRIFT_OPERATOR_KEY": "k"}
+        )
+        with tempfile.TemporaryDirectory() as directory:
+            for name, content, expected in (
+                ("a.toml", b"x = ", "expected TOML"),
+                ("a.toml", b"x = 2026-01-01", "JSON does not know"),
+                ("a.toml", b"x = nan", "JSON does not know"),
+                ("a.json", b"[1]", "expected a JSON object"),
+                ("a.json", b'{"a":' * 100_000, "expected JSON"),
+                ("a.json", b"\xff", "UTF-8"),
+                ("a.txt", b"", "named .toml or .json"),
+                ("missing.toml", None, "cannot be read"),
+            ):
+                file = Path(directory) / name
+                if content is not None:
+                    file.write_bytes(content)
+                self.check(expected, "publish", str(file))
+
+    def test_nobody_listens(self) -> None:
+        self.useFixtureEnvironment({"CAMPHORDRIFT_OPERATOR_KEY": "k"})
+        code, _, errors = self.run_tokens("drain", "--vm", "127.0.0.1:1")
+        self.assertEqual(ExitCode.UNREACHABLE, code)
+        self.assertEqual(1, len(errors))
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(
+        command=st.sampled_from(SAFE_COMMANDS),
+        tokens=st.lists(
+            st.text(max_size=8) | st.sampled_from(["--vm", "--limit", "-1"]), max_size=3
+        ),
+    )
+    def test_any_tokens_end_with_a_code(self, command: str, tokens: list[str]) -> None:
+        code, _, errors = self.run_tokens(*command.split(), *tokens)
+        self.assertIn(code, list(ExitCode))
+        for line in errors:
+            self.assertTrue(line.startswith("camphordrift: ") and line.isprintable(), repr(line))
--- /dev/null
+++ b/camphordrift/daemons/tests/test_operator_client.py
@@ -0,0 +1,87 @@
+"""Calls to the operators' port: what is sent, and what each answer means."""
+
+from collections.abc import Awaitable, Callable
+from typing import Optional
+
+import testtools
+import trio
+
+from camphordrift.daemons._exit_codes import CommandError, ExitCode
+from camphordrift.daemons._operator_client import VmAccess, request_vm
+
+
+def answer(status: int, body: str) -> bytes:
+    """Returns an HTTP response."""
+    return f"HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n\r\n{body}".encode()
+
+
+def failure_body(code: int, run_state: str) -> str:
+    """Returns the JSON of a failure."""
+    return (
+        f'{{"error": {{"code": {code}, "type": "t", "message": "m", "run_state": "{run_state}"}}}}'
+    )
+
+
+class RequestVmTest(testtools.TestCase):
+    def request(self, method: str, response: Optional[bytes]) -> tuple[bytes, bytes]:
+        """Returns what the VM received and what the client made of ``response``."""
+        received = bytearray()
+
+        async def serve(stream: trio.SocketStream) -> None:
+            received.extend(await stream.receive_some(65536))
+            if response is not None:
+                await stream.send_all(response)
+            await stream.aclose()
+
+        content = run_against(serve, method)
+        return bytes(received), content
+
+    def check_error(self, exit_code: ExitCode, method: str, response: Optional[bytes]) -> str:
+        error = self.assertRaises(CommandError, self.request, method, response)
+        self.assertIs(exit_code, error.exit_code)
+        return str(error)
+
+    def test_good_answer(self) -> None:
+        received, content = self.request("GET", answer(200, "{}"))
+        self.assertEqual(b"{}", content)
+        self.assertTrue(received.startswith(b"GET /drain?a=b HTTP/1.1\r\n"), repr(received))
+        self.assertIn(b"Authorization: Bearer key\r\n", received)
+
+    def test_refusals_by_run_state(self) -> None:
+        for run_state, exit_code in (
+            ("not_run", ExitCode.REFUSED),
+            ("failed", ExitCode.FAILED),
+            ("outcome_unknown", ExitCode.OUTCOME_UNKNOWN),
+        ):
+            line = self.check_error(exit_code, "POST", answer(409, failure_body(5001, run_state)))
+            self.assertEqual("code 5001 t: m", line)
+
+    def test_answers_of_something_else(self) -> None:
+        for body in ("", "<html>", "[]", '{"error": 1}', failure_body(1, "strange")):
+            self.check_error(ExitCode.FAILED, "POST", answer(500, body))
+
+    def test_lost_answer_is_unsure_only_for_a_change(self) -> None:
+        self.check_error(ExitCode.UNREACHABLE, "GET", None)
+        line = self.check_error(ExitCode.OUTCOME_UNKNOWN, "POST", None)
+        self.assertIn("may have taken effect", line)
+
+
+def run_against(serve: Callable[[trio.SocketStream], Awaitable[None]], method: str) -> bytes:
+    """Sends one request to a server on loopback that handles each connection by ``serve``."""
+
+    async def main() -> bytes:
+        with trio.fail_after(30):
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                access = VmAccess(f"127.0.0.1:{port}", "key")
+                content = await request_vm(access, method, "/drain", {"a": "b"}, {})
+                nursery.cancel_scope.cancel()
+                return content
+        raise AssertionError("unreachable")
+
+    try:
+        return trio.run(main)
+    except BaseExceptionGroup as group:
+        raise group.exceptions[0] from group
