Add retry policy, retry budget and circuit breakers

Cause: retries of what may have run break the promise of at most one run, and unbounded ones keep a service down after an outage. Conclusion: backoff, budget and breaker together; no hedging.

--- /dev/null
+++ b/camphordrift/retries/_budget.py
@@ -0,0 +1,82 @@
+"""Bounds how much retries add to the load of a service."""
+
+from collections.abc import Hashable
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class RetryBudgetSettings:
+    """How many retries a service gets."""
+
+    #: Retries allowed per first attempt.
+    retries_per_request: float = 0.1
+
+    #: Retries a second allowed besides, so that a service with few requests can retry at all.
+    minimum_retries_per_second: float = 0.5
+
+    #: Most retries that can be saved up.
+    maximum_saved_retries: float = 10.0
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.retries_per_request <= 1:
+            raise ValueError("retries_per_request must lie between 0 and 1")
+        if self.minimum_retries_per_second < 0 or self.maximum_saved_retries < 1:
+            raise ValueError("the budget must allow at least one saved retry")
+
+
+class RetryBudget:
+    """A bucket that first attempts fill and retries empty.
+
+    Over any period, retries are at most ``retries_per_request`` times the first attempts, plus
+    ``minimum_retries_per_second`` times the period, plus ``maximum_saved_retries``. An outage
+    therefore multiplies the load of a busy service by little more than 1.1.
+    """
+
+    def __init__(self, settings: RetryBudgetSettings, now: float) -> None:
+        self._settings = settings
+        self._saved = settings.maximum_saved_retries
+        self._refilled_at = now
+
+    @property
+    def saved_retries(self) -> float:
+        """Retries that can be made at once."""
+        return self._saved
+
+    def on_first_attempt(self, now: float) -> None:
+        """Notes a request's first attempt."""
+        self._refill(now)
+        self._save(self._settings.retries_per_request)
+
+    def try_withdraw(self, now: float) -> bool:
+        """Takes one retry from the budget; returns false if there is none."""
+        self._refill(now)
+        if self._saved < 1:
+            return False
+        self._saved -= 1
+        return True
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._refilled_at)
+        self._refilled_at = max(now, self._refilled_at)
+        self._save(elapsed * self._settings.minimum_retries_per_second)
+
+    def _save(self, amount: float) -> None:
+        self._saved = min(self._saved + amount, self._settings.maximum_saved_retries)
+
+
+class RetryBudgets:
+    """One budget for each service or model, made when it is first asked for."""
+
+    def __init__(self, settings: RetryBudgetSettings) -> None:
+        self._settings = settings
+        self._budgets: dict[Hashable, RetryBudget] = {}
+
+    def budget_of(self, service: Hashable, now: float) -> RetryBudget:
+        """Returns the budget of a configured service or model."""
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(self._settings, now)
+        return self._budgets[service]
+
+    def dump_state(self) -> dict[str, float]:
+        """Returns the retries saved for each service."""
+        return {str(name): round(b.saved_retries, 2) for name, b in self._budgets.items()}
--- /dev/null
+++ b/camphordrift/retries/_classification.py
@@ -0,0 +1,85 @@
+"""What an error of an attempt says about the run and about the backend server."""
+
+from dataclasses import dataclass
+from typing import Optional, Union
+
+from camphordrift import results
+from camphordrift.backend_servers import (
+    BackendError,
+    BackendRefusedError,
+    BackendSilentError,
+    BackendUnreachableError,
+    StreamBrokenError,
+)
+from camphordrift.results import ResultCode, RunState
+from camphordrift.retries._breaker import AttemptResult
+
+#: Statuses of refusals that another attempt, or another server, may turn out differently.
+RETRIABLE_STATUSES = frozenset({408, 409, 425, 429, 500, 502, 503, 504})
+
+AttemptError = Union[BackendError, results.Failure]
+
+
+@dataclass(frozen=True)
+class Classification:
+    """What is known after a failed attempt."""
+
+    #: False only if no byte of the request can have reached the server, or it says it ran nothing.
+    may_have_run: bool
+
+    #: True if another attempt may succeed.
+    retriable: bool
+
+    #: The code to give up with.
+    code: ResultCode
+
+    #: Detail for the caller.
+    detail: str
+
+    #: What the attempt says of the server.
+    attempt_result: AttemptResult
+
+    #: When the server wants to be asked again, in seconds.
+    retry_after_seconds: Optional[float] = None
+
+
+def classify(error: AttemptError) -> Classification:
+    """Returns what the error of an attempt means."""
+    detail = error.detail if isinstance(error, results.Failure) else str(error)
+    failed = AttemptResult.FAILED
+    match error:
+        case results.Failure():
+            return _classify_failure(error)
+        case BackendUnreachableError():
+            return Classification(False, True, ResultCode.BACKEND_UNREACHABLE, detail, failed)
+        case BackendRefusedError():
+            return _classify_refusal(error)
+        case BackendSilentError():
+            return Classification(True, True, ResultCode.BACKEND_SILENT, detail, failed)
+        case StreamBrokenError():
+            return Classification(True, True, ResultCode.BACKEND_STREAM_BROKEN, detail, failed)
+        case _:
+            return Classification(True, False, ResultCode.INTERNAL_ERROR, detail, failed)
+
+
+def _classify_refusal(error: BackendRefusedError) -> Classification:
+    retriable = error.status in RETRIABLE_STATUSES
+    at_fault = error.status >= 500 and not error.not_run
+    return Classification(
+        may_have_run=not error.not_run,
+        retriable=retriable,
+        code=ResultCode.BACKEND_REFUSED,
+        detail=str(error),
+        attempt_result=AttemptResult.FAILED if at_fault else AttemptResult.NEUTRAL,
+    )
+
+
+def _classify_failure(failure: results.Failure) -> Classification:
+    return Classification(
+        may_have_run=failure.run_state is not RunState.NOT_RUN,
+        retriable=failure.retry_after_seconds is not None,
+        code=failure.code,
+        detail=failure.detail,
+        attempt_result=AttemptResult.NEUTRAL,
+        retry_after_seconds=failure.retry_after_seconds,
+    )
--- /dev/null
+++ b/camphordrift/retries/_policy.py
@@ -0,0 +1,126 @@
+"""Decides whether a failed attempt is followed by another one."""
+
+from dataclasses import dataclass
+from typing import Optional, Union
+
+from camphordrift import results
+from camphordrift.results import ResultCode, RunState
+from camphordrift.retries._backoff import Backoff
+from camphordrift.retries._budget import RetryBudget
+from camphordrift.retries._classification import AttemptError, Classification, classify
+
+
+@dataclass(frozen=True)
+class RetryPolicySettings:
+    """Bounds of the retries of one request."""
+
+    #: Attempts of one request, the first included.
+    maximum_attempts: int = 4
+
+    #: An attempt is not worth making with less time left, in seconds.
+    minimum_attempt_seconds: float = 0.05
+
+    #: What to say of a request that may have run. ``FAILED`` suits generation, which has no effect
+    #: besides its answer.
+    state_if_may_have_run: RunState = RunState.OUTCOME_UNKNOWN
+
+    def __post_init__(self) -> None:
+        if self.maximum_attempts < 1:
+            raise ValueError("a request needs at least one attempt")
+
+
+@dataclass(frozen=True)
+class Retry:
+    """Another attempt is to be made, on a new connection."""
+
+    #: When, in seconds from now.
+    delay_seconds: float
+
+    #: Whether any attempt so far may have run; has to be handed to the next decision.
+    may_have_run: bool
+
+
+@dataclass(frozen=True)
+class GiveUp:
+    """The request ends with a failure."""
+
+    #: What to tell the caller.
+    failure: results.Failure
+
+
+RetryDecision = Union[Retry, GiveUp]
+
+
+class RetryPolicy:
+    """Retries what cannot have run or may be repeated, within deadline and budget.
+
+    Example::
+
+        decision = policy.decide(1, error, repeatable=True, remaining_seconds=3.0, now=now)
+        match decision:
+            case Retry(delay_seconds, may_have_run):
+                ...
+            case GiveUp(failure):
+                ...
+    """
+
+    def __init__(
+        self, settings: RetryPolicySettings, backoff: Backoff, budget: RetryBudget
+    ) -> None:
+        self._settings = settings
+        self._backoff = backoff
+        self._budget = budget
+
+    def on_first_attempt(self, now: float) -> None:
+        """Notes a request, which adds to the budget."""
+        self._budget.on_first_attempt(now)
+
+    def decide(
+        self,
+        attempt: int,
+        error: AttemptError,
+        repeatable: bool,
+        remaining_seconds: float,
+        now: float,
+        earlier_may_have_run: bool = False,
+    ) -> RetryDecision:
+        """Returns what follows the failed attempt of the given number, counted from 1.
+
+        ``repeatable`` tells whether the request may run twice. The failure to give up with says
+        "not run" only if neither this attempt nor an earlier one can have run.
+        """
+        seen = classify(error)
+        may_have_run = seen.may_have_run or earlier_may_have_run
+        if may_have_run and not repeatable:
+            return GiveUp(_unrepeatable(seen))
+        if not seen.retriable or attempt >= self._settings.maximum_attempts:
+            return GiveUp(self._failure(seen.code, seen, may_have_run))
+        delay = self._backoff.delay_after(attempt, seen.retry_after_seconds)
+        if delay + self._settings.minimum_attempt_seconds > remaining_seconds:
+            return GiveUp(self._failure(seen.code, seen, may_have_run))
+        if not self._budget.try_withdraw(now):
+            return GiveUp(self._failure(ResultCode.RETRY_BUDGET_SPENT, seen, may_have_run, 1.0))
+        return Retry(delay, may_have_run)
+
+    def _failure(
+        self,
+        code: ResultCode,
+        seen: Classification,
+        may_have_run: bool,
+        retry_after: Optional[float] = None,
+    ) -> results.Failure:
+        """Returns a failure whose run state holds for all attempts together."""
+        state = self._settings.state_if_may_have_run if may_have_run else RunState.NOT_RUN
+        return results.Failure(
+            code=code,
+            detail=seen.detail,
+            retry_after_seconds=retry_after or seen.retry_after_seconds,
+            run_state_override=state,
+        )
+
+
+def _unrepeatable(seen: Classification) -> results.Failure:
+    """Returns the failure of a request that may not be sent again."""
+    if seen.code is ResultCode.BACKEND_REFUSED:
+        return results.Failure(seen.code, seen.detail, run_state_override=RunState.OUTCOME_UNKNOWN)
+    return results.Failure(ResultCode.SERVICE_OUTCOME_UNKNOWN, seen.detail)
--- /dev/null
+++ b/camphordrift/retries/tests/test_breaker.py
@@ -0,0 +1,111 @@
+"""Tests of the circuit breaker."""
+
+import random
+
+import testtools
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from returns.result import Success
+
+from camphordrift.results import ResultCode, RunState
+from camphordrift.retries import (
+    AttemptResult,
+    CircuitBreaker,
+    CircuitBreakerSettings,
+    Closed,
+    HalfOpen,
+    Open,
+    Permit,
+)
+
+SETTINGS = CircuitBreakerSettings()
+
+
+def breaker() -> CircuitBreaker:
+    return CircuitBreaker(SETTINGS, random.Random(1))
+
+
+def fail(chosen: CircuitBreaker, times: int, now: float) -> None:
+    for _ in range(times):
+        chosen.on_result(chosen.try_acquire(now).unwrap(), AttemptResult.FAILED, now)
+
+
+class CircuitBreakerTest(testtools.TestCase):
+    def test_opens_after_failures_in_a_row_and_says_not_run(self) -> None:
+        chosen = breaker()
+        fail(chosen, SETTINGS.consecutive_failures, 0.0)
+        refused = chosen.try_acquire(0.1).failure()
+        self.assertEqual(ResultCode.CIRCUIT_OPEN, refused.code)
+        self.assertEqual(RunState.NOT_RUN, refused.run_state)
+        self.assertFalse(chosen.admits(0.1))
+
+    def test_opens_on_a_share_of_failures(self) -> None:
+        chosen = breaker()
+        for number in range(SETTINGS.minimum_attempts):
+            result = AttemptResult.FAILED if number % 2 else AttemptResult.SUCCEEDED
+            chosen.on_result(chosen.try_acquire(0.0).unwrap(), result, 0.0)
+        self.assertIsInstance(chosen.state, Open)
+
+    def test_lets_one_probe_pass_and_closes_after_successes(self) -> None:
+        chosen = breaker()
+        fail(chosen, SETTINGS.consecutive_failures, 0.0)
+        for number in range(SETTINGS.successes_to_close):
+            now = 2.0 + number
+            probe = chosen.try_acquire(now).unwrap()
+            self.assertFalse(chosen.admits(now))
+            chosen.on_result(probe, AttemptResult.SUCCEEDED, now)
+        self.assertIsInstance(chosen.state, Closed)
+
+    def test_lost_probe_does_not_block_for_good(self) -> None:
+        chosen = breaker()
+        fail(chosen, SETTINGS.consecutive_failures, 0.0)
+        chosen.try_acquire(2.0).unwrap()
+        later = 2.0 + SETTINGS.probe_timeout_seconds
+        self.assertTrue(chosen.admits(later))
+        self.assertIsInstance(chosen.try_acquire(later), Success)
+
+    def test_late_result_of_an_earlier_period_is_passed_over(self) -> None:
+        chosen = breaker()
+        old = chosen.try_acquire(0.0).unwrap()
+        fail(chosen, SETTINGS.consecutive_failures, 0.0)
+        chosen.try_acquire(2.0)
+        chosen.on_result(old, AttemptResult.FAILED, 2.1)
+        self.assertIsInstance(chosen.state, HalfOpen)
+
+
+class CircuitBreakerMachine(RuleBasedStateMachine):
+    """Any sequence of attempts and results keeps the number of probes bounded."""
+
+    @initialize()
+    def start(self) -> None:
+        self.now = 0.0
+        self.breaker = breaker()
+        self.permits: list[Permit] = []
+
+    @rule(elapsed=st.floats(0.0, 40.0))
+    def wait(self, elapsed: float) -> None:
+        self.now += elapsed
+
+    @rule()
+    def acquire(self) -> None:
+        admitted = self.breaker.admits(self.now)
+        acquired = self.breaker.try_acquire(self.now)
+        assert admitted == isinstance(acquired, Success)
+        if admitted:
+            self.permits.append(acquired.unwrap())
+
+    @rule(result=st.sampled_from(AttemptResult), index=st.integers(0, 50))
+    def report(self, result: AttemptResult, index: int) -> None:
+        if self.permits:
+            permit = self.permits.pop(index % len(self.permits))
+            self.breaker.on_result(permit, result, self.now)
+
+    @invariant()
+    def probes_are_bounded(self) -> None:
+        if hasattr(self, "breaker") and isinstance(self.breaker.state, HalfOpen):
+            assert len(self.breaker.state.probes_started_at) <= SETTINGS.concurrent_probes
+
+
+CircuitBreakerMachineTest = CircuitBreakerMachine.TestCase
+CircuitBreakerMachineTest.settings = settings(derandomize=True, deadline=None, max_examples=60)
