Add the commands that run entry VMs, stand-ins and the demo

Cause: the processes had functions but no commands. Change: entry, standins and demo; an address that is in use is told in one line. Conclusion: a fleet can be put together by hand.

--- a/camphordrift/daemons/_command_line.py
+++ b/camphordrift/daemons/_command_line.py
@@ -9,6 +9,7 @@
 import camphordrift
 from camphordrift.daemons._commands_local import add_local_commands
 from camphordrift.daemons._commands_operator import add_operator_commands
+from camphordrift.daemons._commands_run import add_run_commands
 from camphordrift.daemons._exit_codes import EXIT_CODES_HELP, CommandError, ExitCode
 
 
@@ -20,6 +21,7 @@
         help="A serving layer for prompts of widely differing lengths.",
         help_epilogue=EXIT_CODES_HELP,
     )
+    add_run_commands(app)
     add_operator_commands(app)
     add_local_commands(app)
     return app
--- a/camphordrift/daemons/tests/test_command_line.py
+++ b/camphordrift/daemons/tests/test_command_line.py
@@ -146,3 +146,29 @@
         self.assertIn(code, list(ExitCode))
         for line in errors:
             self.assertTrue(line.startswith("camphordrift: ") and line.isprintable(), repr(line))
+
+
+class RunCommandsTest(CommandLineCase):
+    """Processes that cannot start say why in one line; other faults are not hidden."""
+
+    def run_demo_raising(self, error: BaseException) -> tuple[ExitCode, str, list[str]]:
+        with mock.patch("camphordrift.daemons._processes.run_demo", side_effect=error):
+            return self.run_tokens("demo")
+
+    def test_address_in_use(self) -> None:
+        inner = ExceptionGroup("nursery", [OSError(98, "Address already in use")])
+        for error in (inner, ExceptionGroup("nursery", [inner])):
+            code, _, errors = self.run_demo_raising(error)
+            self.assertEqual(ExitCode.FAILED, code)
+            self.assertEqual(
+                ["camphordrift: cannot start: [Errno 98] Address already in use"], errors
+            )
+
+    def test_fault_of_the_program_keeps_its_traceback(self) -> None:
+        group = ExceptionGroup("nursery", [OSError(98, "x"), ZeroDivisionError()])
+        self.assertRaises(ExceptionGroup, self.run_demo_raising, group)
+
+    def test_wrong_settings(self) -> None:
+        for command in ("entry", "standins"):
+            code, _, errors = self.run_tokens(command, "--settings", "missing.toml")
+            self.assertEqual((ExitCode.BAD_INPUT, 1), (code, len(errors)))
