Add leases kept on the log, with a fencing number from the offset

Cause: orders to engines need one giver at a time, through pauses and lost answers. Change: the fold over the leases' stream (the log's clock alone ends a lease), the holder's own view (counts from before it asked, less the largest drift, by two clocks), and the runner that renews. TwoClocks and RecordLog become packages of their own.

--- a/camphordrift/calls/__init__.py
+++ b/camphordrift/calls/__init__.py
@@ -4,13 +4,11 @@
     AttemptStage,
     ClaimAttempt,
     DispatchPermit,
-    TwoClocks,
     new_claim_attempt,
 )
 from camphordrift.calls._coordinator import CallCoordinator
 from camphordrift.calls._keys import KEY_MAX_AHEAD_SECONDS, CallKey, parse_call_key
 from camphordrift.calls._ledger import ClaimLedger, ClaimVerdict
-from camphordrift.calls._log_access import ClaimLog
 from camphordrift.calls._messages import (
     CallOutcome,
     Dispatch,
@@ -64,7 +62,6 @@
     "CallsState",
     "ClaimAttempt",
     "ClaimLedger",
-    "ClaimLog",
     "ClaimRecord",
     "ClaimVerdict",
     "Claimant",
@@ -90,7 +87,6 @@
     "Repeatability",
     "SendGate",
     "ServiceCall",
-    "TwoClocks",
     "VoidRecord",
     "claim_partition",
     "claim_stream",
--- a/camphordrift/calls/_attempt.py
+++ b/camphordrift/calls/_attempt.py
@@ -11,6 +11,7 @@
 from camphordrift.calls._ledger import ClaimVerdict
 from camphordrift.calls._records import Claimant, ClaimRecord, VoidRecord, new_record_id
 from camphordrift.calls._standing import KeyStanding
+from camphordrift.clocks import TwoClocks
 from camphordrift.results import Failure, ResultCode
 
 
@@ -33,28 +34,6 @@
     ABANDONED = "abandoned"
 
 
-@dataclass(frozen=True)
-class TwoClocks:
-    """One moment by both clocks of a process.
-
-    A paused VM may find that one of them stood still, so a limit holds by both.
-    """
-
-    #: Seconds of the monotonic clock.
-    monotonic: float
-
-    #: Seconds since 1970.
-    wall: float
-
-    def plus(self, seconds: float) -> "TwoClocks":
-        """Returns the moment that many seconds later."""
-        return TwoClocks(monotonic=self.monotonic + seconds, wall=self.wall + seconds)
-
-    def is_past(self, limit: "TwoClocks") -> bool:
-        """Whether either clock has reached ``limit``."""
-        return self.monotonic >= limit.monotonic or self.wall >= limit.wall
-
-
 @dataclass(frozen=True)
 class DispatchPermit:
     """Permission to send the call now, once."""
--- a/camphordrift/calls/_background.py
+++ b/camphordrift/calls/_background.py
@@ -5,9 +5,9 @@
 import trio
 from returns import result
 
-from camphordrift.calls._log_access import ClaimLog
 from camphordrift.calls._partitions import claim_partition, claim_stream
 from camphordrift.calls._records import OutcomeRecord, VoidRecord, encode_call_record
+from camphordrift.record_log import RecordLog
 
 #: Records that may wait; above this no further claim is made.
 MAX_PENDING_RECORDS = 2000
@@ -26,7 +26,7 @@
     A record may be appended twice if an answer is lost; the fold ignores the second.
     """
 
-    def __init__(self, log: ClaimLog, jitter: random.Random) -> None:
+    def __init__(self, log: RecordLog, jitter: random.Random) -> None:
         self._log = log
         self._jitter = jitter
         self._pending: dict[str, OutcomeRecord | VoidRecord] = {}
--- a/camphordrift/calls/_claims.py
+++ b/camphordrift/calls/_claims.py
@@ -11,13 +11,13 @@
 from camphordrift.calls._attempt import AttemptStage, ClaimAttempt
 from camphordrift.calls._keys import CallKey
 from camphordrift.calls._ledger import ClaimLedger
-from camphordrift.calls._log_access import ClaimLog
 from camphordrift.calls._marks import keep_stream_marked
 from camphordrift.calls._partitions import CLAIM_PARTITION_COUNT, claim_partition, claim_stream
 from camphordrift.calls._records import encode_call_record
 from camphordrift.calls._settings import CallSettings
 from camphordrift.calls._standing import KeyStanding
 from camphordrift.platform_log import LogRecord
+from camphordrift.record_log import RecordLog
 from camphordrift.results import Failure, ResultCode, RunState
 
 #: When a caller may ask again after a claim could not be made, in seconds.
@@ -45,7 +45,7 @@
 
     def __init__(
         self,
-        log: ClaimLog,
+        log: RecordLog,
         settings: CallSettings,
         wall_clock: Callable[[], float],
         jitter: random.Random,
--- a/camphordrift/calls/_coordinator.py
+++ b/camphordrift/calls/_coordinator.py
@@ -8,11 +8,10 @@
 import trio
 from returns import result
 
-from camphordrift.calls._attempt import AttemptStage, ClaimAttempt, TwoClocks, new_claim_attempt
+from camphordrift.calls._attempt import AttemptStage, ClaimAttempt, new_claim_attempt
 from camphordrift.calls._background import BackgroundAppender
 from camphordrift.calls._claims import ClaimMaker, claim_not_made
 from camphordrift.calls._keys import CallKey, parse_call_key
-from camphordrift.calls._log_access import ClaimLog
 from camphordrift.calls._messages import (
     CallOutcome,
     Dispatch,
@@ -45,6 +44,8 @@
 )
 from camphordrift.calls._state import CallCounts, CallsState
 from camphordrift.calls._state_dump import calls_in_flight, partition_states
+from camphordrift.clocks import TwoClocks
+from camphordrift.record_log import RecordLog
 from camphordrift.results import Failure, ResultCode
 
 
@@ -64,7 +65,7 @@
     def __init__(
         self,
         claimant: Claimant,
-        log: ClaimLog,
+        log: RecordLog,
         settings: CallSettings,
         wall_clock: Callable[[], float],
         jitter: random.Random,
--- a/camphordrift/calls/_gates.py
+++ b/camphordrift/calls/_gates.py
@@ -4,7 +4,8 @@
 
 from returns import result
 
-from camphordrift.calls._attempt import ClaimAttempt, TwoClocks
+from camphordrift.calls._attempt import ClaimAttempt
+from camphordrift.clocks import TwoClocks
 from camphordrift.results import Failure, ResultCode
 
 
--- a/camphordrift/calls/_marks.py
+++ b/camphordrift/calls/_marks.py
@@ -6,8 +6,8 @@
 import trio
 
 from camphordrift.calls._ledger import ClaimLedger
-from camphordrift.calls._log_access import ClaimLog
 from camphordrift.calls._records import MarkRecord, encode_call_record, new_record_id
+from camphordrift.record_log import RecordLog
 
 #: How often a stream is looked at, as a fraction of the interval between marks.
 _CHECKS_PER_INTERVAL = 8
@@ -30,7 +30,7 @@
 
 
 async def keep_stream_marked(
-    log: ClaimLog,
+    log: RecordLog,
     stream: str,
     ledger: ClaimLedger,
     interval_seconds: float,
--- a/camphordrift/calls/_sending.py
+++ b/camphordrift/calls/_sending.py
@@ -6,7 +6,7 @@
 import trio
 from returns import result
 
-from camphordrift.calls._attempt import AttemptStage, ClaimAttempt, TwoClocks
+from camphordrift.calls._attempt import AttemptStage, ClaimAttempt
 from camphordrift.calls._gates import ClaimGate, OpenGate, SingleGate
 from camphordrift.calls._messages import (
     CallOutcome,
@@ -19,6 +19,7 @@
     ServiceCall,
     outcome_of_answer,
 )
+from camphordrift.clocks import TwoClocks
 from camphordrift.results import Failure, ResultCode
 
 #: What a call ends with.
--- a/camphordrift/calls/tests/test_attempt.py
+++ b/camphordrift/calls/tests/test_attempt.py
@@ -10,10 +10,10 @@
     ClaimVerdict,
     KeyFree,
     KeyOutcomeUnknown,
-    TwoClocks,
     new_claim_attempt,
 )
 from camphordrift.calls.tests.builders import BOOKING_DIGEST, WALL_START, call_key
+from camphordrift.clocks import TwoClocks
 from camphordrift.identifiers import Incarnation, VmId
 from camphordrift.results import ResultCode
 
--- /dev/null
+++ b/camphordrift/leases/_asking.py
@@ -0,0 +1,33 @@
+"""Decides when a process asks the log for a lease, so that waiting for one costs few appends."""
+
+from typing import Optional
+
+from camphordrift.clocks import TwoClocks
+from camphordrift.leases._keeper import LeaseKeeper
+from camphordrift.leases._records import LeaseRecord
+from camphordrift.leases._table import Holding, LeaseTable
+
+
+def record_to_append(
+    keeper: LeaseKeeper, table: LeaseTable, now: TwoClocks, max_clock_drift_seconds: float
+) -> Optional[LeaseRecord]:
+    """Returns the record to append now, or none while another process surely holds the lease.
+
+    Reading the table only ever saves a useless append; whether a record takes effect is decided by
+    its place in the log.
+    """
+    holding = table.holding(keeper.name)
+    if keeper.term is None and _held_by_another(keeper, holding, now, max_clock_drift_seconds):
+        return None
+    return keeper.next_record(now)
+
+
+def _held_by_another(
+    keeper: LeaseKeeper,
+    holding: Optional[Holding],
+    now: TwoClocks,
+    max_clock_drift_seconds: float,
+) -> bool:
+    if holding is None or holding.released or holding.holder == keeper.holder:
+        return False
+    return now.wall < holding.expires_at + max_clock_drift_seconds
--- a/camphordrift/calls/_log_access.py
+++ b/camphordrift/record_log/_access.py
@@ -1,4 +1,4 @@
-"""What calls need of the platform's log."""
+"""The interface to the log of claims and leases."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -8,9 +8,15 @@
 from camphordrift.platform_log import LogRecord
 from camphordrift.results import Failure
 
+#: Takes the next record of a stream. Does not wait.
+RecordHandler = Callable[[LogRecord], None]
 
-class ClaimLog(Protocol):
-    """Appends to, follows and reads the claims streams."""
+#: Learns that records were dropped before they were handed on. Does not wait.
+GapHandler = Callable[[], None]
+
+
+class RecordLog(Protocol):
+    """Appends to, follows and reads streams whose records are folded."""
 
     async def append(self, stream: str, payload: bytes, deadline: float) -> Result[int, Failure]:
         """Appends one record, in a batch with others, and returns its offset.
@@ -20,9 +26,7 @@
         """
         ...
 
-    async def follow(
-        self, stream: str, on_record: Callable[[LogRecord], None], on_gap: Callable[[], None]
-    ) -> None:
+    async def follow(self, stream: str, on_record: RecordHandler, on_gap: GapHandler) -> None:
         """Hands on every record that is kept, in order, for ever.
 
         Calls ``on_gap`` before the next record if the log dropped records that were not handed on.
