Soak the configuration with races and faults, and serve only what is current

Change: a VM is ready only after a fresh read of the log's end (or two in a row on a slow log); with a peer's state alone only after the log was silent for 3 s; with a stopped fold only after peers had 3 s to tell that they are further. A reader counts contact from the beginning of its read. The history keeps what each record changed, for diffs between versions.

--- a/camphordrift/configuration/__init__.py
+++ b/camphordrift/configuration/__init__.py
@@ -11,17 +11,22 @@
 from camphordrift.configuration._fold import (
     Accepted,
     Conflict,
-    FieldDifference,
     Rejected,
     Verdict,
     decide,
-    differences_between,
     fold,
 )
+from camphordrift.configuration._history import (
+    EntryDifference,
+    FieldDifference,
+    HistoricChange,
+    History,
+    HistoryEntry,
+    differences_between,
+)
 from camphordrift.configuration._keeper import ConfigurationKeeper, KeeperStatus
 from camphordrift.configuration._keeper_settings import CONFIGURATION_STREAM, KeeperSettings
 from camphordrift.configuration._publishing import (
-    EntryDifference,
     NotPublished,
     Published,
     PublishResult,
@@ -49,9 +54,10 @@
     BlockReason,
     ConfigurationReplica,
     PeerStateOutcome,
+    RejectedRecord,
 )
 from camphordrift.configuration._snapshot import ConfigurationSnapshot, snapshot_of
-from camphordrift.configuration._state import ConfigurationState, Entry, HistoryEntry
+from camphordrift.configuration._state import ConfigurationState, Entry
 from camphordrift.configuration._validation import (
     record_to_raw,
     validate_record,
@@ -105,6 +111,8 @@
     "EntryKey",
     "FieldDifference",
     "FleetTuning",
+    "HistoricChange",
+    "History",
     "HistoryEntry",
     "KeeperSettings",
     "KeeperStatus",
@@ -122,6 +130,7 @@
     "Readiness",
     "RecordKind",
     "Rejected",
+    "RejectedRecord",
     "RepeatableCalls",
     "Service",
     "Unreadable",
--- a/camphordrift/configuration/_encoding.py
+++ b/camphordrift/configuration/_encoding.py
@@ -8,6 +8,7 @@
 import msgpack
 from returns import result
 
+from camphordrift.configuration._history import HistoricChange, HistoryEntry
 from camphordrift.configuration._records import (
     HIGHEST_SCHEMA_VERSION,
     ConfigurationRecord,
@@ -19,7 +20,6 @@
     CheckpointMark,
     ConfigurationState,
     Entry,
-    HistoryEntry,
     restored_state,
 )
 from camphordrift.configuration._validation import (
@@ -80,7 +80,7 @@
         "version": state.version,
         "entries": [_entry_to_raw(entry) for entry in entries],
         "checkpoint": _mark_to_raw(state.checkpoint),
-        "history": [_history_to_raw(remembered) for remembered in state.history],
+        "history": [_history_to_raw(remembered) for remembered in state.history.entries],
     }
     return _pack(_Type.CHECKPOINT, schema_version, body)
 
@@ -191,7 +191,7 @@
         "record_id": remembered.record_id,
         "author": remembered.author,
         "note": remembered.note,
-        "keys": [[key.kind.value, key.name] for key in remembered.keys],
+        "changes": [_historic_to_raw(change) for change in remembered.changes],
     }
 
 
@@ -202,7 +202,27 @@
         str(raw["record_id"]),
         str(raw["author"]),
         str(raw["note"]),
-        tuple(EntryKey(RecordKind(kind), str(name)) for kind, name in raw["keys"]),
+        tuple(_historic_from_raw(change) for change in raw["changes"]),
+    )
+
+
+def _historic_to_raw(change: HistoricChange) -> list[object]:
+    return [
+        change.key.kind.value,
+        change.key.name,
+        change.version_before,
+        None if change.before is None else _sorted_map(change.before),
+        None if change.after is None else _sorted_map(change.after),
+    ]
+
+
+def _historic_from_raw(raw: Any) -> HistoricChange:
+    kind, name, version_before, before, after = raw
+    return HistoricChange(
+        EntryKey(RecordKind(kind), str(name)),
+        int(version_before),
+        None if before is None else dict(before),
+        None if after is None else dict(after),
     )
 
 
--- a/camphordrift/configuration/_fold.py
+++ b/camphordrift/configuration/_fold.py
@@ -4,34 +4,13 @@
 from typing import Optional, Union
 
 from camphordrift.configuration._checks import find_fault
+from camphordrift.configuration._history import FieldDifference, differences_between
 from camphordrift.configuration._proposal import Proposal
-from camphordrift.configuration._records import (
-    Change,
-    ConfigurationRecord,
-    EntryKey,
-    RawValue,
-)
-from camphordrift.configuration._state import ConfigurationState, Entry
+from camphordrift.configuration._records import Change, ConfigurationRecord, EntryKey
+from camphordrift.configuration._state import ConfigurationState
 from camphordrift.results import Failure, ResultCode
 
 
-@dataclass(frozen=True)
-class FieldDifference:
-    """One field that differs between two values."""
-
-    #: The field's name.
-    field: str
-
-    #: What is in force; ``None`` if the field is not given.
-    in_force: object
-
-    #: What the record wants; ``None`` if the field is not given.
-    wanted: object
-
-    def __str__(self) -> str:
-        return f"{self.field} is {self.in_force!r}, the record wants {self.wanted!r}"
-
-
 @dataclass(frozen=True)
 class Conflict:
     """An entry that was changed since the author of a rejected record looked at it."""
@@ -52,10 +31,13 @@
     differences: tuple[FieldDifference, ...]
 
     def __str__(self) -> str:
-        changed = "; ".join(str(difference) for difference in self.differences) or "no difference"
+        changed = "; ".join(
+            f"{difference.field} is {difference.old!r}, the record wants {difference.new!r}"
+            for difference in self.differences
+        )
         return (
             f"{self.key} is at version {self.version} by {self.author or 'nobody'},"
-            f" the record replaces {self.replaces}: {changed}"
+            f" the record replaces {self.replaces}: {changed or 'no difference'}"
         )
 
 
@@ -115,19 +97,6 @@
     return verdict
 
 
-def differences_between(
-    in_force: Optional[RawValue], wanted: Optional[RawValue]
-) -> tuple[FieldDifference, ...]:
-    """Returns the fields in which two values differ, by name."""
-    old = in_force or {}
-    new = wanted or {}
-    return tuple(
-        FieldDifference(field, old.get(field), new.get(field))
-        for field in sorted(set(old) | set(new))
-        if old.get(field) != new.get(field)
-    )
-
-
 def _conflict(state: ConfigurationState, change: Change) -> Conflict:
     entry = state.entry(change.key)
     wanted = None if change.value is None else change.value.raw
@@ -136,14 +105,10 @@
         change.replaces,
         state.version_of(change.key),
         "" if entry is None else entry.author,
-        differences_between(_raw_of(entry), wanted),
+        differences_between(state.raw_value_of(change.key), wanted),
     )
 
 
-def _raw_of(entry: Optional[Entry]) -> Optional[RawValue]:
-    return None if entry is None or entry.value is None else entry.value.raw
-
-
 def _fault_of_changes(state: ConfigurationState, record: ConfigurationRecord) -> Optional[Failure]:
     for change in record.changes:
         entry = state.entry(change.key)
--- a/camphordrift/configuration/_keeper.py
+++ b/camphordrift/configuration/_keeper.py
@@ -10,9 +10,9 @@
 
 from camphordrift.configuration._encoding import encode_record
 from camphordrift.configuration._fold import Verdict
+from camphordrift.configuration._history import EntryDifference, HistoryEntry
 from camphordrift.configuration._keeper_settings import KeeperSettings
 from camphordrift.configuration._publishing import (
-    EntryDifference,
     NotPublished,
     PublishResult,
     check_before_append,
@@ -26,9 +26,14 @@
     ConfigurationRecord,
     RecordKind,
 )
-from camphordrift.configuration._replica import Block, ConfigurationReplica, PeerStateOutcome
+from camphordrift.configuration._replica import (
+    Block,
+    ConfigurationReplica,
+    PeerStateOutcome,
+    RejectedRecord,
+)
 from camphordrift.configuration._snapshot import ConfigurationSnapshot
-from camphordrift.configuration._state import Entry, HistoryEntry
+from camphordrift.configuration._state import Entry
 from camphordrift.identifiers import VmId
 from camphordrift.platform_log import (
     FollowedRecord,
@@ -115,6 +120,8 @@
             transport, settings.stream, self, settings.follower, clock, random
         )
         self._was_current = False
+        self._has_peer_state = False
+        self._started_at = clock()
         self._checkpoints_appended = 0
         self._changed = trio.Event()
 
@@ -126,7 +133,7 @@
     @property
     def readiness(self) -> Readiness:
         """Whether the VM may serve, and if not, why."""
-        self._was_current = self._was_current or self._follower.caught_up
+        self._was_current = self._was_current or self._is_current()
         return readiness_of(self._replica, self._was_current)
 
     @property
@@ -168,7 +175,7 @@
         """Takes a peer's :meth:`encoded_state` if it is newer than this VM's."""
         outcome = self._replica.on_peer_state(encoded)
         if outcome is PeerStateOutcome.ADOPTED:
-            self._was_current = True
+            self._has_peer_state = True
             self._skip_what_is_known()
             self._tell_changed()
         return outcome
@@ -207,9 +214,20 @@
         """Returns what the record would change."""
         return difference(self._replica.state, record)
 
+    def differences(
+        self, old: int, new: Optional[int] = None
+    ) -> result.Result[tuple[EntryDifference, ...], Failure]:
+        """Returns what changed between two versions; ``new`` is the one in force unless given."""
+        state = self._replica.state
+        return state.history.differences(old, state.version if new is None else new)
+
     def history(self) -> tuple[HistoryEntry, ...]:
         """Returns the newest accepted records, oldest first."""
-        return self._replica.state.history
+        return self._replica.state.history.entries
+
+    def rejections(self) -> tuple[RejectedRecord, ...]:
+        """Returns the newest records that this VM saw rejected, oldest first."""
+        return self._replica.rejections
 
     def show(self, kind: Optional[RecordKind] = None) -> tuple[Entry, ...]:
         """Returns the entries in force by kind and name, with the versions to replace."""
@@ -233,6 +251,25 @@
         if self._replica.block is None:
             assert self._replica.state.offset <= self._follower.next_offset
 
+    def _is_current(self) -> bool:
+        """Returns whether no other source can be expected to know more.
+
+        A VM that was paused while it read takes an old answer for a new one, so an answer must be
+        fresh or be confirmed by another. Where the fold has stopped, peers get the time to tell that
+        they are further. A peer's state alone may be old, too: it is relied on only once the log has been silent for long
+        enough that every live peer had the time to hand on its own.
+        """
+        running_for = self._clock() - self._started_at
+        if self._replica.block is not None:
+            return running_for >= self._settings.peer_only_after_seconds
+        contact_age = self._follower.seconds_since_contact
+        if self._follower.caught_up_reads > 1:
+            return True
+        if self._follower.caught_up and contact_age <= self._settings.fresh_read_seconds:
+            return True
+        silent_for = min(contact_age, running_for)
+        return self._has_peer_state and silent_for >= self._settings.peer_only_after_seconds
+
     def _skip_what_is_known(self) -> None:
         if self._replica.block is None:
             self._follower.skip_to(self._replica.state.offset)
--- a/camphordrift/configuration/_keeper_settings.py
+++ b/camphordrift/configuration/_keeper_settings.py
@@ -36,6 +36,14 @@
     #: Longest wait for news from the log before a record is looked at, in seconds.
     refresh_seconds: float = 2.0
 
+    #: A read of the log that began no longer ago than this shows what is in force, in seconds. If
+    #: the log is slower, it takes two reads in a row.
+    fresh_read_seconds: float = 1.0
+
+    #: A VM that has a peer's state serves with it without the log only after the log has not
+    #: answered for this long, in seconds; until then a peer with a newer state may turn up.
+    peer_only_after_seconds: float = 3.0
+
     def __post_init__(self) -> None:
         if self.checkpoint_seconds <= 0 or self.checkpoint_records < 1:
             raise ValueError("checkpoints must be due after a positive time and number of records")
--- a/camphordrift/configuration/_publishing.py
+++ b/camphordrift/configuration/_publishing.py
@@ -9,16 +9,14 @@
 from camphordrift.configuration._fold import (
     Accepted,
     Conflict,
-    FieldDifference,
     Rejected,
     Verdict,
     decide,
-    differences_between,
 )
+from camphordrift.configuration._history import EntryDifference, differences_between
 from camphordrift.configuration._records import (
     HIGHEST_SCHEMA_VERSION,
     ConfigurationRecord,
-    EntryKey,
     UnreadableSchema,
 )
 from camphordrift.configuration._state import ConfigurationState
@@ -49,23 +47,6 @@
     conflicts: tuple[Conflict, ...] = ()
 
 
-@dataclass(frozen=True)
-class EntryDifference:
-    """What a record would change in one entry."""
-
-    #: The entry.
-    key: EntryKey
-
-    #: Its version in force; 0 if it has never been published.
-    version: int
-
-    #: True if the record removes it.
-    removes: bool
-
-    #: The fields that would change.
-    fields: tuple[FieldDifference, ...]
-
-
 #: How publishing ended.
 PublishResult = result.Result[Published, NotPublished]
 
@@ -125,9 +106,9 @@
     A VM that took a later state from a peer has passed the record without deciding on it. The
     state's history then tells whether it was accepted.
     """
-    for remembered in state.history:
-        if remembered.record_id == record_id:
-            return result.Success(Published(remembered.version, remembered.offset))
+    remembered = state.history.find(record_id)
+    if remembered is not None:
+        return result.Success(Published(remembered.version, remembered.offset))
     if offset is not None and state.offset > offset:
         match decide(state, record):
             case Rejected(failure, conflicts):
@@ -150,10 +131,8 @@
     """Returns what the record would change, whether or not it would be accepted."""
     found = []
     for change in record.changes:
-        entry = state.entry(change.key)
-        in_force = None if entry is None or entry.value is None else entry.value.raw
         wanted = None if change.value is None else change.value.raw
-        fields = differences_between(in_force, wanted)
+        fields = differences_between(state.raw_value_of(change.key), wanted)
         version = state.version_of(change.key)
         found.append(EntryDifference(change.key, version, change.value is None, fields))
     return tuple(found)
--- a/camphordrift/configuration/_replica.py
+++ b/camphordrift/configuration/_replica.py
@@ -19,6 +19,9 @@
 #: Records kept while they cannot be folded; older ones are given up for a later checkpoint.
 BUFFERED_RECORDS = 20_000
 
+#: Rejected records remembered for people who ask why nothing changed.
+REMEMBERED_REJECTIONS = 200
+
 #: Verdicts remembered for whoever asks after the fact.
 REMEMBERED_VERDICTS = 1_000
 
@@ -60,6 +63,23 @@
     offset: int
 
 
+@dataclass(frozen=True)
+class RejectedRecord:
+    """A record of the log that changed nothing, as far as this VM has seen it itself."""
+
+    #: Its place in the log.
+    offset: int
+
+    #: Its id, in hexadecimal digits.
+    record_id: str
+
+    #: Who wrote it; empty if it cannot be read.
+    author: str
+
+    #: The numbered reason.
+    failure: Failure
+
+
 class ConfigurationReplica:
     """The fold of one VM, from nothing on.
 
@@ -75,6 +95,7 @@
         self._buffer: deque[FollowedRecord] = deque()
         self._buffer_from = 0
         self._verdicts: dict[str, Verdict] = {}
+        self._rejections: deque[RejectedRecord] = deque(maxlen=REMEMBERED_REJECTIONS)
         self._snapshot: Optional[ConfigurationSnapshot] = None
         self._newest_peer_offset = 0
 
@@ -112,6 +133,11 @@
         """The newest verdicts by record id in hexadecimal digits."""
         return self._verdicts
 
+    @property
+    def rejections(self) -> tuple[RejectedRecord, ...]:
+        """The newest records that this VM rejected itself, oldest first."""
+        return tuple(self._rejections)
+
     def on_record(self, record: FollowedRecord) -> None:
         """Takes the next record of the log."""
         if record.offset < self._state.offset:
@@ -127,7 +153,7 @@
                 self._stop(BlockReason.SCHEMA, record.offset)
             case result.Failure(Failure() as failure):
                 self._state.pass_over(record.offset)
-                self._remember(record.record_id.hex(), Rejected(failure))
+                self._settle(record, "", Rejected(failure))
 
     def on_truncated(self, gap: LogGap) -> None:
         """Learns that records were dropped unread."""
@@ -165,8 +191,15 @@
         assert snapshot is None or snapshot.version == self._state.version
 
     def _fold(self, record: ConfigurationRecord, followed: FollowedRecord) -> None:
+        verdict = fold(self._state, record, followed.record_id.hex(), followed.offset)
+        self._settle(followed, record.author, verdict)
+
+    def _settle(self, followed: FollowedRecord, author: str, verdict: Verdict) -> None:
         record_id = followed.record_id.hex()
-        self._remember(record_id, fold(self._state, record, record_id, followed.offset))
+        self._remember(record_id, verdict)
+        if isinstance(verdict, Rejected):
+            rejected = RejectedRecord(followed.offset, record_id, author, verdict.failure)
+            self._rejections.append(rejected)
 
     def _on_checkpoint(self, record: FollowedRecord, state: ConfigurationState) -> None:
         if self._block is None:
@@ -189,7 +222,7 @@
         assert state.offset > self._state.offset
         self._state = state
         self._snapshot = None
-        for remembered in state.history:
+        for remembered in state.history.entries:
             self._remember(remembered.record_id, Accepted(remembered.version))
         if self._block is not None and state.offset >= self._buffer_from:
             self._resume()
--- a/camphordrift/configuration/_state.py
+++ b/camphordrift/configuration/_state.py
@@ -1,24 +1,22 @@
 """The state that the fold over the configuration stream builds up."""
 
-from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Optional
 
+from camphordrift.configuration._history import HistoricChange, History, HistoryEntry
 from camphordrift.configuration._records import (
     NEVER_PUBLISHED,
     Change,
     ConfigurationRecord,
     EntryKey,
     PublishedValue,
+    RawValue,
 )
 from camphordrift.configuration._relations import UniqueClaim, claims_of, references_of
 from camphordrift.configuration._snapshot import ConfigurationSnapshot, snapshot_of
 from camphordrift.configuration._values import ConfigurationValue
 
-#: Accepted records that the state remembers for the history and for late verdicts.
-REMEMBERED_RECORDS = 200
-
 
 @dataclass(frozen=True)
 class Entry:
@@ -40,29 +38,6 @@
     value: Optional[PublishedValue]
 
 
-@dataclass(frozen=True)
-class HistoryEntry:
-    """One accepted record."""
-
-    #: The fleet-wide version that it made.
-    version: int
-
-    #: Its place in the log.
-    offset: int
-
-    #: Its id, in hexadecimal digits.
-    record_id: str
-
-    #: Who wrote it.
-    author: str
-
-    #: Why.
-    note: str
-
-    #: The entries that it changed.
-    keys: tuple[EntryKey, ...]
-
-
 @dataclass(frozen=True)
 class CheckpointMark:
     """The newest checkpoint in the log."""
@@ -87,7 +62,7 @@
         self._entries: dict[EntryKey, Entry] = {}
         self._holders: dict[UniqueClaim, EntryKey] = {}
         self._referrers: dict[EntryKey, set[EntryKey]] = {}
-        self._history: deque[HistoryEntry] = deque(maxlen=REMEMBERED_RECORDS)
+        self._history = History()
         self._checkpoint: Optional[CheckpointMark] = None
 
     @property
@@ -106,9 +81,9 @@
         return self._entries
 
     @property
-    def history(self) -> tuple[HistoryEntry, ...]:
-        """The newest accepted records, oldest first."""
-        return tuple(self._history)
+    def history(self) -> History:
+        """The newest accepted records."""
+        return self._history
 
     @property
     def checkpoint(self) -> Optional[CheckpointMark]:
@@ -129,6 +104,11 @@
         entry = self._entries.get(key)
         return None if entry is None or entry.value is None else entry.value.parsed
 
+    def raw_value_of(self, key: EntryKey) -> Optional[RawValue]:
+        """Returns the value in force as it was written; ``None`` if there is none."""
+        entry = self._entries.get(key)
+        return None if entry is None or entry.value is None else entry.value.raw
+
     def referrers_of(self, key: EntryKey) -> frozenset[EntryKey]:
         """Returns the entries that refer to ``key``."""
         return frozenset(self._referrers.get(key, ()))
@@ -160,11 +140,11 @@
         """Puts an accepted record in force. Only :func:`fold` may have accepted it."""
         self._advance(offset)
         self._version += 1
+        changes = tuple(self._historic_change(change) for change in record.changes)
         for change in record.changes:
             self.put_entry(self._entry_from(record, change))
-        keys = tuple(change.key for change in record.changes)
-        self._history.append(
-            HistoryEntry(self._version, offset, record_id, record.author, record.note, keys)
+        self._history.add(
+            HistoryEntry(self._version, offset, record_id, record.author, record.note, changes)
         )
 
     def put_entry(self, entry: Entry) -> None:
@@ -191,7 +171,7 @@
                 assert entry.key in self._referrers[reference]
             for claim in claims_of(entry.value.parsed):
                 assert self._holders[claim] == entry.key, claim
-        versions = [remembered.version for remembered in self._history]
+        versions = [remembered.version for remembered in self._history.entries]
         assert versions == sorted(set(versions))
 
     def _advance(self, offset: int) -> None:
@@ -199,6 +179,14 @@
             raise ValueError(f"offset {offset} was folded already; the next is {self._offset}")
         self._offset = offset + 1
 
+    def _historic_change(self, change: Change) -> HistoricChange:
+        return HistoricChange(
+            change.key,
+            self.version_of(change.key),
+            self.raw_value_of(change.key),
+            None if change.value is None else change.value.raw,
+        )
+
     def _entry_from(self, record: ConfigurationRecord, change: Change) -> Entry:
         return Entry(change.key, self._version, record.schema_version, record.author, change.value)
 
@@ -232,5 +220,5 @@
     state._checkpoint = checkpoint
     for entry in entries:
         state.put_entry(entry)
-    state._history.extend(history)
+    state._history = History(history)
     return state
--- /dev/null
+++ b/camphordrift/experiments/_configuration_fleet.py
@@ -0,0 +1,184 @@
+"""Several keepers of the configuration over one log in memory, with faults of VMs and links."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Optional
+
+import trio
+
+from camphordrift.configuration import (
+    HIGHEST_SCHEMA_VERSION,
+    ConfigurationKeeper,
+    KeeperSettings,
+)
+from camphordrift.identifiers import VmId
+from camphordrift.platform_log import (
+    LogTransport,
+    LogUnavailableError,
+    LogWriter,
+    ReadBatch,
+    WriterSettings,
+)
+from camphordrift.standins import InMemoryLogService
+
+#: Time between two exchanges of a VM with one of its peers, in seconds.
+PEER_EXCHANGE_SECONDS = 1.0
+
+
+class VmLink:
+    """One VM's connection to the log; it can be cut, and the VM can be paused."""
+
+    def __init__(self, transport: LogTransport) -> None:
+        self._transport = transport
+        self._resumed = trio.Event()
+        self._resumed.set()
+        self.is_cut = False
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether the VM stands still."""
+        return not self._resumed.is_set()
+
+    def pause(self) -> None:
+        """Stops the VM at its next request or answer."""
+        if self._resumed.is_set():
+            self._resumed = trio.Event()
+
+    def resume(self) -> None:
+        """Lets the VM go on."""
+        self._resumed.set()
+
+    async def append(self, stream: str, payloads: Sequence[bytes]) -> int:
+        """Appends through the link."""
+        await self._pass()
+        try:
+            return await self._transport.append(stream, payloads)
+        finally:
+            await self._resumed.wait()
+
+    async def read(self, stream: str, from_offset: int, max_records: int) -> ReadBatch:
+        """Reads through the link."""
+        await self._pass()
+        try:
+            return await self._transport.read(stream, from_offset, max_records)
+        finally:
+            await self._resumed.wait()
+
+    async def _pass(self) -> None:
+        await self._resumed.wait()
+        if self.is_cut:
+            await trio.sleep(0.01)
+            raise LogUnavailableError("the VM's link to the log is cut")
+
+
+@dataclass
+class FleetVm:
+    """One running VM."""
+
+    #: Its name.
+    vm_id: VmId
+
+    #: Its configuration.
+    keeper: ConfigurationKeeper
+
+    #: What it appends with.
+    writer: LogWriter
+
+    #: Its connection to the log.
+    link: VmLink
+
+    #: Ends it.
+    scope: trio.CancelScope
+
+
+#: Builds a keeper; a test may pass one with a guard left out.
+KeeperFactory = Callable[..., ConfigurationKeeper]
+
+
+class ConfigurationFleet:
+    """VMs that come and go over one log, and hand their states to one another."""
+
+    def __init__(
+        self,
+        service: InMemoryLogService,
+        nursery: trio.Nursery,
+        random: Random,
+        settings: KeeperSettings,
+        writer_settings: WriterSettings,
+        keeper_factory: KeeperFactory = ConfigurationKeeper,
+    ) -> None:
+        self._service = service
+        self._nursery = nursery
+        self._random = random
+        self._settings = settings
+        self._writer_settings = writer_settings
+        self._keeper_factory = keeper_factory
+        self._vms: dict[VmId, FleetVm] = {}
+
+    @property
+    def vms(self) -> Mapping[VmId, FleetVm]:
+        """The VMs that run."""
+        return self._vms
+
+    def start_vm(
+        self, vm_id: VmId, schema_version: int = HIGHEST_SCHEMA_VERSION, link_cut: bool = False
+    ) -> FleetVm:
+        """Starts a VM that knows nothing."""
+        link = VmLink(self._service)
+        link.is_cut = link_cut
+        seed = Random(self._random.getrandbits(64))
+        writer = LogWriter(link, vm_id, self._writer_settings, trio.current_time, seed)
+        keeper = self._keeper_factory(
+            link,
+            writer,
+            self._settings,
+            trio.current_time,
+            trio.current_time,
+            seed,
+            self.live_schema_versions,
+            schema_version,
+        )
+        vm = FleetVm(vm_id, keeper, writer, link, trio.CancelScope())
+        self._vms[vm_id] = vm
+        self._nursery.start_soon(self._run_vm, vm)
+        return vm
+
+    def stop_vm(self, vm_id: VmId) -> None:
+        """Ends a VM at once, as a power cut does."""
+        vm = self._vms.pop(vm_id)
+        vm.link.resume()
+        vm.scope.cancel()
+
+    def live_schema_versions(self) -> Mapping[VmId, int]:
+        """Returns the schema that each VM reads."""
+        return {vm.vm_id: vm.keeper.status.readable_schema_version for vm in self._vms.values()}
+
+    async def exchange_states(self) -> None:
+        """Has each VM take the newest state of its peers now and then, until it is cancelled."""
+        while True:
+            await trio.sleep(PEER_EXCHANGE_SECONDS)
+            for vm in list(self._vms.values()):
+                self._take_from_a_peer(vm)
+
+    async def wait_for_version(self, version: int) -> None:
+        """Waits until all VMs have reached a version."""
+        while any(vm.keeper.status.version < version for vm in self._vms.values()):
+            await trio.sleep(0.01)
+
+    def _take_from_a_peer(self, vm: FleetVm) -> None:
+        if vm.link.is_paused:
+            return
+        awake = [peer for peer in self._vms.values() if not peer.link.is_paused]
+        peer = max(awake, key=lambda other: other.keeper.state_offset)
+        if peer.keeper.state_offset <= vm.keeper.state_offset:
+            return
+        encoded: Optional[bytes] = peer.keeper.encoded_state()
+        if encoded is not None:
+            vm.keeper.accept_peer_state(encoded)
+
+    async def _run_vm(self, vm: FleetVm) -> None:
+        with vm.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(vm.writer.run)
+                nursery.start_soon(vm.keeper.run)
--- a/camphordrift/platform_log/_append_queue.py
+++ b/camphordrift/platform_log/_append_queue.py
@@ -49,7 +49,7 @@
     offset: Optional[int] = None
 
     #: Why it last went back to waiting.
-    last_refusal: ResultCode = ResultCode.LOG_APPEND_BUDGET_SPENT
+    last_refusal: ResultCode = ResultCode.LOG_UNAVAILABLE
 
 
 @dataclass
@@ -92,6 +92,11 @@
             pending.state = AppendState.IN_FLIGHT
         return batch
 
+    def on_budget_spent(self) -> None:
+        """Notes why the records still wait."""
+        for pending in self._waiting:
+            pending.last_refusal = ResultCode.LOG_APPEND_BUDGET_SPENT
+
     def on_appended(self, batch: tuple[PendingAppend, ...], first_offset: int) -> None:
         """Notes that the batch is in the log."""
         for index, pending in enumerate(batch):
--- a/camphordrift/platform_log/_follower.py
+++ b/camphordrift/platform_log/_follower.py
@@ -61,6 +61,7 @@
         self._contact_at: Optional[float] = None
         self._reads_begun = 0
         self._newest_answered_read = 0
+        self._caught_up_reads = 0
         self._poked = trio.Event()
         self._progress = trio.Event()
 
@@ -79,9 +80,18 @@
         """Whether everything was read that the stream had at the last contact."""
         return self._position.caught_up
 
+    @property
+    def caught_up_reads(self) -> int:
+        """How many reads in a row have found nothing further."""
+        return self._caught_up_reads
+
     @property
     def seconds_since_contact(self) -> float:
-        """Time since the service last answered a read; infinite before the first answer."""
+        """Time since the newest read that was answered began; infinite before the first.
+
+        It counts from the beginning, because a process that is paused while it waits for an answer
+        takes an old answer for a new one.
+        """
         if self._contact_at is None:
             return math.inf
         return self._clock() - self._contact_at
@@ -122,21 +132,23 @@
 
     async def _read_once(self) -> bool:
         self._reads_begun += 1
+        begun_at = self._clock()
         try:
             with trio.fail_after(self._settings.read_timeout_seconds):
                 batch = await self._transport.read(
                     self._stream, self._position.next_offset, self._settings.read_records
                 )
         except OffsetTruncatedError as error:
-            self._contact_at = self._clock()
+            self._contact_at = begun_at
             self._pass_gap(error.first_offset)
             return True
         except (LogUnavailableError, trio.TooSlowError):
             return False
-        self._contact_at = self._clock()
+        self._contact_at = begun_at
         self._newest_answered_read = self._reads_begun
         for record in self._position.on_read(batch):
             self._handler.on_record(record)
+        self._caught_up_reads = self._caught_up_reads + 1 if self.caught_up else 0
         self._tell_progress()
         return True
 
--- a/camphordrift/platform_log/_writer.py
+++ b/camphordrift/platform_log/_writer.py
@@ -161,7 +161,7 @@
         backoff = self._backoff()
         while True:
             await self._wait_for_work(writer)
-            await self._wait_for_budget()
+            await self._wait_for_budget(writer)
             batch = writer.queue.take_batch()
             if not batch:
                 continue
@@ -180,8 +180,9 @@
             writer.wake_up = trio.Event()
             await writer.wake_up.wait()
 
-    async def _wait_for_budget(self) -> None:
+    async def _wait_for_budget(self, writer: _StreamWriter) -> None:
         while not self._budget.try_spend(self._clock()):
+            writer.queue.on_budget_spent()
             await trio.sleep(self._budget.seconds_until_free(self._clock()))
 
     async def _attempt(
@@ -257,7 +258,7 @@
 
     async def _repeat(self, writer: _StreamWriter, search: UnsureAppend) -> None:
         """Appends what was not found again; its place is still found by reading."""
-        await self._wait_for_budget()
+        await self._wait_for_budget(writer)
         self._repeated_count += 1
         missing = search.missing
         if not missing:
