Make the reference pages from the code

Cause: tables of codes, settings, metrics and commands that are kept by hand drift from the code. Change: 'python -m camphordrift.documents' writes docs/reference; a test fails if a committed page is not what the code says. Conclusion: a change of a code or a setting needs its page in the same commit.

--- /dev/null
+++ b/camphordrift/documents/__init__.py
@@ -0,0 +1,6 @@
+"""Makes the reference pages below ``docs/reference`` from the code."""
+
+from camphordrift.documents._files import stale_pages, write_pages
+from camphordrift.documents._pages import PAGES
+
+__all__ = ["PAGES", "stale_pages", "write_pages"]
--- /dev/null
+++ b/camphordrift/documents/_pages.py
@@ -0,0 +1,93 @@
+"""The reference pages that are made from the code."""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+
+from camphordrift.documents._models import model_reference
+from camphordrift.documents._tables import table
+from camphordrift.results import code_table
+from camphordrift.settings import EntryModel, StandinsModel
+from camphordrift.telemetry import Metrics
+
+_NOTE = "<!-- Made from the code by `python -m camphordrift.documents`; do not edit. -->"
+
+
+def result_codes_page() -> str:
+    """Returns the table of result codes."""
+    rows = [
+        (str(int(row.code)), f"`{row.code.name}`", str(row.http_status), f"`{row.run_state.value}`",
+         row.summary)
+        for row in code_table()
+    ]  # fmt: skip
+    introduction = (
+        "Every refusal and failure carries one of these numbers, in the field `code` of the JSON "
+        "error. A number is never given a new meaning.\n\n"
+        "`not_run` means that no byte of the request can have reached a backend server; `failed` "
+        "that it reached one and is known not to have completed; `outcome_unknown` that it may or "
+        "may not have run. The field `run_state` of an error goes before this table where the same "
+        "failure can strike before or after a run."
+    )
+    return _page(
+        "Result codes", introduction, table(["Code", "Name", "HTTP", "Run", "Meaning"], rows)
+    )
+
+
+def settings_page() -> str:
+    """Returns the reference of settings files."""
+    introduction = (
+        "Settings are TOML files, read once at the start. Unknown keys are refused. Addresses are "
+        "IP numbers; host names are refused, so that a process starts while no name service "
+        "answers. `camphordrift settings check FILE` tells what is wrong with a file without "
+        "starting anything. Relative paths start from the directory of the settings file."
+    )
+    parts = [
+        model_reference(EntryModel, "File of an entry VM"),
+        model_reference(StandinsModel, "File of stand-ins"),
+    ]
+    return _page("Settings", introduction, "\n".join(parts))
+
+
+def metrics_page() -> str:
+    """Returns the list of metrics."""
+    metrics = Metrics("documents")
+    try:
+        rows = [
+            (f"`camphordrift_{item.name}`", item.kind, item.description)
+            for item in metrics.descriptions
+        ]
+    finally:
+        metrics.close()
+    introduction = (
+        "The operators' port serves these under `/metrics`, in Prometheus' text format. Counters "
+        "have the suffix `_total`, histograms the usual `_bucket`, `_sum` and `_count`."
+    )
+    return _page("Metrics", introduction, table(["Name", "Kind", "Meaning"], rows))
+
+
+def command_line_page() -> str:
+    """Returns the reference of the command line."""
+    # Imported here, since the command line imports this package for its own command.
+    from camphordrift.daemons import command_line
+
+    body = command_line().generate_docs(
+        output_format="markdown", heading_level=2, usage_name="camphordrift"
+    )
+    # Synopses are no commands to run, unlike the console blocks of other pages.
+    return _page("Command line", "", body.replace("```console", "```text"))
+
+
+#: The pages by their path below ``docs/``.
+PAGES: Mapping[str, Callable[[], str]] = MappingProxyType(
+    {
+        "reference/result-codes.md": result_codes_page,
+        "reference/settings.md": settings_page,
+        "reference/metrics.md": metrics_page,
+        "reference/command-line.md": command_line_page,
+    }
+)
+
+
+def _page(title: str, introduction: str, body: str) -> str:
+    parts = [_NOTE, f"# {title}", introduction, body]
+    text = "\n\n".join(part.strip() for part in parts if part.strip())
+    return "\n".join(line.rstrip() for line in text.splitlines()) + "\n"
