Make the reference pages from the code

Cause: tables of codes, settings, metrics and commands that are kept by hand drift from the code. The library's own page of commands names the running program in it, so the page is put together here. Conclusion: a change of a code or a setting needs its page in the same commit.

--- a/camphordrift/daemons/_commands_local.py
+++ b/camphordrift/daemons/_commands_local.py
@@ -9,7 +9,7 @@
 from camphordrift.results import CodeMeaning, ResultCode, code_table, meaning_of
 
 
-def keygen(kind: Literal["account", "operator", "fleet"]) -> ExitCode:
+def keygen(kind: Literal["account", "operator", "fleet"], /) -> ExitCode:
     """Make a new random key, and print it with its hash.
 
     The key of a client account goes to its callers and the hash into a configuration record; the
@@ -55,7 +55,7 @@
     return ExitCode.DONE
 
 
-def codes(code: Optional[int] = None) -> ExitCode:
+def codes(code: Optional[int] = None, /) -> ExitCode:
     """Print the table of result codes, or explain one.
 
     Parameters
--- a/camphordrift/daemons/_commands_operator.py
+++ b/camphordrift/daemons/_commands_operator.py
@@ -14,6 +14,7 @@
 
 def publish(
     record: Path,
+    /,
     *,
     dry_run: bool = False,
     options: VmOptions = NO_OPTIONS,
@@ -41,6 +42,7 @@
 
 def show(
     version: Optional[int] = None,
+    /,
     *,
     options: VmOptions = NO_OPTIONS,
 ) -> ExitCode:
@@ -61,6 +63,7 @@
 def diff(
     old: int,
     new: Optional[int] = None,
+    /,
     *,
     options: VmOptions = NO_OPTIONS,
 ) -> ExitCode:
@@ -118,6 +121,7 @@
 
 def decisions(
     request_id: Optional[str] = None,
+    /,
     *,
     options: VmOptions = NO_OPTIONS,
 ) -> ExitCode:
--- a/camphordrift/documents/_pages.py
+++ b/camphordrift/documents/_pages.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
+from camphordrift.documents._commands import command_sections
 from camphordrift.documents._models import model_reference
 from camphordrift.documents._tables import table
 from camphordrift.results import code_table
@@ -67,13 +68,10 @@
 def command_line_page() -> str:
     """Returns the reference of the command line."""
     # Imported here, since the command line imports this package for its own command.
-    from camphordrift.daemons import command_line
+    from camphordrift.daemons import EXIT_CODES_HELP, command_line
 
-    body = command_line().generate_docs(
-        output_format="markdown", heading_level=2, usage_name="camphordrift"
-    )
-    # Synopses are no commands to run, unlike the console blocks of other pages.
-    return _page("Command line", "", body.replace("```console", "```text"))
+    introduction = f"What has no dashes is given by position. {EXIT_CODES_HELP}"
+    return _page("Command line", introduction, command_sections(command_line()))
 
 
 #: The pages by their path below ``docs/``.
