Let operators publish, compare and show configuration records

Cause: the operators' port was made for configurations that are numbered as a whole, while records replace versions of single entries. Change: ConfigurationOperations around the keeper: show by kind, history, diff of a record against what is in force, publish with the conflicts in the answer of the loser.

--- a/camphordrift/daemons/_commands_local.py
+++ b/camphordrift/daemons/_commands_local.py
@@ -55,6 +55,31 @@
     return ExitCode.DONE
 
 
+def validate(*records: Path) -> ExitCode:
+    """Check configuration records as far as that goes without a VM.
+
+    Whether a record fits the configuration in force is told by `camphordrift publish --dry-run`.
+
+    Parameters
+    ----------
+    records:
+        The records, .toml or .json files.
+
+    """
+    from camphordrift.daemons._record_files import problem_of_record
+
+    if not records:
+        raise CommandError(ExitCode.BAD_INPUT, "no record is named")
+    problems = {file: problem_of_record(file) for file in records}
+    for file in records:
+        if problems[file] is None:
+            print(f"{file}: good")
+    lines = [f"{file}: {problem}" for file, problem in problems.items() if problem is not None]
+    if lines:
+        raise CommandError(ExitCode.BAD_INPUT, "\n".join(lines))
+    return ExitCode.DONE
+
+
 def codes(code: Optional[int] = None, /) -> ExitCode:
     """Print the table of result codes, or explain one.
 
@@ -80,6 +105,7 @@
     settings = cyclopts.App(name="settings", help="Work with settings files.", group=group)
     settings.command(check_settings, name="check")
     app.command(settings)
+    app.command(validate, group=group)
     app.command(keygen, group=group)
     app.command(codes, group=group)
 
--- a/camphordrift/daemons/_commands_operator.py
+++ b/camphordrift/daemons/_commands_operator.py
@@ -40,49 +40,44 @@
     return _show_answer(options, "POST", "/configuration", parameters, content)
 
 
-def show(
-    version: Optional[int] = None,
+def diff(
+    record: Path,
     /,
     *,
     options: VmOptions = NO_OPTIONS,
 ) -> ExitCode:
-    """Show the configuration in force on a VM.
+    """Show what a configuration record would change, whether or not it would be accepted.
 
     Parameters
     ----------
-    version:
-        Show the configuration at this version instead.
+    record:
+        The record, a .toml or .json file.
     options:
         Which VM.
 
     """
-    parameters = {} if version is None else {"version": str(version)}
-    return _show_answer(options, "GET", "/configuration", parameters)
+    content = read_record_file(record)
+    return _show_answer(options, "POST", "/configuration/diff", body=content)
 
 
-def diff(
-    old: int,
-    new: Optional[int] = None,
+def show(
+    kind: Optional[str] = None,
     /,
     *,
     options: VmOptions = NO_OPTIONS,
 ) -> ExitCode:
-    """Show what changed between two versions of the configuration.
+    """Show the configuration in force on a VM, with the versions that a change replaces.
 
     Parameters
     ----------
-    old:
-        The older version.
-    new:
-        The newer version; the one in force if none is given.
+    kind:
+        Only the entries of this kind, such as model or client_account.
     options:
         Which VM.
 
     """
-    parameters = {"from": str(old)}
-    if new is not None:
-        parameters["to"] = str(new)
-    return _show_answer(options, "GET", "/configuration/diff", parameters)
+    parameters = {} if kind is None else {"kind": kind}
+    return _show_answer(options, "GET", "/configuration", parameters)
 
 
 def history(
@@ -90,7 +85,7 @@
     limit: int = 20,
     options: VmOptions = NO_OPTIONS,
 ) -> ExitCode:
-    """List the last configuration records with their verdicts, newest first.
+    """List the last configuration records that were accepted, newest first.
 
     Parameters
     ----------
@@ -180,7 +175,7 @@
 def add_operator_commands(app: cyclopts.App) -> None:
     """Adds the commands of this module."""
     group = cyclopts.Group("Operating a fleet", sort_key=2)
-    for command in (publish, show, diff, history, dump, decisions, metrics, drain):
+    for command in (publish, diff, show, history, dump, decisions, metrics, drain):
         app.command(command, group=group)
 
 
--- a/camphordrift/daemons/_record_files.py
+++ b/camphordrift/daemons/_record_files.py
@@ -3,7 +3,9 @@
 import json
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import Any, Optional
+
+from returns.result import Failure
 
 from camphordrift.daemons._exit_codes import CommandError, ExitCode
 
@@ -23,6 +25,15 @@
             raise _bad_file(path, "expected a file named .toml or .json")
 
 
+def problem_of_record(path: Path) -> Optional[str]:
+    """Returns what is wrong with the record in a file, if anything is."""
+    # Imported here, so that commands that only send a record do not load the models.
+    from camphordrift.configuration import HIGHEST_SCHEMA_VERSION, prepare_record
+
+    prepared = prepare_record(read_record_file(path), HIGHEST_SCHEMA_VERSION)
+    return prepared.failure().detail if isinstance(prepared, Failure) else None
+
+
 def _read_text(path: Path) -> str:
     try:
         with path.open("rb") as stream:
--- a/camphordrift/operations/__init__.py
+++ b/camphordrift/operations/__init__.py
@@ -1,15 +1,19 @@
 """The operators' port: health, metrics, state, configuration and planned stops."""
 
 from camphordrift.operations._app import operators_app
+from camphordrift.operations._configuration import ConfigurationOperations
 from camphordrift.operations._providers import (
-    ConfigurationOperations,
+    ConfigurationProvider,
     DrainOperations,
     OperatorServices,
+    Refusal,
 )
 
 __all__ = [
     "ConfigurationOperations",
+    "ConfigurationProvider",
     "DrainOperations",
     "OperatorServices",
+    "Refusal",
     "operators_app",
 ]
--- a/camphordrift/operations/_app.py
+++ b/camphordrift/operations/_app.py
@@ -42,7 +42,7 @@
             guarded("/configuration", endpoints.show_configuration),
             guarded("/configuration", endpoints.publish_configuration, "POST"),
             guarded("/configuration/history", endpoints.configuration_history),
-            guarded("/configuration/diff", endpoints.configuration_diff),
+            guarded("/configuration/diff", endpoints.configuration_diff, "POST"),
             guarded("/drain", endpoints.show_drain),
             guarded("/drain", endpoints.start_drain, "POST"),
         ],
--- a/camphordrift/operations/_endpoints.py
+++ b/camphordrift/operations/_endpoints.py
@@ -66,16 +66,11 @@
         return data_response({"decisions": record.for_request(RequestId(request_id))})
 
     async def show_configuration(self, request: Request) -> Response:
-        """Returns the configuration in force, or at one version."""
-        refusal = check_parameters(request, ["version"])
+        """Returns the entries in force, all or of one kind."""
+        refusal = check_parameters(request, ["kind"])
         if refusal is not None:
             return failure_response(refusal)
-        match number_parameter(request, "version", default=None):
-            case Success(version):
-                return result_response(await self._services.configuration.show(version))
-            case Failed(failure):
-                return failure_response(failure)
-        raise AssertionError("unreachable")
+        return result_response(self._services.configuration.show(request.query_params.get("kind")))
 
     async def configuration_history(self, request: Request) -> Response:
         """Returns the last records."""
@@ -84,27 +79,20 @@
             return failure_response(refusal)
         match number_parameter(request, "limit", DEFAULT_HISTORY, highest=MAX_HISTORY):
             case Success(limit):
-                history = await self._services.configuration.history(limit or DEFAULT_HISTORY)
-                return result_response(history)
+                return result_response(self._services.configuration.history(limit))
             case Failed(failure):
                 return failure_response(failure)
         raise AssertionError("unreachable")
 
     async def configuration_diff(self, request: Request) -> Response:
-        """Returns what changed between two versions."""
-        refusal = check_parameters(request, ["from", "to"])
+        """Returns what a record would change."""
+        refusal = check_parameters(request, [])
         if refusal is not None:
             return failure_response(refusal)
-        old = number_parameter(request, "from", default=None)
-        new = number_parameter(request, "to", default=None)
-        match old, new:
-            case Success(None), _:
-                detail = "parameter from is missing; expected the older version"
-                return failure_response(Failure(ResultCode.MALFORMED_REQUEST, detail))
-            case Success(old_version), Success(new_version):
-                difference = await self._services.configuration.diff(old_version, new_version)
-                return result_response(difference)
-            case (Failed(failure), _) | (_, Failed(failure)):
+        match await read_object(request):
+            case Success(record):
+                return result_response(self._services.configuration.diff(record))
+            case Failed(failure):
                 return failure_response(failure)
         raise AssertionError("unreachable")
 
@@ -113,14 +101,11 @@
         refusal = check_parameters(request, ["dry_run"])
         if refusal is not None:
             return failure_response(refusal)
-        dry_run = switch_parameter(request, "dry_run")
-        if not isinstance(dry_run, Success):
-            return result_response(dry_run)
-        match await read_object(request):
-            case Success(record):
-                verdict = await self._services.configuration.publish(record, dry_run.unwrap())
+        match switch_parameter(request, "dry_run"), await read_object(request):
+            case Success(dry_run), Success(record):
+                verdict = await self._services.configuration.publish(record, dry_run)
                 return result_response(verdict)
-            case Failed(failure):
+            case (Failed(failure), _) | (_, Failed(failure)):
                 return failure_response(failure)
         raise AssertionError("unreachable")
 
--- a/camphordrift/operations/_providers.py
+++ b/camphordrift/operations/_providers.py
@@ -1,7 +1,7 @@
 """What the operators' port needs of the rest of the process."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Optional, Protocol
 
 from returns.result import Result
@@ -11,25 +11,37 @@
 from camphordrift.telemetry import DecisionRecord, Metrics, StateDump
 
 
-class ConfigurationOperations(Protocol):
+@dataclass(frozen=True)
+class Refusal:
+    """Why an operation was refused, with what an operator needs to do better."""
+
+    #: The numbered failure.
+    failure: Failure
+
+    #: More members of the JSON error: data classes and plain data.
+    details: Mapping[str, object] = field(default_factory=dict)
+
+
+class ConfigurationProvider(Protocol):
     """Publishing the configuration and looking at it.
 
-    Results are data classes or plain data; they are shown to the operator as JSON.
+    Results are data classes or plain data; they are shown to the operator as JSON. In the process
+    it is :class:`ConfigurationOperations` around the keeper of the configuration.
     """
 
-    async def show(self, version: Optional[int]) -> Result[object, Failure]:
-        """Returns the configuration at ``version``, or the one in force."""
+    def show(self, kind_name: Optional[str]) -> Result[object, Refusal]:
+        """Returns the entries of one kind, or all."""
         ...
 
-    async def history(self, limit: int) -> Result[object, Failure]:
-        """Returns the last ``limit`` records and their verdicts, newest first."""
+    def history(self, limit: int) -> Result[object, Refusal]:
+        """Returns the last ``limit`` accepted records, newest first."""
         ...
 
-    async def diff(self, old_version: int, new_version: Optional[int]) -> Result[object, Failure]:
-        """Returns what changed from one version to another, or to the one in force."""
+    def diff(self, raw: Mapping[str, Any]) -> Result[object, Refusal]:
+        """Returns what a record would change."""
         ...
 
-    async def publish(self, record: Mapping[str, Any], dry_run: bool) -> Result[object, Failure]:
+    async def publish(self, raw: Mapping[str, Any], dry_run: bool) -> Result[object, Refusal]:
         """Validates a record, and publishes it unless ``dry_run``."""
         ...
 
@@ -69,7 +81,7 @@
     decisions: DecisionRecord
 
     #: The configuration.
-    configuration: ConfigurationOperations
+    configuration: ConfigurationProvider
 
     #: The planned stop.
     drain: DrainOperations
--- a/camphordrift/operations/_requests.py
+++ b/camphordrift/operations/_requests.py
@@ -17,9 +17,6 @@
 #: Time for a whole body to arrive, in seconds.
 OPERATOR_BODY_TIMEOUT_SECONDS = 10.0
 
-#: Highest version or count that a parameter may name.
-MAX_NUMBER = 2**53
-
 _SWITCH_VALUES = {"true": True, "false": False}
 
 
@@ -42,16 +39,16 @@
 
 
 def number_parameter(
-    request: Request, name: str, default: Optional[int], highest: int = MAX_NUMBER
-) -> Result[Optional[int], Failure]:
-    """Returns a whole number from 0 to ``highest``, or the default."""
+    request: Request, name: str, default: int, highest: int
+) -> Result[int, Failure]:
+    """Returns a whole number from 1 to ``highest``, or the default."""
     text = request.query_params.get(name)
     if text is None:
         return Success(default)
-    is_number = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_NUMBER))
-    if not is_number or int(text) > highest:
-        expected = f"parameter {name} is {text[:40]!r}; expected a whole number up to {highest}"
-        return Failed(_malformed(expected))
+    is_number = text.isascii() and text.isdigit() and len(text) <= len(str(highest))
+    if not is_number or not 1 <= int(text) <= highest:
+        detail = f"parameter {name} is {text[:40]!r}; expected a whole number from 1 to {highest}"
+        return Failed(_malformed(detail))
     return Success(int(text))
 
 
--- a/camphordrift/operations/_responses.py
+++ b/camphordrift/operations/_responses.py
@@ -2,13 +2,14 @@
 
 import json
 import math
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Mapping
+from types import MappingProxyType
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 from starlette.responses import Response
 
+from camphordrift.operations._providers import Refusal
 from camphordrift.results import Failure, describe_failure
 from camphordrift.telemetry import plain_data
 
@@ -18,23 +19,24 @@
     return _json_response(plain_data(value), status)
 
 
-def failure_response(failure: Failure) -> Response:
-    """Returns a failure as JSON with its numbered code."""
-    response = _json_response({"error": describe_failure(failure)}, failure.http_status)
+def failure_response(
+    failure: Failure, details: Mapping[str, object] = MappingProxyType({})
+) -> Response:
+    """Returns a failure as JSON with its numbered code, and more members if there are any."""
+    error = {**describe_failure(failure), **plain_data(details)}
+    response = _json_response({"error": error}, failure.http_status)
     if failure.retry_after_seconds is not None:
         response.headers["retry-after"] = str(max(1, math.ceil(failure.retry_after_seconds)))
     return response
 
 
-def result_response(
-    result: Result[Any, Failure], respond: Callable[[Any], Response] = data_response
-) -> Response:
+def result_response(result: Result[object, Refusal]) -> Response:
     """Returns the answer for a result, good or bad."""
     match result:
         case Success(value):
-            return respond(value)
-        case Failed(failure):
-            return failure_response(failure)
+            return data_response(value)
+        case Failed(Refusal(failure, details)):
+            return failure_response(failure, details)
     raise AssertionError(f"neither success nor failure: {result!r}")
 
 
