Log, count and remember how each request ended

Cause: an operator has to see from logs and metrics what became of a request. Conclusion: one line for each request.

--- a/camphordrift/gateway/__init__.py
+++ b/camphordrift/gateway/__init__.py
@@ -7,10 +7,12 @@
 from camphordrift.gateway._context import AdmissionGate, GatewayContext, GatewayLimits, OpenGate
 from camphordrift.gateway._generation import (
     AttemptObserver,
+    FailedAttempt,
     GenerationRunner,
     GenerationSummary,
     NoDelayObserver,
 )
+from camphordrift.gateway._journal import RequestEnd, RequestJournal
 from camphordrift.gateway._lengths import estimate_tokens, prefix_block_hashes
 from camphordrift.gateway._server_choice import ServerChoice
 from camphordrift.gateway._service_calls import ServiceCaller, ServiceRequest
@@ -24,12 +26,15 @@
     "AnswerProgress",
     "AttemptObserver",
     "BodyMemory",
+    "FailedAttempt",
     "GatewayContext",
     "GatewayLimits",
     "GenerationRunner",
     "GenerationSummary",
     "NoDelayObserver",
     "OpenGate",
+    "RequestEnd",
+    "RequestJournal",
     "ServerChoice",
     "ServiceCaller",
     "ServiceRequest",
--- a/camphordrift/gateway/_app.py
+++ b/camphordrift/gateway/_app.py
@@ -23,8 +23,8 @@
         caller = identify_caller(context, request)
         return models_response(caller, new_request_id())
 
-    completions = GenerationEndpoint(context, parse_completion)
-    chat = GenerationEndpoint(context, parse_chat)
+    completions = GenerationEndpoint(context, "completions", parse_completion)
+    chat = GenerationEndpoint(context, "chat", parse_chat)
     return Starlette(
         routes=[
             Route("/v1/completions", completions),
--- a/camphordrift/gateway/_context.py
+++ b/camphordrift/gateway/_context.py
@@ -12,6 +12,7 @@
 from camphordrift.gateway._active_requests import ActiveRequests
 from camphordrift.gateway._bodies import BodyMemory
 from camphordrift.gateway._generation import AttemptObserver
+from camphordrift.gateway._journal import RequestJournal
 from camphordrift.gateway._service_calls import ServiceCaller
 from camphordrift.identifiers import AccountId, VmId
 from camphordrift.results import Failure
@@ -91,3 +92,6 @@
 
     #: Bounds on callers.
     limits: GatewayLimits
+
+    #: Logs, metrics and the record of decisions.
+    journal: RequestJournal
--- a/camphordrift/gateway/_generation.py
+++ b/camphordrift/gateway/_generation.py
@@ -19,7 +19,7 @@
     TokenChunk,
 )
 from camphordrift.gateway._answer import AnswerAssembler, AnswerMismatchError
-from camphordrift.identifiers import BackendServerId
+from camphordrift.identifiers import BackendServerId, RequestId
 from camphordrift.results import Failure, ResultCode, RunState
 from camphordrift.routing import Grant, GrantAsk, GrantOutcome, GrantSource
 
@@ -49,6 +49,26 @@
     first_token_seconds: float
 
 
+@dataclass(frozen=True)
+class FailedAttempt:
+    """An attempt that did not lead to a whole answer."""
+
+    #: The request.
+    request_id: RequestId
+
+    #: The engine.
+    engine_id: BackendServerId
+
+    #: Number of the attempt, from 1.
+    attempt: int
+
+    #: Why it failed.
+    error: Exception
+
+    #: Time left for the whole request, in seconds.
+    remaining_seconds: float
+
+
 class AttemptObserver(Protocol):
     """Learns how engines behave, and says how long to wait before another attempt."""
 
@@ -56,9 +76,7 @@
         """Notes that the engine gave a whole answer."""
         ...
 
-    def attempt_failed(
-        self, engine_id: BackendServerId, error: Exception, attempt: int, remaining_seconds: float
-    ) -> Optional[float]:
+    def attempt_failed(self, failed: FailedAttempt) -> Optional[float]:
         """Returns the delay before the next attempt in seconds, or ``None`` for no further one."""
         ...
 
@@ -69,11 +87,9 @@
     def attempt_succeeded(self, engine_id: BackendServerId) -> None:
         """Notes nothing."""
 
-    def attempt_failed(
-        self, engine_id: BackendServerId, error: Exception, attempt: int, remaining_seconds: float
-    ) -> Optional[float]:
+    def attempt_failed(self, failed: FailedAttempt) -> Optional[float]:
         """Returns zero, or ``None`` after the last attempt."""
-        return 0.0 if attempt < MAX_ATTEMPTS else None
+        return 0.0 if failed.attempt < MAX_ATTEMPTS else None
 
 
 class GenerationRunner:
@@ -112,6 +128,11 @@
         """Tokens that the sink has taken so far."""
         return self._assembler.delivered_tokens
 
+    @property
+    def attempts(self) -> int:
+        """Attempts that were begun so far."""
+        return self._attempt
+
     async def run(self) -> result.Result[GenerationSummary, Failure]:
         """Returns a summary once the sink has the whole answer, or why it never will."""
         with trio.move_on_at(self._deadline):
@@ -130,9 +151,7 @@
                 self._observer.attempt_succeeded(grant.engine_id)
                 return result.Success(self._summary(grant))
             self._avoided.add(grant.engine_id)
-            delay = self._observer.attempt_failed(
-                grant.engine_id, error, self._attempt, self._remaining_seconds()
-            )
+            delay = self._observer.attempt_failed(self._failed_attempt(grant, error))
             if delay is None:
                 return result.Failure(self._failure_of(error))
             await trio.sleep(delay)
@@ -219,6 +238,15 @@
     def _remaining_seconds(self) -> float:
         return max(0.0, self._deadline - trio.current_time())
 
+    def _failed_attempt(self, grant: Grant, error: Exception) -> FailedAttempt:
+        return FailedAttempt(
+            request_id=grant.request_id,
+            engine_id=grant.engine_id,
+            attempt=grant.attempt,
+            error=error,
+            remaining_seconds=self._remaining_seconds(),
+        )
+
     def _summary(self, grant: Grant) -> GenerationSummary:
         first_token_at = self._first_token_at
         if first_token_at is None:
--- a/camphordrift/gateway/_generation_endpoint.py
+++ b/camphordrift/gateway/_generation_endpoint.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Optional
 
 import trio
 from returns import result
@@ -18,8 +19,9 @@
 from camphordrift.gateway._caller_stream import CallerGoneError, CallerStream
 from camphordrift.gateway._context import GatewayContext
 from camphordrift.gateway._errors import error_event, error_response
-from camphordrift.gateway._generation import ChunkSink, GenerationRunner, GenerationSummary
+from camphordrift.gateway._generation import GenerationRunner, GenerationSummary
 from camphordrift.gateway._headers import REQUEST_ID_HEADER, read_timeout
+from camphordrift.gateway._journal import RequestEnd, failure_of
 from camphordrift.gateway._lengths import prefix_block_hashes
 from camphordrift.gateway._openai_answers import KEEP_ALIVE, AnswerFormat
 from camphordrift.gateway._openai_bodies import GenerationBody
@@ -28,6 +30,7 @@
 from camphordrift.identifiers import ModelName, RequestId
 from camphordrift.results import Failure, ResultCode
 from camphordrift.routing import GrantAsk
+from camphordrift.telemetry import request_context
 
 BodyParser = Callable[[bytes], result.Result[GenerationBody, Failure]]
 Outcome = result.Result[GenerationSummary, Failure]
@@ -56,8 +59,9 @@
 class GenerationEndpoint:
     """An ASGI application that answers one of the OpenAI-compatible paths."""
 
-    def __init__(self, context: GatewayContext, parse: BodyParser) -> None:
+    def __init__(self, context: GatewayContext, interface: str, parse: BodyParser) -> None:
         self._context = context
+        self._interface = interface
         self._parse = parse
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -68,14 +72,24 @@
         reader = BodyReader(
             self._context.body_memory, limits.max_body_bytes, limits.body_timeout_seconds
         )
-        with reader:
+        with request_context(request_id), reader:
             admitted = await self._admit(request, request_id, reader)
             if not is_successful(admitted):
-                response = error_response(admitted.failure(), request_id)
-                await response(scope, receive, send)
+                await self._refuse(request_id, admitted.failure(), scope, receive, send)
                 return
             await self._run(admitted.unwrap(), scope, receive, send)
 
+    async def _refuse(
+        self,
+        request_id: RequestId,
+        failure: Failure,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        self._context.journal.refused(request_id, self._interface, failure)
+        await error_response(failure, request_id)(scope, receive, send)
+
     async def _admit(
         self, request: Request, request_id: RequestId, reader: BodyReader
     ) -> result.Result[AdmittedGeneration, Failure]:
@@ -111,16 +125,35 @@
         account_id = admitted.permission.account_id
         gate = self._context.gate.try_admit(account_id, tokens, admitted.is_long)
         if not is_successful(gate):
-            await error_response(gate.failure(), admitted.request_id)(scope, receive, send)
+            await self._refuse(admitted.request_id, gate.failure(), scope, receive, send)
             return
         release = gate.unwrap()
+        active = _active_request(admitted)
         try:
-            with self._context.active.track(_active_request(admitted)):
+            with self._context.active.track(active):
                 answer = _GenerationAnswer(self._context, admitted, scope, receive, send)
                 await run_while_connected(receive, answer.run)
+                self._note_end(active, answer)
         finally:
             release()
 
+    def _note_end(self, active: ActiveRequest, answer: "_GenerationAnswer") -> None:
+        outcome = answer.outcome
+        if outcome is None:
+            self._context.journal.abandoned(active, self._interface, answer.delivered_tokens)
+            return
+        summary = outcome.value_or(None)
+        end = RequestEnd(
+            interface=self._interface,
+            failure=failure_of(outcome),
+            attempts=answer.attempts,
+            server_id=None if summary is None else summary.engine_id,
+            prompt_tokens=answer.prompt_tokens,
+            output_tokens=answer.delivered_tokens,
+            first_token_seconds=None if summary is None else summary.first_token_seconds,
+        )
+        self._context.journal.ended(active, end)
+
 
 class _GenerationAnswer:
     """Runs one admitted request and writes its answer."""
@@ -146,6 +179,28 @@
             REQUEST_ID_HEADER: admitted.request_id,
         }
         self._stream = CallerStream(send, headers, context.limits.write_timeout_seconds)
+        self._runner = self._make_runner()
+        self._outcome: Optional[Outcome] = None
+
+    @property
+    def outcome(self) -> Optional[Outcome]:
+        """How the request ended; ``None`` if its caller went away before."""
+        return self._outcome
+
+    @property
+    def delivered_tokens(self) -> int:
+        """Tokens that the caller has got."""
+        return self._runner.delivered_tokens
+
+    @property
+    def attempts(self) -> int:
+        """Attempts that were made."""
+        return self._runner.attempts
+
+    @property
+    def prompt_tokens(self) -> int:
+        """The prompt's estimated length."""
+        return self._admitted.body.prompt_tokens
 
     async def run(self) -> None:
         """Runs the request to its end."""
@@ -162,7 +217,7 @@
         async with trio.open_nursery() as nursery:
             interval = self._context.limits.keep_alive_seconds
             nursery.start_soon(self._stream.keep_alive, KEEP_ALIVE, interval)
-            outcome = await self._runner(self._write_event).run()
+            outcome = await self._runner.run()
             nursery.cancel_scope.cancel()
         if is_successful(outcome):
             await self._stream.write(self._format.ending(outcome.unwrap().output_tokens))
@@ -172,37 +227,41 @@
             await self._stream.end()
         else:
             await self._refuse(outcome.failure())
+        self._outcome = outcome
 
     async def _run_whole(self) -> None:
-        outcome = await self._runner(self._collect).run()
-        if not is_successful(outcome):
+        outcome = await self._runner.run()
+        if is_successful(outcome):
+            await self._write_whole(outcome.unwrap())
+        else:
             await self._refuse(outcome.failure())
-            return
-        summary = outcome.unwrap()
+        self._outcome = outcome
+
+    async def _write_whole(self, summary: GenerationSummary) -> None:
         text = "".join(self._texts)
         body = self._format.whole(text, summary.finish_reason, summary.output_tokens)
         headers = {REQUEST_ID_HEADER: str(self._admitted.request_id)}
         response = Response(body, media_type="application/json", headers=headers)
         await response(self._scope, self._receive, self._send)
 
-    async def _write_event(self, chunk: TokenChunk) -> None:
-        await self._stream.write(self._format.event(chunk))
-
-    async def _collect(self, chunk: TokenChunk) -> None:
-        self._texts.append(chunk.text)
+    async def _take_chunk(self, chunk: TokenChunk) -> None:
+        if self._admitted.body.stream:
+            await self._stream.write(self._format.event(chunk))
+        else:
+            self._texts.append(chunk.text)
 
     async def _refuse(self, failure: Failure) -> None:
         response = error_response(failure, self._admitted.request_id)
         await response(self._scope, self._receive, self._send)
 
-    def _runner(self, sink: ChunkSink) -> GenerationRunner:
+    def _make_runner(self) -> GenerationRunner:
         return GenerationRunner(
             grants=self._context.grants,
             engines=self._context.engines,
             observer=self._context.observer,
             ask=_grant_ask(self._context, self._admitted),
             request=_generation_request(self._admitted),
-            sink=sink,
+            sink=self._take_chunk,
         )
 
 
--- /dev/null
+++ b/camphordrift/gateway/_journal.py
@@ -0,0 +1,154 @@
+"""What is logged, counted and remembered of each request."""
+
+from dataclasses import dataclass
+from typing import Optional
+
+import trio
+from returns import result
+from returns.pipeline import is_successful
+
+from camphordrift.gateway._active_requests import ActiveRequest
+from camphordrift.identifiers import BackendServerId, RequestId
+from camphordrift.results import Failure, ResultCode
+from camphordrift.telemetry import Decision, DecisionRecord, LogLevel, Metrics, log_event
+
+#: Upper bounds of the bands of prompt length, in tokens, and their names.
+_LENGTH_BANDS = ((4_000, "to_4k"), (32_000, "to_32k"), (100_000, "to_100k"))
+
+#: The band of all longer prompts.
+_LONGEST_BAND = "over_100k"
+
+
+@dataclass(frozen=True)
+class RequestEnd:
+    """How an admitted request ended."""
+
+    #: ``completions``, ``chat`` or ``service``.
+    interface: str
+
+    #: Why it failed; ``None`` if it did not.
+    failure: Optional[Failure]
+
+    #: Attempts that were made.
+    attempts: int = 0
+
+    #: The backend server that answered.
+    server_id: Optional[BackendServerId] = None
+
+    #: The prompt's estimated length in tokens; zero for plain services.
+    prompt_tokens: int = 0
+
+    #: Tokens that the caller got.
+    output_tokens: int = 0
+
+    #: Time to the first token in seconds, where there was one.
+    first_token_seconds: Optional[float] = None
+
+
+class RequestJournal:
+    """Tells logs, metrics and the record of decisions about requests.
+
+    Every request ends with exactly one call of :meth:`refused`, :meth:`ended` or
+    :meth:`abandoned`.
+    """
+
+    def __init__(self, metrics: Metrics, decisions: DecisionRecord) -> None:
+        self._metrics = metrics
+        self._decisions = decisions
+
+    @property
+    def metrics(self) -> Metrics:
+        """The process's metrics."""
+        return self._metrics
+
+    def refused(self, request_id: RequestId, interface: str, failure: Failure) -> None:
+        """Notes a request that was refused before it was admitted."""
+        code = failure.code.name.lower()
+        self._metrics.refusals.add(interface=interface, code=code)
+        self._decide(request_id, "admission", f"refused {code}", failure.detail)
+        log_event(
+            "request_refused",
+            interface=interface,
+            code=int(failure.code),
+            reason=code,
+            run_state=failure.run_state.value,
+            detail=failure.detail,
+        )
+
+    def ended(self, request: ActiveRequest, end: RequestEnd) -> None:
+        """Notes a request that was admitted and answered, with success or failure."""
+        seconds = trio.current_time() - request.admitted_at
+        code = ResultCode.OK if end.failure is None else end.failure.code
+        self._metrics.requests.add(interface=end.interface, code=code.name.lower())
+        self._metrics.request_seconds.record(seconds, interface=end.interface)
+        if end.output_tokens:
+            self._metrics.output_tokens.add(end.output_tokens)
+        if end.first_token_seconds is not None:
+            band = length_band(end.prompt_tokens)
+            self._metrics.first_token_seconds.record(end.first_token_seconds, band=band)
+        if end.failure is not None:
+            outcome = f"failed {code.name.lower()}"
+            self._decide(request.request_id, "request", outcome, end.failure.detail)
+        log_event(
+            "request_ended",
+            level=LogLevel.INFO if end.failure is None else LogLevel.WARNING,
+            interface=end.interface,
+            account=request.account_id,
+            subject=request.subject,
+            code=int(code),
+            run_state="completed" if end.failure is None else end.failure.run_state.value,
+            seconds=seconds,
+            first_token_seconds=end.first_token_seconds,
+            attempts=end.attempts,
+            server=end.server_id,
+            prompt_tokens=end.prompt_tokens,
+            output_tokens=end.output_tokens,
+            detail="" if end.failure is None else end.failure.detail,
+        )
+
+    def abandoned(self, request: ActiveRequest, interface: str, output_tokens: int) -> None:
+        """Notes a request whose caller went away."""
+        code = ResultCode.CLIENT_DISCONNECTED
+        self._metrics.requests.add(interface=interface, code=code.name.lower())
+        log_event(
+            "request_abandoned",
+            interface=interface,
+            account=request.account_id,
+            subject=request.subject,
+            code=int(code),
+            seconds=trio.current_time() - request.admitted_at,
+            output_tokens=output_tokens,
+        )
+
+    def attempt_failed(
+        self, request_id: RequestId, server_id: BackendServerId, attempt: int, error: Exception
+    ) -> None:
+        """Notes an attempt on a backend server that failed."""
+        kind = type(error).__name__
+        self._metrics.backend_failures.add(server=server_id, kind=kind)
+        self._decide(request_id, "attempt", f"attempt {attempt} failed on {server_id}", str(error))
+        log_event(
+            "attempt_failed",
+            level=LogLevel.WARNING,
+            server=server_id,
+            attempt=attempt,
+            error=kind,
+            detail=str(error),
+        )
+
+    def _decide(self, request_id: RequestId, component: str, outcome: str, reason: str) -> None:
+        now = trio.current_time()
+        self._decisions.add(Decision(now, component, outcome, reason, request_id))
+
+
+def length_band(prompt_tokens: int) -> str:
+    """Returns the name of the band that a prompt's length falls into."""
+    for upper_bound, name in _LENGTH_BANDS:
+        if prompt_tokens <= upper_bound:
+            return name
+    return _LONGEST_BAND
+
+
+def failure_of(outcome: result.Result[object, Failure]) -> Optional[Failure]:
+    """Returns why ``outcome`` failed, or ``None``."""
+    return None if is_successful(outcome) else outcome.failure()
--- a/camphordrift/gateway/_service_endpoint.py
+++ b/camphordrift/gateway/_service_endpoint.py
@@ -16,11 +16,16 @@
 from camphordrift.gateway._context import GatewayContext
 from camphordrift.gateway._errors import error_response
 from camphordrift.gateway._headers import REQUEST_ID_HEADER, read_timeout
+from camphordrift.gateway._journal import RequestEnd, failure_of
 from camphordrift.gateway._permissions import ServicePermission, permit_service_call
 from camphordrift.gateway._request_scope import run_while_connected
 from camphordrift.gateway._service_calls import ServiceRequest
 from camphordrift.identifiers import RequestId
 from camphordrift.results import Failure
+from camphordrift.telemetry import request_context
+
+#: The interface's name in logs and metrics.
+INTERFACE = "service"
 
 #: Headers that are passed on to a service.
 PASSED_REQUEST_HEADERS = ("content-type", "accept", "accept-language", "idempotency-key")
@@ -43,17 +48,23 @@
         reader = BodyReader(
             self._context.body_memory, limits.max_body_bytes, limits.body_timeout_seconds
         )
-        with reader:
+        with request_context(request_id), reader:
             permitted = self._permit(request)
             if not is_successful(permitted):
-                await error_response(permitted.failure(), request_id)(scope, receive, send)
+                await self._refuse(request, request_id, permitted.failure(), send)
                 return
             body = await reader.read(request)
             if not is_successful(body):
-                await error_response(body.failure(), request_id)(scope, receive, send)
+                await self._refuse(request, request_id, body.failure(), send)
                 return
             await self._run(request, request_id, permitted.unwrap(), body.unwrap(), send)
 
+    async def _refuse(
+        self, request: Request, request_id: RequestId, failure: Failure, send: Send
+    ) -> None:
+        self._context.journal.refused(request_id, INTERFACE, failure)
+        await error_response(failure, request_id)(request.scope, request.receive, send)
+
     def _permit(self, request: Request) -> result.Result[ServicePermission, Failure]:
         caller = identify_caller(self._context, request)
         return caller.bind(
@@ -73,25 +84,27 @@
         timeout = read_timeout(request.headers, permission.timeouts)
         admitted = timeout.bind(lambda _: self._pass_gate(permission))
         if not is_successful(admitted):
-            response = error_response(admitted.failure(), request_id)
-            await response(request.scope, request.receive, send)
+            await self._refuse(request, request_id, admitted.failure(), send)
             return
         release = admitted.unwrap()
         seconds = timeout.unwrap()
         call = _service_request(request, request_id, permission, body)
 
+        active = _active_request(request_id, permission, seconds)
+
         async def work() -> None:
             answer = await self._call(call, permission, seconds)
+            self._context.journal.ended(active, RequestEnd(INTERFACE, failure_of(answer)))
             response = _response_to(answer, request_id)
             await response(request.scope, request.receive, send)
 
         try:
-            with self._context.active.track(_active_request(request_id, permission, seconds)):
-                if call.repeatable:
-                    await run_while_connected(request.receive, work)
-                else:
+            with self._context.active.track(active):
+                if not call.repeatable:
                     # A call that may not be repeated is finished even if its caller goes away.
                     await work()
+                elif not await run_while_connected(request.receive, work):
+                    self._context.journal.abandoned(active, INTERFACE, 0)
         finally:
             release()
 
