Prove the callers' side: common client, disconnects, half-sent bodies

Cause: streams and disconnects behave differently over sockets than in memory. Change: end-to-end tests with the unmodified openai client, a caller that goes away, a body that stays half sent; the stand-in engine cuts its connection when it dies instead of raising through a nursery, which hid refusals as status 500. Conclusion: a gone caller's work is cancelled on the engine and its memory is given back.

--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -15,6 +15,7 @@
     GatewayLimits,
     NoDelayObserver,
     OpenGate,
+    RequestJournal,
     ServerChoice,
     ServiceCaller,
     gateway_app,
@@ -23,6 +24,7 @@
 from camphordrift.identifiers import BackendServerId
 from camphordrift.routing import local_grant_source, pool_scheduler
 from camphordrift.settings import EntrySettings
+from camphordrift.telemetry import DecisionRecord, Metrics
 
 
 class EntryProcess:
@@ -43,6 +45,14 @@
         self._grants = local_grant_source(pool_scheduler())
         self._watch = EngineWatch(self._engines, self._grants, self._grants.mark_leaving)
         self._active = ActiveRequests()
+        self._metrics = Metrics(settings.vm.vm_id)
+        self._decisions = DecisionRecord()
+        self._body_memory = BodyMemory(settings.limits.max_held_body_bytes)
+
+    @property
+    def body_memory(self) -> BodyMemory:
+        """Memory for callers' bodies."""
+        return self._body_memory
 
     def apply(self, snapshot: ConfigurationSnapshot) -> None:
         """Puts ``snapshot`` in force."""
@@ -71,11 +81,12 @@
             observer=NoDelayObserver(),
             gate=OpenGate(),
             active=self._active,
-            body_memory=BodyMemory(limits.max_held_body_bytes),
+            body_memory=self._body_memory,
             limits=GatewayLimits(
                 max_body_bytes=limits.max_body_bytes,
                 body_timeout_seconds=limits.body_timeout_seconds,
             ),
+            journal=RequestJournal(self._metrics, self._decisions),
         )
 
     def _address_of(self, server_id: BackendServerId) -> Optional[str]:
--- /dev/null
+++ b/camphordrift/gateway/tests/test_answer.py
@@ -0,0 +1,83 @@
+"""Tests of the assembler that checks every chunk of an answer."""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphordrift.backend_servers import TokenChunk
+from camphordrift.gateway import AnswerAssembler, AnswerMismatchError
+from camphordrift.identifiers import RequestId
+
+OWN = RequestId("own")
+OTHER = RequestId("other")
+
+
+def chunk(first: int, count: int, *, request: RequestId = OWN, attempt: int = 1) -> TokenChunk:
+    text = "".join(f"t{index} " for index in range(first, first + count))
+    return TokenChunk(request, attempt, first, count, text)
+
+
+def started(attempt: int = 1) -> AnswerAssembler:
+    assembler = AnswerAssembler(OWN)
+    assembler.start_attempt(attempt)
+    return assembler
+
+
+class AnswerAssemblerTest(testtools.TestCase):
+    def test_refuses_what_does_not_continue_the_answer(self) -> None:
+        cases = {
+            "another request's chunk": chunk(0, 1, request=OTHER),
+            "an earlier attempt's chunk": chunk(0, 1, attempt=0),
+            "a later attempt's chunk": chunk(0, 1, attempt=2),
+            "a chunk that leaves tokens out": chunk(1, 1),
+        }
+        for name, wrong in cases.items():
+            with self.subTest(name):
+                self.assertRaises(AnswerMismatchError, started().accept, wrong)
+
+    def test_drops_tokens_that_were_delivered_before(self) -> None:
+        assembler = started()
+        assembler.accept(chunk(0, 3))
+        assembler.start_attempt(2)
+        self.assertIsNone(assembler.accept(chunk(0, 3, attempt=2)))
+        self.assertEqual(chunk(3, 1, attempt=2), assembler.accept(chunk(3, 1, attempt=2)))
+
+    def test_refuses_a_chunk_that_repeats_some_tokens_only(self) -> None:
+        assembler = started()
+        assembler.accept(chunk(0, 2))
+        self.assertRaises(AnswerMismatchError, assembler.accept, chunk(1, 2))
+
+    def test_refuses_chunks_after_the_end(self) -> None:
+        assembler = started()
+        assembler.accept(TokenChunk(OWN, 1, 0, 1, "t0 ", "stop"))
+        self.assertRaises(AnswerMismatchError, assembler.accept, chunk(1, 1))
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from([OWN, OTHER]),
+                st.integers(0, 3),
+                st.integers(0, 8),
+                st.integers(0, 3),
+            ),
+            max_size=40,
+        )
+    )
+    def test_delivers_a_prefix_of_the_answer_whatever_arrives(
+        self, arrivals: list[tuple[RequestId, int, int, int]]
+    ) -> None:
+        """No token is lost, doubled or another request's, in whatever order chunks cross."""
+        assembler = started()
+        delivered = ""
+        for request, attempt, first, count in arrivals:
+            if attempt == 3:
+                continue
+            try:
+                fresh = assembler.accept(chunk(first, count, request=request, attempt=attempt))
+            except AnswerMismatchError:
+                continue
+            if fresh is not None:
+                delivered += fresh.text
+        expected = "".join(f"t{index} " for index in range(assembler.delivered_tokens))
+        self.assertEqual(expected, delivered)
--- /dev/null
+++ b/camphordrift/gateway/tests/test_generation.py
@@ -0,0 +1,126 @@
+"""Tests of the attempt loop, with stand-in engines under virtual time."""
+
+from collections.abc import Awaitable, Callable
+from typing import Optional
+
+import testtools
+import trio
+from returns import result
+from returns.pipeline import is_successful
+
+from camphordrift.backend_servers import GenerationRequest, TokenChunk
+from camphordrift.gateway import GenerationRunner, GenerationSummary, NoDelayObserver
+from camphordrift.identifiers import AccountId, BackendServerId, ModelName, RequestId, VmId
+from camphordrift.results import Failure, ResultCode, RunState
+from camphordrift.routing import (
+    EngineFacts,
+    GrantAsk,
+    local_grant_source,
+    pool_scheduler,
+)
+from camphordrift.standins import EngineModel, InMemoryEngines, open_in_memory_engines
+from camphordrift.testing import run_in_virtual_time
+
+MODEL = ModelName("assistant")
+ENGINES = (BackendServerId("engine-1"), BackendServerId("engine-2"))
+
+Outcome = result.Result[GenerationSummary, Failure]
+Fault = Callable[[InMemoryEngines, BackendServerId], Awaitable[None]]
+
+
+def ask(timeout_seconds: float) -> GrantAsk:
+    return GrantAsk(
+        request_id=RequestId("r"),
+        attempt=1,
+        vm_id=VmId("vm"),
+        account_id=AccountId("a"),
+        model=MODEL,
+        prompt_tokens=1_000,
+        expected_output_tokens=100,
+        max_output_tokens=100,
+        remaining_seconds=timeout_seconds,
+    )
+
+
+def request() -> GenerationRequest:
+    return GenerationRequest(RequestId("r"), 1, MODEL, 1_000, 100, b"prompt")
+
+
+def run_with_fault(
+    fault: Optional[Fault], timeout_seconds: float = 60.0
+) -> tuple[Outcome, str, float]:
+    """Runs one request, applies ``fault`` to the engine that runs it, and returns what happened.
+
+    The third value is the time that the request took, in seconds.
+    """
+
+    async def main() -> tuple[Outcome, str, float]:
+        texts: list[str] = []
+
+        async def sink(chunk: TokenChunk) -> None:
+            texts.append(chunk.text)
+
+        models = [EngineModel(engine, (MODEL,)) for engine in ENGINES]
+        async with open_in_memory_engines(models) as engines, trio.open_nursery() as nursery:
+            grants = local_grant_source(pool_scheduler())
+            grants.set_engines([EngineFacts(engine, frozenset({MODEL})) for engine in ENGINES])
+            nursery.start_soon(grants.run)
+            if fault is not None:
+                nursery.start_soon(_apply_when_running, engines, fault)
+            runner = GenerationRunner(
+                grants, engines, NoDelayObserver(), ask(timeout_seconds), request(), sink
+            )
+            begun_at = trio.current_time()
+            outcome = await runner.run()
+            taken = trio.current_time() - begun_at
+            nursery.cancel_scope.cancel()
+        return outcome, "".join(texts), taken
+
+    return run_in_virtual_time(main)
+
+
+async def _apply_when_running(engines: InMemoryEngines, fault: Fault) -> None:
+    await trio.sleep(0.5)
+    for engine in ENGINES:
+        if engines.state(engine).load_now().running_requests:
+            await fault(engines, engine)
+
+
+async def die(engines: InMemoryEngines, engine: BackendServerId) -> None:
+    engines.die(engine)
+
+
+async def all_die(engines: InMemoryEngines, engine: BackendServerId) -> None:
+    for each in ENGINES:
+        engines.die(each)
+
+
+async def freeze(engines: InMemoryEngines, engine: BackendServerId) -> None:
+    engines.freeze(engine)
+
+
+class GenerationRunnerTest(testtools.TestCase):
+    def assert_whole(self, text: str) -> None:
+        numbers = [word.split(".")[0] for word in text.split()]
+        self.assertEqual([f"t{index}" for index in range(100)], numbers)
+
+    def test_delivers_the_whole_answer(self) -> None:
+        outcome, text, _ = run_with_fault(None)
+        self.assertEqual(1, outcome.unwrap().attempts)
+        self.assert_whole(text)
+
+    def test_continues_on_another_engine_when_one_dies(self) -> None:
+        outcome, text, _ = run_with_fault(die)
+        self.assertEqual(2, outcome.unwrap().attempts)
+        self.assert_whole(text)
+
+    def test_fails_with_what_was_delivered_when_all_engines_die(self) -> None:
+        outcome, _, _ = run_with_fault(all_die)
+        self.assertFalse(is_successful(outcome))
+        self.assertEqual(RunState.FAILED, outcome.failure().run_state)
+
+    def test_fails_at_its_deadline_when_the_engine_freezes(self) -> None:
+        outcome, _, taken = run_with_fault(freeze, timeout_seconds=8.0)
+        self.assertEqual(ResultCode.BACKEND_DEADLINE_PASSED, outcome.failure().code)
+        self.assertEqual(RunState.FAILED, outcome.failure().run_state)
+        self.assertAlmostEqual(8.0, taken, places=3)
--- a/camphordrift/standins/_http_engine.py
+++ b/camphordrift/standins/_http_engine.py
@@ -25,6 +25,8 @@
     BackendRefusedError,
     BackendUnreachableError,
     GenerationRequest,
+    StreamBrokenError,
+    TokenChunk,
 )
 from camphordrift.identifiers import BackendServerId, HoldId, RequestId
 from camphordrift.standins._engines import InMemoryEngines
@@ -48,17 +50,30 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Writes the answer; a caller that disconnects cancels the work."""
+        async with self._engines.generate(self._engine_id, self._request) as chunks:
+            await self._write_answer(chunks, receive, send)
+
+    async def _write_answer(
+        self, chunks: AsyncIterator[TokenChunk], receive: Receive, send: Send
+    ) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
-            async with self._engines.generate(self._engine_id, self._request) as chunks:
-                await _start_stream(send)
-                nursery.start_soon(self._keep_alive, send)
-                async for chunk in chunks:
-                    await self._write(send, encode_chunk(chunk))
-            await self._write(send, b"data: [DONE]\n\n")
-            await send({"type": "http.response.body", "body": b"", "more_body": False})
+            await _start_stream(send)
+            nursery.start_soon(self._keep_alive, send)
+            if await self._write_chunks(chunks, send):
+                await self._write(send, b"data: [DONE]\n\n")
+                await send({"type": "http.response.body", "body": b"", "more_body": False})
             nursery.cancel_scope.cancel()
 
+    async def _write_chunks(self, chunks: AsyncIterator[TokenChunk], send: Send) -> bool:
+        """Returns whether the answer came to its end; the connection is cut if it did not."""
+        try:
+            async for chunk in chunks:
+                await self._write(send, encode_chunk(chunk))
+        except StreamBrokenError:
+            return False
+        return True
+
     async def _keep_alive(self, send: Send) -> None:
         while True:
             await trio.sleep(KEEP_ALIVE_SECONDS)
--- a/camphordrift/tests/test_whole_path.py
+++ b/camphordrift/tests/test_whole_path.py
@@ -1,62 +1,14 @@
 """Tests of the whole path over real sockets: callers, entry VMs and stand-ins."""
 
 import json
-from collections.abc import Awaitable, Callable
 from typing import Any, Optional
 
 import testtools
 import trio
 
-from camphordrift.backend_http import HttpAnswer, HttpCall, HttpConnections
-from camphordrift.demo import DEMO_ACCOUNT_KEYS, DemoFleet, demo_plan, open_demo_fleet
-from camphordrift.identifiers import AccountId
-from camphordrift.testing import own_loopback_network
-
-KEY = DEMO_ACCOUNT_KEYS[AccountId("instructors")]
-
-#: A test that has not ended by then hangs, in seconds.
-HANG_SECONDS = 60.0
-
-
-class Client:
-    """A caller of one entry VM."""
-
-    def __init__(self, fleet: DemoFleet, connections: HttpConnections, vm: int = 0) -> None:
-        self._base_url = f"http://{fleet.plan.entries[vm].listen.callers}"
-        self._connections = connections
-
-    async def send(
-        self,
-        method: str,
-        target: str,
-        body: Any = None,
-        key: Optional[str] = KEY,
-        headers: tuple[tuple[str, str], ...] = (),
-    ) -> HttpAnswer:
-        """Sends one request; a body that is not bytes is sent as JSON."""
-        content = body if isinstance(body, bytes) else b"" if body is None else _json(body)
-        lines = headers if key is None else (("Authorization", f"Bearer {key}"), *headers)
-        call = HttpCall(method, self._base_url, target, content, lines)
-        return await self._connections.fetch(call, 20.0)
-
-
-def _json(body: Any) -> bytes:
-    return json.dumps(body).encode("utf-8")
-
-
-def with_fleet(
-    test: Callable[[DemoFleet, HttpConnections], Awaitable[None]], vm_count: int = 2
-) -> None:
-    """Runs ``test`` against a fleet of its own."""
-
-    async def main() -> None:
-        connections = HttpConnections(20.0)
-        with trio.fail_after(HANG_SECONDS):
-            async with open_demo_fleet(demo_plan(own_loopback_network(), vm_count)) as fleet:
-                await test(fleet, connections)
-                await connections.close()
-
-    trio.run(main)
+from camphordrift.backend_http import HttpAnswer, HttpConnections
+from camphordrift.demo import DemoFleet
+from camphordrift.tests.fleet_client import KEY, Client, with_fleet
 
 
 class GenerationTest(testtools.TestCase):
