Put retries of the gateway under policy, budget and circuit breakers

Cause: the gateway counted attempts by itself, beside the retry package. Change: generation requests and plain calls ask the retry policy what follows a failed attempt; servers of plain services have circuit breakers; what was known to have run is carried from attempt to attempt. Conclusion: one place decides about retries.

--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -11,9 +11,10 @@
 from camphordrift.gateway import (
     ActiveRequests,
     BodyMemory,
+    BudgetedAttemptPolicy,
+    FailedAttempt,
     GatewayContext,
     GatewayLimits,
-    NoDelayObserver,
     OpenGate,
     RequestJournal,
     ServerChoice,
@@ -47,6 +48,7 @@
         self._active = ActiveRequests()
         self._metrics = Metrics(settings.vm.vm_id)
         self._decisions = DecisionRecord()
+        self._journal = RequestJournal(self._metrics, self._decisions)
         self._body_memory = BodyMemory(settings.limits.max_held_body_bytes)
 
     @property
@@ -76,9 +78,9 @@
             snapshot=lambda: self._snapshot,
             grants=self._grants,
             engines=self._engines,
-            services=ServiceCaller(self._connections, choice),
+            services=ServiceCaller(self._connections, choice, random.Random()),
             connections=self._connections,
-            observer=NoDelayObserver(),
+            attempt_policy=BudgetedAttemptPolicy(random.Random(), self._note_failed),
             gate=OpenGate(),
             active=self._active,
             body_memory=self._body_memory,
@@ -86,7 +88,12 @@
                 max_body_bytes=limits.max_body_bytes,
                 body_timeout_seconds=limits.body_timeout_seconds,
             ),
-            journal=RequestJournal(self._metrics, self._decisions),
+            journal=self._journal,
+        )
+
+    def _note_failed(self, failed: FailedAttempt) -> None:
+        self._journal.attempt_failed(
+            failed.request_id, failed.engine_id, failed.attempt, failed.error
         )
 
     def _address_of(self, server_id: BackendServerId) -> Optional[str]:
--- a/camphordrift/gateway/__init__.py
+++ b/camphordrift/gateway/__init__.py
@@ -3,15 +3,14 @@
 from camphordrift.gateway._active_requests import ActiveRequest, ActiveRequests
 from camphordrift.gateway._answer import AnswerAssembler, AnswerMismatchError, AnswerProgress
 from camphordrift.gateway._app import gateway_app
-from camphordrift.gateway._bodies import BodyMemory
-from camphordrift.gateway._context import AdmissionGate, GatewayContext, GatewayLimits, OpenGate
-from camphordrift.gateway._generation import (
-    AttemptObserver,
+from camphordrift.gateway._attempt_policy import (
+    AttemptPolicy,
+    BudgetedAttemptPolicy,
     FailedAttempt,
-    GenerationRunner,
-    GenerationSummary,
-    NoDelayObserver,
 )
+from camphordrift.gateway._bodies import BodyMemory
+from camphordrift.gateway._context import AdmissionGate, GatewayContext, GatewayLimits, OpenGate
+from camphordrift.gateway._generation import GenerationRunner, GenerationSummary
 from camphordrift.gateway._journal import RequestEnd, RequestJournal
 from camphordrift.gateway._lengths import estimate_tokens, prefix_block_hashes
 from camphordrift.gateway._server_choice import ServerChoice
@@ -24,14 +23,14 @@
     "AnswerAssembler",
     "AnswerMismatchError",
     "AnswerProgress",
-    "AttemptObserver",
+    "AttemptPolicy",
     "BodyMemory",
+    "BudgetedAttemptPolicy",
     "FailedAttempt",
     "GatewayContext",
     "GatewayLimits",
     "GenerationRunner",
     "GenerationSummary",
-    "NoDelayObserver",
     "OpenGate",
     "RequestEnd",
     "RequestJournal",
--- a/camphordrift/gateway/_context.py
+++ b/camphordrift/gateway/_context.py
@@ -10,8 +10,8 @@
 from camphordrift.backend_servers import EngineClient
 from camphordrift.configuration import ConfigurationSnapshot
 from camphordrift.gateway._active_requests import ActiveRequests
+from camphordrift.gateway._attempt_policy import AttemptPolicy
 from camphordrift.gateway._bodies import BodyMemory
-from camphordrift.gateway._generation import AttemptObserver
 from camphordrift.gateway._journal import RequestJournal
 from camphordrift.gateway._service_calls import ServiceCaller
 from camphordrift.identifiers import AccountId, VmId
@@ -78,8 +78,8 @@
     #: Sends HTTP requests.
     connections: HttpConnections
 
-    #: Learns how engines behave.
-    observer: AttemptObserver
+    #: Decides what follows a failed attempt on an engine.
+    attempt_policy: AttemptPolicy
 
     #: Limits of client accounts.
     gate: AdmissionGate
--- a/camphordrift/gateway/_generation.py
+++ b/camphordrift/gateway/_generation.py
@@ -1,9 +1,8 @@
 """Runs one generation request: asks for an engine, relays its answer, and continues elsewhere."""
 
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
-from typing import Optional, Protocol
+from typing import Optional
 
 import trio
 from returns import result
@@ -12,20 +11,17 @@
 from camphordrift.backend_servers import (
     BackendError,
     BackendRefusedError,
-    BackendSilentError,
-    BackendUnreachableError,
     EngineClient,
     GenerationRequest,
     TokenChunk,
 )
 from camphordrift.gateway._answer import AnswerAssembler, AnswerMismatchError
-from camphordrift.identifiers import BackendServerId, RequestId
+from camphordrift.gateway._attempt_policy import AttemptPolicy, FailedAttempt
+from camphordrift.identifiers import BackendServerId
 from camphordrift.results import Failure, ResultCode, RunState
+from camphordrift.retries import AttemptError, GiveUp, Retry
 from camphordrift.routing import Grant, GrantAsk, GrantOutcome, GrantSource
 
-#: Attempts at one request, the first included.
-MAX_ATTEMPTS = 5
-
 ChunkSink = Callable[[TokenChunk], Awaitable[None]]
 
 
@@ -49,49 +45,6 @@
     first_token_seconds: float
 
 
-@dataclass(frozen=True)
-class FailedAttempt:
-    """An attempt that did not lead to a whole answer."""
-
-    #: The request.
-    request_id: RequestId
-
-    #: The engine.
-    engine_id: BackendServerId
-
-    #: Number of the attempt, from 1.
-    attempt: int
-
-    #: Why it failed.
-    error: Exception
-
-    #: Time left for the whole request, in seconds.
-    remaining_seconds: float
-
-
-class AttemptObserver(Protocol):
-    """Learns how engines behave, and says how long to wait before another attempt."""
-
-    def attempt_succeeded(self, engine_id: BackendServerId) -> None:
-        """Notes that the engine gave a whole answer."""
-        ...
-
-    def attempt_failed(self, failed: FailedAttempt) -> Optional[float]:
-        """Returns the delay before the next attempt in seconds, or ``None`` for no further one."""
-        ...
-
-
-class NoDelayObserver:
-    """Allows :data:`MAX_ATTEMPTS` attempts, one right after the other."""
-
-    def attempt_succeeded(self, engine_id: BackendServerId) -> None:
-        """Notes nothing."""
-
-    def attempt_failed(self, failed: FailedAttempt) -> Optional[float]:
-        """Returns zero, or ``None`` after the last attempt."""
-        return 0.0 if failed.attempt < MAX_ATTEMPTS else None
-
-
 class GenerationRunner:
     """Runs one request to its end.
 
@@ -104,21 +57,21 @@
         self,
         grants: GrantSource,
         engines: EngineClient,
-        observer: AttemptObserver,
+        policy: AttemptPolicy,
         ask: GrantAsk,
         request: GenerationRequest,
         sink: ChunkSink,
     ) -> None:
         self._grants = grants
         self._engines = engines
-        self._observer = observer
+        self._policy = policy
         self._ask = ask
         self._request = request
         self._sink = sink
         self._assembler = AnswerAssembler(request.request_id)
         self._attempt = 0
         self._avoided: set[BackendServerId] = set()
-        self._any_attempt_sent = False
+        self._may_have_run = False
         self._started_at = trio.current_time()
         self._deadline = self._started_at + ask.remaining_seconds
         self._first_token_at: Optional[float] = None
@@ -140,32 +93,38 @@
         return result.Failure(self._deadline_failure())
 
     async def _run_attempts(self) -> result.Result[GenerationSummary, Failure]:
+        self._policy.on_first_attempt(self._request.model)
         while True:
             self._attempt += 1
             granted = await self._grants.acquire(self._next_ask())
             if not is_successful(granted):
                 return result.Failure(self._after_refusal(granted.failure()))
             grant = granted.unwrap()
+            # The parts of a large prompt are sent first, so one of them may have run.
+            earlier_may_have_run = self._may_have_run or bool(grant.parts)
             error = await self._run_granted(grant)
             if error is None:
-                self._observer.attempt_succeeded(grant.engine_id)
                 return result.Success(self._summary(grant))
             self._avoided.add(grant.engine_id)
-            delay = self._observer.attempt_failed(self._failed_attempt(grant, error))
-            if delay is None:
-                return result.Failure(self._failure_of(error))
-            await trio.sleep(delay)
-
-    async def _run_granted(self, grant: Grant) -> Optional[Exception]:
+            match self._policy.on_failed(self._failed(grant, error, earlier_may_have_run)):
+                case GiveUp(failure):
+                    return result.Failure(failure)
+                case Retry(delay_seconds, may_have_run):
+                    self._may_have_run = may_have_run
+                    await trio.sleep(delay_seconds)
+
+    async def _run_granted(self, grant: Grant) -> Optional[AttemptError]:
         """Runs one attempt, and returns why it failed or ``None``."""
         tokens_before = self._assembler.delivered_tokens
-        error: Optional[Exception] = None
+        error: Optional[AttemptError] = None
         completed = False
         try:
             await self._relay(grant)
             completed = True
-        except (BackendError, AnswerMismatchError) as caught:
+        except BackendError as caught:
             error = caught
+        except AnswerMismatchError as caught:
+            error = _mismatch(caught)
         finally:
             outcome = GrantOutcome(
                 request_id=grant.request_id,
@@ -180,29 +139,17 @@
 
     async def _relay(self, grant: Grant) -> None:
         self._assembler.start_attempt(grant.attempt)
+        self._may_have_run = True
         request = self._attempt_request(grant)
         for part in grant.parts:
-            with self._noting_sent():
-                await self._engines.prefill_part(part, request)
-        with self._noting_sent():
-            async with self._engines.generate(grant.engine_id, request) as chunks:
-                async for chunk in chunks:
-                    await self._deliver(grant, chunk)
-                    if self._assembler.is_complete:
-                        return
+            await self._engines.prefill_part(part, request)
+        async with self._engines.generate(grant.engine_id, request) as chunks:
+            async for chunk in chunks:
+                await self._deliver(grant, chunk)
+                if self._assembler.is_complete:
+                    return
         raise AnswerMismatchError("the answer ended without saying why")
 
-    @contextmanager
-    def _noting_sent(self) -> Iterator[None]:
-        """Notes that bytes of the request may have reached an engine, unless none can have."""
-        sent_before = self._any_attempt_sent
-        self._any_attempt_sent = True
-        try:
-            yield
-        except BackendUnreachableError:
-            self._any_attempt_sent = sent_before
-            raise
-
     async def _deliver(self, grant: Grant, chunk: TokenChunk) -> None:
         fresh = self._assembler.accept(chunk)
         if fresh is None:
@@ -238,13 +185,17 @@
     def _remaining_seconds(self) -> float:
         return max(0.0, self._deadline - trio.current_time())
 
-    def _failed_attempt(self, grant: Grant, error: Exception) -> FailedAttempt:
+    def _failed(
+        self, grant: Grant, error: AttemptError, earlier_may_have_run: bool
+    ) -> FailedAttempt:
         return FailedAttempt(
             request_id=grant.request_id,
+            model=self._request.model,
             engine_id=grant.engine_id,
             attempt=grant.attempt,
             error=error,
             remaining_seconds=self._remaining_seconds(),
+            earlier_may_have_run=earlier_may_have_run,
         )
 
     def _summary(self, grant: Grant) -> GenerationSummary:
@@ -260,32 +211,23 @@
         )
 
     def _deadline_failure(self) -> Failure:
-        if self._any_attempt_sent:
+        if self._may_have_run:
             return Failure(ResultCode.BACKEND_DEADLINE_PASSED, "the request's time is over")
         return Failure(
             ResultCode.DEADLINE_PASSED_IN_QUEUE, "the request's time was over before it was sent"
         )
 
     def _after_refusal(self, refusal: Failure) -> Failure:
-        if not self._any_attempt_sent:
+        if not self._may_have_run:
             return refusal
         return replace(refusal, run_state_override=RunState.FAILED)
 
-    def _failure_of(self, error: Exception) -> Failure:
-        match error:
-            case BackendUnreachableError():
-                failure = Failure(ResultCode.BACKEND_UNREACHABLE, str(error))
-            case BackendRefusedError():
-                failure = Failure(ResultCode.BACKEND_REFUSED, str(error))
-            case BackendSilentError():
-                failure = Failure(ResultCode.BACKEND_SILENT, str(error))
-            case AnswerMismatchError():
-                failure = Failure(ResultCode.BACKEND_ANSWER_MISMATCH, str(error))
-            case _:
-                failure = Failure(ResultCode.BACKEND_STREAM_BROKEN, str(error))
-        return self._after_refusal(failure)
-
-
-def _is_plain_refusal(error: Exception) -> bool:
+
+def _mismatch(error: AnswerMismatchError) -> Failure:
+    """Returns the failure for an answer that is not the request's; another attempt may follow."""
+    return Failure(ResultCode.BACKEND_ANSWER_MISMATCH, str(error), retry_after_seconds=0.0)
+
+
+def _is_plain_refusal(error: AttemptError) -> bool:
     """Returns whether the engine is healthy and only declined the attempt."""
     return isinstance(error, BackendRefusedError) and error.not_run
--- a/camphordrift/gateway/_generation_endpoint.py
+++ b/camphordrift/gateway/_generation_endpoint.py
@@ -258,7 +258,7 @@
         return GenerationRunner(
             grants=self._context.grants,
             engines=self._context.engines,
-            observer=self._context.observer,
+            policy=self._context.attempt_policy,
             ask=_grant_ask(self._context, self._admitted),
             request=_generation_request(self._admitted),
             sink=self._take_chunk,
--- a/camphordrift/gateway/_journal.py
+++ b/camphordrift/gateway/_journal.py
@@ -10,6 +10,7 @@
 from camphordrift.gateway._active_requests import ActiveRequest
 from camphordrift.identifiers import BackendServerId, RequestId
 from camphordrift.results import Failure, ResultCode
+from camphordrift.retries import AttemptError
 from camphordrift.telemetry import Decision, DecisionRecord, LogLevel, Metrics, log_event
 
 #: Upper bounds of the bands of prompt length, in tokens, and their names.
@@ -121,19 +122,20 @@
         )
 
     def attempt_failed(
-        self, request_id: RequestId, server_id: BackendServerId, attempt: int, error: Exception
+        self, request_id: RequestId, server_id: BackendServerId, attempt: int, error: AttemptError
     ) -> None:
         """Notes an attempt on a backend server that failed."""
         kind = type(error).__name__
+        detail = error.detail if isinstance(error, Failure) else str(error)
         self._metrics.backend_failures.add(server=server_id, kind=kind)
-        self._decide(request_id, "attempt", f"attempt {attempt} failed on {server_id}", str(error))
+        self._decide(request_id, "attempt", f"attempt {attempt} failed on {server_id}", detail)
         log_event(
             "attempt_failed",
             level=LogLevel.WARNING,
             server=server_id,
             attempt=attempt,
             error=kind,
-            detail=str(error),
+            detail=detail,
         )
 
     def _decide(self, request_id: RequestId, component: str, outcome: str, reason: str) -> None:
--- a/camphordrift/gateway/_service_calls.py
+++ b/camphordrift/gateway/_service_calls.py
@@ -1,30 +1,37 @@
 """Calls of plain services: which server, when to try another, and what is known afterwards."""
 
+import random
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Optional
 
 import trio
 from returns import result
+from returns.pipeline import is_successful
 
 from camphordrift.backend_http import HttpAnswer, HttpCall, HttpConnections
 from camphordrift.backend_servers import (
     BackendError,
+    BackendRefusedError,
     BackendSilentError,
     BackendUnreachableError,
 )
 from camphordrift.gateway._server_choice import ServerChoice
-from camphordrift.identifiers import BackendServerId, RequestId
-from camphordrift.results import Failure, ResultCode, RunState
-
-#: Attempts at a call that may be repeated.
-MAX_CALL_ATTEMPTS = 3
-
-#: Delay before the second attempt, in seconds; it doubles with each further one.
-FIRST_RETRY_DELAY_SECONDS = 0.05
+from camphordrift.identifiers import BackendServerId, RequestId, ServiceName
+from camphordrift.results import Failure
+from camphordrift.retries import (
+    AttemptError,
+    Backoff,
+    BackoffSettings,
+    GiveUp,
+    Retry,
+    RetryBudgets,
+    RetryBudgetSettings,
+    RetryPolicy,
+    RetryPolicySettings,
+)
 
 #: Statuses with which a server says that it is overloaded or starting.
-_BUSY_STATUSES = frozenset({429, 503})
+BUSY_STATUSES = frozenset({429, 503})
 
 
 @dataclass(frozen=True)
@@ -34,6 +41,9 @@
     #: The request.
     request_id: RequestId
 
+    #: The service that is called.
+    service: ServiceName
+
     #: The HTTP method, in upper case.
     method: str
 
@@ -53,13 +63,18 @@
 class ServiceCaller:
     """Sends calls to the servers of plain services.
 
-    A call that may be repeated is tried on other servers until its time is over. Any other call is
-    tried again only as long as no byte of it was sent, and goes over a connection of its own.
+    A call that may be repeated is tried on other servers until its time is over or its service's
+    retry budget is spent. Any other call is tried again only as long as no byte of it was sent,
+    and goes over a connection of its own.
     """
 
-    def __init__(self, connections: HttpConnections, choice: ServerChoice) -> None:
+    def __init__(
+        self, connections: HttpConnections, choice: ServerChoice, rng: random.Random
+    ) -> None:
         self._connections = connections
         self._choice = choice
+        self._backoff = Backoff(BackoffSettings(), rng)
+        self._budgets = RetryBudgets(RetryBudgetSettings())
 
     async def call(
         self,
@@ -69,82 +84,79 @@
     ) -> result.Result[HttpAnswer, Failure]:
         """Returns the service's answer, whatever its status, or why there is none."""
         deadline = trio.current_time() + timeout_seconds
-        sent = False
+        policy = self._policy_of(request.service)
+        policy.on_first_attempt(trio.current_time())
         avoided: set[BackendServerId] = set()
-        failure = _no_server()
-        for attempt in range(MAX_CALL_ATTEMPTS):
-            server = self._choice.choose(servers, avoided)
-            if server is None:
-                break
-            remaining = deadline - trio.current_time()
-            if remaining <= 0:
-                return result.Failure(_time_over(request, sent))
-            answer = await self._attempt(request, server, remaining)
-            if isinstance(answer, HttpAnswer) and not _is_worth_retry(request, answer):
+        may_have_run = False
+        attempt = 0
+        while True:
+            attempt += 1
+            answer = await self._attempt(request, servers, avoided, deadline)
+            if isinstance(answer, HttpAnswer):
                 return result.Success(answer)
-            if isinstance(answer, BackendUnreachableError):
-                failure = _unreachable(answer, sent)
-            else:
-                sent = True
-                failure = _after_sending(request, answer)
-                if not request.repeatable:
-                    break
-            avoided.add(server)
-            await trio.sleep(min(FIRST_RETRY_DELAY_SECONDS * 2**attempt, max(0.0, remaining)))
-        return result.Failure(failure)
-
-    async def _attempt(
-        self, request: ServiceRequest, server: BackendServerId, remaining: float
-    ) -> HttpAnswer | BackendError:
-        with self._choice.counting(server):
-            address = self._choice.address_of(server)
-            if address is None:
-                return BackendUnreachableError(f"no address is known of {server}")
-            call = HttpCall(
-                request.method,
-                address,
-                request.target,
-                request.body,
-                tuple(request.headers.items()),
+            decision = policy.decide(
+                attempt,
+                answer,
+                request.repeatable,
+                deadline - trio.current_time(),
+                trio.current_time(),
+                may_have_run,
             )
-            try:
-                with trio.fail_after(remaining):
-                    return await self._connections.fetch(
-                        call, remaining, fresh_connection=not request.repeatable
-                    )
-            except BackendError as error:
-                return error
-            except trio.TooSlowError:
-                return BackendSilentError(f"{server} did not answer in time")
-
-
-def _is_worth_retry(request: ServiceRequest, answer: HttpAnswer) -> bool:
-    return request.repeatable and answer.status in _BUSY_STATUSES
-
+            match decision:
+                case GiveUp(failure):
+                    return result.Failure(failure)
+                case Retry(delay_seconds, may_have_run):
+                    await trio.sleep(delay_seconds)
 
-def _no_server() -> Failure:
-    return Failure(ResultCode.NO_ENGINE_AVAILABLE, "no permitted backend server takes calls", 1.0)
+    def dump_state(self) -> dict[str, float]:
+        """Returns the retries saved for each service."""
+        return self._budgets.dump_state()
 
+    def _policy_of(self, service: ServiceName) -> RetryPolicy:
+        budget = self._budgets.budget_of(service, trio.current_time())
+        return RetryPolicy(RetryPolicySettings(), self._backoff, budget)
 
-def _time_over(request: ServiceRequest, sent: bool) -> Failure:
-    if not sent:
-        detail = "the call's time was over before it was sent"
-        return Failure(ResultCode.DEADLINE_PASSED_IN_QUEUE, detail)
-    return Failure(ResultCode.BACKEND_DEADLINE_PASSED, "the call's time is over")
-
-
-def _unreachable(error: BackendError, sent: bool) -> Failure:
-    run_state: Optional[RunState] = RunState.FAILED if sent else None
-    return Failure(ResultCode.BACKEND_UNREACHABLE, str(error), 1.0, run_state)
-
-
-def _after_sending(request: ServiceRequest, answer: HttpAnswer | BackendError) -> Failure:
-    if isinstance(answer, HttpAnswer):
-        return Failure(
-            ResultCode.BACKEND_REFUSED, f"the service answered with {answer.status}", 1.0
+    async def _attempt(
+        self,
+        request: ServiceRequest,
+        servers: tuple[BackendServerId, ...],
+        avoided: set[BackendServerId],
+        deadline: float,
+    ) -> HttpAnswer | AttemptError:
+        """Tries one server; it joins ``avoided`` if the attempt fails."""
+        chosen = self._choice.choose(servers, avoided, trio.current_time())
+        if not is_successful(chosen):
+            return chosen.failure()
+        lease = chosen.unwrap()
+        with self._choice.using(lease) as use:
+            answer = await self._send(request, lease.server_id, deadline)
+            use.note(answer)
+        if isinstance(answer, HttpAnswer):
+            return answer
+        avoided.add(lease.server_id)
+        return answer
+
+    async def _send(
+        self, request: ServiceRequest, server: BackendServerId, deadline: float
+    ) -> HttpAnswer | AttemptError:
+        address = self._choice.address_of(server)
+        if address is None:
+            return BackendUnreachableError(f"no address is known of {server}")
+        call = HttpCall(
+            request.method, address, request.target, request.body, tuple(request.headers.items())
         )
-    if not request.repeatable:
-        return Failure(ResultCode.SERVICE_OUTCOME_UNKNOWN, str(answer))
-    if isinstance(answer, BackendSilentError):
-        return Failure(ResultCode.BACKEND_SILENT, str(answer))
-    return Failure(ResultCode.BACKEND_STREAM_BROKEN, str(answer))
+        try:
+            with trio.fail_at(deadline):
+                remaining = deadline - trio.current_time()
+                answer = await self._connections.fetch(
+                    call, remaining, fresh_connection=not request.repeatable
+                )
+        except BackendError as error:
+            return error
+        except trio.TooSlowError:
+            return BackendSilentError(f"{server} did not answer in time")
+        if request.repeatable and answer.status in BUSY_STATUSES:
+            return BackendRefusedError(
+                f"{server} answered with {answer.status}", answer.status, not_run=False
+            )
+        return answer
--- a/camphordrift/gateway/_service_endpoint.py
+++ b/camphordrift/gateway/_service_endpoint.py
@@ -130,6 +130,7 @@
     headers[REQUEST_ID_HEADER] = request_id
     return ServiceRequest(
         request_id=request_id,
+        service=permission.service.name,
         method=request.method,
         target=path + query,
         headers=headers,
--- a/camphordrift/gateway/tests/test_generation.py
+++ b/camphordrift/gateway/tests/test_generation.py
@@ -1,5 +1,6 @@
 """Tests of the attempt loop, with stand-in engines under virtual time."""
 
+import random
 from collections.abc import Awaitable, Callable
 from typing import Optional
 
@@ -9,7 +10,7 @@
 from returns.pipeline import is_successful
 
 from camphordrift.backend_servers import GenerationRequest, TokenChunk
-from camphordrift.gateway import GenerationRunner, GenerationSummary, NoDelayObserver
+from camphordrift.gateway import BudgetedAttemptPolicy, GenerationRunner, GenerationSummary
 from camphordrift.identifiers import AccountId, BackendServerId, ModelName, RequestId, VmId
 from camphordrift.results import Failure, ResultCode, RunState
 from camphordrift.routing import (
@@ -68,7 +69,12 @@
             if fault is not None:
                 nursery.start_soon(_apply_when_running, engines, fault)
             runner = GenerationRunner(
-                grants, engines, NoDelayObserver(), ask(timeout_seconds), request(), sink
+                grants,
+                engines,
+                BudgetedAttemptPolicy(random.Random(1)),
+                ask(timeout_seconds),
+                request(),
+                sink,
             )
             begun_at = trio.current_time()
             outcome = await runner.run()
