--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -11,10 +11,12 @@
 from camphordrift.gateway import (
     ActiveRequests,
     BodyMemory,
+    BudgetedAttemptPolicy,
+    FailedAttempt,
     GatewayContext,
     GatewayLimits,
-    NoDelayObserver,
     OpenGate,
+    RequestJournal,
     ServerChoice,
     ServiceCaller,
     gateway_app,
@@ -23,6 +25,7 @@
 from camphordrift.identifiers import BackendServerId
 from camphordrift.routing import local_grant_source, pool_scheduler
 from camphordrift.settings import EntrySettings
+from camphordrift.telemetry import DecisionRecord, Metrics
 
 
 class EntryProcess:
@@ -43,6 +46,15 @@
         self._grants = local_grant_source(pool_scheduler())
         self._watch = EngineWatch(self._engines, self._grants, self._grants.mark_leaving)
         self._active = ActiveRequests()
+        self._metrics = Metrics(settings.vm.vm_id)
+        self._decisions = DecisionRecord()
+        self._journal = RequestJournal(self._metrics, self._decisions)
+        self._body_memory = BodyMemory(settings.limits.max_held_body_bytes)
+
+    @property
+    def body_memory(self) -> BodyMemory:
+        """Memory for callers' bodies."""
+        return self._body_memory
 
     def apply(self, snapshot: ConfigurationSnapshot) -> None:
         """Puts ``snapshot`` in force."""
@@ -66,16 +78,22 @@
             snapshot=lambda: self._snapshot,
             grants=self._grants,
             engines=self._engines,
-            services=ServiceCaller(self._connections, choice),
+            services=ServiceCaller(self._connections, choice, random.Random()),
             connections=self._connections,
-            observer=NoDelayObserver(),
+            attempt_policy=BudgetedAttemptPolicy(random.Random(), self._note_failed),
             gate=OpenGate(),
             active=self._active,
-            body_memory=BodyMemory(limits.max_held_body_bytes),
+            body_memory=self._body_memory,
             limits=GatewayLimits(
                 max_body_bytes=limits.max_body_bytes,
                 body_timeout_seconds=limits.body_timeout_seconds,
             ),
+            journal=self._journal,
+        )
+
+    def _note_failed(self, failed: FailedAttempt) -> None:
+        self._journal.attempt_failed(
+            failed.request_id, failed.engine_id, failed.attempt, failed.error
         )
 
     def _address_of(self, server_id: BackendServerId) -> Optional[str]:
