Add the reference of configuration records and example configurations

Cause: operators need every field of a record in one place, and a whole record to start from. Change: docs/reference/configuration.md made from the models and the comments of the values; a first record for each example fleet, checked against its stand-ins by a test. Conclusion: a new field without a comment fails the page's test.

--- a/camphordrift/documents/_pages.py
+++ b/camphordrift/documents/_pages.py
@@ -5,6 +5,7 @@
 
 from camphordrift.documents._commands import command_sections
 from camphordrift.documents._models import model_reference
+from camphordrift.documents._records import record_sections
 from camphordrift.documents._tables import table
 from camphordrift.results import code_table
 from camphordrift.settings import EntryModel, StandinsModel
@@ -48,6 +49,19 @@
     return _page("Settings", introduction, "\n".join(parts))
 
 
+def configuration_page() -> str:
+    """Returns the reference of configuration records."""
+    introduction = (
+        "A record is a TOML or JSON file. `camphordrift validate FILE` checks its form without a "
+        "VM, `camphordrift publish --dry-run FILE` checks it against what is in force, and "
+        "`camphordrift publish FILE` publishes it. Unknown keys are refused. A change names the "
+        "version of the entry that it replaces, so that of two operators who change an entry at "
+        "once one is told; `camphordrift show` prints the versions. Examples stand in "
+        "`examples/kowalczyk/configuration.toml` and `examples/bazarnik/configuration.toml`."
+    )
+    return _page("Configuration records", introduction, record_sections())
+
+
 def metrics_page() -> str:
     """Returns the list of metrics."""
     metrics = Metrics("documents")
@@ -79,6 +93,7 @@
     {
         "reference/result-codes.md": result_codes_page,
         "reference/settings.md": settings_page,
+        "reference/configuration.md": configuration_page,
         "reference/metrics.md": metrics_page,
         "reference/command-line.md": command_line_page,
     }
