Run calls that may not be repeated at most once over all VMs

Cause: bookings went out once per request, however often a caller sent them. Change: such calls go through the call coordinator, over a connection of their own whose first byte asks for permission; the log service is reached over HTTP. Measured: one key sent five times to two VMs runs 1 time; a booking whose answer is lost runs 1 time and its repeats are told that the outcome is unknown; with the log down the booking is refused as not run and runs 0 times. Conclusion: the promise holds over sockets for these faults.

--- a/camphordrift/backend_http/__init__.py
+++ b/camphordrift/backend_http/__init__.py
@@ -18,9 +18,11 @@
     encode_load,
     encode_order_reply,
 )
+from camphordrift.backend_http._gated_backend import AuthorizeSending, SendRefusedError
 from camphordrift.backend_http._sse import EventSplitter, EventTooLongError
 
 __all__ = [
+    "AuthorizeSending",
     "EventSplitter",
     "EventTooLongError",
     "HttpAnswer",
@@ -28,6 +30,7 @@
     "HttpConnections",
     "HttpEngineClient",
     "HttpStream",
+    "SendRefusedError",
     "decode_generation",
     "decode_hold",
     "decode_order",
--- a/camphordrift/backend_http/_connections.py
+++ b/camphordrift/backend_http/_connections.py
@@ -9,6 +9,7 @@
 import httpcore
 import trio
 
+from camphordrift.backend_http._gated_backend import AuthorizeSending, GatedBackend
 from camphordrift.backend_servers import (
     BackendSilentError,
     BackendUnreachableError,
@@ -104,7 +105,7 @@
 class HttpConnections:
     """Sends requests and tells apart failures before and after the first byte was sent.
 
-    A request that may not be repeated goes over a connection of its own (``fresh_connection``): a
+    A request that may not be repeated goes over a connection of its own (:meth:`fetch_gated`): a
     pooled one may have gone silent, and the request would be lost in it without anyone knowing
     whether it ran.
     """
@@ -118,54 +119,78 @@
         self._ssl_context = ssl_context
         self._pool = self._make_pool(KEEPALIVE_SECONDS)
 
-    def _make_pool(self, keepalive_seconds: float) -> httpcore.AsyncConnectionPool:
+    def _make_pool(
+        self,
+        keepalive_seconds: float,
+        network_backend: Optional[httpcore.AsyncNetworkBackend] = None,
+    ) -> httpcore.AsyncConnectionPool:
         return httpcore.AsyncConnectionPool(
             ssl_context=self._ssl_context,
             max_connections=None,
             max_keepalive_connections=MAX_IDLE_CONNECTIONS,
             keepalive_expiry=keepalive_seconds,
             retries=0,
+            network_backend=network_backend,
         )
 
     async def close(self) -> None:
         """Closes all idle connections."""
         await self._pool.aclose()
 
-    async def fetch(
-        self, call: HttpCall, timeout_seconds: float, fresh_connection: bool = False
-    ) -> HttpAnswer:
+    async def fetch(self, call: HttpCall, timeout_seconds: float) -> HttpAnswer:
         """Sends ``call`` and returns the whole answer.
 
         Raises ``BackendUnreachableError`` if no byte was sent, ``BackendSilentError`` if nothing
         came for ``timeout_seconds``, and ``StreamBrokenError`` otherwise.
         """
-        async with self.stream(call, timeout_seconds, fresh_connection) as response:
+        return await self._fetch(self._pool, call, timeout_seconds)
+
+    async def fetch_gated(
+        self, call: HttpCall, timeout_seconds: float, authorize: AuthorizeSending
+    ) -> HttpAnswer:
+        """Sends ``call`` over a connection of its own, after ``authorize`` permitted it.
+
+        ``authorize`` is asked once the connection stands, right before the first byte. Raises
+        ``SendRefusedError`` if it refuses, and what :meth:`fetch` raises.
+        """
+        pool = self._make_pool(0.0, GatedBackend(authorize))
+        try:
+            return await self._fetch(pool, call, timeout_seconds)
+        finally:
+            with trio.CancelScope(shield=True):
+                await pool.aclose()
+
+    async def _fetch(
+        self, pool: httpcore.AsyncConnectionPool, call: HttpCall, timeout_seconds: float
+    ) -> HttpAnswer:
+        async with self._stream(pool, call, timeout_seconds) as response:
             body = b"".join([part async for part in response.parts])
         return HttpAnswer(response.status, response.headers, body)
 
     @asynccontextmanager
     async def stream(
+        self, call: HttpCall, timeout_seconds: Optional[float] = None
+    ) -> AsyncIterator[HttpStream]:
+        """Sends ``call`` and yields the answer while it arrives; raises what :meth:`fetch` does."""
+        async with self._stream(self._pool, call, timeout_seconds) as response:
+            yield response
+
+    @asynccontextmanager
+    async def _stream(
         self,
+        pool: httpcore.AsyncConnectionPool,
         call: HttpCall,
-        timeout_seconds: Optional[float] = None,
-        fresh_connection: bool = False,
+        timeout_seconds: Optional[float],
     ) -> AsyncIterator[HttpStream]:
-        """Sends ``call`` and yields the answer while it arrives; raises what :meth:`fetch` does."""
-        pool = self._make_pool(0.0) if fresh_connection else self._pool
-        try:
-            with _translated_errors(call):
-                async with pool.stream(
-                    call.method,
-                    call.base_url + call.target,
-                    headers=self._headers(call),
-                    content=call.body or None,
-                    extensions={"timeout": self._timeouts(timeout_seconds)},
-                ) as response:
-                    yield HttpStream(response)
-        finally:
-            if fresh_connection:
-                with trio.CancelScope(shield=True):
-                    await pool.aclose()
+        with _translated_errors(call):
+            async with pool.stream(
+                call.method,
+                call.base_url + call.target,
+                headers=self._headers(call),
+                content=call.body or None,
+                extensions={"timeout": self._timeouts(timeout_seconds)},
+            ) as response:
+                yield HttpStream(response)
 
     def _headers(self, call: HttpCall) -> list[tuple[str, str]]:
         headers = list(call.headers)
--- /dev/null
+++ b/camphordrift/backend_http/_gated_backend.py
@@ -0,0 +1,89 @@
+"""A network backend that asks for permission right before the first byte of a call is written."""
+
+import ssl
+from collections.abc import Callable, Iterable
+from typing import Any, Optional
+
+import httpcore
+from returns import result
+from returns.pipeline import is_successful
+
+from camphordrift.results import Failure
+
+#: Permits sending, or says why not. It is asked once, with nothing awaited before the write.
+AuthorizeSending = Callable[[], result.Result[None, Failure]]
+
+
+class SendRefusedError(Exception):
+    """Permission was refused; no byte of the call was written.
+
+    ``failure`` says why.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
+class _GatedStream(httpcore.AsyncNetworkStream):
+    """Passes everything on, but asks before the first write."""
+
+    def __init__(self, inner: httpcore.AsyncNetworkStream, authorize: AuthorizeSending) -> None:
+        self._inner = inner
+        self._authorize: Optional[AuthorizeSending] = authorize
+
+    async def read(self, max_bytes: int, timeout: Optional[float] = None) -> bytes:
+        return await self._inner.read(max_bytes, timeout)
+
+    async def write(self, buffer: bytes, timeout: Optional[float] = None) -> None:
+        authorize, self._authorize = self._authorize, None
+        if authorize is not None:
+            permitted = authorize()
+            if not is_successful(permitted):
+                raise SendRefusedError(permitted.failure())
+        await self._inner.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        await self._inner.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: Optional[str] = None,
+        timeout: Optional[float] = None,
+    ) -> httpcore.AsyncNetworkStream:
+        # The handshake is no byte of the call, so the gate moves to the encrypted stream.
+        authorize = self._authorize
+        assert authorize is not None, "TLS starts before the first write"
+        encrypted = await self._inner.start_tls(ssl_context, server_hostname, timeout)
+        return _GatedStream(encrypted, authorize)
+
+    def get_extra_info(self, info: str) -> Any:
+        return self._inner.get_extra_info(info)
+
+
+class GatedBackend(httpcore.AsyncNetworkBackend):
+    """Opens connections whose first write asks ``authorize``.
+
+    Use one for a single call. Connecting, and connecting again, needs no permission.
+    """
+
+    def __init__(self, authorize: AuthorizeSending) -> None:
+        self._inner = httpcore.TrioBackend()
+        self._authorize = authorize
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: Optional[float] = None,
+        local_address: Optional[str] = None,
+        socket_options: Optional[Iterable[Any]] = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Connects without asking."""
+        stream = await self._inner.connect_tcp(host, port, timeout, local_address, socket_options)
+        return _GatedStream(stream, self._authorize)
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleeps."""
+        await self._inner.sleep(seconds)
--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -1,6 +1,7 @@
 """Puts the parts of an entry VM's process together and runs them."""
 
 import random
+import time
 from typing import Any, Optional
 
 import trio
@@ -8,6 +9,7 @@
 from camphordrift.backend_http import HttpConnections, HttpEngineClient
 from camphordrift.configuration import ConfigurationSnapshot
 from camphordrift.entry._engine_watch import EngineWatch
+from camphordrift.entry._log_access import call_coordinator, log_access
 from camphordrift.gateway import (
     ActiveRequests,
     BodyMemory,
@@ -22,7 +24,7 @@
     gateway_app,
 )
 from camphordrift.http_server import serve_http
-from camphordrift.identifiers import BackendServerId
+from camphordrift.identifiers import BackendServerId, Incarnation
 from camphordrift.routing import local_grant_source, pool_scheduler
 from camphordrift.settings import EntrySettings
 from camphordrift.telemetry import DecisionRecord, Metrics
@@ -44,6 +46,10 @@
         self._connections = HttpConnections(idle_seconds)
         self._engines = HttpEngineClient(self._connections, self._address_of)
         self._grants = local_grant_source(pool_scheduler())
+        incarnation = Incarnation(int(time.time() * 1000))
+        vm_id = settings.vm.vm_id
+        self._log = log_access(self._connections, settings.platform.log_url, vm_id)
+        self._calls = call_coordinator(self._log, vm_id, incarnation)
         self._watch = EngineWatch(self._engines, self._grants, self._grants.mark_leaving)
         self._active = ActiveRequests()
         self._metrics = Metrics(settings.vm.vm_id)
@@ -66,6 +72,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._grants.run)
             nursery.start_soon(self._watch.run)
+            nursery.start_soon(self._log.run)
+            nursery.start_soon(self._calls.run)
             app = gateway_app(self._context())
             await nursery.start(serve_http, app, self._settings.listen.callers)
             task_status.started()
@@ -79,6 +87,8 @@
             grants=self._grants,
             engines=self._engines,
             services=ServiceCaller(self._connections, choice, random.Random()),
+            server_choice=choice,
+            calls=self._calls,
             connections=self._connections,
             attempt_policy=BudgetedAttemptPolicy(random.Random(), self._note_failed),
             gate=OpenGate(),
--- a/camphordrift/gateway/_context.py
+++ b/camphordrift/gateway/_context.py
@@ -8,11 +8,13 @@
 
 from camphordrift.backend_http import HttpConnections
 from camphordrift.backend_servers import EngineClient
+from camphordrift.calls import CallCoordinator
 from camphordrift.configuration import ConfigurationSnapshot
 from camphordrift.gateway._active_requests import ActiveRequests
 from camphordrift.gateway._attempt_policy import AttemptPolicy
 from camphordrift.gateway._bodies import BodyMemory
 from camphordrift.gateway._journal import RequestJournal
+from camphordrift.gateway._server_choice import ServerChoice
 from camphordrift.gateway._service_calls import ServiceCaller
 from camphordrift.identifiers import AccountId, VmId
 from camphordrift.results import Failure
@@ -72,9 +74,15 @@
     #: Calls engines.
     engines: EngineClient
 
-    #: Calls plain services.
+    #: Calls plain services where calls may be repeated.
     services: ServiceCaller
 
+    #: Chooses among the servers of a plain service.
+    server_choice: ServerChoice
+
+    #: Runs calls that may not be repeated.
+    calls: CallCoordinator
+
     #: Sends HTTP requests.
     connections: HttpConnections
 
--- a/camphordrift/gateway/_service_calls.py
+++ b/camphordrift/gateway/_service_calls.py
@@ -56,16 +56,12 @@
     #: The body.
     body: bytes
 
-    #: Whether the call may run more than once.
-    repeatable: bool
-
 
 class ServiceCaller:
-    """Sends calls to the servers of plain services.
+    """Sends calls that may be repeated to the servers of plain services.
 
-    A call that may be repeated is tried on other servers until its time is over or its service's
-    retry budget is spent. Any other call is tried again only as long as no byte of it was sent,
-    and goes over a connection of its own.
+    A call is tried on other servers until its time is over or its service's retry budget is spent.
+    See :class:`OnceSender` for calls that may not be repeated.
     """
 
     def __init__(
@@ -97,7 +93,7 @@
             decision = policy.decide(
                 attempt,
                 answer,
-                request.repeatable,
+                True,
                 deadline - trio.current_time(),
                 trio.current_time(),
                 may_have_run,
@@ -142,21 +138,23 @@
         address = self._choice.address_of(server)
         if address is None:
             return BackendUnreachableError(f"no address is known of {server}")
-        call = HttpCall(
-            request.method, address, request.target, request.body, tuple(request.headers.items())
-        )
+        call = http_call(request, address)
         try:
             with trio.fail_at(deadline):
-                remaining = deadline - trio.current_time()
-                answer = await self._connections.fetch(
-                    call, remaining, fresh_connection=not request.repeatable
-                )
+                answer = await self._connections.fetch(call, deadline - trio.current_time())
         except BackendError as error:
             return error
         except trio.TooSlowError:
             return BackendSilentError(f"{server} did not answer in time")
-        if request.repeatable and answer.status in BUSY_STATUSES:
+        if answer.status in BUSY_STATUSES:
             return BackendRefusedError(
                 f"{server} answered with {answer.status}", answer.status, not_run=False
             )
         return answer
+
+
+def http_call(request: ServiceRequest, address: str) -> HttpCall:
+    """Returns the HTTP request that passes ``request`` on to the server at ``address``."""
+    return HttpCall(
+        request.method, address, request.target, request.body, tuple(request.headers.items())
+    )
--- a/camphordrift/gateway/_service_endpoint.py
+++ b/camphordrift/gateway/_service_endpoint.py
@@ -10,13 +10,19 @@
 from starlette.types import Receive, Scope, Send
 
 from camphordrift.backend_http import HttpAnswer
+from camphordrift.calls import Repeatability, ServiceCall
 from camphordrift.gateway._active_requests import ActiveRequest
 from camphordrift.gateway._admission import identify_caller, new_request_id
 from camphordrift.gateway._bodies import BodyReader
 from camphordrift.gateway._context import GatewayContext
 from camphordrift.gateway._errors import error_response
-from camphordrift.gateway._headers import REQUEST_ID_HEADER, read_timeout
+from camphordrift.gateway._headers import (
+    IDEMPOTENCY_KEY_HEADER,
+    REQUEST_ID_HEADER,
+    read_timeout,
+)
 from camphordrift.gateway._journal import RequestEnd, failure_of
+from camphordrift.gateway._once_calls import REPEATED_HEADER, OnceSender, http_answer_of
 from camphordrift.gateway._permissions import ServicePermission, permit_service_call
 from camphordrift.gateway._request_scope import run_while_connected
 from camphordrift.gateway._service_calls import ServiceRequest
@@ -31,7 +37,13 @@
 PASSED_REQUEST_HEADERS = ("content-type", "accept", "accept-language", "idempotency-key")
 
 #: Headers of a service's answer that are passed on to the caller.
-PASSED_ANSWER_HEADERS = ("content-type", "content-language", "retry-after", "location")
+PASSED_ANSWER_HEADERS = (
+    REPEATED_HEADER,
+    "content-type",
+    "content-language",
+    "retry-after",
+    "location",
+)
 
 
 class ServiceEndpoint:
@@ -100,7 +112,7 @@
 
         try:
             with self._context.active.track(active):
-                if not call.repeatable:
+                if not _is_repeatable(permission, request):
                     # A call that may not be repeated is finished even if its caller goes away.
                     await work()
                 elif not await run_while_connected(request.receive, work):
@@ -116,7 +128,33 @@
     async def _call(
         self, call: ServiceRequest, permission: ServicePermission, seconds: float
     ) -> result.Result[HttpAnswer, Failure]:
-        return await self._context.services.call(call, permission.servers, seconds)
+        path = call.target.partition("?")[0]
+        if permission.service.is_repeatable(call.method, path):
+            return await self._context.services.call(call, permission.servers, seconds)
+        sender = OnceSender(
+            self._context.connections, self._context.server_choice, call, permission.servers
+        )
+        once = _once_call(call, permission, seconds)
+        outcome = await self._context.calls.execute(once, sender.dispatch)
+        return outcome.map(http_answer_of)
+
+
+def _is_repeatable(permission: ServicePermission, request: Request) -> bool:
+    return permission.service.is_repeatable(request.method, request.url.path)
+
+
+def _once_call(call: ServiceRequest, permission: ServicePermission, seconds: float) -> ServiceCall:
+    return ServiceCall(
+        account_id=permission.account_id,
+        service=call.service,
+        method=call.method,
+        path=call.target,
+        body=call.body,
+        content_type=call.headers.get("content-type", ""),
+        key=call.headers.get(IDEMPOTENCY_KEY_HEADER),
+        repeatability=Repeatability.ONCE_WITHOUT_KEY,
+        remaining_seconds=seconds,
+    )
 
 
 def _service_request(
@@ -135,7 +173,6 @@
         target=path + query,
         headers=headers,
         body=body,
-        repeatable=permission.service.is_repeatable(request.method, path),
     )
 
 
--- a/camphordrift/standins/_plain_service.py
+++ b/camphordrift/standins/_plain_service.py
@@ -8,6 +8,7 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
 
 
 @dataclass
@@ -44,6 +45,14 @@
         return self._runs[reference]
 
 
+class _LostAnswer(Response):
+    """Begins an answer and cuts the connection, so that the caller learns nothing."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        headers = [(b"content-length", b"100")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+
+
 def plain_service_app(
     books: BookingBooks, faults: PlainServiceFaults, path_prefix: str
 ) -> Starlette:
@@ -67,7 +76,7 @@
                 await trio.sleep_forever()
             if faults.lose_next_answers > 0:
                 faults.lose_next_answers -= 1
-                raise ConnectionResetError("the answer is lost")
+                return _LostAnswer()
         finally:
             running -= 1
         return JSONResponse({"reference": body["reference"], "booked": True, "runs": runs})
--- a/camphordrift/tests/test_whole_path.py
+++ b/camphordrift/tests/test_whole_path.py
@@ -5,6 +5,7 @@
 
 import testtools
 import trio
+import uuid6
 
 from camphordrift.backend_http import HttpAnswer, HttpConnections
 from camphordrift.demo import DemoFleet
@@ -83,6 +84,71 @@
         with_fleet(test)
 
 
+class OnceTest(testtools.TestCase):
+    def test_a_booking_sent_to_two_vms_under_one_key_runs_once(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            headers = (
+                ("Idempotency-Key", str(uuid6.uuid7())),
+                ("Content-Type", "application/json"),
+            )
+            answers: list[HttpAnswer] = []
+
+            async def book(vm: int) -> None:
+                client = Client(fleet, connections, vm)
+                answers.append(
+                    await client.send(
+                        "POST",
+                        "/booking-office/bookings",
+                        {"reference": "b-7"},
+                        headers=headers,
+                    )
+                )
+
+            async with trio.open_nursery() as nursery:
+                for vm in (0, 1, 0, 1):
+                    nursery.start_soon(book, vm)
+            await book(1)
+            while answers[-1].status == 409:
+                await trio.sleep(0.05)
+                await book(1)
+            self.assertEqual(1, fleet.standins.books.runs["b-7"])
+            self.assertEqual(200, answers[-1].status)
+            self.assertEqual(1, json.loads(answers[-1].body)["runs"])
+            self.assertEqual("true", answers[-1].headers["camphordrift-repeated"])
+
+        with_fleet(test)
+
+    def test_a_booking_is_refused_as_not_run_while_the_log_is_down(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            fleet.standins.control.apply("log.outage", {})
+            answer = await Client(fleet, connections).send(
+                "POST",
+                "/booking-office/bookings",
+                {"reference": "b-8"},
+                headers=(("Idempotency-Key", str(uuid6.uuid7())),),
+            )
+            self.assertEqual(503, answer.status)
+            self.assertEqual("not_run", json.loads(answer.body)["error"]["run_state"])
+            self.assertEqual(0, fleet.standins.books.runs["b-8"])
+
+        with_fleet(test)
+
+    def test_a_booking_whose_answer_is_lost_is_not_sent_again(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            for server in ("booking-1", "booking-2"):
+                fleet.standins.control.apply("service.lose_answers", {"server_id": server})
+            client = Client(fleet, connections)
+            headers = (("Idempotency-Key", str(uuid6.uuid7())),)
+            for _ in range(3):
+                answer = await client.send(
+                    "POST", "/booking-office/bookings", {"reference": "b-9"}, headers=headers
+                )
+                self.assertNotEqual("not_run", json.loads(answer.body)["error"]["run_state"])
+            self.assertEqual(1, fleet.standins.books.runs["b-9"])
+
+        with_fleet(test)
+
+
 class BadInputTest(testtools.TestCase):
     CASES: tuple[tuple[str, str, Any, Optional[str], tuple[tuple[str, str], ...], int], ...] = (
         ("POST", "/v1/completions", b"{", KEY, (), 400),
