Read levels from the components when metrics are collected

Cause: quantities such as the configuration's version or the waiting asks are known to a component at any time; counting them up and down beside it would be a second truth. Change: Metrics.observe registers a function for one of the named levels; the level that was counted by hand is gone. 'camphordrift idempotency-key' makes a key for a call that may not be repeated.

--- a/camphordrift/daemons/_commands_local.py
+++ b/camphordrift/daemons/_commands_local.py
@@ -31,6 +31,17 @@
     return ExitCode.DONE
 
 
+def idempotency_key() -> ExitCode:
+    """Make a new idempotency key for a call that may not be repeated: a UUID of version 7.
+
+    The key carries its own time. A repetition of the call is sent under the same key.
+    """
+    import uuid6
+
+    print(uuid6.uuid7())
+    return ExitCode.DONE
+
+
 def check_settings(*files: Path, standins: bool = False) -> ExitCode:
     """Check settings files without starting anything.
 
@@ -107,6 +118,7 @@
     app.command(settings)
     app.command(validate, group=group)
     app.command(keygen, group=group)
+    app.command(idempotency_key, group=group)
     app.command(codes, group=group)
 
 
--- a/camphordrift/daemons/tests/test_command_line.py
+++ b/camphordrift/daemons/tests/test_command_line.py
@@ -10,10 +10,13 @@
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from returns.result import Success
 
 import camphordrift
+from camphordrift.calls import parse_call_key
 from camphordrift.daemons._command_line import run_command
 from camphordrift.daemons._exit_codes import ExitCode
+from camphordrift.identifiers import AccountId
 from camphordrift.security import hash_key
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
@@ -70,6 +73,11 @@
         lines = dict(line.split() for line in output.splitlines())
         self.assertEqual(hash_key(lines["key"]), lines["hash"])
 
+    def test_idempotency_key_is_accepted_by_a_call(self) -> None:
+        _, output, _ = self.run_tokens("idempotency-key")
+        parsed = parse_call_key(AccountId("candidates"), output.strip())
+        self.assertIsInstance(parsed, Success)
+
     def test_codes(self) -> None:
         _, output, _ = self.run_tokens("codes", "4004")
         self.assertRegex(output, r"^4004 CALL_STILL_RUNNING +HTTP 409 outcome_unknown")
--- a/camphordrift/telemetry/__init__.py
+++ b/camphordrift/telemetry/__init__.py
@@ -1,6 +1,7 @@
 """What a process tells of itself: logs, metrics, its state and its recent decisions."""
 
 from camphordrift.telemetry._decisions import Decision, DecisionRecord
+from camphordrift.telemetry._levels import ObservedLevel
 from camphordrift.telemetry._logging import (
     LogLevel,
     configure_logging,
@@ -13,7 +14,6 @@
     METRICS_CONTENT_TYPE,
     Counter,
     InstrumentDescription,
-    Level,
     Metrics,
     SecondsHistogram,
     render_metrics,
@@ -34,9 +34,9 @@
     "Decision",
     "DecisionRecord",
     "InstrumentDescription",
-    "Level",
     "LogLevel",
     "Metrics",
+    "ObservedLevel",
     "SecondsHistogram",
     "StateDump",
     "call_on_stop_signal",
--- a/camphordrift/telemetry/_metrics.py
+++ b/camphordrift/telemetry/_metrics.py
@@ -4,16 +4,20 @@
 task, which suits one loop on one thread.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import Histogram as SdkHistogram
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
+from camphordrift.telemetry._levels import ObservedLevel
+from camphordrift.telemetry._logging import LogLevel, log_event
+
 #: Upper bounds of the buckets of time spans, in seconds.
 SECONDS_BUCKETS = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0, 900.0,
@@ -22,9 +26,6 @@
 #: The content type of what ``Metrics.render`` returns.
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
-#: Names and values that tell the series of one instrument apart.
-Labels = Mapping[str, str]
-
 
 @dataclass(frozen=True)
 class InstrumentDescription:
@@ -52,18 +53,6 @@
         self._counter.add(amount, labels)
 
 
-class Level:
-    """Follows a quantity that goes up and down, such as requests running."""
-
-    def __init__(self, provider: MeterProvider, name: str, description: str) -> None:
-        meter = provider.get_meter("camphordrift")
-        self._counter = meter.create_up_down_counter(name, description=description)
-
-    def change(self, amount: int, **labels: str) -> None:
-        """Adds ``amount``, which may be negative."""
-        self._counter.add(amount, labels)
-
-
 class SecondsHistogram:
     """Gathers time spans in buckets."""
 
@@ -110,8 +99,34 @@
 
     @property
     def descriptions(self) -> tuple[InstrumentDescription, ...]:
-        """All instruments in the order of their creation."""
-        return tuple(self._descriptions)
+        """All instruments: counters and histograms, then the levels that can be observed."""
+        levels = (
+            InstrumentDescription(level.metric_name, "level", level.description)
+            for level in ObservedLevel
+        )
+        return (*self._descriptions, *levels)
+
+    def observe(self, level: ObservedLevel, read: Callable[[], float]) -> None:
+        """Registers the function that returns ``level`` when the metrics are collected.
+
+        It must not wait. While it raises, the level is left out of the page.
+        """
+
+        def observations(options: CallbackOptions) -> list[Observation]:
+            try:
+                return [Observation(read())]
+            except Exception as error:
+                log_event(
+                    "metric_failed",
+                    level=LogLevel.ERROR,
+                    metric=level.metric_name,
+                    error=repr(error),
+                )
+                return []
+
+        self._provider.get_meter("camphordrift").create_observable_gauge(
+            level.metric_name, [observations], description=level.description
+        )
 
     def render(self) -> bytes:
         """Returns all metrics in Prometheus' text format."""
@@ -123,9 +138,7 @@
 
     def _create_request_instruments(self) -> None:
         self.requests = self._counter("requests", "Answered requests, by interface and code.")
-        self.requests_running = self._level("requests_running", "Requests admitted and not ended.")
         self.refusals = self._counter("refusals", "Requests refused before running, by code.")
-        self.body_bytes_held = self._level("body_bytes_held", "Bytes of request bodies in memory.")
         self.request_seconds = self._seconds(
             "request_seconds", "Time from request to whole answer."
         )
@@ -165,10 +178,6 @@
         self._descriptions.append(InstrumentDescription(name, "counter", description))
         return Counter(self._provider, name, description)
 
-    def _level(self, name: str, description: str) -> Level:
-        self._descriptions.append(InstrumentDescription(name, "level", description))
-        return Level(self._provider, name, description)
-
     def _seconds(self, name: str, description: str) -> SecondsHistogram:
         self._descriptions.append(InstrumentDescription(name, "histogram", description))
         return SecondsHistogram(self._provider, name, description)
