Add membership of entry VMs and backend servers

Cause: the platform's list lags and may be empty or wrong, and a slow link or a paused process must not evict a VM. Change: views that join the list with probes (direct, then through three others), suspicion, refutation by the subject, gossip within a byte budget; homes by rendezvous hashing that do not flap; backend servers' own leaving counts at once. Messages leave out fields that have their default value. Conclusion: ready to be wired; the shell runs over PeerNetwork.

--- /dev/null
+++ b/camphordrift/membership/_service.py
@@ -0,0 +1,270 @@
+"""Runs the membership protocol over the streams between VMs."""
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+from returns.result import Result, Success
+
+from camphordrift import results
+from camphordrift.identifiers import BackendServerId, Incarnation, VmId
+from camphordrift.membership._changes import News, NewsRecord
+from camphordrift.membership._gossip import GossipQueue
+from camphordrift.membership._interfaces import ListReader, PeerMessenger
+from camphordrift.membership._messages import (
+    Gossip,
+    IndirectAck,
+    IndirectProbe,
+    Probe,
+    ProbeAck,
+    split_records,
+)
+from camphordrift.membership._prober import Prober
+from camphordrift.membership._records import Health, MemberRecord, ServerRecord
+from camphordrift.membership._servers import BackendServerView
+from camphordrift.membership._settings import MembershipSettings
+from camphordrift.membership._view import MembershipView
+from camphordrift.peers import PeerIdentity
+
+#: Time between two readings of the platform's list, in seconds.
+LIST_INTERVAL_SECONDS = 2.0
+
+#: Time between two looks at suspects, in seconds.
+TICK_SECONDS = 0.25
+
+
+@dataclass(frozen=True)
+class MembershipParts:
+    """The decisions that the service runs."""
+
+    #: Views of the entry VMs.
+    view: MembershipView
+
+    #: View of the backend servers.
+    servers: BackendServerView
+
+    #: What is passed on.
+    gossip: GossipQueue
+
+    #: Whom to probe.
+    prober: Prober
+
+
+class MembershipService:
+    """Probes other VMs, passes news on, and reads the platform's list.
+
+    Start :meth:`run` in a nursery; ask :attr:`view` and :attr:`servers` for decisions at any time.
+    """
+
+    def __init__(
+        self,
+        parts: MembershipParts,
+        settings: MembershipSettings,
+        messenger: PeerMessenger,
+        read_list: ListReader,
+    ) -> None:
+        self._view = parts.view
+        self._servers = parts.servers
+        self._gossip = parts.gossip
+        self._prober = parts.prober
+        self._settings = settings
+        self._messenger = messenger
+        self._read_list = read_list
+        self._addresses: dict[VmId, tuple[str, int]] = {}
+        self._counts = {"probes": 0, "failed_probes": 0, "indirect_saves": 0, "list_errors": 0}
+        self._register_handlers()
+
+    @property
+    def view(self) -> MembershipView:
+        """The view of the entry VMs."""
+        return self._view
+
+    @property
+    def servers(self) -> BackendServerView:
+        """The view of the backend servers."""
+        return self._servers
+
+    async def run(self) -> None:
+        """Runs the protocol until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_lists)
+            nursery.start_soon(self._tick)
+            await self._probe_all(nursery)
+
+    def on_connection_failed(self, vm_id: VmId) -> None:
+        """Has a VM probed next, since a request to it got no answer."""
+        self._prober.hurry(vm_id)
+
+    def on_server_answer(
+        self, server_id: BackendServerId, incarnation: Incarnation, leaving: bool
+    ) -> None:
+        """Takes an answer of a backend server, such as a load report."""
+        now = trio.current_time()
+        self._spread(self._servers.on_answer(server_id, incarnation, leaving, now))
+
+    def announce_leaving(self) -> None:
+        """Tells the other VMs that this one is stopping."""
+        self._spread(self._view.announce_leaving())
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns what an operator wants to see."""
+        return {
+            "vms": self._view.dump_state(),
+            "servers": self._servers.dump_state(trio.current_time()),
+            "queued_news": self._gossip.length,
+            **self._counts,
+        }
+
+    def _register_handlers(self) -> None:
+        for message_type in (Probe, ProbeAck, IndirectProbe, IndirectAck, Gossip):
+            self._messenger.declare(message_type, f"membership.{message_type.__name__}")
+        self._messenger.register(Probe, self._answer_probe)
+        self._messenger.register(IndirectProbe, self._answer_indirect_probe)
+        self._messenger.register_notice(Gossip, self._take_gossip)
+
+    async def _read_lists(self) -> None:
+        while True:
+            try:
+                listing = await self._read_list()
+            except OSError:
+                self._counts["list_errors"] += 1
+            else:
+                now = trio.current_time()
+                self._servers.on_platform_list(listing, now)
+                self._spread(self._view.on_platform_list(listing, now))
+                self._update_addresses()
+            await trio.sleep(LIST_INTERVAL_SECONDS)
+
+    async def _tick(self) -> None:
+        while True:
+            self._spread(self._view.on_tick(trio.current_time()))
+            await trio.sleep(TICK_SECONDS)
+
+    async def _probe_all(self, nursery: trio.Nursery) -> None:
+        while True:
+            targets = self._prober.next_targets(self._view.probe_targets, self._view.dead_vms)
+            for target in targets:
+                nursery.start_soon(self._probe, target)
+            await trio.sleep(self._settings.probe_interval_seconds)
+
+    async def _probe(self, target: VmId) -> None:
+        """Probes directly, then through others; suspects a VM that no one reaches."""
+        started = trio.current_time()
+        self._counts["probes"] += 1
+        if await self._reach(target):
+            return
+        self._counts["failed_probes"] += 1
+        record = self._view.record_of(target)
+        if record is None or record.health is Health.DEAD:
+            return
+        if await self._reach_through_others(target):
+            self._counts["indirect_saves"] += 1
+            return
+        self._spread(self._view.on_probe_failed(target, started, trio.current_time()))
+
+    async def _reach(self, target: VmId) -> bool:
+        members, servers = split_records(self._records_for(target))
+        probe = Probe(members, servers)
+        timeout = self._settings.direct_timeout_seconds
+        outcome = await self._messenger.request(target, probe, timeout)
+        if not isinstance(outcome, Success):
+            return False
+        ack: ProbeAck = outcome.unwrap()
+        self._take_records((*ack.members, *ack.servers))
+        return True
+
+    async def _reach_through_others(self, target: VmId) -> bool:
+        helpers = self._prober.choose_helpers(target, self._view.probe_targets)
+        reached = trio.Event()
+        async with trio.open_nursery() as nursery:
+            for helper in helpers:
+                nursery.start_soon(self._ask_helper, helper, target, reached, nursery.cancel_scope)
+        return reached.is_set()
+
+    async def _ask_helper(
+        self, helper: VmId, target: VmId, reached: trio.Event, scope: trio.CancelScope
+    ) -> None:
+        timeout = self._settings.indirect_timeout_seconds
+        outcome = await self._messenger.request(helper, IndirectProbe(target), timeout)
+        if isinstance(outcome, Success) and outcome.unwrap().reached:
+            reached.set()
+            scope.cancel()
+
+    async def _answer_probe(
+        self, sender: PeerIdentity, probe: Probe
+    ) -> Result[ProbeAck, results.Failure]:
+        known = self._view.record_of(sender.vm_id)
+        newcomer = known is None or known.incarnation < sender.incarnation
+        self._take_records((*probe.members, *probe.servers))
+        records = self._records_for(sender.vm_id)
+        if newcomer:
+            records = tuple(dict.fromkeys((*records, *self._view.introduction)))
+        members, servers = split_records(records)
+        return Success(ProbeAck(members, servers))
+
+    async def _answer_indirect_probe(
+        self, _: PeerIdentity, probe: IndirectProbe
+    ) -> Result[IndirectAck, results.Failure]:
+        return Success(IndirectAck(await self._reach(probe.target)))
+
+    def _take_gossip(self, _: PeerIdentity, gossip: Gossip) -> None:
+        self._take_records((*gossip.members, *gossip.servers))
+
+    def _records_for(self, receiver: VmId) -> tuple[NewsRecord, ...]:
+        """Returns what a message carries: news, this VM itself, and the receiver if in doubt."""
+        about = self._view.record_of(receiver)
+        in_doubt = about is not None and about.health is not Health.ALIVE
+        first: tuple[NewsRecord, ...] = (self._view.own,)
+        if about is not None and in_doubt:
+            first = (*first, about)
+        news = self._gossip.take(self._view.records)
+        return tuple(dict.fromkeys((*first, *news)))
+
+    def _take_records(self, records: tuple[NewsRecord, ...]) -> None:
+        now = trio.current_time()
+        news: tuple[News, ...] = ()
+        for record in records:
+            match record:
+                case MemberRecord():
+                    news += self._view.on_record(record, now)
+                case ServerRecord():
+                    news += self._servers.on_record(record, now)
+        self._spread(news)
+
+    def _spread(self, news: tuple[News, ...]) -> None:
+        """Queues news, and tells the urgent ones at once if the budget allows."""
+        if not news:
+            return
+        self._update_addresses()
+        self._gossip.add(news, len(self._view.live_vms))
+        urgent = tuple(item.record for item in news if item.urgent)
+        targets = self._view.probe_targets
+        if urgent and self._gossip.try_push(len(urgent), len(targets), trio.current_time()):
+            members, servers = split_records(urgent)
+            for target in targets:
+                self._messenger.notify(target, Gossip(members, servers))
+
+    def _update_addresses(self) -> None:
+        addresses = self._view.addresses()
+        if addresses != self._addresses:
+            self._addresses = addresses
+            self._messenger.set_peers(addresses)
+
+
+def membership_service(
+    own: MemberRecord,
+    settings: MembershipSettings,
+    messenger: PeerMessenger,
+    read_list: ListReader,
+    rng: random.Random,
+) -> MembershipService:
+    """Returns the service of one VM. Has to be called inside the trio loop, for its clock."""
+    now = trio.current_time()
+    parts = MembershipParts(
+        view=MembershipView(own, settings, now),
+        servers=BackendServerView(),
+        gossip=GossipQueue(settings, now),
+        prober=Prober(settings, rng),
+    )
+    return MembershipService(parts, settings, messenger, read_list)
--- /dev/null
+++ b/camphordrift/membership/_view.py
@@ -0,0 +1,302 @@
+"""One VM's view of the entry VMs."""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from typing import Any, Optional
+
+from camphordrift.identifiers import Incarnation, VmId, ZoneName
+from camphordrift.membership._changes import News
+from camphordrift.membership._platform_list import ListedVm, PlatformList
+from camphordrift.membership._records import Health, MemberRecord, join_records
+from camphordrift.membership._rendezvous import (
+    first_by_rendezvous,
+    probe_targets,
+    rendezvous_order,
+)
+from camphordrift.membership._settings import MembershipSettings
+
+
+@dataclass
+class _Member:
+    """What is known of another VM."""
+
+    #: The joined record.
+    record: MemberRecord
+
+    #: Since when it has its present health.
+    health_since: float
+
+    #: True if it never came back from being dead: it may be home without settling.
+    settled: bool = True
+
+
+class MembershipView:
+    """Joins the platform's list with what VMs tell each other and with own probes.
+
+    A VM that has just started also notes dead VMs that it did not know, as the list may still name
+    them or name them later; afterwards it passes over them, so that they are forgotten in the end.
+
+    The list only adds VMs and marks them as leaving; it never removes one that answers, so an
+    empty, stale or wrong list cannot empty the fleet. Probes make a VM suspect, and only a suspect
+    that does not refute in time is dead. Two VMs whose views differ choose different homes for
+    some keys, which costs efficiency and nothing else.
+
+    Times are seconds on the caller's monotonic clock.
+    """
+
+    def __init__(self, own: MemberRecord, settings: MembershipSettings, now: float) -> None:
+        self._own = own
+        self._settings = settings
+        self._members: dict[VmId, _Member] = {}
+        self._listed: Mapping[VmId, ListedVm] = {}
+        self._last_tick = now
+        self._introduced_until = now + settings.introduction_seconds
+        self._candidates: Optional[tuple[VmId, ...]] = None
+        self._candidates_hold_until = now
+        self._counts = {"refutations": 0, "pauses": 0, "suspicions": 0, "deaths": 0}
+
+    @property
+    def own(self) -> MemberRecord:
+        """The record of this VM itself."""
+        return self._own
+
+    @property
+    def records(self) -> tuple[MemberRecord, ...]:
+        """All records, this VM's included."""
+        return (self._own, *(member.record for member in self._members.values()))
+
+    @property
+    def live_vms(self) -> tuple[VmId, ...]:
+        """All VMs that are not dead, this one and leaving ones included."""
+        others = (m.record for m in self._members.values() if m.record.health is not Health.DEAD)
+        return tuple(sorted([self._own.vm_id, *(record.vm_id for record in others)]))
+
+    @property
+    def dead_vms(self) -> tuple[VmId, ...]:
+        """VMs that are believed dead and not yet forgotten."""
+        records = (member.record for member in self._members.values())
+        return tuple(sorted(r.vm_id for r in records if r.health is Health.DEAD))
+
+    @property
+    def introduction(self) -> tuple[MemberRecord, ...]:
+        """What a newcomer is told: first of all the VMs that the list may show as alive."""
+        noteworthy = sorted(self.records, key=lambda r: (-r.health, not r.leaving, r.vm_id))
+        return tuple(noteworthy[: self._settings.introduction_records])
+
+    @property
+    def probe_targets(self) -> tuple[VmId, ...]:
+        """The VMs that this one probes."""
+        live = self.live_vms
+        if len(live) <= self._settings.full_view_limit:
+            return tuple(vm_id for vm_id in live if vm_id != self._own.vm_id)
+        return probe_targets(self._own.vm_id, live, self._settings.partial_view_size)
+
+    @property
+    def lowest_schema(self) -> int:
+        """The highest schema version of configuration records that all live VMs read."""
+        live = (r for r in self.records if r.health is not Health.DEAD and r.incarnation)
+        return min(record.reads_schema for record in live)
+
+    def record_of(self, vm_id: VmId) -> Optional[MemberRecord]:
+        """Returns what is known of a VM; ``None`` if nothing is."""
+        if vm_id == self._own.vm_id:
+            return self._own
+        member = self._members.get(vm_id)
+        return None if member is None else member.record
+
+    def zone_of(self, vm_id: VmId) -> ZoneName:
+        """Returns a VM's availability zone; empty if unknown."""
+        record = self.record_of(vm_id)
+        listed = self._listed.get(vm_id)
+        if record is not None and record.zone:
+            return record.zone
+        return listed.zone if listed is not None else ZoneName("")
+
+    def is_leaving(self, vm_id: VmId) -> bool:
+        """Tells whether the VM itself or the platform says that it leaves."""
+        record = self.record_of(vm_id)
+        listed = self._listed.get(vm_id)
+        by_list = listed is not None and listed.leaving
+        return by_list or (record is not None and record.leaving)
+
+    def addresses(self) -> dict[VmId, tuple[str, int]]:
+        """Returns where the other VMs listen; those without known address are left out."""
+        found = {vm_id: self._address_of(vm_id) for vm_id in self._members}
+        return {vm_id: address for vm_id, address in found.items() if address is not None}
+
+    def home_candidates(self, now: float) -> tuple[VmId, ...]:
+        """Returns the VMs that may be home to a key; never empty.
+
+        A suspect stays a candidate until it is dead, and a VM that was dead has to stay alive for
+        a while before it is one again, so that homes do not flap. If all VMs are leaving, they
+        stay candidates; the platform's word on leaving may be wrong for all of them.
+        """
+        if self._candidates is not None and now < self._candidates_hold_until:
+            return self._candidates
+        live = [vm_id for vm_id in self.live_vms if self._has_settled(vm_id, now)]
+        staying = tuple(vm_id for vm_id in live if not self.is_leaving(vm_id))
+        self._candidates = staying or tuple(live)
+        self._candidates_hold_until = self._next_settled_at(now)
+        return self._candidates
+
+    def home_of(self, key: str, now: float) -> VmId:
+        """Returns the VM that is home to ``key``."""
+        return first_by_rendezvous(key, self.home_candidates(now))
+
+    def home_order(self, key: str, now: float) -> tuple[VmId, ...]:
+        """Returns all candidates in the order in which they become home to ``key``."""
+        return rendezvous_order(key, self.home_candidates(now))
+
+    def on_platform_list(self, listing: PlatformList, now: float) -> tuple[News, ...]:
+        """Takes a reading of the list; adds VMs that are new."""
+        self._listed = dict(listing.vms)
+        self._candidates = None
+        for vm_id in listing.vms:
+            if vm_id != self._own.vm_id and vm_id not in self._members:
+                record = MemberRecord(vm_id, Incarnation(0))
+                self._members[vm_id] = _Member(record, health_since=now)
+        return ()
+
+    def on_record(self, record: MemberRecord, now: float) -> tuple[News, ...]:
+        """Takes what another VM tells of some VM; returns what changed by it."""
+        if record.vm_id == self._own.vm_id:
+            return self._on_own_record(record)
+        member = self._members.get(record.vm_id)
+        if member is None:
+            if record.health is Health.DEAD and now >= self._introduced_until:
+                return ()
+            self._members[record.vm_id] = _Member(record, health_since=now)
+            return self._changed(record, urgent=True)
+        return self._set_record(member, join_records(member.record, record), now)
+
+    def on_probe_failed(self, vm_id: VmId, started: float, now: float) -> tuple[News, ...]:
+        """Takes that neither this VM nor its helpers reached another one; suspects it.
+
+        A probe that took longer than it can says only that this process was paused.
+        """
+        member = self._members.get(vm_id)
+        late_after = self._settings.probe_bound_seconds + self._settings.pause_gap_seconds
+        if member is None or now - started > late_after:
+            return ()
+        if member.record.health is not Health.ALIVE:
+            return ()
+        self._counts["suspicions"] += 1
+        return self._set_record(member, replace(member.record, health=Health.SUSPECT), now)
+
+    def on_tick(self, now: float) -> tuple[News, ...]:
+        """Declares dead what has not refuted in time, and forgets what is long gone."""
+        self._allow_for_pause(now)
+        news: list[News] = []
+        for member in list(self._members.values()):
+            age = now - member.health_since
+            match member.record.health:
+                case Health.SUSPECT if age >= self._settings.suspicion_seconds:
+                    self._counts["deaths"] += 1
+                    dead = replace(member.record, health=Health.DEAD)
+                    news.extend(self._set_record(member, dead, now))
+                case Health.DEAD if age >= self._settings.forget_after_seconds:
+                    self._forget(member.record.vm_id)
+        self._check_invariants(now)
+        return tuple(news)
+
+    def announce_leaving(self) -> tuple[News, ...]:
+        """Marks this VM as leaving, for good."""
+        self._own = replace(self._own, leaving=True)
+        return self._changed(self._own, urgent=True)
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns what an operator wants to see."""
+        return {
+            "own": _dump_record(self._own),
+            "members": {
+                vm_id: _dump_record(m.record) for vm_id, m in sorted(self._members.items())
+            },
+            "listed": sorted(self._listed),
+            "probe_targets": list(self.probe_targets),
+            **self._counts,
+        }
+
+    def _on_own_record(self, record: MemberRecord) -> tuple[News, ...]:
+        """Refutes that this VM is suspect or dead."""
+        if record.incarnation > self._own.incarnation:
+            self._counts["superseded"] = self._counts.get("superseded", 0) + 1
+            return ()
+        same = record.incarnation == self._own.incarnation
+        if not same or record.health is Health.ALIVE or record.refutation < self._own.refutation:
+            return ()
+        self._counts["refutations"] += 1
+        self._own = replace(self._own, refutation=record.refutation + 1)
+        return self._changed(self._own, urgent=True)
+
+    def _set_record(self, member: _Member, record: MemberRecord, now: float) -> tuple[News, ...]:
+        old = member.record
+        if record == old:
+            return ()
+        member.record = record
+        if record.health is not old.health:
+            member.health_since = now
+            if old.health is Health.DEAD:
+                member.settled = False
+        urgent = record.health is not old.health or record.leaving != old.leaving
+        return self._changed(record, urgent)
+
+    def _changed(self, record: MemberRecord, urgent: bool) -> tuple[News, ...]:
+        self._candidates = None
+        return (News(record, urgent),)
+
+    def _has_settled(self, vm_id: VmId, now: float) -> bool:
+        member = self._members.get(vm_id)
+        if member is None or member.settled:
+            return True
+        member.settled = now >= member.health_since + self._settings.settle_seconds
+        return member.settled
+
+    def _next_settled_at(self, now: float) -> float:
+        """Returns until when no VM becomes a candidate by mere lapse of time."""
+        settling = (m.health_since for m in self._members.values() if not m.settled)
+        return min((since + self._settings.settle_seconds for since in settling), default=math.inf)
+
+    def _allow_for_pause(self, now: float) -> None:
+        """Gives suspects the time back in which this process could not hear them refute."""
+        gap = now - self._last_tick
+        self._last_tick = now
+        if gap <= self._settings.pause_gap_seconds:
+            return
+        self._counts["pauses"] += 1
+        for member in self._members.values():
+            if member.record.health is Health.SUSPECT:
+                member.health_since = now
+
+    def _forget(self, vm_id: VmId) -> None:
+        if vm_id not in self._listed:
+            del self._members[vm_id]
+            self._candidates = None
+
+    def _address_of(self, vm_id: VmId) -> Optional[tuple[str, int]]:
+        """Returns the VM's own word, or the list's if it gave none or is dead."""
+        record = self._members[vm_id].record
+        listed = self._listed.get(vm_id)
+        if listed is not None and (record.health is Health.DEAD or not record.address):
+            return listed.ip, listed.port
+        if not record.address:
+            return None
+        ip, _, port = record.address.rpartition(":")
+        return (ip, int(port)) if port.isdigit() else None
+
+    def _check_invariants(self, now: float) -> None:
+        assert self._own.vm_id not in self._members, "this VM is listed as another"
+        assert self._own.health is Health.ALIVE, "this VM believes that it is not alive"
+        assert self.home_candidates(now), "no VM is home to anything"
+
+
+def _dump_record(record: MemberRecord) -> dict[str, Any]:
+    return {
+        "incarnation": record.incarnation,
+        "refutation": record.refutation,
+        "health": record.health.name.lower(),
+        "leaving": record.leaving,
+        "address": record.address,
+        "zone": record.zone,
+        "reads_schema": record.reads_schema,
+    }
--- /dev/null
+++ b/camphordrift/membership/tests/test_records.py
@@ -0,0 +1,72 @@
+"""Tests of joining records, and of choices by rendezvous."""
+
+from collections import Counter
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphordrift.identifiers import Incarnation, VmId
+from camphordrift.membership import (
+    Health,
+    MemberRecord,
+    join_records,
+    probe_targets,
+    rendezvous_order,
+)
+
+RECORDS = st.builds(
+    MemberRecord,
+    vm_id=st.just(VmId("vm-1")),
+    incarnation=st.integers(0, 2).map(Incarnation),
+    refutation=st.integers(0, 2),
+    health=st.sampled_from(Health),
+    leaving=st.booleans(),
+    reads_schema=st.just(1),
+)
+
+_MANY = settings(derandomize=True, deadline=None, max_examples=300)
+
+
+class JoinRecordsTest(testtools.TestCase):
+    @_MANY
+    @given(RECORDS, RECORDS, RECORDS)
+    def test_order_and_repetition_do_not_matter(
+        self, first: MemberRecord, second: MemberRecord, third: MemberRecord
+    ) -> None:
+        self.assertEqual(join_records(first, second), join_records(second, first))
+        left = join_records(join_records(first, second), third)
+        self.assertEqual(left, join_records(first, join_records(second, third)))
+        self.assertEqual(first, join_records(first, first))
+
+    @_MANY
+    @given(RECORDS, RECORDS)
+    def test_leaving_is_never_taken_back_in_one_incarnation(
+        self, first: MemberRecord, second: MemberRecord
+    ) -> None:
+        joined = join_records(first, second)
+        for record in (first, second):
+            if record.incarnation == joined.incarnation and record.leaving:
+                self.assertTrue(joined.leaving)
+
+
+class RendezvousTest(testtools.TestCase):
+    @_MANY
+    @given(st.text(max_size=8), st.sets(st.integers(0, 30), min_size=2, max_size=8))
+    def test_losing_a_vm_moves_only_its_own_keys(self, key: str, numbers: set[int]) -> None:
+        vm_ids = [VmId(f"vm-{number}") for number in numbers]
+        order = rendezvous_order(key, vm_ids)
+        for lost in vm_ids:
+            remaining = [vm_id for vm_id in vm_ids if vm_id != lost]
+            expected = tuple(vm_id for vm_id in order if vm_id != lost)
+            self.assertEqual(expected, rendezvous_order(key, remaining))
+
+    def test_every_vm_is_probed_by_at_least_two(self) -> None:
+        vm_ids = [VmId(f"vm-{number}") for number in range(200)]
+        watchers: Counter[VmId] = Counter()
+        for vm_id in vm_ids:
+            targets = probe_targets(vm_id, vm_ids, 8)
+            self.assertEqual(8, len(set(targets) - {vm_id}))
+            watchers.update(targets)
+        self.assertEqual(200, len(watchers))
+        self.assertTrue(min(watchers.values()) >= 2, watchers)
--- /dev/null
+++ b/camphordrift/membership/tests/test_servers.py
@@ -0,0 +1,66 @@
+"""Tests of which backend servers may get new work."""
+
+import testtools
+
+from camphordrift.identifiers import BackendServerId, Incarnation
+from camphordrift.membership import BackendServerView, ListedServer, ServerRecord, platform_list
+
+NAMES = tuple(BackendServerId(f"engine-{number}") for number in range(4))
+FIRST = NAMES[0]
+
+
+def view_of(*leaving: BackendServerId) -> BackendServerView:
+    view = BackendServerView()
+    read(view, NAMES, leaving)
+    return view
+
+
+def read(
+    view: BackendServerView,
+    names: tuple[BackendServerId, ...],
+    leaving: tuple[BackendServerId, ...] = (),
+    now: float = 0.0,
+) -> None:
+    listed = (ListedServer(n, f"http://10.0.1.1/{n}", leaving=n in leaving) for n in names)
+    view.on_platform_list(platform_list(servers=tuple(listed)), now)
+
+
+class BackendServerViewTest(testtools.TestCase):
+    def test_own_answer_counts_at_once_although_the_list_lags(self) -> None:
+        view = view_of()
+        news = view.on_answer(FIRST, Incarnation(3), leaving=True, now=1.0)
+        self.assertEqual(ServerRecord(FIRST, Incarnation(3), True), news[0].record)
+        read(view, NAMES, now=2.0)
+        self.assertEqual(NAMES[1:], view.usable_servers(2.0))
+
+    def test_peers_news_counts_at_once_and_is_passed_on_once(self) -> None:
+        view = view_of()
+        news = ServerRecord(FIRST, Incarnation(3), leaving=True)
+        self.assertEqual(1, len(view.on_record(news, 1.0)))
+        self.assertEqual((), view.on_record(news, 1.1))
+        self.assertFalse(view.takes_new_work(FIRST, 1.1))
+
+    def test_leaving_holds_until_the_server_starts_anew(self) -> None:
+        view = view_of()
+        view.on_answer(FIRST, Incarnation(3), leaving=True, now=1.0)
+        view.on_answer(FIRST, Incarnation(3), leaving=False, now=2.0)
+        self.assertFalse(view.takes_new_work(FIRST, 2.0))
+        view.on_answer(FIRST, Incarnation(4), leaving=False, now=3.0)
+        self.assertTrue(view.takes_new_work(FIRST, 3.0))
+
+    def test_list_marks_a_server_as_leaving(self) -> None:
+        self.assertEqual(NAMES[1:], view_of(FIRST).usable_servers(0.0))
+
+    def test_dropped_server_stays_while_it_answers(self) -> None:
+        view = view_of()
+        view.on_answer(FIRST, Incarnation(3), leaving=False, now=95.0)
+        read(view, NAMES[2:], now=100.0)
+        self.assertEqual((FIRST, *NAMES[2:]), view.usable_servers(100.0))
+        read(view, NAMES[2:], now=106.0)
+        self.assertEqual(NAMES[2:], view.usable_servers(106.0))
+
+    def test_empty_list_removes_no_server(self) -> None:
+        view = view_of()
+        for now in (100.0, 1000.0):
+            read(view, (), now=now)
+            self.assertEqual(NAMES, view.usable_servers(now))
--- a/camphordrift/peers/_registry.py
+++ b/camphordrift/peers/_registry.py
@@ -33,7 +33,8 @@
     """Converts declared data classes to bytes and back.
 
     A reader passes over fields that it does not know, and takes the default of a field that the
-    sender did not know. A change that this does not cover needs a new name.
+    sender did not know. A field that has its default does not travel, so a default must never
+    change. A change that this does not cover needs a new name.
     """
 
     def __init__(self) -> None:
@@ -74,7 +75,7 @@
         if message_type not in self._names:
             raise UnknownMessageError(f"{message_type.__name__} was not declared")
         name, version = self._names[message_type]
-        fields = self._adapters[message_type].dump_python(message)
+        fields = self._adapters[message_type].dump_python(message, exclude_defaults=True)
         return WireMessage(name, version, msgpack.packb(fields, default=_plain))
 
     def decode(self, wire: WireMessage) -> Result[Any, Refusal]:
