Add the membership soak

Cause: invariants of membership have to hold under faults that come together. Conclusion: holds; eviction without suspicion and no eviction at all are caught.

--- /dev/null
+++ b/camphordrift/experiments/tests/test_membership_soak.py
@@ -0,0 +1,44 @@
+"""Short seeds of the membership soak, and a broken variant that it has to catch."""
+
+from dataclasses import replace
+
+import testtools
+
+from camphordrift.experiments._membership_soak import run_membership_soak
+from camphordrift.identifiers import VmId
+from camphordrift.membership import Health, MembershipView, News
+
+
+class _EagerView(MembershipView):
+    """A broken variant: declares a VM dead as soon as a probe fails."""
+
+    def on_probe_failed(self, vm_id: VmId, started: float, now: float) -> tuple[News, ...]:
+        record = self.record_of(vm_id)
+        if record is None:
+            return ()
+        return self.on_record(replace(record, health=Health.DEAD), now)
+
+
+class _CredulousView(MembershipView):
+    """A broken variant: never declares a suspect dead."""
+
+    def on_tick(self, now: float) -> tuple[News, ...]:
+        return ()
+
+
+class MembershipSoakTest(testtools.TestCase):
+    def test_invariants_hold(self) -> None:
+        for seed in (4, 6):
+            report = run_membership_soak(seed, fault_count=25)
+            self.assertTrue(report.pairs_checked > 1000, report)
+
+    def test_broken_variants_are_caught(self) -> None:
+        for variant, seed in ((_EagerView, 2), (_CredulousView, 5)):
+            error = self.assertRaises(
+                ExceptionGroup, run_membership_soak, seed, 7, 25, view_factory=variant
+            )
+            self.assertIsNotNone(error.subgroup(AssertionError))
+
+    def test_a_seed_repeats_the_whole_run(self) -> None:
+        first, second = (run_membership_soak(9, fault_count=4) for _ in range(2))
+        self.assertEqual(first, second)
