--- a/camphordrift/gateway/_service_endpoint.py
+++ b/camphordrift/gateway/_service_endpoint.py
@@ -10,23 +10,40 @@
 from starlette.types import Receive, Scope, Send
 
 from camphordrift.backend_http import HttpAnswer
+from camphordrift.calls import Repeatability, ServiceCall
 from camphordrift.gateway._active_requests import ActiveRequest
 from camphordrift.gateway._admission import identify_caller, new_request_id
 from camphordrift.gateway._bodies import BodyReader
 from camphordrift.gateway._context import GatewayContext
 from camphordrift.gateway._errors import error_response
-from camphordrift.gateway._headers import REQUEST_ID_HEADER, read_timeout
+from camphordrift.gateway._headers import (
+    IDEMPOTENCY_KEY_HEADER,
+    REQUEST_ID_HEADER,
+    read_timeout,
+)
+from camphordrift.gateway._journal import RequestEnd, failure_of
+from camphordrift.gateway._once_calls import REPEATED_HEADER, OnceSender, http_answer_of
 from camphordrift.gateway._permissions import ServicePermission, permit_service_call
 from camphordrift.gateway._request_scope import run_while_connected
 from camphordrift.gateway._service_calls import ServiceRequest
 from camphordrift.identifiers import RequestId
 from camphordrift.results import Failure
+from camphordrift.telemetry import request_context
+
+#: The interface's name in logs and metrics.
+INTERFACE = "service"
 
 #: Headers that are passed on to a service.
 PASSED_REQUEST_HEADERS = ("content-type", "accept", "accept-language", "idempotency-key")
 
 #: Headers of a service's answer that are passed on to the caller.
-PASSED_ANSWER_HEADERS = ("content-type", "content-language", "retry-after", "location")
+PASSED_ANSWER_HEADERS = (
+    REPEATED_HEADER,
+    "content-type",
+    "content-language",
+    "retry-after",
+    "location",
+)
 
 
 class ServiceEndpoint:
@@ -43,17 +60,23 @@
         reader = BodyReader(
             self._context.body_memory, limits.max_body_bytes, limits.body_timeout_seconds
         )
-        with reader:
+        with request_context(request_id), reader:
             permitted = self._permit(request)
             if not is_successful(permitted):
-                await error_response(permitted.failure(), request_id)(scope, receive, send)
+                await self._refuse(request, request_id, permitted.failure(), send)
                 return
             body = await reader.read(request)
             if not is_successful(body):
-                await error_response(body.failure(), request_id)(scope, receive, send)
+                await self._refuse(request, request_id, body.failure(), send)
                 return
             await self._run(request, request_id, permitted.unwrap(), body.unwrap(), send)
 
+    async def _refuse(
+        self, request: Request, request_id: RequestId, failure: Failure, send: Send
+    ) -> None:
+        self._context.journal.refused(request_id, INTERFACE, failure)
+        await error_response(failure, request_id)(request.scope, request.receive, send)
+
     def _permit(self, request: Request) -> result.Result[ServicePermission, Failure]:
         caller = identify_caller(self._context, request)
         return caller.bind(
@@ -73,25 +96,27 @@
         timeout = read_timeout(request.headers, permission.timeouts)
         admitted = timeout.bind(lambda _: self._pass_gate(permission))
         if not is_successful(admitted):
-            response = error_response(admitted.failure(), request_id)
-            await response(request.scope, request.receive, send)
+            await self._refuse(request, request_id, admitted.failure(), send)
             return
         release = admitted.unwrap()
         seconds = timeout.unwrap()
         call = _service_request(request, request_id, permission, body)
 
+        active = _active_request(request_id, permission, seconds)
+
         async def work() -> None:
             answer = await self._call(call, permission, seconds)
+            self._context.journal.ended(active, RequestEnd(INTERFACE, failure_of(answer)))
             response = _response_to(answer, request_id)
             await response(request.scope, request.receive, send)
 
         try:
-            with self._context.active.track(_active_request(request_id, permission, seconds)):
-                if call.repeatable:
-                    await run_while_connected(request.receive, work)
-                else:
+            with self._context.active.track(active):
+                if not _is_repeatable(permission, request):
                     # A call that may not be repeated is finished even if its caller goes away.
                     await work()
+                elif not await run_while_connected(request.receive, work):
+                    self._context.journal.abandoned(active, INTERFACE, 0)
         finally:
             release()
 
@@ -103,7 +128,33 @@
     async def _call(
         self, call: ServiceRequest, permission: ServicePermission, seconds: float
     ) -> result.Result[HttpAnswer, Failure]:
-        return await self._context.services.call(call, permission.servers, seconds)
+        path = call.target.partition("?")[0]
+        if permission.service.is_repeatable(call.method, path):
+            return await self._context.services.call(call, permission.servers, seconds)
+        sender = OnceSender(
+            self._context.connections, self._context.server_choice, call, permission.servers
+        )
+        once = _once_call(call, permission, seconds)
+        outcome = await self._context.calls.execute(once, sender.dispatch)
+        return outcome.map(http_answer_of)
+
+
+def _is_repeatable(permission: ServicePermission, request: Request) -> bool:
+    return permission.service.is_repeatable(request.method, request.url.path)
+
+
+def _once_call(call: ServiceRequest, permission: ServicePermission, seconds: float) -> ServiceCall:
+    return ServiceCall(
+        account_id=permission.account_id,
+        service=call.service,
+        method=call.method,
+        path=call.target,
+        body=call.body,
+        content_type=call.headers.get("content-type", ""),
+        key=call.headers.get(IDEMPOTENCY_KEY_HEADER),
+        repeatability=Repeatability.ONCE_WITHOUT_KEY,
+        remaining_seconds=seconds,
+    )
 
 
 def _service_request(
@@ -117,11 +168,11 @@
     headers[REQUEST_ID_HEADER] = request_id
     return ServiceRequest(
         request_id=request_id,
+        service=permission.service.name,
         method=request.method,
         target=path + query,
         headers=headers,
         body=body,
-        repeatable=permission.service.is_repeatable(request.method, path),
     )
 
 
