Wrap long docstring lines of the configuration

Cause: the linter refuses lines over 100 columns, which the formatter leaves alone in docstrings. Change: wrapped. Conclusion: lint is clean.

--- a/camphordrift/configuration/_keeper.py
+++ b/camphordrift/configuration/_keeper.py
@@ -255,9 +255,9 @@
         """Returns whether no other source can be expected to know more.
 
         A VM that was paused while it read takes an old answer for a new one, so an answer must be
-        fresh or be confirmed by another. Where the fold has stopped, peers get the time to tell that
-        they are further. A peer's state alone may be old, too: it is relied on only once the log has been silent for long
-        enough that every live peer had the time to hand on its own.
+        fresh or be confirmed by another. Where the fold has stopped, peers get the time to tell
+        that they are further. A peer's state alone may be old, too: it is relied on only once the
+        log has been silent for long enough that every live peer had the time to hand on its own.
         """
         running_for = self._clock() - self._started_at
         if self._replica.block is not None:
--- a/camphordrift/configuration/_readiness.py
+++ b/camphordrift/configuration/_readiness.py
@@ -27,9 +27,10 @@
     """Returns whether a VM may serve.
 
     ``was_current`` tells whether it has once read to the end of the log, or has served without the
-    log on a peer's state. A VM that was ready stays so while the log is down. One whose fold has stopped serves on with
-    its last whole configuration as long as no peer is known to be further: then no VM has the
-    unreadable record in force, and turning all of them away would stop the fleet.
+    log on a peer's state. A VM that was ready stays so while the log is down. One whose fold has
+    stopped serves on with its last whole configuration as long as no peer is known to be further:
+    then no VM has the unreadable record in force, and turning all of them away would stop the
+    fleet.
     """
     if replica.state.version == 0:
         return Readiness.KNOWS_NOTHING
