--- a/camphordrift/configuration/_history.py
+++ b/camphordrift/configuration/_history.py
@@ -54,6 +54,11 @@
     #: What it changed.
     changes: tuple[HistoricChange, ...]
 
+    @property
+    def keys(self) -> tuple[EntryKey, ...]:
+        """The entries that it changed."""
+        return tuple(change.key for change in self.changes)
+
 
 @dataclass(frozen=True)
 class FieldDifference:
