Note a request's outcome before its last byte is written

Cause: the demo logged an answered request as abandoned: the disconnect that follows the last byte cancelled the work before its outcome was noted. Ruled out: the caller had received the whole answer, so nothing was cut. Change: the outcome is noted as soon as the runner returns; setup no longer tries an editable install without build isolation, which printed an error.

--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,7 @@
 $(VENV)/.installed: requirements.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e . \
-		|| $(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
 	touch $@
 
 demo: setup
--- a/camphordrift/gateway/_generation_endpoint.py
+++ b/camphordrift/gateway/_generation_endpoint.py
@@ -219,6 +219,8 @@
             nursery.start_soon(self._stream.keep_alive, KEEP_ALIVE, interval)
             outcome = await self._runner.run()
             nursery.cancel_scope.cancel()
+        # The disconnect after the last byte cancels what follows, so the outcome is noted first.
+        self._outcome = outcome
         if is_successful(outcome):
             await self._stream.write(self._format.ending(outcome.unwrap().output_tokens))
             await self._stream.end()
@@ -227,15 +229,14 @@
             await self._stream.end()
         else:
             await self._refuse(outcome.failure())
-        self._outcome = outcome
 
     async def _run_whole(self) -> None:
         outcome = await self._runner.run()
+        self._outcome = outcome
         if is_successful(outcome):
             await self._write_whole(outcome.unwrap())
         else:
             await self._refuse(outcome.failure())
-        self._outcome = outcome
 
     async def _write_whole(self, summary: GenerationSummary) -> None:
         text = "".join(self._texts)
