--- /dev/null
+++ b/camphordrift/entry/_configuration_sharing.py
@@ -0,0 +1,118 @@
+"""Gets the configuration from other VMs while the log is not to be read."""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, Optional, Protocol
+
+import trio
+from returns import result
+from returns.pipeline import is_successful
+
+from camphordrift.configuration import ConfigurationKeeper, PeerStateOutcome
+from camphordrift.identifiers import VmId
+from camphordrift.peers import PeerIdentity, RequestHandler
+from camphordrift.results import Failure
+from camphordrift.telemetry import log_event
+
+#: Time between two questions to peers, in seconds.
+ASK_INTERVAL_SECONDS = 0.5
+
+#: Peers are asked once the log has not answered for this long, in seconds.
+LOG_SILENT_AFTER_SECONDS = 1.0
+
+#: Time for a peer's answer, in seconds.
+ASK_TIMEOUT_SECONDS = 2.0
+
+
+@dataclass(frozen=True)
+class ConfigurationStateAsk:
+    """Asks a VM for its configuration if it is further in the log."""
+
+    #: The offset up to which the asking VM has applied records.
+    offset: int
+
+
+@dataclass(frozen=True)
+class ConfigurationStateAnswer:
+    """A VM's configuration with its offset."""
+
+    #: The encoded state; empty if the answering VM is not further.
+    state: bytes
+
+
+class Messenger(Protocol):
+    """What is needed of :class:`camphordrift.peers.PeerNetwork`."""
+
+    def declare(self, message_type: type, name: Optional[str] = None, version: int = 1) -> None:
+        """Makes a message known."""
+        ...
+
+    def register(self, message_type: type, handler: RequestHandler) -> None:
+        """Has ``handler`` answer requests."""
+        ...
+
+    async def request(
+        self, vm_id: VmId, message: object, timeout_seconds: float
+    ) -> result.Result[Any, Failure]:
+        """Returns a VM's answer."""
+        ...
+
+
+class ConfigurationSharing:
+    """Hands this VM's configuration to peers, and takes theirs while the log is silent.
+
+    A VM that starts during an outage of the log becomes ready this way, and one that missed a
+    record just before the outage learns it. Run :meth:`run` in a nursery.
+    """
+
+    def __init__(
+        self,
+        keeper: ConfigurationKeeper,
+        messenger: Messenger,
+        peers: Callable[[], Sequence[VmId]],
+        rng: random.Random,
+    ) -> None:
+        self._keeper = keeper
+        self._messenger = messenger
+        self._peers = peers
+        self._rng = rng
+        messenger.declare(ConfigurationStateAnswer)
+        messenger.register(ConfigurationStateAsk, self._answer)
+
+    async def run(self) -> None:
+        """Asks one peer after another while the log is silent; runs until cancelled."""
+        while True:
+            await trio.sleep(ASK_INTERVAL_SECONDS)
+            if self._needs_peers():
+                await self._ask_one()
+
+    def _needs_peers(self) -> bool:
+        status = self._keeper.status
+        return not self._keeper.is_ready or (
+            status.seconds_since_contact > LOG_SILENT_AFTER_SECONDS
+        )
+
+    async def _ask_one(self) -> None:
+        peers = self._peers()
+        if not peers:
+            return
+        peer = self._rng.choice(peers)
+        ask = ConfigurationStateAsk(self._keeper.state_offset)
+        answer = await self._messenger.request(peer, ask, ASK_TIMEOUT_SECONDS)
+        if not is_successful(answer):
+            return
+        match answer.unwrap():
+            case ConfigurationStateAnswer(state) if state:
+                outcome = self._keeper.accept_peer_state(state)
+                if outcome is PeerStateOutcome.ADOPTED:
+                    version = self._keeper.status.version
+                    log_event("configuration_from_peer", peer=peer, version=version)
+
+    async def _answer(
+        self, peer: PeerIdentity, ask: ConfigurationStateAsk
+    ) -> result.Result[ConfigurationStateAnswer, Failure]:
+        state = self._keeper.encoded_state()
+        if state is None or self._keeper.state_offset <= ask.offset:
+            return result.Success(ConfigurationStateAnswer(b""))
+        return result.Success(ConfigurationStateAnswer(state))
--- a/camphordrift/gateway/_active_requests.py
+++ b/camphordrift/gateway/_active_requests.py
@@ -32,14 +32,13 @@
 class ActiveRequests:
     """Knows every request between admission and its last byte.
 
-    A stopping VM waits with :meth:`wait_until_none`. The ids are also what the VM claims when
+    A stopping VM waits until there are none. The ids are also what the VM claims when
     engines' holds are compared with their owners.
     """
 
     def __init__(self) -> None:
         self._requests: dict[RequestId, ActiveRequest] = {}
-        self._none_left = trio.Event()
-        self._none_left.set()
+        self._changed = trio.Event()
 
     @property
     def count(self) -> int:
@@ -58,17 +57,18 @@
     @contextmanager
     def track(self, request: ActiveRequest) -> Iterator[None]:
         """Counts ``request`` as active inside the context."""
-        if not self._requests:
-            self._none_left = trio.Event()
         self._requests[request.request_id] = request
+        self._tell_changed()
         try:
             yield
         finally:
             del self._requests[request.request_id]
-            if not self._requests:
-                self._none_left.set()
+            self._tell_changed()
 
-    async def wait_until_none(self) -> None:
-        """Waits until no request is active."""
-        while self._requests:
-            await self._none_left.wait()
+    async def wait_for_change(self) -> None:
+        """Waits until a request has been added or has ended."""
+        await self._changed.wait()
+
+    def _tell_changed(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
--- a/camphordrift/gateway/_admission.py
+++ b/camphordrift/gateway/_admission.py
@@ -38,6 +38,9 @@
 
 def identify_caller(context: GatewayContext, request: Request) -> result.Result[Caller, Failure]:
     """Returns who asks, or why the VM does not answer."""
+    refusal = context.refusal()
+    if refusal is not None:
+        return result.Failure(refusal)
     snapshot: Optional[ConfigurationSnapshot] = context.snapshot()
     if snapshot is None:
         detail = "this VM does not know the configuration yet"
--- a/camphordrift/gateway/_context.py
+++ b/camphordrift/gateway/_context.py
@@ -65,6 +65,9 @@
     #: This VM.
     vm_id: VmId
 
+    #: Returns why the VM takes no new requests; ``None`` while it does.
+    refusal: Callable[[], Optional[Failure]]
+
     #: Returns the configuration in force; ``None`` before any is known.
     snapshot: Callable[[], Optional[ConfigurationSnapshot]]
 
