Run the entry VM with configuration from the log, peers and planned stops

Cause: the process held a fixed configuration and could not be stopped gracefully. Change: the process follows the configuration in the log, shares it with peers while the log is silent, joins the membership, serves the operators' port and SIGUSR1, and stops in steps on SIGTERM or on request; the demo publishes its configuration as an operator would. Measured: over sockets, a change published at one of three VMs comes into force on all; of three racing operators one gets 200 and two 409; a stop finishes a running answer of 200 tokens and refuses new requests as not run; during an outage of the log generation goes on and a booking is refused and runs 0 times. Conclusion: the process is whole except for limits and home VMs.

--- a/camphordrift/daemons/_commands_run.py
+++ b/camphordrift/daemons/_commands_run.py
@@ -22,10 +22,11 @@
     """
     # Imported here, as below, so that the help of all commands is quick.
     from camphordrift.daemons._processes import run_entry
-    from camphordrift.daemons._settings_files import entry_settings_of
+    from camphordrift.daemons._settings_files import entry_settings_of, fleet_keys_of
 
     loaded = entry_settings_of(settings)
-    return _run(lambda: run_entry(loaded))
+    keys = fleet_keys_of(loaded)
+    return _run(lambda: run_entry(loaded, keys))
 
 
 def standins(*, settings: Path) -> ExitCode:
--- a/camphordrift/daemons/_processes.py
+++ b/camphordrift/daemons/_processes.py
@@ -1,37 +1,62 @@
 """Runs the long-lived processes: an entry VM, the stand-ins, and the demo of both."""
 
-import os
-import secrets
-from collections.abc import Awaitable, Callable
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import trio
 
 from camphordrift.demo import (
     DEMO_ACCOUNT_KEYS,
-    DEMO_FLEET_KEY_VARIABLE,
     DEMO_OPERATOR_KEY,
     DemoPlan,
     demo_plan,
     open_demo_fleet,
 )
 from camphordrift.entry import EntryProcess
+from camphordrift.security import FleetKeys
 from camphordrift.settings import EntrySettings, StandinSettings
 from camphordrift.standins import StandinFleet
-from camphordrift.telemetry import STOP_SIGNALS, call_on_stop_signal, configure_logging
+from camphordrift.telemetry import (
+    DUMP_SIGNAL,
+    STOP_SIGNALS,
+    call_on_stop_signal,
+    configure_logging,
+    dump_on_signal,
+)
 
 #: Exit code of a process that stopped as planned.
 EXIT_STOPPED = 0
 
+#: Exit code of a process that cut requests or left something unwritten to stop within its bound.
+EXIT_STOPPED_LATE = 1
+
 
-def run_entry(settings: EntrySettings) -> int:
-    """Runs an entry VM until it is told to stop, and returns its exit code."""
+def run_entry(settings: EntrySettings, keys: FleetKeys) -> int:
+    """Runs an entry VM until a planned stop is over, and returns its exit code."""
     configure_logging(settings.logging_level)
+    clean = trio.run(_run_entry, settings, keys)
+    return EXIT_STOPPED if clean else EXIT_STOPPED_LATE
 
-    async def main() -> None:
-        await _until_stopped(EntryProcess(settings).run)
 
-    trio.run(main)
-    return EXIT_STOPPED
+async def _run_entry(settings: EntrySettings, keys: FleetKeys) -> bool:
+    process = EntryProcess(settings, keys)
+    clean = False
+    with (
+        trio.open_signal_receiver(DUMP_SIGNAL) as dump_signals,
+        trio.open_signal_receiver(*STOP_SIGNALS) as stop_signals,
+    ):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(dump_on_signal, dump_signals, process.dump)
+            nursery.start_soon(_stop_on_signals, stop_signals, process)
+            clean = await process.run()
+            nursery.cancel_scope.cancel()
+    return clean
+
+
+async def _stop_on_signals(signals: AsyncIterator[int], process: EntryProcess) -> None:
+    """Asks for a planned stop; each further signal hurries it."""
+    async for number in signals:
+        process.planned_stop.start(signal.Signals(number).name)
 
 
 def run_standins(settings: StandinSettings) -> int:
@@ -48,7 +73,6 @@
 def run_demo() -> int:
     """Runs a whole fleet in one process until it is told to stop, and returns the exit code."""
     configure_logging("info")
-    os.environ.setdefault(DEMO_FLEET_KEY_VARIABLE, secrets.token_urlsafe(32))
     plan = demo_plan()
 
     async def main() -> None:
--- a/camphordrift/daemons/_settings_files.py
+++ b/camphordrift/daemons/_settings_files.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result
 
 from camphordrift.daemons._exit_codes import CommandError, ExitCode
+from camphordrift.security import FleetKeys, read_fleet_keys
 from camphordrift.settings import (
     EntrySettings,
     SettingsErrors,
@@ -23,6 +24,14 @@
     return _unwrap(load_entry_settings(path))
 
 
+def fleet_keys_of(settings: EntrySettings) -> FleetKeys:
+    """Returns the fleet's keys, or ends the command with why they cannot be read."""
+    keys = read_fleet_keys(settings.fleet_keys)
+    if isinstance(keys, Failure):
+        raise CommandError(ExitCode.BAD_INPUT, str(keys.failure()))
+    return keys.unwrap()
+
+
 def standin_settings_of(path: Path) -> StandinSettings:
     """Returns the settings of stand-ins, or ends the command with what is wrong with them."""
     return _unwrap(load_standin_settings(path))
--- a/camphordrift/demo/__init__.py
+++ b/camphordrift/demo/__init__.py
@@ -1,24 +1,18 @@
 """A small fleet on loopback addresses, for a first look and for end-to-end tests."""
 
-from camphordrift.demo._fleet import DemoFleet, open_demo_fleet
-from camphordrift.demo._plan import (
-    DEMO_ACCOUNT_KEYS,
-    DEMO_FLEET_KEY_VARIABLE,
-    DEMO_MODEL,
-    DEMO_OPERATOR_KEY,
-    DEMO_SERVICE,
-    DemoPlan,
-    demo_plan,
-)
+from camphordrift.demo._configuration import DEMO_ACCOUNT_KEYS, DEMO_MODEL, DEMO_SERVICE
+from camphordrift.demo._fleet import DemoConfigurationError, DemoFleet, open_demo_fleet
+from camphordrift.demo._plan import DEMO_OPERATOR_KEY, DemoPlan, demo_plan, with_memory
 
 __all__ = [
     "DEMO_ACCOUNT_KEYS",
-    "DEMO_FLEET_KEY_VARIABLE",
     "DEMO_MODEL",
     "DEMO_OPERATOR_KEY",
     "DEMO_SERVICE",
+    "DemoConfigurationError",
     "DemoFleet",
     "DemoPlan",
     "demo_plan",
     "open_demo_fleet",
+    "with_memory",
 ]
--- a/camphordrift/demo/_fleet.py
+++ b/camphordrift/demo/_fleet.py
@@ -5,12 +5,21 @@
 from dataclasses import dataclass
 
 import trio
+from returns.pipeline import is_successful
 
-from camphordrift.configuration import snapshot_of
+from camphordrift.configuration import HIGHEST_SCHEMA_VERSION, prepare_record
 from camphordrift.demo._plan import DemoPlan
 from camphordrift.entry import EntryProcess
+from camphordrift.security import FleetKeys
 from camphordrift.standins import StandinFleet
 
+#: Time for the first configuration to be accepted, in seconds.
+PUBLISH_TIMEOUT_SECONDS = 20.0
+
+
+class DemoConfigurationError(Exception):
+    """The first configuration was not accepted."""
+
 
 @dataclass(frozen=True)
 class DemoFleet:
@@ -28,15 +37,27 @@
 
 @asynccontextmanager
 async def open_demo_fleet(plan: DemoPlan) -> AsyncIterator[DemoFleet]:
-    """Runs the fleet of ``plan`` for as long as the context is open."""
+    """Runs the fleet of ``plan``, with its configuration in force, while the context is open."""
+    keys = FleetKeys(plan.fleet_key, (plan.fleet_key,))
     standins = StandinFleet(plan.standins)
-    entries = tuple(EntryProcess(settings) for settings in plan.entries)
+    entries = tuple(EntryProcess(settings, keys) for settings in plan.entries)
     async with trio.open_nursery() as nursery:
         await nursery.start(standins.run)
         for entry in entries:
             await nursery.start(entry.run)
-            entry.apply(snapshot_of(1, 1, plan.values))
+        await _publish_first_record(plan, entries[0])
+        for entry in entries:
+            await entry.keeper.wait_ready()
         try:
             yield DemoFleet(plan, standins, entries)
         finally:
             nursery.cancel_scope.cancel()
+
+
+async def _publish_first_record(plan: DemoPlan, entry: EntryProcess) -> None:
+    record = prepare_record(plan.record, HIGHEST_SCHEMA_VERSION)
+    if not is_successful(record):
+        raise DemoConfigurationError(record.failure().detail)
+    published = await entry.keeper.publish(record.unwrap(), PUBLISH_TIMEOUT_SECONDS)
+    if not is_successful(published):
+        raise DemoConfigurationError(published.failure().failure.detail)
--- a/camphordrift/demo/_plan.py
+++ b/camphordrift/demo/_plan.py
@@ -1,28 +1,12 @@
 """Addresses, names and configuration of a small fleet on loopback."""
 
-from collections.abc import Sequence
-from dataclasses import dataclass, replace
-
-from camphordrift.configuration import (
-    AccountLimits,
-    BackendServer,
-    BackendServerKind,
-    ClientAccount,
-    ConfigurationValue,
-    Model,
-    ModelService,
-    PlainService,
-    Policy,
-    RepeatableCalls,
-)
-from camphordrift.identifiers import (
-    AccountId,
-    BackendServerId,
-    ModelName,
-    ServiceName,
-    VmId,
-    ZoneName,
-)
+import secrets
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from camphordrift.demo._configuration import DEMO_MODEL, DEMO_SERVICE, demo_record
+from camphordrift.identifiers import BackendServerId, VmId, ZoneName
 from camphordrift.security import hash_key
 from camphordrift.settings import (
     DrainingSettings,
@@ -46,24 +30,10 @@
 #: The availability zones of the demo.
 ZONES = (ZoneName("oliwa"), ZoneName("orlowo"), ZoneName("brzezno"))
 
-#: The model that the demo's engines serve.
-DEMO_MODEL = ModelName("course-assistant")
-
-#: The plain service of the demo.
-DEMO_SERVICE = ServiceName("booking-office")
-
-#: Keys of the demo's client accounts. They are printed in the documents: never use them elsewhere.
-DEMO_ACCOUNT_KEYS = {
-    AccountId("instructors"): "demo-key-instructors",
-    AccountId("candidates"): "demo-key-candidates",
-}
-
 #: The operators' key of the demo.
 DEMO_OPERATOR_KEY = "demo-key-operator"
 
-#: The environment variable with the key of the demo's fleet.
-DEMO_FLEET_KEY_VARIABLE = "CAMPHORDRIFT_DEMO_FLEET_KEY"
-
+# The ports of the demo's processes.
 CALLER_PORT = 8080
 OPERATOR_PORT = 8081
 PEER_PORT = 8082
@@ -82,8 +52,11 @@
     #: Settings of each entry VM.
     entries: tuple[EntrySettings, ...]
 
-    #: What the configuration says.
-    values: tuple[ConfigurationValue, ...]
+    #: The first configuration record, as an operator would write it.
+    record: Mapping[str, Any]
+
+    #: The key by which the VMs know each other.
+    fleet_key: str = field(repr=False)
 
 
 def demo_plan(
@@ -92,7 +65,7 @@
     """Returns the plan of a fleet whose addresses lie below ``network``, such as ``127.0.30``."""
     standins = _standins(network, vm_count, engine_count, service_count)
     entries = tuple(_entry(network, index, vm_count, standins) for index in range(vm_count))
-    return DemoPlan(standins, entries, tuple(_values(standins)))
+    return DemoPlan(standins, entries, demo_record(standins), secrets.token_urlsafe(32))
 
 
 def with_memory(plan: DemoPlan, memory_tokens: int) -> DemoPlan:
@@ -101,7 +74,7 @@
         replace(engine, memory_tokens=memory_tokens) for engine in plan.standins.engines
     )
     standins = replace(plan.standins, engines=engines)
-    return replace(plan, standins=standins, values=tuple(_values(standins)))
+    return replace(plan, standins=standins, record=demo_record(standins))
 
 
 def _zone(index: int) -> ZoneName:
@@ -177,7 +150,7 @@
             weight_store_url=f"http://{standins.weight_store.listen}",
         ),
         seed_peers=tuple(others),
-        fleet_keys=KeySources(environment_variables=(DEMO_FLEET_KEY_VARIABLE,)),
+        fleet_keys=KeySources(),
         operator_key_hashes=(hash_key(DEMO_OPERATOR_KEY),),
         tls=TlsSettings(),
         limits=LimitSettings(
@@ -192,50 +165,3 @@
         draining=DrainingSettings(drain_bound_seconds=60.0, balancer_lag_seconds=1.0),
         logging_level="info",
     )
-
-
-def _values(standins: StandinSettings) -> Sequence[ConfigurationValue]:
-    engines_service = ServiceName(DEMO_MODEL)
-    values: list[ConfigurationValue] = [
-        ModelService(engines_service, default_timeout_seconds=60.0, maximum_timeout_seconds=600.0),
-        Model(DEMO_MODEL, "1", engines_service, maximum_context_tokens=1_200_000),
-        PlainService(
-            DEMO_SERVICE,
-            f"/{DEMO_SERVICE}",
-            repeatable_calls=(RepeatableCalls("GET", "/"),),
-            default_timeout_seconds=10.0,
-            maximum_timeout_seconds=30.0,
-        ),
-    ]
-    for account_id, key in DEMO_ACCOUNT_KEYS.items():
-        values.append(ClientAccount(account_id, (hash_key(key),)))
-        values.append(AccountLimits(account_id, 200.0, 2_000_000.0, 200))
-        values.append(Policy(f"{account_id}-assistant", account_id, engines_service))
-        values.append(Policy(f"{account_id}-booking", account_id, DEMO_SERVICE))
-    values.extend(_engine_value(engine, engines_service) for engine in standins.engines)
-    values.extend(_service_value(server) for server in standins.services)
-    return values
-
-
-def _engine_value(engine: EngineSettings, service: ServiceName) -> BackendServer:
-    return BackendServer(
-        server_id=engine.engine_id,
-        service=service,
-        kind=BackendServerKind.ENGINE,
-        address=engine.listen.host,
-        port=engine.listen.port,
-        zone=engine.availability_zone,
-        memory_tokens=engine.memory_tokens,
-        checks_fencing=engine.checks_fencing,
-    )
-
-
-def _service_value(server: PlainServiceSettings) -> BackendServer:
-    return BackendServer(
-        server_id=server.server_id,
-        service=server.service,
-        kind=BackendServerKind.PLAIN,
-        address=server.listen.host,
-        port=server.listen.port,
-        zone=server.availability_zone,
-    )
--- a/camphordrift/entry/_engine_watch.py
+++ b/camphordrift/entry/_engine_watch.py
@@ -1,6 +1,6 @@
 """Reads the engines' load and cache events, and tells whoever decides for them."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import trio
@@ -8,6 +8,7 @@
 from camphordrift.backend_servers import BackendError, EngineClient
 from camphordrift.configuration import BackendServer, ConfigurationSnapshot
 from camphordrift.identifiers import BackendServerId, Incarnation
+from camphordrift.membership import MembershipService
 from camphordrift.routing import EngineFacts, LocalGrantSource
 
 #: Time between two readings of one engine's load, in seconds.
@@ -35,11 +36,11 @@
         self,
         engines: EngineClient,
         grants: LocalGrantSource,
-        on_leaving: Callable[[BackendServerId], None],
+        membership: MembershipService,
     ) -> None:
         self._engines = engines
         self._grants = grants
-        self._on_leaving = on_leaving
+        self._membership = membership
         self._watched: dict[BackendServerId, _Watched] = {}
         self._wanted: dict[BackendServerId, BackendServer] = {}
         self._changed = trio.Event()
@@ -78,8 +79,9 @@
                 watched.incarnation = report.incarnation
                 watched.cache_sequence = 0
             self._grants.observe_load(report)
-            if report.leaving:
-                self._on_leaving(engine_id)
+            self._membership.on_server_answer(engine_id, report.incarnation, report.leaving)
+            if self._membership.servers.is_leaving(engine_id):
+                self._grants.mark_leaving(engine_id)
             batch = await self._engines.read_cache_events(engine_id, watched.cache_sequence)
             if batch.events:
                 watched.cache_sequence = batch.events[-1].sequence
--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -7,9 +7,14 @@
 import trio
 
 from camphordrift.backend_http import HttpConnections, HttpEngineClient
-from camphordrift.configuration import ConfigurationSnapshot
+from camphordrift.configuration import ConfigurationKeeper, ConfigurationSnapshot, KeeperSettings
+from camphordrift.draining import DrainController
+from camphordrift.entry._configuration_sharing import ConfigurationSharing
 from camphordrift.entry._engine_watch import EngineWatch
 from camphordrift.entry._log_access import call_coordinator, log_access
+from camphordrift.entry._peer_access import peer_access
+from camphordrift.entry._readiness import ReadinessCheck
+from camphordrift.entry._stop import PlannedStop, StopActions, drain_settings
 from camphordrift.gateway import (
     ActiveRequests,
     BodyMemory,
@@ -25,72 +30,149 @@
 )
 from camphordrift.http_server import serve_http
 from camphordrift.identifiers import BackendServerId, Incarnation
+from camphordrift.operations import ConfigurationOperations, OperatorServices, operators_app
 from camphordrift.routing import local_grant_source, pool_scheduler
+from camphordrift.security import FleetKeys
 from camphordrift.settings import EntrySettings
-from camphordrift.telemetry import DecisionRecord, Metrics
+from camphordrift.telemetry import DecisionRecord, Metrics, StateDump, log_event
 
 
 class EntryProcess:
-    """An entry VM's process.
+    """An entry VM's process. Make it inside the loop.
 
     Example::
 
-        process = EntryProcess(settings)
+        process = EntryProcess(settings, keys)
         await nursery.start(process.run)
     """
 
-    def __init__(self, settings: EntrySettings) -> None:
+    def __init__(self, settings: EntrySettings, keys: FleetKeys) -> None:
         self._settings = settings
-        self._snapshot: Optional[ConfigurationSnapshot] = None
-        idle_seconds = settings.limits.between_bytes_timeout_seconds
-        self._connections = HttpConnections(idle_seconds)
-        self._engines = HttpEngineClient(self._connections, self._address_of)
-        self._grants = local_grant_source(pool_scheduler())
-        incarnation = Incarnation(int(time.time() * 1000))
         vm_id = settings.vm.vm_id
-        self._log = log_access(self._connections, settings.platform.log_url, vm_id)
-        self._calls = call_coordinator(self._log, vm_id, incarnation)
-        self._watch = EngineWatch(self._engines, self._grants, self._grants.mark_leaving)
-        self._active = ActiveRequests()
-        self._metrics = Metrics(settings.vm.vm_id)
+        incarnation = Incarnation(int(time.time() * 1000))
+        rng = random.Random()
+        self._metrics = Metrics(vm_id)
         self._decisions = DecisionRecord()
+        self._dump = StateDump()
         self._journal = RequestJournal(self._metrics, self._decisions)
+        self._active = ActiveRequests()
         self._body_memory = BodyMemory(settings.limits.max_held_body_bytes)
+        self._connections = HttpConnections(settings.limits.between_bytes_timeout_seconds)
+        self._peers = peer_access(settings, incarnation, keys, self._connections)
+        self._log = log_access(self._connections, settings.platform.log_url, vm_id)
+        self._keeper = ConfigurationKeeper(
+            self._log.transport,
+            self._log.writer,
+            KeeperSettings(),
+            trio.current_time,
+            time.time,
+            rng,
+            self._peers.schema_versions,
+        )
+        self._sharing = ConfigurationSharing(
+            self._keeper, self._peers.network, self._peers.other_vms, rng
+        )
+        self._calls = call_coordinator(self._log, vm_id, incarnation)
+        self._engines = HttpEngineClient(self._connections, self._address_of)
+        self._grants = local_grant_source(pool_scheduler())
+        self._watch = EngineWatch(self._engines, self._grants, self._peers.membership)
+        self._server_choice = ServerChoice(self._address_of, self._takes_work, rng)
+        self._services = ServiceCaller(self._connections, self._server_choice, rng)
+        self._attempt_policy = BudgetedAttemptPolicy(rng, self._note_failed)
+        self._stop = PlannedStop(
+            drain_settings(settings.draining),
+            self._active,
+            StopActions(
+                announce_leaving=self._peers.membership.announce_leaving,
+                hand_over=trio.lowlevel.checkpoint,
+                flush=self._calls.flush,
+            ),
+        )
+        self._readiness = ReadinessCheck(lambda: self._keeper.readiness, self._drain_controller)
+        self._register_dumps()
 
     @property
     def body_memory(self) -> BodyMemory:
         """Memory for callers' bodies."""
         return self._body_memory
 
-    def apply(self, snapshot: ConfigurationSnapshot) -> None:
-        """Puts ``snapshot`` in force."""
-        self._snapshot = snapshot
-        self._watch.configure(snapshot)
+    @property
+    def active_count(self) -> int:
+        """Requests that are admitted and not answered."""
+        return self._active.count
+
+    @property
+    def keeper(self) -> ConfigurationKeeper:
+        """The configuration."""
+        return self._keeper
+
+    @property
+    def planned_stop(self) -> PlannedStop:
+        """The graceful shutdown."""
+        return self._stop
+
+    @property
+    def dump(self) -> StateDump:
+        """The state dump."""
+        return self._dump
 
-    async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
-        """Serves until cancelled."""
+    async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> bool:
+        """Serves until a planned stop is over; returns whether it cut nothing."""
+        clean = False
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._grants.run)
-            nursery.start_soon(self._watch.run)
-            nursery.start_soon(self._log.run)
-            nursery.start_soon(self._calls.run)
-            app = gateway_app(self._context())
-            await nursery.start(serve_http, app, self._settings.listen.callers)
+            for part in self._background_tasks():
+                nursery.start_soon(part)
+            await nursery.start(
+                serve_http,
+                operators_app(self._operator_services()),
+                self._settings.listen.operators,
+            )
+            await nursery.start(
+                serve_http, gateway_app(self._context()), self._settings.listen.callers
+            )
+            log_event("vm_started", vm=self._settings.vm.vm_id)
             task_status.started()
+            clean = await self._stop.run()
+            nursery.cancel_scope.cancel()
+        log_event("vm_stopped", vm=self._settings.vm.vm_id, clean=clean)
+        return clean
+
+    def _background_tasks(self) -> tuple[Any, ...]:
+        return (
+            self._peers.run,
+            self._log.run,
+            self._keeper.run,
+            self._sharing.run,
+            self._calls.run,
+            self._grants.run,
+            self._watch.run,
+            self._apply_configuration,
+        )
+
+    async def _apply_configuration(self) -> None:
+        """Tells the parts that hold derived state whenever the configuration changes."""
+        applied = 0
+        while True:
+            snapshot = self._keeper.snapshot
+            if snapshot is not None and snapshot.version > applied:
+                applied = snapshot.version
+                self._watch.configure(snapshot)
+                log_event("configuration_applied", version=snapshot.version, offset=snapshot.offset)
+            await self._keeper.wait_for_change()
 
     def _context(self) -> GatewayContext:
         limits = self._settings.limits
-        choice = ServerChoice(self._address_of, lambda server: True, random.Random())
         return GatewayContext(
             vm_id=self._settings.vm.vm_id,
-            snapshot=lambda: self._snapshot,
+            refusal=self._readiness.for_request,
+            snapshot=lambda: self._keeper.snapshot,
             grants=self._grants,
             engines=self._engines,
-            services=ServiceCaller(self._connections, choice, random.Random()),
-            server_choice=choice,
+            services=self._services,
+            server_choice=self._server_choice,
             calls=self._calls,
             connections=self._connections,
-            attempt_policy=BudgetedAttemptPolicy(random.Random(), self._note_failed),
+            attempt_policy=self._attempt_policy,
             gate=OpenGate(),
             active=self._active,
             body_memory=self._body_memory,
@@ -101,15 +183,48 @@
             journal=self._journal,
         )
 
+    def _operator_services(self) -> OperatorServices:
+        return OperatorServices(
+            vm_id=self._settings.vm.vm_id,
+            key_hashes=self._settings.operator_key_hashes,
+            readiness=self._readiness.for_balancer,
+            metrics=self._metrics,
+            dump=self._dump,
+            decisions=self._decisions,
+            configuration=ConfigurationOperations(self._keeper, self._peers.schema_versions),
+            drain=self._stop,
+        )
+
+    def _register_dumps(self) -> None:
+        self._dump.register("configuration", lambda: self._keeper.status)
+        self._dump.register("membership", self._peers.membership.dump_state)
+        self._dump.register("peers", self._peers.network.dump_state)
+        self._dump.register("log_writer", lambda: self._log.writer.statistics)
+        self._dump.register("requests", self._active.all)
+        self._dump.register("body_bytes", lambda: self._body_memory.used_bytes)
+        self._dump.register("calls", self._calls.dump_state)
+        self._dump.register("retries", self._attempt_policy.dump_state)
+        self._dump.register("service_retries", self._services.dump_state)
+        self._dump.register("circuit_breakers", self._server_choice.breakers.dump_state)
+        self._dump.register("stop", self._stop.progress)
+        self._dump.register("decisions", self._decisions.snapshot)
+
+    def _drain_controller(self) -> DrainController:
+        return self._stop.controller
+
+    def _takes_work(self, server_id: BackendServerId) -> bool:
+        return not self._peers.membership.servers.is_leaving(server_id)
+
     def _note_failed(self, failed: FailedAttempt) -> None:
         self._journal.attempt_failed(
             failed.request_id, failed.engine_id, failed.attempt, failed.error
         )
 
     def _address_of(self, server_id: BackendServerId) -> Optional[str]:
-        if self._snapshot is None:
+        snapshot: Optional[ConfigurationSnapshot] = self._keeper.snapshot
+        if snapshot is None:
             return None
-        server = self._snapshot.server_named(server_id)
+        server = snapshot.server_named(server_id)
         if server is None:
             return None
         host = f"[{server.address}]" if ":" in server.address else server.address
--- a/camphordrift/entry/_stop.py
+++ b/camphordrift/entry/_stop.py
@@ -122,9 +122,7 @@
                 case CutRemaining(running):
                     log_event("stop_cuts_requests", level=LogLevel.ERROR, running=running)
                 case HandOver(seconds):
-                    nursery.start_soon(
-                        self._act, self._actions.hand_over, seconds, HandoverDone()
-                    )
+                    nursery.start_soon(self._act, self._actions.hand_over, seconds, HandoverDone())
                 case Flush(seconds):
                     nursery.start_soon(self._act, self._actions.flush, seconds, FlushDone())
                 case Exit(clean):
--- a/camphordrift/membership/_servers.py
+++ b/camphordrift/membership/_servers.py
@@ -76,6 +76,14 @@
             return not server.listed.leaving
         return server.record is not None and now - server.heard_at < ANSWERED_WITHIN_SECONDS
 
+    def is_leaving(self, server_id: BackendServerId) -> bool:
+        """Tells whether the server itself, a peer or the list says that it leaves."""
+        server = self._servers.get(server_id)
+        if server is None:
+            return False
+        says_leaving = server.record is not None and server.record.leaving
+        return says_leaving or (server.listed is not None and server.listed.leaving)
+
     def usable_servers(self, now: float) -> tuple[BackendServerId, ...]:
         """Returns all servers that may get new work."""
         return tuple(s for s in sorted(self._servers) if self.takes_new_work(s, now))
--- a/camphordrift/platform_http/__init__.py
+++ b/camphordrift/platform_http/__init__.py
@@ -1,6 +1,6 @@
 """The platform's services over HTTP: the log and the list of VMs."""
 
 from camphordrift.platform_http._log_transport import HttpLogTransport
-from camphordrift.platform_http._vm_list import ListedVm, VmListClient, VmListUnavailableError
+from camphordrift.platform_http._vm_list import VmListClient, VmListUnavailableError
 
-__all__ = ["HttpLogTransport", "ListedVm", "VmListClient", "VmListUnavailableError"]
+__all__ = ["HttpLogTransport", "VmListClient", "VmListUnavailableError"]
--- a/camphordrift/platform_http/_vm_list.py
+++ b/camphordrift/platform_http/_vm_list.py
@@ -1,49 +1,34 @@
-"""The platform's list of live and leaving VMs. It lags behind the truth."""
+"""Reads the platform's list of live and leaving VMs over HTTP."""
 
 import json
-from dataclasses import dataclass
+from collections.abc import Mapping
+from typing import Any
 
 from camphordrift.backend_http import HttpCall, HttpConnections
 from camphordrift.backend_servers import BackendError
-from camphordrift.identifiers import VmId, ZoneName
+from camphordrift.identifiers import BackendServerId, VmId, ZoneName
+from camphordrift.membership import ListedServer, ListedVm, PlatformList, platform_list
 
 #: Time that the service is given for one request, in seconds.
 VM_LIST_TIMEOUT_SECONDS = 2.0
 
 
-class VmListUnavailableError(Exception):
+class VmListUnavailableError(OSError):
     """The list could not be read; what was read last still stands."""
 
 
-@dataclass(frozen=True)
-class ListedVm:
-    """One VM as the platform lists it: an entry VM or the VM of a backend server."""
-
-    #: The VM's name.
-    vm_id: VmId
-
-    #: Its IP number.
-    address: str
-
-    #: The port on which other VMs of the system reach it; zero for backend servers.
-    peer_port: int
-
-    #: Its availability zone.
-    zone: ZoneName
-
-    #: True once the platform has been told that it will stop.
-    leaving: bool
-
-
 class VmListClient:
-    """Reads the list over HTTP."""
+    """Reads the list.
+
+    An entry with ``peer_port`` is an entry VM; one with ``url`` runs a backend server.
+    """
 
     def __init__(self, connections: HttpConnections, base_url: str) -> None:
         self._connections = connections
         self._base_url = base_url
 
-    async def read(self) -> tuple[ListedVm, ...]:
-        """Returns the listed VMs; raises :class:`VmListUnavailableError`."""
+    async def read(self) -> PlatformList:
+        """Returns the list; raises :class:`VmListUnavailableError`."""
         call = HttpCall("GET", self._base_url, "/vms")
         try:
             answer = await self._connections.fetch(call, VM_LIST_TIMEOUT_SECONDS)
@@ -52,16 +37,31 @@
         if answer.status != 200:
             raise VmListUnavailableError(f"the VM list answered with status {answer.status}")
         try:
-            return tuple(_decode(entry) for entry in json.loads(answer.body)["vms"])
+            return _decode(json.loads(answer.body)["vms"])
         except (ValueError, KeyError, TypeError) as error:
             raise VmListUnavailableError(f"the VM list cannot be read: {error!r}") from error
 
 
-def _decode(entry: dict[str, object]) -> ListedVm:
+def _decode(entries: list[Mapping[str, Any]]) -> PlatformList:
+    vms = tuple(_vm(entry) for entry in entries if "peer_port" in entry)
+    servers = tuple(_server(entry) for entry in entries if "url" in entry)
+    return platform_list(vms, servers)
+
+
+def _vm(entry: Mapping[str, Any]) -> ListedVm:
     return ListedVm(
         vm_id=VmId(str(entry["vm_id"])),
-        address=str(entry["address"]),
-        peer_port=int(str(entry.get("peer_port", 0))),
+        ip=str(entry["address"]),
+        port=int(entry["peer_port"]),
+        zone=ZoneName(str(entry["zone"])),
+        leaving=bool(entry.get("leaving", False)),
+    )
+
+
+def _server(entry: Mapping[str, Any]) -> ListedServer:
+    return ListedServer(
+        server_id=BackendServerId(str(entry["vm_id"])),
+        url=str(entry["url"]),
         zone=ZoneName(str(entry["zone"])),
         leaving=bool(entry.get("leaving", False)),
     )
--- a/camphordrift/standins/_fleet.py
+++ b/camphordrift/standins/_fleet.py
@@ -1,13 +1,13 @@
 """Runs all stand-ins of one process over HTTP."""
 
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import trio
 
 from camphordrift.http_server import serve_http
-from camphordrift.identifiers import BackendServerId
+from camphordrift.identifiers import BackendServerId, ZoneName
 from camphordrift.settings import (
     EngineSettings,
     SocketAddress,
@@ -139,7 +139,7 @@
 
 
 def _listed_vms(settings: StandinSettings) -> tuple[dict[str, Any], ...]:
-    return tuple(
+    entries: list[dict[str, Any]] = [
         {
             "vm_id": vm.vm_id,
             "address": vm.peers.host,
@@ -148,4 +148,17 @@
             "leaving": False,
         }
         for vm in settings.vm_list.vms
-    )
+    ]
+    for server_id, zone, listen in _backend_servers(settings):
+        url = f"http://{listen}"
+        entries.append({"vm_id": server_id, "url": url, "zone": zone, "leaving": False})
+    return tuple(entries)
+
+
+def _backend_servers(
+    settings: StandinSettings,
+) -> Iterator[tuple[BackendServerId, ZoneName, SocketAddress]]:
+    for engine in settings.engines:
+        yield engine.engine_id, engine.availability_zone, engine.listen
+    for service in settings.services:
+        yield service.server_id, service.availability_zone, service.listen
--- /dev/null
+++ b/camphordrift/tests/test_operators.py
@@ -0,0 +1,131 @@
+"""Tests of what operators do to a running fleet, over real sockets."""
+
+import json
+from typing import Any
+
+import testtools
+import trio
+import uuid6
+
+from camphordrift.backend_http import HttpAnswer, HttpCall, HttpConnections
+from camphordrift.demo import DEMO_OPERATOR_KEY, DemoFleet
+from camphordrift.tests.fleet_client import Client, own_plan, with_fleet
+
+
+async def operate(
+    fleet: DemoFleet,
+    connections: HttpConnections,
+    vm: int,
+    method: str,
+    target: str,
+    body: Any = None,
+) -> HttpAnswer:
+    """Sends one request to the operators' port of a VM."""
+    content = b"" if body is None else json.dumps(body).encode()
+    base_url = f"http://{fleet.plan.entries[vm].listen.operators}"
+    headers = (("Authorization", f"Bearer {DEMO_OPERATOR_KEY}"),)
+    return await connections.fetch(HttpCall(method, base_url, target, content, headers), 20.0)
+
+
+def limits_record(requests_per_second: float, replaces: int) -> dict[str, Any]:
+    """Returns a record that changes one account's limits."""
+    value = {
+        "requests_per_second": requests_per_second,
+        "tokens_per_second": 1000.0,
+        "concurrency": 5,
+    }
+    change = {
+        "kind": "account_limits",
+        "key": "candidates",
+        "replaces": replaces,
+        "value": value,
+    }
+    return {"author": "ola", "note": "busy season", "changes": [change]}
+
+
+class ConfigurationTest(testtools.TestCase):
+    def test_a_change_published_at_one_vm_comes_into_force_on_all(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            record = limits_record(7.0, replaces=1)
+            answer = await operate(fleet, connections, 0, "POST", "/configuration", record)
+            self.assertEqual(200, answer.status, str(answer.body))
+            for entry in fleet.entries:
+                while entry.keeper.status.version < 2:
+                    await entry.keeper.wait_for_change()
+
+        with_fleet(test, own_plan(vm_count=3))
+
+    def test_of_two_racing_operators_one_wins_and_the_other_is_told(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            statuses: list[int] = []
+
+            async def publish(vm: int) -> None:
+                record = limits_record(10.0 + vm, replaces=1)
+                answer = await operate(fleet, connections, vm, "POST", "/configuration", record)
+                statuses.append(answer.status)
+
+            async with trio.open_nursery() as nursery:
+                for vm in range(3):
+                    nursery.start_soon(publish, vm)
+            self.assertEqual([200, 409, 409], sorted(statuses))
+
+        with_fleet(test, own_plan(vm_count=3))
+
+
+class StateDumpTest(testtools.TestCase):
+    def test_tells_members_configuration_and_recent_decisions(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            await Client(fleet, connections).send("POST", "/v1/completions", b"{", headers=())
+            answer = await operate(fleet, connections, 0, "GET", "/dump")
+            dump = json.loads(answer.body)
+            self.assertEqual(1, dump["configuration"]["version"])
+            self.assertEqual("admission", dump["decisions"][0]["component"])
+            self.assertNotIn(fleet.plan.fleet_key, answer.body.decode())
+
+        with_fleet(test)
+
+
+class PlannedStopTest(testtools.TestCase):
+    def test_finishes_what_was_admitted_and_then_refuses_as_not_run(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            client = Client(fleet, connections)
+            answers: list[HttpAnswer] = []
+
+            async def ask() -> None:
+                body = {"model": "course-assistant", "prompt": "x", "max_tokens": 200}
+                answers.append(await client.send("POST", "/v1/completions", body))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                while fleet.entries[0].active_count == 0:
+                    await trio.sleep(0.01)
+                started = await operate(fleet, connections, 0, "POST", "/drain", {})
+                self.assertEqual(202, started.status)
+                ready = await operate(fleet, connections, 0, "GET", "/ready")
+                self.assertEqual(503, ready.status)
+                while fleet.entries[0].planned_stop.controller.admits_requests:
+                    await trio.sleep(0.01)
+                refused = await client.send("POST", "/v1/completions", b"{}")
+                self.assertEqual("not_run", json.loads(refused.body)["error"]["run_state"])
+            self.assertEqual(200, answers[0].status)
+            tokens = json.loads(answers[0].body)["usage"]["completion_tokens"]
+            self.assertEqual(200, tokens)
+
+        with_fleet(test)
+
+
+class LogOutageTest(testtools.TestCase):
+    def test_generation_goes_on_and_bookings_are_refused_as_not_run(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            fleet.standins.control.apply("log.outage", {"silent": True})
+            client = Client(fleet, connections)
+            body = {"model": "course-assistant", "prompt": "x", "max_tokens": 5}
+            generated = await client.send("POST", "/v1/completions", body)
+            self.assertEqual(200, generated.status)
+            key = (("Idempotency-Key", str(uuid6.uuid7())),)
+            booking = {"reference": "during-outage"}
+            booked = await client.send("POST", "/booking-office/bookings", booking, headers=key)
+            self.assertEqual("not_run", json.loads(booked.body)["error"]["run_state"])
+            self.assertEqual(0, fleet.standins.books.runs["during-outage"])
+
+        with_fleet(test)
