--- a/camphordrift/configuration/__init__.py
+++ b/camphordrift/configuration/__init__.py
@@ -11,6 +11,7 @@
 from camphordrift.configuration._fold import (
     Accepted,
     Conflict,
+    FieldDifference,
     Rejected,
     Verdict,
     decide,
@@ -18,11 +19,11 @@
 )
 from camphordrift.configuration._history import (
     EntryDifference,
-    FieldDifference,
+    FieldChange,
     HistoricChange,
     History,
     HistoryEntry,
-    differences_between,
+    changed_fields,
 )
 from camphordrift.configuration._keeper import ConfigurationKeeper, KeeperStatus
 from camphordrift.configuration._keeper_settings import CONFIGURATION_STREAM, KeeperSettings
@@ -109,6 +110,7 @@
     "Entry",
     "EntryDifference",
     "EntryKey",
+    "FieldChange",
     "FieldDifference",
     "FleetTuning",
     "HistoricChange",
@@ -136,10 +138,10 @@
     "Unreadable",
     "UnreadableSchema",
     "Verdict",
+    "changed_fields",
     "decide",
     "decode",
     "difference",
-    "differences_between",
     "encode_checkpoint",
     "encode_record",
     "entry_key_of",
--- a/camphordrift/configuration/_fold.py
+++ b/camphordrift/configuration/_fold.py
@@ -4,13 +4,30 @@
 from typing import Optional, Union
 
 from camphordrift.configuration._checks import find_fault
-from camphordrift.configuration._history import FieldDifference, differences_between
+from camphordrift.configuration._history import changed_fields
 from camphordrift.configuration._proposal import Proposal
 from camphordrift.configuration._records import Change, ConfigurationRecord, EntryKey
 from camphordrift.configuration._state import ConfigurationState
 from camphordrift.results import Failure, ResultCode
 
 
+@dataclass(frozen=True)
+class FieldDifference:
+    """One field in which a rejected record differs from what is in force."""
+
+    #: The field's name.
+    field: str
+
+    #: What is in force; ``None`` if the field is not given.
+    in_force: object
+
+    #: What the record wants; ``None`` if the field is not given.
+    wanted: object
+
+    def __str__(self) -> str:
+        return f"{self.field} is {self.in_force!r}, the record wants {self.wanted!r}"
+
+
 @dataclass(frozen=True)
 class Conflict:
     """An entry that was changed since the author of a rejected record looked at it."""
@@ -31,10 +48,7 @@
     differences: tuple[FieldDifference, ...]
 
     def __str__(self) -> str:
-        changed = "; ".join(
-            f"{difference.field} is {difference.old!r}, the record wants {difference.new!r}"
-            for difference in self.differences
-        )
+        changed = "; ".join(str(difference) for difference in self.differences)
         return (
             f"{self.key} is at version {self.version} by {self.author or 'nobody'},"
             f" the record replaces {self.replaces}: {changed or 'no difference'}"
@@ -100,12 +114,16 @@
 def _conflict(state: ConfigurationState, change: Change) -> Conflict:
     entry = state.entry(change.key)
     wanted = None if change.value is None else change.value.raw
+    differences = tuple(
+        FieldDifference(changed.field, changed.old, changed.new)
+        for changed in changed_fields(state.raw_value_of(change.key), wanted)
+    )
     return Conflict(
         change.key,
         change.replaces,
         state.version_of(change.key),
         "" if entry is None else entry.author,
-        differences_between(state.raw_value_of(change.key), wanted),
+        differences,
     )
 
 
--- a/camphordrift/configuration/_history.py
+++ b/camphordrift/configuration/_history.py
@@ -61,16 +61,16 @@
 
 
 @dataclass(frozen=True)
-class FieldDifference:
-    """One field that differs between two values."""
+class FieldChange:
+    """One field that differs between two values of an entry."""
 
     #: The field's name.
     field: str
 
-    #: What the earlier value says, or the one in force; ``None`` if the field is not given.
+    #: What the earlier value says; ``None`` if the field is not given.
     old: object
 
-    #: What the later value says, or the one wanted; ``None`` if the field is not given.
+    #: What the later value says; ``None`` if the field is not given.
     new: object
 
 
@@ -88,7 +88,7 @@
     removes: bool
 
     #: The fields that differ.
-    fields: tuple[FieldDifference, ...]
+    fields: tuple[FieldChange, ...]
 
 
 class History:
@@ -144,14 +144,12 @@
         return len(self._entries) > REMEMBERED_RECORDS or self._change_count > REMEMBERED_CHANGES
 
 
-def differences_between(
-    old: Optional[RawValue], new: Optional[RawValue]
-) -> tuple[FieldDifference, ...]:
+def changed_fields(old: Optional[RawValue], new: Optional[RawValue]) -> tuple[FieldChange, ...]:
     """Returns the fields in which two values differ, by name."""
     before = old or {}
     after = new or {}
     return tuple(
-        FieldDifference(field, before.get(field), after.get(field))
+        FieldChange(field, before.get(field), after.get(field))
         for field in sorted(set(before) | set(after))
         if before.get(field) != after.get(field)
     )
@@ -166,7 +164,7 @@
     found = []
     for key in sorted(first, key=str):
         before, after = first[key].before, last[key].after
-        fields = differences_between(before, after)
+        fields = changed_fields(before, after)
         if fields or (before is None) != (after is None):
             found.append(EntryDifference(key, first[key].version_before, after is None, fields))
     return tuple(found)
--- a/camphordrift/configuration/_publishing.py
+++ b/camphordrift/configuration/_publishing.py
@@ -13,7 +13,7 @@
     Verdict,
     decide,
 )
-from camphordrift.configuration._history import EntryDifference, differences_between
+from camphordrift.configuration._history import EntryDifference, changed_fields
 from camphordrift.configuration._records import (
     HIGHEST_SCHEMA_VERSION,
     ConfigurationRecord,
@@ -132,7 +132,7 @@
     found = []
     for change in record.changes:
         wanted = None if change.value is None else change.value.raw
-        fields = differences_between(state.raw_value_of(change.key), wanted)
+        fields = changed_fields(state.raw_value_of(change.key), wanted)
         version = state.version_of(change.key)
         found.append(EntryDifference(change.key, version, change.value is None, fields))
     return tuple(found)
--- a/camphordrift/configuration/tests/test_fold.py
+++ b/camphordrift/configuration/tests/test_fold.py
@@ -205,7 +205,7 @@
 
 
 def _fields(difference: Any) -> tuple[str, object, object]:
-    return (difference.field, difference.old, difference.new)
+    return (difference.field, difference.in_force, difference.wanted)
 
 
 class FoldPropertiesTest(testtools.TestCase):
