--- a/camphordrift/calls/__init__.py
+++ b/camphordrift/calls/__init__.py
@@ -6,7 +6,9 @@
     DispatchPermit,
     new_claim_attempt,
 )
+from camphordrift.calls._claims import ClaimMaker
 from camphordrift.calls._coordinator import CallCoordinator
+from camphordrift.calls._gates import OpenGate, SingleGate
 from camphordrift.calls._keys import KEY_MAX_AHEAD_SECONDS, CallKey, parse_call_key
 from camphordrift.calls._ledger import ClaimLedger, ClaimVerdict
 from camphordrift.calls._messages import (
@@ -62,6 +64,7 @@
     "CallsState",
     "ClaimAttempt",
     "ClaimLedger",
+    "ClaimMaker",
     "ClaimRecord",
     "ClaimVerdict",
     "Claimant",
@@ -81,12 +84,14 @@
     "KeyTooOld",
     "KeyUndecidable",
     "MarkRecord",
+    "OpenGate",
     "OutcomeKind",
     "OutcomeRecord",
     "PartitionState",
     "Repeatability",
     "SendGate",
     "ServiceCall",
+    "SingleGate",
     "VoidRecord",
     "claim_partition",
     "claim_stream",
--- a/camphordrift/calls/_coordinator.py
+++ b/camphordrift/calls/_coordinator.py
@@ -111,6 +111,10 @@
         """Waits until the log has every outcome; call it before a planned stop."""
         await self._background.wait_until_empty()
 
+    def look_up(self, key: CallKey, body_digest: bytes) -> KeyStanding:
+        """Tells where a key stands as far as this process has folded the log."""
+        return self._claims.look_up(key, body_digest)
+
     def dump_state(self) -> CallsState:
         """Returns what a state dump shows."""
         return CallsState(
@@ -145,9 +149,10 @@
         if self._background.is_full:
             return self._refuse(claim_not_made("too many outcomes wait for the log"))
         attempt = self._new_attempt(key, digest, call)
+        deadline = trio.current_time() + call.remaining_seconds
         self._in_flight[key] = attempt
         try:
-            return await self._run_attempt(attempt, call, dispatch)
+            return await self._run_attempt(attempt, call, dispatch, deadline)
         finally:
             del self._in_flight[key]
             self._give_back_unused(attempt)
@@ -171,13 +176,13 @@
         )
 
     async def _run_attempt(
-        self, attempt: ClaimAttempt, call: ServiceCall, dispatch: Dispatch
+        self, attempt: ClaimAttempt, call: ServiceCall, dispatch: Dispatch, deadline: float
     ) -> CallResult:
         wait_seconds = min(self._settings.claim_wait_seconds, call.remaining_seconds)
         failure = await self._claims.obtain_verdict(attempt, wait_seconds)
         match attempt.stage:
             case AttemptStage.GRANTED:
-                return await self._send(attempt, call, dispatch)
+                return await self._send(attempt, call, dispatch, deadline)
             case AttemptStage.LOST:
                 assert attempt.met_standing is not None, "a lost attempt met nothing"
                 return await self._answer_standing(attempt.claim.key, attempt.met_standing)
@@ -192,11 +197,11 @@
             self._append_later(void)
 
     async def _send(
-        self, attempt: ClaimAttempt, call: ServiceCall, dispatch: Dispatch
+        self, attempt: ClaimAttempt, call: ServiceCall, dispatch: Dispatch, deadline: float
     ) -> CallResult:
         reply: Optional[DispatchReply] = None
         try:
-            reply = await send_claimed(attempt, call, dispatch, self._read_clocks)
+            reply = await send_claimed(attempt, call, dispatch, deadline, self._read_clocks)
         finally:
             if was_sent(attempt):
                 self._record_reply(attempt, reply)
--- a/camphordrift/calls/_sending.py
+++ b/camphordrift/calls/_sending.py
@@ -30,15 +30,18 @@
     attempt: ClaimAttempt,
     call: ServiceCall,
     dispatch: Dispatch,
+    deadline: float,
     read_clocks: Callable[[], TwoClocks],
 ) -> Optional[DispatchReply]:
     """Sends a call whose claim stands; returns ``None`` if its time ran out.
 
+    ``deadline`` is a time of the loop's clock.
     Goes on if the caller leaves: the call may be running, and its outcome belongs in the log.
     """
     gate = ClaimGate(attempt, read_clocks)
     with trio.CancelScope(shield=True) as scope:
-        scope.deadline = trio.current_time() + attempt.claim.run_timeout_seconds
+        longest = trio.current_time() + attempt.claim.run_timeout_seconds
+        scope.deadline = min(deadline, longest)
         return await dispatch(call, gate)
     return None
 
--- a/camphordrift/calls/tests/builders.py
+++ b/camphordrift/calls/tests/builders.py
@@ -1,7 +1,5 @@
 """Builds keys, claims and records for the tests of this package."""
 
-import uuid
-
 from camphordrift.calls import (
     CallKey,
     Claimant,
@@ -14,22 +12,14 @@
     encode_call_record,
 )
 from camphordrift.calls._records import CallRecord, new_record_id
+from camphordrift.experiments._call_service import WALL_START, timed_uuid
 from camphordrift.identifiers import AccountId, Incarnation, VmId
 from camphordrift.platform_log import LogRecord
 
-#: A wall-clock time, in seconds since 1970.
-WALL_START = 1_800_000_000.0
-
 BOOKING_DIGEST = b"booking"
 OTHER_DIGEST = b"other"
 
 
-def timed_uuid(made_at: float, tail: int = 1) -> uuid.UUID:
-    """Returns a UUID of version 7 made at a given time."""
-    milliseconds = int(made_at * 1000)
-    return uuid.UUID(int=(milliseconds << 80) | (7 << 76) | (2 << 62) | tail)
-
-
 def call_key(made_at: float = WALL_START, tail: int = 1, account: str = "seller") -> CallKey:
     return CallKey(account_id=AccountId(account), value=timed_uuid(made_at, tail))
 
--- a/camphordrift/calls/tests/test_coordinator.py
+++ b/camphordrift/calls/tests/test_coordinator.py
@@ -16,7 +16,8 @@
     Repeatability,
     ServiceCall,
 )
-from camphordrift.calls.tests.fleet import CallFleet, CountingService, booking, open_call_fleet
+from camphordrift.experiments._call_fleet import CallFleet, open_call_fleet
+from camphordrift.experiments._call_service import CountingService, booking
 from camphordrift.results import Failure, ResultCode, RunState
 from camphordrift.standins import AnswerLoss, LogLimits
 from camphordrift.testing import run_in_virtual_time
--- a/camphordrift/calls/tests/test_ledger.py
+++ b/camphordrift/calls/tests/test_ledger.py
@@ -18,13 +18,13 @@
 from camphordrift.calls.tests.builders import (
     BOOKING_DIGEST,
     OTHER_DIGEST,
-    WALL_START,
     FoldedStream,
     call_key,
     claim,
     outcome,
     void,
 )
+from camphordrift.experiments._call_service import WALL_START
 from camphordrift.platform_log import LogRecord
 
 
--- /dev/null
+++ b/camphordrift/experiments/tests/test_call_orderings.py
@@ -0,0 +1,28 @@
+"""Tests of the comparison of orderings; they also show that the comparison can tell them apart."""
+
+import testtools
+
+from camphordrift.experiments._call_orderings import (
+    Ordering,
+    OrderingFigures,
+    OrderingLoad,
+    compare_orderings,
+)
+
+
+def _by_ordering(seed: int) -> dict[Ordering, OrderingFigures]:
+    load = OrderingLoad(call_count=150)
+    return {figures.ordering: figures for figures in compare_orderings(seed, load)}
+
+
+class ComparisonTest(testtools.TestCase):
+    def test_only_claim_first_never_runs_a_call_twice(self) -> None:
+        for seed in range(3):
+            figures = _by_ordering(seed)
+            self.assertEqual(0, figures[Ordering.CLAIM_FIRST].calls_run_twice)
+            self.assertEqual(0, figures[Ordering.CLAIM_FIRST].calls_not_run)
+            self.assertTrue(figures[Ordering.CHECK_THEN_WRITE].calls_run_twice > 0)
+            self.assertTrue(figures[Ordering.COMPENSATE].calls_twice_in_force > 0)
+
+    def test_the_same_seed_gives_the_same_figures(self) -> None:
+        self.assertEqual(_by_ordering(1), _by_ordering(1))
