--- a/camphordrift/gateway/__init__.py
+++ b/camphordrift/gateway/__init__.py
@@ -3,14 +3,15 @@
 from camphordrift.gateway._active_requests import ActiveRequest, ActiveRequests
 from camphordrift.gateway._answer import AnswerAssembler, AnswerMismatchError, AnswerProgress
 from camphordrift.gateway._app import gateway_app
+from camphordrift.gateway._attempt_policy import (
+    AttemptPolicy,
+    BudgetedAttemptPolicy,
+    FailedAttempt,
+)
 from camphordrift.gateway._bodies import BodyMemory
 from camphordrift.gateway._context import AdmissionGate, GatewayContext, GatewayLimits, OpenGate
-from camphordrift.gateway._generation import (
-    AttemptObserver,
-    GenerationRunner,
-    GenerationSummary,
-    NoDelayObserver,
-)
+from camphordrift.gateway._generation import GenerationRunner, GenerationSummary
+from camphordrift.gateway._journal import RequestEnd, RequestJournal
 from camphordrift.gateway._lengths import estimate_tokens, prefix_block_hashes
 from camphordrift.gateway._server_choice import ServerChoice
 from camphordrift.gateway._service_calls import ServiceCaller, ServiceRequest
@@ -22,14 +23,17 @@
     "AnswerAssembler",
     "AnswerMismatchError",
     "AnswerProgress",
-    "AttemptObserver",
+    "AttemptPolicy",
     "BodyMemory",
+    "BudgetedAttemptPolicy",
+    "FailedAttempt",
     "GatewayContext",
     "GatewayLimits",
     "GenerationRunner",
     "GenerationSummary",
-    "NoDelayObserver",
     "OpenGate",
+    "RequestEnd",
+    "RequestJournal",
     "ServerChoice",
     "ServiceCaller",
     "ServiceRequest",
--- a/camphordrift/gateway/_context.py
+++ b/camphordrift/gateway/_context.py
@@ -8,10 +8,13 @@
 
 from camphordrift.backend_http import HttpConnections
 from camphordrift.backend_servers import EngineClient
+from camphordrift.calls import CallCoordinator
 from camphordrift.configuration import ConfigurationSnapshot
 from camphordrift.gateway._active_requests import ActiveRequests
+from camphordrift.gateway._attempt_policy import AttemptPolicy
 from camphordrift.gateway._bodies import BodyMemory
-from camphordrift.gateway._generation import AttemptObserver
+from camphordrift.gateway._journal import RequestJournal
+from camphordrift.gateway._server_choice import ServerChoice
 from camphordrift.gateway._service_calls import ServiceCaller
 from camphordrift.identifiers import AccountId, VmId
 from camphordrift.results import Failure
@@ -71,14 +74,20 @@
     #: Calls engines.
     engines: EngineClient
 
-    #: Calls plain services.
+    #: Calls plain services where calls may be repeated.
     services: ServiceCaller
 
+    #: Chooses among the servers of a plain service.
+    server_choice: ServerChoice
+
+    #: Runs calls that may not be repeated.
+    calls: CallCoordinator
+
     #: Sends HTTP requests.
     connections: HttpConnections
 
-    #: Learns how engines behave.
-    observer: AttemptObserver
+    #: Decides what follows a failed attempt on an engine.
+    attempt_policy: AttemptPolicy
 
     #: Limits of client accounts.
     gate: AdmissionGate
@@ -91,3 +100,6 @@
 
     #: Bounds on callers.
     limits: GatewayLimits
+
+    #: Logs, metrics and the record of decisions.
+    journal: RequestJournal
