--- /dev/null
+++ b/camphordrift/documents/tests/console.py
@@ -0,0 +1,158 @@
+"""Reads the console blocks of the documents and runs their commands.
+
+A block is fenced by ``console``, followed by a word that says what it needs: nothing, ``demo`` (a
+running demo fleet), or ``by-hand`` for what no test can run. A line that begins with ``$`` is a
+command; the lines up to the next one are its output, in which ``...`` stands for anything.
+
+``curl`` is carried out here, so that the verdict does not depend on what is installed.
+"""
+
+import argparse
+import os
+import re
+import shlex
+import sys
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Optional
+
+import httpcore
+import trio
+
+ROOT = Path(__file__).parents[3]
+
+_FENCE = re.compile(
+    r"^```console *(?P<needs>[a-z-]*)\n(?P<body>.*?)^```$", re.MULTILINE | re.DOTALL
+)
+_ASSIGNMENT = re.compile(r"([A-Z_]+)=(.*)", re.DOTALL)
+_SUBSTITUTION = re.compile(r"\$\((.*)\)")
+
+
+@dataclass(frozen=True)
+class Command:
+    """One command of a document."""
+
+    #: The document, from the root of the repository on.
+    document: str
+
+    #: What the block needs: nothing, ``demo`` or ``by-hand``.
+    needs: str
+
+    #: The command as written.
+    text: str
+
+    #: What it prints.
+    output: str
+
+
+def document_paths() -> list[Path]:
+    """Returns README.md and all documents."""
+    return [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+
+
+def commands_of(path: Path) -> list[Command]:
+    """Returns the commands of one document, in order."""
+    name = path.relative_to(ROOT).as_posix()
+    found = []
+    for fence in _FENCE.finditer(path.read_text(encoding="utf-8")):
+        for part in re.split(r"^\$ ", fence["body"], flags=re.MULTILINE)[1:]:
+            joined = part.replace("\\\n", " ")
+            text, _, output = joined.partition("\n")
+            found.append(Command(name, fence["needs"], text.strip(), output.strip()))
+    return found
+
+
+class Console:
+    """Runs the commands of one document one after the other, as one shell session."""
+
+    def __init__(self, replace: Mapping[str, str]) -> None:
+        self._replace = replace
+        self._variables = {
+            name: value
+            for name, value in os.environ.items()
+            if not name.startswith("CAMPHORDRIFT_")
+        }
+
+    async def check(self, command: Command) -> None:
+        """Runs a command and asserts that it prints what the document says."""
+        printed = await self._run(self._adapt(command.text))
+        expected = self._adapt(command.output)
+        if expected and not _pattern(expected).fullmatch(_squeezed(printed)):
+            raise AssertionError(
+                f"{command.document}: {command.text}\nprinted:\n{printed}\nexpected:\n{expected}"
+            )
+
+    def _adapt(self, text: str) -> str:
+        for old, new in self._replace.items():
+            text = text.replace(old, new)
+        return text
+
+    async def _run(self, text: str) -> str:
+        words = shlex.split(text)
+        if words[0] == "export":
+            words = words[1:]
+        if all(_ASSIGNMENT.fullmatch(word) for word in words):
+            for word in words:
+                await self._assign(word)
+            return ""
+        expanded = [self._expand(word) for word in shlex.split(text)]
+        return await self._programs()[expanded[0]](expanded[1:])
+
+    async def _assign(self, word: str) -> None:
+        name, _, value = word.partition("=")
+        inner = _SUBSTITUTION.fullmatch(value)
+        if inner is not None:
+            self._variables[name] = (await self._run(inner[1])).strip()
+        else:
+            self._variables[name] = self._expand(value)
+
+    def _expand(self, word: str) -> str:
+        return re.sub(r"\$([A-Z_]+)", lambda match: self._variables[match[1]], word)
+
+    def _programs(self) -> Mapping[str, Callable[[list[str]], Awaitable[str]]]:
+        return {"camphordrift": self._camphordrift, "python": self._python, "curl": _curl}
+
+    async def _camphordrift(self, arguments: list[str]) -> str:
+        return await self._python(["-m", "camphordrift", *arguments])
+
+    async def _python(self, arguments: list[str]) -> str:
+        done = await trio.run_process(
+            [sys.executable, *arguments],
+            cwd=ROOT,
+            env=self._variables,
+            capture_stdout=True,
+            capture_stderr=True,
+            check=False,
+        )
+        return (done.stdout + done.stderr).decode()
+
+
+async def _curl(arguments: list[str]) -> str:
+    """Sends one request the way ``curl -s`` does, for the options that the documents use."""
+    parser = argparse.ArgumentParser(prog="curl", allow_abbrev=False)
+    parser.add_argument("-s", action="store_true")
+    parser.add_argument("-N", action="store_true")
+    parser.add_argument("-i", action="store_true")
+    parser.add_argument("-X", default=None)
+    parser.add_argument("-H", action="append", default=[])
+    parser.add_argument("-d", default=None)
+    parser.add_argument("url")
+    options = parser.parse_args(arguments)
+    headers = [tuple(header.split(": ", 1)) for header in options.H]
+    content: Optional[bytes] = None if options.d is None else options.d.encode()
+    method = options.X or ("GET" if content is None else "POST")
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request(method, options.url, headers=headers, content=content)
+    head = f"HTTP/1.1 {response.status}\n" if options.i else ""
+    return head + response.content.decode()
+
+
+def _pattern(expected: str) -> re.Pattern[str]:
+    parts = [re.escape(part) for part in _squeezed(expected).split("...")]
+    return re.compile(".*".join(parts), re.DOTALL)
+
+
+def _squeezed(text: str) -> str:
+    lines = (line.rstrip() for line in text.strip().splitlines())
+    return "\n".join(line for line in lines if line)
