Let the README's second booking ask again until the outcome is known

Cause: a VM that has not read the outcome from the log yet answers 'still running' (4004), as it should; whether it has depends on the machine's load. Change: the second curl asks again each second, which is safe under one key; the documents' reader of curl knows the options for it.

--- a/camphordrift/documents/tests/console.py
+++ b/camphordrift/documents/tests/console.py
@@ -134,6 +134,10 @@
     parser.add_argument("-s", action="store_true")
     parser.add_argument("-N", action="store_true")
     parser.add_argument("-i", action="store_true")
+    parser.add_argument("-f", action="store_true")
+    parser.add_argument("--retry", type=int, default=0)
+    parser.add_argument("--retry-delay", type=float, default=1.0)
+    parser.add_argument("--retry-all-errors", action="store_true")
     parser.add_argument("-X", default=None)
     parser.add_argument("-H", action="append", default=[])
     parser.add_argument("-d", default=None)
@@ -144,8 +148,14 @@
     method = options.X or ("GET" if content is None else "POST")
     async with httpcore.AsyncConnectionPool() as pool:
         response = await pool.request(method, options.url, headers=headers, content=content)
+        for _ in range(options.retry):
+            if response.status < 400:
+                break
+            await trio.sleep(options.retry_delay)
+            response = await pool.request(method, options.url, headers=headers, content=content)
     head = f"HTTP/1.1 {response.status}\n" if options.i else ""
-    return head + response.content.decode()
+    body = "" if options.f and response.status >= 400 else response.content.decode()
+    return head + body
 
 
 def _pattern(expected: str) -> re.Pattern[str]:
