--- a/camphordrift/configuration/_keeper.py
+++ b/camphordrift/configuration/_keeper.py
@@ -354,20 +354,36 @@
                 await self._append_checkpoint()
 
     def _should_append_checkpoint(self) -> bool:
+        """Returns whether to append one now.
+
+        While the log does not answer, no VM begins: otherwise all of them would wait with a
+        checkpoint of their own and append it at the end of the outage.
+        """
         if self._replica.block is not None or not self._follower.caught_up:
             return False
+        if self._follower.seconds_since_contact > self._settings.refresh_seconds:
+            return False
         return is_checkpoint_due(self._replica.state, self._settings, self._wall_clock())
 
     async def _append_checkpoint(self) -> None:
+        """Appends a checkpoint, or withdraws it if another VM's is seen first."""
         encoded = self._replica.encoded_state()
         if encoded is None:
             return
-        deadline = self._clock() + self._settings.checkpoint_append_seconds
-        answer = await self._writer.append(self._settings.stream, encoded, deadline)
-        if isinstance(answer, result.Success):
-            self._checkpoints_appended += 1
-            self._follower.poke()
-            await self._refresh()
+        with trio.move_on_after(self._settings.checkpoint_append_seconds):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._withdraw_unless_due, nursery.cancel_scope)
+                deadline = self._clock() + self._settings.checkpoint_append_seconds
+                answer = await self._writer.append(self._settings.stream, encoded, deadline)
+                if isinstance(answer, result.Success):
+                    self._checkpoints_appended += 1
+                    await self._refresh()
+                nursery.cancel_scope.cancel()
+
+    async def _withdraw_unless_due(self, scope: trio.CancelScope) -> None:
+        while is_checkpoint_due(self._replica.state, self._settings, self._wall_clock()):
+            await self._changed.wait()
+        scope.cancel()
 
     def _tell_changed(self) -> None:
         self._changed.set()
