--- /dev/null
+++ b/camphordrift/account_limits/tests/test_ledger.py
@@ -0,0 +1,135 @@
+"""Tests of how a home VM divides limits."""
+
+import random
+
+import testtools
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from camphordrift.account_limits import (
+    NO_SHARES,
+    FleetSize,
+    LedgerAsk,
+    LimiterSettings,
+    ShareAsk,
+    ShareDemand,
+    ShareHome,
+    ShareLedger,
+    Shares,
+    account_home,
+    divide_among,
+)
+from camphordrift.identifiers import AccountId, VmId
+from camphordrift.results import ResultCode
+
+LIMITS = Shares(100.0, 1e6, 50.0, 1e6)
+SETTINGS = LimiterSettings()
+NAMES = tuple(VmId(f"vm-{number}") for number in range(5))
+ACCOUNT = AccountId("large")
+
+
+class DivideTest(testtools.TestCase):
+    def test_division_never_exceeds_capacity_and_serves_modest_demand(self) -> None:
+        rng = random.Random(1)
+        for _ in range(200):
+            demands = {name: Shares(rng.uniform(0, 80)) for name in NAMES}
+            given = divide_among(LIMITS, demands)
+            total = sum(shares.requests_per_second for shares in given.values())
+            self.assertTrue(total <= 100.0 + 1e-6)
+            if sum(d.requests_per_second for d in demands.values()) <= 100.0:
+                for name, demand in demands.items():
+                    self.assertTrue(demand.requests_per_second <= given[name].requests_per_second)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """VMs ask, lose answers and fall silent; what they may use never exceeds the limits."""
+
+    @initialize()
+    def start(self) -> None:
+        self.now = 0.0
+        self.ledger = ShareLedger(SETTINGS)
+        self.held: dict[VmId, tuple[Shares, float]] = {}
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        demand=st.floats(0.0, 300.0),
+        answer_lost=st.booleans(),
+        gives_back=st.booleans(),
+    )
+    def ask(self, name: VmId, demand: float, answer_lost: bool, gives_back: bool) -> None:
+        wanted = Shares(demand, demand * 1000, demand, 0.0)
+        held = self.held_by(name)
+        if gives_back:
+            held = held.at_most(wanted)
+            if name in self.held:
+                self.held[name] = (held, self.held[name][1])
+        asked = LedgerAsk(wanted, held, SETTINGS.lease_seconds)
+        if wanted == NO_SHARES:
+            self.held.pop(name, None)
+            held = NO_SHARES
+        lease = self.ledger.on_ask(name, asked, LIMITS, FleetSize(5, 5), self.now)
+        if not answer_lost:
+            self.held[name] = (lease, self.now + SETTINGS.lease_seconds)
+
+    @rule(elapsed=st.floats(0.0, 8.0))
+    def wait(self, elapsed: float) -> None:
+        self.now += elapsed
+
+    def held_by(self, name: VmId) -> Shares:
+        shares, until = self.held.get(name, (NO_SHARES, 0.0))
+        return shares if self.now < until else NO_SHARES
+
+    @invariant()
+    def limits_hold(self) -> None:
+        if not hasattr(self, "held"):
+            return
+        leased = sum((self.held_by(name) for name in self.held), NO_SHARES)
+        without = sum(self.held_by(name) == NO_SHARES for name in NAMES)
+        safe = LIMITS.scaled(SETTINGS.safe_fraction * without / len(NAMES))
+        assert (leased + safe).fits(LIMITS.scaled(1.0 + SETTINGS.safe_fraction))
+        assert leased.fits(LIMITS)
+
+
+LedgerMachineTest = LedgerMachine.TestCase
+LedgerMachineTest.settings = settings(derandomize=True, deadline=None, max_examples=100)
+
+
+class ShareHomeTest(testtools.TestCase):
+    def ask(self, home: ShareHome, held: float, now: float) -> float:
+        demand = ShareDemand(ACCOUNT, LIMITS, LIMITS.scaled(held))
+        outcome = home.on_ask(
+            NAMES[1], ShareAsk((demand,), 6.0), {ACCOUNT: LIMITS}, FleetSize(5, 5), now
+        )
+        return outcome.unwrap().leases[0].shares.requests_per_second
+
+    def home_vm(self) -> VmId:
+        return account_home(ACCOUNT, NAMES)
+
+    def test_new_home_only_confirms_until_earlier_leases_are_known(self) -> None:
+        home = ShareHome(self.home_vm(), SETTINGS, account_home, 0.0)
+        home.set_candidates(NAMES, 0.0)
+        self.assertEqual(30.0, self.ask(home, held=0.3, now=1.0))
+        self.assertTrue(self.ask(home, held=0.3, now=SETTINGS.lease_seconds) > 80.0)
+
+    def test_change_of_candidates_matters_only_where_the_home_changes(self) -> None:
+        home = ShareHome(self.home_vm(), SETTINGS, account_home, 0.0)
+        home.set_candidates(NAMES, 0.0)
+        other = next(name for name in NAMES if name != self.home_vm())
+        home.set_candidates(tuple(name for name in NAMES if name != other), 50.0)
+        self.assertTrue(self.ask(home, held=0.0, now=50.1) > 80.0)
+        home.set_candidates((other,), 100.0)
+        home.set_candidates(NAMES, 110.0)
+        self.assertEqual(30.0, self.ask(home, held=0.3, now=110.1))
+
+    def test_refuses_accounts_of_another_home(self) -> None:
+        other = next(name for name in NAMES if name != self.home_vm())
+        home = ShareHome(other, SETTINGS, account_home, 0.0)
+        home.set_candidates(NAMES, 0.0)
+        ask = ShareAsk((ShareDemand(ACCOUNT, LIMITS),), 6.0)
+        refused = home.on_ask(NAMES[0], ask, {ACCOUNT: LIMITS}, FleetSize(5, 5), 1.0)
+        self.assertEqual(ResultCode.NOT_HOME_VM, refused.failure().code)
+
+    def test_smaller_side_of_a_split_hands_out_only_its_part(self) -> None:
+        for live, expected in ((5, 1.0), (3, 1.0), (2, 0.4)):
+            self.assertEqual(expected, FleetSize(live, 5).visible_fraction)
