--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-JOBS ?= 4
+JOBS ?= 6
 
 .PHONY: setup demo test format lint types check
 
--- a/camphordrift/backend_http/__init__.py
+++ b/camphordrift/backend_http/__init__.py
@@ -5,6 +5,7 @@
     HttpCall,
     HttpConnections,
     HttpStream,
+    HttpTimeouts,
 )
 from camphordrift.backend_http._engine_client import HttpEngineClient
 from camphordrift.backend_http._engine_wire import (
@@ -30,6 +31,7 @@
     "HttpConnections",
     "HttpEngineClient",
     "HttpStream",
+    "HttpTimeouts",
     "SendRefusedError",
     "decode_generation",
     "decode_hold",
--- a/camphordrift/backend_http/_connections.py
+++ b/camphordrift/backend_http/_connections.py
@@ -22,8 +22,26 @@
 #: A connection unused for this long is closed, since something on the way may have forgotten it.
 KEEPALIVE_SECONDS = 5.0
 
-#: Time to make a connection.
-CONNECT_TIMEOUT_SECONDS = 1.0
+#: Time to get a place in the pool, which has no bound that could be reached.
+POOL_TIMEOUT_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class HttpTimeouts:
+    """How long a connection may be silent."""
+
+    #: Time to make a connection, in seconds.
+    connect_seconds: float = 1.0
+
+    #: Time without a byte before an answer begins, in seconds.
+    first_byte_seconds: float = 30.0
+
+    #: Time without a byte within an answer, in seconds.
+    between_bytes_seconds: float = 5.0
+
+    def __post_init__(self) -> None:
+        if min(self.connect_seconds, self.first_byte_seconds, self.between_bytes_seconds) <= 0:
+            raise ValueError(f"timeouts must be positive: {self}")
 
 
 @dataclass(frozen=True)
@@ -102,6 +120,9 @@
         raise StreamBrokenError(f"{where}: the connection broke: {error}") from error
 
 
+_DEFAULT_TIMEOUTS = HttpTimeouts()
+
+
 class HttpConnections:
     """Sends requests and tells apart failures before and after the first byte was sent.
 
@@ -111,11 +132,11 @@
     """
 
     def __init__(
-        self, idle_timeout_seconds: float, ssl_context: Optional[ssl.SSLContext] = None
+        self,
+        timeouts: HttpTimeouts = _DEFAULT_TIMEOUTS,
+        ssl_context: Optional[ssl.SSLContext] = None,
     ) -> None:
-        if idle_timeout_seconds <= 0:
-            raise ValueError(f"idle_timeout_seconds must be positive, not {idle_timeout_seconds}")
-        self._idle_timeout_seconds = idle_timeout_seconds
+        self._timeouts = timeouts
         self._ssl_context = ssl_context
         self._pool = self._make_pool(KEEPALIVE_SECONDS)
 
@@ -182,14 +203,17 @@
         call: HttpCall,
         timeout_seconds: Optional[float],
     ) -> AsyncIterator[HttpStream]:
+        timeouts = self._first_byte_timeouts(timeout_seconds)
         with _translated_errors(call):
             async with pool.stream(
                 call.method,
                 call.base_url + call.target,
                 headers=self._headers(call),
                 content=call.body or None,
-                extensions={"timeout": self._timeouts(timeout_seconds)},
+                extensions={"timeout": timeouts},
             ) as response:
+                # The library looks the timeout up before each read.
+                timeouts["read"] = min(timeouts["read"], self._timeouts.between_bytes_seconds)
                 yield HttpStream(response)
 
     def _headers(self, call: HttpCall) -> list[tuple[str, str]]:
@@ -198,11 +222,12 @@
             headers.append(("Content-Length", str(len(call.body))))
         return headers
 
-    def _timeouts(self, timeout_seconds: Optional[float]) -> Mapping[str, float]:
-        idle = self._idle_timeout_seconds if timeout_seconds is None else timeout_seconds
+    def _first_byte_timeouts(self, timeout_seconds: Optional[float]) -> dict[str, float]:
+        limit = float("inf") if timeout_seconds is None else timeout_seconds
+        first_byte = min(self._timeouts.first_byte_seconds, limit)
         return {
-            "connect": min(CONNECT_TIMEOUT_SECONDS, idle),
-            "pool": CONNECT_TIMEOUT_SECONDS,
-            "read": idle,
-            "write": idle,
+            "connect": min(self._timeouts.connect_seconds, limit),
+            "pool": POOL_TIMEOUT_SECONDS,
+            "read": first_byte,
+            "write": min(self._timeouts.between_bytes_seconds, limit),
         }
--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -1,12 +1,14 @@
 """Puts the parts of an entry VM's process together and runs them."""
 
 import random
+import ssl
 import time
 from typing import Any, Optional
 
 import trio
+from returns.pipeline import is_successful
 
-from camphordrift.backend_http import HttpConnections, HttpEngineClient
+from camphordrift.backend_http import HttpConnections, HttpEngineClient, HttpTimeouts
 from camphordrift.configuration import ConfigurationKeeper, ConfigurationSnapshot, KeeperSettings
 from camphordrift.draining import DrainController
 from camphordrift.entry._configuration_sharing import ConfigurationSharing
@@ -28,11 +30,11 @@
     ServiceCaller,
     gateway_app,
 )
-from camphordrift.http_server import serve_http
+from camphordrift.http_server import ServeOptions, serve_http
 from camphordrift.identifiers import BackendServerId, Incarnation
 from camphordrift.operations import ConfigurationOperations, OperatorServices, operators_app
 from camphordrift.routing import local_grant_source, pool_scheduler
-from camphordrift.security import FleetKeys
+from camphordrift.security import FleetKeys, client_tls_context
 from camphordrift.settings import EntrySettings
 from camphordrift.telemetry import DecisionRecord, Metrics, StateDump, log_event
 
@@ -57,7 +59,7 @@
         self._journal = RequestJournal(self._metrics, self._decisions)
         self._active = ActiveRequests()
         self._body_memory = BodyMemory(settings.limits.max_held_body_bytes)
-        self._connections = HttpConnections(settings.limits.between_bytes_timeout_seconds)
+        self._connections = _connections(settings)
         self._peers = peer_access(settings, incarnation, keys, self._connections)
         self._log = log_access(self._connections, settings.platform.log_url, vm_id)
         self._keeper = ConfigurationKeeper(
@@ -137,6 +139,16 @@
         log_event("vm_stopped", vm=self._settings.vm.vm_id, clean=clean)
         return clean
 
+    async def _serve_ports(self, nursery: trio.Nursery) -> None:
+        settings = self._settings
+        idle_seconds = settings.limits.caller_idle_timeout_seconds
+        operators = operators_app(self._operator_services())
+        operator_options = ServeOptions(idle_seconds, settings.tls.operators)
+        await nursery.start(serve_http, operators, settings.listen.operators, operator_options)
+        callers = gateway_app(self._context())
+        caller_options = ServeOptions(idle_seconds, settings.tls.callers)
+        await nursery.start(serve_http, callers, settings.listen.callers, caller_options)
+
     def _background_tasks(self) -> tuple[Any, ...]:
         return (
             self._peers.run,
@@ -229,3 +241,24 @@
             return None
         host = f"[{server.address}]" if ":" in server.address else server.address
         return f"http://{host}:{server.port}"
+
+
+def _connections(settings: EntrySettings) -> HttpConnections:
+    limits = settings.limits
+    timeouts = HttpTimeouts(
+        connect_seconds=limits.connect_timeout_seconds,
+        first_byte_seconds=limits.first_byte_timeout_seconds,
+        between_bytes_seconds=limits.between_bytes_timeout_seconds,
+    )
+    return HttpConnections(timeouts, _backend_tls(settings))
+
+
+def _backend_tls(settings: EntrySettings) -> Optional[ssl.SSLContext]:
+    """Returns what backend servers' certificates are checked with; raises ``OSError``."""
+    authorities = settings.tls.backend_authorities_file
+    if authorities is None:
+        return None
+    context = client_tls_context(authorities)
+    if not is_successful(context):
+        raise OSError(str(context.failure()))
+    return context.unwrap()
--- a/camphordrift/gateway/tests/test_generation.py
+++ b/camphordrift/gateway/tests/test_generation.py
@@ -1,15 +1,17 @@
 """Tests of the attempt loop, with stand-in engines under virtual time."""
 
 import random
-from collections.abc import Awaitable, Callable
-from typing import Optional
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from typing import Any, Optional
 
 import testtools
 import trio
 from returns import result
 from returns.pipeline import is_successful
 
-from camphordrift.backend_servers import GenerationRequest, TokenChunk
+from camphordrift.backend_servers import EngineClient, GenerationRequest, TokenChunk
 from camphordrift.gateway import BudgetedAttemptPolicy, GenerationRunner, GenerationSummary
 from camphordrift.identifiers import AccountId, BackendServerId, ModelName, RequestId, VmId
 from camphordrift.results import Failure, ResultCode, RunState
@@ -48,7 +50,7 @@
 
 
 def run_with_fault(
-    fault: Optional[Fault], timeout_seconds: float = 60.0
+    fault: Optional[Fault], timeout_seconds: float = 60.0, crossing: bool = False
 ) -> tuple[Outcome, str, float]:
     """Runs one request, applies ``fault`` to the engine that runs it, and returns what happened.
 
@@ -68,9 +70,10 @@
             nursery.start_soon(grants.run)
             if fault is not None:
                 nursery.start_soon(_apply_when_running, engines, fault)
+            client: EngineClient = CrossingEngines(engines) if crossing else engines
             runner = GenerationRunner(
                 grants,
-                engines,
+                client,
                 BudgetedAttemptPolicy(random.Random(1)),
                 ask(timeout_seconds),
                 request(),
@@ -105,6 +108,27 @@
     engines.freeze(engine)
 
 
+class CrossingEngines:
+    """Passes calls on to engines, but answers the first attempt with another request's chunks."""
+
+    def __init__(self, engines: InMemoryEngines) -> None:
+        self._engines = engines
+
+    @asynccontextmanager
+    async def generate(
+        self, engine_id: BackendServerId, wanted: GenerationRequest
+    ) -> AsyncIterator[AsyncIterator[TokenChunk]]:
+        async with self._engines.generate(engine_id, wanted) as chunks:
+            yield self._crossed(chunks) if wanted.attempt == 1 else chunks
+
+    async def _crossed(self, chunks: AsyncIterator[TokenChunk]) -> AsyncIterator[TokenChunk]:
+        async for chunk in chunks:
+            yield replace(chunk, request_id=RequestId("another"), text="another's answer ")
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._engines, name)
+
+
 class GenerationRunnerTest(testtools.TestCase):
     def assert_whole(self, text: str) -> None:
         numbers = [word.split(".")[0] for word in text.split()]
@@ -130,3 +154,8 @@
         self.assertEqual(ResultCode.BACKEND_DEADLINE_PASSED, outcome.failure().code)
         self.assertEqual(RunState.FAILED, outcome.failure().run_state)
         self.assertAlmostEqual(8.0, taken, places=3)
+
+    def test_never_delivers_another_requests_chunks(self) -> None:
+        outcome, text, _ = run_with_fault(None, crossing=True)
+        self.assertEqual(2, outcome.unwrap().attempts)
+        self.assert_whole(text)
--- a/camphordrift/tests/fleet_client.py
+++ b/camphordrift/tests/fleet_client.py
@@ -58,7 +58,7 @@
     """Runs ``test`` against a fleet of its own."""
 
     async def main() -> None:
-        connections = HttpConnections(20.0)
+        connections = HttpConnections()
         with trio.fail_after(HANG_SECONDS):
             async with open_demo_fleet(plan or own_plan()) as fleet:
                 await test(fleet, connections)
--- a/camphordrift/tests/test_whole_path.py
+++ b/camphordrift/tests/test_whole_path.py
@@ -72,6 +72,29 @@
 
         with_fleet(test)
 
+    def test_continues_an_answer_whose_engine_went_silent(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            body = {"model": "course-assistant", "prompt": "x" * 100, "max_tokens": 100}
+            answers: list[HttpAnswer] = []
+
+            async def ask() -> None:
+                client = Client(fleet, connections)
+                answers.append(await client.send("POST", "/v1/completions", body))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.6)
+                for engine_id in fleet.standins.engines.engine_ids:
+                    if fleet.standins.engines.state(engine_id).load_now().running_requests:
+                        fleet.standins.engines.freeze(engine_id)
+            self.assertEqual(200, answers[0].status, str(answers[0].body))
+            words = json.loads(answers[0].body)["choices"][0]["text"].split()
+            self.assertEqual(
+                [f"t{index}" for index in range(100)], [word.split(".")[0] for word in words]
+            )
+
+        with_fleet(test)
+
 
 class PlainServiceTest(testtools.TestCase):
     def test_passes_calls_on_by_path(self) -> None:
