--- a/camphordrift/configuration/_fold.py
+++ b/camphordrift/configuration/_fold.py
@@ -4,20 +4,16 @@
 from typing import Optional, Union
 
 from camphordrift.configuration._checks import find_fault
+from camphordrift.configuration._history import changed_fields
 from camphordrift.configuration._proposal import Proposal
-from camphordrift.configuration._records import (
-    Change,
-    ConfigurationRecord,
-    EntryKey,
-    RawValue,
-)
-from camphordrift.configuration._state import ConfigurationState, Entry
+from camphordrift.configuration._records import Change, ConfigurationRecord, EntryKey
+from camphordrift.configuration._state import ConfigurationState
 from camphordrift.results import Failure, ResultCode
 
 
 @dataclass(frozen=True)
 class FieldDifference:
-    """One field that differs between two values."""
+    """One field in which a rejected record differs from what is in force."""
 
     #: The field's name.
     field: str
@@ -52,10 +48,10 @@
     differences: tuple[FieldDifference, ...]
 
     def __str__(self) -> str:
-        changed = "; ".join(str(difference) for difference in self.differences) or "no difference"
+        changed = "; ".join(str(difference) for difference in self.differences)
         return (
             f"{self.key} is at version {self.version} by {self.author or 'nobody'},"
-            f" the record replaces {self.replaces}: {changed}"
+            f" the record replaces {self.replaces}: {changed or 'no difference'}"
         )
 
 
@@ -115,35 +111,22 @@
     return verdict
 
 
-def differences_between(
-    in_force: Optional[RawValue], wanted: Optional[RawValue]
-) -> tuple[FieldDifference, ...]:
-    """Returns the fields in which two values differ, by name."""
-    old = in_force or {}
-    new = wanted or {}
-    return tuple(
-        FieldDifference(field, old.get(field), new.get(field))
-        for field in sorted(set(old) | set(new))
-        if old.get(field) != new.get(field)
-    )
-
-
 def _conflict(state: ConfigurationState, change: Change) -> Conflict:
     entry = state.entry(change.key)
     wanted = None if change.value is None else change.value.raw
+    differences = tuple(
+        FieldDifference(changed.field, changed.old, changed.new)
+        for changed in changed_fields(state.raw_value_of(change.key), wanted)
+    )
     return Conflict(
         change.key,
         change.replaces,
         state.version_of(change.key),
         "" if entry is None else entry.author,
-        differences_between(_raw_of(entry), wanted),
+        differences,
     )
 
 
-def _raw_of(entry: Optional[Entry]) -> Optional[RawValue]:
-    return None if entry is None or entry.value is None else entry.value.raw
-
-
 def _fault_of_changes(state: ConfigurationState, record: ConfigurationRecord) -> Optional[Failure]:
     for change in record.changes:
         entry = state.entry(change.key)
