Hold client accounts to their limits over all VMs

Cause: the gateway admitted everything that its configuration permitted. Change: the account limiter stands before every request, its leases travel over the streams between VMs, and accounts without configured limits are not limited.

--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -8,11 +8,13 @@
 import trio
 from returns.pipeline import is_successful
 
+from camphordrift.account_limits import LimiterSettings, account_limit_service
 from camphordrift.backend_http import HttpConnections, HttpEngineClient, HttpTimeouts
 from camphordrift.configuration import ConfigurationKeeper, ConfigurationSnapshot, KeeperSettings
 from camphordrift.draining import DrainController
 from camphordrift.entry._configuration_sharing import ConfigurationSharing
 from camphordrift.entry._engine_watch import EngineWatch
+from camphordrift.entry._limits_gate import LimitsGate
 from camphordrift.entry._log_access import call_coordinator, log_access
 from camphordrift.entry._peer_access import peer_access
 from camphordrift.entry._readiness import ReadinessCheck
@@ -24,7 +26,6 @@
     FailedAttempt,
     GatewayContext,
     GatewayLimits,
-    OpenGate,
     RequestJournal,
     ServerChoice,
     ServiceCaller,
@@ -74,6 +75,10 @@
         self._sharing = ConfigurationSharing(
             self._keeper, self._peers.network, self._peers.other_vms, rng
         )
+        self._limits = account_limit_service(
+            vm_id, LimiterSettings(), self._peers.membership.view, self._peers.network
+        )
+        self._gate = LimitsGate(self._limits.limiter)
         self._calls = call_coordinator(self._log, vm_id, incarnation)
         self._engines = HttpEngineClient(self._connections, self._address_of)
         self._grants = local_grant_source(pool_scheduler())
@@ -156,6 +161,7 @@
             self._keeper.run,
             self._sharing.run,
             self._calls.run,
+            self._limits.run,
             self._grants.run,
             self._watch.run,
             self._apply_configuration,
@@ -169,6 +175,7 @@
             if snapshot is not None and snapshot.version > applied:
                 applied = snapshot.version
                 self._watch.configure(snapshot)
+                self._gate.configure(snapshot)
                 log_event("configuration_applied", version=snapshot.version, offset=snapshot.offset)
             await self._keeper.wait_for_change()
 
@@ -185,7 +192,7 @@
             calls=self._calls,
             connections=self._connections,
             attempt_policy=self._attempt_policy,
-            gate=OpenGate(),
+            gate=self._gate,
             active=self._active,
             body_memory=self._body_memory,
             limits=GatewayLimits(
@@ -215,6 +222,7 @@
         self._dump.register("requests", self._active.all)
         self._dump.register("body_bytes", lambda: self._body_memory.used_bytes)
         self._dump.register("calls", self._calls.dump_state)
+        self._dump.register("account_limits", self._limits.dump_state)
         self._dump.register("retries", self._attempt_policy.dump_state)
         self._dump.register("service_retries", self._services.dump_state)
         self._dump.register("circuit_breakers", self._server_choice.breakers.dump_state)
