Measure what an entry VM adds to a request

Cause: the overhead and the requests a core can carry have to be known. Change: camphordrift overhead asks an engine directly and through an entry VM in turn, then under load, and reads the process's usage from its state dump.

--- a/camphordrift/daemons/_commands_run.py
+++ b/camphordrift/daemons/_commands_run.py
@@ -57,11 +57,18 @@
     group = cyclopts.Group("Running processes", sort_key=1)
     for command in (demo, entry, standins):
         app.command(command, group=group)
+    measuring = cyclopts.Group("Measuring", sort_key=4)
     app.command(
         "camphordrift.experiments:measure_app",
         name="measure",
         help="Measure routing policies under virtual time.",
-        group=cyclopts.Group("Measuring", sort_key=4),
+        group=measuring,
+    )
+    app.command(
+        "camphordrift.experiments:overhead_app",
+        name="overhead",
+        help="Measure what a running entry VM adds to a request.",
+        group=measuring,
     )
 
 
--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -37,7 +37,7 @@
 from camphordrift.routing import local_grant_source, pool_scheduler
 from camphordrift.security import FleetKeys, client_tls_context
 from camphordrift.settings import EntrySettings
-from camphordrift.telemetry import DecisionRecord, Metrics, StateDump, log_event
+from camphordrift.telemetry import DecisionRecord, Metrics, StateDump, log_event, process_usage
 
 
 class EntryProcess:
@@ -215,6 +215,7 @@
         )
 
     def _register_dumps(self) -> None:
+        self._dump.register("process", process_usage)
         self._dump.register("configuration", lambda: self._keeper.status)
         self._dump.register("membership", self._peers.membership.dump_state)
         self._dump.register("peers", self._peers.network.dump_state)
--- a/camphordrift/experiments/__init__.py
+++ b/camphordrift/experiments/__init__.py
@@ -5,6 +5,12 @@
 from camphordrift.experiments._figures import Figures, Spread
 from camphordrift.experiments._fleet import Policy
 from camphordrift.experiments._measure import Case, Measurement, measure, run_measure
+from camphordrift.experiments._overhead import (
+    OverheadFigures,
+    OverheadTarget,
+    measure_overhead,
+)
+from camphordrift.experiments._overhead_commands import overhead_app
 from camphordrift.experiments._plot import draw
 from camphordrift.experiments._report import as_json, as_table
 from camphordrift.experiments._workload import Arrival, Shape, arrivals
@@ -18,6 +24,8 @@
     "Deployment",
     "Figures",
     "Measurement",
+    "OverheadFigures",
+    "OverheadTarget",
     "Policy",
     "Shape",
     "Spread",
@@ -27,5 +35,7 @@
     "draw",
     "measure",
     "measure_app",
+    "measure_overhead",
+    "overhead_app",
     "run_measure",
 ]
--- a/camphordrift/telemetry/__init__.py
+++ b/camphordrift/telemetry/__init__.py
@@ -18,6 +18,7 @@
     SecondsHistogram,
     render_metrics,
 )
+from camphordrift.telemetry._process_usage import ProcessUsage, process_usage
 from camphordrift.telemetry._signals import (
     DUMP_SIGNAL,
     STOP_SIGNALS,
@@ -36,6 +37,7 @@
     "InstrumentDescription",
     "LogLevel",
     "Metrics",
+    "ProcessUsage",
     "ObservedLevel",
     "SecondsHistogram",
     "StateDump",
@@ -45,6 +47,7 @@
     "format_event",
     "log_event",
     "plain_data",
+    "process_usage",
     "redact_keys",
     "render_dump",
     "render_metrics",
