Let an account's first requests on a VM wait for their lease

Cause: a rush of 83 requests a second of an account allowed 200 had 19 of its first 21 requests refused, until the next look at leases 0.25 s later; and a request to a peer whose time had run out ended the process with a ValueError, seen on a busy machine in the test of limits. Change: a request refused for lack of a lease has one asked for at once and is tried again after at most 0.25 s; a peer request without time left fails.

--- a/camphordrift/account_limits/_limiter.py
+++ b/camphordrift/account_limits/_limiter.py
@@ -134,6 +134,11 @@
         self._running -= 1
         assert self._running >= 0 and usage.running >= 0, "a request was released twice"
 
+    def has_lease(self, account_id: AccountId, now: float) -> bool:
+        """Tells whether the home VM has given this VM a part of the account's limits."""
+        usage = self._usages.get(account_id)
+        return usage is not None and usage.held(now) != NO_SHARES
+
     def due_asks(self, home_of: Callable[[AccountId], VmId], now: float) -> Mapping[VmId, ShareAsk]:
         """Returns what to ask which home VM now; forgets accounts that are idle."""
         self._forget_idle(now)
--- a/camphordrift/account_limits/_service.py
+++ b/camphordrift/account_limits/_service.py
@@ -1,6 +1,6 @@
 """Runs the limits over the streams between VMs."""
 
-from typing import Any, Protocol
+from typing import Any, Optional, Protocol
 
 import trio
 from returns.result import Result, Success
@@ -50,6 +50,7 @@
         self._home = home
         self._view = view
         self._messenger = messenger
+        self._asking: Optional[trio.Event] = None
         self._counts = {"asks": 0, "failed_asks": 0}
         for message_type in (ShareAsk, ShareGrant, ShareLease):
             messenger.declare(message_type, f"account_limits.{message_type.__name__}")
@@ -67,6 +68,22 @@
                 self._tick(nursery)
                 await trio.sleep(TICK_SECONDS)
 
+    async def ask_now(self) -> None:
+        """Asks for what is due and waits for the answers, at most their timeout.
+
+        Callers that come while an ask is under way wait for the same answers.
+        """
+        if self._asking is not None:
+            await self._asking.wait()
+            return
+        self._asking = trio.Event()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._tick(nursery)
+        finally:
+            self._asking.set()
+            self._asking = None
+
     def dump_state(self) -> dict[str, Any]:
         """Returns what an operator wants to see."""
         limiter = self._limiter.dump_state(trio.current_time())
--- a/camphordrift/entry/_limits_gate.py
+++ b/camphordrift/entry/_limits_gate.py
@@ -4,22 +4,28 @@
 
 import trio
 from returns import result
+from returns.pipeline import is_successful
 
-from camphordrift.account_limits import AccountLimiter, Admission
+from camphordrift.account_limits import AccountLimitService, Admission
 from camphordrift.configuration import ConfigurationSnapshot
 from camphordrift.identifiers import AccountId
 from camphordrift.results import Failure
 
+#: A request waits at most this long for a new lease to have room for it, in seconds.
+LONGEST_WAIT_SECONDS = 0.25
+
 
 class LimitsGate:
-    """An admission gate around an account limiter.
+    """An admission gate around the limits of client accounts.
 
     Call :meth:`configure` with each new configuration. An account without configured limits is not
-    limited.
+    limited. The first requests of an account on this VM would find only the small share that every
+    VM may use unasked, so a request refused for lack of a lease waits for one and is tried again.
     """
 
-    def __init__(self, limiter: AccountLimiter) -> None:
-        self._limiter = limiter
+    def __init__(self, service: AccountLimitService) -> None:
+        self._service = service
+        self._limiter = service.limiter
         self._limited: frozenset[AccountId] = frozenset()
 
     def configure(self, snapshot: ConfigurationSnapshot) -> None:
@@ -28,15 +34,38 @@
         memory_tokens = sum(engine.memory_tokens for engine in snapshot.engines())
         self._limiter.set_limits(snapshot.limits, memory_tokens)
 
-    def try_admit(
+    async def admit(
         self, account_id: AccountId, tokens: int, is_long: bool
     ) -> result.Result[Callable[[], None], Failure]:
         """Returns what to call when the request has ended, or why it is refused."""
         if account_id not in self._limited:
             return result.Success(_nothing)
-        admitted = self._limiter.try_admit(account_id, tokens, trio.current_time(), is_long)
+        admitted = self._try(account_id, tokens, is_long)
+        if is_successful(admitted):
+            return admitted.map(self._release_of)
+        if not self._limiter.has_lease(account_id, trio.current_time()):
+            admitted = await self._try_with_lease(account_id, tokens, is_long)
         return admitted.map(self._release_of)
 
+    async def _try_with_lease(
+        self, account_id: AccountId, tokens: int, is_long: bool
+    ) -> result.Result[Admission, Failure]:
+        """Asks for a lease and tries again, once more after the short time that it may need."""
+        await self._service.ask_now()
+        admitted = self._try(account_id, tokens, is_long)
+        if is_successful(admitted):
+            return admitted
+        wait_seconds = admitted.failure().retry_after_seconds
+        if wait_seconds is None or wait_seconds > LONGEST_WAIT_SECONDS:
+            return admitted
+        await trio.sleep(wait_seconds)
+        return self._try(account_id, tokens, is_long)
+
+    def _try(
+        self, account_id: AccountId, tokens: int, is_long: bool
+    ) -> result.Result[Admission, Failure]:
+        return self._limiter.try_admit(account_id, tokens, trio.current_time(), is_long)
+
     def _release_of(self, admission: Admission) -> Callable[[], None]:
         def release() -> None:
             self._limiter.release(admission, trio.current_time())
--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -78,7 +78,7 @@
         self._limits = account_limit_service(
             vm_id, LimiterSettings(), self._peers.membership.view, self._peers.network
         )
-        self._gate = LimitsGate(self._limits.limiter)
+        self._gate = LimitsGate(self._limits)
         self._calls = call_coordinator(self._log, vm_id, incarnation)
         self._engines = HttpEngineClient(self._connections, self._address_of)
         self._grants = local_grant_source(pool_scheduler())
--- a/camphordrift/gateway/_context.py
+++ b/camphordrift/gateway/_context.py
@@ -39,9 +39,9 @@
 
 
 class AdmissionGate(Protocol):
-    """The limits of client accounts, and whether the VM takes new requests at all."""
+    """The limits of client accounts."""
 
-    def try_admit(
+    async def admit(
         self, account_id: AccountId, tokens: int, is_long: bool
     ) -> result.Result[Callable[[], None], Failure]:
         """Returns what to call when the request has ended, or why it is refused."""
@@ -51,7 +51,7 @@
 class OpenGate:
     """An :class:`AdmissionGate` without limits, for tests."""
 
-    def try_admit(
+    async def admit(
         self, account_id: AccountId, tokens: int, is_long: bool
     ) -> result.Result[Callable[[], None], Failure]:
         """Admits every request."""
--- a/camphordrift/gateway/_generation_endpoint.py
+++ b/camphordrift/gateway/_generation_endpoint.py
@@ -123,7 +123,7 @@
     ) -> None:
         tokens = admitted.body.prompt_tokens + admitted.body.max_output_tokens
         account_id = admitted.permission.account_id
-        gate = self._context.gate.try_admit(account_id, tokens, admitted.is_long)
+        gate = await self._context.gate.admit(account_id, tokens, admitted.is_long)
         if not is_successful(gate):
             await self._refuse(admitted.request_id, gate.failure(), scope, receive, send)
             return
--- a/camphordrift/gateway/_service_endpoint.py
+++ b/camphordrift/gateway/_service_endpoint.py
@@ -1,7 +1,5 @@
 """The endpoint of plain services, by path."""
 
-from collections.abc import Callable
-
 import trio
 from returns import result
 from returns.pipeline import is_successful
@@ -94,7 +92,10 @@
         send: Send,
     ) -> None:
         timeout = read_timeout(request.headers, permission.timeouts)
-        admitted = timeout.bind(lambda _: self._pass_gate(permission))
+        if not is_successful(timeout):
+            await self._refuse(request, request_id, timeout.failure(), send)
+            return
+        admitted = await self._context.gate.admit(permission.account_id, 0, False)
         if not is_successful(admitted):
             await self._refuse(request, request_id, admitted.failure(), send)
             return
@@ -120,11 +121,6 @@
         finally:
             release()
 
-    def _pass_gate(
-        self, permission: ServicePermission
-    ) -> result.Result[Callable[[], None], Failure]:
-        return self._context.gate.try_admit(permission.account_id, 0, False)
-
     async def _call(
         self, call: ServiceRequest, permission: ServicePermission, seconds: float
     ) -> result.Result[HttpAnswer, Failure]:
--- a/camphordrift/peers/_network.py
+++ b/camphordrift/peers/_network.py
@@ -112,7 +112,7 @@
             connection = connected.unwrap()
         if connection is None:
             return Failure(peer_unreachable(f"{vm_id} could not be connected in time", False, 1.0))
-        return await connection.request(wire, deadline - trio.current_time())
+        return await connection.request(wire, max(0.0, deadline - trio.current_time()))
 
     def notify(self, vm_id: VmId, message: object) -> None:
         """Sends a notice if that is possible; counts it as dropped otherwise. Does not wait."""
--- a/camphordrift/peers/tests/test_network.py
+++ b/camphordrift/peers/tests/test_network.py
@@ -171,6 +171,15 @@
 
         run_in_virtual_time(lambda: with_pair(body))
 
+    def test_a_request_whose_time_is_over_fails_and_raises_nothing(self) -> None:
+        async def body(_: MemoryFabric, alpha: PeerNetwork, __: PeerNetwork) -> None:
+            await alpha.request(BETA, Question("one"), 1.0)
+            for timeout_seconds in (0.0, -0.001):
+                outcome = await alpha.request(BETA, Question("two"), timeout_seconds)
+                self.assertIsInstance(outcome, Failure)
+
+        run_in_virtual_time(lambda: with_pair(body))
+
     def test_unreachable_peer_fails_at_once_as_not_run(self) -> None:
         async def body(fabric: MemoryFabric, alpha: PeerNetwork, _: PeerNetwork) -> None:
             fabric.unreachable.add(1)
