--- a/camphordrift/tests/process_fleet.py
+++ b/camphordrift/tests/process_fleet.py
@@ -97,6 +97,12 @@
         base_url = f"http://{self._plan.entries[index].listen.operators}"
         return await self._json(method, base_url, target, body)
 
+    def print_logs(self) -> None:
+        """Prints the end of each process's log, for a test that failed."""
+        for name, process in self._processes.items():
+            text = (self._directory / f"{name}.log").read_text(encoding="utf-8", errors="replace")
+            print(f"--- {name}, exit code {process.poll()}\n{text[-3000:]}")
+
     def kill_all(self) -> None:
         """Ends every process that this fleet started."""
         for process in self._processes.values():
@@ -229,5 +235,8 @@
         try:
             await fleet.start()
             yield fleet
+        except BaseException:
+            fleet.print_logs()
+            raise
         finally:
             fleet.kill_all()
