Add orders to engines under a lease

Cause: engines must be brought to their configured state by one giver at a time, also those that ignore fencing. Change: desired against reported state gives orders; a new holder gives every order again; at engines without fencing it waits out its predecessor's orders, and orders that do harm when late are refused; a shared budget keeps to the weight store's rate.

--- /dev/null
+++ b/camphordrift/engine_orders/_giver.py
@@ -0,0 +1,190 @@
+"""Gives orders to engines as long as this process holds the lease."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Optional, Protocol
+
+import trio
+from returns import result
+
+from camphordrift.backend_servers import (
+    BackendError,
+    BackendUnreachableError,
+    EngineClient,
+    EngineOrder,
+    OrderReply,
+)
+from camphordrift.clocks import TwoClocks
+from camphordrift.engine_orders._desired import DesiredEngine, ReportedEngine, reported_engine
+from camphordrift.engine_orders._order_book import OrderBook
+from camphordrift.engine_orders._planning import HeldBackOrder, plan_orders
+from camphordrift.engine_orders._weight_budget import WeightStoreBudget
+from camphordrift.identifiers import BackendServerId
+from camphordrift.leases import FencingNumber, LeaseName, LeaseTerm
+from camphordrift.results import Failure, ResultCode
+
+#: Time given to one request to an engine, in seconds. Keep it below the leases'
+#: ``order_settle_seconds``, after which an order counts as gone.
+ORDER_TIMEOUT_SECONDS = 5.0
+
+#: Engines that are seen to at once.
+_ENGINES_AT_ONCE = 16
+
+
+class OrderAuthority(Protocol):
+    """Says whether this process may give orders; a :class:`camphordrift.leases.LeaseRunner`."""
+
+    def authorize(self, name: LeaseName) -> result.Result[LeaseTerm, Failure]:
+        """Permits one order under the lease to be sent now."""
+        ...
+
+    def note_superseded(self, name: LeaseName) -> None:
+        """Learns from a backend server that a later holder exists."""
+        ...
+
+    def read_clocks(self) -> TwoClocks:
+        """Returns this moment by both clocks."""
+        ...
+
+
+@dataclass(frozen=True)
+class EngineOrdersState:
+    """What a state dump shows of one engine's orders."""
+
+    #: The engine.
+    engine_id: str
+
+    #: Ids of the orders that it took under the lease in force.
+    accepted: tuple[str, ...]
+
+    #: Why orders failed that wait to be sent again.
+    last_failures: tuple[str, ...]
+
+    #: Orders that were needed in the last round and not sent, with the result code's name.
+    held_back: tuple[str, ...]
+
+
+class EngineOrderGiver:
+    """Brings engines to their desired state, order by order, under one lease.
+
+    Example::
+
+        giver = EngineOrderGiver(client, leases, LeaseName("engine-orders"), budget)
+        while True:
+            await giver.run_round(desired_engines)
+            await trio.sleep(2.0)
+    """
+
+    def __init__(
+        self,
+        client: EngineClient,
+        authority: OrderAuthority,
+        lease_name: LeaseName,
+        budget: WeightStoreBudget,
+    ) -> None:
+        self._client = client
+        self._authority = authority
+        self._lease_name = lease_name
+        self._budget = budget
+        self._fencing_number: Optional[FencingNumber] = None
+        self._books: dict[BackendServerId, OrderBook] = {}
+        self._held_back: dict[BackendServerId, tuple[HeldBackOrder, ...]] = {}
+
+    async def run_round(self, desired_engines: Sequence[DesiredEngine]) -> None:
+        """Gives each engine the orders that it needs now, if this process holds the lease."""
+        match self._authority.authorize(self._lease_name):
+            case result.Success(term):
+                self._begin_term(term)
+            case _:
+                return
+        limit = trio.CapacityLimiter(_ENGINES_AT_ONCE)
+        async with trio.open_nursery() as nursery:
+            for desired in desired_engines:
+                nursery.start_soon(self._see_to, desired, limit)
+
+    def dump_state(self) -> tuple[EngineOrdersState, ...]:
+        """Returns what a state dump shows."""
+        return tuple(
+            EngineOrdersState(
+                engine_id=engine_id,
+                accepted=tuple(taken.order.order_id for taken in book.accepted),
+                last_failures=book.last_failures,
+                held_back=tuple(
+                    f"{held.order.order_id}: {held.failure.code.name}"
+                    for held in self._held_back.get(engine_id, ())
+                ),
+            )
+            for engine_id, book in self._books.items()
+        )
+
+    def _begin_term(self, term: LeaseTerm) -> None:
+        if term.fencing_number != self._fencing_number:
+            self._fencing_number = term.fencing_number
+            self._budget.empty(self._authority.read_clocks().monotonic)
+
+    async def _see_to(self, desired: DesiredEngine, limit: trio.CapacityLimiter) -> None:
+        async with limit:
+            reported = await self._read_report(desired.engine_id)
+            if reported is not None:
+                await self._give_orders(desired, reported)
+
+    async def _read_report(self, engine_id: BackendServerId) -> Optional[ReportedEngine]:
+        try:
+            with trio.fail_after(ORDER_TIMEOUT_SECONDS):
+                return reported_engine(await self._client.read_load(engine_id))
+        except (BackendError, trio.TooSlowError):
+            return None
+
+    async def _give_orders(self, desired: DesiredEngine, reported: ReportedEngine) -> None:
+        book = self._books.setdefault(desired.engine_id, OrderBook())
+        match self._authority.authorize(self._lease_name):
+            case result.Success(term):
+                now = self._authority.read_clocks()
+                plan = plan_orders(desired, reported, term, book, self._budget, now)
+            case _:
+                return
+        self._held_back[desired.engine_id] = plan.held_back
+        for order in plan.orders:
+            if not self._may_send(order):
+                return
+            await self._send(desired.engine_id, order, reported, book)
+
+    def _may_send(self, order: EngineOrder) -> bool:
+        """Asks the lease right before an order is sent."""
+        match self._authority.authorize(self._lease_name):
+            case result.Success(term):
+                return bool(term.fencing_number == order.fencing_number)
+        return False
+
+    async def _send(
+        self,
+        engine_id: BackendServerId,
+        order: EngineOrder,
+        reported: ReportedEngine,
+        book: OrderBook,
+    ) -> None:
+        try:
+            with trio.fail_after(ORDER_TIMEOUT_SECONDS):
+                reply = await self._client.send_order(engine_id, order)
+        except BackendUnreachableError as error:
+            book.note_failed(order, f"{ResultCode.BACKEND_UNREACHABLE.name}: {error}", self._now())
+        except (BackendError, trio.TooSlowError):
+            book.note_failed(order, ResultCode.ORDER_OUTCOME_UNKNOWN.name, self._now())
+        else:
+            self._take_reply(order, reply, reported, book)
+
+    def _take_reply(
+        self, order: EngineOrder, reply: OrderReply, reported: ReportedEngine, book: OrderBook
+    ) -> None:
+        if reply.accepted:
+            book.note_accepted(order, reported.incarnation, self._now())
+            return
+        highest = reply.highest_fencing_number
+        if highest is not None and highest > order.fencing_number:
+            book.note_failed(order, ResultCode.ORDER_FENCED.name, self._now())
+            self._authority.note_superseded(self._lease_name)
+            return
+        book.note_failed(order, reply.detail or "refused", self._now())
+
+    def _now(self) -> float:
+        return self._authority.read_clocks().monotonic
