Add the release of engine memory that nobody needs

Cause: holds of dead owners, lost releases and half-done placements would stay for ever. Change: a stateless decision over the engine's own listing and its owners' own answers, the owner's registry (claim before placing, renew, give up in time), sharing by rendezvous hashing, and the round over an engine client.

--- /dev/null
+++ b/camphordrift/engine_memory/__init__.py
@@ -0,0 +1,45 @@
+"""Memory holds on engines: claimed and renewed by their owners, released once they are lost."""
+
+from camphordrift.engine_memory._owners import (
+    OwnerAnswered,
+    OwnerKnowledge,
+    OwnerMissing,
+    OwnerSilent,
+)
+from camphordrift.engine_memory._reconciler import (
+    EngineListing,
+    HoldRelease,
+    ReleaseReason,
+    find_lost_holds,
+)
+from camphordrift.engine_memory._reconciling import (
+    AskOwner,
+    ReconcileReport,
+    reconcile_engine_memory,
+)
+from camphordrift.engine_memory._registry import ClaimedHold, HoldRegistry
+from camphordrift.engine_memory._settings import HoldSettings
+from camphordrift.engine_memory._sharing import ROUNDS_BETWEEN_LOOKS, engines_due
+from camphordrift.engine_memory._state import ClaimedHoldState, EngineMemoryState, dump_state
+
+__all__ = [
+    "ROUNDS_BETWEEN_LOOKS",
+    "AskOwner",
+    "ClaimedHold",
+    "ClaimedHoldState",
+    "EngineListing",
+    "EngineMemoryState",
+    "HoldRegistry",
+    "HoldRelease",
+    "HoldSettings",
+    "OwnerAnswered",
+    "OwnerKnowledge",
+    "OwnerMissing",
+    "OwnerSilent",
+    "ReconcileReport",
+    "ReleaseReason",
+    "dump_state",
+    "engines_due",
+    "find_lost_holds",
+    "reconcile_engine_memory",
+]
--- /dev/null
+++ b/camphordrift/engine_memory/tests/test_reconciler.py
@@ -0,0 +1,113 @@
+"""Tests of the decision which holds are lost, of the owner's record, and of who looks when."""
+
+import testtools
+
+from camphordrift.backend_servers import MemoryHold
+from camphordrift.engine_memory import (
+    EngineListing,
+    HoldRegistry,
+    HoldSettings,
+    OwnerAnswered,
+    OwnerMissing,
+    OwnerSilent,
+    ReleaseReason,
+    dump_state,
+    engines_due,
+    find_lost_holds,
+)
+from camphordrift.engine_memory.tests.memory_model import ENGINES, VMS, clocks
+from camphordrift.identifiers import BackendServerId, HoldId, Incarnation, RequestId, VmId
+
+_SETTINGS = HoldSettings()
+_HOLD = HoldId("hold-1")
+_CLAIMED = frozenset({_HOLD})
+_NOTHING: frozenset[HoldId] = frozenset()
+
+
+def _hold(age_seconds: float) -> MemoryHold:
+    return MemoryHold(
+        _HOLD, 1000, VMS[0], Incarnation(5), RequestId("request-1"), age_seconds=age_seconds
+    )
+
+
+class FindLostHoldsTest(testtools.TestCase):
+    def test_each_kind_of_owner(self) -> None:
+        cases = (
+            ("claimed", OwnerAnswered(Incarnation(5), _CLAIMED, 101.0), 999.0, None),
+            (
+                "not claimed",
+                OwnerAnswered(Incarnation(5), _NOTHING, 101.0),
+                0.1,
+                ReleaseReason.NOT_CLAIMED,
+            ),
+            ("asked too early", OwnerAnswered(Incarnation(5), _NOTHING, 99.9), 999.0, None),
+            (
+                "restarted",
+                OwnerAnswered(Incarnation(6), _NOTHING, 101.0),
+                30.0,
+                ReleaseReason.OWNER_RESTARTED,
+            ),
+            ("renewed", OwnerAnswered(Incarnation(6), _NOTHING, 101.0), 29.9, None),
+            ("older process", OwnerAnswered(Incarnation(4), _NOTHING, 101.0), 999.0, None),
+            ("silent", OwnerSilent(), 999.0, None),
+            ("missing", OwnerMissing(10.0), 30.0, ReleaseReason.OWNER_GONE),
+            ("missing too short", OwnerMissing(9.9), 999.0, None),
+            ("missing, cut off and alive", OwnerMissing(999.0), 5.0, None),
+            ("not known", None, 999.0, None),
+        )
+        for name, owner, age_seconds, reason in cases:
+            listing = EngineListing(ENGINES[0], (_hold(age_seconds),), listed_at=100.0)
+            owners = {} if owner is None else {VMS[0]: owner}
+            found = [release.reason for release in find_lost_holds(listing, owners, _SETTINGS)]
+            self.assertEqual([] if reason is None else [reason], found, name)
+
+    def test_a_hold_whose_age_reached_the_lease_is_no_owners_any_more(self) -> None:
+        latest_renewal = _SETTINGS.usable_seconds + _SETTINGS.request_timeout_seconds
+        self.assertTrue(latest_renewal < _SETTINGS.lease_seconds)
+
+
+class RegistryTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.registry = HoldRegistry(Incarnation(5), _SETTINGS)
+        self.registry.claim(_HOLD, ENGINES[0], RequestId("request-1"), clocks(100.0))
+
+    def test_claims_a_hold_before_it_is_placed_and_uses_it_after(self) -> None:
+        self.assertEqual(_CLAIMED, self.registry.answer(1.0).claimed)
+        self.assertFalse(self.registry.may_use(_HOLD, clocks(1.0)))
+        self.registry.note_confirmed(_HOLD, clocks(0.0))
+        self.assertTrue(self.registry.may_use(_HOLD, clocks(23.9)))
+        self.assertFalse(self.registry.may_use(_HOLD, clocks(24.0)))
+        self.assertTrue(dump_state(self.registry, None, clocks(1.0)).claimed[0].usable)
+
+    def test_never_takes_an_id_twice(self) -> None:
+        request = RequestId("request-2")
+        self.assertRaises(
+            ValueError, self.registry.claim, _HOLD, ENGINES[0], request, clocks(100.0)
+        )
+
+    def test_renews_in_time(self) -> None:
+        self.registry.note_confirmed(_HOLD, clocks(0.0))
+        due = [now for now in (7.9, 8.0, 24.0) if self.registry.renewals_due(clocks(now))]
+        self.assertEqual([8.0], due)
+
+    def test_gives_up_what_was_not_renewed_or_whose_request_is_over(self) -> None:
+        for confirmed_at, now in ((0.0, 24.0), (90.0, 100.0)):
+            registry = HoldRegistry(Incarnation(5), _SETTINGS)
+            registry.claim(_HOLD, ENGINES[0], RequestId("request-1"), clocks(100.0))
+            registry.note_confirmed(_HOLD, clocks(confirmed_at))
+            self.assertEqual((), registry.expire(clocks(now - 0.1)))
+            self.assertEqual(1, len(registry.expire(clocks(now))))
+            self.assertEqual(_NOTHING, registry.answer(now).claimed)
+
+
+class EnginesDueTest(testtools.TestCase):
+    def test_one_vm_looks_at_each_engine_in_every_round(self) -> None:
+        engines = tuple(BackendServerId(f"engine-{number}") for number in range(50))
+        vms = tuple(VmId(f"vm-{number}") for number in range(7))
+        looks = [engine for vm in vms for engine in engines_due(engines, vms, vm, 1)]
+        self.assertEqual(sorted(engines), sorted(looks))
+
+    def test_two_others_look_now_and_then(self) -> None:
+        looking = [vm for vm in VMS if engines_due(ENGINES[:1], VMS, vm, 8)]
+        self.assertEqual(3, len(looking))
