--- a/camphordrift/configuration/__init__.py
+++ b/camphordrift/configuration/__init__.py
@@ -15,13 +15,19 @@
     Rejected,
     Verdict,
     decide,
-    differences_between,
     fold,
 )
+from camphordrift.configuration._history import (
+    EntryDifference,
+    FieldChange,
+    HistoricChange,
+    History,
+    HistoryEntry,
+    changed_fields,
+)
 from camphordrift.configuration._keeper import ConfigurationKeeper, KeeperStatus
 from camphordrift.configuration._keeper_settings import CONFIGURATION_STREAM, KeeperSettings
 from camphordrift.configuration._publishing import (
-    EntryDifference,
     NotPublished,
     Published,
     PublishResult,
@@ -49,9 +55,10 @@
     BlockReason,
     ConfigurationReplica,
     PeerStateOutcome,
+    RejectedRecord,
 )
 from camphordrift.configuration._snapshot import ConfigurationSnapshot, snapshot_of
-from camphordrift.configuration._state import ConfigurationState, Entry, HistoryEntry
+from camphordrift.configuration._state import ConfigurationState, Entry
 from camphordrift.configuration._validation import (
     record_to_raw,
     validate_record,
@@ -103,8 +110,11 @@
     "Entry",
     "EntryDifference",
     "EntryKey",
+    "FieldChange",
     "FieldDifference",
     "FleetTuning",
+    "HistoricChange",
+    "History",
     "HistoryEntry",
     "KeeperSettings",
     "KeeperStatus",
@@ -122,15 +132,16 @@
     "Readiness",
     "RecordKind",
     "Rejected",
+    "RejectedRecord",
     "RepeatableCalls",
     "Service",
     "Unreadable",
     "UnreadableSchema",
     "Verdict",
+    "changed_fields",
     "decide",
     "decode",
     "difference",
-    "differences_between",
     "encode_checkpoint",
     "encode_record",
     "entry_key_of",
