--- a/camphordrift/calls/tests/builders.py
+++ b/camphordrift/calls/tests/builders.py
@@ -12,18 +12,14 @@
     encode_call_record,
 )
 from camphordrift.calls._records import CallRecord, new_record_id
-from camphordrift.experiments._call_service import WALL_START, timed_uuid
-from camphordrift.identifiers import AccountId, Incarnation, VmId
+from camphordrift.experiments._call_service import WALL_START
+from camphordrift.identifiers import Incarnation, VmId
 from camphordrift.platform_log import LogRecord
 
 BOOKING_DIGEST = b"booking"
 OTHER_DIGEST = b"other"
 
 
-def call_key(made_at: float = WALL_START, tail: int = 1, account: str = "seller") -> CallKey:
-    return CallKey(account_id=AccountId(account), value=timed_uuid(made_at, tail))
-
-
 def claim(key: CallKey, attempt_id: str, digest: bytes = BOOKING_DIGEST) -> ClaimRecord:
     return ClaimRecord(
         record_id=new_record_id(),
--- a/camphordrift/calls/tests/test_attempt.py
+++ b/camphordrift/calls/tests/test_attempt.py
@@ -12,9 +12,9 @@
     KeyOutcomeUnknown,
     new_claim_attempt,
 )
-from camphordrift.calls.tests.builders import BOOKING_DIGEST, call_key
+from camphordrift.calls.tests.builders import BOOKING_DIGEST
 from camphordrift.clocks import TwoClocks
-from camphordrift.experiments._call_service import WALL_START
+from camphordrift.experiments._call_service import WALL_START, call_key
 from camphordrift.identifiers import Incarnation, VmId
 from camphordrift.results import ResultCode
 
--- a/camphordrift/calls/tests/test_claims_model.py
+++ b/camphordrift/calls/tests/test_claims_model.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from camphordrift.calls import CallKey, ClaimLedger, KeyFree, KeyRunning, KeyStanding
-from camphordrift.calls.tests.claims_model import ClaimsModel
+from camphordrift.experiments._claims_model import ClaimsModel
 
 _SEEDS = range(60)
 
--- /dev/null
+++ b/camphordrift/calls/tests/test_fault_pairs.py
@@ -0,0 +1,142 @@
+"""Tests of calls that meet two faults at once."""
+
+from functools import partial
+
+import testtools
+import trio
+from returns import result
+
+from camphordrift.calls import CallOutcome, CallSettings
+from camphordrift.experiments._call_fleet import CallFleet, open_call_fleet
+from camphordrift.experiments._call_service import CountingService, booking
+from camphordrift.results import Failure, ResultCode
+from camphordrift.standins import AnswerLoss, LogLimits
+from camphordrift.testing import run_in_virtual_time
+
+
+def _code_of(answer: result.Result[CallOutcome, Failure]) -> ResultCode:
+    match answer:
+        case result.Failure(failure):
+            return failure.code
+    return ResultCode.OK
+
+
+async def _call_and_die(fleet: CallFleet, service: CountingService, die_after: float) -> None:
+    """Calls at the first VM, which dies during the call, and its caller with it."""
+    caller = trio.CancelScope()
+
+    async def call() -> None:
+        with caller:
+            await fleet.vms[0].execute(booking(), service.dispatch)
+
+    fleet.nursery.start_soon(call)
+    await trio.sleep(die_after)
+    fleet.lives[0].cancel()
+    caller.cancel()
+
+
+class FaultPairTest(testtools.TestCase):
+    def test_vm_dies_after_the_dispatch_while_the_log_is_down(self) -> None:
+        async def main() -> None:
+            async with open_call_fleet(2) as fleet:
+                service = CountingService(latency_seconds=10.0)
+                fleet.nursery.start_soon(partial(_call_and_die, fleet, service, 5.0))
+                await trio.sleep(2.0)
+                fleet.faults.begin_outage(silent=True)
+                await trio.sleep(10.0)
+                during = await fleet.vms[1].execute(booking(), service.dispatch)
+                self.assertEqual(ResultCode.CALL_STILL_RUNNING, _code_of(during))
+                fleet.faults.end_outage()
+                await trio.sleep(30.0)
+                after = await fleet.vms[1].execute(booking(), service.dispatch)
+                self.assertEqual(ResultCode.CALL_OUTCOME_UNKNOWN, _code_of(after))
+                self.assertEqual(1, service.runs[b"stall 7"])
+
+        run_in_virtual_time(main)
+
+    def test_two_vms_race_and_both_answers_of_the_log_are_lost(self) -> None:
+        async def main() -> None:
+            for loss in (AnswerLoss(True), AnswerLoss(False), AnswerLoss(True, 1.5)):
+                async with open_call_fleet(2) as fleet:
+                    service = CountingService()
+                    fleet.faults.lose_next_answers(2, loss)
+                    async with trio.open_nursery() as nursery:
+                        for vm in fleet.vms:
+                            nursery.start_soon(vm.execute, booking(), service.dispatch)
+                    await trio.sleep(10.0)
+                    repeat = await fleet.vms[0].execute(booking(), service.dispatch)
+                    self.assertEqual(ResultCode.OK, _code_of(repeat), str(loss))
+                    self.assertEqual(1, service.runs[b"stall 7"], str(loss))
+
+        run_in_virtual_time(main)
+
+    def test_vm_dies_with_its_claim_on_the_way_to_a_slow_log(self) -> None:
+        async def main() -> None:
+            async with open_call_fleet(2) as fleet:
+                service = CountingService()
+                fleet.faults.slow_down(1.0)
+                await _call_and_die(fleet, service, 0.2)
+                fleet.faults.slow_down(0.0)
+                answer = await fleet.vms[1].execute(booking(), service.dispatch)
+                await trio.sleep(60.0)
+                late = await fleet.vms[1].execute(booking(), service.dispatch)
+                self.assertTrue(service.runs[b"stall 7"] <= 1)
+                ran = service.runs[b"stall 7"] == 1
+                self.assertEqual(ran, _code_of(answer) is ResultCode.OK)
+                self.assertEqual(ran, _code_of(late) is ResultCode.OK)
+
+        run_in_virtual_time(main)
+
+    def test_answer_of_the_service_is_lost_while_the_log_is_down(self) -> None:
+        async def main() -> None:
+            async with open_call_fleet(2) as fleet:
+                service = CountingService(latency_seconds=3.0, loses_answers=True)
+                fleet.nursery.start_soon(fleet.vms[0].execute, booking(), service.dispatch)
+                await trio.sleep(1.0)
+                fleet.faults.begin_outage()
+                await trio.sleep(20.0)
+                fleet.faults.end_outage()
+                await fleet.vms[0].flush()
+                await trio.sleep(1.0)
+                repeat = await fleet.vms[1].execute(booking(), service.dispatch)
+                self.assertEqual(ResultCode.CALL_OUTCOME_UNKNOWN, _code_of(repeat))
+                self.assertEqual(1, service.runs[b"stall 7"])
+
+        run_in_virtual_time(main)
+
+    def test_retention_passes_while_a_vm_is_paused_between_claim_and_first_byte(self) -> None:
+        async def main() -> None:
+            settings = CallSettings(key_max_age_seconds=90.0, mark_interval_seconds=20.0)
+            async with open_call_fleet(2, LogLimits(keep_seconds=60.0), settings) as fleet:
+                service = CountingService(connect_seconds=200.0)
+                fleet.nursery.start_soon(fleet.vms[0].execute, booking(), service.dispatch)
+                await trio.sleep(150.0)
+                fleet.start_vm()
+                await trio.sleep(5.0)
+                service.connect_seconds = 0.0
+                repeat = await fleet.vms[2].execute(booking(), service.dispatch)
+                self.assertEqual(ResultCode.KEY_TOO_OLD, _code_of(repeat))
+                await trio.sleep(200.0)
+                self.assertEqual(0, service.runs[b"stall 7"])
+
+        run_in_virtual_time(main)
+
+    def test_a_vm_is_drained_during_an_outage_and_its_outcome_is_kept(self) -> None:
+        async def main() -> None:
+            async with open_call_fleet(2) as fleet:
+                service = CountingService(latency_seconds=2.0)
+                fleet.nursery.start_soon(fleet.vms[0].execute, booking(), service.dispatch)
+                await trio.sleep(1.0)
+                fleet.faults.begin_outage()
+                await trio.sleep(5.0)
+                with trio.move_on_after(1.0) as impatient:
+                    await fleet.vms[0].flush()
+                self.assertTrue(impatient.cancelled_caught)
+                fleet.faults.end_outage()
+                await fleet.vms[0].flush()
+                fleet.lives[0].cancel()
+                await trio.sleep(1.0)
+                repeat = await fleet.vms[1].execute(booking(), service.dispatch)
+                self.assertEqual(b"booked", repeat.unwrap().body)
+
+        run_in_virtual_time(main)
--- a/camphordrift/calls/tests/test_ledger.py
+++ b/camphordrift/calls/tests/test_ledger.py
@@ -19,12 +19,11 @@
     BOOKING_DIGEST,
     OTHER_DIGEST,
     FoldedStream,
-    call_key,
     claim,
     outcome,
     void,
 )
-from camphordrift.experiments._call_service import WALL_START
+from camphordrift.experiments._call_service import WALL_START, call_key
 from camphordrift.platform_log import LogRecord
 
 
--- a/camphordrift/engine_memory/tests/test_memory_model.py
+++ b/camphordrift/engine_memory/tests/test_memory_model.py
@@ -17,7 +17,7 @@
     ReleaseReason,
     find_lost_holds,
 )
-from camphordrift.engine_memory.tests.memory_model import LIST_LAG_SECONDS, Decide, MemoryModel
+from camphordrift.experiments._memory_model import LIST_LAG_SECONDS, Decide, MemoryModel
 from camphordrift.identifiers import VmId
 
 _SEEDS = range(12)
--- a/camphordrift/engine_memory/tests/test_reconciler.py
+++ b/camphordrift/engine_memory/tests/test_reconciler.py
@@ -15,7 +15,7 @@
     engines_due,
     find_lost_holds,
 )
-from camphordrift.engine_memory.tests.memory_model import ENGINES, VMS, clocks
+from camphordrift.experiments._memory_model import ENGINES, VMS, clocks
 from camphordrift.identifiers import BackendServerId, HoldId, Incarnation, RequestId, VmId
 
 _SETTINGS = HoldSettings()
--- a/camphordrift/engine_memory/tests/test_reconciling.py
+++ b/camphordrift/engine_memory/tests/test_reconciling.py
@@ -18,7 +18,7 @@
     ReconcileReport,
     reconcile_engine_memory,
 )
-from camphordrift.engine_memory.tests.memory_model import ENGINES, VMS
+from camphordrift.experiments._memory_model import ENGINES, VMS
 from camphordrift.identifiers import BackendServerId, HoldId, Incarnation, RequestId, VmId
 from camphordrift.testing import run_in_virtual_time
 
--- a/camphordrift/engine_orders/tests/test_giver.py
+++ b/camphordrift/engine_orders/tests/test_giver.py
@@ -15,7 +15,8 @@
 )
 from camphordrift.clocks import TwoClocks
 from camphordrift.engine_orders import EngineOrderGiver, WeightStoreBudget
-from camphordrift.engine_orders.tests.builders import ENGINE, OrderedEngine, clocks, desired, term
+from camphordrift.engine_orders.tests.builders import term
+from camphordrift.experiments._orders_model import ENGINE, OrderedEngine, clocks, desired
 from camphordrift.identifiers import BackendServerId, Incarnation
 from camphordrift.leases import LeaseName, LeaseTerm
 from camphordrift.results import Failure, ResultCode
--- a/camphordrift/engine_orders/tests/test_planning.py
+++ b/camphordrift/engine_orders/tests/test_planning.py
@@ -13,7 +13,8 @@
     WeightStoreBudget,
     plan_orders,
 )
-from camphordrift.engine_orders.tests.builders import clocks, desired, reported, term
+from camphordrift.engine_orders.tests.builders import term
+from camphordrift.experiments._orders_model import clocks, desired, reported
 from camphordrift.identifiers import Incarnation
 from camphordrift.results import ResultCode
 
--- a/camphordrift/experiments/_call_service.py
+++ b/camphordrift/experiments/_call_service.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from camphordrift.calls import (
+    CallKey,
     DispatchAnswered,
     DispatchNotSent,
     DispatchReply,
@@ -35,6 +36,11 @@
     return uuid.UUID(int=(milliseconds << 80) | (7 << 76) | (2 << 62) | tail)
 
 
+def call_key(made_at: float = WALL_START, tail: int = 1, account: str = "seller") -> CallKey:
+    """Returns a key made at ``made_at`` seconds since 1970."""
+    return CallKey(account_id=AccountId(account), value=timed_uuid(made_at, tail))
+
+
 def booking(
     made_at: float = 0.0,
     tail: int = 1,
--- a/camphordrift/calls/tests/claims_model.py
+++ b/camphordrift/experiments/_claims_model.py
@@ -11,20 +11,26 @@
     Claimant,
     ClaimAttempt,
     ClaimLedger,
+    ClaimRecord,
     KeyFree,
+    VoidRecord,
     encode_call_record,
     new_claim_attempt,
 )
-from camphordrift.calls._records import CallRecord
-from camphordrift.calls.tests.builders import BOOKING_DIGEST, call_key
 from camphordrift.clocks import TwoClocks
-from camphordrift.experiments._call_service import WALL_START
+from camphordrift.experiments._call_service import WALL_START, call_key
 from camphordrift.identifiers import Incarnation, VmId
 from camphordrift.platform_log import LogRecord
 
+#: Keys are refused from this age on, in seconds; longer than the log keeps records.
 KEY_MAX_AGE_SECONDS = 120.0
+
+#: The log drops records of this age, in seconds.
 RETENTION_SECONDS = 60.0
 
+#: The digest of every request.
+_DIGEST = b"booking"
+
 
 @dataclass
 class ModelVm:
@@ -53,7 +59,7 @@
         self._now = 0.0
         self._log: list[LogRecord] = []
         self._end_offset = 0
-        self._on_the_way: list[CallRecord] = []
+        self._on_the_way: list[ClaimRecord | VoidRecord] = []
         self._vms = [self._new_vm() for _ in range(3)]
         self._keys: list[CallKey] = []
 
@@ -84,11 +90,11 @@
             self._keys.append(call_key(WALL_START + self._now, tail=len(self._keys)))
         key = self._generator.choice(self._keys[-4:])
         vm = self._generator.choice(self._vms)
-        standing = vm.ledger.look_up(key, BOOKING_DIGEST, WALL_START + self._now)
+        standing = vm.ledger.look_up(key, _DIGEST, WALL_START + self._now)
         if not isinstance(standing, KeyFree):
             return
         attempt = new_claim_attempt(
-            key, BOOKING_DIGEST, Claimant(VmId("vm"), Incarnation(1)), self._clocks(), 40.0, 5.0
+            key, _DIGEST, Claimant(VmId("vm"), Incarnation(1)), self._clocks(), 40.0, 5.0
         )
         if self._checks_only:
             self.runs[key] += 1
