Share what many keys have in common in the ledger

Cause: a key took 1001 bytes, of which 216 were an empty set of its own. Change: entries share the empty set and the free standing; equal texts are one object; the values kept per key have slots.

--- a/camphordrift/calls/_entry.py
+++ b/camphordrift/calls/_entry.py
@@ -12,6 +12,10 @@
     KeyStanding,
 )
 
+#: Shared by the many entries that need nothing else.
+_FREE = KeyFree()
+_NO_ATTEMPTS: frozenset[str] = frozenset()
+
 
 class KeyEntry:
     """The claims, voids and outcomes of one key, folded in the order of the log.
@@ -24,8 +28,8 @@
 
     def __init__(self) -> None:
         self._body_digest: Optional[bytes] = None
-        self._standing: KeyStanding = KeyFree()
-        self._closed_attempts: frozenset[str] = frozenset()
+        self._standing: KeyStanding = _FREE
+        self._closed_attempts = _NO_ATTEMPTS
 
     @property
     def standing(self) -> KeyStanding:
--- a/camphordrift/calls/_keys.py
+++ b/camphordrift/calls/_keys.py
@@ -21,7 +21,7 @@
 _MILLISECONDS_PER_SECOND = 1000.0
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class CallKey:
     """A caller's idempotency key within its client account.
 
--- a/camphordrift/calls/_records.py
+++ b/camphordrift/calls/_records.py
@@ -4,6 +4,7 @@
 became of the call, and a mark only shows that the stream is kept.
 """
 
+import sys
 import uuid
 from dataclasses import dataclass
 from enum import Enum
@@ -35,7 +36,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Claimant:
     """The process that made a claim."""
 
@@ -198,9 +199,14 @@
             return common | {"kind": "mark"}
 
 
+def _shared(text: object) -> str:
+    """Returns one object for all equal texts: few accounts, VMs and media types, many records."""
+    return sys.intern(str(text))
+
+
 def _key_of(fields: dict[str, Any]) -> CallKey:
     return CallKey(
-        account_id=AccountId(str(fields["account"])), value=uuid.UUID(bytes=fields["key"])
+        account_id=AccountId(_shared(fields["account"])), value=uuid.UUID(bytes=fields["key"])
     )
 
 
@@ -214,7 +220,7 @@
                 key=_key_of(fields),
                 body_digest=bytes(fields["digest"]),
                 claimant=Claimant(
-                    vm_id=VmId(str(fields["vm"])),
+                    vm_id=VmId(_shared(fields["vm"])),
                     incarnation=Incarnation(int(fields["incarnation"])),
                 ),
                 dispatch_within_seconds=float(fields["dispatch_within"]),
@@ -231,7 +237,7 @@
                 key=_key_of(fields),
                 kind=OutcomeKind(fields["outcome"]),
                 status=int(fields["status"]),
-                content_type=str(fields["type"]),
+                content_type=_shared(fields["type"]),
                 body=fields["body"],
                 answer_digest=bytes(fields["answer_digest"]),
                 body_size=int(fields["size"]),
--- a/camphordrift/calls/_standing.py
+++ b/camphordrift/calls/_standing.py
@@ -15,7 +15,7 @@
     """No claim stands: an attempt may claim the key."""
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class KeyRunning:
     """A claim stands, and its claimant may dispatch the call or wait for its answer."""
 
@@ -32,7 +32,7 @@
     run_ends_at: float
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class KeyFinished:
     """The call was answered; its outcome is in the log."""
 
@@ -58,7 +58,7 @@
     body_size: int
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class KeyOutcomeUnknown:
     """The call may have run, and nobody can say; it is never run again under this key."""
 
--- a/camphordrift/experiments/_call_costs.py
+++ b/camphordrift/experiments/_call_costs.py
@@ -3,6 +3,7 @@
 Run ``python -m camphordrift.experiments._call_costs [KEYS]``.
 """
 
+import gc
 import sys
 import time
 import tracemalloc
@@ -52,8 +53,10 @@
     started = time.process_time()
     _fold(records)
     fold_seconds = time.process_time() - started
+    gc.collect()
     tracemalloc.start()
     ledger = _fold(records)
+    gc.collect()
     ledger_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert ledger.key_count == key_count, "every key is remembered"
