Repeat the calls' experiments task by task

Cause: trio orders runnable tasks at random, so a seed of the soak or the comparison did not repeat a run (974 refusals in one run, 952 in another). Change: both run through run_in_virtual_time, which schedules the same way each time. Conclusion: a seed repeats a whole run.

--- a/camphordrift/experiments/_call_orderings.py
+++ b/camphordrift/experiments/_call_orderings.py
@@ -12,7 +12,6 @@
 from functools import partial
 
 import trio
-import trio.testing
 from returns import result
 
 from camphordrift.calls import (
@@ -29,6 +28,7 @@
 from camphordrift.experiments._call_service import CountingService, booking, wall_clock
 from camphordrift.platform_log import WriterSettings
 from camphordrift.standins import LogLimits
+from camphordrift.testing import run_in_virtual_time
 
 
 class Ordering(Enum):
@@ -113,8 +113,7 @@
 
 
 def _run_ordering(ordering: Ordering, seed: int, load: OrderingLoad) -> OrderingFigures:
-    clock = trio.testing.MockClock(autojump_threshold=0.0)
-    return trio.run(_measure, ordering, seed, load, clock=clock)
+    return run_in_virtual_time(partial(_measure, ordering, seed, load))
 
 
 @dataclass(frozen=True)
--- a/camphordrift/experiments/_calls_soak.py
+++ b/camphordrift/experiments/_calls_soak.py
@@ -6,10 +6,10 @@
 import random
 import sys
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Optional
 
 import trio
-import trio.testing
 from returns import result
 
 from camphordrift.calls import (
@@ -28,6 +28,7 @@
 from camphordrift.experiments._call_service import FaultyService, booking
 from camphordrift.results import Failure, RunState
 from camphordrift.standins import AnswerLoss, LogLimits
+from camphordrift.testing import run_in_virtual_time
 
 #: Times short enough that retention and the keys' age pass during a run, in seconds.
 SOAK_SETTINGS = CallSettings(
@@ -253,8 +254,7 @@
 
 def run_calls_soak(seed: int, plan: Optional[SoakPlan] = None) -> SoakReport:
     """Runs one seed in virtual time; raises ``AssertionError`` if an invariant is broken."""
-    clock = trio.testing.MockClock(autojump_threshold=0.0)
-    return trio.run(_run_soak, seed, plan or SoakPlan(), clock=clock)
+    return run_in_virtual_time(partial(_run_soak, seed, plan or SoakPlan()))
 
 
 async def _run_soak(seed: int, plan: SoakPlan) -> SoakReport:
