Measure the configuration; judge a lost tail by what was asked for

Cause: the measurement of outages stopped at 'the log has lost records': a VM that had taken a peer's newer state during the outage compared its position with the end of the log as of an earlier read. Change: a lost tail is judged by the offset that the read began at. A measurement of propagation, starts, outages and batches.

--- /dev/null
+++ b/camphordrift/experiments/_configuration_measure.py
@@ -0,0 +1,272 @@
+"""Measures the configuration and the log client in virtual time.
+
+``python -m camphordrift.experiments._configuration_measure`` prints the figures of
+docs/design/configuration.md and docs/design/platform-log.md; the same seed gives the same figures.
+"""
+
+import time
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import cyclopts
+import trio
+
+from camphordrift.configuration import (
+    ConfigurationRecord,
+    ConfigurationState,
+    KeeperSettings,
+    decode,
+    encode_checkpoint,
+    encode_record,
+    fold,
+    prepare_record,
+)
+from camphordrift.experiments._configuration_fleet import ConfigurationFleet, FleetVm
+from camphordrift.identifiers import VmId
+from camphordrift.platform_log import (
+    LogWriter,
+    RecordEnvelope,
+    WriterSettings,
+    encode_envelope,
+    new_record_id,
+)
+from camphordrift.standins import InMemoryLogService, LogLimits
+from camphordrift.testing import run_in_virtual_time
+
+_STREAM = "configuration"
+_LOG_RECORDS = 10_000
+_LOG_ENTRIES = 500
+_NO_CHECKPOINTS = KeeperSettings(checkpoint_seconds=1e9, checkpoint_records=10**9)
+_LIMITS = LogLimits(latency_seconds=0.01)
+_TRIALS = 40
+_START_TRIALS = 5
+_MEASURED_SECONDS = 30.0
+
+_Body = Callable[[InMemoryLogService, ConfigurationFleet], Awaitable[list[float]]]
+
+
+def service_record(name: str, replaces: int, seconds: int) -> ConfigurationRecord:
+    """Returns a record that sets the timeouts of one service."""
+    value = {
+        "type": "model",
+        "default_timeout_seconds": seconds,
+        "maximum_timeout_seconds": 2 * seconds,
+    }
+    change = {"kind": "service", "key": name, "replaces": replaces, "value": value}
+    raw = {"author": "measure", "changes": [change]}
+    return prepare_record(raw, 1).unwrap()
+
+
+def propagation_seconds(vm_count: int, seed: int) -> list[float]:
+    """Returns the time from an operator's publishing until all VMs have the record in force."""
+
+    async def body(service: InMemoryLogService, fleet: ConfigurationFleet) -> list[float]:
+        vms = _start(fleet, vm_count)
+        await _publish(vms[0], service_record("a", 0, 1))
+        await fleet.wait_for_version(1)
+        random = Random(seed)
+        found = []
+        for version in range(1, _TRIALS + 1):
+            await trio.sleep(random.uniform(0.5, 2.0))
+            started_at = trio.current_time()
+            record = service_record("a", version, 1 + version % 50)
+            await _publish(random.choice(vms), record)
+            await fleet.wait_for_version(version + 1)
+            found.append(trio.current_time() - started_at)
+        return found
+
+    return _run(body, seed)
+
+
+def start_seconds(checkpoint: bool, seed: int) -> list[float]:
+    """Returns the time from nothing to ready with 10,000 records in the log."""
+
+    async def body(service: InMemoryLogService, fleet: ConfigurationFleet) -> list[float]:
+        await _fill(service, checkpoint)
+        found = []
+        for number in range(_START_TRIALS):
+            vm = fleet.start_vm(VmId(f"vm-{number}"))
+            started_at = trio.current_time()
+            await vm.keeper.wait_ready()
+            found.append(trio.current_time() - started_at)
+            assert vm.keeper.status.version == _LOG_RECORDS
+            fleet.stop_vm(vm.vm_id)
+        return found
+
+    return _run(body, seed)
+
+
+def seconds_after_outage(vm_count: int, outage_seconds: float, seed: int) -> list[float]:
+    """Returns the time from the end of an outage until a record is in force on all VMs.
+
+    An operator publishes during the outage, and the record waits for its end.
+    """
+
+    async def body(service: InMemoryLogService, fleet: ConfigurationFleet) -> list[float]:
+        vms = _start(fleet, vm_count)
+        await _publish(vms[0], service_record("a", 0, 1))
+        await fleet.wait_for_version(1)
+        found = []
+        for version in range(1, _TRIALS + 1):
+            service.faults.begin_outage()
+            async with trio.open_nursery() as nursery:
+                record = service_record("a", version, 1 + version % 50)
+                nursery.start_soon(_publish, vms[version % vm_count], record)
+                await trio.sleep(outage_seconds + 0.13 * version)
+                service.faults.end_outage()
+                ended_at = trio.current_time()
+                await fleet.wait_for_version(version + 1)
+                found.append(trio.current_time() - ended_at)
+        return found
+
+    return _run(body, seed)
+
+
+def fold_seconds() -> float:
+    """Returns the processor time to decode and fold 10,000 records, in seconds of this machine."""
+    encoded = [encode_record(record) for record in _accepted_records()]
+    state = ConfigurationState()
+    started_at = time.process_time()
+    for offset, payload in enumerate(encoded):
+        record = decode(payload).unwrap()
+        assert isinstance(record, ConfigurationRecord)
+        fold(state, record, f"{offset:032x}", offset)
+    spent = time.process_time() - started_at
+    assert state.version == _LOG_RECORDS
+    return spent
+
+
+def append_figures(records_per_second: int, batch_records: int, seed: int) -> tuple[float, ...]:
+    """Returns appends per second, p50 and p99 of the added latency, and the share not appended."""
+    waits: list[float] = []
+    failures = 0
+    appends = 0.0
+
+    async def main() -> None:
+        nonlocal appends
+        service = InMemoryLogService(trio.current_time, _LIMITS)
+        settings = WriterSettings(appends_per_second=40.0, batch_records=batch_records)
+        random = Random(seed)
+        writer = LogWriter(service, "vm", settings, trio.current_time, random)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(writer.run)
+            async with trio.open_nursery() as callers:
+                while trio.current_time() < _MEASURED_SECONDS:
+                    await trio.sleep(random.expovariate(records_per_second))
+                    callers.start_soon(one, writer)
+            appends = service.append_count / trio.current_time()
+            nursery.cancel_scope.cancel()
+
+    async def one(writer: LogWriter) -> None:
+        nonlocal failures
+        started_at = trio.current_time()
+        answer = await writer.append("claims", b"x" * 200, started_at + 5.0)
+        waits.append(trio.current_time() - started_at)
+        failures += answer.value_or(-1) == -1
+
+    run_in_virtual_time(main)
+    ordered = sorted(waits)
+    return (
+        appends,
+        _percentile(ordered, 0.5),
+        _percentile(ordered, 0.99),
+        failures / len(ordered),
+    )
+
+
+def _run(body: _Body, seed: int) -> list[float]:
+    found: list[float] = []
+
+    async def main() -> None:
+        service = InMemoryLogService(trio.current_time, _LIMITS)
+        async with trio.open_nursery() as nursery:
+            fleet = ConfigurationFleet(
+                service, nursery, Random(seed), _NO_CHECKPOINTS, WriterSettings()
+            )
+            nursery.start_soon(fleet.exchange_states)
+            found.extend(await body(service, fleet))
+            nursery.cancel_scope.cancel()
+
+    run_in_virtual_time(main)
+    return found
+
+
+def _start(fleet: ConfigurationFleet, count: int) -> list[FleetVm]:
+    return [fleet.start_vm(VmId(f"vm-{number}")) for number in range(count)]
+
+
+async def _publish(vm: FleetVm, record: ConfigurationRecord) -> Any:
+    ended = await vm.keeper.publish(record, 300.0)
+    return ended.unwrap()
+
+
+async def _fill(service: InMemoryLogService, checkpoint: bool) -> None:
+    """Appends 10,000 accepted records; with a checkpoint, the log keeps only what follows it."""
+    records = _accepted_records()
+    payloads = [_enveloped(encode_record(record)) for record in records]
+    await service.append(_STREAM, payloads)
+    if checkpoint:
+        state = ConfigurationState()
+        for offset, record in enumerate(records):
+            fold(state, record, f"{offset:032x}", offset)
+        await service.append(_STREAM, [_enveloped(encode_checkpoint(state))])
+        service.truncate(_STREAM, _LOG_RECORDS)
+
+
+def _accepted_records() -> list[ConfigurationRecord]:
+    """Returns 10,000 records, each of which replaces what is in force before it."""
+    versions = dict.fromkeys(range(_LOG_ENTRIES), 0)
+    records = []
+    for version in range(1, _LOG_RECORDS + 1):
+        number = version % _LOG_ENTRIES
+        records.append(service_record(f"s-{number}", versions[number], 1 + version % 50))
+        versions[number] = version
+    return records
+
+
+def _enveloped(payload: bytes) -> bytes:
+    return encode_envelope(RecordEnvelope(new_record_id(), "measure", payload))
+
+
+def _percentile(ordered: list[float], part: float) -> float:
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def _line(name: str, found: list[float]) -> None:
+    ordered = sorted(found)
+    print(
+        f"{name}: p50 {_percentile(ordered, 0.5):.3f} s, p99 {_percentile(ordered, 0.99):.3f} s,"
+        f" max {ordered[-1]:.3f} s ({len(ordered)} trials)"
+    )
+
+
+def main(seed: int = 1) -> None:
+    """Prints all figures.
+
+    Parameters
+    ----------
+    seed
+        The same seed gives the same figures.
+
+    """
+    for vm_count in (3, 7, 20, 50):
+        _line(f"in force on {vm_count} VMs after", propagation_seconds(vm_count, seed))
+    _line("from nothing to ready, 10,000 records", start_seconds(False, seed))
+    _line("from nothing to ready, checkpoint of them", start_seconds(True, seed))
+    print(f"processor time to fold 10,000 records: {fold_seconds():.2f} s")
+    for vm_count in (7, 50):
+        name = f"record in force on {vm_count} VMs after an outage of 30 s and more"
+        _line(name, seconds_after_outage(vm_count, 30.0, seed))
+    for records_per_second in (10, 30, 100, 1_000):
+        for batch_records in (1, 500):
+            figures = append_figures(records_per_second, batch_records, seed)
+            print(
+                f"{records_per_second} records/s, up to {batch_records} in an append:"
+                f" {figures[0]:.1f} appends/s, p50 {figures[1]:.3f} s, p99 {figures[2]:.3f} s,"
+                f" not appended {100 * figures[3]:.1f}%"
+            )
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
--- a/camphordrift/platform_log/_follower.py
+++ b/camphordrift/platform_log/_follower.py
@@ -133,10 +133,11 @@
     async def _read_once(self) -> bool:
         self._reads_begun += 1
         begun_at = self._clock()
+        from_offset = self._position.next_offset
         try:
             with trio.fail_after(self._settings.read_timeout_seconds):
                 batch = await self._transport.read(
-                    self._stream, self._position.next_offset, self._settings.read_records
+                    self._stream, from_offset, self._settings.read_records
                 )
         except OffsetTruncatedError as error:
             self._contact_at = begun_at
@@ -146,7 +147,7 @@
             return False
         self._contact_at = begun_at
         self._newest_answered_read = self._reads_begun
-        for record in self._position.on_read(batch):
+        for record in self._position.on_read(batch, from_offset):
             self._handler.on_record(record)
         self._caught_up_reads = self._caught_up_reads + 1 if self.caught_up else 0
         self._tell_progress()
--- a/camphordrift/platform_log/_stream_position.py
+++ b/camphordrift/platform_log/_stream_position.py
@@ -47,6 +47,7 @@
             raise ValueError(f"from_offset must not be negative: {from_offset}")
         self._next_offset = from_offset
         self._end_offset: Optional[int] = None
+        self._lost_tail = False
         self._duplicates = DuplicateFilter(remembered_record_ids)
         self._dropped_duplicates = 0
         self._unreadable = 0
@@ -68,7 +69,7 @@
         The service has then lost records that it had taken. What was read stays in force, and
         records that are appended at offsets already read are not seen.
         """
-        return self._end_offset is not None and self._end_offset < self._next_offset
+        return self._lost_tail
 
     @property
     def dropped_duplicates(self) -> int:
@@ -80,9 +81,14 @@
         """Records that are not in an envelope and were passed over."""
         return self._unreadable
 
-    def on_read(self, batch: ReadBatch) -> tuple[FollowedRecord, ...]:
-        """Takes what was read and returns the records to hand on, in order."""
+    def on_read(self, batch: ReadBatch, from_offset: int) -> tuple[FollowedRecord, ...]:
+        """Takes what was read from ``from_offset`` on and returns the records to hand on, in order.
+
+        The position may have been moved ahead since the read began, so what the stream has lost is
+        judged by the offset that was asked for.
+        """
         self._end_offset = batch.end_offset
+        self._lost_tail = batch.end_offset < from_offset
         followed = []
         for record in batch.records:
             if record.offset < self._next_offset:
--- a/camphordrift/platform_log/tests/test_follower.py
+++ b/camphordrift/platform_log/tests/test_follower.py
@@ -147,11 +147,27 @@
         ) -> None:
             follower.skip_to(8)
             follower.skip_to(2)
+            self.assertFalse(follower.position.lost_tail)
             await follower.wait_until_read(9)
             self.assertEqual([8, 9], recorder.payloads)
 
         _run(body, _ten_records)
 
+    def test_a_skip_during_an_outage_is_no_loss(self) -> None:
+        async def body(
+            service: InMemoryLogService, follower: LogFollower, recorder: _Recorder
+        ) -> None:
+            await follower.wait_until_read(9)
+            service.faults.begin_outage()
+            follower.skip_to(12)
+            await trio.sleep(5)
+            self.assertFalse(follower.position.lost_tail)
+            service.faults.end_outage()
+            await trio.sleep(5)
+            self.assertTrue(follower.position.lost_tail)
+
+        _run(body, _ten_records)
+
 
 class EnvelopeTest(testtools.TestCase):
     def test_passes_over_fields_of_a_later_version(self) -> None:
