--- a/camphordrift/account_limits/_shares.py
+++ b/camphordrift/account_limits/_shares.py
@@ -32,7 +32,12 @@
 
     def scaled(self, factor: float) -> "Shares":
         """Returns each amount times ``factor``."""
-        return Shares(*(getattr(self, name) * factor for name in RESOURCES))
+        return Shares(
+            self.requests_per_second * factor,
+            self.tokens_per_second * factor,
+            self.concurrency * factor,
+            self.long_tokens * factor,
+        )
 
     def at_least(self, other: "Shares") -> "Shares":
         """Returns the larger of each amount."""
@@ -61,7 +66,12 @@
 
 def combine(operation: Callable[[float, float], float], first: Shares, second: Shares) -> Shares:
     """Returns the operation's result for each resource."""
-    return Shares(*(operation(getattr(first, n), getattr(second, n)) for n in RESOURCES))
+    return Shares(
+        operation(first.requests_per_second, second.requests_per_second),
+        operation(first.tokens_per_second, second.tokens_per_second),
+        operation(first.concurrency, second.concurrency),
+        operation(first.long_tokens, second.long_tokens),
+    )
 
 
 def divide_among(capacity: Shares, demands: Mapping[_K, Shares]) -> dict[_K, Shares]:
--- a/camphordrift/membership/_records.py
+++ b/camphordrift/membership/_records.py
@@ -65,6 +65,8 @@
     """Returns what follows from both records of one VM; order and repetition do not matter."""
     if first.vm_id != second.vm_id:
         raise ValueError("records of different VMs cannot be joined")
+    if first == second:
+        return first
     if first.incarnation != second.incarnation:
         return max(first, second, key=lambda record: record.incarnation)
     refutation, health = max(_belief(first), _belief(second))
@@ -81,6 +83,8 @@
 
 def join_server_records(first: ServerRecord, second: ServerRecord) -> ServerRecord:
     """Returns what follows from both records of one backend server."""
+    if first == second:
+        return first
     if first.incarnation != second.incarnation:
         return max(first, second, key=lambda record: record.incarnation)
     return replace(first, leaving=first.leaving or second.leaving)
--- a/camphordrift/membership/_view.py
+++ b/camphordrift/membership/_view.py
@@ -2,35 +2,18 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any, Optional
 
 from camphordrift.identifiers import Incarnation, VmId, ZoneName
 from camphordrift.membership._changes import News
+from camphordrift.membership._homes import HomeChooser
+from camphordrift.membership._members import Member, MemberTable
 from camphordrift.membership._platform_list import ListedVm, PlatformList
 from camphordrift.membership._records import Health, MemberRecord, join_records
-from camphordrift.membership._rendezvous import (
-    first_by_rendezvous,
-    probe_targets,
-    rendezvous_order,
-)
 from camphordrift.membership._settings import MembershipSettings
 
 
-@dataclass
-class _Member:
-    """What is known of another VM."""
-
-    #: The joined record.
-    record: MemberRecord
-
-    #: Since when it has its present health.
-    health_since: float
-
-    #: True if it never came back from being dead: it may be home without settling.
-    settled: bool = True
-
-
 class MembershipView:
     """Joins the platform's list with what VMs tell each other and with own probes.
 
@@ -46,37 +29,36 @@
     """
 
     def __init__(self, own: MemberRecord, settings: MembershipSettings, now: float) -> None:
-        self._own = own
         self._settings = settings
-        self._members: dict[VmId, _Member] = {}
+        self._table = MemberTable(own, settings)
         self._listed: Mapping[VmId, ListedVm] = {}
         self._last_tick = now
         self._introduced_until = now + settings.introduction_seconds
-        self._candidates: Optional[tuple[VmId, ...]] = None
+        self._homes = HomeChooser()
+        self._candidates: tuple[VmId, ...] = ()
         self._candidates_hold_until = now
+        self._candidates_at_change = -1
         self._counts = {"refutations": 0, "pauses": 0, "suspicions": 0, "deaths": 0}
 
     @property
     def own(self) -> MemberRecord:
         """The record of this VM itself."""
-        return self._own
+        return self._table.own
 
     @property
     def records(self) -> tuple[MemberRecord, ...]:
         """All records, this VM's included."""
-        return (self._own, *(member.record for member in self._members.values()))
+        return self._table.records
 
     @property
     def live_vms(self) -> tuple[VmId, ...]:
         """All VMs that are not dead, this one and leaving ones included."""
-        others = (m.record for m in self._members.values() if m.record.health is not Health.DEAD)
-        return tuple(sorted([self._own.vm_id, *(record.vm_id for record in others)]))
+        return self._table.live
 
     @property
     def dead_vms(self) -> tuple[VmId, ...]:
         """VMs that are believed dead and not yet forgotten."""
-        records = (member.record for member in self._members.values())
-        return tuple(sorted(r.vm_id for r in records if r.health is Health.DEAD))
+        return self._table.dead
 
     @property
     def introduction(self) -> tuple[MemberRecord, ...]:
@@ -87,10 +69,7 @@
     @property
     def probe_targets(self) -> tuple[VmId, ...]:
         """The VMs that this one probes."""
-        live = self.live_vms
-        if len(live) <= self._settings.full_view_limit:
-            return tuple(vm_id for vm_id in live if vm_id != self._own.vm_id)
-        return probe_targets(self._own.vm_id, live, self._settings.partial_view_size)
+        return self._table.targets
 
     @property
     def lowest_schema(self) -> int:
@@ -100,9 +79,9 @@
 
     def record_of(self, vm_id: VmId) -> Optional[MemberRecord]:
         """Returns what is known of a VM; ``None`` if nothing is."""
-        if vm_id == self._own.vm_id:
-            return self._own
-        member = self._members.get(vm_id)
+        if vm_id == self.own.vm_id:
+            return self.own
+        member = self._table.find(vm_id)
         return None if member is None else member.record
 
     def zone_of(self, vm_id: VmId) -> ZoneName:
@@ -122,7 +101,7 @@
 
     def addresses(self) -> dict[VmId, tuple[str, int]]:
         """Returns where the other VMs listen; those without known address are left out."""
-        found = {vm_id: self._address_of(vm_id) for vm_id in self._members}
+        found = {vm_id: self._address_of(vm_id) for vm_id in self._table}
         return {vm_id: address for vm_id, address in found.items() if address is not None}
 
     def home_candidates(self, now: float) -> tuple[VmId, ...]:
@@ -132,42 +111,41 @@
         a while before it is one again, so that homes do not flap. If all VMs are leaving, they
         stay candidates; the platform's word on leaving may be wrong for all of them.
         """
-        if self._candidates is not None and now < self._candidates_hold_until:
-            return self._candidates
-        live = [vm_id for vm_id in self.live_vms if self._has_settled(vm_id, now)]
-        staying = tuple(vm_id for vm_id in live if not self.is_leaving(vm_id))
-        self._candidates = staying or tuple(live)
-        self._candidates_hold_until = self._next_settled_at(now)
+        unchanged = self._candidates_at_change == self._table.changes
+        if not unchanged or now >= self._candidates_hold_until:
+            self._choose_candidates(now)
         return self._candidates
 
     def home_of(self, key: str, now: float) -> VmId:
         """Returns the VM that is home to ``key``."""
-        return first_by_rendezvous(key, self.home_candidates(now))
+        self._homes.set_candidates(self.home_candidates(now))
+        return self._homes.home_of(key)
 
     def home_order(self, key: str, now: float) -> tuple[VmId, ...]:
         """Returns all candidates in the order in which they become home to ``key``."""
-        return rendezvous_order(key, self.home_candidates(now))
+        self._homes.set_candidates(self.home_candidates(now))
+        return self._homes.home_order(key)
 
     def on_platform_list(self, listing: PlatformList, now: float) -> tuple[News, ...]:
         """Takes a reading of the list; adds VMs that are new."""
-        self._listed = dict(listing.vms)
-        self._candidates = None
+        if listing.vms != self._listed:
+            self._listed = dict(listing.vms)
+            self._candidates_at_change = -1
         for vm_id in listing.vms:
-            if vm_id != self._own.vm_id and vm_id not in self._members:
-                record = MemberRecord(vm_id, Incarnation(0))
-                self._members[vm_id] = _Member(record, health_since=now)
+            if vm_id != self.own.vm_id and vm_id not in self._table:
+                self._table.add(MemberRecord(vm_id, Incarnation(0)), now)
         return ()
 
     def on_record(self, record: MemberRecord, now: float) -> tuple[News, ...]:
         """Takes what another VM tells of some VM; returns what changed by it."""
-        if record.vm_id == self._own.vm_id:
+        if record.vm_id == self.own.vm_id:
             return self._on_own_record(record)
-        member = self._members.get(record.vm_id)
+        member = self._table.find(record.vm_id)
         if member is None:
             if record.health is Health.DEAD and now >= self._introduced_until:
                 return ()
-            self._members[record.vm_id] = _Member(record, health_since=now)
-            return self._changed(record, urgent=True)
+            self._table.add(record, now)
+            return (News(record, urgent=True),)
         return self._set_record(member, join_records(member.record, record), now)
 
     def on_probe_failed(self, vm_id: VmId, started: float, now: float) -> tuple[News, ...]:
@@ -175,7 +153,7 @@
 
         A probe that took longer than it can says only that this process was paused.
         """
-        member = self._members.get(vm_id)
+        member = self._table.find(vm_id)
         late_after = self._settings.probe_bound_seconds + self._settings.pause_gap_seconds
         if member is None or now - started > late_after:
             return ()
@@ -188,7 +166,7 @@
         """Declares dead what has not refuted in time, and forgets what is long gone."""
         self._allow_for_pause(now)
         news: list[News] = []
-        for member in list(self._members.values()):
+        for member in self._table.unwell():
             age = now - member.health_since
             match member.record.health:
                 case Health.SUSPECT if age >= self._settings.suspicion_seconds:
@@ -202,16 +180,14 @@
 
     def announce_leaving(self) -> tuple[News, ...]:
         """Marks this VM as leaving, for good."""
-        self._own = replace(self._own, leaving=True)
-        return self._changed(self._own, urgent=True)
+        self._table.set_own(replace(self.own, leaving=True))
+        return (News(self.own, urgent=True),)
 
     def dump_state(self) -> dict[str, Any]:
         """Returns what an operator wants to see."""
         return {
-            "own": _dump_record(self._own),
-            "members": {
-                vm_id: _dump_record(m.record) for vm_id, m in sorted(self._members.items())
-            },
+            "own": _dump_record(self.own),
+            "members": {r.vm_id: _dump_record(r) for r in self.records[1:]},
             "listed": sorted(self._listed),
             "probe_targets": list(self.probe_targets),
             **self._counts,
@@ -219,42 +195,42 @@
 
     def _on_own_record(self, record: MemberRecord) -> tuple[News, ...]:
         """Refutes that this VM is suspect or dead."""
-        if record.incarnation > self._own.incarnation:
+        if record.incarnation > self.own.incarnation:
             self._counts["superseded"] = self._counts.get("superseded", 0) + 1
             return ()
-        same = record.incarnation == self._own.incarnation
-        if not same or record.health is Health.ALIVE or record.refutation < self._own.refutation:
+        same = record.incarnation == self.own.incarnation
+        if not same or record.health is Health.ALIVE or record.refutation < self.own.refutation:
             return ()
         self._counts["refutations"] += 1
-        self._own = replace(self._own, refutation=record.refutation + 1)
-        return self._changed(self._own, urgent=True)
+        self._table.set_own(replace(self.own, refutation=record.refutation + 1))
+        return (News(self.own, urgent=True),)
 
-    def _set_record(self, member: _Member, record: MemberRecord, now: float) -> tuple[News, ...]:
+    def _set_record(self, member: Member, record: MemberRecord, now: float) -> tuple[News, ...]:
         old = member.record
         if record == old:
             return ()
-        member.record = record
-        if record.health is not old.health:
-            member.health_since = now
-            if old.health is Health.DEAD:
-                member.settled = False
+        self._table.replace(member, record, now)
         urgent = record.health is not old.health or record.leaving != old.leaving
-        return self._changed(record, urgent)
-
-    def _changed(self, record: MemberRecord, urgent: bool) -> tuple[News, ...]:
-        self._candidates = None
         return (News(record, urgent),)
 
+    def _choose_candidates(self, now: float) -> None:
+        live = tuple(vm_id for vm_id in self.live_vms if self._has_settled(vm_id, now))
+        staying = tuple(vm_id for vm_id in live if not self.is_leaving(vm_id))
+        self._candidates = staying or live
+        self._candidates_at_change = self._table.changes
+        self._candidates_hold_until = self._next_settled_at()
+
     def _has_settled(self, vm_id: VmId, now: float) -> bool:
-        member = self._members.get(vm_id)
+        member = self._table.find(vm_id)
         if member is None or member.settled:
             return True
         member.settled = now >= member.health_since + self._settings.settle_seconds
         return member.settled
 
-    def _next_settled_at(self, now: float) -> float:
+    def _next_settled_at(self) -> float:
         """Returns until when no VM becomes a candidate by mere lapse of time."""
-        settling = (m.health_since for m in self._members.values() if not m.settled)
+        members = (self._table.find(vm_id) for vm_id in self._table)
+        settling = (m.health_since for m in members if m is not None and not m.settled)
         return min((since + self._settings.settle_seconds for since in settling), default=math.inf)
 
     def _allow_for_pause(self, now: float) -> None:
@@ -264,18 +240,19 @@
         if gap <= self._settings.pause_gap_seconds:
             return
         self._counts["pauses"] += 1
-        for member in self._members.values():
+        for member in self._table.unwell():
             if member.record.health is Health.SUSPECT:
                 member.health_since = now
 
     def _forget(self, vm_id: VmId) -> None:
         if vm_id not in self._listed:
-            del self._members[vm_id]
-            self._candidates = None
+            self._table.remove(vm_id)
 
     def _address_of(self, vm_id: VmId) -> Optional[tuple[str, int]]:
         """Returns the VM's own word, or the list's if it gave none or is dead."""
-        record = self._members[vm_id].record
+        member = self._table.find(vm_id)
+        assert member is not None, "only members have an address"
+        record = member.record
         listed = self._listed.get(vm_id)
         if listed is not None and (record.health is Health.DEAD or not record.address):
             return listed.ip, listed.port
@@ -285,8 +262,8 @@
         return (ip, int(port)) if port.isdigit() else None
 
     def _check_invariants(self, now: float) -> None:
-        assert self._own.vm_id not in self._members, "this VM is listed as another"
-        assert self._own.health is Health.ALIVE, "this VM believes that it is not alive"
+        assert self.own.vm_id not in self._table, "this VM is listed as another"
+        assert self.own.health is Health.ALIVE, "this VM believes that it is not alive"
         assert self.home_candidates(now), "no VM is home to anything"
 
 
