Bound the bytes that asks for leases take

Cause: 200 accounts on 7 VMs made each VM send 9,035 B/s, since an account that comes and goes asked for a lease each time; stretching renewals did not help. Change: a budget of bytes for asks, refused accounts first; room for one more request does not count as need of a lease; membership changes are logged.

--- a/camphordrift/account_limits/_limiter.py
+++ b/camphordrift/account_limits/_limiter.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from camphordrift import results
+from camphordrift.account_limits._buckets import DebtBucket
 from camphordrift.account_limits._fleet import FleetSize
 from camphordrift.account_limits._messages import ShareAsk, ShareDemand, ShareGrant
 from camphordrift.account_limits._settings import LimiterSettings
@@ -75,7 +76,7 @@
         self._usages: dict[AccountId, AccountUsage] = {}
         self._fleet = FleetSize(live=1, known=1)
         self._running = 0
-        self._started_at = now
+        self._ask_budget = DebtBucket(settings.ask_burst_bytes, now)
         self._refusals: dict[str, int] = {}
 
     @property
@@ -138,18 +139,16 @@
         """Returns what to ask which home VM now; forgets accounts that are idle."""
         self._forget_idle(now)
         stretch = self._stretch(now)
+        seconds = self._settings.lease_seconds * stretch
         by_home: dict[VmId, list[ShareDemand]] = {}
-        for account_id, usage in self._usages.items():
-            limits = self._shares.get(account_id)
-            if limits is None:
-                continue
-            slack = limits.scaled(SLACK_FRACTION / self._fleet.known)
+        for account_id, usage in self._by_urgency():
+            if not self._may_spend(now):
+                break
             home = home_of(account_id)
-            safe = usage.safe_share(limits, self._fleet)
-            if usage.needs_ask(home, safe, slack, stretch, now):
-                entry = ShareDemand(account_id, usage.ask(slack, now), usage.held(now))
-                by_home.setdefault(home, []).append(entry)
-        seconds = self._settings.lease_seconds * stretch
+            demand = self._due_demand(account_id, usage, home, stretch, now)
+            if demand is not None:
+                self._ask_budget.level -= ACCOUNT_BYTES + (0 if home in by_home else ASK_BYTES)
+                by_home.setdefault(home, []).append(demand)
         return {home: ShareAsk(tuple(entries), seconds) for home, entries in by_home.items()}
 
     def on_grant(self, home: VmId, grant: ShareGrant, asked_at: float) -> None:
@@ -173,6 +172,27 @@
         }
         return {"running": self._running, "refusals": self._refusals, "accounts": accounts}
 
+    def _by_urgency(self) -> list[tuple[AccountId, AccountUsage]]:
+        """Returns the configured accounts in use, those that have refused requests first."""
+        known = ((name, usage) for name, usage in self._usages.items() if name in self._shares)
+        return sorted(known, key=lambda item: not item[1].has_refused)
+
+    def _may_spend(self, now: float) -> bool:
+        """Tells whether the bytes for asking allow one more ask."""
+        settings = self._settings
+        self._ask_budget.refill(settings.ask_bytes_per_second, settings.ask_burst_bytes, now)
+        return self._ask_budget.level > 0
+
+    def _due_demand(
+        self, account_id: AccountId, usage: AccountUsage, home: VmId, stretch: float, now: float
+    ) -> ShareDemand | None:
+        limits = self._shares[account_id]
+        safe = usage.safe_share(limits, self._fleet)
+        slack = limits.scaled(SLACK_FRACTION / self._fleet.known)
+        if not usage.needs_ask(home, safe, slack, stretch, now):
+            return None
+        return ShareDemand(account_id, usage.ask(slack, now), usage.held(now))
+
     def _limits_of(self, account_id: AccountId) -> Shares:
         return self._shares.get(account_id, NO_SHARES)
 
--- a/camphordrift/account_limits/_settings.py
+++ b/camphordrift/account_limits/_settings.py
@@ -38,8 +38,12 @@
     #: From this part of ``maximum_running`` on, accounts over their weighted share are refused.
     contended_fraction: float = 0.8
 
-    #: Control bytes a second for asking; with many accounts, leases are renewed less often.
-    ask_bytes_per_second: float = 1024.0
+    #: Control bytes a second for asking; with many accounts, leases are renewed less often, and
+    #: accounts that have refused nothing wait.
+    ask_bytes_per_second: float = 2048.0
+
+    #: Such bytes that can be saved up.
+    ask_burst_bytes: float = 8192.0
 
     #: Control bytes a second for the leases of one account at its home VM; with many VMs that
     #: refuse its requests, they are told to ask less often.
--- a/camphordrift/account_limits/_usage.py
+++ b/camphordrift/account_limits/_usage.py
@@ -55,6 +55,11 @@
         self._asked = NO_SHARES
         self._renew_seconds = settings.renew_seconds
 
+    @property
+    def has_refused(self) -> bool:
+        """True if a request was refused since the last ask."""
+        return self._refused_since_ask
+
     @property
     def running(self) -> int:
         """Requests that run."""
@@ -170,23 +175,26 @@
     def _needs_lease(self, safe: Shares, slack: Shares, now: float) -> bool:
         if self._refused_since_ask:
             return True
-        return not self.is_idle(now) and self._demand(slack, now).outgrows(
-            safe, SAFE_PART, NO_SHARES
-        )
+        seen = self._seen(slack, now).scaled(self._settings.headroom)
+        return not self.is_idle(now) and seen.outgrows(safe, SAFE_PART, NO_SHARES)
 
     def _has_jumped(self, slack: Shares, now: float) -> bool:
         demand = self._demand(slack, now)
         return self._refused_since_ask and demand.outgrows(self._asked, DEMAND_JUMP, slack)
 
     def _demand(self, slack: Shares, now: float) -> Shares:
-        """Returns what this VM could use, with headroom."""
-        seen = Shares(
+        """Returns what this VM could use, with headroom and room for one more request."""
+        more = self._seen(slack, now) + Shares(concurrency=1.0)
+        return more.scaled(self._settings.headroom)
+
+    def _seen(self, slack: Shares, now: float) -> Shares:
+        """Returns what this VM would use if it had the whole limits."""
+        return Shares(
             requests_per_second=self._request_meter.read(slack.requests_per_second, now),
             tokens_per_second=self._token_meter.read(slack.tokens_per_second, now),
-            concurrency=self._running + self._refused_running.read(now) + 1,
+            concurrency=self._running + self._refused_running.read(now),
             long_tokens=self._long_tokens + self._refused_long.read(now),
         )
-        return seen.scaled(self._settings.headroom)
 
     def _find_excess(self, long_tokens: int, share: Shares, now: float) -> Optional[Excess]:
         self._refill(share, now)
--- a/camphordrift/membership/_service.py
+++ b/camphordrift/membership/_service.py
@@ -26,6 +26,7 @@
 from camphordrift.membership._settings import MembershipSettings
 from camphordrift.membership._view import MembershipView
 from camphordrift.peers import PeerIdentity
+from camphordrift.telemetry import log_event
 
 #: Time between two readings of the platform's list, in seconds.
 LIST_INTERVAL_SECONDS = 2.0
@@ -237,6 +238,7 @@
         if not news:
             return
         self._update_addresses()
+        _log_urgent(news)
         self._gossip.add(news, len(self._view.live_vms))
         urgent = tuple(item.record for item in news if item.urgent)
         targets = self._view.probe_targets
@@ -252,6 +254,17 @@
             self._messenger.set_peers(addresses)
 
 
+def _log_urgent(news: tuple[News, ...]) -> None:
+    """Logs what operators want to know of: VMs and backend servers that come, go or are doubted."""
+    for record in (item.record for item in news if item.urgent):
+        match record:
+            case MemberRecord(vm_id, incarnation, _, health, leaving):
+                name = health.name.lower()
+                log_event("vm_changed", vm=vm_id, health=name, leaving=leaving, start=incarnation)
+            case ServerRecord(server_id, _, leaving):
+                log_event("backend_server_changed", backend_server=server_id, leaving=leaving)
+
+
 def membership_service(
     own: MemberRecord,
     settings: MembershipSettings,
--- a/camphordrift/peers/_connection.py
+++ b/camphordrift/peers/_connection.py
@@ -36,6 +36,7 @@
     SendPing,
     SilenceDetector,
 )
+from camphordrift.telemetry import log_event
 
 #: Requests of one peer that are being answered at once; more are refused.
 MAXIMUM_RUNNING_REQUESTS = 1024
@@ -202,6 +203,7 @@
 
     def _close_silent(self) -> None:
         self._counters.add("silent_connections")
+        log_event("peer_connection_silent", peer=self.peer.vm_id, opened_here=self._opened_here)
         self._close()
 
     async def _read(self, nursery: trio.Nursery) -> None:
