Release lost memory holds and give orders to engines from the entry VM

Cause: the decisions on engine memory, leases and orders had no place in the process. Change: every VM compares holds with what owners claim over the streams between VMs; the VM that holds the lease brings engines to what the configuration names, within the orders that it allows.

--- a/camphordrift/engine_orders/_desired.py
+++ b/camphordrift/engine_orders/_desired.py
@@ -50,6 +50,9 @@
     #: Whether the engine refuses orders with an old fencing number.
     checks_fencing: bool
 
+    #: The orders that the configuration lets this system give; no others are planned.
+    allowed_orders: frozenset[OrderKind] = frozenset(OrderKind)
+
 
 @dataclass(frozen=True)
 class ReportedEngine:
--- a/camphordrift/engine_orders/_planning.py
+++ b/camphordrift/engine_orders/_planning.py
@@ -75,7 +75,8 @@
     needed = [
         order
         for order in _wanted_orders(desired, reported, term.fencing_number)
-        if not _is_satisfied(order, desired, reported, book, now)
+        if order.kind in desired.allowed_orders
+        and not _is_satisfied(order, desired, reported, book, now)
     ]
     ready: list[EngineOrder] = []
     held_back: list[HeldBackOrder] = []
--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -12,7 +12,10 @@
 from camphordrift.backend_http import HttpConnections, HttpEngineClient, HttpTimeouts
 from camphordrift.configuration import ConfigurationKeeper, ConfigurationSnapshot, KeeperSettings
 from camphordrift.draining import DrainController
+from camphordrift.engine_memory import HoldRegistry, HoldSettings
 from camphordrift.entry._configuration_sharing import ConfigurationSharing
+from camphordrift.entry._engine_memory import EngineMemoryKeeper
+from camphordrift.entry._engine_orders import engine_orders
 from camphordrift.entry._engine_watch import EngineWatch
 from camphordrift.entry._limits_gate import LimitsGate
 from camphordrift.entry._log_access import call_coordinator, log_access
@@ -53,6 +56,7 @@
         self._settings = settings
         vm_id = settings.vm.vm_id
         incarnation = Incarnation(int(time.time() * 1000))
+        self._incarnation = incarnation
         rng = random.Random()
         self._metrics = Metrics(vm_id)
         self._decisions = DecisionRecord()
@@ -81,6 +85,18 @@
         self._gate = LimitsGate(self._limits)
         self._calls = call_coordinator(self._log, vm_id, incarnation)
         self._engines = HttpEngineClient(self._connections, self._address_of)
+        self._holds = HoldRegistry(incarnation, HoldSettings())
+        self._memory = EngineMemoryKeeper(
+            self._holds,
+            self._engines,
+            self._peers.network,
+            self._peers.membership.view,
+            self._engine_ids,
+            self._metrics,
+        )
+        self._orders = engine_orders(
+            self._engines, self._log.records, lambda: self._keeper.snapshot, vm_id, incarnation
+        )
         self._grants = local_grant_source(pool_scheduler())
         self._watch = EngineWatch(self._engines, self._grants, self._peers.membership)
         self._server_choice = ServerChoice(self._address_of, self._takes_work, rng)
@@ -92,7 +108,7 @@
             StopActions(
                 announce_leaving=self._peers.membership.announce_leaving,
                 hand_over=trio.lowlevel.checkpoint,
-                flush=self._calls.flush,
+                flush=self._flush,
             ),
         )
         self._readiness = ReadinessCheck(lambda: self._keeper.readiness, self._drain_controller)
@@ -103,6 +119,11 @@
         """Memory for callers' bodies."""
         return self._body_memory
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The number of this process among those that have run on its VM."""
+        return self._incarnation
+
     @property
     def active_count(self) -> int:
         """Requests that are admitted and not answered."""
@@ -164,6 +185,8 @@
             self._limits.run,
             self._grants.run,
             self._watch.run,
+            self._memory.run,
+            self._orders.run,
             self._apply_configuration,
         )
 
@@ -223,6 +246,8 @@
         self._dump.register("requests", self._active.all)
         self._dump.register("body_bytes", lambda: self._body_memory.used_bytes)
         self._dump.register("calls", self._calls.dump_state)
+        self._dump.register("engine_memory", self._memory.dump_state)
+        self._dump.register("engine_orders", self._orders.dump_state)
         self._dump.register("account_limits", self._limits.dump_state)
         self._dump.register("retries", self._attempt_policy.dump_state)
         self._dump.register("service_retries", self._services.dump_state)
@@ -233,6 +258,16 @@
     def _drain_controller(self) -> DrainController:
         return self._stop.controller
 
+    async def _flush(self) -> None:
+        await self._orders.leases.release_all()
+        await self._calls.flush()
+
+    def _engine_ids(self) -> tuple[BackendServerId, ...]:
+        snapshot = self._keeper.snapshot
+        if snapshot is None:
+            return ()
+        return tuple(engine.server_id for engine in snapshot.engines())
+
     def _takes_work(self, server_id: BackendServerId) -> bool:
         return not self._peers.membership.servers.is_leaving(server_id)
 
--- a/camphordrift/membership/_view.py
+++ b/camphordrift/membership/_view.py
@@ -92,6 +92,10 @@
             return record.zone
         return listed.zone if listed is not None else ZoneName("")
 
+    def is_listed(self, vm_id: VmId) -> bool:
+        """Tells whether the platform's list, as last read, names the VM."""
+        return vm_id in self._listed
+
     def is_leaving(self, vm_id: VmId) -> bool:
         """Tells whether the VM itself or the platform says that it leaves."""
         record = self.record_of(vm_id)
