--- a/camphordrift/calls/__init__.py
+++ b/camphordrift/calls/__init__.py
@@ -24,6 +24,7 @@
     digest_of_call,
 )
 from camphordrift.calls._partitions import CLAIM_PARTITION_COUNT, claim_partition, claim_stream
+from camphordrift.calls._record_codec import decode_call_record, encode_call_record
 from camphordrift.calls._records import (
     MAX_OUTCOME_BODY_BYTES,
     Claimant,
@@ -32,8 +33,6 @@
     OutcomeKind,
     OutcomeRecord,
     VoidRecord,
-    decode_call_record,
-    encode_call_record,
 )
 from camphordrift.calls._settings import CallSettings
 from camphordrift.calls._standing import (
--- a/camphordrift/calls/_background.py
+++ b/camphordrift/calls/_background.py
@@ -6,7 +6,8 @@
 from returns import result
 
 from camphordrift.calls._partitions import claim_partition, claim_stream
-from camphordrift.calls._records import OutcomeRecord, VoidRecord, encode_call_record
+from camphordrift.calls._record_codec import encode_call_record
+from camphordrift.calls._records import OutcomeRecord, VoidRecord
 from camphordrift.record_log import RecordLog
 
 #: Records that may wait; above this no further claim is made.
--- a/camphordrift/calls/_claims.py
+++ b/camphordrift/calls/_claims.py
@@ -13,7 +13,7 @@
 from camphordrift.calls._ledger import ClaimLedger
 from camphordrift.calls._marks import keep_stream_marked
 from camphordrift.calls._partitions import CLAIM_PARTITION_COUNT, claim_partition, claim_stream
-from camphordrift.calls._records import encode_call_record
+from camphordrift.calls._record_codec import encode_call_record
 from camphordrift.calls._settings import CallSettings
 from camphordrift.calls._standing import KeyStanding
 from camphordrift.platform_log import LogRecord
--- a/camphordrift/calls/_coordinator.py
+++ b/camphordrift/calls/_coordinator.py
@@ -13,7 +13,6 @@
 from camphordrift.calls._claims import ClaimMaker, claim_not_made
 from camphordrift.calls._keys import CallKey, parse_call_key
 from camphordrift.calls._messages import (
-    CallOutcome,
     Dispatch,
     DispatchAnswered,
     DispatchReply,
@@ -22,10 +21,9 @@
     digest_of_call,
     outcome_of_answer,
 )
-from camphordrift.calls._outcome_cache import OutcomeCache
-from camphordrift.calls._outcomes import outcome_of_finished, outcome_record, unknown_record
-from camphordrift.calls._partitions import claim_partition, claim_stream
+from camphordrift.calls._outcomes import outcome_record, unknown_record
 from camphordrift.calls._records import Claimant, OutcomeRecord, VoidRecord
+from camphordrift.calls._repeats import RepeatAnswers
 from camphordrift.calls._sending import (
     CallResult,
     result_of_reply,
@@ -71,12 +69,11 @@
         jitter: random.Random,
     ) -> None:
         self._claimant = claimant
-        self._log = log
         self._settings = settings
         self._wall_clock = wall_clock
         self._claims = ClaimMaker(log, settings, wall_clock, jitter)
         self._background = BackgroundAppender(log, jitter)
-        self._cache = OutcomeCache()
+        self._repeats = RepeatAnswers(log, settings.claim_wait_seconds)
         self._in_flight: dict[CallKey, ClaimAttempt] = {}
         self._counts = CallCounts()
 
@@ -121,7 +118,7 @@
             partitions=partition_states(self._claims.ledgers),
             in_flight=calls_in_flight(self._in_flight.values()),
             pending_records=self._background.pending_count,
-            cached_outcome_bytes=self._cache.used_bytes,
+            cached_outcome_bytes=self._repeats.cached_bytes,
             counts=replace(self._counts, claims_appended=self._claims.appended_count),
         )
 
@@ -216,7 +213,7 @@
         match reply:
             case DispatchAnswered():
                 outcome = outcome_of_answer(reply)
-                self._cache.put(attempt.claim.key, replace(outcome, repeated=True))
+                self._repeats.remember(attempt.claim.key, outcome)
                 self._append_later(outcome_record(attempt.claim, outcome))
             case _:
                 self._append_later(unknown_record(attempt.claim))
@@ -229,27 +226,12 @@
         match standing:
             case KeyFinished():
                 self._count(repeats_answered=1)
-                return result.Success(await self._load_outcome(key, standing))
+                return result.Success(await self._repeats.load(key, standing))
             case KeyFree():
                 raise AssertionError("a free key has no answer")
             case _:
                 return self._refuse(failure_of_standing(standing))
 
-    async def _load_outcome(self, key: CallKey, finished: KeyFinished) -> CallOutcome:
-        cached = self._cache.get(key)
-        if cached is not None:
-            return cached
-        if not finished.body_kept:
-            return outcome_of_finished(finished, None)
-        stream = claim_stream(claim_partition(key))
-        deadline = trio.current_time() + self._settings.claim_wait_seconds
-        match await self._log.read_record(stream, finished.offset, deadline):
-            case result.Success(record):
-                outcome = outcome_of_finished(finished, record.payload)
-                self._cache.put(key, outcome)
-                return outcome
-        return outcome_of_finished(finished, None)
-
     def _read_clocks(self) -> TwoClocks:
         return TwoClocks(monotonic=trio.current_time(), wall=self._wall_clock())
 
--- a/camphordrift/calls/_ledger.py
+++ b/camphordrift/calls/_ledger.py
@@ -7,14 +7,8 @@
 
 from camphordrift.calls._entry import KeyEntry
 from camphordrift.calls._keys import KEY_MAX_AHEAD_SECONDS, CallKey
-from camphordrift.calls._records import (
-    ClaimRecord,
-    ClaimRecordTooNewError,
-    MarkRecord,
-    OutcomeRecord,
-    VoidRecord,
-    decode_call_record,
-)
+from camphordrift.calls._record_codec import ClaimRecordTooNewError, decode_call_record
+from camphordrift.calls._records import ClaimRecord, MarkRecord, OutcomeRecord, VoidRecord
 from camphordrift.calls._standing import (
     KeyFree,
     KeyFromFuture,
--- a/camphordrift/calls/_marks.py
+++ b/camphordrift/calls/_marks.py
@@ -6,7 +6,8 @@
 import trio
 
 from camphordrift.calls._ledger import ClaimLedger
-from camphordrift.calls._records import MarkRecord, encode_call_record, new_record_id
+from camphordrift.calls._record_codec import encode_call_record
+from camphordrift.calls._records import MarkRecord, new_record_id
 from camphordrift.record_log import RecordLog
 
 #: How often a stream is looked at, as a fraction of the interval between marks.
--- a/camphordrift/calls/_outcomes.py
+++ b/camphordrift/calls/_outcomes.py
@@ -3,13 +3,12 @@
 from typing import Optional
 
 from camphordrift.calls._messages import CallOutcome
+from camphordrift.calls._record_codec import ClaimRecordTooNewError, decode_call_record
 from camphordrift.calls._records import (
     MAX_OUTCOME_BODY_BYTES,
     ClaimRecord,
-    ClaimRecordTooNewError,
     OutcomeKind,
     OutcomeRecord,
-    decode_call_record,
     new_record_id,
 )
 from camphordrift.calls._standing import KeyFinished
--- a/camphordrift/calls/_records.py
+++ b/camphordrift/calls/_records.py
@@ -1,31 +1,21 @@
-"""The records of a claims stream, and how they are packed.
+"""The records of a claims stream.
 
 A claim asks for the right to dispatch one call, a void gives that right back, an outcome tells what
 became of the call, and a mark only shows that the stream is kept.
 """
 
-import sys
 import uuid
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, Optional, Union
-
-import msgpack
+from typing import Optional, Union
 
 from camphordrift.calls._keys import CallKey
-from camphordrift.identifiers import AccountId, Incarnation, VmId
-
-#: Version of the format; a reader that meets a higher one stops deciding.
-CLAIM_RECORD_VERSION = 1
+from camphordrift.identifiers import Incarnation, VmId
 
 #: Bodies of outcomes up to this size are kept in the log, in bytes.
 MAX_OUTCOME_BODY_BYTES = 8192
 
 
-class ClaimRecordTooNewError(Exception):
-    """The record was written by a newer version, whose meaning this version cannot know."""
-
-
 class OutcomeKind(Enum):
     """What became of a dispatched call."""
 
@@ -134,115 +124,3 @@
 def new_record_id() -> str:
     """Returns an identifier that no other record has."""
     return uuid.uuid4().hex
-
-
-def encode_call_record(record: CallRecord) -> bytes:
-    """Packs a record for the log."""
-    packed: bytes = msgpack.packb(_fields_of(record))
-    return packed
-
-
-def decode_call_record(payload: bytes) -> Optional[CallRecord]:
-    """Unpacks a record; returns ``None`` for bytes that no version ever wrote.
-
-    Raises ``ClaimRecordTooNewError`` for a record of a newer version.
-    """
-    try:
-        fields = msgpack.unpackb(payload)
-        version = int(fields["v"])
-    except (ValueError, KeyError, TypeError, IndexError, msgpack.UnpackException):
-        return None
-    if version > CLAIM_RECORD_VERSION:
-        raise ClaimRecordTooNewError(f"version {version} is above {CLAIM_RECORD_VERSION}")
-    try:
-        return _record_of(fields)
-    except (ValueError, KeyError, TypeError):
-        return None
-
-
-def _fields_of(record: CallRecord) -> dict[str, Any]:
-    common = {"v": CLAIM_RECORD_VERSION, "id": record.record_id}
-    match record:
-        case ClaimRecord():
-            return common | {
-                "kind": "claim",
-                "attempt": record.attempt_id,
-                "account": record.key.account_id,
-                "key": record.key.value.bytes,
-                "digest": record.body_digest,
-                "vm": record.claimant.vm_id,
-                "incarnation": record.claimant.incarnation,
-                "dispatch_within": record.dispatch_within_seconds,
-                "run_timeout": record.run_timeout_seconds,
-            }
-        case VoidRecord():
-            return common | {
-                "kind": "void",
-                "attempt": record.attempt_id,
-                "account": record.key.account_id,
-                "key": record.key.value.bytes,
-            }
-        case OutcomeRecord():
-            return common | {
-                "kind": "outcome",
-                "attempt": record.attempt_id,
-                "account": record.key.account_id,
-                "key": record.key.value.bytes,
-                "outcome": record.kind.value,
-                "status": record.status,
-                "type": record.content_type,
-                "body": record.body,
-                "answer_digest": record.answer_digest,
-                "size": record.body_size,
-            }
-        case MarkRecord():
-            return common | {"kind": "mark"}
-
-
-def _shared(text: object) -> str:
-    """Returns one object for all equal texts: few accounts, VMs and media types, many records."""
-    return sys.intern(str(text))
-
-
-def _key_of(fields: dict[str, Any]) -> CallKey:
-    return CallKey(
-        account_id=AccountId(_shared(fields["account"])), value=uuid.UUID(bytes=fields["key"])
-    )
-
-
-def _record_of(fields: dict[str, Any]) -> Optional[CallRecord]:
-    record_id = str(fields["id"])
-    match fields["kind"]:
-        case "claim":
-            return ClaimRecord(
-                record_id=record_id,
-                attempt_id=str(fields["attempt"]),
-                key=_key_of(fields),
-                body_digest=bytes(fields["digest"]),
-                claimant=Claimant(
-                    vm_id=VmId(_shared(fields["vm"])),
-                    incarnation=Incarnation(int(fields["incarnation"])),
-                ),
-                dispatch_within_seconds=float(fields["dispatch_within"]),
-                run_timeout_seconds=float(fields["run_timeout"]),
-            )
-        case "void":
-            return VoidRecord(
-                record_id=record_id, attempt_id=str(fields["attempt"]), key=_key_of(fields)
-            )
-        case "outcome":
-            return OutcomeRecord(
-                record_id=record_id,
-                attempt_id=str(fields["attempt"]),
-                key=_key_of(fields),
-                kind=OutcomeKind(fields["outcome"]),
-                status=int(fields["status"]),
-                content_type=_shared(fields["type"]),
-                body=fields["body"],
-                answer_digest=bytes(fields["answer_digest"]),
-                body_size=int(fields["size"]),
-            )
-        case "mark":
-            return MarkRecord(record_id=record_id)
-        case _:
-            return None
--- a/camphordrift/experiments/_calls_soak.py
+++ b/camphordrift/experiments/_calls_soak.py
@@ -15,6 +15,7 @@
 from camphordrift.calls import (
     CallOutcome,
     CallSettings,
+    DispatchReply,
     KeyFree,
     KeyRunning,
     SendGate,
@@ -23,7 +24,6 @@
     digest_of_call,
     parse_call_key,
 )
-from camphordrift.calls._messages import DispatchReply
 from camphordrift.experiments._call_fleet import CallFleet, CallVm, open_call_fleet
 from camphordrift.experiments._call_service import FaultyService, booking
 from camphordrift.results import Failure, RunState
