--- a/camphordrift/experiments/_records.py
+++ b/camphordrift/experiments/_records.py
@@ -26,9 +26,6 @@
     #: What a refusal or failure said about the run.
     run_state: Optional[RunState] = None
 
-    #: Attempts that were sent to an engine.
-    sent_attempts: int = 0
-
     #: Tokens that the caller has.
     tokens: int = 0
 
--- a/camphordrift/experiments/_run.py
+++ b/camphordrift/experiments/_run.py
@@ -79,7 +79,8 @@
         assert record.ended_at is not None, f"{arrival.request_id} never ended"
         late = record.ended_at - arrival.at - arrival.band.timeout_seconds
         assert late < 0.1, f"{arrival.request_id} ended {late} s late"
-        assert not (record.refused and record.sent_attempts), "a refusal was run"
+        was_run = arrival.request_id in engines.seen_requests
+        assert not (record.refused and was_run), f"{arrival.request_id} was refused and run"
     for engine_id in engines.engine_ids:
         load = engines.state(engine_id).load_now()
         assert load.used_memory_tokens == 0, f"{engine_id} kept {load.used_memory_tokens} tokens"
--- a/camphordrift/standins/_engines.py
+++ b/camphordrift/standins/_engines.py
@@ -4,12 +4,12 @@
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import Optional
 
 import trio
 
 from camphordrift.backend_servers import (
     BackendRefusedError,
+    BackendSilentError,
     BackendUnreachableError,
     CacheEventBatch,
     EngineOrder,
@@ -27,6 +27,9 @@
 
 _FIRST_INCARNATION = 1
 
+#: A stream without any sign of life for this time fails, in seconds.
+IDLE_TIMEOUT_SECONDS = 10.0
+
 
 @dataclass
 class _Engine:
@@ -51,6 +54,7 @@
     ) -> None:
         self._rng = random.Random(seed)
         self._delay = network_delay_seconds
+        self._seen: set[RequestId] = set()
         self._engines: dict[BackendServerId, _Engine] = {}
         for model in models:
             state = EngineState(model, Incarnation(_FIRST_INCARNATION), self._now(), self._rng)
@@ -61,6 +65,11 @@
         """All engines, alive or not."""
         return tuple(self._engines)
 
+    @property
+    def seen_requests(self) -> frozenset[RequestId]:
+        """Requests of which some engine has computed something, for assertions."""
+        return frozenset(self._seen)
+
     def state(self, engine_id: BackendServerId) -> EngineState:
         """Returns the engine's insides at this instant, for assertions and perfect knowledge."""
         engine = self._engines[engine_id]
@@ -88,11 +97,12 @@
             raise BackendRefusedError(f"{engine_id} refuses", 503, True)
         send, receive = trio.open_memory_channel[TokenChunk](float("inf"))
         job = engine.state.generate(request, send.send_nowait)
+        self._seen.add(request.request_id)
         state = engine.state
         engine.streams.add(send)
         engine.wake.set()
         try:
-            yield _read_answer(receive)
+            yield _read_answer(engine, receive)
         finally:
             engine.streams.discard(send)
             send.close()
@@ -108,6 +118,7 @@
         state = engine.state
         done = trio.Event()
         job = state.prefill_part(part, request, done.set)
+        self._seen.add(request.request_id)
         engine.parts.add(done)
         engine.wake.set()
         try:
@@ -261,13 +272,24 @@
 
 
 async def _read_answer(
-    receive: trio.MemoryReceiveChannel[TokenChunk],
+    engine: _Engine, receive: trio.MemoryReceiveChannel[TokenChunk]
 ) -> AsyncIterator[TokenChunk]:
-    last: Optional[TokenChunk] = None
-    async for chunk in receive:
-        last = chunk
+    """Reads chunks; an engine at work shows signs of life, a frozen one does not."""
+    while True:
+        chunk = await _next_chunk(engine, receive)
         yield chunk
         if chunk.finish_reason is not None:
             return
-    begun = "after" if last is not None else "before"
-    raise StreamBrokenError(f"the engine's stream broke {begun} its first token")
+
+
+async def _next_chunk(
+    engine: _Engine, receive: trio.MemoryReceiveChannel[TokenChunk]
+) -> TokenChunk:
+    while True:
+        try:
+            with trio.move_on_after(IDLE_TIMEOUT_SECONDS):
+                return await receive.receive()
+        except trio.EndOfChannel:
+            raise StreamBrokenError("the engine's stream broke") from None
+        if engine.frozen:
+            raise BackendSilentError("the engine sent nothing")
