Order by length band, fair between accounts; bind late by cost; shed by deadline

Cause: the first scheduler served in order of arrival with one priority for all. Change: a queue by length band (response ratio between bands, start-time fair queueing between the accounts of a band), engine priority by band, an engine chosen by what the prompt costs itself and those it disturbs, a count of engines kept free of longer prefill, prefix affinity from grants and events, refusal on arrival of what the estimate ends late, and of queued asks once hopeless.

--- a/camphordrift/experiments/_commands.py
+++ b/camphordrift/experiments/_commands.py
@@ -12,7 +12,11 @@
 from camphordrift.experiments._report import as_json, as_table
 from camphordrift.experiments._workload import Shape
 
-measure_app = cyclopts.App(name="measure", help="Measures routing policies under virtual time.")
+measure_app = cyclopts.App(
+    name="measure",
+    help="Measures routing policies under virtual time.",
+    default_parameter=cyclopts.Parameter(consume_multiple=True),
+)
 
 
 @measure_app.default
--- a/camphordrift/routing/_engine_view.py
+++ b/camphordrift/routing/_engine_view.py
@@ -4,6 +4,7 @@
 from typing import Optional
 
 from camphordrift.backend_servers import EngineRole, LoadReport
+from camphordrift.routing._cache_knowledge import CacheKnowledge
 from camphordrift.routing._grants import GrantAsk
 from camphordrift.routing._scheduler import AttemptKey, EngineFacts
 
@@ -39,6 +40,9 @@
     #: What it takes of this engine's memory, in tokens.
     memory_tokens: int
 
+    #: Estimated time of the whole attempt on an idle engine, in seconds.
+    alone_seconds: float
+
     #: True once the first token has been reported.
     decoding: bool = False
 
@@ -46,8 +50,9 @@
 class EngineView:
     """Estimates of an engine's work, advanced with time and corrected by reports."""
 
-    def __init__(self, facts: EngineFacts, now: float) -> None:
+    def __init__(self, facts: EngineFacts, cache: CacheKnowledge, now: float) -> None:
         self._facts = facts
+        self._cache = cache
         self._flights: dict[AttemptKey, Flight] = {}
         self._clock = now
         self._report: Optional[LoadReport] = None
@@ -62,11 +67,21 @@
         """What the engine is."""
         return self._facts
 
+    @property
+    def cache(self) -> CacheKnowledge:
+        """What is believed of its prefix cache."""
+        return self._cache
+
     @property
     def flights(self) -> dict[AttemptKey, Flight]:
         """The attempts granted on it that have not ended."""
         return self._flights
 
+    @property
+    def chunk_seconds(self) -> float:
+        """Time of the prefill between two decoding steps, in seconds."""
+        return self.prefill_seconds(self._facts.prefill_chunk_tokens)
+
     @property
     def free_memory_tokens(self) -> int:
         """Memory that neither grants nor others' work take, in tokens."""
@@ -106,7 +121,7 @@
         if elapsed == 0.0:
             return
         self._foreign_prefill = max(0.0, self._foreign_prefill - elapsed)
-        prefilling = self._prefilling()
+        prefilling = self.prefilling()
         self._advance_decoding(elapsed, bool(prefilling))
         self._advance_prefill(elapsed * self._prefill_share(), prefilling)
 
@@ -120,6 +135,7 @@
         if flight is not None:
             flight.decoding = True
             flight.prefill_left = 0.0
+            self._cache.expect_stored(flight.ask.prefix_blocks)
 
     def remove(self, key: AttemptKey) -> Optional[Flight]:
         """Drops an attempt that has ended."""
@@ -144,15 +160,38 @@
         """Returns the time to compute ``tokens`` of a prompt on the engine alone."""
         return tokens / self._facts.prefill_tokens_per_second
 
+    def uncached_seconds(self, ask: GrantAsk) -> float:
+        """Returns the prefill that an ask costs here, given what is probably cached."""
+        cached = self._cache.cached_tokens(ask.prefix_blocks)
+        return self.prefill_seconds(max(1, ask.prompt_tokens - cached))
+
+    def prefilling(self) -> list[Flight]:
+        """Returns the attempts whose prompt is not prefilled yet."""
+        return [flight for flight in self._flights.values() if not flight.decoding]
+
+    def decoding(self) -> list[Flight]:
+        """Returns the attempts that generate tokens."""
+        return [flight for flight in self._flights.values() if flight.decoding]
+
+    def bulk_prefills(self) -> list[Flight]:
+        """Returns the attempts of longer prompts that are being prefilled."""
+        return [flight for flight in self.prefilling() if flight.priority > 0]
+
     def backlog_seconds(self, priority: int) -> float:
         """Returns the prefill that runs before a new attempt of ``priority``."""
         own = sum(
-            flight.prefill_left for flight in self._prefilling() if flight.priority <= priority
+            flight.prefill_left for flight in self.prefilling() if flight.priority <= priority
         )
         return own + self._foreign_prefill
 
+    def prefill_after(self, priority: int) -> float:
+        """Returns the prefill that a new attempt of ``priority`` goes before."""
+        return sum(
+            flight.prefill_left for flight in self.prefilling() if flight.priority > priority
+        )
+
     def _take_report(self, report: LoadReport, now: float) -> None:
-        own = sum(flight.prefill_left for flight in self._prefilling())
+        own = sum(flight.prefill_left for flight in self.prefilling())
         reported = self.prefill_seconds(report.pending_prefill_tokens)
         self._foreign_prefill = max(0.0, reported - own)
         own_memory = sum(flight.memory_tokens for flight in self._flights.values())
@@ -161,24 +200,15 @@
         self._reported_at = now
         self._failed_until = now
 
-    def _prefilling(self) -> list[Flight]:
-        return [flight for flight in self._flights.values() if not flight.decoding]
-
-    def _decoding(self) -> list[Flight]:
-        return [flight for flight in self._flights.values() if flight.decoding]
-
-    def _chunk_seconds(self) -> float:
-        return self.prefill_seconds(self._facts.prefill_chunk_tokens)
-
     def _prefill_share(self) -> float:
         """Returns the share of the time that goes to prefill while some requests decode."""
         if not any(flight.decoding for flight in self._flights.values()):
             return 1.0
-        return self._chunk_seconds() / (self._chunk_seconds() + self._facts.step_seconds)
+        return self.chunk_seconds / (self.chunk_seconds + self._facts.step_seconds)
 
     def _advance_decoding(self, elapsed: float, prefilling: bool) -> None:
-        step = self._facts.step_seconds + (self._chunk_seconds() if prefilling else 0.0)
-        for flight in self._decoding():
+        step = self._facts.step_seconds + (self.chunk_seconds if prefilling else 0.0)
+        for flight in self.decoding():
             flight.output_left = max(1.0, flight.output_left - elapsed / step)
 
     def _advance_prefill(self, seconds: float, prefilling: list[Flight]) -> None:
--- a/camphordrift/routing/_pool_scheduler.py
+++ b/camphordrift/routing/_pool_scheduler.py
@@ -1,30 +1,48 @@
 """The scheduler of a pool of engines: it queues exactly and binds late."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Optional
 
 from camphordrift.backend_servers import CacheEventBatch, LoadReport
-from camphordrift.identifiers import BackendServerId, VmId
+from camphordrift.identifiers import AccountId, BackendServerId, VmId
 from camphordrift.results import Failure, ResultCode
+from camphordrift.routing._choice import Option, bulk_option, short_option
+from camphordrift.routing._demand import DemandMeter, engines_kept_for_short
 from camphordrift.routing._engine_view import EngineView, Flight
+from camphordrift.routing._fair_queue import FairQueue, Waiting
 from camphordrift.routing._grants import Grant, GrantAsk, GrantOutcome
+from camphordrift.routing._policy import RoutingPolicy
+from camphordrift.routing._pool_engines import PoolEngines
 from camphordrift.routing._scheduler import AttemptKey, Decision, EngineFacts, Granted, Refused
+from camphordrift.routing._shedding import (
+    PoolLoad,
+    predicted_wait,
+    refusal_in_queue,
+    refusal_on_arrival,
+)
 
 #: A grant must be used within this time, in seconds.
 SEND_WITHIN_SECONDS = 1.0
 
-#: An engine gets another prompt while it has less prefill than this before it, in seconds.
-BACKLOG_LIMIT_SECONDS = 0.25
+#: The queue is looked at this often even if nothing is heard of, in seconds.
+REVIEW_SECONDS = 0.1
 
 
 class PoolScheduler:
-    """Grants asks to the engine with the least estimated work, in order of arrival."""
+    """Decides for a pool of engines which ask runs next, and where.
 
-    def __init__(self) -> None:
-        self._engines: dict[BackendServerId, EngineView] = {}
-        self._queue: dict[AttemptKey, tuple[GrantAsk, float]] = {}
-        self._granted: dict[AttemptKey, BackendServerId] = {}
+    An ask waits until an engine suits it, so a short prompt never stands behind a long one that was
+    placed before. Some engines are kept free of longer prompts' prefill; how many follows from the
+    demand (:func:`engines_kept_for_short`). Create it with :func:`pool_scheduler`.
+    """
+
+    def __init__(self, policy: RoutingPolicy) -> None:
+        self._policy = policy
+        self._engines = PoolEngines(policy)
+        self._queue = FairQueue(policy.band_count)
+        self._demand = DemandMeter(policy.band_count)
+        self._refusals: list[Refused] = []
         self._numbers = 0
 
     @property
@@ -32,156 +50,219 @@
         """Asks that wait."""
         return len(self._queue)
 
+    @property
+    def policy(self) -> RoutingPolicy:
+        """The numbers in force."""
+        return self._policy
+
+    def set_account_weights(self, weights: Mapping[AccountId, float]) -> None:
+        """Sets the client accounts' weights; an account without one has weight 1."""
+        self._queue.set_weights(dict(weights))
+
     def submit(self, ask: GrantAsk, now: float) -> None:
-        """Takes an ask."""
-        self._queue[AttemptKey(ask.request_id, ask.attempt)] = (ask, now + ask.remaining_seconds)
+        """Takes an ask; its decision comes from this or a later ``decide``."""
+        key = AttemptKey(ask.request_id, ask.attempt)
+        serving = self._engines.serving(ask)
+        failure = self._unservable(ask, serving)
+        if failure is not None:
+            self._refusals.append(Refused(key, failure))
+            return
+        waiting = self._waiting(key, ask, serving, now)
+        self._demand.add(waiting.band, waiting.prefill_seconds, now)
+        failure = self._refusal_on_arrival(waiting, len(serving), now)
+        if failure is not None:
+            self._refusals.append(Refused(key, failure))
+            return
+        self._queue.add(waiting)
 
     def withdraw(self, key: AttemptKey, now: float) -> None:
         """Drops an ask that is not decided yet."""
-        self._queue.pop(key, None)
+        self._queue.remove(key)
 
     def note_first_token(self, key: AttemptKey, now: float) -> None:
         """Notes that a granted attempt's prompt has been prefilled."""
-        view = self._view_of(key)
-        if view is not None:
-            view.advance(now)
-            view.note_first_token(key)
+        self._engines.note_first_token(key, now)
 
     def finish(self, outcome: GrantOutcome, now: float) -> None:
         """Notes how a granted attempt ended."""
         key = AttemptKey(outcome.request_id, outcome.attempt)
-        view = self._view_of(key)
-        self._granted.pop(key, None)
-        if view is None:
-            return
-        view.advance(now)
-        view.remove(key)
-        if outcome.engine_failed:
-            view.mark_failed(now)
+        self._engines.end_flight(key, outcome.engine_failed, now)
 
     def forget_vm(self, vm_id: VmId, now: float) -> None:
         """Drops the asks and the grants of a VM that died."""
-        for key, (ask, _) in list(self._queue.items()):
-            if ask.vm_id == vm_id:
-                del self._queue[key]
-        for view in self._engines.values():
-            for key, flight in list(view.flights.items()):
-                if flight.ask.vm_id == vm_id:
-                    view.remove(key)
-                    self._granted.pop(key, None)
+        for waiting in self._queue:
+            if waiting.ask.vm_id == vm_id:
+                self._queue.remove(waiting.key)
+        self._engines.end_flights_of(vm_id, now)
 
     def set_engines(self, engines: Iterable[EngineFacts], now: float) -> None:
-        """Replaces the set of engines."""
-        known = self._engines
-        self._engines = {}
-        for facts in sorted(engines, key=lambda facts: facts.engine_id):
-            view = known.get(facts.engine_id) or EngineView(facts, now)
-            view.set_facts(facts)
-            self._engines[facts.engine_id] = view
+        """Replaces the set of engines; what is known of those that stay is kept."""
+        self._engines.set_facts(engines, now)
 
     def observe_load(self, report: LoadReport, now: float) -> None:
-        """Takes a load report."""
-        view = self._engines.get(report.engine_id)
-        if view is not None:
-            view.advance(now)
-            view.observe(report, now)
+        """Takes a load report, however late."""
+        self._engines.observe_load(report, now)
 
     def observe_cache_events(
         self, engine_id: BackendServerId, batch: CacheEventBatch, now: float
     ) -> None:
-        """Takes cache events."""
+        """Takes cache events, however late or gappy."""
+        self._engines.observe_cache_events(engine_id, batch)
 
     def mark_leaving(self, engine_id: BackendServerId, now: float) -> None:
-        """Gives the engine no new work."""
-        if engine_id in self._engines:
-            self._engines[engine_id].mark_leaving()
+        """Gives the engine no new work until it is set anew."""
+        view = self._engines.view(engine_id)
+        if view is not None:
+            view.mark_leaving()
 
     def mark_failed(self, engine_id: BackendServerId, now: float) -> None:
         """Gives the engine no new work until it has reported again."""
-        if engine_id in self._engines:
-            self._engines[engine_id].mark_failed(now)
+        view = self._engines.view(engine_id)
+        if view is not None:
+            view.mark_failed(now)
 
     def decide(self, now: float) -> list[Decision]:
         """Returns the decisions that are due."""
-        for view in self._engines.values():
-            view.advance(now)
-            view.drop_overdue(now)
-        decisions: list[Decision] = []
-        for key, (ask, deadline) in list(self._queue.items()):
-            decision = self._decide_one(ask, deadline, now)
-            if decision is not None:
-                del self._queue[key]
-                decisions.append(decision)
+        self._engines.advance(now)
+        decisions: list[Decision] = list(self._refusals)
+        self._refusals = []
+        decisions += self._give_up_hopeless(now)
+        while granted := self._grant_round(now):
+            decisions += granted
         return decisions
 
     def next_wakeup(self, now: float) -> float:
         """Returns the instant at which ``decide`` must be called again without any event."""
-        if not self._queue:
+        if not len(self._queue):
             return math.inf
-        first_deadline = min(deadline for _, deadline in self._queue.values())
-        return min(first_deadline, now + BACKLOG_LIMIT_SECONDS)
+        first_lapse = min(waiting.latest_start for waiting in self._queue)
+        return min(max(now, first_lapse) + 0.001, now + REVIEW_SECONDS)
 
-    def _decide_one(self, ask: GrantAsk, deadline: float, now: float) -> Optional[Decision]:
-        key = AttemptKey(ask.request_id, ask.attempt)
-        serving = [view for view in self._engines.values() if _serves(view, ask)]
+    def _unservable(self, ask: GrantAsk, serving: list[EngineView]) -> Optional[Failure]:
         if not serving:
             detail = f"no engine serves {ask.model} for this account"
-            return Refused(key, Failure(ResultCode.NO_ENGINE_AVAILABLE, detail, 5.0))
+            return Failure(ResultCode.NO_ENGINE_AVAILABLE, detail, 5.0)
         needed = ask.prompt_tokens + ask.max_output_tokens
         if all(view.facts.memory_tokens < needed for view in serving):
             detail = f"{needed} tokens exceed the memory of every engine"
-            return Refused(key, Failure(ResultCode.PROMPT_NEVER_FITS, detail))
-        least = min(view.prefill_seconds(ask.prompt_tokens) for view in serving)
-        if now + least >= deadline:
-            detail = f"{deadline - now:.1f} s are left, prefill alone takes {least:.1f} s"
-            return Refused(key, Failure(ResultCode.DEADLINE_UNREACHABLE, detail, 5.0))
-        return self._grant(key, ask, deadline, now, serving)
-
-    def _grant(
-        self,
-        key: AttemptKey,
-        ask: GrantAsk,
-        deadline: float,
-        now: float,
-        serving: list[EngineView],
-    ) -> Optional[Decision]:
-        needed = ask.prompt_tokens + ask.max_output_tokens
-        able = [
-            view
-            for view in serving
-            if view.is_usable(now)
-            and view.facts.engine_id not in ask.avoided_engines
-            and view.free_memory_tokens >= needed
-            and view.backlog_seconds(0) < BACKLOG_LIMIT_SECONDS
+            return Failure(ResultCode.PROMPT_NEVER_FITS, detail)
+        if len(self._queue) >= self._policy.max_queued:
+            return Failure(ResultCode.QUEUE_FULL, f"{len(self._queue)} requests wait", 2.0)
+        return None
+
+    def _waiting(
+        self, key: AttemptKey, ask: GrantAsk, serving: list[EngineView], now: float
+    ) -> Waiting:
+        prefill = min(view.uncached_seconds(ask) for view in serving)
+        step = min(view.facts.step_seconds for view in serving)
+        deadline = now + ask.remaining_seconds
+        return Waiting(
+            key=key,
+            ask=ask,
+            band=self._policy.band_of(ask.prompt_tokens),
+            prefill_seconds=prefill,
+            since=now,
+            deadline=deadline,
+            latest_start=deadline - prefill - ask.expected_output_tokens * step,
+        )
+
+    def _refusal_on_arrival(
+        self, waiting: Waiting, engine_count: int, now: float
+    ) -> Optional[Failure]:
+        load = PoolLoad(engine_count, 0.0)
+        wait = predicted_wait(waiting, self._queue, self._demand, load, now)
+        return refusal_on_arrival(waiting, wait, now)
+
+    def _give_up_hopeless(self, now: float) -> list[Decision]:
+        refused: list[Decision] = []
+        for waiting in self._queue:
+            failure = refusal_in_queue(waiting, now)
+            if failure is not None:
+                self._queue.remove(waiting.key)
+                refused.append(Refused(waiting.key, failure))
+        return refused
+
+    def _grant_round(self, now: float) -> list[Decision]:
+        """Grants at most one ask of each account and band, the most pressing first."""
+        granted: list[Decision] = []
+        blocked: set[int] = set()
+        for waiting in self._queue.candidates(now):
+            if waiting.band in blocked:
+                continue
+            option = self._best_option(waiting, now)
+            if option is not None:
+                granted.append(self._grant(waiting, option))
+            elif not waiting.ask.permitted_engines and not waiting.ask.avoided_engines:
+                blocked.add(waiting.band)
+        return granted
+
+    def _best_option(self, waiting: Waiting, now: float) -> Optional[Option]:
+        needed = waiting.ask.prompt_tokens + waiting.ask.max_output_tokens
+        usable = self._engines.usable(waiting.ask, now)
+        able = [view for view in usable if view.free_memory_tokens >= needed]
+        options = (
+            self._short_options(waiting, able)
+            if waiting.band == 0
+            else self._bulk_options(waiting, able, usable, now)
+        )
+        return min(options, key=lambda option: option.cost, default=None)
+
+    def _short_options(self, waiting: Waiting, able: list[EngineView]) -> list[Option]:
+        options = (
+            short_option(view, waiting, view.uncached_seconds(waiting.ask), self._policy)
+            for view in able
+        )
+        return [option for option in options if option is not None]
+
+    def _bulk_options(
+        self, waiting: Waiting, able: list[EngineView], usable: list[EngineView], now: float
+    ) -> list[Option]:
+        kept = engines_kept_for_short(self._policy, self._demand, len(usable), now)
+        free = sum(1 for view in usable if not view.bulk_prefills())
+        options = (
+            bulk_option(view, waiting, view.uncached_seconds(waiting.ask), self._policy, now)
+            for view in able
+        )
+        return [
+            option
+            for option in options
+            if option is not None and (free > kept or not option.free_of_bulk)
         ]
-        if not able:
-            return None
-        best = min(able, key=lambda view: (not view.is_fresh(now), view.backlog_seconds(0)))
+
+    def _grant(self, waiting: Waiting, option: Option) -> Granted:
+        self._queue.remove(waiting.key)
+        self._queue.charge(waiting)
         self._numbers += 1
+        ask = waiting.ask
         flight = Flight(
             ask=ask,
-            priority=0,
+            priority=waiting.band,
             number=self._numbers,
-            deadline=deadline,
-            prefill_left=best.prefill_seconds(ask.prompt_tokens),
+            deadline=waiting.deadline,
+            prefill_left=option.prefill_seconds,
             output_left=float(ask.expected_output_tokens),
-            memory_tokens=needed,
+            memory_tokens=ask.prompt_tokens + ask.max_output_tokens,
+            alone_seconds=option.prefill_seconds
+            + ask.expected_output_tokens * option.view.facts.step_seconds,
+        )
+        self._engines.add_flight(option.view, waiting.key, flight)
+        return Granted(
+            Grant(
+                waiting.key.request_id,
+                waiting.key.attempt,
+                option.view.facts.engine_id,
+                waiting.band,
+                SEND_WITHIN_SECONDS,
+            )
         )
-        best.add(key, flight)
-        self._granted[key] = best.facts.engine_id
-        grant = Grant(key.request_id, key.attempt, best.facts.engine_id, 0, SEND_WITHIN_SECONDS)
-        return Granted(grant)
-
-    def _view_of(self, key: AttemptKey) -> Optional[EngineView]:
-        engine_id = self._granted.get(key)
-        return None if engine_id is None else self._engines.get(engine_id)
 
 
-def _serves(view: EngineView, ask: GrantAsk) -> bool:
-    permitted = not ask.permitted_engines or view.facts.engine_id in ask.permitted_engines
-    return permitted and ask.model in view.facts.models
+def pool_scheduler(policy: Optional[RoutingPolicy] = None) -> PoolScheduler:
+    """Returns a scheduler without engines; tell it of them with ``set_engines``.
 
+    Example::
 
-def pool_scheduler() -> PoolScheduler:
-    """Returns a scheduler without engines; tell it of them with ``set_engines``."""
-    return PoolScheduler()
+        scheduler = pool_scheduler(RoutingPolicy(slowdown_weight=0.9))
+        scheduler.set_engines([EngineFacts(engine_id, frozenset({model}))], now)
+    """
+    return PoolScheduler(policy or RoutingPolicy())
