Split the engines between short and longer prompts, moving with the demand

Cause: longer prefill landed where short requests decode, at 41 ms for each of their tokens. Change: the engines in the order of their ids are divided by the metered demand; longer prompts borrow engines while they queue, an engine at the border is left to neither, a prompt that would disturb others waits a little, and decoding long answers weigh more than medium ones. The wait is predicted from the pace at which the band has been served.

--- a/camphordrift/routing/__init__.py
+++ b/camphordrift/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from camphordrift.routing._grants import Grant, GrantAsk, GrantOutcome, GrantSource
 from camphordrift.routing._local_source import LocalGrantSource, local_grant_source, unused_outcome
+from camphordrift.routing._policy import RoutingPolicy
 from camphordrift.routing._pool_scheduler import PoolScheduler, pool_scheduler
 from camphordrift.routing._scheduler import (
     AttemptKey,
@@ -24,6 +25,7 @@
     "LocalGrantSource",
     "PoolScheduler",
     "Refused",
+    "RoutingPolicy",
     "Scheduler",
     "local_grant_source",
     "pool_scheduler",
--- a/camphordrift/routing/_choice.py
+++ b/camphordrift/routing/_choice.py
@@ -1,6 +1,6 @@
 """What it costs to run an ask on an engine now: for itself and for those that it disturbs."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Optional
 
 from camphordrift.routing._engine_view import EngineView, Flight
@@ -13,6 +13,9 @@
 #: A band's prompts overtake a longer prefill by at most this share of its time.
 OVERTAKING_SHARE = 0.25
 
+#: Slowdown expected of a short prompt on an engine for longer ones.
+AWAY_COST = 1.0
+
 
 @dataclass(frozen=True)
 class Option:
@@ -24,6 +27,9 @@
     #: What it costs; the least is chosen.
     cost: float
 
+    #: Weighted slowdown that it causes to others on the engine.
+    harm: float
+
     #: Estimated time to first token, in seconds.
     first_token_seconds: float
 
@@ -38,13 +44,20 @@
 
 
 def short_option(
-    view: EngineView, waiting: Waiting, prefill: float, policy: RoutingPolicy
+    view: EngineView, waiting: Waiting, prefill: float, policy: RoutingPolicy, at_home: bool
 ) -> Optional[Option]:
-    """Returns the option for a short prompt, or ``None`` if it should wait."""
+    """Returns the option for a short prompt, or ``None`` if it should wait.
+
+    ``at_home`` tells whether the engine is one of those for short prompts; on others a longer
+    prefill may begin at any time, which costs extra.
+    """
     short_backlog = view.backlog_seconds(0)
     if short_backlog > policy.short_backlog_seconds:
         return None
-    return _option(view, waiting, prefill, short_backlog, policy)
+    option = _option(view, waiting, prefill, short_backlog, policy)
+    if at_home:
+        return option
+    return replace(option, cost=option.cost + policy.slowdown_weight * AWAY_COST)
 
 
 def bulk_option(
@@ -55,7 +68,11 @@
     if running and not _may_overtake(running, waiting, prefill, now):
         return None
     backlog = view.backlog_seconds(waiting.band)
-    return _option(view, waiting, prefill, backlog, policy)
+    option = _option(view, waiting, prefill, backlog, policy)
+    tolerance = policy.harm_tolerances[waiting.band] + waiting.urgency(now)
+    if option.harm > tolerance:
+        return None
+    return option
 
 
 def _may_overtake(running: list[Flight], waiting: Waiting, prefill: float, now: float) -> bool:
@@ -80,22 +97,25 @@
     decode = output * facts.step_seconds + min(later, output * chunk)
     total = first_token + decode
     alone = prefill + output * facts.step_seconds
-    harm = _harm(view, decoding, waiting.band, prefill, chunk)
+    harm = _harm(view, decoding, waiting.band, prefill, policy)
     weight = policy.slowdown_weight
     slowdown_cost = total / alone + harm
     first_token_cost = first_token / policy.first_token_scale_seconds
     cost = weight * slowdown_cost + (1.0 - weight) * first_token_cost
-    return Option(view, cost, first_token, total, prefill, not view.bulk_prefills())
+    return Option(view, cost, harm, first_token, total, prefill, not view.bulk_prefills())
 
 
 def _harm(
-    view: EngineView, decoding: list[Flight], band: int, prefill: float, chunk: float
+    view: EngineView, decoding: list[Flight], band: int, prefill: float, policy: RoutingPolicy
 ) -> float:
-    """Returns the sum of the slowdowns that a new prefill causes to others on the engine."""
-    slowed = sum(
-        min(prefill, flight.output_left * chunk) / flight.alone_seconds for flight in decoding
-    )
-    overtaken = sum(
-        prefill / flight.alone_seconds for flight in view.prefilling() if flight.priority > band
-    )
-    return slowed + overtaken
+    """Returns the weighted sum of the slowdowns that a new prefill causes on the engine."""
+    weights = policy.disturbance_weights
+    chunk = view.chunk_seconds
+    harm = 0.0
+    for flight in decoding:
+        delay = min(prefill, flight.output_left * chunk)
+        harm += weights[flight.priority] * delay / flight.alone_seconds
+    for flight in view.prefilling():
+        if flight.priority > band:
+            harm += weights[flight.priority] * prefill / flight.alone_seconds
+    return harm
--- a/camphordrift/routing/_demand.py
+++ b/camphordrift/routing/_demand.py
@@ -1,58 +1,112 @@
-"""How much prefill each length band asks for, and how many engines short prompts get."""
+"""How much prefill each length band asks for, and how the engines are split by it."""
 
 import math
+from dataclasses import dataclass
 
 from camphordrift.routing._policy import RoutingPolicy
 
-#: Time constant of the average, in seconds.
-AVERAGING_SECONDS = 20.0
+#: Time constant of the average of short prompts, which are many, in seconds.
+SHORT_AVERAGING_SECONDS = 10.0
+
+#: Time constant of the average of longer prompts, which are few and large, in seconds.
+BULK_AVERAGING_SECONDS = 60.0
+
+#: A new meter counts as if it had run for this time, in seconds.
+LEAST_HISTORY_SECONDS = 3.0
+
+#: Until the demand has been watched for this time, half of the engines are kept for either side.
+UNKNOWN_DEMAND_SECONDS = 10.0
 
 
 class DemandMeter:
-    """Averages the prefill asked for by each length band, in engine seconds a second."""
+    """Averages the prefill asked for by each length band, in engine seconds a second.
+
+    The average is corrected for the time before the first ask, so that it is right from the start.
+    """
 
     def __init__(self, band_count: int) -> None:
-        self._rates = [0.0] * band_count
-        self._clock = 0.0
+        bulk = [BULK_AVERAGING_SECONDS] * (band_count - 1)
+        self._constants = [SHORT_AVERAGING_SECONDS, *bulk]
+        self._sums = [0.0] * band_count
+        self._clock = -math.inf
+        self._history = 0.0
 
     def add(self, band: int, prefill_seconds: float, now: float) -> None:
         """Counts an ask."""
         self._decay(now)
-        self._rates[band] += prefill_seconds / AVERAGING_SECONDS
+        self._sums[band] += prefill_seconds
+
+    def history_seconds(self, now: float) -> float:
+        """Returns the time since the first ask."""
+        self._decay(now)
+        return self._history
 
     def rate(self, band: int, now: float) -> float:
         """Returns the engines that the band keeps busy."""
         self._decay(now)
-        return self._rates[band]
+        constant = self._constants[band]
+        history = max(self._history, LEAST_HISTORY_SECONDS)
+        return self._sums[band] / (constant * (1.0 - math.exp(-history / constant)))
 
     def rate_above(self, band: int, now: float) -> float:
         """Returns the engines that the longer bands keep busy."""
-        self._decay(now)
-        return sum(self._rates[band + 1 :])
+        return sum(self.rate(each, now) for each in range(band + 1, len(self._sums)))
 
     def rate_below(self, band: int, now: float) -> float:
         """Returns the engines that the shorter bands keep busy."""
-        self._decay(now)
-        return sum(self._rates[:band])
+        return sum(self.rate(each, now) for each in range(band))
 
     def _decay(self, now: float) -> None:
-        factor = math.exp(-max(0.0, now - self._clock) / AVERAGING_SECONDS)
-        self._clock = max(now, self._clock)
-        self._rates = [rate * factor for rate in self._rates]
+        elapsed = now - self._clock
+        if elapsed <= 0.0:
+            return
+        self._clock = now
+        if math.isinf(elapsed):
+            return
+        self._history += elapsed
+        self._sums = [
+            amount * math.exp(-elapsed / constant)
+            for amount, constant in zip(self._sums, self._constants, strict=True)
+        ]
+
+
+@dataclass(frozen=True)
+class Split:
+    """How the engines of a pool, in the order of their ids, are divided."""
+
+    #: Short prompts are placed on the engines before this index.
+    short_until: int
 
+    #: Longer prompts are placed on the engines from this index on; it may lie before
+    #: ``short_until`` while many of them wait.
+    bulk_from: int
 
-def engines_kept_for_short(
-    policy: RoutingPolicy, demand: DemandMeter, engine_count: int, now: float
-) -> int:
-    """Returns how many engines must be free of longer prompts' prefill.
 
-    Short prompts get what the longer ones do not need, within bounds that follow from their own
-    demand: enough engines that their prefill fills none beyond ``short_share_high``, and no more
-    than where it fills ``short_share_low``.
+def split_engines(
+    policy: RoutingPolicy,
+    demand: DemandMeter,
+    queued_bulk_seconds: float,
+    engine_count: int,
+    now: float,
+) -> Split:
+    """Returns the division that the demand asks for.
+
+    Longer prompts get the engines that their demand fills up to ``bulk_share``; short prompts the
+    rest, and at least so many that their own prefill takes no more than ``short_share`` of each.
+    For every ``bulk_queue_seconds`` of longer prefill that waits, longer prompts get one engine
+    more, but never those that short prompts need at least.
     """
-    short = demand.rate(0, now)
-    spare = engine_count - demand.rate_above(0, now) / policy.bulk_share
-    least = short / policy.short_share_high
-    most = short / policy.short_share_low
-    kept = math.floor(min(max(spare, least), most))
-    return max(min(1, engine_count - 1), min(kept, engine_count - 1))
+    least = math.ceil(demand.rate(0, now) / policy.short_share)
+    bulk = math.ceil(demand.rate_above(0, now) / policy.bulk_share)
+    if demand.history_seconds(now) < UNKNOWN_DEMAND_SECONDS:
+        bulk = max(bulk, engine_count // 2)
+    borrowed = math.floor(queued_bulk_seconds / policy.bulk_queue_seconds)
+    border = _bounded(max(engine_count - bulk, least), engine_count)
+    bulk_from = _bounded(max(border - borrowed, least), engine_count)
+    short_until = border - policy.border_engines if bulk else border
+    return Split(_bounded(max(short_until, least), engine_count), min(border, bulk_from))
+
+
+def _bounded(count: int, engine_count: int) -> int:
+    """Leaves each side an engine, if there are two."""
+    return max(min(1, engine_count - 1), min(count, engine_count - 1))
--- a/camphordrift/routing/_fair_queue.py
+++ b/camphordrift/routing/_fair_queue.py
@@ -52,6 +52,7 @@
         self._lines: list[dict[AccountId, deque[Waiting]]] = [{} for _ in range(band_count)]
         self._served: list[dict[AccountId, float]] = [{} for _ in range(band_count)]
         self._floor = [0.0] * band_count
+        self._work: list[dict[AccountId, float]] = [{} for _ in range(band_count)]
         self._waiting: dict[AttemptKey, Waiting] = {}
         self._weights: dict[AccountId, float] = {}
 
@@ -78,6 +79,8 @@
             served = self._served[waiting.band]
             served[account] = max(served.get(account, 0.0), self._floor[waiting.band])
         lines[account].append(waiting)
+        work = self._work[waiting.band]
+        work[account] = work.get(account, 0.0) + waiting.prefill_seconds
         self._waiting[waiting.key] = waiting
 
     def remove(self, key: AttemptKey) -> Optional[Waiting]:
@@ -87,8 +90,10 @@
             account = waiting.ask.account_id
             line = self._lines[waiting.band][account]
             line.remove(waiting)
+            self._work[waiting.band][account] -= waiting.prefill_seconds
             if not line:
                 del self._lines[waiting.band][account]
+                del self._work[waiting.band][account]
         return waiting
 
     def charge(self, waiting: Waiting) -> None:
@@ -111,12 +116,15 @@
 
     def work_of(self, account_id: AccountId, band: int) -> float:
         """Returns the prefill that the account has waiting in one band, in seconds."""
-        line = self._lines[band].get(account_id, ())
-        return sum(waiting.prefill_seconds for waiting in line)
+        return self._work[band].get(account_id, 0.0)
+
+    def work_above(self, band: int) -> float:
+        """Returns the prefill that waits in the longer bands, in seconds."""
+        return sum(sum(work.values()) for work in self._work[band + 1 :])
 
     def work_in(self, band: int) -> dict[AccountId, float]:
         """Returns the waiting prefill of each account in one band, in seconds."""
-        return {account: self.work_of(account, band) for account in self._lines[band]}
+        return dict(self._work[band])
 
     def _heads(self, band: int) -> list[Waiting]:
         served = self._served[band]
--- a/camphordrift/routing/_policy.py
+++ b/camphordrift/routing/_policy.py
@@ -1,5 +1,6 @@
 """The numbers that shape routing decisions."""
 
+import math
 from dataclasses import dataclass
 
 
@@ -24,14 +25,25 @@
     #: Upper bounds of the length bands but the last, in prompt tokens; the first is "short".
     band_tokens: tuple[int, ...] = (4_000, 16_000, 64_000, 250_000)
 
-    #: Share of an engine's time that prefill of short prompts may take, at the least split.
-    short_share_high: float = 0.35
+    #: For each band, what it costs that one of its requests is slowed down by 1. Requests between
+    #: the shortest and the longest have the least to lose.
+    disturbance_weights: tuple[float, ...] = (3.0, 1.0, 1.0, 6.0, 6.0)
+
+    #: For each band, the weighted slowdown of others that one of its prompts may cause at once;
+    #: the longer it has waited, the more.
+    harm_tolerances: tuple[float, ...] = (math.inf, 1.0, 1.0, 4.0, 8.0)
+
+    #: Engines at the border of the split that neither side takes while it has others.
+    border_engines: int = 1
 
-    #: Share of an engine's time that prefill of short prompts takes where there is room.
-    short_share_low: float = 0.08
+    #: Share of an engine's time that prefill of short prompts may take, at the least split.
+    short_share: float = 0.35
 
     #: Share of the remaining engines' time that longer prompts may take before they get more.
-    bulk_share: float = 0.85
+    bulk_share: float = 0.65
+
+    #: Longer prompts get more engines until their queue is worked off in this time, in seconds.
+    bulk_queue_seconds: float = 4.0
 
     #: Short prompts wait in the queue while an engine has more short prefill than this, in seconds.
     short_backlog_seconds: float = 0.2
@@ -50,8 +62,13 @@
             raise ValueError("slowdown_weight must lie in [0, 1]")
         if list(self.band_tokens) != sorted(set(self.band_tokens)) or not self.band_tokens:
             raise ValueError("band_tokens must grow and not be empty")
-        if not 0.0 < self.short_share_low <= self.short_share_high <= 1.0:
-            raise ValueError("short shares must satisfy 0 < low <= high <= 1")
+        if not (0.0 < self.short_share <= 1.0 and 0.0 < self.bulk_share <= 1.0):
+            raise ValueError("short_share and bulk_share must lie in (0, 1]")
+
+        if len(self.disturbance_weights) != self.band_count:
+            raise ValueError("disturbance_weights must have one weight for each band")
+        if len(self.harm_tolerances) != self.band_count:
+            raise ValueError("harm_tolerances must have one number for each band")
 
     @property
     def band_count(self) -> int:
--- a/camphordrift/routing/_pool_scheduler.py
+++ b/camphordrift/routing/_pool_scheduler.py
@@ -8,7 +8,7 @@
 from camphordrift.identifiers import AccountId, BackendServerId, VmId
 from camphordrift.results import Failure, ResultCode
 from camphordrift.routing._choice import Option, bulk_option, short_option
-from camphordrift.routing._demand import DemandMeter, engines_kept_for_short
+from camphordrift.routing._demand import DemandMeter, Split, split_engines
 from camphordrift.routing._engine_view import EngineView, Flight
 from camphordrift.routing._fair_queue import FairQueue, Waiting
 from camphordrift.routing._grants import Grant, GrantAsk, GrantOutcome
@@ -16,7 +16,6 @@
 from camphordrift.routing._pool_engines import PoolEngines
 from camphordrift.routing._scheduler import AttemptKey, Decision, EngineFacts, Granted, Refused
 from camphordrift.routing._shedding import (
-    PoolLoad,
     predicted_wait,
     refusal_in_queue,
     refusal_on_arrival,
@@ -42,6 +41,7 @@
         self._engines = PoolEngines(policy)
         self._queue = FairQueue(policy.band_count)
         self._demand = DemandMeter(policy.band_count)
+        self._granted = DemandMeter(policy.band_count)
         self._refusals: list[Refused] = []
         self._numbers = 0
 
@@ -169,8 +169,7 @@
     def _refusal_on_arrival(
         self, waiting: Waiting, engine_count: int, now: float
     ) -> Optional[Failure]:
-        load = PoolLoad(engine_count, 0.0)
-        wait = predicted_wait(waiting, self._queue, self._demand, load, now)
+        wait = predicted_wait(waiting, self._queue, self._granted, engine_count, now)
         return refusal_on_arrival(waiting, wait, now)
 
     def _give_up_hopeless(self, now: float) -> list[Decision]:
@@ -191,7 +190,7 @@
                 continue
             option = self._best_option(waiting, now)
             if option is not None:
-                granted.append(self._grant(waiting, option))
+                granted.append(self._grant(waiting, option, now))
             elif not waiting.ask.permitted_engines and not waiting.ask.avoided_engines:
                 blocked.add(waiting.band)
         return granted
@@ -199,39 +198,35 @@
     def _best_option(self, waiting: Waiting, now: float) -> Optional[Option]:
         needed = waiting.ask.prompt_tokens + waiting.ask.max_output_tokens
         usable = self._engines.usable(waiting.ask, now)
-        able = [view for view in usable if view.free_memory_tokens >= needed]
-        options = (
-            self._short_options(waiting, able)
-            if waiting.band == 0
-            else self._bulk_options(waiting, able, usable, now)
-        )
+        split = self._split(len(usable), now)
+        options = []
+        for index, view in enumerate(usable):
+            if view.free_memory_tokens < needed:
+                continue
+            option = self._option(waiting, view, index, split, now)
+            if option is not None:
+                options.append(option)
         return min(options, key=lambda option: option.cost, default=None)
 
-    def _short_options(self, waiting: Waiting, able: list[EngineView]) -> list[Option]:
-        options = (
-            short_option(view, waiting, view.uncached_seconds(waiting.ask), self._policy)
-            for view in able
-        )
-        return [option for option in options if option is not None]
-
-    def _bulk_options(
-        self, waiting: Waiting, able: list[EngineView], usable: list[EngineView], now: float
-    ) -> list[Option]:
-        kept = engines_kept_for_short(self._policy, self._demand, len(usable), now)
-        free = sum(1 for view in usable if not view.bulk_prefills())
-        options = (
-            bulk_option(view, waiting, view.uncached_seconds(waiting.ask), self._policy, now)
-            for view in able
-        )
-        return [
-            option
-            for option in options
-            if option is not None and (free > kept or not option.free_of_bulk)
-        ]
-
-    def _grant(self, waiting: Waiting, option: Option) -> Granted:
+    def _split(self, engine_count: int, now: float) -> Split:
+        queued = self._queue.work_above(0)
+        return split_engines(self._policy, self._demand, queued, engine_count, now)
+
+    def _option(
+        self, waiting: Waiting, view: EngineView, index: int, split: Split, now: float
+    ) -> Optional[Option]:
+        prefill = view.uncached_seconds(waiting.ask)
+        if waiting.band == 0:
+            at_home = index < split.short_until
+            return short_option(view, waiting, prefill, self._policy, at_home)
+        if index < split.bulk_from:
+            return None
+        return bulk_option(view, waiting, prefill, self._policy, now)
+
+    def _grant(self, waiting: Waiting, option: Option, now: float) -> Granted:
         self._queue.remove(waiting.key)
         self._queue.charge(waiting)
+        self._granted.add(waiting.band, waiting.prefill_seconds, now)
         self._numbers += 1
         ask = waiting.ask
         flight = Flight(
--- a/camphordrift/routing/_shedding.py
+++ b/camphordrift/routing/_shedding.py
@@ -1,45 +1,35 @@
 """Refuses, before anything runs, what cannot end in time."""
 
-from dataclasses import dataclass
 from typing import Optional
 
 from camphordrift.results import Failure, ResultCode
 from camphordrift.routing._demand import DemandMeter
 from camphordrift.routing._fair_queue import FairQueue, Waiting
 
-#: Least share of the engines that a band is counted on to get.
-LEAST_SHARE = 0.15
+#: A band is counted on to get at least this share of the engines.
+LEAST_SHARE = 0.05
+
+#: Work that waits is taken to need this much more time than its prefill on idle engines.
+CAUTION = 1.1
 
 #: Bounds of the time after which a caller is told to ask again, in seconds.
 MIN_RETRY_SECONDS = 1.0
 MAX_RETRY_SECONDS = 120.0
 
 
-@dataclass(frozen=True)
-class PoolLoad:
-    """What the wait of a new ask depends on."""
-
-    #: Engines that may run it.
-    engine_count: int
-
-    #: Prefill that engines have been granted and not finished, in seconds.
-    granted_seconds: float
-
-
 def predicted_wait(
-    waiting: Waiting, queue: FairQueue, demand: DemandMeter, load: PoolLoad, now: float
+    waiting: Waiting, queue: FairQueue, granted: DemandMeter, engine_count: int, now: float
 ) -> float:
     """Returns the estimated time in the queue, in seconds.
 
-    Counts the queued work that goes first: shorter bands, which also take their share of the
-    engines in the meantime, and in the same band the fair share of each account.
+    The queued work of the band that goes first is served at the pace at which the band has been
+    served lately; ``granted`` meters that.
     """
-    shorter = sum(sum(queue.work_in(band).values()) for band in range(waiting.band))
-    same = _fair_work_ahead(waiting, queue)
-    taken = demand.rate_below(waiting.band, now)
-    speed = max(load.engine_count - taken, LEAST_SHARE * load.engine_count, 0.1)
-    queued = shorter + same
-    return queued / speed if queued > 0.0 else 0.0
+    ahead = _fair_work_ahead(waiting, queue)
+    if ahead <= 0.0:
+        return 0.0
+    pace = max(granted.rate(waiting.band, now), LEAST_SHARE * engine_count)
+    return CAUTION * ahead / pace
 
 
 def _fair_work_ahead(waiting: Waiting, queue: FairQueue) -> float:
--- /dev/null
+++ b/camphordrift/routing/tests/asks.py
@@ -0,0 +1,35 @@
+"""Asks and engines for the tests of routing."""
+
+from camphordrift.identifiers import AccountId, BackendServerId, ModelName, RequestId, VmId
+from camphordrift.routing import EngineFacts, GrantAsk
+
+MODEL = ModelName("assistant")
+
+
+def ask(
+    name: str,
+    prompt_tokens: int = 2_000,
+    remaining: float = 60.0,
+    account: str = "a",
+    blocks: tuple[int, ...] = (),
+    vm: str = "vm-1",
+) -> GrantAsk:
+    return GrantAsk(
+        RequestId(name),
+        1,
+        VmId(vm),
+        AccountId(account),
+        MODEL,
+        prompt_tokens,
+        expected_output_tokens=100,
+        max_output_tokens=100,
+        remaining_seconds=remaining,
+        prefix_blocks=blocks,
+    )
+
+
+def engines(count: int, memory_tokens: int = 450_000) -> list[EngineFacts]:
+    return [
+        EngineFacts(BackendServerId(f"engine-{index:02}"), frozenset({MODEL}), memory_tokens)
+        for index in range(count)
+    ]
