--- a/camphordrift/daemons/_commands_run.py
+++ b/camphordrift/daemons/_commands_run.py
@@ -22,10 +22,11 @@
     """
     # Imported here, as below, so that the help of all commands is quick.
     from camphordrift.daemons._processes import run_entry
-    from camphordrift.daemons._settings_files import entry_settings_of
+    from camphordrift.daemons._settings_files import entry_settings_of, fleet_keys_of
 
     loaded = entry_settings_of(settings)
-    return _run(lambda: run_entry(loaded))
+    keys = fleet_keys_of(loaded)
+    return _run(lambda: run_entry(loaded, keys))
 
 
 def standins(*, settings: Path) -> ExitCode:
@@ -56,6 +57,12 @@
     group = cyclopts.Group("Running processes", sort_key=1)
     for command in (demo, entry, standins):
         app.command(command, group=group)
+    app.command(
+        "camphordrift.experiments:measure_app",
+        name="measure",
+        help="Measure routing policies under virtual time.",
+        group=cyclopts.Group("Measuring", sort_key=4),
+    )
 
 
 def _run(process: Callable[[], int]) -> ExitCode:
