--- a/camphordrift/experiments/_attempts.py
+++ b/camphordrift/experiments/_attempts.py
@@ -6,7 +6,7 @@
 from camphordrift.backend_servers import EngineClient, GenerationRequest, TokenChunk
 from camphordrift.experiments._records import Record
 from camphordrift.experiments._workload import Arrival
-from camphordrift.gateway import GenerationRunner, NoDelayObserver
+from camphordrift.gateway import AttemptPolicy, GenerationRunner
 from camphordrift.identifiers import ModelName, VmId
 from camphordrift.results import Failure, ResultCode
 from camphordrift.routing import GrantAsk, GrantSource
@@ -32,19 +32,25 @@
     """One request from its arrival to its end, noted in a record."""
 
     def __init__(
-        self, record: Record, ask: GrantAsk, source: GrantSource, engines: EngineClient
+        self,
+        record: Record,
+        ask: GrantAsk,
+        source: GrantSource,
+        engines: EngineClient,
+        retries: AttemptPolicy,
     ) -> None:
         self._record = record
         self._ask = ask
         self._source = source
         self._engines = engines
+        self._retries = retries
 
     async def run(self) -> None:
         """Runs the request to its end."""
         runner = GenerationRunner(
             self._source,
             self._engines,
-            NoDelayObserver(),
+            self._retries,
             self._ask,
             _request_of(self._ask),
             self._take,
--- a/camphordrift/experiments/_fleet.py
+++ b/camphordrift/experiments/_fleet.py
@@ -12,6 +12,7 @@
 from camphordrift.experiments import _baselines
 from camphordrift.experiments._control_cost import ControlCost
 from camphordrift.experiments._deployments import Deployment
+from camphordrift.gateway import AttemptPolicy, BudgetedAttemptPolicy
 from camphordrift.results import Failure
 from camphordrift.routing import (
     EngineFacts,
@@ -53,6 +54,9 @@
     #: Schedulers whose queues must be empty at the end.
     schedulers: list[LocalGrantSource] = field(default_factory=list)
 
+    #: What follows a failed attempt.
+    retries: AttemptPolicy = field(default_factory=lambda: BudgetedAttemptPolicy(random.Random(0)))
+
     #: What the control messages cost.
     cost: ControlCost = field(default_factory=ControlCost)
 
--- a/camphordrift/experiments/_run.py
+++ b/camphordrift/experiments/_run.py
@@ -69,7 +69,7 @@
 ) -> RequestRun:
     index = record.arrival.vm_index
     ask = first_ask(record.arrival, deployment.model, VmId(f"vm-{index}"))
-    return RequestRun(record, ask, fleet.sources[index], engines)
+    return RequestRun(record, ask, fleet.sources[index], engines, fleet.retries)
 
 
 def check_end(records: list[Record], fleet: Fleet, engines: InMemoryEngines) -> None:
