Ask the home VM of the pool, and place large prompts over several engines

Change: RemoteGrantSource asks the home VM over one hop, decides alone when the home is silent or says that it is not home, and tells a new home what runs; GrantHome answers. Large prompts reserve engines one at a time, get parts in the order of engine ids, and HoldingGrantSource places, renews and releases their holds. Longer prompts borrow engines by how long they have waited, no longer by how much waits.

--- a/camphordrift/experiments/_fleet.py
+++ b/camphordrift/experiments/_fleet.py
@@ -4,25 +4,29 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Optional
 
 import trio
-from returns import result
 
 from camphordrift.backend_servers import LoadReport
 from camphordrift.experiments import _baselines
 from camphordrift.experiments._control_cost import ControlCost
 from camphordrift.experiments._deployments import Deployment
+from camphordrift.experiments._home_views import HomeViews, vm_id
+from camphordrift.experiments._messenger import MessageBus
 from camphordrift.gateway import AttemptPolicy, BudgetedAttemptPolicy
-from camphordrift.results import Failure
+from camphordrift.identifiers import Incarnation, VmId
 from camphordrift.routing import (
     EngineFacts,
-    Grant,
     GrantAsk,
-    GrantOutcome,
+    GrantHome,
     GrantSource,
     LocalGrantSource,
+    RemoteGrantSource,
+    holding_grant_source,
     local_grant_source,
     pool_scheduler,
+    remote_grant_source,
 )
 from camphordrift.standins import InMemoryEngines
 
@@ -54,6 +58,12 @@
     #: Schedulers whose queues must be empty at the end.
     schedulers: list[LocalGrantSource] = field(default_factory=list)
 
+    #: Whom the VMs take for home.
+    views: HomeViews = field(default_factory=HomeViews)
+
+    #: The network between the VMs, if the policy uses one.
+    bus: Optional[MessageBus] = None
+
     #: What follows a failed attempt.
     retries: AttemptPolicy = field(default_factory=lambda: BudgetedAttemptPolicy(random.Random(0)))
 
@@ -73,44 +83,6 @@
             await trio.sleep(LOAD_READ_SECONDS)
 
 
-class HopSource:
-    """A grant source on another VM, one message away each way."""
-
-    def __init__(
-        self, source: GrantSource, hop_seconds: float, cost: ControlCost, nursery: trio.Nursery
-    ) -> None:
-        self._source = source
-        self._hop_seconds = hop_seconds
-        self._cost = cost
-        self._nursery = nursery
-
-    async def acquire(self, ask: GrantAsk) -> result.Result[Grant, Failure]:
-        """Asks the other VM."""
-        self._cost.add_ask(ask)
-        await trio.sleep(self._hop_seconds)
-        answer = await self._source.acquire(ask)
-        self._cost.add_small()
-        with trio.CancelScope(shield=True):
-            await trio.sleep(self._hop_seconds)
-        return answer
-
-    def report_first_token(self, grant: Grant) -> None:
-        """Tells the other VM, which learns of it a hop later."""
-        self._send(lambda: self._source.report_first_token(grant))
-
-    def finish(self, grant: Grant, outcome: GrantOutcome) -> None:
-        """Tells the other VM, which learns of it a hop later."""
-        self._send(lambda: self._source.finish(grant, outcome))
-
-    def _send(self, deliver: Callable[[], None]) -> None:
-        self._cost.add_small()
-        self._nursery.start_soon(self._deliver_later, deliver)
-
-    async def _deliver_later(self, deliver: Callable[[], None]) -> None:
-        await trio.sleep(self._hop_seconds)
-        deliver()
-
-
 def engine_facts(deployment: Deployment) -> list[EngineFacts]:
     """Returns what schedulers are told of the deployment's engines."""
     return [
@@ -140,7 +112,7 @@
             for _ in range(deployment.vm_count):
                 fleet.sources.append(_add_scheduler(fleet, deployment, nursery))
         case Policy.HOME_POOL:
-            _open_home_pool(fleet, deployment, nursery)
+            _open_home_pool(fleet, deployment, engines, nursery)
         case _:
             for index in range(deployment.vm_count):
                 choose = _baseline(policy, fleet, engines, index, seed)
@@ -150,11 +122,35 @@
     return fleet
 
 
-def _open_home_pool(fleet: Fleet, deployment: Deployment, nursery: trio.Nursery) -> None:
-    home = _add_scheduler(fleet, deployment, nursery)
-    fleet.sources.append(home)
-    for _ in range(deployment.vm_count - 1):
-        fleet.sources.append(HopSource(home, deployment.hop_seconds, fleet.cost, nursery))
+def _open_home_pool(
+    fleet: Fleet, deployment: Deployment, engines: InMemoryEngines, nursery: trio.Nursery
+) -> None:
+    bus = MessageBus(deployment.hop_seconds, fleet.cost, nursery)
+    fleet.bus = bus
+    for index in range(deployment.vm_count):
+        local = _add_scheduler(fleet, deployment, nursery)
+        source = _home_source(vm_id(index), local, fleet.views, bus)
+        holding = holding_grant_source(source, engines, vm_id(index), Incarnation(1))
+        nursery.start_soon(source.run)
+        nursery.start_soon(holding.run)
+        fleet.sources.append(holding)
+
+
+def _home_source(
+    own: VmId, local: LocalGrantSource, views: HomeViews, bus: MessageBus
+) -> RemoteGrantSource:
+    def home_of(pool: str) -> VmId:
+        return views.home(own)
+
+    def is_home(pool: str) -> bool:
+        return views.home(own) == own
+
+    def pool_of(ask: GrantAsk) -> str:
+        return ask.model
+
+    messenger = bus.messenger(own)
+    GrantHome(local, is_home).register(messenger)
+    return remote_grant_source(own, local, messenger, pool_of, home_of)
 
 
 def _add_scheduler(fleet: Fleet, deployment: Deployment, nursery: trio.Nursery) -> LocalGrantSource:
--- a/camphordrift/experiments/_run.py
+++ b/camphordrift/experiments/_run.py
@@ -9,9 +9,9 @@
 from camphordrift.experiments._control_cost import ControlCost
 from camphordrift.experiments._deployments import Deployment
 from camphordrift.experiments._fleet import Fleet, Policy, open_fleet
+from camphordrift.experiments._home_views import vm_id
 from camphordrift.experiments._records import Record
 from camphordrift.experiments._workload import Arrival
-from camphordrift.identifiers import VmId
 from camphordrift.standins import InMemoryEngines, open_in_memory_engines
 from camphordrift.testing import run_in_virtual_time
 
@@ -68,7 +68,7 @@
     record: Record, deployment: Deployment, fleet: Fleet, engines: InMemoryEngines
 ) -> RequestRun:
     index = record.arrival.vm_index
-    ask = first_ask(record.arrival, deployment.model, VmId(f"vm-{index}"))
+    ask = first_ask(record.arrival, deployment.model, vm_id(index))
     return RequestRun(record, ask, fleet.sources[index], engines, fleet.retries)
 
 
--- a/camphordrift/routing/__init__.py
+++ b/camphordrift/routing/__init__.py
@@ -1,9 +1,18 @@
 """Which engine runs a request, in which order, when, and when to refuse."""
 
+from camphordrift.routing._grant_home import GrantHome, GrantMessenger
 from camphordrift.routing._grants import Grant, GrantAsk, GrantOutcome, GrantSource
+from camphordrift.routing._holding_source import HoldingGrantSource, holding_grant_source
+from camphordrift.routing._home_messages import (
+    FirstTokenNote,
+    PoolAsk,
+    RunningGrant,
+    RunningGrants,
+)
 from camphordrift.routing._local_source import LocalGrantSource, local_grant_source, unused_outcome
 from camphordrift.routing._policy import RoutingPolicy
 from camphordrift.routing._pool_scheduler import PoolScheduler, pool_scheduler
+from camphordrift.routing._remote_source import RemoteGrantSource, remote_grant_source
 from camphordrift.routing._scheduler import (
     AttemptKey,
     Decision,
@@ -17,17 +26,27 @@
     "AttemptKey",
     "Decision",
     "EngineFacts",
+    "FirstTokenNote",
     "Grant",
     "GrantAsk",
+    "GrantHome",
+    "GrantMessenger",
     "GrantOutcome",
     "GrantSource",
     "Granted",
+    "HoldingGrantSource",
     "LocalGrantSource",
+    "PoolAsk",
     "PoolScheduler",
+    "RemoteGrantSource",
     "Refused",
     "RoutingPolicy",
+    "RunningGrant",
+    "RunningGrants",
     "Scheduler",
+    "holding_grant_source",
     "local_grant_source",
     "pool_scheduler",
+    "remote_grant_source",
     "unused_outcome",
 ]
--- a/camphordrift/routing/_demand.py
+++ b/camphordrift/routing/_demand.py
@@ -85,7 +85,7 @@
 def split_engines(
     policy: RoutingPolicy,
     demand: DemandMeter,
-    queued_bulk_seconds: float,
+    bulk_pressure: float,
     engine_count: int,
     now: float,
 ) -> Split:
@@ -93,14 +93,14 @@
 
     Longer prompts get the engines that their demand fills up to ``bulk_share``; short prompts the
     rest, and at least so many that their own prefill takes no more than ``short_share`` of each.
-    For every ``bulk_queue_seconds`` of longer prefill that waits, longer prompts get one engine
+    ``bulk_pressure`` counts the longer prompts that have waited long; for each they get one engine
     more, but never those that short prompts need at least.
     """
     least = math.ceil(demand.rate(0, now) / policy.short_share)
     bulk = math.ceil(demand.rate_above(0, now) / policy.bulk_share)
     if demand.history_seconds(now) < UNKNOWN_DEMAND_SECONDS:
         bulk = max(bulk, engine_count // 2)
-    borrowed = math.floor(queued_bulk_seconds / policy.bulk_queue_seconds)
+    borrowed = math.floor(bulk_pressure)
     border = _bounded(max(engine_count - bulk, least), engine_count)
     bulk_from = _bounded(max(border - borrowed, least), engine_count)
     short_until = border - policy.border_engines if bulk else border
--- a/camphordrift/routing/_engine_view.py
+++ b/camphordrift/routing/_engine_view.py
@@ -1,5 +1,6 @@
 """What a scheduler believes of one engine, from its own grants and the engine's late reports."""
 
+import math
 from dataclasses import dataclass
 from typing import Optional
 
@@ -43,9 +44,21 @@
     #: Estimated time of the whole attempt on an idle engine, in seconds.
     alone_seconds: float
 
+    #: Instant before which nothing is computed here, because earlier parts run elsewhere.
+    starts_at: float = -math.inf
+
+    #: True for a part of a prompt that another engine answers.
+    is_part: bool = False
+
     #: True once the first token has been reported.
     decoding: bool = False
 
+    def is_prefilling(self, now: float) -> bool:
+        """Tells whether the prompt, or this part of it, is probably being computed."""
+        if self.decoding or now < self.starts_at:
+            return False
+        return not self.is_part or self.prefill_left > 0.0
+
 
 class EngineView:
     """Estimates of an engine's work, advanced with time and corrected by reports."""
@@ -167,7 +180,8 @@
 
     def prefilling(self) -> list[Flight]:
         """Returns the attempts whose prompt is not prefilled yet."""
-        return [flight for flight in self._flights.values() if not flight.decoding]
+        now = self._clock
+        return [flight for flight in self._flights.values() if flight.is_prefilling(now)]
 
     def decoding(self) -> list[Flight]:
         """Returns the attempts that generate tokens."""
--- a/camphordrift/routing/_local_source.py
+++ b/camphordrift/routing/_local_source.py
@@ -8,9 +8,10 @@
 from returns import result
 
 from camphordrift.backend_servers import CacheEventBatch, LoadReport
-from camphordrift.identifiers import BackendServerId, VmId
+from camphordrift.identifiers import BackendServerId, RequestId, VmId
 from camphordrift.results import Failure, ResultCode
 from camphordrift.routing._grants import Grant, GrantAsk, GrantOutcome
+from camphordrift.routing._home_messages import RunningGrant
 from camphordrift.routing._scheduler import (
     AttemptKey,
     Decision,
@@ -80,15 +81,28 @@
 
     def report_first_token(self, grant: Grant) -> None:
         """Tells that the prompt has been prefilled."""
-        key = AttemptKey(grant.request_id, grant.attempt)
-        self._scheduler.note_first_token(key, self._clock())
-        self._decide()
+        self.note_first_token(grant.request_id, grant.attempt)
 
     def finish(self, grant: Grant, outcome: GrantOutcome) -> None:
         """Tells how the attempt ended. Does not wait."""
+        self.note_outcome(outcome)
+
+    def note_first_token(self, request_id: RequestId, attempt: int) -> None:
+        """Notes that an attempt's prompt has been prefilled, whoever runs it."""
+        self._scheduler.note_first_token(AttemptKey(request_id, attempt), self._clock())
+        self._decide()
+
+    def note_outcome(self, outcome: GrantOutcome) -> None:
+        """Notes how an attempt ended, whoever ran it, or that its ask is withdrawn."""
         self._scheduler.finish(outcome, self._clock())
         self._decide()
 
+    def adopt(self, running: Iterable[RunningGrant]) -> None:
+        """Counts attempts that another scheduler has granted."""
+        for each in running:
+            self._scheduler.adopt(each, self._clock())
+        self._decide()
+
     def forget_vm(self, vm_id: VmId) -> None:
         """Drops what a dead VM asked for."""
         self._scheduler.forget_vm(vm_id, self._clock())
--- a/camphordrift/routing/_policy.py
+++ b/camphordrift/routing/_policy.py
@@ -23,27 +23,28 @@
     first_token_scale_seconds: float = 0.5
 
     #: Upper bounds of the length bands but the last, in prompt tokens; the first is "short".
-    band_tokens: tuple[int, ...] = (4_000, 16_000, 64_000, 250_000)
+    band_tokens: tuple[int, ...] = (4_000, 16_000, 64_000, 250_000, 440_000)
 
     #: For each band, what it costs that one of its requests is slowed down by 1. Requests between
     #: the shortest and the longest have the least to lose.
-    disturbance_weights: tuple[float, ...] = (3.0, 1.0, 1.0, 6.0, 6.0)
+    disturbance_weights: tuple[float, ...] = (3.0, 1.0, 1.0, 6.0, 6.0, 6.0)
 
     #: For each band, the weighted slowdown of others that one of its prompts may cause at once;
     #: the longer it has waited, the more.
-    harm_tolerances: tuple[float, ...] = (math.inf, 1.0, 1.0, 4.0, 8.0)
+    harm_tolerances: tuple[float, ...] = (math.inf, 1.0, 1.0, 4.0, 8.0, 8.0)
 
     #: Engines at the border of the split that neither side takes while it has others.
     border_engines: int = 1
 
     #: Share of an engine's time that prefill of short prompts may take, at the least split.
-    short_share: float = 0.35
+    short_share: float = 0.3
 
     #: Share of the remaining engines' time that longer prompts may take before they get more.
     bulk_share: float = 0.65
 
-    #: Longer prompts get more engines until their queue is worked off in this time, in seconds.
-    bulk_queue_seconds: float = 4.0
+    #: A longer prompt counts as having waited long once it has waited for this share of its own
+    #: prefill.
+    pressing_urgency: float = 0.5
 
     #: Short prompts wait in the queue while an engine has more short prefill than this, in seconds.
     short_backlog_seconds: float = 0.2
--- a/camphordrift/routing/_pool_engines.py
+++ b/camphordrift/routing/_pool_engines.py
@@ -18,7 +18,7 @@
     def __init__(self, policy: RoutingPolicy) -> None:
         self._policy = policy
         self._views: dict[BackendServerId, EngineView] = {}
-        self._granted: dict[AttemptKey, BackendServerId] = {}
+        self._granted: dict[AttemptKey, list[BackendServerId]] = {}
 
     def __iter__(self) -> Iterator[EngineView]:
         return iter(self._views.values())
@@ -45,25 +45,20 @@
     def add_flight(self, view: EngineView, key: AttemptKey, flight: Flight) -> None:
         """Notes a grant."""
         view.add(key, flight)
-        self._granted[key] = view.facts.engine_id
+        self._granted.setdefault(key, []).append(view.facts.engine_id)
 
     def note_first_token(self, key: AttemptKey, now: float) -> None:
         """Notes that a granted attempt's prompt has been prefilled."""
-        view = self._view_of(key)
-        if view is not None:
+        for view in self._views_of(key):
             view.advance(now)
             view.note_first_token(key)
 
-    def end_flight(self, key: AttemptKey, engine_failed: bool, now: float) -> None:
+    def end_flight(self, key: AttemptKey, now: float) -> None:
         """Notes the end of a granted attempt; does nothing if it is not known."""
-        view = self._view_of(key)
+        for view in self._views_of(key):
+            view.advance(now)
+            view.remove(key)
         self._granted.pop(key, None)
-        if view is None:
-            return
-        view.advance(now)
-        view.remove(key)
-        if engine_failed:
-            view.mark_failed(now)
 
     def end_flights_of(self, vm_id: VmId, now: float) -> None:
         """Drops the granted attempts of a VM that died."""
@@ -108,6 +103,6 @@
         cache = CacheKnowledge(policy.known_cache_blocks, policy.cache_block_tokens)
         return EngineView(facts, cache, now)
 
-    def _view_of(self, key: AttemptKey) -> Optional[EngineView]:
-        engine_id = self._granted.get(key)
-        return None if engine_id is None else self._views.get(engine_id)
+    def _views_of(self, key: AttemptKey) -> list[EngineView]:
+        engine_ids = self._granted.get(key, [])
+        return [self._views[each] for each in engine_ids if each in self._views]
--- a/camphordrift/routing/_pool_scheduler.py
+++ b/camphordrift/routing/_pool_scheduler.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Optional
 
-from camphordrift.backend_servers import CacheEventBatch, LoadReport
+from camphordrift.backend_servers import CacheEventBatch, KvPart, LoadReport
 from camphordrift.identifiers import AccountId, BackendServerId, VmId
 from camphordrift.results import Failure, ResultCode
 from camphordrift.routing._choice import Option, bulk_option, short_option
@@ -12,6 +12,14 @@
 from camphordrift.routing._engine_view import EngineView, Flight
 from camphordrift.routing._fair_queue import FairQueue, Waiting
 from camphordrift.routing._grants import Grant, GrantAsk, GrantOutcome
+from camphordrift.routing._home_messages import RunningGrant
+from camphordrift.routing._placement import (
+    Gathering,
+    can_ever_fit,
+    exceeds_one_engine,
+    hold_tokens,
+    tokens_needed,
+)
 from camphordrift.routing._policy import RoutingPolicy
 from camphordrift.routing._pool_engines import PoolEngines
 from camphordrift.routing._scheduler import AttemptKey, Decision, EngineFacts, Granted, Refused
@@ -42,6 +50,7 @@
         self._queue = FairQueue(policy.band_count)
         self._demand = DemandMeter(policy.band_count)
         self._granted = DemandMeter(policy.band_count)
+        self._gathering = Gathering()
         self._refusals: list[Refused] = []
         self._numbers = 0
 
@@ -77,7 +86,7 @@
 
     def withdraw(self, key: AttemptKey, now: float) -> None:
         """Drops an ask that is not decided yet."""
-        self._queue.remove(key)
+        self._drop(key)
 
     def note_first_token(self, key: AttemptKey, now: float) -> None:
         """Notes that a granted attempt's prompt has been prefilled."""
@@ -86,13 +95,45 @@
     def finish(self, outcome: GrantOutcome, now: float) -> None:
         """Notes how a granted attempt ended."""
         key = AttemptKey(outcome.request_id, outcome.attempt)
-        self._engines.end_flight(key, outcome.engine_failed, now)
+        self._drop(key)
+        self._engines.end_flight(key, now)
+        if outcome.engine_failed:
+            self.mark_failed(outcome.engine_id, now)
+
+    def adopt(self, running: RunningGrant, now: float) -> None:
+        """Counts an attempt that another scheduler has granted."""
+        self._engines.advance(now)
+        ask, grant = running.ask, running.grant
+        if not grant.parts:
+            self._adopt_on(grant.engine_id, running, ask.prompt_tokens, tokens_needed(ask), now)
+        for part in grant.parts:
+            memory_tokens = hold_tokens(ask, part)
+            self._adopt_on(part.engine_id, running, part.token_count, memory_tokens, now)
+
+    def _adopt_on(
+        self,
+        engine_id: BackendServerId,
+        running: RunningGrant,
+        prompt_tokens: int,
+        memory_tokens: int,
+        now: float,
+    ) -> None:
+        view = self._engines.view(engine_id)
+        if view is None:
+            return
+        ask, grant = running.ask, running.grant
+        band = min(grant.priority, self._policy.band_count - 1)
+        deadline = now + ask.remaining_seconds
+        prefill = view.prefill_seconds(prompt_tokens)
+        flight = self._flight(view, ask, band, deadline, prefill, memory_tokens)
+        flight.decoding = running.decoding
+        self._engines.add_flight(view, AttemptKey(grant.request_id, grant.attempt), flight)
 
     def forget_vm(self, vm_id: VmId, now: float) -> None:
         """Drops the asks and the grants of a VM that died."""
         for waiting in self._queue:
             if waiting.ask.vm_id == vm_id:
-                self._queue.remove(waiting.key)
+                self._drop(waiting.key)
         self._engines.end_flights_of(vm_id, now)
 
     def set_engines(self, engines: Iterable[EngineFacts], now: float) -> None:
@@ -123,6 +164,8 @@
 
     def decide(self, now: float) -> list[Decision]:
         """Returns the decisions that are due."""
+        if not self._queue and not self._refusals:
+            return []
         self._engines.advance(now)
         decisions: list[Decision] = list(self._refusals)
         self._refusals = []
@@ -138,13 +181,16 @@
         first_lapse = min(waiting.latest_start for waiting in self._queue)
         return min(max(now, first_lapse) + 0.001, now + REVIEW_SECONDS)
 
+    def _drop(self, key: AttemptKey) -> None:
+        self._queue.remove(key)
+        self._gathering.forget(key)
+
     def _unservable(self, ask: GrantAsk, serving: list[EngineView]) -> Optional[Failure]:
         if not serving:
             detail = f"no engine serves {ask.model} for this account"
             return Failure(ResultCode.NO_ENGINE_AVAILABLE, detail, 5.0)
-        needed = ask.prompt_tokens + ask.max_output_tokens
-        if all(view.facts.memory_tokens < needed for view in serving):
-            detail = f"{needed} tokens exceed the memory of every engine"
+        if not can_ever_fit(ask, serving):
+            detail = f"{tokens_needed(ask)} tokens exceed the memory of all engines that may run it"
             return Failure(ResultCode.PROMPT_NEVER_FITS, detail)
         if len(self._queue) >= self._policy.max_queued:
             return Failure(ResultCode.QUEUE_FULL, f"{len(self._queue)} requests wait", 2.0)
@@ -177,7 +223,7 @@
         for waiting in self._queue:
             failure = refusal_in_queue(waiting, now)
             if failure is not None:
-                self._queue.remove(waiting.key)
+                self._drop(waiting.key)
                 refused.append(Refused(waiting.key, failure))
         return refused
 
@@ -185,32 +231,72 @@
         """Grants at most one ask of each account and band, the most pressing first."""
         granted: list[Decision] = []
         blocked: set[int] = set()
-        for waiting in self._queue.candidates(now):
+        candidates = self._queue.candidates(now)
+        pressure = self._bulk_pressure(candidates, now)
+        for waiting in candidates:
             if waiting.band in blocked:
                 continue
-            option = self._best_option(waiting, now)
-            if option is not None:
-                granted.append(self._grant(waiting, option, now))
+            grant = self._try_grant(waiting, pressure, now)
+            if grant is not None:
+                granted.append(Granted(grant))
             elif not waiting.ask.permitted_engines and not waiting.ask.avoided_engines:
                 blocked.add(waiting.band)
         return granted
 
-    def _best_option(self, waiting: Waiting, now: float) -> Optional[Option]:
-        needed = waiting.ask.prompt_tokens + waiting.ask.max_output_tokens
+    def _try_grant(self, waiting: Waiting, pressure: float, now: float) -> Optional[Grant]:
         usable = self._engines.usable(waiting.ask, now)
-        split = self._split(len(usable), now)
+        split = split_engines(self._policy, self._demand, pressure, len(usable), now)
+        if exceeds_one_engine(waiting.ask, self._engines.serving(waiting.ask)):
+            reserved = self._gathering.reserved_engines
+            lane = [
+                view
+                for index, view in enumerate(usable)
+                if index >= split.bulk_from or view.facts.engine_id in reserved
+            ]
+            fits = can_ever_fit(waiting.ask, lane)
+            return self._try_place(waiting, lane if fits else usable, now)
+        option = self._best_option(waiting, usable, split, now)
+        if option is None:
+            return None
+        self._note_granted(waiting, now)
+        self._add_flight(waiting, option.view, option.prefill_seconds, tokens_needed(waiting.ask))
+        return _grant(waiting, option.view.facts.engine_id)
+
+    def _try_place(self, waiting: Waiting, usable: list[EngineView], now: float) -> Optional[Grant]:
+        """Grants several engines at once, or reserves them until their memory is free."""
+        placement = self._gathering.place(waiting.key, waiting.ask, usable)
+        if placement is None:
+            return None
+        self._note_granted(waiting, now)
+        starts_at = now
+        parts = tuple(part for _, part in placement)
+        for view, part in placement:
+            prefill = view.prefill_seconds(part.token_count)
+            flight = self._add_flight(waiting, view, prefill, hold_tokens(waiting.ask, part))
+            flight.starts_at = starts_at
+            flight.is_part = part is not parts[-1]
+            flight.output_left = 0.0 if flight.is_part else flight.output_left
+            starts_at += prefill
+        return _grant(waiting, parts[-1].engine_id, parts)
+
+    def _best_option(
+        self, waiting: Waiting, usable: list[EngineView], split: Split, now: float
+    ) -> Optional[Option]:
         options = []
         for index, view in enumerate(usable):
-            if view.free_memory_tokens < needed:
+            if self._gathering.free_memory(view, waiting.band) < tokens_needed(waiting.ask):
                 continue
             option = self._option(waiting, view, index, split, now)
             if option is not None:
                 options.append(option)
         return min(options, key=lambda option: option.cost, default=None)
 
-    def _split(self, engine_count: int, now: float) -> Split:
-        queued = self._queue.work_above(0)
-        return split_engines(self._policy, self._demand, queued, engine_count, now)
+    def _bulk_pressure(self, candidates: list[Waiting], now: float) -> float:
+        """Counts the longer prompts that press for an engine, in part those that begin to."""
+        enough = self._policy.pressing_urgency
+        return sum(
+            min(1.0, waiting.urgency(now) / enough) for waiting in candidates if waiting.band > 0
+        )
 
     def _option(
         self, waiting: Waiting, view: EngineView, index: int, split: Split, now: float
@@ -223,35 +309,48 @@
             return None
         return bulk_option(view, waiting, prefill, self._policy, now)
 
-    def _grant(self, waiting: Waiting, option: Option, now: float) -> Granted:
+    def _note_granted(self, waiting: Waiting, now: float) -> None:
         self._queue.remove(waiting.key)
+        self._gathering.forget(waiting.key)
         self._queue.charge(waiting)
         self._granted.add(waiting.band, waiting.prefill_seconds, now)
+
+    def _add_flight(
+        self, waiting: Waiting, view: EngineView, prefill: float, memory_tokens: int
+    ) -> Flight:
+        flight = self._flight(
+            view, waiting.ask, waiting.band, waiting.deadline, prefill, memory_tokens
+        )
+        self._engines.add_flight(view, waiting.key, flight)
+        return flight
+
+    def _flight(
+        self,
+        view: EngineView,
+        ask: GrantAsk,
+        band: int,
+        deadline: float,
+        prefill: float,
+        memory_tokens: int,
+    ) -> Flight:
         self._numbers += 1
-        ask = waiting.ask
-        flight = Flight(
+        return Flight(
             ask=ask,
-            priority=waiting.band,
+            priority=band,
             number=self._numbers,
-            deadline=waiting.deadline,
-            prefill_left=option.prefill_seconds,
+            deadline=deadline,
+            prefill_left=prefill,
             output_left=float(ask.expected_output_tokens),
-            memory_tokens=ask.prompt_tokens + ask.max_output_tokens,
-            alone_seconds=option.prefill_seconds
-            + ask.expected_output_tokens * option.view.facts.step_seconds,
-        )
-        self._engines.add_flight(option.view, waiting.key, flight)
-        return Granted(
-            Grant(
-                waiting.key.request_id,
-                waiting.key.attempt,
-                option.view.facts.engine_id,
-                waiting.band,
-                SEND_WITHIN_SECONDS,
-            )
+            memory_tokens=memory_tokens,
+            alone_seconds=prefill + ask.expected_output_tokens * view.facts.step_seconds,
         )
 
 
+def _grant(waiting: Waiting, engine_id: BackendServerId, parts: tuple[KvPart, ...] = ()) -> Grant:
+    key = waiting.key
+    return Grant(key.request_id, key.attempt, engine_id, waiting.band, SEND_WITHIN_SECONDS, parts)
+
+
 def pool_scheduler(policy: Optional[RoutingPolicy] = None) -> PoolScheduler:
     """Returns a scheduler without engines; tell it of them with ``set_engines``.
 
--- a/camphordrift/routing/_scheduler.py
+++ b/camphordrift/routing/_scheduler.py
@@ -8,6 +8,7 @@
 from camphordrift.identifiers import BackendServerId, ModelName, RequestId, VmId
 from camphordrift.results import Failure
 from camphordrift.routing._grants import Grant, GrantAsk, GrantOutcome
+from camphordrift.routing._home_messages import RunningGrant
 
 
 class AttemptKey(NamedTuple):
@@ -90,7 +91,11 @@
         ...
 
     def finish(self, outcome: GrantOutcome, now: float) -> None:
-        """Notes how a granted attempt ended; does nothing if it is not known."""
+        """Notes how a granted attempt ended, or withdraws its ask if it still waits."""
+        ...
+
+    def adopt(self, running: RunningGrant, now: float) -> None:
+        """Counts an attempt that another scheduler has granted."""
         ...
 
     def forget_vm(self, vm_id: VmId, now: float) -> None:
