--- /dev/null
+++ b/camphordrift/engine_orders/tests/builders.py
@@ -0,0 +1,11 @@
+"""Builds lease terms for the tests of this package."""
+
+from camphordrift.clocks import TwoClocks
+from camphordrift.experiments._orders_model import clocks
+from camphordrift.leases import FencingNumber, LeaseTerm
+
+_FAR = TwoClocks(monotonic=1e9, wall=1e9)
+
+
+def term(fencing_number: int = 7, settled_at: float = 0.0) -> LeaseTerm:
+    return LeaseTerm(FencingNumber(fencing_number), ends=_FAR, settled=clocks(settled_at))
