Expect at most 512 tokens of an answer when estimating its end

Cause: callers give an upper bound of tokens; one of 100,000 made the estimate refuse a request that would have ended in time (camphordrift/tests/test_callers.py, DisconnectTest). Change: the policy bounds the expected output; the measured loads stay below the bound but for the longest answers, so no figure was taken. Conclusion: a bound is not an expectation.

--- a/camphordrift/routing/_choice.py
+++ b/camphordrift/routing/_choice.py
@@ -93,7 +93,7 @@
     boundary = (chunk if later or backlog else 0.0) / 2 + (facts.step_seconds if decoding else 0.0)
     stretch = 1.0 + (facts.step_seconds / chunk if decoding else 0.0)
     first_token = boundary + (backlog + prefill) * stretch
-    output = waiting.ask.expected_output_tokens
+    output = min(waiting.ask.expected_output_tokens, policy.most_expected_output)
     decode = output * facts.step_seconds + min(later, output * chunk)
     total = first_token + decode
     alone = prefill + output * facts.step_seconds
--- a/camphordrift/routing/_policy.py
+++ b/camphordrift/routing/_policy.py
@@ -55,6 +55,9 @@
     #: Prompt tokens in each of these blocks.
     cache_block_tokens: int = 1024
 
+    #: Tokens that an answer is expected to have at most, whatever bound the caller gives.
+    most_expected_output: int = 512
+
     #: Asks that may wait in the whole pool.
     max_queued: int = 10_000
 
--- a/camphordrift/routing/_pool_scheduler.py
+++ b/camphordrift/routing/_pool_scheduler.py
@@ -181,6 +181,9 @@
         first_lapse = min(waiting.latest_start for waiting in self._queue)
         return min(max(now, first_lapse) + 0.001, now + REVIEW_SECONDS)
 
+    def _expected_output(self, ask: GrantAsk) -> int:
+        return min(ask.expected_output_tokens, self._policy.most_expected_output)
+
     def _drop(self, key: AttemptKey) -> None:
         self._queue.remove(key)
         self._gathering.forget(key)
@@ -209,7 +212,7 @@
             prefill_seconds=prefill,
             since=now,
             deadline=deadline,
-            latest_start=deadline - prefill - ask.expected_output_tokens * step,
+            latest_start=deadline - prefill - self._expected_output(ask) * step,
         )
 
     def _refusal_on_arrival(
@@ -334,15 +337,16 @@
         memory_tokens: int,
     ) -> Flight:
         self._numbers += 1
+        output = self._expected_output(ask)
         return Flight(
             ask=ask,
             priority=band,
             number=self._numbers,
             deadline=deadline,
             prefill_left=prefill,
-            output_left=float(ask.expected_output_tokens),
+            output_left=float(output),
             memory_tokens=memory_tokens,
-            alone_seconds=prefill + ask.expected_output_tokens * view.facts.step_seconds,
+            alone_seconds=prefill + output * view.facts.step_seconds,
         )
 
 
