--- a/camphordrift/experiments/__init__.py
+++ b/camphordrift/experiments/__init__.py
@@ -7,6 +7,7 @@
 from camphordrift.experiments._measure import Case, Measurement, measure, run_measure
 from camphordrift.experiments._plot import draw
 from camphordrift.experiments._report import as_json, as_table
+from camphordrift.experiments._soak import SoakResult, run_soak
 from camphordrift.experiments._workload import Arrival, Shape, arrivals
 
 __all__ = [
@@ -20,6 +21,7 @@
     "Measurement",
     "Policy",
     "Shape",
+    "SoakResult",
     "Spread",
     "arrivals",
     "as_json",
@@ -28,4 +30,5 @@
     "measure",
     "measure_app",
     "run_measure",
+    "run_soak",
 ]
--- a/camphordrift/experiments/_commands.py
+++ b/camphordrift/experiments/_commands.py
@@ -10,6 +10,7 @@
 from camphordrift.experiments._measure import run_measure
 from camphordrift.experiments._plot import draw
 from camphordrift.experiments._report import as_json, as_table
+from camphordrift.experiments._soak import run_soak
 from camphordrift.experiments._workload import Shape
 
 measure_app = cyclopts.App(
@@ -60,3 +61,29 @@
         json_path.write_text(as_json(found), encoding="utf-8")
     if plot_path is not None:
         draw(found, plot_path)
+
+
+@measure_app.command(name="soak")
+def soak_command(
+    *,
+    deployment: str = "kowalczyk",
+    load: float = 0.7,
+    seconds: float = 60.0,
+    seeds: tuple[int, ...] = (1,),
+) -> None:
+    """Runs loads with faults and stops at the first invariant that breaks.
+
+    Parameters
+    ----------
+    deployment
+        Whose load is run.
+    load
+        Arrival rate as a share of the fleet's token capacity.
+    seconds
+        Length of the arrivals, in virtual seconds.
+    seeds
+        One run for each.
+
+    """
+    for seed in seeds:
+        print(run_soak(DEPLOYMENTS[deployment], load, seconds, seed))
--- a/camphordrift/experiments/_fleet.py
+++ b/camphordrift/experiments/_fleet.py
@@ -1,6 +1,7 @@
 """The entry VMs of a run: a grant source for each, and the feeds that keep them informed."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -15,7 +16,7 @@
 from camphordrift.experiments._home_views import HomeViews, vm_id
 from camphordrift.experiments._messenger import MessageBus
 from camphordrift.gateway import AttemptPolicy, BudgetedAttemptPolicy
-from camphordrift.identifiers import Incarnation, VmId
+from camphordrift.identifiers import BackendServerId, Incarnation, VmId
 from camphordrift.routing import (
     EngineFacts,
     GrantAsk,
@@ -33,6 +34,9 @@
 #: Load reports are read this often, in seconds.
 LOAD_READ_SECONDS = 0.25
 
+#: An engine whose load could not be read this many times has failed.
+MISSED_READS = 2
+
 
 class Policy(Enum):
     """Who decides for the engines, and how."""
@@ -64,6 +68,15 @@
     #: The network between the VMs, if the policy uses one.
     bus: Optional[MessageBus] = None
 
+    #: The sources that ask the home VM.
+    askers: list[RemoteGrantSource] = field(default_factory=list)
+
+    #: VMs that are dead at this instant, by their place.
+    dead_vms: set[int] = field(default_factory=set)
+
+    #: Set when a VM dies; replaced when it is back.
+    deaths: list[trio.Event] = field(default_factory=list)
+
     #: What follows a failed attempt.
     retries: AttemptPolicy = field(default_factory=lambda: BudgetedAttemptPolicy(random.Random(0)))
 
@@ -72,16 +85,25 @@
 
     async def feed_loads(self, engines: InMemoryEngines) -> None:
         """Reads the engines' late load reports for all observers; runs until cancelled."""
+        missed: Counter[BackendServerId] = Counter()
         while self.observers:
             for engine_id in engines.engine_ids:
                 if not engines.answers(engine_id):
+                    missed[engine_id] += 1
+                    self._note_missed(engine_id, missed[engine_id])
                     continue
+                missed[engine_id] = 0
                 report = engines.state(engine_id).load_report
                 for observe in self.observers:
                     observe(report)
                 self.cost.add_small(2 * len(self.observers))
             await trio.sleep(LOAD_READ_SECONDS)
 
+    def _note_missed(self, engine_id: BackendServerId, count: int) -> None:
+        if count >= MISSED_READS:
+            for source in self.schedulers:
+                source.mark_failed(engine_id)
+
 
 def engine_facts(deployment: Deployment) -> list[EngineFacts]:
     """Returns what schedulers are told of the deployment's engines."""
@@ -107,6 +129,7 @@
 ) -> Fleet:
     """Returns the entry VMs of a run under ``policy``; background work goes to ``nursery``."""
     fleet = Fleet()
+    fleet.deaths = [trio.Event() for _ in range(deployment.vm_count)]
     match policy:
         case Policy.ALONE:
             for _ in range(deployment.vm_count):
@@ -133,6 +156,7 @@
         holding = holding_grant_source(source, engines, vm_id(index), Incarnation(1))
         nursery.start_soon(source.run)
         nursery.start_soon(holding.run)
+        fleet.askers.append(source)
         fleet.sources.append(holding)
 
 
--- a/camphordrift/experiments/_records.py
+++ b/camphordrift/experiments/_records.py
@@ -26,6 +26,9 @@
     #: What a refusal or failure said about the run.
     run_state: Optional[RunState] = None
 
+    #: True if its entry VM died, so that the caller's connection broke.
+    lost_with_vm: bool = False
+
     #: Tokens that the caller has.
     tokens: int = 0
 
