Measure shares of engines and a home for each engine beside the pool's home

Change: policies that give each VM some engines outright, and that ask the home VM of one engine chosen by two random choices.

--- /dev/null
+++ b/camphordrift/experiments/_divided.py
@@ -0,0 +1,64 @@
+"""Other ways to divide the decisions: shares of the engines, and a home for each engine."""
+
+import random
+from collections.abc import Sequence
+
+import trio
+from returns import result
+
+from camphordrift.backend_servers import LoadReport
+from camphordrift.experiments._control_cost import ControlCost
+from camphordrift.identifiers import BackendServerId
+from camphordrift.results import Failure, ResultCode
+from camphordrift.routing import EngineFacts, Grant, GrantAsk, GrantOutcome, LocalGrantSource
+
+
+def shares_of(facts: Sequence[EngineFacts], vm_count: int) -> list[list[EngineFacts]]:
+    """Returns the engines that each VM has for itself."""
+    return [list(facts[index::vm_count]) for index in range(vm_count)]
+
+
+class EngineHomesSource:
+    """Takes the less loaded of two random engines, and asks the home VM of that engine."""
+
+    def __init__(
+        self,
+        homes: dict[BackendServerId, LocalGrantSource],
+        hop_seconds: float,
+        memory_tokens: int,
+        cost: ControlCost,
+        rng: random.Random,
+    ) -> None:
+        self._homes = homes
+        self._hop_seconds = hop_seconds
+        self._memory_tokens = memory_tokens
+        self._cost = cost
+        self._rng = rng
+        self._loads = dict.fromkeys(homes, 0)
+
+    def observe(self, report: LoadReport) -> None:
+        """Takes a load report."""
+        self._loads[report.engine_id] = report.pending_prefill_tokens
+
+    async def acquire(self, ask: GrantAsk) -> result.Result[Grant, Failure]:
+        """Waits for the decision of the engine's home VM."""
+        if ask.prompt_tokens + ask.max_output_tokens > self._memory_tokens:
+            return result.Failure(Failure(ResultCode.PROMPT_NEVER_FITS, "exceeds one engine"))
+        pair = self._rng.sample(sorted(self._homes), 2)
+        engine_id = min(pair, key=lambda each: self._loads[each])
+        self._cost.add_ask(ask)
+        await trio.sleep(self._hop_seconds)
+        answer = await self._homes[engine_id].acquire(ask)
+        self._cost.add_small()
+        await trio.sleep(self._hop_seconds)
+        return answer
+
+    def report_first_token(self, grant: Grant) -> None:
+        """Tells the home VM."""
+        self._cost.add_small()
+        self._homes[grant.engine_id].report_first_token(grant)
+
+    def finish(self, grant: Grant, outcome: GrantOutcome) -> None:
+        """Tells the home VM."""
+        self._cost.add_small()
+        self._homes[grant.engine_id].finish(grant, outcome)
--- a/camphordrift/experiments/_fleet.py
+++ b/camphordrift/experiments/_fleet.py
@@ -13,6 +13,7 @@
 from camphordrift.experiments import _baselines
 from camphordrift.experiments._control_cost import ControlCost
 from camphordrift.experiments._deployments import Deployment
+from camphordrift.experiments._divided import EngineHomesSource, shares_of
 from camphordrift.experiments._home_views import HomeViews, vm_id
 from camphordrift.experiments._messenger import MessageBus
 from camphordrift.gateway import AttemptPolicy, BudgetedAttemptPolicy
@@ -46,6 +47,8 @@
     TWO_CHOICES = "two_choices"
     SHORTEST_QUEUE = "shortest_queue"
     ALONE = "alone"
+    SHARES = "shares"
+    HOME_ENGINE = "home_engine"
     HOME_POOL = "home_pool"
 
 
@@ -133,7 +136,13 @@
     match policy:
         case Policy.ALONE:
             for _ in range(deployment.vm_count):
-                fleet.sources.append(_add_scheduler(fleet, deployment, nursery))
+                facts = engine_facts(deployment)
+                fleet.sources.append(_add_scheduler(fleet, facts, nursery))
+        case Policy.SHARES:
+            for share in shares_of(engine_facts(deployment), deployment.vm_count):
+                fleet.sources.append(_add_scheduler(fleet, share, nursery))
+        case Policy.HOME_ENGINE:
+            _open_engine_homes(fleet, deployment, nursery, seed)
         case Policy.HOME_POOL:
             _open_home_pool(fleet, deployment, engines, nursery)
         case _:
@@ -151,7 +160,7 @@
     bus = MessageBus(deployment.hop_seconds, fleet.cost, nursery)
     fleet.bus = bus
     for index in range(deployment.vm_count):
-        local = _add_scheduler(fleet, deployment, nursery)
+        local = _add_scheduler(fleet, engine_facts(deployment), nursery)
         source = _home_source(vm_id(index), local, fleet.views, bus)
         holding = holding_grant_source(source, engines, vm_id(index), Incarnation(1))
         nursery.start_soon(source.run)
@@ -177,9 +186,28 @@
     return remote_grant_source(own, local, messenger, pool_of, home_of)
 
 
-def _add_scheduler(fleet: Fleet, deployment: Deployment, nursery: trio.Nursery) -> LocalGrantSource:
+def _open_engine_homes(
+    fleet: Fleet, deployment: Deployment, nursery: trio.Nursery, seed: int
+) -> None:
+    facts = engine_facts(deployment)
+    homes = {each.engine_id: _add_scheduler(fleet, [each], nursery) for each in facts}
+    for index in range(deployment.vm_count):
+        source = EngineHomesSource(
+            homes,
+            deployment.hop_seconds,
+            facts[0].memory_tokens,
+            fleet.cost,
+            random.Random(seed * 1000 + index),
+        )
+        fleet.observers.append(source.observe)
+        fleet.sources.append(source)
+
+
+def _add_scheduler(
+    fleet: Fleet, facts: list[EngineFacts], nursery: trio.Nursery
+) -> LocalGrantSource:
     source = local_grant_source(pool_scheduler())
-    source.set_engines(engine_facts(deployment))
+    source.set_engines(facts)
     nursery.start_soon(source.run)
     fleet.observers.append(source.observe_load)
     fleet.schedulers.append(source)
