Never lend the engines that short prompts need to longer ones

Cause: requests that decoded on lent engines made the tail of the slowdown. Change: the engines that short prompts need at least (their prefill takes a fifth of each) are never lent, and short prompts prefer them to engines that may be lent.

--- a/camphordrift/routing/_choice.py
+++ b/camphordrift/routing/_choice.py
@@ -13,8 +13,11 @@
 #: A band's prompts overtake a longer prefill by at most this share of its time.
 OVERTAKING_SHARE = 0.25
 
+#: Slowdown expected of a short prompt on an engine that longer ones may borrow.
+LENT_EXPOSURE = 0.3
+
 #: Slowdown expected of a short prompt on an engine for longer ones.
-AWAY_COST = 1.0
+AWAY_EXPOSURE = 1.0
 
 
 @dataclass(frozen=True)
@@ -44,20 +47,17 @@
 
 
 def short_option(
-    view: EngineView, waiting: Waiting, prefill: float, policy: RoutingPolicy, at_home: bool
+    view: EngineView, waiting: Waiting, prefill: float, policy: RoutingPolicy, exposure: float
 ) -> Optional[Option]:
     """Returns the option for a short prompt, or ``None`` if it should wait.
 
-    ``at_home`` tells whether the engine is one of those for short prompts; on others a longer
-    prefill may begin at any time, which costs extra.
+    ``exposure`` is the slowdown to expect of longer prefill that may begin there at any time.
     """
     short_backlog = view.backlog_seconds(0)
     if short_backlog > policy.short_backlog_seconds:
         return None
     option = _option(view, waiting, prefill, short_backlog, policy)
-    if at_home:
-        return option
-    return replace(option, cost=option.cost + policy.slowdown_weight * AWAY_COST)
+    return replace(option, cost=option.cost + policy.slowdown_weight * exposure)
 
 
 def bulk_option(
--- a/camphordrift/routing/_demand.py
+++ b/camphordrift/routing/_demand.py
@@ -74,6 +74,9 @@
 class Split:
     """How the engines of a pool, in the order of their ids, are divided."""
 
+    #: Engines before this index are never given to longer prompts.
+    protected_until: int
+
     #: Short prompts are placed on the engines before this index.
     short_until: int
 
@@ -104,7 +107,11 @@
     border = _bounded(max(engine_count - bulk, least), engine_count)
     bulk_from = _bounded(max(border - borrowed, least), engine_count)
     short_until = border - policy.border_engines if bulk else border
-    return Split(_bounded(max(short_until, least), engine_count), min(border, bulk_from))
+    return Split(
+        protected_until=_bounded(least, engine_count),
+        short_until=_bounded(max(short_until, least), engine_count),
+        bulk_from=min(border, bulk_from),
+    )
 
 
 def _bounded(count: int, engine_count: int) -> int:
--- a/camphordrift/routing/_policy.py
+++ b/camphordrift/routing/_policy.py
@@ -37,7 +37,7 @@
     border_engines: int = 1
 
     #: Share of an engine's time that prefill of short prompts may take, at the least split.
-    short_share: float = 0.3
+    short_share: float = 0.2
 
     #: Share of the remaining engines' time that longer prompts may take before they get more.
     bulk_share: float = 0.65
--- a/camphordrift/routing/_pool_scheduler.py
+++ b/camphordrift/routing/_pool_scheduler.py
@@ -7,7 +7,13 @@
 from camphordrift.backend_servers import CacheEventBatch, KvPart, LoadReport
 from camphordrift.identifiers import AccountId, BackendServerId, VmId
 from camphordrift.results import Failure, ResultCode
-from camphordrift.routing._choice import Option, bulk_option, short_option
+from camphordrift.routing._choice import (
+    AWAY_EXPOSURE,
+    LENT_EXPOSURE,
+    Option,
+    bulk_option,
+    short_option,
+)
 from camphordrift.routing._demand import DemandMeter, Split, split_engines
 from camphordrift.routing._engine_view import EngineView, Flight
 from camphordrift.routing._fair_queue import FairQueue, Waiting
@@ -306,8 +312,8 @@
     ) -> Optional[Option]:
         prefill = view.uncached_seconds(waiting.ask)
         if waiting.band == 0:
-            at_home = index < split.short_until
-            return short_option(view, waiting, prefill, self._policy, at_home)
+            exposure = _exposure(index, split)
+            return short_option(view, waiting, prefill, self._policy, exposure)
         if index < split.bulk_from:
             return None
         return bulk_option(view, waiting, prefill, self._policy, now)
@@ -350,6 +356,13 @@
         )
 
 
+def _exposure(index: int, split: Split) -> float:
+    """Returns the slowdown that longer prefill may cause on the engine at ``index``."""
+    if index < split.protected_until:
+        return 0.0
+    return LENT_EXPOSURE if index < split.short_until else AWAY_EXPOSURE
+
+
 def _grant(waiting: Waiting, engine_id: BackendServerId, parts: tuple[KvPart, ...] = ()) -> Grant:
     key = waiting.key
     return Grant(key.request_id, key.attempt, engine_id, waiting.band, SEND_WITHIN_SECONDS, parts)
