--- a/camphordrift/experiments/__init__.py
+++ b/camphordrift/experiments/__init__.py
@@ -13,6 +13,7 @@
 from camphordrift.experiments._overhead_commands import overhead_app
 from camphordrift.experiments._plot import draw
 from camphordrift.experiments._report import as_json, as_table
+from camphordrift.experiments._soak import SoakResult, run_soak
 from camphordrift.experiments._workload import Arrival, Shape, arrivals
 
 __all__ = [
@@ -28,6 +29,7 @@
     "OverheadTarget",
     "Policy",
     "Shape",
+    "SoakResult",
     "Spread",
     "arrivals",
     "as_json",
@@ -38,4 +40,5 @@
     "measure_overhead",
     "overhead_app",
     "run_measure",
+    "run_soak",
 ]
