--- a/camphordrift/routing/_demand.py
+++ b/camphordrift/routing/_demand.py
@@ -108,7 +108,7 @@
     bulk_from = _bounded(max(border - borrowed, least), engine_count)
     short_until = border - policy.border_engines if bulk else border
     return Split(
-        protected_until=_bounded(least, engine_count),
+        protected_until=_bounded(least, engine_count) if bulk else engine_count,
         short_until=_bounded(max(short_until, least), engine_count),
         bulk_from=min(border, bulk_from),
     )
