Let the pool's home VM decide for its engines, over the streams between VMs

Cause: each VM decided alone, from late load reports. Change: all engines of a model service are a pool, whose home VM is chosen by rendezvous hashing; entry VMs ask it and decide alone without it; holds of large prompts are claimed in the registry before they are placed, under names that are used once; the slowdown knob and account weights come from the configuration.

--- /dev/null
+++ b/camphordrift/entry/_grants.py
@@ -0,0 +1,140 @@
+"""Who decides which engine runs a request: the pool's home VM, or this VM alone without one."""
+
+import time
+
+import trio
+
+from camphordrift.backend_servers import EngineClient, KvPart
+from camphordrift.clocks import TwoClocks
+from camphordrift.configuration import ConfigurationSnapshot
+from camphordrift.engine_memory import HoldRegistry
+from camphordrift.identifiers import HoldId, RequestId, VmId
+from camphordrift.membership import MembershipView
+from camphordrift.peers import PeerNetwork
+from camphordrift.routing import (
+    GrantAsk,
+    GrantHome,
+    HoldingGrantSource,
+    LocalGrantSource,
+    PoolScheduler,
+    RemoteGrantSource,
+    holding_grant_source,
+    local_grant_source,
+    pool_scheduler,
+    remote_grant_source,
+)
+
+#: Time between two looks for VMs that have died, in seconds.
+REVIEW_SECONDS = 0.5
+
+
+class RegisteredClaims:
+    """The hold registry, by the clocks of this process."""
+
+    def __init__(self, registry: HoldRegistry) -> None:
+        self._registry = registry
+
+    def claim(self, part: KvPart, request_id: RequestId, remaining_seconds: float) -> None:
+        """Claims a hold that is about to be placed."""
+        until = _now().plus(remaining_seconds)
+        self._registry.claim(part.hold_id, part.engine_id, request_id, until)
+
+    def note_confirmed(self, hold_id: HoldId, sent_at: float) -> None:
+        """Notes that the engine confirmed a placement or renewal sent at ``sent_at``."""
+        self._registry.note_confirmed(hold_id, _now().plus(sent_at - trio.current_time()))
+
+    def drop(self, hold_id: HoldId) -> None:
+        """Stops claiming a hold."""
+        self._registry.drop(hold_id)
+
+
+class PoolGrants:
+    """The grant source of an entry VM with all that it consists of.
+
+    All engines of one model service are a pool. The pool's home VM, chosen by rendezvous hashing
+    among the live VMs, queues for all of its engines.
+    """
+
+    def __init__(
+        self,
+        engines: EngineClient,
+        network: PeerNetwork,
+        view: MembershipView,
+        registry: HoldRegistry,
+    ) -> None:
+        own = network.own
+        self._view = view
+        self._own = own.vm_id
+        self._pools: dict[str, str] = {}
+        self._scheduler: PoolScheduler = pool_scheduler()
+        self._local: LocalGrantSource = local_grant_source(self._scheduler)
+        GrantHome(self._local, self._is_home).register(network)
+        self._remote: RemoteGrantSource = remote_grant_source(
+            own.vm_id, self._local, network, self._pool_of, self._home_of
+        )
+        claims = RegisteredClaims(registry)
+        self._source: HoldingGrantSource = holding_grant_source(
+            self._remote, engines, own.vm_id, own.incarnation, claims
+        )
+
+    @property
+    def source(self) -> HoldingGrantSource:
+        """What requests ask for grants."""
+        return self._source
+
+    @property
+    def local(self) -> LocalGrantSource:
+        """The scheduler of this VM, for pools that it is home to and for want of a home."""
+        return self._local
+
+    def configure(self, snapshot: ConfigurationSnapshot) -> None:
+        """Puts the models, weights and the knob of ``snapshot`` in force."""
+        self._pools = {str(model.name): str(model.service) for model in snapshot.models.values()}
+        self._scheduler.set_slowdown_weight(snapshot.tuning.slowdown_weight)
+        weights = {name: limits.weight for name, limits in snapshot.limits.items()}
+        self._scheduler.set_account_weights(weights)
+
+    async def run(self) -> None:
+        """Decides until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._local.run)
+            nursery.start_soon(self._remote.run)
+            await nursery.start(self._source.run)
+            await self._forget_dead_vms()
+
+    async def hand_over(self) -> None:
+        """Waits until no ask waits here; new ones go to the next home VM."""
+        while self._local.waiting_count:
+            await trio.sleep(REVIEW_SECONDS / 10)
+
+    def dump_state(self) -> object:
+        """Returns what a state dump shows."""
+        return {
+            "home_of_pools": {pool: self._home_of(pool) for pool in set(self._pools.values())},
+            "queued": self._scheduler.queued_count,
+            "running": self._remote.running_count,
+            "decided_alone": self._remote.decided_alone_count,
+            "held_grants": self._source.held_grants,
+        }
+
+    async def _forget_dead_vms(self) -> None:
+        forgotten: set[VmId] = set()
+        while True:
+            dead = set(self._view.dead_vms)
+            for vm_id in dead - forgotten:
+                self._local.forget_vm(vm_id)
+            forgotten = dead
+            await trio.sleep(REVIEW_SECONDS)
+
+    def _pool_of(self, ask: GrantAsk) -> str:
+        return self._pools.get(str(ask.model), str(ask.model))
+
+    def _home_of(self, pool: str) -> VmId:
+        return self._view.home_of(f"pool\0{pool}", trio.current_time())
+
+    def _is_home(self, pool: str) -> bool:
+        return self._home_of(pool) == self._own
+
+
+def _now() -> TwoClocks:
+    return TwoClocks(monotonic=trio.current_time(), wall=time.time())
--- a/camphordrift/entry/_limits_gate.py
+++ b/camphordrift/entry/_limits_gate.py
@@ -1,7 +1,6 @@
 """Puts the limits of client accounts before the gateway's requests."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import trio
 from returns import result
@@ -54,7 +53,10 @@
         give_up_at = trio.current_time() + LONGEST_WAIT_SECONDS
         if not self._limiter.has_lease(account_id, trio.current_time()):
             await self._service.ask_now()
-            refusal = replace(refusal, retry_after_seconds=0.0)
+            admitted = self._try(account_id, tokens, is_long)
+            if is_successful(admitted):
+                return admitted
+            refusal = admitted.failure()
         while True:
             wait_seconds = refusal.retry_after_seconds
             if wait_seconds is None or trio.current_time() + wait_seconds > give_up_at:
--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -17,6 +17,7 @@
 from camphordrift.entry._engine_memory import EngineMemoryKeeper
 from camphordrift.entry._engine_orders import engine_orders
 from camphordrift.entry._engine_watch import EngineWatch
+from camphordrift.entry._grants import PoolGrants
 from camphordrift.entry._limits_gate import LimitsGate
 from camphordrift.entry._log_access import call_coordinator, log_access
 from camphordrift.entry._peer_access import peer_access
@@ -37,7 +38,6 @@
 from camphordrift.http_server import ServeOptions, serve_http
 from camphordrift.identifiers import BackendServerId, Incarnation
 from camphordrift.operations import ConfigurationOperations, OperatorServices, operators_app
-from camphordrift.routing import local_grant_source, pool_scheduler
 from camphordrift.security import FleetKeys, client_tls_context
 from camphordrift.settings import EntrySettings
 from camphordrift.telemetry import DecisionRecord, Metrics, StateDump, log_event, process_usage
@@ -97,8 +97,10 @@
         self._orders = engine_orders(
             self._engines, self._log.records, lambda: self._keeper.snapshot, vm_id, incarnation
         )
-        self._grants = local_grant_source(pool_scheduler())
-        self._watch = EngineWatch(self._engines, self._grants, self._peers.membership)
+        self._grants = PoolGrants(
+            self._engines, self._peers.network, self._peers.membership.view, self._holds
+        )
+        self._watch = EngineWatch(self._engines, self._grants.local, self._peers.membership)
         self._server_choice = ServerChoice(self._address_of, self._takes_work, rng)
         self._services = ServiceCaller(self._connections, self._server_choice, rng)
         self._attempt_policy = BudgetedAttemptPolicy(rng, self._note_failed)
@@ -107,7 +109,7 @@
             self._active,
             StopActions(
                 announce_leaving=self._peers.membership.announce_leaving,
-                hand_over=trio.lowlevel.checkpoint,
+                hand_over=self._grants.hand_over,
                 flush=self._flush,
             ),
         )
@@ -197,6 +199,7 @@
             snapshot = self._keeper.snapshot
             if snapshot is not None and snapshot.version > applied:
                 applied = snapshot.version
+                self._grants.configure(snapshot)
                 self._watch.configure(snapshot)
                 self._gate.configure(snapshot)
                 log_event("configuration_applied", version=snapshot.version, offset=snapshot.offset)
@@ -209,7 +212,7 @@
             refusal=self._readiness.for_request,
             is_stopping=lambda: self._stop.controller.is_leaving,
             snapshot=lambda: self._keeper.snapshot,
-            grants=self._grants,
+            grants=self._grants.source,
             engines=self._engines,
             services=self._services,
             server_choice=self._server_choice,
@@ -247,6 +250,7 @@
         self._dump.register("requests", self._active.all)
         self._dump.register("body_bytes", lambda: self._body_memory.used_bytes)
         self._dump.register("calls", self._calls.dump_state)
+        self._dump.register("routing", self._grants.dump_state)
         self._dump.register("engine_memory", self._memory.dump_state)
         self._dump.register("engine_orders", self._orders.dump_state)
         self._dump.register("account_limits", self._limits.dump_state)
--- a/camphordrift/routing/__init__.py
+++ b/camphordrift/routing/__init__.py
@@ -2,7 +2,11 @@
 
 from camphordrift.routing._grant_home import GrantHome, GrantMessenger
 from camphordrift.routing._grants import Grant, GrantAsk, GrantOutcome, GrantSource
-from camphordrift.routing._holding_source import HoldingGrantSource, holding_grant_source
+from camphordrift.routing._holding_source import (
+    HoldClaims,
+    HoldingGrantSource,
+    holding_grant_source,
+)
 from camphordrift.routing._home_messages import (
     FirstTokenNote,
     PoolAsk,
@@ -34,6 +38,7 @@
     "GrantOutcome",
     "GrantSource",
     "Granted",
+    "HoldClaims",
     "HoldingGrantSource",
     "LocalGrantSource",
     "PoolAsk",
--- a/camphordrift/routing/_holding_source.py
+++ b/camphordrift/routing/_holding_source.py
@@ -1,7 +1,7 @@
 """Places the memory holds of a grant that spans several engines, all or none."""
 
 from dataclasses import replace
-from typing import Any, Optional
+from typing import Any, Optional, Protocol
 
 import trio
 from returns import result
@@ -12,7 +12,7 @@
     KvPart,
     MemoryHold,
 )
-from camphordrift.identifiers import Incarnation, VmId
+from camphordrift.identifiers import HoldId, Incarnation, RequestId, VmId
 from camphordrift.results import Failure, ResultCode
 from camphordrift.routing._grants import Grant, GrantAsk, GrantOutcome, GrantSource
 from camphordrift.routing._local_source import unused_outcome
@@ -32,6 +32,38 @@
 RETRY_SECONDS = 0.5
 
 
+class HoldClaims(Protocol):
+    """Where this VM notes which holds it wants, for whoever looks for lost ones.
+
+    :class:`camphordrift.engine_memory.HoldRegistry` behind the process's clocks.
+    """
+
+    def claim(self, part: KvPart, request_id: RequestId, remaining_seconds: float) -> None:
+        """Claims a hold that is about to be placed."""
+        ...
+
+    def note_confirmed(self, hold_id: HoldId, sent_at: float) -> None:
+        """Notes that the engine confirmed a placement or renewal sent at ``sent_at``."""
+        ...
+
+    def drop(self, hold_id: HoldId) -> None:
+        """Stops claiming a hold."""
+        ...
+
+
+class NoClaims:
+    """Claims kept nowhere, for runs in which nobody looks for lost holds."""
+
+    def claim(self, part: KvPart, request_id: RequestId, remaining_seconds: float) -> None:
+        """Notes nothing."""
+
+    def note_confirmed(self, hold_id: HoldId, sent_at: float) -> None:
+        """Notes nothing."""
+
+    def drop(self, hold_id: HoldId) -> None:
+        """Notes nothing."""
+
+
 class HoldingGrantSource:
     """Adds holds to the grants of another source.
 
@@ -42,8 +74,15 @@
     """
 
     def __init__(
-        self, inner: GrantSource, engines: EngineClient, owner: VmId, incarnation: Incarnation
+        self,
+        inner: GrantSource,
+        engines: EngineClient,
+        owner: VmId,
+        incarnation: Incarnation,
+        claims: HoldClaims,
     ) -> None:
+        self._claims = claims
+        self._placements = 0
         self._inner = inner
         self._engines = engines
         self._owner = owner
@@ -74,8 +113,11 @@
             if not isinstance(answer, result.Success):
                 return answer
             grant = answer.unwrap()
-            if not grant.parts or await self._hold_all(grant, ask):
+            if not grant.parts:
                 return answer
+            grant = self._with_fresh_holds(grant)
+            if await self._hold_all(grant, ask):
+                return result.Success(grant)
             self._inner.finish(grant, unused_outcome(grant))
             await trio.sleep(RETRY_SECONDS)
 
@@ -89,6 +131,16 @@
             self._release_soon(grant)
         self._inner.finish(grant, outcome)
 
+    def _with_fresh_holds(self, grant: Grant) -> Grant:
+        """Gives the holds names that no earlier placement of the attempt has had.
+
+        A request to place one of those may still be on its way.
+        """
+        self._placements += 1
+        prefix = f"{self._owner}/{self._incarnation}/{self._placements}"
+        parts = (replace(part, hold_id=HoldId(f"{prefix}/{part.hold_id}")) for part in grant.parts)
+        return replace(grant, parts=tuple(parts))
+
     async def _hold_all(self, grant: Grant, ask: GrantAsk) -> bool:
         """Places all holds; gives them all back if one is refused or the wait is cancelled."""
         held = False
@@ -105,15 +157,19 @@
         return held
 
     async def _place_in_order(self, grant: Grant, ask: GrantAsk) -> bool:
+        for part in _in_order(grant):
+            self._claims.claim(part, ask.request_id, ask.remaining_seconds)
         for part in _in_order(grant):
             if not await self._place(part, ask):
                 return False
         return True
 
     async def _place(self, part: KvPart, ask: GrantAsk) -> bool:
+        sent_at = trio.current_time()
         with trio.move_on_after(CALL_SECONDS):
             try:
                 await self._engines.place_hold(part.engine_id, self._hold_of(part, ask))
+                self._claims.note_confirmed(part.hold_id, sent_at)
                 return True
             except BackendError:
                 return False
@@ -146,8 +202,9 @@
         scope = self._renewals.pop(AttemptKey(grant.request_id, grant.attempt), None)
         if scope is not None:
             scope.cancel()
-        if self._nursery is not None:
-            for part in _in_order(grant):
+        for part in _in_order(grant):
+            self._claims.drop(part.hold_id)
+            if self._nursery is not None:
                 self._nursery.start_soon(self._release, part)
 
     async def _release(self, part: KvPart) -> None:
@@ -173,7 +230,12 @@
 
 
 def holding_grant_source(
-    inner: GrantSource, engines: EngineClient, owner: VmId, incarnation: Incarnation
+    inner: GrantSource,
+    engines: EngineClient,
+    owner: VmId,
+    incarnation: Incarnation,
+    claims: Optional[HoldClaims] = None,
 ) -> HoldingGrantSource:
     """Returns a source that places the holds of large prompts; start its ``run`` in a nursery."""
-    return HoldingGrantSource(inner, engines, owner, incarnation)
+    kept = claims if claims is not None else NoClaims()
+    return HoldingGrantSource(inner, engines, owner, incarnation, kept)
--- a/camphordrift/routing/_pool_scheduler.py
+++ b/camphordrift/routing/_pool_scheduler.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from typing import Optional
 
 from camphordrift.backend_servers import CacheEventBatch, KvPart, LoadReport
@@ -70,6 +71,10 @@
         """The numbers in force."""
         return self._policy
 
+    def set_slowdown_weight(self, weight: float) -> None:
+        """Turns the knob between slowdown and time to first token; holds from now on."""
+        self._policy = replace(self._policy, slowdown_weight=weight)
+
     def set_account_weights(self, weights: Mapping[AccountId, float]) -> None:
         """Sets the client accounts' weights; an account without one has weight 1."""
         self._queue.set_weights(dict(weights))
