--- a/camphordrift/routing/_demand.py
+++ b/camphordrift/routing/_demand.py
@@ -74,7 +74,7 @@
 class Split:
     """How the engines of a pool, in the order of their ids, are divided."""
 
-    #: Engines before this index are never given to longer prompts.
+    #: Engines before this index are not given to longer prompts, or no such prompt asks.
     protected_until: int
 
     #: Short prompts are placed on the engines before this index.
@@ -107,9 +107,11 @@
     border = _bounded(max(engine_count - bulk, least), engine_count)
     bulk_from = _bounded(max(border - borrowed, least), engine_count)
     short_until = border - policy.border_engines if bulk else border
+    short_until = _bounded(max(short_until, least), engine_count)
+    none_asks = demand.rate_above(0, now) == 0.0
     return Split(
-        protected_until=_bounded(least, engine_count) if bulk else engine_count,
-        short_until=_bounded(max(short_until, least), engine_count),
+        protected_until=short_until if none_asks else _bounded(least, engine_count),
+        short_until=short_until,
         bulk_from=min(border, bulk_from),
     )
 
