Show prompts larger than one engine's memory over sockets

Cause: placements over several engines had been shown in memory only. Change: end-to-end tests with engines of 20,000 tokens of memory. Measured: a prompt of 45,000 tokens is answered whole and no hold is left; one of 100,000 tokens is refused at once as not run. Conclusion: placement, hold claims and release work through the whole path.

--- a/camphordrift/tests/test_engines.py
+++ b/camphordrift/tests/test_engines.py
@@ -8,9 +8,9 @@
 
 from camphordrift.backend_http import HttpConnections
 from camphordrift.backend_servers import MemoryHold
-from camphordrift.demo import DemoFleet, DemoPlan
+from camphordrift.demo import DemoFleet, DemoPlan, with_memory
 from camphordrift.identifiers import BackendServerId, HoldId, Incarnation, RequestId, VmId
-from camphordrift.tests.fleet_client import own_plan, with_fleet
+from camphordrift.tests.fleet_client import Client, own_plan, with_fleet
 
 ENGINE = BackendServerId("engine-1")
 
@@ -26,6 +26,39 @@
     return replace(plan, record=record)
 
 
+def tokens_of(count: int) -> str:
+    """Returns a text of ``count`` tokens."""
+    return "word" * count
+
+
+class LargePromptTest(testtools.TestCase):
+    def test_a_prompt_over_twice_one_engines_memory_is_answered_and_leaves_no_hold(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            body = {
+                "model": "course-assistant",
+                "prompt": tokens_of(45_000),
+                "max_tokens": 20,
+            }
+            answer = await Client(fleet, connections).send("POST", "/v1/completions", body)
+            self.assertEqual(200, answer.status, str(answer.body))
+            self.assertEqual(20, json.loads(answer.body)["usage"]["completion_tokens"])
+            engines = fleet.standins.engines
+            while any(engines.state(engine).holds() for engine in engines.engine_ids):
+                await trio.sleep(0.05)
+
+        with_fleet(test, with_memory(own_plan(), 20_000))
+
+    def test_a_prompt_that_never_fits_is_refused_at_once_as_not_run(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            body = {"model": "course-assistant", "prompt": tokens_of(100_000), "max_tokens": 20}
+            answer = await Client(fleet, connections).send("POST", "/v1/completions", body)
+            error = json.loads(answer.body)["error"]
+            self.assertEqual("prompt_never_fits", error["type"])
+            self.assertEqual("not_run", error["run_state"])
+
+        with_fleet(test, with_memory(own_plan(), 20_000))
+
+
 class EngineMemoryTest(testtools.TestCase):
     def test_a_hold_that_its_live_owner_does_not_claim_is_released(self) -> None:
         async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
