--- a/camphordrift/experiments/_control_slopes.py
+++ b/camphordrift/experiments/_control_slopes.py
@@ -11,6 +11,7 @@
 import tracemalloc
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from statistics import mean
 from typing import Optional, TypeVar
 
 import trio
@@ -26,6 +27,7 @@
     account_limit_service,
 )
 from camphordrift.configuration import AccountLimits
+from camphordrift.experiments._membership_soak import measure_notice
 from camphordrift.identifiers import AccountId, BackendServerId, Incarnation, VmId
 from camphordrift.membership import (
     BackendServerView,
@@ -50,7 +52,7 @@
 #: Length of the measured period, in virtual seconds.
 MEASURED_SECONDS = 20.0
 
-_WARM_UP_SECONDS = 10.0
+_WARM_UP_SECONDS = 40.0
 _KEY = b"a fleet key for measurements"
 
 _T = TypeVar("_T")
@@ -342,6 +344,7 @@
 
 def main() -> None:
     """Prints the tables and the slopes."""
+    _print_notice((3, 7, 50), range(10))
     _print_vm_costs((3, 7, 20, 50), (0, 10))
     _print_vm_costs((7,), (50, 200))
     _print_decisions("known VMs", measure_membership_state, (7, 50, 500, 2700))
@@ -349,6 +352,17 @@
     _print_decisions("active accounts", measure_account_state, (10, 100, 300, 970))
 
 
+def _print_notice(vm_counts: Sequence[int], seeds: range) -> None:
+    print("time until all VMs have noticed: VMs, death mean and max, leaving mean and max, s")
+    for vm_count in vm_counts:
+        deaths = measure_notice(vm_count, False, seeds)
+        leavings = measure_notice(vm_count, True, seeds)
+        print(
+            f"{vm_count:6} {mean(deaths):8.2f} {max(deaths):8.2f}"
+            f" {mean(leavings):8.2f} {max(leavings):8.2f}"
+        )
+
+
 def _print_vm_costs(vm_counts: Sequence[int], account_counts: Sequence[int]) -> None:
     print("over streams: accounts, VMs, B/s sent, B/s received, CPU ms/s, connections")
     for account_count in account_counts:
--- a/camphordrift/experiments/_membership_soak.py
+++ b/camphordrift/experiments/_membership_soak.py
@@ -49,6 +49,7 @@
 HARMLESS_PAUSE_SECONDS = 1.5
 
 _CHECK_SECONDS = 0.25
+_NOTICE_STEP_SECONDS = 0.01
 _KEYS = tuple(f"pool-{number}" for number in range(20))
 
 ViewFactory = Callable[[MemberRecord, MembershipSettings, float], MembershipView]
@@ -129,6 +130,30 @@
             nursery.cancel_scope.cancel()
         return self.report
 
+    async def time_notice(self, leaving: bool) -> float:
+        """Returns how long all VMs take to notice that one has died, or leaves, in seconds."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._set_list(self._names)
+            for name in self._names:
+                self._start(name)
+            await trio.sleep(self._rng.uniform(15.0, 18.0))
+            gone, started = self._pick(), trio.current_time()
+            if leaving:
+                self._nodes[gone].service.announce_leaving()
+            else:
+                self._stop(gone)
+            while self._is_candidate(gone):
+                await trio.sleep(_NOTICE_STEP_SECONDS)
+            seconds = trio.current_time() - started
+            nursery.cancel_scope.cancel()
+        return seconds
+
+    def _is_candidate(self, name: VmId) -> bool:
+        now = trio.current_time()
+        views = (node.service.view for node in self._nodes.values())
+        return any(name in view.home_candidates(now) for view in views)
+
     def _faults(self) -> tuple[Callable[[], Awaitable[None]], ...]:
         return (
             self._kill,
@@ -335,6 +360,16 @@
     return run_in_virtual_time(main)
 
 
+def measure_notice(vm_count: int, leaving: bool, seeds: range) -> list[float]:
+    """Returns, for each seed, how long all VMs took to notice a death or a leaving VM."""
+
+    def run_seed(seed: int) -> float:
+        soak = MembershipSoak(seed, vm_count, MembershipSettings())
+        return run_in_virtual_time(lambda: soak.time_notice(leaving))
+
+    return [run_seed(seed) for seed in seeds]
+
+
 def main(first_seed: int, count: int, vm_count: int) -> None:
     """Runs several seeds and prints what they showed."""
     for seed in range(first_seed, first_seed + count):
--- a/camphordrift/peers/tests/peer_fixtures.py
+++ b/camphordrift/peers/tests/peer_fixtures.py
@@ -33,15 +33,18 @@
 
 
 class SilencedStream(trio.abc.Stream):
-    """A stream that can go silent: what is sent vanishes and nothing arrives."""
+    """A stream that can go silent, so that nothing passes, or repeat what is sent."""
 
     def __init__(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
         self.silent = False
+        self.repeats = False
 
     async def send_all(self, data: bytes | memoryview) -> None:
         if not self.silent:
             await self._stream.send_all(data)
+        if self.repeats:
+            await self._stream.send_all(data)
         await trio.lowlevel.checkpoint()
 
     async def wait_send_all_might_not_block(self) -> None:
--- a/camphordrift/peers/tests/test_network.py
+++ b/camphordrift/peers/tests/test_network.py
@@ -158,6 +158,28 @@
 
         run_in_virtual_time(lambda: with_pair(body))
 
+    def test_replayed_request_runs_once_and_costs_the_connection(self) -> None:
+        run: list[str] = []
+
+        async def note(_: PeerIdentity, question: Question) -> Result[Answer, results.Failure]:
+            run.append(question.text)
+            return Success(Answer(question.text))
+
+        async def body(fabric: MemoryFabric, alpha: PeerNetwork, beta: PeerNetwork) -> None:
+            beta.register(Question, note)
+            await alpha.request(BETA, Question("first"), 1.0)
+            fabric.streams[0].repeats = True
+            await alpha.request(BETA, Question("second"), 1.0)
+            await trio.sleep(0.1)
+            outcome = await alpha.request(BETA, Question("third"), 1.0)
+            self.assertEqual(Success(Answer("third")), outcome)
+            self.assertEqual(["first", "third"], [text for text in run if text != "second"])
+            self.assertTrue(run.count("second") <= 1, run)
+            self.assertEqual(1, beta.counters.value("refused_replayed_frame"))
+            self.assertEqual(2, len(fabric.streams))
+
+        run_in_virtual_time(lambda: with_pair(body))
+
     def test_slow_but_living_peer_is_not_given_up(self) -> None:
         async def slow(_: PeerIdentity, __: Question) -> Result[Answer, results.Failure]:
             await trio.sleep(60)
