--- a/camphordrift/standins/_log_service.py
+++ b/camphordrift/standins/_log_service.py
@@ -189,7 +189,7 @@
         loss = self._faults.take_answer_loss()
         if loss is not None:
             self._lose(loss, stream, tuple(payloads))
-            await self._pass_half_of_request()
+            await self._pass_half_of_request(already_taken=True)
             raise AppendUnsureError("the answer was lost")
         offset = self._store(stream, payloads)
         await self._pass_half_of_request(already_taken=True)
