Split the configuration's large modules by their jobs

Change: checkpoints, the keeper's status, field types, server models, and the soak's faults, reference and random records have modules of their own; the decision whether a VM is current is a function of plain values. A published record's offset comes from the history when the verdict arrives before the append's answer.

--- a/camphordrift/configuration/__init__.py
+++ b/camphordrift/configuration/__init__.py
@@ -25,8 +25,9 @@
     HistoryEntry,
     changed_fields,
 )
-from camphordrift.configuration._keeper import ConfigurationKeeper, KeeperStatus
+from camphordrift.configuration._keeper import ConfigurationKeeper
 from camphordrift.configuration._keeper_settings import CONFIGURATION_STREAM, KeeperSettings
+from camphordrift.configuration._keeper_status import KeeperStatus
 from camphordrift.configuration._publishing import (
     NotPublished,
     Published,
--- /dev/null
+++ b/camphordrift/configuration/_checkpoints.py
@@ -0,0 +1,103 @@
+"""Appends checkpoints of the configuration before the log drops what they cover."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+import trio
+from returns import result
+
+from camphordrift.configuration._keeper_settings import KeeperSettings
+from camphordrift.configuration._readiness import is_checkpoint_due
+from camphordrift.configuration._replica import ConfigurationReplica
+from camphordrift.platform_log import LogFollower, LogWriter
+
+
+class ReplicaSource(Protocol):
+    """Whoever keeps the replica that is written down."""
+
+    @property
+    def replica(self) -> ConfigurationReplica:
+        """The fold of this VM."""
+        ...
+
+    async def wait_for_change(self) -> None:
+        """Waits until the fold has moved."""
+        ...
+
+
+class CheckpointAppender:
+    """Looks now and then whether a checkpoint is due, and appends it unless another VM does.
+
+    All VMs run one. Each waits a random time before it appends, and withdraws its checkpoint when
+    it sees another's; several checkpoints do no harm.
+    """
+
+    def __init__(
+        self,
+        source: ReplicaSource,
+        follower: LogFollower,
+        writer: LogWriter,
+        settings: KeeperSettings,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+        random: Random,
+    ) -> None:
+        self._source = source
+        self._follower = follower
+        self._writer = writer
+        self._settings = settings
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._random = random
+        self._appended_count = 0
+
+    @property
+    def appended_count(self) -> int:
+        """Checkpoints that this VM appended."""
+        return self._appended_count
+
+    async def run(self) -> None:
+        """Keeps the log's checkpoints until it is cancelled."""
+        while True:
+            await trio.sleep(self._settings.checkpoint_look_seconds)
+            if not self._should_append():
+                continue
+            await trio.sleep(self._random.uniform(0.0, self._settings.checkpoint_spread_seconds))
+            if self._should_append():
+                await self._append()
+
+    def _should_append(self) -> bool:
+        """Returns whether to append a checkpoint now.
+
+        While the log does not answer, no VM begins: otherwise all of them would wait with a
+        checkpoint of their own and append it at the end of the outage.
+        """
+        if self._source.replica.block is not None or not self._follower.caught_up:
+            return False
+        if self._follower.seconds_since_contact > self._settings.refresh_seconds:
+            return False
+        return self._is_due()
+
+    def _is_due(self) -> bool:
+        return is_checkpoint_due(self._source.replica.state, self._settings, self._wall_clock())
+
+    async def _append(self) -> None:
+        """Appends a checkpoint, or withdraws it if another VM's is seen first."""
+        encoded = self._source.replica.encoded_state()
+        if encoded is None:
+            return
+        deadline = self._clock() + self._settings.checkpoint_append_seconds
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._withdraw_unless_due, nursery.cancel_scope)
+            answer = await self._writer.append(self._settings.stream, encoded, deadline)
+            if isinstance(answer, result.Success):
+                self._appended_count += 1
+                with trio.move_on_after(self._settings.refresh_seconds):
+                    await self._follower.read_now()
+            nursery.cancel_scope.cancel()
+
+    async def _withdraw_unless_due(self, scope: trio.CancelScope) -> None:
+        while self._is_due():
+            await self._source.wait_for_change()
+        scope.cancel()
--- a/camphordrift/configuration/_keeper.py
+++ b/camphordrift/configuration/_keeper.py
@@ -1,17 +1,18 @@
 """Keeps one VM's configuration up to date, and the log's checkpoints."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from random import Random
 from typing import Optional
 
 import trio
 from returns import result
 
+from camphordrift.configuration._checkpoints import CheckpointAppender
 from camphordrift.configuration._encoding import encode_record
 from camphordrift.configuration._fold import Verdict
 from camphordrift.configuration._history import EntryDifference, HistoryEntry
 from camphordrift.configuration._keeper_settings import KeeperSettings
+from camphordrift.configuration._keeper_status import KeeperStatus, refusal_to_publish
 from camphordrift.configuration._publishing import (
     NotPublished,
     PublishResult,
@@ -20,14 +21,13 @@
     published_or_not,
     unsure_or_rejected,
 )
-from camphordrift.configuration._readiness import Readiness, is_checkpoint_due, readiness_of
+from camphordrift.configuration._readiness import Readiness, SourceAges, is_current, readiness_of
 from camphordrift.configuration._records import (
     HIGHEST_SCHEMA_VERSION,
     ConfigurationRecord,
     RecordKind,
 )
 from camphordrift.configuration._replica import (
-    Block,
     ConfigurationReplica,
     PeerStateOutcome,
     RejectedRecord,
@@ -47,38 +47,6 @@
 from camphordrift.results import Failure, ResultCode
 
 
-@dataclass(frozen=True)
-class KeeperStatus:
-    """What the keeper knows, for readiness, the state dump and alarms."""
-
-    #: Whether the VM may serve, and if not, why.
-    readiness: Readiness
-
-    #: The version in force; 0 if nothing is known.
-    version: int
-
-    #: The offset of the next record to apply.
-    offset: int
-
-    #: Whether everything was read that the log had at the last contact.
-    caught_up: bool
-
-    #: Time since the log last answered, in seconds; infinite if it never has.
-    seconds_since_contact: float
-
-    #: Why records cannot be applied; ``None`` while they can.
-    block: Optional[Block]
-
-    #: Whether the log has lost records that were already applied.
-    lost_tail: bool
-
-    #: The highest schema that this program reads.
-    readable_schema_version: int
-
-    #: Checkpoints that this VM appended.
-    checkpoints_appended: int
-
-
 def _no_live_vms() -> Mapping[VmId, int]:
     return {}
 
@@ -112,8 +80,6 @@
         self._writer = writer
         self._settings = settings
         self._clock = clock
-        self._wall_clock = wall_clock
-        self._random = random
         self._live_schema_versions = live_schema_versions
         self._replica = ConfigurationReplica(readable_schema_version)
         self._follower = LogFollower(
@@ -122,8 +88,10 @@
         self._was_current = False
         self._has_peer_state = False
         self._started_at = clock()
-        self._checkpoints_appended = 0
         self._changed = trio.Event()
+        self._checkpoints = CheckpointAppender(
+            self, self._follower, writer, settings, clock, wall_clock, random
+        )
 
     @property
     def snapshot(self) -> Optional[ConfigurationSnapshot]:
@@ -146,6 +114,11 @@
         """How far the state reaches, for peers to see who is further."""
         return self._replica.state.offset
 
+    @property
+    def replica(self) -> ConfigurationReplica:
+        """The fold of this VM."""
+        return self._replica
+
     @property
     def status(self) -> KeeperStatus:
         """What the keeper knows."""
@@ -158,14 +131,14 @@
             block=self._replica.block,
             lost_tail=self._follower.position.lost_tail,
             readable_schema_version=self._replica.readable_schema_version,
-            checkpoints_appended=self._checkpoints_appended,
+            checkpoints_appended=self._checkpoints.appended_count,
         )
 
     async def run(self) -> None:
         """Follows the log and keeps its checkpoints until it is cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follower.run)
-            nursery.start_soon(self._keep_checkpoints)
+            nursery.start_soon(self._checkpoints.run)
 
     def encoded_state(self) -> Optional[bytes]:
         """Returns the state to hand to a peer; ``None`` if nothing is known."""
@@ -202,7 +175,7 @@
         """
         deadline = self._clock() + timeout_seconds
         await self._refresh()
-        refusal = self._refusal_to_publish()
+        refusal = refusal_to_publish(self.status)
         if refusal is not None:
             return result.Failure(NotPublished(refusal))
         checked = check_before_append(self._replica.state, record, self._live_schema_versions())
@@ -252,53 +225,22 @@
             assert self._replica.state.offset <= self._follower.next_offset
 
     def _is_current(self) -> bool:
-        """Returns whether no other source can be expected to know more.
-
-        A VM that was paused while it read takes an old answer for a new one, so an answer must be
-        fresh or be confirmed by another. Where the fold has stopped, peers get the time to tell
-        that they are further. A peer's state alone may be old, too: it is relied on only once the
-        log has been silent for long enough that every live peer had the time to hand on its own.
-        """
-        running_for = self._clock() - self._started_at
-        if self._replica.block is not None:
-            return running_for >= self._settings.peer_only_after_seconds
-        contact_age = self._follower.seconds_since_contact
-        if self._follower.caught_up_reads > 1:
-            return True
-        if self._follower.caught_up and contact_age <= self._settings.fresh_read_seconds:
-            return True
-        silent_for = min(contact_age, running_for)
-        return self._has_peer_state and silent_for >= self._settings.peer_only_after_seconds
+        ages = SourceAges(
+            running_seconds=self._clock() - self._started_at,
+            contact_seconds=self._follower.seconds_since_contact,
+            caught_up_reads=self._follower.caught_up_reads,
+            has_peer_state=self._has_peer_state,
+        )
+        return is_current(self._replica, ages, self._settings)
 
     def _skip_what_is_known(self) -> None:
         if self._replica.block is None:
             self._follower.skip_to(self._replica.state.offset)
 
-    def _refusal_to_publish(self) -> Optional[Failure]:
-        if self._replica.block is not None:
-            return Failure(
-                ResultCode.CONFIGURATION_UNKNOWN,
-                f"this VM cannot apply the log from offset {self._replica.block.offset} on"
-                f" ({self._replica.block.reason.value}); publish at another VM",
-            )
-        if self._follower.position.lost_tail:
-            return Failure(
-                ResultCode.LOG_UNAVAILABLE,
-                "the log has lost records that are in force; a new record would not be read",
-            )
-        if not self._follower.caught_up and not self._was_current:
-            return Failure(
-                ResultCode.CONFIGURATION_UNKNOWN,
-                "this VM has not read the configuration yet",
-                retry_after_seconds=self._settings.refresh_seconds,
-            )
-        return None
-
     async def _refresh(self) -> None:
         """Reads the log once more, so that a decision is not made on old knowledge."""
-        self._follower.poke()
         with trio.move_on_after(self._settings.refresh_seconds):
-            await self._follower.wait_for_read()
+            await self._follower.read_now()
 
     async def _append_and_wait(
         self, record: ConfigurationRecord, record_id: RecordId, deadline: float
@@ -312,7 +254,8 @@
         self._follower.poke()
         verdict = await self._wait_for_verdict(record_id, deadline)
         if verdict is not None:
-            return published_or_not(verdict, offset)
+            remembered = self._replica.state.history.find(record_id.hex())
+            return published_or_not(verdict, offset if remembered is None else remembered.offset)
         return unsure_or_rejected(self._replica.state, record, record_id.hex(), offset)
 
     async def _append_unless_decided(
@@ -344,47 +287,6 @@
                 await self._changed.wait()
         return self._replica.verdicts.get(record_id.hex())
 
-    async def _keep_checkpoints(self) -> None:
-        while True:
-            await trio.sleep(self._settings.checkpoint_look_seconds)
-            if not self._should_append_checkpoint():
-                continue
-            await trio.sleep(self._random.uniform(0.0, self._settings.checkpoint_spread_seconds))
-            if self._should_append_checkpoint():
-                await self._append_checkpoint()
-
-    def _should_append_checkpoint(self) -> bool:
-        """Returns whether to append one now.
-
-        While the log does not answer, no VM begins: otherwise all of them would wait with a
-        checkpoint of their own and append it at the end of the outage.
-        """
-        if self._replica.block is not None or not self._follower.caught_up:
-            return False
-        if self._follower.seconds_since_contact > self._settings.refresh_seconds:
-            return False
-        return is_checkpoint_due(self._replica.state, self._settings, self._wall_clock())
-
-    async def _append_checkpoint(self) -> None:
-        """Appends a checkpoint, or withdraws it if another VM's is seen first."""
-        encoded = self._replica.encoded_state()
-        if encoded is None:
-            return
-        with trio.move_on_after(self._settings.checkpoint_append_seconds):
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._withdraw_unless_due, nursery.cancel_scope)
-                deadline = self._clock() + self._settings.checkpoint_append_seconds
-                answer = await self._writer.append(self._settings.stream, encoded, deadline)
-                if isinstance(answer, result.Success):
-                    self._checkpoints_appended += 1
-                    await self._refresh()
-                nursery.cancel_scope.cancel()
-
-    async def _withdraw_unless_due(self, scope: trio.CancelScope) -> None:
-        while is_checkpoint_due(self._replica.state, self._settings, self._wall_clock()):
-            await self._changed.wait()
-        scope.cancel()
-
     def _tell_changed(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
--- /dev/null
+++ b/camphordrift/configuration/_server_models.py
@@ -0,0 +1,98 @@
+"""Models that validate backend servers and the numbers for the whole fleet."""
+
+from typing import Literal
+
+from pydantic import Field, model_validator
+
+from camphordrift.backend_servers import OrderKind
+from camphordrift.configuration._value_types import (
+    MAXIMUM_TOKENS,
+    EntryName,
+    IpNumber,
+    Seconds,
+    Tokens,
+    ValueModel,
+)
+from camphordrift.configuration._values import (
+    BackendServer,
+    BackendServerKind,
+    FleetTuning,
+    OrderGiver,
+)
+from camphordrift.identifiers import BackendServerId, ServiceName, ZoneName
+
+
+class BackendServerModel(ValueModel):
+    """An engine or a server of a plain service."""
+
+    service: EntryName = Field(description="the name of a service")
+    kind: Literal["engine", "plain"] = Field(description="'engine' or 'plain'")
+    address: IpNumber = Field(
+        description="an IP number such as 10.1.2.3 or fd00::3, not a host name"
+    )
+    port: int = Field(ge=1, le=65_535, description="a TCP port from 1 to 65535")
+    zone: EntryName = Field(description="the name of an availability zone")
+    memory_tokens: int = Field(
+        0, ge=0, le=MAXIMUM_TOKENS, description="a whole number of tokens, 0 or more"
+    )
+    checks_fencing: bool = Field(False, description="true or false")
+    order_givers: list[Literal["fleet", "operator"]] = Field(
+        default=[], description="a list out of 'fleet' and 'operator'"
+    )
+    allowed_orders: list[Literal["load_model", "unload_model", "load_adapter", "change_role"]] = (
+        Field(
+            default=[],
+            description="a list out of 'load_model', 'unload_model', 'load_adapter', 'change_role'",
+        )
+    )
+
+    @model_validator(mode="after")
+    def _memory_fits_kind(self) -> "BackendServerModel":
+        if self.kind == "engine" and self.memory_tokens == 0:
+            raise ValueError("memory_tokens of an engine must be above 0")
+        return self
+
+    def to_value(self, name: str) -> BackendServer:
+        """Returns the value that the program uses."""
+        return BackendServer(
+            server_id=BackendServerId(name),
+            service=ServiceName(self.service),
+            kind=BackendServerKind(self.kind),
+            address=self.address,
+            port=self.port,
+            zone=ZoneName(self.zone),
+            memory_tokens=self.memory_tokens,
+            checks_fencing=self.checks_fencing,
+            order_givers=frozenset(OrderGiver(giver) for giver in self.order_givers),
+            allowed_orders=frozenset(OrderKind(order) for order in self.allowed_orders),
+        )
+
+
+class FleetTuningModel(ValueModel):
+    """Numbers for the whole fleet."""
+
+    slowdown_weight: float = Field(
+        0.5, ge=0, le=1, description="a number from 0 (time to first token) to 1 (slowdown)"
+    )
+    short_prompt_tokens: Tokens = Field(4_000, description="a whole number of tokens above 0")
+    long_prompt_tokens: Tokens = Field(100_000, description="a whole number of tokens above 0")
+    first_byte_timeout_seconds: Seconds = Field(30.0, description="a number of seconds above 0")
+    idle_timeout_seconds: Seconds = Field(5.0, description="a number of seconds above 0")
+    peer_idle_timeout_seconds: Seconds = Field(2.0, description="a number of seconds above 0")
+
+    @model_validator(mode="after")
+    def _short_below_long(self) -> "FleetTuningModel":
+        if self.short_prompt_tokens > self.long_prompt_tokens:
+            raise ValueError("short_prompt_tokens must not exceed long_prompt_tokens")
+        return self
+
+    def to_value(self, name: str) -> FleetTuning:
+        """Returns the value that the program uses."""
+        return FleetTuning(
+            self.slowdown_weight,
+            self.short_prompt_tokens,
+            self.long_prompt_tokens,
+            self.first_byte_timeout_seconds,
+            self.idle_timeout_seconds,
+            self.peer_idle_timeout_seconds,
+        )
--- a/camphordrift/configuration/_validation.py
+++ b/camphordrift/configuration/_validation.py
@@ -21,10 +21,10 @@
 )
 from camphordrift.configuration._value_models import (
     AnyValueModel,
-    ValueModel,
     model_for,
     to_parsed,
 )
+from camphordrift.configuration._value_types import ValueModel
 from camphordrift.results import Failure, ResultCode
 
 #: Changes in one record at most.
--- a/camphordrift/experiments/_configuration_soak.py
+++ b/camphordrift/experiments/_configuration_soak.py
@@ -5,13 +5,10 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any, Optional
 
 import cyclopts
-import msgpack
 import trio
 from returns import result
 
@@ -20,28 +17,26 @@
     BlockReason,
     ConfigurationKeeper,
     ConfigurationRecord,
-    ConfigurationReplica,
     EntryKey,
     KeeperSettings,
-    RecordKind,
     prepare_record,
     publishable_schema_version,
 )
+from camphordrift.experiments._configuration_faults import ConfigurationFaults
 from camphordrift.experiments._configuration_fleet import (
     ConfigurationFleet,
     FleetVm,
     KeeperFactory,
 )
+from camphordrift.experiments._configuration_records import ENTRY_NAMES, random_value
+from camphordrift.experiments._configuration_reference import LogReference, content_of
 from camphordrift.identifiers import VmId
 from camphordrift.platform_log import (
-    FollowedRecord,
     FollowerSettings,
-    ReadBatch,
-    StreamPosition,
     WriterSettings,
 )
 from camphordrift.results import ResultCode
-from camphordrift.standins import AnswerLoss, InMemoryLogService, LogLimits
+from camphordrift.standins import InMemoryLogService, LogLimits
 from camphordrift.testing import run_in_virtual_time
 
 #: An accepted record is in force on every VM within this time, in seconds.
@@ -53,7 +48,6 @@
 _SETTLE_SECONDS = 60.0
 _CHECK_SECONDS = 0.1
 _PUBLISH_SECONDS = 8.0
-_NAMES = ("a", "b", "c", "d")
 
 _SETTINGS = KeeperSettings(
     follower=FollowerSettings(poll_seconds=0.5, read_timeout_seconds=4.0),
@@ -84,42 +78,6 @@
     left_behind: int = 0
 
 
-class _Reference:
-    """A replica that sees the log past all faults, to compare the VMs with."""
-
-    def __init__(self, service: InMemoryLogService) -> None:
-        self._service = service
-        self._position = StreamPosition(0, 1_000_000)
-        self._replica = ConfigurationReplica()
-        self.contents: dict[int, bytes] = {0: b""}
-        self.accepted_notes: dict[str, int] = {}
-
-    @property
-    def version(self) -> int:
-        return self._replica.state.version
-
-    def read_on(self) -> None:
-        kept = self._service.records_of(_SETTINGS.stream)
-        new = tuple(record for record in kept if record.offset >= self._position.next_offset)
-        assert not new or new[0].offset == self._position.next_offset, "the reference is too slow"
-        from_offset = self._position.next_offset
-        end_offset = new[-1].offset + 1 if new else from_offset
-        for record in self._position.on_read(ReadBatch(new, end_offset), from_offset):
-            self._fold(record)
-
-    def _fold(self, record: FollowedRecord) -> None:
-        version = self.version
-        self._replica.on_record(record)
-        assert self._replica.block is None
-        if self.version == version:
-            return
-        assert self.version == version + 1
-        newest = self._replica.state.history.entries[-1]
-        assert newest.note not in self.accepted_notes, "one record took effect twice"
-        self.accepted_notes[newest.note] = newest.version
-        self.contents[self.version] = _content_of(self._replica.encoded_state())
-
-
 class ConfigurationSoak:
     """One seeded run: operators race, faults strike, and everything is checked all the time."""
 
@@ -131,17 +89,17 @@
         self._floors: deque[tuple[float, int]] = deque()
         self._ready: set[ConfigurationKeeper] = set()
         self._won: dict[tuple[EntryKey, int], str] = {}
-        self._old_states: list[bytes] = []
         self._next_note = 0
         self._service: InMemoryLogService
         self._fleet: ConfigurationFleet
-        self._reference: _Reference
+        self._faults: ConfigurationFaults
+        self._reference: LogReference
 
     async def run(self) -> SoakReport:
         """Runs to the end and returns what happened."""
         limits = LogLimits(keep_records=self._random.choice((None, 60)))
         self._service = InMemoryLogService(trio.current_time, limits)
-        self._reference = _Reference(self._service)
+        self._reference = LogReference(self._service, _SETTINGS.stream)
         async with trio.open_nursery() as nursery:
             self._fleet = ConfigurationFleet(
                 self._service,
@@ -151,8 +109,9 @@
                 WriterSettings(),
                 self._keeper_factory,
             )
+            self._faults = ConfigurationFaults(self._random, self._service, self._fleet)
             for number in range(_VM_COUNT):
-                self._fleet.start_vm(VmId(f"vm-{number}"), self._schema_version())
+                self._fleet.start_vm(VmId(f"vm-{number}"), self._faults.schema_version())
             nursery.start_soon(self._fleet.exchange_states)
             nursery.start_soon(self._check_all_the_time)
             await self._strike(nursery)
@@ -167,16 +126,12 @@
             with trio.move_on_after(_FAULT_SECONDS):
                 while True:
                     await trio.sleep(self._random.uniform(0.2, 5.0))
-                    nursery.start_soon(self._bring_about_a_fault)
+                    nursery.start_soon(self._faults.strike_once)
             striking.cancel_scope.cancel()
 
     async def _settle(self) -> None:
         """Ends all faults, and asserts that all VMs come to have the same configuration."""
-        self._service.faults.end_outage()
-        self._service.faults.slow_down(0.0)
-        for vm in self._fleet.vms.values():
-            vm.link.resume()
-            vm.link.is_cut = False
+        self._faults.end_all()
         await trio.sleep(_SETTLE_SECONDS)
         self._check()
         for vm in self._fleet.vms.values():
@@ -191,6 +146,7 @@
             assert vm.keeper.is_ready or self._reference.version == 0, (vm.vm_id, status)
             assert status.version == self._reference.version, (vm.vm_id, status)
         self._report.accepted = self._reference.version
+        self._report.faults = self._faults.counts
 
     async def _operate(self, author: str) -> None:
         while True:
@@ -225,127 +181,13 @@
     def _random_record(self, vm: FleetVm, author: str, note: str) -> ConfigurationRecord:
         schema_version = publishable_schema_version(self._fleet.live_schema_versions())
         versions = {entry.key: entry.version for entry in vm.keeper.show()}
-        name = self._random.choice(_NAMES)
-        kind, value = self._random_value(schema_version)
+        name = self._random.choice(ENTRY_NAMES)
+        kind, value = random_value(self._random, schema_version)
         key = EntryKey(kind, name)
         change = {"kind": kind.value, "key": name, "replaces": versions.get(key, 0), **value}
         raw = {"author": author, "note": note, "changes": [change]}
         return prepare_record(raw, schema_version).unwrap()
 
-    def _random_value(self, schema_version: int) -> tuple[RecordKind, dict[str, Any]]:
-        random = self._random
-        seconds = random.randint(1, 50)
-        service = {
-            "type": "model",
-            "default_timeout_seconds": seconds,
-            "maximum_timeout_seconds": 2 * seconds,
-        }
-        server = {
-            "service": random.choice(_NAMES),
-            "kind": "engine",
-            "address": "127.0.0.1",
-            "port": random.randint(1, 6),
-            "zone": "oliwa",
-            "memory_tokens": seconds,
-            "order_givers": random.choice([[], ["fleet"], ["fleet", "operator"]]),
-        }
-        model: dict[str, Any] = {
-            "version": str(seconds),
-            "service": random.choice(_NAMES),
-            "maximum_context_tokens": seconds,
-        }
-        if schema_version >= 2:
-            model["adapters"] = ["polish@1"]
-        kinds: list[tuple[RecordKind, dict[str, Any]]] = [
-            (RecordKind.SERVICE, {"value": service}),
-            (RecordKind.BACKEND_SERVER, {"value": server}),
-            (RecordKind.MODEL, {"value": model}),
-            (RecordKind.SERVICE, {"remove": True}),
-            (RecordKind.BACKEND_SERVER, {"remove": True}),
-        ]
-        return random.choice(kinds)
-
-    def _schema_version(self) -> int:
-        return self._random.choice((HIGHEST_SCHEMA_VERSION,) * 4 + (1,))
-
-    async def _bring_about_a_fault(self) -> None:
-        faults = (
-            self._outage,
-            self._slowness,
-            self._lost_answers,
-            self._lost_answers,
-            self._restart,
-            self._pause,
-            self._cut,
-            self._late_peer,
-        )
-        fault = self._random.choice(faults)
-        self._report.faults[fault.__name__.strip("_")] += 1
-        await fault()
-
-    async def _outage(self) -> None:
-        self._service.faults.begin_outage(silent=self._random.random() < 0.3)
-        await trio.sleep(self._random.uniform(0.1, 15.0))
-        self._service.faults.end_outage()
-
-    async def _slowness(self) -> None:
-        self._service.faults.slow_down(self._random.uniform(0.1, 5.0))
-        await trio.sleep(self._random.uniform(1.0, 10.0))
-        self._service.faults.slow_down(0.0)
-
-    async def _lost_answers(self) -> None:
-        loss = self._random.choice(
-            (
-                AnswerLoss(takes_effect=True),
-                AnswerLoss(takes_effect=False),
-                AnswerLoss(takes_effect=True, effect_delay_seconds=0.7),
-                AnswerLoss(takes_effect=True, effect_delay_seconds=12.0),
-            )
-        )
-        self._service.faults.lose_next_answers(self._random.randint(1, 3), loss)
-
-    async def _restart(self) -> None:
-        vm_id = self._random_vm_id()
-        if vm_id is None:
-            return
-        self._fleet.stop_vm(vm_id)
-        await trio.sleep(self._random.uniform(0.0, 2.0))
-        if vm_id not in self._fleet.vms:
-            self._fleet.start_vm(vm_id, self._schema_version())
-
-    async def _pause(self) -> None:
-        vm = self._random_vm()
-        if vm is not None:
-            vm.link.pause()
-            await trio.sleep(self._random.uniform(0.5, 30.0))
-            vm.link.resume()
-
-    async def _cut(self) -> None:
-        vm = self._random_vm()
-        if vm is not None:
-            vm.link.is_cut = True
-            await trio.sleep(self._random.uniform(0.5, 30.0))
-            vm.link.is_cut = False
-
-    async def _late_peer(self) -> None:
-        """Hands an old state to a VM, as a peer that was cut off does."""
-        vm = self._random_vm()
-        if vm is None:
-            return
-        if self._old_states:
-            vm.keeper.accept_peer_state(self._random.choice(self._old_states))
-        encoded = vm.keeper.encoded_state()
-        if encoded is not None:
-            self._old_states.append(encoded)
-
-    def _random_vm_id(self) -> Optional[VmId]:
-        vms = list(self._fleet.vms)
-        return self._random.choice(vms) if vms else None
-
-    def _random_vm(self) -> Optional[FleetVm]:
-        vm_id = self._random_vm_id()
-        return None if vm_id is None else self._fleet.vms[vm_id]
-
     async def _check_all_the_time(self) -> None:
         while True:
             self._check()
@@ -364,7 +206,7 @@
         before = self._versions.get(keeper, 0)
         assert version >= before, f"{vm.vm_id} went back from version {before} to {version}"
         if version != before:
-            content = _content_of(keeper.encoded_state())
+            content = content_of(keeper.encoded_state())
             assert content == self._reference.contents[version], f"{vm.vm_id} differs"
         self._versions[keeper] = version
         if keeper.is_ready and keeper not in self._ready:
@@ -395,14 +237,6 @@
     return run_in_virtual_time(ConfigurationSoak(seed, keeper_factory).run)
 
 
-def _content_of(encoded: Optional[bytes]) -> bytes:
-    """Returns the entries of an encoded state alone, without its place in the log."""
-    if encoded is None:
-        return b""
-    fields: Mapping[str, Any] = msgpack.unpackb(encoded)
-    return bytes(msgpack.packb(fields["entries"]))
-
-
 def main(first_seed: int = 1, seeds: int = 20) -> None:
     """Runs many seeds and prints what they went through.
 
--- a/camphordrift/platform_log/_follower.py
+++ b/camphordrift/platform_log/_follower.py
@@ -110,8 +110,9 @@
         while self._position.next_offset <= offset:
             await self._progress.wait()
 
-    async def wait_for_read(self) -> None:
+    async def read_now(self) -> None:
         """Waits until a read that begins after this call has been answered."""
+        self.poke()
         target = self._reads_begun + 1
         while self._newest_answered_read < target:
             await self._progress.wait()
