--- a/camphordrift/account_limits/_usage.py
+++ b/camphordrift/account_limits/_usage.py
@@ -1,5 +1,6 @@
 """One VM's use of one account's limits."""
 
+import math
 from dataclasses import dataclass
 from typing import Optional
 
@@ -17,6 +18,10 @@
 DEMAND_DROP = 0.5
 
 
+#: A demand below this part of the safe share needs no lease.
+SAFE_PART = 0.5
+
+
 @dataclass(frozen=True)
 class Excess:
     """Which limit a request would exceed."""
@@ -50,6 +55,11 @@
         self._asked = NO_SHARES
         self._renew_seconds = settings.renew_seconds
 
+    @property
+    def has_refused(self) -> bool:
+        """True if a request was refused since the last ask."""
+        return self._refused_since_ask
+
     @property
     def running(self) -> int:
         """Requests that run."""
@@ -64,6 +74,10 @@
         """Returns what this VM may use: its lease, or the safe share if it has none."""
         if now < self._lease_until:
             return self._lease
+        return self.safe_share(limits, fleet)
+
+    def safe_share(self, limits: Shares, fleet: FleetSize) -> Shares:
+        """Returns what this VM may use without a lease."""
         safe = limits.scaled(self._settings.safe_fraction / fleet.known)
         return safe.at_least(Shares(concurrency=1.0))
 
@@ -110,27 +124,27 @@
         full = self._tokens.level >= 1.0 and self._requests.level >= 1.0
         return full and now >= self._lease_until
 
-    def needs_ask(self, home: VmId, slack: Shares, stretch: float, now: float) -> bool:
+    def needs_ask(
+        self, home: VmId, safe: Shares, slack: Shares, stretch: float, now: float
+    ) -> bool:
         """Tells whether the home VM is to be asked now.
 
+        ``safe`` is the share without a lease, which suffices for accounts that are rarely used;
         ``slack`` is what is not worth an ask; ``stretch`` makes asks rarer.
         """
-        if self._asked_at is None:
-            return True
-        waited = (now - self._asked_at) / stretch
+        waited = math.inf if self._asked_at is None else (now - self._asked_at) / stretch
         if waited < self._settings.urgent_renew_seconds:
             return False
-        if self.is_idle(now):
-            return now < self._lease_until
-        if home != self._lease_home and now < self._lease_until:
+        if now >= self._lease_until:
+            return self._needs_lease(safe, slack, now)
+        if self.is_idle(now) or home != self._lease_home:
             return True
-        if now >= (self._asked_at + self._lease_until) / 2:
-            return True
-        demand = self._demand(slack, now)
-        jumped = self._refused_since_ask and demand.outgrows(self._asked, DEMAND_JUMP, slack)
-        if waited < self._renew_seconds:
-            return jumped and waited >= self._renew_seconds / 4
-        return self._refused_since_ask or self._asked.outgrows(demand, 1 / DEMAND_DROP, slack)
+        if 2 * now >= (self._asked_at or 0.0) + self._lease_until:
+            return self._needs_lease(safe, slack, now)
+        if waited >= self._renew_seconds:
+            demand = self._demand(slack, now)
+            return self._refused_since_ask or self._asked.outgrows(demand, 1 / DEMAND_DROP, slack)
+        return waited >= self._renew_seconds / 4 and self._has_jumped(slack, now)
 
     def ask(self, slack: Shares, now: float) -> Shares:
         """Returns what this VM could use, and gives back what it has beyond that.
@@ -158,15 +172,29 @@
         self._lease_until = until
         self._renew_seconds = renew_seconds
 
+    def _needs_lease(self, safe: Shares, slack: Shares, now: float) -> bool:
+        if self._refused_since_ask:
+            return True
+        seen = self._seen(slack, now).scaled(self._settings.headroom)
+        return not self.is_idle(now) and seen.outgrows(safe, SAFE_PART, NO_SHARES)
+
+    def _has_jumped(self, slack: Shares, now: float) -> bool:
+        demand = self._demand(slack, now)
+        return self._refused_since_ask and demand.outgrows(self._asked, DEMAND_JUMP, slack)
+
     def _demand(self, slack: Shares, now: float) -> Shares:
-        """Returns what this VM could use, with headroom."""
-        seen = Shares(
+        """Returns what this VM could use, with headroom and room for one more request."""
+        more = self._seen(slack, now) + Shares(concurrency=1.0)
+        return more.scaled(self._settings.headroom)
+
+    def _seen(self, slack: Shares, now: float) -> Shares:
+        """Returns what this VM would use if it had the whole limits."""
+        return Shares(
             requests_per_second=self._request_meter.read(slack.requests_per_second, now),
             tokens_per_second=self._token_meter.read(slack.tokens_per_second, now),
-            concurrency=self._running + self._refused_running.read(now) + 1,
+            concurrency=self._running + self._refused_running.read(now),
             long_tokens=self._long_tokens + self._refused_long.read(now),
         )
-        return seen.scaled(self._settings.headroom)
 
     def _find_excess(self, long_tokens: int, share: Shares, now: float) -> Optional[Excess]:
         self._refill(share, now)
