--- a/camphordrift/documents/tests/test_documents.py
+++ b/camphordrift/documents/tests/test_documents.py
@@ -136,6 +136,16 @@
             self.assertIn(f'"{event}"', sources)
 
 
+class PromisesTest(testtools.TestCase):
+    def test_named_tests_exist(self) -> None:
+        text = (ROOT / "docs" / "promises.md").read_text(encoding="utf-8")
+        named = re.findall(r"`([\w/]+\.py)::(test_\w+)`", text)
+        self.assertTrue(named)
+        for file, test in named:
+            source = (ROOT / "camphordrift" / file).read_text(encoding="utf-8")
+            self.assertIn(f"def {test}(", source, file)
+
+
 def has_place(value: Any, steps: list[str]) -> bool:
     """Tells whether a dump has a place; a step ``*`` stands for any name."""
     if not steps:
