--- a/camphordrift/daemons/_command_line.py
+++ b/camphordrift/daemons/_command_line.py
@@ -8,6 +8,7 @@
 
 import camphordrift
 from camphordrift.daemons._commands_local import add_local_commands
+from camphordrift.daemons._commands_measure import add_measure_commands
 from camphordrift.daemons._commands_operator import add_operator_commands
 from camphordrift.daemons._commands_run import add_run_commands
 from camphordrift.daemons._exit_codes import EXIT_CODES_HELP, CommandError, ExitCode
@@ -24,6 +25,7 @@
     add_run_commands(app)
     add_operator_commands(app)
     add_local_commands(app)
+    add_measure_commands(app)
     return app
 
 
--- a/camphordrift/daemons/_commands_run.py
+++ b/camphordrift/daemons/_commands_run.py
@@ -1,4 +1,4 @@
-"""Commands that run long-lived processes, and the measuring tools."""
+"""Commands that run long-lived processes."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -57,12 +57,6 @@
     group = cyclopts.Group("Running processes", sort_key=1)
     for command in (demo, entry, standins):
         app.command(command, group=group)
-    app.command(
-        "camphordrift.experiments:measure_app",
-        name="measure",
-        help="Measure routing policies under virtual time.",
-        group=cyclopts.Group("Measuring", sort_key=4),
-    )
 
 
 def _run(process: Callable[[], int]) -> ExitCode:
--- a/camphordrift/daemons/tests/test_command_line.py
+++ b/camphordrift/daemons/tests/test_command_line.py
@@ -109,6 +109,11 @@
         self.check("requires an argument", "publish")
         self.check('unable to convert "x" into int', "codes", "x")
         self.check("no settings file is named", "settings", "check")
+        self.check('Choose from: "kowalczyk"', "measure", "--deployments", "nowhere")
+        self.check("Must be < ", "measure", "--seconds", "nan")
+        self.check("Must be > 0", "measure", "--loads", "-1")
+        self.check("Choose from", "soak", "weather")
+        self.check("Must be >= 1", "soak", "calls", "--seeds", "0")
 
     def test_access(self) -> None:
         self.check("no VM is named", "dump")
@@ -156,6 +161,23 @@
             self.assertTrue(line.startswith("camphordrift: ") and line.isprintable(), repr(line))
 
 
+class SoakTest(CommandLineCase):
+    def test_prints_a_line_for_each_seed(self) -> None:
+        code, output, _ = self.run_tokens(
+            "soak", "configuration", "--first-seed", "3", "--seeds", "1"
+        )
+        self.assertIs(ExitCode.DONE, code)
+        self.assertRegex(output, r"^seed=3 \S.*\n$")
+
+    def test_names_the_seed_that_broke_an_invariant(self) -> None:
+        target = "camphordrift.experiments._calls_soak.run_calls_soak"
+        errors = io.StringIO()
+        broken = mock.patch(target, side_effect=AssertionError("twice"))
+        with broken, contextlib.redirect_stderr(errors):
+            self.assertRaises(AssertionError, run_command, ["soak", "calls"])
+        self.assertEqual("camphordrift: seed 1 broke an invariant of calls\n", errors.getvalue())
+
+
 class RunCommandsTest(CommandLineCase):
     """Processes that cannot start say why in one line; other faults are not hidden."""
 
--- a/camphordrift/experiments/_commands.py
+++ b/camphordrift/experiments/_commands.py
@@ -1,9 +1,10 @@
 """The command ``camphordrift measure``."""
 
 from pathlib import Path
-from typing import Optional
+from typing import Annotated, Literal, Optional
 
 import cyclopts
+from cyclopts.validators import Number
 
 from camphordrift.experiments._deployments import DEPLOYMENTS
 from camphordrift.experiments._fleet import Policy
@@ -12,16 +13,19 @@
 from camphordrift.experiments._report import as_json, as_table
 from camphordrift.experiments._workload import Shape
 
+_DeploymentName = Literal["kowalczyk", "bazarnik"]
+_Positive = Annotated[float, cyclopts.Parameter(validator=Number(gt=0, lt=1e6))]
+
 measure_app = cyclopts.App(name="measure", help="Measures routing policies under virtual time.")
 
 
 @measure_app.default
 def measure_command(
     *,
-    deployments: tuple[str, ...] = tuple(DEPLOYMENTS),
+    deployments: tuple[_DeploymentName, ...] = ("kowalczyk", "bazarnik"),
     policies: tuple[Policy, ...] = tuple(Policy),
-    loads: tuple[float, ...] = (0.7, 0.9),
-    seconds: float = 120.0,
+    loads: tuple[_Positive, ...] = (0.7, 0.9),
+    seconds: _Positive = 120.0,
     seed: int = 1,
     shape: Shape = Shape.STEADY,
     json_path: Optional[Path] = None,
