End a request at its deadline although its engine is silent

Cause: a request whose time is over waited up to 1 s for the cancellation of its engine, in a shielded scope; its log line did not say which engine had it. Found by following one failed request. Change: while a task is being cancelled, the engine is told by a task of the client's own; the failure names attempt and engine. Conclusion: the caller gets its final answer at the deadline.

--- a/camphordrift/backend_http/_engine_client.py
+++ b/camphordrift/backend_http/_engine_client.py
@@ -65,6 +65,16 @@
     def __init__(self, connections: HttpConnections, address_of: AddressBook) -> None:
         self._connections = connections
         self._address_of = address_of
+        self._nursery: Optional[trio.Nursery] = None
+
+    async def run(self) -> None:
+        """Sends cancellations until cancelled; without it, only closed connections cancel."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
 
     @asynccontextmanager
     async def generate(
@@ -90,6 +100,11 @@
         except BackendUnreachableError:
             ended = True
             raise
+        except trio.Cancelled:
+            # No attempt follows, and the caller must not wait for an engine that may be silent.
+            ended = True
+            self._cancel_soon(engine_id, request.request_id)
+            raise
         finally:
             if not ended:
                 await self._cancel_quietly(engine_id, request.request_id)
@@ -158,13 +173,18 @@
         except ValueError as error:
             raise StreamBrokenError(f"{target}: the answer is not JSON") from error
 
+    def _cancel_soon(self, engine_id: BackendServerId, request_id: RequestId) -> None:
+        """Tells the engine to stop, outside the task that is being cancelled."""
+        if self._nursery is not None:
+            self._nursery.start_soon(self._cancel_quietly, engine_id, request_id)
+
     async def _cancel_quietly(self, engine_id: BackendServerId, request_id: RequestId) -> None:
-        """Tells the engine to stop, even while this task is being cancelled."""
-        with trio.move_on_after(CANCEL_TIMEOUT_SECONDS) as scope:
-            scope.shield = True
-            # Closing the connection cancels the work too; this call only makes it certain.
-            with suppress(BackendError):
-                await self.cancel(engine_id, request_id)
+        """Tells the engine to stop before another attempt can follow.
+
+        Closing the connection cancels the work too; this call only makes it certain.
+        """
+        with trio.move_on_after(CANCEL_TIMEOUT_SECONDS), suppress(BackendError):
+            await self.cancel(engine_id, request_id)
 
 
 async def _raise_for_refusal(stream: HttpStream) -> None:
--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -162,6 +162,7 @@
             self._watch.run,
             self._apply_configuration,
             self._measure_loop_lag,
+            self._engines.run,
         )
 
     async def _apply_configuration(self) -> None:
--- a/camphordrift/gateway/_generation.py
+++ b/camphordrift/gateway/_generation.py
@@ -72,6 +72,7 @@
         self._attempt = 0
         self._avoided: set[BackendServerId] = set()
         self._may_have_run = False
+        self._engine_id: Optional[BackendServerId] = None
         self._started_at = trio.current_time()
         self._deadline = self._started_at + ask.remaining_seconds
         self._first_token_at: Optional[float] = None
@@ -140,6 +141,7 @@
     async def _relay(self, grant: Grant) -> None:
         self._assembler.start_attempt(grant.attempt)
         self._may_have_run = True
+        self._engine_id = grant.engine_id
         request = self._attempt_request(grant)
         for part in grant.parts:
             await self._engines.prefill_part(part, request)
@@ -212,7 +214,8 @@
 
     def _deadline_failure(self) -> Failure:
         if self._may_have_run:
-            return Failure(ResultCode.BACKEND_DEADLINE_PASSED, "the request's time is over")
+            detail = f"the request's time is over; attempt {self._attempt} ran on {self._engine_id}"
+            return Failure(ResultCode.BACKEND_DEADLINE_PASSED, detail)
         return Failure(
             ResultCode.DEADLINE_PASSED_IN_QUEUE, "the request's time was over before it was sent"
         )
