--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -18,6 +18,7 @@
 from camphordrift.entry._engine_orders import engine_orders
 from camphordrift.entry._engine_watch import EngineWatch
 from camphordrift.entry._grants import PoolGrants
+from camphordrift.entry._levels import LevelSources, observe_levels
 from camphordrift.entry._limits_gate import LimitsGate
 from camphordrift.entry._log_access import call_coordinator, log_access
 from camphordrift.entry._peer_access import peer_access
@@ -40,7 +41,14 @@
 from camphordrift.operations import ConfigurationOperations, OperatorServices, operators_app
 from camphordrift.security import FleetKeys, client_tls_context
 from camphordrift.settings import EntrySettings
-from camphordrift.telemetry import DecisionRecord, Metrics, StateDump, log_event, process_usage
+from camphordrift.telemetry import (
+    DecisionRecord,
+    Metrics,
+    StateDump,
+    log_event,
+    measure_loop_lag,
+    process_usage,
+)
 
 
 class EntryProcess:
@@ -115,6 +123,7 @@
         )
         self._readiness = ReadinessCheck(lambda: self._keeper.readiness, self._drain_controller)
         self._register_dumps()
+        observe_levels(self._metrics, self._level_sources())
 
     @property
     def body_memory(self) -> BodyMemory:
@@ -190,6 +199,8 @@
             self._memory.run,
             self._orders.run,
             self._apply_configuration,
+            self._measure_loop_lag,
+            self._engines.run,
         )
 
     async def _apply_configuration(self) -> None:
@@ -205,6 +216,9 @@
                 log_event("configuration_applied", version=snapshot.version, offset=snapshot.offset)
             await self._keeper.wait_for_change()
 
+    async def _measure_loop_lag(self) -> None:
+        await measure_loop_lag(self._metrics)
+
     def _context(self) -> GatewayContext:
         limits = self._settings.limits
         return GatewayContext(
@@ -241,6 +255,19 @@
             drain=self._stop,
         )
 
+    def _level_sources(self) -> LevelSources:
+        return LevelSources(
+            readiness=self._readiness,
+            stop=self._stop,
+            active=self._active,
+            body_memory=self._body_memory,
+            grants=self._grants.local,
+            watch=self._watch,
+            keeper=self._keeper,
+            log=self._log,
+            peers=self._peers,
+        )
+
     def _register_dumps(self) -> None:
         self._dump.register("process", process_usage)
         self._dump.register("configuration", lambda: self._keeper.status)
