Refuse messages that exceed a frame instead of ending the process

Cause: the size of a message was checked only when it was written, so one of over 1 MiB raised ValueError in the writer and brought the whole loop down. Change: the size is checked when the message is queued: a request fails as not run, an answer is replaced by a failure with unknown outcome, a notice is dropped. Measured: the new test fails before with ValueError in the writer, passes after; 27 tests of the package pass. Conclusion: the connection goes on.

--- a/camphordrift/peers/_connection.py
+++ b/camphordrift/peers/_connection.py
@@ -284,6 +284,18 @@
         try:
             with scope:
                 answer = await self._dispatcher.answer(self.peer, request)
-                self._send(answer, REQUEST_BACKLOG_BYTES)
+                if not self._send(answer, REQUEST_BACKLOG_BYTES):
+                    self._send_unsendable(request.request_id)
         finally:
             self._running.pop(request.request_id, None)
+
+    def _send_unsendable(self, request_id: int) -> None:
+        """Tells that there is an answer that cannot be sent, so that the peer does not wait."""
+        self._counters.add("unsendable_answers")
+        detail = "the answer exceeds a frame or the backlog"
+        failure = results.Failure(
+            results.ResultCode.PEER_FRAME_REFUSED,
+            detail,
+            run_state_override=results.RunState.OUTCOME_UNKNOWN,
+        )
+        self._send(Refused(request_id, failure), 2 * REQUEST_BACKLOG_BYTES)
--- a/camphordrift/peers/_frames.py
+++ b/camphordrift/peers/_frames.py
@@ -22,6 +22,9 @@
 _CODE_BYTES = 16
 _SEAL_BYTES = _SEQUENCE_BYTES + _CODE_BYTES
 
+#: Largest body of a frame, in bytes.
+MAXIMUM_BODY_BYTES = MAXIMUM_FRAME_BYTES - _SEAL_BYTES
+
 #: What each frame costs besides its body, in bytes.
 FRAME_OVERHEAD_BYTES = _LENGTH_BYTES + _SEAL_BYTES
 
@@ -70,7 +73,7 @@
 
     def seal(self, body: bytes) -> bytes:
         """Returns the whole frame for ``body``. Raises ``ValueError`` if it is too large."""
-        if len(body) + _SEAL_BYTES > MAXIMUM_FRAME_BYTES:
+        if len(body) > MAXIMUM_BODY_BYTES:
             raise ValueError(f"a message of {len(body)} bytes exceeds a frame")
         sequence = self._next_sequence.to_bytes(_SEQUENCE_BYTES, "big")
         self._next_sequence += 1
--- a/camphordrift/peers/_sending.py
+++ b/camphordrift/peers/_sending.py
@@ -5,7 +5,7 @@
 import trio
 
 from camphordrift.peers._envelopes import Envelope, encode_envelope
-from camphordrift.peers._frames import FrameSealer
+from camphordrift.peers._frames import MAXIMUM_BODY_BYTES, FrameSealer
 
 #: Notices beyond this backlog are dropped, in bytes.
 NOTICE_BACKLOG_BYTES = 256 * 1024
@@ -30,13 +30,10 @@
         return self._backlog_bytes
 
     def put(self, envelope: Envelope, limit_bytes: int) -> bool:
-        """Queues an envelope; returns false if the backlog is over the limit.
-
-        Raises ``ValueError`` if the message exceeds a frame.
-        """
-        if self._backlog_bytes > limit_bytes:
-            return False
+        """Queues an envelope; returns false if it exceeds a frame or the backlog its limit."""
         frame_body = encode_envelope(envelope)
+        if self._backlog_bytes > limit_bytes or len(frame_body) > MAXIMUM_BODY_BYTES:
+            return False
         self._bodies.append(frame_body)
         self._backlog_bytes += len(frame_body)
         self._filled.set()
--- a/camphordrift/peers/tests/test_network.py
+++ b/camphordrift/peers/tests/test_network.py
@@ -132,6 +132,24 @@
 
         run_in_virtual_time(lambda: with_pair(body))
 
+    def test_message_larger_than_a_frame_is_refused_and_harms_nothing(self) -> None:
+        async def answer_much(_: PeerIdentity, q: Question) -> Result[Answer, results.Failure]:
+            return Success(Answer("x" * q.weight))
+
+        async def body(fabric: MemoryFabric, alpha: PeerNetwork, beta: PeerNetwork) -> None:
+            beta.register(Question, answer_much)
+            asked = await alpha.request(BETA, Question("x" * 2_000_000), 1.0)
+            answered = await alpha.request(BETA, Question("much", 2_000_000), 1.0)
+            alpha.notify(BETA, Question("x" * 2_000_000))
+            whole = await alpha.request(BETA, Question("little", 10), 1.0)
+            self.assertEqual(RunState.NOT_RUN, asked.failure().run_state)
+            self.assertEqual(RunState.OUTCOME_UNKNOWN, answered.failure().run_state)
+            self.assertEqual(ResultCode.PEER_FRAME_REFUSED, answered.failure().code)
+            self.assertEqual(Success(Answer("x" * 10)), whole)
+            self.assertEqual(1, len(fabric.streams))
+
+        run_in_virtual_time(lambda: with_pair(body))
+
     def test_request_to_itself_needs_no_stream(self) -> None:
         async def body(fabric: MemoryFabric, _: PeerNetwork, beta: PeerNetwork) -> None:
             outcome = await beta.request(BETA, Question("self"), 1.0)
