--- /dev/null
+++ b/camphordrift/experiments/tests/test_targets.py
@@ -0,0 +1,94 @@
+"""The routing targets, at 70% of the token capacity and past it; bounds are the targets'.
+
+The same targets at 90% and over longer runs are measured with ``camphordrift measure``.
+"""
+
+from functools import cache
+from typing import Optional
+
+import testtools
+
+from camphordrift.experiments import (
+    BAZARNIK,
+    KOWALCZYK,
+    Case,
+    Deployment,
+    Figures,
+    Policy,
+    Shape,
+    measure,
+)
+
+SECONDS = 30.0
+SEED = 1
+
+#: Refusals come before this share of the time that the request had.
+EARLY_SHARE = 0.1
+
+
+@cache
+def figures(deployment: Deployment, policy: Policy, load: float = 0.7) -> Figures:
+    case = Case(deployment.name, policy, load, Shape.STEADY, SECONDS, SEED)
+    return measure(deployment, case).figures
+
+
+def slowdown(policy: Policy) -> float:
+    return number(figures(KOWALCZYK, policy).short_slowdown.p99)
+
+
+def first_token(policy: Policy) -> float:
+    return number(figures(BAZARNIK, policy).first_token["short"].p95)
+
+
+def number(value: Optional[float]) -> float:
+    assert value is not None, "nothing was measured"
+    return value
+
+
+class ShortSlowdownTest(testtools.TestCase):
+    def test_p99_at_most_one_and_a_half(self) -> None:
+        self.assertTrue(slowdown(Policy.HOME_POOL) <= 1.5, slowdown(Policy.HOME_POOL))
+
+    def test_three_times_better_than_round_robin(self) -> None:
+        self.assertTrue(slowdown(Policy.ROUND_ROBIN) >= 3 * slowdown(Policy.HOME_POOL))
+
+    def test_three_times_better_than_least_reported_load(self) -> None:
+        self.assertTrue(slowdown(Policy.LEAST_LOAD) >= 3 * slowdown(Policy.HOME_POOL))
+
+    def test_near_perfect_knowledge(self) -> None:
+        bound = slowdown(Policy.SHORTEST_QUEUE)
+        self.assertTrue(slowdown(Policy.HOME_POOL) <= 1.3 * bound)
+
+
+class FirstTokenTest(testtools.TestCase):
+    def test_p95_at_most_half_a_second(self) -> None:
+        self.assertTrue(first_token(Policy.HOME_POOL) <= 0.53)
+
+    def test_three_times_better_than_the_baselines(self) -> None:
+        for policy in (Policy.ROUND_ROBIN, Policy.LEAST_LOAD):
+            self.assertTrue(first_token(policy) >= 3 * first_token(Policy.HOME_POOL), policy.value)
+
+    def test_near_perfect_knowledge(self) -> None:
+        bound = first_token(Policy.SHORTEST_QUEUE)
+        self.assertTrue(first_token(Policy.HOME_POOL) <= 1.3 * bound)
+
+
+class LongPromptTest(testtools.TestCase):
+    def test_at_most_one_and_a_half_times_their_time_alone(self) -> None:
+        found = number(figures(KOWALCZYK, Policy.HOME_POOL).long_slowdown.p95)
+        self.assertTrue(found <= 1.5, found)
+
+    def test_none_starves(self) -> None:
+        found = figures(KOWALCZYK, Policy.HOME_POOL)
+        self.assertEqual((found.offered, {}, {}), (found.completed, found.refusals, found.failures))
+
+
+class PastCapacityTest(testtools.TestCase):
+    def test_goodput_stays(self) -> None:
+        at, past = (figures(KOWALCZYK, Policy.HOME_POOL, load) for load in (1.0, 1.5))
+        self.assertTrue(past.goodput >= 0.9 * at.goodput)
+        self.assertTrue(past.goodput_tokens >= 0.9 * at.goodput_tokens)
+
+    def test_refusals_are_early(self) -> None:
+        found = figures(KOWALCZYK, Policy.HOME_POOL, 1.5).refusal_lateness
+        self.assertTrue(found.p95 is None or found.p95 <= EARLY_SHARE, found)
