--- a/camphordrift/experiments/tests/test_targets.py
+++ b/camphordrift/experiments/tests/test_targets.py
@@ -20,15 +20,17 @@
 )
 
 SECONDS = 30.0
-SEED = 1
+SEEDS = (1, 2)
 
 #: Refusals come before this share of the time that the request had.
 EARLY_SHARE = 0.1
 
 
 @cache
-def figures(deployment: Deployment, policy: Policy, load: float = 0.7) -> Figures:
-    case = Case(deployment.name, policy, load, Shape.STEADY, SECONDS, SEED)
+def figures(
+    deployment: Deployment, policy: Policy, load: float = 0.7, seed: int = SEEDS[0]
+) -> Figures:
+    case = Case(deployment.name, policy, load, Shape.STEADY, SECONDS, seed)
     return measure(deployment, case).figures
 
 
@@ -47,7 +49,9 @@
 
 class ShortSlowdownTest(testtools.TestCase):
     def test_p99_at_most_one_and_a_half(self) -> None:
-        self.assertTrue(slowdown(Policy.HOME_POOL) <= 1.5, slowdown(Policy.HOME_POOL))
+        for seed in SEEDS:
+            found = figures(KOWALCZYK, Policy.HOME_POOL, seed=seed).short_slowdown.p99
+            self.assertTrue(number(found) <= 1.5, (seed, found))
 
     def test_three_times_better_than_round_robin(self) -> None:
         self.assertTrue(slowdown(Policy.ROUND_ROBIN) >= 3 * slowdown(Policy.HOME_POOL))
@@ -75,8 +79,9 @@
 
 class LongPromptTest(testtools.TestCase):
     def test_at_most_one_and_a_half_times_their_time_alone(self) -> None:
-        found = number(figures(KOWALCZYK, Policy.HOME_POOL).long_slowdown.p95)
-        self.assertTrue(found <= 1.5, found)
+        for seed in SEEDS:
+            found = figures(KOWALCZYK, Policy.HOME_POOL, seed=seed).long_slowdown.p95
+            self.assertTrue(number(found) <= 1.5, (seed, found))
 
     def test_none_starves(self) -> None:
         found = figures(KOWALCZYK, Policy.HOME_POOL)
--- a/camphordrift/routing/_policy.py
+++ b/camphordrift/routing/_policy.py
@@ -17,7 +17,7 @@
     """
 
     #: Weight of the slowdown against the time to first token, from 0 to 1.
-    slowdown_weight: float = 0.7
+    slowdown_weight: float = 0.3
 
     #: A time to first token that costs as much as a slowdown by 1, in seconds.
     first_token_scale_seconds: float = 0.5
