Show the configuration first in the state dump

Cause: the operators' guide shows a dump that begins with the configuration; the process's usage had been put before it. Change: usage comes last but for decisions.

--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -269,7 +269,6 @@
         )
 
     def _register_dumps(self) -> None:
-        self._dump.register("process", process_usage)
         self._dump.register("configuration", lambda: self._keeper.status)
         self._dump.register("membership", self._peers.membership.dump_state)
         self._dump.register("peers", self._peers.network.dump_state)
@@ -285,6 +284,7 @@
         self._dump.register("service_retries", self._services.dump_state)
         self._dump.register("circuit_breakers", self._server_choice.breakers.dump_state)
         self._dump.register("stop", self._stop.progress)
+        self._dump.register("process", process_usage)
         self._dump.register("decisions", self._decisions.snapshot)
 
     def _drain_controller(self) -> DrainController:
