--- a/camphordrift/entry/_configuration_sharing.py
+++ b/camphordrift/entry/_configuration_sharing.py
@@ -63,7 +63,8 @@
     """Hands this VM's configuration to peers, and takes theirs while the log is silent.
 
     A VM that starts during an outage of the log becomes ready this way, and one that missed a
-    record just before the outage learns it. Run :meth:`run` in a nursery.
+    record just before the outage learns it. A VM that cannot apply a record learns from its peers
+    whether others have it in force. Run :meth:`run` in a nursery.
     """
 
     def __init__(
@@ -89,9 +90,8 @@
 
     def _needs_peers(self) -> bool:
         status = self._keeper.status
-        return not self._keeper.is_ready or (
-            status.seconds_since_contact > LOG_SILENT_AFTER_SECONDS
-        )
+        log_is_silent = status.seconds_since_contact > LOG_SILENT_AFTER_SECONDS
+        return not self._keeper.is_ready or log_is_silent or status.block is not None
 
     async def _ask_one(self) -> None:
         peers = self._peers()
