--- a/camphordrift/configuration/_values.py
+++ b/camphordrift/configuration/_values.py
@@ -217,7 +217,7 @@
     """Numbers that hold for the whole fleet."""
 
     #: From 0 (only time to first token counts) to 1 (only the slowdown of short requests counts).
-    slowdown_weight: float = 0.5
+    slowdown_weight: float = 0.3
 
     #: Prompts up to this many tokens are short.
     short_prompt_tokens: int = 4_000
--- a/camphordrift/documents/tests/test_documents.py
+++ b/camphordrift/documents/tests/test_documents.py
@@ -28,6 +28,7 @@
     {
         "make demo",
         "make test",
+        "make processes",
         ". .venv/bin/activate",
         "camphordrift standins --settings examples/kowalczyk/standins.toml",
         "camphordrift entry --settings examples/kowalczyk/oliwa-1.toml",
