Ask the owners of holds over the streams between VMs

Cause: the reconciler needs owners' own answers, asked after each listing. Change: OwnerInquiry answers from the registry, asks other VMs, and tells silent from missing. Conclusion: a VM that does not answer is missing only while nothing names it.

--- a/camphordrift/engine_memory/__init__.py
+++ b/camphordrift/engine_memory/__init__.py
@@ -1,5 +1,10 @@
 """Memory holds on engines: claimed and renewed by their owners, released once they are lost."""
 
+from camphordrift.engine_memory._owner_inquiry import (
+    HoldClaims,
+    HoldClaimsQuery,
+    OwnerInquiry,
+)
 from camphordrift.engine_memory._owners import (
     OwnerAnswered,
     OwnerKnowledge,
@@ -29,10 +34,13 @@
     "ClaimedHoldState",
     "EngineListing",
     "EngineMemoryState",
+    "HoldClaims",
+    "HoldClaimsQuery",
     "HoldRegistry",
     "HoldRelease",
     "HoldSettings",
     "OwnerAnswered",
+    "OwnerInquiry",
     "OwnerKnowledge",
     "OwnerMissing",
     "OwnerSilent",
--- /dev/null
+++ b/camphordrift/engine_memory/tests/test_owner_inquiry.py
@@ -0,0 +1,102 @@
+"""Tests of asking owners for their claims."""
+
+from typing import Any, Optional
+
+import testtools
+import trio
+from returns import result
+
+from camphordrift import results
+from camphordrift.clocks import TwoClocks
+from camphordrift.engine_memory import (
+    HoldRegistry,
+    HoldSettings,
+    OwnerAnswered,
+    OwnerInquiry,
+    OwnerMissing,
+    OwnerSilent,
+)
+from camphordrift.identifiers import BackendServerId, HoldId, Incarnation, RequestId, VmId
+from camphordrift.peers import PeerIdentity, RequestHandler
+from camphordrift.results import Failure, ResultCode
+from camphordrift.testing import run_in_virtual_time
+
+_FIRST, _SECOND = VmId("vm-1"), VmId("vm-2")
+_FAR = TwoClocks(monotonic=1e9, wall=1e9)
+
+
+class _Peers:
+    """Carries requests between two VMs; a VM that is cut off does not answer."""
+
+    def __init__(self, handlers: dict[VmId, RequestHandler], own: VmId, cut_off: set[VmId]) -> None:
+        self._handlers = handlers
+        self._own = own
+        self._cut_off = cut_off
+
+    def declare(self, message_type: type, name: Optional[str] = None, version: int = 1) -> None:
+        assert name is not None and name.startswith("engine_memory.")
+
+    def register(self, message_type: type, handler: RequestHandler) -> None:
+        self._handlers[self._own] = handler
+
+    async def request(
+        self, vm_id: VmId, message: object, timeout_seconds: float
+    ) -> result.Result[Any, results.Failure]:
+        await trio.sleep(0.01)
+        if vm_id in self._cut_off or vm_id not in self._handlers:
+            return result.Failure(Failure(ResultCode.PEER_UNREACHABLE, "no answer"))
+        sender: Any = PeerIdentity
+        return await self._handlers[vm_id](sender, message)
+
+
+class _Pair:
+    def __init__(self) -> None:
+        self.handlers: dict[VmId, RequestHandler] = {}
+        self.cut_off: set[VmId] = set()
+        self.listed = {_FIRST, _SECOND}
+        self.registries = {
+            vm: HoldRegistry(Incarnation(number + 1), HoldSettings())
+            for number, vm in enumerate((_FIRST, _SECOND))
+        }
+        self.inquiries = {vm: self._inquiry(vm) for vm in (_FIRST, _SECOND)}
+
+    def _inquiry(self, vm: VmId) -> OwnerInquiry:
+        peers = _Peers(self.handlers, vm, self.cut_off)
+        return OwnerInquiry(
+            peers, vm, self.registries[vm], lambda other: other in self.listed, HoldSettings()
+        )
+
+
+class OwnerInquiryTest(testtools.TestCase):
+    def test_an_owner_names_its_claims_to_itself_and_to_others(self) -> None:
+        async def main() -> None:
+            pair = _Pair()
+            hold = HoldId("hold-1")
+            engine, request = BackendServerId("engine-1"), RequestId("request-1")
+            pair.registries[_SECOND].claim(hold, engine, request, _FAR)
+            for asking in (_FIRST, _SECOND):
+                began = trio.current_time()
+                answer = await pair.inquiries[asking].ask(_SECOND)
+                expected = OwnerAnswered(Incarnation(2), frozenset({hold}), asked_at=began)
+                self.assertEqual(expected, answer)
+
+        run_in_virtual_time(main)
+
+    def test_an_owner_that_does_not_answer_is_missing_only_if_nothing_names_it(self) -> None:
+        async def main() -> None:
+            pair = _Pair()
+            asking = pair.inquiries[_FIRST]
+            pair.cut_off.add(_SECOND)
+            self.assertEqual(OwnerSilent(), await asking.ask(_SECOND))
+            pair.listed.discard(_SECOND)
+            self.assertEqual(OwnerMissing(0.0), await asking.ask(_SECOND))
+            await trio.sleep(12.0)
+            later = await asking.ask(_SECOND)
+            assert isinstance(later, OwnerMissing)
+            self.assertTrue(later.missing_seconds >= 12.0)
+            pair.listed.add(_SECOND)
+            self.assertEqual(OwnerSilent(), await asking.ask(_SECOND))
+            pair.listed.discard(_SECOND)
+            self.assertEqual(OwnerMissing(0.0), await asking.ask(_SECOND))
+
+        run_in_virtual_time(main)
