--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -8,11 +8,18 @@
 import trio
 from returns.pipeline import is_successful
 
+from camphordrift.account_limits import LimiterSettings, account_limit_service
 from camphordrift.backend_http import HttpConnections, HttpEngineClient, HttpTimeouts
 from camphordrift.configuration import ConfigurationKeeper, ConfigurationSnapshot, KeeperSettings
 from camphordrift.draining import DrainController
+from camphordrift.engine_memory import HoldRegistry, HoldSettings
 from camphordrift.entry._configuration_sharing import ConfigurationSharing
+from camphordrift.entry._engine_memory import EngineMemoryKeeper
+from camphordrift.entry._engine_orders import engine_orders
 from camphordrift.entry._engine_watch import EngineWatch
+from camphordrift.entry._grants import PoolGrants
+from camphordrift.entry._levels import LevelSources, observe_levels
+from camphordrift.entry._limits_gate import LimitsGate
 from camphordrift.entry._log_access import call_coordinator, log_access
 from camphordrift.entry._peer_access import peer_access
 from camphordrift.entry._readiness import ReadinessCheck
@@ -24,7 +31,6 @@
     FailedAttempt,
     GatewayContext,
     GatewayLimits,
-    OpenGate,
     RequestJournal,
     ServerChoice,
     ServiceCaller,
@@ -33,10 +39,16 @@
 from camphordrift.http_server import ServeOptions, serve_http
 from camphordrift.identifiers import BackendServerId, Incarnation
 from camphordrift.operations import ConfigurationOperations, OperatorServices, operators_app
-from camphordrift.routing import local_grant_source, pool_scheduler
 from camphordrift.security import FleetKeys, client_tls_context
 from camphordrift.settings import EntrySettings
-from camphordrift.telemetry import DecisionRecord, Metrics, StateDump, log_event
+from camphordrift.telemetry import (
+    DecisionRecord,
+    Metrics,
+    StateDump,
+    log_event,
+    measure_loop_lag,
+    process_usage,
+)
 
 
 class EntryProcess:
@@ -52,6 +64,7 @@
         self._settings = settings
         vm_id = settings.vm.vm_id
         incarnation = Incarnation(int(time.time() * 1000))
+        self._incarnation = incarnation
         rng = random.Random()
         self._metrics = Metrics(vm_id)
         self._decisions = DecisionRecord()
@@ -74,10 +87,28 @@
         self._sharing = ConfigurationSharing(
             self._keeper, self._peers.network, self._peers.other_vms, rng
         )
+        self._limits = account_limit_service(
+            vm_id, LimiterSettings(), self._peers.membership.view, self._peers.network
+        )
+        self._gate = LimitsGate(self._limits)
         self._calls = call_coordinator(self._log, vm_id, incarnation)
         self._engines = HttpEngineClient(self._connections, self._address_of)
-        self._grants = local_grant_source(pool_scheduler())
-        self._watch = EngineWatch(self._engines, self._grants, self._peers.membership)
+        self._holds = HoldRegistry(incarnation, HoldSettings())
+        self._memory = EngineMemoryKeeper(
+            self._holds,
+            self._engines,
+            self._peers.network,
+            self._peers.membership.view,
+            self._engine_ids,
+            self._metrics,
+        )
+        self._orders = engine_orders(
+            self._engines, self._log.records, lambda: self._keeper.snapshot, vm_id, incarnation
+        )
+        self._grants = PoolGrants(
+            self._engines, self._peers.network, self._peers.membership.view, self._holds
+        )
+        self._watch = EngineWatch(self._engines, self._grants.local, self._peers.membership)
         self._server_choice = ServerChoice(self._address_of, self._takes_work, rng)
         self._services = ServiceCaller(self._connections, self._server_choice, rng)
         self._attempt_policy = BudgetedAttemptPolicy(rng, self._note_failed)
@@ -86,18 +117,24 @@
             self._active,
             StopActions(
                 announce_leaving=self._peers.membership.announce_leaving,
-                hand_over=trio.lowlevel.checkpoint,
-                flush=self._calls.flush,
+                hand_over=self._grants.hand_over,
+                flush=self._flush,
             ),
         )
         self._readiness = ReadinessCheck(lambda: self._keeper.readiness, self._drain_controller)
         self._register_dumps()
+        observe_levels(self._metrics, self._level_sources())
 
     @property
     def body_memory(self) -> BodyMemory:
         """Memory for callers' bodies."""
         return self._body_memory
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The number of this process among those that have run on its VM."""
+        return self._incarnation
+
     @property
     def active_count(self) -> int:
         """Requests that are admitted and not answered."""
@@ -156,9 +193,14 @@
             self._keeper.run,
             self._sharing.run,
             self._calls.run,
+            self._limits.run,
             self._grants.run,
             self._watch.run,
+            self._memory.run,
+            self._orders.run,
             self._apply_configuration,
+            self._measure_loop_lag,
+            self._engines.run,
         )
 
     async def _apply_configuration(self) -> None:
@@ -168,24 +210,30 @@
             snapshot = self._keeper.snapshot
             if snapshot is not None and snapshot.version > applied:
                 applied = snapshot.version
+                self._grants.configure(snapshot)
                 self._watch.configure(snapshot)
+                self._gate.configure(snapshot)
                 log_event("configuration_applied", version=snapshot.version, offset=snapshot.offset)
             await self._keeper.wait_for_change()
 
+    async def _measure_loop_lag(self) -> None:
+        await measure_loop_lag(self._metrics)
+
     def _context(self) -> GatewayContext:
         limits = self._settings.limits
         return GatewayContext(
             vm_id=self._settings.vm.vm_id,
             refusal=self._readiness.for_request,
+            is_stopping=lambda: self._stop.controller.is_leaving,
             snapshot=lambda: self._keeper.snapshot,
-            grants=self._grants,
+            grants=self._grants.source,
             engines=self._engines,
             services=self._services,
             server_choice=self._server_choice,
             calls=self._calls,
             connections=self._connections,
             attempt_policy=self._attempt_policy,
-            gate=OpenGate(),
+            gate=self._gate,
             active=self._active,
             body_memory=self._body_memory,
             limits=GatewayLimits(
@@ -207,6 +255,19 @@
             drain=self._stop,
         )
 
+    def _level_sources(self) -> LevelSources:
+        return LevelSources(
+            readiness=self._readiness,
+            stop=self._stop,
+            active=self._active,
+            body_memory=self._body_memory,
+            grants=self._grants.local,
+            watch=self._watch,
+            keeper=self._keeper,
+            log=self._log,
+            peers=self._peers,
+        )
+
     def _register_dumps(self) -> None:
         self._dump.register("configuration", lambda: self._keeper.status)
         self._dump.register("membership", self._peers.membership.dump_state)
@@ -215,15 +276,30 @@
         self._dump.register("requests", self._active.all)
         self._dump.register("body_bytes", lambda: self._body_memory.used_bytes)
         self._dump.register("calls", self._calls.dump_state)
+        self._dump.register("routing", self._grants.dump_state)
+        self._dump.register("engine_memory", self._memory.dump_state)
+        self._dump.register("engine_orders", self._orders.dump_state)
+        self._dump.register("account_limits", self._limits.dump_state)
         self._dump.register("retries", self._attempt_policy.dump_state)
         self._dump.register("service_retries", self._services.dump_state)
         self._dump.register("circuit_breakers", self._server_choice.breakers.dump_state)
         self._dump.register("stop", self._stop.progress)
+        self._dump.register("process", process_usage)
         self._dump.register("decisions", self._decisions.snapshot)
 
     def _drain_controller(self) -> DrainController:
         return self._stop.controller
 
+    async def _flush(self) -> None:
+        await self._orders.leases.release_all()
+        await self._calls.flush()
+
+    def _engine_ids(self) -> tuple[BackendServerId, ...]:
+        snapshot = self._keeper.snapshot
+        if snapshot is None:
+            return ()
+        return tuple(engine.server_id for engine in snapshot.engines())
+
     def _takes_work(self, server_id: BackendServerId) -> bool:
         return not self._peers.membership.servers.is_leaving(server_id)
 
--- a/camphordrift/peers/_network.py
+++ b/camphordrift/peers/_network.py
@@ -69,6 +69,11 @@
         """Version of each message that this process reads."""
         return self._registry.versions
 
+    @property
+    def connected_count(self) -> int:
+        """Other VMs to which a stream of this VM works."""
+        return sum(link.open_connection is not None for link in self._links.values())
+
     def declare(self, message_type: type, name: Optional[str] = None, version: int = 1) -> None:
         """Makes a message known that is sent, or received as an answer."""
         self._registry.declare(message_type, name, version)
@@ -112,7 +117,7 @@
             connection = connected.unwrap()
         if connection is None:
             return Failure(peer_unreachable(f"{vm_id} could not be connected in time", False, 1.0))
-        return await connection.request(wire, deadline - trio.current_time())
+        return await connection.request(wire, max(0.0, deadline - trio.current_time()))
 
     def notify(self, vm_id: VmId, message: object) -> None:
         """Sends a notice if that is possible; counts it as dropped otherwise. Does not wait."""
