Measure what each part costs against its size

Cause: what the fleet needs at 2,700 VMs and 10,000 engines has to be worked out from slopes that were measured, and no tool measured more than routing and membership. Change: `camphordrift capacity` measures requests, the relay of tokens, the scheduler, configuration, claims, the log, membership, limits and the bare process, each at four sizes or more, by processor time (median of five runs), tracemalloc and counted bytes, and keeps the points as JSON. Conclusion: the page of capacities can be made of these points.

--- a/camphordrift/daemons/_commands_run.py
+++ b/camphordrift/daemons/_commands_run.py
@@ -52,17 +52,48 @@
     return _run(run_demo)
 
 
+def capacity(*, only: tuple[str, ...] = (), json_path: Optional[Path] = None) -> ExitCode:
+    """Measure what each part costs against its size; docs/CAPACITY.md is made of the results.
+
+    Parameters
+    ----------
+    only:
+        Names of the experiments to run; all if none is given, which takes some minutes.
+    json_path:
+        Where the results go; they are printed without it.
+
+    """
+    from camphordrift.resident_memory import measure_imports
+
+    # Before anything else is imported, which would hide what a process needs by itself.
+    memory = measure_imports()
+    from camphordrift.experiments import CAPACITY_MEASURES, measurements_to_json, run_capacity
+
+    unknown = sorted(set(only) - set(CAPACITY_MEASURES))
+    if unknown:
+        known = ", ".join(CAPACITY_MEASURES)
+        raise CommandError(ExitCode.BAD_INPUT, f"no experiment {unknown[0]}; there are {known}")
+    text = measurements_to_json(run_capacity(memory, only))
+    if json_path is None:
+        print(text, end="")
+    else:
+        json_path.write_text(text, encoding="utf-8")
+    return ExitCode.DONE
+
+
 def add_run_commands(app: cyclopts.App) -> None:
     """Adds the commands of this module."""
     group = cyclopts.Group("Running processes", sort_key=1)
     for command in (demo, entry, standins):
         app.command(command, group=group)
+    measuring = cyclopts.Group("Measuring", sort_key=4)
     app.command(
         "camphordrift.experiments:measure_app",
         name="measure",
         help="Measure routing policies under virtual time.",
-        group=cyclopts.Group("Measuring", sort_key=4),
+        group=measuring,
     )
+    app.command(capacity, group=measuring)
 
 
 def _run(process: Callable[[], int]) -> ExitCode:
--- a/camphordrift/experiments/__init__.py
+++ b/camphordrift/experiments/__init__.py
@@ -1,5 +1,12 @@
 """Measures the routing under virtual time: loads, runs, figures, reports."""
 
+from camphordrift.experiments._capacity import CAPACITY_MEASURES, CapacityMeasure, run_capacity
+from camphordrift.experiments._capacity_results import (
+    Machine,
+    Measurements,
+    measurements_from_json,
+    measurements_to_json,
+)
 from camphordrift.experiments._commands import measure_app
 from camphordrift.experiments._deployments import BAZARNIK, DEPLOYMENTS, KOWALCZYK, Deployment
 from camphordrift.experiments._figures import Figures, Spread
@@ -7,6 +14,8 @@
 from camphordrift.experiments._measure import Case, Measurement, measure, run_measure
 from camphordrift.experiments._plot import draw
 from camphordrift.experiments._report import as_json, as_table
+from camphordrift.experiments._slope_fit import Line, fit_line
+from camphordrift.experiments._slope_series import Point, Series
 from camphordrift.experiments._workload import Arrival, Shape, arrivals
 
 __all__ = [
@@ -28,4 +37,15 @@
     "measure",
     "measure_app",
     "run_measure",
+    "CAPACITY_MEASURES",
+    "CapacityMeasure",
+    "run_capacity",
+    "Machine",
+    "Measurements",
+    "measurements_from_json",
+    "measurements_to_json",
+    "Line",
+    "fit_line",
+    "Point",
+    "Series",
 ]
--- /dev/null
+++ b/camphordrift/experiments/_capacity.py
@@ -0,0 +1,113 @@
+"""Runs all measurements of slopes, at the sizes whose results are kept."""
+
+import os
+import platform
+import shlex
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from types import MappingProxyType
+
+from camphordrift.experiments._capacity_results import Machine, Measurements
+from camphordrift.experiments._slope_series import Series
+from camphordrift.experiments._slopes_claims import (
+    measure_batches,
+    measure_claim_records,
+    measure_ledger,
+    measure_log_reads,
+    measure_log_use,
+)
+from camphordrift.experiments._slopes_configuration import (
+    measure_configuration_by_accounts,
+    measure_configuration_by_engines,
+    measure_record_bytes,
+)
+from camphordrift.experiments._slopes_control import (
+    measure_busy_accounts,
+    measure_known_servers,
+    measure_known_vms,
+    measure_limits,
+    measure_list_bytes,
+    measure_load_bytes,
+    measure_vms,
+)
+from camphordrift.experiments._slopes_relay import (
+    measure_relay_by_event_size,
+    measure_relay_by_tokens,
+)
+from camphordrift.experiments._slopes_requests import measure_permissions, measure_request_cpu
+from camphordrift.experiments._slopes_scheduler import (
+    measure_scheduler_by_engines,
+    measure_scheduler_by_queue,
+)
+from camphordrift.resident_memory import MemoryStep
+
+
+@dataclass(frozen=True)
+class CapacityMeasure:
+    """One experiment, which gives one or more series."""
+
+    #: Takes the sizes and returns the series.
+    run: Callable[[Sequence[int]], tuple[Series, ...]]
+
+    #: The sizes whose results are kept; at least four.
+    sizes: tuple[int, ...]
+
+    #: Sizes that take little time, to see that the experiment works.
+    small_sizes: tuple[int, ...]
+
+
+#: All experiments, by the name that the command knows them by.
+CAPACITY_MEASURES: Mapping[str, CapacityMeasure] = MappingProxyType(
+    {
+        "request": CapacityMeasure(measure_request_cpu, (1, 10, 100, 300, 1000), (1, 2)),
+        "permissions": CapacityMeasure(measure_permissions, (20, 100, 400, 1250, 3000), (2, 4)),
+        "relay": CapacityMeasure(measure_relay_by_tokens, (120, 240, 480, 960), (8, 16)),
+        "relay-events": CapacityMeasure(measure_relay_by_event_size, (1, 2, 4, 8, 16), (8, 16)),
+        "scheduler": CapacityMeasure(measure_scheduler_by_engines, (4, 8, 16, 32, 64, 128), (1, 2)),
+        "queue": CapacityMeasure(measure_scheduler_by_queue, (10, 50, 100, 200, 400), (1, 2)),
+        "configuration": CapacityMeasure(
+            measure_configuration_by_engines, (30, 100, 300, 1000, 3000), (2, 4)
+        ),
+        "accounts-configuration": CapacityMeasure(
+            measure_configuration_by_accounts, (10, 100, 300, 970), (2, 4)
+        ),
+        "record": CapacityMeasure(measure_record_bytes, (1, 10, 100, 1000), (1, 2)),
+        "vms": CapacityMeasure(measure_vms, (3, 7, 14, 28, 50), (2, 3)),
+        "busy-accounts": CapacityMeasure(measure_busy_accounts, (5, 10, 50, 200), (1, 2)),
+        "known-vms": CapacityMeasure(measure_known_vms, (7, 50, 169, 500, 2700), (2, 4)),
+        "known-servers": CapacityMeasure(measure_known_servers, (20, 100, 300, 1000), (2, 4)),
+        "limits": CapacityMeasure(measure_limits, (10, 100, 300, 970), (2, 4)),
+        "list": CapacityMeasure(measure_list_bytes, (10, 100, 1000, 2700), (1, 2)),
+        "load-report": CapacityMeasure(measure_load_bytes, (1, 2, 4, 8), (1, 2)),
+        "ledger": CapacityMeasure(measure_ledger, (1000, 2000, 5000, 10_000), (10, 20)),
+        "claim-records": CapacityMeasure(measure_claim_records, (0, 200, 1000, 4000), (0, 1)),
+        "log": CapacityMeasure(measure_log_use, (5, 10, 20, 40, 80), (1, 2)),
+        "batches": CapacityMeasure(measure_batches, (50, 100, 200, 400, 800), (1, 2)),
+        "log-reads": CapacityMeasure(measure_log_reads, (2, 4, 7, 14), (1, 2)),
+    }
+)
+
+
+def run_capacity(memory: Sequence[MemoryStep], names: Sequence[str] = ()) -> Measurements:
+    """Runs the experiments of the given names, all if there are none; takes some minutes.
+
+    ``memory`` comes from :func:`camphordrift.resident_memory.measure_imports`, which has to run
+    before this module is imported.
+    """
+    date = datetime.now(UTC).strftime("%Y-%m-%d %H:%M UTC")
+    machine = _machine()
+    chosen = [CAPACITY_MEASURES[name] for name in names or CAPACITY_MEASURES]
+    series = [found for measure in chosen for found in measure.run(measure.sizes)]
+    command = shlex.join(["camphordrift", *sys.argv[1:]])
+    return Measurements(command, date, machine, tuple(memory), tuple(series))
+
+
+def _machine() -> Machine:
+    return Machine(
+        cores=os.cpu_count() or 1,
+        python=platform.python_version(),
+        system=f"{platform.system()} {platform.machine()}",
+        load_average=round(os.getloadavg()[0], 1),
+    )
