Make docs/CAPACITY.md from the committed measurements

Cause: figures that are copied into a page by hand drift from the runs that gave them. Change: `python -m camphordrift.documents` makes docs/CAPACITY.md from docs/capacity/measurements.json: lines by least squares with their standard errors, the arithmetic to the two-year size step by step, what breaks there, and which mechanism is to carry it. A test compares the committed page. Figures: all in the page, each with its series.

--- a/camphordrift/documents/_pages.py
+++ b/camphordrift/documents/_pages.py
@@ -88,9 +88,19 @@
     return _page("Command line", introduction, command_sections(command_line()))
 
 
+def capacity_page() -> str:
+    """Returns the capacity at the two-year size, from the committed measurements."""
+    # Imported here, since it needs the measuring tool's libraries.
+    from camphordrift.documents._capacity_page import capacity_text, committed_measurements
+
+    text = capacity_text(committed_measurements())
+    return "\n".join(line.rstrip() for line in f"{_NOTE}\n\n{text}".splitlines()) + "\n"
+
+
 #: The pages by their path below ``docs/``.
 PAGES: Mapping[str, Callable[[], str]] = MappingProxyType(
     {
+        "CAPACITY.md": capacity_page,
         "reference/result-codes.md": result_codes_page,
         "reference/settings.md": settings_page,
         "reference/configuration.md": configuration_page,
--- /dev/null
+++ b/camphordrift/documents/tests/test_capacity_page.py
@@ -0,0 +1,49 @@
+"""Tests of the capacity page's figures."""
+
+import testtools
+
+from camphordrift.documents._capacity_figures import Figures, number, size_text
+from camphordrift.documents._capacity_page import capacity_text, committed_measurements
+from camphordrift.experiments import CAPACITY_MEASURES, Machine, Measurements, Point, Series
+from camphordrift.resident_memory import MemoryStep
+
+
+def figures() -> Figures:
+    points = (Point(1.0, 5.0), Point(2.0, 7.0), Point(4.0, 11.0))
+    series = Series("cost", "what", "VMs", "bytes", points)
+    machine = Machine(10, "3.11", "Linux x86_64", 1.5)
+    steps = (MemoryStep("trio", 1_000),)
+    return Figures(Measurements("run", "today", machine, steps, (series,)))
+
+
+class NumberTest(testtools.TestCase):
+    def test_three_digits_are_shown(self) -> None:
+        cases = {0.0: "0", -1e-15: "0", 0.012345: "0.0123", 2.0: "2", 17_037.0: "17,000"}
+        for value, shown in cases.items():
+            self.assertEqual(shown, number(value))
+
+    def test_bytes_have_decimal_units(self) -> None:
+        cases = {12.0: "12 B", 4_000.0: "4 KB", 32e6: "32 MB", 34e9: "34 GB"}
+        for value, shown in cases.items():
+            self.assertEqual(shown, size_text(value))
+
+
+class EstimateTest(testtools.TestCase):
+    def test_an_estimate_says_whether_it_is_extrapolated(self) -> None:
+        inside, beyond = figures().at("cost", 3.0), figures().at("cost", 40.0)
+        self.assertAlmostEqual(9.0, inside.value)
+        self.assertAlmostEqual(83.0, beyond.value)
+        self.assertIn("inside the measured range", inside.steps)
+        self.assertIn("extrapolated to 10 times the largest point", beyond.steps)
+
+
+class CapacityPageTest(testtools.TestCase):
+    def test_committed_measurements_come_from_the_experiments(self) -> None:
+        for series in committed_measurements().series:
+            sizes = tuple(int(point.size) for point in series.points)
+            self.assertIn(sizes, [measure.sizes for measure in CAPACITY_MEASURES.values()])
+
+    def test_every_series_is_used_or_listed(self) -> None:
+        text = capacity_text(committed_measurements())
+        for series in committed_measurements().series:
+            self.assertIn(f"`{series.name}`", text)
