--- a/camphordrift/documents/_capacity_page.py
+++ b/camphordrift/documents/_capacity_page.py
@@ -180,6 +180,10 @@
         "What a subset of pools costs in slowdown; how fast a tree of followers spreads a change; "
         "all mechanisms under *What carries it instead*.",
         "The home of one account asked by thousands of VMs.",
+        "The scheduler that orders by bands and the home VMs of pools: both came after this run, "
+        "whose scheduler series show a scheduler that looks at its whole queue in each round, "
+        "on a VM that decides alone. Run the command again before relying on that section.",
+        "What is remembered of the engines' prefix caches, by blocks.",
         "Resident memory under load, and fragmentation: Python's own count of live objects was "
         "taken.",
         f"The share of calls that may not be repeated: {sizes.CLAIMED_SHARE:.0%} is assumed.",
--- a/camphordrift/documents/_capacity_requests.py
+++ b/camphordrift/documents/_capacity_requests.py
@@ -117,7 +117,7 @@
     rounds = 3 * rate
     return RoleReport(
         name="Home VM of a pool of engines",
-        mechanism="each VM schedules all engines by itself, told by reports that it polls",
+        mechanism="at the time of the run: each VM schedules all engines, told by polled reports",
         memory=f"{size_text(state.value)} for {_POOL_ENGINES} engines, "
         f"{number(waiting.slope)} B an ask that waits",
         messages=f"{number(rate)} asks/s, {number(report_rate)} reports/s",
