--- a/camphordrift/daemons/_commands_measure.py
+++ b/camphordrift/daemons/_commands_measure.py
@@ -2,13 +2,14 @@
 
 import sys
 from collections.abc import Callable
-from typing import Annotated, Literal
+from pathlib import Path
+from typing import Annotated, Literal, Optional
 
 import cyclopts
 from cyclopts import Parameter
 from cyclopts.validators import Number
 
-from camphordrift.daemons._exit_codes import ExitCode
+from camphordrift.daemons._exit_codes import CommandError, ExitCode
 
 #: What can be run at random.
 SoakSubject = Literal["calls", "configuration", "membership"]
@@ -42,6 +43,35 @@
     return ExitCode.DONE
 
 
+def capacity(*, only: tuple[str, ...] = (), json_path: Optional[Path] = None) -> ExitCode:
+    """Measure what each part costs against its size; docs/CAPACITY.md is made of the results.
+
+    Parameters
+    ----------
+    only:
+        Names of the experiments to run; all if none is given, which takes some minutes.
+    json_path:
+        Where the results go; they are printed without it.
+
+    """
+    from camphordrift.resident_memory import measure_imports
+
+    # Before anything else is imported, which would hide what a process needs by itself.
+    memory = measure_imports()
+    from camphordrift.experiments import CAPACITY_MEASURES, measurements_to_json, run_capacity
+
+    unknown = sorted(set(only) - set(CAPACITY_MEASURES))
+    if unknown:
+        known = ", ".join(CAPACITY_MEASURES)
+        raise CommandError(ExitCode.BAD_INPUT, f"no experiment {unknown[0]}; there are {known}")
+    text = measurements_to_json(run_capacity(memory, only))
+    if json_path is None:
+        print(text, end="")
+    else:
+        json_path.write_text(text, encoding="utf-8")
+    return ExitCode.DONE
+
+
 def add_measure_commands(app: cyclopts.App) -> None:
     """Adds the commands of this module."""
     group = cyclopts.Group("Measuring", sort_key=4)
@@ -58,6 +88,7 @@
         group=group,
     )
     app.command(soak, group=group)
+    app.command(capacity, group=group)
 
 
 def _run_of(subject: SoakSubject) -> Callable[[int], object]:
