--- a/camphordrift/peers/tests/test_network.py
+++ b/camphordrift/peers/tests/test_network.py
@@ -132,6 +132,24 @@
 
         run_in_virtual_time(lambda: with_pair(body))
 
+    def test_message_larger_than_a_frame_is_refused_and_harms_nothing(self) -> None:
+        async def answer_much(_: PeerIdentity, q: Question) -> Result[Answer, results.Failure]:
+            return Success(Answer("x" * q.weight))
+
+        async def body(fabric: MemoryFabric, alpha: PeerNetwork, beta: PeerNetwork) -> None:
+            beta.register(Question, answer_much)
+            asked = await alpha.request(BETA, Question("x" * 2_000_000), 1.0)
+            answered = await alpha.request(BETA, Question("much", 2_000_000), 1.0)
+            alpha.notify(BETA, Question("x" * 2_000_000))
+            whole = await alpha.request(BETA, Question("little", 10), 1.0)
+            self.assertEqual(RunState.NOT_RUN, asked.failure().run_state)
+            self.assertEqual(RunState.OUTCOME_UNKNOWN, answered.failure().run_state)
+            self.assertEqual(ResultCode.PEER_FRAME_REFUSED, answered.failure().code)
+            self.assertEqual(Success(Answer("x" * 10)), whole)
+            self.assertEqual(1, len(fabric.streams))
+
+        run_in_virtual_time(lambda: with_pair(body))
+
     def test_request_to_itself_needs_no_stream(self) -> None:
         async def body(fabric: MemoryFabric, _: PeerNetwork, beta: PeerNetwork) -> None:
             outcome = await beta.request(BETA, Question("self"), 1.0)
@@ -158,6 +176,28 @@
 
         run_in_virtual_time(lambda: with_pair(body))
 
+    def test_replayed_request_runs_once_and_costs_the_connection(self) -> None:
+        run: list[str] = []
+
+        async def note(_: PeerIdentity, question: Question) -> Result[Answer, results.Failure]:
+            run.append(question.text)
+            return Success(Answer(question.text))
+
+        async def body(fabric: MemoryFabric, alpha: PeerNetwork, beta: PeerNetwork) -> None:
+            beta.register(Question, note)
+            await alpha.request(BETA, Question("first"), 1.0)
+            fabric.streams[0].repeats = True
+            await alpha.request(BETA, Question("second"), 1.0)
+            await trio.sleep(0.1)
+            outcome = await alpha.request(BETA, Question("third"), 1.0)
+            self.assertEqual(Success(Answer("third")), outcome)
+            self.assertEqual(["first", "third"], [text for text in run if text != "second"])
+            self.assertTrue(run.count("second") <= 1, run)
+            self.assertEqual(1, beta.counters.value("refused_replayed_frame"))
+            self.assertEqual(2, len(fabric.streams))
+
+        run_in_virtual_time(lambda: with_pair(body))
+
     def test_slow_but_living_peer_is_not_given_up(self) -> None:
         async def slow(_: PeerIdentity, __: Question) -> Result[Answer, results.Failure]:
             await trio.sleep(60)
