--- a/camphordrift/telemetry/__init__.py
+++ b/camphordrift/telemetry/__init__.py
@@ -10,6 +10,7 @@
     redact_keys,
     request_context,
 )
+from camphordrift.telemetry._loop_lag import measure_loop_lag
 from camphordrift.telemetry._metrics import (
     METRICS_CONTENT_TYPE,
     Counter,
@@ -18,6 +19,7 @@
     SecondsHistogram,
     render_metrics,
 )
+from camphordrift.telemetry._process_usage import ProcessUsage, process_usage
 from camphordrift.telemetry._signals import (
     DUMP_SIGNAL,
     STOP_SIGNALS,
@@ -36,6 +38,7 @@
     "InstrumentDescription",
     "LogLevel",
     "Metrics",
+    "ProcessUsage",
     "ObservedLevel",
     "SecondsHistogram",
     "StateDump",
@@ -44,7 +47,9 @@
     "dump_on_signal",
     "format_event",
     "log_event",
+    "measure_loop_lag",
     "plain_data",
+    "process_usage",
     "redact_keys",
     "render_dump",
     "render_metrics",
