Measure capacity anew on a quiet machine; hand the configuration on in parts

Cause: the slopes had been measured at load 25 and before the home VM decided; a configuration over 1 MiB could not be handed to a VM that starts during an outage; an ask named every engine although its account may use all. Change: all series measured again; the state goes to peers in parts of 500 KB, encoded once for each offset; an ask of an unrestricted account names no engine.

--- a/camphordrift/documents/_capacity_log.py
+++ b/camphordrift/documents/_capacity_log.py
@@ -7,6 +7,7 @@
 from camphordrift.documents import _capacity_sizes as sizes
 from camphordrift.documents._capacity_figures import Figures, number, size_text
 from camphordrift.documents._capacity_role import RoleReport
+from camphordrift.entry import PART_BYTES, RECORD_POLL_SECONDS
 from camphordrift.peers._frames import MAXIMUM_FRAME_BYTES
 from camphordrift.platform_log import FollowerSettings, WriterSettings
 
@@ -31,13 +32,14 @@
     rate = sizes.CLAIMS_PER_SECOND
     settings = CallSettings()
     writer = WriterSettings()
-    poll = FollowerSettings().poll_seconds
+    measured_poll = FollowerSettings().poll_seconds
     appends = figures.at("log_appends_by_calls", rate)
     read = figures.at("log_read_bytes_by_calls", rate)
     fold = figures.line("claims_cpu_by_keys")
     keys = rate * settings.key_max_age_seconds
     state = figures.at("claims_state_by_keys", keys)
     reads = figures.at("log_reads_by_vms", sizes.VMS)
+    idle_reads = reads.value * measured_poll / RECORD_POLL_SECONDS
     record = figures.at("claims_record_bytes_by_answer", _ANSWER_BYTES)
     batch = figures.line("records_per_append_by_calls")
     readable = (sizes.BUDGET_BYTES_PER_SECOND - read.line.base) / read.line.slope
@@ -49,7 +51,7 @@
     return RoleReport(
         name="Claim writer and follower",
         mechanism=f"every VM appends its own claims and follows all {CLAIM_PARTITION_COUNT} "
-        f"claim streams, polling each every {poll} s",
+        f"claim streams, reading each every {RECORD_POLL_SECONDS:g} s and after its own appends",
         memory=size_text(state.value),
         messages=f"{size_text(read.value)}/s read, {number(appends.value)} appends/s in all",
         processor=f"{number(fold.base * rate / 1000)} ms/s to fold",
@@ -68,7 +70,9 @@
             f"Keys remembered for {settings.key_max_age_seconds / sizes.SECONDS_PER_HOUR:g} h: "
             f"{number(rate)} × {settings.key_max_age_seconds:,.0f} s = {number(keys)}.",
             f"Memory: {state.steps}.",
-            f"Reads of the log: {reads.steps}.",
+            f"Reads of the log: {reads.steps} with a read each {measured_poll} s, as measured; × "
+            f"{measured_poll} / {RECORD_POLL_SECONDS:g} = **{number(idle_reads)}** reads/s as the "
+            f"daemon reads.",
             f"Batches: a VM whose appends are bounded ({writer.appends_per_second:g}/s) puts "
             f"{number(batch.base)} + {number(batch.slope)} × (calls a second) records into one "
             f"append (`records_per_append_by_calls`).",
@@ -82,7 +86,7 @@
             f"that budget is used up by {number(readable)} calls a second in the whole fleet.",
             f"{size_text(state.value)} of ledger against {size_text(sizes.BUDGET_BYTES)}: that is "
             f"used up by {number(kept)} calls a second in the whole fleet.",
-            f"{number(reads.value)} reads/s of the log although nothing is new.",
+            f"{number(idle_reads)} reads/s of the log although nothing is new.",
         ),
         instead=(
             f"{partitions} partitions by the key's hash, each written and followed by one VM of "
@@ -124,9 +128,6 @@
     checkpoint_cpu = figures.at("checkpoint_cpu_by_engines", sizes.ENGINES)
     memory = engines.value + accounts.value + snapshot_state.value
     frame = encoded.value + encoded_accounts.value
-    most_engines = (
-        MAXIMUM_FRAME_BYTES - encoded.line.base - encoded_accounts.value
-    ) / encoded.line.slope
     change_cpu = (record_cpu.value + snapshot.value) * sizes.CHANGES_PER_SECOND / 1000
     checkpoints = sizes.CHANGES_PER_DAY / keeper.checkpoint_records
     day_bytes = sizes.CHANGES_PER_DAY * record.value
@@ -140,12 +141,12 @@
     return RoleReport(
         name="Configuration follower",
         mechanism=f"every VM polls the stream every {poll} s and folds it; peers hand on the whole "
-        f"state in one frame",
+        f"state in parts of {size_text(PART_BYTES)}",
         memory=size_text(memory),
         messages=f"{number(record.value * sizes.CHANGES_PER_SECOND)} B/s of records; state "
         f"{size_text(frame)}",
         processor=f"{number(change_cpu)} ms/s; {number(checkpoint_cpu.value)} ms a checkpoint",
-        verdict="**breaks** in the frame between VMs, polling, and pauses of the loop",
+        verdict="**breaks** in polling, and in pauses of the loop",
         steps=(
             f"State: {engines.steps}; {accounts.steps}; snapshot {snapshot_state.steps}. Together "
             f"**{size_text(memory)}**.",
@@ -160,9 +161,6 @@
             f"= {number(checkpoint_day / sizes.SECONDS_PER_DAY)} B/s for each VM that reads them.",
         ),
         breaks=(
-            f"The state of {size_text(frame)} does not fit a frame of "
-            f"{size_text(MAXIMUM_FRAME_BYTES)}: above {number(most_engines)} engines a VM that "
-            f"starts while the log is down cannot be told by a peer.",
             f"{sizes.VMS:,} / {poll} s = {number(reads)} reads/s of one stream, for "
             f"{number(sizes.CHANGES_PER_SECOND)} changes/s.",
             f"One checkpoint holds the loop: {checkpoint_cpu.steps}, to encode and decode it. One "
@@ -184,8 +182,8 @@
             f"{replaced:,} VMs a day start anew and take {size_text(frame)} each: "
             f"{size_text(replaced * frame)} a day, "
             f"{number(replaced * frame / sizes.SECONDS_PER_DAY)}"
-            f" B/s over the whole fleet. The state travels in pages of entries with the offset "
-            f"at which it was cut, each well below a frame, and is decoded page by page.",
+            f" B/s over the whole fleet. The state travels in parts below the frame of "
+            f"{size_text(MAXIMUM_FRAME_BYTES)}; encoding and decoding have to go in parts, too.",
             "A snapshot is changed by the entries of the record instead of being made anew, and a "
             "checkpoint is encoded entry by entry as they change.",
             f"A region cut off for an hour misses {number(hour_records)} records = "
--- a/camphordrift/documents/_capacity_requests.py
+++ b/camphordrift/documents/_capacity_requests.py
@@ -5,10 +5,14 @@
 from camphordrift.documents import _capacity_sizes as sizes
 from camphordrift.documents._capacity_figures import Figures, number, size_text
 from camphordrift.documents._capacity_role import RoleReport
-from camphordrift.entry._engine_watch import LOAD_INTERVAL_SECONDS
-
-#: The mix for which requests are worked out, in thousand prompt tokens; the letter says only that
-#: one in fifty is over a hundred thousand.
+from camphordrift.entry._engine_watch import (
+    AWAY_INTERVAL_SECONDS,
+    LOAD_INTERVAL_SECONDS,
+    READINGS_BETWEEN_CACHE_EVENTS,
+)
+
+#: The mix for which requests are worked out, in thousand prompt tokens; the stated size says only
+#: that one in fifty is over a hundred thousand.
 _LONG_SHARE = 1 / 50
 _SHORT_THOUSANDS = 10
 _LONG_THOUSANDS = 300
@@ -110,14 +114,17 @@
     ask_rate = ask.value * sizes.REQUESTS_PER_VM
     permit = figures.at("permit_cpu_by_engines", sizes.ENGINES_PER_SERVICE)
     short_ask = figures.line("ask_bytes_by_engines").base
-    polls = 2 * sizes.VMS * sizes.ENGINES / LOAD_INTERVAL_SECONDS
+    reads = 1 + 1 / READINGS_BETWEEN_CACHE_EVENTS
+    polls = reads * sizes.VMS * sizes.ENGINES / AWAY_INTERVAL_SECONDS
+    home_polls = reads * report_rate
     pools = math.ceil(sizes.ENGINES / _POOL_ENGINES)
     load = figures.at("load_report_bytes_by_models", 1)
     fitting = _largest_pool(figures)
     rounds = 3 * rate
     return RoleReport(
         name="Home VM of a pool of engines",
-        mechanism="at the time of the run: each VM schedules all engines, told by polled reports",
+        mechanism="the home VM of a service queues for all its engines; entry VMs ask it, and "
+        "only it reads the engines often",
         memory=f"{size_text(state.value)} for {_POOL_ENGINES} engines, "
         f"{number(waiting.slope)} B an ask that waits",
         messages=f"{number(rate)} asks/s, {number(report_rate)} reports/s",
@@ -133,20 +140,21 @@
             f"{number(report.value)} µs = **{number(cpu_ms)} ms/s**.",
             f"State: {state.steps}; an ask that waits {number(waiting.slope)} ± "
             f"{number(waiting.slope_error)} B (`scheduler_state_by_queue`).",
-            f"A round of decisions that can grant nothing: {number(queue.slope)} ± "
-            f"{number(queue.slope_error)} µs an ask that waits (`scheduler_cpu_by_queue`), with "
-            f"three rounds a request.",
+            f"A round of decisions that can grant nothing: {number(queue.base)} µs and "
+            f"{number(queue.slope)} ± {number(queue.slope_error)} µs an ask that waits "
+            f"(`scheduler_cpu_by_queue`), with three rounds a request.",
         ),
         breaks=(
-            f"A whole service has {number(sizes.ENGINES_PER_SERVICE)} engines. "
-            f"Its ask names all that the account may reach: {ask.steps}; × "
+            f"A whole service has {number(sizes.ENGINES_PER_SERVICE)} engines. The ask of an "
+            f"account that may reach some of them only names these, at the worst: {ask.steps}; × "
             f"{number(sizes.REQUESTS_PER_VM)}/s = {size_text(ask_rate)}/s from each VM, against "
             f"{size_text(sizes.BUDGET_BYTES_PER_SECOND)}/s. Making it: {permit.steps}.",
-            f"Every VM polls every engine's load and cache events: 2 × {sizes.VMS:,} × "
-            f"{sizes.ENGINES:,} / {LOAD_INTERVAL_SECONDS} s = {number(polls)} HTTP requests/s in "
-            f"all, {number(polls / sizes.ENGINES)} on each engine.",
-            f"Rounds that look at the whole queue: with {number(rounds)} rounds a second, one core "
-            f"is used up by {number(1e6 / rounds / queue.slope)} asks that wait.",
+            f"Every VM reads every engine's load, if rarely, and cache events with some: "
+            f"{number(reads)} × {sizes.VMS:,} × {sizes.ENGINES:,} / {AWAY_INTERVAL_SECONDS} s = "
+            f"{number(polls)} HTTP requests/s in all, {number(polls / sizes.ENGINES)} on each "
+            f"engine.",
+            f"{number(rounds)} rounds a second cost {number(rounds * queue.base / 1000)} ms/s "
+            f"with nothing waiting, so a home has to be asked by less than a whole service.",
             f"As control, the pool's {number(cpu_ms)} ms/s are over {sizes.BUDGET_CPU_MS:g} ms/s; "
             f"{_fitting_text(fitting)}",
             f"Messages for each request cannot be control of "
@@ -161,9 +169,9 @@
             f"VM each by rendezvous hash over the zone's VMs: {number(pools / sizes.VMS)} pools a "
             f"VM. An ask names the pool and the policy's version, not the engines: about "
             f"{number(short_ask)} B (the base of `ask_bytes_by_engines`).",
-            f"Only the home reads its engines: {_POOL_ENGINES} × 2 / {LOAD_INTERVAL_SECONDS} s = "
-            f"{number(2 * report_rate)} HTTP requests/s, and {number(2 / LOAD_INTERVAL_SECONDS)} "
-            f"on each engine. Load reports alone are {number(load.value)} B × "
+            f"Only the home and the next in line read the engines: {number(reads)} × "
+            f"{_POOL_ENGINES} / {LOAD_INTERVAL_SECONDS} s = {number(home_polls)} HTTP requests/s "
+            f"for the home. Load reports alone are {number(load.value)} B × "
             f"{number(report_rate)}/s = {size_text(load.value * report_rate)}/s, which is over "
             f"{size_text(sizes.BUDGET_BYTES_PER_SECOND)}/s: pushed by the engine on change, or "
             f"read every {number(load.value * _POOL_ENGINES / sizes.BUDGET_BYTES_PER_SECOND * 2)} "
@@ -171,8 +179,6 @@
             "A VM chooses among pools of its zone by two choices from the loads that homes add to "
             "their grants; no VM knows all pools. How much slowdown a subset costs is for the "
             "measuring tool and has not been measured.",
-            "The queue is looked at from its head in each band, so that a round costs the "
-            "grants it makes, not the asks that wait.",
         ),
     )
 
--- a/camphordrift/entry/_configuration_sharing.py
+++ b/camphordrift/entry/_configuration_sharing.py
@@ -25,20 +25,33 @@
 ASK_TIMEOUT_SECONDS = 2.0
 
 
+#: The state is handed on in parts of at most this size, below the size of a frame, in bytes.
+PART_BYTES = 500_000
+
+
 @dataclass(frozen=True)
 class ConfigurationStateAsk:
-    """Asks a VM for its configuration if it is further in the log."""
+    """Asks a VM for one part of its configuration if it is further in the log."""
 
     #: The offset up to which the asking VM has applied records.
     offset: int
 
+    #: The first byte of the part.
+    start: int = 0
+
 
 @dataclass(frozen=True)
 class ConfigurationStateAnswer:
-    """A VM's configuration with its offset."""
+    """One part of a VM's configuration."""
+
+    #: The bytes of the part; empty if the answering VM is not further.
+    part: bytes
 
-    #: The encoded state; empty if the answering VM is not further.
-    state: bytes
+    #: The offset of the whole state; parts of states at different offsets do not fit together.
+    offset: int = 0
+
+    #: The size of the whole state, in bytes.
+    size: int = 0
 
 
 class Messenger(Protocol):
@@ -73,7 +86,11 @@
         messenger: Messenger,
         peers: Callable[[], Sequence[VmId]],
         rng: random.Random,
+        part_bytes: int = PART_BYTES,
     ) -> None:
+        self._part_bytes = part_bytes
+        self._encoded: Optional[bytes] = None
+        self._encoded_offset = -1
         self._keeper = keeper
         self._messenger = messenger
         self._peers = peers
@@ -98,21 +115,42 @@
         if not peers:
             return
         peer = self._rng.choice(peers)
-        ask = ConfigurationStateAsk(self._keeper.state_offset)
-        answer = await self._messenger.request(peer, ask, ASK_TIMEOUT_SECONDS)
-        if not is_successful(answer):
-            return
-        match answer.unwrap():
-            case ConfigurationStateAnswer(state) if state:
-                outcome = self._keeper.accept_peer_state(state)
-                if outcome is PeerStateOutcome.ADOPTED:
-                    version = self._keeper.status.version
-                    log_event("configuration_from_peer", peer=peer, version=version)
+        state = await self._fetch_state(peer)
+        if state and self._keeper.accept_peer_state(state) is PeerStateOutcome.ADOPTED:
+            version = self._keeper.status.version
+            log_event("configuration_from_peer", peer=peer, version=version)
+
+    async def _fetch_state(self, peer: VmId) -> bytes:
+        """Returns a peer's whole state; nothing if it is not further or changes meanwhile."""
+        own_offset = self._keeper.state_offset
+        state = b""
+        state_offset: Optional[int] = None
+        while True:
+            ask = ConfigurationStateAsk(own_offset, len(state))
+            answer = await self._messenger.request(peer, ask, ASK_TIMEOUT_SECONDS)
+            if not is_successful(answer):
+                return b""
+            given: ConfigurationStateAnswer = answer.unwrap()
+            if not given.part or state_offset not in (None, given.offset):
+                return b""
+            state_offset = given.offset
+            state += given.part
+            if len(state) >= given.size:
+                return state
 
     async def _answer(
         self, peer: PeerIdentity, ask: ConfigurationStateAsk
     ) -> result.Result[ConfigurationStateAnswer, Failure]:
-        state = self._keeper.encoded_state()
-        if state is None or self._keeper.state_offset <= ask.offset:
+        offset = self._keeper.state_offset
+        if offset <= ask.offset:
             return result.Success(ConfigurationStateAnswer(b""))
-        return result.Success(ConfigurationStateAnswer(state))
+        state = self._encoded_at(offset)
+        part = state[ask.start : ask.start + self._part_bytes]
+        return result.Success(ConfigurationStateAnswer(part, offset, len(state)))
+
+    def _encoded_at(self, offset: int) -> bytes:
+        """Returns the state, encoded once for all parts and all VMs that ask for this offset."""
+        if self._encoded is None or self._encoded_offset != offset:
+            self._encoded = self._keeper.encoded_state() or b""
+            self._encoded_offset = offset
+        return self._encoded
--- a/camphordrift/entry/tests/test_configuration_sharing.py
+++ b/camphordrift/entry/tests/test_configuration_sharing.py
@@ -45,7 +45,8 @@
 
 
 def share(keeper: ConfigurationKeeper, network: PeerNetwork, other: str) -> ConfigurationSharing:
-    return ConfigurationSharing(keeper, network, lambda: (VmId(other),), random.Random(1))
+    peers = (VmId(other),)
+    return ConfigurationSharing(keeper, network, lambda: peers, random.Random(1), part_bytes=50)
 
 
 class NewVmDuringOutageTest(testtools.TestCase):
--- a/camphordrift/gateway/_permissions.py
+++ b/camphordrift/gateway/_permissions.py
@@ -32,7 +32,7 @@
     #: The policy that permits it.
     policy: Policy
 
-    #: Engines that the account may reach, which are all that serve the model if there is no limit.
+    #: Engines that the account may reach; empty if it may reach all that serve the model.
     engines: frozenset[BackendServerId]
 
     @property
@@ -87,12 +87,10 @@
     refusal = _length_refusal(body, model, policy)
     if refusal is not None:
         return result.Failure(refusal)
-    servers = snapshot.permitted_servers(account_id, service.name)
-    engines = frozenset(server.server_id for server in servers)
-    if not engines:
+    if not snapshot.permitted_servers(account_id, service.name):
         detail = f"the configuration names no engine that {account_id} may reach"
         return result.Failure(Failure(ResultCode.NO_ENGINE_AVAILABLE, detail))
-    return result.Success(GenerationPermission(account_id, service, policy, engines))
+    return result.Success(GenerationPermission(account_id, service, policy, policy.servers))
 
 
 def permit_service_call(
