--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -1,18 +1,17 @@
 """Puts the parts of an entry VM's process together and runs them."""
 
 import random
-import ssl
 import time
-from typing import Any, Optional
+from typing import Any
 
 import trio
-from returns.pipeline import is_successful
 
 from camphordrift.account_limits import LimiterSettings, account_limit_service
-from camphordrift.backend_http import HttpConnections, HttpEngineClient, HttpTimeouts
-from camphordrift.configuration import ConfigurationKeeper, ConfigurationSnapshot, KeeperSettings
+from camphordrift.backend_http import HttpEngineClient
+from camphordrift.configuration import ConfigurationKeeper, KeeperSettings
 from camphordrift.draining import DrainController
 from camphordrift.engine_memory import HoldRegistry, HoldSettings
+from camphordrift.entry._backend_connections import BackendAddresses, backend_connections
 from camphordrift.entry._configuration_sharing import ConfigurationSharing
 from camphordrift.entry._engine_memory import EngineMemoryKeeper
 from camphordrift.entry._engine_orders import engine_orders
@@ -39,7 +38,7 @@
 from camphordrift.http_server import ServeOptions, serve_http
 from camphordrift.identifiers import BackendServerId, Incarnation
 from camphordrift.operations import ConfigurationOperations, OperatorServices, operators_app
-from camphordrift.security import FleetKeys, client_tls_context
+from camphordrift.security import FleetKeys
 from camphordrift.settings import EntrySettings
 from camphordrift.telemetry import (
     DecisionRecord,
@@ -72,7 +71,7 @@
         self._journal = RequestJournal(self._metrics, self._decisions)
         self._active = ActiveRequests()
         self._body_memory = BodyMemory(settings.limits.max_held_body_bytes)
-        self._connections = _connections(settings)
+        self._connections = backend_connections(settings)
         self._peers = peer_access(settings, incarnation, keys, self._connections)
         self._log = log_access(self._connections, settings.platform.log_url, vm_id)
         self._keeper = ConfigurationKeeper(
@@ -84,6 +83,7 @@
             rng,
             self._peers.schema_versions,
         )
+        addresses = BackendAddresses(lambda: self._keeper.snapshot)
         self._sharing = ConfigurationSharing(
             self._keeper, self._peers.network, self._peers.other_vms, rng
         )
@@ -92,14 +92,14 @@
         )
         self._gate = LimitsGate(self._limits)
         self._calls = call_coordinator(self._log, vm_id, incarnation)
-        self._engines = HttpEngineClient(self._connections, self._address_of)
+        self._engines = HttpEngineClient(self._connections, addresses.address_of)
         self._holds = HoldRegistry(incarnation, HoldSettings())
         self._memory = EngineMemoryKeeper(
             self._holds,
             self._engines,
             self._peers.network,
             self._peers.membership.view,
-            self._engine_ids,
+            addresses.engine_ids,
             self._metrics,
         )
         self._orders = engine_orders(
@@ -111,7 +111,7 @@
         self._watch = EngineWatch(
             self._engines, self._grants.local, self._peers.membership, self._grants.is_home_of
         )
-        self._server_choice = ServerChoice(self._address_of, self._takes_work, rng)
+        self._server_choice = ServerChoice(addresses.address_of, self._takes_work, rng)
         self._services = ServiceCaller(self._connections, self._server_choice, rng)
         self._attempt_policy = BudgetedAttemptPolicy(rng, self._note_failed)
         self._stop = PlannedStop(
@@ -163,14 +163,7 @@
         async with trio.open_nursery() as nursery:
             for part in self._background_tasks():
                 nursery.start_soon(part)
-            await nursery.start(
-                serve_http,
-                operators_app(self._operator_services()),
-                self._settings.listen.operators,
-            )
-            await nursery.start(
-                serve_http, gateway_app(self._context()), self._settings.listen.callers
-            )
+            await self._serve_ports(nursery)
             log_event("vm_started", vm=self._settings.vm.vm_id)
             task_status.started()
             clean = await self._stop.run()
@@ -296,12 +289,6 @@
         await self._orders.leases.release_all()
         await self._calls.flush()
 
-    def _engine_ids(self) -> tuple[BackendServerId, ...]:
-        snapshot = self._keeper.snapshot
-        if snapshot is None:
-            return ()
-        return tuple(engine.server_id for engine in snapshot.engines())
-
     def _takes_work(self, server_id: BackendServerId) -> bool:
         return not self._peers.membership.servers.is_leaving(server_id)
 
@@ -309,34 +296,3 @@
         self._journal.attempt_failed(
             failed.request_id, failed.engine_id, failed.attempt, failed.error
         )
-
-    def _address_of(self, server_id: BackendServerId) -> Optional[str]:
-        snapshot: Optional[ConfigurationSnapshot] = self._keeper.snapshot
-        if snapshot is None:
-            return None
-        server = snapshot.server_named(server_id)
-        if server is None:
-            return None
-        host = f"[{server.address}]" if ":" in server.address else server.address
-        return f"http://{host}:{server.port}"
-
-
-def _connections(settings: EntrySettings) -> HttpConnections:
-    limits = settings.limits
-    timeouts = HttpTimeouts(
-        connect_seconds=limits.connect_timeout_seconds,
-        first_byte_seconds=limits.first_byte_timeout_seconds,
-        between_bytes_seconds=limits.between_bytes_timeout_seconds,
-    )
-    return HttpConnections(timeouts, _backend_tls(settings))
-
-
-def _backend_tls(settings: EntrySettings) -> Optional[ssl.SSLContext]:
-    """Returns what backend servers' certificates are checked with; raises ``OSError``."""
-    authorities = settings.tls.backend_authorities_file
-    if authorities is None:
-        return None
-    context = client_tls_context(authorities)
-    if not is_successful(context):
-        raise OSError(str(context.failure()))
-    return context.unwrap()
--- a/camphordrift/gateway/_errors.py
+++ b/camphordrift/gateway/_errors.py
@@ -7,19 +7,12 @@
 
 from camphordrift.gateway._headers import REQUEST_ID_HEADER
 from camphordrift.identifiers import RequestId
-from camphordrift.results import Failure
+from camphordrift.results import Failure, describe_failure
 
 
 def error_body(failure: Failure, request_id: RequestId) -> bytes:
     """Returns the JSON body for ``failure``."""
-    error = {
-        "message": failure.detail,
-        "type": failure.code.name.lower(),
-        "code": int(failure.code),
-        "run_state": failure.run_state.value,
-        "request_id": request_id,
-        "retry_after_seconds": failure.retry_after_seconds,
-    }
+    error = {**describe_failure(failure), "request_id": request_id}
     return json.dumps({"error": error}).encode("utf-8")
 
 
--- a/camphordrift/gateway/_headers.py
+++ b/camphordrift/gateway/_headers.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from camphordrift.results import Failure, ResultCode
+from camphordrift.security import bearer_key
 
 #: The caller's timeout for the whole request, in seconds.
 TIMEOUT_HEADER = "camphordrift-timeout-seconds"
@@ -46,11 +47,11 @@
 
 def read_bearer_key(headers: Mapping[str, str]) -> result.Result[str, Failure]:
     """Returns the caller's key from the ``Authorization`` header."""
-    scheme, _, key = headers.get("authorization", "").partition(" ")
-    if scheme.lower() != "bearer" or not key.strip():
+    key = bearer_key(headers.get("authorization"))
+    if key is None:
         detail = "Authorization: expected 'Bearer' and the key of a client account"
         return result.Failure(Failure(ResultCode.UNAUTHENTICATED, detail))
-    return result.Success(key.strip())
+    return result.Success(key)
 
 
 def _positive_number(text: str) -> Optional[float]:
