Take out configuration fields that nothing reads

Cause: reading the records' reference against the program: four numbers of the fleet's tuning and the policies' weight were checked, published and never used. Ruled out: the timeouts in force come from each VM's settings, the short band from the routing policy, the weights of accounts from their limits. Conclusion: what can be published is in force.

--- a/camphordrift/configuration/_server_models.py
+++ b/camphordrift/configuration/_server_models.py
@@ -9,7 +9,6 @@
     MAXIMUM_TOKENS,
     EntryName,
     IpNumber,
-    Seconds,
     Tokens,
     ValueModel,
 )
@@ -74,25 +73,8 @@
     slowdown_weight: float = Field(
         0.3, ge=0, le=1, description="a number from 0 (time to first token) to 1 (slowdown)"
     )
-    short_prompt_tokens: Tokens = Field(4_000, description="a whole number of tokens above 0")
     long_prompt_tokens: Tokens = Field(100_000, description="a whole number of tokens above 0")
-    first_byte_timeout_seconds: Seconds = Field(30.0, description="a number of seconds above 0")
-    idle_timeout_seconds: Seconds = Field(5.0, description="a number of seconds above 0")
-    peer_idle_timeout_seconds: Seconds = Field(2.0, description="a number of seconds above 0")
-
-    @model_validator(mode="after")
-    def _short_below_long(self) -> "FleetTuningModel":
-        if self.short_prompt_tokens > self.long_prompt_tokens:
-            raise ValueError("short_prompt_tokens must not exceed long_prompt_tokens")
-        return self
 
     def to_value(self, name: str) -> FleetTuning:
         """Returns the value that the program uses."""
-        return FleetTuning(
-            self.slowdown_weight,
-            self.short_prompt_tokens,
-            self.long_prompt_tokens,
-            self.first_byte_timeout_seconds,
-            self.idle_timeout_seconds,
-            self.peer_idle_timeout_seconds,
-        )
+        return FleetTuning(self.slowdown_weight, self.long_prompt_tokens)
--- a/camphordrift/configuration/_value_models.py
+++ b/camphordrift/configuration/_value_models.py
@@ -140,7 +140,6 @@
     maximum_prompt_tokens: Optional[Tokens] = Field(
         None, description="a whole number of tokens above 0"
     )
-    priority_weight: Weight = Field(1.0, description="a number above 0, where 1 is ordinary")
 
     def to_value(self, name: str) -> Policy:
         """Returns the value that the program uses."""
@@ -150,7 +149,6 @@
             ServiceName(self.service),
             frozenset(BackendServerId(server) for server in self.servers),
             self.maximum_prompt_tokens,
-            self.priority_weight,
         )
 
 
--- a/camphordrift/configuration/_values.py
+++ b/camphordrift/configuration/_values.py
@@ -150,9 +150,6 @@
     #: The longest prompt, in tokens; ``None`` sets no limit.
     maximum_prompt_tokens: Optional[int] = None
 
-    #: How much its requests weigh against others when engines are short; 1 is ordinary.
-    priority_weight: float = 1.0
-
 
 @dataclass(frozen=True)
 class AccountLimits:
@@ -219,21 +216,9 @@
     #: From 0 (only time to first token counts) to 1 (only the slowdown of short requests counts).
     slowdown_weight: float = 0.3
 
-    #: Prompts up to this many tokens are short.
-    short_prompt_tokens: int = 4_000
-
     #: Prompts over this many tokens are long.
     long_prompt_tokens: int = 100_000
 
-    #: Longest silence of a backend server before the first byte of an answer, in seconds.
-    first_byte_timeout_seconds: float = 30.0
-
-    #: Longest silence of a backend server within an answer, in seconds.
-    idle_timeout_seconds: float = 5.0
-
-    #: Longest silence on a stream between VMs, in seconds.
-    peer_idle_timeout_seconds: float = 2.0
-
 
 #: Any value that a record can publish.
 ConfigurationValue = Union[
