--- a/camphordrift/tests/process_load.py
+++ b/camphordrift/tests/process_load.py
@@ -24,6 +24,20 @@
 OUTPUT_TOKENS = 40
 
 
+@dataclass(frozen=True)
+class Sample:
+    """One generation request, for figures."""
+
+    #: When it began, by the clock of the callers' loop, in seconds.
+    begun_at: float
+
+    #: How long it took, in seconds.
+    seconds: float
+
+    #: Whether it was answered whole.
+    whole: bool
+
+
 @dataclass
 class Account:
     """What callers were told, to be compared with what ran."""
@@ -46,6 +60,9 @@
     #: Whatever contradicts a promise.
     violations: list[str] = field(default_factory=list)
 
+    #: All generation requests, in the order of their ends.
+    samples: list[Sample] = field(default_factory=list)
+
     def note_failure(self, answer: HttpAnswer) -> str:
         """Counts a failure, and returns its run state."""
         error = json.loads(answer.body)["error"]
@@ -108,17 +125,22 @@
             "max_tokens": OUTPUT_TOKENS,
         }
         begun_at = trio.current_time()
+        whole = await self._generate(body, number)
+        taken = trio.current_time() - begun_at
+        self._account.samples.append(Sample(begun_at, taken, whole))
+        if taken > TIMEOUT_SECONDS + LATE_SECONDS:
+            self._account.violations.append(f"generation {number} took {taken:.1f} s")
+
+    async def _generate(self, body: Any, number: int) -> bool:
         try:
             answer = await self._send("/v1/completions", body, ())
         except BackendError:
             self._account.broken_connections += 1
-            return
-        finally:
-            self._check_time(begun_at, f"generation {number}")
+            return False
         if answer.status != 200:
             self._account.note_failure(answer)
-            return
-        self._check_whole(json.loads(answer.body)["choices"][0]["text"], number)
+            return False
+        return self._check_whole(json.loads(answer.body)["choices"][0]["text"], number)
 
     async def book(self, number: int) -> None:
         """Makes one booking, and repeats it under its key until it is answered."""
@@ -155,19 +177,15 @@
         call = HttpCall("POST", base_url, target, json.dumps(body).encode(), lines)
         return await self._fleet.connections.fetch(call, TIMEOUT_SECONDS + LATE_SECONDS)
 
-    def _check_time(self, begun_at: float, what: str) -> None:
-        taken = trio.current_time() - begun_at
-        if taken > TIMEOUT_SECONDS + LATE_SECONDS:
-            self._account.violations.append(f"{what} took {taken:.1f} s")
-
-    def _check_whole(self, text: str, number: int) -> None:
+    def _check_whole(self, text: str, number: int) -> bool:
         words = [word.split(".") for word in text.split()]
         numbers = [word[0] for word in words]
         owners = {word[1] for word in words}
         if numbers != [f"t{index}" for index in range(OUTPUT_TOKENS)] or len(owners) != 1:
             self._account.violations.append(f"generation {number} got {text!r}")
-            return
+            return False
         self._account.whole_answers += 1
+        return True
 
 
 async def run_load(
