--- a/camphordrift/documents/_capacity_requests.py
+++ b/camphordrift/documents/_capacity_requests.py
@@ -10,6 +10,7 @@
     LOAD_INTERVAL_SECONDS,
     READINGS_BETWEEN_CACHE_EVENTS,
 )
+from camphordrift.routing import RoutingPolicy
 
 #: The mix for which requests are worked out, in thousand prompt tokens; the stated size says only
 #: that one in fifty is over a hundred thousand.
@@ -110,6 +111,8 @@
     state = figures.at("scheduler_state_by_engines", _POOL_ENGINES)
     queue = figures.line("scheduler_cpu_by_queue")
     waiting = figures.line("scheduler_state_by_queue")
+    cache = figures.line("cache_knowledge_state_by_blocks")
+    blocks = RoutingPolicy().known_cache_blocks
     ask = figures.at("ask_bytes_by_engines", sizes.ENGINES_PER_SERVICE)
     ask_rate = ask.value * sizes.REQUESTS_PER_VM
     permit = figures.at("permit_cpu_by_engines", sizes.ENGINES_PER_SERVICE)
@@ -140,6 +143,9 @@
             f"{number(report.value)} µs = **{number(cpu_ms)} ms/s**.",
             f"State: {state.steps}; an ask that waits {number(waiting.slope)} ± "
             f"{number(waiting.slope_error)} B (`scheduler_state_by_queue`).",
+            f"Prefix caches: {number(cache.slope)} ± {number(cache.slope_error)} B a block that is "
+            f"remembered (`cache_knowledge_state_by_blocks`, its slope) × {blocks} blocks × "
+            f"{_POOL_ENGINES} = {size_text(cache.slope * blocks * _POOL_ENGINES)}.",
             f"A round of decisions that can grant nothing: {number(queue.base)} µs and "
             f"{number(queue.slope)} ± {number(queue.slope_error)} µs an ask that waits "
             f"(`scheduler_cpu_by_queue`), with three rounds a request.",
--- a/camphordrift/experiments/_capacity.py
+++ b/camphordrift/experiments/_capacity.py
@@ -38,6 +38,7 @@
 )
 from camphordrift.experiments._slopes_requests import measure_permissions, measure_request_cpu
 from camphordrift.experiments._slopes_scheduler import (
+    measure_cache_knowledge,
     measure_scheduler_by_engines,
     measure_scheduler_by_queue,
 )
@@ -86,6 +87,9 @@
         "log": CapacityMeasure(measure_log_use, (5, 10, 20, 40, 80), (1, 2)),
         "batches": CapacityMeasure(measure_batches, (50, 100, 200, 400, 800), (1, 2)),
         "log-reads": CapacityMeasure(measure_log_reads, (2, 4, 7, 14), (1, 2)),
+        "cache-knowledge": CapacityMeasure(
+            measure_cache_knowledge, (1_000, 3_000, 10_000, 30_000), (10, 20)
+        ),
     }
 )
 
--- a/camphordrift/experiments/_slopes_scheduler.py
+++ b/camphordrift/experiments/_slopes_scheduler.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Sequence
 
+from xxhash import xxh3_64_intdigest
+
 from camphordrift.backend_servers import LoadReport
 from camphordrift.experiments._slope_series import Series, SeriesKind, cpu_seconds, held_bytes
 from camphordrift.experiments._slope_values import ACCOUNT, MODEL, engine_name
@@ -15,6 +17,7 @@
     PoolScheduler,
     pool_scheduler,
 )
+from camphordrift.routing._cache_knowledge import CacheKnowledge
 
 #: Requests that run on each engine meanwhile.
 FLIGHTS_PER_ENGINE = 8
@@ -61,6 +64,30 @@
 )
 
 
+_CACHE_STATE = SeriesKind(
+    "cache_knowledge_state_by_blocks",
+    "what is believed of one engine's prefix cache",
+    "prompt blocks remembered",
+    "bytes",
+)
+
+
+def measure_cache_knowledge(block_counts: Sequence[int]) -> tuple[Series, ...]:
+    """Measures the state of the knowledge of one prefix cache by the blocks remembered."""
+    return (
+        _CACHE_STATE.measured(
+            block_counts, lambda count: float(held_bytes(lambda: _cache_knowledge(count))[1])
+        ),
+    )
+
+
+def _cache_knowledge(block_count: int) -> CacheKnowledge:
+    """Returns the knowledge of a cache with so many blocks, whose hashes fill 64 bits."""
+    knowledge = CacheKnowledge(block_count, block_tokens=1024)
+    knowledge.expect_stored(tuple(xxh3_64_intdigest(str(n).encode()) for n in range(block_count)))
+    return knowledge
+
+
 def measure_scheduler_by_engines(engine_counts: Sequence[int]) -> tuple[Series, ...]:
     """Measures decisions, load reports and state by the engines of a pool."""
     return (
