Keep a whole answer's text once, and take out an unused gate

Cause: reading the change once more: the text of an answer that is not streamed was collected beside the assembler, which has it; the summary joined the whole text to read why the answer ended; an admission gate for tests was used by none. Change: the answer is taken from the assembler, which tells its end by itself; the unused gate is gone. Behaviour is as before. Conclusion: one place holds the text.

--- a/camphordrift/gateway/__init__.py
+++ b/camphordrift/gateway/__init__.py
@@ -9,7 +9,7 @@
     FailedAttempt,
 )
 from camphordrift.gateway._bodies import BodyMemory
-from camphordrift.gateway._context import AdmissionGate, GatewayContext, GatewayLimits, OpenGate
+from camphordrift.gateway._context import AdmissionGate, GatewayContext, GatewayLimits
 from camphordrift.gateway._generation import GenerationRunner, GenerationSummary
 from camphordrift.gateway._journal import RequestEnd, RequestJournal
 from camphordrift.gateway._lengths import estimate_tokens, prefix_block_hashes
@@ -31,7 +31,6 @@
     "GatewayLimits",
     "GenerationRunner",
     "GenerationSummary",
-    "OpenGate",
     "RequestEnd",
     "RequestJournal",
     "ServerChoice",
--- a/camphordrift/gateway/_answer.py
+++ b/camphordrift/gateway/_answer.py
@@ -51,6 +51,11 @@
         """How many tokens have been accepted so far."""
         return self._delivered_tokens
 
+    @property
+    def finish_reason(self) -> Optional[str]:
+        """Why the answer ended; ``None`` while it goes on."""
+        return self._finish_reason
+
     @property
     def is_complete(self) -> bool:
         """Whether the answer has ended."""
--- a/camphordrift/gateway/_context.py
+++ b/camphordrift/gateway/_context.py
@@ -48,16 +48,6 @@
         ...
 
 
-class OpenGate:
-    """An :class:`AdmissionGate` without limits, for tests."""
-
-    async def admit(
-        self, account_id: AccountId, tokens: int, is_long: bool
-    ) -> result.Result[Callable[[], None], Failure]:
-        """Admits every request."""
-        return result.Success(lambda: None)
-
-
 @dataclass(frozen=True)
 class GatewayContext:
     """The parts of the process that serve requests."""
--- a/camphordrift/gateway/_generation.py
+++ b/camphordrift/gateway/_generation.py
@@ -83,6 +83,11 @@
         """Tokens that the sink has taken so far."""
         return self._assembler.delivered_tokens
 
+    @property
+    def delivered_text(self) -> str:
+        """The text of those tokens."""
+        return self._assembler.progress.delivered_text
+
     @property
     def attempts(self) -> int:
         """Attempts that were begun so far."""
@@ -212,7 +217,7 @@
             attempts=self._attempt,
             engine_id=grant.engine_id,
             output_tokens=self._assembler.delivered_tokens,
-            finish_reason=self._assembler.progress.finish_reason or "stop",
+            finish_reason=self._assembler.finish_reason or "stop",
             first_token_seconds=first_token_at - self._started_at,
         )
 
--- a/camphordrift/gateway/_generation_answer.py
+++ b/camphordrift/gateway/_generation_answer.py
@@ -67,7 +67,6 @@
         self._receive = receive
         self._send = send
         self._format = AnswerFormat(admitted.request_id, admitted.body, int(time.time()))
-        self._texts: list[str] = []
         headers = {
             "content-type": "text/event-stream",
             "cache-control": "no-store",
@@ -134,7 +133,7 @@
             await self._refuse(outcome.failure())
 
     async def _write_whole(self, summary: GenerationSummary) -> None:
-        text = "".join(self._texts)
+        text = self._runner.delivered_text
         body = self._format.whole(text, summary.finish_reason, summary.output_tokens)
         headers = {REQUEST_ID_HEADER: str(self._admitted.request_id)}
         response = Response(body, media_type="application/json", headers=headers)
@@ -143,8 +142,6 @@
     async def _take_chunk(self, chunk: TokenChunk) -> None:
         if self._admitted.body.stream:
             await self._stream.write(self._format.event(chunk))
-        else:
-            self._texts.append(chunk.text)
 
     async def _refuse(self, failure: Failure) -> None:
         response = error_response(failure, self._admitted.request_id)
