--- /dev/null
+++ b/camphordrift/platform/__init__.py
@@ -0,0 +1,14 @@
+"""Speaks to the users' platform: its names, formats and calls. Decides nothing."""
+
+from camphordrift.platform._documents import PlatformDocuments
+from camphordrift.platform._headers import PlatformHeaders
+from camphordrift.platform._settings import decode_settings, load_settings
+from camphordrift.platform._store import PlatformStore
+
+__all__ = [
+    "PlatformDocuments",
+    "PlatformHeaders",
+    "PlatformStore",
+    "decode_settings",
+    "load_settings",
+]
--- /dev/null
+++ b/camphordrift/relay/_dispatcher.py
@@ -0,0 +1,172 @@
+"""Gets engines for this VM's requests, from the pools' home or by deciding alone."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Optional
+
+import trio
+
+from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay._home_messages import (
+    Finished,
+    Granted,
+    Message,
+    MessageLink,
+    PromptRead,
+    Refused,
+    Register,
+    Submit,
+    Waiting,
+    Withdraw,
+)
+from camphordrift.relay._placement_values import Ask, Decision, Grant, Outcome
+from camphordrift.relay._pool_home import PoolHome
+
+#: Seconds in which the home answers or says that the request waits.
+HOME_ANSWER_TIMEOUT = 0.15
+
+
+@dataclass
+class _Pending:
+    ask: Ask
+    submitted: float
+    #: Set when the home has answered or said that the request waits.
+    heard: trio.Event
+    decided: trio.Event
+    decision: Optional[Decision] = None
+    #: Whether this VM's own pools were asked.
+    asked_own: bool = False
+
+
+@dataclass
+class _Active:
+    ask: Ask
+    grant: Grant
+    reading: bool = True
+
+
+class Dispatcher:
+    """Asks the home while there is a link to it; otherwise this VM's own pools decide.
+
+    The own pools always know this VM's own requests, so that they can take over at any moment.
+    """
+
+    def __init__(self, vm: str, own_home: PoolHome, clock: Callable[[], float]) -> None:
+        self._vm = vm
+        self._own = own_home
+        self._clock = clock
+        self._link: Optional[MessageLink] = None
+        self._pending: dict[str, _Pending] = {}
+        self._active: dict[str, _Active] = {}
+
+    @property
+    def decides_alone(self) -> bool:
+        """Whether this VM's own pools decide."""
+        return self._link is None
+
+    def attach(self, link: MessageLink) -> None:
+        """Starts to ask the home at the other end of ``link``."""
+        self._link = link
+        for active in self._active.values():
+            link.send(Register(active.ask, active.grant, active.reading))
+
+    def detach(self) -> None:
+        """Goes on with this VM's own pools."""
+        self._link = None
+        for pending in list(self._pending.values()):
+            if pending.decision is None:
+                self._submit_to_own(pending)
+
+    def handle(self, message: Message) -> None:
+        """Takes a message of the home."""
+        match message:
+            case Waiting(ask_id):
+                if pending := self._pending.get(ask_id):
+                    pending.heard.set()
+            case Granted(grant):
+                self._take_remote(grant)
+            case Refused(refusal):
+                self._take(refusal)
+            case _:
+                pass
+
+    async def place(self, ask: Ask) -> Decision:
+        """Returns an engine for a request, or why there is none; waits as long as it takes."""
+        pending = _Pending(ask, self._clock(), trio.Event(), trio.Event())
+        self._pending[ask.id] = pending
+        try:
+            await self._ask_home(pending)
+            await pending.decided.wait()
+        finally:
+            del self._pending[ask.id]
+            if pending.decision is None:
+                self._withdraw(ask.id)
+        decision = pending.decision
+        assert decision is not None
+        if isinstance(decision, Grant):
+            self._active[ask.id] = _Active(ask, decision)
+            if pending.asked_own and self._link is not None:
+                self._link.send(Register(ask, decision, reading=True))
+        return decision
+
+    def first_event(self, ask_id: str) -> None:
+        """Reports the first event of an answer."""
+        if active := self._active.get(ask_id):
+            active.reading = False
+        self._own.first_event(ask_id)
+        if self._link is not None:
+            self._link.send(PromptRead(ask_id))
+
+    def finished(self, ask_id: str, outcome: Outcome) -> None:
+        """Reports the end of a request's work."""
+        self._active.pop(ask_id, None)
+        self._own.finished(ask_id, outcome)
+        if self._link is not None:
+            self._link.send(Finished(ask_id, outcome))
+
+    async def _ask_home(self, pending: _Pending) -> None:
+        link = self._link
+        if link is None:
+            self._submit_to_own(pending)
+            return
+        link.send(Submit(pending.ask))
+        with trio.move_on_after(HOME_ANSWER_TIMEOUT):
+            await pending.heard.wait()
+            return
+        if not pending.heard.is_set():
+            log_event("home_slow", level=LogLevel.WARNING, ask=pending.ask.id)
+            link.send(Withdraw(pending.ask.id))
+            self._submit_to_own(pending)
+
+    def _submit_to_own(self, pending: _Pending) -> None:
+        pending.asked_own = True
+        spent = self._clock() - pending.submitted
+        ask = replace(
+            pending.ask,
+            objective=pending.ask.objective - spent,
+            time_left=pending.ask.time_left - spent,
+        )
+        self._own.submit(self._vm, ask, self._take)
+
+    def _take_remote(self, grant: Grant) -> None:
+        pending = self._pending.get(grant.ask_id)
+        if pending is None or pending.decision is not None:
+            # The request was answered or given up meanwhile; the home must not count it.
+            if grant.ask_id not in self._active and self._link is not None:
+                self._link.send(Finished(grant.ask_id, Outcome.SERVED))
+            return
+        self._own.register(self._vm, pending.ask, grant, reading=True)
+        self._take(grant)
+
+    def _take(self, decision: Decision) -> None:
+        pending = self._pending.get(decision.ask_id)
+        if pending is None or pending.decision is not None:
+            return
+        pending.decision = decision
+        pending.heard.set()
+        pending.decided.set()
+
+    def _withdraw(self, ask_id: str) -> None:
+        self._own.withdraw(ask_id)
+        if self._link is not None:
+            self._link.send(Withdraw(ask_id))
--- /dev/null
+++ b/camphordrift/relay/_engine_load.py
@@ -0,0 +1,135 @@
+"""What a VM knows of one engine's work, from what was sent to it."""
+
+from dataclasses import dataclass
+from typing import Optional
+
+from camphordrift.relay._values import BackendServer, EngineCosts
+
+#: Seconds for which an engine is left alone after a failure; doubled by each further one.
+FIRST_REST = 1.0
+
+#: Longest time in seconds for which a failing engine is left alone.
+LONGEST_REST = 8.0
+
+#: Weight of the newest observation in an engine's pace.
+PACE_WEIGHT = 0.3
+
+#: Paces outside these bounds are taken for disturbances of the VM's own.
+PACE_BOUNDS = (0.5, 20.0)
+
+
+@dataclass
+class EngineWork:
+    """One request's share of an engine."""
+
+    #: Tokens of KV memory that it takes.
+    memory_tokens: int
+    #: Tokens of context while it writes.
+    context_tokens: int
+    #: Longest pause in seconds between its events.
+    pause: float
+    #: Seconds of reading.
+    reading: float
+    #: Whether its prompt is still being read.
+    is_reading: bool
+    #: Whether it only reads a part for another engine.
+    is_helper: bool
+
+
+class EngineLoad:
+    """One engine and the work given to it."""
+
+    def __init__(self, server: BackendServer, costs: EngineCosts) -> None:
+        self.server = server
+        self._costs = costs
+        self._works: dict[str, EngineWork] = {}
+        self._reading_until = 0.0
+        self._rests_until = 0.0
+        self._failures = 0
+        self._pace = 1.0
+
+    @property
+    def works(self) -> dict[str, EngineWork]:
+        """The work given to this engine, by the id of its ask."""
+        return self._works
+
+    @property
+    def pace(self) -> float:
+        """How many times longer than stated the engine takes."""
+        return self._pace
+
+    @property
+    def writers(self) -> int:
+        """Requests that write here, now or as soon as they are read."""
+        return sum(1 for work in self._works.values() if not work.is_helper)
+
+    @property
+    def free_slots(self) -> int:
+        """Requests that may be added."""
+        return self._costs.slots - self.writers
+
+    @property
+    def free_memory(self) -> int:
+        """Tokens of KV memory that are not taken."""
+        return self._costs.memory_tokens - sum(w.memory_tokens for w in self._works.values())
+
+    @property
+    def tightest_pause(self) -> Optional[float]:
+        """The shortest pause in seconds that a request here aims at."""
+        pauses = [work.pause for work in self._works.values() if not work.is_helper]
+        return min(pauses, default=None)
+
+    def rests(self, now: float) -> bool:
+        """Tells whether the engine is left alone after failures."""
+        return now < self._rests_until
+
+    def pass_time(self) -> float:
+        """Returns the seconds of one pass without reading."""
+        context = sum(w.context_tokens for w in self._works.values() if not w.is_helper)
+        return self._costs.pass_time(self.writers, context) * self._pace
+
+    def pending_reading(self, now: float) -> float:
+        """Returns the seconds of reading that are not done yet."""
+        return max(0.0, self._reading_until - now)
+
+    def add(self, ask_id: str, work: EngineWork, now: float) -> None:
+        """Gives work to the engine."""
+        self._works[ask_id] = work
+        if work.is_reading:
+            self._reading_until = max(now, self._reading_until) + work.reading * self._pace
+
+    def finish_reading(self, ask_id: str, now: float) -> None:
+        """Notes that a prompt has been read."""
+        work = self._works.get(ask_id)
+        if work is None:
+            return
+        work.is_reading = False
+        if work.is_helper:
+            del self._works[ask_id]
+        self._limit_pending(now)
+
+    def remove(self, ask_id: str, now: float) -> None:
+        """Notes that the work has ended."""
+        if self._works.pop(ask_id, None) is not None:
+            self._limit_pending(now)
+
+    def note_pace(self, observed: float) -> None:
+        """Notes how many times longer than stated a piece of work took."""
+        low, high = PACE_BOUNDS
+        observed = min(high, max(low, observed))
+        self._pace += (observed - self._pace) * PACE_WEIGHT
+
+    def note_failure(self, now: float) -> None:
+        """Leaves the engine alone for a while."""
+        rest = min(LONGEST_REST, FIRST_REST * 2**self._failures)
+        self._failures += 1
+        self._rests_until = max(self._rests_until, now + rest)
+
+    def note_success(self) -> None:
+        """Forgets failures."""
+        self._failures = 0
+
+    def _limit_pending(self, now: float) -> None:
+        """Drops reading that no remaining work accounts for."""
+        left = sum(w.reading * self._pace for w in self._works.values() if w.is_reading)
+        self._reading_until = min(self._reading_until, now + left)
--- /dev/null
+++ b/camphordrift/relay/_home_election.py
@@ -0,0 +1,281 @@
+"""Finds the VM that decides for the pools: the one that has run longest and can be reached.
+
+VMs introduce themselves on the store and to the home. Views may differ for a while; then two VMs
+decide for the same engines, which costs time but breaks nothing, since engines refuse what they
+cannot take.
+"""
+
+from collections.abc import Callable
+from typing import Optional
+
+import trio
+
+from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay._byte_stream import connect
+from camphordrift.relay._dispatcher import Dispatcher
+from camphordrift.relay._home_messages import (
+    Finished,
+    Granted,
+    LinkBrokenError,
+    Member,
+    Message,
+    MessageLink,
+    Ping,
+    PromptRead,
+    Refused,
+    Register,
+    Submit,
+    Waiting,
+    Withdraw,
+    decode_member,
+    encode_member,
+)
+from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, LogTopics, StoreError
+from camphordrift.relay._placement_values import Decision, Grant
+from camphordrift.relay._pool_home import PoolHome
+
+#: Seconds between pings.
+PING_INTERVAL = 0.25
+
+#: Seconds without a message after which a link is given up.
+LINK_SILENCE = 0.8
+
+#: Seconds for a connection to another VM.
+CONNECT_TIMEOUT = 0.4
+
+#: Seconds between attempts to reach a VM that has run longer than the home.
+SENIOR_RETRY_INTERVAL = 2.0
+
+#: Attempts in a row after which a VM is forgotten; it introduces itself again when it restarts.
+MAX_ATTEMPTS = 10
+
+#: Seconds after the start at which the members are read; VMs that start together do not see each
+#: other at once.
+MEMBER_READS = (0.0, 1.0, 3.0, 8.0)
+
+#: Seconds between later reads of the members.
+MEMBER_READ_INTERVAL = 30.0
+
+#: Seconds between attempts to write the own entry while the store does not answer.
+INTRODUCTION_RETRY_INTERVAL = 0.5
+
+
+class HomeElection:
+    """Keeps the link to the home, and serves other VMs as their home."""
+
+    def __init__(
+        self,
+        me: Member,
+        log: KeyedLog,
+        topics: LogTopics,
+        dispatcher: Dispatcher,
+        own_home: PoolHome,
+    ) -> None:
+        self._me = me
+        self._log = log
+        self._topic = topics.members
+        self._dispatcher = dispatcher
+        self._own = own_home
+        self._members: dict[str, Member] = {me.vm: me}
+        self._attempts: dict[str, int] = {}
+        self._changed = trio.Event()
+        self._links = 0
+
+    @property
+    def members(self) -> int:
+        """VMs that are known, this one included."""
+        return len(self._members)
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._introduce)
+            nursery.start_soon(self._read_members)
+            nursery.start_soon(self._listen)
+            await self._follow_home()
+
+    async def _introduce(self) -> None:
+        record = KeyedRecord(self._me.vm, encode_member(self._me))
+        while True:
+            try:
+                await self._log.append(self._topic, record)
+                return
+            except StoreError as error:
+                log_event("introduction_failed", level=LogLevel.WARNING, reason=str(error))
+                await trio.sleep(INTRODUCTION_RETRY_INTERVAL)
+
+    async def _read_members(self) -> None:
+        started = trio.current_time()
+        for moment in MEMBER_READS:
+            await trio.sleep_until(started + moment)
+            await self._read_members_once()
+        while True:
+            await trio.sleep(MEMBER_READ_INTERVAL)
+            await self._read_members_once()
+
+    async def _read_members_once(self) -> None:
+        try:
+            batch = await self._log.newest(self._topic)
+        except StoreError as error:
+            log_event("members_unread", level=LogLevel.WARNING, reason=str(error))
+            return
+        for record in batch.records:
+            if record.value is None:
+                continue
+            try:
+                self._learn(decode_member(record.value))
+            except ValueError as error:
+                log_event("member_unreadable", vm=record.key, reason=str(error))
+
+    def _learn(self, member: Member) -> None:
+        known = self._members.get(member.vm)
+        if known is not None and known.started_ms >= member.started_ms:
+            return
+        self._members[member.vm] = member
+        self._attempts.pop(member.vm, None)
+        log_event("member_known", vm=member.vm, started_ms=member.started_ms)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _seniors(self, than: Member) -> list[Member]:
+        """Returns the VMs that have run longer, the first one first."""
+        seniors = [m for m in self._members.values() if m.seniority < than.seniority]
+        return sorted(seniors, key=lambda member: member.seniority)
+
+    async def _follow_home(self) -> None:
+        while True:
+            home, stream = await self._find_home(self._me)
+            if home is None or stream is None:
+                changed = self._changed
+                with trio.move_on_after(SENIOR_RETRY_INTERVAL):
+                    await changed.wait()
+                continue
+            await self._use_home(home, stream)
+
+    async def _find_home(
+        self, than: Member
+    ) -> tuple[Optional[Member], Optional[trio.SocketStream]]:
+        for member in self._seniors(than):
+            try:
+                stream = await connect(member.host, member.port, CONNECT_TIMEOUT)
+            except OSError:
+                self._note_unreachable(member)
+                continue
+            self._attempts.pop(member.vm, None)
+            return member, stream
+        return None, None
+
+    def _note_unreachable(self, member: Member) -> None:
+        attempts = self._attempts.get(member.vm, 0) + 1
+        self._attempts[member.vm] = attempts
+        if attempts >= MAX_ATTEMPTS:
+            log_event("member_forgotten", vm=member.vm, attempts=attempts)
+            self._members.pop(member.vm, None)
+            self._attempts.pop(member.vm, None)
+
+    async def _use_home(self, home: Member, stream: trio.SocketStream) -> None:
+        link = MessageLink(stream, LINK_SILENCE)
+        link.send(self._me)
+        log_event("home_found", home=home.vm)
+        self._dispatcher.attach(link)
+        reason = "a VM that has run longer is reachable"
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(link.write_queued)
+                nursery.start_soon(_ping, link)
+                nursery.start_soon(self._leave_for_senior, home, nursery.cancel_scope)
+                await link.read_messages(self._dispatcher.handle)
+        except* LinkBrokenError as errors:
+            reason = str(errors.exceptions[0])
+        finally:
+            self._dispatcher.detach()
+            stream.socket.close()
+        log_event("home_lost", level=LogLevel.WARNING, home=home.vm, reason=reason)
+
+    async def _leave_for_senior(self, home: Member, scope: trio.CancelScope) -> None:
+        while True:
+            changed = self._changed
+            with trio.move_on_after(SENIOR_RETRY_INTERVAL):
+                await changed.wait()
+            senior, stream = await self._find_home(home)
+            if senior is not None and stream is not None:
+                stream.socket.close()
+                scope.cancel()
+                return
+
+    async def _listen(self) -> None:
+        await trio.serve_tcp(self._serve_member, self._me.port, host=self._me.host)
+
+    async def _serve_member(self, stream: trio.SocketStream) -> None:
+        self._links += 1
+        serving = _MemberService(f"{self._links}", self._own, self._learn)
+        link = MessageLink(stream, LINK_SILENCE)
+        serving.link = link
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(link.write_queued)
+                nursery.start_soon(_ping, link)
+                await link.read_messages(serving.handle)
+        except* LinkBrokenError:
+            pass
+        finally:
+            self._own.owner_lost(serving.owner)
+            stream.socket.close()
+
+
+class _MemberService:
+    """Answers the messages of one other VM."""
+
+    def __init__(self, owner: str, home: PoolHome, learn: Callable[[Member], None]) -> None:
+        self.owner = owner
+        self.link: Optional[MessageLink] = None
+        self._home = home
+        self._learn = learn
+
+    def handle(self, message: Message) -> None:
+        """Takes a message of the other VM."""
+        match message:
+            case Member():
+                self._learn(message)
+            case Submit(ask):
+                self._submit(message)
+            case Register(ask, grant, reading):
+                self._home.register(self.owner, ask, grant, reading)
+            case Withdraw(ask_id):
+                self._home.withdraw(ask_id)
+            case PromptRead(ask_id):
+                self._home.first_event(ask_id)
+            case Finished(ask_id, outcome):
+                self._home.finished(ask_id, outcome)
+            case _:
+                pass
+
+    def _submit(self, message: Submit) -> None:
+        ask = message.ask
+        if not self._home.knows(ask.service):
+            return
+        answered = False
+
+        def reply(decision: Decision) -> None:
+            nonlocal answered
+            answered = True
+            self._send_decision(decision)
+
+        self._home.submit(self.owner, ask, reply)
+        if not answered and self.link is not None:
+            self.link.send(Waiting(ask.id))
+
+    def _send_decision(self, decision: Decision) -> None:
+        if self.link is None:
+            return
+        match decision:
+            case Grant():
+                self.link.send(Granted(decision))
+            case _:
+                self.link.send(Refused(decision))
+
+
+async def _ping(link: MessageLink) -> None:
+    while True:
+        await trio.sleep(PING_INTERVAL)
+        link.send(Ping())
--- /dev/null
+++ b/camphordrift/relay/_home_messages.py
@@ -0,0 +1,184 @@
+"""Messages between a VM and the home of the pools: msgpack, each after its length."""
+
+import struct
+from collections.abc import Callable
+from typing import Union
+
+import msgspec
+import trio
+
+from camphordrift.relay._byte_stream import READ_SIZE
+from camphordrift.relay._placement_values import Ask, Grant, Outcome, Refusal
+
+#: Largest message in bytes; longer ones end the connection.
+MAX_MESSAGE_SIZE = 1 << 20
+
+_LENGTH = struct.Struct(">I")
+
+
+class Member(msgspec.Struct, frozen=True, tag=True):
+    """A VM, as it introduces itself."""
+
+    vm: str
+    #: Milliseconds since the epoch at which its process started.
+    started_ms: int
+    host: str
+    port: int
+
+    @property
+    def seniority(self) -> tuple[int, str]:
+        """Sorts the VM that has run longest first."""
+        return self.started_ms, self.vm
+
+
+class Submit(msgspec.Struct, frozen=True, tag=True):
+    """Asks for an engine."""
+
+    ask: Ask
+
+
+class Register(msgspec.Struct, frozen=True, tag=True):
+    """Reports a request that was placed before this connection was made."""
+
+    ask: Ask
+    grant: Grant
+    reading: bool
+
+
+class Withdraw(msgspec.Struct, frozen=True, tag=True):
+    """Takes an ask back."""
+
+    ask_id: str
+
+
+class PromptRead(msgspec.Struct, frozen=True, tag=True):
+    """Reports the first event of an answer."""
+
+    ask_id: str
+
+
+class Finished(msgspec.Struct, frozen=True, tag=True):
+    """Reports the end of a request's work."""
+
+    ask_id: str
+    outcome: Outcome
+
+
+class Waiting(msgspec.Struct, frozen=True, tag=True):
+    """Says that an ask waits for an engine."""
+
+    ask_id: str
+
+
+class Granted(msgspec.Struct, frozen=True, tag=True):
+    """Gives an engine."""
+
+    grant: Grant
+
+
+class Refused(msgspec.Struct, frozen=True, tag=True):
+    """Refuses an ask."""
+
+    refusal: Refusal
+
+
+class Ping(msgspec.Struct, frozen=True, tag=True):
+    """Shows that a side lives."""
+
+
+Message = Union[
+    Member, Submit, Register, Withdraw, PromptRead, Finished, Waiting, Granted, Refused, Ping
+]
+
+_decoder = msgspec.msgpack.Decoder(Message)
+_encoder = msgspec.msgpack.Encoder()
+
+
+class LinkBrokenError(Exception):
+    """The other side is gone, silent, or sent something that cannot be read."""
+
+
+class MessageLink:
+    """A connection that carries messages both ways; sending never waits."""
+
+    def __init__(self, stream: trio.SocketStream, silence: float) -> None:
+        self._stream = stream
+        self._silence = silence
+        self._outgoing = bytearray()
+        self._wake = trio.Event()
+        self._incoming = bytearray()
+
+    def send(self, message: Message) -> None:
+        """Queues a message."""
+        content = _encoder.encode(message)
+        self._outgoing += _LENGTH.pack(len(content)) + content
+        self._wake.set()
+
+    async def write_queued(self) -> None:
+        """Writes queued messages until cancelled or the connection breaks."""
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            content, self._outgoing = self._outgoing, bytearray()
+            try:
+                await self._stream.send_all(content)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise LinkBrokenError("the connection broke") from error
+
+    async def read_messages(self, handle: Callable[[Message], None]) -> None:
+        """Passes messages to ``handle`` until the connection breaks or falls silent.
+
+        Raises:
+            LinkBrokenError: Always, at the end.
+
+        """
+        while True:
+            with trio.move_on_after(self._silence) as scope:
+                await self._receive_some()
+            if scope.cancelled_caught:
+                raise LinkBrokenError("the other side is silent")
+            while (message := self._next_message()) is not None:
+                handle(message)
+
+    async def _receive_some(self) -> None:
+        try:
+            data = await self._stream.receive_some(READ_SIZE)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise LinkBrokenError("the connection broke") from error
+        if not data:
+            raise LinkBrokenError("the other side closed the connection")
+        self._incoming += data
+
+    def _next_message(self) -> Union[Message, None]:
+        if len(self._incoming) < _LENGTH.size:
+            return None
+        (length,) = _LENGTH.unpack_from(self._incoming)
+        if length > MAX_MESSAGE_SIZE:
+            raise LinkBrokenError(f"a message of {length} bytes")
+        end = _LENGTH.size + length
+        if len(self._incoming) < end:
+            return None
+        content = bytes(self._incoming[_LENGTH.size : end])
+        del self._incoming[:end]
+        try:
+            return _decoder.decode(content)
+        except msgspec.MsgspecError as error:
+            raise LinkBrokenError(f"an unreadable message: {error}") from error
+
+
+def encode_member(member: Member) -> bytes:
+    """Encodes a member's record on the store."""
+    return _encoder.encode(member)
+
+
+_member_decoder = msgspec.msgpack.Decoder(Member)
+
+
+def decode_member(content: bytes) -> Member:
+    """Decodes a member's record.
+
+    Raises:
+        ValueError: It cannot be read.
+
+    """
+    return _member_decoder.decode(content)
--- /dev/null
+++ b/camphordrift/relay/_http_server.py
@@ -0,0 +1,271 @@
+"""HTTP/1.1 connections from callers.
+
+They are h11 on trio streams: an answer that breaks off must end in a reset, a caller that leaves
+must be noticed while its request waits, and the limits change with the configuration. hypercorn
+offers none of these for one connection.
+"""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from typing import Optional
+
+import h11
+import trio
+
+from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay._byte_stream import READ_SIZE, bound_silence, reset
+from camphordrift.relay._values import CallerLimits
+
+#: Bytes that a caller may send ahead while its earlier request is being answered.
+READ_AHEAD_SIZE = 65536
+
+#: Seconds in which a caller must take a piece of an answer.
+WRITE_TIMEOUT = 20.0
+
+#: Seconds for which the rest of a refused request is read, so that the refusal is not lost.
+LINGER = 0.5
+
+HeaderList = Sequence[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A whole request."""
+
+    method: bytes
+    target: bytes
+    #: Lower-case names and values.
+    headers: HeaderList
+    body: bytes
+    #: Moment at which its last byte was read, by trio's clock.
+    received: float
+
+    def header(self, name: bytes) -> Optional[bytes]:
+        """Returns the value of a header; the last one if it is repeated."""
+        return dict(self.headers).get(name)
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class Answer:
+    """Writes the answer to one request."""
+
+    def __init__(self, connection: "CallerConnection") -> None:
+        self._connection = connection
+        self._started = False
+        self._ended = False
+        self._held = b""
+
+    @property
+    def started(self) -> bool:
+        """Whether the status line has been written."""
+        return self._started
+
+    @property
+    def ended(self) -> bool:
+        """Whether the answer is complete."""
+        return self._ended
+
+    async def start(self, status: int, headers: HeaderList) -> None:
+        """Prepares the status line and headers; they go out with the first piece."""
+        self._started = True
+        self._held = self._connection.encode_head(status, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Writes a piece of the body."""
+        encoded, self._held = self._held + self._connection.encode_data(data), b""
+        await self._connection.write(encoded)
+
+    async def end(self) -> None:
+        """Ends the answer as complete."""
+        encoded, self._held = self._held + self._connection.encode_end(), b""
+        await self._connection.write(encoded)
+        self._ended = True
+
+    async def whole(self, status: int, headers: HeaderList, body: bytes) -> None:
+        """Writes a whole answer."""
+        await self.start(status, [*headers, (b"content-length", b"%d" % len(body))])
+        if body:
+            self._held += self._connection.encode_data(body)
+        await self.end()
+
+
+Handler = Callable[[CallerRequest, Answer], Awaitable[None]]
+
+
+class CallerConnection:
+    """One connection from a caller."""
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        limits: Callable[[], CallerLimits],
+        handle: Handler,
+        closing: Callable[[], bool],
+    ) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._handle = handle
+        self._closing = closing
+        self._idle_scope = trio.CancelScope()
+        self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().header_bytes)
+        self._read_ahead = 0
+
+    async def serve(self) -> None:
+        """Answers requests until one side closes the connection."""
+        bound_silence(self._stream)
+        try:
+            while await self._serve_one():
+                self._protocol.start_next_cycle()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, CallerGoneError):
+            pass
+        finally:
+            reset(self._stream) if self._unfinished() else self._stream.socket.close()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is being read or answered."""
+        if self._protocol.their_state is h11.IDLE:
+            self._idle_scope.cancel()
+
+    def encode_head(self, status: int, headers: HeaderList) -> bytes:
+        """Encodes a status line and headers."""
+        sent = list(headers)
+        if self._closing() or self._protocol.their_state is not h11.DONE:
+            sent.append((b"connection", b"close"))
+        response = h11.Response(status_code=status, headers=sent)
+        return self._protocol.send(response) or b""
+
+    def encode_data(self, data: bytes) -> bytes:
+        """Encodes a piece of a body."""
+        return self._protocol.send(h11.Data(data=data)) or b""
+
+    def encode_end(self) -> bytes:
+        """Encodes the end of a body."""
+        return self._protocol.send(h11.EndOfMessage()) or b""
+
+    async def write(self, data: bytes) -> None:
+        """Writes bytes to the caller.
+
+        Raises:
+            CallerGoneError: The caller went away, or took nothing for too long.
+
+        """
+        try:
+            with trio.fail_after(WRITE_TIMEOUT):
+                await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
+            raise CallerGoneError("the caller takes no bytes") from error
+
+    def _unfinished(self) -> bool:
+        return self._protocol.our_state is h11.SEND_BODY
+
+    async def _serve_one(self) -> bool:
+        try:
+            request = await self._read_request()
+        except h11.RemoteProtocolError as error:
+            await self._refuse(error.error_status_hint or 400, str(error))
+            return False
+        if request is None:
+            return False
+        answer = Answer(self)
+        await self._answer_while_caller_stays(request, answer)
+        if not answer.ended:
+            return False
+        return self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE
+
+    async def _answer_while_caller_stays(self, request: CallerRequest, answer: Answer) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            await self._handle(request, answer)
+            nursery.cancel_scope.cancel()
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        """Cancels the request when its caller closes the connection."""
+        self._read_ahead = 0
+        while self._read_ahead < READ_AHEAD_SIZE:
+            try:
+                data = await self._stream.receive_some(READ_SIZE)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            self._read_ahead += len(data)
+            self._protocol.receive_data(data)
+
+    async def _read_request(self) -> Optional[CallerRequest]:
+        """Returns the next request; ``None`` if the connection ended or stayed idle."""
+        limits = self._limits()
+        if not await self._wait_for_first_byte(limits.idle_timeout):
+            return None
+        with trio.move_on_after(limits.header_timeout):
+            return await self._read_whole(limits)
+        await self._refuse(408, "the request did not arrive in time")
+        return None
+
+    async def _wait_for_first_byte(self, idle_timeout: float) -> bool:
+        if self._protocol.trailing_data[0]:
+            return True
+        with trio.CancelScope() as self._idle_scope:
+            self._idle_scope.deadline = trio.current_time() + idle_timeout
+            data = await self._stream.receive_some(READ_SIZE)
+            if not data:
+                return False
+            self._protocol.receive_data(data)
+            return True
+        return False
+
+    async def _read_whole(self, limits: CallerLimits) -> Optional[CallerRequest]:
+        head: Optional[h11.Request] = None
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            match event:
+                case h11.Request():
+                    head = event
+                    if _ambiguous_length(event.headers):
+                        raise h11.RemoteProtocolError("two lengths", error_status_hint=400)
+                case h11.Data():
+                    body += event.data
+                    if len(body) > limits.body_bytes:
+                        raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+                case h11.EndOfMessage() if head is not None:
+                    return CallerRequest(
+                        bytes(head.method),
+                        bytes(head.target),
+                        list(head.headers),
+                        bytes(body),
+                        trio.current_time(),
+                    )
+                case _:
+                    return None
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            event = self._protocol.next_event()
+            if isinstance(event, h11.Event):
+                return event
+            if self._protocol.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                await self.write(self._protocol.send(go_on) or b"")
+            self._protocol.receive_data(await self._stream.receive_some(READ_SIZE))
+
+    async def _refuse(self, status: int, reason: str) -> None:
+        log_event("request_unreadable", level=LogLevel.WARNING, status=status, reason=reason)
+        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        response = h11.Response(status_code=status, headers=headers)
+        await self.write(self._protocol.send(response) or b"")
+        self._protocol.send(h11.EndOfMessage())
+        with trio.move_on_after(LINGER):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(READ_SIZE):
+                pass
+
+
+def _ambiguous_length(headers: HeaderList) -> bool:
+    names = [name for name, _ in headers]
+    return b"transfer-encoding" in names and b"content-length" in names
--- /dev/null
+++ b/camphordrift/relay/_knowledge.py
@@ -0,0 +1,51 @@
+"""What a VM needs to know to handle a request."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Optional
+
+from camphordrift.relay._followers import suspended_clock
+from camphordrift.relay._freshness import ConfigurationLease
+from camphordrift.relay._retry_budget import BudgetTerms, RetryBudget
+from camphordrift.relay._routing_table import RoutingTable
+from camphordrift.relay._server_directory import ServerDirectory
+from camphordrift.relay._values import Account, Configuration
+
+
+@dataclass
+class Knowledge:
+    """The configuration, how fresh it is, and the backend servers."""
+
+    #: Returns the configuration in force; ``None`` before the first was read.
+    table: Callable[[], Optional[RoutingTable]]
+    lease: ConfigurationLease
+    directory: ServerDirectory
+    budget_terms: BudgetTerms
+    #: Returns how many VMs share the retry budget.
+    vms: Callable[[], int]
+    _budgets: dict[str, RetryBudget] = field(default_factory=dict)
+
+    @property
+    def configuration(self) -> Optional[Configuration]:
+        """The configuration in force."""
+        table = self.table()
+        return None if table is None else table.configuration
+
+    def is_fresh(self) -> bool:
+        """Tells whether keys may be accepted."""
+        return self.lease.holds(suspended_clock())
+
+    def budget(self, service: str) -> RetryBudget:
+        """Returns this VM's share of a service's retry budget."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self.budget_terms, self.vms())
+        budget.set_vms(self.vms())
+        return budget
+
+    def may_send(self, key: Optional[str], account: Optional[Account]) -> bool:
+        """Tells whether a request that was accepted earlier may still be sent."""
+        table = self.table()
+        if account is None or table is None:
+            return table is not None
+        return self.is_fresh() and table.find_account(key) == account
--- /dev/null
+++ b/camphordrift/relay/_pool_home.py
@@ -0,0 +1,91 @@
+"""The pools of engines that one VM decides for, on behalf of several VMs."""
+
+from collections.abc import Callable, Iterable
+
+from camphordrift.relay._engine_pool import EnginePool
+from camphordrift.relay._placement_values import Ask, Decision, Grant, Outcome
+from camphordrift.relay._values import BackendServer, Service
+
+#: Delivers a decision to whoever asked.
+Reply = Callable[[Decision], None]
+
+
+class PoolHome:
+    """Keeps a pool for each service of engines, and knows which VM each request belongs to."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._pools: dict[str, EnginePool] = {}
+        #: Pool and VM of each ask.
+        self._owners: dict[str, tuple[EnginePool, str]] = {}
+        self._replies: dict[str, Reply] = {}
+
+    def set_services(self, services: Iterable[Service]) -> None:
+        """Takes over the services of a configuration."""
+        for service in services:
+            if service.engine_costs is None:
+                continue
+            if pool := self._pools.get(service.name):
+                pool.set_costs(service.engine_costs)
+            else:
+                self._pools[service.name] = EnginePool(service.engine_costs)
+
+    def set_servers(self, servers: Iterable[BackendServer]) -> None:
+        """Takes over the directory."""
+        by_service: dict[str, list[BackendServer]] = {name: [] for name in self._pools}
+        for server in servers:
+            if server.service in by_service:
+                by_service[server.service].append(server)
+        for name, members in by_service.items():
+            self._pools[name].set_servers(members)
+        self.decide()
+
+    def knows(self, service: str) -> bool:
+        """Tells whether there is a pool for a service."""
+        return service in self._pools
+
+    def submit(self, owner: str, ask: Ask, reply: Reply) -> None:
+        """Takes a request in; ``reply`` is called at once or when an engine is free."""
+        pool = self._pools[ask.service]
+        self._owners[ask.id] = (pool, owner)
+        self._replies[ask.id] = reply
+        pool.submit(ask, self._clock())
+        self.decide()
+
+    def register(self, owner: str, ask: Ask, grant: Grant, reading: bool) -> None:
+        """Takes over a request that another VM placed."""
+        if pool := self._pools.get(ask.service):
+            self._owners[ask.id] = (pool, owner)
+            pool.register(ask, grant, reading, self._clock())
+
+    def withdraw(self, ask_id: str) -> None:
+        """Forgets a request that waits, and gives its engine back if it was placed."""
+        self.finished(ask_id, Outcome.SERVED)
+
+    def first_event(self, ask_id: str) -> None:
+        """Notes that a request's prompt has been read."""
+        if found := self._owners.get(ask_id):
+            found[0].first_event(ask_id, self._clock())
+            self.decide()
+
+    def finished(self, ask_id: str, outcome: Outcome) -> None:
+        """Notes that a request's work has ended."""
+        self._replies.pop(ask_id, None)
+        if found := self._owners.pop(ask_id, None):
+            found[0].finished(ask_id, outcome, self._clock())
+            self.decide()
+
+    def owner_lost(self, owner: str) -> None:
+        """Forgets the requests of a VM that is gone or decides elsewhere."""
+        for ask_id in [key for key, (_, vm) in self._owners.items() if vm == owner]:
+            self.finished(ask_id, Outcome.SERVED)
+
+    def decide(self) -> None:
+        """Delivers all decisions that can be made now."""
+        now = self._clock()
+        for pool in self._pools.values():
+            for decision in pool.decide(now):
+                if not isinstance(decision, Grant):
+                    self._owners.pop(decision.ask_id, None)
+                if reply := self._replies.pop(decision.ask_id, None):
+                    reply(decision)
--- /dev/null
+++ b/camphordrift/relay/_process.py
@@ -0,0 +1,213 @@
+"""The relay's process: all parts put together in one loop."""
+
+import itertools
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import trio
+
+from camphordrift.event_log import configure_logging, log_event
+from camphordrift.relay._byte_stream import READ_SIZE
+from camphordrift.relay._dispatcher import Dispatcher
+from camphordrift.relay._followers import (
+    ConfigurationFollower,
+    ServersFollower,
+    suspended_clock,
+)
+from camphordrift.relay._freshness import ConfigurationLease
+from camphordrift.relay._home_election import HomeElection
+from camphordrift.relay._home_messages import Member
+from camphordrift.relay._http_client import ConnectionPool
+from camphordrift.relay._http_server import CallerConnection
+from camphordrift.relay._interfaces import DocumentFormat, HeaderFormat, KeyedLog, LogTopics
+from camphordrift.relay._knowledge import Knowledge
+from camphordrift.relay._pool_home import PoolHome
+from camphordrift.relay._request_handler import RequestHandler
+from camphordrift.relay._server_directory import ServerDirectory
+from camphordrift.relay._settings import RelaySettings
+from camphordrift.relay._values import CallerLimits
+
+#: Seconds for a connection to a backend server.
+BACKEND_CONNECT_TIMEOUT = 0.5
+
+#: Seconds between looks at quiet connections.
+POOL_CHECK_INTERVAL = 1.0
+
+#: Seconds between decisions that only the passing of time brings about.
+DECISION_INTERVAL = 0.1
+
+#: Seconds for which a stopping VM takes requests as before, until the balancer has left it out.
+LEAVING_TIME = 3.0
+
+#: Seconds before the process would be killed at which a stopping VM ends by itself.
+STOP_MARGIN = 0.7
+
+#: Seconds without news of the store after which a VM asks for no new connections.
+STALE_READINESS = 3.5
+
+#: Seconds in which the balancer's question must arrive.
+READINESS_QUESTION_TIMEOUT = 2.0
+
+
+@dataclass(frozen=True)
+class Adapters:
+    """What speaks to the outside."""
+
+    headers: HeaderFormat
+    documents: DocumentFormat
+    log: KeyedLog
+    topics: LogTopics
+
+
+class RelayProcess:
+    """One VM's relay."""
+
+    def __init__(self, settings: RelaySettings, adapters: Adapters) -> None:
+        self._settings = settings
+        self._started_ms = int(time.time() * 1000)
+        self._stopping = False
+        self._callers: set[CallerConnection] = set()
+        self._directory = ServerDirectory()
+        self._lease = ConfigurationLease(settings.key_lease)
+        self._home = PoolHome(trio.current_time)
+        self._dispatcher = Dispatcher(settings.vm, self._home, trio.current_time)
+        self._configuration = ConfigurationFollower(
+            adapters.log, adapters.topics, adapters.documents, self._lease, self._refresh_pools
+        )
+        self._servers = ServersFollower(
+            adapters.log, adapters.topics, adapters.documents, self._directory, self._refresh_pools
+        )
+        self._election = HomeElection(
+            self._me(), adapters.log, adapters.topics, self._dispatcher, self._home
+        )
+        self._connections = ConnectionPool(BACKEND_CONNECT_TIMEOUT)
+        self._handler = RequestHandler(
+            settings.zone,
+            Knowledge(
+                table=lambda: self._configuration.table,
+                lease=self._lease,
+                directory=self._directory,
+                budget_terms=settings.budget,
+                vms=lambda: self._election.members,
+            ),
+            self._dispatcher,
+            self._connections,
+            adapters.headers,
+            self._ask_ids().__next__,
+        )
+
+    async def run(self) -> None:
+        """Runs until a signal to stop has been dealt with."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._configuration.run)
+                nursery.start_soon(self._servers.run)
+                nursery.start_soon(self._election.run)
+                nursery.start_soon(self._tend_pools)
+                nursery.start_soon(self._serve_readiness)
+                nursery.start_soon(self._serve_callers)
+                log_event("started", vm=self._settings.vm, callers=self._settings.callers)
+                await self._wait_for_stop(signals)
+                await self._leave()
+                nursery.cancel_scope.cancel()
+        log_event("stopped", vm=self._settings.vm, callers=len(self._callers))
+
+    @property
+    def ready(self) -> bool:
+        """Whether this VM takes new connections."""
+        return (
+            not self._stopping
+            and self._configuration.table is not None
+            and bool(self._directory.servers)
+            and self._lease.age(suspended_clock()) < STALE_READINESS
+        )
+
+    def _me(self) -> Member:
+        peers = self._settings.peers
+        return Member(self._settings.vm, self._started_ms, peers.host, peers.port)
+
+    def _ask_ids(self) -> "itertools.chain[str]":
+        numbers = itertools.count()
+        prefix = f"{self._settings.vm}-{self._started_ms}"
+        return itertools.chain.from_iterable([f"{prefix}-{number}"] for number in numbers)
+
+    def _refresh_pools(self) -> None:
+        table = self._configuration.table
+        if table is not None:
+            self._home.set_services(table.configuration.services.values())
+            self._home.set_servers(self._directory.servers.values())
+
+    def _limits(self) -> CallerLimits:
+        table = self._configuration.table
+        return CallerLimits() if table is None else table.configuration.limits
+
+    async def _tend_pools(self) -> None:
+        checked = trio.current_time()
+        while True:
+            await trio.sleep(DECISION_INTERVAL)
+            self._home.decide()
+            if trio.current_time() - checked > POOL_CHECK_INTERVAL:
+                checked = trio.current_time()
+                self._connections.drop_expired()
+
+    async def _wait_for_stop(self, signals: AsyncIterator[int]) -> None:
+        async for number in signals:
+            name = signal.Signals(number).name
+            log_event("signal", signal=name)
+            if number != signal.SIGHUP:
+                return
+
+    async def _leave(self) -> None:
+        """Lets callers finish; ends before the process would be killed."""
+        self._stopping = True
+        ends = trio.current_time() + self._settings.grace - STOP_MARGIN
+        await trio.sleep(LEAVING_TIME)
+        while self._callers and trio.current_time() < ends:
+            for caller in list(self._callers):
+                caller.close_if_idle()
+            await trio.sleep(DECISION_INTERVAL)
+
+    async def _serve_callers(self) -> None:
+        address = self._settings.callers
+        await trio.serve_tcp(self._serve_caller, address.port, host=address.host)
+
+    async def _serve_caller(self, stream: trio.SocketStream) -> None:
+        caller = CallerConnection(
+            stream, self._limits, self._handler.handle, lambda: self._stopping
+        )
+        self._callers.add(caller)
+        try:
+            await caller.serve()
+        except Exception as error:
+            log_event("caller_connection_failed", error=repr(error))
+        finally:
+            self._callers.discard(caller)
+
+    async def _serve_readiness(self) -> None:
+        address = self._settings.readiness
+        await trio.serve_tcp(self._answer_readiness, address.port, host=address.host)
+
+    async def _answer_readiness(self, stream: trio.SocketStream) -> None:
+        with trio.move_on_after(READINESS_QUESTION_TIMEOUT):
+            try:
+                question = b""
+                while b"\r\n\r\n" not in question:
+                    data = await stream.receive_some(READ_SIZE)
+                    if not data:
+                        return
+                    question += data
+                status = b"200 OK" if self.ready else b"503 Service Unavailable"
+                await stream.send_all(
+                    b"HTTP/1.1 " + status + b"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+                )
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+
+
+def run_relay(settings: RelaySettings, adapters: Adapters) -> None:
+    """Runs a relay until it is told to stop."""
+    configure_logging("info", sys.stdout)
+    trio.run(RelayProcess(settings, adapters).run)
--- /dev/null
+++ b/camphordrift/relay/_request_handler.py
@@ -0,0 +1,530 @@
+"""Takes a caller's request to an answer."""
+
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Optional
+
+import trio
+
+from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay._attempt import (
+    Answered,
+    Attempt,
+    AttemptResult,
+    AttemptTerms,
+    Broken,
+    EventSink,
+    HeaderList,
+    NotSent,
+    Rejected,
+    Streamed,
+)
+from camphordrift.relay._dispatcher import Dispatcher
+from camphordrift.relay._events import StreamEvent
+from camphordrift.relay._http_client import ConnectionPool
+from camphordrift.relay._http_server import Answer, CallerRequest
+from camphordrift.relay._interfaces import HeaderFormat
+from camphordrift.relay._knowledge import Knowledge
+from camphordrift.relay._placement_values import Ask, Grant, Outcome, Refusal, RefusalReason
+from camphordrift.relay._plain_servers import PlainServerChooser
+from camphordrift.relay._routing_table import RoutingTable, choose_service
+from camphordrift.relay._values import (
+    Account,
+    BackendServer,
+    EngineCosts,
+    Helper,
+    RequestFacts,
+    Route,
+    SendFacts,
+    Service,
+)
+from camphordrift.results import Failure, ResultCode, RunState, describe_failure
+
+#: Seconds after which a caller may ask a VM again that does not know the configuration.
+NOT_READY_RETRY_AFTER = 1.0
+
+#: Seconds after which a caller may ask again when a server had no room.
+REJECTED_RETRY_AFTER = 0.1
+
+#: Seconds before a request's time is over at which it gets its final answer.
+FINAL_ANSWER_MARGIN = 0.05
+
+#: Seconds that a caller is taken to wait if it does not say.
+DEFAULT_PATIENCE = 30.0
+
+#: How many times the expected time to the first event, besides :data:`FIRST_EVENT_SLACK`, an engine
+#: may take before it counts as silent.
+FIRST_EVENT_FACTOR = 2.5
+
+#: Seconds that an engine may take beyond that.
+FIRST_EVENT_SLACK = 0.6
+
+#: How many allowed pauses may pass between events before an engine counts as silent.
+SILENCE_PAUSES = 4.0
+
+#: How many times its objective a repeatable plain request waits for an answer before it is sent
+#: again.
+PLAIN_ANSWER_FACTOR = 3.0
+
+#: Prompt tokens taken for granted where a request for an engine does not say.
+UNKNOWN_PROMPT_TOKENS = 1000
+
+
+class RequestRefusedError(Exception):
+    """Ends a request with a failure of the relay's own."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
+@dataclass
+class _Progress:
+    """One request on its way."""
+
+    request: CallerRequest
+    answer: Answer
+    facts: RequestFacts
+    route: Route
+    account: Optional[Account]
+    service: Service
+    #: Moment at which the request needs its final answer.
+    give_up_at: float
+    #: Servers that were sent the request.
+    tried: list[str]
+    #: Servers that did not take the request.
+    excluded: list[str]
+    #: Whether a server may have run the request.
+    may_have_run: bool = False
+    last_result: Optional[AttemptResult] = None
+
+    @property
+    def time_left(self) -> float:
+        return self.give_up_at - trio.current_time()
+
+
+class RequestHandler:
+    """Handles requests with what one VM knows."""
+
+    def __init__(
+        self,
+        zone: str,
+        knowledge: Knowledge,
+        dispatcher: Dispatcher,
+        connections: ConnectionPool,
+        header_format: HeaderFormat,
+        new_ask_id: Callable[[], str],
+    ) -> None:
+        self._zone = zone
+        self._knowledge = knowledge
+        self._dispatcher = dispatcher
+        self._connections = connections
+        self._format = header_format
+        self._new_ask_id = new_ask_id
+        self._plain = PlainServerChooser()
+        self._random = random.Random()
+
+    async def handle(self, request: CallerRequest, answer: Answer) -> None:
+        """Answers a request."""
+        try:
+            progress = self._accept(request, answer)
+        except RequestRefusedError as error:
+            await self._refuse(request, answer, error.failure, None)
+            return
+        try:
+            with trio.move_on_at(progress.give_up_at):
+                await self._serve(progress)
+        except RequestRefusedError as error:
+            await self._refuse(request, answer, error.failure, progress)
+            return
+        if not answer.ended and not answer.started:
+            await self._refuse(request, answer, _out_of_time(progress), progress)
+        elif not answer.ended:
+            log_event(
+                "answer_broken_off",
+                level=LogLevel.WARNING,
+                request=progress.facts.attempt_id,
+                route=progress.route.name,
+                tried=progress.tried,
+                result=progress.last_result,
+            )
+
+    def _accept(self, request: CallerRequest, answer: Answer) -> _Progress:
+        table = self._knowledge.table()
+        if table is None:
+            raise _refused(ResultCode.VM_NOT_READY, "no configuration yet", NOT_READY_RETRY_AFTER)
+        try:
+            facts = self._format.request_facts(request.headers)
+        except ValueError as error:
+            raise _refused(ResultCode.BAD_HEADER, f"a header cannot be read: {error}") from error
+        route = self._find_route(table, request)
+        account = self._find_account(table, route, facts)
+        service = self._find_service(table, route)
+        self._knowledge.budget(service.name).count_request(request.received)
+        patience = DEFAULT_PATIENCE if facts.patience is None else facts.patience
+        return _Progress(
+            request=request,
+            answer=answer,
+            facts=facts,
+            route=route,
+            account=account,
+            service=service,
+            give_up_at=request.received + min(patience, route.timeout) - FINAL_ANSWER_MARGIN,
+            tried=[],
+            excluded=[],
+        )
+
+    def _find_route(self, table: RoutingTable, request: CallerRequest) -> Route:
+        host = (request.header(b"host") or b"").decode("latin-1")
+        route = table.find_route(host, request.target.decode("latin-1"))
+        if route is not None:
+            return route
+        if not self._knowledge.is_fresh():
+            raise _refused(
+                ResultCode.CONFIGURATION_UNKNOWN, "the route may be new", NOT_READY_RETRY_AFTER
+            )
+        raise _refused(ResultCode.UNKNOWN_PATH, "no route has this host and path")
+
+    def _find_account(
+        self, table: RoutingTable, route: Route, facts: RequestFacts
+    ) -> Optional[Account]:
+        if table.configuration.accounts is None or route.open:
+            return None
+        if not self._knowledge.is_fresh():
+            raise _refused(
+                ResultCode.CONFIGURATION_UNKNOWN,
+                "the keys were not confirmed recently",
+                NOT_READY_RETRY_AFTER,
+            )
+        account = table.find_account(facts.key)
+        if account is None:
+            raise _refused(ResultCode.UNAUTHENTICATED, "the key belongs to no client account")
+        return account
+
+    def _find_service(self, table: RoutingTable, route: Route) -> Service:
+        name = choose_service(route.shares, self._random.random())
+        service = None if name is None else table.configuration.services.get(name)
+        if service is None:
+            raise _refused(
+                ResultCode.NO_ENGINE_AVAILABLE, "the route has no service", NOT_READY_RETRY_AFTER
+            )
+        return service
+
+    async def _serve(self, progress: _Progress) -> None:
+        sink = _CallerSink(progress) if progress.route.streams else None
+        while True:
+            if progress.service.engine_costs is not None:
+                result = await self._try_engine(progress, progress.service.engine_costs, sink)
+            else:
+                result = await self._try_plain_server(progress, sink)
+            progress.last_result = result
+            if await self._settle(progress, result, sink):
+                return
+
+    async def _settle(
+        self, progress: _Progress, result: AttemptResult, sink: Optional["_CallerSink"]
+    ) -> bool:
+        """Ends the request after an attempt; returns ``False`` if another one is due."""
+        match result:
+            case Streamed():
+                await progress.answer.end()
+                return True
+            case Answered(status, headers, body):
+                if status >= 500 and self._may_repeat(progress):
+                    return False
+                await progress.answer.whole(status, headers, body)
+                return True
+            case NotSent():
+                if self._may_try_elsewhere(progress):
+                    return False
+            case Rejected():
+                if self._may_repeat(progress) and len(progress.tried) < progress.route.max_attempts:
+                    return False
+            case Broken():
+                progress.may_have_run = True
+                if progress.route.may_repeat and self._may_repeat(progress):
+                    return False
+        if progress.answer.started:
+            return True
+        raise RequestRefusedError(_failure_after(progress, result))
+
+    def _may_try_elsewhere(self, progress: _Progress) -> bool:
+        return progress.time_left > 0 and len(progress.excluded) < MAX_UNREACHABLE_SERVERS
+
+    def _may_repeat(self, progress: _Progress) -> bool:
+        route = progress.route
+        if len(progress.tried) >= route.max_attempts or progress.time_left <= 0:
+            return False
+        if not route.may_repeat:
+            return False
+        budget = self._knowledge.budget(progress.service.name)
+        if budget.try_repeat(trio.current_time()):
+            return True
+        log_event("retry_budget_spent", level=LogLevel.WARNING, service=progress.service.name)
+        return False
+
+    async def _try_plain_server(
+        self, progress: _Progress, sink: Optional["_CallerSink"]
+    ) -> AttemptResult:
+        server = self._plain.choose(
+            self._knowledge.directory.ready(progress.service.name),
+            self._zone,
+            progress.excluded,
+            trio.current_time(),
+        )
+        if server is None:
+            return NotSent("no server of the service takes new work")
+        failed = False
+        try:
+            result = await self._attempt(progress, server, (), self._plain_terms(progress), sink)
+            failed = isinstance(result, (NotSent, Broken))
+        finally:
+            self._plain.finished(server.id, failed, trio.current_time())
+        return result
+
+    def _plain_terms(self, progress: _Progress) -> AttemptTerms:
+        route = progress.route
+        wait = progress.time_left
+        if route.may_repeat and len(progress.tried) + 1 < route.max_attempts:
+            wait = min(wait, route.objective * PLAIN_ANSWER_FACTOR)
+        return AttemptTerms(wait, route.pause_objective * SILENCE_PAUSES)
+
+    async def _try_engine(
+        self, progress: _Progress, costs: EngineCosts, sink: Optional["_CallerSink"]
+    ) -> AttemptResult:
+        ask = self._ask(progress)
+        decision = await self._dispatcher.place(ask)
+        if isinstance(decision, Refusal):
+            raise RequestRefusedError(_failure_of_refusal(decision, progress))
+        outcome = Outcome.SERVED
+        try:
+            if sink is not None:
+                sink.on_first_event = lambda: self._dispatcher.first_event(ask.id)
+            result = await self._try_granted(progress, decision, sink)
+            outcome = _outcome_of(result)
+        finally:
+            self._dispatcher.finished(ask.id, outcome)
+        return result
+
+    async def _try_granted(
+        self, progress: _Progress, grant: Grant, sink: Optional["_CallerSink"]
+    ) -> AttemptResult:
+        directory = self._knowledge.directory
+        server = directory.get(grant.server_id)
+        if server is None:
+            progress.excluded.append(grant.server_id)
+            return NotSent("the engine is not known here")
+        found = (directory.get(server_id) for server_id in grant.helper_ids)
+        helpers = tuple(Helper(h.host, h.port) for h in found if h is not None)
+        first = grant.first_event * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK
+        terms = AttemptTerms(
+            min(first, progress.time_left), progress.route.pause_objective * SILENCE_PAUSES
+        )
+        return await self._attempt(progress, server, helpers, terms, sink)
+
+    def _ask(self, progress: _Progress) -> Ask:
+        facts = progress.facts
+        elapsed = trio.current_time() - progress.request.received
+        answer_tokens = facts.answer_estimate or facts.answer_tokens
+        account = progress.account
+        priority = progress.route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        return Ask(
+            id=self._new_ask_id(),
+            service=progress.service.name,
+            zone=self._zone,
+            prompt_tokens=facts.prompt_tokens or UNKNOWN_PROMPT_TOKENS,
+            answer_tokens=answer_tokens,
+            objective=progress.route.objective - elapsed,
+            pause=progress.route.pause_objective,
+            time_left=progress.time_left,
+            priority=priority,
+            excluded=tuple(progress.excluded),
+        )
+
+    async def _attempt(
+        self,
+        progress: _Progress,
+        server: BackendServer,
+        helpers: tuple[Helper, ...],
+        terms: AttemptTerms,
+        sink: Optional["_CallerSink"],
+    ) -> AttemptResult:
+        attempt = Attempt(
+            progress.request,
+            progress.facts.attempt_id,
+            server,
+            self._connections,
+            self._format,
+        )
+        progress.excluded.append(server.id)
+
+        def send_facts() -> Optional[SendFacts]:
+            return self._facts_to_send(progress, server, helpers, sink)
+
+        fresh = not progress.route.may_repeat
+        result = await attempt.run(send_facts, terms, fresh, sink)
+        log_event(
+            "attempt",
+            request=progress.facts.attempt_id,
+            route=progress.route.name,
+            server=server.id,
+            helpers=len(helpers),
+            tokens=progress.facts.prompt_tokens,
+            result=type(result).__name__,
+            reason=getattr(result, "reason", None),
+            elapsed=trio.current_time() - progress.request.received,
+        )
+        return result
+
+    def _facts_to_send(
+        self,
+        progress: _Progress,
+        server: BackendServer,
+        helpers: tuple[Helper, ...],
+        sink: Optional["_CallerSink"],
+    ) -> Optional[SendFacts]:
+        """Checks once more whether the request may be sent, as time may have passed."""
+        if progress.time_left <= 0:
+            return None
+        if not self._knowledge.may_send(progress.facts.key, progress.account):
+            return None
+        current = self._knowledge.directory.get(server.id)
+        if current is None or current.state is not server.state:
+            return None
+        progress.tried.append(server.id)
+        last_event = None if sink is None or sink.last_id is None else str(sink.last_id)
+        return SendFacts(
+            time_left=progress.time_left,
+            server_id=server.id,
+            account=None if progress.account is None else progress.account.name,
+            last_event_id=last_event,
+            helpers=helpers,
+        )
+
+    async def _refuse(
+        self,
+        request: CallerRequest,
+        answer: Answer,
+        failure: Failure,
+        progress: Optional[_Progress],
+    ) -> None:
+        headers = [(b"content-type", b"application/json")]
+        if failure.retry_after_seconds is not None:
+            headers.append((b"retry-after", b"%.2f" % failure.retry_after_seconds))
+        log_event(
+            "request_refused",
+            level=LogLevel.WARNING,
+            request=_attempt_id(request, self._format),
+            code=int(failure.code),
+            status=failure.http_status,
+            reason=failure.detail,
+            route=None if progress is None else progress.route.name,
+            tried=None if progress is None else progress.tried,
+            elapsed=trio.current_time() - request.received,
+        )
+        body = json.dumps({"error": describe_failure(failure)}).encode()
+        await answer.whole(failure.http_status, headers, body)
+
+
+#: Servers that could not be reached after which a request is refused.
+MAX_UNREACHABLE_SERVERS = 4
+
+
+class _CallerSink(EventSink):
+    """Passes events on to the caller, each once and in order."""
+
+    def __init__(self, progress: _Progress) -> None:
+        self._answer = progress.answer
+        self._last_id: Optional[int] = None
+        given = progress.facts.last_event_id
+        if given is not None and given.isdigit():
+            self._last_id = int(given)
+        self._passed = False
+        #: Called when the first event of an attempt arrives.
+        self.on_first_event: Callable[[], None] = lambda: None
+
+    @property
+    def last_id(self) -> Optional[int]:
+        """The last event that the caller has, if this relay or the caller knows."""
+        return self._last_id if self._passed else None
+
+    async def begin(self, status: int, headers: HeaderList) -> None:
+        self.on_first_event()
+        if not self._answer.started:
+            await self._answer.start(status, headers)
+
+    async def take(self, events: list[StreamEvent]) -> None:
+        new = [event for event in events if self._is_new(event)]
+        if not new:
+            return
+        ids = [event.id for event in new if event.id is not None]
+        # Noted first: what may have reached the caller must not be sent again.
+        self._last_id = ids[-1] if ids else self._last_id
+        self._passed = True
+        await self._answer.write(b"".join(event.data for event in new))
+
+    def _is_new(self, event: StreamEvent) -> bool:
+        return event.id is None or self._last_id is None or event.id > self._last_id
+
+
+def _refused(
+    code: ResultCode, detail: str, retry_after: Optional[float] = None
+) -> RequestRefusedError:
+    return RequestRefusedError(Failure(code, detail, retry_after))
+
+
+def _attempt_id(request: CallerRequest, header_format: HeaderFormat) -> str:
+    try:
+        return header_format.request_facts(request.headers).attempt_id
+    except ValueError:
+        return ""
+
+
+def _outcome_of(result: AttemptResult) -> Outcome:
+    match result:
+        case Rejected():
+            return Outcome.REJECTED
+        case Broken(_, silent):
+            return Outcome.SILENT if silent else Outcome.FAILED
+        case NotSent():
+            return Outcome.FAILED
+        case _:
+            return Outcome.SERVED
+
+
+def _out_of_time(progress: _Progress) -> Failure:
+    if progress.tried:
+        return Failure(ResultCode.BACKEND_DEADLINE_PASSED, "the time ran out on a server")
+    return Failure(
+        ResultCode.DEADLINE_UNREACHABLE, "the time ran out before a server was free", None
+    )
+
+
+def _failure_after(progress: _Progress, result: AttemptResult) -> Failure:
+    if progress.may_have_run:
+        return Failure(
+            ResultCode.BACKEND_STREAM_BROKEN,
+            f"no whole answer: {getattr(result, 'reason', result)}",
+            run_state_override=RunState.OUTCOME_UNKNOWN,
+        )
+    return Failure(
+        ResultCode.NO_ENGINE_AVAILABLE,
+        f"no server took the request: {getattr(result, 'reason', result)}",
+        REJECTED_RETRY_AFTER,
+    )
+
+
+def _failure_of_refusal(refusal: Refusal, progress: _Progress) -> Failure:
+    if progress.may_have_run:
+        return Failure(ResultCode.BACKEND_STREAM_BROKEN, "no other engine could go on")
+    code = {
+        RefusalReason.NO_ENGINE: ResultCode.NO_ENGINE_AVAILABLE,
+        RefusalReason.TOO_LATE: ResultCode.DEADLINE_UNREACHABLE,
+        RefusalReason.NEVER_FITS: ResultCode.PROMPT_NEVER_FITS,
+        RefusalReason.QUEUE_FULL: ResultCode.QUEUE_FULL,
+    }[refusal.reason]
+    return Failure(code, refusal.reason.value, refusal.retry_after)
--- /dev/null
+++ b/camphordrift/relay/_retry_budget.py
@@ -0,0 +1,56 @@
+"""Bounds repeated sends to a service so that an outage is not multiplied."""
+
+from collections import deque
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class BudgetTerms:
+    """The budget of all VMs together."""
+
+    #: Repeats allowed for each request.
+    ratio: float
+    #: Repeats allowed besides, in each window.
+    slack: float
+    #: Length of the window in seconds.
+    window: float
+
+
+#: Part of the fleet's slack that is handed out, since VMs come and go and windows slide.
+SLACK_SHARE = 0.6
+
+#: Part of the ratio that is used, as requests near the window's start no longer count at its end.
+RATIO_SHARE = 0.7
+
+
+class RetryBudget:
+    """One VM's share of the budget for one service, without talking to the others."""
+
+    def __init__(self, terms: BudgetTerms, vms: int) -> None:
+        self._terms = terms
+        self._slack = terms.slack * SLACK_SHARE / max(vms, 1)
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def count_request(self, now: float) -> None:
+        """Counts a caller's request."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def try_repeat(self, now: float) -> bool:
+        """Takes a repeat from the budget; ``False`` if none is left."""
+        self._forget(now)
+        allowed = self._slack + self._terms.ratio * RATIO_SHARE * len(self._requests)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def set_vms(self, vms: int) -> None:
+        """Divides the slack by another number of VMs."""
+        self._slack = self._terms.slack * SLACK_SHARE / max(vms, 1)
+
+    def _forget(self, now: float) -> None:
+        for moments in (self._requests, self._repeats):
+            while moments and moments[0] <= now - self._terms.window:
+                moments.popleft()
--- /dev/null
+++ b/camphordrift/relay/_routing_table.py
@@ -0,0 +1,59 @@
+"""Finds the route and the client account of a request in one configuration."""
+
+from typing import Optional
+
+from camphordrift.relay._values import Account, Configuration, Route, ServiceShare
+
+
+class RoutingTable:
+    """An index over one version of the configuration."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.host.lower(), {})[route.path_prefix] = route
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration that is indexed."""
+        return self._configuration
+
+    def find_route(self, host: str, path: str) -> Optional[Route]:
+        """Returns the route with the longest prefix that begins ``path``.
+
+        Args:
+            host: Value of the host header, with or without a port.
+            path: Path of the request, with or without a query.
+
+        """
+        routes = self._routes.get(_host_name(host))
+        if not routes:
+            return None
+        path = path.partition("?")[0]
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            if route := routes.get(path[: end + 1]):
+                return route
+        return None
+
+    def find_account(self, key: Optional[str]) -> Optional[Account]:
+        """Returns the client account that holds ``key`` in this version."""
+        if key is None or self._configuration.accounts is None:
+            return None
+        return self._configuration.accounts.get(key)
+
+
+def choose_service(shares: tuple[ServiceShare, ...], point: float) -> Optional[str]:
+    """Returns the service at ``point`` (0 to 1) of the shares laid side by side."""
+    rest = point * sum(share.weight for share in shares)
+    for share in shares:
+        rest -= share.weight
+        if rest < 0:
+            return share.service
+    return shares[-1].service if shares else None
+
+
+def _host_name(host: str) -> str:
+    name, colon, port = host.rpartition(":")
+    return (name if colon and port.isdigit() else host).lower()
--- a/camphordrift/telemetry/__init__.py
+++ b/camphordrift/telemetry/__init__.py
@@ -1,8 +1,6 @@
 """What a process tells of itself: logs, metrics, its state and its recent decisions."""
 
-from camphordrift.telemetry._decisions import Decision, DecisionRecord
-from camphordrift.telemetry._levels import ObservedLevel
-from camphordrift.telemetry._logging import (
+from camphordrift.event_log import (
     LogLevel,
     configure_logging,
     format_event,
@@ -10,6 +8,8 @@
     redact_keys,
     request_context,
 )
+from camphordrift.telemetry._decisions import Decision, DecisionRecord
+from camphordrift.telemetry._levels import ObservedLevel
 from camphordrift.telemetry._loop_lag import measure_loop_lag
 from camphordrift.telemetry._metrics import (
     METRICS_CONTENT_TYPE,
--- a/camphordrift/telemetry/_metrics.py
+++ b/camphordrift/telemetry/_metrics.py
@@ -15,8 +15,8 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
+from camphordrift.event_log import LogLevel, log_event
 from camphordrift.telemetry._levels import ObservedLevel
-from camphordrift.telemetry._logging import LogLevel, log_event
 
 #: Upper bounds of the buckets of time spans, in seconds.
 SECONDS_BUCKETS = (
--- a/camphordrift/telemetry/_signals.py
+++ b/camphordrift/telemetry/_signals.py
@@ -12,7 +12,7 @@
 import sys
 from collections.abc import AsyncIterator, Callable
 
-from camphordrift.telemetry._logging import log_event
+from camphordrift.event_log import log_event
 from camphordrift.telemetry._state_dump import StateDump
 
 #: Asks a process for its state dump.
--- a/camphordrift/telemetry/_state_dump.py
+++ b/camphordrift/telemetry/_state_dump.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any
 
-from camphordrift.telemetry._logging import (
+from camphordrift.event_log import (
     REDACTED,
     LogLevel,
     is_secret_name,
