Place prompts by what engines can read without long pauses; share one home

A home introduces itself now before it is used; a VM that takes over first hears of running requests. - Prompts beyond one engine's memory waited until their time was over: they get reserved memory now. - The pace taken from first events drifted up to 5 times; it is taken from pauses between events. - A part that comes later goes ahead of one that is being read: the number of parts that reads soonest is chosen, engines that read are left out where that is sooner. - Short prompts spread over all engines, whose short pauses kept long parts out: they fill engines one after the other. - A stopping VM took new connections to its end where its whole zone stopped together.

--- a/camphordrift/platform/__main__.py
+++ b/camphordrift/platform/__main__.py
@@ -2,6 +2,7 @@
 
 from camphordrift.platform._documents import PlatformDocuments
 from camphordrift.platform._headers import PlatformHeaders
+from camphordrift.platform._orders import PlatformOrders
 from camphordrift.platform._settings import load_settings
 from camphordrift.platform._store import PlatformStore
 from camphordrift.relay import Adapters, LogTopics, run_relay
@@ -24,6 +25,7 @@
         Adapters(
             headers=PlatformHeaders(),
             documents=PlatformDocuments(),
+            orders=PlatformOrders(),
             log=PlatformStore(settings.store),
             topics=_TOPICS,
         ),
--- /dev/null
+++ b/camphordrift/platform/_orders.py
@@ -0,0 +1,41 @@
+"""Orders to engines."""
+
+import msgspec
+
+from camphordrift.relay import Reservation
+
+
+class _Reserve(msgspec.Struct, rename="pascal", frozen=True):
+    id: str
+    tokens: int
+    #: Milliseconds until the reservation lapses, from the arrival of the order.
+    hold_ms: int
+    operation: str = "reserve"
+
+
+class _Release(msgspec.Struct, rename="pascal", frozen=True):
+    id: str
+    operation: str = "release"
+
+
+class PlatformOrders:
+    """Implements :class:`camphordrift.relay.OrderFormat`."""
+
+    @property
+    def path(self) -> bytes:
+        """Path to which orders are posted."""
+        return b"/v1/order"
+
+    @property
+    def content_type(self) -> bytes:
+        """Type of the bodies."""
+        return b"application/json"
+
+    def reserve(self, reservation: Reservation) -> bytes:
+        """Returns the body of an order that reserves memory."""
+        lifetime_ms = int(reservation.lifetime * 1000)
+        return msgspec.json.encode(_Reserve(reservation.id, reservation.tokens, lifetime_ms))
+
+    def release(self, reservation_id: str) -> bytes:
+        """Returns the body of an order that gives reserved memory back."""
+        return msgspec.json.encode(_Release(reservation_id))
--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -33,6 +33,13 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class Withheld:
+    """The request was not sent, for reasons that are not the server's."""
+
+    reason: str
+
+
 @dataclass(frozen=True)
 class Rejected:
     """The server said that it did not run the request."""
@@ -64,7 +71,7 @@
     """The whole stream was passed on."""
 
 
-AttemptResult = Union[NotSent, Rejected, Broken, Answered, Streamed]
+AttemptResult = Union[NotSent, Withheld, Rejected, Broken, Answered, Streamed]
 
 
 class EventSink:
@@ -132,7 +139,7 @@
         try:
             facts = send_facts()
             if facts is None:
-                return NotSent("the request may no longer be sent")
+                return Withheld("the request may no longer be sent")
             result, idle = await self._exchange(connection, facts, terms, sink)
             return result
         except (BrokenAnswerError, OSError) as error:
--- a/camphordrift/relay/_dispatcher.py
+++ b/camphordrift/relay/_dispatcher.py
@@ -12,6 +12,7 @@
     Granted,
     Message,
     MessageLink,
+    PauseSeen,
     PromptRead,
     Refused,
     Register,
@@ -117,6 +118,12 @@
         if self._link is not None:
             self._link.send(PromptRead(ask_id))
 
+    def pause_seen(self, ask_id: str, pause: float) -> None:
+        """Reports the shortest of some pauses between a request's events."""
+        self._own.pause_seen(ask_id, pause)
+        if self._link is not None:
+            self._link.send(PauseSeen(ask_id, pause))
+
     def finished(self, ask_id: str, outcome: Outcome) -> None:
         """Reports the end of a request's work."""
         self._active.pop(ask_id, None)
--- a/camphordrift/relay/_engine_load.py
+++ b/camphordrift/relay/_engine_load.py
@@ -8,14 +8,17 @@
 #: Seconds for which an engine is left alone after a failure; doubled by each further one.
 FIRST_REST = 1.0
 
+#: Seconds for which an engine is left alone after it had no room.
+REJECTION_REST = 0.3
+
 #: Longest time in seconds for which a failing engine is left alone.
 LONGEST_REST = 8.0
 
 #: Weight of the newest observation in an engine's pace.
-PACE_WEIGHT = 0.3
+PACE_WEIGHT = 0.5
 
-#: Paces outside these bounds are taken for disturbances of the VM's own.
-PACE_BOUNDS = (0.5, 20.0)
+#: Bounds of an observed pace; events that arrive together show no less than a stated pass.
+PACE_BOUNDS = (1.0, 20.0)
 
 
 @dataclass
@@ -85,7 +88,7 @@
 
     def pass_time(self) -> float:
         """Returns the seconds of one pass without reading."""
-        context = sum(w.context_tokens for w in self._works.values() if not w.is_helper)
+        context = sum(work.context_tokens for work in self._works.values())
         return self._costs.pass_time(self.writers, context) * self._pace
 
     def pending_reading(self, now: float) -> float:
@@ -104,7 +107,7 @@
         if work is None:
             return
         work.is_reading = False
-        if work.is_helper:
+        if work.is_helper and not work.memory_tokens:
             del self._works[ask_id]
         self._limit_pending(now)
 
@@ -113,10 +116,11 @@
         if self._works.pop(ask_id, None) is not None:
             self._limit_pending(now)
 
-    def note_pace(self, observed: float) -> None:
-        """Notes how many times longer than stated a piece of work took."""
+    def note_pass(self, seconds: float) -> None:
+        """Notes how long a pass without reading took."""
+        stated = self.pass_time() / self._pace
         low, high = PACE_BOUNDS
-        observed = min(high, max(low, observed))
+        observed = min(high, max(low, seconds / stated))
         self._pace += (observed - self._pace) * PACE_WEIGHT
 
     def note_failure(self, now: float) -> None:
@@ -125,6 +129,10 @@
         self._failures += 1
         self._rests_until = max(self._rests_until, now + rest)
 
+    def note_rejection(self, now: float) -> None:
+        """Leaves the engine alone for a moment, as it has less room than was believed."""
+        self._rests_until = max(self._rests_until, now + REJECTION_REST)
+
     def note_success(self) -> None:
         """Forgets failures."""
         self._failures = 0
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -34,8 +34,15 @@
 #: Part of the time to the first event that a placement may plan with.
 OBJECTIVE_SHARE = 0.8
 
-#: Seconds that a short prompt waits rather than taking an engine that nothing runs on.
-SPREAD_COST = 0.06
+#: Part of an engine's memory that one prompt may take before it is shared out.
+MEMORY_SHARE = 0.95
+
+#: How many times the reading time on free engines a late placement may take; a request whose
+#: objective has not passed waits for better ones.
+WAIT_FACTOR = 3.0
+
+#: Part of the time to the first event up to which a short prompt goes to an engine that others use.
+SHORT_OBJECTIVE_SHARE = 0.6
 
 #: Seconds added for an engine in another zone.
 ZONE_COST = 0.004
@@ -74,8 +81,11 @@
 @dataclass(frozen=True)
 class _Plan:
     engines: tuple[EngineLoad, ...]
+    #: Seconds of reading on each engine.
     part: float
     first_event: float
+    #: Tokens of memory on each engine.
+    memory: tuple[int, ...]
 
 
 class EnginePool:
@@ -123,14 +133,16 @@
         """Takes over a request that was placed by another VM."""
         self._waiting.pop(ask.id, None)
         engines = tuple(
-            self._engines[server_id]
-            for server_id in (grant.server_id, *grant.helper_ids)
-            if server_id in self._engines
+            self._engines[server.id]
+            for server in (grant.server, *grant.helpers)
+            if server.id in self._engines
         )
         if not engines:
             return
-        part = self._costs.reading_time(ask.prompt_tokens) / (1 + len(grant.helper_ids))
-        self._place(ask, _Plan(engines, part, grant.first_event), now)
+        part = self._costs.reading_time(ask.prompt_tokens) / (1 + len(grant.helpers))
+        first = _memory_of(ask) - sum(grant.helper_memory)
+        memory = (first, *grant.helper_memory)[: len(engines)]
+        self._place(ask, _Plan(engines, part, grant.first_event, memory), now)
         if not reading:
             self.first_event(ask.id, now)
 
@@ -146,10 +158,13 @@
         placed.reading_ended = True
         for engine in self._engines_of(placed):
             engine.finish_reading(ask_id, now)
-        if len(placed.engine_ids) == 1 and placed.first_event > 0:
-            observed = (now - placed.granted) / placed.first_event
-            for engine in self._engines_of(placed):
-                engine.note_pace(observed * engine.pace)
+
+    def pause_seen(self, ask_id: str, pause: float) -> None:
+        """Notes the shortest of some pauses between events, which shows the engine's pace."""
+        placed = self._placed.get(ask_id)
+        engine = None if placed is None else self._engines.get(placed.engine_ids[0])
+        if engine is not None:
+            engine.note_pass(pause)
 
     def finished(self, ask_id: str, outcome: Outcome, now: float) -> None:
         """Notes that a request's work has ended."""
@@ -164,6 +179,8 @@
             return
         if outcome is Outcome.SERVED:
             first.note_success()
+        elif outcome is Outcome.REJECTED:
+            first.note_rejection(now)
         elif outcome in (Outcome.FAILED, Outcome.SILENT):
             first.note_failure(now)
 
@@ -188,6 +205,8 @@
         ask = waiting.ask
         if not self._engines:
             return Refusal(ask.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
+        if not self._can_ever_fit(ask):
+            return Refusal(ask.id, RefusalReason.NEVER_FITS, None)
         time_left = waiting.needed_at() - now
         if time_left < self._least_time(ask):
             return Refusal(ask.id, RefusalReason.TOO_LATE, None)
@@ -196,6 +215,10 @@
             return None
         return self._place(ask, plan, now)
 
+    def _can_ever_fit(self, ask: Ask) -> bool:
+        engines = min(MAX_PARTS, len(self._engines))
+        return _memory_of(ask) <= engines * int(self._costs.memory_tokens * MEMORY_SHARE)
+
     def _least_time(self, ask: Ask) -> float:
         """Returns the seconds that a request needs even on engines that are all free."""
         parts = min(MAX_PARTS, len(self._engines))
@@ -213,54 +236,85 @@
         ]
         reading = self._costs.reading_time(ask.prompt_tokens)
         if reading <= SHORT_READING:
-            return self._plan_short(ask, reading, usable, now)
+            return self._plan_short(ask, reading, usable, objective, now)
         return self._plan_long(ask, reading, usable, objective, now)
 
     def _plan_short(
-        self, ask: Ask, reading: float, usable: list[EngineLoad], now: float
+        self, ask: Ask, reading: float, usable: list[EngineLoad], objective: float, now: float
     ) -> Optional[_Plan]:
+        """Fills the engines that write for short prompts one after the other.
+
+        So the others stay free of short pauses, and can read long prompts in large parts.
+        """
         best: Optional[EngineLoad] = None
-        best_cost = float("inf")
+        best_rank: tuple[bool, bool, int, float] = (True, True, 0, float("inf"))
         for engine in usable:
             if not self._has_room(engine, ask) or not _fits_pauses(engine, reading, ask, now):
                 continue
-            cost = self._first_event(engine, reading, now)
-            if not engine.works:
-                cost += SPREAD_COST
-            if engine.server.zone != ask.zone:
-                cost += ZONE_COST
-            if cost < best_cost:
-                best, best_cost = engine, cost
+            first_event = self._first_event(engine, reading, now)
+            rank = (
+                first_event > objective * SHORT_OBJECTIVE_SHARE,
+                not _has_pause_within(engine, ask.pause),
+                -engine.writers,
+                first_event + (ZONE_COST if engine.server.zone != ask.zone else 0.0),
+            )
+            if best is None or rank < best_rank:
+                best, best_rank = engine, rank
         if best is None:
             return None
-        return _Plan((best,), reading, self._first_event(best, reading, now))
+        first_event = self._first_event(best, reading, now)
+        return _Plan((best,), reading, first_event, (_memory_of(ask),))
 
     def _plan_long(
         self, ask: Ask, reading: float, usable: list[EngineLoad], objective: float, now: float
     ) -> Optional[_Plan]:
-        wanted = min(MAX_PARTS, max(1, math.ceil(reading / PART_TIME)))
+        if not usable:
+            return None
+        wanted = min(MAX_PARTS, len(usable), max(1, math.ceil(reading / PART_TIME)))
         ranked = sorted(usable, key=lambda engine: _long_rank(engine, ask, now))
-        for parts in _part_counts(wanted):
+        best: Optional[_Plan] = None
+        best_cost = float("inf")
+        for parts in range(wanted, 0, -1):
             plan = self._plan_parts(ask, reading, parts, ranked, now)
             if plan is None:
                 continue
-            late = plan.first_event > objective * OBJECTIVE_SHARE
-            if parts < wanted and late and objective > 0:
-                return None
-            return plan
-        return None
+            # Engines let a new part go ahead, so what is being read there waits for it.
+            delays_others = any(engine.pending_reading(now) > 0 for engine in plan.engines)
+            cost = plan.first_event + (plan.part if delays_others else 0.0)
+            if cost < best_cost:
+                best, best_cost = plan, cost
+        if best is None or best.first_event <= objective * OBJECTIVE_SHARE:
+            return best
+        soonest = reading / wanted
+        worth_waiting = best.first_event > soonest * WAIT_FACTOR
+        return None if worth_waiting and objective > 0 else best
 
     def _plan_parts(
         self, ask: Ask, reading: float, parts: int, ranked: list[EngineLoad], now: float
     ) -> Optional[_Plan]:
         part = reading / parts
         fitting = [engine for engine in ranked if _fits_pauses(engine, part, ask, now)]
-        first = next((engine for engine in fitting if self._has_room(engine, ask)), None)
-        if first is None or len(fitting) < parts:
+        keepers = self._keepers(ask, fitting)
+        if keepers is None or len(fitting) < parts or len(keepers) > parts:
             return None
-        helpers = [engine for engine in fitting if engine is not first][: parts - 1]
-        chosen = (first, *helpers)
-        return _Plan(chosen, part, max(self._first_event(e, part, now) for e in chosen))
+        helpers = [engine for engine in fitting if engine not in keepers]
+        chosen = (*keepers, *helpers)[:parts]
+        share = -(-_memory_of(ask) // len(keepers))
+        memory = (share,) * len(keepers) + (0,) * (parts - len(keepers))
+        first_event = max(self._first_event(engine, part, now) for engine in chosen)
+        return _Plan(chosen, part, first_event, memory)
+
+    def _keepers(self, ask: Ask, fitting: list[EngineLoad]) -> Optional[tuple[EngineLoad, ...]]:
+        """Returns the engines that keep the prompt, even shares each; the first one writes."""
+        needed = _memory_of(ask)
+        fewest = -(-needed // int(self._costs.memory_tokens * MEMORY_SHARE))
+        for count in range(fewest, min(len(fitting), MAX_PARTS) + 1):
+            roomy = [e for e in fitting if e.free_memory >= -(-needed // count)]
+            first = next((engine for engine in roomy if engine.free_slots > 0), None)
+            if first is not None and len(roomy) >= count:
+                others = [engine for engine in roomy if engine is not first]
+                return (first, *others[: count - 1])
+        return None
 
     def _has_room(self, engine: EngineLoad, ask: Ask) -> bool:
         return engine.free_slots > 0 and engine.free_memory >= _memory_of(ask)
@@ -275,17 +329,18 @@
         for index, engine in enumerate(plan.engines):
             is_helper = index > 0
             work = EngineWork(
-                memory_tokens=0 if is_helper else _memory_of(ask),
-                context_tokens=0 if is_helper else ask.prompt_tokens,
+                memory_tokens=plan.memory[index],
+                context_tokens=plan.memory[index],
                 pause=ask.pause,
                 reading=plan.part,
                 is_reading=True,
                 is_helper=is_helper,
             )
             engine.add(ask.id, work, now)
-        ids = tuple(engine.server.id for engine in plan.engines)
+        servers = tuple(engine.server for engine in plan.engines)
+        ids = tuple(server.id for server in servers)
         self._placed[ask.id] = _Placed(ask, ids, now, plan.first_event)
-        return Grant(ask.id, ids[0], ids[1:], plan.first_event)
+        return Grant(ask.id, servers[0], servers[1:], plan.memory[1:], plan.first_event)
 
     def _engines_of(self, placed: _Placed) -> Iterator[EngineLoad]:
         for server_id in placed.engine_ids:
@@ -310,16 +365,13 @@
     return busy <= pause * PAUSE_SHARE
 
 
+def _has_pause_within(engine: EngineLoad, pause: float) -> bool:
+    tightest = engine.tightest_pause
+    return tightest is not None and tightest <= pause
+
+
 def _long_rank(engine: EngineLoad, ask: Ask, now: float) -> tuple[bool, float, bool]:
     """Orders engines for long prompts: without tight pauses first, then the soonest free."""
     pause = engine.tightest_pause
     tight = pause is not None and pause < ask.pause
     return tight, engine.pending_reading(now), engine.server.zone != ask.zone
-
-
-def _part_counts(wanted: int) -> Iterator[int]:
-    """Yields the numbers of parts to try: the wanted one, then halves of it."""
-    parts = wanted
-    while parts >= 1:
-        yield parts
-        parts //= 2
--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Optional
 
 import trio
@@ -20,6 +21,7 @@
     Member,
     Message,
     MessageLink,
+    PauseSeen,
     Ping,
     PromptRead,
     Refused,
@@ -60,6 +62,10 @@
 INTRODUCTION_RETRY_INTERVAL = 0.5
 
 
+#: Seconds for which a VM that takes over waits for what the others report of their requests.
+TAKE_OVER_TIME = 0.04
+
+
 class HomeElection:
     """Keeps the link to the home, and serves other VMs as their home."""
 
@@ -144,26 +150,42 @@
 
     async def _follow_home(self) -> None:
         while True:
-            home, stream = await self._find_home(self._me)
-            if home is None or stream is None:
+            found = await self._find_home(self._me)
+            if found is None:
                 changed = self._changed
                 with trio.move_on_after(SENIOR_RETRY_INTERVAL):
                     await changed.wait()
                 continue
-            await self._use_home(home, stream)
-
-    async def _find_home(
-        self, than: Member
-    ) -> tuple[Optional[Member], Optional[trio.SocketStream]]:
-        for member in self._seniors(than):
+            await self._use_home(found)
+
+    async def _find_home(self, than: Member) -> Optional["_FoundHome"]:
+        """Returns the VM that has run longest, if that is longer than ``than``."""
+        tried: set[Member] = set()
+        while seniors := [m for m in self._seniors(than) if m not in tried]:
+            member = seniors[0]
+            tried.add(member)
             try:
                 stream = await connect(member.host, member.port, CONNECT_TIMEOUT)
             except OSError:
                 self._note_unreachable(member)
                 continue
-            self._attempts.pop(member.vm, None)
-            return member, stream
-        return None, None
+            link = MessageLink(stream, LINK_SILENCE)
+            if await self._is_expected(member, link):
+                self._attempts.pop(member.vm, None)
+                return _FoundHome(member, stream, link)
+            stream.socket.close()
+        return None
+
+    async def _is_expected(self, expected: Member, link: MessageLink) -> bool:
+        """Checks who is at the other end; a VM that restarted has not run as long as believed."""
+        try:
+            found = await link.read_first()
+        except LinkBrokenError:
+            self._note_unreachable(expected)
+            return False
+        if isinstance(found, Member):
+            self._learn(found)
+        return found == expected
 
     def _note_unreachable(self, member: Member) -> None:
         attempts = self._attempts.get(member.vm, 0) + 1
@@ -173,8 +195,8 @@
             self._members.pop(member.vm, None)
             self._attempts.pop(member.vm, None)
 
-    async def _use_home(self, home: Member, stream: trio.SocketStream) -> None:
-        link = MessageLink(stream, LINK_SILENCE)
+    async def _use_home(self, found: "_FoundHome") -> None:
+        home, stream, link = found.member, found.stream, found.link
         link.send(self._me)
         log_event("home_found", home=home.vm)
         self._dispatcher.attach(link)
@@ -188,6 +210,7 @@
         except* LinkBrokenError as errors:
             reason = str(errors.exceptions[0])
         finally:
+            self._own.hold_decisions(TAKE_OVER_TIME)
             self._dispatcher.detach()
             stream.socket.close()
         log_event("home_lost", level=LogLevel.WARNING, home=home.vm, reason=reason)
@@ -197,9 +220,9 @@
             changed = self._changed
             with trio.move_on_after(SENIOR_RETRY_INTERVAL):
                 await changed.wait()
-            senior, stream = await self._find_home(home)
-            if senior is not None and stream is not None:
-                stream.socket.close()
+            found = await self._find_home(home)
+            if found is not None:
+                found.stream.socket.close()
                 scope.cancel()
                 return
 
@@ -210,6 +233,7 @@
         self._links += 1
         serving = _MemberService(f"{self._links}", self._own, self._learn)
         link = MessageLink(stream, LINK_SILENCE)
+        link.send(self._me)
         serving.link = link
         try:
             async with trio.open_nursery() as nursery:
@@ -223,6 +247,13 @@
             stream.socket.close()
 
 
+@dataclass(frozen=True)
+class _FoundHome:
+    member: Member
+    stream: trio.SocketStream
+    link: MessageLink
+
+
 class _MemberService:
     """Answers the messages of one other VM."""
 
@@ -245,6 +276,8 @@
                 self._home.withdraw(ask_id)
             case PromptRead(ask_id):
                 self._home.first_event(ask_id)
+            case PauseSeen(ask_id, pause):
+                self._home.pause_seen(ask_id, pause)
             case Finished(ask_id, outcome):
                 self._home.finished(ask_id, outcome)
             case _:
--- a/camphordrift/relay/_home_messages.py
+++ b/camphordrift/relay/_home_messages.py
@@ -57,6 +57,14 @@
     ask_id: str
 
 
+class PauseSeen(msgspec.Struct, frozen=True, tag=True):
+    """Reports the shortest of the first pauses between events."""
+
+    ask_id: str
+    #: Seconds.
+    pause: float
+
+
 class Finished(msgspec.Struct, frozen=True, tag=True):
     """Reports the end of a request's work."""
 
@@ -87,7 +95,17 @@
 
 
 Message = Union[
-    Member, Submit, Register, Withdraw, PromptRead, Finished, Waiting, Granted, Refused, Ping
+    Member,
+    Submit,
+    Register,
+    Withdraw,
+    PromptRead,
+    PauseSeen,
+    Finished,
+    Waiting,
+    Granted,
+    Refused,
+    Ping,
 ]
 
 _decoder = msgspec.msgpack.Decoder(Message)
@@ -125,6 +143,19 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise LinkBrokenError("the connection broke") from error
 
+    async def read_first(self) -> Message:
+        """Returns the first message.
+
+        Raises:
+            LinkBrokenError: The connection broke or stayed silent.
+
+        """
+        with trio.move_on_after(self._silence):
+            while (message := self._next_message()) is None:
+                await self._receive_some()
+            return message
+        raise LinkBrokenError("the other side is silent")
+
     async def read_messages(self, handle: Callable[[Message], None]) -> None:
         """Passes messages to ``handle`` until the connection breaks or falls silent.
 
@@ -133,12 +164,12 @@
 
         """
         while True:
+            while (message := self._next_message()) is not None:
+                handle(message)
             with trio.move_on_after(self._silence) as scope:
                 await self._receive_some()
             if scope.cancelled_caught:
                 raise LinkBrokenError("the other side is silent")
-            while (message := self._next_message()) is not None:
-                handle(message)
 
     async def _receive_some(self) -> None:
         try:
--- a/camphordrift/relay/_interfaces.py
+++ b/camphordrift/relay/_interfaces.py
@@ -55,6 +55,11 @@
         """Path to which orders are posted."""
         ...
 
+    @property
+    def content_type(self) -> bytes:
+        """Type of the bodies."""
+        ...
+
     def reserve(self, reservation: Reservation) -> bytes:
         """Returns the body of an order that reserves memory."""
         ...
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/_placement_values.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from typing import Optional, Union
 
+from camphordrift.relay._values import BackendServer
+
 
 @dataclass(frozen=True)
 class Ask:
@@ -34,9 +36,12 @@
     """Permission to send a request to an engine."""
 
     ask_id: str
-    server_id: str
+    #: Engine that gets the request.
+    server: BackendServer
     #: Engines that read parts of the prompt.
-    helper_ids: tuple[str, ...]
+    helpers: tuple[BackendServer, ...]
+    #: Tokens of memory to be reserved on each helper; 0 where the first engine keeps the part.
+    helper_memory: tuple[int, ...]
     #: Expected seconds to the first event.
     first_event: float
 
@@ -68,6 +73,8 @@
 
     #: The answer was whole, or the caller left.
     SERVED = "served"
+    #: The request was not sent, for reasons that are not the engine's.
+    WITHHELD = "withheld"
     #: The engine said that it did not run the request.
     REJECTED = "rejected"
     #: The engine was unreachable, broke off, or answered wrongly.
--- a/camphordrift/relay/_pool_home.py
+++ b/camphordrift/relay/_pool_home.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable, Iterable
 
+from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay._engine_pool import EnginePool
-from camphordrift.relay._placement_values import Ask, Decision, Grant, Outcome
+from camphordrift.relay._placement_values import Ask, Decision, Grant, Outcome, Refusal
 from camphordrift.relay._values import BackendServer, Service
 
 #: Delivers a decision to whoever asked.
@@ -19,6 +20,7 @@
         #: Pool and VM of each ask.
         self._owners: dict[str, tuple[EnginePool, str]] = {}
         self._replies: dict[str, Reply] = {}
+        self._held_until = 0.0
 
     def set_services(self, services: Iterable[Service]) -> None:
         """Takes over the services of a configuration."""
@@ -68,6 +70,11 @@
             found[0].first_event(ask_id, self._clock())
             self.decide()
 
+    def pause_seen(self, ask_id: str, pause: float) -> None:
+        """Notes the shortest of some pauses between a request's events."""
+        if found := self._owners.get(ask_id):
+            found[0].pause_seen(ask_id, pause)
+
     def finished(self, ask_id: str, outcome: Outcome) -> None:
         """Notes that a request's work has ended."""
         self._replies.pop(ask_id, None)
@@ -80,12 +87,44 @@
         for ask_id in [key for key, (_, vm) in self._owners.items() if vm == owner]:
             self.finished(ask_id, Outcome.SERVED)
 
+    def hold_decisions(self, seconds: float) -> None:
+        """Makes no decisions for a while, as other VMs have yet to report their requests."""
+        self._held_until = self._clock() + seconds
+
     def decide(self) -> None:
         """Delivers all decisions that can be made now."""
         now = self._clock()
+        if now < self._held_until:
+            return
         for pool in self._pools.values():
             for decision in pool.decide(now):
+                _log_decision(decision, pool)
                 if not isinstance(decision, Grant):
                     self._owners.pop(decision.ask_id, None)
                 if reply := self._replies.pop(decision.ask_id, None):
                     reply(decision)
+
+
+def _log_decision(decision: Decision, pool: EnginePool) -> None:
+    match decision:
+        case Grant(ask_id, server, helpers, helper_memory, first_event):
+            log_event(
+                "engine_granted",
+                ask=ask_id,
+                server=server.id,
+                helpers=",".join(helper.id for helper in helpers),
+                reserved=sum(helper_memory),
+                expected=first_event,
+                placed=pool.placed,
+                waiting=pool.waiting,
+            )
+        case Refusal(ask_id, reason, retry_after):
+            log_event(
+                "engine_refused",
+                level=LogLevel.WARNING,
+                ask=ask_id,
+                reason=reason,
+                retry_after=retry_after,
+                placed=pool.placed,
+                waiting=pool.waiting,
+            )
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -1,6 +1,5 @@
 """The relay's process: all parts put together in one loop."""
 
-import itertools
 import signal
 import sys
 import time
@@ -22,10 +21,17 @@
 from camphordrift.relay._home_messages import Member
 from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay._http_server import CallerConnection
-from camphordrift.relay._interfaces import DocumentFormat, HeaderFormat, KeyedLog, LogTopics
+from camphordrift.relay._interfaces import (
+    DocumentFormat,
+    HeaderFormat,
+    KeyedLog,
+    LogTopics,
+    OrderFormat,
+)
 from camphordrift.relay._knowledge import Knowledge
 from camphordrift.relay._pool_home import PoolHome
 from camphordrift.relay._request_handler import RequestHandler
+from camphordrift.relay._reservations import ReservationKeeper
 from camphordrift.relay._server_directory import ServerDirectory
 from camphordrift.relay._settings import RelaySettings
 from camphordrift.relay._values import CallerLimits
@@ -58,6 +64,7 @@
 
     headers: HeaderFormat
     documents: DocumentFormat
+    orders: OrderFormat
     log: KeyedLog
     topics: LogTopics
 
@@ -69,6 +76,7 @@
         self._settings = settings
         self._started_ms = int(time.time() * 1000)
         self._stopping = False
+        self._accepting = trio.CancelScope()
         self._callers: set[CallerConnection] = set()
         self._directory = ServerDirectory()
         self._lease = ConfigurationLease(settings.key_lease)
@@ -85,6 +93,7 @@
         )
         self._connections = ConnectionPool(BACKEND_CONNECT_TIMEOUT)
         self._handler = RequestHandler(
+            settings.vm,
             settings.zone,
             Knowledge(
                 table=lambda: self._configuration.table,
@@ -95,8 +104,8 @@
             ),
             self._dispatcher,
             self._connections,
+            ReservationKeeper(self._connections, adapters.orders),
             adapters.headers,
-            self._ask_ids().__next__,
         )
 
     async def run(self) -> None:
@@ -129,11 +138,6 @@
         peers = self._settings.peers
         return Member(self._settings.vm, self._started_ms, peers.host, peers.port)
 
-    def _ask_ids(self) -> "itertools.chain[str]":
-        numbers = itertools.count()
-        prefix = f"{self._settings.vm}-{self._started_ms}"
-        return itertools.chain.from_iterable([f"{prefix}-{number}"] for number in numbers)
-
     def _refresh_pools(self) -> None:
         table = self._configuration.table
         if table is not None:
@@ -161,10 +165,15 @@
                 return
 
     async def _leave(self) -> None:
-        """Lets callers finish; ends before the process would be killed."""
+        """Lets callers finish; ends before the process would be killed.
+
+        Where most VMs of a zone stop together, the balancer goes on sending callers here, so new
+        connections are refused once it has had time to leave this VM out.
+        """
         self._stopping = True
         ends = trio.current_time() + self._settings.grace - STOP_MARGIN
         await trio.sleep(LEAVING_TIME)
+        self._accepting.cancel()
         while self._callers and trio.current_time() < ends:
             for caller in list(self._callers):
                 caller.close_if_idle()
@@ -172,7 +181,12 @@
 
     async def _serve_callers(self) -> None:
         address = self._settings.callers
-        await trio.serve_tcp(self._serve_caller, address.port, host=address.host)
+        listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        async with trio.open_nursery() as connections:
+            with self._accepting:
+                await trio.serve_listeners(
+                    self._serve_caller, listeners, handler_nursery=connections
+                )
 
     async def _serve_caller(self, stream: trio.SocketStream) -> None:
         caller = CallerConnection(
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -1,5 +1,6 @@
 """Takes a caller's request to an answer."""
 
+import itertools
 import json
 import random
 from collections.abc import Callable
@@ -20,15 +21,22 @@
     NotSent,
     Rejected,
     Streamed,
+    Withheld,
 )
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._events import StreamEvent
 from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay._http_server import Answer, CallerRequest
-from camphordrift.relay._interfaces import HeaderFormat
+from camphordrift.relay._interfaces import HeaderFormat, Reservation
 from camphordrift.relay._knowledge import Knowledge
 from camphordrift.relay._placement_values import Ask, Grant, Outcome, Refusal, RefusalReason
 from camphordrift.relay._plain_servers import PlainServerChooser
+from camphordrift.relay._reservations import (
+    LIFETIME,
+    ReservationKeeper,
+    ReservationRefusedError,
+    ReservedPart,
+)
 from camphordrift.relay._routing_table import RoutingTable, choose_service
 from camphordrift.relay._values import (
     Account,
@@ -54,9 +62,10 @@
 #: Seconds that a caller is taken to wait if it does not say.
 DEFAULT_PATIENCE = 30.0
 
-#: How many times the expected time to the first event, besides :data:`FIRST_EVENT_SLACK`, an engine
-#: may take before it counts as silent.
-FIRST_EVENT_FACTOR = 2.5
+#: How many times the expected time to the first event an engine may take, besides the objective and
+#: at least :data:`FIRST_EVENT_SLACK`, before it counts as silent. Prompts that come later delay a
+#: long one, and sending it anew wastes what was read.
+FIRST_EVENT_FACTOR = 3.0
 
 #: Seconds that an engine may take beyond that.
 FIRST_EVENT_SLACK = 0.6
@@ -68,6 +77,9 @@
 #: again.
 PLAIN_ANSWER_FACTOR = 3.0
 
+#: Pauses between events after which the shortest of them is reported.
+PAUSES_SEEN = 4
+
 #: Prompt tokens taken for granted where a request for an engine does not say.
 UNKNOWN_PROMPT_TOKENS = 1000
 
@@ -110,19 +122,22 @@
 
     def __init__(
         self,
+        vm: str,
         zone: str,
         knowledge: Knowledge,
         dispatcher: Dispatcher,
         connections: ConnectionPool,
+        reservations: ReservationKeeper,
         header_format: HeaderFormat,
-        new_ask_id: Callable[[], str],
     ) -> None:
+        self._vm = vm
         self._zone = zone
         self._knowledge = knowledge
         self._dispatcher = dispatcher
         self._connections = connections
+        self._reservations = reservations
         self._format = header_format
-        self._new_ask_id = new_ask_id
+        self._ask_numbers = itertools.count()
         self._plain = PlainServerChooser()
         self._random = random.Random()
 
@@ -215,6 +230,8 @@
     async def _serve(self, progress: _Progress) -> None:
         sink = _CallerSink(progress) if progress.route.streams else None
         while True:
+            if not self._knowledge.may_send(progress.facts.key, progress.account):
+                raise RequestRefusedError(_no_longer_allowed(progress))
             if progress.service.engine_costs is not None:
                 result = await self._try_engine(progress, progress.service.engine_costs, sink)
             else:
@@ -236,7 +253,7 @@
                     return False
                 await progress.answer.whole(status, headers, body)
                 return True
-            case NotSent():
+            case NotSent() | Withheld():
                 if self._may_try_elsewhere(progress):
                     return False
             case Rejected():
@@ -302,6 +319,7 @@
         try:
             if sink is not None:
                 sink.on_first_event = lambda: self._dispatcher.first_event(ask.id)
+                sink.on_pauses = lambda pause: self._dispatcher.pause_seen(ask.id, pause)
             result = await self._try_granted(progress, decision, sink)
             outcome = _outcome_of(result)
         finally:
@@ -311,18 +329,31 @@
     async def _try_granted(
         self, progress: _Progress, grant: Grant, sink: Optional["_CallerSink"]
     ) -> AttemptResult:
-        directory = self._knowledge.directory
-        server = directory.get(grant.server_id)
-        if server is None:
-            progress.excluded.append(grant.server_id)
-            return NotSent("the engine is not known here")
-        found = (directory.get(server_id) for server_id in grant.helper_ids)
-        helpers = tuple(Helper(h.host, h.port) for h in found if h is not None)
-        first = grant.first_event * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK
+        parts = tuple(
+            ReservedPart(helper, Reservation(f"{grant.ask_id}-{index}", tokens, LIFETIME))
+            for index, (helper, tokens) in enumerate(
+                zip(grant.helpers, grant.helper_memory, strict=True)
+            )
+            if tokens
+        )
+        reservations = {part.server.id: part.reservation.id for part in parts}
+        helpers = tuple(
+            Helper(helper.host, helper.port, reservations.get(helper.id))
+            for helper in grant.helpers
+        )
+        slack = max(FIRST_EVENT_SLACK, progress.route.objective)
+        first = grant.first_event * FIRST_EVENT_FACTOR + slack
         terms = AttemptTerms(
             min(first, progress.time_left), progress.route.pause_objective * SILENCE_PAUSES
         )
-        return await self._attempt(progress, server, helpers, terms, sink)
+        if not parts:
+            return await self._attempt(progress, grant.server, helpers, terms, sink)
+        try:
+            async with self._reservations.hold(parts):
+                return await self._attempt(progress, grant.server, helpers, terms, sink)
+        except ReservationRefusedError as error:
+            progress.excluded.extend(error.server_ids)
+            return Withheld(str(error))
 
     def _ask(self, progress: _Progress) -> Ask:
         facts = progress.facts
@@ -333,7 +364,8 @@
         if account is not None and account.priority is not None:
             priority = account.priority
         return Ask(
-            id=self._new_ask_id(),
+            # A caller might use an id again, so the VM's own number makes it unique.
+            id=f"{facts.attempt_id}.{self._vm}.{next(self._ask_numbers)}",
             service=progress.service.name,
             zone=self._zone,
             prompt_tokens=facts.prompt_tokens or UNKNOWN_PROMPT_TOKENS,
@@ -366,6 +398,7 @@
             return self._facts_to_send(progress, server, helpers, sink)
 
         fresh = not progress.route.may_repeat
+        begun = trio.current_time()
         result = await attempt.run(send_facts, terms, fresh, sink)
         log_event(
             "attempt",
@@ -376,6 +409,7 @@
             tokens=progress.facts.prompt_tokens,
             result=type(result).__name__,
             reason=getattr(result, "reason", None),
+            first_event=_seconds_between(begun, None if sink is None else sink.first_event_at),
             elapsed=trio.current_time() - progress.request.received,
         )
         return result
@@ -392,8 +426,7 @@
             return None
         if not self._knowledge.may_send(progress.facts.key, progress.account):
             return None
-        current = self._knowledge.directory.get(server.id)
-        if current is None or current.state is not server.state:
+        if not self._knowledge.directory.takes_work(server.id):
             return None
         progress.tried.append(server.id)
         last_event = None if sink is None or sink.last_id is None else str(sink.last_id)
@@ -444,8 +477,14 @@
         if given is not None and given.isdigit():
             self._last_id = int(given)
         self._passed = False
+        #: Moment of the first event of the newest attempt.
+        self.first_event_at: Optional[float] = None
+        self._pauses: list[float] = []
+        self._last_event_at = 0.0
         #: Called when the first event of an attempt arrives.
         self.on_first_event: Callable[[], None] = lambda: None
+        #: Called with the shortest of an attempt's first pauses between events, in seconds.
+        self.on_pauses: Callable[[float], None] = lambda pause: None
 
     @property
     def last_id(self) -> Optional[int]:
@@ -453,11 +492,14 @@
         return self._last_id if self._passed else None
 
     async def begin(self, status: int, headers: HeaderList) -> None:
+        self.first_event_at = self._last_event_at = trio.current_time()
+        self._pauses = []
         self.on_first_event()
         if not self._answer.started:
             await self._answer.start(status, headers)
 
     async def take(self, events: list[StreamEvent]) -> None:
+        self._note_pause()
         new = [event for event in events if self._is_new(event)]
         if not new:
             return
@@ -467,10 +509,22 @@
         self._passed = True
         await self._answer.write(b"".join(event.data for event in new))
 
+    def _note_pause(self) -> None:
+        now = trio.current_time()
+        if now > self._last_event_at and len(self._pauses) < PAUSES_SEEN:
+            self._pauses.append(now - self._last_event_at)
+            if len(self._pauses) == PAUSES_SEEN:
+                self.on_pauses(min(self._pauses))
+        self._last_event_at = now
+
     def _is_new(self, event: StreamEvent) -> bool:
         return event.id is None or self._last_id is None or event.id > self._last_id
 
 
+def _seconds_between(begun: float, ended: Optional[float]) -> Optional[float]:
+    return None if ended is None or ended < begun else ended - begun
+
+
 def _refused(
     code: ResultCode, detail: str, retry_after: Optional[float] = None
 ) -> RequestRefusedError:
@@ -492,10 +546,22 @@
             return Outcome.SILENT if silent else Outcome.FAILED
         case NotSent():
             return Outcome.FAILED
+        case Withheld():
+            return Outcome.WITHHELD
         case _:
             return Outcome.SERVED
 
 
+def _no_longer_allowed(progress: _Progress) -> Failure:
+    if progress.may_have_run:
+        return Failure(ResultCode.BACKEND_STREAM_BROKEN, "the request may not be sent again")
+    return Failure(
+        ResultCode.CONFIGURATION_UNKNOWN,
+        "the key was withdrawn, or was not confirmed recently",
+        NOT_READY_RETRY_AFTER,
+    )
+
+
 def _out_of_time(progress: _Progress) -> Failure:
     if progress.tried:
         return Failure(ResultCode.BACKEND_DEADLINE_PASSED, "the time ran out on a server")
--- a/camphordrift/relay/_server_directory.py
+++ b/camphordrift/relay/_server_directory.py
@@ -20,6 +20,7 @@
     def __init__(self) -> None:
         self._servers: dict[str, BackendServer] = {}
         self._missing: dict[str, float] = {}
+        self._removed: set[str] = set()
         self._trouble_until = float("-inf")
 
     @property
@@ -31,6 +32,16 @@
         """Returns a listed server."""
         return self._servers.get(server_id)
 
+    def takes_work(self, server_id: str) -> bool:
+        """Tells whether nothing is known here that speaks against sending work to a server.
+
+        A server that other VMs know may not have been read here yet.
+        """
+        server = self._servers.get(server_id)
+        if server is None:
+            return server_id not in self._removed
+        return server.state is ServerState.READY
+
     def ready(self, service: str) -> list[BackendServer]:
         """Returns the servers of a service that take new work."""
         return [
@@ -46,6 +57,7 @@
     def put(self, server: BackendServer) -> bool:
         """Takes over an entry; returns whether anything but its being listed changed."""
         self._missing.pop(server.id, None)
+        self._removed.discard(server.id)
         changed = self._servers.get(server.id) != server
         self._servers[server.id] = server
         return changed
@@ -58,6 +70,7 @@
             self._missing.setdefault(server_id, self._trouble_until)
             return False
         del self._servers[server_id]
+        self._removed.add(server_id)
         return True
 
     def keep_only(self, server_ids: Iterable[str], now: float) -> bool:
@@ -72,4 +85,5 @@
         for server_id in gone:
             del self._missing[server_id]
             self._servers.pop(server_id, None)
+            self._removed.add(server_id)
         return bool(gone)
