--- /dev/null
+++ b/camphordrift/platform/tests/test_formats.py
@@ -0,0 +1,188 @@
+"""Tests of what the adapter reads and writes."""
+
+import testtools
+
+from camphordrift.platform import (
+    PlatformDocuments,
+    PlatformHeaders,
+    PlatformOrders,
+    decode_settings,
+)
+from camphordrift.relay import (
+    Account,
+    Address,
+    Helper,
+    Reservation,
+    RunRule,
+    SendFacts,
+    ServerState,
+    ServiceShare,
+)
+
+CONFIGURATION = b"""{"Version":7,"Routes":[
+ {"Name":"r-1","Host":"a.example","PathPrefix":"/q/","Kind":"streaming","TimeoutMs":10000,
+  "SloMs":300,"Priority":1,"TrafficSplit":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],
+  "MaxAttempts":2,"NoAuth":false,"Sticky":true,"ResumeStreams":true,"GapTargetMs":250},
+ {"Name":"r-2","Host":"a.example","PathPrefix":"/b/","Kind":"non_idempotent","TimeoutMs":2000,
+  "SloMs":300,"Service":"s2"},
+ {"Name":"r-3","Host":"a.example","PathPrefix":"/l/","Kind":"idempotent","Service":"s2","NoAuth":true}],
+ "Services":[{"Name":"s1","HealthPath":"/healthz","MaxConns":264,"Engine":{"Slots":8,
+  "KvCacheTokens":315000,"Stride":51,"step_ms":0.85,"per_seq_ms":0.0085,"context_per_k":0.00285,
+  "read_per_s":177000.0,"pairs_per_m":0.184,"usual":{"prompt":1,"answer":2}}},
+  {"Name":"s2","MaxConns":100}],
+ "Limits":{"MaxHeaderBytes":1000,"MaxBodyBytes":2000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":1}],"Unknown":{}}"""
+
+SETTINGS = b"""{"NodeName":"edge-1","Ip":"10.1.0.40","Zone":"z1","Listen":{"Front":"10.1.0.40:8227",
+ "ReadinessAddr":"10.1.0.40:8220"},"PortRange":[7340,7355],"Platform":{"Address":"10.200.1.7:8223"},
+ "Bounds":{"GraceS":8,"RevokeMs":5000,"RetrySlack":102},"Limits":{"MaxFds":4200}}"""
+
+
+class ConfigurationTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.read = PlatformDocuments().configuration(CONFIGURATION)
+
+    def test_routes(self) -> None:
+        stream, booking, lookup = self.read.routes
+        self.assertEqual((ServiceShare("s1", 90), ServiceShare("s2", 10)), stream.shares)
+        self.assertEqual(
+            (10.0, 0.3, 0.25), (stream.timeout, stream.objective, stream.pause_objective)
+        )
+        self.assertTrue(stream.may_repeat)
+        self.assertFalse(booking.may_repeat)
+        self.assertEqual((ServiceShare("s2", 1.0),), booking.shares)
+        self.assertIs(RunRule.REPEATABLE, lookup.run_rule)
+        self.assertTrue(lookup.open)
+
+    def test_a_stream_that_cannot_be_resumed_runs_once(self) -> None:
+        document = CONFIGURATION.replace(b'"ResumeStreams":true,', b"")
+        self.assertFalse(PlatformDocuments().configuration(document).routes[0].may_repeat)
+
+    def test_engines_costs_follow_the_stated_figures(self) -> None:
+        costs = self.read.services["s1"].engine_costs
+        assert costs is not None
+        self.assertAlmostEqual(
+            154 / 177 + 0.184e-9 * 154_000**2 / 2, costs.reading_time(154_000), 6
+        )
+        self.assertAlmostEqual(51 * 0.00085, costs.pass_time(0, 0))
+        self.assertAlmostEqual(51 * (0.00085 + 8.5e-6 + 0.000285), costs.pass_time(1, 100_000))
+
+    def test_accounts_and_limits(self) -> None:
+        self.assertEqual({"k1": Account("t1", 1), "k2": Account("t1", 1)}, self.read.accounts)
+        self.assertEqual(3.0, self.read.limits.header_timeout)
+
+    def test_without_accounts_no_key_is_needed(self) -> None:
+        start = CONFIGURATION.index(b',\n "Tenants"')
+        document = CONFIGURATION[:start] + b"}"
+        self.assertIsNone(PlatformDocuments().configuration(document).accounts)
+
+    def test_unreadable_documents(self) -> None:
+        for document in (b"", b"[]", b'{"Version":"x"}', b"\xff\xfe", CONFIGURATION[:-20]):
+            self.assertRaises(ValueError, PlatformDocuments().configuration, document)
+
+
+class ServerEntryTest(testtools.TestCase):
+    ENTRY = (
+        b'{"Service":"s1","Address":"10.1.0.9:8080","Zone":"z1","Version":"v1","Slots":8,'
+        b'"State":"ready","ColdLeftMs":0,"Seq":4,"born":1771403090306}'
+    )
+
+    def test_an_entry(self) -> None:
+        read = PlatformDocuments().server("i-1", self.ENTRY)
+        self.assertEqual(("10.1.0.9", 8080, 8), (read.host, read.port, read.slots))
+        self.assertIs(ServerState.READY, read.state)
+        self.assertEqual(1771403090306, read.started_ms)
+
+    def test_a_leaving_server(self) -> None:
+        entry = self.ENTRY.replace(b'"ready"', b'"draining"')
+        self.assertIs(ServerState.LEAVING, PlatformDocuments().server("i-1", entry).state)
+
+    def test_entries_of_other_writers_name_no_server(self) -> None:
+        for entry in (
+            b"{}",
+            b"\x00\x01",
+            self.ENTRY.replace(b'"ready"', b'"resting"'),
+            self.ENTRY.replace(b"10.1.0.9:8080", b"nowhere"),
+            self.ENTRY.replace(b'"Slots":8', b'"Slots":"8"'),
+        ):
+            self.assertRaises((ValueError, KeyError), PlatformDocuments().server, "i-1", entry)
+
+
+class HeadersTest(testtools.TestCase):
+    RECEIVED = (
+        (b"host", b"a.example"),
+        (b"camphordrift-attempt-id", b"9c41"),
+        (b"camphordrift-deadline-ms", b"10000"),
+        (b"camphordrift-credential", b"secret"),
+        (b"camphordrift-token-count", b"1460,80"),
+        (b"camphordrift-tenant", b"forged"),
+        (b"connection", b"keep-alive, x-hop"),
+        (b"x-hop", b"1"),
+        (b"x-other", b"2"),
+    )
+
+    def test_a_callers_facts(self) -> None:
+        facts = PlatformHeaders().request_facts(self.RECEIVED)
+        self.assertEqual(("9c41", 10.0, "secret"), (facts.attempt_id, facts.patience, facts.key))
+        self.assertEqual((1460, 80), (facts.prompt_tokens, facts.answer_tokens))
+
+    def test_unreadable_facts(self) -> None:
+        for name, value in ((b"deadline-ms", b"soon"), (b"token-count", b"a,b")):
+            headers = [(b"camphordrift-" + name, value)]
+            self.assertRaises(ValueError, PlatformHeaders().request_facts, headers)
+
+    def test_what_a_server_gets(self) -> None:
+        facts = SendFacts(
+            time_left=2.5,
+            server_id="i-1",
+            account="t1",
+            last_event_id="12",
+            helpers=(Helper("10.0.0.1", 80, "t81"), Helper("10.0.0.2", 81)),
+        )
+        sent = PlatformHeaders().outgoing_headers(self.RECEIVED, facts)
+        self.assertEqual(len(sent), len(dict(sent)))
+        self.assertEqual(
+            {
+                b"host": b"a.example",
+                b"camphordrift-attempt-id": b"9c41",
+                b"camphordrift-deadline-ms": b"2500",
+                b"camphordrift-token-count": b"1460,80",
+                b"camphordrift-tenant": b"t1",
+                b"camphordrift-expect-instance": b"i-1",
+                b"last-event-id": b"12",
+                b"camphordrift-helpers": b"10.0.0.1:80/t81,10.0.0.2:81",
+                b"x-other": b"2",
+            },
+            dict(sent),
+        )
+
+    def test_an_answers_facts(self) -> None:
+        facts = PlatformHeaders().answer_facts(
+            [(b"camphordrift-not-executed", b"1"), (b"keep-alive", b"timeout=5, max=3")]
+        )
+        self.assertEqual((True, False, 5.0), (facts.not_run, facts.signed, facts.idle_timeout))
+
+
+class SettingsTest(testtools.TestCase):
+    def test_settings(self) -> None:
+        read = decode_settings(SETTINGS)
+        self.assertEqual(Address("10.1.0.40", 8227), read.callers)
+        self.assertEqual(Address("10.1.0.40", 7340), read.peers)
+        self.assertEqual((8.0, 5.0, 102.0), (read.grace, read.key_lease, read.budget.slack))
+
+    def test_a_missing_field_is_named(self) -> None:
+        error = self.assertRaises(
+            ValueError, decode_settings, SETTINGS.replace(b'"Zone":"z1",', b"")
+        )
+        self.assertIn("Zone", str(error))
+
+
+class OrdersTest(testtools.TestCase):
+    def test_reserving_and_giving_back(self) -> None:
+        orders = PlatformOrders()
+        self.assertEqual(
+            b'{"Id":"t1","Tokens":60000,"HoldMs":3500,"Operation":"reserve"}',
+            orders.reserve(Reservation("t1", 60000, 3.5)),
+        )
+        self.assertEqual(b'{"Id":"t1","Operation":"release"}', orders.release("t1"))
--- /dev/null
+++ b/camphordrift/relay/tests/fleet.py
@@ -0,0 +1,204 @@
+"""One relay with scripted servers behind it, over sockets on loopback."""
+
+import socket
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+from typing import Optional
+
+import h11
+import trio
+
+from camphordrift.relay import Configuration, RelayProcess
+from camphordrift.relay.tests.samples import (
+    CONFIGURATION,
+    TOPICS,
+    MemoryLog,
+    SampleDocuments,
+    ScriptedServer,
+    SeenRequest,
+    adapters,
+    settings,
+)
+from camphordrift.testing import own_loopback_network
+
+#: Seconds in which every test has ended.
+TEST_TIMEOUT = 20.0
+
+
+@dataclass
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    #: Whether the answer was complete.
+    whole: bool
+
+
+class Fleet:
+    """One relay, its log and its servers."""
+
+    def __init__(self, process: RelayProcess, log: MemoryLog, documents: SampleDocuments) -> None:
+        self.process = process
+        self.log = log
+        self.documents = documents
+        self.host = f"{own_loopback_network()}.1"
+        self.port = 0
+
+    def publish(self, configuration: Configuration) -> None:
+        """Publishes a configuration."""
+        self.log.put(
+            TOPICS.configuration, TOPICS.configuration_key, self.documents.write(configuration)
+        )
+
+    def list_server(self, server: ScriptedServer) -> None:
+        """Lists a server."""
+        self.log.put(TOPICS.servers, server.entry.id, self.documents.write(server.entry))
+
+    async def connect(self) -> trio.SocketStream:
+        """Opens a connection as a caller."""
+        return await trio.open_tcp_stream(self.host, self.port)
+
+    async def call(
+        self, path: str, attempt: str = "a1", body: bytes = b"", **headers: str
+    ) -> Reply:
+        """Sends one request on a connection of its own and reads the answer."""
+        stream = await self.connect()
+        async with stream:
+            await stream.send_all(request_bytes(path, attempt, body, **headers))
+            return await read_reply(stream)
+
+    async def until_ready(self) -> None:
+        """Waits until the relay takes connections."""
+        while not self.process.ready:
+            await trio.sleep(0.01)
+
+
+def request_bytes(path: str, attempt: str = "a1", body: bytes = b"", **headers: str) -> bytes:
+    """Returns a caller's request."""
+    lines = {
+        "host": "a.example",
+        "x-attempt": attempt,
+        "x-key": "key-1",
+        "x-patience": "10",
+        "x-tokens": "5000",
+        "content-length": str(len(body)),
+    }
+    lines |= {name.replace("_", "-"): value for name, value in headers.items()}
+    head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
+    return f"POST {path} HTTP/1.1\r\n{head}\r\n".encode() + body
+
+
+async def read_reply(stream: trio.SocketStream) -> Reply:
+    """Reads one answer, whole or broken off."""
+    protocol = h11.Connection(h11.CLIENT)
+    protocol.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
+    protocol.send(h11.EndOfMessage())
+    head: Optional[h11.Response] = None
+    body = b""
+    while True:
+        try:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                protocol.receive_data(await stream.receive_some(65536))
+                continue
+        except (h11.RemoteProtocolError, trio.BrokenResourceError):
+            event = h11.ConnectionClosed()
+        match event:
+            case h11.Response():
+                head = event
+            case h11.Data():
+                body += event.data
+            case _:
+                status = 0 if head is None else head.status_code
+                headers = {} if head is None else {k.decode(): v.decode() for k, v in head.headers}
+                return Reply(status, headers, body, isinstance(event, h11.EndOfMessage))
+
+
+@asynccontextmanager
+async def open_fleet(
+    servers: Sequence[ScriptedServer], configuration: Configuration = CONFIGURATION
+) -> AsyncIterator[Fleet]:
+    """Runs a relay with its servers until the block ends."""
+    log, documents = MemoryLog(), SampleDocuments()
+    ports = _free_ports(f"{own_loopback_network()}.1")
+    vm = replace(settings(1, 0), vm="vm-1")
+    vm = replace(
+        vm,
+        callers=replace(vm.callers, port=ports[0]),
+        readiness=replace(vm.readiness, port=ports[1]),
+        peers=replace(vm.peers, port=ports[2]),
+        metrics=replace(vm.metrics, port=ports[3]),
+    )
+    process = RelayProcess(vm, adapters(log, documents))
+    fleet = Fleet(process, log, documents)
+    fleet.port = ports[0]
+    with trio.fail_after(TEST_TIMEOUT):
+        async with trio.open_nursery() as nursery:
+            for server in servers:
+                await nursery.start(server.run)
+                fleet.list_server(server)
+            fleet.publish(configuration)
+            nursery.start_soon(process.run)
+            await fleet.until_ready()
+            yield fleet
+            nursery.cancel_scope.cancel()
+
+
+def _free_ports(host: str) -> list[int]:
+    sockets = [socket.socket() for _ in range(4)]
+    try:
+        for item in sockets:
+            item.bind((host, 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def events(first: int, last: int) -> bytes:
+    """Returns the events of a stream from ``first`` to ``last``."""
+    return b"".join(b"id: %d\ndata: token-%d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+def chunk(data: bytes) -> bytes:
+    """Returns one chunk of a chunked body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def stream_head(seen: SeenRequest, signed: bool = True) -> bytes:
+    """Returns the head of a streamed answer."""
+    signature = b"x-signature: s\r\n" if signed else b""
+    return (
+        b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
+        + signature
+        + f"x-attempt: {seen.attempt}\r\n\r\n".encode()
+    )
+
+
+def plain_answer(seen: SeenRequest, status: str = "200 OK", body: bytes = b"done") -> bytes:
+    """Returns a whole plain answer."""
+    head = f"HTTP/1.1 {status}\r\nx-signature: s\r\nx-attempt: {seen.attempt}\r\n"
+    return head.encode() + b"content-length: %d\r\n\r\n" % len(body) + body
+
+
+async def whole_stream(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+    """Answers with events 1 to 5, or what is left of them."""
+    first = int(seen.headers.get("last-event-id", "0")) + 1
+    await stream.send_all(stream_head(seen) + chunk(events(first, 5)) + b"0\r\n\r\n")
+    return True
+
+
+async def plain_success(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+    """Answers with a whole plain answer."""
+    await stream.send_all(plain_answer(seen))
+    return True
+
+
+async def not_run(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+    """Says that the request did not run."""
+    head = f"HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nx-attempt: {seen.attempt}\r\n"
+    await stream.send_all(head.encode() + b"content-length: 0\r\n\r\n")
+    return True
--- /dev/null
+++ b/camphordrift/relay/tests/samples.py
@@ -0,0 +1,346 @@
+"""Samples for the relay's tests: values, an adapter of its own, a log in memory, scripted servers."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from typing import Optional
+
+import h11
+import trio
+
+from camphordrift.relay import (
+    Account,
+    Adapters,
+    Address,
+    AnswerFacts,
+    BackendServer,
+    Batch,
+    BudgetTerms,
+    Configuration,
+    EngineCosts,
+    Headers,
+    KeyedRecord,
+    LogTopics,
+    RelaySettings,
+    RequestFacts,
+    Reservation,
+    Route,
+    RunRule,
+    SendFacts,
+    ServerState,
+    Service,
+    ServiceShare,
+    StoreError,
+)
+from camphordrift.relay._placement_values import Ask
+from camphordrift.testing import own_loopback_network
+
+#: The engines of today's deployments (service documents of both sites).
+COSTS = EngineCosts(
+    slots=8,
+    memory_tokens=315_000,
+    steps_per_pass=51,
+    step=0.00085,
+    step_per_request=0.0000085,
+    step_per_context_token=2.85e-9,
+    read_per_token=1 / 177_000,
+    read_per_pair=0.184e-9,
+)
+
+TOPICS = LogTopics("operators", "configuration", "servers", "members")
+
+STREAM = Route(
+    name="quick",
+    host="a.example",
+    path_prefix="/quick/",
+    shares=(ServiceShare("engines", 1.0),),
+    run_rule=RunRule.ONCE,
+    streams=True,
+    resumable=True,
+    timeout=10.0,
+    objective=0.3,
+    pause_objective=0.25,
+    max_attempts=2,
+    priority=1,
+    open=False,
+)
+
+ONCE = replace(
+    STREAM,
+    name="book",
+    path_prefix="/book/",
+    shares=(ServiceShare("office", 1.0),),
+    streams=False,
+    resumable=False,
+    timeout=2.0,
+    max_attempts=1,
+)
+
+REPEATABLE = replace(ONCE, name="look", path_prefix="/look/", run_rule=RunRule.REPEATABLE)
+REPEATABLE = replace(REPEATABLE, max_attempts=2)
+
+CONFIGURATION = Configuration(
+    version=3,
+    routes=(STREAM, ONCE, REPEATABLE),
+    services={
+        "engines": Service("engines", 264, COSTS),
+        "office": Service("office", 100, None),
+    },
+    accounts={"key-1": Account("school", None)},
+)
+
+
+def server(number: int, service: str = "engines", port: int = 1) -> BackendServer:
+    """Returns a server that takes work."""
+    return BackendServer(
+        id=f"{service}-{number}",
+        service=service,
+        host=f"{own_loopback_network()}.{100 + number}",
+        port=port,
+        zone="z1",
+        slots=8,
+        state=ServerState.READY,
+    )
+
+
+def ask(ask_id: str, prompt_tokens: int = 5000, **changes: object) -> Ask:
+    """Returns an ask with the objectives that callers have for a prompt of this length."""
+    if prompt_tokens < 25_000:
+        objective, pause = 0.3, 0.25
+    elif prompt_tokens < 120_000:
+        objective, pause = 1.5, 0.6
+    else:
+        objective, pause = 3.0, 1.0
+    sample = Ask(
+        id=ask_id,
+        service="engines",
+        zone="z1",
+        prompt_tokens=prompt_tokens,
+        answer_tokens=1000,
+        objective=objective,
+        pause=pause,
+        time_left=10.0,
+        priority=1,
+    )
+    return replace(sample, **changes)  # type: ignore[arg-type]
+
+
+class MemoryLog:
+    """A keyed log in memory."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, list[KeyedRecord]] = {}
+        self._changed = trio.Event()
+        #: Whether calls fail.
+        self.is_down = False
+
+    async def newest(self, topic: str) -> Batch:
+        """Returns the newest record of each key."""
+        await self._check()
+        newest = {record.key: record for record in self._records.get(topic, [])}
+        kept = tuple(record for record in newest.values() if record.value is not None)
+        return Batch(kept, len(self._records.get(topic, [])))
+
+    async def read(self, topic: str, offset: int, wait: float) -> Batch:
+        """Returns records from ``offset`` on."""
+        await self._check()
+        with trio.move_on_after(wait):
+            while len(self._records.get(topic, [])) <= offset:
+                await self._changed.wait()
+        await self._check()
+        records = tuple(self._records.get(topic, [])[offset:])
+        return Batch(records, offset + len(records))
+
+    async def append(self, topic: str, record: KeyedRecord) -> None:
+        """Appends a record."""
+        await self._check()
+        self.put(topic, record.key, record.value)
+
+    def put(self, topic: str, key: str, value: Optional[bytes]) -> None:
+        """Appends a record at once."""
+        self._records.setdefault(topic, []).append(KeyedRecord(key, value))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _check(self) -> None:
+        await trio.lowlevel.checkpoint()
+        if self.is_down:
+            raise StoreError("down")
+
+
+class SampleDocuments:
+    """Documents that are only the numbers under which the test keeps the values."""
+
+    def __init__(self) -> None:
+        self._values: list[object] = []
+
+    def write(self, value: object) -> bytes:
+        """Returns the document that stands for ``value``."""
+        self._values.append(value)
+        return str(len(self._values) - 1).encode()
+
+    def configuration(self, document: bytes) -> Configuration:
+        """Reads a configuration."""
+        value = self._values[int(document)]
+        assert isinstance(value, Configuration)
+        return value
+
+    def server(self, server_id: str, document: bytes) -> BackendServer:
+        """Reads a backend server's entry."""
+        value = self._values[int(document)]
+        if not isinstance(value, BackendServer):
+            raise ValueError("not a server")
+        return value
+
+
+class SampleHeaders:
+    """Headers with names of the test's own."""
+
+    def request_facts(self, headers: Headers) -> RequestFacts:
+        """Reads a caller's headers."""
+        found = {name: value.decode() for name, value in headers}
+        return RequestFacts(
+            attempt_id=found.get(b"x-attempt", ""),
+            patience=float(found[b"x-patience"]) if b"x-patience" in found else None,
+            key=found.get(b"x-key"),
+            prompt_tokens=int(found.get(b"x-tokens", "0")),
+            answer_tokens=100,
+            last_event_id=found.get(b"last-event-id"),
+        )
+
+    def answer_facts(self, headers: Headers) -> AnswerFacts:
+        """Reads a backend server's headers."""
+        found = {name: value.decode() for name, value in headers}
+        return AnswerFacts(
+            attempt_id=found.get(b"x-attempt"),
+            signed=b"x-signature" in found,
+            not_run=b"x-not-run" in found,
+        )
+
+    def outgoing_headers(self, headers: Headers, facts: SendFacts) -> list[tuple[bytes, bytes]]:
+        """Returns a caller's end-to-end headers as a backend server gets them."""
+        ended = (b"x-key", b"connection", b"last-event-id")
+        sent = [(name, value) for name, value in headers if name not in ended]
+        sent.append((b"x-server", facts.server_id.encode()))
+        sent.append((b"x-account", (facts.account or "").encode()))
+        if facts.last_event_id is not None:
+            sent.append((b"last-event-id", facts.last_event_id.encode()))
+        return sent
+
+
+class SampleOrders:
+    """Orders as plain words."""
+
+    path = b"/order"
+    content_type = b"text/plain"
+
+    def reserve(self, reservation: Reservation) -> bytes:
+        """Returns the body of an order that reserves memory."""
+        return f"reserve {reservation.id} {reservation.tokens}".encode()
+
+    def release(self, reservation_id: str) -> bytes:
+        """Returns the body of an order that gives reserved memory back."""
+        return f"release {reservation_id}".encode()
+
+
+@dataclass
+class SeenRequest:
+    """A request as a scripted server got it."""
+
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def attempt(self) -> str:
+        """The id of the caller's attempt."""
+        return self.headers.get("x-attempt", "")
+
+
+Script = Callable[[SeenRequest, trio.SocketStream], Awaitable[bool]]
+
+
+class ScriptedServer:
+    """A server whose script writes the bytes of each answer.
+
+    The script returns whether the connection goes on.
+    """
+
+    def __init__(self, entry: BackendServer, script: Script) -> None:
+        self.entry = entry
+        self.script = script
+        self.seen: list[SeenRequest] = []
+        self.connections = 0
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serves until cancelled."""
+        listeners = await trio.open_tcp_listeners(self.entry.port, host=self.entry.host)
+        port = listeners[0].socket.getsockname()[1]
+        self.entry = replace(self.entry, port=port)
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while (seen := await _next_request(protocol, stream)) is not None:
+                self.seen.append(seen)
+                if not await self.script(seen, stream):
+                    return
+                protocol = h11.Connection(h11.SERVER)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+async def _next_request(
+    protocol: h11.Connection, stream: trio.SocketStream
+) -> Optional[SeenRequest]:
+    head: Optional[h11.Request] = None
+    body = b""
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            data = await stream.receive_some(65536)
+            if not data and head is None:
+                return None
+            protocol.receive_data(data)
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            headers = {name.decode(): value.decode() for name, value in head.headers}
+            return SeenRequest(head.target.decode(), headers, body)
+        else:
+            return None
+
+
+def settings(number: int, ports: int) -> RelaySettings:
+    """Returns the settings of a VM on loopback addresses of this test process."""
+    host = f"{own_loopback_network()}.{number}"
+    return RelaySettings(
+        vm=f"vm-{number}",
+        zone="z1",
+        callers=Address(host, ports),
+        readiness=Address(host, ports + 1),
+        peers=Address(host, ports + 2),
+        metrics=Address(host, ports + 3),
+        store=Address(host, ports + 4),
+        grace=8.0,
+        key_lease=5.0,
+        configuration_bound=2.0,
+        leaving_bound=2.0,
+        budget=BudgetTerms(0.2, 100.0, 10.0),
+        max_sockets=1000,
+    )
+
+
+def adapters(log: MemoryLog, documents: SampleDocuments) -> Adapters:
+    """Returns the adapters of the tests."""
+    return Adapters(
+        headers=SampleHeaders(),
+        documents=documents,
+        orders=SampleOrders(),
+        log=log,
+        topics=TOPICS,
+    )
--- /dev/null
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -0,0 +1,236 @@
+"""Tests of the placement of prompts, each with the load that it answers."""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphordrift.relay._engine_pool import EnginePool
+from camphordrift.relay._placement_values import (
+    Decision,
+    Grant,
+    Outcome,
+    Refusal,
+    RefusalReason,
+)
+from camphordrift.relay.tests.samples import COSTS, ask, server
+
+
+def pool_of(engines: int) -> EnginePool:
+    pool = EnginePool(COSTS)
+    pool.set_servers([server(number) for number in range(engines)])
+    return pool
+
+
+def place(pool: EnginePool, ask_id: str, tokens: int, now: float = 0.0, **changes: object) -> Grant:
+    pool.submit(ask(ask_id, tokens, **changes), now)
+    (decision,) = pool.decide(now)
+    assert isinstance(decision, Grant), decision
+    return decision
+
+
+class ShortPromptTest(testtools.TestCase):
+    def test_short_prompts_share_engines(self) -> None:
+        """A steady load of short prompts leaves most engines free for long ones."""
+        pool = pool_of(23)
+        used = set()
+        for number in range(24):
+            now = number * 0.2
+            used.add(place(pool, f"r{number}", 5000, now).server.id)
+            pool.first_event(f"r{number}", now + 0.1)
+        self.assertTrue(len(used) <= 4, used)
+
+    def test_prompts_that_arrive_together_do_not_queue_behind_each_other(self) -> None:
+        """A burst within one pass must not stack its reading on one engine."""
+        pool = pool_of(23)
+        grants = [place(pool, f"r{number}", 5000) for number in range(40)]
+        self.assertTrue(max(grant.first_event for grant in grants) <= 0.3)
+
+    def test_no_engine_gets_more_than_its_slots(self) -> None:
+        pool = pool_of(2)
+        for number in range(40):
+            pool.submit(ask(f"r{number}", 500), 0.0)
+        grants = [item for item in pool.decide(0.0) if isinstance(item, Grant)]
+        per_engine = [grant.server.id for grant in grants]
+        self.assertTrue(len(grants) <= 2 * COSTS.slots)
+        self.assertTrue(max(per_engine.count(name) for name in set(per_engine)) <= COSTS.slots)
+
+    def test_a_waiting_prompt_gets_the_slot_that_comes_free(self) -> None:
+        pool = pool_of(1)
+        for number in range(COSTS.slots):
+            now = number * 1.0
+            place(pool, f"r{number}", 500, now, time_left=60.0)
+            pool.first_event(f"r{number}", now + 0.1)
+        pool.submit(ask("waits", 500), 8.0)
+        self.assertEqual([], pool.decide(8.0))
+        pool.finished("r0", Outcome.SERVED, 8.1)
+        (decision,) = pool.decide(8.1)
+        self.assertIsInstance(decision, Grant)
+
+
+class LongPromptTest(testtools.TestCase):
+    def test_a_long_prompt_is_read_in_parts(self) -> None:
+        grant = place(pool_of(23), "long", 154_000)
+        self.assertTrue(len(grant.helpers) >= 7)
+        self.assertTrue(grant.first_event < 3.0 * 0.8)
+
+    def test_parts_keep_off_engines_with_short_pauses(self) -> None:
+        """A regulation that arrives beside quick questions does not stretch their pauses."""
+        pool = pool_of(23)
+        short = place(pool, "short", 5000)
+        pool.first_event("short", 0.1)
+        grant = place(pool, "long", 154_000, 0.2)
+        engines = {grant.server.id, *(helper.id for helper in grant.helpers)}
+        self.assertNotIn(short.server.id, engines)
+
+    def test_parts_choose_free_engines_before_those_that_read(self) -> None:
+        pool = pool_of(23)
+        first = place(pool, "one", 100_000)
+        second = place(pool, "two", 100_000, 0.05)
+        self.assertEqual(set(), _engine_ids(first) & _engine_ids(second))
+
+    def test_a_long_prompt_waits_rather_than_stretch_pauses(self) -> None:
+        pool = pool_of(1)
+        place(pool, "short", 5000)
+        pool.first_event("short", 0.1)
+        pool.submit(ask("long", 154_000), 0.2)
+        self.assertEqual([], pool.decide(0.2))
+        pool.finished("short", Outcome.SERVED, 0.3)
+        (decision,) = pool.decide(0.3)
+        self.assertIsInstance(decision, Grant)
+
+
+class LargePromptTest(testtools.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=40)
+    @given(st.integers(300_000, 900_000), st.integers(4, 23))
+    def test_memory_is_shared_out_without_exceeding_an_engine(
+        self, tokens: int, engines: int
+    ) -> None:
+        pool = pool_of(engines)
+        grant = place(pool, "large", tokens, time_left=60.0)
+        kept_first = tokens + 1000 - sum(grant.helper_memory)
+        self.assertTrue(0 < kept_first <= COSTS.memory_tokens)
+        self.assertTrue(all(part <= COSTS.memory_tokens for part in grant.helper_memory))
+        self.assertEqual(len(grant.helpers), len(grant.helper_memory))
+        self.assertTrue(len(grant.helpers) <= 16)
+
+    def test_a_prompt_that_never_fits_is_refused_at_once(self) -> None:
+        pool = pool_of(2)
+        pool.submit(ask("huge", 900_000, time_left=60.0), 0.0)
+        (decision,) = pool.decide(0.0)
+        assert isinstance(decision, Refusal)
+        self.assertEqual(RefusalReason.NEVER_FITS, decision.reason)
+
+    def test_memory_comes_back_at_the_end(self) -> None:
+        pool = pool_of(4)
+        place(pool, "one", 700_000, time_left=60.0)
+        pool.first_event("one", 3.0)
+        pool.finished("one", Outcome.SERVED, 4.0)
+        place(pool, "two", 700_000, 4.0, time_left=60.0)
+
+
+class FailureTest(testtools.TestCase):
+    def test_an_engine_that_failed_is_left_alone(self) -> None:
+        pool = pool_of(3)
+        failed = place(pool, "one", 5000).server.id
+        pool.finished("one", Outcome.SILENT, 0.5)
+        grants = [place(pool, f"r{number}", 5000, 0.6) for number in range(6)]
+        self.assertNotIn(failed, {grant.server.id for grant in grants})
+
+    def test_an_excluded_engine_is_not_chosen(self) -> None:
+        pool = pool_of(2)
+        grant = place(pool, "one", 5000, excluded=("engines-0",))
+        self.assertEqual("engines-1", grant.server.id)
+
+    def test_a_request_that_cannot_be_served_in_time_is_refused_at_once(self) -> None:
+        pool = pool_of(2)
+        pool.submit(ask("late", 154_000, time_left=0.5), 0.0)
+        (decision,) = pool.decide(0.0)
+        assert isinstance(decision, Refusal)
+        self.assertEqual(RefusalReason.TOO_LATE, decision.reason)
+
+    def test_no_engine_at_all_is_said_at_once(self) -> None:
+        pool = EnginePool(COSTS)
+        pool.submit(ask("one"), 0.0)
+        (decision,) = pool.decide(0.0)
+        assert isinstance(decision, Refusal)
+        self.assertEqual(RefusalReason.NO_ENGINE, decision.reason)
+
+    def test_a_slow_engine_gets_less(self) -> None:
+        """Pauses five times as long as stated show a slow engine, which is then kept for last."""
+        pool = pool_of(2)
+        slow = place(pool, "one", 5000).server.id
+        pool.first_event("one", 0.1)
+        for _ in range(4):
+            pool.pause_seen("one", 0.22)
+        grants = [place(pool, f"r{number}", 5000, 0.2) for number in range(4)]
+        self.assertNotIn(slow, {grant.server.id for grant in grants})
+
+    def test_an_end_that_is_never_reported_gives_the_slot_back(self) -> None:
+        pool = pool_of(1)
+        for number in range(COSTS.slots):
+            place(pool, f"r{number}", 100, number * 0.2)
+            pool.first_event(f"r{number}", number * 0.2 + 0.1)
+        place(pool, "later", 100, 13.0)
+
+
+class TakeOverTest(testtools.TestCase):
+    def test_requests_placed_elsewhere_count(self) -> None:
+        """A VM that takes over knows what the others have running."""
+        other = pool_of(1)
+        grants = [place(other, f"r{n}", 100, n * 0.2) for n in range(COSTS.slots)]
+        pool = pool_of(1)
+        for number, grant in enumerate(grants):
+            pool.register(ask(f"r{number}", 100), grant, False, 2.0)
+        pool.submit(ask("next", 100), 2.0)
+        self.assertEqual([], pool.decide(2.0))
+
+
+class AnyLoadTest(testtools.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["ask", "first", "end", "fail", "time"]),
+                st.sampled_from([500, 5000, 45_000, 154_000, 400_000]),
+            ),
+            max_size=80,
+        )
+    )
+    def test_limits_of_engines_hold_and_every_ask_is_answered(
+        self, steps: list[tuple[str, int]]
+    ) -> None:
+        pool, now, running, answered = pool_of(5), 0.0, [], set()
+        asked = set()
+        for number, (step, tokens) in enumerate(steps):
+            now += 0.05
+            if step == "ask":
+                pool.submit(ask(f"r{number}", tokens), now)
+                asked.add(f"r{number}")
+            elif step == "time":
+                now += 2.0
+            elif running and step == "first":
+                pool.first_event(running[0], now)
+            elif running:
+                outcome = Outcome.SERVED if step == "end" else Outcome.FAILED
+                pool.finished(running.pop(0), outcome, now)
+            self._take(pool.decide(now), running, answered)
+            for engine in pool._engines.values():
+                self.assertTrue(engine.writers <= COSTS.slots)
+                self.assertTrue(engine.free_memory >= 0)
+        for _ in range(400):
+            now += 0.1
+            while running:
+                pool.finished(running.pop(), Outcome.SERVED, now)
+            self._take(pool.decide(now), running, answered)
+        self.assertEqual(asked, answered)
+
+    def _take(self, decisions: list[Decision], running: list[str], answered: set[str]) -> None:
+        for decision in decisions:
+            self.assertNotIn(decision.ask_id, answered)
+            answered.add(decision.ask_id)
+            if isinstance(decision, Grant):
+                running.append(decision.ask_id)
+
+
+def _engine_ids(grant: Grant) -> set[str]:
+    return {grant.server.id, *(helper.id for helper in grant.helpers)}
