--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -1,4 +1,4 @@
-"""Samples for the relay's tests: values, an adapter of its own, a log in memory, scripted servers."""
+"""Samples for the relay's tests: values, an adapter, a log in memory, scripted servers."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -199,8 +199,10 @@
     def test_limits_of_engines_hold_and_every_ask_is_answered(
         self, steps: list[tuple[str, int]]
     ) -> None:
-        pool, now, running, answered = pool_of(5), 0.0, [], set()
-        asked = set()
+        pool, now = pool_of(5), 0.0
+        running: list[str] = []
+        asked: set[str] = set()
+        answered: set[str] = set()
         for number, (step, tokens) in enumerate(steps):
             now += 0.05
             if step == "ask":
--- a/camphordrift/relay/tests/test_whole_path.py
+++ b/camphordrift/relay/tests/test_whole_path.py
@@ -1,5 +1,6 @@
-"""Tests of requests from the caller to a server and back, over sockets, with servers that misbehave."""
+"""Tests of requests from the caller to a server and back, with servers that misbehave."""
 
+import contextlib
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -139,10 +140,8 @@
 
             async def never_ends(seen: SeenRequest, stream: trio.SocketStream) -> bool:
                 await stream.send_all(stream_head(seen) + chunk(events(1, 1)))
-                try:
+                with contextlib.suppress(trio.BrokenResourceError):
                     await stream.receive_some(1)
-                except trio.BrokenResourceError:
-                    pass
                 ended.set()
                 return False
 
@@ -338,7 +337,7 @@
                 async with stream:
                     await stream.send_all(data)
                     reply = await read_reply(stream)
-                    self.assertEqual(status, reply.status, data[:40])
+                    self.assertEqual(status, reply.status, repr(data[:40]))
             self.assertEqual([], servers[0].seen)
             self.assertEqual(200, (await fleet.call("/quick/x")).status)
 
