Let one VM read the store and hand news on to the others

The home reads now; ages of what it knows come back with each ping, so that each VM's lease on keys stays its own. A VM whose news are too old reads for itself; offsets keep older news from changing anything. A VM that starts reads at once, and lets requests wait for that instead of refusing them.

--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -74,7 +74,10 @@
                 query["After"] = after
             page = _decode_page(await self._call("GET", "/v1/log-newest", query))
             next_offset = page.end_offset if next_offset is None else next_offset
-            records += [KeyedRecord(item.key, base64.b64decode(item.value)) for item in page.items]
+            records += [
+                KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
+                for item in page.items
+            ]
             if not page.has_more or not page.items:
                 return Batch(tuple(records), next_offset)
             after = page.items[-1].key
@@ -92,7 +95,7 @@
         if len(content) < _READ_HEAD.size:
             raise StoreError("a read without its offsets")
         end, _ = _READ_HEAD.unpack_from(content)
-        records = tuple(_split_records(content[_READ_HEAD.size :]))
+        records = tuple(_split_records(content[_READ_HEAD.size :], offset))
         next_offset = offset + len(records)
         readable = tuple(record for record in records if record is not None)
         if len(readable) < len(records):
@@ -164,7 +167,7 @@
         raise StoreError(f"a page that cannot be read: {error}") from error
 
 
-def _split_records(content: bytes) -> Iterator[Optional[KeyedRecord]]:
+def _split_records(content: bytes, offset: int) -> Iterator[Optional[KeyedRecord]]:
     """Yields the records of a read, and ``None`` for one that cannot be read."""
     position = 0
     while position + _RECORD_LENGTH.size <= len(content):
@@ -174,12 +177,13 @@
         position += length
         if len(record) < length:
             return
-        yield _keyed_record(record)
+        yield _keyed_record(record, offset)
+        offset += 1
 
 
-def _keyed_record(record: bytes) -> Optional[KeyedRecord]:
+def _keyed_record(record: bytes, offset: int) -> Optional[KeyedRecord]:
     if not record or len(record) < 1 + record[0]:
         return None
     key_end = 1 + record[0]
     key = record[1:key_end].decode("utf-8", errors="replace")
-    return KeyedRecord(key, record[key_end:] or None)
+    return KeyedRecord(key, record[key_end:] or None, offset)
--- a/camphordrift/platform/tests/test_store.py
+++ b/camphordrift/platform/tests/test_store.py
@@ -83,7 +83,7 @@
     def test_records_with_and_without_values(self) -> None:
         async def body(store: PlatformStore, calls: list[str]) -> None:
             batch = await store.read("keyed.op", 4, 1.5)
-            self.assertEqual((KeyedRecord("ab", b"v"), KeyedRecord("c", None)), batch.records)
+            self.assertEqual((KeyedRecord("ab", b"v", 4), KeyedRecord("c", None, 5)), batch.records)
             self.assertEqual((6, True), (batch.next_offset, batch.complete))
             self.assertIn("From=4&WaitMs=1500", calls[0])
 
@@ -99,7 +99,7 @@
     def test_a_record_that_cannot_be_read_is_passed_over(self) -> None:
         async def body(store: PlatformStore, calls: list[str]) -> None:
             batch = await store.read("keyed.op", 0, 0.0)
-            self.assertEqual((KeyedRecord("a", b"v"),), batch.records)
+            self.assertEqual((KeyedRecord("a", b"v", 2),), batch.records)
             self.assertEqual(3, batch.next_offset)
 
         run(lambda line: answer("200 OK", read_body(3, b"", b"\x09abc", b"\x01av")), body)
--- a/camphordrift/relay/_followers.py
+++ b/camphordrift/relay/_followers.py
@@ -1,7 +1,11 @@
-"""Follows the configuration and the backend servers on the keyed log."""
+"""Follows the configuration and the backend servers.
+
+One VM, the home of the pools, reads the store and hands news on to the others. A VM reads for
+itself while it has no home, or while its home's news are too old.
+"""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Optional
 
 import trio
@@ -18,18 +22,29 @@
     StoreError,
 )
 from camphordrift.relay._routing_table import RoutingTable
-from camphordrift.relay._server_directory import ServerDirectory
+from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 
 #: Seconds that a read of the configuration waits for a change. Two of them, one that has just begun
 #: and the one before it, lie well within the lease on keys (5 s on today's deployments).
-CONFIGURATION_WAIT = 1.5
+CONFIGURATION_WAIT = 1.0
 
-#: Seconds between reads of the servers; with the read it stays well below the time in which a
-#: leaving server must get no more requests (2 s on today's deployments).
-SERVERS_INTERVAL = 1.0
+#: Seconds between reads of the servers; with the read and the handing on it stays well below the
+#: time in which a leaving server must get no more requests (2 s on today's deployments).
+SERVERS_INTERVAL = 0.7
 
-#: Seconds between attempts while the store does not answer.
+#: Seconds between attempts while the store does not answer; doubled up to the longest.
 STORE_RETRY_INTERVAL = 0.25
+LONGEST_STORE_RETRY_INTERVAL = 1.0
+
+#: Age in seconds of the home's news from which a VM reads for itself. It lies above what two reads
+#: of the configuration and a ping take, and leaves two seconds of the lease on keys.
+STALE_NEWS = 2.8
+
+#: Age in seconds of the home's news of servers from which a VM reads them for itself.
+STALE_SERVER_NEWS = 1.5
+
+#: Seconds between looks at the age of the home's news.
+NEWS_CHECK_INTERVAL = 0.1
 
 
 def suspended_clock() -> float:
@@ -45,6 +60,7 @@
         self._topic = topic
         self._offset: Optional[int] = None
         self._reachable = True
+        self._retry = STORE_RETRY_INTERVAL
 
     async def next_batch(self, wait: float) -> tuple[Batch, bool]:
         """Returns records, and whether they are the newest of every key.
@@ -70,7 +86,14 @@
         self._offset = batch.next_offset
         return batch, whole
 
+    async def pause_after_failure(self) -> None:
+        """Waits before the store is asked again; longer each time in a row."""
+        await trio.sleep(self._retry)
+        self._retry = min(LONGEST_STORE_RETRY_INTERVAL, self._retry * 2)
+
     def _note_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable:
+            self._retry = STORE_RETRY_INTERVAL
         if reachable != self._reachable:
             self._reachable = reachable
             event = "store_regained" if reachable else "store_lost"
@@ -94,33 +117,43 @@
         self._lease = lease
         self._changed = changed
         self._table: Optional[RoutingTable] = None
+        self._document: Optional[bytes] = None
+        #: Whether a home hands news on to this VM.
+        self.has_home = False
 
     @property
     def table(self) -> Optional[RoutingTable]:
         """The configuration in force; ``None`` before the first was read."""
         return self._table
 
+    @property
+    def document(self) -> Optional[bytes]:
+        """The document of the configuration in force, for other VMs."""
+        return self._document
+
     async def run(self) -> None:
         """Follows the configuration until cancelled."""
         while True:
             asked = suspended_clock()
+            if self.has_home and self._lease.age(asked) < STALE_NEWS:
+                await trio.sleep(NEWS_CHECK_INTERVAL)
+                continue
             try:
                 batch, _ = await self._topic.next_batch(CONFIGURATION_WAIT)
             except StoreError:
-                await trio.sleep(STORE_RETRY_INTERVAL)
+                await self._topic.pause_after_failure()
                 continue
             for record in batch.records:
-                self._apply(record)
+                self._apply_record(record)
             if batch.complete:
                 self._lease.confirm(asked)
             if self._table is None:
                 await trio.sleep(STORE_RETRY_INTERVAL)
 
-    def _apply(self, record: KeyedRecord) -> None:
-        if record.key != self._key or record.value is None:
-            return
+    def apply(self, document: bytes) -> None:
+        """Takes over a document if its version is newer."""
         try:
-            configuration = self._documents.configuration(record.value)
+            configuration = self._documents.configuration(document)
         except ValueError as error:
             log_event("configuration_unreadable", level=LogLevel.ERROR, reason=str(error))
             return
@@ -128,14 +161,23 @@
         if current is not None and configuration.version <= current.configuration.version:
             return
         self._table = RoutingTable(configuration)
+        self._document = document
         log_event(
             "configuration_applied",
             version=configuration.version,
             routes=len(configuration.routes),
-            keys=len(configuration.accounts or ()),
+            accounts=len(configuration.accounts or ()),
         )
         self._changed()
 
+    def confirm(self, asked: float) -> None:
+        """Notes that the home had read all that was written before ``asked``."""
+        self._lease.confirm(asked)
+
+    def _apply_record(self, record: KeyedRecord) -> None:
+        if record.key == self._key and record.value is not None:
+            self.apply(record.value)
+
 
 class ServersFollower:
     """Keeps the directory of backend servers."""
@@ -146,55 +188,87 @@
         topics: LogTopics,
         documents: DocumentFormat,
         directory: ServerDirectory,
-        changed: Callable[[], None],
+        changed: Callable[[list[DirectoryChange]], None],
     ) -> None:
         self._topic = TopicFollower(log, topics.servers)
         self._documents = documents
         self._directory = directory
         self._changed = changed
+        self._read_at = float("-inf")
+        #: Whether a home hands news on to this VM.
+        self.has_home = False
+
+    def age(self, now: float) -> float:
+        """Returns the seconds since the servers were known to be complete."""
+        return now - self._read_at
 
     async def run(self) -> None:
         """Follows the servers until cancelled."""
         while True:
-            now = trio.current_time()
+            asked = trio.current_time()
+            if self.has_home and self.age(asked) < STALE_SERVER_NEWS:
+                await trio.sleep(NEWS_CHECK_INTERVAL)
+                continue
+            if self.has_home:
+                # The home may have missed the store while entries lapsed.
+                self._directory.note_store_trouble(asked)
             try:
                 batch, whole = await self._topic.next_batch(0.0)
             except StoreError:
                 self._directory.note_store_trouble(trio.current_time())
-                await trio.sleep(STORE_RETRY_INTERVAL)
+                await self._topic.pause_after_failure()
                 continue
-            if self._apply(batch, whole):
-                self._changed()
-            await trio.sleep(max(0.0, now + SERVERS_INTERVAL - trio.current_time()))
+            if batch.complete:
+                self.confirm(asked)
+            self._report(self._apply(batch, whole))
+            await trio.sleep(max(0.0, asked + SERVERS_INTERVAL - trio.current_time()))
 
-    def _apply(self, batch: Batch, whole: bool) -> bool:
+    def apply(self, changes: Iterable[DirectoryChange]) -> None:
+        """Takes over what the home read."""
+        self._report(self._directory.apply(changes, trio.current_time()))
+
+    def confirm(self, asked: float) -> None:
+        """Notes that all that was written before ``asked`` is known."""
+        self._read_at = max(self._read_at, asked)
+
+    def _report(self, changes: list[DirectoryChange]) -> None:
+        for change in changes:
+            _log_change(change)
+        if changes:
+            self._changed(changes)
+
+    def _apply(self, batch: Batch, whole: bool) -> list[DirectoryChange]:
         now = trio.current_time()
-        changed = [self._apply_record(record, now) for record in batch.records]
+        changes = [
+            change
+            for record in batch.records
+            if (change := self._apply_record(record, now)) is not None
+        ]
         if whole:
             keys = [record.key for record in batch.records]
-            changed.append(self._directory.keep_only(keys, now))
-        changed.append(self._directory.expire(now))
-        return any(changed)
+            changes += self._directory.keep_only(keys, batch.next_offset, now)
+        return changes + self._directory.expire(now)
 
-    def _apply_record(self, record: KeyedRecord, now: float) -> bool:
+    def _apply_record(self, record: KeyedRecord, now: float) -> Optional[DirectoryChange]:
         if record.value is None:
-            removed = self._directory.remove(record.key, now)
-            if removed:
-                log_event("server_removed", server=record.key)
-            return removed
+            return self._directory.remove(record.key, record.offset, now)
         try:
             server = self._documents.server(record.key, record.value)
         except (ValueError, KeyError) as error:
             log_event("server_entry_unreadable", server=record.key, reason=str(error))
-            return False
-        before = self._directory.get(record.key)
-        changed = self._directory.put(server)
-        if before is None or before.state is not server.state:
-            log_event(
-                "server_listed",
-                server=server.id,
-                service=server.service,
-                address=f"{server.host}:{server.port}",
-                state=server.state,
-            )
-        return changed
+            return None
+        return self._directory.put(server, record.offset)
+
+
+def _log_change(change: DirectoryChange) -> None:
+    if change.server is None:
+        log_event("server_removed", server=change.server_id, offset=change.offset)
+        return
+    log_event(
+        "server_listed",
+        server=change.server_id,
+        service=change.server.service,
+        address=f"{change.server.host}:{change.server.port}",
+        state=change.server.state,
+        offset=change.offset,
+    )
--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -32,6 +32,7 @@
     decode_member,
     encode_member,
 )
+from camphordrift.relay._home_news import HomeNews
 from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, LogTopics, StoreError
 from camphordrift.relay._placement_values import Decision, Grant
 from camphordrift.relay._pool_home import PoolHome
@@ -51,12 +52,12 @@
 #: Attempts in a row after which a VM is forgotten; it introduces itself again when it restarts.
 MAX_ATTEMPTS = 10
 
-#: Seconds after the start at which the members are read; VMs that start together do not see each
-#: other at once.
-MEMBER_READS = (0.0, 1.0, 3.0, 8.0)
+#: Seconds between reads of the members by a VM that has no home: short at first, as VMs that start
+#: together do not see each other at once.
+MEMBER_READ_INTERVALS = (0.5, 1.0, 2.0, 4.0)
 
-#: Seconds between later reads of the members.
-MEMBER_READ_INTERVAL = 30.0
+#: Seconds between later reads.
+LONGEST_MEMBER_READ_INTERVAL = 10.0
 
 #: Seconds between attempts to write the own entry while the store does not answer.
 INTRODUCTION_RETRY_INTERVAL = 0.5
@@ -76,12 +77,14 @@
         topics: LogTopics,
         dispatcher: Dispatcher,
         own_home: PoolHome,
+        news: HomeNews,
     ) -> None:
         self._me = me
         self._log = log
         self._topic = topics.members
         self._dispatcher = dispatcher
         self._own = own_home
+        self._news = news
         self._members: dict[str, Member] = {me.vm: me}
         self._attempts: dict[str, int] = {}
         self._changed = trio.Event()
@@ -111,13 +114,13 @@
                 await trio.sleep(INTRODUCTION_RETRY_INTERVAL)
 
     async def _read_members(self) -> None:
-        started = trio.current_time()
-        for moment in MEMBER_READS:
-            await trio.sleep_until(started + moment)
-            await self._read_members_once()
+        intervals = iter(MEMBER_READ_INTERVALS)
         while True:
-            await trio.sleep(MEMBER_READ_INTERVAL)
-            await self._read_members_once()
+            if self._dispatcher.decides_alone:
+                await self._read_members_once()
+            else:
+                intervals = iter(MEMBER_READ_INTERVALS)
+            await trio.sleep(next(intervals, LONGEST_MEMBER_READ_INTERVAL))
 
     async def _read_members_once(self) -> None:
         try:
@@ -200,21 +203,31 @@
         link.send(self._me)
         log_event("home_found", home=home.vm)
         self._dispatcher.attach(link)
+        self._news.home_found()
         reason = "a VM that has run longer is reachable"
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(link.write_queued)
-                nursery.start_soon(_ping, link)
+                nursery.start_soon(self._ping, link)
                 nursery.start_soon(self._leave_for_senior, home, nursery.cancel_scope)
-                await link.read_messages(self._dispatcher.handle)
+                await link.read_messages(self._handle_home_message)
         except* LinkBrokenError as errors:
             reason = str(errors.exceptions[0])
         finally:
             self._own.hold_decisions(TAKE_OVER_TIME)
+            self._news.home_lost()
             self._dispatcher.detach()
             stream.socket.close()
         log_event("home_lost", level=LogLevel.WARNING, home=home.vm, reason=reason)
 
+    def _handle_home_message(self, message: Message) -> None:
+        self._news.handle(message, self._dispatcher.handle)
+
+    async def _ping(self, link: MessageLink) -> None:
+        while True:
+            link.send(self._news.next_ping())
+            await trio.sleep(PING_INTERVAL)
+
     async def _leave_for_senior(self, home: Member, scope: trio.CancelScope) -> None:
         while True:
             changed = self._changed
@@ -231,18 +244,18 @@
 
     async def _serve_member(self, stream: trio.SocketStream) -> None:
         self._links += 1
-        serving = _MemberService(f"{self._links}", self._own, self._learn)
+        serving = _MemberService(f"{self._links}", self._own, self._news, self._learn)
         link = MessageLink(stream, LINK_SILENCE)
         link.send(self._me)
         serving.link = link
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(link.write_queued)
-                nursery.start_soon(_ping, link)
                 await link.read_messages(serving.handle)
         except* LinkBrokenError:
             pass
         finally:
+            self._news.remove_follower(link)
             self._own.owner_lost(serving.owner)
             stream.socket.close()
 
@@ -257,8 +270,11 @@
 class _MemberService:
     """Answers the messages of one other VM."""
 
-    def __init__(self, owner: str, home: PoolHome, learn: Callable[[Member], None]) -> None:
+    def __init__(
+        self, owner: str, home: PoolHome, news: HomeNews, learn: Callable[[Member], None]
+    ) -> None:
         self.owner = owner
+        self._news = news
         self.link: Optional[MessageLink] = None
         self._home = home
         self._learn = learn
@@ -268,7 +284,12 @@
         match message:
             case Member():
                 self._learn(message)
-            case Submit(ask):
+                if self.link is not None:
+                    self._news.add_follower(self.link)
+            case Ping():
+                if self.link is not None:
+                    self.link.send(self._news.pong(message))
+            case Submit():
                 self._submit(message)
             case Register(ask, grant, reading):
                 self._home.register(self.owner, ask, grant, reading)
@@ -306,9 +327,3 @@
                 self.link.send(Granted(decision))
             case _:
                 self.link.send(Refused(decision))
-
-
-async def _ping(link: MessageLink) -> None:
-    while True:
-        await trio.sleep(PING_INTERVAL)
-        link.send(Ping())
--- a/camphordrift/relay/_home_messages.py
+++ b/camphordrift/relay/_home_messages.py
@@ -9,9 +9,10 @@
 
 from camphordrift.relay._byte_stream import READ_SIZE
 from camphordrift.relay._placement_values import Ask, Grant, Outcome, Refusal
+from camphordrift.relay._server_directory import DirectoryChange
 
-#: Largest message in bytes; longer ones end the connection.
-MAX_MESSAGE_SIZE = 1 << 20
+#: Largest message in bytes; longer ones end the connection. A configuration is the longest.
+MAX_MESSAGE_SIZE = 16 << 20
 
 _LENGTH = struct.Struct(">I")
 
@@ -90,8 +91,33 @@
     refusal: Refusal
 
 
+class ConfigurationNews(msgspec.Struct, frozen=True, tag=True):
+    """Hands a configuration on."""
+
+    document: bytes
+
+
+class ServerNews(msgspec.Struct, frozen=True, tag=True):
+    """Hands changes of backend servers on."""
+
+    changes: tuple[DirectoryChange, ...]
+
+
 class Ping(msgspec.Struct, frozen=True, tag=True):
-    """Shows that a side lives."""
+    """Asks the home whether it lives, and how old its news are."""
+
+    number: int
+
+
+class Pong(msgspec.Struct, frozen=True, tag=True):
+    """Answers a ping, after all news that the home had by then.
+
+    Ages count the seconds since the home asked the store a question that has been answered.
+    """
+
+    number: int
+    configuration_age: float
+    servers_age: float
 
 
 Message = Union[
@@ -105,7 +131,10 @@
     Waiting,
     Granted,
     Refused,
+    ConfigurationNews,
+    ServerNews,
     Ping,
+    Pong,
 ]
 
 _decoder = msgspec.msgpack.Decoder(Message)
--- /dev/null
+++ b/camphordrift/relay/_home_news.py
@@ -0,0 +1,105 @@
+"""What the home hands on to other VMs: the configuration, the servers, and how old they are."""
+
+from collections.abc import Callable
+
+import trio
+
+from camphordrift.relay._followers import ConfigurationFollower, ServersFollower, suspended_clock
+from camphordrift.relay._freshness import ConfigurationLease
+from camphordrift.relay._home_messages import (
+    ConfigurationNews,
+    Message,
+    MessageLink,
+    Ping,
+    Pong,
+    ServerNews,
+)
+from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
+
+
+class HomeNews:
+    """Sends news to the VMs that have this VM as their home, and takes those of this VM's home."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationFollower,
+        servers: ServersFollower,
+        lease: ConfigurationLease,
+        directory: ServerDirectory,
+    ) -> None:
+        self._configuration = configuration
+        self._servers = servers
+        self._lease = lease
+        self._directory = directory
+        self._followers: set[MessageLink] = set()
+        self._pings: dict[int, tuple[float, float]] = {}
+        self._next_ping = 0
+
+    def add_follower(self, link: MessageLink) -> None:
+        """Starts to send news to another VM."""
+        self._followers.add(link)
+        document = self._configuration.document
+        if document is not None:
+            link.send(ConfigurationNews(document))
+        link.send(ServerNews(tuple(self._directory.snapshot())))
+
+    def remove_follower(self, link: MessageLink) -> None:
+        """Stops to send news to another VM."""
+        self._followers.discard(link)
+
+    def configuration_changed(self) -> None:
+        """Hands a new configuration on."""
+        document = self._configuration.document
+        if document is not None:
+            self._send_all(ConfigurationNews(document))
+
+    def servers_changed(self, changes: list[DirectoryChange]) -> None:
+        """Hands changes of servers on."""
+        self._send_all(ServerNews(tuple(changes)))
+
+    def pong(self, ping: Ping) -> Pong:
+        """Answers another VM's ping."""
+        return Pong(
+            ping.number,
+            self._lease.age(suspended_clock()),
+            self._servers.age(trio.current_time()),
+        )
+
+    def home_found(self) -> None:
+        """Notes that this VM has a home."""
+        self._configuration.has_home = self._servers.has_home = True
+
+    def home_lost(self) -> None:
+        """Notes that this VM has no home."""
+        self._configuration.has_home = self._servers.has_home = False
+        self._pings.clear()
+
+    def next_ping(self) -> Ping:
+        """Returns a ping for this VM's home."""
+        self._next_ping += 1
+        self._pings[self._next_ping] = (suspended_clock(), trio.current_time())
+        return Ping(self._next_ping)
+
+    def handle(self, message: Message, pass_on: Callable[[Message], None]) -> None:
+        """Takes news of this VM's home; passes other messages on."""
+        match message:
+            case ConfigurationNews(document):
+                self._configuration.apply(document)
+            case ServerNews(changes):
+                self._servers.apply(changes)
+            case Pong():
+                self._take_pong(message)
+            case _:
+                pass_on(message)
+
+    def _take_pong(self, pong: Pong) -> None:
+        asked = self._pings.pop(pong.number, None)
+        if asked is None:
+            return
+        # The home answered after the ping was sent, so its own question is at most this old.
+        self._configuration.confirm(asked[0] - pong.configuration_age)
+        self._servers.confirm(asked[1] - pong.servers_age)
+
+    def _send_all(self, message: Message) -> None:
+        for link in self._followers:
+            link.send(message)
--- a/camphordrift/relay/_interfaces.py
+++ b/camphordrift/relay/_interfaces.py
@@ -75,6 +75,8 @@
 
     key: str
     value: Optional[bytes]
+    #: Where the record stands on its topic; -1 for one that is yet to be appended.
+    offset: int = -1
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/_knowledge.py
+++ b/camphordrift/relay/_knowledge.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Optional
 
+import trio
+
 from camphordrift.relay._followers import suspended_clock
 from camphordrift.relay._freshness import ConfigurationLease
 from camphordrift.relay._retry_budget import BudgetTerms, RetryBudget
@@ -11,6 +13,9 @@
 from camphordrift.relay._server_directory import ServerDirectory
 from camphordrift.relay._values import Account, Configuration
 
+#: Seconds between looks at whether the configuration has arrived.
+KNOWLEDGE_CHECK_INTERVAL = 0.01
+
 
 @dataclass
 class Knowledge:
@@ -31,6 +36,14 @@
         table = self.table()
         return None if table is None else table.configuration
 
+    async def wait_until_known(self, timeout: float) -> None:
+        """Waits until a VM that has just started knows the configuration and the servers."""
+        ends = trio.current_time() + timeout
+        while self.table() is None or not self.directory.servers:
+            if trio.current_time() >= ends:
+                return
+            await trio.sleep(KNOWLEDGE_CHECK_INTERVAL)
+
     def is_fresh(self) -> bool:
         """Tells whether keys may be accepted."""
         return self.lease.holds(suspended_clock())
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -19,6 +19,7 @@
 from camphordrift.relay._freshness import ConfigurationLease
 from camphordrift.relay._home_election import HomeElection
 from camphordrift.relay._home_messages import Member
+from camphordrift.relay._home_news import HomeNews
 from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay._http_server import CallerConnection
 from camphordrift.relay._interfaces import (
@@ -32,7 +33,7 @@
 from camphordrift.relay._pool_home import PoolHome
 from camphordrift.relay._request_handler import RequestHandler
 from camphordrift.relay._reservations import ReservationKeeper
-from camphordrift.relay._server_directory import ServerDirectory
+from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import RelaySettings
 from camphordrift.relay._values import CallerLimits
 
@@ -83,13 +84,22 @@
         self._home = PoolHome(trio.current_time)
         self._dispatcher = Dispatcher(settings.vm, self._home, trio.current_time)
         self._configuration = ConfigurationFollower(
-            adapters.log, adapters.topics, adapters.documents, self._lease, self._refresh_pools
+            adapters.log,
+            adapters.topics,
+            adapters.documents,
+            self._lease,
+            self._configuration_changed,
         )
         self._servers = ServersFollower(
-            adapters.log, adapters.topics, adapters.documents, self._directory, self._refresh_pools
+            adapters.log,
+            adapters.topics,
+            adapters.documents,
+            self._directory,
+            self._servers_changed,
         )
+        self._news = HomeNews(self._configuration, self._servers, self._lease, self._directory)
         self._election = HomeElection(
-            self._me(), adapters.log, adapters.topics, self._dispatcher, self._home
+            self._me(), adapters.log, adapters.topics, self._dispatcher, self._home, self._news
         )
         self._connections = ConnectionPool(BACKEND_CONNECT_TIMEOUT)
         self._handler = RequestHandler(
@@ -144,6 +154,14 @@
             self._home.set_services(table.configuration.services.values())
             self._home.set_servers(self._directory.servers.values())
 
+    def _configuration_changed(self) -> None:
+        self._refresh_pools()
+        self._news.configuration_changed()
+
+    def _servers_changed(self, changes: list[DirectoryChange]) -> None:
+        self._refresh_pools()
+        self._news.servers_changed(changes)
+
     def _limits(self) -> CallerLimits:
         table = self._configuration.table
         return CallerLimits() if table is None else table.configuration.limits
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -53,6 +53,10 @@
 #: Seconds after which a caller may ask a VM again that does not know the configuration.
 NOT_READY_RETRY_AFTER = 1.0
 
+#: Seconds for which a request waits on a VM that has just started for what it needs to know;
+#: reading the store takes less than a tenth of that.
+START_TIME = 0.4
+
 #: Seconds after which a caller may ask again when a server had no room.
 REJECTED_RETRY_AFTER = 0.1
 
@@ -143,6 +147,7 @@
 
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         """Answers a request."""
+        await self._knowledge.wait_until_known(START_TIME)
         try:
             progress = self._accept(request, answer)
         except RequestRefusedError as error:
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -157,7 +157,8 @@
 
     def put(self, topic: str, key: str, value: Optional[bytes]) -> None:
         """Appends a record at once."""
-        self._records.setdefault(topic, []).append(KeyedRecord(key, value))
+        records = self._records.setdefault(topic, [])
+        records.append(KeyedRecord(key, value, len(records)))
         self._changed.set()
         self._changed = trio.Event()
 
--- a/camphordrift/relay/tests/test_decisions.py
+++ b/camphordrift/relay/tests/test_decisions.py
@@ -12,7 +12,11 @@
 from camphordrift.relay._plain_servers import PlainServerChooser
 from camphordrift.relay._retry_budget import RetryBudget
 from camphordrift.relay._routing_table import RoutingTable, choose_service
-from camphordrift.relay._server_directory import LAPSE_GRACE, ServerDirectory
+from camphordrift.relay._server_directory import (
+    LAPSE_GRACE,
+    DirectoryChange,
+    ServerDirectory,
+)
 from camphordrift.relay.tests.samples import CONFIGURATION, ONCE, STREAM, server
 
 
@@ -122,28 +126,28 @@
     def setUp(self) -> None:
         super().setUp()
         self.directory = ServerDirectory()
-        self.directory.put(server(1))
+        self.directory.put(server(1), 1)
 
     def test_an_entry_that_disappears_takes_the_server_out(self) -> None:
-        self.assertTrue(self.directory.remove("engines-1", 10.0))
+        self.assertIsNotNone(self.directory.remove("engines-1", 2, 10.0))
         self.assertFalse(self.directory.takes_work("engines-1"))
 
     def test_an_entry_that_lapses_after_trouble_is_kept_until_it_is_back(self) -> None:
         self.directory.note_store_trouble(10.0)
-        self.assertFalse(self.directory.remove("engines-1", 10.5))
-        self.directory.put(server(1))
-        self.assertFalse(self.directory.expire(10.0 + LAPSE_GRACE))
+        self.assertIsNone(self.directory.remove("engines-1", 2, 10.5))
+        self.directory.put(server(1), 3)
+        self.assertEqual([], self.directory.expire(10.0 + LAPSE_GRACE))
         self.assertTrue(self.directory.takes_work("engines-1"))
 
     def test_an_entry_that_stays_away_after_trouble_is_gone(self) -> None:
         self.directory.note_store_trouble(10.0)
-        self.directory.remove("engines-1", 10.5)
-        self.assertFalse(self.directory.expire(10.0 + LAPSE_GRACE - 0.1))
-        self.assertTrue(self.directory.expire(10.0 + LAPSE_GRACE))
+        self.directory.remove("engines-1", 2, 10.5)
+        self.assertEqual([], self.directory.expire(10.0 + LAPSE_GRACE - 0.1))
+        self.assertEqual(1, len(self.directory.expire(10.0 + LAPSE_GRACE)))
         self.assertFalse(self.directory.takes_work("engines-1"))
 
     def test_a_leaving_server_takes_no_work(self) -> None:
-        self.directory.put(dataclasses.replace(server(1), state=ServerState.LEAVING))
+        self.directory.put(dataclasses.replace(server(1), state=ServerState.LEAVING), 2)
         self.assertFalse(self.directory.takes_work("engines-1"))
         self.assertEqual([], self.directory.ready("engines"))
 
@@ -151,10 +155,29 @@
         self.assertTrue(self.directory.takes_work("engines-9"))
 
     def test_a_list_that_was_read_anew_replaces_the_old_one(self) -> None:
-        self.directory.put(server(2))
-        self.assertTrue(self.directory.keep_only(["engines-2"], 10.0))
+        self.directory.put(server(2), 2)
+        self.assertEqual(1, len(self.directory.keep_only(["engines-2"], 9, 10.0)))
         self.assertEqual(["engines-2"], list(self.directory.servers))
 
+    def test_older_news_change_nothing(self) -> None:
+        """A VM that reads for itself after its home failed may read what it knows already."""
+        leaving = dataclasses.replace(server(1), state=ServerState.LEAVING)
+        self.directory.put(leaving, 5)
+        self.assertIsNone(self.directory.put(server(1), 4))
+        self.assertFalse(self.directory.takes_work("engines-1"))
+        self.assertEqual([], self.directory.apply([DirectoryChange("engines-1", None, 4)], 0.0))
+
+    def test_a_heartbeat_that_says_nothing_new_is_no_change(self) -> None:
+        self.assertIsNone(self.directory.put(server(1), 2))
+
+    def test_another_vms_snapshot_gives_the_same_servers(self) -> None:
+        self.directory.put(server(2), 7)
+        other = ServerDirectory()
+        other.apply(self.directory.snapshot(), 0.0)
+        self.assertEqual(self.directory.servers, other.servers)
+        removed = [DirectoryChange("engines-2", None, 9)]
+        self.assertEqual(removed, other.apply(removed, 0.0))
+
 
 class PlainServerChooserTest(testtools.TestCase):
     def setUp(self) -> None:
