--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -89,6 +89,12 @@
         self._attempts: dict[str, int] = {}
         self._changed = trio.Event()
         self._links = 0
+        self._home = me
+
+    @property
+    def home(self) -> str:
+        """The VM that decides for this one; may be itself."""
+        return self._home.vm
 
     @property
     def members(self) -> int:
@@ -143,6 +149,9 @@
         self._members[member.vm] = member
         self._attempts.pop(member.vm, None)
         log_event("member_known", vm=member.vm, started_ms=member.started_ms)
+        if member.seniority < self._me.seniority:
+            # VMs that have this one as their home may not know of the better one.
+            self._news.member_known(member)
         self._changed.set()
         self._changed = trio.Event()
 
@@ -204,6 +213,7 @@
         log_event("home_found", home=home.vm)
         self._dispatcher.attach(link)
         self._news.home_found()
+        self._home = home
         reason = "a VM that has run longer is reachable"
         try:
             async with trio.open_nursery() as nursery:
@@ -216,12 +226,16 @@
         finally:
             self._own.hold_decisions(TAKE_OVER_TIME)
             self._news.home_lost()
+            self._home = self._me
             self._dispatcher.detach()
             stream.socket.close()
         log_event("home_lost", level=LogLevel.WARNING, home=home.vm, reason=reason)
 
     def _handle_home_message(self, message: Message) -> None:
-        self._news.handle(message, self._dispatcher.handle)
+        if isinstance(message, Member):
+            self._learn(message)
+        else:
+            self._news.handle(message, self._dispatcher.handle)
 
     async def _ping(self, link: MessageLink) -> None:
         while True:
@@ -244,7 +258,9 @@
 
     async def _serve_member(self, stream: trio.SocketStream) -> None:
         self._links += 1
-        serving = _MemberService(f"{self._links}", self._own, self._news, self._learn)
+        serving = _MemberService(
+            f"{self._links}", self._own, self._news, self._learn, lambda: self._seniors(self._me)
+        )
         link = MessageLink(stream, LINK_SILENCE)
         link.send(self._me)
         serving.link = link
@@ -271,13 +287,19 @@
     """Answers the messages of one other VM."""
 
     def __init__(
-        self, owner: str, home: PoolHome, news: HomeNews, learn: Callable[[Member], None]
+        self,
+        owner: str,
+        home: PoolHome,
+        news: HomeNews,
+        learn: Callable[[Member], None],
+        seniors: Callable[[], list[Member]],
     ) -> None:
         self.owner = owner
         self._news = news
         self.link: Optional[MessageLink] = None
         self._home = home
         self._learn = learn
+        self._seniors = seniors
 
     def handle(self, message: Message) -> None:
         """Takes a message of the other VM."""
@@ -285,7 +307,7 @@
             case Member():
                 self._learn(message)
                 if self.link is not None:
-                    self._news.add_follower(self.link)
+                    self._news.add_follower(self.link, self._seniors())
             case Ping():
                 if self.link is not None:
                     self.link.send(self._news.pong(message))
--- a/camphordrift/relay/_home_news.py
+++ b/camphordrift/relay/_home_news.py
@@ -1,6 +1,6 @@
 """What the home hands on to other VMs: the configuration, the servers, and how old they are."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 
@@ -8,6 +8,7 @@
 from camphordrift.relay._freshness import ConfigurationLease
 from camphordrift.relay._home_messages import (
     ConfigurationNews,
+    Member,
     Message,
     MessageLink,
     Ping,
@@ -35,9 +36,17 @@
         self._pings: dict[int, tuple[float, float]] = {}
         self._next_ping = 0
 
-    def add_follower(self, link: MessageLink) -> None:
-        """Starts to send news to another VM."""
+    def add_follower(self, link: MessageLink, seniors: Iterable[Member]) -> None:
+        """Starts to send news to another VM.
+
+        Args:
+            link: The way to that VM.
+            seniors: VMs that have run longer than this one, and so would be better homes.
+
+        """
         self._followers.add(link)
+        for member in seniors:
+            link.send(member)
         document = self._configuration.document
         if document is not None:
             link.send(ConfigurationNews(document))
@@ -47,6 +56,10 @@
         """Stops to send news to another VM."""
         self._followers.discard(link)
 
+    def member_known(self, member: Member) -> None:
+        """Hands on that a VM has run longer than this one."""
+        self._send_all(member)
+
     def configuration_changed(self) -> None:
         """Hands a new configuration on."""
         document = self._configuration.document
--- a/camphordrift/relay/_pool_home.py
+++ b/camphordrift/relay/_pool_home.py
@@ -42,6 +42,10 @@
             self._pools[name].set_servers(members)
         self.decide()
 
+    def placed(self, service: str) -> int:
+        """Returns how many requests the engines of a service work on."""
+        return self._pools[service].placed
+
     def knows(self, service: str) -> bool:
         """Tells whether there is a pool for a service."""
         return service in self._pools
--- a/camphordrift/relay/tests/fleet.py
+++ b/camphordrift/relay/tests/fleet.py
@@ -123,7 +123,7 @@
 ) -> AsyncIterator[Fleet]:
     """Runs a relay with its servers until the block ends."""
     log, documents = MemoryLog(), SampleDocuments()
-    ports = _free_ports(f"{own_loopback_network()}.1")
+    ports = free_ports(f"{own_loopback_network()}.1")
     vm = replace(settings(1, 0), vm="vm-1")
     vm = replace(
         vm,
@@ -147,7 +147,8 @@
             nursery.cancel_scope.cancel()
 
 
-def _free_ports(host: str) -> list[int]:
+def free_ports(host: str) -> list[int]:
+    """Returns ports that nothing listens on."""
     sockets = [socket.socket() for _ in range(4)]
     try:
         for item in sockets:
--- /dev/null
+++ b/camphordrift/relay/tests/test_home_election.py
@@ -0,0 +1,232 @@
+"""Tests of how VMs find the one that decides for the pools, over sockets."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import pytest
+import testtools
+import trio
+
+from camphordrift.relay._dispatcher import Dispatcher
+from camphordrift.relay._followers import ConfigurationFollower, ServersFollower, suspended_clock
+from camphordrift.relay._freshness import ConfigurationLease
+from camphordrift.relay._home_election import HomeElection
+from camphordrift.relay._home_messages import Member
+from camphordrift.relay._home_news import HomeNews
+from camphordrift.relay._placement_values import Grant, Outcome
+from camphordrift.relay._pool_home import PoolHome
+from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay.tests.fleet import free_ports
+from camphordrift.relay.tests.samples import (
+    CONFIGURATION,
+    TOPICS,
+    MemoryLog,
+    SampleDocuments,
+    ask,
+    server,
+)
+from camphordrift.testing import own_loopback_network
+
+pytestmark = pytest.mark.sockets
+
+
+@dataclass
+class Vm:
+    """The parts of one VM that decide for pools and hand news on."""
+
+    member: Member
+    dispatcher: Dispatcher
+    home: PoolHome
+    lease: ConfigurationLease
+    configuration: ConfigurationFollower
+    servers: ServersFollower
+    directory: ServerDirectory
+    election: HomeElection
+
+    async def run(self, scope: trio.CancelScope) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.configuration.run)
+                nursery.start_soon(self.servers.run)
+                nursery.start_soon(self.election.run)
+
+    def refresh(self) -> None:
+        table = self.configuration.table
+        if table is not None:
+            self.home.set_services(table.configuration.services.values())
+            self.home.set_servers(self.directory.servers.values())
+
+
+def make_vm(number: int, started_ms: int, log: MemoryLog, documents: SampleDocuments) -> Vm:
+    host = f"{own_loopback_network()}.{number}"
+    member = Member(f"vm-{number}", started_ms, host, free_ports(host)[0])
+    home = PoolHome(trio.current_time)
+    dispatcher = Dispatcher(member.vm, home, trio.current_time)
+    lease = ConfigurationLease(5.0)
+    directory = ServerDirectory()
+
+    def configuration_changed() -> None:
+        vm.refresh()
+        news.configuration_changed()
+
+    def servers_changed(changes: list[DirectoryChange]) -> None:
+        vm.refresh()
+        news.servers_changed(changes)
+
+    configuration = ConfigurationFollower(log, TOPICS, documents, lease, configuration_changed)
+    servers = ServersFollower(log, TOPICS, documents, directory, servers_changed)
+    news = HomeNews(configuration, servers, lease, directory)
+    election = HomeElection(member, log, TOPICS, dispatcher, home, news)
+    vm = Vm(member, dispatcher, home, lease, configuration, servers, directory, election)
+    return vm
+
+
+class Fleet:
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.log, self.documents = MemoryLog(), SampleDocuments()
+        self._nursery = nursery
+        document = self.documents.write(CONFIGURATION)
+        self.log.put(TOPICS.configuration, TOPICS.configuration_key, document)
+        for number in range(4):
+            entry = server(number)
+            self.log.put(TOPICS.servers, entry.id, self.documents.write(entry))
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    def start(self, number: int, started_ms: int) -> Vm:
+        vm = make_vm(number, started_ms, self.log, self.documents)
+        self._scopes[vm.member.vm] = trio.CancelScope()
+        self._nursery.start_soon(vm.run, self._scopes[vm.member.vm])
+        return vm
+
+    def kill(self, vm: Vm) -> None:
+        self._scopes[vm.member.vm].cancel()
+
+
+def run(body: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def main() -> None:
+        with trio.fail_after(30):
+            async with trio.open_nursery() as nursery:
+                await body(Fleet(nursery))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await trio.sleep(0.02)
+
+
+def homes(*vms: Vm) -> list[str]:
+    return [vm.election.home for vm in vms]
+
+
+class HomeElectionTest(testtools.TestCase):
+    def test_all_follow_the_vm_that_has_run_longest(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await until(lambda: homes(*vms) == ["vm-1", "vm-1", "vm-1"])
+
+        run(body)
+
+    def test_a_vm_that_missed_the_senior_hears_of_it_from_its_home(self) -> None:
+        """VMs that start together do not all see each other, and one may follow a follower."""
+
+        async def body(fleet: Fleet) -> None:
+            second, third = fleet.start(2, 200), fleet.start(3, 300)
+            await until(lambda: homes(second, third) == ["vm-2", "vm-2"])
+            first = fleet.start(1, 100)
+            await until(lambda: homes(first, second, third) == ["vm-1"] * 3)
+
+        run(body)
+
+    def test_the_next_one_takes_over_from_a_home_that_dies(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            first, second, third = (fleet.start(number, 100 + number) for number in (1, 2, 3))
+            await until(lambda: homes(second, third) == ["vm-1", "vm-1"])
+            fleet.kill(first)
+            await until(lambda: homes(second, third) == ["vm-2", "vm-2"])
+
+        run(body)
+
+    def test_a_home_that_restarted_is_no_longer_the_senior(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            first, second, third = (fleet.start(number, 100 + number) for number in (1, 2, 3))
+            await until(lambda: homes(second, third) == ["vm-1", "vm-1"])
+            fleet.kill(first)
+            again = fleet.start(1, 400)
+            await until(lambda: homes(again, second, third) == ["vm-2"] * 3)
+
+        run(body)
+
+
+class SharedPoolTest(testtools.TestCase):
+    def test_running_requests_move_to_a_new_home(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            first, second, third = (fleet.start(number, 100 + number) for number in (1, 2, 3))
+            await until(lambda: homes(second, third) == ["vm-1", "vm-1"])
+            await until(lambda: len(second.directory.servers) == 4)
+            grant = await third.dispatcher.place(ask("r1"))
+            self.assertIsInstance(grant, Grant)
+            fleet.kill(first)
+            await until(lambda: homes(second, third) == ["vm-2", "vm-2"])
+            await until(lambda: second.home.placed("engines") == 1)
+            third.dispatcher.finished("r1", Outcome.SERVED)
+            await until(lambda: second.home.placed("engines") == 0)
+
+        run(body)
+
+    def test_the_requests_of_a_vm_that_dies_are_forgotten(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            first, second = fleet.start(1, 101), fleet.start(2, 102)
+            await until(lambda: homes(second) == ["vm-1"])
+            await until(lambda: len(second.directory.servers) == 4)
+            await second.dispatcher.place(ask("r1"))
+            self.assertEqual(1, first.home.placed("engines"))
+            fleet.kill(second)
+            await until(lambda: first.home.placed("engines") == 0)
+
+        run(body)
+
+
+class NewsTest(testtools.TestCase):
+    def test_a_follower_learns_of_changes_from_its_home(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            _, second = fleet.start(1, 101), fleet.start(2, 102)
+            await until(lambda: homes(second) == ["vm-1"])
+            await until(lambda: len(second.directory.servers) == 4)
+            fleet.log.put(TOPICS.servers, "engines-0", None)
+            await until(lambda: len(second.directory.servers) == 3)
+            self.assertFalse(second.directory.takes_work("engines-0"))
+
+        run(body)
+
+    def test_the_lease_goes_on_with_the_homes_news(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            _, second = fleet.start(1, 101), fleet.start(2, 102)
+            await until(lambda: homes(second) == ["vm-1"])
+            start = suspended_clock()
+            await until(lambda: second.lease.age(suspended_clock()) < suspended_clock() - start)
+
+        run(body)
+
+    def test_a_follower_whose_home_lost_the_store_reads_for_itself(self) -> None:
+        """The store may turn one machine away and serve the others."""
+
+        async def body(fleet: Fleet) -> None:
+            first, second = fleet.start(1, 101), fleet.start(2, 102)
+            await until(lambda: homes(second) == ["vm-1"])
+            await until(lambda: len(second.directory.servers) == 4)
+            first.configuration._topic._log = first.servers._topic._log = _down_log()
+            document = fleet.documents.write(server(7))
+            fleet.log.put(TOPICS.servers, "engines-7", document)
+            await until(lambda: "engines-7" in second.directory.servers)
+            self.assertTrue(second.lease.holds(suspended_clock()))
+
+        run(body)
+
+
+def _down_log() -> MemoryLog:
+    log = MemoryLog()
+    log.is_down = True
+    return log
