Bound the log, serve metrics, and explain a request from the logs

Lines go to standard output through a bounded buffer that never waits; lines left out are counted. Attempts and refusals carry the configuration's version and age. Counters and histograms of OpenTelemetry are served on each VM's metrics port. 'camphordrift explain ID FILE...' puts the lines of all VMs about one request in order and marks the deciding one.

--- a/camphordrift/daemons/_commands_local.py
+++ b/camphordrift/daemons/_commands_local.py
@@ -110,6 +110,37 @@
     return ExitCode.DONE
 
 
+def explain(request: str, /, *files: Path) -> ExitCode:
+    """Show what the logs of several VMs say about one request, and which line decided its end.
+
+    Parameters
+    ----------
+    request:
+        The id of the request, as the caller sent it.
+    files:
+        Files with log lines; what stands before the time in a line is ignored.
+
+    """
+    from camphordrift.event_log import explain_request
+
+    if not files:
+        raise CommandError(ExitCode.BAD_INPUT, "no log file is named")
+    texts: list[str] = []
+    for file in files:
+        try:
+            texts += file.read_text(encoding="utf-8", errors="replace").splitlines()
+        except OSError as error:
+            raise CommandError(ExitCode.BAD_INPUT, f"{file}: {error.strerror}") from error
+    found = explain_request(request, texts)
+    if found.deciding is None:
+        raise CommandError(ExitCode.BAD_INPUT, f"no line names the request {request}")
+    lines = sorted((*found.lines, *found.background), key=lambda line: line.time)
+    for line in lines:
+        mark = ">" if line is found.deciding else " " if line in found.lines else "."
+        print(f"{mark} {line.text}")
+    return ExitCode.DONE
+
+
 def add_local_commands(app: cyclopts.App) -> None:
     """Adds the commands of this module."""
     group = cyclopts.Group("Without a VM", sort_key=3)
@@ -120,6 +151,7 @@
     app.command(keygen, group=group)
     app.command(idempotency_key, group=group)
     app.command(codes, group=group)
+    app.command(explain, group=group)
 
 
 def _code_line(row: CodeMeaning) -> str:
--- a/camphordrift/event_log/_logging.py
+++ b/camphordrift/event_log/_logging.py
@@ -139,7 +139,7 @@
     return character.encode("unicode_escape").decode("ascii")
 
 
-class _LineFormatter(standard_logging.Formatter):
+class LineFormatter(standard_logging.Formatter):
     """Puts time and level before the pairs of an event; turns other lines into an event."""
 
     def format(self, record: standard_logging.LogRecord) -> str:
@@ -154,11 +154,11 @@
 
 
 class _LineHandler(standard_logging.StreamHandler[TextIO]):
-    """Writes lines in the form of :class:`_LineFormatter`."""
+    """Writes lines in the form of :class:`LineFormatter`."""
 
     def __init__(self, stream: TextIO) -> None:
         super().__init__(stream)
-        self.setFormatter(_LineFormatter())
+        self.setFormatter(LineFormatter())
 
 
 def _exception_pairs(error: BaseException) -> str:
--- a/camphordrift/platform/_settings.py
+++ b/camphordrift/platform/_settings.py
@@ -83,7 +83,7 @@
         callers=_address(read.listen.front),
         readiness=_address(read.listen.readiness_addr),
         peers=Address(read.ip, read.port_range[0]),
-        metrics=Address(read.ip, read.port_range[1]),
+        metrics=Address(read.ip, _METRICS_PORT),
         store=_address(read.platform.address),
         grace=read.bounds.grace_s,
         key_lease=read.bounds.revoke_ms / _MS,
@@ -98,6 +98,9 @@
     )
 
 
+#: Port of the metrics page; deploy/system.toml names it to the platform.
+_METRICS_PORT = 9464
+
 #: Descriptors that the platform keeps for files.
 _RESERVED_DESCRIPTORS = 200
 
--- a/camphordrift/relay/_http_server.py
+++ b/camphordrift/relay/_http_server.py
@@ -57,6 +57,8 @@
         self._started = False
         self._ended = False
         self._held = b""
+        #: Status of the answer; 0 before it is known.
+        self.status = 0
 
     @property
     def started(self) -> bool:
@@ -71,6 +73,7 @@
     async def start(self, status: int, headers: HeaderList) -> None:
         """Prepares the status line and headers; they go out with the first piece."""
         self._started = True
+        self.status = status
         self._held = self._connection.encode_head(status, headers)
 
     async def write(self, data: bytes) -> None:
--- a/camphordrift/relay/_knowledge.py
+++ b/camphordrift/relay/_knowledge.py
@@ -36,6 +36,16 @@
         table = self.table()
         return None if table is None else table.configuration
 
+    @property
+    def version(self) -> Optional[int]:
+        """Version of the configuration in force."""
+        configuration = self.configuration
+        return None if configuration is None else configuration.version
+
+    def age(self) -> float:
+        """Returns the seconds since the configuration was known to be the newest."""
+        return self.lease.age(suspended_clock())
+
     async def wait_until_known(self, timeout: float) -> None:
         """Waits until a VM that has just started knows the configuration and the servers."""
         ends = trio.current_time() + timeout
--- a/camphordrift/relay/_pool_home.py
+++ b/camphordrift/relay/_pool_home.py
@@ -42,6 +42,12 @@
             self._pools[name].set_servers(members)
         self.decide()
 
+    @property
+    def load(self) -> tuple[int, int]:
+        """Requests that engines work on, and requests that wait, over all pools."""
+        pools = self._pools.values()
+        return sum(pool.placed for pool in pools), sum(pool.waiting for pool in pools)
+
     def placed(self, service: str) -> int:
         """Returns how many requests the engines of a service work on."""
         return self._pools[service].placed
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -5,10 +5,16 @@
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from typing import Optional
 
 import trio
 
-from camphordrift.event_log import configure_logging, log_event
+from camphordrift.event_log import (
+    BoundedLogHandler,
+    LogLevel,
+    configure_bounded_logging,
+    log_event,
+)
 from camphordrift.relay._byte_stream import READ_SIZE
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._followers import (
@@ -21,7 +27,7 @@
 from camphordrift.relay._home_messages import Member
 from camphordrift.relay._home_news import HomeNews
 from camphordrift.relay._http_client import ConnectionPool
-from camphordrift.relay._http_server import CallerConnection
+from camphordrift.relay._http_server import Answer, CallerConnection, CallerRequest
 from camphordrift.relay._interfaces import (
     DocumentFormat,
     HeaderFormat,
@@ -31,11 +37,14 @@
 )
 from camphordrift.relay._knowledge import Knowledge
 from camphordrift.relay._pool_home import PoolHome
+from camphordrift.relay._relay_metrics import RelayMetrics
 from camphordrift.relay._request_handler import RequestHandler
 from camphordrift.relay._reservations import ReservationKeeper
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import RelaySettings
 from camphordrift.relay._values import CallerLimits
+from camphordrift.resident_memory import resident_bytes
+from camphordrift.telemetry import METRICS_CONTENT_TYPE
 
 #: Seconds for a connection to a backend server.
 BACKEND_CONNECT_TIMEOUT = 0.5
@@ -55,6 +64,9 @@
 #: Seconds without news of the store after which a VM asks for no new connections.
 STALE_READINESS = 3.5
 
+#: Seconds between writes of the log.
+LOG_INTERVAL = 0.05
+
 #: Seconds in which the balancer's question must arrive.
 READINESS_QUESTION_TIMEOUT = 2.0
 
@@ -73,9 +85,16 @@
 class RelayProcess:
     """One VM's relay."""
 
-    def __init__(self, settings: RelaySettings, adapters: Adapters) -> None:
+    def __init__(
+        self,
+        settings: RelaySettings,
+        adapters: Adapters,
+        log_output: Optional[BoundedLogHandler] = None,
+    ) -> None:
         self._settings = settings
         self._started_ms = int(time.time() * 1000)
+        self._metrics = RelayMetrics(settings.vm)
+        self._log_output = log_output
         self._stopping = False
         self._accepting = trio.CancelScope()
         self._callers: set[CallerConnection] = set()
@@ -102,21 +121,24 @@
             self._me(), adapters.log, adapters.topics, self._dispatcher, self._home, self._news
         )
         self._connections = ConnectionPool(BACKEND_CONNECT_TIMEOUT)
+        self._knowledge = Knowledge(
+            table=lambda: self._configuration.table,
+            lease=self._lease,
+            directory=self._directory,
+            budget_terms=settings.budget,
+            vms=lambda: self._election.members,
+        )
         self._handler = RequestHandler(
             settings.vm,
             settings.zone,
-            Knowledge(
-                table=lambda: self._configuration.table,
-                lease=self._lease,
-                directory=self._directory,
-                budget_terms=settings.budget,
-                vms=lambda: self._election.members,
-            ),
+            self._knowledge,
             self._dispatcher,
             self._connections,
             ReservationKeeper(self._connections, adapters.orders),
             adapters.headers,
+            self._metrics,
         )
+        self._register_levels()
 
     async def run(self) -> None:
         """Runs until a signal to stop has been dealt with."""
@@ -126,13 +148,17 @@
                 nursery.start_soon(self._servers.run)
                 nursery.start_soon(self._election.run)
                 nursery.start_soon(self._tend_pools)
+                nursery.start_soon(self._write_log)
                 nursery.start_soon(self._serve_readiness)
+                nursery.start_soon(self._serve_metrics)
                 nursery.start_soon(self._serve_callers)
                 log_event("started", vm=self._settings.vm, callers=self._settings.callers)
                 await self._wait_for_stop(signals)
                 await self._leave()
                 nursery.cancel_scope.cancel()
         log_event("stopped", vm=self._settings.vm, callers=len(self._callers))
+        if self._log_output is not None:
+            self._log_output.drain()
 
     @property
     def ready(self) -> bool:
@@ -148,6 +174,55 @@
         peers = self._settings.peers
         return Member(self._settings.vm, self._started_ms, peers.host, peers.port)
 
+    def _register_levels(self) -> None:
+        level = self._metrics.level
+        level("relay_ready", "1 while the VM takes new connections.", lambda: self.ready)
+        level("relay_callers", "Connections of callers.", lambda: len(self._callers))
+        level("relay_members", "VMs that are known.", lambda: self._election.members)
+        level(
+            "relay_decides_alone",
+            "1 while the VM has no other VM as its home.",
+            lambda: self._dispatcher.decides_alone,
+        )
+        level("relay_requests_placed", "Requests that engines work on.", lambda: self._home.load[0])
+        level("relay_requests_waiting", "Requests that wait for one.", lambda: self._home.load[1])
+        level(
+            "relay_configuration_version",
+            "Version in force; 0 while none is known.",
+            lambda: self._knowledge.version or 0,
+        )
+        level(
+            "relay_configuration_age_seconds",
+            "Time since the configuration was known to be the newest.",
+            self._knowledge.age,
+        )
+        level("relay_servers", "Backend servers listed.", lambda: len(self._directory.servers))
+        level("relay_resident_bytes", "Resident memory.", resident_bytes)
+        level("relay_log_lines_left_out", "Log lines over the bound.", self._log_lines_left_out)
+
+    def _log_lines_left_out(self) -> float:
+        return 0 if self._log_output is None else self._log_output.left_out
+
+    async def _write_log(self) -> None:
+        while self._log_output is not None:
+            self._log_output.drain()
+            await trio.sleep(LOG_INTERVAL)
+
+    async def _serve_metrics(self) -> None:
+        address = self._settings.metrics
+        await trio.serve_tcp(self._answer_operator, address.port, host=address.host)
+
+    async def _answer_operator(self, stream: trio.SocketStream) -> None:
+        connection = CallerConnection(stream, CallerLimits, self._answer_metrics, lambda: True)
+        await connection.serve()
+
+    async def _answer_metrics(self, request: CallerRequest, answer: Answer) -> None:
+        if request.target.partition(b"?")[0] != b"/metrics":
+            await answer.whole(404, [], b"")
+            return
+        content_type = (b"content-type", METRICS_CONTENT_TYPE.encode())
+        await answer.whole(200, [content_type], self._metrics.render())
+
     def _refresh_pools(self) -> None:
         table = self._configuration.table
         if table is not None:
@@ -241,5 +316,8 @@
 
 def run_relay(settings: RelaySettings, adapters: Adapters) -> None:
     """Runs a relay until it is told to stop."""
-    configure_logging("info", sys.stdout)
-    trio.run(RelayProcess(settings, adapters).run)
+    log_output = configure_bounded_logging(LogLevel.INFO.value, sys.stdout.fileno())
+    try:
+        trio.run(RelayProcess(settings, adapters, log_output).run)
+    finally:
+        log_output.drain()
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -31,6 +31,7 @@
 from camphordrift.relay._knowledge import Knowledge
 from camphordrift.relay._placement_values import Ask, Grant, Outcome, Refusal, RefusalReason
 from camphordrift.relay._plain_servers import PlainServerChooser
+from camphordrift.relay._relay_metrics import RelayMetrics, length_band
 from camphordrift.relay._reservations import (
     LIFETIME,
     ReservationKeeper,
@@ -133,6 +134,7 @@
         connections: ConnectionPool,
         reservations: ReservationKeeper,
         header_format: HeaderFormat,
+        metrics: RelayMetrics,
     ) -> None:
         self._vm = vm
         self._zone = zone
@@ -142,6 +144,7 @@
         self._reservations = reservations
         self._format = header_format
         self._ask_numbers = itertools.count()
+        self._metrics = metrics
         self._plain = PlainServerChooser()
         self._random = random.Random()
 
@@ -159,17 +162,44 @@
         except RequestRefusedError as error:
             await self._refuse(request, answer, error.failure, progress)
             return
+        except trio.Cancelled:
+            self._note_caller_left(progress)
+            raise
         if not answer.ended and not answer.started:
             await self._refuse(request, answer, _out_of_time(progress), progress)
         elif not answer.ended:
-            log_event(
-                "answer_broken_off",
-                level=LogLevel.WARNING,
-                request=progress.facts.attempt_id,
-                route=progress.route.name,
-                tried=progress.tried,
-                result=progress.last_result,
-            )
+            self._note_broken_answer(progress)
+        else:
+            self._note_answer(progress)
+
+    def _note_answer(self, progress: _Progress) -> None:
+        route, elapsed = progress.route.name, trio.current_time() - progress.request.received
+        self._metrics.requests.add(route=route, status=str(progress.answer.status))
+        self._metrics.request_seconds.record(elapsed, route=route)
+
+    def _note_broken_answer(self, progress: _Progress) -> None:
+        self._metrics.broken_answers.add(route=progress.route.name)
+        log_event(
+            "answer_broken_off",
+            level=LogLevel.WARNING,
+            request=progress.facts.attempt_id,
+            route=progress.route.name,
+            tried=",".join(progress.tried),
+            reason=getattr(progress.last_result, "reason", "the time ran out"),
+            time_left=progress.time_left,
+            elapsed=trio.current_time() - progress.request.received,
+        )
+
+    def _note_caller_left(self, progress: _Progress) -> None:
+        self._metrics.callers_left.add(route=progress.route.name)
+        log_event(
+            "caller_left",
+            request=progress.facts.attempt_id,
+            route=progress.route.name,
+            tried=",".join(progress.tried),
+            started=progress.answer.started,
+            elapsed=trio.current_time() - progress.request.received,
+        )
 
     def _accept(self, request: CallerRequest, answer: Answer) -> _Progress:
         table = self._knowledge.table()
@@ -317,7 +347,10 @@
         self, progress: _Progress, costs: EngineCosts, sink: Optional["_CallerSink"]
     ) -> AttemptResult:
         ask = self._ask(progress)
+        asked = trio.current_time()
         decision = await self._dispatcher.place(ask)
+        band = length_band(ask.prompt_tokens)
+        self._metrics.placement_seconds.record(trio.current_time() - asked, band=band)
         if isinstance(decision, Refusal):
             raise RequestRefusedError(_failure_of_refusal(decision, progress))
         outcome = Outcome.SERVED
@@ -405,19 +438,48 @@
         fresh = not progress.route.may_repeat
         begun = trio.current_time()
         result = await attempt.run(send_facts, terms, fresh, sink)
+        self._note_attempt(progress, server, len(helpers), terms, result, sink, begun)
+        return result
+
+    def _note_attempt(
+        self,
+        progress: _Progress,
+        server: BackendServer,
+        helpers: int,
+        terms: AttemptTerms,
+        result: AttemptResult,
+        sink: Optional["_CallerSink"],
+        begun: float,
+    ) -> None:
+        first_event = _seconds_between(begun, None if sink is None else sink.first_event_at)
+        pause = None if sink is None else sink.longest_pause
+        outcome = type(result).__name__
         log_event(
             "attempt",
             request=progress.facts.attempt_id,
             route=progress.route.name,
             server=server.id,
-            helpers=len(helpers),
+            address=f"{server.host}:{server.port}",
+            account=None if progress.account is None else progress.account.name,
+            configuration=self._knowledge.version,
+            configuration_age=self._knowledge.age(),
+            helpers=helpers,
             tokens=progress.facts.prompt_tokens,
-            result=type(result).__name__,
+            result=outcome,
+            status=getattr(result, "status", None),
             reason=getattr(result, "reason", None),
-            first_event=_seconds_between(begun, None if sink is None else sink.first_event_at),
+            waited_at_most=terms.first_byte,
+            first_event=first_event,
+            longest_pause=pause,
             elapsed=trio.current_time() - progress.request.received,
         )
-        return result
+        self._metrics.attempts.add(service=progress.service.name, result=outcome)
+        band = length_band(progress.facts.prompt_tokens)
+        if first_event is not None:
+            since_request = first_event + begun - progress.request.received
+            self._metrics.first_event_seconds.record(since_request, band=band)
+        if pause is not None:
+            self._metrics.pause_seconds.record(pause, band=band)
 
     def _facts_to_send(
         self,
@@ -453,15 +515,20 @@
         headers = [(b"content-type", b"application/json")]
         if failure.retry_after_seconds is not None:
             headers.append((b"retry-after", b"%.2f" % failure.retry_after_seconds))
+        self._metrics.refusals.add(code=str(int(failure.code)))
         log_event(
             "request_refused",
             level=LogLevel.WARNING,
             request=_attempt_id(request, self._format),
             code=int(failure.code),
             status=failure.http_status,
+            run_state=failure.run_state,
             reason=failure.detail,
+            retry_after=failure.retry_after_seconds,
+            configuration=self._knowledge.version,
+            configuration_age=self._knowledge.age(),
             route=None if progress is None else progress.route.name,
-            tried=None if progress is None else progress.tried,
+            tried=None if progress is None else ",".join(progress.tried),
             elapsed=trio.current_time() - request.received,
         )
         body = json.dumps({"error": describe_failure(failure)}).encode()
@@ -484,6 +551,8 @@
         self._passed = False
         #: Moment of the first event of the newest attempt.
         self.first_event_at: Optional[float] = None
+        #: Longest pause between events in seconds; ``None`` before the second one.
+        self.longest_pause: Optional[float] = None
         self._pauses: list[float] = []
         self._last_event_at = 0.0
         #: Called when the first event of an attempt arrives.
@@ -516,6 +585,8 @@
 
     def _note_pause(self) -> None:
         now = trio.current_time()
+        if now > self._last_event_at:
+            self.longest_pause = max(self.longest_pause or 0.0, now - self._last_event_at)
         if now > self._last_event_at and len(self._pauses) < PAUSES_SEEN:
             self._pauses.append(now - self._last_event_at)
             if len(self._pauses) == PAUSES_SEEN:
--- a/camphordrift/relay/tests/fleet.py
+++ b/camphordrift/relay/tests/fleet.py
@@ -46,6 +46,7 @@
         self.documents = documents
         self.host = f"{own_loopback_network()}.1"
         self.port = 0
+        self.metrics_port = 0
 
     def publish(self, configuration: Configuration) -> None:
         """Publishes a configuration."""
@@ -134,7 +135,7 @@
     )
     process = RelayProcess(vm, adapters(log, documents))
     fleet = Fleet(process, log, documents)
-    fleet.port = ports[0]
+    fleet.port, fleet.metrics_port = ports[0], ports[3]
     with trio.fail_after(TEST_TIMEOUT):
         async with trio.open_nursery() as nursery:
             for server in servers:
--- a/camphordrift/relay/tests/test_whole_path.py
+++ b/camphordrift/relay/tests/test_whole_path.py
@@ -368,3 +368,29 @@
                 self.assertTrue(received.index(b"a1") < received.index(b"a2"))
 
         run(body, plain_success, service="office")
+
+
+class OperatorTest(testtools.TestCase):
+    def test_the_metrics_page_counts_requests_and_refusals(self) -> None:
+        async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
+            await fleet.call("/quick/x")
+            await fleet.call("/nowhere/x")
+            stream = await trio.open_tcp_stream(fleet.host, fleet.metrics_port)
+            async with stream:
+                await stream.send_all(b"GET /metrics HTTP/1.1\r\nhost: vm\r\n\r\n")
+                page = (await read_reply(stream)).body.decode()
+            self.assertIn('camphordrift_relay_requests_total{route="quick",status="200"} 1.0', page)
+            self.assertIn('camphordrift_relay_refusals_total{code="1003"} 1.0', page)
+            self.assertIn("camphordrift_relay_first_event_seconds_bucket", page)
+            self.assertIn("camphordrift_relay_configuration_version 3.0", page)
+
+        run(body, whole_stream)
+
+    def test_readiness(self) -> None:
+        async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
+            self.assertTrue(fleet.process.ready)
+            fleet.log.is_down = True
+            while fleet.process.ready:
+                await trio.sleep(0.05)
+
+        run(body, whole_stream)
--- a/camphordrift/telemetry/_metrics.py
+++ b/camphordrift/telemetry/_metrics.py
@@ -65,16 +65,10 @@
         self._histogram.record(seconds, labels)
 
 
-class Metrics:
-    """All instruments of one process, each a public attribute.
+class InstrumentRegistry:
+    """The instruments of one process, and the page that shows them.
 
     Every object has a registry of its own, so that several VMs can run in one process.
-
-    Example::
-
-        metrics = Metrics("oliwa-1")
-        metrics.requests.add(interface="chat", code="0")
-        page = metrics.render()
     """
 
     def __init__(self, vm_id: str) -> None:
@@ -93,36 +87,24 @@
             shutdown_on_exit=False,
         )
         self._descriptions: list[InstrumentDescription] = []
-        self.requests = self._counter("requests", "Answered requests, by interface and code.")
-        self.refusals = self._counter("refusals", "Requests refused before running, by code.")
-        self.output_tokens = self._counter("output_tokens", "Tokens passed on to callers.")
-        self.backend_failures = self._counter(
-            "backend_failures", "Failures of backend servers, by server and kind."
-        )
-        self.holds_released = self._counter(
-            "holds_released", "Memory holds without an owner that were released, by reason."
-        )
-        self.request_seconds = self._seconds(
-            "request_seconds", "Time from request to whole answer."
-        )
-        self.first_token_seconds = self._seconds(
-            "first_token_seconds", "Time from request to first token, by band of prompt length."
-        )
-        self.loop_lag_seconds = self._seconds(
-            "loop_lag_seconds", "How late the event loop ran a timer."
-        )
 
     @property
     def descriptions(self) -> tuple[InstrumentDescription, ...]:
-        """All instruments: counters and histograms, then the levels that can be observed."""
-        levels = (
-            InstrumentDescription(level.metric_name, "level", level.description)
-            for level in ObservedLevel
-        )
-        return (*self._descriptions, *levels)
+        """All instruments, in the order in which they were made."""
+        return tuple(self._descriptions)
 
-    def observe(self, level: ObservedLevel, read: Callable[[], float]) -> None:
-        """Registers the function that returns ``level`` when the metrics are collected.
+    def counter(self, name: str, description: str) -> Counter:
+        """Makes a counter."""
+        self._descriptions.append(InstrumentDescription(name, "counter", description))
+        return Counter(self._provider, name, description)
+
+    def seconds(self, name: str, description: str) -> SecondsHistogram:
+        """Makes a histogram of time spans."""
+        self._descriptions.append(InstrumentDescription(name, "histogram", description))
+        return SecondsHistogram(self._provider, name, description)
+
+    def level(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Registers the function that returns a level when the metrics are collected.
 
         It must not wait. While it raises, the level is left out of the page.
         """
@@ -131,16 +113,12 @@
             try:
                 return [Observation(float(read()))]
             except Exception as error:
-                log_event(
-                    "metric_failed",
-                    level=LogLevel.ERROR,
-                    metric=level.metric_name,
-                    error=repr(error),
-                )
+                log_event("metric_failed", level=LogLevel.ERROR, metric=name, error=repr(error))
                 return []
 
+        self._descriptions.append(InstrumentDescription(name, "level", description))
         self._provider.get_meter("camphordrift").create_observable_gauge(
-            level.metric_name, [observations], description=level.description
+            name, [observations], description=description
         )
 
     def render(self) -> bytes:
@@ -151,15 +129,51 @@
         """Gives the registry back. The object is not used afterwards."""
         self._provider.shutdown()
 
-    def _counter(self, name: str, description: str) -> Counter:
-        self._descriptions.append(InstrumentDescription(name, "counter", description))
-        return Counter(self._provider, name, description)
 
-    def _seconds(self, name: str, description: str) -> SecondsHistogram:
-        self._descriptions.append(InstrumentDescription(name, "histogram", description))
-        return SecondsHistogram(self._provider, name, description)
+class Metrics(InstrumentRegistry):
+    """All instruments of an entry process, each a public attribute.
+
+    Example::
+
+        metrics = Metrics("oliwa-1")
+        metrics.requests.add(interface="chat", code="0")
+        page = metrics.render()
+    """
+
+    def __init__(self, vm_id: str) -> None:
+        super().__init__(vm_id)
+        self.requests = self.counter("requests", "Answered requests, by interface and code.")
+        self.refusals = self.counter("refusals", "Requests refused before running, by code.")
+        self.output_tokens = self.counter("output_tokens", "Tokens passed on to callers.")
+        self.backend_failures = self.counter(
+            "backend_failures", "Failures of backend servers, by server and kind."
+        )
+        self.holds_released = self.counter(
+            "holds_released", "Memory holds without an owner that were released, by reason."
+        )
+        self.request_seconds = self.seconds("request_seconds", "Time from request to whole answer.")
+        self.first_token_seconds = self.seconds(
+            "first_token_seconds", "Time from request to first token, by band of prompt length."
+        )
+        self.loop_lag_seconds = self.seconds(
+            "loop_lag_seconds", "How late the event loop ran a timer."
+        )
+
+    @property
+    def descriptions(self) -> tuple[InstrumentDescription, ...]:
+        """All instruments: counters and histograms, then the levels that can be observed."""
+        made = tuple(item for item in self._descriptions if item.kind != "level")
+        levels = (
+            InstrumentDescription(level.metric_name, "level", level.description)
+            for level in ObservedLevel
+        )
+        return (*made, *levels)
+
+    def observe(self, level: ObservedLevel, read: Callable[[], float]) -> None:
+        """Registers the function that returns ``level`` when the metrics are collected."""
+        self.level(level.metric_name, level.description, read)
 
 
-def render_metrics(metrics: Metrics) -> bytes:
+def render_metrics(metrics: InstrumentRegistry) -> bytes:
     """Returns all metrics in Prometheus' text format."""
     return metrics.render()
