See the store's return sooner; leave rejecting engines alone for longer

After a failure the store is asked for what it has. Engines that were about to leave while the store was away rejected requests again and again: each rejection doubles the rest, and the answer's own word on who was at fault is taken.

--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -22,10 +22,10 @@
 )
 
 #: Seconds for a connection to the store.
-_CONNECT_TIMEOUT = 1.0
+_CONNECT_TIMEOUT = 0.7
 
-#: Seconds for an answer, besides those that the store was asked to wait.
-_ANSWER_TIMEOUT = 1.5
+#: Seconds for an answer, besides those that the store was asked to wait; a slow store takes 0.25.
+_ANSWER_TIMEOUT = 1.0
 
 #: Most KiB that one read returns (PROTOCOL.md: 1,024 if not said).
 _READ_KB = 1024
--- a/camphordrift/relay/_dispatcher.py
+++ b/camphordrift/relay/_dispatcher.py
@@ -124,12 +124,12 @@
         if self._link is not None:
             self._link.send(PauseSeen(ask_id, pause))
 
-    def finished(self, ask_id: str, outcome: Outcome) -> None:
+    def finished(self, ask_id: str, outcome: Outcome, at_fault: Optional[str] = None) -> None:
         """Reports the end of a request's work."""
         self._active.pop(ask_id, None)
-        self._own.finished(ask_id, outcome)
+        self._own.finished(ask_id, outcome, at_fault)
         if self._link is not None:
-            self._link.send(Finished(ask_id, outcome))
+            self._link.send(Finished(ask_id, outcome, at_fault))
 
     async def _ask_home(self, pending: _Pending) -> None:
         link = self._link
--- a/camphordrift/relay/_engine_load.py
+++ b/camphordrift/relay/_engine_load.py
@@ -125,18 +125,22 @@
 
     def note_failure(self, now: float) -> None:
         """Leaves the engine alone for a while."""
-        rest = min(LONGEST_REST, FIRST_REST * 2**self._failures)
-        self._failures += 1
-        self._rests_until = max(self._rests_until, now + rest)
+        self._rest(now, FIRST_REST)
 
     def note_rejection(self, now: float) -> None:
-        """Leaves the engine alone for a moment, as it has less room than was believed."""
-        self._rests_until = max(self._rests_until, now + REJECTION_REST)
+        """Leaves the engine alone, as it has less room than was believed, or is about to leave."""
+        self._rest(now, REJECTION_REST)
 
     def note_success(self) -> None:
         """Forgets failures."""
         self._failures = 0
 
+    def _rest(self, now: float, first: float) -> None:
+        """Leaves the engine alone; each time in a row for twice as long."""
+        rest = min(LONGEST_REST, first * 2**self._failures)
+        self._failures += 1
+        self._rests_until = max(self._rests_until, now + rest)
+
     def _limit_pending(self, now: float) -> None:
         """Drops reading that no remaining work accounts for."""
         left = sum(w.reading * self._pace for w in self._works.values() if w.is_reading)
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -166,15 +166,26 @@
         if engine is not None:
             engine.note_pass(pause)
 
-    def finished(self, ask_id: str, outcome: Outcome, now: float) -> None:
-        """Notes that a request's work has ended."""
+    def finished(
+        self, ask_id: str, outcome: Outcome, now: float, at_fault: Optional[str] = None
+    ) -> None:
+        """Notes that a request's work has ended.
+
+        Args:
+            ask_id: The ask.
+            outcome: How it ended.
+            now: The moment.
+            at_fault: Id or address of the engine that the answer blames; without it the one that
+                got the request.
+
+        """
         placed = self._placed.pop(ask_id, None)
         if placed is None:
             self.withdraw(ask_id)
             return
         for engine in self._engines_of(placed):
             engine.remove(ask_id, now)
-        first = self._engines.get(placed.engine_ids[0])
+        first = self._engine_at_fault(placed, at_fault)
         if first is None:
             return
         if outcome is Outcome.SERVED:
@@ -342,6 +353,12 @@
         self._placed[ask.id] = _Placed(ask, ids, now, plan.first_event)
         return Grant(ask.id, servers[0], servers[1:], plan.memory[1:], plan.first_event)
 
+    def _engine_at_fault(self, placed: _Placed, named: Optional[str]) -> Optional[EngineLoad]:
+        for engine in self._engines_of(placed):
+            if named in (engine.server.id, engine.server.address):
+                return engine
+        return self._engines.get(placed.engine_ids[0])
+
     def _engines_of(self, placed: _Placed) -> Iterator[EngineLoad]:
         for server_id in placed.engine_ids:
             if server_id in self._engines:
--- a/camphordrift/relay/_followers.py
+++ b/camphordrift/relay/_followers.py
@@ -34,7 +34,7 @@
 
 #: Seconds between attempts while the store does not answer; doubled up to the longest.
 STORE_RETRY_INTERVAL = 0.25
-LONGEST_STORE_RETRY_INTERVAL = 1.0
+LONGEST_STORE_RETRY_INTERVAL = 0.5
 
 #: Age in seconds of the home's news from which a VM reads for itself. It lies above what two reads
 #: of the configuration and a ping take, and leaves two seconds of the lease on keys.
@@ -74,7 +74,10 @@
             if self._offset is None:
                 batch = await self._log.newest(self._topic)
             else:
-                batch = await self._log.read(self._topic, self._offset, wait)
+                # After a failure the store is asked for what it has, so that its return shows soon.
+                batch = await self._log.read(
+                    self._topic, self._offset, wait if self._reachable else 0.0
+                )
         except HistoryLostError:
             log_event("history_lost", level=LogLevel.WARNING, topic=self._topic)
             self._offset = None
@@ -268,7 +271,7 @@
         "server_listed",
         server=change.server_id,
         service=change.server.service,
-        address=f"{change.server.host}:{change.server.port}",
+        address=change.server.address,
         state=change.server.state,
         offset=change.offset,
     )
--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -321,8 +321,8 @@
                 self._home.first_event(ask_id)
             case PauseSeen(ask_id, pause):
                 self._home.pause_seen(ask_id, pause)
-            case Finished(ask_id, outcome):
-                self._home.finished(ask_id, outcome)
+            case Finished(ask_id, outcome, at_fault):
+                self._home.finished(ask_id, outcome, at_fault)
             case _:
                 pass
 
--- a/camphordrift/relay/_home_messages.py
+++ b/camphordrift/relay/_home_messages.py
@@ -2,7 +2,7 @@
 
 import struct
 from collections.abc import Callable
-from typing import Union
+from typing import Optional, Union
 
 import msgspec
 import trio
@@ -71,6 +71,8 @@
 
     ask_id: str
     outcome: Outcome
+    #: Id or address of the engine that the answer blames.
+    at_fault: Optional[str] = None
 
 
 class Waiting(msgspec.Struct, frozen=True, tag=True):
--- a/camphordrift/relay/_pool_home.py
+++ b/camphordrift/relay/_pool_home.py
@@ -1,6 +1,7 @@
 """The pools of engines that one VM decides for, on behalf of several VMs."""
 
 from collections.abc import Callable, Iterable
+from typing import Optional
 
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay._engine_pool import EnginePool
@@ -85,11 +86,11 @@
         if found := self._owners.get(ask_id):
             found[0].pause_seen(ask_id, pause)
 
-    def finished(self, ask_id: str, outcome: Outcome) -> None:
+    def finished(self, ask_id: str, outcome: Outcome, at_fault: Optional[str] = None) -> None:
         """Notes that a request's work has ended."""
         self._replies.pop(ask_id, None)
         if found := self._owners.pop(ask_id, None):
-            found[0].finished(ask_id, outcome, self._clock())
+            found[0].finished(ask_id, outcome, self._clock(), at_fault)
             self.decide()
 
     def owner_lost(self, owner: str) -> None:
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -353,15 +353,15 @@
         self._metrics.placement_seconds.record(trio.current_time() - asked, band=band)
         if isinstance(decision, Refusal):
             raise RequestRefusedError(_failure_of_refusal(decision, progress))
-        outcome = Outcome.SERVED
+        outcome, at_fault = Outcome.SERVED, None
         try:
             if sink is not None:
                 sink.on_first_event = lambda: self._dispatcher.first_event(ask.id)
                 sink.on_pauses = lambda pause: self._dispatcher.pause_seen(ask.id, pause)
             result = await self._try_granted(progress, decision, sink)
-            outcome = _outcome_of(result)
+            outcome, at_fault = _outcome_of(result), getattr(result, "server_at_fault", None)
         finally:
-            self._dispatcher.finished(ask.id, outcome)
+            self._dispatcher.finished(ask.id, outcome, at_fault)
         return result
 
     async def _try_granted(
@@ -459,7 +459,7 @@
             request=progress.facts.attempt_id,
             route=progress.route.name,
             server=server.id,
-            address=f"{server.host}:{server.port}",
+            address=server.address,
             account=None if progress.account is None else progress.account.name,
             configuration=self._knowledge.version,
             configuration_age=self._knowledge.age(),
@@ -468,6 +468,7 @@
             result=outcome,
             status=getattr(result, "status", None),
             reason=getattr(result, "reason", None),
+            at_fault=getattr(result, "server_at_fault", None),
             waited_at_most=terms.first_byte,
             first_event=first_event,
             longest_pause=pause,
--- a/camphordrift/relay/_values.py
+++ b/camphordrift/relay/_values.py
@@ -156,6 +156,11 @@
     #: Milliseconds since the epoch at which the server started; tells restarts apart.
     started_ms: int = 0
 
+    @property
+    def address(self) -> str:
+        """IP number and port, as HTTP writes them."""
+        return f"{self.host}:{self.port}"
+
 
 @dataclass(frozen=True)
 class RequestFacts:
@@ -185,7 +190,7 @@
     signed: bool
     #: Whether the server says that it did not run the request.
     not_run: bool
-    #: Name of the server that is at fault, if the answer names one.
+    #: Id or address of the server that is at fault, if the answer names one.
     server_at_fault: Optional[str] = None
     #: Seconds for which an idle connection stays open, if the server says so.
     idle_timeout: Optional[float] = None
