--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -218,6 +218,8 @@
             return Refusal(ask.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
         if not self._can_ever_fit(ask):
             return Refusal(ask.id, RefusalReason.NEVER_FITS, None)
+        if ask.preferred is not None and not self._is_usable(ask.preferred, now):
+            return Refusal(ask.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
         time_left = waiting.needed_at() - now
         if time_left < self._least_time(ask):
             return Refusal(ask.id, RefusalReason.TOO_LATE, None)
@@ -237,13 +239,17 @@
         writing = self._costs.pass_time(1, ask.prompt_tokens) * passes
         return self._costs.reading_time(ask.prompt_tokens) / parts + writing
 
+    def _is_usable(self, server_id: str, now: float) -> bool:
+        engine = self._engines.get(server_id)
+        if engine is None or engine.rests(now):
+            return False
+        return engine.server.state is ServerState.READY
+
     def _plan(self, ask: Ask, objective: float, now: float) -> Optional[_Plan]:
         usable = [
             engine
-            for engine in self._engines.values()
-            if engine.server.state is ServerState.READY
-            and not engine.rests(now)
-            and engine.server.id not in ask.excluded
+            for server_id, engine in self._engines.items()
+            if server_id not in ask.excluded and self._is_usable(server_id, now)
         ]
         reading = self._costs.reading_time(ask.prompt_tokens)
         if reading <= SHORT_READING:
@@ -321,7 +327,8 @@
         fewest = -(-needed // int(self._costs.memory_tokens * MEMORY_SHARE))
         for count in range(fewest, min(len(fitting), MAX_PARTS) + 1):
             roomy = [e for e in fitting if e.free_memory >= -(-needed // count)]
-            first = next((engine for engine in roomy if engine.free_slots > 0), None)
+            writers = (engine for engine in roomy if engine.free_slots > 0)
+            first = next((e for e in writers if ask.preferred in (None, e.server.id)), None)
             if first is not None and len(roomy) >= count:
                 others = [engine for engine in roomy if engine is not first]
                 return (first, *others[: count - 1])
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/_placement_values.py
@@ -29,6 +29,8 @@
     priority: int
     #: Engines that must not be chosen again.
     excluded: tuple[str, ...] = ()
+    #: Engine that should get the request, as it was sent to it before; others may only help.
+    preferred: Optional[str] = None
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -64,6 +64,12 @@
 #: Seconds before a request's time is over at which it gets its final answer.
 FINAL_ANSWER_MARGIN = 0.05
 
+#: Seconds that a server's own answer at its time limit takes to arrive.
+LATE_ANSWER_TIME = 0.03
+
+#: Times that an engine is asked again with other helpers, where only a helper was at fault.
+MAX_HELPER_CHANGES = 4
+
 #: Seconds that a caller is taken to wait if it does not say.
 DEFAULT_PATIENCE = 30.0
 
@@ -113,6 +119,8 @@
     tried: list[str]
     #: Servers that did not take the request.
     excluded: list[str]
+    #: Engine to ask again, as only one of its helpers was at fault.
+    preferred: Optional[str] = None
     #: Whether a server may have run the request.
     may_have_run: bool = False
     last_result: Optional[AttemptResult] = None
@@ -121,6 +129,11 @@
     def time_left(self) -> float:
         return self.give_up_at - trio.current_time()
 
+    @property
+    def engines_tried(self) -> int:
+        """Different servers that were sent the request."""
+        return len(set(self.tried))
+
 
 class RequestHandler:
     """Handles requests with what one VM knows."""
@@ -157,7 +170,7 @@
             await self._refuse(request, answer, error.failure, None)
             return
         try:
-            with trio.move_on_at(progress.give_up_at):
+            with trio.move_on_at(progress.give_up_at + LATE_ANSWER_TIME):
                 await self._serve(progress)
         except RequestRefusedError as error:
             await self._refuse(request, answer, error.failure, progress)
@@ -292,7 +305,7 @@
                 if self._may_try_elsewhere(progress):
                     return False
             case Rejected():
-                if self._may_repeat(progress) and len(progress.tried) < progress.route.max_attempts:
+                if self._may_repeat(progress):
                     return False
             case Broken():
                 progress.may_have_run = True
@@ -307,7 +320,11 @@
 
     def _may_repeat(self, progress: _Progress) -> bool:
         route = progress.route
-        if len(progress.tried) >= route.max_attempts or progress.time_left <= 0:
+        if progress.time_left <= 0:
+            return False
+        if progress.preferred is None and progress.engines_tried >= route.max_attempts:
+            return False
+        if len(progress.tried) >= route.max_attempts + MAX_HELPER_CHANGES:
             return False
         if not route.may_repeat:
             return False
@@ -338,7 +355,7 @@
 
     def _plain_terms(self, progress: _Progress) -> AttemptTerms:
         route = progress.route
-        wait = progress.time_left
+        wait = progress.time_left + LATE_ANSWER_TIME
         if route.may_repeat and len(progress.tried) + 1 < route.max_attempts:
             wait = min(wait, route.objective * PLAIN_ANSWER_FACTOR)
         return AttemptTerms(wait, route.pause_objective * SILENCE_PAUSES)
@@ -360,6 +377,7 @@
                 sink.on_pauses = lambda pause: self._dispatcher.pause_seen(ask.id, pause)
             result = await self._try_granted(progress, decision, sink)
             outcome, at_fault = _outcome_of(result), getattr(result, "server_at_fault", None)
+            _note_helper_at_fault(progress, decision, at_fault)
         finally:
             self._dispatcher.finished(ask.id, outcome, at_fault)
         return result
@@ -382,7 +400,8 @@
         slack = max(FIRST_EVENT_SLACK, progress.route.objective)
         first = grant.first_event * FIRST_EVENT_FACTOR + slack
         terms = AttemptTerms(
-            min(first, progress.time_left), progress.route.pause_objective * SILENCE_PAUSES
+            min(first, progress.time_left + LATE_ANSWER_TIME),
+            progress.route.pause_objective * SILENCE_PAUSES,
         )
         if not parts:
             return await self._attempt(progress, grant.server, helpers, terms, sink)
@@ -413,6 +432,7 @@
             time_left=progress.time_left,
             priority=priority,
             excluded=tuple(progress.excluded),
+            preferred=progress.preferred,
         )
 
     async def _attempt(
@@ -598,6 +618,16 @@
         return event.id is None or self._last_id is None or event.id > self._last_id
 
 
+def _note_helper_at_fault(progress: _Progress, grant: Grant, at_fault: Optional[str]) -> None:
+    """Has the engine asked again without a helper that the answer blames."""
+    progress.preferred = None
+    for helper in grant.helpers:
+        if at_fault in (helper.id, helper.address):
+            progress.excluded.remove(grant.server.id)
+            progress.excluded.append(helper.id)
+            progress.preferred = grant.server.id
+
+
 def _seconds_between(begun: float, ended: Optional[float]) -> Optional[float]:
     return None if ended is None or ended < begun else ended - begun
 
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -215,6 +215,7 @@
             attempt_id=found.get(b"x-attempt"),
             signed=b"x-signature" in found,
             not_run=b"x-not-run" in found,
+            server_at_fault=found.get(b"x-at-fault"),
         )
 
     def outgoing_headers(self, headers: Headers, facts: SendFacts) -> list[tuple[bytes, bytes]]:
@@ -222,6 +223,7 @@
         ended = (b"x-key", b"connection", b"last-event-id")
         sent = [(name, value) for name, value in headers if name not in ended]
         sent.append((b"x-server", facts.server_id.encode()))
+        sent.append((b"x-time-left", str(facts.time_left).encode()))
         sent.append((b"x-account", (facts.account or "").encode()))
         if facts.last_event_id is not None:
             sent.append((b"last-event-id", facts.last_event_id.encode()))
--- a/camphordrift/relay/tests/test_whole_path.py
+++ b/camphordrift/relay/tests/test_whole_path.py
@@ -156,6 +156,31 @@
         run(body, whole_stream)
 
 
+class HelperTest(testtools.TestCase):
+    def test_an_engine_whose_helper_left_is_asked_again_with_others(self) -> None:
+        """Engines leave unseen while the store is away, and a long prompt needs many of them."""
+        blamed: list[str] = []
+
+        async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
+            async def blames(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+                others = [s.entry for s in servers if s.entry.id != seen.headers["x-server"]]
+                left = next(entry for entry in others if entry.address not in blamed)
+                if len(blamed) == 3:
+                    return await whole_stream(seen, stream)
+                blamed.append(left.address)
+                head = f"HTTP/1.1 503 No\r\nx-not-run: 1\r\nx-at-fault: {left.address}\r\n"
+                await stream.send_all(head.encode() + b"content-length: 0\r\n\r\n")
+                return True
+
+            for item in servers:
+                item.script = blames
+            reply = await fleet.call("/quick/x", x_tokens="154000")
+            self.assertEqual(200, reply.status)
+            self.assertEqual(1, sum(1 for item in servers if item.seen))
+
+        run(body, *[whole_stream] * 8)
+
+
 class OnceTest(testtools.TestCase):
     def test_a_request_that_may_have_run_is_not_sent_again(self) -> None:
         async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
@@ -220,6 +245,21 @@
         run(body, short, service="office")
 
 
+class TimeLimitTest(testtools.TestCase):
+    def test_a_servers_answer_at_its_time_limit_is_passed_on_whole(self) -> None:
+        async def at_the_limit(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+            await trio.sleep(float(seen.headers["x-time-left"]))
+            await stream.send_all(plain_answer(seen, "504 Late", b"too late"))
+            return True
+
+        async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
+            reply = await fleet.call("/book/x", x_patience="1.0")
+            self.assertEqual((504, b"too late"), (reply.status, reply.body))
+            self.assertTrue(reply.whole)
+
+        run(body, at_the_limit, service="office")
+
+
 class RepeatableTest(testtools.TestCase):
     def test_a_failed_request_is_sent_to_another_server(self) -> None:
         async def fails(seen: SeenRequest, stream: trio.SocketStream) -> bool:
