--- a/camphordrift/relay/_engine_load.py
+++ b/camphordrift/relay/_engine_load.py
@@ -61,6 +61,16 @@
         """How many times longer than stated the engine takes."""
         return self._pace
 
+    @property
+    def failures(self) -> int:
+        """Failures in a row."""
+        return self._failures
+
+    @property
+    def reading(self) -> int:
+        """Prompts that are being read here, or parts of them."""
+        return sum(1 for work in self._works.values() if work.is_reading)
+
     @property
     def writers(self) -> int:
         """Requests that write here, now or as soon as they are read."""
@@ -107,6 +117,8 @@
         if work is None:
             return
         work.is_reading = False
+        # An event shows that the engine works.
+        self._failures = 0
         if work.is_helper and not work.memory_tokens:
             del self._works[ask_id]
         self._limit_pending(now)
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -34,6 +34,13 @@
 #: Part of the time to the first event that a placement may plan with.
 OBJECTIVE_SHARE = 0.8
 
+#: Short prompts that an engine may be reading without having answered one of them. An engine that
+#: died may stay listed for a while.
+MAX_READING = 3
+
+#: Engines without failures that a long prompt needs to do without the others.
+ENOUGH_SOUND_ENGINES = 2
+
 #: Part of an engine's memory that one prompt may take before it is shared out.
 MEMORY_SHARE = 0.95
 
@@ -268,6 +275,8 @@
         for engine in usable:
             if not self._has_room(engine, ask) or not _fits_pauses(engine, reading, ask, now):
                 continue
+            if engine.reading >= (1 if engine.failures else MAX_READING):
+                continue
             first_event = self._first_event(engine, reading, now)
             rank = (
                 first_event > objective * SHORT_OBJECTIVE_SHARE,
@@ -285,6 +294,9 @@
     def _plan_long(
         self, ask: Ask, reading: float, usable: list[EngineLoad], objective: float, now: float
     ) -> Optional[_Plan]:
+        sound = [engine for engine in usable if not engine.failures]
+        if len(sound) >= ENOUGH_SOUND_ENGINES:
+            usable = sound
         if not usable:
             return None
         wanted = min(MAX_PARTS, len(usable), max(1, math.ceil(reading / PART_TIME)))
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from camphordrift.relay._engine_pool import EnginePool
+from camphordrift.relay._engine_pool import MAX_READING, EnginePool
 from camphordrift.relay._placement_values import (
     Decision,
     Grant,
@@ -155,6 +155,34 @@
         assert isinstance(decision, Refusal)
         self.assertEqual(RefusalReason.NO_ENGINE, decision.reason)
 
+    def test_an_engine_that_says_nothing_gets_few_requests(self) -> None:
+        """A dead engine stays listed for a while; short prompts must not pile up on it."""
+        pool = pool_of(4)
+        for number in range(30):
+            now = number * 0.1
+            grant = place(pool, f"r{number}", 500, now)
+            if grant.server.id != "engines-0":
+                pool.first_event(f"r{number}", now + 0.05)
+                pool.finished(f"r{number}", Outcome.SERVED, now + 0.08)
+        self.assertTrue(len(pool._engines["engines-0"].works) <= MAX_READING)
+
+    def test_an_engine_that_failed_gets_one_request_until_it_answers(self) -> None:
+        pool = pool_of(2)
+        place(pool, "one", 500, excluded=("engines-1",))
+        pool.finished("one", Outcome.SILENT, 0.5)
+        for number in range(8):
+            place(pool, f"r{number}", 500, 2.0 + number * 0.1)
+            if number != 0:
+                pool.first_event(f"r{number}", 2.05 + number * 0.1)
+        self.assertTrue(len(pool._engines["engines-0"].works) <= 1)
+
+    def test_long_prompts_keep_off_engines_that_failed_lately(self) -> None:
+        pool = pool_of(8)
+        place(pool, "one", 500, excluded=tuple(f"engines-{n}" for n in range(1, 8)))
+        pool.finished("one", Outcome.SILENT, 0.5)
+        grant = place(pool, "long", 154_000, 5.0)
+        self.assertNotIn("engines-0", _engine_ids(grant))
+
     def test_a_slow_engine_gets_less(self) -> None:
         """Pauses five times as long as stated show a slow engine, which is then kept for last."""
         pool = pool_of(2)
@@ -162,7 +190,7 @@
         pool.first_event("one", 0.1)
         for _ in range(4):
             pool.pause_seen("one", 0.22)
-        grants = [place(pool, f"r{number}", 5000, 0.2) for number in range(4)]
+        grants = [place(pool, f"r{number}", 5000, 0.2) for number in range(MAX_READING)]
         self.assertNotIn(slow, {grant.server.id for grant in grants})
 
     def test_an_end_that_is_never_reported_gives_the_slot_back(self) -> None:
@@ -177,7 +205,10 @@
     def test_requests_placed_elsewhere_count(self) -> None:
         """A VM that takes over knows what the others have running."""
         other = pool_of(1)
-        grants = [place(other, f"r{n}", 100, n * 0.2) for n in range(COSTS.slots)]
+        grants = []
+        for number in range(COSTS.slots):
+            grants.append(place(other, f"r{number}", 100, number * 0.2))
+            other.first_event(f"r{number}", number * 0.2 + 0.1)
         pool = pool_of(1)
         for number, grant in enumerate(grants):
             pool.register(ask(f"r{number}", 100), grant, False, 2.0)
