Leave a home that lost the store; ask a store that is away less often

While the store is away each of 86 VMs asked for two topics up to twice a second, and where it turns single machines away, a home among them made every other VM read for itself. A VM with a home asks once a second, for the configuration only; a home that is stale while the store answers this VM is left for ten seconds.

--- a/camphordrift/relay/_followers.py
+++ b/camphordrift/relay/_followers.py
@@ -36,6 +36,10 @@
 STORE_RETRY_INTERVAL = 0.25
 LONGEST_STORE_RETRY_INTERVAL = 0.5
 
+#: The same for a VM that has a home, which sees the store's return for it; a fleet of many VMs
+#: would make most of its calls while the store is away.
+FOLLOWER_RETRY_INTERVAL = 1.0
+
 #: Age in seconds of the home's news from which a VM reads for itself. It lies above what two reads
 #: of the configuration and a ping take, and leaves two seconds of the lease on keys.
 STALE_NEWS = 2.8
@@ -89,9 +93,14 @@
         self._offset = batch.next_offset
         return batch, whole
 
-    async def pause_after_failure(self) -> None:
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call was answered."""
+        return self._reachable
+
+    async def pause_after_failure(self, has_home: bool) -> None:
         """Waits before the store is asked again; longer each time in a row."""
-        await trio.sleep(self._retry)
+        await trio.sleep(FOLLOWER_RETRY_INTERVAL if has_home else self._retry)
         self._retry = min(LONGEST_STORE_RETRY_INTERVAL, self._retry * 2)
 
     def _note_reachable(self, reachable: bool, reason: str) -> None:
@@ -121,6 +130,7 @@
         self._changed = changed
         self._table: Optional[RoutingTable] = None
         self._document: Optional[bytes] = None
+        self._read_at = float("-inf")
         #: Whether a home hands news on to this VM.
         self.has_home = False
 
@@ -129,6 +139,15 @@
         """The configuration in force; ``None`` before the first was read."""
         return self._table
 
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the store answered when it was last asked."""
+        return self._topic.reachable
+
+    def read_age(self, now: float) -> float:
+        """Returns the seconds since this VM itself read the store."""
+        return now - self._read_at
+
     @property
     def document(self) -> Optional[bytes]:
         """The document of the configuration in force, for other VMs."""
@@ -144,8 +163,9 @@
             try:
                 batch, _ = await self._topic.next_batch(CONFIGURATION_WAIT)
             except StoreError:
-                await self._topic.pause_after_failure()
+                await self._topic.pause_after_failure(self.has_home)
                 continue
+            self._read_at = trio.current_time()
             for record in batch.records:
                 self._apply_record(record)
             if batch.complete:
@@ -192,11 +212,13 @@
         documents: DocumentFormat,
         directory: ServerDirectory,
         changed: Callable[[list[DirectoryChange]], None],
+        store_reachable: Callable[[], bool],
     ) -> None:
         self._topic = TopicFollower(log, topics.servers)
         self._documents = documents
         self._directory = directory
         self._changed = changed
+        self._store_reachable = store_reachable
         self._read_at = float("-inf")
         #: Whether a home hands news on to this VM.
         self.has_home = False
@@ -215,11 +237,14 @@
             if self.has_home:
                 # The home may have missed the store while entries lapsed.
                 self._directory.note_store_trouble(asked)
+                if not self._store_reachable():
+                    await trio.sleep(NEWS_CHECK_INTERVAL)
+                    continue
             try:
                 batch, whole = await self._topic.next_batch(0.0)
             except StoreError:
                 self._directory.note_store_trouble(trio.current_time())
-                await self._topic.pause_after_failure()
+                await self._topic.pause_after_failure(self.has_home)
                 continue
             if batch.complete:
                 self.confirm(asked)
--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -63,6 +63,9 @@
 INTRODUCTION_RETRY_INTERVAL = 0.5
 
 
+#: Seconds for which a VM that had lost the store is not taken as home again.
+UNFIT_TIME = 10.0
+
 #: Seconds for which a VM that takes over waits for what the others report of their requests.
 TAKE_OVER_TIME = 0.04
 
@@ -87,6 +90,7 @@
         self._news = news
         self._members: dict[str, Member] = {me.vm: me}
         self._attempts: dict[str, int] = {}
+        self._unfit_until: dict[str, float] = {}
         self._changed = trio.Event()
         self._links = 0
         self._home = me
@@ -156,8 +160,13 @@
         self._changed = trio.Event()
 
     def _seniors(self, than: Member) -> list[Member]:
-        """Returns the VMs that have run longer, the first one first."""
-        seniors = [m for m in self._members.values() if m.seniority < than.seniority]
+        """Returns the VMs that have run longer and are fit, the first one first."""
+        now = trio.current_time()
+        seniors = [
+            member
+            for member in self._members.values()
+            if member.seniority < than.seniority and self._unfit_until.get(member.vm, 0.0) <= now
+        ]
         return sorted(seniors, key=lambda member: member.seniority)
 
     async def _follow_home(self) -> None:
@@ -214,12 +223,13 @@
         self._dispatcher.attach(link)
         self._news.home_found()
         self._home = home
-        reason = "a VM that has run longer is reachable"
+        reason = "another VM is a better home"
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(link.write_queued)
                 nursery.start_soon(self._ping, link)
                 nursery.start_soon(self._leave_for_senior, home, nursery.cancel_scope)
+                nursery.start_soon(self._leave_unfit, home, nursery.cancel_scope)
                 await link.read_messages(self._handle_home_message)
         except* LinkBrokenError as errors:
             reason = str(errors.exceptions[0])
@@ -231,6 +241,14 @@
             stream.socket.close()
         log_event("home_lost", level=LogLevel.WARNING, home=home.vm, reason=reason)
 
+    async def _leave_unfit(self, home: Member, scope: trio.CancelScope) -> None:
+        """Leaves a home that has lost the store; all VMs that reach it do so."""
+        while not self._news.is_home_unfit():
+            await trio.sleep(PING_INTERVAL)
+        log_event("home_unfit", level=LogLevel.WARNING, home=home.vm)
+        self._unfit_until[home.vm] = trio.current_time() + UNFIT_TIME
+        scope.cancel()
+
     def _handle_home_message(self, message: Message) -> None:
         if isinstance(message, Member):
             self._learn(message)
--- a/camphordrift/relay/_home_news.py
+++ b/camphordrift/relay/_home_news.py
@@ -4,7 +4,12 @@
 
 import trio
 
-from camphordrift.relay._followers import ConfigurationFollower, ServersFollower, suspended_clock
+from camphordrift.relay._followers import (
+    STALE_NEWS,
+    ConfigurationFollower,
+    ServersFollower,
+    suspended_clock,
+)
 from camphordrift.relay._freshness import ConfigurationLease
 from camphordrift.relay._home_messages import (
     ConfigurationNews,
@@ -17,6 +22,9 @@
 )
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 
+#: Seconds since a VM read the store itself within which it is taken to reach it.
+OWN_READ_TIME = 1.5
+
 
 class HomeNews:
     """Sends news to the VMs that have this VM as their home, and takes those of this VM's home."""
@@ -35,6 +43,7 @@
         self._followers: set[MessageLink] = set()
         self._pings: dict[int, tuple[float, float]] = {}
         self._next_ping = 0
+        self._home_age = 0.0
 
     def add_follower(self, link: MessageLink, seniors: Iterable[Member]) -> None:
         """Starts to send news to another VM.
@@ -78,8 +87,17 @@
             self._servers.age(trio.current_time()),
         )
 
+    def is_home_unfit(self) -> bool:
+        """Tells whether the home has lost the store, which answers this VM."""
+        return (
+            self._home_age > STALE_NEWS
+            and self._configuration.store_reachable
+            and self._configuration.read_age(trio.current_time()) < OWN_READ_TIME
+        )
+
     def home_found(self) -> None:
         """Notes that this VM has a home."""
+        self._home_age = 0.0
         self._configuration.has_home = self._servers.has_home = True
 
     def home_lost(self) -> None:
@@ -109,6 +127,7 @@
         asked = self._pings.pop(pong.number, None)
         if asked is None:
             return
+        self._home_age = pong.configuration_age
         # The home answered after the ping was sent, so its own question is at most this old.
         self._configuration.confirm(asked[0] - pong.configuration_age)
         self._servers.confirm(asked[1] - pong.servers_age)
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -115,6 +115,7 @@
             adapters.documents,
             self._directory,
             self._servers_changed,
+            lambda: self._configuration.store_reachable,
         )
         self._news = HomeNews(self._configuration, self._servers, self._lease, self._directory)
         self._election = HomeElection(
--- a/camphordrift/relay/tests/test_home_election.py
+++ b/camphordrift/relay/tests/test_home_election.py
@@ -74,7 +74,9 @@
         news.servers_changed(changes)
 
     configuration = ConfigurationFollower(log, TOPICS, documents, lease, configuration_changed)
-    servers = ServersFollower(log, TOPICS, documents, directory, servers_changed)
+    servers = ServersFollower(
+        log, TOPICS, documents, directory, servers_changed, lambda: configuration.store_reachable
+    )
     news = HomeNews(configuration, servers, lease, directory)
     election = HomeElection(member, log, TOPICS, dispatcher, home, news)
     vm = Vm(member, dispatcher, home, lease, configuration, servers, directory, election)
@@ -225,6 +227,16 @@
 
         run(body)
 
+    def test_a_home_that_lost_the_store_is_left(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            first, second, third = (fleet.start(number, 100 + number) for number in (1, 2, 3))
+            await until(lambda: homes(second, third) == ["vm-1", "vm-1"])
+            await until(lambda: len(third.directory.servers) == 4)
+            first.configuration._topic._log = first.servers._topic._log = _down_log()
+            await until(lambda: homes(second, third) == ["vm-2", "vm-2"])
+
+        run(body)
+
 
 def _down_log() -> MemoryLog:
     log = MemoryLog()
