Have a home that lost the store follow the next one, and tell its followers

Each VM hears of it now, and the unfit one takes another home, whose news also renew its own lease. The test failed first.

--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -27,6 +27,7 @@
     Refused,
     Register,
     Submit,
+    Unfit,
     Waiting,
     Withdraw,
     decode_member,
@@ -160,15 +161,32 @@
         self._changed = trio.Event()
 
     def _seniors(self, than: Member) -> list[Member]:
-        """Returns the VMs that have run longer and are fit, the first one first."""
-        now = trio.current_time()
+        """Returns the VMs that have run longer and are fit, the first one first.
+
+        A VM that is unfit itself takes any other one.
+        """
+        any_other = than is self._me and not self._is_fit(self._me.vm)
         seniors = [
             member
             for member in self._members.values()
-            if member.seniority < than.seniority and self._unfit_until.get(member.vm, 0.0) <= now
+            if self._is_fit(member.vm) and (any_other or member.seniority < than.seniority)
         ]
         return sorted(seniors, key=lambda member: member.seniority)
 
+    def _is_fit(self, vm: str) -> bool:
+        return self._unfit_until.get(vm, 0.0) <= trio.current_time()
+
+    def _note_unfit(self, vm: str) -> None:
+        """Notes that a VM has lost the store while others reach it."""
+        if not self._is_fit(vm):
+            return
+        log_event("home_unfit", level=LogLevel.WARNING, home=vm)
+        self._unfit_until[vm] = trio.current_time() + UNFIT_TIME
+        # Those that have this VM as their home must hear of it, above all if it is the unfit one.
+        self._news.unfit(vm)
+        self._changed.set()
+        self._changed = trio.Event()
+
     async def _follow_home(self) -> None:
         while True:
             found = await self._find_home(self._me)
@@ -229,7 +247,7 @@
                 nursery.start_soon(link.write_queued)
                 nursery.start_soon(self._ping, link)
                 nursery.start_soon(self._leave_for_senior, home, nursery.cancel_scope)
-                nursery.start_soon(self._leave_unfit, home, nursery.cancel_scope)
+                nursery.start_soon(self._leave_unfit, home, link, nursery.cancel_scope)
                 await link.read_messages(self._handle_home_message)
         except* LinkBrokenError as errors:
             reason = str(errors.exceptions[0])
@@ -241,19 +259,23 @@
             stream.socket.close()
         log_event("home_lost", level=LogLevel.WARNING, home=home.vm, reason=reason)
 
-    async def _leave_unfit(self, home: Member, scope: trio.CancelScope) -> None:
-        """Leaves a home that has lost the store; all VMs that reach it do so."""
-        while not self._news.is_home_unfit():
+    async def _leave_unfit(self, home: Member, link: MessageLink, scope: trio.CancelScope) -> None:
+        """Leaves a home that has lost the store; all VMs that hear of it do so."""
+        while self._is_fit(home.vm):
+            if self._news.is_home_unfit():
+                link.send(Unfit(home.vm))
+                self._note_unfit(home.vm)
             await trio.sleep(PING_INTERVAL)
-        log_event("home_unfit", level=LogLevel.WARNING, home=home.vm)
-        self._unfit_until[home.vm] = trio.current_time() + UNFIT_TIME
         scope.cancel()
 
     def _handle_home_message(self, message: Message) -> None:
-        if isinstance(message, Member):
-            self._learn(message)
-        else:
-            self._news.handle(message, self._dispatcher.handle)
+        match message:
+            case Member():
+                self._learn(message)
+            case Unfit(vm):
+                self._note_unfit(vm)
+            case _:
+                self._news.handle(message, self._dispatcher.handle)
 
     async def _ping(self, link: MessageLink) -> None:
         while True:
@@ -265,6 +287,9 @@
             changed = self._changed
             with trio.move_on_after(SENIOR_RETRY_INTERVAL):
                 await changed.wait()
+            if self._me.seniority < home.seniority and self._is_fit(self._me.vm):
+                scope.cancel()
+                return
             found = await self._find_home(home)
             if found is not None:
                 found.stream.socket.close()
@@ -277,7 +302,12 @@
     async def _serve_member(self, stream: trio.SocketStream) -> None:
         self._links += 1
         serving = _MemberService(
-            f"{self._links}", self._own, self._news, self._learn, lambda: self._seniors(self._me)
+            f"{self._links}",
+            self._own,
+            self._news,
+            self._learn,
+            self._note_unfit,
+            lambda: self._seniors(self._me),
         )
         link = MessageLink(stream, LINK_SILENCE)
         link.send(self._me)
@@ -310,6 +340,7 @@
         home: PoolHome,
         news: HomeNews,
         learn: Callable[[Member], None],
+        note_unfit: Callable[[str], None],
         seniors: Callable[[], list[Member]],
     ) -> None:
         self.owner = owner
@@ -317,6 +348,7 @@
         self.link: Optional[MessageLink] = None
         self._home = home
         self._learn = learn
+        self._note_unfit = note_unfit
         self._seniors = seniors
 
     def handle(self, message: Message) -> None:
@@ -329,6 +361,8 @@
             case Ping():
                 if self.link is not None:
                     self.link.send(self._news.pong(message))
+            case Unfit(vm):
+                self._note_unfit(vm)
             case Submit():
                 self._submit(message)
             case Register(ask, grant, reading):
--- a/camphordrift/relay/_home_messages.py
+++ b/camphordrift/relay/_home_messages.py
@@ -93,6 +93,12 @@
     refusal: Refusal
 
 
+class Unfit(msgspec.Struct, frozen=True, tag=True):
+    """Says that a VM has lost the store while others reach it."""
+
+    vm: str
+
+
 class ConfigurationNews(msgspec.Struct, frozen=True, tag=True):
     """Hands a configuration on."""
 
@@ -133,6 +139,7 @@
     Waiting,
     Granted,
     Refused,
+    Unfit,
     ConfigurationNews,
     ServerNews,
     Ping,
--- a/camphordrift/relay/_home_news.py
+++ b/camphordrift/relay/_home_news.py
@@ -19,6 +19,7 @@
     Ping,
     Pong,
     ServerNews,
+    Unfit,
 )
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 
@@ -65,6 +66,10 @@
         """Stops to send news to another VM."""
         self._followers.discard(link)
 
+    def unfit(self, vm: str) -> None:
+        """Hands on that a VM has lost the store."""
+        self._send_all(Unfit(vm))
+
     def member_known(self, member: Member) -> None:
         """Hands on that a VM has run longer than this one."""
         self._send_all(member)
--- a/camphordrift/relay/tests/test_home_election.py
+++ b/camphordrift/relay/tests/test_home_election.py
@@ -233,7 +233,9 @@
             await until(lambda: homes(second, third) == ["vm-1", "vm-1"])
             await until(lambda: len(third.directory.servers) == 4)
             first.configuration._topic._log = first.servers._topic._log = _down_log()
-            await until(lambda: homes(second, third) == ["vm-2", "vm-2"])
+            await until(lambda: homes(first, second, third) == ["vm-2"] * 3)
+            start = suspended_clock()
+            await until(lambda: first.lease.age(suspended_clock()) < suspended_clock() - start)
 
         run(body)
 
