Have each VM read a new configuration itself; prefer VMs with more capacity as home

The home says only that there is a newer version; the lease goes on when it has been read. A VM that cannot read the store asks the home for the document. Of VMs of unlike size the larger are preferred.

--- a/camphordrift/platform/_settings.py
+++ b/camphordrift/platform/_settings.py
@@ -48,6 +48,10 @@
 class _MachineLimits(_Section, frozen=True):
     memory_mb: float = 300.0
     max_fds: int = 4200
+    #: Part of a core's time, and how many times as fast as a plain one the core is.
+    cpu_share: float = 1.0
+    cpu_cores: float = 1.0
+    link_mbps: float = 1000.0
 
 
 class _Settings(_Section, frozen=True):
@@ -95,6 +99,8 @@
             window=read.bounds.budget_window_s,
         ),
         max_sockets=read.limits.max_fds - _RESERVED_DESCRIPTORS,
+        cores=read.limits.cpu_share * read.limits.cpu_cores,
+        link_mbps=read.limits.link_mbps,
     )
 
 
--- a/camphordrift/relay/_followers.py
+++ b/camphordrift/relay/_followers.py
@@ -1,7 +1,8 @@
 """Follows the configuration and the backend servers.
 
-One VM, the home of the pools, reads the store and hands news on to the others. A VM reads for
-itself while it has no home, or while its home's news are too old.
+One VM, the home of the pools, asks the store for news. It hands changes of servers on, and says
+when there is a newer configuration, which each VM then reads. A VM asks for itself while it has no
+home, or while its home's news are too old.
 """
 
 import time
@@ -98,6 +99,10 @@
         """Whether the last call was answered."""
         return self._reachable
 
+    def start_anew(self) -> None:
+        """Has the newest records read instead of those since the last read."""
+        self._offset = None
+
     async def pause_after_failure(self, has_home: bool) -> None:
         """Waits before the store is asked again; longer each time in a row."""
         await trio.sleep(FOLLOWER_RETRY_INTERVAL if has_home else self._retry)
@@ -130,9 +135,13 @@
         self._changed = changed
         self._table: Optional[RoutingTable] = None
         self._document: Optional[bytes] = None
+        self._expected_version = 0
+        self._newer_expected = trio.Event()
         self._read_at = float("-inf")
         #: Whether a home hands news on to this VM.
         self.has_home = False
+        #: Asks the home for the document, where the store does not answer this VM.
+        self.ask_home: Callable[[], None] = lambda: None
 
     @property
     def table(self) -> Optional[RoutingTable]:
@@ -150,19 +159,30 @@
 
     @property
     def document(self) -> Optional[bytes]:
-        """The document of the configuration in force, for other VMs."""
+        """The document of the configuration in force, for VMs that cannot read the store."""
         return self._document
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 while none is known."""
+        return 0 if self._table is None else self._table.configuration.version
+
     async def run(self) -> None:
         """Follows the configuration until cancelled."""
         while True:
             asked = suspended_clock()
-            if self.has_home and self._lease.age(asked) < STALE_NEWS:
-                await trio.sleep(NEWS_CHECK_INTERVAL)
+            expects_newer = self._expected_version > self.version
+            if self.has_home and not expects_newer and self._lease.age(asked) < STALE_NEWS:
+                await self._wait_for_news()
                 continue
+            if expects_newer:
+                # Versions in between are of no use, and each is a large document.
+                self._topic.start_anew()
             try:
                 batch, _ = await self._topic.next_batch(CONFIGURATION_WAIT)
             except StoreError:
+                if self.has_home and expects_newer:
+                    self.ask_home()
                 await self._topic.pause_after_failure(self.has_home)
                 continue
             self._read_at = trio.current_time()
@@ -173,6 +193,17 @@
             if self._table is None:
                 await trio.sleep(STORE_RETRY_INTERVAL)
 
+    def expect(self, version: int) -> None:
+        """Notes that the home has seen a version, so that it is read if it is newer."""
+        if version > max(self.version, self._expected_version):
+            self._expected_version = version
+            self._newer_expected.set()
+
+    async def _wait_for_news(self) -> None:
+        self._newer_expected = trio.Event()
+        with trio.move_on_after(NEWS_CHECK_INTERVAL):
+            await self._newer_expected.wait()
+
     def apply(self, document: bytes) -> None:
         """Takes over a document if its version is newer."""
         try:
@@ -220,6 +251,8 @@
         self._changed = changed
         self._store_reachable = store_reachable
         self._read_at = float("-inf")
+        self._must_read = False
+        self._home_found_at = float("-inf")
         #: Whether a home hands news on to this VM.
         self.has_home = False
 
@@ -231,10 +264,10 @@
         """Follows the servers until cancelled."""
         while True:
             asked = trio.current_time()
-            if self.has_home and self.age(asked) < STALE_SERVER_NEWS:
+            if self.has_home and not self._must_read and self.age(asked) < STALE_SERVER_NEWS:
                 await trio.sleep(NEWS_CHECK_INTERVAL)
                 continue
-            if self.has_home:
+            if self.has_home and not self._must_read:
                 # The home may have missed the store while entries lapsed.
                 self._directory.note_store_trouble(asked)
                 if not self._store_reachable():
@@ -247,6 +280,7 @@
                 await self._topic.pause_after_failure(self.has_home)
                 continue
             if batch.complete:
+                self._must_read = self._must_read and asked < self._home_found_at
                 self.confirm(asked)
             self._report(self._apply(batch, whole))
             await trio.sleep(max(0.0, asked + SERVERS_INTERVAL - trio.current_time()))
@@ -255,9 +289,15 @@
         """Takes over what the home read."""
         self._report(self._directory.apply(changes, trio.current_time()))
 
+    def home_found(self) -> None:
+        """Notes that a home hands changes on; what was changed before is to be read once."""
+        self.has_home = self._must_read = True
+        self._home_found_at = trio.current_time()
+
     def confirm(self, asked: float) -> None:
         """Notes that all that was written before ``asked`` is known."""
-        self._read_at = max(self._read_at, asked)
+        if not self._must_read:
+            self._read_at = max(self._read_at, asked)
 
     def _report(self, changes: list[DirectoryChange]) -> None:
         for change in changes:
--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -15,6 +15,7 @@
 from camphordrift.relay._byte_stream import connect
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._home_messages import (
+    ConfigurationWanted,
     Finished,
     Granted,
     LinkBrokenError,
@@ -239,7 +240,7 @@
         link.send(self._me)
         log_event("home_found", home=home.vm)
         self._dispatcher.attach(link)
-        self._news.home_found()
+        self._news.home_found(link)
         self._home = home
         reason = "another VM is a better home"
         try:
@@ -363,6 +364,8 @@
                     self.link.send(self._news.pong(message))
             case Unfit(vm):
                 self._note_unfit(vm)
+            case ConfigurationWanted() if self.link is not None:
+                self._news.send_document(self.link)
             case Submit():
                 self._submit(message)
             case Register(ask, grant, reading):
--- a/camphordrift/relay/_home_messages.py
+++ b/camphordrift/relay/_home_messages.py
@@ -25,11 +25,13 @@
     started_ms: int
     host: str
     port: int
+    #: Powers of two by which processor and link exceed those of a small VM; see settings.
+    capacity: int = 0
 
     @property
-    def seniority(self) -> tuple[int, str]:
-        """Sorts the VM that has run longest first."""
-        return self.started_ms, self.vm
+    def seniority(self) -> tuple[int, int, str]:
+        """Sorts the VMs with the most capacity first, and of these the one that has run longest."""
+        return -self.capacity, self.started_ms, self.vm
 
 
 class Submit(msgspec.Struct, frozen=True, tag=True):
@@ -100,7 +102,20 @@
 
 
 class ConfigurationNews(msgspec.Struct, frozen=True, tag=True):
-    """Hands a configuration on."""
+    """Says that there is a newer configuration, which each VM reads from the store.
+
+    The document itself would fill the link of a small home on its way to many VMs.
+    """
+
+    version: int
+
+
+class ConfigurationWanted(msgspec.Struct, frozen=True, tag=True):
+    """Asks the home for the document, as the store does not answer."""
+
+
+class ConfigurationDocument(msgspec.Struct, frozen=True, tag=True):
+    """The document of the home's configuration."""
 
     document: bytes
 
@@ -124,6 +139,8 @@
     """
 
     number: int
+    #: Version of the configuration that the home has; 0 while it has none.
+    version: int
     configuration_age: float
     servers_age: float
 
@@ -141,6 +158,8 @@
     Refused,
     Unfit,
     ConfigurationNews,
+    ConfigurationWanted,
+    ConfigurationDocument,
     ServerNews,
     Ping,
     Pong,
--- a/camphordrift/relay/_home_news.py
+++ b/camphordrift/relay/_home_news.py
@@ -12,7 +12,9 @@
 )
 from camphordrift.relay._freshness import ConfigurationLease
 from camphordrift.relay._home_messages import (
+    ConfigurationDocument,
     ConfigurationNews,
+    ConfigurationWanted,
     Member,
     Message,
     MessageLink,
@@ -57,10 +59,6 @@
         self._followers.add(link)
         for member in seniors:
             link.send(member)
-        document = self._configuration.document
-        if document is not None:
-            link.send(ConfigurationNews(document))
-        link.send(ServerNews(tuple(self._directory.snapshot())))
 
     def remove_follower(self, link: MessageLink) -> None:
         """Stops to send news to another VM."""
@@ -75,10 +73,8 @@
         self._send_all(member)
 
     def configuration_changed(self) -> None:
-        """Hands a new configuration on."""
-        document = self._configuration.document
-        if document is not None:
-            self._send_all(ConfigurationNews(document))
+        """Says that there is a new configuration."""
+        self._send_all(ConfigurationNews(self._configuration.version))
 
     def servers_changed(self, changes: list[DirectoryChange]) -> None:
         """Hands changes of servers on."""
@@ -88,10 +84,17 @@
         """Answers another VM's ping."""
         return Pong(
             ping.number,
+            self._configuration.version,
             self._lease.age(suspended_clock()),
             self._servers.age(trio.current_time()),
         )
 
+    def send_document(self, link: MessageLink) -> None:
+        """Sends the configuration to a VM that cannot read the store."""
+        document = self._configuration.document
+        if document is not None:
+            link.send(ConfigurationDocument(document))
+
     def is_home_unfit(self) -> bool:
         """Tells whether the home has lost the store, which answers this VM."""
         return (
@@ -100,14 +103,17 @@
             and self._configuration.read_age(trio.current_time()) < OWN_READ_TIME
         )
 
-    def home_found(self) -> None:
+    def home_found(self, link: MessageLink) -> None:
         """Notes that this VM has a home."""
+        self._configuration.ask_home = lambda: link.send(ConfigurationWanted())
         self._home_age = 0.0
-        self._configuration.has_home = self._servers.has_home = True
+        self._configuration.has_home = True
+        self._servers.home_found()
 
     def home_lost(self) -> None:
         """Notes that this VM has no home."""
-        self._configuration.has_home = self._servers.has_home = False
+        self._configuration.has_home = False
+        self._servers.has_home = False
         self._pings.clear()
 
     def next_ping(self) -> Ping:
@@ -119,7 +125,9 @@
     def handle(self, message: Message, pass_on: Callable[[Message], None]) -> None:
         """Takes news of this VM's home; passes other messages on."""
         match message:
-            case ConfigurationNews(document):
+            case ConfigurationNews(version):
+                self._configuration.expect(version)
+            case ConfigurationDocument(document):
                 self._configuration.apply(document)
             case ServerNews(changes):
                 self._servers.apply(changes)
@@ -134,7 +142,10 @@
             return
         self._home_age = pong.configuration_age
         # The home answered after the ping was sent, so its own question is at most this old.
-        self._configuration.confirm(asked[0] - pong.configuration_age)
+        if self._configuration.version >= pong.version:
+            self._configuration.confirm(asked[0] - pong.configuration_age)
+        else:
+            self._configuration.expect(pong.version)
         self._servers.confirm(asked[1] - pong.servers_age)
 
     def _send_all(self, message: Message) -> None:
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -173,7 +173,8 @@
 
     def _me(self) -> Member:
         peers = self._settings.peers
-        return Member(self._settings.vm, self._started_ms, peers.host, peers.port)
+        capacity = self._settings.capacity
+        return Member(self._settings.vm, self._started_ms, peers.host, peers.port, capacity)
 
     def _register_levels(self) -> None:
         level = self._metrics.level
--- a/camphordrift/relay/_server_directory.py
+++ b/camphordrift/relay/_server_directory.py
@@ -64,13 +64,6 @@
             if server.service == service and server.state is ServerState.READY
         ]
 
-    def snapshot(self) -> list[DirectoryChange]:
-        """Returns all listed servers as changes, for a VM that knows none."""
-        return [
-            DirectoryChange(server_id, server, self._offsets[server_id])
-            for server_id, server in self._servers.items()
-        ]
-
     def note_store_trouble(self, now: float) -> None:
         """Notes that the store could not be read."""
         self._trouble_until = now + LAPSE_GRACE
--- a/camphordrift/relay/_settings.py
+++ b/camphordrift/relay/_settings.py
@@ -1,9 +1,14 @@
 """What a relay process is told at its start."""
 
+import math
 from dataclasses import dataclass
 
 from camphordrift.relay._retry_budget import BudgetTerms
 
+#: Cores and link in Mbit/s of the smallest VMs (grown deployments: 0.516 cores, 10 Mbit/s).
+SMALL_CORES = 0.5
+SMALL_LINK = 10.0
+
 
 @dataclass(frozen=True)
 class Address:
@@ -42,3 +47,12 @@
     budget: BudgetTerms
     #: Sockets that the process may have open.
     max_sockets: int
+    #: Processor cores that the VM may use.
+    cores: float = 1.0
+    #: Bandwidth of the VM's link in Mbit/s.
+    link_mbps: float = 1000.0
+
+    @property
+    def capacity(self) -> int:
+        """Powers of two by which the scarcer of processor and link exceeds a small VM's."""
+        return math.floor(math.log2(min(self.cores / SMALL_CORES, self.link_mbps / SMALL_LINK)))
--- a/camphordrift/relay/tests/test_decisions.py
+++ b/camphordrift/relay/tests/test_decisions.py
@@ -170,13 +170,12 @@
     def test_a_heartbeat_that_says_nothing_new_is_no_change(self) -> None:
         self.assertIsNone(self.directory.put(server(1), 2))
 
-    def test_another_vms_snapshot_gives_the_same_servers(self) -> None:
-        self.directory.put(server(2), 7)
-        other = ServerDirectory()
-        other.apply(self.directory.snapshot(), 0.0)
-        self.assertEqual(self.directory.servers, other.servers)
-        removed = [DirectoryChange("engines-2", None, 9)]
-        self.assertEqual(removed, other.apply(removed, 0.0))
+    def test_changes_that_another_vm_read_are_taken_over(self) -> None:
+        listed = DirectoryChange("engines-2", server(2), 7)
+        self.assertEqual([listed], self.directory.apply([listed], 0.0))
+        removed = DirectoryChange("engines-2", None, 9)
+        self.assertEqual([removed], self.directory.apply([removed], 0.0))
+        self.assertFalse(self.directory.takes_work("engines-2"))
 
 
 class PlainServerChooserTest(testtools.TestCase):
--- a/camphordrift/relay/tests/test_home_election.py
+++ b/camphordrift/relay/tests/test_home_election.py
@@ -1,14 +1,19 @@
 """Tests of how VMs find the one that decides for the pools, over sockets."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 import testtools
 import trio
 
 from camphordrift.relay._dispatcher import Dispatcher
-from camphordrift.relay._followers import ConfigurationFollower, ServersFollower, suspended_clock
+from camphordrift.relay._followers import (
+    CONFIGURATION_WAIT,
+    ConfigurationFollower,
+    ServersFollower,
+    suspended_clock,
+)
 from camphordrift.relay._freshness import ConfigurationLease
 from camphordrift.relay._home_election import HomeElection
 from camphordrift.relay._home_messages import Member
@@ -87,8 +92,7 @@
     def __init__(self, nursery: trio.Nursery) -> None:
         self.log, self.documents = MemoryLog(), SampleDocuments()
         self._nursery = nursery
-        document = self.documents.write(CONFIGURATION)
-        self.log.put(TOPICS.configuration, TOPICS.configuration_key, document)
+        self.publish(CONFIGURATION.version)
         for number in range(4):
             entry = server(number)
             self.log.put(TOPICS.servers, entry.id, self.documents.write(entry))
@@ -100,6 +104,10 @@
         self._nursery.start_soon(vm.run, self._scopes[vm.member.vm])
         return vm
 
+    def publish(self, version: int) -> None:
+        document = self.documents.write(replace(CONFIGURATION, version=version))
+        self.log.put(TOPICS.configuration, TOPICS.configuration_key, document)
+
     def kill(self, vm: Vm) -> None:
         self._scopes[vm.member.vm].cancel()
 
@@ -227,6 +235,40 @@
 
         run(body)
 
+    def test_a_follower_reads_a_new_configuration_when_its_home_sees_it(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            _, second = fleet.start(1, 101), fleet.start(2, 102)
+            await until(lambda: homes(second) == ["vm-1"])
+            fleet.publish(4)
+            await until(lambda: second.configuration.version == 4)
+
+        run(body)
+
+    def test_a_follower_that_cannot_read_the_store_gets_the_document_from_its_home(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            _, second = fleet.start(1, 101), fleet.start(2, 102)
+            await until(lambda: homes(second) == ["vm-1"])
+            second.configuration._topic._log = second.servers._topic._log = _down_log()
+            fleet.publish(4)
+            await until(lambda: second.configuration.version == 4)
+            self.assertTrue(second.lease.holds(suspended_clock()))
+
+        run(body)
+
+    def test_a_lease_does_not_go_on_before_a_newer_configuration_was_read(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            _, second = fleet.start(1, 101), fleet.start(2, 102)
+            await until(lambda: homes(second) == ["vm-1"])
+            # A read that began before the home was found has ended then.
+            await trio.sleep(CONFIGURATION_WAIT + 0.2)
+            second.configuration._topic._log = _down_log()
+            second.configuration.ask_home = lambda: None
+            fleet.publish(4)
+            await until(lambda: second.lease.age(suspended_clock()) > 1.5)
+            self.assertEqual(3, second.configuration.version)
+
+        run(body)
+
     def test_a_home_that_lost_the_store_is_left(self) -> None:
         async def body(fleet: Fleet) -> None:
             first, second, third = (fleet.start(number, 100 + number) for number in (1, 2, 3))
