--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -406,11 +406,12 @@
         if not parts:
             return await self._attempt(progress, grant.server, helpers, terms, sink)
         try:
-            async with self._reservations.hold(parts):
+            async with self._reservations.hold(parts, grant.server):
                 return await self._attempt(progress, grant.server, helpers, terms, sink)
         except ReservationRefusedError as error:
             progress.excluded.extend(error.server_ids)
             return Withheld(str(error))
+        return Broken("the engine is gone", silent=True)
 
     def _ask(self, progress: _Progress) -> Ask:
         facts = progress.facts
--- a/camphordrift/relay/_reservations.py
+++ b/camphordrift/relay/_reservations.py
@@ -11,16 +11,27 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._http_client import BrokenAnswerError, ConnectionPool
+from camphordrift.relay._http_client import (
+    BrokenAnswerError,
+    ConnectionPool,
+    open_connection,
+)
 from camphordrift.relay._interfaces import OrderFormat, Reservation
 from camphordrift.relay._values import BackendServer
 
-#: Seconds for which an engine keeps a reservation that is not renewed; below the 4 s for which
-#: unused memory may stay reserved.
-LIFETIME = 3.5
+#: Seconds for which an engine keeps a reservation that is not renewed. Unused memory may stay
+#: reserved for 4 s (FreeMs of today's deployments); the death of the engine that writes takes up to
+#: :data:`NOTICE_TIME` to be noticed, and a release may get no answer.
+LIFETIME = 2.4
 
-#: Seconds between renewals.
-RENEWAL_INTERVAL = 1.2
+#: Seconds between renewals; one of them may be lost.
+RENEWAL_INTERVAL = 0.8
+
+#: Seconds for a connection that shows whether the engine that writes still lives.
+CHECK_TIMEOUT = 0.5
+
+#: Seconds in which the death of that engine is noticed, at most.
+NOTICE_TIME = RENEWAL_INTERVAL + CHECK_TIMEOUT
 
 #: Seconds for the answer to an order.
 ORDER_TIMEOUT = 0.6
@@ -56,9 +67,14 @@
         self._orders = orders
 
     @asynccontextmanager
-    async def hold(self, parts: Sequence[ReservedPart]) -> AsyncIterator[None]:
+    async def hold(
+        self, parts: Sequence[ReservedPart], writer: BackendServer
+    ) -> AsyncIterator[None]:
         """Holds memory on several engines, all or none, for as long as the block runs.
 
+        The block is cancelled, and the memory given back, when the engine that writes is gone:
+        nothing uses the memory then.
+
         Raises:
             ReservationRefusedError: An engine did not reserve its part.
 
@@ -67,6 +83,7 @@
             await self._reserve_all(parts)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._renew, parts)
+                nursery.start_soon(self._watch_writer, writer, nursery.cancel_scope)
                 yield
                 nursery.cancel_scope.cancel()
         finally:
@@ -93,6 +110,17 @@
                 for part in parts:
                     nursery.start_soon(self._reserve, part)
 
+    async def _watch_writer(self, writer: BackendServer, scope: trio.CancelScope) -> None:
+        while True:
+            await trio.sleep(RENEWAL_INTERVAL)
+            try:
+                connection = await open_connection(writer.host, writer.port, CHECK_TIMEOUT)
+            except OSError as error:
+                log_event("writer_gone", server=writer.id, reason=str(error))
+                scope.cancel()
+                return
+            connection.close()
+
     async def _release_all(self, parts: Sequence[ReservedPart]) -> None:
         async with trio.open_nursery() as nursery:
             for part in parts:
