--- a/camphordrift/platform/_settings.py
+++ b/camphordrift/platform/_settings.py
@@ -35,10 +35,6 @@
     budget_window_s: float = 10.0
     #: Repeats of all VMs together in a window, besides the ratio.
     retry_slack: float = 100.0
-    #: Milliseconds after a leaving server was reported until it gets no more requests.
-    drain_ms: float = 2000.0
-    #: Milliseconds until a configuration is in force.
-    config_apply_ms: float = 2000.0
 
 
 class _Store(_Section, frozen=True):
@@ -46,8 +42,6 @@
 
 
 class _MachineLimits(_Section, frozen=True):
-    memory_mb: float = 300.0
-    max_fds: int = 4200
     #: Part of a core's time, and how many times as fast as a plain one the core is.
     cpu_share: float = 1.0
     cpu_cores: float = 1.0
@@ -91,14 +85,11 @@
         store=_address(read.platform.address),
         grace=read.bounds.grace_s,
         key_lease=read.bounds.revoke_ms / _MS,
-        configuration_bound=read.bounds.config_apply_ms / _MS,
-        leaving_bound=read.bounds.drain_ms / _MS,
         budget=BudgetTerms(
             ratio=read.bounds.retry_budget_ratio,
             slack=read.bounds.retry_slack,
             window=read.bounds.budget_window_s,
         ),
-        max_sockets=read.limits.max_fds - _RESERVED_DESCRIPTORS,
         cores=read.limits.cpu_share * read.limits.cpu_cores,
         link_mbps=read.limits.link_mbps,
     )
@@ -107,9 +98,6 @@
 #: Port of the metrics page; deploy/system.toml names it to the platform.
 _METRICS_PORT = 9464
 
-#: Descriptors that the platform keeps for files.
-_RESERVED_DESCRIPTORS = 200
-
 
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
--- a/camphordrift/relay/_http_client.py
+++ b/camphordrift/relay/_http_client.py
@@ -139,10 +139,6 @@
         self._connect_timeout = connect_timeout
         self._quiet: dict[tuple[str, int], list[HttpConnection]] = {}
 
-    def quiet_connections(self) -> int:
-        """Returns how many connections wait for a request."""
-        return sum(map(len, self._quiet.values()))
-
     async def acquire(self, host: str, port: int, fresh: bool = False) -> HttpConnection:
         """Returns a connection that is ready for a request.
 
@@ -193,8 +189,3 @@
                 self._quiet[address] = kept
             else:
                 del self._quiet[address]
-
-    def drop_server(self, host: str, port: int) -> None:
-        """Closes the quiet connections to one server."""
-        for connection in self._quiet.pop((host, port), []):
-            connection.close()
--- a/camphordrift/relay/_settings.py
+++ b/camphordrift/relay/_settings.py
@@ -40,13 +40,7 @@
     grace: float
     #: After a key was withdrawn, requests with it must not run from then on.
     key_lease: float
-    #: After a configuration was published, it must be in force from then on.
-    configuration_bound: float
-    #: After a backend server was said to leave, it must get no more requests from then on.
-    leaving_bound: float
     budget: BudgetTerms
-    #: Sockets that the process may have open.
-    max_sockets: int
     #: Processor cores that the VM may use.
     cores: float = 1.0
     #: Bandwidth of the VM's link in Mbit/s.
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -331,10 +331,7 @@
         store=Address(host, ports + 4),
         grace=8.0,
         key_lease=5.0,
-        configuration_bound=2.0,
-        leaving_bound=2.0,
         budget=BudgetTerms(0.2, 100.0, 10.0),
-        max_sockets=1000,
     )
 
 
