--- a/camphordrift/telemetry/tests/test_metrics.py
+++ b/camphordrift/telemetry/tests/test_metrics.py
@@ -44,7 +44,10 @@
     def test_no_thread_is_started(self) -> None:
         # Another test of this process may have left a worker thread that has not ended yet.
         before = set(threading.enumerate())
-        self.metrics.render()
+        metrics = Metrics("oliwa-3")
+        self.addCleanup(metrics.close)
+        metrics.requests.add(interface="chat", code="0")
+        metrics.render()
         self.assertEqual(set(), set(threading.enumerate()) - before)
 
     def test_every_instrument_is_fed_by_the_program(self) -> None:
