Use one pool of connections, one name for headers, and take out what nothing reads

The store's client kept quiet connections by code of its own beside ConnectionPool; it uses that now. Sequence[tuple[bytes, bytes]] had three names; Headers stays. Gone: HttpConnection.sent, the directory of HomeNews, RefusalReason.QUEUE_FULL, two parameters that were passed and not read. The share of a retry budget is worked out in one place, and the engine for a short prompt is the least by its rank, without keeping the best so far by hand. Behaviour is unchanged; tests are as they were but for HomeNews' arguments.

--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -1,6 +1,7 @@
 """The platform's store as a keyed log."""
 
 import base64
+import math
 import struct
 from collections.abc import Iterator
 from typing import Optional
@@ -14,11 +15,10 @@
     Address,
     Batch,
     BrokenAnswerError,
+    ConnectionPool,
     HistoryLostError,
-    HttpConnection,
     KeyedRecord,
     StoreError,
-    open_connection,
 )
 
 #: Seconds for a connection to the store.
@@ -60,7 +60,7 @@
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self._quiet: list[HttpConnection] = []
+        self._connections = ConnectionPool(_CONNECT_TIMEOUT)
 
     async def newest(self, topic: str) -> Batch:
         """Returns the newest record of each key."""
@@ -130,7 +130,9 @@
         return content
 
     async def _exchange(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
-        connection = await self._connection()
+        host, port = self._address.host, self._address.port
+        connection = await self._connections.acquire(host, port)
+        idle = 0.0
         try:
             headers = [
                 (b"host", str(self._address).encode()),
@@ -141,23 +143,10 @@
             content = bytearray()
             while (piece := await connection.receive_data()) is not None:
                 content += piece
-        except BaseException:
-            connection.close()
-            raise
-        if connection.reusable:
-            self._quiet.append(connection)
-        else:
-            connection.close()
-        return head.status_code, bytes(content)
-
-    async def _connection(self) -> HttpConnection:
-        while self._quiet:
-            connection = self._quiet.pop()
-            if connection.still_quiet():
-                connection.begin_next()
-                return connection
-            connection.close()
-        return await open_connection(self._address.host, self._address.port, _CONNECT_TIMEOUT)
+            idle = math.inf
+            return head.status_code, bytes(content)
+        finally:
+            self._connections.release(host, port, connection, idle)
 
 
 def _decode_page(content: bytes) -> _NewestPage:
--- a/camphordrift/relay/__init__.py
+++ b/camphordrift/relay/__init__.py
@@ -4,7 +4,7 @@
 and streams of events on as they are. Adapters for a deployment's formats are handed in.
 """
 
-from camphordrift.relay._http_client import BrokenAnswerError, HttpConnection, open_connection
+from camphordrift.relay._http_client import BrokenAnswerError, ConnectionPool
 from camphordrift.relay._interfaces import (
     Batch,
     DocumentFormat,
@@ -49,13 +49,13 @@
     "BudgetTerms",
     "CallerLimits",
     "Configuration",
+    "ConnectionPool",
     "DocumentFormat",
     "EngineCosts",
     "HeaderFormat",
     "Headers",
     "Helper",
     "HistoryLostError",
-    "HttpConnection",
     "KeyedLog",
     "KeyedRecord",
     "LogTopics",
@@ -71,6 +71,5 @@
     "Service",
     "ServiceShare",
     "StoreError",
-    "open_connection",
     "run_relay",
 ]
--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -1,6 +1,6 @@
 """One sending of a request to one backend server."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Optional, Union
 
@@ -10,7 +10,7 @@
 from camphordrift.relay._events import EventSplitter, StreamEvent
 from camphordrift.relay._http_client import BrokenAnswerError, ConnectionPool, HttpConnection
 from camphordrift.relay._http_server import CallerRequest
-from camphordrift.relay._interfaces import HeaderFormat
+from camphordrift.relay._interfaces import HeaderFormat, Headers
 from camphordrift.relay._values import BackendServer, SendFacts
 
 #: Largest answer in bytes that is held back until it is whole.
@@ -23,8 +23,6 @@
 #: for a server that answers before it has read them.
 SMALL_BODY = 8192
 
-HeaderList = Sequence[tuple[bytes, bytes]]
-
 
 @dataclass(frozen=True)
 class NotSent:
@@ -62,7 +60,7 @@
     """The server's whole answer, held back."""
 
     status: int
-    headers: HeaderList
+    headers: Headers
     body: bytes
 
 
@@ -77,7 +75,7 @@
 class EventSink:
     """Where the events of a stream go."""
 
-    async def begin(self, status: int, headers: HeaderList) -> None:
+    async def begin(self, status: int, headers: Headers) -> None:
         """Takes the head of the answer; called once an event has arrived."""
         raise NotImplementedError
 
@@ -165,12 +163,12 @@
             nursery.cancel_scope.cancel()
         return result
 
-    async def _send(self, connection: HttpConnection, headers: HeaderList) -> None:
+    async def _send(self, connection: HttpConnection, headers: Headers) -> None:
         await connection.send(
             self._request.method, self._request.target, headers, self._request.body
         )
 
-    async def _send_quietly(self, connection: HttpConnection, headers: HeaderList) -> None:
+    async def _send_quietly(self, connection: HttpConnection, headers: Headers) -> None:
         try:
             await self._send(connection, headers)
         except OSError:
@@ -253,5 +251,5 @@
 )
 
 
-def _end_to_end(headers: HeaderList) -> list[tuple[bytes, bytes]]:
+def _end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
     return [(name, value) for name, value in headers if name not in _NOT_PASSED_ON]
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -270,22 +270,24 @@
 
         So the others stay free of short pauses, and can read long prompts in large parts.
         """
-        best: Optional[EngineLoad] = None
-        best_rank: tuple[bool, bool, int, float] = (True, True, 0, float("inf"))
-        for engine in usable:
-            if not self._has_room(engine, ask) or not _fits_pauses(engine, reading, ask, now):
-                continue
-            if engine.reading >= (1 if engine.failures else MAX_READING):
-                continue
+        candidates = [
+            engine
+            for engine in usable
+            if self._has_room(engine, ask)
+            and _fits_pauses(engine, reading, ask, now)
+            and engine.reading < (1 if engine.failures else MAX_READING)
+        ]
+
+        def rank(engine: EngineLoad) -> tuple[bool, bool, int, float]:
             first_event = self._first_event(engine, reading, now)
-            rank = (
+            return (
                 first_event > objective * SHORT_OBJECTIVE_SHARE,
                 not _has_pause_within(engine, ask.pause),
                 -engine.writers,
                 first_event + (ZONE_COST if engine.server.zone != ask.zone else 0.0),
             )
-            if best is None or rank < best_rank:
-                best, best_rank = engine, rank
+
+        best = min(candidates, key=rank, default=None)
         if best is None:
             return None
         first_event = self._first_event(best, reading, now)
--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -64,7 +64,6 @@
 #: Seconds between attempts to write the own entry while the store does not answer.
 INTRODUCTION_RETRY_INTERVAL = 0.5
 
-
 #: Seconds for which a VM that had lost the store is not taken as home again.
 UNFIT_TIME = 10.0
 
@@ -158,6 +157,10 @@
         if member.seniority < self._me.seniority:
             # VMs that have this one as their home may not know of the better one.
             self._news.member_known(member)
+        self._wake()
+
+    def _wake(self) -> None:
+        """Has those that wait for a change of the members look again."""
         self._changed.set()
         self._changed = trio.Event()
 
@@ -185,8 +188,7 @@
         self._unfit_until[vm] = trio.current_time() + UNFIT_TIME
         # Those that have this VM as their home must hear of it, above all if it is the unfit one.
         self._news.unfit(vm)
-        self._changed.set()
-        self._changed = trio.Event()
+        self._wake()
 
     async def _follow_home(self) -> None:
         while True:
--- a/camphordrift/relay/_home_news.py
+++ b/camphordrift/relay/_home_news.py
@@ -23,7 +23,7 @@
     ServerNews,
     Unfit,
 )
-from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay._server_directory import DirectoryChange
 
 #: Seconds since a VM read the store itself within which it is taken to reach it.
 OWN_READ_TIME = 1.5
@@ -37,12 +37,10 @@
         configuration: ConfigurationFollower,
         servers: ServersFollower,
         lease: ConfigurationLease,
-        directory: ServerDirectory,
     ) -> None:
         self._configuration = configuration
         self._servers = servers
         self._lease = lease
-        self._directory = directory
         self._followers: set[MessageLink] = set()
         self._pings: dict[int, tuple[float, float]] = {}
         self._next_ping = 0
--- a/camphordrift/relay/_http_client.py
+++ b/camphordrift/relay/_http_client.py
@@ -30,15 +30,9 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
-        self._sent = False
         #: Moment after which the connection must not be used again.
         self.usable_until = float("inf")
 
-    @property
-    def sent(self) -> bool:
-        """Whether a byte of the current request can have reached the server."""
-        return self._sent
-
     @property
     def reusable(self) -> bool:
         """Whether another request may follow on this connection."""
@@ -55,7 +49,6 @@
     def begin_next(self) -> None:
         """Prepares for another request."""
         self._protocol.start_next_cycle()
-        self._sent = False
 
     async def send(
         self, method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes
@@ -71,7 +64,6 @@
         if body:
             data += self._protocol.send(h11.Data(data=body))
         data += self._protocol.send(h11.EndOfMessage())
-        self._sent = True
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
--- a/camphordrift/relay/_http_server.py
+++ b/camphordrift/relay/_http_server.py
@@ -5,7 +5,7 @@
 offers none of these for one connection.
 """
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Optional
 
@@ -14,6 +14,7 @@
 
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay._byte_stream import READ_SIZE, bound_silence, reset
+from camphordrift.relay._interfaces import Headers
 from camphordrift.relay._values import CallerLimits
 
 #: Bytes that a caller may send ahead while its earlier request is being answered.
@@ -25,8 +26,6 @@
 #: Seconds for which the rest of a refused request is read, so that the refusal is not lost.
 LINGER = 0.5
 
-HeaderList = Sequence[tuple[bytes, bytes]]
-
 
 @dataclass(frozen=True)
 class CallerRequest:
@@ -35,7 +34,7 @@
     method: bytes
     target: bytes
     #: Lower-case names and values.
-    headers: HeaderList
+    headers: Headers
     body: bytes
     #: Moment at which its last byte was read, by trio's clock.
     received: float
@@ -70,7 +69,7 @@
         """Whether the answer is complete."""
         return self._ended
 
-    async def start(self, status: int, headers: HeaderList) -> None:
+    async def start(self, status: int, headers: Headers) -> None:
         """Prepares the status line and headers; they go out with the first piece."""
         self._started = True
         self.status = status
@@ -87,7 +86,7 @@
         await self._connection.write(encoded)
         self._ended = True
 
-    async def whole(self, status: int, headers: HeaderList, body: bytes) -> None:
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Writes a whole answer."""
         await self.start(status, [*headers, (b"content-length", b"%d" % len(body))])
         if body:
@@ -132,7 +131,7 @@
         if self._protocol.their_state is h11.IDLE:
             self._idle_scope.cancel()
 
-    def encode_head(self, status: int, headers: HeaderList) -> bytes:
+    def encode_head(self, status: int, headers: Headers) -> bytes:
         """Encodes a status line and headers."""
         sent = list(headers)
         if self._closing() or self._protocol.their_state is not h11.DONE:
@@ -269,6 +268,6 @@
                 pass
 
 
-def _ambiguous_length(headers: HeaderList) -> bool:
+def _ambiguous_length(headers: Headers) -> bool:
     names = [name for name, _ in headers]
     return b"transfer-encoding" in names and b"content-length" in names
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/_placement_values.py
@@ -54,7 +54,6 @@
     NO_ENGINE = "no_engine"
     TOO_LATE = "too_late"
     NEVER_FITS = "never_fits"
-    QUEUE_FULL = "queue_full"
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -117,7 +117,7 @@
             self._servers_changed,
             lambda: self._configuration.store_reachable,
         )
-        self._news = HomeNews(self._configuration, self._servers, self._lease, self._directory)
+        self._news = HomeNews(self._configuration, self._servers, self._lease)
         self._election = HomeElection(
             self._me(), adapters.log, adapters.topics, self._dispatcher, self._home, self._news
         )
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -17,7 +17,6 @@
     AttemptTerms,
     Broken,
     EventSink,
-    HeaderList,
     NotSent,
     Rejected,
     Streamed,
@@ -27,7 +26,7 @@
 from camphordrift.relay._events import StreamEvent
 from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay._http_server import Answer, CallerRequest
-from camphordrift.relay._interfaces import HeaderFormat, Reservation
+from camphordrift.relay._interfaces import HeaderFormat, Headers, Reservation
 from camphordrift.relay._knowledge import Knowledge
 from camphordrift.relay._placement_values import Ask, Grant, Outcome, Refusal, RefusalReason
 from camphordrift.relay._plain_servers import PlainServerChooser
@@ -42,7 +41,6 @@
 from camphordrift.relay._values import (
     Account,
     BackendServer,
-    EngineCosts,
     Helper,
     RequestFacts,
     Route,
@@ -70,6 +68,9 @@
 #: Times that an engine is asked again with other helpers, where only a helper was at fault.
 MAX_HELPER_CHANGES = 4
 
+#: Servers that could not be reached after which a request is refused.
+MAX_UNREACHABLE_SERVERS = 4
+
 #: Seconds that a caller is taken to wait if it does not say.
 DEFAULT_PATIENCE = 30.0
 
@@ -281,16 +282,14 @@
             if not self._knowledge.may_send(progress.facts.key, progress.account):
                 raise RequestRefusedError(_no_longer_allowed(progress))
             if progress.service.engine_costs is not None:
-                result = await self._try_engine(progress, progress.service.engine_costs, sink)
+                result = await self._try_engine(progress, sink)
             else:
                 result = await self._try_plain_server(progress, sink)
             progress.last_result = result
-            if await self._settle(progress, result, sink):
+            if await self._settle(progress, result):
                 return
 
-    async def _settle(
-        self, progress: _Progress, result: AttemptResult, sink: Optional["_CallerSink"]
-    ) -> bool:
+    async def _settle(self, progress: _Progress, result: AttemptResult) -> bool:
         """Ends the request after an attempt; returns ``False`` if another one is due."""
         match result:
             case Streamed():
@@ -361,7 +360,7 @@
         return AttemptTerms(wait, route.pause_objective * SILENCE_PAUSES)
 
     async def _try_engine(
-        self, progress: _Progress, costs: EngineCosts, sink: Optional["_CallerSink"]
+        self, progress: _Progress, sink: Optional["_CallerSink"]
     ) -> AttemptResult:
         ask = self._ask(progress)
         asked = trio.current_time()
@@ -557,10 +556,6 @@
         await answer.whole(failure.http_status, headers, body)
 
 
-#: Servers that could not be reached after which a request is refused.
-MAX_UNREACHABLE_SERVERS = 4
-
-
 class _CallerSink(EventSink):
     """Passes events on to the caller, each once and in order."""
 
@@ -587,7 +582,7 @@
         """The last event that the caller has, if this relay or the caller knows."""
         return self._last_id if self._passed else None
 
-    async def begin(self, status: int, headers: HeaderList) -> None:
+    async def begin(self, status: int, headers: Headers) -> None:
         self.first_event_at = self._last_event_at = trio.current_time()
         self._pauses = []
         self.on_first_event()
@@ -699,6 +694,5 @@
         RefusalReason.NO_ENGINE: ResultCode.NO_ENGINE_AVAILABLE,
         RefusalReason.TOO_LATE: ResultCode.DEADLINE_UNREACHABLE,
         RefusalReason.NEVER_FITS: ResultCode.PROMPT_NEVER_FITS,
-        RefusalReason.QUEUE_FULL: ResultCode.QUEUE_FULL,
     }[refusal.reason]
     return Failure(code, refusal.reason.value, refusal.retry_after)
--- a/camphordrift/relay/_retry_budget.py
+++ b/camphordrift/relay/_retry_budget.py
@@ -28,7 +28,7 @@
 
     def __init__(self, terms: BudgetTerms, vms: int) -> None:
         self._terms = terms
-        self._slack = terms.slack * SLACK_SHARE / max(vms, 1)
+        self.set_vms(vms)
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
--- a/camphordrift/relay/tests/test_home_election.py
+++ b/camphordrift/relay/tests/test_home_election.py
@@ -82,7 +82,7 @@
     servers = ServersFollower(
         log, TOPICS, documents, directory, servers_changed, lambda: configuration.store_reachable
     )
-    news = HomeNews(configuration, servers, lease, directory)
+    news = HomeNews(configuration, servers, lease)
     election = HomeElection(member, log, TOPICS, dispatcher, home, news)
     vm = Vm(member, dispatcher, home, lease, configuration, servers, directory, election)
     return vm
