Go on elsewhere when a long prompt's stream breaks off

Cause: a body over SMALL_BODY is sent from a nursery of its own, and an exception leaves a nursery only inside an ExceptionGroup, so that BrokenAnswerError was not caught where a short prompt's is. The caller's connection was reset without an answer or a second attempt. A caller that took no bytes was reported the same way; its request is now cancelled like that of a caller that closed.

The remaining caller_connection_failed is an error.

--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -159,7 +159,11 @@
         # The server may answer before it has read the body, and may not read it at all.
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_quietly, connection, headers)
-            result = await self._receive(connection, terms, sink)
+            try:
+                result = await self._receive(connection, terms, sink)
+            except (BrokenAnswerError, OSError) as error:
+                # Caught here, as an exception leaves a nursery only wrapped in a group.
+                result = Broken(str(error)), 0.0
             nursery.cancel_scope.cancel()
         return result
 
--- a/camphordrift/relay/_http_server.py
+++ b/camphordrift/relay/_http_server.py
@@ -112,6 +112,8 @@
         self._handle = handle
         self._closing = closing
         self._idle_scope = trio.CancelScope()
+        #: Scope of the request that is being answered.
+        self._request_scope: Optional[trio.CancelScope] = None
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().header_bytes)
         self._read_ahead = 0
 
@@ -150,14 +152,21 @@
     async def write(self, data: bytes) -> None:
         """Writes bytes to the caller.
 
+        A request that is being answered is cancelled if its caller takes no bytes, just as if the
+        caller had closed the connection.
+
         Raises:
-            CallerGoneError: The caller went away, or took nothing for too long.
+            CallerGoneError: The caller went away, or took nothing for too long, and no request is
+                being answered.
 
         """
         try:
             with trio.fail_after(WRITE_TIMEOUT):
                 await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
+            if self._request_scope is not None:
+                self._request_scope.cancel()
+                await trio.lowlevel.checkpoint()
             raise CallerGoneError("the caller takes no bytes") from error
 
     def _unfinished(self) -> bool:
@@ -179,9 +188,11 @@
 
     async def _answer_while_caller_stays(self, request: CallerRequest, answer: Answer) -> None:
         async with trio.open_nursery() as nursery:
+            self._request_scope = nursery.cancel_scope
             nursery.start_soon(self._watch_caller, nursery.cancel_scope)
             await self._handle(request, answer)
             nursery.cancel_scope.cancel()
+        self._request_scope = None
 
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         """Cancels the request when its caller closes the connection."""
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -291,7 +291,7 @@
         try:
             await caller.serve()
         except Exception as error:
-            log_event("caller_connection_failed", error=repr(error))
+            log_event("caller_connection_failed", level=LogLevel.ERROR, error=repr(error))
         finally:
             self._callers.discard(caller)
 
--- a/camphordrift/relay/tests/fleet.py
+++ b/camphordrift/relay/tests/fleet.py
@@ -71,6 +71,13 @@
             await stream.send_all(request_bytes(path, attempt, body, **headers))
             return await read_reply(stream)
 
+    async def metrics_page(self) -> str:
+        """Reads the metrics."""
+        stream = await trio.open_tcp_stream(self.host, self.metrics_port)
+        async with stream:
+            await stream.send_all(b"GET /metrics HTTP/1.1\r\nhost: vm\r\n\r\n")
+            return (await read_reply(stream)).body.decode()
+
     async def until_ready(self) -> None:
         """Waits until the relay takes connections."""
         while not self.process.ready:
--- a/camphordrift/relay/tests/test_whole_path.py
+++ b/camphordrift/relay/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """Tests of requests from the caller to a server and back, with servers that misbehave."""
 
 import contextlib
+import itertools
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -9,6 +10,8 @@
 import testtools
 import trio
 
+from camphordrift.relay import _http_server
+from camphordrift.relay._attempt import SMALL_BODY
 from camphordrift.relay.tests.fleet import (
     Fleet,
     chunk,
@@ -85,6 +88,20 @@
         script = once(breaks_inside_an_event, whole_stream)
         run(body, script, script)
 
+    def test_a_long_prompts_stream_that_breaks_off_goes_on_elsewhere(self) -> None:
+        async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+            await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
+            return False
+
+        async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
+            prompt = b"w" * (SMALL_BODY + 1)
+            reply = await fleet.call("/quick/x", body=prompt)
+            self.assertEqual(events(1, 5), reply.body)
+            self.assertTrue(reply.whole)
+
+        script = once(breaks, whole_stream)
+        run(body, script, script)
+
     def test_events_that_come_twice_are_passed_on_once(self) -> None:
         async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
@@ -155,6 +172,31 @@
 
         run(body, whole_stream)
 
+    def test_a_caller_that_takes_no_bytes_counts_as_gone(self) -> None:
+        self.patch(_http_server, "WRITE_TIMEOUT", 0.2)
+
+        async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
+            ended = trio.Event()
+
+            async def never_ends(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+                await stream.send_all(stream_head(seen))
+                with contextlib.suppress(trio.BrokenResourceError):
+                    for number in itertools.count(1):
+                        event = b"id: %d\ndata: %s\n\n" % (number, b"w" * 60_000)
+                        await stream.send_all(chunk(event))
+                ended.set()
+                return False
+
+            servers[0].script = never_ends
+            async with await fleet.connect() as caller:
+                await caller.send_all(request_bytes("/quick/x"))
+                with trio.fail_after(5):
+                    await ended.wait()
+            metrics = await fleet.metrics_page()
+            self.assertIn('camphordrift_relay_callers_left_total{route="quick"} 1', metrics)
+
+        run(body, whole_stream)
+
 
 class HelperTest(testtools.TestCase):
     def test_an_engine_whose_helper_left_is_asked_again_with_others(self) -> None:
@@ -415,10 +457,7 @@
         async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
             await fleet.call("/quick/x")
             await fleet.call("/nowhere/x")
-            stream = await trio.open_tcp_stream(fleet.host, fleet.metrics_port)
-            async with stream:
-                await stream.send_all(b"GET /metrics HTTP/1.1\r\nhost: vm\r\n\r\n")
-                page = (await read_reply(stream)).body.decode()
+            page = await fleet.metrics_page()
             self.assertIn('camphordrift_relay_requests_total{route="quick",status="200"} 1.0', page)
             self.assertIn('camphordrift_relay_refusals_total{code="1003"} 1.0', page)
             self.assertIn("camphordrift_relay_first_event_seconds_bucket", page)
