Split the handler of requests by what each part decides

No change of behaviour but one: a request whose headers cannot be read is answered 400 also by a VM that has no configuration yet, as the headers are now decoded once, before the configuration is asked, and not again for a refusal.

_admission checks a request against the configuration, _sender finds a server and sends, _caller_sink passes events on, _refusals makes the failures, _request_reports logs and counts, _request_handler says what follows an attempt. Tests of the relay and the adapter pass unchanged.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -15,6 +15,7 @@
     configure_bounded_logging,
     log_event,
 )
+from camphordrift.relay._admission import Admission
 from camphordrift.relay._byte_stream import READ_SIZE
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._followers import (
@@ -39,7 +40,9 @@
 from camphordrift.relay._pool_home import PoolHome
 from camphordrift.relay._relay_metrics import RelayMetrics
 from camphordrift.relay._request_handler import RequestHandler
+from camphordrift.relay._request_reports import RequestReports
 from camphordrift.relay._reservations import ReservationKeeper
+from camphordrift.relay._sender import Sender
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import RelaySettings
 from camphordrift.relay._values import CallerLimits
@@ -129,7 +132,8 @@
             budget_terms=settings.budget,
             vms=lambda: self._election.members,
         )
-        self._handler = RequestHandler(
+        reports = RequestReports(self._knowledge, self._metrics)
+        sender = Sender(
             settings.vm,
             settings.zone,
             self._knowledge,
@@ -137,7 +141,10 @@
             self._connections,
             ReservationKeeper(self._connections, adapters.orders),
             adapters.headers,
-            self._metrics,
+            reports,
+        )
+        self._handler = RequestHandler(
+            self._knowledge, Admission(self._knowledge), sender, adapters.headers, reports
         )
         self._register_levels()
 
