Serve requests that can still be in time before those that are late

Cause of the late answers: the queue was in order of the objectives alone, so each request got its slot when it had just become late; expected and measured times to the first event agreed within a few ms, so the estimates were ruled out as the cause.

Change: within a priority, requests whose plan is in time go first; a late one may be passed over for half of its time, and then goes in order again.

--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -1,5 +1,6 @@
 """Keeps account of the requests for one service and of the engines that work on them."""
 
+import itertools
 import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
@@ -24,6 +25,10 @@
 )
 from camphordrift.relay._values import BackendServer, EngineCosts
 
+#: Part of its time in which a late request may be passed over for others that can be in time; the
+#: rest is for serving it.
+PASSING_SHARE = 0.5
+
 #: Seconds after a request's time is over within which its end is reported.
 END_REPORT_TIME = 1.0
 
@@ -42,6 +47,10 @@
     def needed_at(self) -> float:
         return self.submitted + self.ask.time_left
 
+    def is_old(self, now: float) -> bool:
+        """Tells whether the request must not be passed over any longer."""
+        return now > self.submitted + self.ask.time_left * PASSING_SHARE
+
 
 @dataclass
 class _Placed:
@@ -157,17 +166,21 @@
         return True
 
     def decide(self, now: float) -> list[Decision]:
-        """Answers every request that can be placed or must be refused now."""
+        """Answers every request that can be placed or must be refused now.
+
+        Where more wait than engines can serve in time, requests that can still be in time go before
+        those that are late anyway: otherwise each would be served when it has just become late.
+        """
         self._drop_forgotten(now)
-        decisions: list[Decision] = []
         if not self._waiting:
-            return decisions
+            return []
         placement = PlacementRound(self._engines.values(), self._costs, now)
-        for waiting in sorted(self._waiting.values(), key=_urgency):
-            decision = self._decide_one(waiting, placement, now)
-            if decision is not None:
-                del self._waiting[waiting.ask.id]
-                decisions.append(decision)
+        decisions: list[Decision] = []
+        in_order = sorted(self._waiting.values(), key=_urgency)
+        for _, group in itertools.groupby(in_order, key=lambda waiting: waiting.ask.priority):
+            late = [w for w in group if self._decide_one(w, placement, decisions, now, True)]
+            for waiting in late:
+                self._decide_one(waiting, placement, decisions, now, False)
         return decisions
 
     def _drop_forgotten(self, now: float) -> None:
@@ -177,8 +190,36 @@
                 self.finished(ask_id, Outcome.SERVED, now)
 
     def _decide_one(
-        self, waiting: _Waiting, placement: PlacementRound, now: float
-    ) -> Optional[Decision]:
+        self,
+        waiting: _Waiting,
+        placement: PlacementRound,
+        decisions: list[Decision],
+        now: float,
+        only_in_time: bool,
+    ) -> bool:
+        """Decides on one request; returns whether it was passed over as it would be late."""
+        refusal = self._refusal(waiting, now)
+        if refusal is not None:
+            self._settle(waiting, refusal, decisions)
+            return False
+        objective = waiting.objective_at() - now
+        only_in_time = only_in_time and not waiting.is_old(now)
+        if only_in_time and objective <= 0:
+            return True
+        plan = placement.plan(waiting.ask, objective)
+        if plan is None:
+            return False
+        if only_in_time and plan.first_event > objective:
+            return True
+        self._settle(waiting, self._place(waiting.ask, plan, now), decisions)
+        placement.placed(plan)
+        return False
+
+    def _settle(self, waiting: _Waiting, decision: Decision, decisions: list[Decision]) -> None:
+        del self._waiting[waiting.ask.id]
+        decisions.append(decision)
+
+    def _refusal(self, waiting: _Waiting, now: float) -> Optional[Refusal]:
         ask = waiting.ask
         if not self._engines:
             return Refusal(ask.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
@@ -186,15 +227,9 @@
             return Refusal(ask.id, RefusalReason.NEVER_FITS, None)
         if ask.preferred is not None and not self._is_usable(ask.preferred, now):
             return Refusal(ask.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
-        time_left = waiting.needed_at() - now
-        if time_left < self._least_time(ask):
+        if waiting.needed_at() - now < self._least_time(ask):
             return Refusal(ask.id, RefusalReason.TOO_LATE, None)
-        plan = placement.plan(ask, waiting.objective_at() - now)
-        if plan is None:
-            return None
-        grant = self._place(ask, plan, now)
-        placement.placed(plan)
-        return grant
+        return None
 
     def _can_ever_fit(self, ask: Ask) -> bool:
         engines = min(MAX_PARTS, len(self._engines))
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -259,6 +259,53 @@
                 self.assertIsNone(alone.plan(waiting.ask, waiting.objective_at()))
 
 
+class OverloadTest(testtools.TestCase):
+    """More quick questions arrive for some seconds than the engines have slots for."""
+
+    #: Seconds that a request keeps its slot.
+    HOLD = 1.5
+
+    #: Seconds to the first event that callers aim at, and that they wait at most.
+    OBJECTIVE, PATIENCE = 0.3, 10.0
+
+    #: Part of what is answered in time at capacity that must be answered in time beyond it.
+    GOODPUT = 0.9
+
+    #: Requests a second that four engines have slots for.
+    CAPACITY = 4 * COSTS.slots / HOLD
+
+    def test_as_many_are_answered_in_time_as_at_capacity(self) -> None:
+        at_capacity, _ = self._play(self.CAPACITY * 0.95, 6.0)
+        beyond, _ = self._play(self.CAPACITY * 1.5, 6.0)
+        self.assertTrue(beyond >= self.GOODPUT * at_capacity, (beyond, at_capacity))
+
+    def test_the_late_ones_are_answered_before_their_callers_leave(self) -> None:
+        _, unanswered = self._play(self.CAPACITY * 1.5, 6.0)
+        self.assertEqual(0, unanswered)
+
+    def _play(self, rate: float, seconds: float) -> tuple[int, int]:
+        """Returns how many requests were answered in time, and how many not at all."""
+        pool, ends, in_time = pool_of(4), list[tuple[float, str]](), 0
+        arrivals = [number / rate for number in range(int(rate * seconds))]
+        for step in range(int((seconds + self.PATIENCE + self.HOLD) * 100)):
+            now = step / 100
+            while arrivals and arrivals[0] <= now:
+                name = f"r{arrivals.pop(0)}"
+                pool.submit(ask(name, 5000, objective=self.OBJECTIVE, time_left=self.PATIENCE), now)
+            for ended in [item for item in ends if item[0] <= now]:
+                ends.remove(ended)
+                pool.finished(ended[1], Outcome.SERVED, now)
+            for decision in pool.decide(now):
+                if isinstance(decision, Grant):
+                    pool.first_event(decision.ask_id, now + decision.first_event)
+                    ends.append((now + self.HOLD, decision.ask_id))
+                    arrived = float(decision.ask_id[1:])
+                    in_time += now + decision.first_event <= arrived + self.OBJECTIVE
+                else:
+                    self.fail(f"{decision.ask_id} was refused: {decision.reason}")
+        return in_time, pool.waiting
+
+
 class AnyLoadTest(testtools.TestCase):
     @settings(derandomize=True, deadline=None, max_examples=60)
     @given(
