--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -82,7 +82,10 @@
             with trio.move_on_at(progress.give_up_at + LATE_ANSWER_TIME):
                 await self._serve(progress)
         except RequestRefusedError as error:
-            await self._refuse(request, answer, facts, error.failure, progress)
+            if answer.started:
+                self._reports.broken_off(progress)
+            else:
+                await self._refuse(request, answer, facts, error.failure, progress)
             return
         except trio.Cancelled:
             self._reports.caller_left(progress)
--- a/camphordrift/relay/tests/test_whole_path.py
+++ b/camphordrift/relay/tests/test_whole_path.py
@@ -27,6 +27,7 @@
 )
 from camphordrift.relay.tests.samples import (
     CONFIGURATION,
+    TOPICS,
     ScriptedServer,
     SeenRequest,
     server,
@@ -129,6 +130,21 @@
 
         run(body, breaks, breaks, breaks)
 
+    def test_a_stream_that_finds_no_other_server_is_reported_as_broken_off(self) -> None:
+        async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
+            async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+                await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
+                fleet.log.put(TOPICS.servers, servers[0].entry.id, None)
+                await trio.sleep(0.3)
+                return False
+
+            servers[0].script = breaks
+            self.assertFalse((await fleet.call("/quick/x")).whole)
+            broken_off = 'camphordrift_relay_broken_answers_total{route="quick"} 1'
+            self.assertIn(broken_off, await fleet.metrics_page())
+
+        run(body, whole_stream)
+
     def test_a_resumed_stream_starts_after_the_callers_last_event(self) -> None:
         async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
             reply = await fleet.call("/quick/x", last_event_id="2")
