Add a fault soak of real relay processes

Relays run as processes of their own; the store, backend servers and callers live in the soak, and every connection between them crosses a loopback proxy. Faults come from a seed and overlap: VMs killed, stopped, paused; the store busy, slow, losing answers; ways delayed, reset, silenced, cut one way; servers that hang, cut, fail, leave and are replaced; keys withdrawn while callers go on using them.

Checked from what callers and servers saw: one run, refusals that are true, whole and signed answers, streams without gap or repetition, accounts and keys, final answers in time, work that ends with its caller, recovery, processes that end only when told.

--- /dev/null
+++ b/camphordrift/platform/soak/__init__.py
@@ -0,0 +1,10 @@
+"""Runs relays as real processes, injects faults from outside, and checks the promises of the pages.
+
+The store, the backend servers and the callers live in the process of the soak; every connection
+between a relay and one of them crosses a loopback proxy.
+"""
+
+from camphordrift.platform.soak._ledger import Attempt, Ledger, Run
+from camphordrift.platform.soak._run import SoakReport, SoakSettings, run_soak
+
+__all__ = ["Attempt", "Ledger", "Run", "SoakReport", "SoakSettings", "run_soak"]
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, replace
 from typing import Optional
 
-import h11
 import trio
 
 from camphordrift.relay import (
@@ -32,7 +31,7 @@
     StoreError,
 )
 from camphordrift.relay._placement_values import Ask
-from camphordrift.testing import own_loopback_network
+from camphordrift.testing import HttpRequest, answer_requests, own_loopback_network
 
 #: The engines of today's deployments (service documents of both sites).
 COSTS = EngineCosts(
@@ -284,38 +283,13 @@
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.connections += 1
-        protocol = h11.Connection(h11.SERVER)
-        try:
-            while (seen := await _next_request(protocol, stream)) is not None:
-                self.seen.append(seen)
-                if not await self.script(seen, stream):
-                    return
-                protocol = h11.Connection(h11.SERVER)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
-
-
-async def _next_request(
-    protocol: h11.Connection, stream: trio.SocketStream
-) -> Optional[SeenRequest]:
-    head: Optional[h11.Request] = None
-    body = b""
-    while True:
-        event = protocol.next_event()
-        if event is h11.NEED_DATA:
-            data = await stream.receive_some(65536)
-            if not data and head is None:
-                return None
-            protocol.receive_data(data)
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            headers = {name.decode(): value.decode() for name, value in head.headers}
-            return SeenRequest(head.target.decode(), headers, body)
-        else:
-            return None
+
+        async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            seen = SeenRequest(request.target, request.headers, request.body)
+            self.seen.append(seen)
+            return await self.script(seen, stream)
+
+        await answer_requests(stream, answer)
 
 
 def settings(number: int, ports: int) -> RelaySettings:
