Refuse a request at once that every engine has failed

It waited for its deadline although no engine was left that it may be sent to; its caller can use the time elsewhere. The soak withdraws keys also while a VM has lost the store for longer than a key may live on.

--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -28,6 +28,7 @@
     "server_way_delay",
     "server_replace",
     "key_change",
+    "key_change_unseen",
 )
 
 #: Seconds between the beginnings of two faults, on average; they last longer, so that they overlap.
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -10,7 +10,7 @@
 
 from camphordrift.platform.soak._callers import Caller, Keys
 from camphordrift.platform.soak._faults import Fault, draw_faults
-from camphordrift.platform.soak._ledger import Ledger
+from camphordrift.platform.soak._ledger import KEY_TIME, Ledger
 from camphordrift.platform.soak._proxy import Proxy, ProxyMode
 from camphordrift.platform.soak._servers import ServerMode, SoakServer
 from camphordrift.platform.soak._store import SoakStore, StoreMode
@@ -23,6 +23,9 @@
 #: Seconds at the end in which requests must be served again, and the part of them that must.
 CALM_TIME, CALM_SHARE = 3.0, 0.9
 
+#: Seconds for which a VM goes on without the store after a key must no longer work.
+UNSEEN_TIME = 3.0
+
 #: Port of every server of the soak; each has an address of its own.
 _PORT = 8100
 
@@ -220,6 +223,11 @@
                     await _with_mode(server_way, mode.removeprefix("way_"), fault.seconds)
             case ["server", mode]:
                 await _misbehave(server, mode, fault.seconds)
+            case ["key", "change_unseen"]:
+                store_way.set_mode(ProxyMode.SILENCE)
+                self._change_key()
+                await trio.sleep(KEY_TIME + UNSEEN_TIME)
+                store_way.set_mode(ProxyMode.PASS)
             case _:
                 self._change_key()
 
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -221,7 +221,7 @@
 
     def _refusal(self, waiting: _Waiting, now: float) -> Optional[Refusal]:
         ask = waiting.ask
-        if not self._engines:
+        if all(name in ask.excluded for name in self._engines):
             return Refusal(ask.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
         if not self._can_ever_fit(ask):
             return Refusal(ask.id, RefusalReason.NEVER_FITS, None)
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -160,6 +160,13 @@
         assert isinstance(decision, Refusal)
         self.assertEqual(RefusalReason.NO_ENGINE, decision.reason)
 
+    def test_a_request_that_every_engine_failed_is_refused_at_once(self) -> None:
+        pool = pool_of(2)
+        pool.submit(ask("one", excluded=("engines-0", "engines-1")), 0.0)
+        (decision,) = pool.decide(0.0)
+        assert isinstance(decision, Refusal)
+        self.assertEqual(RefusalReason.NO_ENGINE, decision.reason)
+
     def test_an_engine_that_says_nothing_gets_few_requests(self) -> None:
         """A dead engine stays listed for a while; short prompts must not pile up on it."""
         pool = pool_of(4)
