Keep one home while the store is slow or away for all VMs

Cause: a VM whose news were old was marked unfit as home for 10 s. A VM that had just become the home also began with a read that waits for a change, while its news were up to 2.8 s old, and was marked unfit for that.

Change: a fit VM is a better home than an unfit one, and where all are unfit the usual order decides; a read with old news does not wait.

Tests first: three VMs that are all marked unfit; a read with old news.

--- a/camphordrift/relay/_followers.py
+++ b/camphordrift/relay/_followers.py
@@ -29,6 +29,11 @@
 #: and the one before it, lie well within the lease on keys (5 s on today's deployments).
 CONFIGURATION_WAIT = 1.0
 
+#: Age in seconds of what a VM knows from which a read does not wait for a change: nothing is known
+#: before its answer, and other VMs take a home with old news for one that has lost the store. It
+#: lies above a read that waited, so that homes wait as a rule.
+LONGEST_WAITING_AGE = 1.5
+
 #: Seconds between reads of the servers; with the read and the handing on it stays well below the
 #: time in which a leaving server must get no more requests (2 s on today's deployments).
 SERVERS_INTERVAL = 0.7
@@ -57,6 +62,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def wait_of_read(age: float) -> float:
+    """Returns the seconds for which a read waits for a change, with news of this age."""
+    return CONFIGURATION_WAIT if age <= LONGEST_WAITING_AGE else 0.0
+
+
 class TopicFollower:
     """Reads a topic from its newest records on, and anew when its history is lost."""
 
@@ -179,7 +189,7 @@
                 # Versions in between are of no use, and each is a large document.
                 self._topic.start_anew()
             try:
-                batch, _ = await self._topic.next_batch(CONFIGURATION_WAIT)
+                batch, _ = await self._topic.next_batch(wait_of_read(self._lease.age(asked)))
             except StoreError:
                 if self.has_home and expects_newer:
                     self.ask_home()
--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -164,18 +164,17 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    def _seniors(self, than: Member) -> list[Member]:
-        """Returns the VMs that have run longer and are fit, the first one first.
+    def _better_homes(self, than: Member) -> list[Member]:
+        """Returns the VMs that are better homes, the best one first.
 
-        A VM that is unfit itself takes any other one.
+        A VM that is fit is better than one that is not; where all are unfit, as the store is away
+        for all of them, they still share one home.
         """
-        any_other = than is self._me and not self._is_fit(self._me.vm)
-        seniors = [
-            member
-            for member in self._members.values()
-            if self._is_fit(member.vm) and (any_other or member.seniority < than.seniority)
-        ]
-        return sorted(seniors, key=lambda member: member.seniority)
+        better = [m for m in self._members.values() if self._rank(m) < self._rank(than)]
+        return sorted(better, key=self._rank)
+
+    def _rank(self, member: Member) -> tuple[bool, tuple[int, int, str]]:
+        return not self._is_fit(member.vm), member.seniority
 
     def _is_fit(self, vm: str) -> bool:
         return self._unfit_until.get(vm, 0.0) <= trio.current_time()
@@ -201,10 +200,10 @@
             await self._use_home(found)
 
     async def _find_home(self, than: Member) -> Optional["_FoundHome"]:
-        """Returns the VM that has run longest, if that is longer than ``than``."""
+        """Returns the best home that can be reached, if it is better than ``than``."""
         tried: set[Member] = set()
-        while seniors := [m for m in self._seniors(than) if m not in tried]:
-            member = seniors[0]
+        while better := [m for m in self._better_homes(than) if m not in tried]:
+            member = better[0]
             tried.add(member)
             try:
                 stream = await connect(member.host, member.port, CONNECT_TIMEOUT)
@@ -249,8 +248,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(link.write_queued)
                 nursery.start_soon(self._ping, link)
-                nursery.start_soon(self._leave_for_senior, home, nursery.cancel_scope)
-                nursery.start_soon(self._leave_unfit, home, link, nursery.cancel_scope)
+                nursery.start_soon(self._leave_for_better, home, nursery.cancel_scope)
+                nursery.start_soon(self._watch_fitness, home, link)
                 await link.read_messages(self._handle_home_message)
         except* LinkBrokenError as errors:
             reason = str(errors.exceptions[0])
@@ -262,14 +261,13 @@
             stream.socket.close()
         log_event("home_lost", level=LogLevel.WARNING, home=home.vm, reason=reason)
 
-    async def _leave_unfit(self, home: Member, link: MessageLink, scope: trio.CancelScope) -> None:
-        """Leaves a home that has lost the store; all VMs that hear of it do so."""
-        while self._is_fit(home.vm):
-            if self._news.is_home_unfit():
+    async def _watch_fitness(self, home: Member, link: MessageLink) -> None:
+        """Tells all VMs if the home has lost the store, so that they look for a better one."""
+        while True:
+            if self._is_fit(home.vm) and self._news.is_home_unfit():
                 link.send(Unfit(home.vm))
                 self._note_unfit(home.vm)
             await trio.sleep(PING_INTERVAL)
-        scope.cancel()
 
     def _handle_home_message(self, message: Message) -> None:
         match message:
@@ -285,12 +283,12 @@
             link.send(self._news.next_ping())
             await trio.sleep(PING_INTERVAL)
 
-    async def _leave_for_senior(self, home: Member, scope: trio.CancelScope) -> None:
+    async def _leave_for_better(self, home: Member, scope: trio.CancelScope) -> None:
         while True:
             changed = self._changed
             with trio.move_on_after(SENIOR_RETRY_INTERVAL):
                 await changed.wait()
-            if self._me.seniority < home.seniority and self._is_fit(self._me.vm):
+            if self._rank(self._me) < self._rank(home):
                 scope.cancel()
                 return
             found = await self._find_home(home)
@@ -310,7 +308,7 @@
             self._news,
             self._learn,
             self._note_unfit,
-            lambda: self._seniors(self._me),
+            lambda: self._better_homes(self._me),
         )
         link = MessageLink(stream, LINK_SILENCE)
         link.send(self._me)
@@ -344,7 +342,7 @@
         news: HomeNews,
         learn: Callable[[Member], None],
         note_unfit: Callable[[str], None],
-        seniors: Callable[[], list[Member]],
+        better_homes: Callable[[], list[Member]],
     ) -> None:
         self.owner = owner
         self._news = news
@@ -352,7 +350,7 @@
         self._home = home
         self._learn = learn
         self._note_unfit = note_unfit
-        self._seniors = seniors
+        self._better_homes = better_homes
 
     def handle(self, message: Message) -> None:
         """Takes a message of the other VM."""
@@ -360,7 +358,7 @@
             case Member():
                 self._learn(message)
                 if self.link is not None:
-                    self._news.add_follower(self.link, self._seniors())
+                    self._news.add_follower(self.link, self._better_homes())
             case Ping():
                 if self.link is not None:
                     self.link.send(self._news.pong(message))
--- a/camphordrift/relay/_home_news.py
+++ b/camphordrift/relay/_home_news.py
@@ -46,16 +46,16 @@
         self._next_ping = 0
         self._home_age = 0.0
 
-    def add_follower(self, link: MessageLink, seniors: Iterable[Member]) -> None:
+    def add_follower(self, link: MessageLink, better_homes: Iterable[Member]) -> None:
         """Starts to send news to another VM.
 
         Args:
             link: The way to that VM.
-            seniors: VMs that have run longer than this one, and so would be better homes.
+            better_homes: VMs that would be better homes than this one.
 
         """
         self._followers.add(link)
-        for member in seniors:
+        for member in better_homes:
             link.send(member)
 
     def remove_follower(self, link: MessageLink) -> None:
--- a/camphordrift/relay/tests/test_home_election.py
+++ b/camphordrift/relay/tests/test_home_election.py
@@ -7,12 +7,15 @@
 import testtools
 import trio
 
+from camphordrift.relay import _home_election
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._followers import (
     CONFIGURATION_WAIT,
+    STALE_NEWS,
     ConfigurationFollower,
     ServersFollower,
     suspended_clock,
+    wait_of_read,
 )
 from camphordrift.relay._freshness import ConfigurationLease
 from camphordrift.relay._home_election import HomeElection
@@ -169,6 +172,21 @@
 
         run(body)
 
+    def test_vms_that_are_all_unfit_keep_one_home(self) -> None:
+        """A store that is slow for all makes each VM look unfit to some other one by turns."""
+        self.patch(_home_election, "UNFIT_TIME", 1000.0)
+
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await until(lambda: homes(*vms) == ["vm-1"] * 3)
+            for unfit in vms:
+                for vm in vms:
+                    vm.election._note_unfit(unfit.member.vm)
+                await trio.sleep(0.3)
+            await until(lambda: homes(*vms) == ["vm-1"] * 3)
+
+        run(body)
+
 
 class SharedPoolTest(testtools.TestCase):
     def test_running_requests_move_to_a_new_home(self) -> None:
@@ -200,6 +218,11 @@
 
 
 class NewsTest(testtools.TestCase):
+    def test_a_vm_with_old_news_does_not_wait_for_a_change(self) -> None:
+        """A VM that becomes the home would otherwise be taken for one that has lost the store."""
+        self.assertEqual(0.0, wait_of_read(STALE_NEWS))
+        self.assertEqual(CONFIGURATION_WAIT, wait_of_read(CONFIGURATION_WAIT + 0.1))
+
     def test_a_follower_learns_of_changes_from_its_home(self) -> None:
         async def body(fleet: Fleet) -> None:
             _, second = fleet.start(1, 101), fleet.start(2, 102)
