Tell VMs that come later that this one is unfit as home

Cause: a VM that had been marked unfit followed another one, while a VM that had not heard of it followed the first.

Test first: a VM that starts after the other one was marked.

--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -312,6 +312,9 @@
         )
         link = MessageLink(stream, LINK_SILENCE)
         link.send(self._me)
+        if not self._is_fit(self._me.vm):
+            # A VM that did not hear of it would take this one as its home.
+            link.send(Unfit(self._me.vm))
         serving.link = link
         try:
             async with trio.open_nursery() as nursery:
--- a/camphordrift/relay/tests/test_home_election.py
+++ b/camphordrift/relay/tests/test_home_election.py
@@ -172,6 +172,19 @@
 
         run(body)
 
+    def test_an_unfit_vm_says_so_to_those_that_come_later(self) -> None:
+        """Otherwise two VMs take each other for their home, and neither asks the store."""
+        self.patch(_home_election, "UNFIT_TIME", 1000.0)
+
+        async def body(fleet: Fleet) -> None:
+            first = fleet.start(1, 101)
+            await until(lambda: first.configuration.version > 0)
+            first.election._note_unfit("vm-1")
+            second = fleet.start(2, 102)
+            await until(lambda: homes(first, second) == ["vm-2", "vm-2"])
+
+        run(body)
+
     def test_vms_that_are_all_unfit_keep_one_home(self) -> None:
         """A store that is slow for all makes each VM look unfit to some other one by turns."""
         self.patch(_home_election, "UNFIT_TIME", 1000.0)
