--- a/camphordrift/documents/tests/test_documents.py
+++ b/camphordrift/documents/tests/test_documents.py
@@ -29,6 +29,7 @@
         "make demo",
         "make test",
         "make processes",
+        "python -m camphordrift.platform.soak --first 1 --seeds 50",
         ". .venv/bin/activate",
         "camphordrift standins --settings examples/kowalczyk/standins.toml",
         "camphordrift entry --settings examples/kowalczyk/oliwa-1.toml",
