Do not refuse the rest of an answer for the length of the whole

Cause: whether a request can still be served in time was judged by half of its whole answer, also where most of the answer had been written before an engine or a VM broke off.

Change: the ask says whether the caller has the beginning; then reading and one event must fit. A refusal for want of time now logs the time that was left and the time needed, as its inputs were in no line.

Tests first: the pool, and what the sender asks for after a break and for a caller's Last-Event-Id.

--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -227,8 +227,9 @@
             return Refusal(ask.id, RefusalReason.NEVER_FITS, None)
         if ask.preferred is not None and not self._is_usable(ask.preferred, now):
             return Refusal(ask.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
-        if waiting.needed_at() - now < self._least_time(ask):
-            return Refusal(ask.id, RefusalReason.TOO_LATE, None)
+        time_left, time_needed = waiting.needed_at() - now, self._least_time(ask)
+        if time_left < time_needed:
+            return Refusal(ask.id, RefusalReason.TOO_LATE, None, time_left, time_needed)
         return None
 
     def _can_ever_fit(self, ask: Ask) -> bool:
@@ -238,7 +239,9 @@
     def _least_time(self, ask: Ask) -> float:
         """Returns the seconds that a request needs even on engines that are all free."""
         parts = min(MAX_PARTS, len(self._engines))
-        passes = math.ceil(max(1, ask.answer_tokens // 2) / self._costs.steps_per_pass)
+        # How much of a resumed answer is left is not known, but it is at least one event.
+        answer_tokens = 1 if ask.resumed else max(1, ask.answer_tokens // 2)
+        passes = math.ceil(answer_tokens / self._costs.steps_per_pass)
         writing = self._costs.pass_time(1, ask.prompt_tokens) * passes
         return self._costs.reading_time(ask.prompt_tokens) / parts + writing
 
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/_placement_values.py
@@ -31,6 +31,8 @@
     excluded: tuple[str, ...] = ()
     #: Engine that should get the request, as it was sent to it before; others may only help.
     preferred: Optional[str] = None
+    #: Whether the caller has the beginning of the answer, so that only the rest is to be written.
+    resumed: bool = False
 
 
 @dataclass(frozen=True)
@@ -64,6 +66,9 @@
     reason: RefusalReason
     #: Seconds after which an engine may be free; ``None`` if asking again is no use.
     retry_after: Optional[float]
+    #: Seconds that the request had left, and that it needs at least, where these decided it.
+    time_left: Optional[float] = None
+    time_needed: Optional[float] = None
 
 
 Decision = Union[Grant, Refusal]
--- a/camphordrift/relay/_pool_home.py
+++ b/camphordrift/relay/_pool_home.py
@@ -134,13 +134,15 @@
                 placed=pool.placed,
                 waiting=pool.waiting,
             )
-        case Refusal(ask_id, reason, retry_after):
+        case Refusal(ask_id, reason, retry_after, time_left, time_needed):
             log_event(
                 "engine_refused",
                 level=LogLevel.WARNING,
                 ask=ask_id,
                 reason=reason,
                 retry_after=retry_after,
+                time_left=time_left,
+                time_needed=time_needed,
                 placed=pool.placed,
                 waiting=pool.waiting,
             )
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -115,7 +115,7 @@
             RequestRefusedError: No engine can serve it.
 
         """
-        ask = self._ask(progress)
+        ask = self._ask(progress, sink)
         asked = trio.current_time()
         decision = await self._dispatcher.place(ask)
         self._reports.placed(ask, trio.current_time() - asked)
@@ -164,7 +164,7 @@
             return Withheld(str(error))
         return Broken("the engine is gone", silent=True)
 
-    def _ask(self, progress: RequestProgress) -> Ask:
+    def _ask(self, progress: RequestProgress, sink: Optional[CallerSink]) -> Ask:
         facts = progress.facts
         elapsed = trio.current_time() - progress.request.received
         answer_tokens = facts.answer_estimate or facts.answer_tokens
@@ -185,6 +185,8 @@
             priority=priority,
             excluded=tuple(progress.excluded),
             preferred=progress.preferred,
+            resumed=facts.last_event_id is not None
+            or (sink is not None and sink.last_id is not None),
         )
 
     async def _attempt(
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -153,6 +153,15 @@
         assert isinstance(decision, Refusal)
         self.assertEqual(RefusalReason.TOO_LATE, decision.reason)
 
+    def test_the_rest_of_an_answer_is_not_refused_for_the_length_of_the_whole(self) -> None:
+        """An engine dies when it has nearly written a long answer."""
+        pool = pool_of(2)
+        pool.submit(ask("whole", 500, answer_tokens=8000, time_left=2.0), 0.0)
+        (decision,) = pool.decide(0.0)
+        assert isinstance(decision, Refusal)
+        self.assertEqual(RefusalReason.TOO_LATE, decision.reason)
+        place(pool, "rest", 500, answer_tokens=8000, time_left=2.0, resumed=True)
+
     def test_no_engine_at_all_is_said_at_once(self) -> None:
         pool = EnginePool(COSTS)
         pool.submit(ask("one"), 0.0)
--- a/camphordrift/relay/tests/test_whole_path.py
+++ b/camphordrift/relay/tests/test_whole_path.py
@@ -12,6 +12,7 @@
 
 from camphordrift.relay import _http_server
 from camphordrift.relay._attempt import SMALL_BODY
+from camphordrift.relay._placement_values import Ask, Decision
 from camphordrift.relay.tests.fleet import (
     Fleet,
     chunk,
@@ -89,6 +90,28 @@
         script = once(breaks_inside_an_event, whole_stream)
         run(body, script, script)
 
+    def test_the_engines_are_told_that_only_the_rest_is_left(self) -> None:
+        async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+            await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
+            return False
+
+        async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
+            asked: list[bool] = []
+            dispatcher = fleet.process._dispatcher
+            place = dispatcher.place
+
+            async def note(ask: Ask) -> Decision:
+                asked.append(ask.resumed)
+                return await place(ask)
+
+            self.patch(dispatcher, "place", note)
+            await fleet.call("/quick/x")
+            await fleet.call("/quick/x", last_event_id="2")
+            self.assertEqual([False, True, True], asked)
+
+        script = once(breaks, whole_stream)
+        run(body, script, script)
+
     def test_a_long_prompts_stream_that_breaks_off_goes_on_elsewhere(self) -> None:
         async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
