--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -119,7 +119,8 @@
             case Answered(status, headers, body):
                 if status >= 500 and self._may_repeat(progress):
                     return False
-                await progress.answer.whole(status, headers, body)
+                if not progress.answer.started:
+                    await progress.answer.whole(status, headers, body)
                 return True
             case NotSent() | Withheld():
                 if self._may_try_elsewhere(progress):
--- a/camphordrift/relay/tests/test_whole_path.py
+++ b/camphordrift/relay/tests/test_whole_path.py
@@ -168,6 +168,23 @@
 
         run(body, whole_stream)
 
+    def test_a_stream_whose_rest_another_server_fails_is_reported_as_broken_off(self) -> None:
+        async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+            await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
+            return False
+
+        async def fails(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+            await stream.send_all(plain_answer(seen, "500 Internal Server Error"))
+            return True
+
+        async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
+            self.assertFalse((await fleet.call("/quick/x")).whole)
+            broken_off = 'camphordrift_relay_broken_answers_total{route="quick"} 1'
+            self.assertIn(broken_off, await fleet.metrics_page())
+
+        script = once(breaks, fails)
+        run(body, script, script)
+
     def test_a_resumed_stream_starts_after_the_callers_last_event(self) -> None:
         async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
             reply = await fleet.call("/quick/x", last_event_id="2")
