--- a/camphordrift/platform/soak/__main__.py
+++ b/camphordrift/platform/soak/__main__.py
@@ -8,6 +8,7 @@
 import trio
 
 from camphordrift.platform.soak import SoakSettings, run_soak
+from camphordrift.platform.soak._regressions import REGRESSIONS
 from camphordrift.testing import own_loopback_network
 
 #: Promises not kept that are shown of one run.
@@ -24,6 +25,7 @@
     vms: int = 3,
     servers: int = 4,
     callers: int = 12,
+    regressions: bool = False,
 ) -> int:
     """Plays seeds one after the other; keeps the logs of those that fail.
 
@@ -34,10 +36,11 @@
         vms: Relays.
         servers: Servers of each of the two services.
         callers: Callers.
+        regressions: Play the seeds that failed once instead.
 
     """
     failed = 0
-    for seed in range(first, first + seeds):
+    for seed in REGRESSIONS if regressions else range(first, first + seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         settings = SoakSettings(seed, seconds, vms, servers, callers)
         report = trio.run(run_soak, settings, own_loopback_network(), directory)
