--- a/camphordrift/platform/soak/__init__.py
+++ b/camphordrift/platform/soak/__init__.py
@@ -1,7 +1,7 @@
 """Runs relays as real processes, injects faults from outside, and checks the promises of the pages.
 
-The store, the backend servers and the callers live in the process of the soak; every connection
-between a relay and one of them crosses a loopback proxy.
+The store, the backend servers and the callers live in the process of the soak; connections of the
+relays to the store and to servers cross loopback proxies.
 """
 
 from camphordrift.platform.soak._ledger import Attempt, Ledger, Run
--- /dev/null
+++ b/camphordrift/platform/soak/_operator.py
@@ -0,0 +1,85 @@
+"""The operator of the soak: lists servers, publishes configurations, withdraws keys."""
+
+import itertools
+
+import trio
+
+from camphordrift.platform.soak._callers import Keys
+from camphordrift.platform.soak._ledger import Ledger
+from camphordrift.platform.soak._proxy import Proxy
+from camphordrift.platform.soak._servers import SoakServer
+from camphordrift.platform.soak._store import SoakStore
+
+#: Routes of the soak: name and path, kind, time limit in milliseconds, service.
+_ROUTES = (
+    ("s", "streaming", 4000, "engines"),
+    ("o", "non_idempotent", 2000, "office"),
+    ("r", "idempotent", 2000, "office"),
+)
+
+
+class Operator:
+    """Writes what operators and servers write to the store."""
+
+    def __init__(self, store: SoakStore, ledger: Ledger) -> None:
+        self._store = store
+        self._ledger = ledger
+        self.keys = Keys({"k1": "school", "k2": "club"})
+        self._key_numbers = itertools.count(3)
+        self._version = 0
+
+    def list_server(self, server: SoakServer, way: Proxy, state: str) -> None:
+        """Lists a server under the address of the way to it."""
+        entry = {
+            "Service": "engines" if server.streams else "office",
+            "Address": f"{way.host}:{way.port}",
+            "Zone": "z0",
+            "Slots": 8,
+            "State": state,
+            "born": 1,
+        }
+        self._store.put("keyed.servers", server.id, entry)
+
+    def remove_server(self, server: SoakServer) -> None:
+        """Takes a server off the list."""
+        self._store.put("keyed.servers", server.id, None)
+
+    def publish(self) -> None:
+        """Publishes the next version of the configuration."""
+        self._version += 1
+        accounts: dict[str, list[str]] = {}
+        for key, account in self.keys.accounts.items():
+            accounts.setdefault(account, []).append(key)
+        document = {
+            "Version": self._version,
+            "Routes": [_route(*route) for route in _ROUTES],
+            "Services": [
+                {"Name": "engines", "Engine": {"Slots": 8, "KvCacheTokens": 300_000}},
+                {"Name": "office"},
+            ],
+            "Tenants": [{"Name": name, "ApiKeys": keys} for name, keys in accounts.items()],
+        }
+        self._store.put("keyed.op", "config", document)
+
+    def change_key(self) -> None:
+        """Withdraws the older key of an account and gives it another one."""
+        key = next(iter(self.keys.accounts))
+        account = self.keys.withdrawn[key] = self.keys.accounts.pop(key)
+        self.keys.accounts[f"k{next(self._key_numbers)}"] = account
+        self.publish()
+        self._ledger.withdrawn[key] = trio.current_time()
+
+
+def _route(name: str, kind: str, limit_ms: int, service: str) -> dict[str, object]:
+    return {
+        "Name": name,
+        "Host": "soak.example",
+        "PathPrefix": f"/{name}/",
+        "Kind": kind,
+        "TimeoutMs": limit_ms,
+        "SloMs": 500,
+        "Service": service,
+        "MaxAttempts": 3,
+        "ResumeStreams": kind == "streaming",
+        "GapTargetMs": 300,
+    }
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -8,9 +8,10 @@
 
 import trio
 
-from camphordrift.platform.soak._callers import Caller, Keys
+from camphordrift.platform.soak._callers import Caller
 from camphordrift.platform.soak._faults import Fault, draw_faults
 from camphordrift.platform.soak._ledger import KEY_TIME, Ledger
+from camphordrift.platform.soak._operator import Operator
 from camphordrift.platform.soak._proxy import Proxy, ProxyMode
 from camphordrift.platform.soak._servers import ServerMode, SoakServer
 from camphordrift.platform.soak._store import SoakStore, StoreMode
@@ -73,9 +74,7 @@
             self._vms.append(vm)
             self._store_ways.append(Proxy(vm.host, _PORT, self._store.host, _PORT))
         self._servers: list[tuple[SoakServer, Proxy]] = []
-        self._keys = Keys({"k1": "school", "k2": "club"})
-        self._key_numbers = itertools.count(3)
-        self._version = 0
+        self._operator = Operator(self._store, self.ledger)
         self._served_in_calm = (0, 0)
 
     async def run(self) -> list[str]:
@@ -87,7 +86,7 @@
                     await background.start(way.run)
                 for number in range(2 * self._settings.servers):
                     await self._add_server(number, number % 2 == 0, background)
-                self._publish()
+                self._operator.publish()
                 async with trio.open_nursery() as starting:
                     for vm in self._vms:
                         starting.start_soon(vm.start)
@@ -106,7 +105,7 @@
         async with trio.open_nursery() as load:
             for number in range(self._settings.callers):
                 vms = [vm.callers for vm in self._vms]
-                caller = Caller(number, self._settings.seed, vms, self._keys, self.ledger)
+                caller = Caller(number, self._settings.seed, vms, self._operator.keys, self.ledger)
                 load.start_soon(caller.run)
             begun = trio.current_time()
             async with trio.open_nursery() as faults:
@@ -127,7 +126,7 @@
             if attempt.sent > since
             and now - attempt.sent > 1.0
             and attempt.left is None
-            and attempt.key in self._keys.accounts
+            and attempt.key in self._operator.keys.accounts
         ]
         served = [item for item in sent if item.whole and item.status == 200]
         self._served_in_calm = len(served), len(sent)
@@ -146,52 +145,7 @@
         await background.start(server.run)
         await background.start(way.run)
         self._servers.append((server, way))
-        self._list(server, way, "ready")
-
-    def _list(self, server: SoakServer, way: Proxy, state: str) -> None:
-        entry = {
-            "Service": "engines" if server.streams else "office",
-            "Address": f"{way.host}:{way.port}",
-            "Zone": "z0",
-            "Slots": 8,
-            "State": state,
-            "born": 1,
-        }
-        self._store.put("keyed.servers", server.id, entry)
-
-    def _publish(self) -> None:
-        self._version += 1
-        accounts: dict[str, list[str]] = {}
-        for key, account in self._keys.accounts.items():
-            accounts.setdefault(account, []).append(key)
-        kinds = (("s", "streaming", 4000, "engines"), ("o", "non_idempotent", 2000, "office"))
-        self._store.put(
-            "keyed.op",
-            "config",
-            {
-                "Version": self._version,
-                "Routes": [
-                    {
-                        "Name": name,
-                        "Host": "soak.example",
-                        "PathPrefix": f"/{name}/",
-                        "Kind": kind,
-                        "TimeoutMs": limit,
-                        "SloMs": 500,
-                        "Service": service,
-                        "MaxAttempts": 3,
-                        "ResumeStreams": kind == "streaming",
-                        "GapTargetMs": 300,
-                    }
-                    for name, kind, limit, service in (*kinds, ("r", "idempotent", 2000, "office"))
-                ],
-                "Services": [
-                    {"Name": "engines", "Engine": {"Slots": 8, "KvCacheTokens": 300_000}},
-                    {"Name": "office"},
-                ],
-                "Tenants": [{"Name": name, "ApiKeys": keys} for name, keys in accounts.items()],
-            },
-        )
+        self._operator.list_server(server, way, "ready")
 
     async def _inject(self, fault: Fault, background: trio.Nursery) -> None:
         vm = self._vms[fault.target % len(self._vms)]
@@ -225,11 +179,11 @@
                 await _misbehave(server, mode, fault.seconds)
             case ["key", "change_unseen"]:
                 store_way.set_mode(ProxyMode.SILENCE)
-                self._change_key()
+                self._operator.change_key()
                 await trio.sleep(KEY_TIME + UNSEEN_TIME)
                 store_way.set_mode(ProxyMode.PASS)
             case _:
-                self._change_key()
+                self._operator.change_key()
 
     async def _alone(self, vm: Vm, action: Callable[[], Awaitable[None]]) -> None:
         """Does one thing to a VM at a time; a second one at the same time is left out."""
@@ -256,17 +210,9 @@
         server.leaving = True
         number = int(server.id.partition("-")[2]) + 2 * self._settings.servers
         await self._add_server(number, server.streams, background)
-        self._list(server, way, "draining")
+        self._operator.list_server(server, way, "draining")
         await trio.sleep(3.0)
-        self._store.put("keyed.servers", server.id, None)
-
-    def _change_key(self) -> None:
-        """Withdraws the older key of an account and gives it another one."""
-        key = next(iter(self._keys.accounts))
-        account = self._keys.withdrawn[key] = self._keys.accounts.pop(key)
-        self._keys.accounts[f"k{next(self._key_numbers)}"] = account
-        self._publish()
-        self.ledger.withdrawn[key] = trio.current_time()
+        self._operator.remove_server(server)
 
 
 async def _misbehave(server: SoakServer, mode: str, seconds: float) -> None:
