--- a/camphordrift/platform/tests/test_boundary.py
+++ b/camphordrift/platform/tests/test_boundary.py
@@ -25,8 +25,9 @@
 
 #: What the adapter may take from the relay: types, and how to open a connection.
 _DECIDING_MODULES = re.compile(
-    r"_(engine_pool|engine_load|pool_home|dispatcher|retry_budget|request_handler|server_directory"
-    r"|plain_servers|freshness|home_election|followers|knowledge)"
+    r"_(engine_pool|engine_planner|engine_load|pool_home|dispatcher|retry_budget|request_handler"
+    r"|admission|sender|refusals|server_directory|plain_servers|freshness|home_election|followers"
+    r"|knowledge)"
 )
 
 
@@ -47,3 +48,12 @@
                 if isinstance(node, ast.ImportFrom) and _DECIDING_MODULES.search(node.module or ""):
                     found.append(f"{path.name}: {node.module}")
         self.assertEqual([], found)
+
+    def test_the_soak_knows_nothing_of_the_relay(self) -> None:
+        """It judges by what callers and servers see."""
+        found = []
+        for path in sorted((_ADAPTER / "soak").glob("*.py")):
+            for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+                if isinstance(node, ast.ImportFrom) and "camphordrift.relay" in (node.module or ""):
+                    found.append(f"{path.name}: {node.module}")
+        self.assertEqual([], found)
