Count calls to the store

The counter relay_store_calls stood on the metrics page without anything that counted. Calls are now counted by kind and outcome (answered, history lost, failed, given up). Tests first: the metrics page of a relay, and of one whose store is down.

--- /dev/null
+++ b/camphordrift/relay/_counted_log.py
@@ -0,0 +1,50 @@
+"""Counts the calls to the store."""
+
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from camphordrift.relay._interfaces import (
+    Batch,
+    HistoryLostError,
+    KeyedLog,
+    KeyedRecord,
+    StoreError,
+)
+from camphordrift.telemetry import Counter
+
+_Result = TypeVar("_Result")
+
+
+class CountedLog:
+    """A keyed log whose calls are counted by kind and outcome."""
+
+    def __init__(self, log: KeyedLog, calls: Counter) -> None:
+        self._log = log
+        self._calls = calls
+
+    async def newest(self, topic: str) -> Batch:
+        """Returns the newest record of each key."""
+        return await self._count("newest", self._log.newest(topic))
+
+    async def read(self, topic: str, offset: int, wait: float) -> Batch:
+        """Returns records from ``offset`` on."""
+        return await self._count("read", self._log.read(topic, offset, wait))
+
+    async def append(self, topic: str, record: KeyedRecord) -> None:
+        """Appends a record."""
+        await self._count("append", self._log.append(topic, record))
+
+    async def _count(self, call: str, answer: Awaitable[_Result]) -> _Result:
+        outcome = "given_up"
+        try:
+            result = await answer
+            outcome = "answered"
+            return result
+        except HistoryLostError:
+            outcome = "history_lost"
+            raise
+        except StoreError:
+            outcome = "failed"
+            raise
+        finally:
+            self._calls.add(call=call, outcome=outcome)
--- a/camphordrift/relay/_home_election.py
+++ b/camphordrift/relay/_home_election.py
@@ -1,8 +1,9 @@
-"""Finds the VM that decides for the pools: the one that has run longest and can be reached.
+"""Finds the VM that decides for the pools: the best one that can be reached.
 
-VMs introduce themselves on the store and to the home. Views may differ for a while; then two VMs
-decide for the same engines, which costs time but breaks nothing, since engines refuse what they
-cannot take.
+Of the VMs that have not lost the store, it is one with the most capacity, and of these the one that
+has run longest. VMs introduce themselves on the store and to the home. Views may differ for a
+while; then two VMs decide for the same engines, which costs time but breaks nothing, since engines
+refuse what they cannot take.
 """
 
 from collections.abc import Callable
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -17,6 +17,7 @@
 )
 from camphordrift.relay._admission import Admission
 from camphordrift.relay._byte_stream import READ_SIZE
+from camphordrift.relay._counted_log import CountedLog
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._followers import (
     ConfigurationFollower,
@@ -105,15 +106,16 @@
         self._lease = ConfigurationLease(settings.key_lease)
         self._home = PoolHome(trio.current_time)
         self._dispatcher = Dispatcher(settings.vm, self._home, trio.current_time)
+        log = CountedLog(adapters.log, self._metrics.store_calls)
         self._configuration = ConfigurationFollower(
-            adapters.log,
+            log,
             adapters.topics,
             adapters.documents,
             self._lease,
             self._configuration_changed,
         )
         self._servers = ServersFollower(
-            adapters.log,
+            log,
             adapters.topics,
             adapters.documents,
             self._directory,
@@ -122,7 +124,7 @@
         )
         self._news = HomeNews(self._configuration, self._servers, self._lease)
         self._election = HomeElection(
-            self._me(), adapters.log, adapters.topics, self._dispatcher, self._home, self._news
+            self._me(), log, adapters.topics, self._dispatcher, self._home, self._news
         )
         self._connections = ConnectionPool(BACKEND_CONNECT_TIMEOUT)
         self._knowledge = Knowledge(
--- a/camphordrift/relay/_relay_metrics.py
+++ b/camphordrift/relay/_relay_metrics.py
@@ -27,7 +27,9 @@
         self.attempts = self.counter(
             "relay_attempts", "Requests sent to backend servers, by service and result."
         )
-        self.store_calls = self.counter("relay_store_calls", "Calls to the store, by outcome.")
+        self.store_calls = self.counter(
+            "relay_store_calls", "Calls to the store, by call and outcome."
+        )
         self.first_event_seconds = self.seconds(
             "relay_first_event_seconds", "Time from request to first event, by band of lengths."
         )
--- a/camphordrift/relay/tests/test_whole_path.py
+++ b/camphordrift/relay/tests/test_whole_path.py
@@ -517,6 +517,8 @@
             self.assertIn('camphordrift_relay_requests_total{route="quick",status="200"} 1.0', page)
             self.assertIn('camphordrift_relay_refusals_total{code="1003"} 1.0', page)
             self.assertIn("camphordrift_relay_first_event_seconds_bucket", page)
+            calls = 'camphordrift_relay_store_calls_total{call="newest",outcome="answered"}'
+            self.assertIn(calls, page)
             self.assertIn("camphordrift_relay_configuration_version 3.0", page)
 
         run(body, whole_stream)
@@ -527,5 +529,7 @@
             fleet.log.is_down = True
             while fleet.process.ready:
                 await trio.sleep(0.05)
+            failed = 'camphordrift_relay_store_calls_total{call="read",outcome="failed"}'
+            self.assertIn(failed, await fleet.metrics_page())
 
         run(body, whole_stream)
