Judge each waiting request once in a round of decisions

Requests that were passed over as late were checked for refusal twice in the same round, and a flag and a list to be filled went through three methods. The decisions on one priority are now one generator.

--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -175,50 +175,49 @@
         if not self._waiting:
             return []
         placement = PlacementRound(self._engines.values(), self._costs, now)
-        decisions: list[Decision] = []
         in_order = sorted(self._waiting.values(), key=_urgency)
+        decisions: list[Decision] = []
         for _, group in itertools.groupby(in_order, key=lambda waiting: waiting.ask.priority):
-            late = [w for w in group if self._decide_one(w, placement, decisions, now, True)]
-            for waiting in late:
-                self._decide_one(waiting, placement, decisions, now, False)
+            decisions += self._decide_group(group, placement, now)
+        for decision in decisions:
+            del self._waiting[decision.ask_id]
         return decisions
 
+    def _decide_group(
+        self, group: Iterable[_Waiting], placement: PlacementRound, now: float
+    ) -> Iterator[Decision]:
+        """Yields the decisions on requests of one priority, which come in their order."""
+        late: list[_Waiting] = []
+        for waiting in group:
+            if (refusal := self._refusal(waiting, now)) is not None:
+                yield refusal
+                continue
+            objective = waiting.objective_at() - now
+            may_be_passed_over = not waiting.is_old(now)
+            if may_be_passed_over and objective <= 0:
+                late.append(waiting)
+                continue
+            plan = placement.plan(waiting.ask, objective)
+            if plan is not None and may_be_passed_over and plan.first_event > objective:
+                late.append(waiting)
+            elif plan is not None:
+                yield self._place_in(placement, waiting.ask, plan, now)
+        for waiting in late:
+            plan = placement.plan(waiting.ask, waiting.objective_at() - now)
+            if plan is not None:
+                yield self._place_in(placement, waiting.ask, plan, now)
+
+    def _place_in(self, placement: PlacementRound, ask: Ask, plan: Plan, now: float) -> Grant:
+        grant = self._place(ask, plan, now)
+        placement.placed(plan)
+        return grant
+
     def _drop_forgotten(self, now: float) -> None:
         """Gives back the engines of requests whose end was never reported."""
         for ask_id, placed in list(self._placed.items()):
             if now > placed.granted + placed.ask.time_left + END_REPORT_TIME:
                 self.finished(ask_id, Outcome.SERVED, now)
 
-    def _decide_one(
-        self,
-        waiting: _Waiting,
-        placement: PlacementRound,
-        decisions: list[Decision],
-        now: float,
-        only_in_time: bool,
-    ) -> bool:
-        """Decides on one request; returns whether it was passed over as it would be late."""
-        refusal = self._refusal(waiting, now)
-        if refusal is not None:
-            self._settle(waiting, refusal, decisions)
-            return False
-        objective = waiting.objective_at() - now
-        only_in_time = only_in_time and not waiting.is_old(now)
-        if only_in_time and objective <= 0:
-            return True
-        plan = placement.plan(waiting.ask, objective)
-        if plan is None:
-            return False
-        if only_in_time and plan.first_event > objective:
-            return True
-        self._settle(waiting, self._place(waiting.ask, plan, now), decisions)
-        placement.placed(plan)
-        return False
-
-    def _settle(self, waiting: _Waiting, decision: Decision, decisions: list[Decision]) -> None:
-        del self._waiting[waiting.ask.id]
-        decisions.append(decision)
-
     def _refusal(self, waiting: _Waiting, now: float) -> Optional[Refusal]:
         ask = waiting.ask
         if all(name in ask.excluded for name in self._engines):
