Read small answers in one place

The store's client and the orders to engines each had the loop that sends a request and reads the whole answer; HttpConnection.exchange serves both. ServerDirectory.get had no caller and goes. No change of behaviour.

--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -138,13 +138,9 @@
                 (b"host", str(self._address).encode()),
                 (b"content-length", b"%d" % len(body)),
             ]
-            await connection.send(method.encode(), target.encode(), headers, body)
-            head = await connection.receive_head()
-            content = bytearray()
-            while (piece := await connection.receive_data()) is not None:
-                content += piece
+            answer = await connection.exchange(method.encode(), target.encode(), headers, body)
             idle = math.inf
-            return head.status_code, bytes(content)
+            return answer
         finally:
             self._connections.release(host, port, connection, idle)
 
--- a/camphordrift/relay/_http_client.py
+++ b/camphordrift/relay/_http_client.py
@@ -69,6 +69,23 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionError("the server closed the connection") from error
 
+    async def exchange(
+        self, method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes
+    ) -> tuple[int, bytes]:
+        """Sends a small request and returns the status and body of the whole answer.
+
+        Raises:
+            BrokenAnswerError: The answer broke off.
+            OSError: The connection broke.
+
+        """
+        await self.send(method, target, headers, body)
+        head = await self.receive_head()
+        content = bytearray()
+        while (piece := await self.receive_data()) is not None:
+            content += piece
+        return head.status_code, bytes(content)
+
     async def receive_head(self) -> h11.Response:
         """Returns the status line and headers of the answer.
 
--- a/camphordrift/relay/_reservations.py
+++ b/camphordrift/relay/_reservations.py
@@ -166,12 +166,9 @@
                     (b"content-type", self._orders.content_type),
                     (b"content-length", b"%d" % len(body)),
                 ]
-                await connection.send(b"POST", self._orders.path, headers, body)
-                head = await connection.receive_head()
-                while await connection.receive_data() is not None:
-                    pass
+                status, _ = await connection.exchange(b"POST", self._orders.path, headers, body)
                 idle = ORDER_CONNECTION_IDLE
-                return head.status_code
+                return status
             except (BrokenAnswerError, OSError) as error:
                 log_event("order_unanswered", server=server.id, reason=str(error))
                 return None
--- a/camphordrift/relay/_server_directory.py
+++ b/camphordrift/relay/_server_directory.py
@@ -42,10 +42,6 @@
         """All listed servers, by id."""
         return self._servers
 
-    def get(self, server_id: str) -> Optional[BackendServer]:
-        """Returns a listed server."""
-        return self._servers.get(server_id)
-
     def takes_work(self, server_id: str) -> bool:
         """Tells whether nothing is known here that speaks against sending work to a server.
 
