Put a log handler in place of others in one function

configure_logging and configure_bounded_logging wrote the same steps, one of them behind an import of its own. Which handlers each replaces stays as it was.

--- a/camphordrift/event_log/_bounded_output.py
+++ b/camphordrift/event_log/_bounded_output.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from camphordrift.event_log._logging import LineFormatter, format_event
+from camphordrift.event_log._logging import LineFormatter, format_event, replace_handlers
 
 #: Lines a second that may be written for long. A VM of the two-year size (docs/CAPACITY.md) handles
 #: 48 requests a second with three lines each.
@@ -92,13 +92,6 @@
 
 def configure_bounded_logging(level: int, descriptor: int) -> BoundedLogHandler:
     """Sends log lines to a descriptor; the caller drains the handler now and then."""
-    from absl import logging as absl_logging
-
     handler = BoundedLogHandler(descriptor)
-    root = logging.getLogger()
-    for other in list(root.handlers):
-        root.removeHandler(other)
-    root.addHandler(handler)
-    root.setLevel(logging.WARNING)
-    absl_logging.set_verbosity(level)
+    replace_handlers(list(logging.getLogger().handlers), handler, level)
     return handler
--- a/camphordrift/event_log/_logging.py
+++ b/camphordrift/event_log/_logging.py
@@ -6,7 +6,7 @@
 import math
 import re
 import sys
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from contextvars import ContextVar
 from enum import Enum
 from typing import Optional, TextIO
@@ -48,12 +48,22 @@
 
     Lines that libraries log are put into the same form. A second call replaces the first one.
     """
+    handlers = standard_logging.getLogger().handlers
+    earlier = [handler for handler in handlers if isinstance(handler, _LineHandler)]
+    replace_handlers(earlier, _LineHandler(stream), LogLevel[level.upper()].value)
+
+
+def replace_handlers(
+    earlier: Iterable[standard_logging.Handler], handler: standard_logging.Handler, level: int
+) -> None:
+    """Has one handler take the place of others, for events from ``level`` on."""
     root = standard_logging.getLogger()
-    for handler in [handler for handler in root.handlers if isinstance(handler, _LineHandler)]:
-        root.removeHandler(handler)
-    root.addHandler(_LineHandler(stream))
+    for other in earlier:
+        root.removeHandler(other)
+    root.addHandler(handler)
+    # Libraries speak of warnings and errors only.
     root.setLevel(standard_logging.WARNING)
-    logging.set_verbosity(LogLevel[level.upper()].value)
+    logging.set_verbosity(level)
 
 
 def log_event(event: str, *, level: LogLevel = LogLevel.INFO, **fields: object) -> None:
