Share the soak's spans and servers, and the tests' requests

Two servers of the soak listened in the same words (now serve_requests); VMs and cut ways noted spans each in its own way, a restarted VM twice (now Ledger.noting); what the calm showed was kept as state between two methods. The relay's tests had a second type for a request as a server gets it.

--- a/camphordrift/platform/soak/_ledger.py
+++ b/camphordrift/platform/soak/_ledger.py
@@ -2,9 +2,12 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Optional
 
+import trio
+
 #: Seconds for which a withdrawn key may still be used (RevokeMs of the deployments).
 KEY_TIME = 5.0
 
@@ -22,6 +25,10 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
+#: Begin and end of something, in seconds of the soak's clock.
+Span = tuple[float, float]
+
+
 @dataclass
 class Attempt:
     """One request as its caller saw it. Moments are seconds of the soak's clock."""
@@ -69,14 +76,21 @@
     #: Moments from which keys are withdrawn, as acknowledged by the store.
     withdrawn: dict[str, float] = field(default_factory=dict)
     #: Spans in which a VM was stopped, paused, killed or starting, by VM.
-    disturbed: dict[str, list[tuple[float, float]]] = field(
-        default_factory=lambda: defaultdict(list)
-    )
+    disturbed: dict[str, list[Span]] = field(default_factory=lambda: defaultdict(list))
     #: Spans in which the way between VMs and a server was disturbed, by server.
-    cut: dict[str, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
+    cut: dict[str, list[Span]] = field(default_factory=lambda: defaultdict(list))
     #: What went wrong with the processes themselves.
     process_faults: list[str] = field(default_factory=list)
 
+    @contextmanager
+    def noting(self, spans: list[Span], aftermath: float = 0.0) -> Iterator[None]:
+        """Notes the span of the block, and ``aftermath`` seconds more, among ``spans``."""
+        begun = trio.current_time()
+        try:
+            yield
+        finally:
+            spans.append((begun, trio.current_time() + aftermath))
+
     def broken(self, now: float, judges_times: bool = True) -> list[str]:
         """Returns a line for each promise that was not kept.
 
@@ -158,7 +172,7 @@
     return f"id: {number}\ndata: {attempt_id}-{number}\n\n".encode()
 
 
-def _overlaps(spans: list[tuple[float, float]], start: float, end: float) -> bool:
+def _overlaps(spans: list[Span], start: float, end: float) -> bool:
     return any(begun < end and start < ended for begun, ended in spans)
 
 
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -1,8 +1,7 @@
 """One run of the soak."""
 
 import itertools
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -75,7 +74,6 @@
             self._store_ways.append(Proxy(vm.host, _PORT, self._store.host, _PORT))
         self._servers: list[tuple[SoakServer, Proxy]] = []
         self._operator = Operator(self._store, self.ledger)
-        self._served_in_calm = (0, 0)
 
     async def run(self) -> list[str]:
         """Plays the run; returns a line for each promise that was not kept."""
@@ -90,7 +88,7 @@
                 async with trio.open_nursery() as starting:
                     for vm in self._vms:
                         starting.start_soon(vm.start)
-                await self._play(background)
+                not_recovered = await self._play(background)
                 for vm in self._vms:
                     vm.check()
                 background.cancel_scope.cancel()
@@ -99,9 +97,10 @@
                 vm.end_for_good()
         judges_times = self._settings.judges_times
         broken = self.ledger.broken(trio.current_time(), judges_times)
-        return broken + (self._not_recovered() if judges_times else [])
+        return broken + (not_recovered if judges_times else [])
 
-    async def _play(self, background: trio.Nursery) -> None:
+    async def _play(self, background: trio.Nursery) -> list[str]:
+        """Plays load and faults; returns a line if requests are not served again afterwards."""
         async with trio.open_nursery() as load:
             for number in range(self._settings.callers):
                 vms = [vm.callers for vm in self._vms]
@@ -115,10 +114,11 @@
             await trio.sleep(self._settings.recovery)
             calm = trio.current_time()
             await trio.sleep(CALM_TIME)
-            self._count_calm(calm)
+            not_recovered = self._not_recovered(calm)
             load.cancel_scope.cancel()
+        return not_recovered
 
-    def _count_calm(self, since: float) -> None:
+    def _not_recovered(self, since: float) -> list[str]:
         now = trio.current_time()
         sent = [
             attempt
@@ -129,13 +129,9 @@
             and attempt.key in self._operator.keys.accounts
         ]
         served = [item for item in sent if item.whole and item.status == 200]
-        self._served_in_calm = len(served), len(sent)
-
-    def _not_recovered(self) -> list[str]:
-        served, sent = self._served_in_calm
-        if served >= sent * CALM_SHARE and sent:
+        if len(served) >= len(sent) * CALM_SHARE and sent:
             return []
-        return [f"only {served} of {sent} requests were served after the faults"]
+        return [f"only {len(served)} of {len(sent)} requests were served after the faults"]
 
     async def _add_server(self, number: int, streams: bool, background: trio.Nursery) -> None:
         near, far = next(self._hosts), next(self._hosts)
@@ -173,7 +169,7 @@
             case ["server", "replace"]:
                 await self._replace(server, server_way, background)
             case ["server", mode] if mode.startswith("way_"):
-                async with self._cut(server):
+                with self.ledger.noting(self.ledger.cut[server.id]):
                     await _with_mode(server_way, mode.removeprefix("way_"), fault.seconds)
             case ["server", mode]:
                 await _misbehave(server, mode, fault.seconds)
@@ -195,14 +191,6 @@
         finally:
             vm.busy = False
 
-    @asynccontextmanager
-    async def _cut(self, server: SoakServer) -> AsyncIterator[None]:
-        begun = trio.current_time()
-        try:
-            yield
-        finally:
-            self.ledger.cut[server.id].append((begun, trio.current_time()))
-
     async def _replace(self, server: SoakServer, way: Proxy, background: trio.Nursery) -> None:
         """Lists another server instead of one that says that it leaves."""
         if server.leaving:
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -6,7 +6,7 @@
 import trio
 
 from camphordrift.platform.soak._ledger import STREAM_EVENTS, Ledger, Run, stream_event
-from camphordrift.testing import HttpRequest, answer_requests
+from camphordrift.testing import HttpRequest, serve_requests
 
 
 class ServerMode(Enum):
@@ -42,13 +42,7 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled."""
-        listeners = await trio.open_tcp_listeners(self.port, host=self.host)
-        task_status.started()
-        await trio.serve_listeners(self._serve, listeners)
-
-    async def _serve(self, stream: trio.SocketStream) -> None:
-        async with stream:
-            await answer_requests(stream, self._answer)
+        await serve_requests(self.host, self.port, self._answer, task_status)
 
     async def _answer(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
         if request.headers.get("camphordrift-expect-instance") != self.id:
--- a/camphordrift/platform/soak/_store.py
+++ b/camphordrift/platform/soak/_store.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio
 
-from camphordrift.testing import HttpRequest, answer_requests
+from camphordrift.testing import HttpRequest, serve_requests
 
 
 class StoreMode(Enum):
@@ -45,13 +45,7 @@
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled."""
-        listeners = await trio.open_tcp_listeners(self.port, host=self.host)
-        task_status.started()
-        await trio.serve_listeners(self._serve, listeners)
-
-    async def _serve(self, stream: trio.SocketStream) -> None:
-        async with stream:
-            await answer_requests(stream, self._answer)
+        await serve_requests(self.host, self.port, self._answer, task_status)
 
     async def _answer(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
         if self.mode is StoreMode.BUSY:
--- a/camphordrift/platform/soak/_vm.py
+++ b/camphordrift/platform/soak/_vm.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from contextlib import AbstractContextManager
 from pathlib import Path
 from typing import Optional
 
@@ -61,7 +62,10 @@
 
     async def start(self) -> None:
         """Starts the process and waits until it takes callers."""
-        begun = trio.current_time()
+        with self._disturbed():
+            await self._start()
+
+    async def _start(self) -> None:
         self._expects_end = False
         with self._output.open("ab") as output, self._errors.open("ab") as errors:
             self._process = subprocess.Popen(
@@ -74,30 +78,26 @@
         with trio.move_on_after(READY_TIME):
             while not await self._ready():
                 await trio.sleep(0.1)
-        self._note_disturbed(begun)
 
     async def kill(self, down: float) -> None:
         """Kills the process and starts it again after ``down`` seconds."""
-        begun = trio.current_time()
-        await self._end(signal.SIGKILL)
-        await trio.sleep(down)
-        await self.start()
-        self._note_disturbed(begun)
+        with self._disturbed():
+            await self._end(signal.SIGKILL)
+            await trio.sleep(down)
+            await self._start()
 
     async def restart(self) -> None:
         """Asks the process to end, and starts it again."""
-        begun = trio.current_time()
-        await self._end(signal.SIGTERM)
-        await self.start()
-        self._note_disturbed(begun)
+        with self._disturbed():
+            await self._end(signal.SIGTERM)
+            await self._start()
 
     async def pause(self, seconds: float) -> None:
         """Stops the process for a while."""
-        begun = trio.current_time()
-        self._signal(signal.SIGSTOP)
-        await trio.sleep(seconds)
-        self._signal(signal.SIGCONT)
-        self._note_disturbed(begun)
+        with self._disturbed():
+            self._signal(signal.SIGSTOP)
+            await trio.sleep(seconds)
+            self._signal(signal.SIGCONT)
 
     def hang_up(self) -> None:
         """Tells the process that its settings may have changed."""
@@ -135,9 +135,8 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
-    def _note_disturbed(self, begun: float) -> None:
-        span = (begun, trio.current_time() + AFTERMATH)
-        self._ledger.disturbed[self.name].append(span)
+    def _disturbed(self) -> AbstractContextManager[None]:
+        return self._ledger.noting(self._ledger.disturbed[self.name], AFTERMATH)
 
     async def _ready(self) -> bool:
         with contextlib.suppress(OSError, trio.BrokenResourceError), trio.move_on_after(0.5):
--- a/camphordrift/relay/tests/fleet.py
+++ b/camphordrift/relay/tests/fleet.py
@@ -16,11 +16,11 @@
     MemoryLog,
     SampleDocuments,
     ScriptedServer,
-    SeenRequest,
     adapters,
+    attempt_of,
     settings,
 )
-from camphordrift.testing import own_loopback_network
+from camphordrift.testing import HttpRequest, own_loopback_network
 
 #: Seconds in which every test has ended.
 TEST_TIMEOUT = 20.0
@@ -177,37 +177,37 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def stream_head(seen: SeenRequest, signed: bool = True) -> bytes:
+def stream_head(seen: HttpRequest, signed: bool = True) -> bytes:
     """Returns the head of a streamed answer."""
     signature = b"x-signature: s\r\n" if signed else b""
     return (
         b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
         + signature
-        + f"x-attempt: {seen.attempt}\r\n\r\n".encode()
+        + f"x-attempt: {attempt_of(seen)}\r\n\r\n".encode()
     )
 
 
-def plain_answer(seen: SeenRequest, status: str = "200 OK", body: bytes = b"done") -> bytes:
+def plain_answer(seen: HttpRequest, status: str = "200 OK", body: bytes = b"done") -> bytes:
     """Returns a whole plain answer."""
-    head = f"HTTP/1.1 {status}\r\nx-signature: s\r\nx-attempt: {seen.attempt}\r\n"
+    head = f"HTTP/1.1 {status}\r\nx-signature: s\r\nx-attempt: {attempt_of(seen)}\r\n"
     return head.encode() + b"content-length: %d\r\n\r\n" % len(body) + body
 
 
-async def whole_stream(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+async def whole_stream(seen: HttpRequest, stream: trio.SocketStream) -> bool:
     """Answers with events 1 to 5, or what is left of them."""
     first = int(seen.headers.get("last-event-id", "0")) + 1
     await stream.send_all(stream_head(seen) + chunk(events(first, 5)) + b"0\r\n\r\n")
     return True
 
 
-async def plain_success(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+async def plain_success(seen: HttpRequest, stream: trio.SocketStream) -> bool:
     """Answers with a whole plain answer."""
     await stream.send_all(plain_answer(seen))
     return True
 
 
-async def not_run(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+async def not_run(seen: HttpRequest, stream: trio.SocketStream) -> bool:
     """Says that the request did not run."""
-    head = f"HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nx-attempt: {seen.attempt}\r\n"
+    head = f"HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nx-attempt: {attempt_of(seen)}\r\n"
     await stream.send_all(head.encode() + b"content-length: 0\r\n\r\n")
     return True
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -1,7 +1,6 @@
 """Samples for the relay's tests: values, an adapter, a log in memory, scripted servers."""
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Optional
 
 import trio
@@ -31,7 +30,12 @@
     StoreError,
 )
 from camphordrift.relay._placement_values import Ask
-from camphordrift.testing import HttpRequest, answer_requests, own_loopback_network
+from camphordrift.testing import (
+    HttpRequest,
+    RequestScript,
+    answer_requests,
+    own_loopback_network,
+)
 
 #: The engines of today's deployments (service documents of both sites).
 COSTS = EngineCosts(
@@ -244,21 +248,9 @@
         return f"release {reservation_id}".encode()
 
 
-@dataclass
-class SeenRequest:
-    """A request as a scripted server got it."""
-
-    target: str
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def attempt(self) -> str:
-        """The id of the caller's attempt."""
-        return self.headers.get("x-attempt", "")
-
-
-Script = Callable[[SeenRequest, trio.SocketStream], Awaitable[bool]]
+def attempt_of(request: HttpRequest) -> str:
+    """Returns the id of the caller's attempt, as a server got it."""
+    return request.headers.get("x-attempt", "")
 
 
 class ScriptedServer:
@@ -267,10 +259,10 @@
     The script returns whether the connection goes on.
     """
 
-    def __init__(self, entry: BackendServer, script: Script) -> None:
+    def __init__(self, entry: BackendServer, script: RequestScript) -> None:
         self.entry = entry
         self.script = script
-        self.seen: list[SeenRequest] = []
+        self.seen: list[HttpRequest] = []
         self.connections = 0
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -285,9 +277,8 @@
         self.connections += 1
 
         async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
-            seen = SeenRequest(request.target, request.headers, request.body)
-            self.seen.append(seen)
-            return await self.script(seen, stream)
+            self.seen.append(request)
+            return await self.script(request, stream)
 
         await answer_requests(stream, answer)
 
--- a/camphordrift/relay/tests/test_reservations.py
+++ b/camphordrift/relay/tests/test_reservations.py
@@ -18,7 +18,8 @@
     ReservationRefusedError,
     ReservedPart,
 )
-from camphordrift.relay.tests.samples import SampleOrders, ScriptedServer, SeenRequest, server
+from camphordrift.relay.tests.samples import SampleOrders, ScriptedServer, server
+from camphordrift.testing import HttpRequest
 
 pytestmark = pytest.mark.sockets
 
@@ -26,17 +27,17 @@
 FREE_TIME = 4.0
 
 
-async def takes_orders(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+async def takes_orders(seen: HttpRequest, stream: trio.SocketStream) -> bool:
     await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
     return True
 
 
-async def refuses(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+async def refuses(seen: HttpRequest, stream: trio.SocketStream) -> bool:
     await stream.send_all(b"HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n")
     return True
 
 
-async def says_nothing(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+async def says_nothing(seen: HttpRequest, stream: trio.SocketStream) -> bool:
     await stream.receive_some(1)
     return False
 
--- a/camphordrift/relay/tests/test_whole_path.py
+++ b/camphordrift/relay/tests/test_whole_path.py
@@ -30,17 +30,16 @@
     CONFIGURATION,
     TOPICS,
     ScriptedServer,
-    SeenRequest,
     server,
 )
+from camphordrift.testing import HttpRequest, RequestScript
 
 pytestmark = pytest.mark.sockets
 
-Script = Callable[[SeenRequest, trio.SocketStream], Awaitable[bool]]
 Body = Callable[[Fleet, list[ScriptedServer]], Awaitable[None]]
 
 
-def run(body: Body, *scripts: Script, service: str = "engines") -> None:
+def run(body: Body, *scripts: RequestScript, service: str = "engines") -> None:
     async def main() -> None:
         servers = [
             ScriptedServer(server(number, service, port=0), script)
@@ -52,11 +51,11 @@
     trio.run(main)
 
 
-def once(first: Script, then: Script) -> Script:
+def once(first: RequestScript, then: RequestScript) -> RequestScript:
     """Returns a script whose first answer, over all servers that share it, differs."""
     answered = []
 
-    async def script(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+    async def script(seen: HttpRequest, stream: trio.SocketStream) -> bool:
         answered.append(seen)
         return await (first if len(answered) == 1 else then)(seen, stream)
 
@@ -77,7 +76,7 @@
         run(body, whole_stream)
 
     def test_a_stream_that_breaks_off_goes_on_elsewhere(self) -> None:
-        async def breaks_inside_an_event(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def breaks_inside_an_event(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(stream_head(seen) + chunk(events(1, 3) + b"id: 4\nda"))
             return False
 
@@ -91,7 +90,7 @@
         run(body, script, script)
 
     def test_the_engines_are_told_that_only_the_rest_is_left(self) -> None:
-        async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def breaks(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
             return False
 
@@ -113,7 +112,7 @@
         run(body, script, script)
 
     def test_a_long_prompts_stream_that_breaks_off_goes_on_elsewhere(self) -> None:
-        async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def breaks(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
             return False
 
@@ -127,11 +126,11 @@
         run(body, script, script)
 
     def test_events_that_come_twice_are_passed_on_once(self) -> None:
-        async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def breaks(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
             return False
 
-        async def from_the_start(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def from_the_start(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(stream_head(seen) + chunk(events(1, 5)) + b"0\r\n\r\n")
             return True
 
@@ -142,7 +141,7 @@
         run(body, script, script)
 
     def test_a_stream_that_cannot_be_finished_does_not_look_complete(self) -> None:
-        async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def breaks(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
             return False
 
@@ -155,7 +154,7 @@
 
     def test_a_stream_that_finds_no_other_server_is_reported_as_broken_off(self) -> None:
         async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
-            async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+            async def breaks(seen: HttpRequest, stream: trio.SocketStream) -> bool:
                 await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
                 fleet.log.put(TOPICS.servers, servers[0].entry.id, None)
                 await trio.sleep(0.3)
@@ -169,11 +168,11 @@
         run(body, whole_stream)
 
     def test_a_stream_whose_rest_another_server_fails_is_reported_as_broken_off(self) -> None:
-        async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def breaks(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(stream_head(seen) + chunk(events(1, 3)))
             return False
 
-        async def fails(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def fails(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(plain_answer(seen, "500 Internal Server Error"))
             return True
 
@@ -190,14 +189,14 @@
             reply = await fleet.call("/quick/x", last_event_id="2")
             self.assertEqual(events(3, 5), reply.body)
 
-        async def keeps_header(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def keeps_header(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(stream_head(seen) + chunk(events(3, 5)) + b"0\r\n\r\n")
             return True
 
         run(body, keeps_header)
 
     def test_an_unsigned_answer_is_not_passed_on(self) -> None:
-        async def unsigned(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def unsigned(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             head = stream_head(seen, signed=False)
             await stream.send_all(head + chunk(events(1, 5)) + b"0\r\n\r\n")
             return True
@@ -211,7 +210,7 @@
         async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
             ended = trio.Event()
 
-            async def never_ends(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+            async def never_ends(seen: HttpRequest, stream: trio.SocketStream) -> bool:
                 await stream.send_all(stream_head(seen) + chunk(events(1, 1)))
                 with contextlib.suppress(trio.BrokenResourceError):
                     await stream.receive_some(1)
@@ -234,7 +233,7 @@
         async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
             ended = trio.Event()
 
-            async def never_ends(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+            async def never_ends(seen: HttpRequest, stream: trio.SocketStream) -> bool:
                 await stream.send_all(stream_head(seen))
                 with contextlib.suppress(trio.BrokenResourceError):
                     for number in itertools.count(1):
@@ -260,7 +259,7 @@
         blamed: list[str] = []
 
         async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
-            async def blames(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+            async def blames(seen: HttpRequest, stream: trio.SocketStream) -> bool:
                 others = [s.entry for s in servers if s.entry.id != seen.headers["x-server"]]
                 left = next(entry for entry in others if entry.address not in blamed)
                 if len(blamed) == 3:
@@ -281,7 +280,7 @@
 
 class OnceTest(testtools.TestCase):
     def test_a_request_that_may_have_run_is_not_sent_again(self) -> None:
-        async def breaks(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def breaks(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             return False
 
         async def body(fleet: Fleet, servers: list[ScriptedServer]) -> None:
@@ -321,7 +320,7 @@
         run(body, plain_success, service="office")
 
     def test_a_servers_own_failure_is_passed_on_unchanged(self) -> None:
-        async def fails(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def fails(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(plain_answer(seen, "500 Oops", b"it broke"))
             return True
 
@@ -333,7 +332,7 @@
         run(body, fails, service="office")
 
     def test_an_answer_cut_short_is_not_passed_on(self) -> None:
-        async def short(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def short(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(plain_answer(seen, body=b"x" * 100)[:-20])
             return False
 
@@ -345,7 +344,7 @@
 
 class TimeLimitTest(testtools.TestCase):
     def test_a_servers_answer_at_its_time_limit_is_passed_on_whole(self) -> None:
-        async def at_the_limit(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def at_the_limit(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await trio.sleep(float(seen.headers["x-time-left"]))
             await stream.send_all(plain_answer(seen, "504 Late", b"too late"))
             return True
@@ -360,7 +359,7 @@
 
 class RepeatableTest(testtools.TestCase):
     def test_a_failed_request_is_sent_to_another_server(self) -> None:
-        async def fails(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def fails(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(plain_answer(seen, "500 Oops"))
             return True
 
@@ -373,7 +372,7 @@
     def test_an_extra_answer_reaches_nobody(self) -> None:
         """A server sends a second answer, which lies where the next one is expected."""
 
-        async def twice(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def twice(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             await stream.send_all(plain_answer(seen) + plain_answer(seen, body=b"extra"))
             return True
 
@@ -386,7 +385,7 @@
         run(body, twice, service="office")
 
     def test_an_answer_to_another_request_is_not_passed_on(self) -> None:
-        async def wrong(seen: SeenRequest, stream: trio.SocketStream) -> bool:
+        async def wrong(seen: HttpRequest, stream: trio.SocketStream) -> bool:
             other = replace(seen, headers={**seen.headers, "x-attempt": "other"})
             await stream.send_all(plain_answer(other))
             return True
--- a/camphordrift/testing/_http_requests.py
+++ b/camphordrift/testing/_http_requests.py
@@ -23,6 +23,22 @@
 RequestScript = Callable[[HttpRequest, trio.SocketStream], Awaitable[bool]]
 
 
+async def serve_requests(
+    host: str,
+    port: int,
+    script: RequestScript,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Has a script answer requests on all connections until cancelled."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await answer_requests(stream, script)
+
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    task_status.started()
+    await trio.serve_listeners(serve, listeners)
+
+
 async def answer_requests(stream: trio.SocketStream, script: RequestScript) -> None:
     """Has a script answer the requests on a connection, one after the other, until either ends."""
     protocol = h11.Connection(h11.SERVER)
