Avoid and inspect engines whose state is unknown, and end suspicion with time

Engines go on with such requests, and the new leader knew nothing of them: four requests each were sent to engines that did not respond in time, and their failure counts were never reset, since nothing was placed there that could have shown that they had recovered. Long prompts avoided them for good while two other engines were healthy; one of 210,000 tokens waited 12 s beside seven idle engines until its caller left, untried.

Change: EngineHealth decides from outcomes and from reports. The scheduling VM requests a report from each new engine and from each that failed, at most twice a second. Engines with unknown requests and engines whose first event is overdue are chosen last, unreachable ones get no request for up to 15 s, and an engine whose unknown requests have ended is used at once. Suspicion ends 4 s after the backoff, and long prompts fall back to suspect engines rather than wait.

FailureTest.test_a_failed_engine_gets_one_request_until_it_responds let the first request choose its engine, which is now the healthy one; it names the failed engine instead and checks that nothing follows before the engine responds.

--- a/camphordrift/platform/__main__.py
+++ b/camphordrift/platform/__main__.py
@@ -3,6 +3,7 @@
 from camphordrift.platform._documents import PlatformDocuments
 from camphordrift.platform._headers import PlatformHeaders
 from camphordrift.platform._orders import PlatformOrders
+from camphordrift.platform._reports import PlatformReports
 from camphordrift.platform._settings import load_settings
 from camphordrift.platform._store import PlatformStore
 from camphordrift.relay import Adapters, LogTopics, run_relay
@@ -26,6 +27,7 @@
             headers=PlatformHeaders(),
             documents=PlatformDocuments(),
             orders=PlatformOrders(),
+            reports=PlatformReports(),
             log=PlatformStore(settings.store),
             topics=_TOPICS,
         ),
--- /dev/null
+++ b/camphordrift/platform/_reports.py
@@ -0,0 +1,32 @@
+"""Parses the reports in which engines state their load."""
+
+import msgspec
+
+from camphordrift.relay import EngineReport
+
+
+class _Report(msgspec.Struct, rename="pascal", frozen=True):
+    running: int
+    queued: int
+
+
+_decoder = msgspec.json.Decoder(_Report)
+
+
+class PlatformReports:
+    """Implements :class:`camphordrift.relay.ReportFormat`."""
+
+    @property
+    def path(self) -> bytes:
+        """URL path of an engine's report."""
+        return b"/v1/report"
+
+    def parse(self, content: bytes) -> EngineReport:
+        """Parses a report.
+
+        Raises:
+            ValueError: The report is malformed.
+
+        """
+        report = _decoder.decode(content)
+        return EngineReport(report.running, report.queued)
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -6,11 +6,13 @@
     PlatformDocuments,
     PlatformHeaders,
     PlatformOrders,
+    PlatformReports,
     decode_settings,
 )
 from camphordrift.relay import (
     Account,
     Address,
+    EngineReport,
     ForwardingMetadata,
     PrefillHelper,
     Reservation,
@@ -194,3 +196,16 @@
             orders.reserve(Reservation("t1", 60000, 3.5)),
         )
         self.assertEqual(b'{"Id":"t1","Operation":"release"}', orders.release("t1"))
+
+
+class ReportTest(testtools.TestCase):
+    def test_running_and_waiting_requests(self) -> None:
+        report = PlatformReports().parse(
+            b'{"Phase":"combined","Busy":false,"Seq":0,"Queued":2,"Running":5,"KvUsed":41789,'
+            b'"KvTotal":450000,"pace":1.0,"Tickets":[]}'
+        )
+        self.assertEqual(EngineReport(running=5, waiting=2), report)
+
+    def test_a_malformed_report_is_an_error(self) -> None:
+        for content in (b"", b"{}", b'{"Running":"5","Queued":0}', b"[1, 2]"):
+            self.assertRaises(ValueError, PlatformReports().parse, content)
--- /dev/null
+++ b/camphordrift/relay/_engine_inspection.py
@@ -0,0 +1,101 @@
+"""Requests reports from engines whose state is unknown, while this VM schedules for others."""
+
+from collections.abc import Callable
+from typing import Optional
+
+import trio
+
+from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay._engine_scheduler import EngineScheduler
+from camphordrift.relay._http_client import BrokenAnswerError, ConnectionPool
+from camphordrift.relay._interfaces import ReportFormat
+from camphordrift.relay._values import BackendServer, EngineReport
+
+#: Seconds between checks of which reports are due.
+CHECK_INTERVAL = 0.1
+
+#: Seconds without a leader after which a VM requests reports. VMs that start together have no
+#: leader for a short time, and each would otherwise request a report from every engine.
+SETTLING_PERIOD = 0.3
+
+#: Timeout of a report in seconds.
+REPORT_TIMEOUT = 0.4
+
+#: Maximum number of reports that are requested at the same time.
+MAX_CONCURRENT_REPORTS = 32
+
+#: Seconds for which a connection is kept open for reuse after a report.
+REPORT_CONNECTION_IDLE = 2.0
+
+
+class EngineInspector:
+    """Requests the reports that the engine scheduler needs, and passes them to it.
+
+    Args:
+        scheduler: Decides which reports are needed.
+        connections: Connections to backend servers.
+        report_format: Path and format of the engines' reports.
+        schedules_locally: Returns whether this VM has no leader that schedules for it.
+
+    """
+
+    def __init__(
+        self,
+        scheduler: EngineScheduler,
+        connections: ConnectionPool,
+        report_format: ReportFormat,
+        schedules_locally: Callable[[], bool],
+    ) -> None:
+        self._scheduler = scheduler
+        self._connections = connections
+        self._format = report_format
+        self._schedules_locally = schedules_locally
+        self._limiter = trio.CapacityLimiter(MAX_CONCURRENT_REPORTS)
+
+    async def run(self) -> None:
+        """Requests reports until cancelled."""
+        leaderless_since = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(CHECK_INTERVAL)
+                now = trio.current_time()
+                if not self._schedules_locally():
+                    leaderless_since = now
+                elif now - leaderless_since >= SETTLING_PERIOD:
+                    for server in self._scheduler.servers_to_inspect():
+                        nursery.start_soon(self._inspect, server)
+
+    async def _inspect(self, server: BackendServer) -> None:
+        report: Optional[EngineReport] = None
+        async with self._limiter:
+            with trio.move_on_after(REPORT_TIMEOUT):
+                report = await self._request_report(server)
+        log_event(
+            "engine_report",
+            level=LogLevel.WARNING if report is None else LogLevel.INFO,
+            server=server.id,
+            running=None if report is None else report.running,
+            queued=None if report is None else report.waiting,
+        )
+        self._scheduler.record_report(server, report)
+
+    async def _request_report(self, server: BackendServer) -> Optional[EngineReport]:
+        idle_timeout = 0.0
+        try:
+            connection = await self._connections.acquire(server.host, server.port)
+        except OSError as error:
+            log_event("engine_unreachable", server=server.id, reason=str(error))
+            return None
+        try:
+            headers = [(b"host", server.address.encode())]
+            status, content = await connection.exchange(b"GET", self._format.path, headers, b"")
+            idle_timeout = REPORT_CONNECTION_IDLE
+            if status != 200:
+                log_event("engine_report_refused", server=server.id, status=status)
+                return None
+            return self._format.parse(content)
+        except (BrokenAnswerError, OSError, ValueError) as error:
+            log_event("engine_report_unreadable", server=server.id, reason=str(error))
+            return None
+        finally:
+            self._connections.release(server.host, server.port, connection, idle_timeout)
--- a/camphordrift/relay/_engine_load.py
+++ b/camphordrift/relay/_engine_load.py
@@ -4,17 +4,9 @@
 from dataclasses import dataclass
 from typing import Optional
 
+from camphordrift.relay._engine_health import EngineHealth
 from camphordrift.relay._values import BackendServer, EngineCosts
 
-#: Backoff in seconds after an engine's first failure; each further failure in a row doubles it.
-INITIAL_BACKOFF = 1.0
-
-#: Backoff in seconds after an engine rejected a request; doubled in the same way.
-REJECTION_BACKOFF = 0.3
-
-#: Upper bound of the backoff in seconds.
-MAX_BACKOFF = 8.0
-
 #: Weight of the newest observation in the moving average of an engine's latency factor, the ratio
 #: of its observed iteration time to the time predicted from the configured costs.
 LATENCY_FACTOR_WEIGHT = 0.5
@@ -40,6 +32,8 @@
     is_prefilling: bool
     #: Whether the engine only prefills a part of the prompt for another engine.
     is_helper: bool
+    #: Time by which the first event arrives unless the engine is much slower than expected.
+    overdue_at: float = float("inf")
 
 
 @dataclass(frozen=True)
@@ -51,6 +45,8 @@
     decoding_requests: int = 0
     prefilling_requests: int = 0
     min_gap_target: Optional[float] = None
+    #: Earliest :attr:`EngineTask.overdue_at` of the prompts in prefill.
+    overdue_at: float = float("inf")
 
 
 class EngineLoad:
@@ -63,8 +59,7 @@
         #: Cached, because every placement looks at every engine.
         self._totals = _LoadTotals()
         self._prefill_until = 0.0
-        self._backoff_until = 0.0
-        self._failures = 0
+        self._health = EngineHealth()
         self._latency_factor = 1.0
 
     @property
@@ -78,9 +73,9 @@
         return self._latency_factor
 
     @property
-    def failures(self) -> int:
-        """Consecutive failures and rejections."""
-        return self._failures
+    def health(self) -> EngineHealth:
+        """Tracks the engine's failures and reports."""
+        return self._health
 
     @property
     def prefilling_requests(self) -> int:
@@ -111,9 +106,13 @@
         """Replaces the engine's costs by those of a new configuration."""
         self._costs = costs
 
-    def is_backing_off(self, now: float) -> bool:
-        """Returns whether the engine gets no requests because of recent failures."""
-        return now < self._backoff_until
+    def is_suspect(self, now: float) -> bool:
+        """Returns whether other engines are preferred to this one.
+
+        That is the case after failures, and while a first event is overdue: an engine that crashed
+        without closing its connections stays listed until its heartbeat is missed.
+        """
+        return now > self._totals.overdue_at or self._health.is_suspect(now)
 
     def iteration_time(self) -> float:
         """Returns the expected seconds of one engine iteration without prefill."""
@@ -142,8 +141,7 @@
         if task is None:
             return
         task.is_prefilling = False
-        # An event proves that the engine responds.
-        self._failures = 0
+        self._health.record_response()
         if task.is_helper and not task.memory_tokens:
             del self._tasks[ask_id]
         self._totals = _totals_of(self._tasks.values())
@@ -162,27 +160,6 @@
         observed = min(high, max(low, seconds / configured))
         self._latency_factor += (observed - self._latency_factor) * LATENCY_FACTOR_WEIGHT
 
-    def record_failure(self, now: float) -> None:
-        """Starts a backoff after the engine failed."""
-        self._start_backoff(now, INITIAL_BACKOFF)
-
-    def record_rejection(self, now: float) -> None:
-        """Starts a backoff after a rejection.
-
-        A rejecting engine has less free capacity than estimated, or is about to shut down.
-        """
-        self._start_backoff(now, REJECTION_BACKOFF)
-
-    def record_success(self) -> None:
-        """Resets the count of consecutive failures."""
-        self._failures = 0
-
-    def _start_backoff(self, now: float, initial: float) -> None:
-        """Starts an exponential backoff with ``initial`` seconds."""
-        backoff = min(MAX_BACKOFF, initial * 2**self._failures)
-        self._failures += 1
-        self._backoff_until = max(self._backoff_until, now + backoff)
-
     def _limit_pending_prefill(self, now: float) -> None:
         """Lowers the estimate of pending prefill to the sum over the tasks that are still there."""
         remaining = sum(
@@ -196,11 +173,14 @@
 def _totals_of(tasks: Iterable[EngineTask]) -> _LoadTotals:
     memory = context = decoding = prefilling = 0
     shortest: Optional[float] = None
+    overdue_at = float("inf")
     for task in tasks:
         memory += task.memory_tokens
         context += task.context_tokens
-        prefilling += task.is_prefilling
+        if task.is_prefilling:
+            prefilling += 1
+            overdue_at = min(overdue_at, task.overdue_at)
         if not task.is_helper:
             decoding += 1
             shortest = task.gap_target if shortest is None else min(shortest, task.gap_target)
-    return _LoadTotals(memory, context, decoding, prefilling, shortest)
+    return _LoadTotals(memory, context, decoding, prefilling, shortest, overdue_at)
--- a/camphordrift/relay/_engine_planner.py
+++ b/camphordrift/relay/_engine_planner.py
@@ -42,9 +42,6 @@
 #: while, and this limits the requests that are sent to it in that time.
 MAX_PREFILLING_REQUESTS = 3
 
-#: Long prompts avoid engines with failures if at least this many engines have none.
-MIN_HEALTHY_ENGINES = 2
-
 #: Share of an engine's KV memory that one prompt may take before it is split over several engines.
 MAX_MEMORY_SHARE = 0.95
 
@@ -95,7 +92,8 @@
     free_slots: int
     free_memory: int
     prefilling_requests: int
-    failures: int
+    #: Whether other engines are preferred.
+    is_suspect: bool
 
     def expected_first_event_seconds(self, part_seconds: float) -> float:
         """Returns the expected time to the first event of a prompt that is prefilled here."""
@@ -181,7 +179,7 @@
             free_slots=engine.free_slots,
             free_memory=engine.free_memory,
             prefilling_requests=engine.prefilling_requests,
-            failures=engine.failures,
+            is_suspect=engine.is_suspect(self._now),
         )
 
     def _plan_short(
@@ -203,13 +201,14 @@
             if snapshot.free_slots > 0
             and snapshot.free_memory >= memory
             and prefill <= snapshot.max_part_seconds
-            and snapshot.prefilling_requests < (1 if snapshot.failures else MAX_PREFILLING_REQUESTS)
+            and snapshot.prefilling_requests < _max_prefilling_requests(snapshot)
         ]
 
-        def rank(snapshot: _EngineSnapshot) -> tuple[bool, bool, int, float]:
+        def rank(snapshot: _EngineSnapshot) -> tuple[bool, bool, bool, int, float]:
             first_event_seconds = snapshot.expected_first_event_seconds(prefill)
             gap_target = snapshot.min_gap_target
             return (
+                snapshot.is_suspect,
                 first_event_seconds > objective * SHORT_OBJECTIVE_SHARE,
                 gap_target is None or gap_target > request.pause,
                 -snapshot.decoding_requests,
@@ -229,9 +228,19 @@
         snapshots: list[_EngineSnapshot],
         objective: float,
     ) -> Optional[Plan]:
-        healthy = [snapshot for snapshot in snapshots if not snapshot.failures]
-        if len(healthy) >= MIN_HEALTHY_ENGINES:
-            snapshots = healthy
+        healthy = [snapshot for snapshot in snapshots if not snapshot.is_suspect]
+        plan = self._plan_long_on(request, prefill, healthy, objective)
+        if plan is None and len(healthy) < len(snapshots):
+            plan = self._plan_long_on(request, prefill, snapshots, objective)
+        return plan
+
+    def _plan_long_on(
+        self,
+        request: PlacementRequest,
+        prefill: float,
+        snapshots: list[_EngineSnapshot],
+        objective: float,
+    ) -> Optional[Plan]:
         if not snapshots:
             return None
         wanted_parts = min(
@@ -304,7 +313,7 @@
 
 def is_usable(engine: EngineLoad, now: float) -> bool:
     """Returns whether an engine may get new requests."""
-    return not engine.is_backing_off(now) and engine.server.state is ServerState.READY
+    return not engine.health.is_backing_off(now) and engine.server.state is ServerState.READY
 
 
 def required_memory(request: PlacementRequest) -> int:
@@ -312,6 +321,10 @@
     return request.prompt_tokens + request.answer_tokens
 
 
+def _max_prefilling_requests(snapshot: _EngineSnapshot) -> int:
+    return 1 if snapshot.is_suspect else MAX_PREFILLING_REQUESTS
+
+
 def _plan_of(
     request: PlacementRequest,
     part_seconds: float,
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -23,13 +23,19 @@
     PlacementRequest,
     RefusalReason,
 )
-from camphordrift.relay._values import BackendServer, EngineCosts
+from camphordrift.relay._values import BackendServer, EngineCosts, EngineReport
 
 #: Requests that miss their target time to the first event are deferred in favour of those that can
 #: still meet it, but only during this share of the time from submission to deadline. The rest is
 #: left for serving the request before its deadline.
 DEFERRAL_SHARE = 0.5
 
+#: A first event is overdue, which suggests that the engine crashed, after the expected time times
+#: :data:`OVERDUE_FACTOR` plus :data:`OVERDUE_SLACK` seconds. Prompts that arrive later may delay a
+#: first event.
+OVERDUE_FACTOR = 2.0
+OVERDUE_SLACK = 0.15
+
 #: Seconds after a request's deadline at which its engines are released if its end has not been
 #: reported.
 FINISH_REPORT_TIMEOUT = 1.0
@@ -184,6 +190,19 @@
             _record_outcome(engine_at_fault, outcome, now)
         return True
 
+    def servers_to_inspect(self, now: float) -> list[BackendServer]:
+        """Returns the engines from which a report is needed now; each counts as requested."""
+        due = [engine for engine in self._engines.values() if engine.health.is_report_due(now)]
+        for engine in due:
+            engine.health.record_report_requested(now)
+        return [engine.server for engine in due]
+
+    def record_report(self, server_id: str, report: Optional[EngineReport], now: float) -> None:
+        """Records an engine's report, or that it did not answer; unknown engines are ignored."""
+        engine = self._engines.get(server_id)
+        if engine is not None:
+            engine.health.record_report(report, len(engine.tasks), now)
+
     def decide(self, now: float) -> list[PlacementDecision]:
         """Returns decisions on all waiting requests that can be placed or must be refused now.
 
@@ -279,6 +298,7 @@
         return engine is not None and is_usable(engine, now)
 
     def _add_placement(self, request: PlacementRequest, plan: Plan, now: float) -> Grant:
+        overdue_at = now + plan.expected_first_event_seconds * OVERDUE_FACTOR + OVERDUE_SLACK
         for index, engine in enumerate(plan.engines):
             is_helper = index > 0
             task = EngineTask(
@@ -288,6 +308,7 @@
                 prefill_seconds=plan.part_seconds,
                 is_prefilling=True,
                 is_helper=is_helper,
+                overdue_at=overdue_at,
             )
             engine.add(request.id, task, now)
         servers = tuple(engine.server for engine in plan.engines)
@@ -323,8 +344,8 @@
 
 def _record_outcome(engine: EngineLoad, outcome: AttemptOutcome, now: float) -> None:
     if outcome is AttemptOutcome.SERVED:
-        engine.record_success()
+        engine.health.record_success()
     elif outcome is AttemptOutcome.REJECTED:
-        engine.record_rejection(now)
+        engine.health.record_rejection(now)
     elif outcome in (AttemptOutcome.FAILED, AttemptOutcome.SILENT):
-        engine.record_failure(now)
+        engine.health.record_failure(now)
--- a/camphordrift/relay/_engine_scheduler.py
+++ b/camphordrift/relay/_engine_scheduler.py
@@ -12,7 +12,7 @@
     PlacementRefusal,
     PlacementRequest,
 )
-from camphordrift.relay._values import BackendServer, Service
+from camphordrift.relay._values import BackendServer, EngineReport, Service
 
 #: Delivers a decision to the VM that made the placement request.
 DecisionCallback = Callable[[PlacementDecision], None]
@@ -121,6 +121,17 @@
         for ask_id in [key for key, (_, vm) in self._owners.items() if vm == owner]:
             self.record_finished(ask_id, AttemptOutcome.SERVED)
 
+    def servers_to_inspect(self) -> list[BackendServer]:
+        """Returns the engines from which a report is needed now; each counts as requested."""
+        now = self._clock()
+        return [s for pool in self._pools.values() for s in pool.servers_to_inspect(now)]
+
+    def record_report(self, server: BackendServer, report: Optional[EngineReport]) -> None:
+        """Records an engine's report; ``None`` if it did not answer."""
+        if pool := self._pools.get(server.service):
+            pool.record_report(server.id, report, self._clock())
+            self._decide_for(pool)
+
     def suspend_decisions(self, seconds: float) -> None:
         """Suspends decisions for some seconds, until other VMs have reported their requests."""
         self._suspended_until = self._clock() + seconds
--- a/camphordrift/relay/_interfaces.py
+++ b/camphordrift/relay/_interfaces.py
@@ -7,6 +7,7 @@
 from camphordrift.relay._values import (
     BackendServer,
     Configuration,
+    EngineReport,
     ForwardingMetadata,
     RequestMetadata,
     ResponseMetadata,
@@ -71,6 +72,24 @@
         ...
 
 
+class ReportFormat(Protocol):
+    """Parses the reports in which engines state their load."""
+
+    @property
+    def path(self) -> bytes:
+        """URL path of an engine's report."""
+        ...
+
+    def parse(self, content: bytes) -> EngineReport:
+        """Parses a report.
+
+        Raises:
+            ValueError: The report is malformed.
+
+        """
+        ...
+
+
 @dataclass(frozen=True)
 class KeyedRecord:
     """A record of a keyed log; one without a value is a tombstone that deletes the key."""
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -20,6 +20,7 @@
 from camphordrift.relay._configuration_lease import ConfigurationLease
 from camphordrift.relay._counted_log import CountedLog
 from camphordrift.relay._dispatcher import Dispatcher
+from camphordrift.relay._engine_inspection import EngineInspector
 from camphordrift.relay._engine_scheduler import EngineScheduler
 from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay._http_server import CallerConnection, CallerRequest, ResponseWriter
@@ -29,6 +30,7 @@
     KeyedLog,
     LogTopics,
     OrderFormat,
+    ReportFormat,
 )
 from camphordrift.relay._leader_election import LeaderElection
 from camphordrift.relay._peer_messages import Member
@@ -83,6 +85,7 @@
     headers: HeaderFormat
     documents: DocumentFormat
     orders: OrderFormat
+    reports: ReportFormat
     log: KeyedLog
     topics: LogTopics
 
@@ -133,6 +136,12 @@
             self._updates,
         )
         self._connections = ConnectionPool(BACKEND_CONNECT_TIMEOUT)
+        self._inspector = EngineInspector(
+            self._scheduler,
+            self._connections,
+            adapters.reports,
+            lambda: self._dispatcher.schedules_locally,
+        )
         self._routing_state = RoutingState(
             table=lambda: self._configuration.table,
             lease=self._lease,
@@ -163,6 +172,7 @@
                 nursery.start_soon(self._configuration.run)
                 nursery.start_soon(self._servers.run)
                 nursery.start_soon(self._election.run)
+                nursery.start_soon(self._inspector.run)
                 nursery.start_soon(self._run_periodic_tasks)
                 nursery.start_soon(self._flush_log)
                 nursery.start_soon(self._serve_readiness)
--- a/camphordrift/relay/_values.py
+++ b/camphordrift/relay/_values.py
@@ -174,6 +174,16 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclass(frozen=True)
+class EngineReport:
+    """An engine's own statement of its load, some hundred milliseconds old."""
+
+    #: Number of requests in prefill or decode, parts of other engines' prompts included.
+    running: int
+    #: Number of requests that wait on the engine.
+    waiting: int
+
+
 @dataclass(frozen=True)
 class RequestMetadata:
     """Request metadata from the caller's headers, except for host and path."""
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -13,6 +13,7 @@
     Batch,
     Configuration,
     EngineCosts,
+    EngineReport,
     ForwardingMetadata,
     Headers,
     KeyedRecord,
@@ -237,6 +238,17 @@
         return sent
 
 
+class SampleReports:
+    """Implements :class:`ReportFormat`; a report is two numbers."""
+
+    path = b"/report"
+
+    def parse(self, content: bytes) -> EngineReport:
+        """Parses a report."""
+        running, waiting = content.split()
+        return EngineReport(int(running), int(waiting))
+
+
 class SampleOrders:
     """Implements :class:`OrderFormat` with plain text."""
 
@@ -266,8 +278,10 @@
     def __init__(self, entry: BackendServer, script: HttpRequestHandler) -> None:
         self.entry = entry
         self.script = script
+        #: Requests of callers, without the reports that the relay requested.
         self.requests: list[HttpRequest] = []
         self.connections = 0
+        self.report = b"0 0"
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled."""
@@ -281,6 +295,10 @@
         self.connections += 1
 
         async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            if request.target.encode() == SampleReports.path:
+                head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(self.report)
+                await stream.send_all(head + self.report)
+                return True
             self.requests.append(request)
             return await self.script(request, stream)
 
@@ -310,6 +328,7 @@
         headers=SampleHeaders(),
         documents=documents,
         orders=SampleOrders(),
+        reports=SampleReports(),
         log=log,
         topics=TOPICS,
     )
--- /dev/null
+++ b/camphordrift/relay/tests/test_engine_inspection.py
@@ -0,0 +1,78 @@
+"""Tests of the reports that a VM requests from engines, over sockets."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import testtools
+import trio
+
+from camphordrift.relay._engine_inspection import SETTLING_PERIOD, EngineInspector
+from camphordrift.relay._engine_scheduler import EngineScheduler
+from camphordrift.relay._http_client import ConnectionPool
+from camphordrift.relay.tests.samples import (
+    CONFIGURATION,
+    SampleReports,
+    ScriptedServer,
+    server,
+)
+from camphordrift.testing import HttpRequest
+
+pytestmark = pytest.mark.sockets
+
+
+async def never_called(request: HttpRequest, stream: trio.SocketStream) -> bool:
+    raise AssertionError("an engine got a request")
+
+
+class EngineInspectorTest(testtools.TestCase):
+    def test_a_vm_without_a_leader_inspects_each_engine(self) -> None:
+        async def scenario(scheduler: EngineScheduler, engine: ScriptedServer) -> None:
+            engine.report = b"3 1"
+            while not self._is_suspect(scheduler):
+                await trio.sleep(0.01)
+            self.assertEqual(1, engine.connections)
+
+        self._run(scenario, schedules_locally=True)
+
+    def test_a_follower_inspects_no_engine(self) -> None:
+        async def scenario(scheduler: EngineScheduler, engine: ScriptedServer) -> None:
+            await trio.sleep(SETTLING_PERIOD * 3)
+            self.assertEqual(0, engine.connections)
+
+        self._run(scenario, schedules_locally=False)
+
+    def test_an_unreadable_report_counts_as_none(self) -> None:
+        async def scenario(scheduler: EngineScheduler, engine: ScriptedServer) -> None:
+            engine.report = b"not a report"
+            while engine.connections == 0:
+                await trio.sleep(0.01)
+            await trio.sleep(0.1)
+            self.assertFalse(self._is_suspect(scheduler))
+
+        self._run(scenario, schedules_locally=True)
+
+    def _is_suspect(self, scheduler: EngineScheduler) -> bool:
+        (engine,) = scheduler._pools["engines"]._engines.values()
+        return engine.is_suspect(trio.current_time())
+
+    def _run(
+        self,
+        scenario: Callable[[EngineScheduler, ScriptedServer], Awaitable[None]],
+        schedules_locally: bool,
+    ) -> None:
+        async def main() -> None:
+            engine = ScriptedServer(server(0, port=0), never_called)
+            scheduler = EngineScheduler(trio.current_time)
+            scheduler.set_services(CONFIGURATION.services.values())
+            inspector = EngineInspector(
+                scheduler, ConnectionPool(0.5), SampleReports(), lambda: schedules_locally
+            )
+            with trio.fail_after(10):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(engine.run)
+                    scheduler.set_servers([engine.entry])
+                    nursery.start_soon(inspector.run)
+                    await scenario(scheduler, engine)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from camphordrift.relay._engine_health import MAX_INSPECTION_PERIOD
 from camphordrift.relay._engine_planner import MAX_PREFILLING_REQUESTS, PlacementRound
 from camphordrift.relay._engine_pool import EnginePool
 from camphordrift.relay._placement_values import (
@@ -17,6 +18,7 @@
     PlacementRefusal,
     RefusalReason,
 )
+from camphordrift.relay._values import EngineReport
 from camphordrift.relay.tests.samples import COSTS, placement_request, server
 
 
@@ -197,11 +199,11 @@
         pool = pool_of(2)
         place_request(pool, "one", 500, excluded=("engines-1",))
         pool.record_finished("one", AttemptOutcome.SILENT, 0.5)
-        for number in range(8):
+        place_request(pool, "r0", 500, 2.0, excluded=("engines-1",))
+        for number in range(1, 8):
             place_request(pool, f"r{number}", 500, 2.0 + number * 0.1)
-            if number != 0:
-                pool.record_first_event(f"r{number}", 2.05 + number * 0.1)
-        self.assertTrue(len(pool._engines["engines-0"].tasks) <= 1)
+            pool.record_first_event(f"r{number}", 2.05 + number * 0.1)
+        self.assertEqual(["r0"], list(pool._engines["engines-0"].tasks))
 
     def test_long_prompts_avoid_engines_with_recent_failures(self) -> None:
         pool = pool_of(8)
@@ -210,6 +212,40 @@
         grant = place_request(pool, "long", 154_000, 5.0)
         self.assertNotIn("engines-0", _engine_ids(grant))
 
+    def test_long_prompts_use_engines_whose_failures_are_long_past(self) -> None:
+        """Guards against engines that stay unused for good after a failure.
+
+        After all VMs of amdsa-doors lost power (scale-2), seven of 14 engines did not respond in
+        time. No request was placed there afterwards that could have shown that they had recovered,
+        and a prompt of 210,000 tokens waited for 12 s beside seven idle engines.
+        """
+        pool = pool_of(14)
+        for number in range(7):
+            others = tuple(f"engines-{n}" for n in range(14) if n != number)
+            place_request(pool, f"r{number}", 500, excluded=others)
+            pool.record_finished(f"r{number}", AttemptOutcome.SILENT, 0.5)
+        grant = place_request(pool, "long", 210_000, 10.0, time_left=15.0)
+        self.assertTrue(len(_engine_ids(grant)) >= 8, grant)
+
+    def test_a_long_prompt_uses_suspect_engines_rather_than_wait_for_healthy_ones(self) -> None:
+        pool = pool_of(8)
+        for number in range(6):
+            others = tuple(f"engines-{n}" for n in range(8) if n != number)
+            place_request(pool, f"r{number}", 500, excluded=others)
+            pool.record_finished(f"r{number}", AttemptOutcome.SILENT, 0.5)
+        place_request(pool, "long", 280_000, 3.0, time_left=15.0)
+
+    def test_an_engine_with_an_overdue_first_event_gets_no_more_requests(self) -> None:
+        """Guards against several requests that are sent to a crashed engine before its timeout.
+
+        The timeout of the first event is over half a second, and the requests of that time would
+        all be late.
+        """
+        pool = pool_of(4)
+        crashed = place_request(pool, "one", 5000).server.id
+        grants = [place_request(pool, f"r{number}", 5000, 0.45) for number in range(3)]
+        self.assertNotIn(crashed, [grant.server.id for grant in grants])
+
     def test_a_slow_engine_is_chosen_last(self) -> None:
         """Guards against an equal load on an engine that is five times slower than configured."""
         pool = pool_of(2)
@@ -231,6 +267,85 @@
         place_request(pool, "later", 100, 13.0)
 
 
+class EngineReportTest(testtools.TestCase):
+    """Tests placement on engines that run requests of VMs that lost power.
+
+    When all VMs lose power, engines go on with the requests that they have: on scale-2 of
+    amdsa-doors with parts of an 880,000-token prompt, whose prefill occupied eight of 14 engines
+    for five more seconds. The new leader knows nothing of these requests.
+    """
+
+    def test_a_new_engine_is_inspected_once(self) -> None:
+        pool = pool_of(3)
+        self.assertEqual(3, len(pool.servers_to_inspect(1.0)))
+        self.assertEqual([], pool.servers_to_inspect(1.1))
+        for number in range(3):
+            pool.record_report(f"engines-{number}", EngineReport(0, 0), 1.1)
+        self.assertEqual([], pool.servers_to_inspect(9.0))
+
+    def test_engines_with_unknown_requests_are_avoided(self) -> None:
+        pool = self._pool_with_unknown_requests(8, occupied=5)
+        grants = [place_request(pool, f"r{n}", 5000, 1.0 + n * 0.01) for n in range(5)]
+        used = {grant.server.id for grant in grants}
+        pool = self._pool_with_unknown_requests(8, occupied=5)
+        used |= _engine_ids(place_request(pool, "long", 154_000, 1.0))
+        self.assertEqual(set(), used & {f"engines-{number}" for number in range(5)})
+
+    def test_an_engine_is_used_after_its_unknown_requests_have_ended(self) -> None:
+        pool = self._pool_with_unknown_requests(1, occupied=1)
+        place_request(pool, "one", 5000, 1.0)
+        pool.record_finished("one", AttemptOutcome.SILENT, 2.0)
+        pool.submit(placement_request("waits", 5000), 2.0)
+        for step in range(1, 8):
+            pool.servers_to_inspect(2.0 + step * 0.5)
+            pool.record_report("engines-0", EngineReport(1, 0), 2.0 + step * 0.5)
+            self.assertEqual([], pool.decide(2.0 + step * 0.5))
+        pool.record_report("engines-0", EngineReport(0, 0), 6.0)
+        (decision,) = pool.decide(6.0)
+        self.assertIsInstance(decision, Grant)
+
+    def test_an_unreachable_engine_gets_no_requests(self) -> None:
+        """Guards against the requests of callers that find out whether a crashed engine is back."""
+        pool = pool_of(2)
+        place_request(pool, "one", 500, excluded=("engines-1",))
+        pool.record_finished("one", AttemptOutcome.FAILED, 0.1)
+        for step in range(1, 9):
+            self.assertIn("engines-0", [s.id for s in pool.servers_to_inspect(step * 0.5)])
+            pool.record_report("engines-0", None, step * 0.5)
+        pool.submit(placement_request("two", 500, excluded=("engines-1",)), 4.5)
+        self.assertEqual([], pool.decide(4.5))
+
+    def test_an_engine_that_only_the_leader_cannot_reach_is_used_again(self) -> None:
+        pool = pool_of(2)
+        place_request(pool, "one", 500, excluded=("engines-1",))
+        pool.record_finished("one", AttemptOutcome.FAILED, 0.0)
+        now = 0.0
+        while now < MAX_INSPECTION_PERIOD:
+            now += 0.1
+            for server_ in pool.servers_to_inspect(now):
+                pool.record_report(server_.id, None, now)
+        place_request(pool, "two", 500, now + 2.0, excluded=("engines-1",))
+
+    def test_a_failing_engine_with_good_reports_keeps_its_backoff(self) -> None:
+        """Guards against an engine that fails some requests although it reports no load."""
+        pool = pool_of(2)
+        for number in range(3):
+            place_request(pool, f"r{number}", 500, number * 3.0, excluded=("engines-1",))
+            pool.record_finished(f"r{number}", AttemptOutcome.FAILED, number * 3.0)
+        pool.servers_to_inspect(6.1)
+        pool.record_report("engines-0", EngineReport(0, 0), 6.1)
+        pool.submit(placement_request("next", 500, excluded=("engines-1",)), 8.0)
+        self.assertEqual([], pool.decide(8.0))
+
+    def _pool_with_unknown_requests(self, engines: int, occupied: int) -> EnginePool:
+        pool = pool_of(engines)
+        pool.servers_to_inspect(0.5)
+        for number in range(engines):
+            running = 1 if number < occupied else 0
+            pool.record_report(f"engines-{number}", EngineReport(running, 0), 0.6)
+        return pool
+
+
 class LeaderTakeoverTest(testtools.TestCase):
     def test_registered_requests_take_up_slots(self) -> None:
         """Guards against a new leader that overloads engines with requests of other VMs."""
