Tell VMs that still avoid the leader when it reaches the store again

One VM, told again at 10.8 s, followed the former leader until 20.8 s, although that one followed the new leader since 14.8 s.

Change: a VM that has followers although it follows another VM tells them while its own leader states a current configuration; they stop to avoid it. A VM's own period still ends by time alone, so that two VMs cannot follow each other.

--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -31,6 +31,7 @@
     PrefillFinished,
     Refused,
     Register,
+    StoreReachable,
     StoreUnreachable,
     Submit,
     Waiting,
@@ -275,12 +276,24 @@
             stream.socket.close()
         log_event("home_lost", level=LogLevel.WARNING, home=leader.vm, reason=reason)
 
+    def _record_store_reachable(self, vm: str) -> None:
+        """Records that another VM reaches the store; only a VM's own period ends by time alone."""
+        if vm == self._own_member.vm or self._can_reach_store(vm):
+            return
+        log_event("home_fit", home=vm)
+        del self._store_unreachable_until[vm]
+        self._signal_change()
+
     async def _watch_leader_store_access(self, leader: Member, link: MessageLink) -> None:
-        """Reports a leader that cannot reach the store to the leader and to this VM's followers.
+        """Reports to the leader and to this VM's followers whether the leader reaches the store.
 
-        The leader forwards the report to its other followers, so that all VMs replace it.
+        The leader forwards the report that it does not to its other followers, so that all VMs
+        replace it. The report that it does goes to VMs that follow this one because they still
+        avoid the leader; otherwise two VMs would schedule the same engines.
         """
         while True:
+            if self._updates.leader_can_reach_store():
+                self._updates.announce_store_reachable(leader.vm)
             if self._can_reach_store(leader.vm) and self._updates.leader_cannot_reach_store():
                 link.send(StoreUnreachable(leader.vm))
                 self._record_store_unreachable(leader.vm)
@@ -292,6 +305,8 @@
                 self._add_member(message)
             case StoreUnreachable(vm):
                 self._record_store_unreachable(vm)
+            case StoreReachable(vm):
+                self._record_store_reachable(vm)
             case _:
                 self._updates.handle_message(message, self._dispatcher.handle_message)
 
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -122,6 +122,16 @@
     vm: str
 
 
+class StoreReachable(msgspec.Struct, frozen=True, tag=True):
+    """Tells a follower that the sender's own leader reaches the store.
+
+    Sent only by a VM that has followers although it follows another VM.
+    """
+
+    #: Id of the sender's leader.
+    vm: str
+
+
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="ConfigurationNews"):
     """Announces a newer configuration, which each VM then reads from the store.
 
@@ -185,6 +195,7 @@
     Granted,
     Refused,
     StoreUnreachable,
+    StoreReachable,
     ConfigurationUpdate,
     ConfigurationRequest,
     ConfigurationDocument,
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -1,6 +1,7 @@
 """Distributes the configuration and the backend servers from the leader to its followers."""
 
 from collections.abc import Callable, Iterable
+from typing import Optional
 
 import trio
 
@@ -15,6 +16,7 @@
     Ping,
     Pong,
     ServerUpdate,
+    StoreReachable,
     StoreUnreachable,
 )
 from camphordrift.relay._server_directory import DirectoryChange
@@ -44,7 +46,8 @@
         self._followers: set[MessageLink] = set()
         self._pings: dict[int, tuple[float, float]] = {}
         self._next_ping = 0
-        self._leader_age = 0.0
+        #: Age of the leader's configuration in seconds; ``None`` before its first pong.
+        self._leader_age: Optional[float] = None
 
     def add_follower(self, link: MessageLink, better_leaders: Iterable[Member]) -> None:
         """Starts to send updates to a follower.
@@ -67,6 +70,10 @@
         """Tells the followers that a VM cannot reach the store."""
         self._send_all(StoreUnreachable(vm))
 
+    def announce_store_reachable(self, vm: str) -> None:
+        """Tells the followers that a VM, which this one follows, reaches the store."""
+        self._send_all(StoreReachable(vm))
+
     def announce_member(self, member: Member) -> None:
         """Tells the followers of a VM that ranks before this one as leader."""
         self._send_all(member)
@@ -97,15 +104,20 @@
     def leader_cannot_reach_store(self) -> bool:
         """Returns whether the leader cannot reach the store, while this VM can."""
         return (
-            self._leader_age > MAX_CONFIGURATION_AGE
+            self._leader_age is not None
+            and self._leader_age > MAX_CONFIGURATION_AGE
             and self._configuration.store_reachable
             and self._configuration.own_read_age(trio.current_time()) < RECENT_READ_SECONDS
         )
 
+    def leader_can_reach_store(self) -> bool:
+        """Returns whether the leader stated recently that its configuration is current."""
+        return self._leader_age is not None and self._leader_age <= MAX_CONFIGURATION_AGE
+
     def record_leader_found(self, link: MessageLink) -> None:
         """Records that this VM has a leader, connected by ``link``."""
         self._configuration.request_document = lambda: link.send(ConfigurationRequest())
-        self._leader_age = 0.0
+        self._leader_age = None
         self._configuration.has_leader = True
         self._servers.record_leader_found()
 
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -188,6 +188,23 @@
 
         run(body)
 
+    def test_a_vm_that_still_avoids_the_leader_is_told_that_it_reaches_the_store(self) -> None:
+        """Guards against a VM that schedules for one follower while it follows the leader itself.
+
+        VMs stop to avoid a leader at different times. On scale-2 of amdsa-doors one VM did so 8 s
+        after the others, and requests were placed on the same engines by two VMs for that time.
+        """
+        self.patch(_leader_election, "STORE_UNREACHABLE_PERIOD", 1000.0)
+
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+            vms[2].election._record_store_unreachable("vm-1")
+            await wait_until(lambda: leaders(vms[2]) == ["vm-2"])
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+
+        run(body)
+
     def test_vms_that_all_cannot_reach_the_store_keep_one_leader(self) -> None:
         """Guards against VMs without a common leader while the store is slow for all of them.
 
