Flat decisions, and engines that answer with errors back off

The callers' retries came on top of a burst, and the leader, which built a view of all 195 engines for each decision, answered 557 requests later than 0.15 s. Other VMs then placed them without knowing the load, all of them in the same order of engines; engines rejected 351.

Change: an engine's status from 500 (but for 504, its deadline) starts a backoff like a broken response. EngineIndex keeps the engines in the order of preference for short prompts and is updated when an engine's load changes; a placement takes the first that fits. What a waiting request needs is computed once. Requests whose end was never reported are found by a heap. Each VM has its own order of equally loaded engines, so that VMs without a leader do not all choose the same one.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 JOBS ?= 6
 
 
-.PHONY: setup demo test processes format lint types check
+.PHONY: setup demo test processes bench format lint types check
 
 setup: $(VENV)/.installed
 
@@ -32,3 +32,7 @@
 format: setup
 	$(BIN)/python -m black --quiet camphordrift
 	$(BIN)/python -m ruff check --fix --quiet camphordrift
+
+# Cost of one placement at the leader, by the number of engines.
+bench: setup
+	$(BIN)/python -m camphordrift.experiments.placement_costs
--- a/camphordrift/relay/_engine_load.py
+++ b/camphordrift/relay/_engine_load.py
@@ -102,6 +102,11 @@
         """Shortest target gap in seconds between events, over the requests that decode here."""
         return self._totals.min_gap_target
 
+    @property
+    def prefill_until(self) -> float:
+        """Expected time at which the engine has finished the prefill that is placed on it."""
+        return self._prefill_until
+
     def set_costs(self, costs: EngineCosts) -> None:
         """Replaces the engine's costs by those of a new configuration."""
         self._costs = costs
--- a/camphordrift/relay/_engine_planner.py
+++ b/camphordrift/relay/_engine_planner.py
@@ -8,16 +8,18 @@
 ones.
 
 At peak load many requests wait, and each request that ends may allow a waiting one to be placed.
-Decisions are made in rounds, see :class:`PlacementRound`. To keep a round cheap, the values that
-depend only on an engine are computed once per round, and a request is skipped if it needs at least
-as much as one that could not be placed in the same round.
+Decisions are made in rounds, see :class:`PlacementRound`. To keep a round cheap, the engines for
+short prompts are examined in an order that is kept up to date, see :class:`EngineIndex`, the values
+that depend only on an engine are computed once per round, and a request is skipped if it needs at
+least as much as one that could not be placed in the same round.
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Optional
 
+from camphordrift.relay._engine_index import EngineIndex
 from camphordrift.relay._engine_load import EngineLoad
 from camphordrift.relay._placement_values import PlacementRequest
 from camphordrift.relay._values import EngineCosts, ServerState
@@ -54,9 +56,13 @@
 #: for a short prompt. Among them, an engine that is already in use is chosen.
 SHORT_OBJECTIVE_SHARE = 0.6
 
-#: Seconds added to the expected time to the first event for an engine in another availability zone.
+#: Engines whose pending prefill differs by at most these seconds count as equally loaded, so that
+#: the availability zone decides between them.
 CROSS_ZONE_SECONDS = 0.004
 
+#: Maximum number of equally loaded engines among which one in the request's zone is looked for.
+MAX_ZONE_CANDIDATES = 16
+
 #: Maximum prefill time in seconds of a prompt that counts as short.
 SHORT_PREFILL_SECONDS = 0.1
 
@@ -107,12 +113,12 @@
     :meth:`record_placement`, before the next call of :meth:`plan`.
     """
 
-    def __init__(self, engines: Iterable[EngineLoad], costs: EngineCosts, now: float) -> None:
+    def __init__(self, index: EngineIndex, costs: EngineCosts, now: float) -> None:
+        self._index = index
         self._costs = costs
         self._now = now
-        self._snapshots = {
-            engine.server.id: self._snapshot(engine) for engine in engines if is_usable(engine, now)
-        }
+        #: Snapshots of the engines that this round has examined; ``None`` for unusable ones.
+        self._snapshots: dict[str, Optional[_EngineSnapshot]] = {}
         #: Demands of short prompts that could not be placed in this round: tokens of KV memory, and
         #: prefill seconds.
         self._failed_short: list[tuple[float, float]] = []
@@ -130,30 +136,35 @@
         """
         prefill = self._costs.prefill_time(request.prompt_tokens)
         is_short = prefill <= SHORT_PREFILL_SECONDS
+        if is_short and not self._index.has_free_slots:
+            return None
         failed = self._failed_short if is_short else self._failed_long
         demand = (required_memory(request), prefill) if is_short else (prefill, -objective)
         # Capacity only shrinks during a round, so a request whose demands are both at least those
         # of a request that could not be placed cannot be placed either.
-        if any(
-            failed_first <= demand[0] and failed_second <= demand[1]
-            for failed_first, failed_second in failed
-        ):
-            return None
-        snapshots = [
-            snapshot for name, snapshot in self._snapshots.items() if name not in request.excluded
-        ]
+        for failed_demand in failed:
+            if failed_demand[0] <= demand[0] and failed_demand[1] <= demand[1]:
+                return None
         if is_short:
-            plan = self._plan_short(request, prefill, snapshots, objective)
+            plan = self._plan_short(request, prefill, objective)
         else:
-            plan = self._plan_long(request, prefill, snapshots, objective)
+            plan = self._plan_long(request, prefill, objective)
         if plan is None and not request.excluded and request.preferred is None:
             failed.append(demand)
         return plan
 
     def record_placement(self, plan: Plan) -> None:
-        """Updates the snapshots of a plan's engines after its tasks were added to them."""
+        """Drops the snapshots of a plan's engines after its tasks were added to them."""
         for engine in plan.engines:
-            self._snapshots[engine.server.id] = self._snapshot(engine)
+            del self._snapshots[engine.server.id]
+
+    def _usable_snapshot(self, engine: EngineLoad) -> Optional[_EngineSnapshot]:
+        """Returns a snapshot of an engine; ``None`` if it may not get new requests."""
+        server_id = engine.server.id
+        if server_id not in self._snapshots:
+            usable = is_usable(engine, self._now)
+            self._snapshots[server_id] = self._snapshot(engine) if usable else None
+        return self._snapshots[server_id]
 
     def _snapshot(self, engine: EngineLoad) -> _EngineSnapshot:
         decoding, latency_factor = engine.decoding_requests, engine.latency_factor
@@ -183,51 +194,70 @@
         )
 
     def _plan_short(
-        self,
-        request: PlacementRequest,
-        prefill: float,
-        snapshots: list[_EngineSnapshot],
-        objective: float,
+        self, request: PlacementRequest, prefill: float, objective: float
     ) -> Optional[Plan]:
         """Packs short prompts on the engines that already decode responses with short target gaps.
 
         The other engines then have no short target gaps, and can prefill large parts of long
-        prompts.
+        prompts. The first engine in order of preference that fits is used; among equally loaded
+        ones, one in the zone of the request. Engines that are suspect, or would miss a share of the
+        target time, are used only if no other one fits.
         """
         memory = required_memory(request)
-        candidates = [
-            snapshot
-            for snapshot in snapshots
-            if snapshot.free_slots > 0
-            and snapshot.free_memory >= memory
-            and prefill <= snapshot.max_part_seconds
-            and snapshot.prefilling_requests < _max_prefilling_requests(snapshot)
-        ]
-
-        def rank(snapshot: _EngineSnapshot) -> tuple[bool, bool, bool, int, float]:
-            first_event_seconds = snapshot.expected_first_event_seconds(prefill)
-            gap_target = snapshot.min_gap_target
-            return (
-                snapshot.is_suspect,
-                first_event_seconds > objective * SHORT_OBJECTIVE_SHARE,
-                gap_target is None or gap_target > request.pause,
-                -snapshot.decoding_requests,
-                first_event_seconds
-                + (CROSS_ZONE_SECONDS if snapshot.zone != request.zone else 0.0),
-            )
-
-        best = min(candidates, key=rank, default=None)
-        if best is None:
+        latest = objective * SHORT_OBJECTIVE_SHARE
+        best: Optional[_EngineSnapshot] = None
+        fallback: Optional[_EngineSnapshot] = None
+        equally_loaded = 0
+        for snapshot in self._candidates_for_short_prompt(request, memory, prefill):
+            can_meet_target = prefill <= latest
+            misses_target = snapshot.expected_first_event_seconds(prefill) > latest
+            if snapshot.is_suspect or (misses_target and can_meet_target):
+                if fallback is None or (fallback.is_suspect and not snapshot.is_suspect):
+                    fallback = snapshot
+                continue
+            if best is None:
+                best = snapshot
+            elif not _is_equally_loaded(best, snapshot):
+                break
+            elif snapshot.zone == request.zone:
+                best = snapshot
+            equally_loaded += 1
+            if best.zone == request.zone or equally_loaded == MAX_ZONE_CANDIDATES:
+                break
+        chosen = best or fallback
+        if chosen is None:
             return None
-        return Plan((best.engine,), prefill, best.expected_first_event_seconds(prefill), (memory,))
+        first_event_seconds = chosen.expected_first_event_seconds(prefill)
+        return Plan((chosen.engine,), prefill, first_event_seconds, (memory,))
+
+    def _candidates_for_short_prompt(
+        self, request: PlacementRequest, memory: int, prefill: float
+    ) -> Iterator[_EngineSnapshot]:
+        """Yields the engines that can take a short prompt now, in order of preference."""
+        for engine in self._index.in_order_for_short_prompts():
+            if engine.server.id in request.excluded:
+                continue
+            snapshot = self._usable_snapshot(engine)
+            if (
+                snapshot is not None
+                and snapshot.free_memory >= memory
+                and prefill <= snapshot.max_part_seconds
+                and snapshot.prefilling_requests < _max_prefilling_requests(snapshot)
+            ):
+                yield snapshot
 
     def _plan_long(
         self,
         request: PlacementRequest,
         prefill: float,
-        snapshots: list[_EngineSnapshot],
         objective: float,
     ) -> Optional[Plan]:
+        snapshots = [
+            snapshot
+            for engine in self._index.engines
+            if engine.server.id not in request.excluded
+            and (snapshot := self._usable_snapshot(engine)) is not None
+        ]
         healthy = [snapshot for snapshot in snapshots if not snapshot.is_suspect]
         plan = self._plan_long_on(request, prefill, healthy, objective)
         if plan is None and len(healthy) < len(snapshots):
@@ -321,6 +351,14 @@
     return request.prompt_tokens + request.answer_tokens
 
 
+def _is_equally_loaded(first: _EngineSnapshot, second: _EngineSnapshot) -> bool:
+    return (
+        first.min_gap_target == second.min_gap_target
+        and first.decoding_requests == second.decoding_requests
+        and abs(first.pending_prefill - second.pending_prefill) <= CROSS_ZONE_SECONDS
+    )
+
+
 def _max_prefilling_requests(snapshot: _EngineSnapshot) -> int:
     return 1 if snapshot.is_suspect else MAX_PREFILLING_REQUESTS
 
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -1,11 +1,13 @@
 """Tracks the requests for one model service and the load of its engines, and places requests."""
 
+import heapq
 import itertools
 import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Optional
 
+from camphordrift.relay._engine_index import EngineIndex
 from camphordrift.relay._engine_load import EngineLoad, EngineTask
 from camphordrift.relay._engine_planner import (
     MAX_MEMORY_SHARE,
@@ -46,26 +48,23 @@
 
 @dataclass
 class _WaitingRequest:
-    request: PlacementRequest
-    submitted_at: float
-
-    def first_event_due_at(self) -> float:
-        return self.submitted_at + self.request.objective
-
-    def deadline(self) -> float:
-        return self.submitted_at + self.request.time_left
+    """A waiting request with values that each round needs, computed once."""
 
-    def deferral_is_over(self, now: float) -> bool:
-        """Returns whether the request must no longer be deferred in favour of others."""
-        return now > self.submitted_at + self.request.time_left * DEFERRAL_SHARE
+    request: PlacementRequest
+    first_event_due_at: float
+    #: End of the time in which the request may be deferred in favour of others.
+    deferral_ends_at: float
+    deadline: float
+    #: Whether the engines together have enough memory.
+    can_ever_fit: bool = True
+    #: Seconds that the request needs if all engines are idle.
+    minimum_time: float = 0.0
 
 
 @dataclass
 class _PlacedRequest:
     request: PlacementRequest
     engine_ids: tuple[str, ...]
-    granted_at: float
-    expected_first_event_seconds: float
     is_prefilled: bool = False
 
 
@@ -73,13 +72,21 @@
     """Places the requests for one service on its engines.
 
     All points in time are seconds of one monotonic clock and are passed in by the caller.
+
+    Args:
+        costs: Capacity and cost model of the engines.
+        tie_breaker: Determines the order of equally loaded engines; see :class:`EngineIndex`.
+
     """
 
-    def __init__(self, costs: EngineCosts) -> None:
+    def __init__(self, costs: EngineCosts, tie_breaker: str = "") -> None:
         self._costs = costs
-        self._engines: dict[str, EngineLoad] = {}
+        self._index = EngineIndex(tie_breaker)
         self._waiting: dict[str, _WaitingRequest] = {}
         self._placed: dict[str, _PlacedRequest] = {}
+        #: Heap of the times at which placed requests are released without a report, and their ids;
+        #: those of requests that have ended are removed when their time comes.
+        self._release_times: list[tuple[float, str]] = []
 
     @property
     def waiting_count(self) -> int:
@@ -94,23 +101,32 @@
     def set_costs(self, costs: EngineCosts) -> None:
         """Replaces the engines' costs by those of a new configuration."""
         self._costs = costs
-        for engine in self._engines.values():
+        for engine in self._index.engines:
             engine.set_costs(costs)
+            self._index.update(engine)
+        self._update_needs()
 
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replaces the list of engines; an engine that restarted starts without load."""
-        known = self._engines
-        self._engines = {}
+        loads = []
         for server in servers:
-            load = known.get(server.id)
+            load = self._index.find(server.id)
             if load is None or load.server.started_ms != server.started_ms:
                 load = EngineLoad(server, self._costs)
             load.server = server
-            self._engines[server.id] = load
+            loads.append(load)
+        self._index.replace_all(loads)
+        self._update_needs()
 
     def submit(self, request: PlacementRequest, now: float) -> None:
         """Queues a placement request; :meth:`decide` returns the decision on it."""
-        self._waiting[request.id] = _WaitingRequest(request, now)
+        self._waiting[request.id] = waiting = _WaitingRequest(
+            request,
+            first_event_due_at=now + request.objective,
+            deferral_ends_at=now + request.time_left * DEFERRAL_SHARE,
+            deadline=now + request.time_left,
+        )
+        self._set_needs(waiting)
 
     def register(
         self, request: PlacementRequest, grant: Grant, is_prefilling: bool, now: float
@@ -126,9 +142,9 @@
         """
         self._waiting.pop(request.id, None)
         engines = tuple(
-            self._engines[server.id]
+            engine
             for server in (grant.server, *grant.helpers)
-            if server.id in self._engines
+            if (engine := self._index.find(server.id)) is not None
         )
         if not engines:
             return
@@ -151,6 +167,7 @@
         placed.is_prefilled = True
         for engine in self._engines_of(placed):
             engine.record_prefilled(ask_id, now)
+            self._index.update(engine)
 
     def record_event_gap(self, ask_id: str, gap: float) -> None:
         """Updates the latency factor of a request's engine.
@@ -162,9 +179,10 @@
 
         """
         placed = self._placed.get(ask_id)
-        engine = None if placed is None else self._engines.get(placed.engine_ids[0])
+        engine = None if placed is None else self._index.find(placed.engine_ids[0])
         if engine is not None:
             engine.record_iteration(gap)
+            self._index.update(engine)
 
     def record_finished(
         self, ask_id: str, outcome: AttemptOutcome, now: float, at_fault: Optional[str] = None
@@ -185,6 +203,7 @@
             return False
         for engine in self._engines_of(placed):
             engine.remove(ask_id, now)
+            self._index.update(engine)
         engine_at_fault = self._engine_at_fault(placed, at_fault)
         if engine_at_fault is not None:
             _record_outcome(engine_at_fault, outcome, now)
@@ -192,14 +211,14 @@
 
     def servers_to_inspect(self, now: float) -> list[BackendServer]:
         """Returns the engines from which a report is needed now; each counts as requested."""
-        due = [engine for engine in self._engines.values() if engine.health.is_report_due(now)]
+        due = [engine for engine in self._index.engines if engine.health.is_report_due(now)]
         for engine in due:
             engine.health.record_report_requested(now)
         return [engine.server for engine in due]
 
     def record_report(self, server_id: str, report: Optional[EngineReport], now: float) -> None:
         """Records an engine's report, or that it did not answer; unknown engines are ignored."""
-        engine = self._engines.get(server_id)
+        engine = self._index.find(server_id)
         if engine is not None:
             engine.health.record_report(report, len(engine.tasks), now)
 
@@ -212,7 +231,7 @@
         self._release_unreported(now)
         if not self._waiting:
             return []
-        placement_round = PlacementRound(self._engines.values(), self._costs, now)
+        placement_round = PlacementRound(self._index, self._costs, now)
         by_urgency = sorted(self._waiting.values(), key=_urgency)
         decisions: list[PlacementDecision] = []
         for _, group in itertools.groupby(by_urgency, key=lambda waiting: waiting.request.priority):
@@ -230,8 +249,8 @@
             if (refusal := self._refusal_for(waiting, now)) is not None:
                 yield refusal
                 continue
-            objective = waiting.first_event_due_at() - now
-            may_be_deferred = not waiting.deferral_is_over(now)
+            objective = waiting.first_event_due_at - now
+            may_be_deferred = now <= waiting.deferral_ends_at
             if may_be_deferred and objective <= 0:
                 deferred.append(waiting)
                 continue
@@ -245,7 +264,7 @@
             elif plan is not None:
                 yield self._place_in_round(placement_round, waiting.request, plan, now)
         for waiting in deferred:
-            plan = placement_round.plan(waiting.request, waiting.first_event_due_at() - now)
+            plan = placement_round.plan(waiting.request, waiting.first_event_due_at - now)
             if plan is not None:
                 yield self._place_in_round(placement_round, waiting.request, plan, now)
 
@@ -258,35 +277,50 @@
 
     def _release_unreported(self, now: float) -> None:
         """Releases the engines of requests whose end was not reported in time."""
-        for ask_id, placed in list(self._placed.items()):
-            if now > placed.granted_at + placed.request.time_left + FINISH_REPORT_TIMEOUT:
-                # The outcome is unknown; SERVED starts no backoff of the engine.
-                self.record_finished(ask_id, AttemptOutcome.SERVED, now)
+        while self._release_times and self._release_times[0][0] < now:
+            _, ask_id = heapq.heappop(self._release_times)
+            # The outcome is unknown; SERVED starts no backoff of the engine.
+            self.record_finished(ask_id, AttemptOutcome.SERVED, now)
 
     def _refusal_for(self, waiting: _WaitingRequest, now: float) -> Optional[PlacementRefusal]:
         request = waiting.request
-        if all(name in request.excluded for name in self._engines):
+        if self._excludes_all_engines(request):
             return PlacementRefusal(request.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
-        if not self._can_ever_fit(request):
+        if not waiting.can_ever_fit:
             return PlacementRefusal(request.id, RefusalReason.NEVER_FITS, None)
         if request.preferred is not None and not self._is_usable(request.preferred, now):
             return PlacementRefusal(request.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
-        time_left, time_needed = waiting.deadline() - now, self._minimum_time(request)
-        if time_left < time_needed:
+        time_left = waiting.deadline - now
+        if time_left < waiting.minimum_time:
             return PlacementRefusal(
-                request.id, RefusalReason.TOO_LATE, None, time_left, time_needed
+                request.id, RefusalReason.TOO_LATE, None, time_left, waiting.minimum_time
             )
         return None
 
+    def _excludes_all_engines(self, request: PlacementRequest) -> bool:
+        engines = self._index.engines
+        if len(request.excluded) < len(engines):
+            return False
+        return all(engine.server.id in request.excluded for engine in engines)
+
+    def _update_needs(self) -> None:
+        """Updates what waiting requests need after the engines or their costs changed."""
+        for waiting in self._waiting.values():
+            self._set_needs(waiting)
+
+    def _set_needs(self, waiting: _WaitingRequest) -> None:
+        waiting.can_ever_fit = self._can_ever_fit(waiting.request)
+        waiting.minimum_time = self._minimum_time(waiting.request)
+
     def _can_ever_fit(self, request: PlacementRequest) -> bool:
-        engines = min(MAX_PARTS, len(self._engines))
+        engines = min(MAX_PARTS, len(self._index.engines))
         return required_memory(request) <= engines * int(
             self._costs.memory_tokens * MAX_MEMORY_SHARE
         )
 
     def _minimum_time(self, request: PlacementRequest) -> float:
         """Returns the seconds that a request needs if all engines are idle."""
-        parts = min(MAX_PARTS, len(self._engines))
+        parts = max(1, min(MAX_PARTS, len(self._index.engines)))
         # The remaining length of a resumed output is unknown, but it is at least one event.
         answer_tokens = 1 if request.resumed else max(1, request.answer_tokens // 2)
         iterations = math.ceil(answer_tokens / self._costs.decode_steps_per_iteration)
@@ -294,7 +328,7 @@
         return self._costs.prefill_time(request.prompt_tokens) / parts + decode
 
     def _is_usable(self, server_id: str, now: float) -> bool:
-        engine = self._engines.get(server_id)
+        engine = self._index.find(server_id)
         return engine is not None and is_usable(engine, now)
 
     def _add_placement(self, request: PlacementRequest, plan: Plan, now: float) -> Grant:
@@ -311,11 +345,12 @@
                 overdue_at=overdue_at,
             )
             engine.add(request.id, task, now)
+            self._index.update(engine)
         servers = tuple(engine.server for engine in plan.engines)
         ids = tuple(server.id for server in servers)
-        self._placed[request.id] = _PlacedRequest(
-            request, ids, now, plan.expected_first_event_seconds
-        )
+        self._placed[request.id] = _PlacedRequest(request, ids)
+        release_at = now + request.time_left + FINISH_REPORT_TIMEOUT
+        heapq.heappush(self._release_times, (release_at, request.id))
         return Grant(
             request.id,
             servers[0],
@@ -330,16 +365,16 @@
         for engine in self._engines_of(placed):
             if named_server in (engine.server.id, engine.server.address):
                 return engine
-        return self._engines.get(placed.engine_ids[0])
+        return self._index.find(placed.engine_ids[0])
 
     def _engines_of(self, placed: _PlacedRequest) -> Iterator[EngineLoad]:
         for server_id in placed.engine_ids:
-            if server_id in self._engines:
-                yield self._engines[server_id]
+            if (engine := self._index.find(server_id)) is not None:
+                yield engine
 
 
 def _urgency(waiting: _WaitingRequest) -> tuple[int, float]:
-    return waiting.request.priority, waiting.first_event_due_at()
+    return waiting.request.priority, waiting.first_event_due_at
 
 
 def _record_outcome(engine: EngineLoad, outcome: AttemptOutcome, now: float) -> None:
--- a/camphordrift/relay/_engine_scheduler.py
+++ b/camphordrift/relay/_engine_scheduler.py
@@ -22,9 +22,15 @@
     """Schedules requests on one engine pool for each model service.
 
     The owner of a request is the VM, or the follower connection, that submitted or registered it.
+
+    Args:
+        vm: Id of this VM.
+        clock: Returns the seconds of a monotonic clock.
+
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, vm: str, clock: Callable[[], float]) -> None:
+        self._vm = vm
         self._clock = clock
         self._pools: dict[str, EnginePool] = {}
         #: Engine pool and id of the owner, by the id of the placement request.
@@ -40,7 +46,7 @@
             if pool := self._pools.get(service.name):
                 pool.set_costs(service.engine_costs)
             else:
-                self._pools[service.name] = EnginePool(service.engine_costs)
+                self._pools[service.name] = EnginePool(service.engine_costs, self._vm)
 
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replaces the engines of all pools by the servers listed in the directory."""
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/_placement_values.py
@@ -90,13 +90,14 @@
 class AttemptOutcome(Enum):
     """How a request ended on its engine; decides whether the engine backs off."""
 
-    #: The response was complete, or the caller disconnected.
+    #: The response was complete and is no internal error, or the caller disconnected.
     SERVED = "served"
     #: The request was not sent, although the primary engine did not fail.
     WITHHELD = "withheld"
     #: The engine responded that it did not run the request.
     REJECTED = "rejected"
-    #: The engine was unreachable, truncated its response, or sent an invalid one.
+    #: The engine was unreachable, reported an internal error, truncated its response, or sent an
+    #: invalid one.
     FAILED = "failed"
     #: The engine sent nothing before a timeout.
     SILENT = "silent"
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -108,7 +108,7 @@
         self._callers: set[CallerConnection] = set()
         self._directory = ServerDirectory()
         self._lease = ConfigurationLease(settings.key_revocation_delay)
-        self._scheduler = EngineScheduler(trio.current_time)
+        self._scheduler = EngineScheduler(settings.vm, trio.current_time)
         self._dispatcher = Dispatcher(settings.vm, self._scheduler, trio.current_time)
         log = CountedLog(adapters.log, self._metrics.store_calls)
         self._configuration = ConfigurationWatcher(
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -6,6 +6,7 @@
 import trio
 
 from camphordrift.relay._attempt import (
+    Answered,
     Attempt,
     AttemptResult,
     AttemptTimeouts,
@@ -56,6 +57,10 @@
 #: request to a plain server (not a model engine) is retried on another one.
 PLAIN_RESPONSE_FACTOR = 3.0
 
+#: Status with which an engine ends a request at its deadline. Unlike other statuses from 500, it
+#: does not suggest that the engine is faulty.
+ENGINE_TIMEOUT_STATUS = 504
+
 #: Prompt length in tokens that is assumed for engine requests that do not state it.
 UNKNOWN_PROMPT_TOKENS = 1000
 
@@ -285,6 +290,8 @@
             return AttemptOutcome.SILENT if timed_out else AttemptOutcome.FAILED
         case NotSent():
             return AttemptOutcome.FAILED
+        case Answered(status) if status >= 500 and status != ENGINE_TIMEOUT_STATUS:
+            return AttemptOutcome.FAILED
         case Withheld():
             return AttemptOutcome.WITHHELD
         case _:
--- a/camphordrift/relay/tests/test_end_to_end.py
+++ b/camphordrift/relay/tests/test_end_to_end.py
@@ -377,6 +377,25 @@
         script = first_then(fails, plain_success)
         run_scenario(scenario, script, script, service="office")
 
+    def test_an_engine_that_responds_with_errors_gets_few_requests(self) -> None:
+        """Guards against an engine that fails at once and therefore always seems to be free.
+
+        On trouble-1 of kowalczyk-kursy-large 18 engines did so with good health checks; they got
+        905 requests in four seconds, and one of them 298.
+        """
+
+        async def fails(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            await stream.send_all(plain_response(request, "500 Internal Server Error"))
+            return True
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            for number in range(12):
+                response = await relay.send_request("/quick/x", f"a{number}")
+                self.assertEqual(200, response.status)
+            self.assertTrue(len(servers[0].requests) <= 2, servers[0].requests)
+
+        run_scenario(scenario, fails, complete_stream)
+
     def test_surplus_response_is_not_forwarded(self) -> None:
         """A second response must not be taken for the response to the next request."""
 
--- a/camphordrift/relay/tests/test_engine_inspection.py
+++ b/camphordrift/relay/tests/test_engine_inspection.py
@@ -52,7 +52,7 @@
         self._run(scenario, schedules_locally=True)
 
     def _is_suspect(self, scheduler: EngineScheduler) -> bool:
-        (engine,) = scheduler._pools["engines"]._engines.values()
+        (engine,) = scheduler._pools["engines"]._index.engines
         return engine.is_suspect(trio.current_time())
 
     def _run(
@@ -62,7 +62,7 @@
     ) -> None:
         async def main() -> None:
             engine = ScriptedServer(server(0, port=0), never_called)
-            scheduler = EngineScheduler(trio.current_time)
+            scheduler = EngineScheduler("vm-1", trio.current_time)
             scheduler.set_services(CONFIGURATION.services.values())
             inspector = EngineInspector(
                 scheduler, ConnectionPool(0.5), SampleReports(), lambda: schedules_locally
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -2,12 +2,14 @@
 
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from types import FrameType
 
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from camphordrift.experiments.placement_costs import measure
 from camphordrift.relay._engine_health import MAX_INSPECTION_PERIOD
 from camphordrift.relay._engine_planner import MAX_PREFILLING_REQUESTS, PlacementRound
 from camphordrift.relay._engine_pool import EnginePool
@@ -29,7 +31,7 @@
 
 
 def place_request(
-    pool: EnginePool, ask_id: str, tokens: int, now: float = 0.0, **changes: object
+    pool: EnginePool, ask_id: str, tokens: int = 5000, now: float = 0.0, **changes: object
 ) -> Grant:
     pool.submit(placement_request(ask_id, tokens, **changes), now)
     (decision,) = pool.decide(now)
@@ -193,7 +195,7 @@
             if grant.server.id != "engines-0":
                 pool.record_first_event(f"r{number}", now + 0.05)
                 pool.record_finished(f"r{number}", AttemptOutcome.SERVED, now + 0.08)
-        self.assertTrue(len(pool._engines["engines-0"].tasks) <= MAX_PREFILLING_REQUESTS)
+        self.assertTrue(len(_tasks_of(pool, "engines-0")) <= MAX_PREFILLING_REQUESTS)
 
     def test_a_failed_engine_gets_one_request_until_it_responds(self) -> None:
         pool = pool_of(2)
@@ -203,7 +205,7 @@
         for number in range(1, 8):
             place_request(pool, f"r{number}", 500, 2.0 + number * 0.1)
             pool.record_first_event(f"r{number}", 2.05 + number * 0.1)
-        self.assertEqual(["r0"], list(pool._engines["engines-0"].tasks))
+        self.assertEqual(["r0"], _tasks_of(pool, "engines-0"))
 
     def test_long_prompts_avoid_engines_with_recent_failures(self) -> None:
         pool = pool_of(8)
@@ -398,8 +400,38 @@
         self.assertTrue(pool.waiting_count > 0)
         for waiting in pool._waiting.values():
             if waiting.request.prompt_tokens <= 7000:
-                fresh_round = PlacementRound(pool._engines.values(), COSTS, 0.0)
-                self.assertIsNone(fresh_round.plan(waiting.request, waiting.first_event_due_at()))
+                fresh_round = PlacementRound(pool._index, COSTS, 0.0)
+                self.assertIsNone(fresh_round.plan(waiting.request, waiting.first_event_due_at))
+
+
+class FleetSizeTest(testtools.TestCase):
+    """Guards against decisions whose cost grows with the number of engines.
+
+    On trouble-1 of kowalczyk-kursy-large (195 engines) a burst of 340 short prompts a second kept
+    the leader so busy that it answered 557 requests later than 0.15 s. Other VMs then placed them
+    without knowing the load, and engines rejected 351 of them.
+    """
+
+    def test_the_cost_of_a_request_does_not_grow_with_the_engines(self) -> None:
+        for backlog in (False, True):
+            small, large = measure(20, backlog), measure(1000, backlog)
+            self.assertTrue(large.calls <= small.calls * 1.5, (small, large))
+
+    def test_vms_that_schedule_alone_spread_requests_over_the_engines(self) -> None:
+        """Guards against VMs without a leader that all choose the same engine first."""
+        first_choices = set()
+        for number in range(40):
+            pool = EnginePool(COSTS, f"vm-{number}")
+            pool.set_servers([server(engine) for engine in range(100)])
+            first_choices.add(place_request(pool, "one").server.id)
+        self.assertTrue(len(first_choices) >= 25, first_choices)
+
+    def test_an_engine_in_the_zone_of_the_request_is_preferred(self) -> None:
+        pool = EnginePool(COSTS)
+        pool.set_servers(
+            [replace(server(number), zone=f"z{number % 5}") for number in range(1, 11)]
+        )
+        self.assertEqual("z3", place_request(pool, "one", zone="z3").server.zone)
 
 
 class OverloadTest(testtools.TestCase):
@@ -486,7 +518,7 @@
                 outcome = AttemptOutcome.SERVED if step == "end" else AttemptOutcome.FAILED
                 pool.record_finished(running.pop(0), outcome, now)
             self._record_decisions(pool.decide(now), running, decided)
-            for engine in pool._engines.values():
+            for engine in pool._index.engines:
                 self.assertTrue(engine.decoding_requests <= COSTS.slots)
                 self.assertTrue(engine.free_memory >= 0)
         for _ in range(400):
@@ -506,6 +538,12 @@
                 running.append(decision.ask_id)
 
 
+def _tasks_of(pool: EnginePool, server_id: str) -> list[str]:
+    engine = pool._index.find(server_id)
+    assert engine is not None
+    return list(engine.tasks)
+
+
 def _engine_ids(grant: Grant) -> set[str]:
     return {grant.server.id, *(helper.id for helper in grant.helpers)}
 
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -68,7 +68,7 @@
 def make_vm(number: int, started_ms: int, log: InMemoryLog, documents: SampleDocuments) -> Vm:
     host = f"{process_loopback_network()}.{number}"
     member = Member(f"vm-{number}", started_ms, host, free_ports(host)[0])
-    scheduler = EngineScheduler(trio.current_time)
+    scheduler = EngineScheduler(member.vm, trio.current_time)
     dispatcher = Dispatcher(member.vm, scheduler, trio.current_time)
     lease = ConfigurationLease(5.0)
     directory = ServerDirectory()
