Pass new configurations on within each availability zone

Cause: each VM read each new configuration from the store.

Change: the leader sends a new document to one follower of each zone, the one with the highest capacity, and names it to the others, which fetch the document there. Leases are renewed only by the leader's pongs, and only once the announced version is in force, as before. A VM whose zone source is cut off therefore stops to accept keys at the same time as before.

test_a_lease_is_not_renewed_before_a_newer_configuration_is_read kept the document away by blocking the store and the request to the leader. Now that the leader sends it without a request, the test ignores each document that arrives.

--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -395,14 +395,14 @@
             case Member():
                 self._add_member(message)
                 if self.link is not None:
-                    self._updates.add_follower(self.link, self._better_leaders())
+                    self._updates.add_follower(self.link, message, self._better_leaders())
             case Ping():
                 if self.link is not None:
                     self.link.send(self._updates.pong_for(message))
             case StoreUnreachable(vm):
                 self._record_store_unreachable(vm)
-            case ConfigurationRequest() if self.link is not None:
-                self._updates.send_document(self.link)
+            case ConfigurationRequest(version) if self.link is not None:
+                self._updates.send_document(self.link, version)
             case Submit():
                 self._submit(message)
             case Register(request, grant, is_prefilling):
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -18,6 +18,7 @@
     PlacementRequest,
 )
 from camphordrift.relay._server_directory import DirectoryChange
+from camphordrift.relay._settings import Address
 
 #: Largest message in bytes; a longer one closes the connection. Configurations are the largest
 #: messages.
@@ -39,6 +40,13 @@
     #: Capacity class of the VM (:attr:`RelaySettings.capacity`): log2 of its size relative to the
     #: smallest VMs; 0 = smallest, 1 = twice as large.
     capacity: int = 0
+    #: Availability zone of the VM.
+    zone: str = ""
+
+    @property
+    def address(self) -> Address:
+        """Address on which the VM accepts connections of other VMs."""
+        return Address(self.host, self.port)
 
     @property
     def leader_rank(self) -> tuple[int, int, str]:
@@ -133,21 +141,26 @@
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, tag="ConfigurationNews"):
-    """Announces a newer configuration, which each VM then reads from the store.
+    """Announces a newer configuration.
 
-    Sending the document itself to many VMs would saturate the link of a small leader.
+    Sending the document itself to all VMs would saturate the link of a small leader.
     """
 
     #: Version of the new configuration.
     version: int
+    #: Address of a VM that sends the document on request; without one, it is read from the store.
+    source: Optional[Address] = None
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, tag="ConfigurationWanted"):
-    """Requests the configuration document from the leader, because the store is unavailable."""
+    """Requests the configuration document from another VM."""
+
+    #: Oldest version that is useful. The response is sent once the VM has it.
+    version: int = 0
 
 
 class ConfigurationDocument(msgspec.Struct, frozen=True, tag=True):
-    """Sends the leader's configuration to a VM that requested it."""
+    """Sends a configuration to a VM that requested it, or that passes it on to others."""
 
     #: The document as it is stored.
     document: bytes
@@ -244,15 +257,24 @@
         """
         while True:
             await self._has_queued.wait()
-            self._has_queued = trio.Event()
-            content, self._write_buffer = self._write_buffer, bytearray()
-            try:
-                await self._stream.send_all(content)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise LinkBrokenError("the connection broke") from error
+            await self.write_once()
+
+    async def write_once(self) -> None:
+        """Writes the messages that are queued now.
+
+        Raises:
+            LinkBrokenError: The connection broke.
+
+        """
+        self._has_queued = trio.Event()
+        content, self._write_buffer = self._write_buffer, bytearray()
+        try:
+            await self._stream.send_all(content)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise LinkBrokenError("the connection broke") from error
 
     async def read_first(self) -> Message:
-        """Returns the first message.
+        """Returns the next message, before :meth:`read_messages` is used.
 
         Raises:
             LinkBrokenError: The connection broke, or nothing arrived within the idle timeout.
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -18,6 +18,7 @@
 from camphordrift.relay._admission import Admission
 from camphordrift.relay._byte_stream import READ_SIZE
 from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_sharing import fetch_configuration
 from camphordrift.relay._counted_log import CountedLog
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_inspection import EngineInspector
@@ -117,6 +118,7 @@
             adapters.documents,
             self._lease,
             self._configuration_changed,
+            fetch_configuration,
         )
         self._servers = ServersWatcher(
             log,
@@ -199,7 +201,14 @@
     def _own_member(self) -> Member:
         peers = self._settings.peers
         capacity = self._settings.capacity
-        return Member(self._settings.vm, self._started_ms, peers.host, peers.port, capacity)
+        return Member(
+            self._settings.vm,
+            self._started_ms,
+            peers.host,
+            peers.port,
+            capacity,
+            self._settings.zone,
+        )
 
     def _register_gauges(self) -> None:
         gauge = self._metrics.gauge
--- a/camphordrift/relay/_store_watchers.py
+++ b/camphordrift/relay/_store_watchers.py
@@ -1,12 +1,13 @@
 """Keeps the configuration and the backend servers up to date.
 
 The leader reads the store for all VMs. It forwards changes of backend servers, and announces a
-newer configuration, which each VM then reads from the store. A VM reads the store itself while it
-has no leader, or while the state that its leader reports is too old.
+newer configuration, which each VM then gets from a VM of its zone. A VM reads the store itself
+while it has no leader, while the state that its leader reports is too old, or if it does not get an
+announced configuration in time.
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Optional
 
 import trio
@@ -24,6 +25,7 @@
 )
 from camphordrift.relay._routing_table import RoutingTable
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay._settings import Address
 
 #: Seconds that a read of the configuration waits for a change (long poll). A new read and the one
 #: before it must together take much less than the time for which API keys are accepted without a
@@ -64,6 +66,11 @@
 AGE_CHECK_INTERVAL = 0.1
 
 
+#: Fetches a configuration of at least a version from the VM at an address; returns the document, or
+#: ``None`` if there was none in time.
+FetchDocument = Callable[[Address, int], Awaitable[Optional[bytes]]]
+
+
 def boot_time_clock() -> float:
     """Returns the seconds of a monotonic clock that also runs while the VM is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -156,12 +163,15 @@
         documents: DocumentFormat,
         lease: ConfigurationLease,
         on_change: Callable[[], None],
+        fetch: FetchDocument,
     ) -> None:
         self._topic = TopicWatcher(log, topics.configuration)
         self._key = topics.configuration_key
         self._documents = documents
         self._lease = lease
         self._on_change = on_change
+        self._fetch = fetch
+        self._source: Optional[Address] = None
         self._table: Optional[RoutingTable] = None
         self._document: Optional[bytes] = None
         self._expected_version = 0
@@ -208,6 +218,8 @@
             ):
                 await self._wait_for_update()
                 continue
+            if newer_expected and await self._fetch_expected():
+                continue
             if newer_expected:
                 # The snapshot skips the versions in between, each of which is a large document.
                 self._topic.restart_from_snapshot()
@@ -228,12 +240,34 @@
             if self._table is None:
                 await trio.sleep(STORE_RETRY_INTERVAL)
 
-    def expect_version(self, version: int) -> None:
-        """Records the leader's version, so that it is read from the store if it is newer."""
+    def expect_version(self, version: int, source: Optional[Address] = None) -> None:
+        """Records the leader's version, so that it is fetched if it is newer.
+
+        Args:
+            version: The leader's version.
+            source: Address of a VM that has the document or gets it next; without one, or if it
+                does not send the document in time, the store is read.
+
+        """
         if version > max(self.version, self._expected_version):
             self._expected_version = version
+            self._source = source
             self._newer_expected.set()
 
+    async def _fetch_expected(self) -> bool:
+        """Fetches the expected version from another VM.
+
+        Returns whether the store need not be read, because the version was applied or another VM
+        has announced a newer one in the meantime.
+        """
+        source, self._source = self._source, None
+        if source is None:
+            return False
+        document = await self._fetch(source, self._expected_version)
+        if document is not None:
+            self.apply_document(document)
+        return self._expected_version <= self.version or self._source is not None
+
     async def _wait_for_update(self) -> None:
         self._newer_expected = trio.Event()
         with trio.move_on_after(AGE_CHECK_INTERVAL):
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -6,6 +6,7 @@
 import trio
 
 from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_sharing import choose_zone_sources
 from camphordrift.relay._peer_messages import (
     ConfigurationDocument,
     ConfigurationRequest,
@@ -43,28 +44,34 @@
         self._configuration = configuration
         self._servers = servers
         self._lease = lease
-        self._followers: set[MessageLink] = set()
+        self._followers: dict[MessageLink, Member] = {}
+        #: Requested versions of the configuration that this VM does not have yet.
+        self._awaited_versions: dict[MessageLink, int] = {}
         self._pings: dict[int, tuple[float, float]] = {}
         self._next_ping = 0
         #: Age of the leader's configuration in seconds; ``None`` before its first pong.
         self._leader_age: Optional[float] = None
 
-    def add_follower(self, link: MessageLink, better_leaders: Iterable[Member]) -> None:
+    def add_follower(
+        self, link: MessageLink, follower: Member, better_leaders: Iterable[Member]
+    ) -> None:
         """Starts to send updates to a follower.
 
         Args:
             link: The connection to the follower.
+            follower: The follower.
             better_leaders: VMs that are preferred as leader over this one; the follower is told of
                 them.
 
         """
-        self._followers.add(link)
+        self._followers[link] = follower
         for member in better_leaders:
             link.send(member)
 
     def remove_follower(self, link: MessageLink) -> None:
         """Stops sending updates to a follower; unknown links are ignored."""
-        self._followers.discard(link)
+        self._followers.pop(link, None)
+        self._awaited_versions.pop(link, None)
 
     def announce_store_unreachable(self, vm: str) -> None:
         """Tells the followers that a VM cannot reach the store."""
@@ -79,8 +86,19 @@
         self._send_all(member)
 
     def announce_configuration(self) -> None:
-        """Tells the followers that there is a new configuration."""
-        self._send_all(ConfigurationUpdate(self._configuration.version))
+        """Sends a new configuration to one follower of each zone, and tells the others of it."""
+        document, version = self._configuration.document, self._configuration.version
+        if document is None:
+            return
+        sources = choose_zone_sources(self._followers.values())
+        for link, follower in self._followers.items():
+            source = sources[follower.zone]
+            if follower == source:
+                link.send(ConfigurationDocument(document))
+            else:
+                link.send(ConfigurationUpdate(version, source.address))
+        for link, awaited_version in list(self._awaited_versions.items()):
+            self.send_document(link, awaited_version)
 
     def announce_servers(self, changes: list[DirectoryChange]) -> None:
         """Forwards changes of the backend servers to the followers."""
@@ -95,11 +113,14 @@
             self._servers.age(trio.current_time()),
         )
 
-    def send_document(self, link: MessageLink) -> None:
-        """Sends the configuration, if there is one, to a follower that cannot read the store."""
+    def send_document(self, link: MessageLink, version: int) -> None:
+        """Sends the configuration to a VM that requested it, once it has at least ``version``."""
         document = self._configuration.document
-        if document is not None:
-            link.send(ConfigurationDocument(document))
+        if document is None or self._configuration.version < version:
+            self._awaited_versions[link] = version
+            return
+        self._awaited_versions.pop(link, None)
+        link.send(ConfigurationDocument(document))
 
     def leader_cannot_reach_store(self) -> bool:
         """Returns whether the leader cannot reach the store, while this VM can."""
@@ -136,8 +157,8 @@
     def handle_message(self, message: Message, handle_other: Callable[[Message], None]) -> None:
         """Applies an update of this VM's leader; passes other messages to ``handle_other``."""
         match message:
-            case ConfigurationUpdate(version):
-                self._configuration.expect_version(version)
+            case ConfigurationUpdate(version, source):
+                self._configuration.expect_version(version, source)
             case ConfigurationDocument(document):
                 self._configuration.apply_document(document)
             case ServerUpdate(changes):
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 import pytest
 import testtools
@@ -9,12 +10,17 @@
 
 from camphordrift.relay import _leader_election
 from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_sharing import (
+    choose_zone_sources,
+    fetch_configuration,
+)
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_scheduler import EngineScheduler
 from camphordrift.relay._leader_election import LeaderElection
 from camphordrift.relay._peer_messages import Member
 from camphordrift.relay._placement_values import AttemptOutcome, Grant
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay._settings import Address
 from camphordrift.relay._store_watchers import (
     LONG_POLL_SECONDS,
     MAX_CONFIGURATION_AGE,
@@ -65,9 +71,11 @@
             self.scheduler.set_servers(self.directory.servers.values())
 
 
-def make_vm(number: int, started_ms: int, log: InMemoryLog, documents: SampleDocuments) -> Vm:
+def make_vm(
+    number: int, started_ms: int, log: InMemoryLog, documents: SampleDocuments, zone: str
+) -> Vm:
     host = f"{process_loopback_network()}.{number}"
-    member = Member(f"vm-{number}", started_ms, host, free_ports(host)[0])
+    member = Member(f"vm-{number}", started_ms, host, free_ports(host)[0], zone=zone)
     scheduler = EngineScheduler(member.vm, trio.current_time)
     dispatcher = Dispatcher(member.vm, scheduler, trio.current_time)
     lease = ConfigurationLease(5.0)
@@ -81,7 +89,9 @@
         vm.refresh()
         updates.announce_servers(changes)
 
-    configuration = ConfigurationWatcher(log, TOPICS, documents, lease, configuration_changed)
+    configuration = ConfigurationWatcher(
+        log, TOPICS, documents, lease, configuration_changed, fetch_configuration
+    )
     servers = ServersWatcher(
         log, TOPICS, documents, directory, servers_changed, lambda: configuration.store_reachable
     )
@@ -101,8 +111,8 @@
             self.log.put(TOPICS.servers, entry.id, self.documents.write(entry))
         self._scopes: dict[str, trio.CancelScope] = {}
 
-    def start(self, number: int, started_ms: int) -> Vm:
-        vm = make_vm(number, started_ms, self.log, self.documents)
+    def start(self, number: int, started_ms: int, zone: str = "z1") -> Vm:
+        vm = make_vm(number, started_ms, self.log, self.documents, zone)
         self._scopes[vm.member.vm] = trio.CancelScope()
         self._nursery.start_soon(vm.run, self._scopes[vm.member.vm])
         return vm
@@ -323,6 +333,69 @@
 
         run(body)
 
+    def test_followers_pass_a_configuration_on_within_their_zone(self) -> None:
+        """Guards against one read of the store by each VM for each new configuration.
+
+        On trouble-1 of kowalczyk-kursy-large (195 VMs) over half of 5,002 calls were such reads.
+        """
+
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(n, 100 + n, "z1" if n <= 4 else "z2") for n in range(1, 8)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 7)
+            # Waits for the end of reads that may have begun before the leader was found.
+            await trio.sleep(LONG_POLL_SECONDS + 0.2)
+            for vm in vms[1:]:
+                vm.configuration._topic._log = _unavailable_log()
+                vm.configuration.request_document = lambda: None
+            for version in (4, 5, 6):
+                fleet.publish(version)
+                for vm in vms:
+                    await wait_until(partial(_has_version, vm, version))
+
+        run(body)
+
+    def test_a_follower_reads_the_store_if_no_other_vm_sends_the_document(self) -> None:
+        async def never_sends(source: Address, version: int) -> None:
+            fetched.append((source, version))
+
+        fetched: list[tuple[Address, int]] = []
+
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+            # Waits for the end of reads that may have begun before the leader was found.
+            await trio.sleep(LONG_POLL_SECONDS + 0.2)
+            vms[2].configuration._fetch = never_sends
+            fleet.publish(4)
+            await wait_until(lambda: vms[2].configuration.version == 4)
+            self.assertEqual([(vms[1].member.address, 4)], fetched)
+
+        run(body)
+
+    def test_a_vm_that_does_not_respond_is_given_up_in_time(self) -> None:
+        async def main() -> None:
+            async def never_responds(stream: trio.SocketStream) -> None:
+                await trio.sleep_forever()
+
+            async with trio.open_nursery() as nursery:
+                host = f"{process_loopback_network()}.9"
+                (listener,) = await trio.open_tcp_listeners(0, host=host)
+                nursery.start_soon(trio.serve_listeners, never_responds, [listener])
+                port = listener.socket.getsockname()[1]
+                self.assertIsNone(await fetch_configuration(Address(host, port), 4))
+                nursery.cancel_scope.cancel()
+            self.assertIsNone(await fetch_configuration(Address(host, port), 4))
+
+        trio.run(main)
+
+    def test_the_largest_vm_of_each_zone_passes_documents_on(self) -> None:
+        small, large, other = (
+            Member("small", 1, "10.0.0.1", 1, 0, "z1"),
+            Member("large", 2, "10.0.0.2", 1, 2, "z1"),
+            Member("other", 3, "10.0.0.3", 1, 0, "z2"),
+        )
+        self.assertEqual({"z1": large, "z2": other}, choose_zone_sources((small, large, other)))
+
     def test_a_lease_is_not_renewed_before_a_newer_configuration_is_read(self) -> None:
         async def body(fleet: Fleet) -> None:
             _, second = fleet.start(1, 101), fleet.start(2, 102)
@@ -330,7 +403,8 @@
             # Waits for the end of a read that may have begun before the leader was found.
             await trio.sleep(LONG_POLL_SECONDS + 0.2)
             second.configuration._topic._log = _unavailable_log()
-            second.configuration.request_document = lambda: None
+            # The leader sends the document to one follower of each zone without a request.
+            second.configuration.apply_document = lambda document: None  # type: ignore[method-assign]
             fleet.publish(4)
             await wait_until(lambda: second.lease.age(boot_time_clock()) > 1.5)
             self.assertEqual(3, second.configuration.version)
@@ -350,6 +424,10 @@
         run(body)
 
 
+def _has_version(vm: Vm, version: int) -> bool:
+    return vm.configuration.version == version
+
+
 def _unavailable_log() -> InMemoryLog:
     log = InMemoryLog()
     log.is_down = True
