--- a/camphordrift/relay/_engine_inspection.py
+++ b/camphordrift/relay/_engine_inspection.py
@@ -1,4 +1,4 @@
-"""Requests reports from engines whose state is unknown, while this VM schedules for others."""
+"""Requests reports from engines whose state is unknown, while this VM is the leader."""
 
 from collections.abc import Callable
 from typing import Optional
@@ -14,8 +14,8 @@
 #: Seconds between checks of which reports are due.
 CHECK_INTERVAL = 0.1
 
-#: Seconds without a leader after which a VM requests reports. VMs that start together have no
-#: leader for a short time, and each would otherwise request a report from every engine.
+#: Seconds for which a VM must have been the leader before it requests reports. VMs that start
+#: together have no common leader for a short time.
 SETTLING_PERIOD = 0.3
 
 #: Timeout of a report in seconds.
@@ -35,7 +35,8 @@
         scheduler: Decides which reports are needed.
         connections: Connections to backend servers.
         report_format: Path and format of the engines' reports.
-        schedules_locally: Returns whether this VM has no leader that schedules for it.
+        is_leader: Returns whether this VM schedules for all VMs that it knows. A VM that is cut off
+            from the others requests no reports, as each such VM would inspect all engines.
 
     """
 
@@ -44,24 +45,24 @@
         scheduler: EngineScheduler,
         connections: ConnectionPool,
         report_format: ReportFormat,
-        schedules_locally: Callable[[], bool],
+        is_leader: Callable[[], bool],
     ) -> None:
         self._scheduler = scheduler
         self._connections = connections
         self._format = report_format
-        self._schedules_locally = schedules_locally
+        self._is_leader = is_leader
         self._limiter = trio.CapacityLimiter(MAX_CONCURRENT_REPORTS)
 
     async def run(self) -> None:
         """Requests reports until cancelled."""
-        leaderless_since = trio.current_time()
+        leader_since = trio.current_time()
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(CHECK_INTERVAL)
                 now = trio.current_time()
-                if not self._schedules_locally():
-                    leaderless_since = now
-                elif now - leaderless_since >= SETTLING_PERIOD:
+                if not self._is_leader():
+                    leader_since = now
+                elif now - leader_since >= SETTLING_PERIOD:
                     for server in self._scheduler.servers_to_inspect():
                         nursery.start_soon(self._inspect, server)
 
--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -110,6 +110,13 @@
         """Id of the VM that schedules for this one; its own id if it schedules locally."""
         return self._leader.vm
 
+    @property
+    def is_leader(self) -> bool:
+        """Whether this VM has followers and no leader, or is the only VM that it knows."""
+        return self._dispatcher.schedules_locally and (
+            self._updates.has_followers or self.member_count == 1
+        )
+
     @property
     def member_count(self) -> int:
         """Number of known VMs, this one included."""
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -142,7 +142,7 @@
             self._scheduler,
             self._connections,
             adapters.reports,
-            lambda: self._dispatcher.schedules_locally,
+            lambda: self._election.is_leader,
         )
         self._routing_state = RoutingState(
             table=lambda: self._configuration.table,
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -52,6 +52,11 @@
         #: Age of the leader's configuration in seconds; ``None`` before its first pong.
         self._leader_age: Optional[float] = None
 
+    @property
+    def has_followers(self) -> bool:
+        """Whether any VM uses this one as its leader."""
+        return bool(self._followers)
+
     def add_follower(
         self, link: MessageLink, follower: Member, better_leaders: Iterable[Member]
     ) -> None:
--- a/camphordrift/relay/tests/test_engine_inspection.py
+++ b/camphordrift/relay/tests/test_engine_inspection.py
@@ -25,21 +25,21 @@
 
 
 class EngineInspectorTest(testtools.TestCase):
-    def test_a_vm_without_a_leader_inspects_each_engine(self) -> None:
+    def test_the_leader_inspects_each_engine(self) -> None:
         async def scenario(scheduler: EngineScheduler, engine: ScriptedServer) -> None:
             engine.report = b"3 1"
             while not self._is_suspect(scheduler):
                 await trio.sleep(0.01)
             self.assertEqual(1, engine.connections)
 
-        self._run(scenario, schedules_locally=True)
+        self._run(scenario, is_leader=True)
 
-    def test_a_follower_inspects_no_engine(self) -> None:
+    def test_another_vm_inspects_no_engine(self) -> None:
         async def scenario(scheduler: EngineScheduler, engine: ScriptedServer) -> None:
             await trio.sleep(SETTLING_PERIOD * 3)
             self.assertEqual(0, engine.connections)
 
-        self._run(scenario, schedules_locally=False)
+        self._run(scenario, is_leader=False)
 
     def test_an_unreadable_report_counts_as_none(self) -> None:
         async def scenario(scheduler: EngineScheduler, engine: ScriptedServer) -> None:
@@ -49,7 +49,7 @@
             await trio.sleep(0.1)
             self.assertFalse(self._is_suspect(scheduler))
 
-        self._run(scenario, schedules_locally=True)
+        self._run(scenario, is_leader=True)
 
     def _is_suspect(self, scheduler: EngineScheduler) -> bool:
         (engine,) = scheduler._pools["engines"]._index.engines
@@ -58,14 +58,14 @@
     def _run(
         self,
         scenario: Callable[[EngineScheduler, ScriptedServer], Awaitable[None]],
-        schedules_locally: bool,
+        is_leader: bool,
     ) -> None:
         async def main() -> None:
             engine = ScriptedServer(server(0, port=0), never_called)
             scheduler = EngineScheduler("vm-1", trio.current_time)
             scheduler.set_services(CONFIGURATION.services.values())
             inspector = EngineInspector(
-                scheduler, ConnectionPool(0.5), SampleReports(), lambda: schedules_locally
+                scheduler, ConnectionPool(0.5), SampleReports(), lambda: is_leader
             )
             with trio.fail_after(10):
                 async with trio.open_nursery() as nursery:
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -166,6 +166,18 @@
 
         run(body)
 
+    def test_only_a_vm_with_followers_or_alone_is_the_leader(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            first = fleet.start(1, 101)
+            await wait_until(lambda: first.election.is_leader)
+            second = fleet.start(2, 102)
+            await wait_until(lambda: leaders(second) == ["vm-1"])
+            self.assertEqual((True, False), (first.election.is_leader, second.election.is_leader))
+            fleet.kill(second)
+            await wait_until(lambda: not first.election.is_leader)
+
+        run(body)
+
     def test_the_next_vm_takes_over_from_a_leader_that_crashes(self) -> None:
         async def body(fleet: Fleet) -> None:
             first, second, third = (fleet.start(number, 100 + number) for number in (1, 2, 3))
