Give a new leader time to read the store before it is judged

For 0.7 s there was no common leader and each VM placed requests alone; seven of the requests sent from 10 s to 12 s were late.

Change: a VM follows a leader for 1 s before it reports that the leader cannot reach the store. A follower still reads the store itself once its configuration is 2.8 s old, so keys end as before."

--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -71,6 +71,10 @@
 #: Seconds for which a VM that could not reach the store is ranked after the other VMs.
 STORE_UNREACHABLE_PERIOD = 10.0
 
+#: Seconds for which a VM has followed a leader before it judges whether that reaches the store. A
+#: new leader has to read the store once before its configuration is current.
+LEADER_SETTLING_PERIOD = 1.0
+
 #: Seconds that a VM waits before it makes decisions itself after it lost its leader, so that other
 #: VMs can register their requests.
 TAKEOVER_DELAY = 0.04
@@ -298,6 +302,7 @@
         replace it. The report that it does goes to VMs that follow this one because they still
         avoid the leader; otherwise two VMs would schedule the same engines.
         """
+        await trio.sleep(LEADER_SETTLING_PERIOD)
         while True:
             if self._updates.leader_can_reach_store():
                 self._updates.announce_store_reachable(leader.vm)
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -16,7 +16,7 @@
 )
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_scheduler import EngineScheduler
-from camphordrift.relay._leader_election import LeaderElection
+from camphordrift.relay._leader_election import LEADER_SETTLING_PERIOD, LeaderElection
 from camphordrift.relay._peer_messages import Member
 from camphordrift.relay._placement_values import AttemptOutcome, Grant
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
@@ -423,6 +423,25 @@
 
         run(body)
 
+    def test_a_new_leader_has_time_to_read_the_store(self) -> None:
+        """Guards against leaders that are replaced in turn when the store is available again.
+
+        On inc-0cd1 of amdsa-doors the first VM that reached the store again replaced the leader,
+        and 0.25 s later the next one, as its configuration was still old. For 0.7 s there was no
+        common leader, and requests were placed by each VM alone.
+        """
+
+        async def body(fleet: Fleet) -> None:
+            fleet.start(1, 101)
+            second = fleet.start(2, 102)
+            self.patch(second.election._updates, "leader_cannot_reach_store", lambda: True)
+            await wait_until(lambda: leaders(second) == ["vm-1"])
+            await trio.sleep(LEADER_SETTLING_PERIOD * 0.7)
+            self.assertEqual(["vm-1"], leaders(second))
+            await wait_until(lambda: leaders(second) == ["vm-2"])
+
+        run(body)
+
     def test_a_leader_that_cannot_reach_the_store_is_replaced(self) -> None:
         async def body(fleet: Fleet) -> None:
             first, second, third = (fleet.start(number, 100 + number) for number in (1, 2, 3))
