Let a long prompt exceed target gaps once half of its time has passed

Change: a long prompt that may no longer be deferred is placed in the parts that complete it soonest, whatever the target gaps.

--- a/camphordrift/relay/_engine_planner.py
+++ b/camphordrift/relay/_engine_planner.py
@@ -16,7 +16,7 @@
 
 import math
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Optional
 
 from camphordrift.relay._engine_index import EngineIndex
@@ -122,23 +122,28 @@
         #: Demands of short prompts that could not be placed in this round: tokens of KV memory, and
         #: prefill seconds.
         self._failed_short: list[tuple[float, float]] = []
-        #: Demands of long prompts that could not be placed in this round: prefill seconds, and the
-        #: negated seconds until the first event is due, so that a greater value is more urgent.
-        self._failed_long: list[tuple[float, float]] = []
+        #: Demands of long prompts that could not be placed in this round, by whether they may
+        #: exceed target gaps: prefill seconds, and the negated seconds until the first event is
+        #: due, so that a greater value is more urgent.
+        self._failed_long: dict[bool, list[tuple[float, float]]] = {False: [], True: []}
 
-    def plan(self, request: PlacementRequest, objective: float) -> Optional[Plan]:
+    def plan(
+        self, request: PlacementRequest, objective: float, may_exceed_gaps: bool = False
+    ) -> Optional[Plan]:
         """Returns a plan for a request; ``None`` if it should wait.
 
         Args:
             request: The placement request.
             objective: Seconds until the first event is due; negative once it is overdue.
+            may_exceed_gaps: Whether the prefill of a long prompt may exceed the target gaps of the
+                responses on an engine, because it would otherwise wait until its deadline.
 
         """
         prefill = self._costs.prefill_time(request.prompt_tokens)
         is_short = prefill <= SHORT_PREFILL_SECONDS
         if is_short and not self._index.has_free_slots:
             return None
-        failed = self._failed_short if is_short else self._failed_long
+        failed = self._failed_short if is_short else self._failed_long[may_exceed_gaps]
         demand = (required_memory(request), prefill) if is_short else (prefill, -objective)
         # Capacity only shrinks during a round, so a request whose demands are both at least those
         # of a request that could not be placed cannot be placed either.
@@ -148,7 +153,7 @@
         if is_short:
             plan = self._plan_short(request, prefill, objective)
         else:
-            plan = self._plan_long(request, prefill, objective)
+            plan = self._plan_long(request, prefill, objective, may_exceed_gaps)
         if plan is None and not request.excluded and request.preferred is None:
             failed.append(demand)
         return plan
@@ -251,6 +256,7 @@
         request: PlacementRequest,
         prefill: float,
         objective: float,
+        may_exceed_gaps: bool,
     ) -> Optional[Plan]:
         snapshots = [
             snapshot
@@ -262,6 +268,9 @@
         plan = self._plan_long_on(request, prefill, healthy, objective)
         if plan is None and len(healthy) < len(snapshots):
             plan = self._plan_long_on(request, prefill, snapshots, objective)
+        if plan is None and may_exceed_gaps:
+            without_gaps = [replace(item, max_part_seconds=float("inf")) for item in snapshots]
+            plan = self._plan_long_on(request, prefill, without_gaps, objective)
         return plan
 
     def _plan_long_on(
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -250,11 +250,13 @@
                 yield refusal
                 continue
             objective = waiting.first_event_due_at - now
-            may_be_deferred = now <= waiting.deferral_ends_at
+            may_be_deferred = now < waiting.deferral_ends_at
             if may_be_deferred and objective <= 0:
                 deferred.append(waiting)
                 continue
-            plan = placement_round.plan(waiting.request, objective)
+            plan = placement_round.plan(
+                waiting.request, objective, may_exceed_gaps=not may_be_deferred
+            )
             if (
                 plan is not None
                 and may_be_deferred
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -487,6 +487,42 @@
         return in_time, pool.waiting_count
 
 
+class FewEnginesTest(testtools.TestCase):
+    """Tests long prompts on a deployment with three engines that all decode short prompts."""
+
+    #: Short prompts per second, four fifths of what the slots of three engines allow.
+    SHORT_RATE = 12.0
+
+    #: Seconds for which a short prompt occupies its slot.
+    SERVICE_SECONDS = 1.6
+
+    def test_a_long_prompt_is_placed_before_half_of_its_time_has_passed(self) -> None:
+        """Guards against a long prompt that waits for as long as short ones keep arriving.
+
+        Any part of it would exceed the target gaps of the short prompts on every engine.
+        """
+        pool, finish_times = pool_of(3), list[tuple[float, str]]()
+        arrivals = [number / self.SHORT_RATE for number in range(int(self.SHORT_RATE * 30))]
+        for step in range(3000):
+            now = step / 100
+            while arrivals and arrivals[0] <= now:
+                pool.submit(placement_request(f"r{arrivals.pop(0)}", 5000), now)
+            if step == 1000:
+                pool.submit(placement_request("long", 154_000, time_left=15.0), now)
+            for ended in [item for item in finish_times if item[0] <= now]:
+                finish_times.remove(ended)
+                pool.record_finished(ended[1], AttemptOutcome.SERVED, now)
+            for decision in pool.decide(now):
+                if decision.ask_id == "long":
+                    self.assertIsInstance(decision, Grant)
+                    self.assertTrue(now <= 10.0 + 15.0 / 2, now)
+                    return
+                if isinstance(decision, Grant):
+                    pool.record_first_event(decision.ask_id, now + 0.05)
+                    finish_times.append((now + self.SERVICE_SECONDS, decision.ask_id))
+        self.fail("the long prompt got no decision")
+
+
 class RandomLoadTest(testtools.TestCase):
     @settings(derandomize=True, deadline=None, max_examples=60)
     @given(
