Name the last chance of a long prompt by what it does

may_exceed_gaps also lifts the limit on delaying other prompts, so it is may_delay_others. A value that does not change inside the loop over engines is computed before it.

--- a/camphordrift/relay/_engine_planner.py
+++ b/camphordrift/relay/_engine_planner.py
@@ -126,28 +126,27 @@
         #: prefill seconds.
         self._failed_short: list[tuple[float, float]] = []
         #: Demands of long prompts that could not be placed in this round, by whether they may
-        #: exceed target gaps: prefill seconds, and the negated seconds until the first event is
+        #: delay others: prefill seconds, and the negated seconds until the first event is
         #: due, so that a greater value is more urgent.
         self._failed_long: dict[bool, list[tuple[float, float]]] = {False: [], True: []}
 
     def plan(
-        self, request: PlacementRequest, objective: float, may_exceed_gaps: bool = False
+        self, request: PlacementRequest, objective: float, may_delay_others: bool = False
     ) -> Optional[Plan]:
         """Returns a plan for a request; ``None`` if it should wait.
 
         Args:
             request: The placement request.
             objective: Seconds until the first event is due; negative once it is overdue.
-            may_exceed_gaps: Whether the prefill of a long prompt may exceed the target gaps of the
-                responses on an engine, and delay other prompts there, because it would otherwise
-                wait until its deadline.
+            may_delay_others: Whether the prefill of a long prompt may make responses and other
+                prompts on its engines late, because it would otherwise wait until its deadline.
 
         """
         prefill = self._costs.prefill_time(request.prompt_tokens)
         is_short = prefill <= SHORT_PREFILL_SECONDS
         if is_short and not self._index.has_free_slots:
             return None
-        failed = self._failed_short if is_short else self._failed_long[may_exceed_gaps]
+        failed = self._failed_short if is_short else self._failed_long[may_delay_others]
         demand = (required_memory(request), prefill) if is_short else (prefill, -objective)
         # Capacity only shrinks during a round, so a request whose demands are both at least those
         # of a request that could not be placed cannot be placed either.
@@ -157,7 +156,7 @@
         if is_short:
             plan = self._plan_short(request, prefill, objective)
         else:
-            plan = self._plan_long(request, prefill, objective, may_exceed_gaps)
+            plan = self._plan_long(request, prefill, objective, may_delay_others)
         if plan is None and not request.excluded and request.preferred is None:
             failed.append(demand)
         return plan
@@ -216,11 +215,11 @@
         """
         memory = required_memory(request)
         latest = objective * SHORT_OBJECTIVE_SHARE
+        can_meet_target = prefill <= latest
         best: Optional[_EngineSnapshot] = None
         fallback: Optional[_EngineSnapshot] = None
         equally_loaded = 0
         for snapshot in self._candidates_for_short_prompt(request, memory, prefill):
-            can_meet_target = prefill <= latest
             misses_target = snapshot.expected_first_event_seconds(prefill) > latest
             if snapshot.is_suspect or (misses_target and can_meet_target):
                 if fallback is None or (fallback.is_suspect and not snapshot.is_suspect):
@@ -262,7 +261,7 @@
         request: PlacementRequest,
         prefill: float,
         objective: float,
-        may_exceed_gaps: bool,
+        may_delay_others: bool,
     ) -> Optional[Plan]:
         snapshots = [
             snapshot
@@ -274,7 +273,7 @@
         plan = self._plan_long_on(request, prefill, healthy, objective)
         if plan is None and len(healthy) < len(snapshots):
             plan = self._plan_long_on(request, prefill, snapshots, objective)
-        if plan is None and may_exceed_gaps:
+        if plan is None and may_delay_others:
             unlimited = [
                 replace(item, max_part_seconds=float("inf"), max_helper_seconds=float("inf"))
                 for item in snapshots
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -256,7 +256,7 @@
                 deferred.append(waiting)
                 continue
             plan = placement_round.plan(
-                waiting.request, objective, may_exceed_gaps=not may_be_deferred
+                waiting.request, objective, may_delay_others=not may_be_deferred
             )
             if (
                 plan is not None
