--- a/camphordrift/relay/tests/relay_harness.py
+++ b/camphordrift/relay/tests/relay_harness.py
@@ -1,7 +1,7 @@
 """Runs a relay with scripted backend servers on loopback sockets, for tests."""
 
 import socket
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from typing import Optional
@@ -18,9 +18,10 @@
     ScriptedServer,
     adapters,
     attempt_id_of,
+    server,
     settings,
 )
-from camphordrift.testing import HttpRequest, process_loopback_network
+from camphordrift.testing import HttpRequest, HttpRequestHandler, process_loopback_network
 
 #: Timeout of a test in seconds.
 TEST_TIMEOUT = 20.0
@@ -78,6 +79,11 @@
             await stream.send_all(b"GET /metrics HTTP/1.1\r\nhost: vm\r\n\r\n")
             return (await read_response(stream)).body.decode()
 
+    async def wait_for_version(self, version: int) -> None:
+        """Waits until a version of the configuration is active."""
+        while (self.process._routing_state.version or 0) < version:
+            await trio.sleep(0.01)
+
     async def wait_until_ready(self) -> None:
         """Waits until the relay accepts connections."""
         while not self.process.ready:
@@ -214,3 +220,36 @@
     )
     await stream.send_all(head.encode() + b"content-length: 0\r\n\r\n")
     return True
+
+
+Scenario = Callable[[RelayHarness, list[ScriptedServer]], Awaitable[None]]
+
+
+def run_scenario(
+    scenario: Scenario, *scripts: HttpRequestHandler, service: str = "engines"
+) -> None:
+    """Runs a scenario on a relay with one server for each script."""
+
+    async def main() -> None:
+        servers = [
+            ScriptedServer(server(number, service, port=0), script)
+            for number, script in enumerate(scripts)
+        ]
+        async with open_relay(servers) as relay:
+            await scenario(relay, servers)
+
+    trio.run(main)
+
+
+def first_then(first: HttpRequestHandler, then: HttpRequestHandler) -> HttpRequestHandler:
+    """Returns a script that runs ``first`` for the first request and ``then`` for all others.
+
+    Servers that share the script share the count.
+    """
+    answered = []
+
+    async def script(request: HttpRequest, stream: trio.SocketStream) -> bool:
+        answered.append(request)
+        return await (first if len(answered) == 1 else then)(request, stream)
+
+    return script
--- a/camphordrift/relay/tests/test_end_to_end.py
+++ b/camphordrift/relay/tests/test_end_to_end.py
@@ -3,7 +3,6 @@
 import contextlib
 import itertools
 import json
-from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 import pytest
@@ -18,12 +17,13 @@
     chunk,
     complete_stream,
     events,
-    open_relay,
+    first_then,
     plain_response,
     plain_success,
     read_response,
     rejects_request,
     request_bytes,
+    run_scenario,
     stream_head,
 )
 from camphordrift.relay.tests.samples import (
@@ -32,40 +32,10 @@
     ScriptedServer,
     server,
 )
-from camphordrift.testing import HttpRequest, HttpRequestHandler
+from camphordrift.testing import HttpRequest
 
 pytestmark = pytest.mark.sockets
 
-Scenario = Callable[[RelayHarness, list[ScriptedServer]], Awaitable[None]]
-
-
-def run_scenario(
-    scenario: Scenario, *scripts: HttpRequestHandler, service: str = "engines"
-) -> None:
-    async def main() -> None:
-        servers = [
-            ScriptedServer(server(number, service, port=0), script)
-            for number, script in enumerate(scripts)
-        ]
-        async with open_relay(servers) as relay:
-            await scenario(relay, servers)
-
-    trio.run(main)
-
-
-def first_then(first: HttpRequestHandler, then: HttpRequestHandler) -> HttpRequestHandler:
-    """Returns a script that runs ``first`` for the first request and ``then`` for all others.
-
-    Servers that share the script share the count.
-    """
-    answered = []
-
-    async def script(request: HttpRequest, stream: trio.SocketStream) -> bool:
-        answered.append(request)
-        return await (first if len(answered) == 1 else then)(request, stream)
-
-    return script
-
 
 class StreamTest(testtools.TestCase):
     def test_stream_is_forwarded_completely(self) -> None:
