Keep a silent server until another one takes its place

Callers lost responses that their server would have completed: a server that sent nothing for four target gaps (1 s for short prompts) was taken for crashed, and if the stream could then not be resumed elsewhere (attempts or retry budget used up, no engine free, account changed by a new configuration), the caller's connection was reset. Before the first event the caller got 502.

Cause: the attempt was given up before it was known that another one could replace it. Silence proves nothing.

Now silence only starts a further attempt beside the silent one (RequestAttempts). An attempt of which the caller has nothing is cancelled when the further one is sent; once a stream has begun, whichever server sends the next event continues it and the other attempt is cancelled, so that events of two servers are never mixed. Without a further attempt, the silent server has until the deadline. A cancelled request whose attempt ran in a nursery, as those with long prompts do, now counts as caller_left as well.

--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -1,8 +1,8 @@
 """A single attempt to send a request to one backend server."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Optional, Union
+from typing import Optional, TypeVar, Union
 
 import h11
 import trio
@@ -19,6 +19,9 @@
 #: Seconds for which an idle connection is reused if the server states no keep-alive timeout.
 DEFAULT_IDLE_TIMEOUT = 4.0
 
+#: Seconds within which the rest of a rejection must arrive; its connection is closed otherwise.
+DISCARD_TIMEOUT = 0.1
+
 #: Request bodies up to this size in bytes fit into the socket's send buffer. Sending them cannot
 #: block on a server that responds before it has read the body.
 SOCKET_BUFFERED_BODY_BYTES = 8192
@@ -89,15 +92,42 @@
 
 
 @dataclass(frozen=True)
-class AttemptTimeouts:
-    """Timeouts of one attempt, in seconds."""
+class SilenceTimeouts:
+    """Seconds after which a server that sends nothing counts as silent.
+
+    A silent server may have crashed, or continue later.
+    """
 
-    #: Maximum time to the complete response, or to the first event of a stream.
-    first_byte: float
-    #: Maximum time between two events of a stream.
+    #: Time to the complete response, or to the first event of a stream.
+    first_event: float
+    #: Time between two events of a stream.
     between_events: float
 
 
+_Received = TypeVar("_Received")
+
+
+class _SilenceTimer:
+    """Waits for data of a server, and reports each time that it has been silent for a timeout."""
+
+    def __init__(self, timeout: float, on_silence: Callable[[], None]) -> None:
+        self._on_silence = on_silence
+        self.restart(timeout)
+
+    def restart(self, timeout: float) -> None:
+        """Starts to wait for the next data with the given timeout in seconds."""
+        self._timeout = timeout
+        self._deadline = trio.current_time() + timeout
+
+    async def receive(self, receive: Callable[[], Awaitable[_Received]]) -> _Received:
+        """Returns what ``receive`` returns; calls it again after a silence."""
+        while True:
+            with trio.move_on_at(self._deadline):
+                return await receive()
+            self._on_silence()
+            self.restart(self._timeout)
+
+
 class Attempt:
     """Sends a request to a server and receives the response."""
 
@@ -118,7 +148,8 @@
     async def run(
         self,
         prepare_send: Callable[[], Optional[ForwardingMetadata]],
-        timeouts: AttemptTimeouts,
+        timeouts: SilenceTimeouts,
+        on_silence: Callable[[], None],
         force_new_connection: bool,
         sink: Optional[EventSink],
     ) -> AttemptResult:
@@ -127,7 +158,9 @@
         Args:
             prepare_send: Called immediately before the first byte is sent; returns the metadata to
                 forward, or ``None`` if the request must not be sent any more.
-            timeouts: Timeouts of the attempt.
+            timeouts: When the server counts as silent.
+            on_silence: Called each time the server has been silent for its timeout. The attempt
+                goes on until it is cancelled.
             force_new_connection: Whether to open a new connection instead of reusing one. The
                 server may close a reused connection while the request is on its way, which leaves
                 unknown whether the request was executed.
@@ -149,7 +182,10 @@
                 return Withheld(
                     "the deadline passed, the key is not valid any more, or the server is draining"
                 )
-            result, idle_timeout = await self._exchange(connection, metadata, timeouts, sink)
+            timer = _SilenceTimer(timeouts.first_event, on_silence)
+            result, idle_timeout = await self._exchange(
+                connection, metadata, timer, timeouts.between_events, sink
+            )
             return result
         except (BrokenAnswerError, OSError) as error:
             return Broken(str(error))
@@ -160,19 +196,20 @@
         self,
         connection: HttpConnection,
         metadata: ForwardingMetadata,
-        timeouts: AttemptTimeouts,
+        timer: _SilenceTimer,
+        event_timeout: float,
         sink: Optional[EventSink],
     ) -> tuple[AttemptResult, float]:
         headers = self._header_format.outgoing_headers(self._request.headers, metadata)
         if len(self._request.body) <= SOCKET_BUFFERED_BODY_BYTES:
             await self._send(connection, headers)
-            return await self._receive(connection, timeouts, sink)
+            return await self._receive(connection, timer, event_timeout, sink)
         # Sends and receives concurrently: the server may respond before it has read the body, and
         # may never read it.
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_ignoring_errors, connection, headers)
             try:
-                result = await self._receive(connection, timeouts, sink)
+                result = await self._receive(connection, timer, event_timeout, sink)
             except (BrokenAnswerError, OSError) as error:
                 # Caught here because exceptions leave a nursery only inside an exception group.
                 result = Broken(str(error)), 0.0
@@ -192,13 +229,13 @@
             return
 
     async def _receive(
-        self, connection: HttpConnection, timeouts: AttemptTimeouts, sink: Optional[EventSink]
+        self,
+        connection: HttpConnection,
+        timer: _SilenceTimer,
+        event_timeout: float,
+        sink: Optional[EventSink],
     ) -> tuple[AttemptResult, float]:
-        deadline = trio.current_time() + timeouts.first_byte
-        with trio.move_on_at(deadline) as scope:
-            head = await connection.receive_head()
-        if scope.cancelled_caught:
-            return Broken("no answer in time", timed_out=True), 0.0
+        head = await timer.receive(connection.receive_head)
         metadata = self._header_format.response_metadata(list(head.headers))
         idle_timeout = (
             DEFAULT_IDLE_TIMEOUT if metadata.idle_timeout is None else metadata.idle_timeout
@@ -206,7 +243,7 @@
         if metadata.attempt_id not in (None, self._attempt_id):
             return Broken("the response belongs to another request"), 0.0
         if metadata.not_run or head.status_code == 421:
-            await self._discard_body(connection, deadline)
+            await self._discard_body(connection)
             return Rejected(head.status_code, metadata.server_at_fault), idle_timeout
         success = 200 <= head.status_code < 300
         if success and not metadata.signed:
@@ -214,50 +251,38 @@
         if success and metadata.attempt_id is None:
             return Broken("the response has no attempt id"), 0.0
         if success and sink is not None:
-            return (
-                await self._forward_events(connection, head, timeouts, deadline, sink),
-                idle_timeout,
-            )
-        return await self._receive_complete_response(connection, head, deadline), idle_timeout
+            result = await self._forward_events(connection, head, timer, event_timeout, sink)
+        else:
+            result = await self._receive_complete_response(connection, head, timer)
+        return result, idle_timeout
 
-    async def _discard_body(self, connection: HttpConnection, deadline: float) -> None:
+    async def _discard_body(self, connection: HttpConnection) -> None:
         """Reads and drops the rest of a response, so that the connection can be reused."""
-        with trio.move_on_at(deadline):
+        with trio.move_on_after(DISCARD_TIMEOUT):
             while await connection.receive_data() is not None:
                 pass
 
     async def _receive_complete_response(
-        self, connection: HttpConnection, head: h11.Response, deadline: float
+        self, connection: HttpConnection, head: h11.Response, timer: _SilenceTimer
     ) -> AttemptResult:
         body = bytearray()
-        with trio.move_on_at(deadline) as scope:
-            while (chunk := await connection.receive_data()) is not None:
-                body += chunk
-                if len(body) > MAX_BUFFERED_RESPONSE_BYTES:
-                    return Broken("the response is too large to buffer")
-        if scope.cancelled_caught:
-            return Broken("the response was not complete in time", timed_out=True)
+        while (chunk := await timer.receive(connection.receive_data)) is not None:
+            body += chunk
+            if len(body) > MAX_BUFFERED_RESPONSE_BYTES:
+                return Broken("the response is too large to buffer")
         return Answered(head.status_code, _end_to_end_headers(head.headers), bytes(body))
 
     async def _forward_events(
         self,
         connection: HttpConnection,
         head: h11.Response,
-        timeouts: AttemptTimeouts,
-        deadline: float,
+        timer: _SilenceTimer,
+        event_timeout: float,
         sink: EventSink,
     ) -> AttemptResult:
         splitter = EventSplitter()
         started = False
-        while True:
-            with trio.move_on_at(deadline) as scope:
-                chunk = await connection.receive_data()
-            if scope.cancelled_caught:
-                return Broken("the next event did not arrive in time", timed_out=True)
-            if chunk is None:
-                return (
-                    Broken("stream ended mid-event") if splitter.has_partial_event else Streamed()
-                )
+        while (chunk := await timer.receive(connection.receive_data)) is not None:
             events = splitter.feed(chunk)
             if not events:
                 continue
@@ -265,7 +290,8 @@
                 started = True
                 await sink.start_response(head.status_code, _end_to_end_headers(head.headers))
             await sink.write_events(events)
-            deadline = trio.current_time() + timeouts.between_events
+            timer.restart(event_timeout)
+        return Broken("stream ended mid-event") if splitter.has_partial_event else Streamed()
 
 
 #: Response headers that apply to a single connection, and the length, which is set anew when the
--- a/camphordrift/relay/_caller_sink.py
+++ b/camphordrift/relay/_caller_sink.py
@@ -1,63 +1,102 @@
 """Forwards events of a streamed response to the caller."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Optional
 
 import trio
 
 from camphordrift.relay._attempt import EventSink
 from camphordrift.relay._events import StreamEvent
+from camphordrift.relay._http_server import ResponseWriter
 from camphordrift.relay._interfaces import Headers
-from camphordrift.relay._request_progress import RequestProgress
 
 #: Number of gaps between events that are sampled at the start of each attempt; the shortest of them
 #: is reported to the engine scheduler as the time of one engine iteration.
 SAMPLED_GAPS = 4
 
 
-class CallerEventSink(EventSink):
-    """Forwards events to the caller, each at most once and in order, across attempts."""
+class CallerStream:
+    """The event stream to a caller; gets each event at most once and in order, across attempts.
+
+    Args:
+        response: The response to the caller.
+        resume_id: Id of the last event that the caller already has; ``None`` or not a number if it
+            does not resume an earlier stream.
+
+    """
 
-    def __init__(self, progress: RequestProgress) -> None:
-        self._response = progress.response
+    def __init__(self, response: ResponseWriter, resume_id: Optional[str]) -> None:
+        self._response = response
         self._last_event_id: Optional[int] = None
-        resume_id = progress.metadata.last_event_id
         if resume_id is not None and resume_id.isdigit():
             self._last_event_id = int(resume_id)
         self._forwarded_any = False
-        #: Time of the first event of the latest attempt, by trio's clock.
+
+    @property
+    def last_event_id(self) -> Optional[int]:
+        """Id of the last event forwarded to the caller; ``None`` before the first one."""
+        return self._last_event_id if self._forwarded_any else None
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Starts the response, unless an earlier attempt has started it."""
+        if not self._response.started:
+            await self._response.start(status, headers)
+
+    def select_new(self, events: list[StreamEvent]) -> list[StreamEvent]:
+        """Returns the events that the caller does not have yet."""
+        return [event for event in events if self._is_new(event)]
+
+    async def write(self, events: list[StreamEvent]) -> None:
+        """Forwards events that the caller does not have yet."""
+        ids = [event.id for event in events if event.id is not None]
+        # Set before writing, as events that may have reached the caller must not be sent again.
+        self._last_event_id = ids[-1] if ids else self._last_event_id
+        self._forwarded_any = True
+        await self._response.write(b"".join(event.data for event in events))
+
+    def _is_new(self, event: StreamEvent) -> bool:
+        return event.id is None or self._last_event_id is None or event.id > self._last_event_id
+
+
+class CallerEventSink(EventSink):
+    """Forwards the events of one attempt to the caller's stream.
+
+    Args:
+        stream: The caller's stream.
+        claim_stream: Called before events are forwarded. It is cancelled if another attempt has
+            continued the stream in the meantime.
+
+    """
+
+    def __init__(self, stream: CallerStream, claim_stream: Callable[[], Awaitable[None]]) -> None:
+        self._stream = stream
+        self._claim_stream = claim_stream
+        #: Time of the attempt's first event, by trio's clock.
         self.first_event_at: Optional[float] = None
         #: Longest gap between events in seconds; ``None`` before the second event.
         self.longest_gap: Optional[float] = None
         self._gaps: list[float] = []
         self._last_event_at = 0.0
-        #: Called when the first event of an attempt arrives.
+        #: Called when the first event of the attempt arrives.
         self.on_first_event: Callable[[], None] = lambda: None
-        #: Called with the seconds of the shortest of an attempt's first gaps between events.
+        #: Called with the seconds of the shortest of the attempt's first gaps between events.
         self.on_shortest_gap: Callable[[float], None] = lambda gap: None
 
     @property
     def last_event_id(self) -> Optional[int]:
         """Id of the last event forwarded to the caller; ``None`` before the first one."""
-        return self._last_event_id if self._forwarded_any else None
+        return self._stream.last_event_id
 
     async def start_response(self, status: int, headers: Headers) -> None:
         self.first_event_at = self._last_event_at = trio.current_time()
-        self._gaps = []
         self.on_first_event()
-        if not self._response.started:
-            await self._response.start(status, headers)
+        await self._stream.start(status, headers)
 
     async def write_events(self, events: list[StreamEvent]) -> None:
         self._record_gap()
-        new = [event for event in events if self._is_new(event)]
-        if not new:
-            return
-        ids = [event.id for event in new if event.id is not None]
-        # Set before writing, as events that may have reached the caller must not be sent again.
-        self._last_event_id = ids[-1] if ids else self._last_event_id
-        self._forwarded_any = True
-        await self._response.write(b"".join(event.data for event in new))
+        if new := self._stream.select_new(events):
+            await self._claim_stream()
+            await self._stream.write(new)
 
     def _record_gap(self) -> None:
         now = trio.current_time()
@@ -68,6 +107,3 @@
             if len(self._gaps) == SAMPLED_GAPS:
                 self.on_shortest_gap(min(self._gaps))
         self._last_event_at = now
-
-    def _is_new(self, event: StreamEvent) -> bool:
-        return event.id is None or self._last_event_id is None or event.id > self._last_event_id
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -16,7 +16,6 @@
     Streamed,
     Withheld,
 )
-from camphordrift.relay._caller_sink import CallerEventSink
 from camphordrift.relay._http_server import CallerRequest, ResponseWriter
 from camphordrift.relay._interfaces import HeaderFormat
 from camphordrift.relay._refusals import (
@@ -25,10 +24,11 @@
     failure_of_deadline,
     failure_of_revoked_key,
 )
+from camphordrift.relay._request_attempts import RequestAttempts, RunningAttempt
 from camphordrift.relay._request_progress import RequestProgress
 from camphordrift.relay._request_reports import RequestReports
 from camphordrift.relay._routing_state import RoutingState
-from camphordrift.relay._sender import LATE_RESPONSE_MARGIN, Sender
+from camphordrift.relay._sender import Sender
 from camphordrift.relay._values import RequestMetadata
 from camphordrift.results import Failure, ResultCode, describe_failure
 
@@ -37,6 +37,9 @@
 #: this time.
 STARTUP_WAIT = 0.4
 
+#: Seconds allowed after the deadline for a server's own timeout response to arrive.
+LATE_RESPONSE_MARGIN = 0.03
+
 #: Maximum number of retries on the same engine with other prefill helpers, if only a helper failed.
 MAX_HELPER_CHANGES = 4
 
@@ -79,39 +82,53 @@
         await self._serve_until_deadline(progress)
 
     async def _serve_until_deadline(self, progress: RequestProgress) -> None:
-        request, response, metadata = progress.request, progress.response, progress.metadata
+        refusal: Optional[Failure] = None
+        was_cancelled = True
         try:
             with trio.move_on_at(progress.deadline + LATE_RESPONSE_MARGIN):
                 await self._serve(progress)
+            was_cancelled = False
         except RequestRefusedError as error:
-            if response.started:
-                self._reports.record_truncated(progress)
-            else:
-                await self._refuse(request, response, metadata, error.failure, progress)
-            return
-        except trio.Cancelled:
-            self._reports.record_caller_disconnected(progress)
-            raise
+            refusal, was_cancelled = error.failure, False
+        finally:
+            # Cancellation may arrive as an exception group, which no except clause here matches.
+            if was_cancelled:
+                self._reports.record_caller_disconnected(progress)
+        await self._finish(progress, refusal)
+
+    async def _finish(self, progress: RequestProgress, refusal: Optional[Failure]) -> None:
+        """Records the response, and refuses the request if there is none."""
+        request, response, metadata = progress.request, progress.response, progress.metadata
         if response.completed:
             self._reports.record_completed(progress)
         elif response.started:
             self._reports.record_truncated(progress)
         else:
-            await self._refuse(request, response, metadata, failure_of_deadline(progress), progress)
+            failure = refusal or failure_of_deadline(progress)
+            await self._refuse(request, response, metadata, failure, progress)
 
     async def _serve(self, progress: RequestProgress) -> None:
-        sink = CallerEventSink(progress) if progress.route.streams else None
+        attempts = RequestAttempts(
+            progress,
+            self._run_attempt,
+            try_retry=lambda: self._may_retry(progress),
+            may_try_another_server=lambda: self._may_try_another_server(progress),
+        )
         while True:
-            if not self._routing_state.is_still_authorized(progress.metadata.key, progress.account):
-                raise RequestRefusedError(failure_of_revoked_key(progress))
-            if progress.service.engine_costs is not None:
-                result = await self._sender.try_engine(progress, sink)
-            else:
-                result = await self._sender.try_plain_server(progress, sink)
+            result = await attempts.run()
             progress.last_result = result
             if await self._finish_or_retry(progress, result):
                 return
 
+    async def _run_attempt(
+        self, progress: RequestProgress, running: RunningAttempt
+    ) -> AttemptResult:
+        if not self._routing_state.is_still_authorized(progress.metadata.key, progress.account):
+            raise RequestRefusedError(failure_of_revoked_key(progress))
+        if progress.service.engine_costs is not None:
+            return await self._sender.try_engine(progress, running)
+        return await self._sender.try_plain_server(progress, running)
+
     async def _finish_or_retry(self, progress: RequestProgress, result: AttemptResult) -> bool:
         """Handles the result of an attempt; returns ``False`` if the request is to be retried."""
         match result:
--- a/camphordrift/relay/_request_reports.py
+++ b/camphordrift/relay/_request_reports.py
@@ -5,7 +5,7 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._attempt import AttemptResult, AttemptTimeouts
+from camphordrift.relay._attempt import AttemptResult, SilenceTimeouts
 from camphordrift.relay._caller_sink import CallerEventSink
 from camphordrift.relay._http_server import CallerRequest
 from camphordrift.relay._placement_values import PlacementRequest
@@ -60,7 +60,7 @@
         progress: RequestProgress,
         server: BackendServer,
         helpers: int,
-        timeouts: AttemptTimeouts,
+        timeouts: SilenceTimeouts,
         result: AttemptResult,
         sink: Optional[CallerEventSink],
         started_at: float,
@@ -84,7 +84,7 @@
             status=getattr(result, "status", None),
             reason=getattr(result, "reason", None),
             at_fault=getattr(result, "server_at_fault", None),
-            waited_at_most=timeouts.first_byte,
+            silent_after=timeouts.first_event,
             first_event=first_event,
             longest_pause=longest_gap,
             elapsed=trio.current_time() - progress.request.received_at,
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -9,13 +9,12 @@
     Answered,
     Attempt,
     AttemptResult,
-    AttemptTimeouts,
     Broken,
     NotSent,
     Rejected,
+    SilenceTimeouts,
     Withheld,
 )
-from camphordrift.relay._caller_sink import CallerEventSink
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay._interfaces import HeaderFormat, Reservation
@@ -27,6 +26,7 @@
 )
 from camphordrift.relay._plain_servers import PlainServerBalancer
 from camphordrift.relay._refusals import RequestRefusedError, failure_of_placement
+from camphordrift.relay._request_attempts import RunningAttempt
 from camphordrift.relay._request_progress import RequestProgress
 from camphordrift.relay._request_reports import RequestReports
 from camphordrift.relay._reservations import (
@@ -38,23 +38,20 @@
 from camphordrift.relay._routing_state import RoutingState
 from camphordrift.relay._values import BackendServer, ForwardingMetadata, PrefillHelper
 
-#: Seconds allowed after the deadline for a server's own timeout response to arrive.
-LATE_RESPONSE_MARGIN = 0.03
-
-#: Factor on the expected time to the first event of an engine. The timeout for the first event is
+#: Factor on the expected time to the first event of an engine. The engine counts as silent after
 #: the product plus the route's latency objective, or plus :data:`FIRST_EVENT_SLACK` if that is
-#: longer. The timeout is generous because prompts that arrive later may delay a long prompt, and a
+#: longer. The time is generous because prompts that arrive later may delay a long prompt, and a
 #: retry would waste the prefill done so far.
 FIRST_EVENT_FACTOR = 3.0
 
-#: Minimum seconds added to the timeout for the first event.
+#: Minimum seconds added to the time after which an engine counts as silent before its first event.
 FIRST_EVENT_SLACK = 0.6
 
-#: Factor on the route's target gap between events; the product is the timeout between events.
+#: Factor on the route's target gap between events; a server counts as silent after the product.
 EVENT_GAP_FACTOR = 4.0
 
-#: Factor on the route's latency objective; the product is the time after which an idempotent
-#: request to a plain server (not a model engine) is retried on another one.
+#: Factor on the route's latency objective; a plain server (not a model engine) counts as silent
+#: after the product.
 PLAIN_RESPONSE_FACTOR = 3.0
 
 #: Status with which an engine ends a request at its deadline. Unlike other statuses from 500, it
@@ -91,7 +88,7 @@
         self._plain_balancer = PlainServerBalancer()
 
     async def try_plain_server(
-        self, progress: RequestProgress, sink: Optional[CallerEventSink]
+        self, progress: RequestProgress, running: RunningAttempt
     ) -> AttemptResult:
         """Sends a request to a plain server and returns the result of the attempt."""
         server = self._plain_balancer.choose(
@@ -102,54 +99,51 @@
         )
         if server is None:
             return NotSent("no server of the service is available")
-        failed = False
+        route = progress.route
+        timeouts = SilenceTimeouts(
+            route.latency_objective * PLAIN_RESPONSE_FACTOR,
+            route.event_gap_objective * EVENT_GAP_FACTOR,
+        )
+        result: Optional[AttemptResult] = None
         try:
-            result = await self._attempt(progress, server, (), self._plain_timeouts(progress), sink)
-            failed = isinstance(result, (NotSent, Broken))
+            result = await self._attempt(progress, server, (), timeouts, running)
         finally:
+            failed = running.is_silent if result is None else isinstance(result, (NotSent, Broken))
             self._plain_balancer.record_finished(server.id, failed, trio.current_time())
         return result
 
-    def _plain_timeouts(self, progress: RequestProgress) -> AttemptTimeouts:
-        route = progress.route
-        first_byte = progress.remaining_time + LATE_RESPONSE_MARGIN
-        if route.retryable and len(progress.attempted_servers) + 1 < route.max_attempts:
-            first_byte = min(first_byte, route.latency_objective * PLAIN_RESPONSE_FACTOR)
-        return AttemptTimeouts(first_byte, route.event_gap_objective * EVENT_GAP_FACTOR)
-
-    async def try_engine(
-        self, progress: RequestProgress, sink: Optional[CallerEventSink]
-    ) -> AttemptResult:
+    async def try_engine(self, progress: RequestProgress, running: RunningAttempt) -> AttemptResult:
         """Sends a request to an engine and returns the result of the attempt.
 
         Raises:
             RequestRefusedError: No engine can serve the request.
 
         """
-        placement_request = self._build_placement_request(progress, sink)
+        placement_request = self._build_placement_request(progress, running)
         requested_at = trio.current_time()
         decision = await self._dispatcher.request_placement(placement_request)
         self._reports.record_placed(placement_request, trio.current_time() - requested_at)
         if isinstance(decision, PlacementRefusal):
             raise RequestRefusedError(failure_of_placement(decision, progress))
-        outcome, at_fault = AttemptOutcome.SERVED, None
+        result: Optional[AttemptResult] = None
         try:
-            if sink is not None:
-                sink.on_first_event = lambda: self._dispatcher.report_first_event(
+            if running.sink is not None:
+                running.sink.on_first_event = lambda: self._dispatcher.report_first_event(
                     placement_request.id
                 )
-                sink.on_shortest_gap = lambda gap: self._dispatcher.report_event_gap(
+                running.sink.on_shortest_gap = lambda gap: self._dispatcher.report_event_gap(
                     placement_request.id, gap
                 )
-            result = await self._attempt_on_granted_engines(progress, decision, sink)
-            outcome, at_fault = _outcome_of(result), getattr(result, "server_at_fault", None)
-            _exclude_helper_at_fault(progress, decision, at_fault)
+            result = await self._attempt_on_granted_engines(progress, decision, running)
+            _exclude_helper_at_fault(progress, decision, _server_at_fault(result))
         finally:
-            self._dispatcher.report_finished(placement_request.id, outcome, at_fault)
+            self._dispatcher.report_finished(
+                placement_request.id, _outcome_of(result, running), _server_at_fault(result)
+            )
         return result
 
     async def _attempt_on_granted_engines(
-        self, progress: RequestProgress, grant: Grant, sink: Optional[CallerEventSink]
+        self, progress: RequestProgress, grant: Grant, running: RunningAttempt
     ) -> AttemptResult:
         parts = tuple(
             ReservedPart(
@@ -166,16 +160,15 @@
             for helper in grant.helpers
         )
         slack = max(FIRST_EVENT_SLACK, progress.route.latency_objective)
-        first_event_timeout = grant.first_event * FIRST_EVENT_FACTOR + slack
-        timeouts = AttemptTimeouts(
-            min(first_event_timeout, progress.remaining_time + LATE_RESPONSE_MARGIN),
+        timeouts = SilenceTimeouts(
+            grant.first_event * FIRST_EVENT_FACTOR + slack,
             progress.route.event_gap_objective * EVENT_GAP_FACTOR,
         )
         if not parts:
-            return await self._attempt(progress, grant.server, helpers, timeouts, sink)
+            return await self._attempt(progress, grant.server, helpers, timeouts, running)
         try:
             async with self._reservations.hold_reservations(parts, grant.server):
-                return await self._attempt(progress, grant.server, helpers, timeouts, sink)
+                return await self._attempt(progress, grant.server, helpers, timeouts, running)
         except ReservationRefusedError as error:
             progress.excluded_servers.extend(error.server_ids)
             return Withheld(str(error))
@@ -184,9 +177,9 @@
         return Broken("the engine became unreachable", timed_out=True)
 
     def _build_placement_request(
-        self, progress: RequestProgress, sink: Optional[CallerEventSink]
+        self, progress: RequestProgress, running: RunningAttempt
     ) -> PlacementRequest:
-        metadata = progress.metadata
+        metadata, sink = progress.metadata, running.sink
         elapsed = trio.current_time() - progress.request.received_at
         output_tokens = metadata.estimated_output_tokens or metadata.max_output_tokens
         account = progress.account
@@ -215,8 +208,8 @@
         progress: RequestProgress,
         server: BackendServer,
         helpers: tuple[PrefillHelper, ...],
-        timeouts: AttemptTimeouts,
-        sink: Optional[CallerEventSink],
+        timeouts: SilenceTimeouts,
+        running: RunningAttempt,
     ) -> AttemptResult:
         attempt = Attempt(
             progress.request,
@@ -228,13 +221,15 @@
         progress.excluded_servers.append(server.id)
 
         def prepare_send() -> Optional[ForwardingMetadata]:
-            return self._prepare_send(progress, server, helpers, sink)
+            return self._prepare_send(progress, server, helpers, running)
 
         force_new = not progress.route.retryable
         started_at = trio.current_time()
-        result = await attempt.run(prepare_send, timeouts, force_new, sink)
+        result = await attempt.run(
+            prepare_send, timeouts, running.record_silence, force_new, running.sink
+        )
         self._reports.record_attempt(
-            progress, server, len(helpers), timeouts, result, sink, started_at
+            progress, server, len(helpers), timeouts, result, running.sink, started_at
         )
         return result
 
@@ -243,7 +238,7 @@
         progress: RequestProgress,
         server: BackendServer,
         helpers: tuple[PrefillHelper, ...],
-        sink: Optional[CallerEventSink],
+        running: RunningAttempt,
     ) -> Optional[ForwardingMetadata]:
         """Returns the metadata to forward; ``None`` if the request must not be sent any more.
 
@@ -257,6 +252,8 @@
         if not self._routing_state.directory.may_receive_requests(server.id):
             return None
         progress.attempted_servers.append(server.id)
+        running.record_send()
+        sink = running.sink
         last_event = None if sink is None or sink.last_event_id is None else str(sink.last_event_id)
         return ForwardingMetadata(
             remaining_time=progress.remaining_time,
@@ -282,8 +279,15 @@
             progress.preferred_server = grant.server.id
 
 
-def _outcome_of(result: AttemptResult) -> AttemptOutcome:
+def _server_at_fault(result: Optional[AttemptResult]) -> Optional[str]:
+    return result.server_at_fault if isinstance(result, Rejected) else None
+
+
+def _outcome_of(result: Optional[AttemptResult], running: RunningAttempt) -> AttemptOutcome:
+    """Returns the outcome of an attempt; ``result`` is ``None`` if it was cancelled."""
     match result:
+        case None if running.is_silent:
+            return AttemptOutcome.SILENT
         case Rejected():
             return AttemptOutcome.REJECTED
         case Broken(_, timed_out):
--- /dev/null
+++ b/camphordrift/relay/tests/test_request_attempts.py
@@ -0,0 +1,252 @@
+"""Tests of concurrent attempts with scripted servers, in virtual time."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Optional, cast
+
+import testtools
+import trio
+
+from camphordrift.relay import Headers, RequestMetadata
+from camphordrift.relay._attempt import AttemptResult, Broken, NotSent, Rejected, Streamed
+from camphordrift.relay._events import StreamEvent
+from camphordrift.relay._http_server import CallerRequest, ResponseWriter
+from camphordrift.relay._refusals import RequestRefusedError, refusal_error
+from camphordrift.relay._request_attempts import RequestAttempts, RunningAttempt
+from camphordrift.relay._request_progress import RequestProgress
+from camphordrift.relay.tests.samples import CONFIGURATION, STREAM
+from camphordrift.results import ResultCode
+from camphordrift.testing import run_in_virtual_time
+
+#: The script of one attempt.
+Script = Callable[[RunningAttempt], Awaitable[AttemptResult]]
+
+
+class RecordedResponse:
+    """Records the body of a response instead of writing it."""
+
+    def __init__(self, write_seconds: float = 0.0) -> None:
+        self.started = False
+        self.body = b""
+        self._write_seconds = write_seconds
+
+    async def start(self, status: int, headers: Headers) -> None:
+        self.started = True
+
+    async def write(self, data: bytes) -> None:
+        self.body += data[: len(data) // 2]
+        await trio.sleep(self._write_seconds)
+        self.body += data[len(data) // 2 :]
+
+
+@dataclass
+class Outcome:
+    """What became of a request."""
+
+    result: Optional[AttemptResult]
+    ids: list[int]
+    progress: RequestProgress
+    seconds: float
+    cancelled: list[int] = field(default_factory=list)
+
+
+def run_attempts(*scripts: Script, retries: int = 3, write_seconds: float = 0.0) -> Outcome:
+    """Runs a request whose attempts follow ``scripts``, one for each attempt."""
+
+    async def main() -> Outcome:
+        response = RecordedResponse(write_seconds)
+        request = CallerRequest(b"POST", b"/", [], b"", trio.current_time())
+        progress = RequestProgress(
+            request=request,
+            response=cast(ResponseWriter, response),
+            metadata=RequestMetadata("a1", 10.0, None),
+            route=STREAM,
+            account=None,
+            service=CONFIGURATION.services["engines"],
+            deadline=trio.current_time() + 10,
+            attempted_servers=[],
+            excluded_servers=[],
+        )
+        remaining = list(enumerate(scripts))
+        cancelled: list[int] = []
+        left = retries
+
+        def try_retry() -> bool:
+            nonlocal left
+            left -= 1
+            return left >= 0
+
+        async def run_attempt(progress: RequestProgress, running: RunningAttempt) -> AttemptResult:
+            number, script = remaining.pop(0)
+            try:
+                return await script(running)
+            except trio.Cancelled:
+                cancelled.append(number)
+                raise
+
+        attempts = RequestAttempts(progress, run_attempt, try_retry, lambda: True)
+        result: Optional[AttemptResult] = None
+        with trio.move_on_after(10):
+            result = await attempts.run()
+        text = response.body.decode()
+        ids = [int(line[3:]) for line in text.splitlines() if line.startswith("id:")]
+        return Outcome(result, ids, progress, trio.current_time() - request.received_at, cancelled)
+
+    return run_in_virtual_time(main)
+
+
+async def forward(running: RunningAttempt, *ids: int) -> None:
+    """Forwards events as a server's response."""
+    assert running.sink is not None
+    await running.sink.start_response(200, [])
+    await running.sink.write_events([StreamEvent(b"id: %d\n\n" % number, number) for number in ids])
+
+
+def silent_server(
+    before: tuple[int, ...], silence: float, after: tuple[int, ...], period: float = 1.0
+) -> Script:
+    """Returns a script with a silence of some seconds, reported each ``period``."""
+
+    async def script(running: RunningAttempt) -> AttemptResult:
+        running.record_send()
+        if before:
+            await forward(running, *before)
+        ends_at = trio.current_time() + silence
+        while trio.current_time() + period < ends_at:
+            await trio.sleep(period)
+            running.record_silence()
+        await trio.sleep(ends_at - trio.current_time())
+        await forward(running, *after)
+        return Streamed()
+
+    return script
+
+
+def server(delay: float, *ids: int, result: AttemptResult = Streamed()) -> Script:  # noqa: B008
+    """Returns a script that forwards events after ``delay`` seconds and then ends."""
+
+    async def script(running: RunningAttempt) -> AttemptResult:
+        running.record_send()
+        await trio.sleep(delay)
+        if ids:
+            await forward(running, *ids)
+        return result
+
+    return script
+
+
+async def refuses(running: RunningAttempt) -> AttemptResult:
+    raise refusal_error(ResultCode.NO_ENGINE_AVAILABLE, "no engine")
+
+
+class SilentStreamTest(testtools.TestCase):
+    def test_the_silent_server_continues_if_it_is_first(self) -> None:
+        outcome = run_attempts(silent_server((1, 2), 1.5, (3, 4)), server(2.0, 3, 4))
+        self.assertEqual((Streamed(), [1, 2, 3, 4]), (outcome.result, outcome.ids))
+        self.assertEqual([1], outcome.cancelled)
+
+    def test_the_other_server_continues_if_it_is_first(self) -> None:
+        outcome = run_attempts(silent_server((1, 2), 5.0, (3, 4)), server(0.3, 3, 4))
+        self.assertEqual((Streamed(), [1, 2, 3, 4]), (outcome.result, outcome.ids))
+        self.assertEqual([0], outcome.cancelled)
+        self.assertAlmostEqual(1.3, outcome.seconds)
+
+    def test_events_of_two_servers_are_not_mixed(self) -> None:
+        """Both servers send at the same moment, while the caller's connection is slow."""
+        for delay in (0.5, 0.5 - 1e-9, 0.5 + 1e-9):
+            outcome = run_attempts(
+                silent_server((1, 2), 1.5, (3, 4)), server(delay, 3, 4), write_seconds=0.2
+            )
+            self.assertEqual((Streamed(), [1, 2, 3, 4]), (outcome.result, outcome.ids))
+            self.assertEqual(1, len(outcome.cancelled))
+
+    def test_the_silent_server_continues_if_no_other_one_is_free(self) -> None:
+        outcome = run_attempts(silent_server((1,), 3.5, (2,)), refuses, refuses, refuses)
+        self.assertEqual((Streamed(), [1, 2]), (outcome.result, outcome.ids))
+
+    def test_the_silent_server_continues_if_no_retry_is_permitted(self) -> None:
+        outcome = run_attempts(silent_server((1,), 3.5, (2,)), retries=0)
+        self.assertEqual((Streamed(), [1, 2]), (outcome.result, outcome.ids))
+
+    def test_the_silent_server_continues_if_the_other_one_fails(self) -> None:
+        for result in (Broken("reset"), Rejected(503, None)):
+            outcome = run_attempts(
+                silent_server((1,), 1.6, (2,)), server(0.1, result=result), retries=1
+            )
+            self.assertEqual((Streamed(), [1, 2]), (outcome.result, outcome.ids))
+
+    def test_another_server_is_tried_if_the_further_attempt_was_not_sent(self) -> None:
+        async def not_sent(running: RunningAttempt) -> AttemptResult:
+            await trio.sleep(0.1)
+            return NotSent("connection refused")
+
+        outcome = run_attempts(silent_server((1,), 5.0, (2,)), not_sent, server(0.1, 2))
+        self.assertEqual((Streamed(), [1, 2]), (outcome.result, outcome.ids))
+        self.assertAlmostEqual(1.2, outcome.seconds)
+
+    def test_the_further_attempt_goes_on_if_the_silent_server_breaks(self) -> None:
+        async def breaks(running: RunningAttempt) -> AttemptResult:
+            running.record_send()
+            await forward(running, 1)
+            await trio.sleep(1.0)
+            running.record_silence()
+            await trio.sleep(0.1)
+            return Broken("the connection was reset")
+
+        outcome = run_attempts(breaks, server(0.5, 2))
+        self.assertEqual((Streamed(), [1, 2]), (outcome.result, outcome.ids))
+        self.assertTrue(outcome.progress.may_have_run)
+
+    def test_a_silent_further_attempt_is_followed_by_a_third_one(self) -> None:
+        outcome = run_attempts(
+            silent_server((1,), 9.0, (2,)), silent_server((), 9.0, (2,)), server(0.1, 2)
+        )
+        self.assertEqual((Streamed(), [1, 2]), (outcome.result, outcome.ids))
+        self.assertAlmostEqual(2.1, outcome.seconds)
+
+    def test_a_superseded_attempt_may_take_long_to_end(self) -> None:
+        async def ends_slowly(running: RunningAttempt) -> AttemptResult:
+            running.record_send()
+            await forward(running, 1)
+            await trio.sleep(1.0)
+            running.record_silence()
+            try:
+                await trio.sleep_forever()
+            finally:
+                with trio.CancelScope(shield=True):
+                    await trio.sleep(1.0)
+            return Streamed()
+
+        result = Broken("the connection was reset")
+        outcome = run_attempts(ends_slowly, server(0.1, 2, result=result))
+        self.assertEqual((result, [1, 2]), (outcome.result, outcome.ids))
+
+
+class SilenceBeforeFirstEventTest(testtools.TestCase):
+    def test_the_silent_server_is_given_up_when_another_one_is_sent_the_request(self) -> None:
+        outcome = run_attempts(silent_server((), 5.0, (1,)), server(0.5, 1))
+        self.assertEqual((Streamed(), [1]), (outcome.result, outcome.ids))
+        self.assertEqual([0], outcome.cancelled)
+        self.assertTrue(outcome.progress.may_have_run)
+
+    def test_the_silent_server_responds_while_no_other_one_is_free(self) -> None:
+        async def waits_for_engine(running: RunningAttempt) -> AttemptResult:
+            await trio.sleep(5.0)
+            return await server(0.1, 1)(running)
+
+        outcome = run_attempts(silent_server((), 1.5, (1,)), waits_for_engine)
+        self.assertEqual((Streamed(), [1]), (outcome.result, outcome.ids))
+        self.assertFalse(outcome.progress.may_have_run)
+
+    def test_a_refused_retry_does_not_end_the_request(self) -> None:
+        outcome = run_attempts(silent_server((), 1.5, (1,)), refuses)
+        self.assertEqual((Streamed(), [1]), (outcome.result, outcome.ids))
+
+
+class FirstAttemptTest(testtools.TestCase):
+    def test_a_refusal_is_raised(self) -> None:
+        self.assertRaises(RequestRefusedError, run_attempts, refuses)
+
+    def test_a_result_of_the_only_attempt_is_returned(self) -> None:
+        for result in (Broken("reset"), Rejected(503, None), NotSent("refused")):
+            self.assertEqual(result, run_attempts(server(0.1, result=result)).result)
--- a/camphordrift/relay/tests/test_silent_servers.py
+++ b/camphordrift/relay/tests/test_silent_servers.py
@@ -6,7 +6,7 @@
 import testtools
 import trio
 
-from camphordrift.relay import Configuration
+from camphordrift.relay import Account, Configuration
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     chunk,
@@ -16,11 +16,7 @@
     run_scenario,
     stream_head,
 )
-from camphordrift.relay.tests.samples import (
-    CONFIGURATION,
-    Account,
-    ScriptedServer,
-)
+from camphordrift.relay.tests.samples import CONFIGURATION, ScriptedServer
 from camphordrift.testing import HttpRequest, HttpRequestHandler
 
 pytestmark = pytest.mark.sockets
