Answer requests whose stream has no event, and any that meet a fault of the relay

Callers got neither a response nor a refusal, but a closed connection: a stream that ended without an event was taken for complete, and ending a response that was never started raised h11's LocalProtocolError (caller_connection_failed). Unframed streams make this likely, as a server that crashes before its first event leaves just that.

An unframed stream that ends before its first event is broken off now, and is retried; a framed one is forwarded as the complete empty stream that it is. The class is an exception that closes a connection without a response, so the handler also answers any unexpected exception with code 9000 and logs it (request_failed).

--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -291,7 +291,18 @@
                 await sink.start_response(head.status_code, _end_to_end_headers(head.headers))
             await sink.write_events(events)
             timer.restart(event_timeout)
-        return Broken("stream ended mid-event") if splitter.has_partial_event else Streamed()
+        if splitter.has_partial_event:
+            return Broken("stream ended mid-event")
+        if not started:
+            if not _is_framed(head):
+                return Broken("the stream ended before its first event")
+            await sink.start_response(head.status_code, _end_to_end_headers(head.headers))
+        return Streamed()
+
+
+def _is_framed(head: h11.Response) -> bool:
+    """Returns whether the headers show where the body ends; otherwise the connection's end does."""
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in head.headers)
 
 
 #: Response headers that apply to a single connection, and the length, which is set anew when the
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -90,12 +90,25 @@
             was_cancelled = False
         except RequestRefusedError as error:
             refusal, was_cancelled = error.failure, False
+        except Exception as error:
+            # The caller gets a response even if the relay itself has a fault.
+            refusal, was_cancelled = self._failure_of_error(progress, error), False
         finally:
             # Cancellation may arrive as an exception group, which no except clause here matches.
             if was_cancelled:
                 self._reports.record_caller_disconnected(progress)
         await self._finish(progress, refusal)
 
+    def _failure_of_error(self, progress: RequestProgress, error: Exception) -> Failure:
+        log_event(
+            "request_failed",
+            level=LogLevel.ERROR,
+            request=progress.metadata.attempt_id,
+            tried=",".join(progress.attempted_servers),
+            error=repr(error),
+        )
+        return Failure(ResultCode.INTERNAL_ERROR, "internal error; see the log for details")
+
     async def _finish(self, progress: RequestProgress, refusal: Optional[Failure]) -> None:
         """Records the response, and refuses the request if there is none."""
         request, response, metadata = progress.request, progress.response, progress.metadata
--- a/camphordrift/relay/tests/test_streams_without_events.py
+++ b/camphordrift/relay/tests/test_streams_without_events.py
@@ -1,9 +1,12 @@
 """End-to-end tests of streams that end without an event, or without framing."""
 
+import json
+
 import pytest
 import testtools
 import trio
 
+from camphordrift.relay._attempt import AttemptResult
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     complete_stream,
@@ -65,6 +68,20 @@
         run_scenario(scenario, script, script)
 
 
+class InternalErrorTest(testtools.TestCase):
+    def test_an_unexpected_exception_is_answered(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            async def raises(*args: object) -> AttemptResult:
+                raise RuntimeError("fault of the relay")
+
+            self.patch(relay.process._handler._sender, "try_engine", raises)
+            response = await relay.send_request("/quick/x")
+            self.assertEqual((500, True), (response.status, response.complete))
+            self.assertEqual(9000, json.loads(response.body)["error"]["code"])
+
+        run_scenario(scenario, complete_stream)
+
+
 def _unframed_stream(body: bytes) -> HttpRequestHandler:
     """Returns a script whose response has no length and ends with its connection."""
 
