Apply a longer idle timeout to connections that are idle already

Callers that reuse a connection within the idle timeout of the newest configuration met one that the relay had just closed: a connection kept the timeout that was in force when it became idle. The timeout is now read again when the former one has passed.

IdleTimeoutTest failed before (no response on the reused connection) and passes.

--- a/camphordrift/relay/_http_server.py
+++ b/camphordrift/relay/_http_server.py
@@ -113,6 +113,7 @@
         self._handle = handle
         self._close_after_response = close_after_response
         self._idle_scope = trio.CancelScope()
+        self._closes_when_idle = False
         #: Cancel scope of the request in progress.
         self._request_scope: Optional[trio.CancelScope] = None
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().header_bytes)
@@ -132,6 +133,7 @@
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is being received or handled."""
         if self._protocol.their_state is h11.IDLE:
+            self._closes_when_idle = True
             self._idle_scope.cancel()
 
     def encode_head(self, status: int, headers: Headers) -> bytes:
@@ -215,24 +217,29 @@
 
     async def _read_request(self) -> Optional[CallerRequest]:
         """Returns the next request; ``None`` at end of stream, on timeout or on shutdown."""
-        limits = self._limits()
-        if not await self._wait_for_first_byte(limits.idle_timeout):
+        if not await self._wait_for_first_byte():
             return None
+        limits = self._limits()
         with trio.move_on_after(limits.header_timeout):
             return await self._receive_request(limits)
         await self._send_error(408, "the request was not received in time")
         return None
 
-    async def _wait_for_first_byte(self, idle_timeout: float) -> bool:
+    async def _wait_for_first_byte(self) -> bool:
+        """Returns whether a request began before the idle timeout."""
         if self._protocol.trailing_data[0]:
             return True
-        with trio.CancelScope() as self._idle_scope:
-            self._idle_scope.deadline = trio.current_time() + idle_timeout
-            data = await self._stream.receive_some(READ_SIZE)
-            if not data:
+        idle_since = trio.current_time()
+        # A new configuration may extend the timeout while the connection is idle.
+        while (idle_until := idle_since + self._limits().idle_timeout) > trio.current_time():
+            with trio.CancelScope(deadline=idle_until) as self._idle_scope:
+                data = await self._stream.receive_some(READ_SIZE)
+                if not data:
+                    return False
+                self._protocol.receive_data(data)
+                return True
+            if self._closes_when_idle:
                 return False
-            self._protocol.receive_data(data)
-            return True
         return False
 
     async def _receive_request(self, limits: CallerLimits) -> Optional[CallerRequest]:
