Keep the request of a primary engine that is silent while it has reservations

A sound engine that is silent accepts none either.

A check that times out only suspends the renewals, and starts a further attempt beside the silent one; the reservations expire after 2.4 s without a renewal, so that memory of an engine without power is free as early as before (at most 2.4 s after its last renewal, 3.7 s formerly). A refused connection still ends the request at once. A broken attempt no longer says that it timed out, as nothing ends by a timeout now.

--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -58,8 +58,6 @@
     """The request may have been executed, but there is no complete and valid response."""
 
     reason: str
-    #: Whether the response, or the next event, did not arrive in time.
-    timed_out: bool = False
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/_placement_values.py
@@ -99,5 +99,5 @@
     #: The engine was unreachable, reported an internal error, truncated its response, or sent an
     #: invalid one.
     FAILED = "failed"
-    #: The engine sent nothing before a timeout.
+    #: The engine sent nothing for a while, and the request was sent to another one or ended.
     SILENT = "silent"
--- a/camphordrift/relay/_reservations.py
+++ b/camphordrift/relay/_reservations.py
@@ -5,7 +5,7 @@
 an engine executes late can therefore keep memory reserved for long.
 """
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -33,7 +33,7 @@
 #: Timeout in seconds of the connection attempt that checks whether the primary engine is alive.
 CHECK_TIMEOUT = 0.5
 
-#: Maximum number of seconds until a crash of the primary engine is detected.
+#: Maximum number of seconds until a crash of the primary engine ends the renewals.
 CRASH_DETECTION_SECONDS = RENEWAL_INTERVAL + CHECK_TIMEOUT
 
 #: Timeout in seconds of an order to an engine.
@@ -76,12 +76,22 @@
 
     @asynccontextmanager
     async def hold_reservations(
-        self, parts: Sequence[ReservedPart], primary: BackendServer
+        self,
+        parts: Sequence[ReservedPart],
+        primary: BackendServer,
+        on_silence: Callable[[], None],
     ) -> AsyncIterator[None]:
         """Keeps reservations on all given engines while the body of the ``async with`` block runs.
 
-        The body is cancelled and the reservations are released when the primary engine cannot be
-        reached, as nothing uses the memory then. The block then ends without an exception.
+        The body is cancelled and the reservations are released when the primary engine refuses
+        connections, as nothing uses the memory then. The block then ends without an exception.
+        While the engine only does not respond, the reservations are not renewed; they expire unless
+        it responds again in time.
+
+        Args:
+            parts: The reservations.
+            primary: The engine that uses the memory.
+            on_silence: Called each time the primary engine did not accept a connection in time.
 
         Raises:
             ReservationRefusedError: An engine refused its reservation or did not respond.
@@ -90,8 +100,9 @@
         try:
             await self._reserve_all(parts)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._renew_all, parts)
-                nursery.start_soon(self._watch_primary, primary, nursery.cancel_scope)
+                nursery.start_soon(
+                    self._keep_renewed, parts, primary, on_silence, nursery.cancel_scope
+                )
                 yield
                 nursery.cancel_scope.cancel()
         finally:
@@ -111,23 +122,35 @@
         if refused:
             raise ReservationRefusedError(refused)
 
-    async def _renew_all(self, parts: Sequence[ReservedPart]) -> None:
-        while True:
-            await trio.sleep(RENEWAL_INTERVAL)
-            async with trio.open_nursery() as nursery:
-                for part in parts:
-                    nursery.start_soon(self._send_reserve_order, part)
-
-    async def _watch_primary(self, primary: BackendServer, scope: trio.CancelScope) -> None:
-        while True:
-            await trio.sleep(RENEWAL_INTERVAL)
+    async def _keep_renewed(
+        self,
+        parts: Sequence[ReservedPart],
+        primary: BackendServer,
+        on_silence: Callable[[], None],
+        scope: trio.CancelScope,
+    ) -> None:
+        renewed_at = trio.current_time()
+        while trio.current_time() < renewed_at + RESERVATION_LIFETIME:
+            await trio.sleep_until(renewed_at + RENEWAL_INTERVAL)
             try:
                 connection = await open_connection(primary.host, primary.port, CHECK_TIMEOUT)
+            except TimeoutError as error:
+                log_event("writer_silent", server=primary.id, reason=str(error))
+                on_silence()
+                continue
             except OSError as error:
                 log_event("writer_gone", server=primary.id, reason=str(error))
                 scope.cancel()
                 return
             connection.close()
+            renewed_at = trio.current_time()
+            await self._renew_all(parts)
+        log_event("reservations_expired", level=LogLevel.WARNING, server=primary.id)
+
+    async def _renew_all(self, parts: Sequence[ReservedPart]) -> None:
+        async with trio.open_nursery() as nursery:
+            for part in parts:
+                nursery.start_soon(self._send_reserve_order, part)
 
     async def _release_all(self, parts: Sequence[ReservedPart]) -> None:
         async with trio.open_nursery() as nursery:
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -167,14 +167,16 @@
         if not parts:
             return await self._attempt(progress, grant.server, helpers, timeouts, running)
         try:
-            async with self._reservations.hold_reservations(parts, grant.server):
+            async with self._reservations.hold_reservations(
+                parts, grant.server, running.record_silence
+            ):
                 return await self._attempt(progress, grant.server, helpers, timeouts, running)
         except ReservationRefusedError as error:
             progress.excluded_servers.extend(error.server_ids)
             return Withheld(str(error))
-        # Reached only if hold_reservations() cancelled its body, because the primary engine became
-        # unreachable.
-        return Broken("the engine became unreachable", timed_out=True)
+        # Reached only if hold_reservations() cancelled its body, because the primary engine refused
+        # a connection.
+        return Broken("the engine became unreachable")
 
     def _build_placement_request(
         self, progress: RequestProgress, running: RunningAttempt
@@ -290,9 +292,7 @@
             return AttemptOutcome.SILENT
         case Rejected():
             return AttemptOutcome.REJECTED
-        case Broken(_, timed_out):
-            return AttemptOutcome.SILENT if timed_out else AttemptOutcome.FAILED
-        case NotSent():
+        case Broken() | NotSent():
             return AttemptOutcome.FAILED
         case Answered(status) if status >= 500 and status != ENGINE_TIMEOUT_STATUS:
             return AttemptOutcome.FAILED
