Do not refuse a request as not run after a server has failed it

An idempotent request that got an error response, and whose retry was then rejected, was refused with 503 and "not run", although it had run. Found while tracing lost responses. The new test failed before (503, not_run) and passes (502, outcome unknown).

--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -150,6 +150,7 @@
                 return True
             case Answered(status, headers, body):
                 if status >= 500 and self._may_retry(progress):
+                    progress.may_have_run = True
                     return False
                 if not progress.response.started:
                     await progress.response.send_complete(status, headers, body)
--- a/camphordrift/relay/tests/test_end_to_end.py
+++ b/camphordrift/relay/tests/test_end_to_end.py
@@ -347,6 +347,22 @@
         script = first_then(fails, plain_success)
         run_scenario(scenario, script, script, service="office")
 
+    def test_a_request_that_a_server_failed_is_not_refused_as_not_run(self) -> None:
+        """Guards against a false promise when the retry after an error response is rejected."""
+
+        async def fails(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            await stream.send_all(plain_response(request, "500 Oops"))
+            return True
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            response = await relay.send_request("/look/x")
+            self.assertEqual(502, response.status)
+            error = json.loads(response.body)["error"]
+            self.assertEqual("outcome_unknown", error["run_state"])
+
+        script = first_then(fails, rejects_request)
+        run_scenario(scenario, script, script, service="office")
+
     def test_an_engine_that_responds_with_errors_gets_few_requests(self) -> None:
         """Guards against an engine that fails at once and therefore always seems to be free.
 
