Let a further attempt use the engines of the silent one

The scheduler is now told that an attempt of which the caller has nothing is silent when the further one begins. The new test failed before (one request still placed at the second placement) and passes.

--- a/camphordrift/relay/_request_attempts.py
+++ b/camphordrift/relay/_request_attempts.py
@@ -46,6 +46,8 @@
         self.scope = trio.CancelScope()
         #: Receives the events; ``None`` if the response is no stream.
         self.sink: Optional[CallerEventSink] = None
+        #: Called when a further attempt begins before this one has forwarded an event.
+        self.on_replacement: Callable[[], None] = lambda: None
         #: Whether the server has been silent since its last event.
         self.is_silent = False
         #: Whether the request was sent to the server.
@@ -153,6 +155,8 @@
             time_left=self._progress.remaining_time,
         )
         if is_retried:
+            if not attempt.has_forwarded:
+                attempt.on_replacement()
             self._start_attempt()
 
     def _handle_send(self, attempt: RunningAttempt) -> None:
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -126,6 +126,10 @@
         if isinstance(decision, PlacementRefusal):
             raise RequestRefusedError(failure_of_placement(decision, progress))
         result: Optional[AttemptResult] = None
+        # The further attempt may use the engines that this one occupies.
+        running.on_replacement = lambda: self._dispatcher.report_finished(
+            placement_request.id, AttemptOutcome.SILENT
+        )
         try:
             if running.sink is not None:
                 running.sink.on_first_event = lambda: self._dispatcher.report_first_event(
--- a/camphordrift/relay/tests/test_silent_servers.py
+++ b/camphordrift/relay/tests/test_silent_servers.py
@@ -7,6 +7,7 @@
 import trio
 
 from camphordrift.relay import Account, Configuration
+from camphordrift.relay._placement_values import PlacementDecision, PlacementRequest
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     chunk,
@@ -31,11 +32,14 @@
 
     async def script(request: HttpRequest, stream: trio.SocketStream) -> bool:
         first = int(request.headers.get("last-event-id", "0")) + 1
-        head = stream_head(request) + chunk(events(first, max(first, last_event)))
+        pause_after = max(first, last_event) if last_event else 0
         try:
-            await stream.send_all(head)
+            if pause_after:
+                await stream.send_all(stream_head(request) + chunk(events(first, pause_after)))
             await trio.sleep(seconds)
-            await stream.send_all(chunk(events(max(first, last_event) + 1, 5)) + b"0\r\n\r\n")
+            if not pause_after:
+                await stream.send_all(stream_head(request))
+            await stream.send_all(chunk(events(pause_after + 1, 5)) + b"0\r\n\r\n")
         except trio.BrokenResourceError:
             return False
         return True
@@ -87,6 +91,29 @@
 
         run_scenario(scenario, responds_late)
 
+    def test_a_further_attempt_may_use_the_engines_of_the_silent_one(self) -> None:
+        """Guards against a long prompt that gets one engine for all of its prefill.
+
+        Its first attempt had occupied the other ones, and they counted as suspect.
+        """
+        released: list[int] = []
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            scheduler = relay.process._scheduler
+            request_placement = relay.process._dispatcher.request_placement
+
+            async def record(placement_request: PlacementRequest) -> PlacementDecision:
+                released.append(scheduler.placed_count("engines"))
+                return await request_placement(placement_request)
+
+            self.patch(relay.process._dispatcher, "request_placement", record)
+            response = await relay.send_request("/quick/x")
+            self.assertEqual((200, events(1, 5)), (response.status, response.body))
+            self.assertEqual([0, 0], released)
+
+        script = first_then(silent_after(0, seconds=2 * SILENCE), complete_stream)
+        run_scenario(scenario, script, script)
+
     def test_a_stream_continues_on_another_server_during_the_silence(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             started_at = trio.current_time()
