Ignore silence and sending of attempts that are cancelled already

Read again after the mend of silent servers: an attempt that is cancelled while it unwinds could still start a further one (IndexError if none was left, so the caller would get code 9000) or cancel the one that had replaced it. Both new tests of CancelledAttemptTest failed before and pass.

--- a/camphordrift/relay/_request_attempts.py
+++ b/camphordrift/relay/_request_attempts.py
@@ -144,7 +144,8 @@
 
     def _handle_silence(self, attempt: RunningAttempt) -> None:
         """Starts a further attempt, if the request may be retried and none has begun since."""
-        is_retried = attempt is self._running[-1] and self._try_retry()
+        is_latest = self._running[-1:] == [attempt]
+        is_retried = is_latest and self._try_retry()
         log_event(
             "server_silent",
             level=LogLevel.WARNING,
@@ -161,6 +162,9 @@
 
     def _handle_send(self, attempt: RunningAttempt) -> None:
         """Cancels the attempts of which the caller has received nothing."""
+        if attempt not in self._running:
+            # It was cancelled, and ends at its next checkpoint.
+            return
         for other in self._others(attempt):
             if not other.has_forwarded:
                 self._progress.may_have_run |= other.was_sent
--- a/camphordrift/relay/tests/test_request_attempts.py
+++ b/camphordrift/relay/tests/test_request_attempts.py
@@ -222,6 +222,33 @@
         self.assertEqual((result, [1, 2]), (outcome.result, outcome.ids))
 
 
+class CancelledAttemptTest(testtools.TestCase):
+    def test_a_cancelled_attempt_that_is_about_to_be_sent_cancels_no_other_one(self) -> None:
+        async def sent_too_late(running: RunningAttempt) -> AttemptResult:
+            running.record_silence()
+            with trio.CancelScope(shield=True):
+                await trio.sleep(0.2)
+            running.record_send()
+            await trio.lowlevel.checkpoint()
+            return Streamed()
+
+        outcome = run_attempts(sent_too_late, server(0.4, 1))
+        self.assertEqual((Streamed(), [1]), (outcome.result, outcome.ids))
+
+    def test_a_cancelled_attempt_starts_no_further_one(self) -> None:
+        async def silent_too_late(running: RunningAttempt) -> AttemptResult:
+            running.record_silence()
+            with trio.CancelScope(shield=True):
+                await trio.sleep(0.2)
+            running.record_silence()
+            await trio.lowlevel.checkpoint()
+            return Streamed()
+
+        result = Broken("the connection was reset")
+        outcome = run_attempts(silent_too_late, server(0.1, result=result))
+        self.assertEqual(result, outcome.result)
+
+
 class SilenceBeforeFirstEventTest(testtools.TestCase):
     def test_the_silent_server_is_given_up_when_another_one_is_sent_the_request(self) -> None:
         outcome = run_attempts(silent_server((), 5.0, (1,)), server(0.5, 1))
