Compare accounts by name when a request is sent again

Callers whose account got another priority by a new configuration had requests in flight refused as if their key had been revoked, and streams truncated that could have been resumed: the whole account was compared. Found by the review of the lost responses. test_a_changed_priority_revokes_no_key failed before (stream truncated) and passes.

--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/_routing_state.py
@@ -79,4 +79,6 @@
         table = self.table()
         if account is None or table is None:
             return table is not None
-        return self.has_valid_lease() and table.find_account(key) == account
+        current = table.find_account(key)
+        # A change of the account's other properties revokes no key.
+        return self.has_valid_lease() and current is not None and current.name == account.name
--- a/camphordrift/relay/tests/test_end_to_end.py
+++ b/camphordrift/relay/tests/test_end_to_end.py
@@ -9,7 +9,7 @@
 import testtools
 import trio
 
-from camphordrift.relay import _http_server
+from camphordrift.relay import Account, _http_server
 from camphordrift.relay._attempt import SOCKET_BUFFERED_BODY_BYTES
 from camphordrift.relay._placement_values import PlacementDecision, PlacementRequest
 from camphordrift.relay.tests.relay_harness import (
@@ -459,6 +459,24 @@
 
         run_scenario(scenario, complete_stream)
 
+    def test_a_changed_priority_revokes_no_key(self) -> None:
+        """Guards against refusing the retry of a request beside a configuration."""
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            async def truncates(request: HttpRequest, stream: trio.SocketStream) -> bool:
+                accounts = {"key-1": Account("school", priority=2)}
+                relay.publish(replace(CONFIGURATION, version=4, accounts=accounts))
+                await relay.wait_for_version(4)
+                await stream.send_all(stream_head(request) + chunk(events(1, 3)))
+                return False
+
+            script = first_then(truncates, complete_stream)
+            servers[0].script = servers[1].script = script
+            response = await relay.send_request("/quick/x")
+            self.assertEqual((events(1, 5), True), (response.body, response.complete))
+
+        run_scenario(scenario, complete_stream, complete_stream)
+
     def test_older_configuration_is_ignored(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             relay.publish(replace(CONFIGURATION, version=2, accounts={}))
