Keep the silent attempt until another one has responded

Both attempts now go on until one forwards an event or returns a complete response below 500. A lock covers selecting, claiming and writing, and the response starts with the first event forwarded. Retries are charged when they are sent. The parts of a response that is no stream restart the timer.

--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -22,6 +22,9 @@
 #: Seconds within which the rest of a rejection must arrive; its connection is closed otherwise.
 DISCARD_TIMEOUT = 0.1
 
+#: Minimum seconds without data after which a server counts as silent, whatever the route's targets.
+MIN_SILENCE = 0.1
+
 #: Request bodies up to this size in bytes fit into the socket's send buffer. Sending them cannot
 #: block on a server that responds before it has read the body.
 SOCKET_BUFFERED_BODY_BYTES = 8192
@@ -88,6 +91,10 @@
         """Receives complete events in order."""
         raise NotImplementedError
 
+    async def end_response(self) -> None:
+        """Called when the response is complete, possibly without any event."""
+        raise NotImplementedError
+
 
 @dataclass(frozen=True)
 class SilenceTimeouts:
@@ -98,7 +105,7 @@
 
     #: Time to the complete response, or to the first event of a stream.
     first_event: float
-    #: Time between two events of a stream.
+    #: Time between two events of a stream, or two parts of another response.
     between_events: float
 
 
@@ -114,8 +121,8 @@
 
     def restart(self, timeout: float) -> None:
         """Starts to wait for the next data with the given timeout in seconds."""
-        self._timeout = timeout
-        self._deadline = trio.current_time() + timeout
+        self._timeout = max(timeout, MIN_SILENCE)
+        self._deadline = trio.current_time() + self._timeout
 
     async def receive(self, receive: Callable[[], Awaitable[_Received]]) -> _Received:
         """Returns what ``receive`` returns; calls it again after a silence."""
@@ -251,7 +258,7 @@
         if success and sink is not None:
             result = await self._forward_events(connection, head, timer, event_timeout, sink)
         else:
-            result = await self._receive_complete_response(connection, head, timer)
+            result = await self._receive_complete_response(connection, head, timer, event_timeout)
         return result, idle_timeout
 
     async def _discard_body(self, connection: HttpConnection) -> None:
@@ -261,11 +268,16 @@
                 pass
 
     async def _receive_complete_response(
-        self, connection: HttpConnection, head: h11.Response, timer: _SilenceTimer
+        self,
+        connection: HttpConnection,
+        head: h11.Response,
+        timer: _SilenceTimer,
+        event_timeout: float,
     ) -> AttemptResult:
         body = bytearray()
         while (chunk := await timer.receive(connection.receive_data)) is not None:
             body += chunk
+            timer.restart(event_timeout)
             if len(body) > MAX_BUFFERED_RESPONSE_BYTES:
                 return Broken("the response is too large to buffer")
         return Answered(head.status_code, _end_to_end_headers(head.headers), bytes(body))
@@ -295,6 +307,7 @@
             if not _is_framed(head):
                 return Broken("the stream ended before its first event")
             await sink.start_response(head.status_code, _end_to_end_headers(head.headers))
+        await sink.end_response()
         return Streamed()
 
 
--- a/camphordrift/relay/_caller_sink.py
+++ b/camphordrift/relay/_caller_sink.py
@@ -31,6 +31,8 @@
         if resume_id is not None and resume_id.isdigit():
             self._last_event_id = int(resume_id)
         self._forwarded_any = False
+        #: Held while an attempt writes, so that the events of two attempts are not interleaved.
+        self.lock = trio.Lock()
 
     @property
     def last_event_id(self) -> Optional[int]:
@@ -63,7 +65,7 @@
 
     Args:
         stream: The caller's stream.
-        claim_stream: Called before events are forwarded. It is cancelled if another attempt has
+        claim_stream: Called before anything is forwarded. It is cancelled if another attempt has
             continued the stream in the meantime.
 
     """
@@ -71,6 +73,8 @@
     def __init__(self, stream: CallerStream, claim_stream: Callable[[], Awaitable[None]]) -> None:
         self._stream = stream
         self._claim_stream = claim_stream
+        self._status = 0
+        self._headers: Headers = ()
         #: Time of the attempt's first event, by trio's clock.
         self.first_event_at: Optional[float] = None
         #: Longest gap between events in seconds; ``None`` before the second event.
@@ -88,15 +92,24 @@
         return self._stream.last_event_id
 
     async def start_response(self, status: int, headers: Headers) -> None:
+        # The caller's response starts with the first event that is forwarded, as another attempt
+        # may still be the first to have one.
+        self._status, self._headers = status, headers
         self.first_event_at = self._last_event_at = trio.current_time()
         self.on_first_event()
-        await self._stream.start(status, headers)
 
     async def write_events(self, events: list[StreamEvent]) -> None:
         self._record_gap()
-        if new := self._stream.select_new(events):
+        async with self._stream.lock:
+            if new := self._stream.select_new(events):
+                await self._claim_stream()
+                await self._stream.start(self._status, self._headers)
+                await self._stream.write(new)
+
+    async def end_response(self) -> None:
+        async with self._stream.lock:
             await self._claim_stream()
-            await self._stream.write(new)
+            await self._stream.start(self._status, self._headers)
 
     def _record_gap(self) -> None:
         now = trio.current_time()
--- a/camphordrift/relay/_request_attempts.py
+++ b/camphordrift/relay/_request_attempts.py
@@ -1,11 +1,10 @@
-"""Runs the attempts of one request, and keeps a silent server until another one takes its place.
+"""Runs the attempts of one request, and keeps a silent server until another one has responded.
 
 A server that sends nothing for a while may have crashed, but it may also be sound and continue. Its
-attempt therefore goes on while a further attempt is made on another server. An attempt of which the
-caller has received nothing is cancelled when the further one is sent, as both would load the
-servers. Once a stream to the caller has begun, both attempts go on, and whichever sends the next
-event continues the stream. If there is no further attempt, as no server is free or no retry is
-permitted, the silent server has until the deadline of the request.
+attempt therefore goes on while a further attempt is made on another server. Whichever server sends
+the next event continues the stream, and the other attempt is cancelled; of responses that are no
+streams, the first complete one is used. If there is no further attempt, as no server is free or no
+retry is permitted, the silent server has until the deadline of the request.
 """
 
 from collections.abc import Awaitable, Callable
@@ -32,17 +31,18 @@
 
     Args:
         record_silence: Called with the attempt each time its server has been silent.
-        record_send: Called with the attempt immediately before it is sent.
+        charge_retry: Called immediately before the attempt is sent if it is a further one; returns
+            whether it may be sent. ``None`` for the first attempt.
 
     """
 
     def __init__(
         self,
         record_silence: Callable[["RunningAttempt"], None],
-        record_send: Callable[["RunningAttempt"], None],
+        charge_retry: Optional[Callable[[], bool]] = None,
     ) -> None:
         self._record_silence = record_silence
-        self._record_send = record_send
+        self._charge_retry = charge_retry
         self.scope = trio.CancelScope()
         #: Receives the events; ``None`` if the response is no stream.
         self.sink: Optional[CallerEventSink] = None
@@ -50,8 +50,6 @@
         self.on_replacement: Callable[[], None] = lambda: None
         #: Whether the server has been silent since its last event.
         self.is_silent = False
-        #: Whether the request was sent to the server.
-        self.was_sent = False
         #: Whether the attempt forwarded an event to the caller.
         self.has_forwarded = False
 
@@ -60,10 +58,9 @@
         self.is_silent = True
         self._record_silence(self)
 
-    def record_send(self) -> None:
-        """Records that the request is sent to the server now."""
-        self.was_sent = True
-        self._record_send(self)
+    def may_send(self) -> bool:
+        """Returns whether the attempt may be sent now, and counts it as a retry if it is one."""
+        return self._charge_retry is None or self._charge_retry()
 
 
 #: Runs one attempt.
@@ -76,7 +73,8 @@
     Args:
         progress: State of the request.
         run_attempt: Runs one attempt; raises :class:`RequestRefusedError` if there is no server.
-        try_retry: Returns whether the request may be retried, and counts the retry if so.
+        may_retry: Returns whether the request may be retried.
+        charge_retry: Counts a retry; returns ``False`` if it is not permitted any more.
         may_try_another_server: Returns whether a request that was not sent may be sent elsewhere.
 
     """
@@ -85,12 +83,14 @@
         self,
         progress: RequestProgress,
         run_attempt: RunAttempt,
-        try_retry: Callable[[], bool],
+        may_retry: Callable[[], bool],
+        charge_retry: Callable[[], bool],
         may_try_another_server: Callable[[], bool],
     ) -> None:
         self._progress = progress
         self._run_attempt = run_attempt
-        self._try_retry = try_retry
+        self._may_retry = may_retry
+        self._charge_retry = charge_retry
         self._may_try_another_server = may_try_another_server
         self._stream: Optional[CallerStream] = None
         if progress.route.streams:
@@ -114,7 +114,8 @@
         return self._result
 
     def _start_attempt(self) -> None:
-        attempt = RunningAttempt(self._handle_silence, self._handle_send)
+        is_further = bool(self._running)
+        attempt = RunningAttempt(self._handle_silence, self._charge_retry if is_further else None)
         if self._stream is not None:
             attempt.sink = CallerEventSink(self._stream, lambda: self._claim_stream(attempt))
         self._running.append(attempt)
@@ -132,7 +133,7 @@
             self._handle_result(result)
 
     def _handle_result(self, result: Union[AttemptResult, RequestRefusedError]) -> None:
-        if isinstance(result, Streamed) or not self._running:
+        if _is_final(result) or not self._running:
             self._result = result
             self._nursery.cancel_scope.cancel()
             return
@@ -144,8 +145,11 @@
 
     def _handle_silence(self, attempt: RunningAttempt) -> None:
         """Starts a further attempt, if the request may be retried and none has begun since."""
+        if self._stream is not None and self._stream.lock.locked():
+            # It is the caller that does not read.
+            return
         is_latest = self._running[-1:] == [attempt]
-        is_retried = is_latest and self._try_retry()
+        is_retried = is_latest and self._may_retry()
         log_event(
             "server_silent",
             level=LogLevel.WARNING,
@@ -160,34 +164,28 @@
                 attempt.on_replacement()
             self._start_attempt()
 
-    def _handle_send(self, attempt: RunningAttempt) -> None:
-        """Cancels the attempts of which the caller has received nothing."""
-        if attempt not in self._running:
-            # It was cancelled, and ends at its next checkpoint.
-            return
-        for other in self._others(attempt):
-            if not other.has_forwarded:
-                self._progress.may_have_run |= other.was_sent
-                self._cancel(other)
-
     async def _claim_stream(self, attempt: RunningAttempt) -> None:
         """Makes an attempt the one that continues the stream, and cancels the others."""
         if attempt.scope.cancel_called:
             await trio.lowlevel.checkpoint()
-        for other in self._others(attempt):
+        for other in [item for item in self._running if item is not attempt]:
             log_event(
                 "attempt_superseded",
                 request=self._progress.metadata.attempt_id,
                 was_silent=other.is_silent,
             )
-            self._cancel(other)
+            self._running.remove(other)
+            other.scope.cancel()
         attempt.is_silent = False
         attempt.has_forwarded = True
 
-    def _cancel(self, attempt: RunningAttempt) -> None:
-        """Cancels an attempt; it may take a while to release what it holds."""
-        self._running.remove(attempt)
-        attempt.scope.cancel()
 
-    def _others(self, attempt: RunningAttempt) -> list[RunningAttempt]:
-        return [other for other in self._running if other is not attempt]
+def _is_final(result: Union[AttemptResult, RequestRefusedError]) -> bool:
+    """Returns whether a result is a complete response that another attempt cannot improve."""
+    match result:
+        case Streamed():
+            return True
+        case Answered(status):
+            return status < 500
+        case _:
+            return False
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -27,6 +27,7 @@
 from camphordrift.relay._request_attempts import RequestAttempts, RunningAttempt
 from camphordrift.relay._request_progress import RequestProgress
 from camphordrift.relay._request_reports import RequestReports
+from camphordrift.relay._retry_budget import RetryBudget
 from camphordrift.relay._routing_state import RoutingState
 from camphordrift.relay._sender import Sender
 from camphordrift.relay._values import RequestMetadata
@@ -124,7 +125,9 @@
         attempts = RequestAttempts(
             progress,
             self._run_attempt,
-            try_retry=lambda: self._may_retry(progress),
+            may_retry=lambda: self._is_retry_permitted(progress)
+            and self._budget(progress).has_retry(trio.current_time()),
+            charge_retry=lambda: self._charge_retry(progress),
             may_try_another_server=lambda: self._may_try_another_server(progress),
         )
         while True:
@@ -173,6 +176,9 @@
         return progress.remaining_time > 0 and len(progress.excluded_servers) < MAX_EXCLUDED_SERVERS
 
     def _may_retry(self, progress: RequestProgress) -> bool:
+        return self._is_retry_permitted(progress) and self._charge_retry(progress)
+
+    def _is_retry_permitted(self, progress: RequestProgress) -> bool:
         route = progress.route
         if progress.remaining_time <= 0:
             return False
@@ -183,14 +189,17 @@
             return False
         if len(progress.attempted_servers) >= route.max_attempts + MAX_HELPER_CHANGES:
             return False
-        if not route.retryable:
-            return False
-        budget = self._routing_state.budget(progress.service.name)
-        if budget.try_retry(trio.current_time()):
+        return route.retryable
+
+    def _charge_retry(self, progress: RequestProgress) -> bool:
+        if self._budget(progress).try_retry(trio.current_time()):
             return True
         log_event("retry_budget_spent", level=LogLevel.WARNING, service=progress.service.name)
         return False
 
+    def _budget(self, progress: RequestProgress) -> RetryBudget:
+        return self._routing_state.budget(progress.service.name)
+
     async def _refuse(
         self,
         request: CallerRequest,
--- a/camphordrift/relay/_retry_budget.py
+++ b/camphordrift/relay/_retry_budget.py
@@ -39,11 +39,15 @@
         self._requests.append(now)
         self._drop_expired(now)
 
-    def try_retry(self, now: float) -> bool:
-        """Spends one retry; returns ``False`` if the budget is exhausted."""
+    def has_retry(self, now: float) -> bool:
+        """Returns whether the budget permits another retry."""
         self._drop_expired(now)
         allowed = self._slack + self._settings.ratio * RATIO_SHARE * len(self._requests)
-        if len(self._retries) + 1 > allowed:
+        return len(self._retries) + 1 <= allowed
+
+    def try_retry(self, now: float) -> bool:
+        """Spends one retry; returns ``False`` if the budget is exhausted."""
+        if not self.has_retry(now):
             return False
         self._retries.append(now)
         return True
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -266,8 +266,9 @@
             return None
         if not self._routing_state.directory.may_receive_requests(server.id):
             return None
+        if not running.may_send():
+            return None
         progress.attempted_servers.append(server.id)
-        running.record_send()
         sink = running.sink
         last_event = None if sink is None or sink.last_event_id is None else str(sink.last_event_id)
         return ForwardingMetadata(
