Release reservations in the background

The process now sends them beside the requests. test_a_silent_helper_does_not_delay_the_end_of_a_response failed before and passes.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -152,13 +152,14 @@
             vm_count=lambda: self._election.member_count,
         )
         reports = RequestReports(self._routing_state, self._metrics)
+        self._reservations = ReservationManager(self._connections, adapters.orders)
         sender = Sender(
             settings.vm,
             settings.zone,
             self._routing_state,
             self._dispatcher,
             self._connections,
-            ReservationManager(self._connections, adapters.orders),
+            self._reservations,
             adapters.headers,
             reports,
         )
@@ -175,6 +176,7 @@
                 nursery.start_soon(self._servers.run)
                 nursery.start_soon(self._election.run)
                 nursery.start_soon(self._inspector.run)
+                nursery.start_soon(self._reservations.run)
                 nursery.start_soon(self._run_periodic_tasks)
                 nursery.start_soon(self._flush_log)
                 nursery.start_soon(self._serve_readiness)
--- a/camphordrift/relay/_reservations.py
+++ b/camphordrift/relay/_reservations.py
@@ -68,11 +68,23 @@
 
 
 class ReservationManager:
-    """Makes, renews and releases reservations on engines."""
+    """Makes, renews and releases reservations on engines; :meth:`run` must be running."""
 
     def __init__(self, connections: ConnectionPool, orders: OrderFormat) -> None:
         self._connections = connections
         self._orders = orders
+        self._release_queue, self._releases = trio.open_memory_channel[Sequence[ReservedPart]](
+            float("inf")
+        )
+
+    async def run(self) -> None:
+        """Releases reservations until cancelled.
+
+        A helper that is slow to respond does not delay the response of the request that used it.
+        """
+        async with trio.open_nursery() as nursery:
+            async for parts in self._releases:
+                nursery.start_soon(self._release_all, parts)
 
     @asynccontextmanager
     async def hold_reservations(
@@ -106,8 +118,7 @@
                 yield
                 nursery.cancel_scope.cancel()
         finally:
-            with trio.CancelScope(shield=True):
-                await self._release_all(parts)
+            self._release_queue.send_nowait(parts)
 
     async def _reserve_all(self, parts: Sequence[ReservedPart]) -> None:
         refused: list[str] = []
--- a/camphordrift/relay/tests/test_reservations.py
+++ b/camphordrift/relay/tests/test_reservations.py
@@ -27,6 +27,10 @@
 UNUSED_MEMORY_LIMIT = 4.0
 
 
+#: Seconds within which releases reach the engines of these tests.
+RELEASE_SECONDS = 0.5
+
+
 async def accept_orders(request: HttpRequest, stream: trio.SocketStream) -> bool:
     await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
     return True
@@ -58,6 +62,17 @@
         )
         self.assertEqual("release t0", orders[-1])
 
+    def test_a_silent_helper_does_not_delay_the_end_of_a_response(self) -> None:
+        """Guards against a complete stream whose end reaches the caller more than a second late."""
+
+        async def responds_late(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            if request.body.startswith(b"release"):
+                await trio.sleep(2 * ORDER_TIMEOUT)
+            return await accept_orders(request, stream)
+
+        self._received_orders(responds_late, hold_seconds=0.0)
+        self.assertTrue(self._block_ended_at - self._body_ended_at < ORDER_TIMEOUT / 2)
+
     def test_a_silent_primary_engine_does_not_end_the_request(self) -> None:
         """A silent engine may be sound, although it accepts no connections for a second or so."""
         self._let_connections_time_out(times=2)
@@ -105,6 +120,9 @@
         first, _ = self._received_orders(accept_orders, never_respond, hold_seconds=0.0)
         self.assertEqual("release t0", first[-1])
 
+    #: When the block that held the reservations, and the statement around it, ended.
+    _body_ended_at = _block_ended_at = 0.0
+
     #: How often the primary engine was reported as silent.
     _silences = 0
 
@@ -125,6 +143,7 @@
             manager = ReservationManager(ConnectionPool(0.5), SampleOrders())
             with trio.fail_after(20):
                 async with trio.open_nursery() as nursery:
+                    nursery.start_soon(manager.run)
                     for item in servers:
                         await nursery.start(item.run)
                     parts = [
@@ -139,6 +158,9 @@
                         ):
                             await trio.sleep(hold_seconds)
                             self._body_ended = True
+                            self._body_ended_at = trio.current_time()
+                    self._block_ended_at = trio.current_time()
+                    await trio.sleep(RELEASE_SECONDS)
                     nursery.cancel_scope.cancel()
             return [[request.body.decode() for request in item.requests] for item in servers]
 
