Answer the remaining requests before the grace period ends

Callers whose request still waited for an engine, or for a response, when a stopping VM's grace period ended got a closed connection and nothing else. Both tests of GracePeriodTest failed before (no response) and pass.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -69,6 +69,9 @@
 #: Seconds before the end of the grace period at which a draining VM exits by itself.
 STOP_MARGIN = 0.7
 
+#: Seconds before that time at which requests whose response has not started are refused.
+LAST_REFUSAL_TIME = 0.25
+
 #: Age of the configuration in seconds at which a VM starts to report that it is not ready.
 MAX_READY_CONFIGURATION_AGE = 3.5
 
@@ -326,6 +329,8 @@
         await trio.sleep(DEREGISTRATION_DELAY)
         self._accept_scope.cancel()
         while self._callers and trio.current_time() < deadline:
+            if trio.current_time() >= deadline - LAST_REFUSAL_TIME:
+                self._handler.refuse_unstarted()
             for caller in list(self._callers):
                 caller.close_if_idle()
             await trio.sleep(DECISION_INTERVAL)
--- a/camphordrift/relay/_refusals.py
+++ b/camphordrift/relay/_refusals.py
@@ -58,6 +58,21 @@
     )
 
 
+def failure_of_stop(progress: RequestProgress) -> Failure:
+    """Returns the failure for a request that this VM gives up because it is about to stop."""
+    if progress.attempted_servers:
+        return Failure(
+            ResultCode.BACKEND_STREAM_BROKEN,
+            "the VM stopped while a server processed the request",
+            run_state_override=RunState.OUTCOME_UNKNOWN,
+        )
+    return Failure(
+        ResultCode.VM_DRAINING,
+        "the VM stopped before a server was available",
+        REJECTED_RETRY_AFTER,
+    )
+
+
 def failure_of_attempt(progress: RequestProgress, result: AttemptResult) -> Failure:
     """Returns the failure for a request whose last attempt failed."""
     if progress.may_have_run:
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -23,6 +23,7 @@
     failure_of_attempt,
     failure_of_deadline,
     failure_of_revoked_key,
+    failure_of_stop,
 )
 from camphordrift.relay._request_attempts import RequestAttempts, RunningAttempt
 from camphordrift.relay._request_progress import RequestProgress
@@ -65,6 +66,16 @@
         self._sender = sender
         self._header_format = header_format
         self._reports = reports
+        #: Requests in progress, by the scope that cancels them at their deadline.
+        self._in_progress: dict[trio.CancelScope, RequestProgress] = {}
+        self._is_stopping = False
+
+    def refuse_unstarted(self) -> None:
+        """Refuses all requests whose response has not started, because this VM is about to stop."""
+        self._is_stopping = True
+        for scope, progress in self._in_progress.items():
+            if not progress.response.started:
+                scope.cancel()
 
     async def handle(self, request: CallerRequest, response: ResponseWriter) -> None:
         """Handles a request from admission to the end of the response."""
@@ -80,13 +91,18 @@
         except RequestRefusedError as error:
             await self._refuse(request, response, metadata, error.failure)
             return
+        if self._is_stopping:
+            await self._refuse(request, response, metadata, failure_of_stop(progress), progress)
+            return
         await self._serve_until_deadline(progress)
 
     async def _serve_until_deadline(self, progress: RequestProgress) -> None:
         refusal: Optional[Failure] = None
         was_cancelled = True
+        scope = trio.CancelScope(deadline=progress.deadline + LATE_RESPONSE_MARGIN)
+        self._in_progress[scope] = progress
         try:
-            with trio.move_on_at(progress.deadline + LATE_RESPONSE_MARGIN):
+            with scope:
                 await self._serve(progress)
             was_cancelled = False
         except RequestRefusedError as error:
@@ -95,6 +111,7 @@
             # The caller gets a response even if the relay itself has a fault.
             refusal, was_cancelled = self._failure_of_error(progress, error), False
         finally:
+            del self._in_progress[scope]
             # Cancellation may arrive as an exception group, which no except clause here matches.
             if was_cancelled:
                 self._reports.record_caller_disconnected(progress)
@@ -118,7 +135,9 @@
         elif response.started:
             self._reports.record_truncated(progress)
         else:
-            failure = refusal or failure_of_deadline(progress)
+            ended_early = self._is_stopping and progress.remaining_time > 0
+            failure_of_end = failure_of_stop if ended_early else failure_of_deadline
+            failure = refusal or failure_of_end(progress)
             await self._refuse(request, response, metadata, failure, progress)
 
     async def _serve(self, progress: RequestProgress) -> None:
--- /dev/null
+++ b/camphordrift/relay/tests/test_shutdown.py
@@ -0,0 +1,86 @@
+"""End-to-end tests of a VM that stops while it has requests."""
+
+from dataclasses import replace
+
+import pytest
+import testtools
+import trio
+
+from camphordrift.relay import _process
+from camphordrift.relay.tests.relay_harness import (
+    CallerResponse,
+    RelayHarness,
+    chunk,
+    events,
+    run_scenario,
+    stream_head,
+)
+from camphordrift.relay.tests.samples import CONFIGURATION, STREAM, ScriptedServer
+from camphordrift.testing import HttpRequest
+
+pytestmark = pytest.mark.sockets
+
+#: Number of requests that occupy all slots of the only engine.
+SLOTS = 8
+
+
+async def never_ends(request: HttpRequest, stream: trio.SocketStream) -> bool:
+    await stream.send_all(stream_head(request) + chunk(events(1, 1)))
+    await trio.sleep_forever()
+    return False
+
+
+async def never_responds(request: HttpRequest, stream: trio.SocketStream) -> bool:
+    await trio.sleep_forever()
+    return False
+
+
+class GracePeriodTest(testtools.TestCase):
+    """Guards against connections that are closed without a response when the grace period ends."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.patch(_process, "DEREGISTRATION_DELAY", 0.1)
+        self.patch(_process, "STOP_MARGIN", 7.0)
+
+    def test_a_request_that_waits_for_an_engine_is_refused(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            patient = replace(STREAM, timeout=30.0, latency_objective=9.0, event_gap_objective=9.0)
+            relay.publish(replace(CONFIGURATION, version=4, routes=(patient,)))
+            await relay.wait_for_version(4)
+            responses: list[CallerResponse] = []
+
+            async def request(attempt: str) -> None:
+                responses.append(await relay.send_request("/quick/x", attempt, x_patience="30"))
+
+            async with trio.open_nursery() as nursery:
+                for number in range(SLOTS):
+                    nursery.start_soon(request, f"a{number}")
+                while len(servers[0].requests) < SLOTS:
+                    await trio.sleep(0.01)
+                nursery.start_soon(request, "waits")
+                while relay.process._scheduler.request_counts[1] == 0:
+                    await trio.sleep(0.01)
+                await relay.process._drain()
+                self.assertEqual([503], [response.status for response in responses])
+                self.assertIn("retry-after", responses[0].headers)
+                nursery.cancel_scope.cancel()
+
+        run_scenario(scenario, never_ends)
+
+    def test_a_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            responses: list[CallerResponse] = []
+
+            async def request() -> None:
+                responses.append(await relay.send_request("/book/x"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(request)
+                while not servers[0].requests:
+                    await trio.sleep(0.01)
+                await relay.process._drain()
+                self.assertEqual([502], [response.status for response in responses])
+                nursery.cancel_scope.cancel()
+
+        run_scenario(scenario, never_responds, service="office")
