Apply the current limit of header size to open connections

Callers that sent longer headers on an open connection after a configuration had permitted them got 431: the limit of the connection's opening held. Found by the review, the same cause as the idle timeout. test_a_larger_header_limit_applies_to_open_connections failed before (431) and passes.

--- a/camphordrift/relay/_http_server.py
+++ b/camphordrift/relay/_http_server.py
@@ -20,6 +20,9 @@
 #: Maximum number of bytes that are read from a caller while a previous request is in progress.
 MAX_READ_AHEAD_BYTES = 65536
 
+#: Maximum size of a request line and headers in bytes, whatever the configuration permits.
+MAX_HEAD_BYTES = 1 << 20
+
 #: Seconds within which a caller must accept the data of one write.
 WRITE_TIMEOUT = 20.0
 
@@ -116,7 +119,7 @@
         self._closes_when_idle = False
         #: Cancel scope of the request in progress.
         self._request_scope: Optional[trio.CancelScope] = None
-        self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=limits().header_bytes)
+        self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._read_ahead_bytes = 0
 
     async def serve(self) -> None:
@@ -277,11 +280,19 @@
             event = self._protocol.next_event()
             if isinstance(event, h11.Event):
                 return event
+            self._check_head_size()
             if self._protocol.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 await self.write(self._protocol.send(continue_response) or b"")
             self._protocol.receive_data(await self._stream.receive_some(READ_SIZE))
 
+    def _check_head_size(self) -> None:
+        """Raises an error if an incomplete request line with headers exceeds the current limit."""
+        if self._protocol.their_state is not h11.IDLE:
+            return
+        if len(self._protocol.trailing_data[0]) > self._limits().header_bytes:
+            raise h11.RemoteProtocolError("the headers are too large", error_status_hint=431)
+
     async def _send_error(self, status: int, reason: str) -> None:
         log_event("request_unreadable", level=LogLevel.WARNING, status=status, reason=reason)
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/camphordrift/relay/tests/test_idle_connections.py
+++ b/camphordrift/relay/tests/test_changed_limits.py
@@ -1,4 +1,4 @@
-"""End-to-end tests of connections that callers reuse after they were idle."""
+"""End-to-end tests of open connections whose limits change with the configuration."""
 
 from dataclasses import replace
 
@@ -19,7 +19,7 @@
 pytestmark = pytest.mark.sockets
 
 
-class IdleTimeoutTest(testtools.TestCase):
+class ChangedLimitTest(testtools.TestCase):
     def test_a_longer_idle_timeout_applies_to_connections_that_are_idle_already(self) -> None:
         """Guards against closing a connection at the moment at which its caller reuses it."""
 
@@ -39,6 +39,38 @@
 
         run_scenario(scenario, complete_stream)
 
+    def test_a_larger_header_limit_applies_to_open_connections(self) -> None:
+        """Guards against refusing headers by the limit of an older configuration."""
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            small = replace(CONFIGURATION, version=4, limits=CallerLimits(header_bytes=1000))
+            relay.publish(small)
+            await relay.wait_for_version(4)
+            async with await relay.connect() as stream:
+                await stream.send_all(request_bytes("/quick/x", "a1"))
+                self.assertEqual(200, (await read_response(stream)).status)
+                relay.publish(replace(small, version=5, limits=CallerLimits(header_bytes=8000)))
+                await relay.wait_for_version(5)
+                request = request_bytes("/quick/x", "a2", x_padding="p" * 3000)
+                await stream.send_all(request[:2000])
+                await trio.sleep(0.2)
+                await stream.send_all(request[2000:])
+                self.assertEqual(200, (await read_response(stream)).status)
+
+        run_scenario(scenario, complete_stream)
+
+    def test_headers_beyond_the_limit_are_refused(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            limits = CallerLimits(header_bytes=1000)
+            relay.publish(replace(CONFIGURATION, version=4, limits=limits))
+            await relay.wait_for_version(4)
+            async with await relay.connect() as stream:
+                request = request_bytes("/quick/x", "a1", x_padding="p" * 3000)
+                await stream.send_all(request[:2000])
+                self.assertEqual(431, (await read_response(stream)).status)
+
+        run_scenario(scenario, complete_stream)
+
     def test_an_idle_connection_is_closed_after_its_timeout(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             limits = CallerLimits(idle_timeout=0.4)
