Name the shared parts of the prompt in the lines of attempts

An engine crash shows as broken connections of all requests on the engine. The logs could not tell what the requests on crashing engines had in common, as they did not name the parts of the prompts. The adapter decodes the parts once, and the line of each attempt lists those that other requests may share.

--- a/camphordrift/platform/_headers.py
+++ b/camphordrift/platform/_headers.py
@@ -19,6 +19,8 @@
 _ACCOUNT = b"camphordrift-tenant"
 #: Prompt tokens and maximum output tokens, comma-separated.
 _TOKEN_COUNTS = b"camphordrift-token-count"
+#: Parts of the prompt as ID:TOKENS, comma-separated; the last one belongs to the request alone.
+_PROMPT_PARTS = b"camphordrift-prompt-prefix"
 #: The caller's estimate of the output tokens.
 _OUTPUT_ESTIMATE = b"camphordrift-length-hint"
 _LAST_EVENT = b"last-event-id"
@@ -61,7 +63,7 @@
     """Implements :class:`camphordrift.relay.HeaderFormat`."""
 
     def request_metadata(self, headers: Headers) -> RequestMetadata:
-        """Parses a caller's headers; raises ``ValueError`` for a number that is malformed."""
+        """Parses a caller's headers; raises ``ValueError`` for one that is malformed."""
         values = dict(headers)
         prompt_tokens, max_output_tokens = _parse_token_counts(values.get(_TOKEN_COUNTS))
         caller_timeout = values.get(_DEADLINE)
@@ -73,6 +75,7 @@
             max_output_tokens=max_output_tokens,
             estimated_output_tokens=int(values.get(_OUTPUT_ESTIMATE) or 0),
             last_event_id=_decode_text(values.get(_LAST_EVENT)),
+            prompt_parts=_parse_shared_parts(values.get(_PROMPT_PARTS)),
         )
 
     def response_metadata(self, headers: Headers) -> ResponseMetadata:
@@ -132,6 +135,20 @@
     return int(first), int(second or 0)
 
 
+def _parse_shared_parts(value: Optional[bytes]) -> tuple[str, ...]:
+    """Returns the ids of all parts of a prompt but the last one."""
+    if not value:
+        return ()
+    return tuple(_parse_part_id(entry) for entry in value.split(b","))[:-1]
+
+
+def _parse_part_id(entry: bytes) -> str:
+    part_id, separator, tokens = entry.strip().partition(b":")
+    if not part_id or not separator or not tokens.isdigit():
+        raise ValueError(f"not a part of a prompt: {entry!r}")
+    return part_id.decode("ascii").lower()
+
+
 def _parse_idle_timeout(value: Optional[bytes]) -> Optional[float]:
     for part in (value or b"").split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -137,6 +137,21 @@
             headers = [(b"camphordrift-" + name, value)]
             self.assertRaises(ValueError, PlatformHeaders().request_metadata, headers)
 
+    def test_last_part_of_prompt_is_not_shared(self) -> None:
+        for value, parts in (
+            (b"5c1e07a2:800,91BD3f06:410, e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+            (b"5c1e07a2:800", ()),
+            (b"", ()),
+        ):
+            metadata = PlatformHeaders().request_metadata([(b"camphordrift-prompt-prefix", value)])
+            self.assertEqual(parts, metadata.prompt_parts)
+        self.assertEqual((), PlatformHeaders().request_metadata(self.RECEIVED).prompt_parts)
+
+    def test_malformed_parts_of_prompt_raise_value_error(self) -> None:
+        for value in (b"5c1e07a2", b"5c1e07a2:800,", b":800,91bd3f06:1", b"a:x,b:1", b"\xff:1,b:1"):
+            headers = [(b"camphordrift-prompt-prefix", value)]
+            self.assertRaises(ValueError, PlatformHeaders().request_metadata, headers)
+
     def test_outgoing_headers(self) -> None:
         metadata = ForwardingMetadata(
             remaining_time=2.5,
--- a/camphordrift/relay/_request_reports.py
+++ b/camphordrift/relay/_request_reports.py
@@ -80,6 +80,7 @@
             configuration_age=self._routing_state.configuration_age(),
             helpers=helpers,
             tokens=progress.metadata.prompt_tokens,
+            parts=",".join(progress.metadata.prompt_parts),
             result=outcome,
             status=getattr(result, "status", None),
             reason=getattr(result, "reason", None),
--- a/camphordrift/relay/_values.py
+++ b/camphordrift/relay/_values.py
@@ -201,6 +201,8 @@
     estimated_output_tokens: int = 0
     #: Id of the last event the caller received, if it resumes an earlier stream.
     last_event_id: Optional[str] = None
+    #: Ids of the parts of the prompt that other requests may share, in order.
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -212,6 +212,7 @@
             prompt_tokens=int(found.get(b"x-tokens", "0")),
             max_output_tokens=100,
             last_event_id=found.get(b"last-event-id"),
+            prompt_parts=tuple(found.get(b"x-parts", "").split()),
         )
 
     def response_metadata(self, headers: Headers) -> ResponseMetadata:
