--- /dev/null
+++ b/camphordrift/relay/tests/test_crashing_prompts.py
@@ -0,0 +1,155 @@
+"""End-to-end tests of prompts with a part on which engines crash."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+import testtools
+import trio
+
+from camphordrift.relay import BackendServer
+from camphordrift.relay.tests.relay_harness import (
+    CallerResponse,
+    RelayHarness,
+    chunk,
+    events,
+    open_relay,
+    stream_head,
+)
+from camphordrift.relay.tests.samples import TOPICS, ScriptedServer, server
+from camphordrift.testing import HttpRequest
+
+pytestmark = pytest.mark.sockets
+
+#: Engines of the tests.
+ENGINE_COUNT = 8
+
+#: Crashes after which the relay has to know the part.
+MAX_CRASHES = 5
+
+#: Requests with the part that may reach engines after that.
+MAX_LATER_REQUESTS = 3
+
+#: Seconds between the events of a response.
+EVENT_GAP = 0.04
+
+
+class CrashingEngine:
+    """An engine that crashes when it begins to write a response on the part ``bad``.
+
+    All its connections are closed then, and it is listed again under a new id.
+    """
+
+    def __init__(self, number: int, list_again: Callable[[BackendServer, BackendServer], None]):
+        self.server = ScriptedServer(server(number, port=0), self._respond)
+        self._list_again = list_again
+        self._numbers = itertools.count(1)
+        self._first_id = self.server.entry.id
+        self._streams: set[trio.SocketStream] = set()
+        self.crashes = 0
+
+    async def _respond(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
+        self._streams.add(stream)
+        try:
+            await stream.send_all(stream_head(request))
+            await trio.sleep(EVENT_GAP)
+            if "bad" in request.headers.get("x-parts", "").split():
+                self._crash()
+                return False
+            first = int(request.headers.get("last-event-id", "0")) + 1
+            for number in range(first, 6):
+                await stream.send_all(chunk(events(number, number)))
+                await trio.sleep(EVENT_GAP)
+            await stream.send_all(b"0\r\n\r\n")
+            return True
+        finally:
+            self._streams.discard(stream)
+
+    def _crash(self) -> None:
+        self.crashes += 1
+        for stream in self._streams:
+            stream.socket.close()
+        former = self.server.entry
+        restarted = replace(former, id=f"{self._first_id}-{next(self._numbers)}")
+        self.server.entry = restarted
+        self._list_again(former, restarted)
+
+
+class Engines:
+    """The crashing engines of a relay."""
+
+    def __init__(self) -> None:
+        self._relay: list[RelayHarness] = []
+        self.engines = [CrashingEngine(number, self._list_again) for number in range(ENGINE_COUNT)]
+
+    def set_relay(self, relay: RelayHarness) -> None:
+        """Sets the relay in whose directory the engines are listed."""
+        self._relay = [relay]
+
+    @property
+    def crashes(self) -> int:
+        """Number of crashes of all engines."""
+        return sum(engine.crashes for engine in self.engines)
+
+    @property
+    def bad_requests(self) -> int:
+        """Number of requests with the part that reached engines."""
+        return sum(
+            "bad" in request.headers.get("x-parts", "").split()
+            for engine in self.engines
+            for request in engine.server.requests
+        )
+
+    def _list_again(self, former: BackendServer, restarted: BackendServer) -> None:
+        for relay in self._relay:
+            relay.log.put(TOPICS.servers, former.id, None)
+            relay.log.put(TOPICS.servers, restarted.id, relay.documents.write(restarted))
+
+
+class CrashingPartTest(testtools.TestCase):
+    """Guards against requests of one kind that crash engine after engine.
+
+    On second1 of bazarnik-prod, requests with one part in their prompts crashed 57 engines.
+    """
+
+    def test_a_part_on_which_engines_crash_is_no_longer_sent(self) -> None:
+        bad, _, engines = self._run(bad_count=15)
+        self.assertTrue(engines.crashes <= MAX_CRASHES, engines.crashes)
+        self.assertTrue(
+            engines.bad_requests <= MAX_CRASHES + MAX_LATER_REQUESTS, engines.bad_requests
+        )
+        self.assertEqual({502, 503}, {response.status for response in bad})
+        self.assertEqual(503, bad[-1].status)
+
+    def test_sound_requests_beside_a_part_on_which_engines_crash_are_served(self) -> None:
+        _, sound, _ = self._run(bad_count=15)
+        self.assertEqual(
+            [(200, events(1, 5), True)] * len(sound),
+            [(response.status, response.body, response.complete) for response in sound],
+        )
+
+    def _run(self, bad_count: int) -> tuple[list[CallerResponse], list[CallerResponse], Engines]:
+        engines = Engines()
+        bad: list[CallerResponse] = []
+        sound: list[CallerResponse] = []
+
+        async def send(
+            relay: RelayHarness, name: str, parts: str, responses: list[CallerResponse]
+        ) -> None:
+            responses.append(await relay.send_request("/quick/x", name, x_parts=parts))
+
+        async def main() -> None:
+            async with open_relay([engine.server for engine in engines.engines]) as relay:
+                engines.set_relay(relay)
+                await send(relay, "s", "shared", sound)
+                async with trio.open_nursery() as nursery:
+                    for number in range(bad_count):
+                        for index in range(4):
+                            name, parts = f"s{number}-{index}", f"shared topic-{index}"
+                            nursery.start_soon(send, relay, name, parts, sound)
+                        nursery.start_soon(send, relay, f"b{number}", "shared bad", bad)
+                        await trio.sleep(0.2)
+
+        trio.run(main)
+        return bad, sound, engines
