Refuse requests with a part of prompts on which engines crash

Responses of other requests on these engines were truncated, as their retries were sent together with the request that had caused the crash.

Cause: a crash was treated as a fault of the engine alone. No VM knew what the requests on crashing engines had in common, and each of these requests was retried on the next sound engine, packed with others.

Change: an engine that ends its connections accuses the shared parts of those requests that had no established response (three events, or complete). A part is quarantined after the crashes of three engines; after five if it was sound shortly before, or if another part in the same requests explains the crashes as well. A response on a part shows that it is sound, before or after. Each VM decides from the evidence that it has: its own, and what its leader and its followers tell it. A new connection begins with all evidence of both sides. The check is repeated right before a request is sent. A request with a part that is accused, but not known to be sound, gets an engine of its own while one is idle, and is not retried after a second crash.

--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -58,6 +58,8 @@
     """The request may have been executed, but there is no complete and valid response."""
 
     reason: str
+    #: Whether the server ended the connection, as it does when it crashes.
+    connection_closed: bool = False
 
 
 @dataclass(frozen=True)
@@ -186,7 +188,7 @@
             )
             return result
         except (BrokenAnswerError, OSError) as error:
-            return Broken(str(error))
+            return Broken(str(error), connection_closed=True)
         finally:
             self._connections.release(server.host, server.port, connection, idle_timeout)
 
@@ -210,7 +212,7 @@
                 result = await self._receive(connection, timer, event_timeout, sink)
             except (BrokenAnswerError, OSError) as error:
                 # Caught here because exceptions leave a nursery only inside an exception group.
-                result = Broken(str(error)), 0.0
+                result = Broken(str(error), connection_closed=True), 0.0
             nursery.cancel_scope.cancel()
         return result
 
@@ -290,10 +292,10 @@
             await sink.write_events(events)
             timer.restart(event_timeout)
         if splitter.has_partial_event:
-            return Broken("stream ended mid-event")
+            return Broken("stream ended mid-event", connection_closed=True)
         if not started:
             if not _is_framed(head):
-                return Broken("the stream ended before its first event")
+                return Broken("the stream ended before its first event", connection_closed=True)
             await sink.start_response(head.status_code, _end_to_end_headers(head.headers))
         return Streamed()
 
--- a/camphordrift/relay/_caller_sink.py
+++ b/camphordrift/relay/_caller_sink.py
@@ -77,6 +77,8 @@
         self.longest_gap: Optional[float] = None
         self._gaps: list[float] = []
         self._last_event_at = 0.0
+        #: Called with the number of events that have arrived.
+        self.on_events: Callable[[int], None] = lambda count: None
         #: Called when the first event of the attempt arrives.
         self.on_first_event: Callable[[], None] = lambda: None
         #: Called with the seconds of the shortest of the attempt's first gaps between events.
@@ -94,6 +96,7 @@
 
     async def write_events(self, events: list[StreamEvent]) -> None:
         self._record_gap()
+        self.on_events(len(events))
         if new := self._stream.select_new(events):
             await self._claim_stream()
             await self._stream.write(new)
--- a/camphordrift/relay/_engine_load.py
+++ b/camphordrift/relay/_engine_load.py
@@ -32,6 +32,8 @@
     is_prefilling: bool
     #: Whether the engine only prefills a part of the prompt for another engine.
     is_helper: bool
+    #: Whether the engine should run no other request until the first event.
+    is_isolated: bool = False
     #: Time by which the first event arrives unless the engine is much slower than expected.
     overdue_at: float = float("inf")
     #: Time by which the first event is due.
@@ -47,6 +49,8 @@
     decoding_requests: int = 0
     prefilling_requests: int = 0
     min_gap_target: Optional[float] = None
+    #: Whether a prompt in prefill should be the only one.
+    is_isolated: bool = False
     #: Earliest :attr:`EngineTask.overdue_at` of the prompts in prefill.
     overdue_at: float = float("inf")
     #: Earliest :attr:`EngineTask.first_event_due_at` of the prompts in prefill.
@@ -123,10 +127,12 @@
     def is_suspect(self, now: float) -> bool:
         """Returns whether other engines are preferred to this one.
 
-        That is the case after failures, and while a first event is overdue: an engine that crashed
-        without closing its connections stays listed until its heartbeat is missed.
+        That is the case after failures, while a first event is overdue, and while an engine may
+        crash on a prompt in prefill. An engine that crashed without closing its connections stays
+        listed until its heartbeat is missed.
         """
-        return now > self._totals.overdue_at or self._health.is_suspect(now)
+        totals = self._totals
+        return now > totals.overdue_at or totals.is_isolated or self._health.is_suspect(now)
 
     def iteration_time(self) -> float:
         """Returns the expected seconds of one engine iteration without prefill."""
@@ -187,17 +193,19 @@
 def _totals_of(tasks: Iterable[EngineTask]) -> _LoadTotals:
     memory = context = decoding = prefilling = 0
     shortest: Optional[float] = None
+    isolated = False
     overdue_at = first_event_due_at = float("inf")
     for task in tasks:
         memory += task.memory_tokens
         context += task.context_tokens
         if task.is_prefilling:
             prefilling += 1
+            isolated = isolated or task.is_isolated
             overdue_at = min(overdue_at, task.overdue_at)
             first_event_due_at = min(first_event_due_at, task.first_event_due_at)
         if not task.is_helper:
             decoding += 1
             shortest = task.gap_target if shortest is None else min(shortest, task.gap_target)
     return _LoadTotals(
-        memory, context, decoding, prefilling, shortest, overdue_at, first_event_due_at
+        memory, context, decoding, prefilling, shortest, isolated, overdue_at, first_event_due_at
     )
--- a/camphordrift/relay/_engine_planner.py
+++ b/camphordrift/relay/_engine_planner.py
@@ -214,6 +214,10 @@
         target time, are used only if no other one fits.
         """
         memory = required_memory(request)
+        if request.isolated:
+            candidates = self._candidates_for_short_prompt(request, memory, prefill)
+            least_loaded = min(candidates, key=_rank_for_isolation, default=None)
+            return None if least_loaded is None else _short_plan(least_loaded, prefill, memory)
         latest = objective * SHORT_OBJECTIVE_SHARE
         can_meet_target = prefill <= latest
         best: Optional[_EngineSnapshot] = None
@@ -235,10 +239,7 @@
             if best.zone == request.zone or equally_loaded == MAX_ZONE_CANDIDATES:
                 break
         chosen = best or fallback
-        if chosen is None:
-            return None
-        first_event_seconds = chosen.expected_first_event_seconds(prefill)
-        return Plan((chosen.engine,), prefill, first_event_seconds, (memory,))
+        return None if chosen is None else _short_plan(chosen, prefill, memory)
 
     def _candidates_for_short_prompt(
         self, request: PlacementRequest, memory: int, prefill: float
@@ -385,6 +386,16 @@
     return 1 if snapshot.is_suspect else MAX_PREFILLING_REQUESTS
 
 
+def _short_plan(snapshot: _EngineSnapshot, prefill: float, memory: int) -> Plan:
+    first_event_seconds = snapshot.expected_first_event_seconds(prefill)
+    return Plan((snapshot.engine,), prefill, first_event_seconds, (memory,))
+
+
+def _rank_for_isolation(snapshot: _EngineSnapshot) -> tuple[bool, int, int]:
+    """Sort key for isolated prompts: healthy engines with the fewest requests first."""
+    return snapshot.is_suspect, snapshot.decoding_requests, snapshot.prefilling_requests
+
+
 def _plan_of(
     request: PlacementRequest,
     part_seconds: float,
@@ -404,8 +415,9 @@
 
 def _rank_for_long_prompt(
     snapshot: _EngineSnapshot, request: PlacementRequest
-) -> tuple[bool, float, bool]:
+) -> tuple[int, bool, float, bool]:
     """Sort key for long prompts: engines without short target gaps, then least pending prefill."""
     gap_target = snapshot.min_gap_target
     has_short_gaps = gap_target is not None and gap_target < request.pause
-    return has_short_gaps, snapshot.pending_prefill, snapshot.zone != request.zone
+    others = snapshot.decoding_requests if request.isolated else 0
+    return others, has_short_gaps, snapshot.pending_prefill, snapshot.zone != request.zone
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -350,6 +350,7 @@
                 prefill_seconds=plan.part_seconds,
                 is_prefilling=True,
                 is_helper=is_helper,
+                is_isolated=request.isolated,
                 overdue_at=overdue_at,
                 first_event_due_at=now + objective,
             )
--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -27,6 +27,7 @@
     Member,
     Message,
     MessageLink,
+    PartEvidenceUpdate,
     Ping,
     PrefillFinished,
     Refused,
@@ -415,6 +416,8 @@
                 self._record_store_unreachable(vm)
             case ConfigurationRequest(version) if self.link is not None:
                 self._updates.send_document(self.link, version)
+            case PartEvidenceUpdate(evidence) if self.link is not None:
+                self._updates.handle_part_evidence(evidence, self.link)
             case Submit():
                 self._submit(message)
             case Register(request, grant, is_prefilling):
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -11,6 +11,7 @@
 import trio
 
 from camphordrift.relay._byte_stream import READ_SIZE
+from camphordrift.relay._part_evidence import PartEvidence
 from camphordrift.relay._placement_values import (
     AttemptOutcome,
     Grant,
@@ -173,6 +174,12 @@
     changes: tuple[DirectoryChange, ...]
 
 
+class PartEvidenceUpdate(msgspec.Struct, frozen=True, tag=True):
+    """Tells a VM about parts of prompts that may crash engines, in either direction of a link."""
+
+    evidence: PartEvidence
+
+
 class Ping(msgspec.Struct, frozen=True, tag=True):
     """Checks that the leader responds, and asks for the age of its state."""
 
@@ -213,6 +220,7 @@
     ConfigurationRequest,
     ConfigurationDocument,
     ServerUpdate,
+    PartEvidenceUpdate,
     Ping,
     Pong,
 ]
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/_placement_values.py
@@ -39,6 +39,9 @@
     preferred: Optional[str] = None
     #: Whether the caller already has the beginning of the output, so that only the rest is decoded.
     resumed: bool = False
+    #: Whether the engine should run no other request until the first event, because engines may
+    #: have crashed on a part of the prompt.
+    isolated: bool = False
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -34,6 +34,7 @@
     ReportFormat,
 )
 from camphordrift.relay._leader_election import LeaderElection
+from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import Member
 from camphordrift.relay._relay_metrics import RelayMetrics
 from camphordrift.relay._request_handler import RequestHandler
@@ -128,7 +129,10 @@
             self._servers_changed,
             lambda: self._configuration.store_reachable,
         )
-        self._updates = UpdateDistributor(self._configuration, self._servers, self._lease)
+        self._parts = PartMonitor(settings.vm, trio.current_time)
+        self._updates = UpdateDistributor(
+            self._configuration, self._servers, self._lease, self._parts
+        )
         self._election = LeaderElection(
             self._own_member(),
             log,
@@ -150,6 +154,7 @@
             directory=self._directory,
             budget_settings=settings.budget,
             vm_count=lambda: self._election.member_count,
+            parts=self._parts,
         )
         reports = RequestReports(self._routing_state, self._metrics)
         sender = Sender(
@@ -245,6 +250,11 @@
             "Backend servers in the directory.",
             lambda: len(self._directory.servers),
         )
+        gauge(
+            "relay_quarantined_parts",
+            "Parts of prompts that are not sent, as engines crash on them.",
+            lambda: self._parts.quarantined_count,
+        )
         gauge("relay_resident_bytes", "Resident memory of the process.", resident_bytes)
         gauge(
             "relay_log_lines_left_out",
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -22,6 +22,7 @@
     RequestRefusedError,
     failure_of_attempt,
     failure_of_deadline,
+    failure_of_quarantined_part,
     failure_of_revoked_key,
 )
 from camphordrift.relay._request_attempts import RequestAttempts, RunningAttempt
@@ -138,6 +139,9 @@
     ) -> AttemptResult:
         if not self._routing_state.is_still_authorized(progress.metadata.key, progress.account):
             raise RequestRefusedError(failure_of_revoked_key(progress))
+        notice = self._routing_state.parts.find_quarantined(progress.metadata.prompt_parts)
+        if notice is not None:
+            raise RequestRefusedError(failure_of_quarantined_part(progress, notice))
         if progress.service.engine_costs is not None:
             return await self._sender.try_engine(progress, running)
         return await self._sender.try_plain_server(progress, running)
@@ -163,7 +167,11 @@
                     return False
             case Broken():
                 progress.may_have_run = True
-                if progress.route.retryable and self._may_retry(progress):
+                if (
+                    progress.route.retryable
+                    and self._is_safe_to_retry(progress)
+                    and self._may_retry(progress)
+                ):
                     return False
         if progress.response.started:
             return True
@@ -172,6 +180,11 @@
     def _may_try_another_server(self, progress: RequestProgress) -> bool:
         return progress.remaining_time > 0 and len(progress.excluded_servers) < MAX_EXCLUDED_SERVERS
 
+    def _is_safe_to_retry(self, progress: RequestProgress) -> bool:
+        """Returns whether a request may be retried although its engine may have crashed on it."""
+        parts = progress.metadata.prompt_parts
+        return progress.is_established or self._routing_state.parts.may_retry(parts)
+
     def _may_retry(self, progress: RequestProgress) -> bool:
         route = progress.route
         if progress.remaining_time <= 0:
--- a/camphordrift/relay/_request_progress.py
+++ b/camphordrift/relay/_request_progress.py
@@ -30,6 +30,8 @@
     preferred_server: Optional[str] = None
     #: Whether a server may have executed the request.
     may_have_run: bool = False
+    #: Whether an engine wrote so much of the response that it cannot crash on the prompt.
+    is_established: bool = False
     last_result: Optional[AttemptResult] = None
 
     @property
--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/_routing_state.py
@@ -1,4 +1,4 @@
-"""Configuration, backend servers and retry budgets that request handling depends on."""
+"""Configuration, backend servers, retry budgets and parts that request handling depends on."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -7,6 +7,7 @@
 import trio
 
 from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from camphordrift.relay._routing_table import RoutingTable
 from camphordrift.relay._server_directory import ServerDirectory
@@ -19,7 +20,7 @@
 
 @dataclass
 class RoutingState:
-    """The configuration with its lease, the backend servers, and the retry budgets."""
+    """The configuration with its lease, the backend servers, the retry budgets and the parts."""
 
     #: Returns the routing table of the current configuration; ``None`` before the first one was
     #: read.
@@ -29,6 +30,8 @@
     budget_settings: RetryBudgetSettings
     #: Returns how many VMs share the retry budget.
     vm_count: Callable[[], int]
+    #: Parts of prompts that crash engines.
+    parts: PartMonitor
     _budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
     @property
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -15,6 +15,7 @@
     SilenceTimeouts,
     Withheld,
 )
+from camphordrift.relay._attempt_evidence import AttemptEvidence
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay._interfaces import HeaderFormat, Reservation
@@ -126,12 +127,14 @@
         if isinstance(decision, PlacementRefusal):
             raise RequestRefusedError(failure_of_placement(decision, progress))
         result: Optional[AttemptResult] = None
+        evidence = AttemptEvidence(self._routing_state.parts, progress, decision.server)
         # The further attempt may use the engines that this one occupies.
         running.on_replacement = lambda: self._dispatcher.report_finished(
             placement_request.id, AttemptOutcome.SILENT
         )
         try:
             if running.sink is not None:
+                running.sink.on_events = evidence.record_events
                 running.sink.on_first_event = lambda: self._dispatcher.report_first_event(
                     placement_request.id
                 )
@@ -139,6 +142,7 @@
                     placement_request.id, gap
                 )
             result = await self._attempt_on_granted_engines(progress, decision, running)
+            evidence.record_result(result)
             _exclude_helper_at_fault(progress, decision, _server_at_fault(result))
         finally:
             self._dispatcher.report_finished(
@@ -207,6 +211,8 @@
             preferred=progress.preferred_server,
             resumed=metadata.last_event_id is not None
             or (sink is not None and sink.last_event_id is not None),
+            isolated=not progress.is_established
+            and self._routing_state.parts.is_suspect(metadata.prompt_parts),
         )
 
     async def _attempt(
@@ -248,8 +254,8 @@
     ) -> Optional[ForwardingMetadata]:
         """Returns the metadata to forward; ``None`` if the request must not be sent any more.
 
-        Repeats the checks of the deadline, the API key and the server, because connecting to the
-        server may have taken long.
+        Repeats the checks of the deadline, the API key, the prompt and the server, because
+        connecting to the server may have taken long.
         """
         if progress.remaining_time <= 0:
             return None
@@ -257,6 +263,8 @@
             return None
         if not self._routing_state.directory.may_receive_requests(server.id):
             return None
+        if self._routing_state.parts.find_quarantined(progress.metadata.prompt_parts) is not None:
+            return None
         progress.attempted_servers.append(server.id)
         running.record_send()
         sink = running.sink
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -1,4 +1,7 @@
-"""Distributes the configuration and the backend servers from the leader to its followers."""
+"""Distributes the configuration and the backend servers from the leader to its followers.
+
+Evidence about parts of prompts is sent in both directions.
+"""
 
 from collections.abc import Callable, Iterable
 from typing import Optional
@@ -7,6 +10,8 @@
 
 from camphordrift.relay._configuration_lease import ConfigurationLease
 from camphordrift.relay._configuration_sharing import choose_zone_sources
+from camphordrift.relay._part_evidence import PartEvidence
+from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import (
     ConfigurationDocument,
     ConfigurationRequest,
@@ -14,6 +19,7 @@
     Member,
     Message,
     MessageLink,
+    PartEvidenceUpdate,
     Ping,
     Pong,
     ServerUpdate,
@@ -40,10 +46,13 @@
         configuration: ConfigurationWatcher,
         servers: ServersWatcher,
         lease: ConfigurationLease,
+        parts: PartMonitor,
     ) -> None:
         self._configuration = configuration
         self._servers = servers
         self._lease = lease
+        self._parts = parts
+        self._leader_link: Optional[MessageLink] = None
         self._followers: dict[MessageLink, Member] = {}
         #: Requested versions of the configuration that this VM does not have yet.
         self._awaited_versions: dict[MessageLink, int] = {}
@@ -72,10 +81,12 @@
         self._followers[link] = follower
         for member in better_leaders:
             link.send(member)
+        self._parts.add_link(link)
 
     def remove_follower(self, link: MessageLink) -> None:
         """Stops sending updates to a follower; unknown links are ignored."""
         self._followers.pop(link, None)
+        self._parts.remove_link(link)
         self._awaited_versions.pop(link, None)
 
     def announce_store_unreachable(self, vm: str) -> None:
@@ -127,6 +138,10 @@
         self._awaited_versions.pop(link, None)
         link.send(ConfigurationDocument(document))
 
+    def handle_part_evidence(self, evidence: PartEvidence, link: MessageLink) -> None:
+        """Merges evidence of this VM's leader or of a follower."""
+        self._parts.handle(evidence, link)
+
     def leader_cannot_reach_store(self) -> bool:
         """Returns whether the leader cannot reach the store, while this VM can."""
         return (
@@ -144,11 +159,16 @@
         """Records that this VM has a leader, connected by ``link``."""
         self._configuration.request_document = lambda: link.send(ConfigurationRequest())
         self._leader_age = None
+        self._leader_link = link
+        self._parts.add_link(link)
         self._configuration.has_leader = True
         self._servers.record_leader_found()
 
     def record_leader_lost(self) -> None:
         """Records that this VM has no leader."""
+        if self._leader_link is not None:
+            self._parts.remove_link(self._leader_link)
+            self._leader_link = None
         self._configuration.has_leader = False
         self._servers.has_leader = False
         self._pings.clear()
@@ -168,6 +188,8 @@
                 self._configuration.apply_document(document)
             case ServerUpdate(changes):
                 self._servers.apply_changes(changes)
+            case PartEvidenceUpdate(evidence) if self._leader_link is not None:
+                self.handle_part_evidence(evidence, self._leader_link)
             case Pong():
                 self._handle_pong(message)
             case _:
--- a/camphordrift/relay/tests/test_crashing_prompts.py
+++ b/camphordrift/relay/tests/test_crashing_prompts.py
@@ -1,6 +1,7 @@
 """End-to-end tests of prompts with a part on which engines crash."""
 
 import itertools
+import json
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -9,15 +10,19 @@
 import trio
 
 from camphordrift.relay import BackendServer
+from camphordrift.relay._part_crashes import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
+from camphordrift.relay._part_quarantine import QUARANTINE_PERIOD
 from camphordrift.relay.tests.relay_harness import (
     CallerResponse,
     RelayHarness,
     chunk,
+    complete_stream,
     events,
     open_relay,
+    run_scenario,
     stream_head,
 )
-from camphordrift.relay.tests.samples import TOPICS, ScriptedServer, server
+from camphordrift.relay.tests.samples import COSTS, TOPICS, ScriptedServer, server
 from camphordrift.testing import HttpRequest
 
 pytestmark = pytest.mark.sockets
@@ -107,6 +112,103 @@
             relay.log.put(TOPICS.servers, restarted.id, relay.documents.write(restarted))
 
 
+class RefusalTest(testtools.TestCase):
+    def test_a_request_that_waits_for_an_engine_is_not_sent_after_its_part_is_known(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            responses: list[CallerResponse] = []
+            async with trio.open_nursery() as nursery:
+                for number in range(COSTS.slots):
+                    nursery.start_soon(relay.send_request, "/quick/x", f"s{number}")
+                await _wait_until(lambda: len(servers[0].requests) == COSTS.slots)
+                nursery.start_soon(_send, relay, "b", "shared bad", responses)
+                await _wait_until(lambda: relay.process._scheduler.request_counts[1] == 1)
+                await _accuse(relay, "bad")
+                release.set()
+            self.assertEqual([503], [response.status for response in responses])
+            self.assertEqual(COSTS.slots, len(servers[0].requests))
+
+        release = trio.Event()
+
+        async def waits(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            await stream.send_all(stream_head(request) + chunk(events(1, 1)))
+            await release.wait()
+            await stream.send_all(chunk(events(2, 5)) + b"0\r\n\r\n")
+            return True
+
+        run_scenario(scenario, waits)
+
+    def test_a_refusal_states_that_the_request_was_not_run(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            await _accuse(relay, "bad")
+            response = await relay.send_request("/quick/x", x_parts="shared bad")
+            error = json.loads(response.body)["error"]
+            self.assertEqual((503, 2013), (response.status, error["code"]))
+            self.assertEqual("not_run", error["run_state"])
+            self.assertTrue(float(response.headers["retry-after"]) > QUARANTINE_PERIOD / 2)
+            self.assertEqual([], servers[0].requests)
+            self.assertEqual(200, (await relay.send_request("/quick/x", x_parts="shared")).status)
+            self.assertIn("camphordrift_relay_quarantined_parts 1.0", await relay.metrics_page())
+
+        run_scenario(scenario, complete_stream)
+
+    def test_silence_of_a_server_accuses_no_part(self) -> None:
+        async def never_responds(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            await trio.sleep_forever()
+            return False
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            await relay.send_request("/quick/x", x_parts="shared", x_patience="1.5")
+            self.assertTrue(servers[0].requests or servers[1].requests)
+            self.assertFalse(relay.process._parts.is_suspect(("shared",)))
+
+        run_scenario(scenario, never_responds, never_responds)
+
+    def test_a_response_that_breaks_after_some_events_accuses_no_part(self) -> None:
+        async def truncates(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            first = int(request.headers.get("last-event-id", "0")) + 1
+            await stream.send_all(stream_head(request) + chunk(events(first, first + 2)))
+            return False
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            response = await relay.send_request("/quick/x", x_parts="shared")
+            self.assertFalse(response.complete)
+            self.assertFalse(relay.process._parts.is_suspect(("shared",)))
+
+        run_scenario(scenario, truncates, truncates)
+
+    def test_a_short_complete_response_shows_that_its_parts_are_sound(self) -> None:
+        async def one_event(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            await stream.send_all(stream_head(request) + chunk(events(1, 1)) + b"0\r\n\r\n")
+            return True
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            relay.process._parts.record_crash(("shared",), server(9))
+            self.assertTrue(relay.process._parts.is_suspect(("shared",)))
+            await relay.send_request("/quick/x", x_parts="shared")
+            self.assertFalse(relay.process._parts.is_suspect(("shared",)))
+
+        run_scenario(scenario, one_event)
+
+
+async def _send(
+    relay: RelayHarness, attempt: str, parts: str, responses: list[CallerResponse]
+) -> None:
+    responses.append(await relay.send_request("/quick/x", attempt, x_parts=parts))
+
+
+async def _wait_until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await trio.sleep(0.01)
+
+
+async def _accuse(relay: RelayHarness, part: str) -> None:
+    """Lets the relay observe so many crashes that it quarantines a part."""
+    for number in range(CRASHES_TO_QUARANTINE):
+        relay.process._parts.record_crash((part,), server(100 + number))
+        await trio.sleep(2 * SAME_CAUSE_SECONDS)
+    await _wait_until(lambda: relay.process._parts.quarantined_count == 1)
+
+
 class CrashingPartTest(testtools.TestCase):
     """Guards against requests of one kind that crash engine after engine.
 
@@ -134,21 +236,16 @@
         bad: list[CallerResponse] = []
         sound: list[CallerResponse] = []
 
-        async def send(
-            relay: RelayHarness, name: str, parts: str, responses: list[CallerResponse]
-        ) -> None:
-            responses.append(await relay.send_request("/quick/x", name, x_parts=parts))
-
         async def main() -> None:
             async with open_relay([engine.server for engine in engines.engines]) as relay:
                 engines.set_relay(relay)
-                await send(relay, "s", "shared", sound)
+                await _send(relay, "s", "shared", sound)
                 async with trio.open_nursery() as nursery:
                     for number in range(bad_count):
                         for index in range(4):
                             name, parts = f"s{number}-{index}", f"shared topic-{index}"
-                            nursery.start_soon(send, relay, name, parts, sound)
-                        nursery.start_soon(send, relay, f"b{number}", "shared bad", bad)
+                            nursery.start_soon(_send, relay, name, parts, sound)
+                        nursery.start_soon(_send, relay, f"b{number}", "shared bad", bad)
                         await trio.sleep(0.2)
 
         trio.run(main)
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -283,6 +283,41 @@
         place_request(pool, "later", 100, 13.0)
 
 
+class IsolationTest(testtools.TestCase):
+    """An engine may crash when it begins to respond to a request; others there break with it."""
+
+    def test_an_isolated_prompt_gets_an_idle_engine(self) -> None:
+        pool = pool_of(4)
+        for tokens in (500, 60_000):
+            busy = place_request(pool, f"busy-{tokens}", 500)
+            pool.record_first_event(f"busy-{tokens}", 0.1)
+            isolated = place_request(pool, f"isolated-{tokens}", tokens, 0.2, isolated=True)
+            self.assertNotEqual(busy.server.id, isolated.server.id, str(tokens))
+
+    def test_other_prompts_avoid_an_isolated_one_until_its_first_event(self) -> None:
+        pool = pool_of(4)
+        isolated = place_request(pool, "isolated", 500, isolated=True)
+        for number, tokens in enumerate((500, 500, 60_000)):
+            grant = place_request(pool, f"r{number}", tokens)
+            self.assertNotIn(isolated.server.id, _engine_ids(grant))
+        pool.record_first_event("isolated", 0.2)
+        used = {place_request(pool, f"s{number}", 500, 0.2).server.id for number in range(8)}
+        self.assertIn(isolated.server.id, used)
+
+    def test_two_isolated_prompts_get_different_engines(self) -> None:
+        pool = pool_of(4)
+        first = place_request(pool, "first", 500, isolated=True)
+        second = place_request(pool, "second", 500, isolated=True)
+        self.assertNotEqual(first.server.id, second.server.id)
+
+    def test_an_isolated_prompt_does_not_wait_for_an_idle_engine(self) -> None:
+        pool = pool_of(2)
+        for number in range(6):
+            place_request(pool, f"r{number}", 500, number * 0.3)
+            pool.record_first_event(f"r{number}", number * 0.3 + 0.2)
+        place_request(pool, "isolated", 500, 2.0, isolated=True)
+
+
 class EngineReportTest(testtools.TestCase):
     """Tests placement on engines that run requests of VMs that lost power.
 
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -18,6 +18,7 @@
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_scheduler import EngineScheduler
 from camphordrift.relay._leader_election import LEADER_SETTLING_PERIOD, LeaderElection
+from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import (
     LinkBrokenError,
     Member,
@@ -62,6 +63,7 @@
     configuration: ConfigurationWatcher
     servers: ServersWatcher
     directory: ServerDirectory
+    parts: PartMonitor
     election: LeaderElection
 
     async def run(self, scope: trio.CancelScope) -> None:
@@ -102,9 +104,12 @@
     servers = ServersWatcher(
         log, TOPICS, documents, directory, servers_changed, lambda: configuration.store_reachable
     )
-    updates = UpdateDistributor(configuration, servers, lease)
+    parts = PartMonitor(member.vm, trio.current_time)
+    updates = UpdateDistributor(configuration, servers, lease, parts)
     election = LeaderElection(member, log, TOPICS, dispatcher, scheduler, updates)
-    vm = Vm(member, dispatcher, scheduler, lease, configuration, servers, directory, election)
+    vm = Vm(
+        member, dispatcher, scheduler, lease, configuration, servers, directory, parts, election
+    )
     return vm
 
 
--- /dev/null
+++ b/camphordrift/relay/tests/test_part_evidence.py
@@ -0,0 +1,170 @@
+"""Tests of the exchange of evidence about parts of prompts between VMs, over sockets."""
+
+from collections.abc import Callable
+
+import pytest
+import testtools
+import trio
+
+from camphordrift.relay._part_crashes import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
+from camphordrift.relay.tests.samples import server
+from camphordrift.relay.tests.test_leader_election import Fleet, Vm, leaders, run, wait_until
+
+pytestmark = pytest.mark.sockets
+
+#: Seconds within which all VMs must know a part after the last crash. It is far below the 3 s that
+#: the platform allows.
+KNOWN_WITHIN = 1.0
+
+#: Seconds between two crashes; crashes at the same moment count as one.
+CRASH_INTERVAL = 2 * SAME_CAUSE_SECONDS
+
+
+def crash(number: int, vm: Vm, *parts: str) -> None:
+    """Makes a VM observe the crash of an engine."""
+    vm.parts.record_crash(parts, server(number))
+
+
+async def crash_engines(*vms: Vm, part: str = "bad") -> None:
+    """Crashes as many engines on a part as are needed, each seen by the next one of the VMs."""
+    for number in range(CRASHES_TO_QUARANTINE):
+        crash(number, vms[number % len(vms)], part)
+        await trio.sleep(CRASH_INTERVAL)
+
+
+def refuses(vm: Vm, part: str = "bad") -> Callable[[], bool]:
+    """Returns a function that tells whether a VM refuses requests with a part."""
+    return lambda: vm.parts.find_quarantined((part,)) is not None
+
+
+async def wait_until_all_refuse(*vms: Vm) -> None:
+    """Waits until all VMs refuse the part; fails if that takes too long."""
+    with trio.fail_after(KNOWN_WITHIN):
+        for vm in vms:
+            await wait_until(refuses(vm))
+
+
+class PartEvidenceTest(testtools.TestCase):
+    """Guards against VMs that each have to find a part that crashes engines by themselves."""
+
+    def test_crashes_that_different_vms_see_are_added_up_on_all(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3, 4)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 4)
+            await crash_engines(*vms[1:])
+            await wait_until_all_refuse(*vms)
+
+        run(body)
+
+    def test_a_response_on_one_vm_clears_a_part_on_all(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+            crash(0, vms[1], "rare")
+            await wait_until(lambda: all(vm.parts.is_suspect(("rare",)) for vm in vms))
+            vms[2].parts.record_sound(("rare",))
+            await wait_until(lambda: not any(vm.parts.is_suspect(("rare",)) for vm in vms))
+
+        run(body)
+
+    def test_a_part_that_another_vm_saw_sound_is_not_suspect(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+            vms[2].parts.record_sound(("hot",))
+            crash(0, vms[1], "hot", "bad")
+            await wait_until(lambda: all(vm.parts.is_suspect(("bad",)) for vm in vms))
+            await wait_until(lambda: not any(vm.parts.is_suspect(("hot",)) for vm in vms))
+
+        run(body)
+
+    def test_evidence_survives_the_loss_of_the_leader(self) -> None:
+        """The crashes are seen in part before, in part after the leader is lost."""
+
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+            crash(0, vms[0], "bad")
+            await wait_until(lambda: vms[1].parts.is_suspect(("bad",)))
+            fleet.kill(vms[0])
+            for number in (1, 2):
+                await trio.sleep(CRASH_INTERVAL)
+                crash(number, vms[number], "bad")
+            await wait_until(lambda: leaders(*vms[1:]) == ["vm-2"] * 2)
+            await wait_until_all_refuse(*vms[1:])
+
+        run(body)
+
+    def test_a_vm_that_restarted_learns_of_a_quarantine_from_its_leader(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            first, second = fleet.start(1, 101), fleet.start(2, 102)
+            await wait_until(lambda: leaders(second) == ["vm-1"])
+            await crash_engines(second)
+            await wait_until_all_refuse(first, second)
+            fleet.kill(second)
+            restarted = fleet.start(2, 300)
+            await wait_until(lambda: leaders(restarted) == ["vm-1"])
+            await wait_until_all_refuse(restarted)
+
+        run(body)
+
+    def test_a_leader_that_knows_nothing_learns_from_its_followers(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            second, third = fleet.start(2, 200), fleet.start(3, 300)
+            await wait_until(lambda: leaders(third) == ["vm-2"])
+            await crash_engines(third)
+            await wait_until_all_refuse(second, third)
+            first = fleet.start(1, 100)
+            await wait_until(lambda: leaders(first, second, third) == ["vm-1"] * 3)
+            await wait_until_all_refuse(first)
+
+        run(body)
+
+    def test_groups_of_vms_with_different_leaders_agree_once_they_meet(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            second, third = fleet.start(2, 200), fleet.start(3, 300)
+            await wait_until(lambda: leaders(third) == ["vm-2"])
+            first = fleet.start(1, 100)
+            crash(0, first, "bad", "rare")
+            await trio.sleep(CRASH_INTERVAL)
+            crash(1, third, "bad")
+            await trio.sleep(CRASH_INTERVAL)
+            crash(2, second, "bad")
+            first.parts.record_sound(("rare",))
+            await wait_until(lambda: leaders(first, second, third) == ["vm-1"] * 3)
+            await wait_until_all_refuse(first, second, third)
+            self.assertFalse(any(vm.parts.is_suspect(("rare",)) for vm in (first, second, third)))
+
+        run(body)
+
+    def test_a_vm_without_other_vms_decides_from_its_own_evidence(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            alone = fleet.start(1, 101)
+            await crash_engines(alone)
+            await wait_until_all_refuse(alone)
+
+        run(body)
+
+    def test_a_vm_passes_evidence_on_only_once(self) -> None:
+        """Guards against messages that circulate between VMs."""
+
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+            received = [0] * len(vms)
+            for index, vm in enumerate(vms):
+                self._count_messages(vm, received, index)
+            crash(0, vms[1], "bad")
+            await trio.sleep(0.3)
+            self.assertEqual([1, 0, 1], received)
+
+        run(body)
+
+    def _count_messages(self, vm: Vm, received: list[int], index: int) -> None:
+        handle = vm.parts.handle
+
+        def count(*arguments: object) -> None:
+            received[index] += 1
+            handle(*arguments)  # type: ignore[arg-type]
+
+        self.patch(vm.parts, "handle", count)
--- /dev/null
+++ b/camphordrift/relay/tests/test_part_quarantine.py
@@ -0,0 +1,379 @@
+"""Tests of the decision which parts of prompts are quarantined."""
+
+import random
+from collections.abc import Iterable
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphordrift.relay import _sound_parts
+from camphordrift.relay._part_crashes import CRASHES_IF_DOUBTFUL, CRASHES_TO_QUARANTINE
+from camphordrift.relay._part_evidence import EngineCrash, PartEvidence, QuarantinedPart, SoundPart
+from camphordrift.relay._part_quarantine import (
+    CRASH_MEMORY,
+    EVIDENCE_DELAY,
+    MAX_ACCUSED_PARTS,
+    MAX_CRASHES,
+    MAX_QUARANTINED_PARTS,
+    PROBATION_PERIOD,
+    QUARANTINE_PERIOD,
+    PartQuarantine,
+    QuarantineEnded,
+    QuarantineStarted,
+)
+
+
+class QuarantineCase(testtools.TestCase):
+    """Base class with a quarantine and a clock."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.quarantine = PartQuarantine()
+        self.now = 1000.0
+        self.engines = 0
+
+    def crash(self, *parts: str, gap: float = 1.0) -> None:
+        """Records the crash of another engine, ``gap`` seconds after the former event."""
+        self.now += gap
+        self.engines += 1
+        self.quarantine.record_crash(f"engine-{self.engines}", parts, "vm-1", self.now)
+
+    def sound(self, *parts: str) -> None:
+        """Records a response on parts, a second after the former event."""
+        self.now += 1.0
+        self.quarantine.record_sound(parts, self.now)
+
+    def quarantined(self) -> list[str]:
+        """Returns the quarantined parts once the evidence counts."""
+        self.now += EVIDENCE_DELAY
+        return quarantined_parts(self.quarantine, self.now)
+
+
+def quarantined_parts(quarantine: PartQuarantine, now: float) -> list[str]:
+    """Returns all quarantined parts."""
+    quarantine.review(now)
+    parts = [item.part for item in quarantine.snapshot(now).quarantined]
+    return sorted(part for part in parts if quarantine.seconds_left(part, now) > 0)
+
+
+class CulpritTest(QuarantineCase):
+    def test_a_part_on_which_three_engines_crash_is_quarantined(self) -> None:
+        for crashes in range(1, CRASHES_TO_QUARANTINE):
+            self.crash("bad")
+            self.assertEqual([], self.quarantined(), str(crashes))
+        self.crash("bad")
+        self.assertEqual(["bad"], self.quarantined())
+
+    def test_the_crash_of_one_engine_counts_once(self) -> None:
+        """All connections to an engine break when it crashes, on several VMs."""
+        for vm in range(10):
+            self.now += 1.0
+            self.quarantine.record_crash("engine-1", ("bad",), f"vm-{vm}", self.now)
+        self.assertEqual([], self.quarantined())
+
+    def test_engines_that_crash_at_one_moment_accuse_no_part(self) -> None:
+        """Guards against a hot part that is refused after a loss of power."""
+        for _ in range(10):
+            self.crash("hot", gap=0.002)
+        self.assertEqual([], self.quarantined())
+
+    def test_engines_that_crash_one_after_the_other_do_not_accuse_a_hot_part(self) -> None:
+        for _ in range(20):
+            self.sound("hot", "topic")
+            self.crash("hot", "topic")
+        self.assertEqual([], self.quarantined())
+
+    def test_a_hot_part_is_not_refused_if_all_engines_are_lost(self) -> None:
+        self.sound("hot")
+        for _ in range(10):
+            self.crash("hot", gap=0.1)
+        self.assertEqual([], self.quarantined())
+        self.sound("hot")
+        self.assertEqual([], self.quarantined())
+
+    def test_the_part_that_all_requests_share_is_not_refused_for_another_one(self) -> None:
+        self.sound("first")
+        for _ in range(CRASHES_IF_DOUBTFUL + 3):
+            self.crash("first", "bad")
+        self.assertEqual(["bad"], self.quarantined())
+
+    def test_a_part_that_was_sound_before_needs_more_crashes(self) -> None:
+        self.sound("first", "bad")
+        self.sound("first")
+        for _ in range(CRASHES_IF_DOUBTFUL - 1):
+            self.crash("first", "bad")
+        self.sound("other")
+        self.assertEqual([], self.quarantined())
+        self.crash("first", "bad")
+        self.sound("other")
+        self.assertEqual(["bad"], self.quarantined())
+
+    def test_a_rare_part_that_was_beside_the_culprit_is_not_refused(self) -> None:
+        for _ in range(CRASHES_TO_QUARANTINE):
+            self.crash("bad", "rare")
+        self.assertEqual([], self.quarantined())
+        self.crash("bad", "other")
+        self.assertEqual(["bad"], self.quarantined())
+
+    def test_parts_that_only_occur_together_are_quarantined_together(self) -> None:
+        for _ in range(CRASHES_IF_DOUBTFUL - 1):
+            self.crash("bad", "companion")
+        self.assertEqual([], self.quarantined())
+        self.crash("bad", "companion")
+        self.assertEqual(["bad", "companion"], self.quarantined())
+        self.sound("companion")
+        self.assertEqual(["bad"], self.quarantined())
+
+    def test_two_parts_may_crash_engines(self) -> None:
+        for _ in range(CRASHES_TO_QUARANTINE):
+            self.crash("bad")
+            self.crash("worse")
+        self.assertEqual(["bad", "worse"], self.quarantined())
+
+    def test_evidence_that_is_under_way_is_awaited(self) -> None:
+        """Guards against a sound part that is refused because its VM knows only its own crashes."""
+        for _ in range(CRASHES_TO_QUARANTINE):
+            self.crash("rare")
+        self.assertEqual([], quarantined_parts(self.quarantine, self.now + EVIDENCE_DELAY / 2))
+        told = PartEvidence(sound=(SoundPart("rare", 0.05),))
+        self.quarantine.merge(told, self.now + EVIDENCE_DELAY / 2)
+        self.assertEqual([], self.quarantined())
+
+
+class AccusationTest(QuarantineCase):
+    def test_a_part_is_accused_until_a_response_on_it(self) -> None:
+        self.crash("rare")
+        self.crash("rare")
+        self.assertEqual(2, self.quarantine.accused_of("rare", self.now))
+        self.sound("rare")
+        self.assertEqual(0, self.quarantine.accused_of("rare", self.now))
+
+    def test_a_part_that_was_sound_before_is_not_accused(self) -> None:
+        self.sound("hot")
+        self.crash("hot")
+        self.assertEqual(0, self.quarantine.accused_of("hot", self.now))
+
+    def test_a_crash_that_a_quarantined_part_explains_accuses_no_other_part(self) -> None:
+        for _ in range(CRASHES_TO_QUARANTINE):
+            self.crash("bad")
+        self.crash("bad", "rare")
+        self.assertEqual(1, self.quarantine.accused_of("rare", self.now))
+        self.assertEqual(["bad"], self.quarantined())
+        self.assertEqual(0, self.quarantine.accused_of("rare", self.now))
+
+
+class EndOfQuarantineTest(QuarantineCase):
+    def setUp(self) -> None:
+        super().setUp()
+        for _ in range(CRASHES_TO_QUARANTINE):
+            self.crash("bad")
+        self.assertEqual(["bad"], self.quarantined())
+
+    def test_changes_are_reported_once(self) -> None:
+        quarantine = PartQuarantine()
+        for number in range(3):
+            quarantine.record_crash(f"engine-{number}", ("bad",), f"vm-{number}", 10.0 + number)
+        engines = ("engine-0", "engine-1", "engine-2")
+        started = QuarantineStarted("bad", engines, ("vm-0", "vm-1", "vm-2"))
+        self.assertEqual([started], quarantine.review(13.0))
+        self.assertEqual([], quarantine.review(14.0))
+        self.assertEqual(
+            [QuarantineEnded("bad", is_sound=False)], quarantine.review(13.0 + QUARANTINE_PERIOD)
+        )
+        self.assertEqual([], quarantine.review(14.0 + QUARANTINE_PERIOD))
+
+    def test_a_response_ends_the_quarantine(self) -> None:
+        self.sound("bad")
+        self.assertEqual([], self.quarantined())
+        self.crash("bad")
+        self.assertEqual([], self.quarantined())
+
+    def test_the_quarantine_ends_after_its_period_and_returns_with_the_next_crash(self) -> None:
+        self.now += QUARANTINE_PERIOD
+        self.assertEqual([], self.quarantined())
+        self.assertEqual(1, self.quarantine.accused_of("bad", self.now))
+        self.crash("bad")
+        self.assertEqual(["bad"], self.quarantined())
+
+    def test_a_crash_long_after_the_quarantine_is_the_first_one(self) -> None:
+        self.now += QUARANTINE_PERIOD + PROBATION_PERIOD
+        self.crash("bad")
+        self.assertEqual([], self.quarantined())
+
+    def test_old_crashes_do_not_count(self) -> None:
+        for _ in range(CRASHES_TO_QUARANTINE - 1):
+            self.crash("other")
+        self.now += CRASH_MEMORY
+        self.crash("other")
+        self.assertEqual(["bad"], self.quarantined())
+
+
+class MemoryTest(QuarantineCase):
+    def test_memory_is_bounded(self) -> None:
+        for number in range(2 * MAX_CRASHES):
+            parts = tuple(f"{number}-{index}" for index in range(2 * MAX_ACCUSED_PARTS))
+            self.crash(*parts, gap=0.01)
+        snapshot = self.quarantine.snapshot(self.now)
+        self.assertEqual(MAX_CRASHES, len(snapshot.crashes))
+        self.assertEqual(MAX_ACCUSED_PARTS, max(len(crash.parts) for crash in snapshot.crashes))
+        oldest = min(snapshot.crashes, key=lambda crash: -crash.age)
+        self.assertEqual(f"engine-{MAX_CRASHES + 1}", oldest.engine)
+
+    def test_the_number_of_quarantined_parts_is_bounded(self) -> None:
+        for number in range(2 * MAX_QUARANTINED_PARTS):
+            for _ in range(CRASHES_TO_QUARANTINE):
+                self.crash(f"bad-{number}", gap=0.1)
+        self.assertTrue(len(self.quarantined()) <= MAX_QUARANTINED_PARTS)
+
+    def test_the_number_of_sound_parts_is_bounded(self) -> None:
+        self.patch(_sound_parts, "MAX_SOUND_PARTS", 10)
+        self.sound(*(f"part-{number}" for number in range(20)))
+        self.crash(*(f"part-{number}" for number in range(20)))
+        self.assertEqual(10, len(self.quarantine.snapshot(self.now).sound))
+
+
+class MergeTest(QuarantineCase):
+    def test_crashes_of_several_vms_are_added_up(self) -> None:
+        for number in range(CRASHES_TO_QUARANTINE):
+            crash = EngineCrash(f"engine-{number}", ("bad",), 3.0 - number, f"vm-{number}")
+            self.quarantine.merge(PartEvidence(crashes=(crash,)), self.now)
+        self.assertEqual(["bad"], self.quarantined())
+
+    def test_evidence_that_is_known_is_not_passed_on(self) -> None:
+        crash = EngineCrash("engine-1", ("bad",), 1.0, "vm-2")
+        evidence = PartEvidence(
+            (crash,), (SoundPart("hot", 5.0),), (QuarantinedPart("worse", 2.0),)
+        )
+        self.assertEqual(evidence, self.quarantine.merge(evidence, self.now).news)
+        self.assertFalse(self.quarantine.merge(evidence, self.now).news)
+
+    def test_a_vm_that_saw_a_response_on_an_accused_part_replies(self) -> None:
+        self.sound("hot")
+        crash = EngineCrash("engine-1", ("hot", "bad"), 0.0, "vm-2")
+        self.now += 1.5
+        merged = self.quarantine.merge(PartEvidence(crashes=(crash,)), self.now)
+        self.assertEqual(PartEvidence(sound=(SoundPart("hot", 1.5),)), merged.reply)
+
+    def test_a_response_after_a_crash_is_told_once(self) -> None:
+        self.crash("rare")
+        self.now += 0.1
+        news = self.quarantine.record_sound(("hot", "rare"), self.now)
+        self.assertEqual(PartEvidence(sound=(SoundPart("rare", 0.0),)), news)
+        self.assertFalse(self.quarantine.record_sound(("hot", "rare"), self.now + 0.1))
+
+    def test_a_vm_that_was_cut_off_does_not_revive_a_quarantine(self) -> None:
+        for _ in range(CRASHES_TO_QUARANTINE):
+            self.crash("bad")
+        self.assertEqual(["bad"], self.quarantined())
+        former = self.quarantine.snapshot(self.now)
+        self.sound("bad")
+        self.now += 5.0
+        aged = PartEvidence(
+            tuple(
+                EngineCrash(item.engine, item.parts, item.age + 6.0, item.vm)
+                for item in former.crashes
+            ),
+            quarantined=(QuarantinedPart("bad", former.quarantined[0].age + 6.0),),
+        )
+        merged = self.quarantine.merge(aged, self.now)
+        self.assertEqual([], self.quarantined())
+        self.assertEqual(["bad"], [item.part for item in merged.reply.sound])
+
+    def test_a_vm_that_restarted_learns_of_a_quarantine(self) -> None:
+        for _ in range(CRASHES_TO_QUARANTINE):
+            self.crash("bad")
+        self.assertEqual(["bad"], self.quarantined())
+        # The crashes are forgotten before the quarantine ends.
+        self.now += CRASH_MEMORY
+        restarted = PartQuarantine()
+        restarted.merge(self.quarantine.snapshot(self.now), self.now)
+        self.assertEqual(["bad"], quarantined_parts(restarted, self.now))
+        left = QUARANTINE_PERIOD - CRASH_MEMORY
+        self.assertEqual(left, restarted.seconds_left("bad", self.now))
+
+
+#: What a VM observes: the time, the engine that crashed or ``None`` for a response, and the parts.
+Observation = tuple[int, int, frozenset[str]]
+
+_PARTS = st.frozensets(st.sampled_from(["a", "b", "c", "d"]), min_size=1, max_size=3)
+_OBSERVATIONS = st.lists(st.tuples(st.integers(0, 40), st.integers(-6, 8), _PARTS), max_size=30)
+
+
+class MergeOrderTest(testtools.TestCase):
+    """Evidence is passed on over several connections, so it arrives in any order and repeatedly."""
+
+    @settings(derandomize=True, max_examples=300)
+    @given(_OBSERVATIONS, st.randoms(use_true_random=False))
+    def test_vms_agree_in_whatever_order_evidence_arrives(
+        self, observations: list[Observation], shuffled: random.Random
+    ) -> None:
+        now = 100.0
+        evidence = [_evidence_of(observation, now) for observation in observations]
+        outcomes = []
+        for _ in range(3):
+            shuffled.shuffle(evidence)
+            repeated = [*evidence, *shuffled.choices(evidence, k=5)] if evidence else []
+            outcomes.append(_outcome(repeated, now))
+        self.assertEqual([outcomes[0]] * 3, outcomes)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(_OBSERVATIONS)
+    def test_a_part_with_a_later_response_is_not_quarantined(
+        self, observations: list[Observation]
+    ) -> None:
+        now = 100.0
+        responses = [(at, parts) for at, engine, parts in observations if engine <= 0]
+        crashed = [(at, parts) for at, engine, parts in observations if engine > 0]
+        quarantined, _ = _outcome([_evidence_of(item, now) for item in observations], now)
+        for part in quarantined:
+            latest = max(at for at, parts in crashed if part in parts)
+            self.assertTrue(all(at <= latest for at, parts in responses if part in parts))
+
+    @settings(derandomize=True, max_examples=100)
+    @given(st.integers(0, 2**32), st.integers(1, 4), st.integers(0, 12))
+    def test_the_culprit_is_found_in_random_traffic(
+        self, seed: int, concurrency: int, topics: int
+    ) -> None:
+        """Each engine processes several requests, some with the part that crashes it."""
+        chosen = random.Random(seed)
+        quarantine, now, crashes = PartQuarantine(), 0.0, 0
+        for number in range(60):
+            now += 0.3
+            requests = [["first", f"topic-{chosen.randint(0, topics)}"] for _ in range(concurrency)]
+            if chosen.random() < 0.4:
+                requests.append(["first", "bad", f"topic-{chosen.randint(0, topics)}"])
+            sent = [
+                parts
+                for parts in requests
+                if not any(quarantine.seconds_left(part, now) for part in parts)
+            ]
+            if any("bad" in parts for parts in sent):
+                crashes += 1
+                accused = {part for parts in sent for part in parts}
+                quarantine.record_crash(f"engine-{number}", sorted(accused), "vm", now)
+            else:
+                for parts in sent:
+                    quarantine.record_sound(parts, now)
+            quarantine.review(now + EVIDENCE_DELAY)
+        self.assertTrue(crashes <= CRASHES_IF_DOUBTFUL, crashes)
+        self.assertNotIn("first", quarantined_parts(quarantine, now))
+
+
+def _evidence_of(observation: Observation, now: float) -> PartEvidence:
+    at, engine, parts = observation
+    if engine > 0:
+        crash = EngineCrash(f"engine-{engine}", tuple(sorted(parts)), now - at, "vm")
+        return PartEvidence(crashes=(crash,))
+    return PartEvidence(sound=tuple(SoundPart(part, now - at) for part in sorted(parts)))
+
+
+def _outcome(
+    evidence: Iterable[PartEvidence], now: float
+) -> tuple[list[str], dict[str, tuple[str, ...]]]:
+    quarantine = PartQuarantine()
+    for item in evidence:
+        quarantine.merge(item, now)
+    parts = quarantined_parts(quarantine, now)
+    crashes = {item.engine: item.parts for item in quarantine.snapshot(now).crashes}
+    return parts, crashes
