Keep quarantined parts of prompts on the store

After a loss of power of all VMs no VM knew which parts crash engines, so that three to five engines had to crash again. The leader now writes one record for each quarantined part into the topic of the members, and deletes it at the end of the quarantine. Records are written only by a VM that has been the leader for a second, as many VMs may be without one for a moment after its loss.

test_a_quarantine_survives_the_loss_of_all_vms waits for the record of the quarantine, which nothing wrote before.

--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -41,6 +41,7 @@
     encode_member,
 )
 from camphordrift.relay._placement_values import Grant, PlacementDecision
+from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._update_distribution import UpdateDistributor
 
 #: Seconds between the pings that a follower sends to its leader.
@@ -96,6 +97,7 @@
         dispatcher: Dispatcher,
         scheduler: EngineScheduler,
         updates: UpdateDistributor,
+        quarantine_records: QuarantineRecords,
     ) -> None:
         self._own_member = own_member
         self._log = log
@@ -103,6 +105,7 @@
         self._dispatcher = dispatcher
         self._scheduler = scheduler
         self._updates = updates
+        self._quarantine_records = quarantine_records
         self._members: dict[str, Member] = {own_member.vm: own_member}
         self._connect_attempts: dict[str, int] = {}
         self._store_unreachable_until: dict[str, float] = {}
@@ -133,6 +136,7 @@
             nursery.start_soon(self._announce_own_member)
             nursery.start_soon(self._read_members)
             nursery.start_soon(self._serve_followers)
+            nursery.start_soon(self._quarantine_records.run)
             await self._follow_leader()
 
     async def _announce_own_member(self) -> None:
@@ -161,7 +165,7 @@
             log_event("members_unread", level=LogLevel.WARNING, reason=str(error))
             return
         for record in batch.records:
-            if record.value is None:
+            if self._quarantine_records.read(record) or record.value is None:
                 continue
             try:
                 self._add_member(decode_member(record.value))
--- a/camphordrift/relay/_part_monitor.py
+++ b/camphordrift/relay/_part_monitor.py
@@ -10,7 +10,7 @@
 from typing import Optional
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._part_evidence import PartEvidence
+from camphordrift.relay._part_evidence import PartEvidence, QuarantinedPart
 from camphordrift.relay._part_quarantine import (
     PartQuarantine,
     QuarantineChange,
@@ -48,11 +48,16 @@
         self._quarantine = PartQuarantine()
         self._links: list[MessageLink] = []
 
-    @property
-    def quarantined_count(self) -> int:
-        """Number of quarantined parts."""
+    def quarantined_parts(self) -> dict[str, float]:
+        """Returns the seconds for which each quarantined part has been quarantined."""
+        self._review()
+        return self._quarantine.quarantined_parts(self._clock())
+
+    def add_quarantined(self, part: str, age: float) -> None:
+        """Applies a record of a part that was quarantined ``age`` seconds ago."""
+        evidence = PartEvidence(quarantined=(QuarantinedPart(part, age),))
+        self._share(self._quarantine.merge(evidence, self._clock()).news)
         self._review()
-        return self._quarantine.quarantined_count(self._clock())
 
     def add_link(self, link: MessageLink) -> None:
         """Starts to share evidence with the VM at the other end of ``link``."""
--- a/camphordrift/relay/_part_quarantine.py
+++ b/camphordrift/relay/_part_quarantine.py
@@ -156,9 +156,9 @@
         """Returns the seconds for which a part remains quarantined; 0 if it is not."""
         return max(0.0, self._quarantined_at.get(part, float("-inf")) + QUARANTINE_PERIOD - now)
 
-    def quarantined_count(self, now: float) -> int:
-        """Returns the number of quarantined parts."""
-        return sum(self.seconds_left(part, now) > 0 for part in self._active)
+    def quarantined_parts(self, now: float) -> dict[str, float]:
+        """Returns the seconds for which each quarantined part has been quarantined."""
+        return {part: now - self._quarantined_at[part] for part in self._active}
 
     def accused_of(self, part: str, now: float) -> int:
         """Returns the number of engines that may have crashed on a part.
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -36,6 +36,7 @@
 from camphordrift.relay._leader_election import LeaderElection
 from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import Member
+from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._relay_metrics import RelayMetrics
 from camphordrift.relay._request_handler import RequestHandler
 from camphordrift.relay._request_reports import RequestReports
@@ -133,6 +134,9 @@
         self._updates = UpdateDistributor(
             self._configuration, self._servers, self._lease, self._parts
         )
+        quarantine_records = QuarantineRecords(
+            log, adapters.topics.members, self._parts, lambda: self._election.is_leader
+        )
         self._election = LeaderElection(
             self._own_member(),
             log,
@@ -140,6 +144,7 @@
             self._dispatcher,
             self._scheduler,
             self._updates,
+            quarantine_records,
         )
         self._connections = ConnectionPool(BACKEND_CONNECT_TIMEOUT)
         self._inspector = EngineInspector(
@@ -253,7 +258,7 @@
         gauge(
             "relay_quarantined_parts",
             "Parts of prompts that are not sent, as engines crash on them.",
-            lambda: self._parts.quarantined_count,
+            lambda: len(self._parts.quarantined_parts()),
         )
         gauge("relay_resident_bytes", "Resident memory of the process.", resident_bytes)
         gauge(
--- /dev/null
+++ b/camphordrift/relay/_quarantine_records.py
@@ -0,0 +1,91 @@
+"""Keeps quarantined parts of prompts on the store, for VMs that all start again.
+
+VMs tell each other what they know, so the records are needed only if no VM is left that knows it,
+or if VMs cannot reach each other. The leader writes them. VMs without a leader read them together
+with the members, so they cost no further reads.
+"""
+
+import time
+from collections.abc import Callable
+
+import trio
+
+from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, StoreError
+from camphordrift.relay._part_monitor import PartMonitor
+
+#: Prefix of the keys of records in the members' topic.
+KEY_PREFIX = "quarantine/"
+
+#: Seconds between checks of whether a record has to be written or deleted.
+CHECK_INTERVAL = 0.5
+
+#: Seconds for which a VM must have been the leader before it writes records. VMs that lose their
+#: leader may each become the leader for a moment.
+SETTLING_PERIOD = 1.0
+
+#: Seconds until the next attempt after the store failed.
+RETRY_INTERVAL = 2.0
+
+
+class QuarantineRecords:
+    """Reads and writes the records of quarantined parts.
+
+    A record contains the beginning of the quarantine by the writer's clock. A clock that is off
+    only shortens or lengthens the quarantine.
+
+    Args:
+        log: The store.
+        topic: Topic of the members.
+        parts: The quarantined parts as this VM knows them.
+        is_leader: Returns whether this VM is the leader.
+
+    """
+
+    def __init__(
+        self, log: KeyedLog, topic: str, parts: PartMonitor, is_leader: Callable[[], bool]
+    ) -> None:
+        self._log = log
+        self._topic = topic
+        self._parts = parts
+        self._is_leader = is_leader
+        #: Parts of which this VM has read or written a record.
+        self._stored: set[str] = set()
+
+    def read(self, record: KeyedRecord) -> bool:
+        """Applies a record of the members' topic; returns whether it is one of a quarantine."""
+        if not record.key.startswith(KEY_PREFIX):
+            return False
+        part = record.key.removeprefix(KEY_PREFIX)
+        try:
+            started_ms = int(record.value or b"")
+        except ValueError:
+            self._stored.discard(part)
+            return True
+        self._stored.add(part)
+        self._parts.add_quarantined(part, max(0.0, time.time() - started_ms / 1000))
+        return True
+
+    async def run(self) -> None:
+        """Writes and deletes records while this VM is the leader, until cancelled."""
+        leader_since = trio.current_time()
+        while True:
+            await trio.sleep(CHECK_INTERVAL)
+            if not self._is_leader():
+                leader_since = trio.current_time()
+            elif trio.current_time() - leader_since >= SETTLING_PERIOD:
+                try:
+                    await self._write_changes()
+                except StoreError as error:
+                    log_event("quarantine_unwritten", level=LogLevel.WARNING, reason=str(error))
+                    await trio.sleep(RETRY_INTERVAL)
+
+    async def _write_changes(self) -> None:
+        quarantined = self._parts.quarantined_parts()
+        for part in sorted(quarantined.keys() - self._stored):
+            started_ms = int((time.time() - quarantined[part]) * 1000)
+            await self._log.append(self._topic, KeyedRecord(KEY_PREFIX + part, b"%d" % started_ms))
+            self._stored.add(part)
+        for part in sorted(self._stored - quarantined.keys()):
+            await self._log.append(self._topic, KeyedRecord(KEY_PREFIX + part, None))
+            self._stored.discard(part)
--- a/camphordrift/relay/tests/test_crashing_prompts.py
+++ b/camphordrift/relay/tests/test_crashing_prompts.py
@@ -206,7 +206,7 @@
     for number in range(CRASHES_TO_QUARANTINE):
         relay.process._parts.record_crash((part,), server(100 + number))
         await trio.sleep(2 * SAME_CAUSE_SECONDS)
-    await _wait_until(lambda: relay.process._parts.quarantined_count == 1)
+    await _wait_until(lambda: len(relay.process._parts.quarantined_parts()) == 1)
 
 
 class CrashingPartTest(testtools.TestCase):
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -27,6 +27,7 @@
     StoreUnreachable,
 )
 from camphordrift.relay._placement_values import AttemptOutcome, Grant
+from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import Address
 from camphordrift.relay._store_watchers import (
@@ -106,7 +107,8 @@
     )
     parts = PartMonitor(member.vm, trio.current_time)
     updates = UpdateDistributor(configuration, servers, lease, parts)
-    election = LeaderElection(member, log, TOPICS, dispatcher, scheduler, updates)
+    records = QuarantineRecords(log, TOPICS.members, parts, lambda: election.is_leader)
+    election = LeaderElection(member, log, TOPICS, dispatcher, scheduler, updates, records)
     vm = Vm(
         member, dispatcher, scheduler, lease, configuration, servers, directory, parts, election
     )
--- a/camphordrift/relay/tests/test_part_evidence.py
+++ b/camphordrift/relay/tests/test_part_evidence.py
@@ -6,8 +6,10 @@
 import testtools
 import trio
 
+from camphordrift.relay import KeyedRecord
 from camphordrift.relay._part_crashes import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
-from camphordrift.relay.tests.samples import server
+from camphordrift.relay._quarantine_records import CHECK_INTERVAL, KEY_PREFIX, SETTLING_PERIOD
+from camphordrift.relay.tests.samples import TOPICS, server
 from camphordrift.relay.tests.test_leader_election import Fleet, Vm, leaders, run, wait_until
 
 pytestmark = pytest.mark.sockets
@@ -37,6 +39,12 @@
     return lambda: vm.parts.find_quarantined((part,)) is not None
 
 
+def quarantine_records(fleet: Fleet) -> list[KeyedRecord]:
+    """Returns all records of quarantines that were written, deletions included."""
+    records = fleet.log._records.get(TOPICS.members, [])
+    return [record for record in records if record.key.startswith(KEY_PREFIX)]
+
+
 async def wait_until_all_refuse(*vms: Vm) -> None:
     """Waits until all VMs refuse the part; fails if that takes too long."""
     with trio.fail_after(KNOWN_WITHIN):
@@ -137,6 +145,59 @@
 
         run(body)
 
+    def test_a_quarantine_survives_the_loss_of_all_vms(self) -> None:
+        """Guards against engines that crash anew after all VMs have lost power."""
+
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+            await crash_engines(*vms)
+            await wait_until_all_refuse(*vms)
+            await wait_until(lambda: len(quarantine_records(fleet)) == 1)
+            for vm in vms:
+                fleet.kill(vm)
+            await wait_until_all_refuse(*(fleet.start(number, 200 + number) for number in (1, 2)))
+            self.assertEqual(1, len(quarantine_records(fleet)))
+
+        run(body)
+
+    def test_the_record_of_a_part_that_is_sound_is_deleted(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 2)
+            await crash_engines(*vms)
+            await wait_until(lambda: len(quarantine_records(fleet)) == 1)
+            vms[1].parts.record_sound(("bad",))
+            await wait_until(lambda: len(quarantine_records(fleet)) == 2)
+            for vm in vms:
+                fleet.kill(vm)
+            restarted = fleet.start(1, 201)
+            await wait_until(lambda: restarted.configuration.version > 0)
+            await trio.sleep(0.1)
+            self.assertFalse(refuses(restarted)())
+
+        run(body)
+
+    def test_nothing_is_written_without_a_quarantine(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 2)
+            crash(0, vms[0], "bad")
+            await trio.sleep(SETTLING_PERIOD + 2 * CHECK_INTERVAL)
+            self.assertEqual([], quarantine_records(fleet))
+
+        run(body)
+
+    def test_a_record_that_cannot_be_read_is_ignored(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            for part, value in (("bad", b"soon"), ("worse", b"")):
+                fleet.log.put(TOPICS.members, KEY_PREFIX + part, value)
+            first, second = fleet.start(1, 101), fleet.start(2, 102)
+            await wait_until(lambda: leaders(first, second) == ["vm-1"] * 2)
+            self.assertEqual({}, first.parts.quarantined_parts())
+
+        run(body)
+
     def test_a_vm_without_other_vms_decides_from_its_own_evidence(self) -> None:
         async def body(fleet: Fleet) -> None:
             alone = fleet.start(1, 101)
