Refuse only requests with all parts that cannot be told apart

Parts that were accused of the same five crashes were each quarantined.

A quarantine now names all parts that cannot be told apart, after three crashes, and applies to requests that have all of them. The next response or crash tells them apart.

Equally likely parts are taken in the order of their ids, so that VMs decide alike.

--- a/camphordrift/relay/_part_crashes.py
+++ b/camphordrift/relay/_part_crashes.py
@@ -9,9 +9,8 @@
 #: Engines that crash on a part before it is quarantined.
 CRASHES_TO_QUARANTINE = 3
 
-#: The same for a part that was sound before, or that cannot be told from another one in the same
-#: requests.
-CRASHES_IF_DOUBTFUL = 5
+#: The same for a part that was sound before.
+CRASHES_IF_SOUND_BEFORE = 5
 
 #: Seconds after a response on a part in which the part counts as sound before a crash.
 SOUND_MEMORY = 120.0
@@ -90,19 +89,23 @@
             return 0
         return len(accusation.engines)
 
-    def find_culprits(self) -> tuple[str, ...]:
-        """Returns the part that explains the most doubtless crashes; several if they are alike.
+    def find_culprits(self, excluded: Collection[tuple[str, ...]]) -> Optional[tuple[str, ...]]:
+        """Returns the part that explains crashes best; several if they cannot be told apart.
 
         A part is no culprit while another one explains its crashes better: one that is also
         accused of more crashes, or whose latest response is older. The part that all requests
         share is therefore not quarantined for the part that only the crashing ones have.
+
+        Args:
+            excluded: Results that are of no interest.
+
         """
         candidates = [item for item in self._accusations.values() if self._is_candidate(item)]
-        for candidate in sorted(candidates, key=lambda item: (item.sound_at, -item.count)):
+        for candidate in sorted(candidates, key=_rank):
             alike = self._alike(candidate)
-            if alike is not None and (len(alike) == 1 or candidate.count >= CRASHES_IF_DOUBTFUL):
-                return tuple(sorted(alike))
-        return ()
+            if alike is not None and alike not in excluded:
+                return alike
+        return None
 
     def _is_candidate(self, accusation: _Accusation) -> bool:
         """Returns whether a part may be quarantined if no other one explains its crashes better.
@@ -113,13 +116,13 @@
         if not accusation.was_sound:
             return accusation.count >= CRASHES_TO_QUARANTINE
         latest = max(self._crashes[engine].at for engine in accusation.engines)
-        return accusation.count >= CRASHES_IF_DOUBTFUL and self._sound.latest > latest
+        return accusation.count >= CRASHES_IF_SOUND_BEFORE and self._sound.latest > latest
 
-    def _alike(self, candidate: _Accusation) -> Optional[list[str]]:
+    def _alike(self, candidate: _Accusation) -> Optional[tuple[str, ...]]:
         """Returns the parts with the same crashes; ``None`` if another part explains more."""
         rivals = [item for item in self._accusations.values() if item.explains_at_least(candidate)]
         if all(candidate.explains_at_least(item) for item in rivals):
-            return [item.part for item in rivals]
+            return tuple(sorted(item.part for item in rivals))
         return None
 
     def _accuse(self, part: str, engines: frozenset[str]) -> _Accusation:
@@ -134,6 +137,14 @@
         )
 
 
+def _rank(accusation: _Accusation) -> tuple[float, int, str]:
+    """Sort key: the part that was never sound, or longest ago, and explains most crashes first.
+
+    The id is the last criterion, so that all VMs decide alike.
+    """
+    return accusation.sound_at, -accusation.count, accusation.part
+
+
 def _distinct_moments(times: list[float]) -> Iterator[float]:
     latest = float("-inf")
     for time in times:
--- a/camphordrift/relay/_part_evidence.py
+++ b/camphordrift/relay/_part_evidence.py
@@ -30,10 +30,11 @@
 
 
 @dataclass(frozen=True)
-class QuarantinedPart:
-    """A part whose requests are refused, because engines crash on it."""
+class QuarantinedParts:
+    """Parts on which engines crash; requests that have all of them are refused."""
 
-    part: str
+    #: In alphabetical order. There are several if they could not be told apart.
+    parts: tuple[str, ...]
     #: Seconds since the beginning of the quarantine.
     age: float
 
@@ -44,7 +45,7 @@
 
     crashes: tuple[EngineCrash, ...] = ()
     sound: tuple[SoundPart, ...] = ()
-    quarantined: tuple[QuarantinedPart, ...] = ()
+    quarantined: tuple[QuarantinedParts, ...] = ()
 
     def __bool__(self) -> bool:
         return bool(self.crashes or self.sound or self.quarantined)
--- a/camphordrift/relay/_part_monitor.py
+++ b/camphordrift/relay/_part_monitor.py
@@ -6,33 +6,24 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from typing import Optional
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._part_evidence import PartEvidence, QuarantinedPart
-from camphordrift.relay._part_quarantine import (
-    PartQuarantine,
+from camphordrift.relay._part_evidence import PartEvidence, QuarantinedParts
+from camphordrift.relay._part_quarantine import PartQuarantine
+from camphordrift.relay._peer_messages import MessageLink, PartEvidenceUpdate
+from camphordrift.relay._quarantines import (
+    Parts,
     QuarantineChange,
     QuarantineEnded,
     QuarantineStarted,
 )
-from camphordrift.relay._peer_messages import MessageLink, PartEvidenceUpdate
 from camphordrift.relay._values import BackendServer
 
 #: Crashes of engines on one part after which a request with it is not retried.
 MAX_RETRIED_CRASHES = 1
 
 
-@dataclass(frozen=True)
-class QuarantineNotice:
-    """Why a request must not be sent."""
-
-    part: str
-    #: Seconds until the quarantine ends.
-    seconds_left: float
-
-
 class PartMonitor:
     """Keeps this VM's knowledge of parts that crash engines up to date, and logs changes.
 
@@ -48,14 +39,14 @@
         self._quarantine = PartQuarantine()
         self._links: list[MessageLink] = []
 
-    def quarantined_parts(self) -> dict[str, float]:
-        """Returns the seconds for which each quarantined part has been quarantined."""
+    def quarantined_parts(self) -> dict[Parts, float]:
+        """Returns the seconds for which each quarantine has been in force."""
         self._review()
         return self._quarantine.quarantined_parts(self._clock())
 
-    def add_quarantined(self, part: str, age: float) -> None:
-        """Applies a record of a part that was quarantined ``age`` seconds ago."""
-        evidence = PartEvidence(quarantined=(QuarantinedPart(part, age),))
+    def add_quarantined(self, parts: Parts, age: float) -> None:
+        """Applies a record of parts that were quarantined ``age`` seconds ago."""
+        evidence = PartEvidence(quarantined=(QuarantinedParts(parts, age),))
         self._share(self._quarantine.merge(evidence, self._clock()).news)
         self._review()
 
@@ -87,14 +78,10 @@
         self._share(self._quarantine.record_sound(parts, self._clock()))
         self._review()
 
-    def find_quarantined(self, parts: Iterable[str]) -> Optional[QuarantineNotice]:
-        """Returns a quarantined part of a prompt; ``None`` if there is none."""
+    def quarantine_seconds_left(self, parts: Iterable[str]) -> float:
+        """Returns for how many seconds requests with these parts are refused; 0 if they may run."""
         self._review()
-        now = self._clock()
-        for part in parts:
-            if (seconds_left := self._quarantine.seconds_left(part, now)) > 0:
-                return QuarantineNotice(part, seconds_left)
-        return None
+        return self._quarantine.seconds_left(parts, self._clock())
 
     def is_suspect(self, parts: Iterable[str]) -> bool:
         """Returns whether an engine may have crashed on a part that is not known to be sound."""
@@ -134,14 +121,14 @@
 
 def _log_change(change: QuarantineChange) -> None:
     match change:
-        case QuarantineStarted(part, engines, vms):
+        case QuarantineStarted(parts, engines, vms):
             log_event(
-                "part_quarantined",
+                "parts_quarantined",
                 level=LogLevel.WARNING,
-                part=part,
+                parts=",".join(parts),
                 crashes=len(engines),
                 engines=",".join(engines),
                 vms=",".join(vms),
             )
-        case QuarantineEnded(part, is_sound):
-            log_event("part_released", part=part, sound=is_sound)
+        case QuarantineEnded(parts, is_sound):
+            log_event("parts_released", parts=",".join(parts), sound=is_sound)
--- a/camphordrift/relay/_part_quarantine.py
+++ b/camphordrift/relay/_part_quarantine.py
@@ -6,57 +6,36 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
-from typing import Optional, Union
+from typing import Optional
 
 from camphordrift.relay._part_crashes import CrashAnalysis, RecordedCrash
 from camphordrift.relay._part_evidence import (
     EngineCrash,
     PartEvidence,
-    QuarantinedPart,
+    QuarantinedParts,
     SoundPart,
 )
+from camphordrift.relay._quarantines import (
+    MAX_QUARANTINES,
+    PROBATION_PERIOD,
+    QUARANTINE_PERIOD,
+    Parts,
+    QuarantineChange,
+    Quarantines,
+    QuarantineStarted,
+)
 from camphordrift.relay._sound_parts import SOUND_TOLERANCE, SoundParts
 
-#: Seconds for which requests with a quarantined part are refused.
-QUARANTINE_PERIOD = 600.0
-
-#: Seconds after a quarantine in which a single crash starts the next one.
-PROBATION_PERIOD = 600.0
-
 #: Seconds after which a crash no longer counts.
 CRASH_MEMORY = 300.0
 
 #: Seconds after a crash before it counts, so that the evidence of other VMs has arrived.
 EVIDENCE_DELAY = 0.2
 
-#: Maximum number of crashes, of parts accused of one crash, and of quarantined parts. The oldest
-#: crashes and quarantines are dropped first.
+#: Maximum number of crashes, and of parts accused of one crash. The oldest crashes are dropped
+#: first.
 MAX_CRASHES = 256
 MAX_ACCUSED_PARTS = 64
-MAX_QUARANTINED_PARTS = 64
-
-
-@dataclass(frozen=True)
-class QuarantineStarted:
-    """A part was quarantined."""
-
-    part: str
-    #: Engines that crashed on the part; none if another VM told of the quarantine.
-    engines: tuple[str, ...] = ()
-    #: VMs that recorded the crashes.
-    vms: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True)
-class QuarantineEnded:
-    """A part is no longer quarantined."""
-
-    part: str
-    #: Whether a response was established on the part; otherwise its time has passed.
-    is_sound: bool
-
-
-QuarantineChange = Union[QuarantineStarted, QuarantineEnded]
 
 
 @dataclass(frozen=True)
@@ -75,11 +54,7 @@
     def __init__(self) -> None:
         self._crashes: dict[str, RecordedCrash] = {}
         self._sound = SoundParts()
-        #: Time at which the quarantine of each part began; kept until the end of its probation.
-        self._quarantined_at: dict[str, float] = {}
-        #: Quarantined parts, without those on probation.
-        self._active: set[str] = set()
-        self._changes: list[QuarantineChange] = []
+        self._quarantines = Quarantines()
         self._review_at = float("inf")
         #: Analysis of all crashes; ``None`` after a change.
         self._analysis: Optional[CrashAnalysis] = None
@@ -102,7 +77,7 @@
 
     def record_sound(self, parts: Iterable[str], now: float) -> PartEvidence:
         """Records an established response on parts; returns what other VMs should know."""
-        news = [part for part in parts if self._set_sound(part, now, float("inf"))]
+        news = [part for part in parts if self._set_sound(part, now, now, float("inf"))]
         return PartEvidence(sound=tuple(SoundPart(part, 0.0) for part in news))
 
     def merge(self, evidence: PartEvidence, now: float) -> MergedEvidence:
@@ -112,7 +87,7 @@
         sound = tuple(
             item
             for item in evidence.sound
-            if self._set_sound(item.part, now - item.age, SOUND_TOLERANCE)
+            if self._set_sound(item.part, now - item.age, now, SOUND_TOLERANCE)
         )
         quarantined = tuple(
             item for item in evidence.quarantined if self._merge_quarantine(item, now)
@@ -137,28 +112,30 @@
                 for part in sorted(accused)
                 if part in self._sound
             ),
-            tuple(QuarantinedPart(part, now - at) for part, at in self._quarantined_at.items()),
+            tuple(QuarantinedParts(parts, now - at) for parts, at in self._quarantines),
         )
 
     def review(self, now: float) -> list[QuarantineChange]:
         """Starts and ends quarantines that are due; returns all changes since the last review."""
         if now >= self._review_at:
             self._drop_expired(now)
-            # Each round quarantines at least one part.
-            for _ in range(MAX_QUARANTINED_PARTS):
-                if not self._start_quarantines(now):
+            # Each round starts a quarantine. The number of rounds is limited because an old one may
+            # be dropped for each new one.
+            for _ in range(MAX_QUARANTINES):
+                if not self._start_quarantine(now):
                     break
             self._review_at = min(self._next_reviews(now), default=float("inf"))
-        changes, self._changes = self._changes, []
-        return changes
+        return self._quarantines.take_changes()
 
-    def seconds_left(self, part: str, now: float) -> float:
-        """Returns the seconds for which a part remains quarantined; 0 if it is not."""
-        return max(0.0, self._quarantined_at.get(part, float("-inf")) + QUARANTINE_PERIOD - now)
+    def seconds_left(self, prompt_parts: Iterable[str], now: float) -> float:
+        """Returns for how many seconds requests with these parts are refused; 0 if they may run."""
+        return self._quarantines.seconds_left(prompt_parts, now)
 
-    def quarantined_parts(self, now: float) -> dict[str, float]:
-        """Returns the seconds for which each quarantined part has been quarantined."""
-        return {part: now - self._quarantined_at[part] for part in self._active}
+    def quarantined_parts(self, now: float) -> dict[Parts, float]:
+        """Returns the seconds for which each quarantine has been in force."""
+        return {
+            parts: now - self._quarantines.started_at(parts) for parts in self._quarantines.active
+        }
 
     def accused_of(self, part: str, now: float) -> int:
         """Returns the number of engines that may have crashed on a part.
@@ -167,58 +144,41 @@
         least 1 for a part whose quarantine has ended.
         """
         if self._crashes and self._analysis is None:
-            self._analysis = self._analyze(self._crashes, now)
+            self._analysis = self._analyze(self._crashes)
         count = 0 if self._analysis is None else self._analysis.accused_of(part)
-        return max(count, int(part in self._quarantined_at))
+        return max(count, int(self._quarantines.is_on_probation(part)))
 
-    def _analyze(self, crashes: Mapping[str, RecordedCrash], now: float) -> CrashAnalysis:
-        known = {part for part in self._active if self.seconds_left(part, now) > 0}
+    def _analyze(self, crashes: Mapping[str, RecordedCrash]) -> CrashAnalysis:
+        # Parts that could not be told apart explain no crash, as the culprit is still to be found.
+        known = {parts[0] for parts in self._quarantines.active if len(parts) == 1}
         return CrashAnalysis(crashes, self._sound, known)
 
-    def _start_quarantines(self, now: float) -> bool:
-        """Starts the quarantines that are due first; returns whether there were any."""
+    def _start_quarantine(self, now: float) -> bool:
+        """Starts the quarantine that is due first; returns whether there was one."""
         counted = {
             engine: crash
             for engine, crash in self._crashes.items()
             if now - crash.at >= EVIDENCE_DELAY
         }
-        analysis = self._analyze(counted, now)
-        culprits = self._relapsed_parts(analysis, now) or analysis.find_culprits()
-        for part in culprits:
-            engines = analysis.engines(part)
-            vms = sorted({counted[engine].vm for engine in engines})
-            self._quarantine(part, now)
-            self._start(QuarantineStarted(part, engines, tuple(vms)))
-        return bool(culprits)
-
-    def _relapsed_parts(self, analysis: CrashAnalysis, now: float) -> tuple[str, ...]:
-        """Returns the parts on which an engine crashed after their quarantine."""
-        return tuple(
-            part
-            for part, at in self._quarantined_at.items()
-            if part not in self._active
-            and any(
-                self._crashes[engine].at > at + QUARANTINE_PERIOD
-                for engine in analysis.engines(part)
-            )
-        )
-
-    def _quarantine(self, part: str, at: float) -> None:
-        self._quarantined_at[part] = at
-        if len(self._quarantined_at) > MAX_QUARANTINED_PARTS:
-            oldest = min(self._quarantined_at, key=self._quarantined_at.__getitem__)
-            del self._quarantined_at[oldest]
-            self._end(oldest, is_sound=False)
+        analysis = self._analyze(counted)
+        parts = self._relapsed(analysis) or analysis.find_culprits(self._quarantines.active)
+        if parts is None:
+            return False
+        engines = analysis.engines(parts[0])
+        vms = sorted({counted[engine].vm for engine in engines})
+        self._quarantines.start(QuarantineStarted(parts, engines, tuple(vms)), now, now)
         self._set_changed()
+        return True
 
-    def _start(self, change: QuarantineStarted) -> None:
-        self._active.add(change.part)
-        self._changes.append(change)
-
-    def _end(self, part: str, is_sound: bool) -> None:
-        if part in self._active:
-            self._active.remove(part)
-            self._changes.append(QuarantineEnded(part, is_sound))
+    def _relapsed(self, analysis: CrashAnalysis) -> Optional[Parts]:
+        """Returns parts on which an engine crashed after their quarantine."""
+        for parts, started_at in self._quarantines:
+            engines = set.intersection(*(set(analysis.engines(part)) for part in parts))
+            if parts not in self._quarantines.active and any(
+                self._crashes[engine].at > started_at + QUARANTINE_PERIOD for engine in engines
+            ):
+                return parts
+        return None
 
     def _merge_crash(self, crash: EngineCrash, now: float) -> Optional[EngineCrash]:
         """Merges a crash; returns it with all known parts if other VMs should know it."""
@@ -239,20 +199,21 @@
         self._set_changed()
         return EngineCrash(crash.engine, tuple(sorted(known.parts)), now - known.at, known.vm)
 
-    def _merge_quarantine(self, item: QuarantinedPart, now: float) -> bool:
+    def _merge_quarantine(self, item: QuarantinedParts, now: float) -> bool:
         """Merges a quarantine; returns whether other VMs should know it."""
         at = now - item.age
-        known = self._quarantined_at.get(item.part, float("-inf"))
-        if item.age >= QUARANTINE_PERIOD + PROBATION_PERIOD or self._sound[item.part] > at:
+        parts = tuple(part for part in item.parts if self._sound[part] <= at)
+        if not parts or item.age >= QUARANTINE_PERIOD + PROBATION_PERIOD:
             return False
-        if at <= known + SOUND_TOLERANCE:
+        if any({*known} < {*parts} for known in self._quarantines.active):
             return False
-        self._quarantine(item.part, at)
-        if self.seconds_left(item.part, now) > 0:
-            self._start(QuarantineStarted(item.part))
+        if at <= self._quarantines.started_at(parts) + SOUND_TOLERANCE:
+            return False
+        self._quarantines.start(QuarantineStarted(parts), at, now)
+        self._set_changed()
         return True
 
-    def _set_sound(self, part: str, at: float, tolerance: float) -> bool:
+    def _set_sound(self, part: str, at: float, now: float, tolerance: float) -> bool:
         """Records when a response was established; returns whether other VMs should know it."""
         known = self._sound[part]
         if at <= known:
@@ -266,9 +227,7 @@
                 self._set_changed()
             if latest <= crash.at < at:
                 self._set_changed()
-        if part in self._quarantined_at and self._quarantined_at[part] < at:
-            del self._quarantined_at[part]
-            self._end(part, is_sound=True)
+        if self._quarantines.record_sound(part, at, now):
             self._set_changed()
             is_news = True
         return is_news
@@ -281,21 +240,11 @@
         expired = [key for key, crash in self._crashes.items() if now - crash.at >= CRASH_MEMORY]
         for engine in expired:
             del self._crashes[engine]
-        for part, at in list(self._quarantined_at.items()):
-            if now >= at + QUARANTINE_PERIOD:
-                self._end(part, is_sound=False)
-            if now >= at + QUARANTINE_PERIOD + PROBATION_PERIOD:
-                del self._quarantined_at[part]
+        self._quarantines.expire(now)
         self._analysis = None
 
     def _next_reviews(self, now: float) -> Iterator[float]:
         for crash in self._crashes.values():
-            yield from (
-                at for at in (crash.at + EVIDENCE_DELAY, crash.at + CRASH_MEMORY) if at > now
-            )
-        for at in self._quarantined_at.values():
-            yield from (
-                end
-                for end in (at + QUARANTINE_PERIOD, at + QUARANTINE_PERIOD + PROBATION_PERIOD)
-                if end > now
-            )
+            counts_at = crash.at + EVIDENCE_DELAY
+            yield counts_at if counts_at > now else crash.at + CRASH_MEMORY
+        yield from self._quarantines.next_changes(now)
--- a/camphordrift/relay/_quarantine_records.py
+++ b/camphordrift/relay/_quarantine_records.py
@@ -13,10 +13,14 @@
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, StoreError
 from camphordrift.relay._part_monitor import PartMonitor
+from camphordrift.relay._quarantines import Parts
 
-#: Prefix of the keys of records in the members' topic.
+#: Prefix of the keys of records in the members' topic; the ids of the parts follow.
 KEY_PREFIX = "quarantine/"
 
+#: Maximum length of a key in bytes; quarantines with longer ones are not stored.
+MAX_KEY_LENGTH = 255
+
 #: Seconds between checks of whether a record has to be written or deleted.
 CHECK_INTERVAL = 0.5
 
@@ -49,21 +53,21 @@
         self._topic = topic
         self._parts = parts
         self._is_leader = is_leader
-        #: Parts of which this VM has read or written a record.
-        self._stored: set[str] = set()
+        #: Quarantines of which this VM has read or written a record.
+        self._stored: set[Parts] = set()
 
     def read(self, record: KeyedRecord) -> bool:
         """Applies a record of the members' topic; returns whether it is one of a quarantine."""
         if not record.key.startswith(KEY_PREFIX):
             return False
-        part = record.key.removeprefix(KEY_PREFIX)
+        parts = tuple(record.key.removeprefix(KEY_PREFIX).split(","))
         try:
             started_ms = int(record.value or b"")
         except ValueError:
-            self._stored.discard(part)
+            self._stored.discard(parts)
             return True
-        self._stored.add(part)
-        self._parts.add_quarantined(part, max(0.0, time.time() - started_ms / 1000))
+        self._stored.add(parts)
+        self._parts.add_quarantined(parts, max(0.0, time.time() - started_ms / 1000))
         return True
 
     async def run(self) -> None:
@@ -82,10 +86,16 @@
 
     async def _write_changes(self) -> None:
         quarantined = self._parts.quarantined_parts()
-        for part in sorted(quarantined.keys() - self._stored):
-            started_ms = int((time.time() - quarantined[part]) * 1000)
-            await self._log.append(self._topic, KeyedRecord(KEY_PREFIX + part, b"%d" % started_ms))
-            self._stored.add(part)
-        for part in sorted(self._stored - quarantined.keys()):
-            await self._log.append(self._topic, KeyedRecord(KEY_PREFIX + part, None))
-            self._stored.discard(part)
+        for parts in sorted(quarantined.keys() - self._stored):
+            started_ms = int((time.time() - quarantined[parts]) * 1000)
+            if len(_key(parts)) <= MAX_KEY_LENGTH:
+                await self._log.append(self._topic, KeyedRecord(_key(parts), b"%d" % started_ms))
+            self._stored.add(parts)
+        for parts in sorted(self._stored - quarantined.keys()):
+            if len(_key(parts)) <= MAX_KEY_LENGTH:
+                await self._log.append(self._topic, KeyedRecord(_key(parts), None))
+            self._stored.discard(parts)
+
+
+def _key(parts: Parts) -> str:
+    return KEY_PREFIX + ",".join(parts)
--- a/camphordrift/relay/_refusals.py
+++ b/camphordrift/relay/_refusals.py
@@ -3,7 +3,6 @@
 from typing import Optional
 
 from camphordrift.relay._attempt import AttemptResult
-from camphordrift.relay._part_monitor import QuarantineNotice
 from camphordrift.relay._placement_values import PlacementRefusal, RefusalReason
 from camphordrift.relay._request_progress import RequestProgress
 from camphordrift.results import Failure, ResultCode, RunState
@@ -44,18 +43,18 @@
     )
 
 
-def failure_of_quarantined_part(progress: RequestProgress, notice: QuarantineNotice) -> Failure:
-    """Returns the failure for a request with a part on which engines crash."""
+def failure_of_quarantined_parts(progress: RequestProgress, seconds_left: float) -> Failure:
+    """Returns the failure for a request with parts that are quarantined for ``seconds_left``."""
     if progress.may_have_run:
         return Failure(
             ResultCode.BACKEND_STREAM_BROKEN,
-            f"not retried, as engines crash on part {notice.part} of the prompt",
+            "not retried, as engines crash on a part of the prompt",
             run_state_override=RunState.OUTCOME_UNKNOWN,
         )
     return Failure(
         ResultCode.PROMPT_PART_QUARANTINED,
-        f"engines crash on part {notice.part} of the prompt",
-        notice.seconds_left,
+        "engines crash on a part of the prompt",
+        seconds_left,
     )
 
 
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -22,7 +22,7 @@
     RequestRefusedError,
     failure_of_attempt,
     failure_of_deadline,
-    failure_of_quarantined_part,
+    failure_of_quarantined_parts,
     failure_of_revoked_key,
 )
 from camphordrift.relay._request_attempts import RequestAttempts, RunningAttempt
@@ -139,9 +139,9 @@
     ) -> AttemptResult:
         if not self._routing_state.is_still_authorized(progress.metadata.key, progress.account):
             raise RequestRefusedError(failure_of_revoked_key(progress))
-        notice = self._routing_state.parts.find_quarantined(progress.metadata.prompt_parts)
-        if notice is not None:
-            raise RequestRefusedError(failure_of_quarantined_part(progress, notice))
+        parts = progress.metadata.prompt_parts
+        if (seconds_left := self._routing_state.parts.quarantine_seconds_left(parts)) > 0:
+            raise RequestRefusedError(failure_of_quarantined_parts(progress, seconds_left))
         if progress.service.engine_costs is not None:
             return await self._sender.try_engine(progress, running)
         return await self._sender.try_plain_server(progress, running)
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -263,7 +263,7 @@
             return None
         if not self._routing_state.directory.may_receive_requests(server.id):
             return None
-        if self._routing_state.parts.find_quarantined(progress.metadata.prompt_parts) is not None:
+        if self._routing_state.parts.quarantine_seconds_left(progress.metadata.prompt_parts) > 0:
             return None
         progress.attempted_servers.append(server.id)
         running.record_send()
--- a/camphordrift/relay/_sound_parts.py
+++ b/camphordrift/relay/_sound_parts.py
@@ -39,7 +39,9 @@
         accusations = [
             (part, now - crash.age) for crash in evidence.crashes for part in crash.parts
         ]
-        accusations += [(item.part, now - item.age) for item in evidence.quarantined]
+        accusations += [
+            (part, now - item.age) for item in evidence.quarantined for part in item.parts
+        ]
         told = {item.part: now - item.age for item in evidence.sound}
         unknown = {
             part
--- a/camphordrift/relay/tests/test_crashing_prompts.py
+++ b/camphordrift/relay/tests/test_crashing_prompts.py
@@ -11,7 +11,7 @@
 
 from camphordrift.relay import BackendServer
 from camphordrift.relay._part_crashes import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
-from camphordrift.relay._part_quarantine import QUARANTINE_PERIOD
+from camphordrift.relay._quarantines import QUARANTINE_PERIOD
 from camphordrift.relay.tests.relay_harness import (
     CallerResponse,
     RelayHarness,
