--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -34,7 +34,9 @@
     ReportFormat,
 )
 from camphordrift.relay._leader_election import LeaderElection
+from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import Member
+from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._relay_metrics import RelayMetrics
 from camphordrift.relay._request_handler import RequestHandler
 from camphordrift.relay._request_reports import RequestReports
@@ -131,7 +133,13 @@
             self._servers_changed,
             lambda: self._configuration.store_reachable,
         )
-        self._updates = UpdateDistributor(self._configuration, self._servers, self._lease)
+        self._parts = PartMonitor(settings.vm, trio.current_time)
+        self._updates = UpdateDistributor(
+            self._configuration, self._servers, self._lease, self._parts
+        )
+        quarantine_records = QuarantineRecords(
+            log, adapters.topics.members, self._parts, lambda: self._election.is_leader
+        )
         self._election = LeaderElection(
             self._own_member(),
             log,
@@ -139,6 +147,7 @@
             self._dispatcher,
             self._scheduler,
             self._updates,
+            quarantine_records,
         )
         self._connections = ConnectionPool(BACKEND_CONNECT_TIMEOUT)
         self._inspector = EngineInspector(
@@ -153,6 +162,7 @@
             directory=self._directory,
             budget_settings=settings.budget,
             vm_count=lambda: self._election.member_count,
+            parts=self._parts,
         )
         reports = RequestReports(self._routing_state, self._metrics)
         self._reservations = ReservationManager(self._connections, adapters.orders)
@@ -250,6 +260,11 @@
             "Backend servers in the directory.",
             lambda: len(self._directory.servers),
         )
+        gauge(
+            "relay_quarantined_parts",
+            "Parts of prompts that are not sent, as engines crash on them.",
+            lambda: len(self._parts.quarantined_parts()),
+        )
         gauge("relay_resident_bytes", "Resident memory of the process.", resident_bytes)
         gauge(
             "relay_log_lines_left_out",
--- a/camphordrift/relay/_refusals.py
+++ b/camphordrift/relay/_refusals.py
@@ -46,6 +46,21 @@
     )
 
 
+def failure_of_quarantined_parts(progress: RequestProgress, seconds_left: float) -> Failure:
+    """Returns the failure for a request with parts that are quarantined for ``seconds_left``."""
+    if progress.may_have_run:
+        return Failure(
+            ResultCode.BACKEND_STREAM_BROKEN,
+            "not retried, as engines crash on a part of the prompt",
+            run_state_override=RunState.OUTCOME_UNKNOWN,
+        )
+    return Failure(
+        ResultCode.PROMPT_PART_QUARANTINED,
+        "engines crash on a part of the prompt",
+        seconds_left,
+    )
+
+
 def failure_of_deadline(progress: RequestProgress) -> Failure:
     """Returns the failure for a request that exceeded its deadline."""
     if progress.attempted_servers:
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -18,6 +18,7 @@
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_scheduler import EngineScheduler
 from camphordrift.relay._leader_election import LEADER_SETTLING_PERIOD, LeaderElection
+from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import (
     LinkBrokenError,
     Member,
@@ -26,6 +27,7 @@
     StoreUnreachable,
 )
 from camphordrift.relay._placement_values import AttemptOutcome, Grant
+from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import Address
 from camphordrift.relay._store_watchers import (
@@ -62,6 +64,7 @@
     configuration: ConfigurationWatcher
     servers: ServersWatcher
     directory: ServerDirectory
+    parts: PartMonitor
     election: LeaderElection
 
     async def run(self, scope: trio.CancelScope) -> None:
@@ -102,9 +105,13 @@
     servers = ServersWatcher(
         log, TOPICS, documents, directory, servers_changed, lambda: configuration.store_reachable
     )
-    updates = UpdateDistributor(configuration, servers, lease)
-    election = LeaderElection(member, log, TOPICS, dispatcher, scheduler, updates)
-    vm = Vm(member, dispatcher, scheduler, lease, configuration, servers, directory, election)
+    parts = PartMonitor(member.vm, trio.current_time)
+    updates = UpdateDistributor(configuration, servers, lease, parts)
+    records = QuarantineRecords(log, TOPICS.members, parts, lambda: election.is_leader)
+    election = LeaderElection(member, log, TOPICS, dispatcher, scheduler, updates, records)
+    vm = Vm(
+        member, dispatcher, scheduler, lease, configuration, servers, directory, parts, election
+    )
     return vm
 
 
