Add the era of the store to the interface of the keyed log

A store that is restored from an older copy assigns offsets again, so they can be compared only together with the era. The field is not set yet; append returns 0.

--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -108,12 +108,16 @@
             log_event("records_unreadable", topic=topic, count=len(records) - len(readable))
         return Batch(readable, next_offset, complete=next_offset >= end)
 
-    async def append(self, topic: str, record: KeyedRecord) -> None:
-        """Appends a record; after an error it may have been appended or not."""
+    async def append(self, topic: str, record: KeyedRecord) -> int:
+        """Appends a record and returns the era of the store that contains it.
+
+        After an error the record may have been appended or not.
+        """
         key = record.key.encode()
         content = bytes((len(key),)) + key + (record.value or b"")
         body = _RECORD_LENGTH.pack(len(content)) + content
         await self._call("POST", "/v1/log-append", {"Topic": topic, "part": "0"}, body=body)
+        return 0
 
     async def _call(
         self,
--- a/camphordrift/relay/_counted_log.py
+++ b/camphordrift/relay/_counted_log.py
@@ -30,9 +30,9 @@
         """Returns records starting at ``offset``."""
         return await self._count_call("read", self._log.read(topic, offset, wait))
 
-    async def append(self, topic: str, record: KeyedRecord) -> None:
-        """Appends a record."""
-        await self._count_call("append", self._log.append(topic, record))
+    async def append(self, topic: str, record: KeyedRecord) -> int:
+        """Appends a record and returns the era of the store that contains it."""
+        return await self._count_call("append", self._log.append(topic, record))
 
     async def _count_call(self, call: str, pending_call: Awaitable[_Result]) -> _Result:
         outcome = "given_up"
--- a/camphordrift/relay/_interfaces.py
+++ b/camphordrift/relay/_interfaces.py
@@ -109,18 +109,45 @@
     next_offset: int
     #: Whether the batch contains everything that the log held when the response was made.
     complete: bool = True
+    #: Era of the store from which the records were read; 0 if the store states none.
+    era: int = 0
 
 
 class HistoryLostError(Exception):
-    """The requested offset is past retention; the newest record of each key must be read."""
+    """The requested offset is past retention; the newest record of each key must be read.
+
+    Args:
+        message: Description of the read.
+        era: Era of the store; ``None`` if unknown.
+
+    """
+
+    def __init__(self, message: str, era: Optional[int] = None) -> None:
+        super().__init__(message)
+        self.era = era
 
 
 class StoreError(Exception):
-    """A request to the store failed, timed out or got an invalid response."""
+    """A request to the store failed, timed out or got an invalid response.
+
+    Args:
+        message: Description of the failure.
+        era: Era of the store; ``None`` if unknown.
+
+    """
+
+    def __init__(self, message: str, era: Optional[int] = None) -> None:
+        super().__init__(message)
+        self.era = era
 
 
 class KeyedLog(Protocol):
-    """A compacted log: it retains at least the newest record of each key."""
+    """A compacted log: it retains at least the newest record of each key.
+
+    Its era is the number of times that it was restored from an older copy. A restored log has lost
+    its latest records and assigns their offsets again, so offsets are comparable only within an
+    era.
+    """
 
     async def newest(self, topic: str) -> Batch:
         """Returns the newest record of each key.
@@ -141,8 +168,8 @@
         """
         ...
 
-    async def append(self, topic: str, record: KeyedRecord) -> None:
-        """Appends a record.
+    async def append(self, topic: str, record: KeyedRecord) -> int:
+        """Appends a record and returns the era of the store that contains it.
 
         Raises:
             StoreError: The request failed; the record may or may not have been appended.
