Reproduce offsets, leases and announcements lost with a store restored from an older copy

InMemoryLog can be restored from a copy; watched_vms.py runs the watchers of several VMs in virtual time.

--- a/camphordrift/platform/tests/test_store.py
+++ b/camphordrift/platform/tests/test_store.py
@@ -4,13 +4,14 @@
 import json
 import struct
 from collections.abc import Awaitable, Callable
+from typing import Optional, Union
 
 import pytest
 import testtools
 import trio
 
 from camphordrift.platform import PlatformStore
-from camphordrift.relay import Address, HistoryLostError, KeyedRecord, StoreError
+from camphordrift.relay import Address, Batch, HistoryLostError, KeyedRecord, StoreError
 from camphordrift.testing import process_loopback_network
 
 pytestmark = pytest.mark.sockets
@@ -19,8 +20,10 @@
 ResponseScript = Callable[[str], bytes]
 
 
-def http_response(status: str, body: bytes) -> bytes:
-    return f"HTTP/1.1 {status}\r\ncontent-length: {len(body)}\r\n\r\n".encode() + body
+def http_response(status: str, body: bytes, era: Optional[int] = None) -> bytes:
+    era_header = "" if era is None else f"Store-Era: {era}\r\n"
+    head = f"HTTP/1.1 {status}\r\n{era_header}content-length: {len(body)}\r\n\r\n"
+    return head.encode() + body
 
 
 def read_response(end: int, *records: bytes) -> bytes:
@@ -55,6 +58,14 @@
     trio.run(main)
 
 
+async def failure_of(call: Awaitable[Batch]) -> Union[StoreError, HistoryLostError]:
+    try:
+        await call
+    except (StoreError, HistoryLostError) as error:
+        return error
+    raise AssertionError("the call succeeded")
+
+
 class NewestTest(testtools.TestCase):
     def test_pages_are_joined_and_reading_continues_at_the_end_of_the_first(self) -> None:
         def page(key: str, more: bool, end: int) -> bytes:
@@ -139,3 +150,56 @@
             self.assertEqual(0, (await store.read("keyed.op", 0, 0.0)).next_offset)
 
         run(lambda line: responses.pop(0), check)
+
+
+class EraTest(testtools.TestCase):
+    def test_the_era_of_each_operation(self) -> None:
+        """Guards against offsets of a restored store that are taken for those of before."""
+        page = json.dumps({"Items": [], "HasMore": False, "EndOffset": 4}).encode()
+        responses = [
+            http_response("200 OK", page, 3),
+            http_response("200 OK", read_response(4), 3),
+            http_response("200 OK", b"{}", 4),
+        ]
+
+        async def check(store: PlatformStore, calls: list[str]) -> None:
+            self.assertEqual(3, (await store.newest("keyed.op")).era)
+            self.assertEqual(3, (await store.read("keyed.op", 4, 0.0)).era)
+            self.assertEqual(4, await store.append("keyed.members", KeyedRecord("vm-1", b"v")))
+
+        run(lambda line: responses.pop(0), check)
+
+    def test_the_era_of_failures(self) -> None:
+        responses = [http_response("410 Gone", b"{}", 3), http_response("503 Busy", b"", 4), b""]
+
+        async def check(store: PlatformStore, calls: list[str]) -> None:
+            self.assertEqual(3, (await failure_of(store.read("keyed.op", 9, 0.0))).era)
+            self.assertEqual(4, (await failure_of(store.read("keyed.op", 9, 0.0))).era)
+            self.assertIsNone((await failure_of(store.read("keyed.op", 9, 0.0))).era)
+
+        run(lambda line: responses.pop(0), check)
+
+    def test_a_response_without_a_readable_era_has_era_zero(self) -> None:
+        response = http_response("200 OK", read_response(4))
+        responses = [response, response.replace(b"content", b"Store-Era: new\r\ncontent")]
+
+        async def check(store: PlatformStore, calls: list[str]) -> None:
+            for _ in range(2):
+                self.assertEqual(0, (await store.read("keyed.op", 4, 0.0)).era)
+
+        run(lambda line: responses.pop(0), check)
+
+    def test_pages_of_two_eras_are_no_snapshot(self) -> None:
+        """Guards against a snapshot that contains entries which the restored store lacks."""
+        items = [{"Key": "a", "Value": base64.b64encode(b"v").decode(), "Offset": 1}]
+
+        def page(more: bool, era: int) -> bytes:
+            body = {"Items": items, "HasMore": more, "EndOffset": 4}
+            return http_response("200 OK", json.dumps(body).encode(), era)
+
+        responses = [page(True, 3), page(False, 4)]
+
+        async def check(store: PlatformStore, calls: list[str]) -> None:
+            self.assertEqual(4, (await failure_of(store.newest("keyed.op"))).era)
+
+        run(lambda line: responses.pop(0), check)
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -1,5 +1,6 @@
 """Sample values and test doubles for the relay's tests."""
 
+from collections import Counter
 from dataclasses import replace
 from typing import Optional
 
@@ -16,6 +17,7 @@
     EngineReport,
     ForwardingMetadata,
     Headers,
+    HistoryLostError,
     KeyedRecord,
     LogTopics,
     RelaySettings,
@@ -131,43 +133,81 @@
 
 
 class InMemoryLog:
-    """Implements :class:`KeyedLog` in memory."""
+    """Implements :class:`KeyedLog` in memory; can be restored from an older copy.
 
-    def __init__(self) -> None:
+    Args:
+        latency: Seconds that each call takes.
+
+    """
+
+    def __init__(self, latency: float = 0.0) -> None:
         self._records: dict[str, list[KeyedRecord]] = {}
         self._changed = trio.Event()
+        self._latency = latency
         #: Whether all calls raise StoreError.
         self.is_down = False
+        #: Number of times that the log was restored from an older copy, plus one.
+        self.era = 1
+        #: Number of calls of each operation, by its name.
+        self.calls: Counter[str] = Counter()
 
     async def newest(self, topic: str) -> Batch:
         """Returns the newest record of each key."""
-        await self._check()
+        await self._start_call("newest")
         newest = {record.key: record for record in self._records.get(topic, [])}
         kept = tuple(record for record in newest.values() if record.value is not None)
         return Batch(kept, len(self._records.get(topic, [])))
 
     async def read(self, topic: str, offset: int, wait: float) -> Batch:
         """Returns records starting at ``offset``."""
-        await self._check()
+        await self._start_call("read")
+        era = self.era
+        if offset > len(self._records.get(topic, [])):
+            raise HistoryLostError(topic)
         with trio.move_on_after(wait):
-            while len(self._records.get(topic, [])) <= offset:
+            while len(self._records.get(topic, [])) <= offset and self.era == era:
                 await self._changed.wait()
         await self._check()
+        if self.era != era:
+            raise StoreError("the connection broke")
         records = tuple(self._records.get(topic, [])[offset:])
         return Batch(records, offset + len(records))
 
-    async def append(self, topic: str, record: KeyedRecord) -> None:
+    async def append(self, topic: str, record: KeyedRecord) -> int:
         """Appends a record."""
-        await self._check()
+        await self._start_call("append")
         self.put(topic, record.key, record.value)
+        return self.era
 
     def put(self, topic: str, key: str, value: Optional[bytes]) -> None:
         """Appends a record without a checkpoint, also while the log is down."""
         records = self._records.setdefault(topic, [])
         records.append(KeyedRecord(key, value, len(records)))
+        self._signal_change()
+
+    def keys(self, topic: str) -> set[str]:
+        """Returns the keys of a topic's records."""
+        return {record.key for record in self._records.get(topic, [])}
+
+    def copy(self) -> dict[str, list[KeyedRecord]]:
+        """Returns a copy of all records."""
+        return {topic: list(records) for topic, records in self._records.items()}
+
+    def restore(self, copy: dict[str, list[KeyedRecord]]) -> None:
+        """Replaces all records by those of an older copy; calls in progress fail."""
+        self._records = {topic: list(records) for topic, records in copy.items()}
+        self.era += 1
+        self._signal_change()
+
+    def _signal_change(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
+    async def _start_call(self, operation: str) -> None:
+        self.calls[operation] += 1
+        await trio.sleep(self._latency)
+        await self._check()
+
     async def _check(self) -> None:
         await trio.lowlevel.checkpoint()
         if self.is_down:
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -282,6 +282,36 @@
         run(body)
 
 
+class AnnouncementTest(testtools.TestCase):
+    def test_vms_announce_themselves_again_on_a_restored_store(self) -> None:
+        """Guards against a VM that starts and finds no leader, as the store lost all members."""
+
+        async def body(fleet: Fleet) -> None:
+            copy = fleet.log.copy()
+            vms = [fleet.start(number, 100 + number) for number in (1, 2)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 2)
+            fleet.log.restore(copy)
+            await wait_until(lambda: fleet.log.keys(TOPICS.members) == {"vm-1", "vm-2"})
+            self.assertEqual(["vm-1"] * 2, leaders(*vms))
+            third = fleet.start(3, 103)
+            await wait_until(lambda: leaders(third) == ["vm-1"])
+
+        run(body)
+
+    def test_vms_announce_themselves_once_for_each_restore(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            copy = fleet.log.copy()
+            vms = [fleet.start(number, 100 + number) for number in (1, 2)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 2)
+            for _ in range(2):
+                fleet.log.restore(copy)
+                await wait_until(lambda: len(fleet.log.keys(TOPICS.members)) == 2)
+                await trio.sleep(1.0)
+            self.assertEqual(6, fleet.log.calls["append"])
+
+        run(body)
+
+
 class UpdateDistributionTest(testtools.TestCase):
     def test_a_vm_with_an_old_configuration_does_not_long_poll(self) -> None:
         """Guards against a new leader that counts as unable to reach the store.
--- /dev/null
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -0,0 +1,193 @@
+"""VMs that run only their watchers and pass updates on without sockets, in virtual time."""
+
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from typing import Optional, cast
+from unittest import mock
+
+import trio
+
+from camphordrift.relay import BackendServer, ServerState
+from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._interfaces import KeyedLog
+from camphordrift.relay._leader_election import PING_INTERVAL
+from camphordrift.relay._peer_messages import (
+    ConfigurationRequest,
+    Member,
+    Message,
+    MessageLink,
+    Ping,
+)
+from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay._settings import Address
+from camphordrift.relay._store_watchers import ConfigurationWatcher, ServersWatcher
+from camphordrift.relay._update_distribution import UpdateDistributor
+from camphordrift.relay.tests.samples import CONFIGURATION, TOPICS, InMemoryLog, SampleDocuments
+from camphordrift.testing import run_in_virtual_time
+
+#: Seconds after which a removed API key must be refused.
+REVOCATION_DELAY = 5.0
+
+#: Seconds that a call to the store takes.
+STORE_LATENCY = 0.005
+
+
+class DirectLink:
+    """Delivers messages to a function at once."""
+
+    def __init__(self, deliver: Callable[[Message], None]) -> None:
+        self.send = deliver
+
+
+class WatchedVm:
+    """The watchers of one VM."""
+
+    def __init__(
+        self, number: int, log: KeyedLog, documents: SampleDocuments, vms: dict[str, "WatchedVm"]
+    ) -> None:
+        self.member = Member(f"vm-{number}", number, f"10.0.0.{number}", 1)
+        self._vms = vms
+        self._leader_scope: Optional[trio.CancelScope] = None
+        #: Versions in the order in which they came into force.
+        self.versions: list[int] = []
+        self.lease = ConfigurationLease(REVOCATION_DELAY)
+        self.directory = ServerDirectory()
+        self.configuration = ConfigurationWatcher(
+            log, TOPICS, documents, self.lease, self._configuration_changed, self._fetch
+        )
+        self.servers = ServersWatcher(
+            log,
+            TOPICS,
+            documents,
+            self.directory,
+            self._servers_changed,
+            lambda: self.configuration.store_reachable,
+        )
+        self.updates = UpdateDistributor(self.configuration, self.servers, self.lease)
+
+    @property
+    def states(self) -> dict[str, ServerState]:
+        """States of the listed servers, by id."""
+        return {key: server.state for key, server in self.directory.servers.items()}
+
+    def accepts_key(self, key: str) -> bool:
+        """Returns whether requests with an API key are accepted now."""
+        table = self.configuration.table
+        return (
+            table is not None
+            and self.lease.is_valid(trio.current_time())
+            and table.find_account(key) is not None
+        )
+
+    async def run(self) -> None:
+        """Runs the watchers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.configuration.run)
+            nursery.start_soon(self.servers.run)
+
+    async def follow(self, leader: "WatchedVm") -> None:
+        """Gets updates from a leader until :meth:`unfollow` is called."""
+        to_follower = cast(MessageLink, DirectLink(self._handle_leader_message))
+        to_leader = cast(
+            MessageLink, DirectLink(lambda message: leader.handle_request(message, to_follower))
+        )
+        with trio.CancelScope() as self._leader_scope:
+            leader.updates.add_follower(to_follower, self.member, [])
+            self.updates.record_leader_found(to_leader)
+            try:
+                while True:
+                    to_leader.send(self.updates.next_ping())
+                    await trio.sleep(PING_INTERVAL)
+            finally:
+                leader.updates.remove_follower(to_follower)
+                self.updates.record_leader_lost()
+
+    def unfollow(self) -> None:
+        """Loses the leader."""
+        if self._leader_scope is not None:
+            self._leader_scope.cancel()
+
+    def handle_request(self, message: Message, link: MessageLink) -> None:
+        """Handles a follower's message like :class:`LeaderElection`."""
+        match message:
+            case Ping():
+                link.send(self.updates.pong_for(message))
+            case ConfigurationRequest(version):
+                self.updates.send_document(link, version)
+
+    def _handle_leader_message(self, message: Message) -> None:
+        self.updates.handle_message(message, lambda other: None)
+
+    def _configuration_changed(self) -> None:
+        self.versions.append(self.configuration.version)
+        self.updates.announce_configuration()
+
+    def _servers_changed(self, changes: list[DirectoryChange]) -> None:
+        self.updates.announce_servers(changes)
+
+    async def _fetch(self, source: Address, version: int) -> Optional[bytes]:
+        await trio.sleep(STORE_LATENCY)
+        for vm in self._vms.values():
+            if vm.member.address == source and vm.configuration.version >= version:
+                return vm.configuration.document
+        return None
+
+
+class WatchedFleet:
+    """VMs that read one store, and the operator and servers that write to it."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.log, self.documents = InMemoryLog(STORE_LATENCY), SampleDocuments()
+        self.vms: dict[str, WatchedVm] = {}
+        self._nursery = nursery
+
+    def start(self, number: int, log: Optional[KeyedLog] = None) -> WatchedVm:
+        """Starts a VM; it reads ``log``, or the fleet's store."""
+        vm = WatchedVm(number, self.log if log is None else log, self.documents, self.vms)
+        self.vms[vm.member.vm] = vm
+        self._nursery.start_soon(vm.run)
+        return vm
+
+    def follow(self, follower: WatchedVm, leader: WatchedVm) -> None:
+        """Lets a VM get updates from a leader."""
+        self._nursery.start_soon(follower.follow, leader)
+
+    def publish(self, version: int, *keys: str) -> None:
+        """Appends a configuration with the given API keys."""
+        account = (CONFIGURATION.accounts or {})["key-1"]
+        accounts = dict.fromkeys(keys, account)
+        configuration = replace(CONFIGURATION, version=version, accounts=accounts)
+        self.log.put(
+            TOPICS.configuration, TOPICS.configuration_key, self.documents.write(configuration)
+        )
+
+    def register(self, entry: BackendServer) -> None:
+        """Appends a server's entry."""
+        self.log.put(TOPICS.servers, entry.id, self.documents.write(entry))
+
+    def remove(self, server_id: str) -> None:
+        """Appends the removal of a server's entry."""
+        self.log.put(TOPICS.servers, server_id, None)
+
+
+@contextmanager
+def _boot_time_is_virtual() -> Iterator[None]:
+    modules = ("_store_watchers", "_update_distribution")
+    names = [f"camphordrift.relay.{module}.boot_time_clock" for module in modules]
+    with mock.patch(names[0], trio.current_time), mock.patch(names[1], trio.current_time):
+        yield
+
+
+def run_fleet(body: Callable[[WatchedFleet], Awaitable[None]]) -> None:
+    """Runs a scenario in virtual time."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            # The clock must not start at zero, which is the time of reads that never happened.
+            await trio.sleep(100.0)
+            await body(WatchedFleet(nursery))
+            nursery.cancel_scope.cancel()
+
+    with _boot_time_is_virtual():
+        run_in_virtual_time(main)
