Decode the era of the store in its client

Every response of the store states how often it was restored from an older copy. A response without the header has era 0.

--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -3,7 +3,8 @@
 import base64
 import math
 import struct
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from typing import Optional
 from urllib.parse import urlencode
 
@@ -18,7 +19,6 @@
     ConnectionPool,
     HistoryLostError,
     KeyedRecord,
-    SmallRequest,
     StoreError,
 )
 
@@ -35,6 +35,10 @@
 #: Header of the response to a read: end offset of the topic, and its first retained offset.
 _READ_HEADER = struct.Struct(">qq")
 
+#: Lower-case name of the header with the number of times that the store was restored from an older
+#: copy.
+_ERA_HEADER = b"store-era"
+
 #: Length prefix of each record in a read or an append, in bytes.
 _RECORD_LENGTH = struct.Struct(">I")
 
@@ -55,6 +59,14 @@
 _page_decoder = msgspec.json.Decoder(_NewestPage)
 
 
+@dataclass(frozen=True)
+class _Response:
+    status: int
+    #: Era of the store; ``None`` if the response states none.
+    era: Optional[int]
+    content: bytes
+
+
 class PlatformStore:
     """Implements :class:`camphordrift.relay.KeyedLog` over HTTP.
 
@@ -73,19 +85,24 @@
         # Records may be appended between two pages, so the pages together are not a snapshot. The
         # next read therefore starts at the end offset of the first page.
         next_offset: Optional[int] = None
+        era: Optional[int] = None
         after: Optional[str] = None
         while True:
             query: dict[str, str] = {"Topic": topic, "part": "0"}
             if after is not None:
                 query["After"] = after
-            page = _decode_page(await self._call("GET", "/v1/log-newest", query))
+            response = await self._call("GET", "/v1/log-newest", query)
+            if after is not None and response.era != era:
+                raise StoreError("the store was restored between two pages", response.era)
+            era = response.era
+            page = _decode_page(response.content)
             next_offset = page.end_offset if next_offset is None else next_offset
             records += [
                 KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
                 for item in page.items
             ]
             if not page.has_more or not page.items:
-                return Batch(tuple(records), next_offset)
+                return Batch(tuple(records), next_offset, era=era or 0)
             after = page.items[-1].key
 
     async def read(self, topic: str, offset: int, wait: float) -> Batch:
@@ -97,7 +114,8 @@
             "WaitMs": str(int(wait * 1000)),
             "MaxKb": str(_MAX_READ_KB),
         }
-        content = await self._call("GET", "/v1/log-read", query, wait=wait)
+        response = await self._call("GET", "/v1/log-read", query, wait=wait)
+        content = response.content
         if len(content) < _READ_HEADER.size:
             raise StoreError("response to a read is shorter than its offset header")
         end, _ = _READ_HEADER.unpack_from(content)
@@ -106,7 +124,7 @@
         readable = tuple(record for record in records if record is not None)
         if len(readable) < len(records):
             log_event("records_unreadable", topic=topic, count=len(records) - len(readable))
-        return Batch(readable, next_offset, complete=next_offset >= end)
+        return Batch(readable, next_offset, complete=next_offset >= end, era=response.era or 0)
 
     async def append(self, topic: str, record: KeyedRecord) -> int:
         """Appends a record and returns the era of the store that contains it.
@@ -116,8 +134,8 @@
         key = record.key.encode()
         content = bytes((len(key),)) + key + (record.value or b"")
         body = _RECORD_LENGTH.pack(len(content)) + content
-        await self._call("POST", "/v1/log-append", {"Topic": topic, "part": "0"}, body=body)
-        return 0
+        query = {"Topic": topic, "part": "0"}
+        return (await self._call("POST", "/v1/log-append", query, body=body)).era or 0
 
     async def _call(
         self,
@@ -126,29 +144,46 @@
         query: dict[str, str],
         body: bytes = b"",
         wait: float = 0.0,
-    ) -> bytes:
+    ) -> _Response:
         target = f"{path}?{urlencode(query)}"
         try:
             with trio.fail_after(_RESPONSE_TIMEOUT + wait):
-                status, content = await self._exchange(method, target, body)
+                response = await self._exchange(method, target, body)
         except (OSError, BrokenAnswerError, trio.TooSlowError) as error:
             raise StoreError(f"{path}: {type(error).__name__} {error}") from error
-        if status == 410:
-            raise HistoryLostError(path)
-        if status != 200:
-            raise StoreError(f"{path}: status {status} {content[:200]!r}")
-        return content
-
-    async def _exchange(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
+        if response.status == 410:
+            raise HistoryLostError(path, response.era)
+        if response.status != 200:
+            reason = f"{path}: status {response.status} {response.content[:200]!r}"
+            raise StoreError(reason, response.era)
+        return response
+
+    async def _exchange(self, method: str, target: str, body: bytes) -> _Response:
         host, port = self._address.host, self._address.port
-        connection = await self._connections.acquire(host, port)
         headers = [
             (b"host", str(self._address).encode()),
             (b"content-length", b"%d" % len(body)),
         ]
-        request = SmallRequest(method.encode(), target.encode(), headers, body)
-        # The connection may be reused at any later time, as long as the store keeps it open.
-        return await self._connections.exchange(host, port, connection, request, math.inf)
+        connection = await self._connections.acquire(host, port)
+        idle_timeout = 0.0
+        try:
+            await connection.send(method.encode(), target.encode(), headers, body)
+            head = await connection.receive_head()
+            content = bytearray()
+            while (chunk := await connection.receive_data()) is not None:
+                content += chunk
+            # The connection may be reused at any later time, as long as the store keeps it open.
+            idle_timeout = math.inf
+        finally:
+            self._connections.release(host, port, connection, idle_timeout)
+        return _Response(head.status_code, _parse_era(head.headers), bytes(content))
+
+
+def _parse_era(headers: Iterable[tuple[bytes, bytes]]) -> Optional[int]:
+    for name, value in headers:
+        if name == _ERA_HEADER and value.isdigit():
+            return int(value)
+    return None
 
 
 def _decode_page(content: bytes) -> _NewestPage:
--- a/camphordrift/platform/tests/test_boundary.py
+++ b/camphordrift/platform/tests/test_boundary.py
@@ -16,6 +16,7 @@
 _PLATFORM_NAMES = re.compile(
     r"camphordrift-(attempt|deadline|expect|engine|not-executed|tenant|credential|token|prompt"
     r"|length|model|request-priority|weight|helpers)"
+    r"|\bstore-era\b"
     r"|/v1/(readyz|report|order|log-[a-z]+)"
     r"|\b(TrafficSplit|SloMs|GapTargetMs|ResumeStreams|NoAuth|ApiKeys|KvCacheTokens"
     r"|MaxConns|ReadinessAddr|PortRange|RevokeMs|GraceS|HoldMs|RetrySlack|EndOffset|HasMore)\b"
@@ -27,7 +28,7 @@
 _DECIDING_MODULES = re.compile(
     r"_(engine_pool|engine_planner|engine_load|engine_scheduler|dispatcher|retry_budget"
     r"|request_handler|admission|sender|refusals|server_directory|plain_servers"
-    r"|configuration_lease|leader_election|store_watchers|routing_state)"
+    r"|configuration_lease|leader_election|store_watchers|store_era|routing_state)"
 )
 
 
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -156,14 +156,14 @@
         await self._start_call("newest")
         newest = {record.key: record for record in self._records.get(topic, [])}
         kept = tuple(record for record in newest.values() if record.value is not None)
-        return Batch(kept, len(self._records.get(topic, [])))
+        return Batch(kept, len(self._records.get(topic, [])), era=self.era)
 
     async def read(self, topic: str, offset: int, wait: float) -> Batch:
         """Returns records starting at ``offset``."""
         await self._start_call("read")
         era = self.era
         if offset > len(self._records.get(topic, [])):
-            raise HistoryLostError(topic)
+            raise HistoryLostError(topic, self.era)
         with trio.move_on_after(wait):
             while len(self._records.get(topic, [])) <= offset and self.era == era:
                 await self._changed.wait()
@@ -171,7 +171,7 @@
         if self.era != era:
             raise StoreError("the connection broke")
         records = tuple(self._records.get(topic, [])[offset:])
-        return Batch(records, offset + len(records))
+        return Batch(records, offset + len(records), era=self.era)
 
     async def append(self, topic: str, record: KeyedRecord) -> int:
         """Appends a record."""
