--- a/camphordrift/relay/_server_directory.py
+++ b/camphordrift/relay/_server_directory.py
@@ -91,11 +91,18 @@
         return DirectoryChange(server_id, None, offset)
 
     def remove_all_except(
-        self, server_ids: Iterable[str], offset: int, now: float
+        self, server_ids: Iterable[str], end_offset: int, now: float
     ) -> list[DirectoryChange]:
-        """Records that all other entries have disappeared as of ``offset``; returns the changes."""
+        """Records that a snapshot lacks all other entries; returns the changes.
+
+        Args:
+            server_ids: Servers whose entries the snapshot contains.
+            end_offset: Offset after the last record that the snapshot covers.
+            now: The present time.
+
+        """
         missing_ids = set(self._servers).difference(server_ids)
-        changes = [self.remove(server_id, offset, now) for server_id in missing_ids]
+        changes = [self.remove(server_id, end_offset - 1, now) for server_id in missing_ids]
         return [change for change in changes if change is not None]
 
     def expire(self, now: float) -> list[DirectoryChange]:
