Compare records of servers within an era, and keep draining final

The directory compared offsets alone, so records of a restored store were ignored, and an older copy could list servers that drain, left or started again. Positions are pairs of era and offset. For the grace period after a restore missing entries are kept, and entries of removed or earlier starts are deferred; a draining start is never ready again.

--- a/camphordrift/relay/tests/test_components.py
+++ b/camphordrift/relay/tests/test_components.py
@@ -185,6 +185,56 @@
         self.assertFalse(self.directory.may_receive_requests("engines-2"))
 
 
+class RestoredServerDirectoryTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.ready = dataclasses.replace(server(1), started_ms=1000)
+        self.draining = dataclasses.replace(self.ready, state=ServerState.LEAVING)
+        self.directory = ServerDirectory()
+        self.directory.put(self.ready, 50, 1)
+
+    def test_offsets_are_compared_within_an_era(self) -> None:
+        self.assertIsNotNone(self.directory.put(self.draining, 3, 2))
+        self.assertIsNone(self.directory.put(self.ready, 60, 1))
+        self.assertFalse(self.directory.may_receive_requests("engines-1"))
+
+    def test_a_later_start_replaces_a_draining_one(self) -> None:
+        self.directory.put(self.draining, 51, 1)
+        self.directory.put(self.ready, 3, 2)
+        self.assertFalse(self.directory.may_receive_requests("engines-1"))
+        self.directory.put(dataclasses.replace(self.ready, started_ms=2000), 4, 2)
+        self.assertTrue(self.directory.may_receive_requests("engines-1"))
+
+    def test_draining_that_is_learned_late_counts(self) -> None:
+        """Guards against requests to a server that another VM read as draining."""
+        self.directory.put(self.ready, 3, 2)
+        late = DirectoryChange("engines-1", self.draining, 55, 1)
+        self.assertEqual(1, len(self.directory.apply_changes([late], 0.0)))
+        self.assertFalse(self.directory.may_receive_requests("engines-1"))
+
+    def test_a_listing_of_an_earlier_era_is_ignored(self) -> None:
+        """Guards against a server that no later record removes."""
+        self.directory.record_restore(2, 0.0)
+        late = DirectoryChange("engines-2", server(2), 55, 1)
+        self.assertEqual([], self.directory.apply_changes([late], 0.0))
+
+    def test_a_second_restore_extends_the_grace_period(self) -> None:
+        self.directory.record_restore(2, 10.0)
+        self.assertEqual([], self.directory.remove_all_except([], 5, 10.1, 2))
+        self.directory.record_restore(3, 10.5)
+        self.assertEqual([], self.directory.remove_all_except([], 5, 10.6, 3))
+        self.assertEqual([], self.directory.expire(10.4 + EXPIRY_GRACE))
+        self.assertEqual(1, len(self.directory.expire(10.5 + EXPIRY_GRACE)))
+
+    def test_a_deferred_entry_that_is_removed_again_is_never_listed(self) -> None:
+        self.directory.remove("engines-1", 51, 9.0, 1)
+        self.directory.record_restore(2, 10.0)
+        self.assertIsNone(self.directory.put(self.ready, 3, 2))
+        self.assertIsNone(self.directory.remove("engines-1", 4, 11.0, 2))
+        self.assertEqual([], self.directory.expire(10.0 + EXPIRY_GRACE))
+        self.assertFalse(self.directory.may_receive_requests("engines-1"))
+
+
 class PlainServerBalancerTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
