--- a/camphordrift/event_log/_explanation.py
+++ b/camphordrift/event_log/_explanation.py
@@ -29,6 +29,7 @@
         "stopped",
         "store_lost",
         "store_regained",
+        "store_restored",
         "home_found",
         "home_lost",
         "home_slow",
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -178,6 +178,8 @@
 
     #: Sequence number of the ping; the pong repeats it.
     number: int
+    #: Era of the store, as far as the sender knows; 0 if it knows none.
+    era: int = 0
 
 
 class Pong(msgspec.Struct, frozen=True, tag=True):
@@ -194,6 +196,8 @@
     configuration_age: float
     #: Age of the leader's backend server directory in seconds.
     servers_age: float
+    #: Era of the store, as far as the leader knows; 0 if it knows none.
+    era: int = 0
 
 
 Message = Union[
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -43,6 +43,7 @@
 from camphordrift.relay._sender import Sender
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import RelaySettings
+from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
 from camphordrift.relay._store_watchers import (
     ConfigurationWatcher,
     ServersWatcher,
@@ -111,9 +112,11 @@
         self._lease = ConfigurationLease(settings.key_revocation_delay)
         self._scheduler = EngineScheduler(settings.vm, trio.current_time)
         self._dispatcher = Dispatcher(settings.vm, self._scheduler, trio.current_time)
-        log = CountedLog(adapters.log, self._metrics.store_calls)
+        eras = StoreEraTracker()
+        log = EraCheckedLog(CountedLog(adapters.log, self._metrics.store_calls), eras)
         self._configuration = ConfigurationWatcher(
             log,
+            eras,
             adapters.topics,
             adapters.documents,
             self._lease,
@@ -122,13 +125,14 @@
         )
         self._servers = ServersWatcher(
             log,
+            eras,
             adapters.topics,
             adapters.documents,
             self._directory,
             self._servers_changed,
             lambda: self._configuration.store_reachable,
         )
-        self._updates = UpdateDistributor(self._configuration, self._servers, self._lease)
+        self._updates = UpdateDistributor(self._configuration, self._servers, self._lease, eras)
         self._election = LeaderElection(
             self._own_member(),
             log,
--- a/camphordrift/relay/_store_watchers.py
+++ b/camphordrift/relay/_store_watchers.py
@@ -26,6 +26,7 @@
 from camphordrift.relay._routing_table import RoutingTable
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import Address
+from camphordrift.relay._store_era import StoreEraTracker
 
 #: Seconds that a read of the configuration waits for a change (long poll). A new read and the one
 #: before it must together take much less than the time for which API keys are accepted without a
@@ -84,13 +85,17 @@
 class TopicWatcher:
     """Reads a topic: first the newest record of every key, then the records that follow.
 
-    It starts again from the newest records if records that it has not read have expired.
+    It starts again from the newest records if records that it has not read have expired, or if the
+    store was restored from an older copy, which assigns the offsets again.
     """
 
-    def __init__(self, log: KeyedLog, topic: str) -> None:
+    def __init__(self, log: KeyedLog, eras: StoreEraTracker, topic: str) -> None:
         self._log = log
+        self._eras = eras
         self._topic = topic
         self._offset: Optional[int] = None
+        #: Era of the last batch, in which the offset is valid.
+        self._era = 0
         self._reachable = True
         self._retry_interval = STORE_RETRY_INTERVAL
 
@@ -104,6 +109,8 @@
             StoreError: The store did not respond as expected.
 
         """
+        if self._era != self._eras.era:
+            self._offset = None
         try:
             is_snapshot = self._offset is None
             if self._offset is None:
@@ -122,7 +129,11 @@
             self._record_reachable(False, str(error))
             raise
         self._record_reachable(True, "")
-        self._offset = batch.next_offset
+        if batch.era != self._era and not is_snapshot:
+            # The records follow the same offset of another era.
+            self._offset = None
+            return await self.next_batch(timeout)
+        self._offset, self._era = batch.next_offset, batch.era
         return batch, is_snapshot
 
     @property
@@ -159,13 +170,14 @@
     def __init__(
         self,
         log: KeyedLog,
+        eras: StoreEraTracker,
         topics: LogTopics,
         documents: DocumentFormat,
         lease: ConfigurationLease,
         on_change: Callable[[], None],
         fetch: FetchDocument,
     ) -> None:
-        self._topic = TopicWatcher(log, topics.configuration)
+        self._topic = TopicWatcher(log, eras, topics.configuration)
         self._key = topics.configuration_key
         self._documents = documents
         self._lease = lease
@@ -317,22 +329,27 @@
     def __init__(
         self,
         log: KeyedLog,
+        eras: StoreEraTracker,
         topics: LogTopics,
         documents: DocumentFormat,
         directory: ServerDirectory,
         on_change: Callable[[list[DirectoryChange]], None],
         store_reachable: Callable[[], bool],
     ) -> None:
-        self._topic = TopicWatcher(log, topics.servers)
+        self._topic = TopicWatcher(log, eras, topics.servers)
+        self._eras = eras
         self._documents = documents
         self._directory = directory
         self._on_change = on_change
         self._store_reachable = store_reachable
         self._last_read_at = float("-inf")
         self._needs_own_read = False
-        self._leader_found_at = float("-inf")
+        self._own_read_needed_at = float("-inf")
+        self._own_read_ended_at = float("-inf")
+        self._leader_read_at = float("-inf")
         #: Whether this VM has a leader that sends it updates.
         self.has_leader = False
+        eras.call_on_restore(self._record_restore)
 
     def age(self, now: float) -> float:
         """Returns the seconds since the directory was last known to be complete."""
@@ -342,6 +359,9 @@
         """Keeps the directory up to date until cancelled."""
         while True:
             read_started = trio.current_time()
+            if self.has_leader and self._directory.has_overdue_entries(read_started):
+                # The leader sends no change if an entry was written again unchanged.
+                self._require_own_read()
             if (
                 self.has_leader
                 and not self._needs_own_read
@@ -361,9 +381,10 @@
                 self._directory.record_store_failure(trio.current_time())
                 await self._topic.back_off(self.has_leader)
                 continue
+            self._own_read_ended_at = trio.current_time()
             if batch.complete:
-                self._needs_own_read = self._needs_own_read and read_started < self._leader_found_at
-                self.confirm_read(read_started)
+                self._needs_own_read &= read_started < self._own_read_needed_at
+                self._record_complete_read(read_started)
             self._publish_changes(self._apply_batch(batch, is_snapshot))
             await trio.sleep(max(0.0, read_started + SERVERS_INTERVAL - trio.current_time()))
 
@@ -373,22 +394,38 @@
 
     def record_leader_found(self) -> None:
         """Records that a leader forwards changes; earlier ones are read once from the store."""
-        self.has_leader = self._needs_own_read = True
-        self._leader_found_at = trio.current_time()
+        self.has_leader = True
+        self._leader_read_at = float("-inf")
+        self._require_own_read()
 
     def confirm_read(self, read_started: float) -> None:
-        """Records that everything written before ``read_started`` is known.
+        """Records that the leader has sent everything written before ``read_started``.
 
         Args:
-            read_started: Start of the read, in seconds of trio's clock.
+            read_started: Start of the leader's read, in seconds of trio's clock.
 
         """
+        self._leader_read_at = max(self._leader_read_at, read_started)
+        self._record_complete_read(read_started)
+
+    def _record_restore(self) -> None:
+        self._directory.record_restore(self._eras.era, trio.current_time())
+        if self.has_leader and self._leader_read_at <= self._own_read_ended_at:
+            # This VM may have read entries that the leader had not, and that were lost.
+            self._require_own_read()
+
+    def _require_own_read(self) -> None:
+        self._needs_own_read = True
+        self._own_read_needed_at = trio.current_time()
+
+    def _record_complete_read(self, read_started: float) -> None:
         if not self._needs_own_read:
             self._last_read_at = max(self._last_read_at, read_started)
 
     def _publish_changes(self, changes: list[DirectoryChange]) -> None:
         for change in changes:
-            _log_change(change)
+            if not change.is_renewal:
+                _log_change(change)
         if changes:
             self._on_change(changes)
 
@@ -397,22 +434,22 @@
         changes = [
             change
             for record in batch.records
-            if (change := self._apply_record(record, now)) is not None
+            if (change := self._apply_record(record, batch.era, now)) is not None
         ]
         if is_snapshot:
             keys = [record.key for record in batch.records]
-            changes += self._directory.remove_all_except(keys, batch.next_offset, now)
+            changes += self._directory.remove_all_except(keys, batch.next_offset, now, batch.era)
         return changes + self._directory.expire(now)
 
-    def _apply_record(self, record: KeyedRecord, now: float) -> Optional[DirectoryChange]:
+    def _apply_record(self, record: KeyedRecord, era: int, now: float) -> Optional[DirectoryChange]:
         if record.value is None:
-            return self._directory.remove(record.key, record.offset, now)
+            return self._directory.remove(record.key, record.offset, now, era)
         try:
             server = self._documents.server(record.key, record.value)
         except (ValueError, KeyError) as error:
             log_event("server_entry_unreadable", server=record.key, reason=str(error))
             return None
-        return self._directory.put(server, record.offset)
+        return self._directory.put(server, record.offset, era)
 
 
 def _log_change(change: DirectoryChange) -> None:
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -21,6 +21,7 @@
     StoreUnreachable,
 )
 from camphordrift.relay._server_directory import DirectoryChange
+from camphordrift.relay._store_era import StoreEraTracker
 from camphordrift.relay._store_watchers import (
     MAX_CONFIGURATION_AGE,
     ConfigurationWatcher,
@@ -40,10 +41,12 @@
         configuration: ConfigurationWatcher,
         servers: ServersWatcher,
         lease: ConfigurationLease,
+        eras: StoreEraTracker,
     ) -> None:
         self._configuration = configuration
         self._servers = servers
         self._lease = lease
+        self._eras = eras
         self._followers: dict[MessageLink, Member] = {}
         #: Requested versions of the configuration that this VM does not have yet.
         self._awaited_versions: dict[MessageLink, int] = {}
@@ -116,8 +119,13 @@
             self._configuration.version,
             self._lease.age(boot_time_clock()),
             self._servers.age(trio.current_time()),
+            self._eras.era,
         )
 
+    def record_follower_state(self, ping: Ping) -> None:
+        """Records that a follower knows of a restore of the store."""
+        self._eras.observe_peer(ping.era, "follower")
+
     def send_document(self, link: MessageLink, version: int) -> None:
         """Sends the configuration to a VM that requested it, once it has at least ``version``."""
         document = self._configuration.document
@@ -157,7 +165,7 @@
         """Returns a new ping for this VM's leader, and records when it is sent."""
         self._next_ping += 1
         self._pings[self._next_ping] = (boot_time_clock(), trio.current_time())
-        return Ping(self._next_ping)
+        return Ping(self._next_ping, self._eras.era)
 
     def handle_message(self, message: Message, handle_other: Callable[[Message], None]) -> None:
         """Applies an update of this VM's leader; passes other messages to ``handle_other``."""
@@ -167,6 +175,7 @@
             case ConfigurationDocument(document):
                 self._configuration.apply_document(document)
             case ServerUpdate(changes):
+                self._eras.observe_peer(max((c.era for c in changes), default=0), "leader")
                 self._servers.apply_changes(changes)
             case Pong():
                 self._handle_pong(message)
@@ -177,6 +186,7 @@
         sent_at = self._pings.pop(pong.number, None)
         if sent_at is None:
             return
+        self._eras.observe_peer(pong.era, "leader")
         self._leader_age = pong.configuration_age
         # The leader stated the age of its state after this VM had sent the ping. The leader's last
         # read of the store therefore began no earlier than that age before the ping was sent.
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -28,6 +28,7 @@
 from camphordrift.relay._placement_values import AttemptOutcome, Grant
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import Address
+from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
 from camphordrift.relay._store_watchers import (
     LONG_POLL_SECONDS,
     MAX_CONFIGURATION_AGE,
@@ -85,6 +86,8 @@
     member = Member(f"vm-{number}", started_ms, host, free_ports(host)[0], zone=zone)
     scheduler = EngineScheduler(member.vm, trio.current_time)
     dispatcher = Dispatcher(member.vm, scheduler, trio.current_time)
+    eras = StoreEraTracker()
+    checked_log = EraCheckedLog(log, eras)
     lease = ConfigurationLease(5.0)
     directory = ServerDirectory()
 
@@ -97,13 +100,19 @@
         updates.announce_servers(changes)
 
     configuration = ConfigurationWatcher(
-        log, TOPICS, documents, lease, configuration_changed, fetch_configuration
+        checked_log, eras, TOPICS, documents, lease, configuration_changed, fetch_configuration
     )
     servers = ServersWatcher(
-        log, TOPICS, documents, directory, servers_changed, lambda: configuration.store_reachable
+        checked_log,
+        eras,
+        TOPICS,
+        documents,
+        directory,
+        servers_changed,
+        lambda: configuration.store_reachable,
     )
-    updates = UpdateDistributor(configuration, servers, lease)
-    election = LeaderElection(member, log, TOPICS, dispatcher, scheduler, updates)
+    updates = UpdateDistributor(configuration, servers, lease, eras)
+    election = LeaderElection(member, checked_log, TOPICS, dispatcher, scheduler, updates)
     vm = Vm(member, dispatcher, scheduler, lease, configuration, servers, directory, election)
     return vm
 
--- a/camphordrift/relay/tests/watched_vms.py
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -3,12 +3,12 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
-from typing import Optional, cast
+from typing import Optional, TypeVar, cast
 from unittest import mock
 
 import trio
 
-from camphordrift.relay import BackendServer, ServerState
+from camphordrift.relay import BackendServer, Batch, KeyedRecord, ServerState, StoreError
 from camphordrift.relay._configuration_lease import ConfigurationLease
 from camphordrift.relay._interfaces import KeyedLog
 from camphordrift.relay._leader_election import PING_INTERVAL
@@ -21,11 +21,14 @@
 )
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import Address
+from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
 from camphordrift.relay._store_watchers import ConfigurationWatcher, ServersWatcher
 from camphordrift.relay._update_distribution import UpdateDistributor
 from camphordrift.relay.tests.samples import CONFIGURATION, TOPICS, InMemoryLog, SampleDocuments
 from camphordrift.testing import run_in_virtual_time
 
+_Result = TypeVar("_Result")
+
 #: Seconds after which a removed API key must be refused.
 REVOCATION_DELAY = 5.0
 
@@ -40,6 +43,36 @@
         self.send = deliver
 
 
+class VmLog:
+    """One VM's connection to the store, which can be cut or slow."""
+
+    def __init__(self, log: KeyedLog) -> None:
+        self._log = log
+        #: Whether all calls fail.
+        self.is_cut = False
+        #: Seconds by which responses arrive late.
+        self.delay = 0.0
+
+    async def newest(self, topic: str) -> Batch:
+        """Returns the newest record of each key."""
+        return await self._forward(self._log.newest(topic))
+
+    async def read(self, topic: str, offset: int, wait: float) -> Batch:
+        """Returns records starting at ``offset``."""
+        return await self._forward(self._log.read(topic, offset, wait))
+
+    async def append(self, topic: str, record: KeyedRecord) -> int:
+        """Appends a record."""
+        return await self._forward(self._log.append(topic, record))
+
+    async def _forward(self, pending_call: Awaitable[_Result]) -> _Result:
+        result = await pending_call
+        await trio.sleep(self.delay)
+        if self.is_cut:
+            raise StoreError("the connection is cut")
+        return result
+
+
 class WatchedVm:
     """The watchers of one VM."""
 
@@ -51,20 +84,29 @@
         self._leader_scope: Optional[trio.CancelScope] = None
         #: Versions in the order in which they came into force.
         self.versions: list[int] = []
+        self.eras = StoreEraTracker()
+        checked_log = EraCheckedLog(log, self.eras)
         self.lease = ConfigurationLease(REVOCATION_DELAY)
         self.directory = ServerDirectory()
         self.configuration = ConfigurationWatcher(
-            log, TOPICS, documents, self.lease, self._configuration_changed, self._fetch
+            checked_log,
+            self.eras,
+            TOPICS,
+            documents,
+            self.lease,
+            self._configuration_changed,
+            self._fetch,
         )
         self.servers = ServersWatcher(
-            log,
+            checked_log,
+            self.eras,
             TOPICS,
             documents,
             self.directory,
             self._servers_changed,
             lambda: self.configuration.store_reachable,
         )
-        self.updates = UpdateDistributor(self.configuration, self.servers, self.lease)
+        self.updates = UpdateDistributor(self.configuration, self.servers, self.lease, self.eras)
 
     @property
     def states(self) -> dict[str, ServerState]:
@@ -112,6 +154,7 @@
         """Handles a follower's message like :class:`LeaderElection`."""
         match message:
             case Ping():
+                self.updates.record_follower_state(message)
                 link.send(self.updates.pong_for(message))
             case ConfigurationRequest(version):
                 self.updates.send_document(link, version)
