Do not take a read of a restored store for a confirmation of the keys

A read of the copy confirmed the configuration, although the store could have lost a version that removed a key and that no VM had read. Ages of reads and of confirmations are kept apart, so that followers neither replace their leader nor read the store themselves meanwhile. Pings carry the follower's version, so that a leader that started since gets it; a version that the store lacks is requested from the leader instead of reading the store without a pause.

--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -410,7 +410,7 @@
                     self._updates.add_follower(self.link, message, self._better_leaders())
             case Ping():
                 if self.link is not None:
-                    self._updates.record_follower_state(message)
+                    self._updates.record_follower_state(self.link, message)
                     self.link.send(self._updates.pong_for(message))
             case StoreUnreachable(vm):
                 self._record_store_unreachable(vm)
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -178,26 +178,42 @@
 
     #: Sequence number of the ping; the pong repeats it.
     number: int
+    #: Version of the sender's configuration; 0 while it has none.
+    version: int = 0
     #: Era of the store, as far as the sender knows; 0 if it knows none.
     era: int = 0
+    #: Seconds since the restore that began this era was noticed; ``None`` if it was not.
+    restore_age: Optional[float] = None
 
 
 class Pong(msgspec.Struct, frozen=True, tag=True):
     """Response to a ping, sent after all updates that the leader had by then.
 
-    Ages are the seconds since the leader sent its latest successful read of the store.
+    Ages are the seconds since the leader sent its latest successful read of the store. While the
+    store was restored recently, successful reads do not confirm the configuration.
     """
 
     #: Number of the ping.
     number: int
     #: Version of the leader's configuration; 0 while it has none.
     version: int
-    #: Age of the leader's configuration in seconds.
+    #: Seconds since the leader sent the read that last confirmed its configuration.
     configuration_age: float
     #: Age of the leader's backend server directory in seconds.
     servers_age: float
+    #: Seconds since the leader last read the configuration; ``None`` if all reads confirm it.
+    configuration_read_age: Optional[float] = None
     #: Era of the store, as far as the leader knows; 0 if it knows none.
     era: int = 0
+    #: Seconds since the restore that began this era was noticed; ``None`` if it was not.
+    restore_age: Optional[float] = None
+
+    @property
+    def store_read_age(self) -> float:
+        """Seconds since the leader last read the configuration from the store."""
+        if self.configuration_read_age is None:
+            return self.configuration_age
+        return self.configuration_read_age
 
 
 Message = Union[
--- a/camphordrift/relay/_store_watchers.py
+++ b/camphordrift/relay/_store_watchers.py
@@ -27,6 +27,7 @@
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import Address
 from camphordrift.relay._store_era import StoreEraTracker
+from camphordrift.relay._values import Configuration
 
 #: Seconds that a read of the configuration waits for a change (long poll). A new read and the one
 #: before it must together take much less than the time for which API keys are accepted without a
@@ -187,12 +188,17 @@
         self._table: Optional[RoutingTable] = None
         self._document: Optional[bytes] = None
         self._expected_version = 0
+        #: Version for which the store was last searched, if it was expected but not fetched.
+        self._searched_version = 0
+        #: Newest version that the store was seen to contain in its present era.
+        self._stored_version = 0
         self._newer_expected = trio.Event()
         self._last_read_at = float("-inf")
         #: Whether this VM has a leader that sends it updates.
         self.has_leader = False
         #: Requests the document from the leader, while this VM cannot reach the store.
         self.request_document: Callable[[], None] = lambda: None
+        eras.call_on_restore(lambda: lease.record_restore(boot_time_clock()))
 
     @property
     def table(self) -> Optional[RoutingTable]:
@@ -222,33 +228,26 @@
         """Keeps the configuration up to date until cancelled."""
         while True:
             read_started = boot_time_clock()
-            newer_expected = self._expected_version > self.version
             if (
                 self.has_leader
-                and not newer_expected
-                and self._lease.age(read_started) < MAX_CONFIGURATION_AGE
+                and not self._newer_is_expected
+                and self._lease.read_age(read_started) < MAX_CONFIGURATION_AGE
             ):
                 await self._wait_for_update()
                 continue
-            if newer_expected and await self._fetch_expected():
-                continue
-            if newer_expected:
-                # The snapshot skips the versions in between, each of which is a large document.
-                self._topic.restart_from_snapshot()
+            if self._newer_is_expected:
+                if await self._fetch_expected():
+                    continue
+                self._search_expected()
             try:
-                batch, _ = await self._topic.next_batch(
-                    long_poll_timeout(self._lease.age(read_started))
-                )
+                batch, is_snapshot = await self._topic.next_batch(self._poll_timeout(read_started))
             except StoreError:
-                if self.has_leader and newer_expected:
-                    self.request_document()
+                self._request_expected()
                 await self._topic.back_off(self.has_leader)
                 continue
             self._last_read_at = trio.current_time()
-            for record in batch.records:
-                self._apply_record(record)
-            if batch.complete:
-                self._lease.confirm(read_started)
+            self._apply_batch(batch, is_snapshot, read_started)
+            self._request_expected()
             if self._table is None:
                 await trio.sleep(STORE_RETRY_INTERVAL)
 
@@ -266,6 +265,39 @@
             self._source = source
             self._newer_expected.set()
 
+    @property
+    def _newer_is_expected(self) -> bool:
+        return self._expected_version > self.version
+
+    def _poll_timeout(self, now: float) -> float:
+        """Returns how many seconds a read of the store waits for a change."""
+        settling_time = self._lease.settling_time(now)
+        if settling_time > 0:
+            return min(settling_time, LONG_POLL_SECONDS)
+        if not self._store_has_known_version():
+            # No read confirms the configuration before the operator has written it again.
+            return LONG_POLL_SECONDS
+        return long_poll_timeout(self._lease.age(now))
+
+    def _store_has_known_version(self) -> bool:
+        """Returns whether the store contains the newest version that any VM is known to have."""
+        return self._stored_version >= max(self.version, self._expected_version)
+
+    def _search_expected(self) -> None:
+        """Makes the next read a snapshot, once for each expected version.
+
+        The snapshot skips the versions in between, each of which is a large document. A restored
+        store may lack the expected version until it is written again.
+        """
+        if self._searched_version < self._expected_version:
+            self._searched_version = self._expected_version
+            self._topic.restart_from_snapshot()
+
+    def _request_expected(self) -> None:
+        """Requests a newer configuration from the leader if the store did not return it."""
+        if self.has_leader and self._newer_is_expected:
+            self.request_document()
+
     async def _fetch_expected(self) -> bool:
         """Fetches the expected version from another VM.
 
@@ -287,11 +319,18 @@
 
     def apply_document(self, document: bytes) -> None:
         """Applies a document if its version is newer; logs and ignores an invalid one."""
+        configuration = self._parse(document)
+        if configuration is not None:
+            self._apply(configuration, document)
+
+    def _parse(self, document: bytes) -> Optional[Configuration]:
         try:
-            configuration = self._documents.configuration(document)
+            return self._documents.configuration(document)
         except ValueError as error:
             log_event("configuration_unreadable", level=LogLevel.ERROR, reason=str(error))
-            return
+            return None
+
+    def _apply(self, configuration: Configuration, document: bytes) -> None:
         current = self._table
         if current is not None and configuration.version <= current.configuration.version:
             return
@@ -305,18 +344,39 @@
         )
         self._on_change()
 
-    def confirm_read(self, read_started: float) -> None:
-        """Records that the leader has read everything written before ``read_started``.
+    def confirm_read(self, read_started: float, confirmed_read_started: float) -> None:
+        """Records the leader's reads of the store, in seconds of :func:`boot_time_clock`.
 
         Args:
-            read_started: Start of the leader's read, in seconds of :func:`boot_time_clock`.
+            read_started: Start of its last read.
+            confirmed_read_started: Start of its last read that confirmed the configuration.
 
         """
-        self._lease.confirm(read_started)
+        self._lease.record_read(read_started)
+        self._lease.confirm(confirmed_read_started)
+
+    def _apply_batch(self, batch: Batch, is_snapshot: bool, read_started: float) -> None:
+        if is_snapshot:
+            self._stored_version = 0
+        for record in batch.records:
+            self._apply_record(record)
+        if not batch.complete:
+            return
+        if self._store_has_known_version():
+            self._lease.confirm(read_started)
+        else:
+            self._lease.record_read(read_started)
 
     def _apply_record(self, record: KeyedRecord) -> None:
-        if record.key == self._key and record.value is not None:
-            self.apply_document(record.value)
+        if record.key != self._key or record.value is None:
+            return
+        configuration = self._parse(record.value)
+        if configuration is None:
+            # An unreadable version does not replace the one in force.
+            self._stored_version = max(self._stored_version, self.version)
+            return
+        self._stored_version = max(self._stored_version, configuration.version)
+        self._apply(configuration, record.value)
 
 
 class ServersWatcher:
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -1,7 +1,7 @@
 """Distributes the configuration and the backend servers from the leader to its followers."""
 
 from collections.abc import Callable, Iterable
-from typing import Optional
+from typing import Optional, Union
 
 import trio
 
@@ -52,7 +52,7 @@
         self._awaited_versions: dict[MessageLink, int] = {}
         self._pings: dict[int, tuple[float, float]] = {}
         self._next_ping = 0
-        #: Age of the leader's configuration in seconds; ``None`` before its first pong.
+        #: Seconds since the leader last read the store; ``None`` before its first pong.
         self._leader_age: Optional[float] = None
 
     @property
@@ -114,17 +114,23 @@
 
     def pong_for(self, ping: Ping) -> Pong:
         """Returns the response to a follower's ping."""
+        now = boot_time_clock()
         return Pong(
             ping.number,
             self._configuration.version,
-            self._lease.age(boot_time_clock()),
+            self._lease.age(now),
             self._servers.age(trio.current_time()),
+            self._lease.read_age(now),
             self._eras.era,
+            self._lease.restore_age(now),
         )
 
-    def record_follower_state(self, ping: Ping) -> None:
-        """Records that a follower knows of a restore of the store."""
-        self._eras.observe_peer(ping.era, "follower")
+    def record_follower_state(self, link: MessageLink, ping: Ping) -> None:
+        """Records what a follower knows, which may be newer after the store was restored."""
+        self._observe_era(ping, "follower")
+        follower = self._followers.get(link)
+        if follower is not None:
+            self._configuration.expect_version(ping.version, follower.address)
 
     def send_document(self, link: MessageLink, version: int) -> None:
         """Sends the configuration to a VM that requested it, once it has at least ``version``."""
@@ -145,7 +151,7 @@
         )
 
     def leader_can_reach_store(self) -> bool:
-        """Returns whether the leader stated recently that its configuration is current."""
+        """Returns whether the leader stated recently that it has read the store."""
         return self._leader_age is not None and self._leader_age <= MAX_CONFIGURATION_AGE
 
     def record_leader_found(self, link: MessageLink) -> None:
@@ -164,8 +170,14 @@
     def next_ping(self) -> Ping:
         """Returns a new ping for this VM's leader, and records when it is sent."""
         self._next_ping += 1
-        self._pings[self._next_ping] = (boot_time_clock(), trio.current_time())
-        return Ping(self._next_ping, self._eras.era)
+        now = boot_time_clock()
+        self._pings[self._next_ping] = (now, trio.current_time())
+        return Ping(
+            self._next_ping,
+            self._configuration.version,
+            self._eras.era,
+            self._lease.restore_age(now),
+        )
 
     def handle_message(self, message: Message, handle_other: Callable[[Message], None]) -> None:
         """Applies an update of this VM's leader; passes other messages to ``handle_other``."""
@@ -186,16 +198,23 @@
         sent_at = self._pings.pop(pong.number, None)
         if sent_at is None:
             return
-        self._eras.observe_peer(pong.era, "leader")
-        self._leader_age = pong.configuration_age
+        self._observe_era(pong, "leader")
+        self._leader_age = pong.store_read_age
         # The leader stated the age of its state after this VM had sent the ping. The leader's last
         # read of the store therefore began no earlier than that age before the ping was sent.
         if self._configuration.version >= pong.version:
-            self._configuration.confirm_read(sent_at[0] - pong.configuration_age)
+            self._configuration.confirm_read(
+                sent_at[0] - pong.store_read_age, sent_at[0] - pong.configuration_age
+            )
         else:
             self._configuration.expect_version(pong.version)
         self._servers.confirm_read(sent_at[1] - pong.servers_age)
 
+    def _observe_era(self, message: Union[Ping, Pong], sender: str) -> None:
+        self._eras.observe_peer(message.era, sender)
+        if message.era == self._eras.era and message.restore_age is not None:
+            self._lease.record_peer_restore(boot_time_clock() - message.restore_age)
+
     def _send_all(self, message: Message) -> None:
         for link in self._followers:
             link.send(message)
--- a/camphordrift/relay/tests/test_components.py
+++ b/camphordrift/relay/tests/test_components.py
@@ -7,7 +7,10 @@
 from hypothesis import strategies as st
 
 from camphordrift.relay import RetryBudgetSettings, ServerState, ServiceShare
-from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_lease import (
+    RESTORE_SETTLING_PERIOD,
+    ConfigurationLease,
+)
 from camphordrift.relay._events import EventSplitter
 from camphordrift.relay._plain_servers import PlainServerBalancer
 from camphordrift.relay._retry_budget import RetryBudget
@@ -71,6 +74,45 @@
         lease.confirm(7.0)
         self.assertTrue(lease.is_valid(14.0))
 
+    def test_reads_shortly_after_a_restore_confirm_nothing(self) -> None:
+        lease = ConfigurationLease(5.0, margin=0.5)
+        lease.confirm(10.0)
+        lease.record_restore(11.0)
+        lease.confirm(11.0 + RESTORE_SETTLING_PERIOD - 0.1)
+        self.assertEqual(5.0, lease.age(15.0))
+        lease.confirm(11.0 + RESTORE_SETTLING_PERIOD)
+        self.assertEqual(15.0 - 11.0 - RESTORE_SETTLING_PERIOD, lease.age(15.0))
+
+    def test_reads_that_confirm_nothing_count_for_the_age_of_the_last_read(self) -> None:
+        lease = ConfigurationLease(5.0)
+        lease.record_restore(11.0)
+        lease.confirm(12.0)
+        self.assertEqual((float("inf"), 0.5), (lease.age(12.5), lease.read_age(12.5)))
+
+    def test_another_vm_that_noticed_the_restore_earlier_shortens_the_wait(self) -> None:
+        lease = ConfigurationLease(5.0)
+        lease.record_restore(11.0)
+        lease.record_peer_restore(10.5)
+        lease.record_peer_restore(10.8)
+        self.assertEqual(2.0, lease.restore_age(12.5))
+
+    def test_a_vm_that_started_after_a_restore_learns_that_its_reads_confirmed_nothing(
+        self,
+    ) -> None:
+        """Guards against a key that a lost configuration removed before this VM started."""
+        lease = ConfigurationLease(5.0)
+        lease.confirm(11.0)
+        lease.record_peer_restore(10.0)
+        self.assertFalse(lease.is_valid(11.5))
+        lease.confirm(10.0 + RESTORE_SETTLING_PERIOD)
+        self.assertTrue(lease.is_valid(12.5))
+
+    def test_a_restore_long_ago_does_not_end_the_lease_of_a_vm_that_started_since(self) -> None:
+        lease = ConfigurationLease(5.0)
+        lease.confirm(100.0)
+        lease.record_peer_restore(10.0)
+        self.assertTrue(lease.is_valid(101.0))
+
 
 class RetryBudgetTest(testtools.TestCase):
     @settings(derandomize=True, max_examples=50)
--- a/camphordrift/relay/tests/test_end_to_end.py
+++ b/camphordrift/relay/tests/test_end_to_end.py
@@ -452,6 +452,27 @@
 
         run_scenario(scenario, complete_stream)
 
+    def test_requests_are_served_while_the_store_is_restored(self) -> None:
+        """Guards against servers and keys that are forgotten, also by a VM that stops."""
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            for stopping in (False, True):
+                relay.process._stopping = stopping
+                relay.log.restore({})
+                for number in range(10):
+                    await trio.sleep(0.1)
+                    response = await relay.send_request("/quick/x", f"{stopping}{number}")
+                    self.assertEqual(200, response.status)
+                relay.publish(CONFIGURATION)
+                relay.register_server(servers[0])
+                await trio.sleep(1.0)
+            relay.log.restore({})
+            relay.publish(replace(CONFIGURATION, version=4, accounts={}))
+            await relay.wait_for_version(4)
+            self.assertEqual(401, (await relay.send_request("/quick/x")).status)
+
+        run_scenario(scenario, complete_stream)
+
     def test_removed_server_gets_no_requests(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             relay.log.put("servers", servers[0].entry.id, None)
