Announce a VM again on a restored store

A VM appended its record once, so a restored store could lack all VMs, and a VM that started found no leader. Each VM appends its record again once for each era; followers spread this over 2 s.

--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -7,6 +7,7 @@
 capacity.
 """
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Optional
@@ -40,6 +41,7 @@
     encode_member,
 )
 from camphordrift.relay._placement_values import Grant, PlacementDecision
+from camphordrift.relay._store_era import StoreEraTracker
 from camphordrift.relay._update_distribution import UpdateDistributor
 
 #: Seconds between the pings that a follower sends to its leader.
@@ -68,6 +70,10 @@
 #: Seconds between attempts to write this VM's own record while the store is unavailable.
 ANNOUNCE_RETRY_INTERVAL = 0.5
 
+#: Seconds over which the followers spread their new announcements after the store was restored. All
+#: VMs together may only make a limited number of calls per second.
+REANNOUNCEMENT_SPREAD = 2.0
+
 #: Seconds for which a VM that could not reach the store is ranked after the other VMs.
 STORE_UNREACHABLE_PERIOD = 10.0
 
@@ -91,6 +97,7 @@
         self,
         own_member: Member,
         log: KeyedLog,
+        eras: StoreEraTracker,
         topics: LogTopics,
         dispatcher: Dispatcher,
         scheduler: EngineScheduler,
@@ -98,6 +105,7 @@
     ) -> None:
         self._own_member = own_member
         self._log = log
+        self._eras = eras
         self._topic = topics.members
         self._dispatcher = dispatcher
         self._scheduler = scheduler
@@ -135,11 +143,18 @@
             await self._follow_leader()
 
     async def _announce_own_member(self) -> None:
+        while True:
+            era = await self._append_own_member()
+            await self._eras.wait_until_later(era)
+            if not self._dispatcher.schedules_locally:
+                await trio.sleep(random.uniform(0.0, REANNOUNCEMENT_SPREAD))
+
+    async def _append_own_member(self) -> int:
+        """Writes this VM's record; returns the era of the store that contains it."""
         record = KeyedRecord(self._own_member.vm, encode_member(self._own_member))
         while True:
             try:
-                await self._log.append(self._topic, record)
-                return
+                return await self._log.append(self._topic, record)
             except StoreError as error:
                 log_event("introduction_failed", level=LogLevel.WARNING, reason=str(error))
                 await trio.sleep(ANNOUNCE_RETRY_INTERVAL)
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -136,6 +136,7 @@
         self._election = LeaderElection(
             self._own_member(),
             log,
+            eras,
             adapters.topics,
             self._dispatcher,
             self._scheduler,
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -112,7 +112,7 @@
         lambda: configuration.store_reachable,
     )
     updates = UpdateDistributor(configuration, servers, lease, eras)
-    election = LeaderElection(member, checked_log, TOPICS, dispatcher, scheduler, updates)
+    election = LeaderElection(member, checked_log, eras, TOPICS, dispatcher, scheduler, updates)
     vm = Vm(member, dispatcher, scheduler, lease, configuration, servers, directory, election)
     return vm
 
