Test servers that only some VMs would know after a restore

Two cases that StoreRestorePropertiesTest found while the directory was written, with fixed times: a server that is written again unchanged after a VM read the store without it, and a removal that a follower reads later than its leader. The first fails if renewals are not forwarded, the second if a follower does not read the store once its grace period is over.

--- a/camphordrift/relay/_store_watchers.py
+++ b/camphordrift/relay/_store_watchers.py
@@ -420,7 +420,7 @@
         while True:
             read_started = trio.current_time()
             if self.has_leader and self._directory.has_overdue_entries(read_started):
-                # The leader sends no change if an entry was written again unchanged.
+                # The leader sends no change for an entry that is not missing or deferred there.
                 self._require_own_read()
             if (
                 self.has_leader
--- a/camphordrift/relay/tests/test_components.py
+++ b/camphordrift/relay/tests/test_components.py
@@ -240,6 +240,16 @@
         self.assertIsNone(self.directory.put(self.ready, 60, 1))
         self.assertFalse(self.directory.may_receive_requests("engines-1"))
 
+    def test_an_entry_that_is_written_again_unchanged_is_forwarded(self) -> None:
+        """Guards against a follower that read the store while the entry was missing."""
+        renewal = DirectoryChange("engines-1", self.ready, 3, 2, is_renewal=True)
+        self.assertEqual(renewal, self.directory.put(self.ready, 3, 2))
+        self.assertIsNone(self.directory.put(self.ready, 4, 2))
+        self.directory.record_restore(2, 10.0)
+        self.directory.remove("engines-1", 5, 10.1, 2)
+        renewal = DirectoryChange("engines-1", self.ready, 6, 2, is_renewal=True)
+        self.assertEqual(renewal, self.directory.put(self.ready, 6, 2))
+
     def test_a_later_start_replaces_a_draining_one(self) -> None:
         self.directory.put(self.draining, 51, 1)
         self.directory.put(self.ready, 3, 2)
--- a/camphordrift/relay/tests/test_store_era.py
+++ b/camphordrift/relay/tests/test_store_era.py
@@ -60,6 +60,12 @@
         self.assertEqual([True, True, True, True, False, False, True], observed)
         self.assertEqual([1, 3], self.restores)
 
+    def test_a_restore_is_logged(self) -> None:
+        self.eras.observe(1, "servers")
+        with self.assertLogs("absl", level="WARNING") as logs:
+            self.eras.observe(3, "servers")
+        self.assertIn("event=store_restored previous_era=1 era=3 source=servers", logs.output[0])
+
     def test_a_peer_that_knows_no_era_changes_nothing(self) -> None:
         self.eras.observe_peer(0, "leader")
         self.assertTrue(self.eras.observe(4, "servers"))
--- a/camphordrift/relay/tests/test_store_restore.py
+++ b/camphordrift/relay/tests/test_store_restore.py
@@ -12,6 +12,7 @@
 from camphordrift.relay.tests.samples import TOPICS, InMemoryLog, server
 from camphordrift.relay.tests.watched_vms import (
     REVOCATION_DELAY,
+    VmLog,
     WatchedFleet,
     WatchedVm,
     run_fleet,
@@ -240,6 +241,51 @@
 
         run_fleet(body)
 
+    def test_a_vm_that_starts_while_an_entry_is_missing_gets_it_from_its_leader(self) -> None:
+        """Guards against a server that only some VMs use, as it was written again unchanged."""
+
+        async def body(fleet: WatchedFleet) -> None:
+            fleet.publish(3, "key-1")
+            copy = fleet.log.copy()
+            fleet.register(entry(1))
+            first, second = await start_pair(fleet)
+            fleet.log.restore(copy)
+            await trio.sleep(0.2)
+            third = fleet.start(3)
+            fleet.follow(third, first)
+            second.unfollow()
+            await trio.sleep(0.1)
+            fleet.follow(second, first)
+            await trio.sleep(1.0)
+            self.assertEqual({}, third.states)
+            fleet.register(entry(1))
+            await trio.sleep(2 * EXPIRY_GRACE)
+            self.assertEqual(
+                [{"engines-1": READY}] * 3, [vm.states for vm in (first, second, third)]
+            )
+
+        run_fleet(body)
+
+    def test_a_removal_that_the_leader_read_before_is_applied_after_the_grace_period(self) -> None:
+        """Guards against a server that a follower keeps for ever after it was cut off."""
+
+        async def body(fleet: WatchedFleet) -> None:
+            fleet.publish(3, "key-1")
+            fleet.register(entry(1))
+            first = fleet.start(1)
+            log = VmLog(fleet.log)
+            second = fleet.start(2, log)
+            await trio.sleep(1.0)
+            log.is_cut = True
+            fleet.remove("engines-1")
+            await trio.sleep(1.0)
+            log.is_cut = False
+            fleet.follow(second, first)
+            await trio.sleep(2 * EXPIRY_GRACE)
+            self.assertEqual([{}, {}], [first.states, second.states])
+
+        run_fleet(body)
+
     def test_a_leader_lost_while_the_store_is_restored(self) -> None:
         async def body(fleet: WatchedFleet) -> None:
             fleet.publish(3, "key-1")
