--- a/camphordrift/relay/_quarantine_records.py
+++ b/camphordrift/relay/_quarantine_records.py
@@ -14,6 +14,7 @@
 from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, StoreError
 from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._quarantines import Parts
+from camphordrift.relay._store_era import StoreEraTracker
 
 #: Prefix of the keys of records in the members' topic; the ids of the parts follow.
 KEY_PREFIX = "quarantine/"
@@ -42,12 +43,18 @@
         log: The store.
         topic: Topic of the members.
         parts: The quarantined parts as this VM knows them.
+        eras: Tracks restores of the store, which may lack records that were written.
         is_leader: Returns whether this VM is the leader.
 
     """
 
     def __init__(
-        self, log: KeyedLog, topic: str, parts: PartMonitor, is_leader: Callable[[], bool]
+        self,
+        log: KeyedLog,
+        topic: str,
+        parts: PartMonitor,
+        eras: StoreEraTracker,
+        is_leader: Callable[[], bool],
     ) -> None:
         self._log = log
         self._topic = topic
@@ -55,6 +62,7 @@
         self._is_leader = is_leader
         #: Quarantines of which this VM has read or written a record.
         self._stored: set[Parts] = set()
+        eras.call_on_restore(self._stored.clear)
 
     def read(self, record: KeyedRecord) -> bool:
         """Applies a record of the members' topic; returns whether it is one of a quarantine."""
--- a/camphordrift/relay/tests/test_components.py
+++ b/camphordrift/relay/tests/test_components.py
@@ -7,7 +7,10 @@
 from hypothesis import strategies as st
 
 from camphordrift.relay import RetryBudgetSettings, ServerState, ServiceShare
-from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_lease import (
+    RESTORE_SETTLING_PERIOD,
+    ConfigurationLease,
+)
 from camphordrift.relay._events import EventSplitter
 from camphordrift.relay._plain_servers import PlainServerBalancer
 from camphordrift.relay._retry_budget import RetryBudget
@@ -71,6 +74,45 @@
         lease.confirm(7.0)
         self.assertTrue(lease.is_valid(14.0))
 
+    def test_reads_shortly_after_a_restore_confirm_nothing(self) -> None:
+        lease = ConfigurationLease(5.0, margin=0.5)
+        lease.confirm(10.0)
+        lease.record_restore(11.0)
+        lease.confirm(11.0 + RESTORE_SETTLING_PERIOD - 0.1)
+        self.assertEqual(5.0, lease.age(15.0))
+        lease.confirm(11.0 + RESTORE_SETTLING_PERIOD)
+        self.assertEqual(15.0 - 11.0 - RESTORE_SETTLING_PERIOD, lease.age(15.0))
+
+    def test_reads_that_confirm_nothing_count_for_the_age_of_the_last_read(self) -> None:
+        lease = ConfigurationLease(5.0)
+        lease.record_restore(11.0)
+        lease.confirm(12.0)
+        self.assertEqual((float("inf"), 0.5), (lease.age(12.5), lease.read_age(12.5)))
+
+    def test_another_vm_that_noticed_the_restore_earlier_shortens_the_wait(self) -> None:
+        lease = ConfigurationLease(5.0)
+        lease.record_restore(11.0)
+        lease.record_peer_restore(10.5)
+        lease.record_peer_restore(10.8)
+        self.assertEqual(2.0, lease.restore_age(12.5))
+
+    def test_a_vm_that_started_after_a_restore_learns_that_its_reads_confirmed_nothing(
+        self,
+    ) -> None:
+        """Guards against a key that a lost configuration removed before this VM started."""
+        lease = ConfigurationLease(5.0)
+        lease.confirm(11.0)
+        lease.record_peer_restore(10.0)
+        self.assertFalse(lease.is_valid(11.5))
+        lease.confirm(10.0 + RESTORE_SETTLING_PERIOD)
+        self.assertTrue(lease.is_valid(12.5))
+
+    def test_a_restore_long_ago_does_not_end_the_lease_of_a_vm_that_started_since(self) -> None:
+        lease = ConfigurationLease(5.0)
+        lease.confirm(100.0)
+        lease.record_peer_restore(10.0)
+        self.assertTrue(lease.is_valid(101.0))
+
 
 class RetryBudgetTest(testtools.TestCase):
     @settings(derandomize=True, max_examples=50)
@@ -185,6 +227,66 @@
         self.assertFalse(self.directory.may_receive_requests("engines-2"))
 
 
+class RestoredServerDirectoryTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.ready = dataclasses.replace(server(1), started_ms=1000)
+        self.draining = dataclasses.replace(self.ready, state=ServerState.LEAVING)
+        self.directory = ServerDirectory()
+        self.directory.put(self.ready, 50, 1)
+
+    def test_offsets_are_compared_within_an_era(self) -> None:
+        self.assertIsNotNone(self.directory.put(self.draining, 3, 2))
+        self.assertIsNone(self.directory.put(self.ready, 60, 1))
+        self.assertFalse(self.directory.may_receive_requests("engines-1"))
+
+    def test_an_entry_that_is_written_again_unchanged_is_forwarded(self) -> None:
+        """Guards against a follower that read the store while the entry was missing."""
+        renewal = DirectoryChange("engines-1", self.ready, 3, 2, is_renewal=True)
+        self.assertEqual(renewal, self.directory.put(self.ready, 3, 2))
+        self.assertIsNone(self.directory.put(self.ready, 4, 2))
+        self.directory.record_restore(2, 10.0)
+        self.directory.remove("engines-1", 5, 10.1, 2)
+        renewal = DirectoryChange("engines-1", self.ready, 6, 2, is_renewal=True)
+        self.assertEqual(renewal, self.directory.put(self.ready, 6, 2))
+
+    def test_a_later_start_replaces_a_draining_one(self) -> None:
+        self.directory.put(self.draining, 51, 1)
+        self.directory.put(self.ready, 3, 2)
+        self.assertFalse(self.directory.may_receive_requests("engines-1"))
+        self.directory.put(dataclasses.replace(self.ready, started_ms=2000), 4, 2)
+        self.assertTrue(self.directory.may_receive_requests("engines-1"))
+
+    def test_draining_that_is_learned_late_counts(self) -> None:
+        """Guards against requests to a server that another VM read as draining."""
+        self.directory.put(self.ready, 3, 2)
+        late = DirectoryChange("engines-1", self.draining, 55, 1)
+        self.assertEqual(1, len(self.directory.apply_changes([late], 0.0)))
+        self.assertFalse(self.directory.may_receive_requests("engines-1"))
+
+    def test_a_listing_of_an_earlier_era_is_ignored(self) -> None:
+        """Guards against a server that no later record removes."""
+        self.directory.record_restore(2, 0.0)
+        late = DirectoryChange("engines-2", server(2), 55, 1)
+        self.assertEqual([], self.directory.apply_changes([late], 0.0))
+
+    def test_a_second_restore_extends_the_grace_period(self) -> None:
+        self.directory.record_restore(2, 10.0)
+        self.assertEqual([], self.directory.remove_all_except([], 5, 10.1, 2))
+        self.directory.record_restore(3, 10.5)
+        self.assertEqual([], self.directory.remove_all_except([], 5, 10.6, 3))
+        self.assertEqual([], self.directory.expire(10.4 + EXPIRY_GRACE))
+        self.assertEqual(1, len(self.directory.expire(10.5 + EXPIRY_GRACE)))
+
+    def test_a_deferred_entry_that_is_removed_again_is_never_listed(self) -> None:
+        self.directory.remove("engines-1", 51, 9.0, 1)
+        self.directory.record_restore(2, 10.0)
+        self.assertIsNone(self.directory.put(self.ready, 3, 2))
+        self.assertIsNone(self.directory.remove("engines-1", 4, 11.0, 2))
+        self.assertEqual([], self.directory.expire(10.0 + EXPIRY_GRACE))
+        self.assertFalse(self.directory.may_receive_requests("engines-1"))
+
+
 class PlainServerBalancerTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -30,6 +30,7 @@
 from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import Address
+from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
 from camphordrift.relay._store_watchers import (
     LONG_POLL_SECONDS,
     MAX_CONFIGURATION_AGE,
@@ -88,6 +89,8 @@
     member = Member(f"vm-{number}", started_ms, host, free_ports(host)[0], zone=zone)
     scheduler = EngineScheduler(member.vm, trio.current_time)
     dispatcher = Dispatcher(member.vm, scheduler, trio.current_time)
+    eras = StoreEraTracker()
+    checked_log = EraCheckedLog(log, eras)
     lease = ConfigurationLease(5.0)
     directory = ServerDirectory()
 
@@ -100,15 +103,25 @@
         updates.announce_servers(changes)
 
     configuration = ConfigurationWatcher(
-        log, TOPICS, documents, lease, configuration_changed, fetch_configuration
+        checked_log, eras, TOPICS, documents, lease, configuration_changed, fetch_configuration
     )
     servers = ServersWatcher(
-        log, TOPICS, documents, directory, servers_changed, lambda: configuration.store_reachable
+        checked_log,
+        eras,
+        TOPICS,
+        documents,
+        directory,
+        servers_changed,
+        lambda: configuration.store_reachable,
     )
     parts = PartMonitor(member.vm, trio.current_time)
-    updates = UpdateDistributor(configuration, servers, lease, parts)
-    records = QuarantineRecords(log, TOPICS.members, parts, lambda: election.is_leader)
-    election = LeaderElection(member, log, TOPICS, dispatcher, scheduler, updates, records)
+    updates = UpdateDistributor(configuration, servers, lease, eras, parts)
+    records = QuarantineRecords(
+        checked_log, TOPICS.members, parts, eras, lambda: election.is_leader
+    )
+    election = LeaderElection(
+        member, checked_log, eras, TOPICS, dispatcher, scheduler, updates, records
+    )
     vm = Vm(
         member, dispatcher, scheduler, lease, configuration, servers, directory, parts, election
     )
@@ -289,6 +302,36 @@
         run(body)
 
 
+class AnnouncementTest(testtools.TestCase):
+    def test_vms_announce_themselves_again_on_a_restored_store(self) -> None:
+        """Guards against a VM that starts and finds no leader, as the store lost all members."""
+
+        async def body(fleet: Fleet) -> None:
+            copy = fleet.log.copy()
+            vms = [fleet.start(number, 100 + number) for number in (1, 2)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 2)
+            fleet.log.restore(copy)
+            await wait_until(lambda: fleet.log.keys(TOPICS.members) == {"vm-1", "vm-2"})
+            self.assertEqual(["vm-1"] * 2, leaders(*vms))
+            third = fleet.start(3, 103)
+            await wait_until(lambda: leaders(third) == ["vm-1"])
+
+        run(body)
+
+    def test_vms_announce_themselves_once_for_each_restore(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            copy = fleet.log.copy()
+            vms = [fleet.start(number, 100 + number) for number in (1, 2)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 2)
+            for _ in range(2):
+                fleet.log.restore(copy)
+                await wait_until(lambda: len(fleet.log.keys(TOPICS.members)) == 2)
+                await trio.sleep(1.0)
+            self.assertEqual(6, fleet.log.calls["append"])
+
+        run(body)
+
+
 class UpdateDistributionTest(testtools.TestCase):
     def test_a_vm_with_an_old_configuration_does_not_long_poll(self) -> None:
         """Guards against a new leader that counts as unable to reach the store.
--- a/camphordrift/relay/tests/test_part_evidence.py
+++ b/camphordrift/relay/tests/test_part_evidence.py
@@ -160,6 +160,19 @@
 
         run(body)
 
+    def test_a_quarantine_is_written_again_on_a_restored_store(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 2)
+            older_copy = fleet.log.copy()
+            await crash_engines(*vms)
+            await wait_until(lambda: len(quarantine_records(fleet)) == 1)
+            fleet.log.restore(older_copy)
+            self.assertEqual([], quarantine_records(fleet))
+            await wait_until(lambda: len(quarantine_records(fleet)) == 1)
+
+        run(body)
+
     def test_the_record_of_a_part_that_is_sound_is_deleted(self) -> None:
         async def body(fleet: Fleet) -> None:
             vms = [fleet.start(number, 100 + number) for number in (1, 2)]
