Split the soak's observations, checks and fault injection

Records, checks of single requests, the fleet of servers and the fault injector get modules of their own; a run can be limited to some kinds of faults. A response's signature names its server.

--- a/camphordrift/platform/soak/__init__.py
+++ b/camphordrift/platform/soak/__init__.py
@@ -4,7 +4,17 @@
 relays to the store and to backend servers pass through loopback proxies.
 """
 
-from camphordrift.platform.soak._observations import CallerRequest, Execution, Observations
+from camphordrift.platform.soak._checks import find_violations
+from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._records import CallerRequest, Execution
 from camphordrift.platform.soak._run import SoakReport, SoakSettings, run_soak
 
-__all__ = ["CallerRequest", "Execution", "Observations", "SoakReport", "SoakSettings", "run_soak"]
+__all__ = [
+    "CallerRequest",
+    "Execution",
+    "Observations",
+    "SoakReport",
+    "SoakSettings",
+    "find_violations",
+    "run_soak",
+]
--- a/camphordrift/platform/soak/_callers.py
+++ b/camphordrift/platform/soak/_callers.py
@@ -9,7 +9,8 @@
 import h11
 import trio
 
-from camphordrift.platform.soak._observations import CallerRequest, Observations
+from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._records import CallerRequest
 
 #: Timeout in seconds of each kind of request, as on the soak's routes.
 REQUEST_TIMEOUTS = {"stream": 4.0, "once": 2.0, "repeatable": 2.0}
@@ -163,9 +164,8 @@
                 protocol.receive_data(await stream.receive_some(65536))
             elif isinstance(event, h11.Response):
                 request.status = event.status_code
-                request.signed = any(
-                    n == b"camphordrift-engine-signature" for n, _ in event.headers
-                )
+                signature = dict(event.headers).get(b"camphordrift-engine-signature")
+                request.signature = None if signature is None else signature.decode()
             elif isinstance(event, h11.Data):
                 request.body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
--- /dev/null
+++ b/camphordrift/platform/soak/_checks.py
@@ -0,0 +1,25 @@
+"""Checks the observations of a run against the documented guarantees."""
+
+from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._request_checks import (
+    execution_violations,
+    response_violations,
+    timing_violations,
+)
+
+
+def find_violations(observations: Observations, now: float, check_timing: bool = True) -> list[str]:
+    """Returns a line for each violated guarantee.
+
+    Args:
+        observations: What was observed during the run.
+        now: Current time, used as the end of what is still running.
+        check_timing: Whether to check times too, which a slow machine may exceed.
+
+    """
+    violations = list(observations.process_failures)
+    violations += execution_violations(observations)
+    violations += response_violations(observations)
+    if check_timing:
+        violations += timing_violations(observations, now)
+    return violations
--- /dev/null
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -0,0 +1,122 @@
+"""Injects the faults of a run."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from camphordrift.platform.soak._document_publisher import DocumentPublisher
+from camphordrift.platform.soak._faults import Fault
+from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._proxy import Proxy, ProxyMode
+from camphordrift.platform.soak._request_checks import KEY_REVOCATION_DELAY
+from camphordrift.platform.soak._server_fleet import ServerFleet
+from camphordrift.platform.soak._servers import ServerMode, SoakServer
+from camphordrift.platform.soak._store import SoakStore, StoreMode
+from camphordrift.platform.soak._vm import Vm
+
+#: Seconds for which a VM still cannot reach the store after the time at which it must reject a key
+#: that was revoked meanwhile.
+STORE_OUTAGE_TIME = 3.0
+
+
+class FaultInjector:
+    """Applies faults to the VMs, the store, the servers and the configuration of a run."""
+
+    def __init__(
+        self,
+        vms: list[tuple[Vm, Proxy]],
+        fleet: ServerFleet,
+        store: SoakStore,
+        publisher: DocumentPublisher,
+        observations: Observations,
+    ) -> None:
+        self._vms = vms
+        self._fleet = fleet
+        self._store = store
+        self._publisher = publisher
+        self._observations = observations
+
+    async def inject(self, fault: Fault, background: trio.Nursery) -> None:
+        """Applies a fault, and returns at its end.
+
+        Args:
+            fault: The fault.
+            background: Runs servers that a fault adds.
+
+        """
+        vm, store_proxy = self._vms[fault.target % len(self._vms)]
+        subject, _, action = fault.kind.partition("_")
+        match subject:
+            case "vm":
+                await self._disturb_vm(vm, action, fault.seconds)
+            case "store":
+                await self._disturb_store(store_proxy, action, fault.seconds)
+            case "servers":
+                async with trio.open_nursery() as nursery:
+                    for server, _ in self._fleet.servers:
+                        nursery.start_soon(_apply_server_mode, server, action, fault.seconds)
+            case "server":
+                await self._disturb_server(fault, action, background)
+            case _:
+                await self._change_key(store_proxy, action)
+
+    async def _disturb_vm(self, vm: Vm, action: str, seconds: float) -> None:
+        match action:
+            case "kill":
+                await _run_exclusively(vm, lambda: vm.kill(seconds))
+            case "restart":
+                await _run_exclusively(vm, vm.restart)
+            case "pause":
+                await _run_exclusively(vm, lambda: vm.pause(seconds))
+            case _:
+                vm.send_sighup()
+
+    async def _disturb_store(self, proxy: Proxy, action: str, seconds: float) -> None:
+        if action.startswith("way_"):
+            await _apply_proxy_mode(proxy, action.removeprefix("way_"), seconds)
+            return
+        self._store.mode = StoreMode(action)
+        await trio.sleep(seconds)
+        self._store.mode = StoreMode.WELL
+
+    async def _disturb_server(self, fault: Fault, action: str, background: trio.Nursery) -> None:
+        server, proxy = self._fleet.servers[fault.target % len(self._fleet.servers)]
+        if action == "replace":
+            await self._fleet.replace(server, proxy, background)
+        elif action.startswith("way_"):
+            with self._observations.record_span(self._observations.server_disruptions[server.id]):
+                await _apply_proxy_mode(proxy, action.removeprefix("way_"), fault.seconds)
+        else:
+            await _apply_server_mode(server, action, fault.seconds)
+
+    async def _change_key(self, store_proxy: Proxy, action: str) -> None:
+        if action != "change_unseen":
+            self._publisher.replace_oldest_key()
+            return
+        store_proxy.set_mode(ProxyMode.SILENCE)
+        self._publisher.replace_oldest_key()
+        await trio.sleep(KEY_REVOCATION_DELAY + STORE_OUTAGE_TIME)
+        store_proxy.set_mode(ProxyMode.PASS)
+
+
+async def _run_exclusively(vm: Vm, action: Callable[[], Awaitable[None]]) -> None:
+    """Runs the action on the VM; skips it while another action on this VM is running."""
+    if vm.disruption_running:
+        return
+    vm.disruption_running = True
+    try:
+        await action()
+    finally:
+        vm.disruption_running = False
+
+
+async def _apply_server_mode(server: SoakServer, mode: str, seconds: float) -> None:
+    server.mode = ServerMode(mode)
+    await trio.sleep(seconds)
+    server.mode = ServerMode.WELL
+
+
+async def _apply_proxy_mode(proxy: Proxy, mode: str, seconds: float) -> None:
+    proxy.set_mode(ProxyMode(mode))
+    await trio.sleep(seconds)
+    proxy.set_mode(ProxyMode.PASS)
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -1,6 +1,7 @@
 """Draws the faults of one run from its seed."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 #: Faults of VMs, the store and backend servers, and changes of API keys. The first word names what
@@ -53,8 +54,8 @@
     seconds: float
 
 
-def draw_faults(seed: int, seconds: float) -> list[Fault]:
-    """Returns the faults of a run.
+def draw_faults(seed: int, seconds: float, kinds: Sequence[str] = FAULT_KINDS) -> list[Fault]:
+    """Returns the faults of a run, of the given kinds.
 
     Some faults of a VM are followed by a fault of the next VM within a second.
     """
@@ -62,7 +63,7 @@
     faults: list[Fault] = []
     start = generator.expovariate(1 / _MEAN_INTERVAL)
     while start < seconds:
-        kind = generator.choice(FAULT_KINDS)
+        kind = generator.choice(kinds)
         target, duration = generator.randrange(100), generator.uniform(_MIN_DURATION, _MAX_DURATION)
         faults.append(Fault(start, kind, target, duration))
         if kind in ("vm_kill", "vm_restart", "vm_pause") and generator.random() < 0.4:
--- /dev/null
+++ b/camphordrift/platform/soak/_records.py
@@ -0,0 +1,69 @@
+"""Records of what callers and backend servers observed."""
+
+from dataclasses import dataclass
+from typing import Optional
+
+#: Start and end of an interval, as times of the soak's clock in seconds.
+Span = tuple[float, float]
+
+#: Kinds of requests that must run at most once.
+RUN_ONCE_KINDS = frozenset(("once",))
+
+
+@dataclass
+class CallerRequest:
+    """One request as its caller observed it. Times are seconds of the soak's clock."""
+
+    id: str
+    #: "stream", "once" or "repeatable".
+    kind: str
+    key: str
+    account: str
+    vm: str
+    sent_at: float
+    #: Timeout of the caller in seconds.
+    timeout: float
+    status: Optional[int] = None
+    #: Whether the response arrived completely.
+    complete: bool = False
+    #: Signature header of the response, which names the backend server; ``None`` without one.
+    signature: Optional[str] = None
+    body: bytes = b""
+    #: Time at which the response ended or the connection broke.
+    ended_at: Optional[float] = None
+    #: Time at which the caller closed the connection deliberately.
+    disconnected_at: Optional[float] = None
+
+
+@dataclass
+class Execution:
+    """One execution of a request by a backend server."""
+
+    request_id: str
+    server: str
+    account: str
+    #: Whether the relay forwarded the caller's API key, which it must not.
+    key_forwarded: bool
+    started_at: float
+    ended_at: Optional[float] = None
+    #: Body of the response; ``None`` unless the server sent it completely.
+    response_body: Optional[bytes] = None
+
+
+#: Number of events in one stream.
+STREAM_EVENTS = 8
+
+
+def stream_body(request_id: str, after: int = 0) -> bytes:
+    """Returns the events of a request's stream that follow event ``after``."""
+    return b"".join(stream_event(request_id, n) for n in range(after + 1, STREAM_EVENTS + 1))
+
+
+def stream_event(request_id: str, number: int) -> bytes:
+    """Returns one event of a request's stream."""
+    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+
+
+def overlaps(spans: list[Span], start: float, end: float) -> bool:
+    """Returns whether any of the intervals has a part between ``start`` and ``end``."""
+    return any(started_at < end and start < ended_at for started_at, ended_at in spans)
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -5,12 +5,8 @@
 
 import trio
 
-from camphordrift.platform.soak._observations import (
-    STREAM_EVENTS,
-    Execution,
-    Observations,
-    stream_event,
-)
+from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._records import STREAM_EVENTS, Execution, stream_event
 from camphordrift.testing import HttpRequest, serve_requests
 
 
@@ -37,15 +33,15 @@
     """One backend server; records each request that it runs."""
 
     def __init__(
-        self, server_id: str, host: str, port: int, streams: bool, observations: Observations
+        self, number: int, host: str, port: int, streams: bool, observations: Observations
     ) -> None:
-        self.id = server_id
+        self.id = f"{'engine' if streams else 'office'}-{number}"
         self.host = host
         self.port = port
         self.streams = streams
         self.mode = ServerMode.WELL
-        #: Whether the server is being replaced.
-        self.draining = False
+        #: Whether another server replaces this one.
+        self.replaced = False
         self._observations = observations
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -103,7 +99,9 @@
     ) -> bool:
         await stream.send_all(
             b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
-            b"camphordrift-engine-signature: soak\r\ntransfer-encoding: chunked\r\n"
+            b"camphordrift-engine-signature: "
+            + self.id.encode()
+            + b"\r\ntransfer-encoding: chunked\r\n"
             b"camphordrift-attempt-id: " + execution.request_id.encode() + b"\r\n\r\n"
         )
         last_event_id = int(request.headers.get("last-event-id", "0"))
@@ -122,9 +120,8 @@
         self, request: HttpRequest, status: bytes, length: int = 0, not_run: bool = False
     ) -> bytes:
         attempt = request.headers.get("camphordrift-attempt-id", "").encode()
-        outcome_header = (
-            b"camphordrift-not-executed: 1" if not_run else b"camphordrift-engine-signature: soak"
-        )
+        signature = b"camphordrift-engine-signature: " + self.id.encode()
+        outcome_header = b"camphordrift-not-executed: 1" if not_run else signature
         return b"HTTP/1.1 %b\r\ncamphordrift-attempt-id: %b\r\n%b\r\ncontent-length: %d\r\n\r\n" % (
             status,
             attempt,
--- a/camphordrift/platform/soak/_vm.py
+++ b/camphordrift/platform/soak/_vm.py
@@ -13,7 +13,8 @@
 import trio
 
 from camphordrift.platform.soak._callers import VmAddress
-from camphordrift.platform.soak._observations import SCHEDULING_SLACK, Observations
+from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._request_checks import SCHEDULING_SLACK
 
 #: Seconds from SIGTERM to SIGKILL.
 GRACE_PERIOD = 4.0
--- a/camphordrift/platform/soak/tests/test_observations.py
+++ b/camphordrift/platform/soak/tests/test_checks.py
@@ -4,9 +4,14 @@
 
 import testtools
 
-from camphordrift.platform.soak import CallerRequest, Execution, Observations
+from camphordrift.platform.soak import (
+    CallerRequest,
+    Execution,
+    Observations,
+    find_violations,
+)
 from camphordrift.platform.soak._faults import FAULT_KINDS, draw_faults
-from camphordrift.platform.soak._observations import stream_body
+from camphordrift.platform.soak._records import stream_body
 
 _ONCE = CallerRequest(
     id="a1",
@@ -18,7 +23,7 @@
     timeout=2.0,
     status=200,
     complete=True,
-    signed=True,
+    signature="office-1",
     body=b"done",
     ended_at=1.5,
 )
@@ -34,7 +39,7 @@
         observations.key_revoked_at["old"] = 0.0
         observations.vm_disruptions["vm-9"].append((0.0, 100.0))
         observations.server_disruptions["office-9"].append((0.0, 100.0))
-        return observations.violations(20.0)
+        return find_violations(observations, 20.0)
 
     def assert_violation(self, words: str, request: CallerRequest, *executions: Execution) -> None:
         (line,) = self.violations(request, *executions)
@@ -66,7 +71,7 @@
 
     def test_reports_responses_that_differ_from_the_servers(self) -> None:
         self.assert_violation("no server sent", replace(_ONCE, body=b"don"), _EXECUTION)
-        self.assert_violation("without a signature", replace(_ONCE, signed=False), _EXECUTION)
+        self.assert_violation("without a signature", replace(_ONCE, signature=None), _EXECUTION)
         truncated = replace(_STREAM, body=stream_body("a1")[:-10])
         self.assert_violation("wrong events", truncated, _EXECUTION)
         doubled = replace(_STREAM, body=stream_body("a1") + stream_body("a1", 7))
