Soak: servers that send nothing for a second, and changed limits

A sound server may send nothing for a second or so and continue. The soak plays this for one server and for all, beside configurations that change the number of attempts, the gap between events and the idle timeout, and checks that a request that was read gets a complete response, unless its server broke it off, its deadline came or its VM was killed or paused. A VM that gets SIGTERM still owes a response to requests that a server ran. Streams that may not be resumed are a kind of request of their own.

Engines of the soak now answer requests for their report.

A response that is incomplete although its server completed it is now a violation, so test_an_incomplete_response_may_be_short lets the server break it off.

--- a/camphordrift/platform/soak/__main__.py
+++ b/camphordrift/platform/soak/__main__.py
@@ -11,7 +11,7 @@
 import trio
 
 from camphordrift.platform.soak import SoakReport, SoakSettings, run_soak
-from camphordrift.platform.soak._faults import FAULT_KINDS
+from camphordrift.platform.soak._faults import BASIC_KINDS, FAULT_KINDS
 from camphordrift.platform.soak._regressions import REGRESSIONS
 from camphordrift.testing import process_loopback_network
 
@@ -53,6 +53,8 @@
 
     """
     failed_seeds = 0
+    if regressions:
+        kinds = BASIC_KINDS
     for seed in REGRESSIONS if regressions else range(first, first + seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=logs))
         settings = SoakSettings(seed, seconds, vms, servers, callers, kinds)
--- a/camphordrift/platform/soak/_callers.py
+++ b/camphordrift/platform/soak/_callers.py
@@ -13,10 +13,10 @@
 from camphordrift.platform.soak._records import CallerRequest
 
 #: Timeout in seconds of each kind of request, as on the soak's routes.
-REQUEST_TIMEOUTS = {"stream": 4.0, "once": 2.0, "repeatable": 2.0}
+REQUEST_TIMEOUTS = {"stream": 4.0, "single_stream": 4.0, "once": 2.0, "repeatable": 2.0}
 
 #: Path for each kind of request.
-PATHS = {"stream": "/s/x", "once": "/o/x", "repeatable": "/r/x"}
+PATHS = {"stream": "/s/x", "single_stream": "/q/x", "once": "/o/x", "repeatable": "/r/x"}
 
 #: Share of requests whose caller disconnects early, and the maximum number of seconds until then.
 DISCONNECT_SHARE, MAX_DISCONNECT_DELAY = 0.1, 0.4
@@ -27,6 +27,10 @@
 #: Mean number of seconds between requests of one caller.
 THINK_TIME = 0.1
 
+#: Share of requests before which a connection is idle for longer, and the minimum and maximum
+#: number of seconds. They are well below the shortest idle timeout of the configurations.
+LONG_IDLE_SHARE, MIN_LONG_IDLE, MAX_LONG_IDLE = 0.05, 0.5, 1.2
+
 #: Seconds for which a caller continues to read after the timeout of its request.
 EXTRA_READ_TIME = 3.0
 
@@ -90,7 +94,7 @@
 
     async def _send_requests(self, vm: VmAddress, stream: trio.SocketStream) -> None:
         for _ in range(self._random.randrange(1, REQUESTS_PER_CONNECTION_LIMIT)):
-            await trio.sleep(self._random.expovariate(1 / THINK_TIME))
+            await trio.sleep(self._think_time())
             request = self._next_request(vm)
             stays_connected = self._random.random() >= DISCONNECT_SHARE
             disconnect_after = (
@@ -99,6 +103,11 @@
             if not await self._send(request, stream, disconnect_after):
                 return
 
+    def _think_time(self) -> float:
+        if self._random.random() < LONG_IDLE_SHARE:
+            return self._random.uniform(MIN_LONG_IDLE, MAX_LONG_IDLE)
+        return min(MAX_LONG_IDLE, self._random.expovariate(1 / THINK_TIME))
+
     def _next_request(self, vm: VmAddress) -> CallerRequest:
         kind = self._random.choice(list(PATHS))
         keys = self._keys.accounts
@@ -142,6 +151,7 @@
         try:
             with trio.move_on_after(read_time):
                 await stream.send_all(data)
+                request.sent_completely = True
                 reusable = await self._read_response(request, stream, protocol)
         except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
             reusable = False
--- a/camphordrift/platform/soak/_checks.py
+++ b/camphordrift/platform/soak/_checks.py
@@ -1,5 +1,6 @@
 """Checks the observations of a run against the documented guarantees."""
 
+from camphordrift.platform.soak._answer_checks import unanswered_violations
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._request_checks import (
     execution_violations,
@@ -20,6 +21,7 @@
     violations = list(observations.process_failures)
     violations += execution_violations(observations)
     violations += response_violations(observations)
+    violations += unanswered_violations(observations)
     if check_timing:
         violations += timing_violations(observations, now)
     return violations
--- a/camphordrift/platform/soak/_document_publisher.py
+++ b/camphordrift/platform/soak/_document_publisher.py
@@ -1,6 +1,7 @@
 """Publishes server entries and configurations for the soak, and revokes API keys."""
 
 import itertools
+from dataclasses import dataclass
 
 import trio
 
@@ -10,14 +11,32 @@
 from camphordrift.platform.soak._servers import SoakServer
 from camphordrift.platform.soak._store import SoakStore
 
-#: Routes of the soak: name, which is also the path, kind, timeout in milliseconds, and service.
+#: Routes of the soak: name, which is also the path, kind, timeout in milliseconds, service, and
+#: whether streams may be resumed.
 _ROUTES = (
-    ("s", "streaming", 4000, "engines"),
-    ("o", "non_idempotent", 2000, "office"),
-    ("r", "idempotent", 2000, "office"),
+    ("s", "streaming", 4000, "engines", True),
+    ("q", "streaming", 4000, "engines", False),
+    ("o", "non_idempotent", 2000, "office", False),
+    ("r", "idempotent", 2000, "office", False),
 )
 
 
+@dataclass(frozen=True)
+class _RouteLimits:
+    """Limits that a change of the configuration replaces."""
+
+    #: Maximum number of servers to which a request is sent.
+    attempts: int
+    #: Target number of milliseconds between events.
+    event_gap_ms: int
+    #: Milliseconds for which an idle connection of a caller is kept open.
+    idle_timeout_ms: int
+
+
+#: Limits of the first configuration and, in turn, of each change. Callers are idle for up to 1.2 s.
+_LIMITS = (_RouteLimits(3, 300, 60_000), _RouteLimits(2, 150, 2_000), _RouteLimits(4, 600, 4_000))
+
+
 class DocumentPublisher:
     """Writes to the store what operators and backend servers write on the platform."""
 
@@ -27,6 +46,7 @@
         self.keys = ApiKeys({"k1": "school", "k2": "club"})
         self._key_numbers = itertools.count(3)
         self._version = 0
+        self._limits = _LIMITS[0]
 
     def publish_server(self, server: SoakServer, proxy: Proxy, state: str) -> None:
         """Publishes a server's entry, with the address of the proxy in front of it."""
@@ -52,7 +72,8 @@
             accounts.setdefault(account, []).append(key)
         document = {
             "Version": self._version,
-            "Routes": [_route(*route) for route in _ROUTES],
+            "Routes": [_route(*route, self._limits) for route in _ROUTES],
+            "Limits": {"IdleTimeoutMs": self._limits.idle_timeout_ms},
             "Services": [
                 {"Name": "engines", "Engine": {"Slots": 8, "KvCacheTokens": 300_000}},
                 {"Name": "office"},
@@ -61,6 +82,11 @@
         }
         self._store.put("keyed.op", "config", document)
 
+    def change_limits(self) -> None:
+        """Publishes a configuration with other limits."""
+        self._limits = _LIMITS[(_LIMITS.index(self._limits) + 1) % len(_LIMITS)]
+        self.publish_configuration()
+
     def replace_oldest_key(self) -> None:
         """Revokes the oldest API key and gives its account a new one."""
         key = next(iter(self.keys.accounts))
@@ -70,7 +96,9 @@
         self._observations.key_revoked_at[key] = trio.current_time()
 
 
-def _route(name: str, kind: str, timeout_ms: int, service: str) -> dict[str, object]:
+def _route(
+    name: str, kind: str, timeout_ms: int, service: str, resumable: bool, limits: _RouteLimits
+) -> dict[str, object]:
     return {
         "Name": name,
         "Host": "soak.example",
@@ -79,7 +107,7 @@
         "TimeoutMs": timeout_ms,
         "SloMs": 500,
         "Service": service,
-        "MaxAttempts": 3,
-        "ResumeStreams": kind == "streaming",
-        "GapTargetMs": 300,
+        "MaxAttempts": limits.attempts,
+        "ResumeStreams": resumable,
+        "GapTargetMs": limits.event_gap_ms,
     }
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -54,9 +54,11 @@
             case "servers":
                 async with trio.open_nursery() as nursery:
                     for server, _ in self._fleet.servers:
-                        nursery.start_soon(_apply_server_mode, server, action, fault.seconds)
+                        nursery.start_soon(_disturb_server, server, action, fault.seconds)
             case "server":
                 await self._disturb_server(fault, action, background)
+            case "configuration":
+                self._publisher.change_limits()
             case _:
                 await self._change_key(store_proxy, action)
 
@@ -87,7 +89,7 @@
             with self._observations.record_span(self._observations.server_disruptions[server.id]):
                 await _apply_proxy_mode(proxy, action.removeprefix("way_"), fault.seconds)
         else:
-            await _apply_server_mode(server, action, fault.seconds)
+            await _disturb_server(server, action, fault.seconds)
 
     async def _change_key(self, store_proxy: Proxy, action: str) -> None:
         if action != "change_unseen":
@@ -110,8 +112,11 @@
         vm.disruption_running = False
 
 
-async def _apply_server_mode(server: SoakServer, mode: str, seconds: float) -> None:
-    server.mode = ServerMode(mode)
+async def _disturb_server(server: SoakServer, action: str, seconds: float) -> None:
+    if action == "silent":
+        server.fall_silent(seconds)
+        return
+    server.mode = ServerMode(action)
     await trio.sleep(seconds)
     server.mode = ServerMode.WELL
 
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -6,7 +6,7 @@
 
 #: Faults of VMs, the store and backend servers, and changes of API keys. The first word names what
 #: is affected; "way" stands for the proxy in front of it.
-FAULT_KINDS = (
+BASIC_KINDS = (
     "vm_kill",
     "vm_restart",
     "vm_pause",
@@ -33,12 +33,18 @@
     "key_change_unseen",
 )
 
+#: All kinds of faults.
+FAULT_KINDS = (*BASIC_KINDS, "server_silent", "servers_silent", "configuration_change")
+
+#: Minimum and maximum duration in seconds of faults that need other ones than most.
+_DURATIONS = {"server_silent": (0.8, 1.8), "servers_silent": (0.8, 1.8)}
+
 #: Mean number of seconds between the starts of two faults. Most faults last longer than that, so
 #: that they overlap.
 _MEAN_INTERVAL = 0.8
 
 #: Minimum and maximum duration of a fault in seconds.
-_MIN_DURATION, _MAX_DURATION = 0.3, 3.0
+_USUAL_DURATION = (0.3, 3.0)
 
 
 @dataclass(frozen=True)
@@ -64,7 +70,8 @@
     start = generator.expovariate(1 / _MEAN_INTERVAL)
     while start < seconds:
         kind = generator.choice(kinds)
-        target, duration = generator.randrange(100), generator.uniform(_MIN_DURATION, _MAX_DURATION)
+        target = generator.randrange(100)
+        duration = generator.uniform(*_DURATIONS.get(kind, _USUAL_DURATION))
         faults.append(Fault(start, kind, target, duration))
         if kind in ("vm_kill", "vm_restart", "vm_pause") and generator.random() < 0.4:
             second_kind = generator.choice(("vm_kill", "vm_restart", "vm_pause"))
--- a/camphordrift/platform/soak/_observations.py
+++ b/camphordrift/platform/soak/_observations.py
@@ -24,6 +24,10 @@
     key_revoked_at: dict[str, float] = field(default_factory=dict)
     #: Intervals in which a VM was stopped, paused, killed or starting, by VM.
     vm_disruptions: dict[str, list[Span]] = field(default_factory=_spans_by_name)
+    #: Intervals in which a VM was killed, paused or starting, by VM.
+    vm_interruptions: dict[str, list[Span]] = field(default_factory=_spans_by_name)
+    #: Times of SIGTERM and of the exit that followed, by VM.
+    vm_stops: dict[str, list[Span]] = field(default_factory=_spans_by_name)
     #: Intervals in which connections between the VMs and a server were disrupted, by server.
     server_disruptions: dict[str, list[Span]] = field(default_factory=_spans_by_name)
     #: Unexpected exits and errors of the relay processes.
--- a/camphordrift/platform/soak/_records.py
+++ b/camphordrift/platform/soak/_records.py
@@ -7,7 +7,10 @@
 Span = tuple[float, float]
 
 #: Kinds of requests that must run at most once.
-RUN_ONCE_KINDS = frozenset(("once",))
+RUN_ONCE_KINDS = frozenset(("once", "single_stream"))
+
+#: Kinds of requests whose responses are streams.
+STREAM_KINDS = frozenset(("stream", "single_stream"))
 
 
 @dataclass
@@ -15,7 +18,7 @@
     """One request as its caller observed it. Times are seconds of the soak's clock."""
 
     id: str
-    #: "stream", "once" or "repeatable".
+    #: "stream", "single_stream", "once" or "repeatable".
     kind: str
     key: str
     account: str
@@ -23,6 +26,8 @@
     sent_at: float
     #: Timeout of the caller in seconds.
     timeout: float
+    #: Whether the caller sent the whole request.
+    sent_completely: bool = False
     status: Optional[int] = None
     #: Whether the response arrived completely.
     complete: bool = False
@@ -48,6 +53,8 @@
     ended_at: Optional[float] = None
     #: Body of the response; ``None`` unless the server sent it completely.
     response_body: Optional[bytes] = None
+    #: Whether the server broke the response off.
+    broken_off: bool = False
 
 
 #: Number of events in one stream.
--- a/camphordrift/platform/soak/_request_checks.py
+++ b/camphordrift/platform/soak/_request_checks.py
@@ -5,6 +5,7 @@
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._records import (
     RUN_ONCE_KINDS,
+    STREAM_KINDS,
     CallerRequest,
     Execution,
     overlaps,
@@ -67,7 +68,7 @@
         return
     if request.signature is None:
         yield f"{request.id} got a successful response without a signature"
-    if request.kind == "stream":
+    if request.kind in STREAM_KINDS:
         if request.body != stream_body(request.id):
             yield f"{request.id} got a complete stream with wrong events: {request.body!r}"
     elif request.body not in [execution.response_body for execution in executions]:
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -3,10 +3,12 @@
 import contextlib
 from enum import Enum
 
+import msgspec
 import trio
 
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._records import STREAM_EVENTS, Execution, stream_event
+from camphordrift.platform.soak._responses import format_chunk, format_head
 from camphordrift.testing import HttpRequest, serve_requests
 
 
@@ -28,6 +30,9 @@
 #: Seconds between events of a stream, and until a response that is not a stream.
 EVENT_INTERVAL = 0.05
 
+#: Minimum number of seconds between two times in which a server sends nothing.
+SILENCE_INTERVAL = 0.5
+
 
 class SoakServer:
     """One backend server; records each request that it runs."""
@@ -42,19 +47,45 @@
         self.mode = ServerMode.WELL
         #: Whether another server replaces this one.
         self.replaced = False
+        self._running: list[Execution] = []
+        self._silent_until = float("-inf")
         self._observations = observations
 
+    def fall_silent(self, seconds: float) -> None:
+        """Delays everything that the server sends until ``seconds`` have passed.
+
+        Does nothing if the server has just been silent, as a sound server is not silent for long.
+        """
+        now = trio.current_time()
+        if now >= self._silent_until + SILENCE_INTERVAL:
+            self._silent_until = now + seconds
+
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled."""
         await serve_requests(self.host, self.port, self._handle, task_status)
 
     async def _handle(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
+        if request.target == "/v1/report":
+            await self._report(stream)
+            return True
         if request.headers.get("camphordrift-expect-instance") != self.id:
-            await stream.send_all(self._head(request, b"421 Misdirected Request", not_run=True))
+            await self._refuse(request, stream, "421 Misdirected Request")
             return True
         if self.mode is ServerMode.FULL:
-            await stream.send_all(self._head(request, b"503 Service Unavailable", not_run=True))
+            await self._refuse(request, stream, "503 Service Unavailable")
             return True
+        return await self._execute(request, stream)
+
+    async def _report(self, stream: trio.SocketStream) -> None:
+        content = msgspec.json.encode({"Running": len(self._running), "Queued": 0})
+        head = format_head("200 OK", {"content-type": "application/json"}, len(content))
+        await self._send(stream, head + content)
+
+    async def _refuse(self, request: HttpRequest, stream: trio.SocketStream, status: str) -> None:
+        headers = {**_identity(request), "camphordrift-not-executed": "1"}
+        await self._send(stream, format_head(status, headers, 0))
+
+    async def _execute(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
         execution = Execution(
             request_id=request.headers.get("camphordrift-attempt-id", ""),
             server=self.id,
@@ -63,15 +94,19 @@
             started_at=trio.current_time(),
         )
         self._observations.executions.append(execution)
+        self._running.append(execution)
         reusable = False
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_on_close, stream, nursery.cancel_scope)
-            try:
-                reusable = await self._respond(request, stream, execution)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                reusable = False
-            nursery.cancel_scope.cancel()
-        execution.ended_at = trio.current_time()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_close, stream, nursery.cancel_scope)
+                try:
+                    reusable = await self._respond(request, stream, execution)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    reusable = False
+                nursery.cancel_scope.cancel()
+        finally:
+            self._running.remove(execution)
+            execution.ended_at = trio.current_time()
         return reusable
 
     async def _respond(
@@ -79,55 +114,58 @@
     ) -> bool:
         if self.mode is ServerMode.HANG:
             await trio.sleep_forever()
+        headers = {**_identity(request), "camphordrift-engine-signature": self.id}
         if self.mode is ServerMode.FAIL:
-            await stream.send_all(self._head(request, b"500 Internal Server Error"))
+            await self._send(stream, format_head("500 Internal Server Error", headers, 0))
             return True
         if self.streams:
-            return await self._respond_with_stream(request, stream, execution)
+            last_event_id = int(request.headers.get("last-event-id", "0"))
+            return await self._respond_with_stream(stream, headers, execution, last_event_id)
+        return await self._respond_with_body(stream, headers, execution)
+
+    async def _respond_with_body(
+        self, stream: trio.SocketStream, headers: dict[str, str], execution: Execution
+    ) -> bool:
         await trio.sleep(EVENT_INTERVAL)
         body = f"{execution.request_id} by {self.id} at {execution.started_at}".encode()
-        head = self._head(request, b"200 OK", len(body))
+        head = format_head("200 OK", headers, len(body))
         if self.mode is ServerMode.CUT:
-            await stream.send_all(head + body[:5])
+            execution.broken_off = True
+            await self._send(stream, head + body[:5])
             return False
         execution.response_body = body
-        await stream.send_all(head + body)
+        await self._send(stream, head + body)
         return True
 
     async def _respond_with_stream(
-        self, request: HttpRequest, stream: trio.SocketStream, execution: Execution
+        self,
+        stream: trio.SocketStream,
+        headers: dict[str, str],
+        execution: Execution,
+        last_event_id: int,
     ) -> bool:
-        await stream.send_all(
-            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
-            b"camphordrift-engine-signature: "
-            + self.id.encode()
-            + b"\r\ntransfer-encoding: chunked\r\n"
-            b"camphordrift-attempt-id: " + execution.request_id.encode() + b"\r\n\r\n"
-        )
-        last_event_id = int(request.headers.get("last-event-id", "0"))
+        headers["content-type"] = "text/event-stream"
+        await self._send(stream, format_head("200 OK", headers))
         for number in range(last_event_id + 1, STREAM_EVENTS + 1):
             await trio.sleep(EVENT_INTERVAL)
             event = stream_event(execution.request_id, number)
             if self.mode is ServerMode.CUT and number == STREAM_EVENTS // 2:
-                event = event[:-4]
-                await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
+                execution.broken_off = True
+                await self._send(stream, format_chunk(event[:-4]))
                 return False
-            await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
-        await stream.send_all(b"0\r\n\r\n")
+            await self._send(stream, format_chunk(event))
+        await self._send(stream, format_chunk(b""))
         return True
 
-    def _head(
-        self, request: HttpRequest, status: bytes, length: int = 0, not_run: bool = False
-    ) -> bytes:
-        attempt = request.headers.get("camphordrift-attempt-id", "").encode()
-        signature = b"camphordrift-engine-signature: " + self.id.encode()
-        outcome_header = b"camphordrift-not-executed: 1" if not_run else signature
-        return b"HTTP/1.1 %b\r\ncamphordrift-attempt-id: %b\r\n%b\r\ncontent-length: %d\r\n\r\n" % (
-            status,
-            attempt,
-            outcome_header,
-            length,
-        )
+    async def _send(self, stream: trio.SocketStream, data: bytes) -> None:
+        while (remaining := self._silent_until - trio.current_time()) > 0:
+            await trio.sleep(remaining)
+        await stream.send_all(data)
+
+
+def _identity(request: HttpRequest) -> dict[str, str]:
+    """Returns the header by which a response names its request."""
+    return {"camphordrift-attempt-id": request.headers.get("camphordrift-attempt-id", "")}
 
 
 async def _cancel_on_close(stream: trio.SocketStream, scope: trio.CancelScope) -> None:
--- a/camphordrift/platform/soak/_vm.py
+++ b/camphordrift/platform/soak/_vm.py
@@ -12,13 +12,11 @@
 import msgspec
 import trio
 
+from camphordrift.platform.soak._answer_checks import GRACE_PERIOD
 from camphordrift.platform.soak._callers import VmAddress
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._request_checks import SCHEDULING_SLACK
 
-#: Seconds from SIGTERM to SIGKILL.
-GRACE_PERIOD = 4.0
-
 #: Seconds for which a VM still counts as disrupted after it is ready again, as other VMs may still
 #: treat it as their leader.
 DISRUPTION_MARGIN = 1.0
@@ -68,7 +66,7 @@
 
     async def start(self) -> None:
         """Starts the process and waits until it is ready."""
-        with self._disruption():
+        with self._disruption(), self._interruption():
             await self._start_process()
 
     async def _start_process(self) -> None:
@@ -87,7 +85,7 @@
 
     async def kill(self, downtime: float) -> None:
         """Kills the process and starts it again after ``downtime`` seconds."""
-        with self._disruption():
+        with self._disruption(), self._interruption():
             await self._end_process(signal.SIGKILL)
             await trio.sleep(downtime)
             await self._start_process()
@@ -95,12 +93,14 @@
     async def restart(self) -> None:
         """Stops the process with SIGTERM and starts it again."""
         with self._disruption():
-            await self._end_process(signal.SIGTERM)
-            await self._start_process()
+            with self._observations.record_span(self._observations.vm_stops[self.name]):
+                await self._end_process(signal.SIGTERM)
+            with self._interruption():
+                await self._start_process()
 
     async def pause(self, seconds: float) -> None:
         """Suspends the process for some seconds with SIGSTOP."""
-        with self._disruption():
+        with self._disruption(), self._interruption():
             self._send_signal(signal.SIGSTOP)
             await trio.sleep(seconds)
             self._send_signal(signal.SIGCONT)
@@ -154,6 +154,9 @@
             self._observations.vm_disruptions[self.name], DISRUPTION_MARGIN
         )
 
+    def _interruption(self) -> AbstractContextManager[None]:
+        return self._observations.record_span(self._observations.vm_interruptions[self.name])
+
     async def _is_ready(self) -> bool:
         with contextlib.suppress(OSError, trio.BrokenResourceError), trio.move_on_after(0.5):
             stream = await trio.open_tcp_stream(self.host, self._readiness_port)
--- a/camphordrift/platform/soak/tests/test_checks.py
+++ b/camphordrift/platform/soak/tests/test_checks.py
@@ -26,11 +26,13 @@
     signature="office-1",
     body=b"done",
     ended_at=1.5,
+    sent_completely=True,
 )
 _STREAM = replace(_ONCE, kind="stream", body=stream_body("a1"))
 _EXECUTION = Execution(
     "a1", "office-1", "school", False, started_at=1.1, ended_at=1.4, response_body=b"done"
 )
+_UNANSWERED = replace(_ONCE, status=None, complete=False, signature=None, body=b"")
 
 
 class GuaranteeTest(testtools.TestCase):
@@ -78,7 +80,8 @@
         self.assert_violation("wrong events", doubled, _EXECUTION)
 
     def test_an_incomplete_response_may_be_short(self) -> None:
-        self.assertEqual([], self.violations(replace(_ONCE, body=b"d", complete=False), _EXECUTION))
+        broken_off = replace(_EXECUTION, broken_off=True)
+        self.assertEqual([], self.violations(replace(_ONCE, body=b"d", complete=False), broken_off))
 
     def test_reports_a_late_response(self) -> None:
         late_request = replace(_ONCE, ended_at=4.6)
@@ -97,6 +100,46 @@
         )
 
 
+class UnansweredRequestTest(testtools.TestCase):
+    def violations(
+        self, request: CallerRequest, execution: Execution, stopped_at: float = 100.0
+    ) -> list[str]:
+        observations = Observations(requests={request.id: request}, executions=[execution])
+        observations.vm_interruptions["vm-9"].append((1.2, 1.4))
+        observations.vm_stops["vm-0"].append((stopped_at, stopped_at + 4.0))
+        observations.server_disruptions["office-9"].append((1.2, 1.4))
+        return find_violations(observations, 20.0)
+
+    def test_reports_a_request_without_a_complete_response(self) -> None:
+        (line,) = self.violations(_UNANSWERED, _EXECUTION)
+        self.assertIn("got no complete response", line)
+        self.assertEqual(1, len(self.violations(replace(_UNANSWERED, status=200), _EXECUTION)))
+
+    def test_a_response_may_be_incomplete_if_its_server_broke_it_off(self) -> None:
+        self.assertEqual([], self.violations(_UNANSWERED, replace(_EXECUTION, broken_off=True)))
+        self.assertEqual([], self.violations(_UNANSWERED, replace(_EXECUTION, server="office-9")))
+
+    def test_a_response_may_be_incomplete_at_the_deadline_or_if_the_vm_was_killed(self) -> None:
+        self.assertEqual([], self.violations(replace(_UNANSWERED, timeout=0.5), _EXECUTION))
+        self.assertEqual([], self.violations(replace(_UNANSWERED, vm="vm-9"), _EXECUTION))
+
+    def test_a_request_that_was_not_sent_completely_needs_no_response(self) -> None:
+        request = replace(_UNANSWERED, sent_completely=False)
+        self.assertEqual([], self.violations(request, _EXECUTION))
+
+    def test_reports_a_request_that_ran_and_was_lost_by_a_vm_that_got_sigterm(self) -> None:
+        self.assertEqual(1, len(self.violations(_UNANSWERED, _EXECUTION, stopped_at=1.0)))
+        other_execution = replace(_EXECUTION, request_id="a2")
+        unread = self.violations(_UNANSWERED, other_execution, stopped_at=1.0)
+        self.assertEqual([], [line for line in unread if "complete response" in line])
+
+    def test_a_vm_may_give_up_requests_at_the_end_of_its_grace_period(self) -> None:
+        request = replace(_UNANSWERED, timeout=9.0, ended_at=5.0)
+        execution = replace(_EXECUTION, ended_at=4.9)
+        self.assertEqual([], self.violations(request, execution, stopped_at=1.1))
+        self.assertEqual(1, len(self.violations(request, execution, stopped_at=1.9)))
+
+
 class FaultTest(testtools.TestCase):
     def test_a_seed_determines_its_faults(self) -> None:
         self.assertEqual(draw_faults(7, 15.0), draw_faults(7, 15.0))
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -1,6 +1,6 @@
-"""A short soak with real processes.
+"""Short soaks with real processes.
 
-It checks only what must never happen. Longer runs check times too, which depend on the machine.
+They check only what must never happen. Longer runs check times too, which depend on the machine.
 """
 
 import tempfile
@@ -10,24 +10,42 @@
 import testtools
 import trio
 
-from camphordrift.platform.soak import SoakSettings, run_soak
+from camphordrift.platform.soak import SoakReport, SoakSettings, run_soak
+from camphordrift.platform.soak._faults import BASIC_KINDS
 from camphordrift.testing import process_loopback_network
 
 pytestmark = pytest.mark.sockets
 
 
+def run_short_soak(
+    kinds: tuple[str, ...],
+    seed: int = 1,
+    seconds: float = 4.0,
+    recovery_seconds: float = 1.0,
+    callers: int = 6,
+) -> SoakReport:
+    settings = SoakSettings(
+        seed=seed,
+        seconds=seconds,
+        vms=2,
+        servers=3,
+        callers=callers,
+        kinds=kinds,
+        recovery_seconds=recovery_seconds,
+        check_timing=False,
+    )
+    with tempfile.TemporaryDirectory() as directory:
+        return trio.run(run_soak, settings, process_loopback_network(), Path(directory))
+
+
 class ShortSoakTest(testtools.TestCase):
-    def test_no_guarantee_is_violated(self) -> None:
-        settings = SoakSettings(
-            seed=1,
-            seconds=4.0,
-            vms=2,
-            servers=3,
-            callers=6,
-            recovery_seconds=1.0,
-            check_timing=False,
-        )
-        with tempfile.TemporaryDirectory() as directory:
-            report = trio.run(run_soak, settings, process_loopback_network(), Path(directory))
+    def check_report(self, report: SoakReport) -> None:
         self.assertEqual((), report.violations)
         self.assertTrue(report.outcome_counts["runs"] > 0)
+
+    def test_no_guarantee_is_violated(self) -> None:
+        self.check_report(run_short_soak(BASIC_KINDS))
+
+    def test_no_request_is_lost_because_servers_are_silent(self) -> None:
+        kinds = ("server_silent", "servers_silent", "configuration_change")
+        self.check_report(run_short_soak(kinds, seed=12, seconds=6.0, callers=12))
