Soak: responses that end with their connection

Responses without length or chunks, for streams and others. Every other one is broken off: closed in the middle of an event, or reset at any event; a response that is not a stream is reset. The checks of bodies and events report one that is forwarded as complete. A truncated stream is now chosen when the response starts.

--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -34,7 +34,14 @@
 )
 
 #: All kinds of faults.
-FAULT_KINDS = (*BASIC_KINDS, "server_silent", "servers_silent", "configuration_change")
+FAULT_KINDS = (
+    *BASIC_KINDS,
+    "server_silent",
+    "servers_silent",
+    "configuration_change",
+    "server_unframed",
+    "servers_unframed",
+)
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
 _DURATIONS = {"server_silent": (0.8, 1.8), "servers_silent": (0.8, 1.8)}
--- a/camphordrift/platform/soak/_proxy.py
+++ b/camphordrift/platform/soak/_proxy.py
@@ -47,7 +47,7 @@
         self.mode = mode
         if mode is ProxyMode.RESET:
             for stream in list(self._open_streams):
-                _reset(stream)
+                reset_connection(stream)
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled."""
@@ -57,12 +57,12 @@
 
     async def _serve(self, client: trio.SocketStream) -> None:
         if self.mode is ProxyMode.RESET:
-            _reset(client)
+            reset_connection(client)
             return
         try:
             target = await trio.open_tcp_stream(self.target_host, self.target_port)
         except OSError:
-            _reset(client)
+            reset_connection(client)
             return
         self._open_streams |= {client, target}
         try:
@@ -71,8 +71,8 @@
                 nursery.start_soon(self._pump, target, client, False, nursery.cancel_scope)
         finally:
             self._open_streams -= {client, target}
-            _reset(client)
-            _reset(target)
+            reset_connection(client)
+            reset_connection(target)
 
     async def _pump(
         self,
@@ -100,7 +100,8 @@
             await trio.sleep(_POLL_INTERVAL)
 
 
-def _reset(stream: trio.SocketStream) -> None:
+def reset_connection(stream: trio.SocketStream) -> None:
+    """Closes a connection with a reset."""
     if stream.socket.fileno() >= 0:
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
         stream.socket.close()
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -7,8 +7,16 @@
 import trio
 
 from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._proxy import reset_connection
 from camphordrift.platform.soak._records import STREAM_EVENTS, Execution, stream_event
-from camphordrift.platform.soak._responses import format_chunk, format_head
+from camphordrift.platform.soak._responses import (
+    Framing,
+    ResponsePlan,
+    format_head,
+    format_part,
+    plan_truncated,
+    plan_unframed,
+)
 from camphordrift.testing import HttpRequest, serve_requests
 
 
@@ -25,6 +33,8 @@
     FULL = "full"
     #: Runs requests and responds with status 500.
     FAIL = "fail"
+    #: Sends responses without length or chunks, of which it breaks off every other one.
+    UNFRAMED = "unframed"
 
 
 #: Seconds between events of a stream, and until a response that is not a stream.
@@ -78,12 +88,14 @@
 
     async def _report(self, stream: trio.SocketStream) -> None:
         content = msgspec.json.encode({"Running": len(self._running), "Queued": 0})
-        head = format_head("200 OK", {"content-type": "application/json"}, len(content))
+        head = format_head(
+            "200 OK", {"content-type": "application/json"}, Framing.LENGTH, len(content)
+        )
         await self._send(stream, head + content)
 
     async def _refuse(self, request: HttpRequest, stream: trio.SocketStream, status: str) -> None:
         headers = {**_identity(request), "camphordrift-not-executed": "1"}
-        await self._send(stream, format_head(status, headers, 0))
+        await self._send(stream, format_head(status, headers, Framing.LENGTH))
 
     async def _execute(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
         execution = Execution(
@@ -116,26 +128,38 @@
             await trio.sleep_forever()
         headers = {**_identity(request), "camphordrift-engine-signature": self.id}
         if self.mode is ServerMode.FAIL:
-            await self._send(stream, format_head("500 Internal Server Error", headers, 0))
+            await self._send(
+                stream, format_head("500 Internal Server Error", headers, Framing.LENGTH)
+            )
             return True
         if self.streams:
             last_event_id = int(request.headers.get("last-event-id", "0"))
             return await self._respond_with_stream(stream, headers, execution, last_event_id)
         return await self._respond_with_body(stream, headers, execution)
 
+    def _plan(self, request_id: str) -> ResponsePlan:
+        framing = Framing.CHUNKS if self.streams else Framing.LENGTH
+        match self.mode:
+            case ServerMode.CUT:
+                return plan_truncated(framing)
+            case ServerMode.UNFRAMED:
+                return plan_unframed(request_id, self.id, self.streams)
+            case _:
+                return ResponsePlan(framing)
+
     async def _respond_with_body(
         self, stream: trio.SocketStream, headers: dict[str, str], execution: Execution
     ) -> bool:
         await trio.sleep(EVENT_INTERVAL)
+        plan = self._plan(execution.request_id)
         body = f"{execution.request_id} by {self.id} at {execution.started_at}".encode()
-        head = format_head("200 OK", headers, len(body))
-        if self.mode is ServerMode.CUT:
-            execution.broken_off = True
-            await self._send(stream, head + body[:5])
+        head = format_head("200 OK", headers, plan.framing, len(body))
+        if plan.broken_event is not None:
+            await self._break_off(stream, execution, plan, head + body[:5])
             return False
         execution.response_body = body
         await self._send(stream, head + body)
-        return True
+        return plan.framing is not Framing.CONNECTION
 
     async def _respond_with_stream(
         self,
@@ -145,17 +169,26 @@
         last_event_id: int,
     ) -> bool:
         headers["content-type"] = "text/event-stream"
-        await self._send(stream, format_head("200 OK", headers))
+        plan = self._plan(execution.request_id)
+        await self._send(stream, format_head("200 OK", headers, plan.framing))
         for number in range(last_event_id + 1, STREAM_EVENTS + 1):
             await trio.sleep(EVENT_INTERVAL)
             event = stream_event(execution.request_id, number)
-            if self.mode is ServerMode.CUT and number == STREAM_EVENTS // 2:
-                execution.broken_off = True
-                await self._send(stream, format_chunk(event[:-4]))
+            if number == plan.broken_event:
+                part = b"" if plan.resets else format_part(event[:-4], plan.framing)
+                await self._break_off(stream, execution, plan, part)
                 return False
-            await self._send(stream, format_chunk(event))
-        await self._send(stream, format_chunk(b""))
-        return True
+            await self._send(stream, format_part(event, plan.framing))
+        await self._send(stream, format_part(b"", plan.framing))
+        return plan.framing is not Framing.CONNECTION
+
+    async def _break_off(
+        self, stream: trio.SocketStream, execution: Execution, plan: ResponsePlan, part: bytes
+    ) -> None:
+        execution.broken_off = True
+        await self._send(stream, part)
+        if plan.resets:
+            reset_connection(stream)
 
     async def _send(self, stream: trio.SocketStream, data: bytes) -> None:
         while (remaining := self._silent_until - trio.current_time()) > 0:
--- a/camphordrift/platform/soak/tests/test_checks.py
+++ b/camphordrift/platform/soak/tests/test_checks.py
@@ -11,7 +11,8 @@
     find_violations,
 )
 from camphordrift.platform.soak._faults import FAULT_KINDS, draw_faults
-from camphordrift.platform.soak._records import stream_body
+from camphordrift.platform.soak._records import STREAM_EVENTS, stream_body
+from camphordrift.platform.soak._responses import plan_unframed
 
 _ONCE = CallerRequest(
     id="a1",
@@ -76,6 +77,8 @@
         self.assert_violation("without a signature", replace(_ONCE, signature=None), _EXECUTION)
         truncated = replace(_STREAM, body=stream_body("a1")[:-10])
         self.assert_violation("wrong events", truncated, _EXECUTION)
+        unframed = replace(_STREAM, body=stream_body("a1")[: -len(stream_body("a1", 7))])
+        self.assert_violation("wrong events", unframed, replace(_EXECUTION, broken_off=True))
         doubled = replace(_STREAM, body=stream_body("a1") + stream_body("a1", 7))
         self.assert_violation("wrong events", doubled, _EXECUTION)
 
@@ -140,6 +143,23 @@
         self.assertEqual(1, len(self.violations(request, execution, stopped_at=1.9)))
 
 
+class UnframedResponseTest(testtools.TestCase):
+    def test_half_of_the_responses_are_broken_off_in_each_way(self) -> None:
+        streams = [plan_unframed(f"a{number}", "engine-0", True) for number in range(200)]
+        complete = [plan for plan in streams if plan.broken_event is None]
+        resets = [plan for plan in streams if plan.broken_event is not None and plan.resets]
+        self.assertTrue(70 <= len(complete) <= 130)
+        self.assertTrue(20 <= len(resets) <= 80)
+        self.assertEqual(
+            {None, *range(1, STREAM_EVENTS + 1)}, {plan.broken_event for plan in streams}
+        )
+
+    def test_a_response_that_is_not_a_stream_is_reset(self) -> None:
+        """Without a length, a closed connection would look like the end of the body."""
+        plans = [plan_unframed(f"a{number}", "office-1", False) for number in range(200)]
+        self.assertTrue(all(plan.resets for plan in plans if plan.broken_event is not None))
+
+
 class FaultTest(testtools.TestCase):
     def test_a_seed_determines_its_faults(self) -> None:
         self.assertEqual(draw_faults(7, 15.0), draw_faults(7, 15.0))
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -49,3 +49,6 @@
     def test_no_request_is_lost_because_servers_are_silent(self) -> None:
         kinds = ("server_silent", "servers_silent", "configuration_change")
         self.check_report(run_short_soak(kinds, seed=12, seconds=6.0, callers=12))
+
+    def test_unframed_responses_that_are_broken_off_are_not_forwarded_as_complete(self) -> None:
+        self.check_report(run_short_soak(("server_unframed", "servers_unframed")))
