Soak: prompts with a part that crashes engines

Requests for engines carry the parts of their prompts. While this fault lasts, requests with a part that crashes each engine which begins to respond come at any VM, no two alike, with the keys and other parts of sound ones; a crashed engine resets its connections and is back after 1 to 3 s with a new id and start. The soak checks that at most three such requests reach engines later than StableWindowMs after the fifth crash, and that sound requests with the same key or first part are served at least half as often as otherwise. Disruptions of the store are recorded, since the limit holds only for VMs in touch.

--- a/camphordrift/platform/soak/_answer_checks.py
+++ b/camphordrift/platform/soak/_answer_checks.py
@@ -52,7 +52,7 @@
     if overlaps(observations.vm_interruptions[request.vm], sent_at, ended_at):
         return True
     for execution in executions:
-        disruptions = observations.server_disruptions[execution.server]
+        disruptions = observations.disruptions_of(execution.server)
         if execution.broken_off or overlaps(disruptions, sent_at, ended_at):
             return True
     for stopped_at, exited_at in observations.vm_stops[request.vm]:
--- a/camphordrift/platform/soak/_callers.py
+++ b/camphordrift/platform/soak/_callers.py
@@ -6,17 +6,15 @@
 from dataclasses import dataclass, field
 from typing import Optional
 
-import h11
 import trio
 
+from camphordrift.platform.soak._exchange import PATHS, REQUEST_TIMEOUTS, exchange
 from camphordrift.platform.soak._observations import Observations
-from camphordrift.platform.soak._records import CallerRequest
+from camphordrift.platform.soak._prompts import draw_sound_prompt
+from camphordrift.platform.soak._records import STREAM_KINDS, CallerRequest
 
-#: Timeout in seconds of each kind of request, as on the soak's routes.
-REQUEST_TIMEOUTS = {"stream": 4.0, "single_stream": 4.0, "once": 2.0, "repeatable": 2.0}
-
-#: Path for each kind of request.
-PATHS = {"stream": "/s/x", "single_stream": "/q/x", "once": "/o/x", "repeatable": "/r/x"}
+#: Seconds within which a connection to a VM must be established.
+CONNECT_TIMEOUT = 1.0
 
 #: Share of requests whose caller disconnects early, and the maximum number of seconds until then.
 DISCONNECT_SHARE, MAX_DISCONNECT_DELAY = 0.1, 0.4
@@ -31,9 +29,6 @@
 #: number of seconds. They are well below the shortest idle timeout of the configurations.
 LONG_IDLE_SHARE, MIN_LONG_IDLE, MAX_LONG_IDLE = 0.05, 0.5, 1.2
 
-#: Seconds for which a caller continues to read after the timeout of its request.
-EXTRA_READ_TIME = 3.0
-
 #: A caller sends fewer requests than this on one connection.
 REQUESTS_PER_CONNECTION_LIMIT = 20
 
@@ -61,6 +56,15 @@
     revoked: dict[str, str] = field(default_factory=dict)
 
 
+async def connect_to_vm(vm: VmAddress) -> Optional[trio.SocketStream]:
+    """Returns a new connection to a VM; ``None`` if the VM is unreachable."""
+    try:
+        with trio.fail_after(CONNECT_TIMEOUT):
+            return await trio.open_tcp_stream(vm.host, vm.port)
+    except (OSError, trio.TooSlowError):
+        return None
+
+
 class Caller:
     """Sends requests one after the other, to randomly chosen VMs."""
 
@@ -83,10 +87,8 @@
         """Sends requests until cancelled."""
         while True:
             vm = self._random.choice(self._vms)
-            try:
-                with trio.fail_after(1.0):
-                    stream = await trio.open_tcp_stream(vm.host, vm.port)
-            except (OSError, trio.TooSlowError):
+            stream = await connect_to_vm(vm)
+            if stream is None:
                 await trio.sleep(THINK_TIME)
                 continue
             async with stream:
@@ -100,7 +102,8 @@
             disconnect_after = (
                 None if stays_connected else self._random.uniform(0.0, MAX_DISCONNECT_DELAY)
             )
-            if not await self._send(request, stream, disconnect_after):
+            body = b"w" * self._random.choice(BODY_SIZES)
+            if not await exchange(request, stream, body, disconnect_after):
                 return
 
     def _think_time(self) -> float:
@@ -114,72 +117,17 @@
         if self._keys.revoked and self._random.random() < REVOKED_KEY_SHARE:
             keys = self._keys.revoked
         key = self._random.choice(list(keys))
+        request_id = f"a{self._number}-{next(self._request_numbers)}"
+        parts = draw_sound_prompt(self._random, request_id) if kind in STREAM_KINDS else ()
         request = CallerRequest(
-            id=f"a{self._number}-{next(self._request_numbers)}",
+            id=request_id,
             kind=kind,
             key=key,
             account=keys[key],
             vm=vm.name,
             sent_at=trio.current_time(),
             timeout=REQUEST_TIMEOUTS[kind],
+            parts=parts,
         )
         self._observations.requests[request.id] = request
         return request
-
-    async def _send(
-        self, request: CallerRequest, stream: trio.SocketStream, disconnect_after: Optional[float]
-    ) -> bool:
-        """Sends a request and reads the response; returns whether the connection can be reused."""
-        protocol = h11.Connection(h11.CLIENT)
-        body = b"w" * self._random.choice(BODY_SIZES)
-        headers = [
-            ("host", "soak.example"),
-            ("camphordrift-attempt-id", request.id),
-            ("camphordrift-deadline-ms", str(int(request.timeout * 1000))),
-            ("camphordrift-credential", request.key),
-            ("camphordrift-token-count", "500,400"),
-            ("content-length", str(len(body))),
-        ]
-        head = h11.Request(method="POST", target=PATHS[request.kind], headers=headers)
-        data = protocol.send(head) or b""
-        data += protocol.send(h11.Data(data=body)) or b""
-        data += protocol.send(h11.EndOfMessage()) or b""
-        read_time = (
-            request.timeout + EXTRA_READ_TIME if disconnect_after is None else disconnect_after
-        )
-        reusable = False
-        try:
-            with trio.move_on_after(read_time):
-                await stream.send_all(data)
-                request.sent_completely = True
-                reusable = await self._read_response(request, stream, protocol)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
-            reusable = False
-        now = trio.current_time()
-        if (
-            disconnect_after is not None
-            and request.ended_at is None
-            and now >= request.sent_at + disconnect_after
-        ):
-            request.disconnected_at = now
-        request.ended_at = now if request.ended_at is None else request.ended_at
-        return reusable
-
-    async def _read_response(
-        self, request: CallerRequest, stream: trio.SocketStream, protocol: h11.Connection
-    ) -> bool:
-        while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                protocol.receive_data(await stream.receive_some(65536))
-            elif isinstance(event, h11.Response):
-                request.status = event.status_code
-                signature = dict(event.headers).get(b"camphordrift-engine-signature")
-                request.signature = None if signature is None else signature.decode()
-            elif isinstance(event, h11.Data):
-                request.body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                request.complete, request.ended_at = True, trio.current_time()
-                return protocol.their_state is not h11.MUST_CLOSE
-            elif not isinstance(event, h11.InformationalResponse):
-                return False
--- a/camphordrift/platform/soak/_checks.py
+++ b/camphordrift/platform/soak/_checks.py
@@ -2,6 +2,7 @@
 
 from camphordrift.platform.soak._answer_checks import unanswered_violations
 from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._prompt_checks import crashing_prompt_violations
 from camphordrift.platform.soak._request_checks import (
     execution_violations,
     response_violations,
@@ -21,6 +22,7 @@
     violations = list(observations.process_failures)
     violations += execution_violations(observations)
     violations += response_violations(observations)
+    violations += crashing_prompt_violations(observations)
     violations += unanswered_violations(observations)
     if check_timing:
         violations += timing_violations(observations, now)
--- a/camphordrift/platform/soak/_document_publisher.py
+++ b/camphordrift/platform/soak/_document_publisher.py
@@ -56,13 +56,13 @@
             "Zone": "z0",
             "Slots": 8,
             "State": state,
-            "born": 1,
+            "born": server.born,
         }
         self._store.put("keyed.servers", server.id, entry)
 
-    def remove_server(self, server: SoakServer) -> None:
+    def remove_server(self, server_id: str) -> None:
         """Removes a server's entry."""
-        self._store.put("keyed.servers", server.id, None)
+        self._store.put("keyed.servers", server_id, None)
 
     def publish_configuration(self) -> None:
         """Publishes the next version of the configuration."""
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from camphordrift.platform.soak._crashing_callers import CrashingCallers
 from camphordrift.platform.soak._document_publisher import DocumentPublisher
 from camphordrift.platform.soak._faults import Fault
 from camphordrift.platform.soak._observations import Observations
@@ -28,12 +29,14 @@
         fleet: ServerFleet,
         store: SoakStore,
         publisher: DocumentPublisher,
+        crashing_callers: CrashingCallers,
         observations: Observations,
     ) -> None:
         self._vms = vms
         self._fleet = fleet
         self._store = store
         self._publisher = publisher
+        self._crashing_callers = crashing_callers
         self._observations = observations
 
     async def inject(self, fault: Fault, background: trio.Nursery) -> None:
@@ -50,17 +53,18 @@
             case "vm":
                 await self._disturb_vm(vm, action, fault.seconds)
             case "store":
-                await self._disturb_store(store_proxy, action, fault.seconds)
+                await self._disturb_store(vm, store_proxy, action, fault.seconds)
             case "servers":
-                async with trio.open_nursery() as nursery:
-                    for server, _ in self._fleet.servers:
-                        nursery.start_soon(_disturb_server, server, action, fault.seconds)
+                await self._disturb_all_servers(action, fault.seconds)
             case "server":
-                await self._disturb_server(fault, action, background)
+                with self._observations.record_span(self._observations.server_faults):
+                    await self._disturb_server(fault, action, background)
+            case "prompt":
+                await self._crashing_callers.run(fault.seconds)
             case "configuration":
                 self._publisher.change_limits()
             case _:
-                await self._change_key(store_proxy, action)
+                await self._change_key(vm, store_proxy, action)
 
     async def _disturb_vm(self, vm: Vm, action: str, seconds: float) -> None:
         match action:
@@ -73,32 +77,42 @@
             case _:
                 vm.send_sighup()
 
-    async def _disturb_store(self, proxy: Proxy, action: str, seconds: float) -> None:
+    async def _disturb_store(self, vm: Vm, proxy: Proxy, action: str, seconds: float) -> None:
+        observations = self._observations
         if action.startswith("way_"):
-            await _apply_proxy_mode(proxy, action.removeprefix("way_"), seconds)
+            with observations.record_span(observations.store_link_disruptions[vm.name]):
+                await _apply_proxy_mode(proxy, action.removeprefix("way_"), seconds)
             return
-        self._store.mode = StoreMode(action)
-        await trio.sleep(seconds)
-        self._store.mode = StoreMode.WELL
+        with observations.record_span(observations.store_disruptions):
+            self._store.mode = StoreMode(action)
+            await trio.sleep(seconds)
+            self._store.mode = StoreMode.WELL
+
+    async def _disturb_all_servers(self, action: str, seconds: float) -> None:
+        with self._observations.record_span(self._observations.server_faults):
+            async with trio.open_nursery() as nursery:
+                for server, _ in self._fleet.servers:
+                    nursery.start_soon(_disturb_server, server, action, seconds)
 
     async def _disturb_server(self, fault: Fault, action: str, background: trio.Nursery) -> None:
         server, proxy = self._fleet.servers[fault.target % len(self._fleet.servers)]
         if action == "replace":
             await self._fleet.replace(server, proxy, background)
         elif action.startswith("way_"):
-            with self._observations.record_span(self._observations.server_disruptions[server.id]):
+            with self._observations.record_span(self._observations.server_disruptions[server.name]):
                 await _apply_proxy_mode(proxy, action.removeprefix("way_"), fault.seconds)
         else:
             await _disturb_server(server, action, fault.seconds)
 
-    async def _change_key(self, store_proxy: Proxy, action: str) -> None:
+    async def _change_key(self, vm: Vm, store_proxy: Proxy, action: str) -> None:
         if action != "change_unseen":
             self._publisher.replace_oldest_key()
             return
-        store_proxy.set_mode(ProxyMode.SILENCE)
-        self._publisher.replace_oldest_key()
-        await trio.sleep(KEY_REVOCATION_DELAY + STORE_OUTAGE_TIME)
-        store_proxy.set_mode(ProxyMode.PASS)
+        with self._observations.record_span(self._observations.store_link_disruptions[vm.name]):
+            store_proxy.set_mode(ProxyMode.SILENCE)
+            self._publisher.replace_oldest_key()
+            await trio.sleep(KEY_REVOCATION_DELAY + STORE_OUTAGE_TIME)
+            store_proxy.set_mode(ProxyMode.PASS)
 
 
 async def _run_exclusively(vm: Vm, action: Callable[[], Awaitable[None]]) -> None:
@@ -115,6 +129,7 @@
 async def _disturb_server(server: SoakServer, action: str, seconds: float) -> None:
     if action == "silent":
         server.fall_silent(seconds)
+        await trio.sleep(seconds)
         return
     server.mode = ServerMode(action)
     await trio.sleep(seconds)
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -41,10 +41,15 @@
     "configuration_change",
     "server_unframed",
     "servers_unframed",
+    "prompt_crash",
 )
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
-_DURATIONS = {"server_silent": (0.8, 1.8), "servers_silent": (0.8, 1.8)}
+_DURATIONS = {
+    "server_silent": (0.8, 1.8),
+    "servers_silent": (0.8, 1.8),
+    "prompt_crash": (12.0, 14.0),
+}
 
 #: Mean number of seconds between the starts of two faults. Most faults last longer than that, so
 #: that they overlap.
--- a/camphordrift/platform/soak/_observations.py
+++ b/camphordrift/platform/soak/_observations.py
@@ -7,7 +7,15 @@
 
 import trio
 
-from camphordrift.platform.soak._records import CallerRequest, Execution, Span
+from camphordrift.platform.soak._records import (
+    STABLE_WINDOW,
+    Arrival,
+    CallerRequest,
+    Crash,
+    Execution,
+    Span,
+    overlaps,
+)
 
 
 def _spans_by_name() -> dict[str, list[Span]]:
@@ -20,6 +28,8 @@
 
     requests: dict[str, CallerRequest] = field(default_factory=dict)
     executions: list[Execution] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    crashes: list[Crash] = field(default_factory=list)
     #: Time by API key at which the store acknowledged the revocation.
     key_revoked_at: dict[str, float] = field(default_factory=dict)
     #: Intervals in which a VM was stopped, paused, killed or starting, by VM.
@@ -30,6 +40,12 @@
     vm_stops: dict[str, list[Span]] = field(default_factory=_spans_by_name)
     #: Intervals in which connections between the VMs and a server were disrupted, by server.
     server_disruptions: dict[str, list[Span]] = field(default_factory=_spans_by_name)
+    #: Intervals in which any server was made to fail, or one was replaced.
+    server_faults: list[Span] = field(default_factory=list)
+    #: Intervals in which the store did not respond correctly to every VM.
+    store_disruptions: list[Span] = field(default_factory=list)
+    #: Intervals in which the connections of a VM to the store were disrupted, by VM.
+    store_link_disruptions: dict[str, list[Span]] = field(default_factory=_spans_by_name)
     #: Unexpected exits and errors of the relay processes.
     process_failures: list[str] = field(default_factory=list)
 
@@ -48,6 +64,18 @@
         finally:
             spans.append((started_at, trio.current_time() + extra_seconds))
 
+    def is_in_touch(self, vm: str, at: float) -> bool:
+        """Returns whether neither a VM nor the store was disrupted shortly before ``at``."""
+        disruptions = (
+            self.vm_disruptions[vm] + self.store_link_disruptions[vm] + self.store_disruptions
+        )
+        return not overlaps(disruptions, at - STABLE_WINDOW, at)
+
+    def disruptions_of(self, server_id: str) -> list[Span]:
+        """Returns the intervals in which connections to a server were disrupted."""
+        name, _, _ = server_id.partition(".")
+        return self.server_disruptions[name]
+
     def executions_by_request(self) -> dict[str, list[Execution]]:
         """Returns the executions by request id."""
         executions: dict[str, list[Execution]] = defaultdict(list)
--- a/camphordrift/platform/soak/_records.py
+++ b/camphordrift/platform/soak/_records.py
@@ -6,6 +6,13 @@
 #: Start and end of an interval, as times of the soak's clock in seconds.
 Span = tuple[float, float]
 
+#: Seconds without disruptions after which time limits hold for a VM (StableWindowMs).
+STABLE_WINDOW = 3.0
+
+#: Seconds added to time limits, because a busy machine may delay the soak's processes. What must
+#: never happen is checked without this tolerance.
+SCHEDULING_SLACK = 1.0
+
 #: Kinds of requests that must run at most once.
 RUN_ONCE_KINDS = frozenset(("once", "single_stream"))
 
@@ -26,6 +33,8 @@
     sent_at: float
     #: Timeout of the caller in seconds.
     timeout: float
+    #: Ids of the parts of the prompt; empty for requests to servers that are not engines.
+    parts: tuple[str, ...] = ()
     #: Whether the caller sent the whole request.
     sent_completely: bool = False
     status: Optional[int] = None
@@ -34,6 +43,8 @@
     #: Signature header of the response, which names the backend server; ``None`` without one.
     signature: Optional[str] = None
     body: bytes = b""
+    #: Time at which the status line and headers of the response arrived.
+    head_at: Optional[float] = None
     #: Time at which the response ended or the connection broke.
     ended_at: Optional[float] = None
     #: Time at which the caller closed the connection deliberately.
@@ -57,6 +68,25 @@
     broken_off: bool = False
 
 
+@dataclass
+class Arrival:
+    """A request that reached the backend server for which it was meant, whether it ran or not."""
+
+    request_id: str
+    server: str
+    at: float
+
+
+@dataclass(frozen=True)
+class Crash:
+    """A crash of an engine."""
+
+    server: str
+    #: Prompt part that crashed the engine.
+    part: str
+    at: float
+
+
 #: Number of events in one stream.
 STREAM_EVENTS = 8
 
--- a/camphordrift/platform/soak/_request_checks.py
+++ b/camphordrift/platform/soak/_request_checks.py
@@ -5,6 +5,7 @@
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._records import (
     RUN_ONCE_KINDS,
+    SCHEDULING_SLACK,
     STREAM_KINDS,
     CallerRequest,
     Execution,
@@ -21,10 +22,6 @@
 #: Seconds after a caller disconnected within which servers must stop working on its request.
 DISCONNECT_SLACK = 0.5
 
-#: Seconds added to time limits, because a busy machine may delay the soak's processes. What must
-#: never happen is checked without this tolerance.
-SCHEDULING_SLACK = 1.0
-
 #: Statuses that guarantee that the request did not run and will not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -103,9 +100,8 @@
     stop_by = request.disconnected_at + DISCONNECT_SLACK + SCHEDULING_SLACK
     for execution in executions:
         ended_at = now if execution.ended_at is None else execution.ended_at
-        disruptions = (
-            observations.vm_disruptions[request.vm]
-            + observations.server_disruptions[execution.server]
+        disruptions = observations.vm_disruptions[request.vm] + observations.disruptions_of(
+            execution.server
         )
         if ended_at > stop_by and not overlaps(disruptions, request.sent_at - 1.0, stop_by):
             yield (
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -7,10 +7,12 @@
 
 from camphordrift.platform.soak._callers import Caller
 from camphordrift.platform.soak._checks import find_violations
+from camphordrift.platform.soak._crashing_callers import CrashingCallers
 from camphordrift.platform.soak._document_publisher import DocumentPublisher
 from camphordrift.platform.soak._fault_injection import FaultInjector
 from camphordrift.platform.soak._faults import FAULT_KINDS, draw_faults
 from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._prompts import find_crashing_part
 from camphordrift.platform.soak._proxy import Proxy
 from camphordrift.platform.soak._server_fleet import SERVER_PORT, ServerFleet
 from camphordrift.platform.soak._store import SoakStore
@@ -67,9 +69,19 @@
             proxy = Proxy(vm.host, SERVER_PORT, self._store.host, SERVER_PORT)
             self._vms.append((vm, proxy))
         self._publisher = DocumentPublisher(self._store, self.observations)
-        self._fleet = ServerFleet(network, self._publisher, self.observations)
+        self._fleet = ServerFleet(settings.seed, network, self._publisher, self.observations)
         self._injector = FaultInjector(
-            self._vms, self._fleet, self._store, self._publisher, self.observations
+            self._vms,
+            self._fleet,
+            self._store,
+            self._publisher,
+            CrashingCallers(
+                settings.seed,
+                [vm.callers for vm, _ in self._vms],
+                self._publisher.keys,
+                self.observations,
+            ),
+            self.observations,
         )
 
     async def run(self) -> list[str]:
@@ -128,6 +140,7 @@
             and now - request.sent_at > 1.0
             and request.disconnected_at is None
             and request.key in self._publisher.keys.accounts
+            and find_crashing_part(request.parts) is None
         ]
         served = [request for request in sent if request.complete and request.status == 200]
         if len(served) >= len(sent) * REQUIRED_SUCCESS_SHARE and sent:
--- a/camphordrift/platform/soak/_server_fleet.py
+++ b/camphordrift/platform/soak/_server_fleet.py
@@ -1,6 +1,7 @@
 """The backend servers of a run, with a proxy in front of each."""
 
 import itertools
+import random
 
 import trio
 
@@ -12,6 +13,12 @@
 #: Port of all servers of the soak; each has its own loopback address.
 SERVER_PORT = 8100
 
+#: Minimum and maximum number of seconds after a crash until a server starts again.
+_MIN_DOWNTIME, _MAX_DOWNTIME = 1.0, 3.0
+
+#: Seconds for which a server stays listed after it crashed.
+_EXPIRY_TIME = 2.0
+
 #: Seconds for which a draining server stays listed.
 _DRAINING_TIME = 3.0
 
@@ -20,6 +27,7 @@
     """Starts servers and replaces them.
 
     Args:
+        seed: Determines how long crashed servers are down.
         network: First three octets of the loopback network.
         publisher: Publishes the entries of the servers.
         observations: Records what the servers run.
@@ -27,8 +35,9 @@
     """
 
     def __init__(
-        self, network: str, publisher: DocumentPublisher, observations: Observations
+        self, seed: int, network: str, publisher: DocumentPublisher, observations: Observations
     ) -> None:
+        self._random = random.Random(f"servers {seed}")
         self._network = network
         self._publisher = publisher
         self._observations = observations
@@ -54,7 +63,7 @@
             self._observations,
         )
         proxy = Proxy(f"{self._network}.{proxy_host}", SERVER_PORT, server.host, SERVER_PORT)
-        await background.start(server.run)
+        await background.start(self._run_server, server, proxy)
         await background.start(proxy.run)
         self.servers.append((server, proxy))
         self._publisher.publish_server(server, proxy, "ready")
@@ -67,4 +76,27 @@
         await self.add(server.streams, background)
         self._publisher.publish_server(server, proxy, "draining")
         await trio.sleep(_DRAINING_TIME)
-        self._publisher.remove_server(server)
+        self._publisher.remove_server(server.id)
+
+    async def _run_server(
+        self,
+        server: SoakServer,
+        proxy: Proxy,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Runs a server, and starts it again under another id when it has crashed."""
+        await server.run(task_status.started)
+        async with trio.open_nursery() as nursery:
+            while True:
+                nursery.start_soon(self._expire, server.id)
+                await trio.sleep(self._random.uniform(_MIN_DOWNTIME, _MAX_DOWNTIME))
+                server.prepare_restart()
+                await server.run(lambda: self._publish_restarted(server, proxy))
+
+    async def _expire(self, server_id: str) -> None:
+        await trio.sleep(_EXPIRY_TIME)
+        self._publisher.remove_server(server_id)
+
+    def _publish_restarted(self, server: SoakServer, proxy: Proxy) -> None:
+        if not server.replaced:
+            self._publisher.publish_server(server, proxy, "ready")
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -1,14 +1,23 @@
 """Backend servers of the soak: engines that send streams, and servers of a plain service."""
 
 import contextlib
+import time
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
 import trio
 
 from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._prompts import find_crashing_part, parse_parts
 from camphordrift.platform.soak._proxy import reset_connection
-from camphordrift.platform.soak._records import STREAM_EVENTS, Execution, stream_event
+from camphordrift.platform.soak._records import (
+    STREAM_EVENTS,
+    Arrival,
+    Crash,
+    Execution,
+    stream_event,
+)
 from camphordrift.platform.soak._responses import (
     Framing,
     ResponsePlan,
@@ -17,7 +26,7 @@
     plan_truncated,
     plan_unframed,
 )
-from camphordrift.testing import HttpRequest, serve_requests
+from camphordrift.testing import HttpRequest, handle_requests
 
 
 class ServerMode(Enum):
@@ -50,7 +59,11 @@
     def __init__(
         self, number: int, host: str, port: int, streams: bool, observations: Observations
     ) -> None:
-        self.id = f"{'engine' if streams else 'office'}-{number}"
+        self.name = f"{'engine' if streams else 'office'}-{number}"
+        #: Id of the current process of the server; each start has its own.
+        self.id = self.name
+        #: Start of the current process in milliseconds since 1970.
+        self.born = _unix_milliseconds()
         self.host = host
         self.port = port
         self.streams = streams
@@ -58,6 +71,9 @@
         #: Whether another server replaces this one.
         self.replaced = False
         self._running: list[Execution] = []
+        self._connections: set[trio.SocketStream] = set()
+        self._process = trio.CancelScope()
+        self._restarts = 0
         self._silent_until = float("-inf")
         self._observations = observations
 
@@ -70,9 +86,41 @@
         if now >= self._silent_until + SILENCE_INTERVAL:
             self._silent_until = now + seconds
 
-    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serves until cancelled."""
-        await serve_requests(self.host, self.port, self._handle, task_status)
+    async def run(self, on_listening: Callable[[], None]) -> None:
+        """Serves until the server crashes.
+
+        Args:
+            on_listening: Called when the server accepts connections.
+
+        """
+        with self._process:
+            listeners = await trio.open_tcp_listeners(self.port, host=self.host)
+            on_listening()
+            await trio.serve_listeners(self._serve_connection, listeners)
+
+    def prepare_restart(self) -> None:
+        """Gives the server a new id, under which :meth:`run` starts it again."""
+        self._restarts += 1
+        self.id = f"{self.name}.{self._restarts}"
+        self.born = _unix_milliseconds()
+        self._process = trio.CancelScope()
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        self._connections.add(stream)
+        try:
+            await handle_requests(stream, self._handle)
+        finally:
+            self._connections.remove(stream)
+
+    async def _crash(self, part: str) -> None:
+        """Resets all connections and ends :meth:`run`."""
+        self._observations.crashes.append(Crash(self.id, part, trio.current_time()))
+        for execution in self._running:
+            execution.broken_off = True
+        for stream in self._connections:
+            reset_connection(stream)
+        self._process.cancel()
+        await trio.sleep_forever()
 
     async def _handle(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
         if request.target == "/v1/report":
@@ -81,6 +129,8 @@
         if request.headers.get("camphordrift-expect-instance") != self.id:
             await self._refuse(request, stream, "421 Misdirected Request")
             return True
+        request_id = request.headers.get("camphordrift-attempt-id", "")
+        self._observations.arrivals.append(Arrival(request_id, self.id, trio.current_time()))
         if self.mode is ServerMode.FULL:
             await self._refuse(request, stream, "503 Service Unavailable")
             return True
@@ -133,6 +183,10 @@
             )
             return True
         if self.streams:
+            parts = parse_parts(request.headers.get("camphordrift-prompt-prefix", ""))
+            if (crashing_part := find_crashing_part(parts)) is not None:
+                await trio.sleep(EVENT_INTERVAL)
+                await self._crash(crashing_part)
             last_event_id = int(request.headers.get("last-event-id", "0"))
             return await self._respond_with_stream(stream, headers, execution, last_event_id)
         return await self._respond_with_body(stream, headers, execution)
@@ -201,6 +255,10 @@
     return {"camphordrift-attempt-id": request.headers.get("camphordrift-attempt-id", "")}
 
 
+def _unix_milliseconds() -> int:
+    return int(time.time() * 1000)
+
+
 async def _cancel_on_close(stream: trio.SocketStream, scope: trio.CancelScope) -> None:
     """Cancels the scope when the peer closes the connection; relays do not pipeline requests."""
     with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
--- a/camphordrift/platform/soak/_vm.py
+++ b/camphordrift/platform/soak/_vm.py
@@ -15,7 +15,7 @@
 from camphordrift.platform.soak._answer_checks import GRACE_PERIOD
 from camphordrift.platform.soak._callers import VmAddress
 from camphordrift.platform.soak._observations import Observations
-from camphordrift.platform.soak._request_checks import SCHEDULING_SLACK
+from camphordrift.platform.soak._records import SCHEDULING_SLACK
 
 #: Seconds for which a VM still counts as disrupted after it is ready again, as other VMs may still
 #: treat it as their leader.
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -52,3 +52,6 @@
 
     def test_unframed_responses_that_are_broken_off_are_not_forwarded_as_complete(self) -> None:
         self.check_report(run_short_soak(("server_unframed", "servers_unframed")))
+
+    def test_prompts_that_crash_engines_are_stopped(self) -> None:
+        self.check_report(run_short_soak(("prompt_crash",), seconds=1.0))
