Soak: servers that say in their responses that they leave

A leaving server adds Server-Leaving to all its responses, reports included, serves on, and is listed as draining 3 to 6 s later. The soak checks that no request that a caller sent later than DrainMs after a VM forwarded such a response reaches that server from that VM, and, for VMs in touch, that none reaches a server later than DrainMs after the store listed it as draining.

The response of a server is a class of its own. A run without checks of times no longer waits for the recovery that it does not check (3 s).

--- a/camphordrift/platform/soak/_checks.py
+++ b/camphordrift/platform/soak/_checks.py
@@ -8,6 +8,7 @@
     response_violations,
     timing_violations,
 )
+from camphordrift.platform.soak._server_checks import draining_violations, leaving_violations
 
 
 def find_violations(observations: Observations, now: float, check_timing: bool = True) -> list[str]:
@@ -23,6 +24,8 @@
     violations += execution_violations(observations)
     violations += response_violations(observations)
     violations += crashing_prompt_violations(observations)
+    violations += leaving_violations(observations)
+    violations += draining_violations(observations)
     violations += unanswered_violations(observations)
     if check_timing:
         violations += timing_violations(observations, now)
--- a/camphordrift/platform/soak/_document_publisher.py
+++ b/camphordrift/platform/soak/_document_publisher.py
@@ -59,6 +59,8 @@
             "born": server.born,
         }
         self._store.put("keyed.servers", server.id, entry)
+        if state == "draining":
+            self._observations.draining_at.setdefault(server.id, trio.current_time())
 
     def remove_server(self, server_id: str) -> None:
         """Removes a server's entry."""
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -98,6 +98,8 @@
         server, proxy = self._fleet.servers[fault.target % len(self._fleet.servers)]
         if action == "replace":
             await self._fleet.replace(server, proxy, background)
+        elif action == "leave":
+            await self._fleet.leave(server, proxy, fault.seconds, background)
         elif action.startswith("way_"):
             with self._observations.record_span(self._observations.server_disruptions[server.name]):
                 await _apply_proxy_mode(proxy, action.removeprefix("way_"), fault.seconds)
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -42,6 +42,7 @@
     "server_unframed",
     "servers_unframed",
     "prompt_crash",
+    "server_leave",
 )
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
@@ -49,6 +50,7 @@
     "server_silent": (0.8, 1.8),
     "servers_silent": (0.8, 1.8),
     "prompt_crash": (12.0, 14.0),
+    "server_leave": (3.0, 6.0),
 }
 
 #: Mean number of seconds between the starts of two faults. Most faults last longer than that, so
--- a/camphordrift/platform/soak/_observations.py
+++ b/camphordrift/platform/soak/_observations.py
@@ -32,6 +32,8 @@
     crashes: list[Crash] = field(default_factory=list)
     #: Time by API key at which the store acknowledged the revocation.
     key_revoked_at: dict[str, float] = field(default_factory=dict)
+    #: Time by server id at which the store acknowledged that the server is draining.
+    draining_at: dict[str, float] = field(default_factory=dict)
     #: Intervals in which a VM was stopped, paused, killed or starting, by VM.
     vm_disruptions: dict[str, list[Span]] = field(default_factory=_spans_by_name)
     #: Intervals in which a VM was killed, paused or starting, by VM.
@@ -66,10 +68,14 @@
 
     def is_in_touch(self, vm: str, at: float) -> bool:
         """Returns whether neither a VM nor the store was disrupted shortly before ``at``."""
+        return self.is_in_touch_throughout(vm, at, at)
+
+    def is_in_touch_throughout(self, vm: str, start: float, end: float) -> bool:
+        """Returns whether the VM was in touch from ``start`` to ``end``."""
         disruptions = (
             self.vm_disruptions[vm] + self.store_link_disruptions[vm] + self.store_disruptions
         )
-        return not overlaps(disruptions, at - STABLE_WINDOW, at)
+        return not overlaps(disruptions, start - STABLE_WINDOW, end)
 
     def disruptions_of(self, server_id: str) -> list[Span]:
         """Returns the intervals in which connections to a server were disrupted."""
--- a/camphordrift/platform/soak/_records.py
+++ b/camphordrift/platform/soak/_records.py
@@ -64,6 +64,8 @@
     ended_at: Optional[float] = None
     #: Body of the response; ``None`` unless the server sent it completely.
     response_body: Optional[bytes] = None
+    #: Whether the response says that the server leaves.
+    leaving: bool = False
     #: Whether the server broke the response off.
     broken_off: bool = False
 
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -104,9 +104,8 @@
         finally:
             for vm, _ in self._vms:
                 vm.kill_now()
-        check_timing = self._settings.check_timing
-        violations = find_violations(self.observations, trio.current_time(), check_timing)
-        return violations + (recovery_violations if check_timing else [])
+        now, check_timing = trio.current_time(), self._settings.check_timing
+        return find_violations(self.observations, now, check_timing) + recovery_violations
 
     async def _run_load(self, background: trio.Nursery) -> list[str]:
         """Runs load and faults; returns a line if requests are not served again afterwards."""
@@ -125,9 +124,11 @@
                     await trio.sleep_until(load_start + fault.start)
                     faults.start_soon(self._injector.inject, fault, background)
             await trio.sleep(self._settings.recovery_seconds)
-            verification_start = trio.current_time()
-            await trio.sleep(VERIFICATION_TIME)
-            recovery_violations = self._recovery_violations(verification_start)
+            recovery_violations: list[str] = []
+            if self._settings.check_timing:
+                verification_start = trio.current_time()
+                await trio.sleep(VERIFICATION_TIME)
+                recovery_violations = self._recovery_violations(verification_start)
             load.cancel_scope.cancel()
         return recovery_violations
 
--- /dev/null
+++ b/camphordrift/platform/soak/_server_checks.py
@@ -0,0 +1,82 @@
+"""Checks that VMs stop sending requests to servers that leave or turn requests away."""
+
+from collections.abc import Iterator
+
+from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._records import (
+    SCHEDULING_SLACK,
+    STABLE_WINDOW,
+    CallerRequest,
+    Execution,
+    overlaps,
+)
+
+#: Seconds after a VM learned that a server leaves, in which callers' requests may still be sent to
+#: it (DrainMs).
+DRAIN_DELAY = 2.0
+
+
+def leaving_violations(observations: Observations) -> Iterator[str]:
+    """Yields requests that a VM sent to a server after forwarding a response that says it leaves.
+
+    The VM learns this from its own traffic, so no disruption excuses it but one of the VM itself.
+    """
+    told_at = _times_of_leaving_responses(observations)
+    for execution in observations.executions:
+        request = observations.requests.get(execution.request_id)
+        if request is None:
+            continue
+        since = told_at.get((request.vm, execution.server), float("inf"))
+        if request.sent_at > since + DRAIN_DELAY and not overlaps(
+            observations.vm_disruptions[request.vm], since, request.sent_at
+        ):
+            yield (
+                f"{execution.server} ran {request.id}, sent {request.sent_at - since:.2f} s after"
+                f" {request.vm} forwarded a response in which the server says that it leaves"
+            )
+
+
+def _times_of_leaving_responses(observations: Observations) -> dict[tuple[str, str], float]:
+    """Returns when a VM first forwarded a response of a leaving server, by VM and server."""
+    told_at: dict[tuple[str, str], float] = {}
+    for execution in observations.executions:
+        request = observations.requests.get(execution.request_id)
+        if request is None or request.head_at is None:
+            continue
+        if execution.leaving and request.signature == execution.server:
+            key = request.vm, execution.server
+            told_at[key] = min(request.head_at, told_at.get(key, float("inf")))
+    return told_at
+
+
+def draining_violations(observations: Observations) -> Iterator[str]:
+    """Yields requests that a VM sent to a server later than it must know that the server drains."""
+    for execution in observations.executions:
+        request = observations.requests.get(execution.request_id)
+        listed_at = observations.draining_at.get(execution.server)
+        if (
+            request is not None
+            and listed_at is not None
+            and _must_know_draining(request, execution, listed_at, observations)
+        ):
+            yield (
+                f"{execution.server} ran {request.id}, sent by {request.vm}"
+                f" {request.sent_at - listed_at:.2f} s after the server was listed as draining"
+            )
+
+
+def _must_know_draining(
+    request: CallerRequest, execution: Execution, listed_at: float, observations: Observations
+) -> bool:
+    known_at = listed_at + DRAIN_DELAY + SCHEDULING_SLACK
+    return (
+        request.sent_at > known_at
+        and observations.is_in_touch_throughout(request.vm, listed_at, known_at)
+        # A VM that was restarted since may have read an older copy of the store.
+        and not overlaps(observations.vm_disruptions[request.vm], known_at, request.sent_at)
+        and not overlaps(
+            observations.disruptions_of(execution.server),
+            request.sent_at - STABLE_WINDOW,
+            execution.started_at,
+        )
+    )
--- a/camphordrift/platform/soak/_server_fleet.py
+++ b/camphordrift/platform/soak/_server_fleet.py
@@ -74,6 +74,28 @@
             return
         server.replaced = True
         await self.add(server.streams, background)
+        await self._drain(server, proxy)
+
+    async def leave(
+        self, server: SoakServer, proxy: Proxy, seconds: float, background: trio.Nursery
+    ) -> None:
+        """Adds a new server, and lets the old one say in its responses that it leaves.
+
+        Args:
+            server: The old server.
+            proxy: The proxy in front of it.
+            seconds: Seconds after which the old server is listed as draining.
+            background: Runs the new server.
+
+        """
+        if server.replaced:
+            return
+        server.replaced = server.leaving = True
+        await self.add(server.streams, background)
+        await trio.sleep(seconds)
+        await self._drain(server, proxy)
+
+    async def _drain(self, server: SoakServer, proxy: Proxy) -> None:
         self._publisher.publish_server(server, proxy, "draining")
         await trio.sleep(_DRAINING_TIME)
         self._publisher.remove_server(server.id)
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -11,18 +11,13 @@
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._prompts import find_crashing_part, parse_parts
 from camphordrift.platform.soak._proxy import reset_connection
-from camphordrift.platform.soak._records import (
-    STREAM_EVENTS,
-    Arrival,
-    Crash,
-    Execution,
-    stream_event,
-)
+from camphordrift.platform.soak._records import Arrival, Crash, Execution
 from camphordrift.platform.soak._responses import (
+    EVENT_INTERVAL,
     Framing,
+    Response,
     ResponsePlan,
     format_head,
-    format_part,
     plan_truncated,
     plan_unframed,
 )
@@ -46,9 +41,6 @@
     UNFRAMED = "unframed"
 
 
-#: Seconds between events of a stream, and until a response that is not a stream.
-EVENT_INTERVAL = 0.05
-
 #: Minimum number of seconds between two times in which a server sends nothing.
 SILENCE_INTERVAL = 0.5
 
@@ -74,6 +66,8 @@
         self._connections: set[trio.SocketStream] = set()
         self._process = trio.CancelScope()
         self._restarts = 0
+        #: Whether the server says in its responses that it leaves.
+        self.leaving = False
         self._silent_until = float("-inf")
         self._observations = observations
 
@@ -139,12 +133,19 @@
     async def _report(self, stream: trio.SocketStream) -> None:
         content = msgspec.json.encode({"Running": len(self._running), "Queued": 0})
         head = format_head(
-            "200 OK", {"content-type": "application/json"}, Framing.LENGTH, len(content)
+            "200 OK",
+            {"content-type": "application/json", **self._leaving_header()},
+            Framing.LENGTH,
+            len(content),
         )
         await self._send(stream, head + content)
 
     async def _refuse(self, request: HttpRequest, stream: trio.SocketStream, status: str) -> None:
-        headers = {**_identity(request), "camphordrift-not-executed": "1"}
+        headers = {
+            **_identity(request),
+            **self._leaving_header(),
+            "camphordrift-not-executed": "1",
+        }
         await self._send(stream, format_head(status, headers, Framing.LENGTH))
 
     async def _execute(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
@@ -176,20 +177,28 @@
     ) -> bool:
         if self.mode is ServerMode.HANG:
             await trio.sleep_forever()
-        headers = {**_identity(request), "camphordrift-engine-signature": self.id}
+        headers = {
+            **_identity(request),
+            **self._leaving_header(),
+            "camphordrift-engine-signature": self.id,
+        }
+        execution.leaving = self.leaving
         if self.mode is ServerMode.FAIL:
             await self._send(
                 stream, format_head("500 Internal Server Error", headers, Framing.LENGTH)
             )
             return True
+        await trio.sleep(EVENT_INTERVAL)
+        crashing_part = find_crashing_part(
+            parse_parts(request.headers.get("camphordrift-prompt-prefix", ""))
+        )
+        if self.streams and crashing_part is not None:
+            await self._crash(crashing_part)
+        response = Response(execution, self._plan(execution.request_id), stream, self._send)
         if self.streams:
-            parts = parse_parts(request.headers.get("camphordrift-prompt-prefix", ""))
-            if (crashing_part := find_crashing_part(parts)) is not None:
-                await trio.sleep(EVENT_INTERVAL)
-                await self._crash(crashing_part)
             last_event_id = int(request.headers.get("last-event-id", "0"))
-            return await self._respond_with_stream(stream, headers, execution, last_event_id)
-        return await self._respond_with_body(stream, headers, execution)
+            return await response.send_stream(headers, last_event_id)
+        return await response.send_body(headers)
 
     def _plan(self, request_id: str) -> ResponsePlan:
         framing = Framing.CHUNKS if self.streams else Framing.LENGTH
@@ -201,48 +210,8 @@
             case _:
                 return ResponsePlan(framing)
 
-    async def _respond_with_body(
-        self, stream: trio.SocketStream, headers: dict[str, str], execution: Execution
-    ) -> bool:
-        await trio.sleep(EVENT_INTERVAL)
-        plan = self._plan(execution.request_id)
-        body = f"{execution.request_id} by {self.id} at {execution.started_at}".encode()
-        head = format_head("200 OK", headers, plan.framing, len(body))
-        if plan.broken_event is not None:
-            await self._break_off(stream, execution, plan, head + body[:5])
-            return False
-        execution.response_body = body
-        await self._send(stream, head + body)
-        return plan.framing is not Framing.CONNECTION
-
-    async def _respond_with_stream(
-        self,
-        stream: trio.SocketStream,
-        headers: dict[str, str],
-        execution: Execution,
-        last_event_id: int,
-    ) -> bool:
-        headers["content-type"] = "text/event-stream"
-        plan = self._plan(execution.request_id)
-        await self._send(stream, format_head("200 OK", headers, plan.framing))
-        for number in range(last_event_id + 1, STREAM_EVENTS + 1):
-            await trio.sleep(EVENT_INTERVAL)
-            event = stream_event(execution.request_id, number)
-            if number == plan.broken_event:
-                part = b"" if plan.resets else format_part(event[:-4], plan.framing)
-                await self._break_off(stream, execution, plan, part)
-                return False
-            await self._send(stream, format_part(event, plan.framing))
-        await self._send(stream, format_part(b"", plan.framing))
-        return plan.framing is not Framing.CONNECTION
-
-    async def _break_off(
-        self, stream: trio.SocketStream, execution: Execution, plan: ResponsePlan, part: bytes
-    ) -> None:
-        execution.broken_off = True
-        await self._send(stream, part)
-        if plan.resets:
-            reset_connection(stream)
+    def _leaving_header(self) -> dict[str, str]:
+        return {"server-leaving": "1"} if self.leaving else {}
 
     async def _send(self, stream: trio.SocketStream, data: bytes) -> None:
         while (remaining := self._silent_until - trio.current_time()) > 0:
--- a/camphordrift/platform/soak/tests/test_checks.py
+++ b/camphordrift/platform/soak/tests/test_checks.py
@@ -13,27 +13,10 @@
 from camphordrift.platform.soak._faults import FAULT_KINDS, draw_faults
 from camphordrift.platform.soak._records import STREAM_EVENTS, stream_body
 from camphordrift.platform.soak._responses import plan_unframed
+from camphordrift.platform.soak.tests.samples import EXECUTION, REQUEST
 
-_ONCE = CallerRequest(
-    id="a1",
-    kind="once",
-    key="k1",
-    account="school",
-    vm="vm-0",
-    sent_at=1.0,
-    timeout=2.0,
-    status=200,
-    complete=True,
-    signature="office-1",
-    body=b"done",
-    ended_at=1.5,
-    sent_completely=True,
-)
-_STREAM = replace(_ONCE, kind="stream", body=stream_body("a1"))
-_EXECUTION = Execution(
-    "a1", "office-1", "school", False, started_at=1.1, ended_at=1.4, response_body=b"done"
-)
-_UNANSWERED = replace(_ONCE, status=None, complete=False, signature=None, body=b"")
+_STREAM = replace(REQUEST, kind="stream", body=stream_body("a1"))
+_UNANSWERED = replace(REQUEST, status=None, complete=False, signature=None, body=b"")
 
 
 class GuaranteeTest(testtools.TestCase):
@@ -49,57 +32,58 @@
         self.assertIn(words, line)
 
     def test_correct_executions_are_not_reported(self) -> None:
-        self.assertEqual([], self.violations(_ONCE, _EXECUTION))
-        self.assertEqual([], self.violations(_STREAM, _EXECUTION, _EXECUTION))
+        self.assertEqual([], self.violations(REQUEST, EXECUTION))
+        self.assertEqual([], self.violations(_STREAM, EXECUTION, EXECUTION))
 
     def test_reports_a_request_that_ran_twice(self) -> None:
-        self.assert_violation("must run at most once", _ONCE, _EXECUTION, _EXECUTION)
+        self.assert_violation("must run at most once", REQUEST, EXECUTION, EXECUTION)
 
     def test_reports_a_refusal_of_a_request_that_ran(self) -> None:
-        self.assert_violation("got status 503", replace(_ONCE, status=503), _EXECUTION)
+        self.assert_violation("got status 503", replace(REQUEST, status=503), EXECUTION)
 
     def test_reports_an_execution_without_a_caller(self) -> None:
         self.assert_violation(
-            "no caller sent", _ONCE, _EXECUTION, replace(_EXECUTION, request_id="a2")
+            "no caller sent", REQUEST, EXECUTION, replace(EXECUTION, request_id="a2")
         )
 
     def test_reports_a_wrong_account_and_a_forwarded_key(self) -> None:
-        self.assert_violation("not 'school'", _ONCE, replace(_EXECUTION, account="club"))
-        self.assert_violation("not 'school'", _ONCE, replace(_EXECUTION, key_forwarded=True))
+        self.assert_violation("not 'school'", REQUEST, replace(EXECUTION, account="club"))
+        self.assert_violation("not 'school'", REQUEST, replace(EXECUTION, key_forwarded=True))
 
     def test_reports_an_execution_with_a_revoked_key(self) -> None:
-        late_request = replace(_ONCE, key="old", sent_at=5.1, ended_at=5.5)
-        self.assert_violation("after its key was revoked", late_request, _EXECUTION)
-        self.assertEqual([], self.violations(replace(late_request, sent_at=4.9), _EXECUTION))
+        late_request = replace(REQUEST, key="old", sent_at=5.1, ended_at=5.5)
+        self.assert_violation("after its key was revoked", late_request, EXECUTION)
+        self.assertEqual([], self.violations(replace(late_request, sent_at=4.9), EXECUTION))
 
     def test_reports_responses_that_differ_from_the_servers(self) -> None:
-        self.assert_violation("no server sent", replace(_ONCE, body=b"don"), _EXECUTION)
-        self.assert_violation("without a signature", replace(_ONCE, signature=None), _EXECUTION)
+        self.assert_violation("no server sent", replace(REQUEST, body=b"don"), EXECUTION)
+        self.assert_violation("without a signature", replace(REQUEST, signature=None), EXECUTION)
         truncated = replace(_STREAM, body=stream_body("a1")[:-10])
-        self.assert_violation("wrong events", truncated, _EXECUTION)
+        self.assert_violation("wrong events", truncated, EXECUTION)
         unframed = replace(_STREAM, body=stream_body("a1")[: -len(stream_body("a1", 7))])
-        self.assert_violation("wrong events", unframed, replace(_EXECUTION, broken_off=True))
+        self.assert_violation("wrong events", unframed, replace(EXECUTION, broken_off=True))
         doubled = replace(_STREAM, body=stream_body("a1") + stream_body("a1", 7))
-        self.assert_violation("wrong events", doubled, _EXECUTION)
+        self.assert_violation("wrong events", doubled, EXECUTION)
 
     def test_an_incomplete_response_may_be_short(self) -> None:
-        broken_off = replace(_EXECUTION, broken_off=True)
-        self.assertEqual([], self.violations(replace(_ONCE, body=b"d", complete=False), broken_off))
+        broken_off = replace(EXECUTION, broken_off=True)
+        short = replace(REQUEST, body=b"d", complete=False)
+        self.assertEqual([], self.violations(short, broken_off))
 
     def test_reports_a_late_response(self) -> None:
-        late_request = replace(_ONCE, ended_at=4.6)
-        self.assert_violation("no final response", late_request, _EXECUTION)
-        self.assertEqual([], self.violations(replace(late_request, vm="vm-9"), _EXECUTION))
+        late_request = replace(REQUEST, ended_at=4.6)
+        self.assert_violation("no final response", late_request, EXECUTION)
+        self.assertEqual([], self.violations(replace(late_request, vm="vm-9"), EXECUTION))
 
     def test_reports_work_after_the_caller_disconnected(self) -> None:
-        disconnected = replace(_ONCE, status=None, complete=False, disconnected_at=1.2)
+        disconnected = replace(REQUEST, status=None, complete=False, disconnected_at=1.2)
         self.assert_violation(
-            "after its caller disconnected", disconnected, replace(_EXECUTION, ended_at=2.8)
+            "after its caller disconnected", disconnected, replace(EXECUTION, ended_at=2.8)
         )
-        self.assertEqual([], self.violations(disconnected, replace(_EXECUTION, ended_at=2.6)))
+        self.assertEqual([], self.violations(disconnected, replace(EXECUTION, ended_at=2.6)))
         self.assertEqual(
             [],
-            self.violations(disconnected, replace(_EXECUTION, server="office-9", ended_at=None)),
+            self.violations(disconnected, replace(EXECUTION, server="office-9", ended_at=None)),
         )
 
 
@@ -114,31 +98,31 @@
         return find_violations(observations, 20.0)
 
     def test_reports_a_request_without_a_complete_response(self) -> None:
-        (line,) = self.violations(_UNANSWERED, _EXECUTION)
+        (line,) = self.violations(_UNANSWERED, EXECUTION)
         self.assertIn("got no complete response", line)
-        self.assertEqual(1, len(self.violations(replace(_UNANSWERED, status=200), _EXECUTION)))
+        self.assertEqual(1, len(self.violations(replace(_UNANSWERED, status=200), EXECUTION)))
 
     def test_a_response_may_be_incomplete_if_its_server_broke_it_off(self) -> None:
-        self.assertEqual([], self.violations(_UNANSWERED, replace(_EXECUTION, broken_off=True)))
-        self.assertEqual([], self.violations(_UNANSWERED, replace(_EXECUTION, server="office-9")))
+        self.assertEqual([], self.violations(_UNANSWERED, replace(EXECUTION, broken_off=True)))
+        self.assertEqual([], self.violations(_UNANSWERED, replace(EXECUTION, server="office-9")))
 
     def test_a_response_may_be_incomplete_at_the_deadline_or_if_the_vm_was_killed(self) -> None:
-        self.assertEqual([], self.violations(replace(_UNANSWERED, timeout=0.5), _EXECUTION))
-        self.assertEqual([], self.violations(replace(_UNANSWERED, vm="vm-9"), _EXECUTION))
+        self.assertEqual([], self.violations(replace(_UNANSWERED, timeout=0.5), EXECUTION))
+        self.assertEqual([], self.violations(replace(_UNANSWERED, vm="vm-9"), EXECUTION))
 
     def test_a_request_that_was_not_sent_completely_needs_no_response(self) -> None:
         request = replace(_UNANSWERED, sent_completely=False)
-        self.assertEqual([], self.violations(request, _EXECUTION))
+        self.assertEqual([], self.violations(request, EXECUTION))
 
     def test_reports_a_request_that_ran_and_was_lost_by_a_vm_that_got_sigterm(self) -> None:
-        self.assertEqual(1, len(self.violations(_UNANSWERED, _EXECUTION, stopped_at=1.0)))
-        other_execution = replace(_EXECUTION, request_id="a2")
+        self.assertEqual(1, len(self.violations(_UNANSWERED, EXECUTION, stopped_at=1.0)))
+        other_execution = replace(EXECUTION, request_id="a2")
         unread = self.violations(_UNANSWERED, other_execution, stopped_at=1.0)
         self.assertEqual([], [line for line in unread if "complete response" in line])
 
     def test_a_vm_may_give_up_requests_at_the_end_of_its_grace_period(self) -> None:
         request = replace(_UNANSWERED, timeout=9.0, ended_at=5.0)
-        execution = replace(_EXECUTION, ended_at=4.9)
+        execution = replace(EXECUTION, ended_at=4.9)
         self.assertEqual([], self.violations(request, execution, stopped_at=1.1))
         self.assertEqual(1, len(self.violations(request, execution, stopped_at=1.9)))
 
--- a/camphordrift/platform/soak/tests/test_prompt_checks.py
+++ b/camphordrift/platform/soak/tests/test_prompt_checks.py
@@ -1,6 +1,7 @@
 """Tests that the soak reports prompts that crash engines for too long."""
 
 import random
+from dataclasses import replace
 
 import testtools
 
@@ -13,22 +14,23 @@
     format_parts,
     parse_parts,
 )
-from camphordrift.platform.soak._records import Arrival, Crash
+from camphordrift.platform.soak._records import Arrival, Crash, stream_body
+from camphordrift.platform.soak.tests.samples import REQUEST
 
 _PART = crashing_part_id(1)
 
 
 def _request(request_id: str, parts: tuple[str, ...], sent_at: float, status: int) -> CallerRequest:
-    return CallerRequest(
+    return replace(
+        REQUEST,
         id=request_id,
         kind="stream",
-        key="k1",
-        account="school",
-        vm="vm-0",
         sent_at=sent_at,
         timeout=4.0,
         parts=parts,
         status=status,
+        complete=True,
+        body=stream_body(request_id),
         ended_at=sent_at + 0.5,
     )
 
--- /dev/null
+++ b/camphordrift/platform/soak/tests/test_server_checks.py
@@ -0,0 +1,62 @@
+"""Tests that the soak reports requests to servers that leave or turn requests away."""
+
+from dataclasses import replace
+
+import testtools
+
+from camphordrift.platform.soak import Observations, find_violations
+from camphordrift.platform.soak.tests.samples import EXECUTION, REQUEST
+
+
+class LeavingServerTest(testtools.TestCase):
+    def violations(self, sent_at: float, leaving: bool = True, vm: str = "vm-0") -> list[str]:
+        """The first request gets its response at 1.4 s; the second is sent at ``sent_at``."""
+        second_request = replace(
+            REQUEST, id="a2", vm=vm, sent_at=sent_at, head_at=sent_at, ended_at=sent_at
+        )
+        second_execution = replace(EXECUTION, request_id="a2", started_at=sent_at, leaving=True)
+        observations = Observations(
+            requests={"a1": REQUEST, "a2": second_request},
+            executions=[replace(EXECUTION, leaving=leaving), second_execution],
+        )
+        observations.vm_disruptions["vm-0"].append((8.0, 8.5))
+        return find_violations(observations, 20.0)
+
+    def test_reports_requests_that_are_sent_too_late(self) -> None:
+        (line,) = self.violations(3.5)
+        self.assertIn("says that it leaves", line)
+
+    def test_requests_may_be_sent_until_the_drain_delay_has_passed(self) -> None:
+        self.assertEqual([], self.violations(3.3))
+        self.assertEqual([], self.violations(3.5, leaving=False))
+
+    def test_vms_that_were_not_told_or_restarted_may_send_requests(self) -> None:
+        self.assertEqual([], self.violations(3.5, vm="vm-1"))
+        self.assertEqual([], self.violations(9.0))
+
+
+class DrainingServerTest(testtools.TestCase):
+    def violations(self, sent_at: float, vm: str = "vm-0", server: str = "office-1") -> list[str]:
+        request = replace(REQUEST, vm=vm, sent_at=sent_at, head_at=sent_at, ended_at=sent_at)
+        execution = replace(EXECUTION, server=server, started_at=sent_at)
+        observations = Observations(requests={"a1": request}, executions=[execution])
+        observations.draining_at = {"office-1": 10.0, "office-2": 10.0}
+        observations.vm_disruptions["vm-1"].append((8.0, 8.5))
+        observations.vm_disruptions["vm-2"].append((14.0, 14.5))
+        observations.store_link_disruptions["vm-3"].append((12.0, 12.5))
+        observations.store_link_disruptions["vm-0"].append((14.0, 14.5))
+        observations.server_disruptions["office-2"].append((13.0, 14.0))
+        return find_violations(observations, 20.0)
+
+    def test_reports_requests_that_are_sent_too_late(self) -> None:
+        (line,) = self.violations(13.1)
+        self.assertIn("listed as draining", line)
+        self.assertEqual(1, len(self.violations(15.0)))
+
+    def test_requests_may_be_sent_until_the_vm_must_know(self) -> None:
+        self.assertEqual([], self.violations(12.9))
+        self.assertEqual([], self.violations(15.0, server="office-2"))
+
+    def test_vms_that_were_not_in_touch_may_send_requests(self) -> None:
+        for vm in ("vm-1", "vm-2", "vm-3"):
+            self.assertEqual([], self.violations(15.0, vm=vm))
