Soak: servers that turn requests away for a time

A server, or all of them, refuses requests for 3 to 5 s with status 503 and Retry-After. The soak checks that no more than two requests reach a server from a VM in the rest of that time, from half a second after its refusal (plus the second that all time limits of the soak allow).

--- a/camphordrift/platform/soak/_checks.py
+++ b/camphordrift/platform/soak/_checks.py
@@ -8,7 +8,11 @@
     response_violations,
     timing_violations,
 )
-from camphordrift.platform.soak._server_checks import draining_violations, leaving_violations
+from camphordrift.platform.soak._server_checks import (
+    draining_violations,
+    leaving_violations,
+    pause_violations,
+)
 
 
 def find_violations(observations: Observations, now: float, check_timing: bool = True) -> list[str]:
@@ -26,6 +30,7 @@
     violations += crashing_prompt_violations(observations)
     violations += leaving_violations(observations)
     violations += draining_violations(observations)
+    violations += pause_violations(observations)
     violations += unanswered_violations(observations)
     if check_timing:
         violations += timing_violations(observations, now)
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -133,6 +133,10 @@
         server.fall_silent(seconds)
         await trio.sleep(seconds)
         return
+    if action == "turn_away":
+        server.turn_away(seconds)
+        await trio.sleep(seconds)
+        return
     server.mode = ServerMode(action)
     await trio.sleep(seconds)
     server.mode = ServerMode.WELL
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -43,6 +43,8 @@
     "servers_unframed",
     "prompt_crash",
     "server_leave",
+    "server_turn_away",
+    "servers_turn_away",
 )
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
@@ -51,6 +53,8 @@
     "servers_silent": (0.8, 1.8),
     "prompt_crash": (12.0, 14.0),
     "server_leave": (3.0, 6.0),
+    "server_turn_away": (3.0, 5.0),
+    "servers_turn_away": (3.0, 5.0),
 }
 
 #: Mean number of seconds between the starts of two faults. Most faults last longer than that, so
--- a/camphordrift/platform/soak/_records.py
+++ b/camphordrift/platform/soak/_records.py
@@ -77,6 +77,10 @@
     request_id: str
     server: str
     at: float
+    #: Time at which the server sent a refusal that asked the VM to pause.
+    refused_at: Optional[float] = None
+    #: End of that pause.
+    pause_ends_at: float = float("-inf")
 
 
 @dataclass(frozen=True)
--- a/camphordrift/platform/soak/_server_checks.py
+++ b/camphordrift/platform/soak/_server_checks.py
@@ -6,6 +6,7 @@
 from camphordrift.platform.soak._records import (
     SCHEDULING_SLACK,
     STABLE_WINDOW,
+    Arrival,
     CallerRequest,
     Execution,
     overlaps,
@@ -15,6 +16,10 @@
 #: it (DrainMs).
 DRAIN_DELAY = 2.0
 
+#: Seconds after a refusal that asks a VM to pause in which requests may still be on their way, and
+#: the number of requests that may arrive from then on until the end of the pause.
+PAUSE_DELAY, TOLERATED_IN_PAUSE = 0.5, 2
+
 
 def leaving_violations(observations: Observations) -> Iterator[str]:
     """Yields requests that a VM sent to a server after forwarding a response that says it leaves.
@@ -80,3 +85,34 @@
             execution.started_at,
         )
     )
+
+
+def pause_violations(observations: Observations) -> Iterator[str]:
+    """Yields servers that got requests of a VM in a pause for which they had asked it."""
+    arrivals: dict[tuple[str, str], list[Arrival]] = {}
+    for arrival in observations.arrivals:
+        request = observations.requests.get(arrival.request_id)
+        if request is not None:
+            arrivals.setdefault((request.vm, arrival.server), []).append(arrival)
+    for (vm, server), arrivals_of_vm in arrivals.items():
+        count = max(
+            _arrivals_in_pause(arrival, arrivals_of_vm, vm, observations)
+            for arrival in arrivals_of_vm
+        )
+        if count > TOLERATED_IN_PAUSE:
+            yield f"{server} got {count} requests of {vm} in a pause for which it had asked"
+
+
+def _arrivals_in_pause(
+    refusal: Arrival, arrivals: list[Arrival], vm: str, observations: Observations
+) -> int:
+    if refusal.refused_at is None:
+        return 0
+    start = refusal.refused_at + PAUSE_DELAY + SCHEDULING_SLACK
+    connection_disruptions = observations.disruptions_of(refusal.server)
+    return sum(
+        start < arrival.at < refusal.pause_ends_at
+        and not overlaps(observations.vm_disruptions[vm], refusal.at, arrival.at)
+        and not overlaps(connection_disruptions, arrival.at - STABLE_WINDOW, arrival.at)
+        for arrival in arrivals
+    )
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -2,8 +2,9 @@
 
 import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import Enum
+from types import MappingProxyType
 
 import msgspec
 import trio
@@ -68,6 +69,7 @@
         self._restarts = 0
         #: Whether the server says in its responses that it leaves.
         self.leaving = False
+        self._pause_ends_at = float("-inf")
         self._silent_until = float("-inf")
         self._observations = observations
 
@@ -80,6 +82,10 @@
         if now >= self._silent_until + SILENCE_INTERVAL:
             self._silent_until = now + seconds
 
+    def turn_away(self, seconds: float) -> None:
+        """Refuses all requests for some seconds, and says for how long."""
+        self._pause_ends_at = max(self._pause_ends_at, trio.current_time() + seconds)
+
     async def run(self, on_listening: Callable[[], None]) -> None:
         """Serves until the server crashes.
 
@@ -123,8 +129,16 @@
         if request.headers.get("camphordrift-expect-instance") != self.id:
             await self._refuse(request, stream, "421 Misdirected Request")
             return True
+        now = trio.current_time()
         request_id = request.headers.get("camphordrift-attempt-id", "")
-        self._observations.arrivals.append(Arrival(request_id, self.id, trio.current_time()))
+        arrival = Arrival(request_id, self.id, now)
+        self._observations.arrivals.append(arrival)
+        if now < self._pause_ends_at:
+            arrival.pause_ends_at = self._pause_ends_at
+            pause = f"{self._pause_ends_at - now:.2f}"
+            await self._refuse(request, stream, "503 Service Unavailable", {"retry-after": pause})
+            arrival.refused_at = trio.current_time()
+            return True
         if self.mode is ServerMode.FULL:
             await self._refuse(request, stream, "503 Service Unavailable")
             return True
@@ -140,10 +154,17 @@
         )
         await self._send(stream, head + content)
 
-    async def _refuse(self, request: HttpRequest, stream: trio.SocketStream, status: str) -> None:
+    async def _refuse(
+        self,
+        request: HttpRequest,
+        stream: trio.SocketStream,
+        status: str,
+        extra_headers: Mapping[str, str] = MappingProxyType({}),
+    ) -> None:
         headers = {
             **_identity(request),
             **self._leaving_header(),
+            **extra_headers,
             "camphordrift-not-executed": "1",
         }
         await self._send(stream, format_head(status, headers, Framing.LENGTH))
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -58,3 +58,7 @@
 
     def test_servers_that_say_that_they_leave_get_no_more_requests(self) -> None:
         self.check_report(run_short_soak(("server_leave",), seed=31, seconds=1.5, callers=12))
+
+    def test_servers_that_turn_requests_away_get_none_until_they_want_them(self) -> None:
+        kinds = ("server_turn_away", "servers_turn_away")
+        self.check_report(run_short_soak(kinds, seconds=2.0, callers=18))
--- a/camphordrift/platform/soak/tests/test_server_checks.py
+++ b/camphordrift/platform/soak/tests/test_server_checks.py
@@ -5,6 +5,7 @@
 import testtools
 
 from camphordrift.platform.soak import Observations, find_violations
+from camphordrift.platform.soak._records import Arrival
 from camphordrift.platform.soak.tests.samples import EXECUTION, REQUEST
 
 
@@ -60,3 +61,32 @@
     def test_vms_that_were_not_in_touch_may_send_requests(self) -> None:
         for vm in ("vm-1", "vm-2", "vm-3"):
             self.assertEqual([], self.violations(15.0, vm=vm))
+
+
+class PauseTest(testtools.TestCase):
+    def violations(self, *arrived_at: float, vm: str = "vm-0") -> list[str]:
+        """The first request is refused at 2 s, with a pause until 6 s."""
+        observations = Observations()
+        observations.vm_disruptions["vm-1"].append((3.0, 3.1))
+        for number, at in enumerate((2.0, *arrived_at)):
+            request = replace(
+                REQUEST, id=f"a{number}", vm=vm, kind="stream", status=503, complete=True
+            )
+            observations.requests[request.id] = request
+            observations.arrivals.append(Arrival(request.id, "engine-1", at))
+        observations.arrivals[0].refused_at = 2.0
+        observations.arrivals[0].pause_ends_at = 6.0
+        return find_violations(observations, 20.0, check_timing=False)
+
+    def test_reports_more_than_two_requests_in_a_pause(self) -> None:
+        self.assertEqual(
+            ["engine-1 got 3 requests of vm-0 in a pause for which it had asked"],
+            self.violations(3.6, 4.0, 5.9),
+        )
+        self.assertEqual([], self.violations(3.6, 5.9))
+
+    def test_requests_may_arrive_at_the_start_and_after_the_end_of_a_pause(self) -> None:
+        self.assertEqual([], self.violations(2.4, 2.5, 2.6, 6.1, 6.2, 6.3))
+
+    def test_requests_of_a_vm_that_was_disrupted_do_not_count(self) -> None:
+        self.assertEqual([], self.violations(3.6, 4.0, 5.9, vm="vm-1"))
