Soak: a store that is restored from an older copy

The store goes down for half a second and comes back without the records of the last seconds. The operator and the servers write their documents again within two seconds; in half of the cases the operator's next configuration gets the offset of the lost one. Servers now write their entries every HeartbeatMs, and entries of crashed servers expire after three of these intervals. The soak checks that no VM accepts or rejects an API key as an older configuration would.

--- a/camphordrift/platform/soak/_checks.py
+++ b/camphordrift/platform/soak/_checks.py
@@ -1,6 +1,7 @@
 """Checks the observations of a run against the documented guarantees."""
 
 from camphordrift.platform.soak._answer_checks import unanswered_violations
+from camphordrift.platform.soak._configuration_checks import rollback_violations
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._prompt_checks import crashing_prompt_violations
 from camphordrift.platform.soak._request_checks import (
@@ -31,6 +32,7 @@
     violations += leaving_violations(observations)
     violations += draining_violations(observations)
     violations += pause_violations(observations)
+    violations += rollback_violations(observations)
     violations += unanswered_violations(observations)
     if check_timing:
         violations += timing_violations(observations, now)
--- a/camphordrift/platform/soak/_document_publisher.py
+++ b/camphordrift/platform/soak/_document_publisher.py
@@ -11,6 +11,12 @@
 from camphordrift.platform.soak._servers import SoakServer
 from camphordrift.platform.soak._store import SoakStore
 
+#: Seconds between two writes of a server's entry (HeartbeatMs).
+HEARTBEAT_INTERVAL = 1.2
+
+#: Seconds after which the entry of a server expires that does not write it.
+EXPIRY_TIME = 3 * HEARTBEAT_INTERVAL
+
 #: Routes of the soak: name, which is also the path, kind, timeout in milliseconds, service, and
 #: whether streams may be resumed.
 _ROUTES = (
@@ -47,10 +53,42 @@
         self._key_numbers = itertools.count(3)
         self._version = 0
         self._limits = _LIMITS[0]
+        self._configuration: dict[str, object] = {}
+        #: Era of the store in which the configuration was last written.
+        self._configuration_era = 0
+        #: Entries of the servers that have not left, by id.
+        self._entries: dict[str, dict[str, object]] = {}
+
+    async def run_heartbeats(self) -> None:
+        """Writes the entries of the servers again and again until cancelled."""
+        for sequence_number in itertools.count(1):
+            await trio.sleep(HEARTBEAT_INTERVAL)
+            for server_id, entry in self._entries.items():
+                entry["Seq"] = sequence_number
+                self._write_entry(server_id)
+
+    async def write_again(self, delay: float) -> None:
+        """Writes the newest documents again after the store was restored from an older copy.
+
+        Args:
+            delay: Seconds until the operator and the servers write. Entries of servers that have
+                left expire later.
+
+        """
+        await trio.sleep(delay)
+        await self._store.wait_until_up()
+        if self._configuration_era < self._store.era:
+            self._write_configuration()
+        for server_id in self._entries:
+            self._write_entry(server_id)
+        await trio.sleep(EXPIRY_TIME - delay)
+        await self._store.wait_until_up()
+        for server_id in self._store.newest_keys("keyed.servers") - self._entries.keys():
+            self._store.put("keyed.servers", server_id, None)
 
     def publish_server(self, server: SoakServer, proxy: Proxy, state: str) -> None:
         """Publishes a server's entry, with the address of the proxy in front of it."""
-        entry = {
+        self._entries[server.id] = {
             "Service": "engines" if server.streams else "office",
             "Address": f"{proxy.host}:{proxy.port}",
             "Zone": "z0",
@@ -58,13 +96,28 @@
             "State": state,
             "born": server.born,
         }
-        self._store.put("keyed.servers", server.id, entry)
-        if state == "draining":
-            self._observations.draining_at.setdefault(server.id, trio.current_time())
+        self._write_entry(server.id)
 
     def remove_server(self, server_id: str) -> None:
         """Removes a server's entry."""
-        self._store.put("keyed.servers", server_id, None)
+        self._entries.pop(server_id, None)
+        if self._store.is_up:
+            self._store.put("keyed.servers", server_id, None)
+
+    async def expire(self, server_id: str) -> None:
+        """Stops writing the entry of a server that crashed, and removes it later."""
+        self._entries.pop(server_id, None)
+        await trio.sleep(EXPIRY_TIME)
+        self.remove_server(server_id)
+
+    def _write_entry(self, server_id: str) -> None:
+        """Writes an entry; while the store is down, the next heartbeat writes it."""
+        if not self._store.is_up:
+            return
+        entry = self._entries[server_id]
+        self._store.put("keyed.servers", server_id, entry)
+        if entry["State"] == "draining":
+            self._observations.draining_at.setdefault(server_id, trio.current_time())
 
     def publish_configuration(self) -> None:
         """Publishes the next version of the configuration."""
@@ -72,7 +125,7 @@
         accounts: dict[str, list[str]] = {}
         for key, account in self.keys.accounts.items():
             accounts.setdefault(account, []).append(key)
-        document = {
+        self._configuration = {
             "Version": self._version,
             "Routes": [_route(*route, self._limits) for route in _ROUTES],
             "Limits": {"IdleTimeoutMs": self._limits.idle_timeout_ms},
@@ -82,7 +135,11 @@
             ],
             "Tenants": [{"Name": name, "ApiKeys": keys} for name, keys in accounts.items()],
         }
-        self._store.put("keyed.op", "config", document)
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
+        self._store.put("keyed.op", "config", self._configuration)
+        self._configuration_era = self._store.era
 
     def change_limits(self) -> None:
         """Publishes a configuration with other limits."""
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -20,6 +20,14 @@
 STORE_OUTAGE_TIME = 3.0
 
 
+#: Seconds in which the VMs read a configuration that is lost then.
+_READING_TIME = 0.5
+
+#: Seconds for which the store is down before it comes back from an older copy, and the maximum
+#: number of seconds until the documents that it lost are written again.
+STORE_DOWNTIME, MAX_REWRITE_DELAY = 0.5, 2.0
+
+
 class FaultInjector:
     """Applies faults to the VMs, the store, the servers and the configuration of a run."""
 
@@ -52,6 +60,9 @@
         match subject:
             case "vm":
                 await self._disturb_vm(vm, action, fault.seconds)
+            case "store" if action == "restore":
+                with self._observations.record_span(self._observations.store_disruptions):
+                    await self._restore_store(fault)
             case "store":
                 await self._disturb_store(vm, store_proxy, action, fault.seconds)
             case "servers":
@@ -62,6 +73,7 @@
             case "prompt":
                 await self._crashing_callers.run(fault.seconds)
             case "configuration":
+                await self._store.wait_until_up()
                 self._publisher.change_limits()
             case _:
                 await self._change_key(vm, store_proxy, action)
@@ -88,6 +100,19 @@
             await trio.sleep(seconds)
             self._store.mode = StoreMode.WELL
 
+    async def _restore_store(self, fault: Fault) -> None:
+        """Restores the store from a copy that lacks a configuration which the VMs have read.
+
+        In every other case the operator writes a newer configuration at once, so that it gets the
+        offset of the lost one.
+        """
+        await self._store.wait_until_up()
+        self._publisher.replace_oldest_key()
+        await trio.sleep(_READING_TIME)
+        change = self._publisher.replace_oldest_key if fault.target % 2 else lambda: None
+        await self._store.restore(fault.seconds, STORE_DOWNTIME, change)
+        await self._publisher.write_again(MAX_REWRITE_DELAY * (fault.target % 10 + 1) / 10)
+
     async def _disturb_all_servers(self, action: str, seconds: float) -> None:
         with self._observations.record_span(self._observations.server_faults):
             async with trio.open_nursery() as nursery:
@@ -107,6 +132,7 @@
             await _disturb_server(server, action, fault.seconds)
 
     async def _change_key(self, vm: Vm, store_proxy: Proxy, action: str) -> None:
+        await self._store.wait_until_up()
         if action != "change_unseen":
             self._publisher.replace_oldest_key()
             return
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -45,6 +45,7 @@
     "server_leave",
     "server_turn_away",
     "servers_turn_away",
+    "store_restore",
 )
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
@@ -55,6 +56,7 @@
     "server_leave": (3.0, 6.0),
     "server_turn_away": (3.0, 5.0),
     "servers_turn_away": (3.0, 5.0),
+    "store_restore": (1.0, 2.5),
 }
 
 #: Mean number of seconds between the starts of two faults. Most faults last longer than that, so
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -94,6 +94,7 @@
                 for number in range(2 * self._settings.servers):
                     await self._fleet.add(number % 2 == 0, background)
                 self._publisher.publish_configuration()
+                background.start_soon(self._publisher.run_heartbeats)
                 async with trio.open_nursery() as starting:
                     for vm, _ in self._vms:
                         starting.start_soon(vm.start)
--- a/camphordrift/platform/soak/_server_fleet.py
+++ b/camphordrift/platform/soak/_server_fleet.py
@@ -16,9 +16,6 @@
 #: Minimum and maximum number of seconds after a crash until a server starts again.
 _MIN_DOWNTIME, _MAX_DOWNTIME = 1.0, 3.0
 
-#: Seconds for which a server stays listed after it crashed.
-_EXPIRY_TIME = 2.0
-
 #: Seconds for which a draining server stays listed.
 _DRAINING_TIME = 3.0
 
@@ -110,15 +107,11 @@
         await server.run(task_status.started)
         async with trio.open_nursery() as nursery:
             while True:
-                nursery.start_soon(self._expire, server.id)
+                nursery.start_soon(self._publisher.expire, server.id)
                 await trio.sleep(self._random.uniform(_MIN_DOWNTIME, _MAX_DOWNTIME))
                 server.prepare_restart()
                 await server.run(lambda: self._publish_restarted(server, proxy))
 
-    async def _expire(self, server_id: str) -> None:
-        await trio.sleep(_EXPIRY_TIME)
-        self._publisher.remove_server(server_id)
-
     def _publish_restarted(self, server: SoakServer, proxy: Proxy) -> None:
         if not server.replaced:
             self._publisher.publish_server(server, proxy, "ready")
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -62,3 +62,9 @@
     def test_servers_that_turn_requests_away_get_none_until_they_want_them(self) -> None:
         kinds = ("server_turn_away", "servers_turn_away")
         self.check_report(run_short_soak(kinds, seconds=2.0, callers=18))
+
+    def test_no_configuration_is_missed_after_the_store_was_restored_from_an_older_copy(
+        self,
+    ) -> None:
+        report = run_short_soak(("store_restore",), seed=2, seconds=3.0, recovery_seconds=4.0)
+        self.check_report(report)
