--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -10,8 +10,9 @@
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._proxy import Proxy, ProxyMode
 from camphordrift.platform.soak._request_checks import KEY_REVOCATION_DELAY
+from camphordrift.platform.soak._response_plans import ServerMode
 from camphordrift.platform.soak._server_fleet import ServerFleet
-from camphordrift.platform.soak._servers import ServerMode, SoakServer
+from camphordrift.platform.soak._servers import SoakServer
 from camphordrift.platform.soak._store import SoakStore, StoreMode
 from camphordrift.platform.soak._vm import Vm
 
--- a/camphordrift/platform/soak/_responses.py
+++ b/camphordrift/platform/soak/_responses.py
@@ -1,65 +1,17 @@
-"""Responses of backend servers: their framing, and where they are broken off."""
+"""Formats and sends responses of backend servers."""
 
-import zlib
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from enum import Enum
-from typing import Optional
 
 import trio
 
 from camphordrift.platform.soak._proxy import reset_connection
 from camphordrift.platform.soak._records import STREAM_EVENTS, Execution, stream_event
+from camphordrift.platform.soak._response_plans import Framing, ResponsePlan
 
 #: Seconds between events of a stream, and until the start of a response.
 EVENT_INTERVAL = 0.05
 
 
-class Framing(Enum):
-    """How a response shows where its body ends."""
-
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    #: The body ends with the connection.
-    CONNECTION = "connection"
-
-
-@dataclass(frozen=True)
-class ResponsePlan:
-    """How a server sends a response."""
-
-    framing: Framing
-    #: Number of the event in which the server breaks the response off; ``None`` if it does not.
-    broken_event: Optional[int] = None
-    #: Whether the server resets the connection before that event, instead of closing it in the
-    #: middle of the event.
-    resets: bool = False
-
-
-def plan_truncated(framing: Framing) -> ResponsePlan:
-    """Returns a response that is broken off in the middle."""
-    return ResponsePlan(framing, STREAM_EVENTS // 2)
-
-
-def plan_unframed(request_id: str, server: str, streams: bool) -> ResponsePlan:
-    """Returns a response without length or chunks.
-
-    Every other one is complete. The others are reset or, if they are streams, closed in the middle
-    of an event; of another response, nobody could tell whether it is complete.
-
-    Args:
-        request_id: Id of the request, which with the server determines the response.
-        server: Id of the server.
-        streams: Whether the response is a stream.
-
-    """
-    number = zlib.crc32(f"{request_id} {server}".encode())
-    if number % 2 == 0:
-        return ResponsePlan(Framing.CONNECTION)
-    resets = not streams or number % 4 == 1
-    return ResponsePlan(Framing.CONNECTION, number // 4 % STREAM_EVENTS + 1, resets)
-
-
 def format_head(status: str, headers: dict[str, str], framing: Framing, length: int = 0) -> bytes:
     """Returns status line and headers.
 
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -4,7 +4,6 @@
 import time
 import zlib
 from collections.abc import Callable, Mapping
-from enum import Enum
 from types import MappingProxyType
 
 import msgspec
@@ -14,35 +13,10 @@
 from camphordrift.platform.soak._prompts import find_crashing_part, parse_parts
 from camphordrift.platform.soak._proxy import reset_connection
 from camphordrift.platform.soak._records import Arrival, Crash, Execution
-from camphordrift.platform.soak._responses import (
-    EVENT_INTERVAL,
-    Framing,
-    Response,
-    ResponsePlan,
-    format_head,
-    plan_truncated,
-    plan_unframed,
-)
+from camphordrift.platform.soak._response_plans import Framing, ServerMode, plan_response
+from camphordrift.platform.soak._responses import EVENT_INTERVAL, Response, format_head
 from camphordrift.testing import HttpRequest, handle_requests
 
-
-class ServerMode(Enum):
-    """How a server responds."""
-
-    #: Responds correctly.
-    WELL = "well"
-    #: Accepts requests and never responds.
-    HANG = "hang"
-    #: Truncates streams in the middle of an event, and other responses in the body.
-    CUT = "cut"
-    #: Refuses requests with status 503, without running them.
-    FULL = "full"
-    #: Runs requests and responds with status 500.
-    FAIL = "fail"
-    #: Sends responses without length or chunks, of which it breaks off every other one.
-    UNFRAMED = "unframed"
-
-
 #: Minimum number of seconds between two times in which a server sends nothing.
 SILENCE_INTERVAL = 0.5
 
@@ -211,7 +185,8 @@
             )
             return True
         await trio.sleep(EVENT_INTERVAL)
-        response = Response(execution, self._plan(execution.request_id), stream, self._send)
+        plan = plan_response(self.mode, execution.request_id, self.id, self.streams)
+        response = Response(execution, plan, stream, self._send)
         crashing_part = find_crashing_part(
             parse_parts(request.headers.get("camphordrift-prompt-prefix", ""))
         )
@@ -225,16 +200,6 @@
             return await response.send_stream(headers, last_event_id)
         return await response.send_body(headers)
 
-    def _plan(self, request_id: str) -> ResponsePlan:
-        framing = Framing.CHUNKS if self.streams else Framing.LENGTH
-        match self.mode:
-            case ServerMode.CUT:
-                return plan_truncated(framing)
-            case ServerMode.UNFRAMED:
-                return plan_unframed(request_id, self.id, self.streams)
-            case _:
-                return ResponsePlan(framing)
-
     def _leaving_header(self) -> dict[str, str]:
         return {"server-leaving": "1"} if self.leaving else {}
 
--- a/camphordrift/platform/soak/tests/test_checks.py
+++ b/camphordrift/platform/soak/tests/test_checks.py
@@ -12,7 +12,7 @@
 )
 from camphordrift.platform.soak._faults import FAULT_KINDS, draw_faults
 from camphordrift.platform.soak._records import STREAM_EVENTS, stream_body
-from camphordrift.platform.soak._responses import plan_unframed
+from camphordrift.platform.soak._response_plans import plan_unframed
 from camphordrift.platform.soak.tests.samples import EXECUTION, REQUEST
 
 _STREAM = replace(REQUEST, kind="stream", body=stream_body("a1"))
