--- a/camphordrift/platform/soak/_callers.py
+++ b/camphordrift/platform/soak/_callers.py
@@ -6,16 +6,15 @@
 from dataclasses import dataclass, field
 from typing import Optional
 
-import h11
 import trio
 
-from camphordrift.platform.soak._observations import CallerRequest, Observations
+from camphordrift.platform.soak._exchange import PATHS, REQUEST_TIMEOUTS, exchange
+from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._prompts import draw_sound_prompt
+from camphordrift.platform.soak._records import STREAM_KINDS, CallerRequest
 
-#: Timeout in seconds of each kind of request, as on the soak's routes.
-REQUEST_TIMEOUTS = {"stream": 4.0, "once": 2.0, "repeatable": 2.0}
-
-#: Path for each kind of request.
-PATHS = {"stream": "/s/x", "once": "/o/x", "repeatable": "/r/x"}
+#: Seconds within which a connection to a VM must be established.
+CONNECT_TIMEOUT = 1.0
 
 #: Share of requests whose caller disconnects early, and the maximum number of seconds until then.
 DISCONNECT_SHARE, MAX_DISCONNECT_DELAY = 0.1, 0.4
@@ -26,8 +25,9 @@
 #: Mean number of seconds between requests of one caller.
 THINK_TIME = 0.1
 
-#: Seconds for which a caller continues to read after the timeout of its request.
-EXTRA_READ_TIME = 3.0
+#: Share of requests before which a connection is idle for longer, and the minimum and maximum
+#: number of seconds. They are well below the shortest idle timeout of the configurations.
+LONG_IDLE_SHARE, MIN_LONG_IDLE, MAX_LONG_IDLE = 0.05, 0.5, 1.2
 
 #: A caller sends fewer requests than this on one connection.
 REQUESTS_PER_CONNECTION_LIMIT = 20
@@ -56,6 +56,15 @@
     revoked: dict[str, str] = field(default_factory=dict)
 
 
+async def connect_to_vm(vm: VmAddress) -> Optional[trio.SocketStream]:
+    """Returns a new connection to a VM; ``None`` if the VM is unreachable."""
+    try:
+        with trio.fail_after(CONNECT_TIMEOUT):
+            return await trio.open_tcp_stream(vm.host, vm.port)
+    except (OSError, trio.TooSlowError):
+        return None
+
+
 class Caller:
     """Sends requests one after the other, to randomly chosen VMs."""
 
@@ -78,10 +87,8 @@
         """Sends requests until cancelled."""
         while True:
             vm = self._random.choice(self._vms)
-            try:
-                with trio.fail_after(1.0):
-                    stream = await trio.open_tcp_stream(vm.host, vm.port)
-            except (OSError, trio.TooSlowError):
+            stream = await connect_to_vm(vm)
+            if stream is None:
                 await trio.sleep(THINK_TIME)
                 continue
             async with stream:
@@ -89,87 +96,38 @@
 
     async def _send_requests(self, vm: VmAddress, stream: trio.SocketStream) -> None:
         for _ in range(self._random.randrange(1, REQUESTS_PER_CONNECTION_LIMIT)):
-            await trio.sleep(self._random.expovariate(1 / THINK_TIME))
+            await trio.sleep(self._think_time())
             request = self._next_request(vm)
             stays_connected = self._random.random() >= DISCONNECT_SHARE
             disconnect_after = (
                 None if stays_connected else self._random.uniform(0.0, MAX_DISCONNECT_DELAY)
             )
-            if not await self._send(request, stream, disconnect_after):
+            body = b"w" * self._random.choice(BODY_SIZES)
+            if not await exchange(request, stream, body, disconnect_after):
                 return
 
+    def _think_time(self) -> float:
+        if self._random.random() < LONG_IDLE_SHARE:
+            return self._random.uniform(MIN_LONG_IDLE, MAX_LONG_IDLE)
+        return min(MAX_LONG_IDLE, self._random.expovariate(1 / THINK_TIME))
+
     def _next_request(self, vm: VmAddress) -> CallerRequest:
         kind = self._random.choice(list(PATHS))
         keys = self._keys.accounts
         if self._keys.revoked and self._random.random() < REVOKED_KEY_SHARE:
             keys = self._keys.revoked
         key = self._random.choice(list(keys))
+        request_id = f"a{self._number}-{next(self._request_numbers)}"
+        parts = draw_sound_prompt(self._random, request_id) if kind in STREAM_KINDS else ()
         request = CallerRequest(
-            id=f"a{self._number}-{next(self._request_numbers)}",
+            id=request_id,
             kind=kind,
             key=key,
             account=keys[key],
             vm=vm.name,
             sent_at=trio.current_time(),
             timeout=REQUEST_TIMEOUTS[kind],
+            parts=parts,
         )
         self._observations.requests[request.id] = request
         return request
-
-    async def _send(
-        self, request: CallerRequest, stream: trio.SocketStream, disconnect_after: Optional[float]
-    ) -> bool:
-        """Sends a request and reads the response; returns whether the connection can be reused."""
-        protocol = h11.Connection(h11.CLIENT)
-        body = b"w" * self._random.choice(BODY_SIZES)
-        headers = [
-            ("host", "soak.example"),
-            ("camphordrift-attempt-id", request.id),
-            ("camphordrift-deadline-ms", str(int(request.timeout * 1000))),
-            ("camphordrift-credential", request.key),
-            ("camphordrift-token-count", "500,400"),
-            ("content-length", str(len(body))),
-        ]
-        head = h11.Request(method="POST", target=PATHS[request.kind], headers=headers)
-        data = protocol.send(head) or b""
-        data += protocol.send(h11.Data(data=body)) or b""
-        data += protocol.send(h11.EndOfMessage()) or b""
-        read_time = (
-            request.timeout + EXTRA_READ_TIME if disconnect_after is None else disconnect_after
-        )
-        reusable = False
-        try:
-            with trio.move_on_after(read_time):
-                await stream.send_all(data)
-                reusable = await self._read_response(request, stream, protocol)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
-            reusable = False
-        now = trio.current_time()
-        if (
-            disconnect_after is not None
-            and request.ended_at is None
-            and now >= request.sent_at + disconnect_after
-        ):
-            request.disconnected_at = now
-        request.ended_at = now if request.ended_at is None else request.ended_at
-        return reusable
-
-    async def _read_response(
-        self, request: CallerRequest, stream: trio.SocketStream, protocol: h11.Connection
-    ) -> bool:
-        while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                protocol.receive_data(await stream.receive_some(65536))
-            elif isinstance(event, h11.Response):
-                request.status = event.status_code
-                request.signed = any(
-                    n == b"camphordrift-engine-signature" for n, _ in event.headers
-                )
-            elif isinstance(event, h11.Data):
-                request.body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                request.complete, request.ended_at = True, trio.current_time()
-                return protocol.their_state is not h11.MUST_CLOSE
-            elif not isinstance(event, h11.InformationalResponse):
-                return False
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -1,11 +1,12 @@
 """Draws the faults of one run from its seed."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 #: Faults of VMs, the store and backend servers, and changes of API keys. The first word names what
 #: is affected; "way" stands for the proxy in front of it.
-FAULT_KINDS = (
+BASIC_KINDS = (
     "vm_kill",
     "vm_restart",
     "vm_pause",
@@ -32,12 +33,38 @@
     "key_change_unseen",
 )
 
+#: All kinds of faults.
+FAULT_KINDS = (
+    *BASIC_KINDS,
+    "server_silent",
+    "servers_silent",
+    "configuration_change",
+    "server_unframed",
+    "servers_unframed",
+    "prompt_crash",
+    "server_leave",
+    "server_turn_away",
+    "servers_turn_away",
+    "store_restore",
+)
+
+#: Minimum and maximum duration in seconds of faults that need other ones than most.
+_DURATIONS = {
+    "server_silent": (0.8, 1.8),
+    "servers_silent": (0.8, 1.8),
+    "prompt_crash": (12.0, 14.0),
+    "server_leave": (3.0, 6.0),
+    "server_turn_away": (3.0, 5.0),
+    "servers_turn_away": (3.0, 5.0),
+    "store_restore": (1.0, 2.5),
+}
+
 #: Mean number of seconds between the starts of two faults. Most faults last longer than that, so
 #: that they overlap.
 _MEAN_INTERVAL = 0.8
 
 #: Minimum and maximum duration of a fault in seconds.
-_MIN_DURATION, _MAX_DURATION = 0.3, 3.0
+_USUAL_DURATION = (0.3, 3.0)
 
 
 @dataclass(frozen=True)
@@ -53,8 +80,8 @@
     seconds: float
 
 
-def draw_faults(seed: int, seconds: float) -> list[Fault]:
-    """Returns the faults of a run.
+def draw_faults(seed: int, seconds: float, kinds: Sequence[str] = FAULT_KINDS) -> list[Fault]:
+    """Returns the faults of a run, of the given kinds.
 
     Some faults of a VM are followed by a fault of the next VM within a second.
     """
@@ -62,8 +89,9 @@
     faults: list[Fault] = []
     start = generator.expovariate(1 / _MEAN_INTERVAL)
     while start < seconds:
-        kind = generator.choice(FAULT_KINDS)
-        target, duration = generator.randrange(100), generator.uniform(_MIN_DURATION, _MAX_DURATION)
+        kind = generator.choice(kinds)
+        target = generator.randrange(100)
+        duration = generator.uniform(*_DURATIONS.get(kind, _USUAL_DURATION))
         faults.append(Fault(start, kind, target, duration))
         if kind in ("vm_kill", "vm_restart", "vm_pause") and generator.random() < 0.4:
             second_kind = generator.choice(("vm_kill", "vm_restart", "vm_pause"))
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -1,64 +1,150 @@
 """Backend servers of the soak: engines that send streams, and servers of a plain service."""
 
 import contextlib
-from enum import Enum
+import time
+import zlib
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
+import msgspec
 import trio
 
-from camphordrift.platform.soak._observations import (
-    STREAM_EVENTS,
-    Execution,
-    Observations,
-    stream_event,
-)
-from camphordrift.testing import HttpRequest, serve_requests
+from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._prompts import find_crashing_part, parse_parts
+from camphordrift.platform.soak._proxy import reset_connection
+from camphordrift.platform.soak._records import Arrival, Crash, Execution
+from camphordrift.platform.soak._response_plans import Framing, ServerMode, plan_response
+from camphordrift.platform.soak._responses import EVENT_INTERVAL, Response, format_head
+from camphordrift.testing import HttpRequest, handle_requests
 
-
-class ServerMode(Enum):
-    """How a server responds."""
-
-    #: Responds correctly.
-    WELL = "well"
-    #: Accepts requests and never responds.
-    HANG = "hang"
-    #: Truncates streams in the middle of an event, and other responses in the body.
-    CUT = "cut"
-    #: Refuses requests with status 503, without running them.
-    FULL = "full"
-    #: Runs requests and responds with status 500.
-    FAIL = "fail"
-
-
-#: Seconds between events of a stream, and until a response that is not a stream.
-EVENT_INTERVAL = 0.05
+#: Minimum number of seconds between two times in which a server sends nothing.
+SILENCE_INTERVAL = 0.5
 
 
 class SoakServer:
     """One backend server; records each request that it runs."""
 
     def __init__(
-        self, server_id: str, host: str, port: int, streams: bool, observations: Observations
+        self, number: int, host: str, port: int, streams: bool, observations: Observations
     ) -> None:
-        self.id = server_id
+        self.name = f"{'engine' if streams else 'office'}-{number}"
+        #: Id of the current process of the server; each start has its own.
+        self.id = self.name
+        #: Start of the current process in milliseconds since 1970.
+        self.born = _unix_milliseconds()
         self.host = host
         self.port = port
         self.streams = streams
         self.mode = ServerMode.WELL
-        #: Whether the server is being replaced.
-        self.draining = False
+        #: Whether another server replaces this one.
+        self.replaced = False
+        self._running: list[Execution] = []
+        self._connections: set[trio.SocketStream] = set()
+        self._process = trio.CancelScope()
+        self._restarts = 0
+        #: Whether the server says in its responses that it leaves.
+        self.leaving = False
+        self._pause_ends_at = float("-inf")
+        self._silent_until = float("-inf")
         self._observations = observations
 
-    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serves until cancelled."""
-        await serve_requests(self.host, self.port, self._handle, task_status)
+    def fall_silent(self, seconds: float) -> None:
+        """Delays everything that the server sends until ``seconds`` have passed.
+
+        Does nothing if the server has just been silent, as a sound server is not silent for long.
+        """
+        now = trio.current_time()
+        if now >= self._silent_until + SILENCE_INTERVAL:
+            self._silent_until = now + seconds
+
+    def turn_away(self, seconds: float) -> None:
+        """Refuses all requests for some seconds, and says for how long."""
+        self._pause_ends_at = max(self._pause_ends_at, trio.current_time() + seconds)
+
+    async def run(self, on_listening: Callable[[], None]) -> None:
+        """Serves until the server crashes.
+
+        Args:
+            on_listening: Called when the server accepts connections.
+
+        """
+        with self._process:
+            listeners = await trio.open_tcp_listeners(self.port, host=self.host)
+            on_listening()
+            await trio.serve_listeners(self._serve_connection, listeners)
+
+    def prepare_restart(self) -> None:
+        """Gives the server a new id, under which :meth:`run` starts it again."""
+        self._restarts += 1
+        self.id = f"{self.name}.{self._restarts}"
+        self.born = _unix_milliseconds()
+        self._process = trio.CancelScope()
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        self._connections.add(stream)
+        try:
+            await handle_requests(stream, self._handle)
+        finally:
+            self._connections.remove(stream)
+
+    async def _crash(self, part: str) -> None:
+        """Resets all connections and ends :meth:`run`."""
+        self._observations.crashes.append(Crash(self.id, part, trio.current_time()))
+        for execution in self._running:
+            execution.broken_off = True
+        for stream in self._connections:
+            reset_connection(stream)
+        self._process.cancel()
+        await trio.sleep_forever()
 
     async def _handle(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
+        if request.target == "/v1/report":
+            await self._report(stream)
+            return True
         if request.headers.get("camphordrift-expect-instance") != self.id:
-            await stream.send_all(self._head(request, b"421 Misdirected Request", not_run=True))
+            await self._refuse(request, stream, "421 Misdirected Request")
+            return True
+        now = trio.current_time()
+        request_id = request.headers.get("camphordrift-attempt-id", "")
+        arrival = Arrival(request_id, self.id, now)
+        self._observations.arrivals.append(arrival)
+        if now < self._pause_ends_at:
+            arrival.pause_ends_at = self._pause_ends_at
+            pause = f"{self._pause_ends_at - now:.2f}"
+            await self._refuse(request, stream, "503 Service Unavailable", {"retry-after": pause})
+            arrival.refused_at = trio.current_time()
             return True
         if self.mode is ServerMode.FULL:
-            await stream.send_all(self._head(request, b"503 Service Unavailable", not_run=True))
+            await self._refuse(request, stream, "503 Service Unavailable")
             return True
+        return await self._execute(request, stream)
+
+    async def _report(self, stream: trio.SocketStream) -> None:
+        content = msgspec.json.encode({"Running": len(self._running), "Queued": 0})
+        head = format_head(
+            "200 OK",
+            {"content-type": "application/json", **self._leaving_header()},
+            Framing.LENGTH,
+            len(content),
+        )
+        await self._send(stream, head + content)
+
+    async def _refuse(
+        self,
+        request: HttpRequest,
+        stream: trio.SocketStream,
+        status: str,
+        extra_headers: Mapping[str, str] = MappingProxyType({}),
+    ) -> None:
+        headers = {
+            **_identity(request),
+            **self._leaving_header(),
+            **extra_headers,
+            "camphordrift-not-executed": "1",
+        }
+        await self._send(stream, format_head(status, headers, Framing.LENGTH))
+
+    async def _execute(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
         execution = Execution(
             request_id=request.headers.get("camphordrift-attempt-id", ""),
             server=self.id,
@@ -67,15 +153,19 @@
             started_at=trio.current_time(),
         )
         self._observations.executions.append(execution)
+        self._running.append(execution)
         reusable = False
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_on_close, stream, nursery.cancel_scope)
-            try:
-                reusable = await self._respond(request, stream, execution)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                reusable = False
-            nursery.cancel_scope.cancel()
-        execution.ended_at = trio.current_time()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_close, stream, nursery.cancel_scope)
+                try:
+                    reusable = await self._respond(request, stream, execution)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    reusable = False
+                nursery.cancel_scope.cancel()
+        finally:
+            self._running.remove(execution)
+            execution.ended_at = trio.current_time()
         return reusable
 
     async def _respond(
@@ -83,54 +173,49 @@
     ) -> bool:
         if self.mode is ServerMode.HANG:
             await trio.sleep_forever()
+        headers = {
+            **_identity(request),
+            **self._leaving_header(),
+            "camphordrift-engine-signature": self.id,
+        }
+        execution.leaving = self.leaving
         if self.mode is ServerMode.FAIL:
-            await stream.send_all(self._head(request, b"500 Internal Server Error"))
+            await self._send(
+                stream, format_head("500 Internal Server Error", headers, Framing.LENGTH)
+            )
             return True
-        if self.streams:
-            return await self._respond_with_stream(request, stream, execution)
         await trio.sleep(EVENT_INTERVAL)
-        body = f"{execution.request_id} by {self.id} at {execution.started_at}".encode()
-        head = self._head(request, b"200 OK", len(body))
-        if self.mode is ServerMode.CUT:
-            await stream.send_all(head + body[:5])
-            return False
-        execution.response_body = body
-        await stream.send_all(head + body)
-        return True
-
-    async def _respond_with_stream(
-        self, request: HttpRequest, stream: trio.SocketStream, execution: Execution
-    ) -> bool:
-        await stream.send_all(
-            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
-            b"camphordrift-engine-signature: soak\r\ntransfer-encoding: chunked\r\n"
-            b"camphordrift-attempt-id: " + execution.request_id.encode() + b"\r\n\r\n"
-        )
-        last_event_id = int(request.headers.get("last-event-id", "0"))
-        for number in range(last_event_id + 1, STREAM_EVENTS + 1):
-            await trio.sleep(EVENT_INTERVAL)
-            event = stream_event(execution.request_id, number)
-            if self.mode is ServerMode.CUT and number == STREAM_EVENTS // 2:
-                event = event[:-4]
-                await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
-                return False
-            await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
-        await stream.send_all(b"0\r\n\r\n")
-        return True
-
-    def _head(
-        self, request: HttpRequest, status: bytes, length: int = 0, not_run: bool = False
-    ) -> bytes:
-        attempt = request.headers.get("camphordrift-attempt-id", "").encode()
-        outcome_header = (
-            b"camphordrift-not-executed: 1" if not_run else b"camphordrift-engine-signature: soak"
-        )
-        return b"HTTP/1.1 %b\r\ncamphordrift-attempt-id: %b\r\n%b\r\ncontent-length: %d\r\n\r\n" % (
-            status,
-            attempt,
-            outcome_header,
-            length,
+        plan = plan_response(self.mode, execution.request_id, self.id, self.streams)
+        response = Response(execution, plan, stream, self._send)
+        crashing_part = find_crashing_part(
+            parse_parts(request.headers.get("camphordrift-prompt-prefix", ""))
         )
+        if self.streams and crashing_part is not None:
+            # Half of the engines that crash have sent a part of the first event.
+            if zlib.crc32(execution.request_id.encode()) % 2:
+                await response.send_start(headers)
+            await self._crash(crashing_part)
+        if self.streams:
+            last_event_id = int(request.headers.get("last-event-id", "0"))
+            return await response.send_stream(headers, last_event_id)
+        return await response.send_body(headers)
+
+    def _leaving_header(self) -> dict[str, str]:
+        return {"server-leaving": "1"} if self.leaving else {}
+
+    async def _send(self, stream: trio.SocketStream, data: bytes) -> None:
+        while (remaining := self._silent_until - trio.current_time()) > 0:
+            await trio.sleep(remaining)
+        await stream.send_all(data)
+
+
+def _identity(request: HttpRequest) -> dict[str, str]:
+    """Returns the header by which a response names its request."""
+    return {"camphordrift-attempt-id": request.headers.get("camphordrift-attempt-id", "")}
+
+
+def _unix_milliseconds() -> int:
+    return int(time.time() * 1000)
 
 
 async def _cancel_on_close(stream: trio.SocketStream, scope: trio.CancelScope) -> None:
