--- a/camphordrift/relay/tests/relay_harness.py
+++ b/camphordrift/relay/tests/relay_harness.py
@@ -41,13 +41,28 @@
 class RelayHarness:
     """A running relay, with methods to configure it and to act as its caller."""
 
-    def __init__(self, process: RelayProcess, log: InMemoryLog, documents: SampleDocuments) -> None:
-        self.process = process
+    def __init__(
+        self, log: InMemoryLog, documents: SampleDocuments, number: int = 1, cores: float = 1.0
+    ) -> None:
         self.log = log
         self.documents = documents
-        self.host = f"{process_loopback_network()}.1"
-        self.port = 0
-        self.metrics_port = 0
+        self.host = f"{process_loopback_network()}.{number}"
+        self.port, readiness_port, peers_port, self.metrics_port = free_ports(self.host)
+        vm = settings(number, 0)
+        vm = replace(
+            vm,
+            callers=replace(vm.callers, port=self.port),
+            readiness=replace(vm.readiness, port=readiness_port),
+            peers=replace(vm.peers, port=peers_port),
+            metrics=replace(vm.metrics, port=self.metrics_port),
+            cores=cores,
+        )
+        self.process = RelayProcess(vm, adapters(log, documents))
+
+    @property
+    def leader(self) -> str:
+        """Id of the VM that schedules for this one."""
+        return self.process._election.leader
 
     def publish(self, configuration: Configuration) -> None:
         """Appends a configuration to the log."""
@@ -136,31 +151,48 @@
     servers: Sequence[ScriptedServer], configuration: Configuration = CONFIGURATION
 ) -> AsyncIterator[RelayHarness]:
     """Runs a relay with its servers for the duration of the block."""
-    log, documents = InMemoryLog(), SampleDocuments()
-    ports = free_ports(f"{process_loopback_network()}.1")
-    vm = replace(settings(1, 0), vm="vm-1")
-    vm = replace(
-        vm,
-        callers=replace(vm.callers, port=ports[0]),
-        readiness=replace(vm.readiness, port=ports[1]),
-        peers=replace(vm.peers, port=ports[2]),
-        metrics=replace(vm.metrics, port=ports[3]),
-    )
-    process = RelayProcess(vm, adapters(log, documents))
-    relay = RelayHarness(process, log, documents)
-    relay.port, relay.metrics_port = ports[0], ports[3]
+    relay = RelayHarness(InMemoryLog(), SampleDocuments())
     with trio.fail_after(TEST_TIMEOUT):
         async with trio.open_nursery() as nursery:
             for server in servers:
                 await nursery.start(server.run)
                 relay.register_server(server)
             relay.publish(configuration)
-            nursery.start_soon(process.run)
+            nursery.start_soon(relay.process.run)
             await relay.wait_until_ready()
             yield relay
             nursery.cancel_scope.cancel()
 
 
+class RelayFleet:
+    """Several relays of one deployment; the first one that starts is the leader."""
+
+    def __init__(self, nursery: trio.Nursery, servers: list[ScriptedServer]) -> None:
+        self.servers = servers
+        self._nursery = nursery
+        self._log, self._documents = InMemoryLog(), SampleDocuments()
+        self._count = 0
+
+    async def start(self, cores: float = 1.0) -> RelayHarness:
+        """Starts a relay, which registers the servers, and waits until it is ready."""
+        self._count += 1
+        relay = RelayHarness(self._log, self._documents, self._count, cores)
+        if self._count == 1:
+            for item in self.servers:
+                relay.register_server(item)
+            relay.publish(CONFIGURATION)
+        self._nursery.start_soon(relay.process.run)
+        await relay.wait_until_ready()
+        return relay
+
+    async def start_all(self, count: int) -> list[RelayHarness]:
+        """Starts relays and waits until all of them have the first one as their leader."""
+        relays = [await self.start() for _ in range(count)]
+        while any(relay.leader != "vm-1" for relay in relays):
+            await trio.sleep(0.01)
+        return relays
+
+
 def free_ports(host: str) -> list[int]:
     """Returns four free ports of a loopback address."""
     sockets = [socket.socket() for _ in range(4)]
@@ -241,6 +273,29 @@
     trio.run(main)
 
 
+FleetScenario = Callable[[RelayFleet], Awaitable[None]]
+
+
+def run_fleet_scenario(
+    scenario: FleetScenario, *scripts: HttpRequestHandler, service: str = "engines"
+) -> None:
+    """Runs a scenario on several relays with one server for each script."""
+
+    async def main() -> None:
+        servers = [
+            ScriptedServer(server(number, service, port=0), script)
+            for number, script in enumerate(scripts)
+        ]
+        with trio.fail_after(TEST_TIMEOUT):
+            async with trio.open_nursery() as nursery:
+                for item in servers:
+                    await nursery.start(item.run)
+                await scenario(RelayFleet(nursery, servers))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def first_then(first: HttpRequestHandler, then: HttpRequestHandler) -> HttpRequestHandler:
     """Returns a script that runs ``first`` for the first request and ``then`` for all others.
 
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -282,6 +282,8 @@
         self.requests: list[HttpRequest] = []
         self.connections = 0
         self.report = b"0 0"
+        #: Lines that the response to a report has besides its length.
+        self.report_headers = b""
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled."""
@@ -296,8 +298,8 @@
 
         async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
             if request.target.encode() == SampleReports.path:
-                head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(self.report)
-                await stream.send_all(head + self.report)
+                head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n" % len(self.report)
+                await stream.send_all(head + self.report_headers + b"\r\n" + self.report)
                 return True
             self.requests.append(request)
             return await self.script(request, stream)
