Reproduce a request that blocks the VM while its plain service has no server

Without a candidate, the attempt returns at once and without a checkpoint that the request was not sent, and the request is tried again until its deadline. The VM handles nothing else in that time.

--- a/camphordrift/relay/tests/test_end_to_end.py
+++ b/camphordrift/relay/tests/test_end_to_end.py
@@ -462,6 +462,18 @@
 
         run_scenario(scenario, complete_stream)
 
+    def test_request_to_a_plain_service_without_servers_is_refused_at_once(self) -> None:
+        """Guards against a request that blocks the event loop until its deadline."""
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            started = trio.current_time()
+            response = await relay.send_request("/look/x")
+            self.assertEqual(503, response.status)
+            self.assertIn("retry-after", response.headers)
+            self.assertTrue(trio.current_time() - started < 0.5)
+
+        run_scenario(scenario, complete_stream)
+
     def test_malformed_request_is_refused(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             ambiguous = request_bytes("/quick/x", transfer_encoding="chunked")
