Refuse a request at once if its plain service has no server left

Cause: an attempt without a candidate counted as not sent, which allows a further attempt; as nothing in between waits, the request was tried again without a pause until its deadline, and the VM handled nothing else in that time.

Change: such a request is refused at once: as not run, with Retry-After 1 s, or as failed if an earlier attempt may have run or was answered.

--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True)
 class NotSent:
-    """No connection was established, or no server was available; nothing was sent."""
+    """No connection was established; nothing was sent."""
 
     reason: str
 
--- a/camphordrift/relay/_refusals.py
+++ b/camphordrift/relay/_refusals.py
@@ -2,7 +2,7 @@
 
 from typing import Optional
 
-from camphordrift.relay._attempt import AttemptResult
+from camphordrift.relay._attempt import Answered, AttemptResult
 from camphordrift.relay._placement_values import PlacementRefusal, RefusalReason
 from camphordrift.relay._request_progress import RequestProgress
 from camphordrift.results import Failure, ResultCode, RunState
@@ -13,6 +13,9 @@
 #: Retry-After in seconds after servers rejected the request.
 REJECTED_RETRY_AFTER = 0.1
 
+#: Retry-After in seconds while no server of a plain service is left for the request.
+NO_SERVER_RETRY_AFTER = 1.0
+
 
 class RequestRefusedError(Exception):
     """The relay refuses a request or gives it up; carries the failure to report."""
@@ -70,6 +73,19 @@
     )
 
 
+def failure_without_server(progress: RequestProgress) -> Failure:
+    """Returns the failure for a request to a plain service that no server is left for."""
+    if progress.may_have_run or isinstance(progress.last_result, Answered):
+        return Failure(
+            ResultCode.BACKEND_STREAM_BROKEN, "no other server is available to retry the request"
+        )
+    return Failure(
+        ResultCode.NO_ENGINE_AVAILABLE,
+        "no server of the service accepts the request",
+        NO_SERVER_RETRY_AFTER,
+    )
+
+
 def failure_of_placement(refusal: PlacementRefusal, progress: RequestProgress) -> Failure:
     """Returns the failure for a request that was assigned no engine."""
     if progress.may_have_run:
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -26,7 +26,11 @@
     PlacementRequest,
 )
 from camphordrift.relay._plain_servers import PlainServerBalancer
-from camphordrift.relay._refusals import RequestRefusedError, failure_of_placement
+from camphordrift.relay._refusals import (
+    RequestRefusedError,
+    failure_of_placement,
+    failure_without_server,
+)
 from camphordrift.relay._request_progress import RequestProgress
 from camphordrift.relay._request_reports import RequestReports
 from camphordrift.relay._reservations import (
@@ -93,7 +97,12 @@
     async def try_plain_server(
         self, progress: RequestProgress, sink: Optional[CallerEventSink]
     ) -> AttemptResult:
-        """Sends a request to a plain server and returns the result of the attempt."""
+        """Sends a request to a plain server and returns the result of the attempt.
+
+        Raises:
+            RequestRefusedError: No server is left for the request.
+
+        """
         server = self._plain_balancer.choose(
             self._routing_state.directory.ready_servers(progress.service.name),
             self._zone,
@@ -101,7 +110,7 @@
             trio.current_time(),
         )
         if server is None:
-            return NotSent("no server of the service is available")
+            raise RequestRefusedError(failure_without_server(progress))
         failed = False
         try:
             result = await self._attempt(progress, server, (), self._plain_timeouts(progress), sink)
