Send nothing new to servers that announce in a response that they leave

Cause: the header was forwarded to the caller and not read; only the directory decided whether a server leaves, which shows it later, not at all while the store is away, and as ready again after the store was restored from an older copy.

Change: the adapter decodes the announcement; each response to a request, an order or a request for a report is examined. ServerNotices keeps it for this start of the server and overrides the directory in selection and right before each send. It is passed on between leader and followers when it is new, and in full when two VMs connect. A request for which all engines are excluded or draining is refused at once, as it is if none is listed. Reservations for running requests are still renewed and released.

--- a/camphordrift/event_log/_explanation.py
+++ b/camphordrift/event_log/_explanation.py
@@ -40,6 +40,7 @@
         "configuration_applied",
         "server_listed",
         "server_removed",
+        "server_leaving",
         "log_lines_left_out",
     }
 )
--- a/camphordrift/platform/_headers.py
+++ b/camphordrift/platform/_headers.py
@@ -33,6 +33,8 @@
 #: Engines that prefill parts of the prompt: IP:PORT or IP:PORT/RESERVATION, comma-separated.
 _HELPERS = b"camphordrift-helpers"
 _KEEP_ALIVE = b"keep-alive"
+#: ``1`` in all responses of a server that leaves.
+_LEAVING = b"server-leaving"
 
 #: Headers of a caller's request that are not forwarded: the relay sets them itself, or they are
 #: meant only for the relay.
@@ -84,6 +86,7 @@
             not_run=_NOT_RUN in values,
             server_at_fault=_decode_text(values.get(_SERVER_AT_FAULT)),
             idle_timeout=_parse_idle_timeout(values.get(_KEEP_ALIVE)),
+            leaving=values.get(_LEAVING) == b"1",
         )
 
     def outgoing_headers(
--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -19,6 +19,7 @@
     HistoryLostError,
     KeyedRecord,
     SmallRequest,
+    SmallResponse,
     StoreError,
 )
 
@@ -126,16 +127,16 @@
         target = f"{path}?{urlencode(query)}"
         try:
             with trio.fail_after(_RESPONSE_TIMEOUT + wait):
-                status, content = await self._exchange(method, target, body)
+                response = await self._exchange(method, target, body)
         except (OSError, BrokenAnswerError, trio.TooSlowError) as error:
             raise StoreError(f"{path}: {type(error).__name__} {error}") from error
-        if status == 410:
+        if response.status == 410:
             raise HistoryLostError(path)
-        if status != 200:
-            raise StoreError(f"{path}: status {status} {content[:200]!r}")
-        return content
+        if response.status != 200:
+            raise StoreError(f"{path}: status {response.status} {response.body[:200]!r}")
+        return response.body
 
-    async def _exchange(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
+    async def _exchange(self, method: str, target: str, body: bytes) -> SmallResponse:
         host, port = self._address.host, self._address.port
         connection = await self._connections.acquire(host, port)
         headers = [
--- a/camphordrift/platform/tests/test_boundary.py
+++ b/camphordrift/platform/tests/test_boundary.py
@@ -19,6 +19,7 @@
     r"|/v1/(readyz|report|order|log-[a-z]+)"
     r"|\b(TrafficSplit|SloMs|GapTargetMs|ResumeStreams|NoAuth|ApiKeys|KvCacheTokens"
     r"|MaxConns|ReadinessAddr|PortRange|RevokeMs|GraceS|HoldMs|RetrySlack|EndOffset|HasMore)\b"
+    r"|\bserver-leaving\b"
     r"|\bkeyed\.(op|servers|status|members)\b",
     re.IGNORECASE,
 )
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -169,6 +169,12 @@
         self.assertEqual(
             (True, False, 5.0), (metadata.not_run, metadata.signed, metadata.idle_timeout)
         )
+        self.assertFalse(metadata.leaving)
+
+    def test_a_server_that_leaves(self) -> None:
+        for value, leaving in ((b"1", True), (b"0", False), (b"", False)):
+            metadata = PlatformHeaders().response_metadata([(b"server-leaving", value)])
+            self.assertEqual(leaving, metadata.leaving)
 
 
 class SettingsTest(testtools.TestCase):
--- a/camphordrift/relay/__init__.py
+++ b/camphordrift/relay/__init__.py
@@ -5,7 +5,12 @@
 its deployment: headers, documents, engine orders and the keyed log.
 """
 
-from camphordrift.relay._http_client import BrokenAnswerError, ConnectionPool, SmallRequest
+from camphordrift.relay._http_client import (
+    BrokenAnswerError,
+    ConnectionPool,
+    SmallRequest,
+    SmallResponse,
+)
 from camphordrift.relay._interfaces import (
     Batch,
     DocumentFormat,
@@ -76,6 +81,7 @@
     "Service",
     "ServiceShare",
     "SmallRequest",
+    "SmallResponse",
     "StoreError",
     "run_relay",
 ]
--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -11,7 +11,7 @@
 from camphordrift.relay._http_client import BrokenAnswerError, ConnectionPool, HttpConnection
 from camphordrift.relay._http_server import CallerRequest
 from camphordrift.relay._interfaces import HeaderFormat, Headers
-from camphordrift.relay._values import BackendServer, ForwardingMetadata
+from camphordrift.relay._values import BackendServer, ForwardingMetadata, ResponseMetadata
 
 #: Maximum size in bytes of a response that is buffered until it is complete.
 MAX_BUFFERED_RESPONSE_BYTES = 16 << 20
@@ -99,7 +99,17 @@
 
 
 class Attempt:
-    """Sends a request to a server and receives the response."""
+    """Sends a request to a server and receives the response.
+
+    Args:
+        request: The caller's request.
+        attempt_id: Id of the caller's attempt.
+        server: The server.
+        connections: Connections to backend servers.
+        header_format: Format of the headers.
+        on_response: Called with status and metadata when the head of a response has arrived.
+
+    """
 
     def __init__(
         self,
@@ -108,12 +118,14 @@
         server: BackendServer,
         connections: ConnectionPool,
         header_format: HeaderFormat,
+        on_response: Callable[[int, ResponseMetadata], None],
     ) -> None:
         self._request = request
         self._attempt_id = attempt_id
         self._server = server
         self._connections = connections
         self._header_format = header_format
+        self._on_response = on_response
 
     async def run(
         self,
@@ -200,6 +212,7 @@
         if scope.cancelled_caught:
             return Broken("no answer in time", timed_out=True), 0.0
         metadata = self._header_format.response_metadata(list(head.headers))
+        self._on_response(head.status_code, metadata)
         idle_timeout = (
             DEFAULT_IDLE_TIMEOUT if metadata.idle_timeout is None else metadata.idle_timeout
         )
--- a/camphordrift/relay/_engine_inspection.py
+++ b/camphordrift/relay/_engine_inspection.py
@@ -7,8 +7,9 @@
 
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay._engine_scheduler import EngineScheduler
-from camphordrift.relay._http_client import BrokenAnswerError, ConnectionPool, SmallRequest
+from camphordrift.relay._http_client import BrokenAnswerError, SmallRequest
 from camphordrift.relay._interfaces import ReportFormat
+from camphordrift.relay._server_calls import ServerCalls, ServerUnreachableError
 from camphordrift.relay._values import BackendServer, EngineReport
 
 #: Seconds between checks of which reports are due.
@@ -33,7 +34,7 @@
 
     Args:
         scheduler: Decides which reports are needed.
-        connections: Connections to backend servers.
+        calls: Sends the requests. A server that asked to get no more requests is not inspected.
         report_format: Path and format of the engines' reports.
         is_leader: Returns whether this VM schedules for all VMs that it knows. A VM that is cut off
             from the others requests no reports, as each such VM would inspect all engines.
@@ -43,12 +44,12 @@
     def __init__(
         self,
         scheduler: EngineScheduler,
-        connections: ConnectionPool,
+        calls: ServerCalls,
         report_format: ReportFormat,
         is_leader: Callable[[], bool],
     ) -> None:
         self._scheduler = scheduler
-        self._connections = connections
+        self._calls = calls
         self._format = report_format
         self._is_leader = is_leader
         self._limiter = trio.CapacityLimiter(MAX_CONCURRENT_REPORTS)
@@ -69,6 +70,8 @@
     async def _inspect(self, server: BackendServer) -> None:
         report: Optional[EngineReport] = None
         async with self._limiter:
+            if not self._calls.accepts_requests(server):
+                return
             with trio.move_on_after(REPORT_TIMEOUT):
                 report = await self._request_report(server)
         log_event(
@@ -81,20 +84,16 @@
         self._scheduler.record_report(server, report)
 
     async def _request_report(self, server: BackendServer) -> Optional[EngineReport]:
+        request = SmallRequest(b"GET", self._format.path, [(b"host", server.address.encode())])
         try:
-            connection = await self._connections.acquire(server.host, server.port)
-        except OSError as error:
+            response = await self._calls.call(server, request, "report", REPORT_CONNECTION_IDLE)
+            if response.status != 200:
+                log_event("engine_report_refused", server=server.id, status=response.status)
+                return None
+            return self._format.parse(response.body)
+        except ServerUnreachableError as error:
             log_event("engine_unreachable", server=server.id, reason=str(error))
             return None
-        try:
-            request = SmallRequest(b"GET", self._format.path, [(b"host", server.address.encode())])
-            status, content = await self._connections.exchange(
-                server.host, server.port, connection, request, REPORT_CONNECTION_IDLE
-            )
-            if status != 200:
-                log_event("engine_report_refused", server=server.id, status=status)
-                return None
-            return self._format.parse(content)
         except (BrokenAnswerError, OSError, ValueError) as error:
             log_event("engine_report_unreadable", server=server.id, reason=str(error))
             return None
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -25,7 +25,7 @@
     PlacementRequest,
     RefusalReason,
 )
-from camphordrift.relay._values import BackendServer, EngineCosts, EngineReport
+from camphordrift.relay._values import BackendServer, EngineCosts, EngineReport, ServerState
 
 #: Requests that miss their target time to the first event are deferred in favour of those that can
 #: still meet it, but only during this share of the time from submission to deadline. The rest is
@@ -82,6 +82,7 @@
     def __init__(self, costs: EngineCosts, tie_breaker: str = "") -> None:
         self._costs = costs
         self._index = EngineIndex(tie_breaker)
+        self._draining_count = 0
         self._waiting: dict[str, _WaitingRequest] = {}
         self._placed: dict[str, _PlacedRequest] = {}
         #: Heap of the times at which placed requests are released without a report, and their ids;
@@ -117,6 +118,7 @@
                 load = EngineLoad(server, self._costs)
             load.server = server
             loads.append(load)
+        self._draining_count = sum(load.server.state is ServerState.LEAVING for load in loads)
         self._index.replace_all(loads)
         self._update_needs()
 
@@ -304,10 +306,14 @@
         return None
 
     def _excludes_all_engines(self, request: PlacementRequest) -> bool:
+        """Returns whether all engines that are not draining are excluded."""
         engines = self._index.engines
-        if len(request.excluded) < len(engines):
+        if len(request.excluded) + self._draining_count < len(engines):
             return False
-        return all(engine.server.id in request.excluded for engine in engines)
+        return all(
+            engine.server.state is ServerState.LEAVING or engine.server.id in request.excluded
+            for engine in engines
+        )
 
     def _update_needs(self) -> None:
         """Updates what waiting requests need after the engines or their costs changed."""
--- a/camphordrift/relay/_http_client.py
+++ b/camphordrift/relay/_http_client.py
@@ -36,6 +36,16 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True)
+class SmallResponse:
+    """The complete response to a small request."""
+
+    status: int
+    #: Pairs of lower-case name and value.
+    headers: Sequence[tuple[bytes, bytes]]
+    body: bytes
+
+
 class HttpConnection:
     """A connection to a server; handles one request at a time."""
 
@@ -83,8 +93,8 @@
                 "the server closed the connection while the request was being sent"
             ) from error
 
-    async def exchange(self, request: SmallRequest) -> tuple[int, bytes]:
-        """Sends a small request and returns the status and body of the response.
+    async def exchange(self, request: SmallRequest) -> SmallResponse:
+        """Sends a small request and returns the response.
 
         Raises:
             BrokenAnswerError: The response was incomplete or malformed.
@@ -96,7 +106,7 @@
         content = bytearray()
         while (chunk := await self.receive_data()) is not None:
             content += chunk
-        return head.status_code, bytes(content)
+        return SmallResponse(head.status_code, list(head.headers), bytes(content))
 
     async def receive_head(self) -> h11.Response:
         """Returns the status line and headers of the response.
@@ -189,7 +199,7 @@
         connection: HttpConnection,
         request: SmallRequest,
         idle_timeout: float,
-    ) -> tuple[int, bytes]:
+    ) -> SmallResponse:
         """Sends a small request on an acquired connection, and releases the connection.
 
         Args:
@@ -199,9 +209,6 @@
             request: The request.
             idle_timeout: Seconds for which the server keeps the connection open while it is idle.
 
-        Returns:
-            Status and body of the response.
-
         Raises:
             BrokenAnswerError: The response was incomplete or malformed.
             OSError: The connection broke.
--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -18,6 +18,7 @@
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_scheduler import EngineScheduler
 from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, LogTopics, StoreError
+from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._peer_messages import (
     ConfigurationRequest,
     EventGapReport,
@@ -31,6 +32,7 @@
     PrefillFinished,
     Refused,
     Register,
+    ServersLeaving,
     StoreReachable,
     StoreUnreachable,
     Submit,
@@ -95,6 +97,7 @@
         dispatcher: Dispatcher,
         scheduler: EngineScheduler,
         updates: UpdateDistributor,
+        notices: NoticeDistributor,
     ) -> None:
         self._own_member = own_member
         self._log = log
@@ -102,6 +105,7 @@
         self._dispatcher = dispatcher
         self._scheduler = scheduler
         self._updates = updates
+        self._notices = notices
         self._members: dict[str, Member] = {own_member.vm: own_member}
         self._connect_attempts: dict[str, int] = {}
         self._store_unreachable_until: dict[str, float] = {}
@@ -268,6 +272,7 @@
         log_event("home_found", home=leader.vm)
         self._dispatcher.attach_leader(link)
         self._updates.record_leader_found(link)
+        self._notices.add_link(link)
         self._leader = leader
         reason = "another VM is preferred as leader"
         try:
@@ -282,6 +287,7 @@
         finally:
             self._scheduler.suspend_decisions(TAKEOVER_DELAY)
             self._updates.record_leader_lost()
+            self._notices.remove_link(link)
             self._leader = self._own_member
             self._dispatcher.detach_leader()
             stream.socket.close()
@@ -319,6 +325,8 @@
                 self._record_store_unreachable(vm)
             case StoreReachable(vm):
                 self._record_store_reachable(vm)
+            case ServersLeaving(starts):
+                self._notices.record_leaving(starts, self.leader)
             case _:
                 self._updates.handle_message(message, self._dispatcher.handle_message)
 
@@ -352,6 +360,7 @@
             f"{self._last_follower_id}",
             self._scheduler,
             self._updates,
+            self._notices,
             self._add_member,
             self._record_store_unreachable,
             lambda: self._better_leaders(self._own_member),
@@ -370,6 +379,7 @@
             pass
         finally:
             self._updates.remove_follower(link)
+            self._notices.remove_link(link)
             self._scheduler.remove_owner(session.follower_id)
             stream.socket.close()
 
@@ -389,12 +399,14 @@
         follower_id: str,
         scheduler: EngineScheduler,
         updates: UpdateDistributor,
+        notices: NoticeDistributor,
         add_member: Callable[[Member], None],
         record_store_unreachable: Callable[[str], None],
         better_leaders: Callable[[], list[Member]],
     ) -> None:
         self.follower_id = follower_id
         self._updates = updates
+        self._notices = notices
         self.link: Optional[MessageLink] = None
         self._scheduler = scheduler
         self._add_member = add_member
@@ -408,11 +420,14 @@
                 self._add_member(message)
                 if self.link is not None:
                     self._updates.add_follower(self.link, message, self._better_leaders())
+                    self._notices.add_link(self.link)
             case Ping():
                 if self.link is not None:
                     self.link.send(self._updates.pong_for(message))
             case StoreUnreachable(vm):
                 self._record_store_unreachable(vm)
+            case ServersLeaving(starts):
+                self._notices.record_leaving(starts, "follower")
             case ConfigurationRequest(version) if self.link is not None:
                 self._updates.send_document(self.link, version)
             case Submit():
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -18,6 +18,7 @@
     PlacementRequest,
 )
 from camphordrift.relay._server_directory import DirectoryChange
+from camphordrift.relay._server_notices import ServerStart
 from camphordrift.relay._settings import Address
 
 #: Largest message in bytes; a longer one closes the connection. Configurations are the largest
@@ -173,6 +174,12 @@
     changes: tuple[DirectoryChange, ...]
 
 
+class ServersLeaving(msgspec.Struct, frozen=True, tag=True):
+    """Reports backend servers that announced in a response that they leave."""
+
+    starts: tuple[ServerStart, ...]
+
+
 class Ping(msgspec.Struct, frozen=True, tag=True):
     """Checks that the leader responds, and asks for the age of its state."""
 
@@ -213,6 +220,7 @@
     ConfigurationRequest,
     ConfigurationDocument,
     ServerUpdate,
+    ServersLeaving,
     Ping,
     Pong,
 ]
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/_placement_values.py
@@ -60,8 +60,8 @@
 class RefusalReason(Enum):
     """Why a placement request is refused."""
 
-    #: No usable engine is left: none is listed, all are excluded, or the preferred one is not
-    #: usable.
+    #: No usable engine is left: none is listed, all are draining or excluded, or the preferred one
+    #: is not usable.
     NO_ENGINE = "no_engine"
     #: The deadline would pass even on idle engines.
     TOO_LATE = "too_late"
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -34,6 +34,7 @@
     ReportFormat,
 )
 from camphordrift.relay._leader_election import LeaderElection
+from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._peer_messages import Member
 from camphordrift.relay._relay_metrics import RelayMetrics
 from camphordrift.relay._request_handler import RequestHandler
@@ -41,7 +42,9 @@
 from camphordrift.relay._reservations import ReservationManager
 from camphordrift.relay._routing_state import RoutingState
 from camphordrift.relay._sender import Sender
+from camphordrift.relay._server_calls import ServerCalls
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay._server_notices import ServerNotices
 from camphordrift.relay._settings import RelaySettings
 from camphordrift.relay._store_watchers import (
     ConfigurationWatcher,
@@ -108,6 +111,8 @@
         self._accept_scope = trio.CancelScope()
         self._callers: set[CallerConnection] = set()
         self._directory = ServerDirectory()
+        self._notices = ServerNotices()
+        self._notice_distributor = NoticeDistributor(self._notices, self._refresh_pools)
         self._lease = ConfigurationLease(settings.key_revocation_delay)
         self._scheduler = EngineScheduler(settings.vm, trio.current_time)
         self._dispatcher = Dispatcher(settings.vm, self._scheduler, trio.current_time)
@@ -136,11 +141,18 @@
             self._dispatcher,
             self._scheduler,
             self._updates,
+            self._notice_distributor,
         )
         self._connections = ConnectionPool(BACKEND_CONNECT_TIMEOUT)
+        calls = ServerCalls(
+            self._connections,
+            adapters.headers,
+            self._notice_distributor.observe,
+            self._notices.accepts_requests,
+        )
         self._inspector = EngineInspector(
             self._scheduler,
-            self._connections,
+            calls,
             adapters.reports,
             lambda: self._election.is_leader,
         )
@@ -148,6 +160,7 @@
             table=lambda: self._configuration.table,
             lease=self._lease,
             directory=self._directory,
+            notices=self._notices,
             budget_settings=settings.budget,
             vm_count=lambda: self._election.member_count,
         )
@@ -158,8 +171,9 @@
             self._routing_state,
             self._dispatcher,
             self._connections,
-            ReservationManager(self._connections, adapters.orders),
+            ReservationManager(calls, adapters.orders),
             adapters.headers,
+            self._notice_distributor.observe,
             reports,
         )
         self._handler = RequestHandler(
@@ -283,7 +297,7 @@
         table = self._configuration.table
         if table is not None:
             self._scheduler.set_services(table.configuration.services.values())
-            self._scheduler.set_servers(self._directory.servers.values())
+            self._scheduler.set_servers(self._notices.apply_to(self._directory.servers.values()))
 
     def _configuration_changed(self) -> None:
         self._refresh_pools()
@@ -305,6 +319,7 @@
             if trio.current_time() - last_check > IDLE_CONNECTION_CHECK_INTERVAL:
                 last_check = trio.current_time()
                 self._connections.close_expired()
+                self._notices.forget_unlisted(self._directory.servers, last_check)
 
     async def _wait_for_stop(self, signals: AsyncIterator[int]) -> None:
         async for signal_number in signals:
--- a/camphordrift/relay/_request_progress.py
+++ b/camphordrift/relay/_request_progress.py
@@ -1,6 +1,6 @@
 """State of an admitted request until its response is complete."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Optional
 
 import trio
@@ -26,6 +26,8 @@
     attempted_servers: list[str]
     #: Ids of the servers that must not be chosen for the next attempt.
     excluded_servers: list[str]
+    #: Ids of the servers that were chosen although this VM knew that they leave; not chosen again.
+    withheld_servers: set[str] = field(default_factory=set)
     #: Id of the engine to retry on, because only one of its prefill helpers failed.
     preferred_server: Optional[str] = None
     #: Whether a server may have executed the request.
--- a/camphordrift/relay/_reservations.py
+++ b/camphordrift/relay/_reservations.py
@@ -14,11 +14,11 @@
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay._http_client import (
     BrokenAnswerError,
-    ConnectionPool,
     SmallRequest,
     open_connection,
 )
 from camphordrift.relay._interfaces import OrderFormat, Reservation
+from camphordrift.relay._server_calls import ServerCalls, ServerUnreachableError
 from camphordrift.relay._values import BackendServer
 
 #: Seconds for which an engine keeps a reservation that is not renewed. Unused memory may stay
@@ -68,10 +68,18 @@
 
 
 class ReservationManager:
-    """Makes, renews and releases reservations on engines."""
+    """Makes, renews and releases reservations on engines.
 
-    def __init__(self, connections: ConnectionPool, orders: OrderFormat) -> None:
-        self._connections = connections
+    Args:
+        calls: Sends the orders. A server that asked to get no more requests gets no orders to make
+            a reservation. Those that it has are renewed, so that running streams can end, and
+            released.
+        orders: Format of the orders.
+
+    """
+
+    def __init__(self, calls: ServerCalls, orders: OrderFormat) -> None:
+        self._calls = calls
         self._orders = orders
 
     @asynccontextmanager
@@ -102,7 +110,8 @@
         refused: list[str] = []
 
         async def reserve(part: ReservedPart) -> None:
-            if not await self._send_reserve_order(part):
+            may_reserve = self._calls.accepts_requests(part.server)
+            if not (may_reserve and await self._send_reserve_order(part)):
                 refused.append(part.server.id)
 
         async with trio.open_nursery() as nursery:
@@ -161,23 +170,19 @@
     async def _send_order(self, part: ReservedPart, body: bytes) -> "int | None":
         """Sends an order; returns the status of the response, or ``None`` if there was none."""
         server = part.server
+        headers = [
+            (b"host", server.address.encode()),
+            (b"content-type", self._orders.content_type),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        request = SmallRequest(b"POST", self._orders.path, headers, body)
         with trio.move_on_after(ORDER_TIMEOUT):
             try:
-                connection = await self._connections.acquire(server.host, server.port)
-            except OSError as error:
+                response = await self._calls.call(server, request, "order", ORDER_CONNECTION_IDLE)
+                return response.status
+            except ServerUnreachableError as error:
                 log_event("order_not_sent", server=server.id, reason=str(error))
                 return None
-            try:
-                headers = [
-                    (b"host", f"{server.host}:{server.port}".encode()),
-                    (b"content-type", self._orders.content_type),
-                    (b"content-length", b"%d" % len(body)),
-                ]
-                request = SmallRequest(b"POST", self._orders.path, headers, body)
-                status, _ = await self._connections.exchange(
-                    server.host, server.port, connection, request, ORDER_CONNECTION_IDLE
-                )
-                return status
             except (BrokenAnswerError, OSError) as error:
                 log_event("order_unanswered", server=server.id, reason=str(error))
                 return None
--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/_routing_state.py
@@ -10,8 +10,9 @@
 from camphordrift.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from camphordrift.relay._routing_table import RoutingTable
 from camphordrift.relay._server_directory import ServerDirectory
+from camphordrift.relay._server_notices import ServerNotices
 from camphordrift.relay._store_watchers import boot_time_clock
-from camphordrift.relay._values import Account, Configuration
+from camphordrift.relay._values import Account, BackendServer, Configuration
 
 #: Seconds between checks of whether the configuration and the servers are loaded.
 LOAD_CHECK_INTERVAL = 0.01
@@ -26,6 +27,8 @@
     table: Callable[[], Optional[RoutingTable]]
     lease: ConfigurationLease
     directory: ServerDirectory
+    #: What the servers announced about further requests.
+    notices: ServerNotices
     budget_settings: RetryBudgetSettings
     #: Returns how many VMs share the retry budget.
     vm_count: Callable[[], int]
@@ -59,6 +62,11 @@
         """Returns whether the configuration is recent enough to accept keys."""
         return self.lease.is_valid(boot_time_clock())
 
+    def usable_servers(self, service: str) -> list[BackendServer]:
+        """Returns the servers of a service that accept new requests."""
+        ready = self.directory.ready_servers(service)
+        return [server for server in ready if self.notices.accepts_requests(server)]
+
     def budget(self, service: str) -> RetryBudget:
         """Returns this VM's share of a service's retry budget."""
         budget = self._budgets.get(service)
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -40,6 +40,7 @@
     ReservedPart,
 )
 from camphordrift.relay._routing_state import RoutingState
+from camphordrift.relay._server_calls import ResponseObserver
 from camphordrift.relay._values import BackendServer, ForwardingMetadata, PrefillHelper
 
 #: Seconds allowed after the deadline for a server's own timeout response to arrive.
@@ -81,6 +82,7 @@
         connections: ConnectionPool,
         reservations: ReservationManager,
         header_format: HeaderFormat,
+        observe_response: ResponseObserver,
         reports: RequestReports,
     ) -> None:
         self._vm = vm
@@ -90,6 +92,7 @@
         self._connections = connections
         self._reservations = reservations
         self._header_format = header_format
+        self._observe_response = observe_response
         self._reports = reports
         self._placement_numbers = itertools.count()
         self._plain_balancer = PlainServerBalancer()
@@ -104,7 +107,7 @@
 
         """
         server = self._plain_balancer.choose(
-            self._routing_state.directory.ready_servers(progress.service.name),
+            self._routing_state.usable_servers(progress.service.name),
             self._zone,
             progress.excluded_servers,
             trio.current_time(),
@@ -113,7 +116,8 @@
             raise RequestRefusedError(failure_without_server(progress))
         failed = False
         try:
-            result = await self._attempt(progress, server, (), self._plain_timeouts(progress), sink)
+            timeouts = self._plain_timeouts(progress)
+            result = await self._attempt(progress, (server,), (), timeouts, sink)
             failed = isinstance(result, (NotSent, Broken))
         finally:
             self._plain_balancer.record_finished(server.id, failed, trio.current_time())
@@ -180,13 +184,15 @@
             min(first_event_timeout, progress.remaining_time + LATE_RESPONSE_MARGIN),
             progress.route.event_gap_objective * EVENT_GAP_FACTOR,
         )
+        servers = (grant.server, *grant.helpers)
         if not parts:
-            return await self._attempt(progress, grant.server, helpers, timeouts, sink)
+            return await self._attempt(progress, servers, helpers, timeouts, sink)
         try:
             async with self._reservations.hold_reservations(parts, grant.server):
-                return await self._attempt(progress, grant.server, helpers, timeouts, sink)
+                return await self._attempt(progress, servers, helpers, timeouts, sink)
         except ReservationRefusedError as error:
-            progress.excluded_servers.extend(error.server_ids)
+            withheld = self._record_withheld(progress, grant.helpers)
+            progress.excluded_servers.extend(set(error.server_ids).difference(withheld))
             return Withheld(str(error))
         # Reached only if hold_reservations() cancelled its body, because the primary engine became
         # unreachable.
@@ -213,7 +219,7 @@
             pause=progress.route.event_gap_objective,
             time_left=progress.remaining_time,
             priority=priority,
-            excluded=tuple(progress.excluded_servers),
+            excluded=(*progress.excluded_servers, *progress.withheld_servers),
             preferred=progress.preferred_server,
             resumed=metadata.last_event_id is not None
             or (sink is not None and sink.last_event_id is not None),
@@ -222,22 +228,25 @@
     async def _attempt(
         self,
         progress: RequestProgress,
-        server: BackendServer,
+        servers: tuple[BackendServer, ...],
         helpers: tuple[PrefillHelper, ...],
         timeouts: AttemptTimeouts,
         sink: Optional[CallerEventSink],
     ) -> AttemptResult:
+        """Runs an attempt on the first of ``servers``; the others are the helpers."""
+        server = servers[0]
         attempt = Attempt(
             progress.request,
             progress.metadata.attempt_id,
             server,
             self._connections,
             self._header_format,
+            lambda status, metadata: self._observe_response(server, status, metadata, "request"),
         )
         progress.excluded_servers.append(server.id)
 
         def prepare_send() -> Optional[ForwardingMetadata]:
-            return self._prepare_send(progress, server, helpers, sink)
+            return self._prepare_send(progress, servers, helpers, sink)
 
         force_new = not progress.route.retryable
         started_at = trio.current_time()
@@ -245,26 +254,41 @@
         self._reports.record_attempt(
             progress, server, len(helpers), timeouts, result, sink, started_at
         )
+        if isinstance(result, Withheld) and self._record_withheld(progress, servers):
+            # The server failed nothing, so it does not count towards the limit.
+            progress.excluded_servers.remove(server.id)
         return result
 
+    def _record_withheld(
+        self, progress: RequestProgress, servers: tuple[BackendServer, ...]
+    ) -> list[str]:
+        """Excludes those of the servers that get no more requests; returns their ids."""
+        notices = self._routing_state.notices
+        withheld = [server.id for server in servers if not notices.accepts_requests(server)]
+        progress.withheld_servers.update(withheld)
+        return withheld
+
     def _prepare_send(
         self,
         progress: RequestProgress,
-        server: BackendServer,
+        servers: tuple[BackendServer, ...],
         helpers: tuple[PrefillHelper, ...],
         sink: Optional[CallerEventSink],
     ) -> Optional[ForwardingMetadata]:
         """Returns the metadata to forward; ``None`` if the request must not be sent any more.
 
-        Repeats the checks of the deadline, the API key and the server, because connecting to the
-        server may have taken long.
+        Repeats the checks of the deadline, the API key and the servers, because connecting to the
+        server may have taken long, and the leader may not know what the servers announced.
         """
+        server = servers[0]
         if progress.remaining_time <= 0:
             return None
         if not self._routing_state.is_still_authorized(progress.metadata.key, progress.account):
             return None
         if not self._routing_state.directory.may_receive_requests(server.id):
             return None
+        if not all(map(self._routing_state.notices.accepts_requests, servers)):
+            return None
         progress.attempted_servers.append(server.id)
         last_event = None if sink is None or sink.last_event_id is None else str(sink.last_event_id)
         return ForwardingMetadata(
--- a/camphordrift/relay/_values.py
+++ b/camphordrift/relay/_values.py
@@ -216,6 +216,8 @@
     server_at_fault: Optional[str] = None
     #: Seconds for which the server keeps an idle connection open, if stated.
     idle_timeout: Optional[float] = None
+    #: Whether the server announces that it leaves, and so must get no new requests.
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -30,7 +30,11 @@
     ServiceShare,
     StoreError,
 )
+from camphordrift.relay._http_client import ConnectionPool
+from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._placement_values import PlacementRequest
+from camphordrift.relay._server_calls import ServerCalls
+from camphordrift.relay._server_notices import ServerNotices
 from camphordrift.testing import (
     HttpRequest,
     HttpRequestHandler,
@@ -222,6 +226,7 @@
             signed=b"x-signature" in found,
             not_run=b"x-not-run" in found,
             server_at_fault=found.get(b"x-at-fault"),
+            leaving=b"x-leaving" in found,
         )
 
     def outgoing_headers(
@@ -264,6 +269,13 @@
         return f"release {reservation_id}".encode()
 
 
+def server_calls(notices: Optional[ServerNotices] = None) -> ServerCalls:
+    """Returns the calls of a VM without leader and followers."""
+    notices = ServerNotices() if notices is None else notices
+    observe = NoticeDistributor(notices, lambda: None).observe
+    return ServerCalls(ConnectionPool(0.5), SampleHeaders(), observe, notices.accepts_requests)
+
+
 def attempt_id_of(request: HttpRequest) -> str:
     """Returns the attempt id of a request that a server received."""
     return request.headers.get("x-attempt", "")
--- a/camphordrift/relay/tests/test_engine_inspection.py
+++ b/camphordrift/relay/tests/test_engine_inspection.py
@@ -8,12 +8,12 @@
 
 from camphordrift.relay._engine_inspection import SETTLING_PERIOD, EngineInspector
 from camphordrift.relay._engine_scheduler import EngineScheduler
-from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay.tests.samples import (
     CONFIGURATION,
     SampleReports,
     ScriptedServer,
     server,
+    server_calls,
 )
 from camphordrift.testing import HttpRequest
 
@@ -65,7 +65,7 @@
             scheduler = EngineScheduler("vm-1", trio.current_time)
             scheduler.set_services(CONFIGURATION.services.values())
             inspector = EngineInspector(
-                scheduler, ConnectionPool(0.5), SampleReports(), lambda: is_leader
+                scheduler, server_calls(), SampleReports(), lambda: is_leader
             )
             with trio.fail_after(10):
                 async with trio.open_nursery() as nursery:
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -17,7 +17,7 @@
     PlacementRefusal,
     RefusalReason,
 )
-from camphordrift.relay._values import EngineReport
+from camphordrift.relay._values import EngineReport, ServerState
 from camphordrift.relay.tests.samples import COSTS, placement_request, server
 
 
@@ -193,6 +193,16 @@
         assert isinstance(decision, PlacementRefusal)
         self.assertEqual(RefusalReason.NO_ENGINE, decision.reason)
 
+    def test_a_request_is_refused_at_once_if_all_other_engines_are_draining(self) -> None:
+        pool = pool_of(2)
+        draining = replace(server(1), state=ServerState.LEAVING)
+        pool.set_servers([server(0), draining])
+        pool.submit(placement_request("r1", excluded=("engines-0",)), 0.0)
+        (decision,) = pool.decide(0.0)
+        assert isinstance(decision, PlacementRefusal)
+        self.assertEqual(RefusalReason.NO_ENGINE, decision.reason)
+        self.assertIsInstance(place_request(pool, "r2", 5000), Grant)
+
     def test_a_request_that_every_engine_failed_is_refused_at_once(self) -> None:
         pool = pool_of(2)
         pool.submit(placement_request("one", excluded=("engines-0", "engines-1")), 0.0)
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -18,6 +18,7 @@
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_scheduler import EngineScheduler
 from camphordrift.relay._leader_election import LEADER_SETTLING_PERIOD, LeaderElection
+from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._peer_messages import (
     LinkBrokenError,
     Member,
@@ -27,6 +28,7 @@
 )
 from camphordrift.relay._placement_values import AttemptOutcome, Grant
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay._server_notices import ServerNotices
 from camphordrift.relay._settings import Address
 from camphordrift.relay._store_watchers import (
     LONG_POLL_SECONDS,
@@ -103,7 +105,8 @@
         log, TOPICS, documents, directory, servers_changed, lambda: configuration.store_reachable
     )
     updates = UpdateDistributor(configuration, servers, lease)
-    election = LeaderElection(member, log, TOPICS, dispatcher, scheduler, updates)
+    notices = NoticeDistributor(ServerNotices(), lambda: vm.refresh())
+    election = LeaderElection(member, log, TOPICS, dispatcher, scheduler, updates, notices)
     vm = Vm(member, dispatcher, scheduler, lease, configuration, servers, directory, election)
     return vm
 
--- a/camphordrift/relay/tests/test_reservations.py
+++ b/camphordrift/relay/tests/test_reservations.py
@@ -8,7 +8,6 @@
 import trio
 
 from camphordrift.relay import BackendServer, Reservation
-from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay._reservations import (
     CRASH_DETECTION_SECONDS,
     ORDER_TIMEOUT,
@@ -18,7 +17,12 @@
     ReservationRefusedError,
     ReservedPart,
 )
-from camphordrift.relay.tests.samples import SampleOrders, ScriptedServer, server
+from camphordrift.relay.tests.samples import (
+    SampleOrders,
+    ScriptedServer,
+    server,
+    server_calls,
+)
 from camphordrift.testing import HttpRequest
 
 pytestmark = pytest.mark.sockets
@@ -84,7 +88,7 @@
                 ScriptedServer(server(number, port=0), script)  # type: ignore[arg-type]
                 for number, script in enumerate(scripts)
             ]
-            manager = ReservationManager(ConnectionPool(0.5), SampleOrders())
+            manager = ReservationManager(server_calls(), SampleOrders())
             with trio.fail_after(20):
                 async with trio.open_nursery() as nursery:
                     for item in servers:
