--- a/camphordrift/relay/tests/relay_harness.py
+++ b/camphordrift/relay/tests/relay_harness.py
@@ -7,9 +7,11 @@
 from typing import Optional
 
 import h11
+import testtools
 import trio
 
 from camphordrift.relay import Configuration, RelayProcess
+from camphordrift.relay._placement_values import Grant, PlacementDecision, PlacementRequest
 from camphordrift.relay.tests.samples import (
     CONFIGURATION,
     TOPICS,
@@ -244,6 +246,12 @@
     return True
 
 
+async def truncates(request: HttpRequest, stream: trio.SocketStream) -> bool:
+    """Responds with the first three events of a stream and closes the connection."""
+    await stream.send_all(stream_head(request) + chunk(events(1, 3)))
+    return False
+
+
 async def rejects_request(request: HttpRequest, stream: trio.SocketStream) -> bool:
     """Responds that the request was not executed."""
     head = (
@@ -254,6 +262,22 @@
     return True
 
 
+def record_grants(case: testtools.TestCase, relay: RelayHarness) -> list[Grant]:
+    """Returns a list to which the engines granted to a VM's requests are added."""
+    grants: list[Grant] = []
+    dispatcher = relay.process._dispatcher
+    request_placement = dispatcher.request_placement
+
+    async def record(placement_request: PlacementRequest) -> PlacementDecision:
+        decision = await request_placement(placement_request)
+        if isinstance(decision, Grant):
+            grants.append(decision)
+        return decision
+
+    case.patch(dispatcher, "request_placement", record)
+    return grants
+
+
 Scenario = Callable[[RelayHarness, list[ScriptedServer]], Awaitable[None]]
 
 
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -294,6 +294,8 @@
         self.requests: list[HttpRequest] = []
         self.connections = 0
         self.report = b"0 0"
+        self.report_status = b"200 OK"
+        self.report_count = 0
         #: Lines that the response to a report has besides its length.
         self.report_headers = b""
 
@@ -310,8 +312,10 @@
 
         async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
             if request.target.encode() == SampleReports.path:
-                head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n" % len(self.report)
-                await stream.send_all(head + self.report_headers + b"\r\n" + self.report)
+                self.report_count += 1
+                head = b"HTTP/1.1 %s\r\ncontent-length: %d\r\n"
+                head = head % (self.report_status, len(self.report)) + self.report_headers
+                await stream.send_all(head + b"\r\n" + self.report)
                 return True
             self.requests.append(request)
             return await self.script(request, stream)
--- a/camphordrift/relay/tests/test_leaving_servers.py
+++ b/camphordrift/relay/tests/test_leaving_servers.py
@@ -10,7 +10,6 @@
 import trio
 
 from camphordrift.relay import ServerState
-from camphordrift.relay._placement_values import Grant, PlacementDecision, PlacementRequest
 from camphordrift.relay.tests.relay_harness import (
     RelayFleet,
     RelayHarness,
@@ -18,9 +17,11 @@
     complete_stream,
     events,
     plain_response,
+    record_grants,
     run_fleet_scenario,
     run_scenario,
     stream_head,
+    truncates,
 )
 from camphordrift.relay.tests.samples import TOPICS, ScriptedServer, attempt_id_of
 from camphordrift.testing import HttpRequest
@@ -61,11 +62,6 @@
     return True
 
 
-async def truncates(request: HttpRequest, stream: trio.SocketStream) -> bool:
-    await stream.send_all(stream_head(request) + chunk(events(1, 3)))
-    return False
-
-
 class LeavingServerTest(testtools.TestCase):
     def test_a_leaving_server_gets_no_more_requests_after_a_stream(self) -> None:
         self._check_no_more_requests("/quick/x", 200, leaves_in_stream)
@@ -159,7 +155,7 @@
             (leaving,) = (item for item in servers if item.requests)
             for item in servers:
                 item.script = complete_stream
-            grants = _record_grants(self, relay)
+            grants = record_grants(self, relay)
             await relay.send_request("/quick/x", "a2", x_tokens="154000")
             (grant,) = grants
             self.assertTrue(grant.helpers)
@@ -263,18 +259,3 @@
             self.assertEqual(1, len(fleet.servers[0].requests))
 
         run_fleet_scenario(scenario, leaves_in_stream)
-
-
-def _record_grants(case: testtools.TestCase, relay: RelayHarness) -> list[Grant]:
-    grants: list[Grant] = []
-    dispatcher = relay.process._dispatcher
-    request_placement = dispatcher.request_placement
-
-    async def record(placement_request: PlacementRequest) -> PlacementDecision:
-        decision = await request_placement(placement_request)
-        if isinstance(decision, Grant):
-            grants.append(decision)
-        return decision
-
-    case.patch(dispatcher, "request_placement", record)
-    return grants
