Send nothing to a server during the time of its Retry-After

Cause: Retry-After of a server's 503 was not read. Engines got no requests for the backoff of 0.3 s, plain servers had none; callers were told to return after 0.1 or 1 s, whatever the servers had stated.

Change: the adapter decodes the seconds. A 503 that states them, whether or not it says that the request was not executed, in the response to a request, an order or a request for a report, starts a pause of this start of the server. It is part of ServerNotices, and so checked in selection and right before each send; a request that is withheld for it does not count towards the limit of excluded servers. New reservations, releases and requests for reports are withheld too; reservations of running streams are renewed unless the engine turned a renewal away. Each placement request carries the pauses of its VM, and a new pause is sent to the leader at once for the requests that wait. It applies to the requests of that VM only, as the engine turned away one VM; for the others the engine backs off as after any rejection. If all servers pause, requests are refused at once as not run, with the shortest pause that is left, rounded up. The planner remembers requests that cannot be placed by excluded engines, so that a backlog with pauses costs no more.

--- a/camphordrift/event_log/_explanation.py
+++ b/camphordrift/event_log/_explanation.py
@@ -41,6 +41,7 @@
         "server_listed",
         "server_removed",
         "server_leaving",
+        "server_paused",
         "log_lines_left_out",
     }
 )
--- a/camphordrift/platform/_headers.py
+++ b/camphordrift/platform/_headers.py
@@ -1,7 +1,9 @@
 """Parses the platform's headers into the relay's metadata, and writes them."""
 
+import re
 from typing import Optional
 
+from camphordrift.event_log import log_event
 from camphordrift.relay import (
     ForwardingMetadata,
     Headers,
@@ -35,6 +37,10 @@
 _KEEP_ALIVE = b"keep-alive"
 #: ``1`` in all responses of a server that leaves.
 _LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
+
+#: Seconds, possibly with a fraction. Dates, which HTTP allows as well, are not used.
+_SECONDS = re.compile(rb"\d+(\.\d+)?")
 
 #: Headers of a caller's request that are not forwarded: the relay sets them itself, or they are
 #: meant only for the relay.
@@ -87,6 +93,7 @@
             server_at_fault=_decode_text(values.get(_SERVER_AT_FAULT)),
             idle_timeout=_parse_idle_timeout(values.get(_KEEP_ALIVE)),
             leaving=values.get(_LEAVING) == b"1",
+            retry_after=_parse_retry_after(values.get(_RETRY_AFTER)),
         )
 
     def outgoing_headers(
@@ -141,3 +148,12 @@
         if name == b"timeout" and seconds.isdigit():
             return float(seconds)
     return None
+
+
+def _parse_retry_after(value: Optional[bytes]) -> Optional[float]:
+    if value is None:
+        return None
+    if not _SECONDS.fullmatch(value):
+        log_event("retry_after_unreadable", value=value.decode("latin-1"))
+        return None
+    return float(value)
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -171,6 +171,16 @@
         )
         self.assertFalse(metadata.leaving)
 
+    def test_time_for_which_a_server_wants_no_requests(self) -> None:
+        for value, seconds in ((b"2", 2.0), (b"0.25", 0.25), (b"0", 0.0)):
+            metadata = PlatformHeaders().response_metadata([(b"retry-after", value)])
+            self.assertEqual(seconds, metadata.retry_after)
+
+    def test_a_malformed_time_is_ignored(self) -> None:
+        for value in (b"", b"soon", b"-1", b"nan", b"1e9", b"Fri, 04 Dec 2026 08:00:00 GMT"):
+            metadata = PlatformHeaders().response_metadata([(b"retry-after", value)])
+            self.assertIsNone(metadata.retry_after, repr(value))
+
     def test_a_server_that_leaves(self) -> None:
         for value, leaving in ((b"1", True), (b"0", False), (b"", False)):
             metadata = PlatformHeaders().response_metadata([(b"server-leaving", value)])
--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -35,8 +35,8 @@
 class Withheld:
     """The relay did not send the request, although the server did not fail.
 
-    Its deadline passed, its key is no longer valid, the server is draining or was removed, or a
-    helper engine made no memory reservation.
+    Its deadline passed, its key is no longer valid, the server or a helper engine is draining,
+    pauses or was removed, or a helper engine made no memory reservation.
     """
 
     reason: str
@@ -159,7 +159,8 @@
             metadata = prepare_send()
             if metadata is None:
                 return Withheld(
-                    "the deadline passed, the key is not valid any more, or the server is draining"
+                    "the deadline passed, the key is not valid any more, or the server is draining "
+                    "or pauses"
                 )
             result, idle_timeout = await self._exchange(connection, metadata, timeouts, sink)
             return result
--- a/camphordrift/relay/_dispatcher.py
+++ b/camphordrift/relay/_dispatcher.py
@@ -17,6 +17,7 @@
     PrefillFinished,
     Refused,
     Register,
+    ServerPaused,
     Submit,
     Waiting,
     Withdraw,
@@ -27,6 +28,7 @@
     PlacementDecision,
     PlacementRequest,
 )
+from camphordrift.relay._server_notices import ServerPause
 
 #: Seconds within which the leader must send a decision or acknowledge that the request waits. After
 #: them the request is submitted to the local scheduler.
@@ -57,14 +59,26 @@
     """Sends placement requests to the leader, or to the local scheduler while there is no leader.
 
     The local scheduler always tracks this VM's own requests, so that it can take over at any time.
+
+    Args:
+        vm: Id of this VM.
+        local_scheduler: Schedules while there is no leader.
+        clock: Returns the seconds of a monotonic clock.
+        pauses: Returns the present pauses of a service's engines.
+
     """
 
     def __init__(
-        self, vm: str, local_scheduler: EngineScheduler, clock: Callable[[], float]
+        self,
+        vm: str,
+        local_scheduler: EngineScheduler,
+        clock: Callable[[], float],
+        pauses: Callable[[str], tuple[ServerPause, ...]],
     ) -> None:
         self._vm = vm
         self._local_scheduler = local_scheduler
         self._clock = clock
+        self._pauses = pauses
         self._link: Optional[MessageLink] = None
         self._pending: dict[str, _PendingRequest] = {}
         self._active: dict[str, _ActiveRequest] = {}
@@ -152,12 +166,19 @@
         if self._link is not None:
             self._link.send(Finished(ask_id, outcome, at_fault))
 
+    def report_pause(self, service: str, pause: ServerPause) -> None:
+        """Reports that an engine wants no requests from this VM for some time."""
+        self._local_scheduler.record_pause(self._vm, service, pause)
+        if self._link is not None:
+            self._link.send(ServerPaused(service, pause))
+
     async def _submit_to_leader(self, pending: _PendingRequest) -> None:
         link = self._link
         if link is None:
             self._submit_locally(pending)
             return
-        link.send(Submit(pending.request))
+        request = pending.request
+        link.send(Submit(replace(request, server_pauses=self._pauses(request.service))))
         with trio.move_on_after(LEADER_RESPONSE_TIMEOUT):
             await pending.acknowledged.wait()
             return
@@ -173,6 +194,7 @@
             pending.request,
             objective=pending.request.objective - elapsed,
             time_left=pending.request.time_left - elapsed,
+            server_pauses=self._pauses(pending.request.service),
         )
         self._local_scheduler.submit(self._vm, request, self._apply_decision)
 
--- a/camphordrift/relay/_engine_planner.py
+++ b/camphordrift/relay/_engine_planner.py
@@ -15,6 +15,7 @@
 """
 
 import math
+from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from typing import Optional
@@ -109,6 +110,10 @@
         return self.first_event_overhead + part_seconds * self.latency_factor
 
 
+#: Pairs of measures of what requests need, by the ids of the engines that must not be chosen.
+_FailedDemands = defaultdict[tuple[str, ...], list[tuple[float, float]]]
+
+
 class PlacementRound:
     """Plans placements of several requests for the same point in time.
 
@@ -122,13 +127,16 @@
         self._now = now
         #: Snapshots of the engines that this round has examined; ``None`` for unusable ones.
         self._snapshots: dict[str, Optional[_EngineSnapshot]] = {}
-        #: Demands of short prompts that could not be placed in this round: tokens of KV memory, and
-        #: prefill seconds.
-        self._failed_short: list[tuple[float, float]] = []
-        #: Demands of long prompts that could not be placed in this round, by whether they may
-        #: delay others: prefill seconds, and the negated seconds until the first event is
-        #: due, so that a greater value is more urgent.
-        self._failed_long: dict[bool, list[tuple[float, float]]] = {False: [], True: []}
+        #: Demands of short prompts that could not be placed in this round, by excluded engines:
+        #: tokens of KV memory, and prefill seconds.
+        self._failed_short: _FailedDemands = defaultdict(list)
+        #: Demands of long prompts that could not be placed in this round, by whether they may delay
+        #: others and by excluded engines: prefill seconds, and the negated seconds until the first
+        #: event is due, so that a greater value is more urgent.
+        self._failed_long: dict[bool, _FailedDemands] = {
+            False: defaultdict(list),
+            True: defaultdict(list),
+        }
 
     def plan(
         self, request: PlacementRequest, objective: float, may_delay_others: bool = False
@@ -149,16 +157,17 @@
         failed = self._failed_short if is_short else self._failed_long[may_delay_others]
         demand = (required_memory(request), prefill) if is_short else (prefill, -objective)
         # Capacity only shrinks during a round, so a request whose demands are both at least those
-        # of a request that could not be placed cannot be placed either.
-        for failed_demand in failed:
+        # of a request that could not be placed on the same or more engines cannot be placed either.
+        comparable = failed[()] + failed[request.excluded] if request.excluded else failed[()]
+        for failed_demand in comparable:
             if failed_demand[0] <= demand[0] and failed_demand[1] <= demand[1]:
                 return None
         if is_short:
             plan = self._plan_short(request, prefill, objective)
         else:
             plan = self._plan_long(request, prefill, objective, may_delay_others)
-        if plan is None and not request.excluded and request.preferred is None:
-            failed.append(demand)
+        if plan is None and request.preferred is None:
+            failed[request.excluded].append(demand)
         return plan
 
     def record_placement(self, plan: Plan) -> None:
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -4,7 +4,7 @@
 import itertools
 import math
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import Optional
 
 from camphordrift.relay._engine_index import EngineIndex
@@ -25,6 +25,7 @@
     PlacementRequest,
     RefusalReason,
 )
+from camphordrift.relay._server_notices import ServerPause
 from camphordrift.relay._values import BackendServer, EngineCosts, EngineReport, ServerState
 
 #: Requests that miss their target time to the first event are deferred in favour of those that can
@@ -59,6 +60,25 @@
     can_ever_fit: bool = True
     #: Seconds that the request needs if all engines are idle.
     minimum_time: float = 0.0
+    #: Ends of the pauses of engines that want no requests from the request's VM, by engine id.
+    paused_until: dict[str, float] = field(default_factory=dict)
+    #: The request with the pausing engines as excluded ones, until the next pause ends.
+    _restricted: Optional[PlacementRequest] = None
+    _restricted_until: float = float("-inf")
+
+    def add_pause(self, server_id: str, until: float) -> None:
+        """Records the end of an engine's pause, unless a later one is known."""
+        self.paused_until[server_id] = max(until, self.paused_until.get(server_id, until))
+        self._restricted_until = float("-inf")
+
+    def at(self, now: float) -> PlacementRequest:
+        """Returns the request, with the engines that pause now as excluded ones."""
+        if self._restricted is None or now >= self._restricted_until:
+            paused = {name: until for name, until in self.paused_until.items() if until > now}
+            excluded = (*self.request.excluded, *sorted(paused))
+            self._restricted = replace(self.request, excluded=excluded)
+            self._restricted_until = min(paused.values(), default=float("inf"))
+        return self._restricted
 
 
 @dataclass
@@ -131,6 +151,8 @@
             deadline=now + request.time_left,
         )
         self._set_needs(waiting)
+        for pause in request.server_pauses:
+            self._add_pause(waiting, pause, now)
 
     def register(
         self, request: PlacementRequest, grant: Grant, is_prefilling: bool, now: float
@@ -164,6 +186,12 @@
         """Removes a waiting request; unknown ids are ignored."""
         self._waiting.pop(ask_id, None)
 
+    def record_pause(self, ask_ids: Iterable[str], pause: ServerPause, now: float) -> None:
+        """Records that an engine wants none of some waiting requests; ignores unknown ids."""
+        for ask_id in ask_ids:
+            if waiting := self._waiting.get(ask_id):
+                self._add_pause(waiting, pause, now)
+
     def record_first_event(self, ask_id: str, now: float) -> None:
         """Records the first event of a response, which shows that prefill has finished."""
         placed = self._placed.get(ask_id)
@@ -249,29 +277,28 @@
         self, group: Iterable[_WaitingRequest], placement_round: PlacementRound, now: float
     ) -> Iterator[PlacementDecision]:
         """Yields the decisions on requests of one priority, given in order of urgency."""
-        deferred: list[_WaitingRequest] = []
+        deferred: list[tuple[_WaitingRequest, PlacementRequest]] = []
         for waiting in group:
-            if (refusal := self._refusal_for(waiting, now)) is not None:
+            request = waiting.at(now) if waiting.paused_until else waiting.request
+            if (refusal := self._refusal_for(waiting, request, now)) is not None:
                 yield refusal
                 continue
             objective = waiting.first_event_due_at - now
             may_be_deferred = now < waiting.deferral_ends_at
             if may_be_deferred and objective <= 0:
-                deferred.append(waiting)
+                deferred.append((waiting, request))
                 continue
-            plan = placement_round.plan(
-                waiting.request, objective, may_delay_others=not may_be_deferred
-            )
+            plan = placement_round.plan(request, objective, may_delay_others=not may_be_deferred)
             if (
                 plan is not None
                 and may_be_deferred
                 and plan.expected_first_event_seconds > objective
             ):
-                deferred.append(waiting)
+                deferred.append((waiting, request))
             elif plan is not None:
                 yield self._place_in_round(placement_round, waiting, plan, now)
-        for waiting in deferred:
-            plan = placement_round.plan(waiting.request, waiting.first_event_due_at - now)
+        for waiting, request in deferred:
+            plan = placement_round.plan(request, waiting.first_event_due_at - now)
             if plan is not None:
                 yield self._place_in_round(placement_round, waiting, plan, now)
 
@@ -290,13 +317,18 @@
             # The outcome is unknown; SERVED starts no backoff of the engine.
             self.record_finished(ask_id, AttemptOutcome.SERVED, now)
 
-    def _refusal_for(self, waiting: _WaitingRequest, now: float) -> Optional[PlacementRefusal]:
-        request = waiting.request
+    def _refusal_for(
+        self, waiting: _WaitingRequest, request: PlacementRequest, now: float
+    ) -> Optional[PlacementRefusal]:
+        """Returns a refusal of a waiting request that cannot be served; ``None`` otherwise."""
         if self._excludes_all_engines(request):
-            return PlacementRefusal(request.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
+            retry_after = self._retry_after(waiting, now)
+            return PlacementRefusal(request.id, RefusalReason.NO_ENGINE, retry_after)
         if not waiting.can_ever_fit:
             return PlacementRefusal(request.id, RefusalReason.NEVER_FITS, None)
-        if request.preferred is not None and not self._is_usable(request.preferred, now):
+        if request.preferred is not None and (
+            request.preferred in request.excluded or not self._is_usable(request.preferred, now)
+        ):
             return PlacementRefusal(request.id, RefusalReason.NO_ENGINE, DEFAULT_RETRY_AFTER)
         time_left = waiting.deadline - now
         if time_left < waiting.minimum_time:
@@ -315,6 +347,22 @@
             for engine in engines
         )
 
+    def _retry_after(self, waiting: _WaitingRequest, now: float) -> float:
+        """Returns after how many seconds an engine may accept a request that was refused."""
+        pauses = [
+            waiting.paused_until.get(engine.server.id, now) - now
+            for engine in self._index.engines
+            if engine.server.state is ServerState.READY
+        ]
+        shortest = min(pauses, default=0.0)
+        return shortest if shortest > 0 else DEFAULT_RETRY_AFTER
+
+    def _add_pause(self, waiting: _WaitingRequest, pause: ServerPause, now: float) -> None:
+        server_id, until = pause.start.server_id, now + pause.seconds
+        engine = self._index.find(server_id)
+        if engine is None or engine.server.started_ms <= pause.start.started_ms:
+            waiting.add_pause(server_id, until)
+
     def _update_needs(self) -> None:
         """Updates what waiting requests need after the engines or their costs changed."""
         for waiting in self._waiting.values():
--- a/camphordrift/relay/_engine_scheduler.py
+++ b/camphordrift/relay/_engine_scheduler.py
@@ -12,6 +12,7 @@
     PlacementRefusal,
     PlacementRequest,
 )
+from camphordrift.relay._server_notices import ServerPause
 from camphordrift.relay._values import BackendServer, EngineReport, Service
 
 #: Delivers a decision to the VM that made the placement request.
@@ -122,6 +123,13 @@
             if was_placed:
                 self._decide_for(entry[0])
 
+    def record_pause(self, owner: str, service: str, pause: ServerPause) -> None:
+        """Records that an engine wants no requests of an owner, also of those that wait."""
+        if pool := self._pools.get(service):
+            ask_ids = [key for key, entry in self._owners.items() if entry == (pool, owner)]
+            pool.record_pause(ask_ids, pause, self._clock())
+            self._decide_for(pool)
+
     def remove_owner(self, owner: str) -> None:
         """Removes the requests of an owner that disconnected."""
         for ask_id in [key for key, (_, vm) in self._owners.items() if vm == owner]:
--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -32,6 +32,7 @@
     PrefillFinished,
     Refused,
     Register,
+    ServerPaused,
     ServersLeaving,
     StoreReachable,
     StoreUnreachable,
@@ -442,6 +443,8 @@
                 self._scheduler.record_event_gap(ask_id, gap)
             case Finished(ask_id, outcome, at_fault):
                 self._scheduler.record_finished(ask_id, outcome, at_fault)
+            case ServerPaused(service, pause):
+                self._scheduler.record_pause(self.follower_id, service, pause)
             case _:
                 pass
 
--- a/camphordrift/relay/_notice_distribution.py
+++ b/camphordrift/relay/_notice_distribution.py
@@ -4,25 +4,45 @@
 
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay._peer_messages import MessageLink, ServersLeaving
-from camphordrift.relay._server_notices import ServerNotices, ServerStart, start_of
+from camphordrift.relay._server_notices import (
+    ServerNotices,
+    ServerPause,
+    ServerStart,
+    start_of,
+)
 from camphordrift.relay._values import BackendServer, ResponseMetadata
 
 #: Status of a response in which another server than the intended one says that it is another one.
 WRONG_SERVER_STATUS = 421
 
+#: Status of a rejection in which a server may state for how long it wants no other request.
+PAUSE_STATUS = 503
+
 
 class NoticeDistributor:
-    """Records notices, and passes new ones on to this VM's leader and followers.
+    """Records notices, and passes those of servers that leave on to the leader and followers.
+
+    A pause holds for this VM only, so only whoever schedules for this VM has to know of it.
 
     Args:
         notices: The notices that this VM knows.
+        clock: Returns the seconds of a monotonic clock.
         on_leaving: Called when a server newly announced that it leaves.
+        on_pause: Called with the service of a server that starts or extends a pause.
 
     """
 
-    def __init__(self, notices: ServerNotices, on_leaving: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        notices: ServerNotices,
+        clock: Callable[[], float],
+        on_leaving: Callable[[], None],
+        on_pause: Callable[[str, ServerPause], None],
+    ) -> None:
         self._notices = notices
+        self._clock = clock
         self._on_leaving = on_leaving
+        self._on_pause = on_pause
         #: Links to the leader and to followers.
         self._links: list[MessageLink] = []
 
@@ -40,7 +60,7 @@
     def observe(
         self, server: BackendServer, status: int, metadata: ResponseMetadata, source: str
     ) -> None:
-        """Records the notice in a response, if there is one.
+        """Records the notices in a response.
 
         Args:
             server: The server that responded.
@@ -51,6 +71,8 @@
         """
         if metadata.leaving and status != WRONG_SERVER_STATUS:
             self.record_leaving([start_of(server)], source)
+        if metadata.retry_after and status == PAUSE_STATUS:
+            self._record_pause(server, metadata.retry_after, source)
 
     def record_leaving(self, starts: Iterable[ServerStart], source: str) -> None:
         """Records servers that announced that they leave, in a response or to another VM.
@@ -73,3 +95,15 @@
             self._on_leaving()
             for link in self._links:
                 link.send(ServersLeaving(new))
+
+    def _record_pause(self, server: BackendServer, seconds: float, source: str) -> None:
+        if not self._notices.record_pause(server, self._clock() + seconds):
+            return
+        log_event(
+            "server_paused",
+            level=LogLevel.WARNING,
+            server=server.id,
+            seconds=seconds,
+            source=source,
+        )
+        self._on_pause(server.service, ServerPause(start_of(server), seconds))
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -18,7 +18,7 @@
     PlacementRequest,
 )
 from camphordrift.relay._server_directory import DirectoryChange
-from camphordrift.relay._server_notices import ServerStart
+from camphordrift.relay._server_notices import ServerPause, ServerStart
 from camphordrift.relay._settings import Address
 
 #: Largest message in bytes; a longer one closes the connection. Configurations are the largest
@@ -180,6 +180,13 @@
     starts: tuple[ServerStart, ...]
 
 
+class ServerPaused(msgspec.Struct, frozen=True, tag=True):
+    """Tells the leader that a backend server wants no requests from the sender for some time."""
+
+    service: str
+    pause: ServerPause
+
+
 class Ping(msgspec.Struct, frozen=True, tag=True):
     """Checks that the leader responds, and asks for the age of its state."""
 
@@ -221,6 +228,7 @@
     ConfigurationDocument,
     ServerUpdate,
     ServersLeaving,
+    ServerPaused,
     Ping,
     Pong,
 ]
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/_placement_values.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import Optional, Union
 
+from camphordrift.relay._server_notices import ServerPause
 from camphordrift.relay._values import BackendServer
 
 
@@ -39,6 +40,8 @@
     preferred: Optional[str] = None
     #: Whether the caller already has the beginning of the output, so that only the rest is decoded.
     resumed: bool = False
+    #: Engines that want no requests from the VM for now.
+    server_pauses: tuple[ServerPause, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -60,8 +63,8 @@
 class RefusalReason(Enum):
     """Why a placement request is refused."""
 
-    #: No usable engine is left: none is listed, all are draining or excluded, or the preferred one
-    #: is not usable.
+    #: No usable engine is left: none is listed, all are draining, pausing or excluded, or the
+    #: preferred one is not usable.
     NO_ENGINE = "no_engine"
     #: The deadline would pass even on idle engines.
     TOO_LATE = "too_late"
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -112,10 +112,20 @@
         self._callers: set[CallerConnection] = set()
         self._directory = ServerDirectory()
         self._notices = ServerNotices()
-        self._notice_distributor = NoticeDistributor(self._notices, self._refresh_pools)
         self._lease = ConfigurationLease(settings.key_revocation_delay)
         self._scheduler = EngineScheduler(settings.vm, trio.current_time)
-        self._dispatcher = Dispatcher(settings.vm, self._scheduler, trio.current_time)
+        self._dispatcher = Dispatcher(
+            settings.vm,
+            self._scheduler,
+            trio.current_time,
+            lambda service: self._notices.pauses_of(service, trio.current_time()),
+        )
+        self._notice_distributor = NoticeDistributor(
+            self._notices,
+            trio.current_time,
+            on_leaving=self._refresh_pools,
+            on_pause=self._dispatcher.report_pause,
+        )
         log = CountedLog(adapters.log, self._metrics.store_calls)
         self._configuration = ConfigurationWatcher(
             log,
@@ -147,8 +157,8 @@
         calls = ServerCalls(
             self._connections,
             adapters.headers,
+            self._notices,
             self._notice_distributor.observe,
-            self._notices.accepts_requests,
         )
         self._inspector = EngineInspector(
             self._scheduler,
--- a/camphordrift/relay/_refusals.py
+++ b/camphordrift/relay/_refusals.py
@@ -58,8 +58,17 @@
     )
 
 
-def failure_of_attempt(progress: RequestProgress, result: AttemptResult) -> Failure:
-    """Returns the failure for a request whose last attempt failed."""
+def failure_of_attempt(
+    progress: RequestProgress, result: AttemptResult, pause: Optional[float]
+) -> Failure:
+    """Returns the failure for a request whose last attempt failed.
+
+    Args:
+        progress: State of the request.
+        result: Result of the last attempt.
+        pause: Seconds until the first server ends its pause; ``None`` unless all are pausing.
+
+    """
     if progress.may_have_run:
         return Failure(
             ResultCode.BACKEND_STREAM_BROKEN,
@@ -69,12 +78,18 @@
     return Failure(
         ResultCode.NO_ENGINE_AVAILABLE,
         f"no server accepted the request: {getattr(result, 'reason', result)}",
-        REJECTED_RETRY_AFTER,
+        REJECTED_RETRY_AFTER if pause is None else pause,
     )
 
 
-def failure_without_server(progress: RequestProgress) -> Failure:
-    """Returns the failure for a request to a plain service that no server is left for."""
+def failure_without_server(progress: RequestProgress, pause: Optional[float]) -> Failure:
+    """Returns the failure for a request to a plain service that no server is left for.
+
+    Args:
+        progress: State of the request.
+        pause: Seconds until the first server ends its pause; ``None`` unless all are pausing.
+
+    """
     if progress.may_have_run or isinstance(progress.last_result, Answered):
         return Failure(
             ResultCode.BACKEND_STREAM_BROKEN, "no other server is available to retry the request"
@@ -82,7 +97,7 @@
     return Failure(
         ResultCode.NO_ENGINE_AVAILABLE,
         "no server of the service accepts the request",
-        NO_SERVER_RETRY_AFTER,
+        NO_SERVER_RETRY_AFTER if pause is None else pause,
     )
 
 
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -1,6 +1,7 @@
 """Handles requests of callers, including retries and refusals."""
 
 import json
+import math
 from typing import Optional
 
 import trio
@@ -136,7 +137,8 @@
                     return False
         if progress.response.started:
             return True
-        raise RequestRefusedError(failure_of_attempt(progress, result))
+        pause = self._routing_state.shortest_pause(progress.service.name)
+        raise RequestRefusedError(failure_of_attempt(progress, result, pause))
 
     def _may_try_another_server(self, progress: RequestProgress) -> bool:
         return progress.remaining_time > 0 and len(progress.excluded_servers) < MAX_EXCLUDED_SERVERS
@@ -170,7 +172,9 @@
     ) -> None:
         headers = [(b"content-type", b"application/json")]
         if failure.retry_after_seconds is not None:
-            headers.append((b"retry-after", b"%.2f" % failure.retry_after_seconds))
+            # Rounded up, so that no caller returns before the stated time.
+            hundredths = math.ceil(failure.retry_after_seconds * 100)
+            headers.append((b"retry-after", b"%.2f" % (hundredths / 100)))
         self._reports.record_refused(request, metadata, failure, progress)
         body = json.dumps({"error": describe_failure(failure)}).encode()
         await response.send_complete(failure.http_status, headers, body)
--- a/camphordrift/relay/_request_progress.py
+++ b/camphordrift/relay/_request_progress.py
@@ -26,7 +26,7 @@
     attempted_servers: list[str]
     #: Ids of the servers that must not be chosen for the next attempt.
     excluded_servers: list[str]
-    #: Ids of the servers that were chosen although this VM knew that they leave; not chosen again.
+    #: Ids of the servers that were chosen although they leave or pause; not chosen again.
     withheld_servers: set[str] = field(default_factory=set)
     #: Id of the engine to retry on, because only one of its prefill helpers failed.
     preferred_server: Optional[str] = None
--- a/camphordrift/relay/_reservations.py
+++ b/camphordrift/relay/_reservations.py
@@ -71,9 +71,9 @@
     """Makes, renews and releases reservations on engines.
 
     Args:
-        calls: Sends the orders. A server that asked to get no more requests gets no orders to make
-            a reservation. Those that it has are renewed, so that running streams can end, and
-            released.
+        calls: Sends the orders. A server that leaves or pauses gets no orders to make a
+            reservation. Those that it has are renewed, so that running streams can end. They are
+            released on servers that leave, and expire on those that pause.
         orders: Format of the orders.
 
     """
@@ -98,7 +98,8 @@
         try:
             await self._reserve_all(parts)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._renew_all, parts)
+                for part in parts:
+                    nursery.start_soon(self._renew, part)
                 nursery.start_soon(self._watch_primary, primary, nursery.cancel_scope)
                 yield
                 nursery.cancel_scope.cancel()
@@ -120,12 +121,13 @@
         if refused:
             raise ReservationRefusedError(refused)
 
-    async def _renew_all(self, parts: Sequence[ReservedPart]) -> None:
+    async def _renew(self, part: ReservedPart) -> None:
+        is_renewed = True
         while True:
             await trio.sleep(RENEWAL_INTERVAL)
-            async with trio.open_nursery() as nursery:
-                for part in parts:
-                    nursery.start_soon(self._send_reserve_order, part)
+            # An engine that pauses may still accept renewals, unless it has turned one away.
+            if is_renewed or not self._calls.is_pausing(part.server):
+                is_renewed = await self._send_reserve_order(part)
 
     async def _watch_primary(self, primary: BackendServer, scope: trio.CancelScope) -> None:
         while True:
@@ -157,6 +159,8 @@
         return status == 200
 
     async def _send_release_order(self, part: ReservedPart) -> None:
+        if self._calls.is_pausing(part.server):
+            return
         for _ in range(RELEASE_ATTEMPTS):
             if await self._send_order(part, self._orders.release(part.reservation.id)) is not None:
                 return
--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/_routing_state.py
@@ -65,7 +65,24 @@
     def usable_servers(self, service: str) -> list[BackendServer]:
         """Returns the servers of a service that accept new requests."""
         ready = self.directory.ready_servers(service)
-        return [server for server in ready if self.notices.accepts_requests(server)]
+        return [server for server in ready if self.accepts_requests(server)]
+
+    def accepts_requests(self, server: BackendServer) -> bool:
+        """Returns whether a server has not announced that it leaves or pauses."""
+        return self.notices.accepts_requests(server, trio.current_time())
+
+    def shortest_pause(self, service: str) -> Optional[float]:
+        """Returns the seconds until the first server of a service ends its pause.
+
+        Returns ``None`` unless all servers that do not leave are pausing.
+        """
+        now = trio.current_time()
+        pauses = [
+            self.notices.pause_left(server, now)
+            for server in self.directory.ready_servers(service)
+            if not self.notices.is_leaving(server)
+        ]
+        return min(pauses, default=0.0) or None
 
     def budget(self, service: str) -> RetryBudget:
         """Returns this VM's share of a service's retry budget."""
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -113,7 +113,8 @@
             trio.current_time(),
         )
         if server is None:
-            raise RequestRefusedError(failure_without_server(progress))
+            pause = self._routing_state.shortest_pause(progress.service.name)
+            raise RequestRefusedError(failure_without_server(progress, pause))
         failed = False
         try:
             timeouts = self._plain_timeouts(progress)
@@ -157,6 +158,8 @@
             result = await self._attempt_on_granted_engines(progress, decision, sink)
             outcome, at_fault = _outcome_of(result), getattr(result, "server_at_fault", None)
             _exclude_helper_at_fault(progress, decision, at_fault)
+            if not self._routing_state.accepts_requests(decision.server):
+                progress.preferred_server = None
         finally:
             self._dispatcher.report_finished(placement_request.id, outcome, at_fault)
         return result
@@ -262,9 +265,8 @@
     def _record_withheld(
         self, progress: RequestProgress, servers: tuple[BackendServer, ...]
     ) -> list[str]:
-        """Excludes those of the servers that get no more requests; returns their ids."""
-        notices = self._routing_state.notices
-        withheld = [server.id for server in servers if not notices.accepts_requests(server)]
+        """Excludes those of the servers that leave or pause; returns their ids."""
+        withheld = [s.id for s in servers if not self._routing_state.accepts_requests(s)]
         progress.withheld_servers.update(withheld)
         return withheld
 
@@ -287,7 +289,7 @@
             return None
         if not self._routing_state.directory.may_receive_requests(server.id):
             return None
-        if not all(map(self._routing_state.notices.accepts_requests, servers)):
+        if not all(map(self._routing_state.accepts_requests, servers)):
             return None
         progress.attempted_servers.append(server.id)
         last_event = None if sink is None or sink.last_event_id is None else str(sink.last_event_id)
--- a/camphordrift/relay/_server_calls.py
+++ b/camphordrift/relay/_server_calls.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable
 
+import trio
+
 from camphordrift.relay._http_client import ConnectionPool, SmallRequest, SmallResponse
 from camphordrift.relay._interfaces import HeaderFormat
+from camphordrift.relay._server_notices import ServerNotices
 from camphordrift.relay._values import BackendServer, ResponseMetadata
 
 #: Gets each response's server, status and metadata, and what it responds to.
@@ -20,8 +23,8 @@
     Args:
         connections: Connections to backend servers.
         header_format: Parses the headers of the responses.
+        notices: What the servers announced about further requests.
         observe: Called with each response.
-        accepts_requests: Returns whether a server has not asked to get no more requests.
 
     """
 
@@ -29,13 +32,21 @@
         self,
         connections: ConnectionPool,
         header_format: HeaderFormat,
+        notices: ServerNotices,
         observe: ResponseObserver,
-        accepts_requests: Callable[[BackendServer], bool],
     ) -> None:
         self._connections = connections
         self._header_format = header_format
+        self._notices = notices
         self._observe = observe
-        self.accepts_requests = accepts_requests
+
+    def accepts_requests(self, server: BackendServer) -> bool:
+        """Returns whether a server neither leaves nor pauses."""
+        return self._notices.accepts_requests(server, trio.current_time())
+
+    def is_pausing(self, server: BackendServer) -> bool:
+        """Returns whether a server wants nothing from this VM for now."""
+        return self._notices.pause_left(server, trio.current_time()) > 0.0
 
     async def call(
         self, server: BackendServer, request: SmallRequest, purpose: str, idle_timeout: float
--- a/camphordrift/relay/_server_notices.py
+++ b/camphordrift/relay/_server_notices.py
@@ -1,12 +1,14 @@
 """What backend servers announce in their responses about further requests.
 
 A server that leaves says so in its responses, possibly before its directory entry shows it, and the
-directory may list it as ready again when the store is restored from an older copy. The notices are
-therefore kept apart from the directory.
+directory may list it as ready again when the store is restored from an older copy. A server that
+rejects a request may state for how long it wants no other request from this VM. The notices are
+kept apart from the directory, and each holds for one start of the server.
 """
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
+from typing import Optional
 
 from camphordrift.relay._values import BackendServer, ServerState
 
@@ -24,44 +26,99 @@
     started_ms: int
 
 
+@dataclass(frozen=True)
+class ServerPause:
+    """The time for which a server wants no requests from one VM."""
+
+    start: ServerStart
+    #: Remaining seconds.
+    seconds: float
+
+
 def start_of(server: BackendServer) -> ServerStart:
     """Returns the start of a server that a directory entry describes."""
     return ServerStart(server.id, server.started_ms)
 
 
+@dataclass
+class _Notice:
+    """The notices of the latest start of a server that gave any."""
+
+    started_ms: int
+    leaving: bool = False
+    #: Service of the server; known if it paused.
+    service: str = ""
+    paused_until: float = float("-inf")
+    #: Time since which the directory has not listed the server; ``None`` while it does.
+    unlisted_since: Optional[float] = None
+
+
 class ServerNotices:
     """The notices of backend servers; all times are seconds of one monotonic clock.
 
-    A notice holds for the start of the server that gave it and for earlier ones, which must have
-    ended.
+    Starts of a server before the latest one that gave a notice must have ended, and so get no
+    requests either.
     """
 
     def __init__(self) -> None:
-        #: Latest start that announced that it leaves, by server id.
-        self._leaving: dict[str, int] = {}
-        #: Times since which the directory has not listed the servers, by server id.
-        self._unlisted_since: dict[str, float] = {}
+        self._notices: dict[str, _Notice] = {}
 
     @property
     def leaving(self) -> tuple[ServerStart, ...]:
         """The servers that announced that they leave."""
-        return tuple(ServerStart(*item) for item in self._leaving.items())
+        return tuple(
+            ServerStart(server_id, notice.started_ms)
+            for server_id, notice in self._notices.items()
+            if notice.leaving
+        )
 
     def record_leaving(self, start: ServerStart) -> bool:
         """Records that a server leaves; returns whether that was not known."""
-        self._unlisted_since.pop(start.server_id, None)
-        if self._covers_leaving(start):
+        notice = self._notice_to_update(start)
+        if notice is None or notice.leaving:
             return False
-        self._leaving[start.server_id] = start.started_ms
+        notice.leaving = True
         return True
 
-    def is_leaving(self, server: BackendServer) -> bool:
-        """Returns whether a server announced that it leaves."""
-        return self._covers_leaving(start_of(server))
+    def record_pause(self, server: BackendServer, until: float) -> bool:
+        """Records that a server wants no requests; returns whether the pause became longer.
+
+        Args:
+            server: The server.
+            until: End of the pause.
+
+        """
+        notice = self._notice_to_update(start_of(server))
+        if notice is None or until <= notice.paused_until:
+            return False
+        notice.paused_until, notice.service = until, server.service
+        return True
 
-    def accepts_requests(self, server: BackendServer) -> bool:
-        """Returns whether a server has not asked to get no more requests."""
-        return not self.is_leaving(server)
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Returns whether a server announced that it leaves, or has been replaced by a restart."""
+        notice = self._notices.get(server.id)
+        if notice is None or server.started_ms > notice.started_ms:
+            return False
+        return notice.leaving or server.started_ms < notice.started_ms
+
+    def pause_left(self, server: BackendServer, now: float) -> float:
+        """Returns the seconds for which a server wants no requests; 0 if it does not pause."""
+        notice = self._notices.get(server.id)
+        if notice is None or server.started_ms > notice.started_ms:
+            return 0.0
+        return max(0.0, notice.paused_until - now)
+
+    def pauses_of(self, service: str, now: float) -> tuple[ServerPause, ...]:
+        """Returns the present pauses of a service's servers."""
+        return tuple(
+            ServerPause(ServerStart(server_id, notice.started_ms), notice.paused_until - now)
+            for server_id, notice in self._notices.items()
+            if notice.service == service and notice.paused_until > now
+        )
+
+    def accepts_requests(self, server: BackendServer, now: float) -> bool:
+        """Returns whether a server neither leaves nor pauses."""
+        return not self.is_leaving(server) and self.pause_left(server, now) == 0.0
 
     def apply_to(self, servers: Iterable[BackendServer]) -> list[BackendServer]:
         """Returns directory entries in which the servers that announced it are draining."""
@@ -71,13 +128,24 @@
         ]
 
     def forget_unlisted(self, listed: Mapping[str, BackendServer], now: float) -> None:
-        """Drops the notices of servers that the directory has not listed for some time."""
-        for server_id, started_ms in list(self._leaving.items()):
+        """Drops ended pauses, and the notices of servers that were not listed for some time."""
+        for server_id, notice in list(self._notices.items()):
             server = listed.get(server_id)
-            if server is not None and server.started_ms <= started_ms:
-                self._unlisted_since.pop(server_id, None)
-            elif now - self._unlisted_since.setdefault(server_id, now) >= UNLISTED_RETENTION:
-                del self._leaving[server_id], self._unlisted_since[server_id]
-
-    def _covers_leaving(self, start: ServerStart) -> bool:
-        return start.started_ms <= self._leaving.get(start.server_id, -1)
+            if server is not None and server.started_ms <= notice.started_ms:
+                notice.unlisted_since = None
+            elif notice.unlisted_since is None:
+                notice.unlisted_since = now
+            has_ended = not notice.leaving and notice.paused_until <= now
+            unlisted_for = 0.0 if notice.unlisted_since is None else now - notice.unlisted_since
+            if has_ended or unlisted_for >= UNLISTED_RETENTION:
+                del self._notices[server_id]
+
+    def _notice_to_update(self, start: ServerStart) -> Optional[_Notice]:
+        """Returns the notice of a server; ``None`` if a later start has given one."""
+        notice = self._notices.get(start.server_id)
+        if notice is None or notice.started_ms < start.started_ms:
+            notice = self._notices[start.server_id] = _Notice(start.started_ms)
+        if notice.started_ms > start.started_ms:
+            return None
+        notice.unlisted_since = None
+        return notice
--- a/camphordrift/relay/_values.py
+++ b/camphordrift/relay/_values.py
@@ -218,6 +218,8 @@
     idle_timeout: Optional[float] = None
     #: Whether the server announces that it leaves, and so must get no new requests.
     leaving: bool = False
+    #: Seconds for which the server wants no further requests, if stated.
+    retry_after: Optional[float] = None
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -227,6 +227,7 @@
             not_run=b"x-not-run" in found,
             server_at_fault=found.get(b"x-at-fault"),
             leaving=b"x-leaving" in found,
+            retry_after=float(found[b"retry-after"]) if b"retry-after" in found else None,
         )
 
     def outgoing_headers(
@@ -272,8 +273,10 @@
 def server_calls(notices: Optional[ServerNotices] = None) -> ServerCalls:
     """Returns the calls of a VM without leader and followers."""
     notices = ServerNotices() if notices is None else notices
-    observe = NoticeDistributor(notices, lambda: None).observe
-    return ServerCalls(ConnectionPool(0.5), SampleHeaders(), observe, notices.accepts_requests)
+    distributor = NoticeDistributor(
+        notices, trio.current_time, lambda: None, lambda service, pause: None
+    )
+    return ServerCalls(ConnectionPool(0.5), SampleHeaders(), notices, distributor.observe)
 
 
 def attempt_id_of(request: HttpRequest) -> str:
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -86,7 +86,7 @@
     host = f"{process_loopback_network()}.{number}"
     member = Member(f"vm-{number}", started_ms, host, free_ports(host)[0], zone=zone)
     scheduler = EngineScheduler(member.vm, trio.current_time)
-    dispatcher = Dispatcher(member.vm, scheduler, trio.current_time)
+    dispatcher = Dispatcher(member.vm, scheduler, trio.current_time, lambda service: ())
     lease = ConfigurationLease(5.0)
     directory = ServerDirectory()
 
@@ -105,7 +105,9 @@
         log, TOPICS, documents, directory, servers_changed, lambda: configuration.store_reachable
     )
     updates = UpdateDistributor(configuration, servers, lease)
-    notices = NoticeDistributor(ServerNotices(), lambda: vm.refresh())
+    notices = NoticeDistributor(
+        ServerNotices(), trio.current_time, lambda: vm.refresh(), dispatcher.report_pause
+    )
     election = LeaderElection(member, log, TOPICS, dispatcher, scheduler, updates, notices)
     vm = Vm(member, dispatcher, scheduler, lease, configuration, servers, directory, election)
     return vm
--- a/camphordrift/relay/tests/test_pausing_servers.py
+++ b/camphordrift/relay/tests/test_pausing_servers.py
@@ -1,10 +1,14 @@
 """End-to-end tests of servers that want no requests from a VM for some seconds."""
 
+from dataclasses import replace
+
 import pytest
 import testtools
 import trio
 
 from camphordrift.relay._engine_planner import MAX_PREFILLING_REQUESTS
+from camphordrift.relay._engine_scheduler import DecisionCallback
+from camphordrift.relay._placement_values import PlacementRequest
 from camphordrift.relay.tests.relay_harness import (
     CallerResponse,
     RelayFleet,
@@ -172,6 +176,27 @@
         script = recorded(first_then(rejects_for(5.0), complete_stream), used)
         run_scenario(scenario, *[script] * 4)
 
+    def test_an_engine_that_names_a_helper_at_fault_pauses_itself(self) -> None:
+        used: list[str] = []
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            async def blames(request: HttpRequest, stream: trio.SocketStream) -> bool:
+                helper = next(s.entry for s in servers if s.entry.id != request.headers["x-server"])
+                head = f"HTTP/1.1 503 No\r\nx-not-run: 1\r\nx-at-fault: {helper.address}\r\n"
+                await stream.send_all(
+                    head.encode() + b"retry-after: 5\r\ncontent-length: 0\r\n\r\n"
+                )
+                return True
+
+            script = recorded(first_then(blames, complete_stream), used)
+            for item in servers:
+                item.script = script
+            response = await relay.send_request("/quick/x", x_tokens="154000")
+            self.assertEqual(200, response.status)
+            self.assertEqual(2, len(set(used)))
+
+        run_scenario(scenario, *[complete_stream] * 8)
+
     def test_pausing_servers_do_not_count_as_tried(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             statuses = [
@@ -232,6 +257,27 @@
 
         run_fleet_scenario(scenario, first_then(rejects_for(5.0), complete_stream))
 
+    def test_a_server_that_the_leader_chooses_unknowingly_gets_no_request(self) -> None:
+        async def scenario(fleet: RelayFleet) -> None:
+            leader, second = await fleet.start_all(2)
+            scheduler = leader.process._scheduler
+            submit = scheduler.submit
+
+            def submit_without_pauses(
+                owner: str, request: PlacementRequest, reply: DecisionCallback
+            ) -> None:
+                submit(owner, replace(request, server_pauses=()), reply)
+
+            self.patch(scheduler, "submit", submit_without_pauses)
+            await second.send_request("/quick/x", "a1")
+            await trio.sleep(AFTER_BACKOFF)
+            started = trio.current_time()
+            self.assertEqual(503, (await second.send_request("/quick/x", "a2")).status)
+            self.assertTrue(trio.current_time() - started < 0.3)
+            self.assertEqual(1, len(fleet.servers[0].requests))
+
+        run_fleet_scenario(scenario, first_then(rejects_for(5.0), complete_stream))
+
     def test_a_request_that_waits_on_the_leader_is_refused(self) -> None:
         async def scenario(fleet: RelayFleet) -> None:
             _, second = await fleet.start_all(2)
--- a/camphordrift/relay/tests/test_reservations.py
+++ b/camphordrift/relay/tests/test_reservations.py
@@ -17,6 +17,8 @@
     ReservationRefusedError,
     ReservedPart,
 )
+from camphordrift.relay._server_notices import ServerNotices, start_of
+from camphordrift.relay.tests.relay_harness import first_then
 from camphordrift.relay.tests.samples import (
     SampleOrders,
     ScriptedServer,
@@ -41,6 +43,11 @@
     return True
 
 
+async def refuse_orders_for_a_minute(request: HttpRequest, stream: trio.SocketStream) -> bool:
+    await stream.send_all(b"HTTP/1.1 503 No\r\nretry-after: 60\r\ncontent-length: 0\r\n\r\n")
+    return True
+
+
 async def never_respond(request: HttpRequest, stream: trio.SocketStream) -> bool:
     await stream.receive_some(1)
     return False
@@ -80,15 +87,54 @@
         first, _ = self._received_orders(accept_orders, never_respond, hold_seconds=0.0)
         self.assertEqual("release t0", first[-1])
 
+    def test_a_pausing_engine_gets_renewals_but_no_release(self) -> None:
+        notices = ServerNotices()
+
+        async def start_pause(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            notices.record_pause(server(0), trio.current_time() + 60.0)
+            return await accept_orders(request, stream)
+
+        (orders,) = self._received_orders(
+            start_pause, hold_seconds=RENEWAL_INTERVAL * 1.5, notices=notices
+        )
+        self.assertEqual(["reserve t0 100", "reserve t0 100"], orders)
+
+    def test_an_engine_that_turned_a_renewal_away_gets_no_orders_in_its_pause(self) -> None:
+        script = first_then(accept_orders, refuse_orders_for_a_minute)
+        (orders,) = self._received_orders(script, hold_seconds=RENEWAL_INTERVAL * 3.5)
+        self.assertEqual(["reserve t0 100", "reserve t0 100"], orders)
+
+    def test_a_pausing_engine_gets_no_new_reservation(self) -> None:
+        notices = ServerNotices()
+        notices.record_pause(server(0), float("inf"))
+        (orders,) = self._received_orders(accept_orders, hold_seconds=0.0, notices=notices)
+        self.assertEqual([], orders)
+
+    def test_an_engine_that_leaves_keeps_its_reservations_until_their_release(self) -> None:
+        notices = ServerNotices()
+
+        async def leave(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            notices.record_leaving(start_of(server(0)))
+            return await accept_orders(request, stream)
+
+        (orders,) = self._received_orders(
+            leave, hold_seconds=RENEWAL_INTERVAL * 1.5, notices=notices
+        )
+        self.assertEqual(["reserve t0 100", "reserve t0 100", "release t0"], orders)
+
     def _received_orders(
-        self, *scripts: object, hold_seconds: float, primary: Optional[BackendServer] = None
+        self,
+        *scripts: object,
+        hold_seconds: float,
+        primary: Optional[BackendServer] = None,
+        notices: Optional[ServerNotices] = None,
     ) -> list[list[str]]:
         async def main() -> list[list[str]]:
             servers = [
                 ScriptedServer(server(number, port=0), script)  # type: ignore[arg-type]
                 for number, script in enumerate(scripts)
             ]
-            manager = ReservationManager(server_calls(), SampleOrders())
+            manager = ReservationManager(server_calls(notices), SampleOrders())
             with trio.fail_after(20):
                 async with trio.open_nursery() as nursery:
                     for item in servers:
