--- a/camphordrift/relay/_reservations.py
+++ b/camphordrift/relay/_reservations.py
@@ -80,6 +80,8 @@
 
     def __init__(self, calls: ServerCalls, orders: OrderFormat) -> None:
         self._calls = calls
+        #: Ids of reservations whose last renewal was refused or got no response.
+        self._turned_away: set[str] = set()
         self._orders = orders
 
     @asynccontextmanager
@@ -98,8 +100,7 @@
         try:
             await self._reserve_all(parts)
             async with trio.open_nursery() as nursery:
-                for part in parts:
-                    nursery.start_soon(self._renew, part)
+                nursery.start_soon(self._renew_all, parts)
                 nursery.start_soon(self._watch_primary, primary, nursery.cancel_scope)
                 yield
                 nursery.cancel_scope.cancel()
@@ -121,13 +122,21 @@
         if refused:
             raise ReservationRefusedError(refused)
 
-    async def _renew(self, part: ReservedPart) -> None:
-        is_renewed = True
+    async def _renew_all(self, parts: Sequence[ReservedPart]) -> None:
         while True:
             await trio.sleep(RENEWAL_INTERVAL)
-            # An engine that pauses may still accept renewals, unless it has turned one away.
-            if is_renewed or not self._calls.is_pausing(part.server):
-                is_renewed = await self._send_reserve_order(part)
+            async with trio.open_nursery() as nursery:
+                for part in parts:
+                    nursery.start_soon(self._renew, part)
+
+    async def _renew(self, part: ReservedPart) -> None:
+        """Renews a reservation, unless its engine pauses and has turned a renewal away."""
+        reservation_id = part.reservation.id
+        if reservation_id in self._turned_away and self._calls.is_pausing(part.server):
+            return
+        self._turned_away.discard(reservation_id)
+        if not await self._send_reserve_order(part):
+            self._turned_away.add(reservation_id)
 
     async def _watch_primary(self, primary: BackendServer, scope: trio.CancelScope) -> None:
         while True:
@@ -159,6 +168,7 @@
         return status == 200
 
     async def _send_release_order(self, part: ReservedPart) -> None:
+        self._turned_away.discard(part.reservation.id)
         if self._calls.is_pausing(part.server):
             return
         for _ in range(RELEASE_ATTEMPTS):
