--- a/camphordrift/event_log/_explanation.py
+++ b/camphordrift/event_log/_explanation.py
@@ -44,6 +44,8 @@
         "configuration_applied",
         "server_listed",
         "server_removed",
+        "server_leaving",
+        "server_paused",
         "log_lines_left_out",
     }
 )
--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -19,6 +19,7 @@
     ConnectionPool,
     HistoryLostError,
     KeyedRecord,
+    SmallRequest,
     StoreError,
 )
 
@@ -164,19 +165,11 @@
             (b"host", str(self._address).encode()),
             (b"content-length", b"%d" % len(body)),
         ]
+        request = SmallRequest(method.encode(), target.encode(), headers, body)
         connection = await self._connections.acquire(host, port)
-        idle_timeout = 0.0
-        try:
-            await connection.send(method.encode(), target.encode(), headers, body)
-            head = await connection.receive_head()
-            content = bytearray()
-            while (chunk := await connection.receive_data()) is not None:
-                content += chunk
-            # The connection may be reused at any later time, as long as the store keeps it open.
-            idle_timeout = math.inf
-        finally:
-            self._connections.release(host, port, connection, idle_timeout)
-        return _Response(head.status_code, _parse_era(head.headers), bytes(content))
+        # The connection may be reused at any later time, as long as the store keeps it open.
+        response = await self._connections.exchange(host, port, connection, request, math.inf)
+        return _Response(response.status, _parse_era(response.headers), response.body)
 
 
 def _parse_era(headers: Iterable[tuple[bytes, bytes]]) -> Optional[int]:
--- /dev/null
+++ b/camphordrift/relay/_notice_distribution.py
@@ -0,0 +1,109 @@
+"""Collects the notices of backend servers from their responses, and shares them between VMs."""
+
+from collections.abc import Callable, Iterable
+
+from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay._peer_messages import MessageLink, ServersLeaving
+from camphordrift.relay._server_notices import (
+    ServerNotices,
+    ServerPause,
+    ServerStart,
+    start_of,
+)
+from camphordrift.relay._values import BackendServer, ResponseMetadata
+
+#: Status of a response in which another server than the intended one says that it is another one.
+WRONG_SERVER_STATUS = 421
+
+#: Status of a rejection in which a server may state for how long it wants no other request.
+PAUSE_STATUS = 503
+
+
+class NoticeDistributor:
+    """Records notices, and passes those of servers that leave on to the leader and followers.
+
+    A pause holds for this VM only, so only whoever schedules for this VM has to know of it.
+
+    Args:
+        notices: The notices that this VM knows.
+        clock: Returns the seconds of a monotonic clock.
+        on_leaving: Called when a server newly announced that it leaves.
+        on_pause: Called with the service of a server that starts or extends a pause.
+
+    """
+
+    def __init__(
+        self,
+        notices: ServerNotices,
+        clock: Callable[[], float],
+        on_leaving: Callable[[], None],
+        on_pause: Callable[[str, ServerPause], None],
+    ) -> None:
+        self._notices = notices
+        self._clock = clock
+        self._on_leaving = on_leaving
+        self._on_pause = on_pause
+        #: Links to the leader and to followers.
+        self._links: list[MessageLink] = []
+
+    def add_link(self, link: MessageLink) -> None:
+        """Starts to share notices with the VM at the other end of a link."""
+        self._links.append(link)
+        if self._notices.leaving:
+            link.send(ServersLeaving(self._notices.leaving))
+
+    def remove_link(self, link: MessageLink) -> None:
+        """Stops to share notices on a link; unknown links are ignored."""
+        if link in self._links:
+            self._links.remove(link)
+
+    def observe(
+        self, server: BackendServer, status: int, metadata: ResponseMetadata, source: str
+    ) -> None:
+        """Records the notices in a response.
+
+        Args:
+            server: The server that responded.
+            status: Status of the response.
+            metadata: Metadata of the response.
+            source: What the server responded to, for the log.
+
+        """
+        if metadata.leaving and status != WRONG_SERVER_STATUS:
+            self.record_leaving([start_of(server)], source)
+        if metadata.retry_after and status == PAUSE_STATUS:
+            self._record_pause(server, metadata.retry_after, source)
+
+    def record_leaving(self, starts: Iterable[ServerStart], source: str) -> None:
+        """Records servers that announced that they leave, in a response or to another VM.
+
+        Args:
+            starts: The servers.
+            source: Where the announcement comes from, for the log.
+
+        """
+        new = tuple(start for start in starts if self._notices.record_leaving(start))
+        for start in new:
+            log_event(
+                "server_leaving",
+                level=LogLevel.WARNING,
+                server=start.server_id,
+                started_ms=start.started_ms,
+                source=source,
+            )
+        if new:
+            self._on_leaving()
+            for link in self._links:
+                link.send(ServersLeaving(new))
+
+    def _record_pause(self, server: BackendServer, seconds: float, source: str) -> None:
+        if not self._notices.record_pause(server, self._clock() + seconds):
+            return
+        log_event(
+            "server_paused",
+            level=LogLevel.WARNING,
+            server=server.id,
+            seconds=seconds,
+            source=source,
+        )
+        self._on_pause(server.service, ServerPause(start_of(server), seconds))
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -19,6 +19,7 @@
     PlacementRequest,
 )
 from camphordrift.relay._server_directory import DirectoryChange
+from camphordrift.relay._server_notices import ServerPause, ServerStart
 from camphordrift.relay._settings import Address
 
 #: Largest message in bytes; a longer one closes the connection. Configurations are the largest
@@ -180,6 +181,19 @@
     evidence: PartEvidence
 
 
+class ServersLeaving(msgspec.Struct, frozen=True, tag=True):
+    """Reports backend servers that announced in a response that they leave."""
+
+    starts: tuple[ServerStart, ...]
+
+
+class ServerPaused(msgspec.Struct, frozen=True, tag=True):
+    """Tells the leader that a backend server wants no requests from the sender for some time."""
+
+    service: str
+    pause: ServerPause
+
+
 class Ping(msgspec.Struct, frozen=True, tag=True):
     """Checks that the leader responds, and asks for the age of its state."""
 
@@ -241,6 +255,8 @@
     ConfigurationDocument,
     ServerUpdate,
     PartEvidenceUpdate,
+    ServersLeaving,
+    ServerPaused,
     Ping,
     Pong,
 ]
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -41,6 +41,7 @@
     ReservedPart,
 )
 from camphordrift.relay._routing_state import RoutingState
+from camphordrift.relay._server_calls import ResponseObserver
 from camphordrift.relay._values import BackendServer, ForwardingMetadata, PrefillHelper
 
 #: Factor on the expected time to the first event of an engine. The engine counts as silent after
@@ -79,6 +80,7 @@
         connections: ConnectionPool,
         reservations: ReservationManager,
         header_format: HeaderFormat,
+        observe_response: ResponseObserver,
         reports: RequestReports,
     ) -> None:
         self._vm = vm
@@ -88,6 +90,7 @@
         self._connections = connections
         self._reservations = reservations
         self._header_format = header_format
+        self._observe_response = observe_response
         self._reports = reports
         self._placement_numbers = itertools.count()
         self._plain_balancer = PlainServerBalancer()
@@ -102,13 +105,14 @@
 
         """
         server = self._plain_balancer.choose(
-            self._routing_state.directory.ready_servers(progress.service.name),
+            self._routing_state.usable_servers(progress.service.name),
             self._zone,
             progress.excluded_servers,
             trio.current_time(),
         )
         if server is None:
-            raise RequestRefusedError(failure_without_server(progress))
+            pause = self._routing_state.shortest_pause(progress.service.name)
+            raise RequestRefusedError(failure_without_server(progress, pause))
         route = progress.route
         timeouts = SilenceTimeouts(
             route.latency_objective * PLAIN_RESPONSE_FACTOR,
@@ -116,7 +120,7 @@
         )
         result: Optional[AttemptResult] = None
         try:
-            result = await self._attempt(progress, server, (), timeouts, running)
+            result = await self._attempt(progress, (server,), (), timeouts, running)
         finally:
             failed = running.is_silent if result is None else isinstance(result, (NotSent, Broken))
             self._plain_balancer.record_finished(server.id, failed, trio.current_time())
@@ -153,6 +157,8 @@
             result = await self._attempt_on_granted_engines(progress, decision, running)
             evidence.record_result(result)
             _exclude_helper_at_fault(progress, decision, _server_at_fault(result))
+            if not self._routing_state.accepts_requests(decision.server):
+                progress.preferred_server = None
         finally:
             self._dispatcher.report_finished(
                 placement_request.id, _outcome_of(result, running), _server_at_fault(result)
@@ -181,15 +187,17 @@
             grant.first_event * FIRST_EVENT_FACTOR + slack,
             progress.route.event_gap_objective * EVENT_GAP_FACTOR,
         )
+        servers = (grant.server, *grant.helpers)
         if not parts:
-            return await self._attempt(progress, grant.server, helpers, timeouts, running)
+            return await self._attempt(progress, servers, helpers, timeouts, running)
         try:
             async with self._reservations.hold_reservations(
                 parts, grant.server, running.record_silence
             ):
-                return await self._attempt(progress, grant.server, helpers, timeouts, running)
+                return await self._attempt(progress, servers, helpers, timeouts, running)
         except ReservationRefusedError as error:
-            progress.excluded_servers.extend(error.server_ids)
+            withheld = self._record_withheld(progress, grant.helpers)
+            progress.excluded_servers.extend(set(error.server_ids).difference(withheld))
             return Withheld(str(error))
         # Reached only if hold_reservations() cancelled its body, because the primary engine refused
         # a connection.
@@ -216,7 +224,7 @@
             pause=progress.route.event_gap_objective,
             time_left=progress.remaining_time,
             priority=priority,
-            excluded=tuple(progress.excluded_servers),
+            excluded=(*progress.excluded_servers, *progress.withheld_servers),
             preferred=progress.preferred_server,
             resumed=metadata.last_event_id is not None
             or (sink is not None and sink.last_event_id is not None),
@@ -227,22 +235,25 @@
     async def _attempt(
         self,
         progress: RequestProgress,
-        server: BackendServer,
+        servers: tuple[BackendServer, ...],
         helpers: tuple[PrefillHelper, ...],
         timeouts: SilenceTimeouts,
         running: RunningAttempt,
     ) -> AttemptResult:
+        """Runs an attempt on the first of ``servers``; the others are the helpers."""
+        server = servers[0]
         attempt = Attempt(
             progress.request,
             progress.metadata.attempt_id,
             server,
             self._connections,
             self._header_format,
+            lambda status, metadata: self._observe_response(server, status, metadata, "request"),
         )
         progress.excluded_servers.append(server.id)
 
         def prepare_send() -> Optional[ForwardingMetadata]:
-            return self._prepare_send(progress, server, helpers, running)
+            return self._prepare_send(progress, servers, helpers, running)
 
         force_new = not progress.route.retryable
         started_at = trio.current_time()
@@ -252,20 +263,33 @@
         self._reports.record_attempt(
             progress, server, len(helpers), timeouts, result, running.sink, started_at
         )
+        if isinstance(result, Withheld) and self._record_withheld(progress, servers):
+            # The server failed nothing, so it does not count towards the limit.
+            progress.excluded_servers.remove(server.id)
         return result
 
+    def _record_withheld(
+        self, progress: RequestProgress, servers: tuple[BackendServer, ...]
+    ) -> list[str]:
+        """Excludes those of the servers that leave or pause; returns their ids."""
+        withheld = [s.id for s in servers if not self._routing_state.accepts_requests(s)]
+        progress.withheld_servers.update(withheld)
+        return withheld
+
     def _prepare_send(
         self,
         progress: RequestProgress,
-        server: BackendServer,
+        servers: tuple[BackendServer, ...],
         helpers: tuple[PrefillHelper, ...],
         running: RunningAttempt,
     ) -> Optional[ForwardingMetadata]:
         """Returns the metadata to forward; ``None`` if the request must not be sent any more.
 
-        Repeats the checks of the deadline, the API key, the prompt and the server, because
-        connecting to the server may have taken long.
+        Repeats the checks of the deadline, the API key, the prompt and the servers, because
+        connecting to the server may have taken long, and the leader may not know what the servers
+        announced.
         """
+        server = servers[0]
         if progress.remaining_time <= 0:
             return None
         if not self._routing_state.is_still_authorized(progress.metadata.key, progress.account):
@@ -274,6 +298,8 @@
             return None
         if self._routing_state.parts.quarantine_seconds_left(progress.metadata.prompt_parts) > 0:
             return None
+        if not all(map(self._routing_state.accepts_requests, servers)):
+            return None
         if not running.may_send():
             return None
         progress.attempted_servers.append(server.id)
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -32,7 +32,11 @@
     ServiceShare,
     StoreError,
 )
+from camphordrift.relay._http_client import ConnectionPool
+from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._placement_values import PlacementRequest
+from camphordrift.relay._server_calls import ServerCalls
+from camphordrift.relay._server_notices import ServerNotices
 from camphordrift.testing import (
     HttpRequest,
     HttpRequestHandler,
@@ -263,6 +267,8 @@
             signed=b"x-signature" in found,
             not_run=b"x-not-run" in found,
             server_at_fault=found.get(b"x-at-fault"),
+            leaving=b"x-leaving" in found,
+            retry_after=float(found[b"retry-after"]) if b"retry-after" in found else None,
         )
 
     def outgoing_headers(
@@ -305,6 +311,15 @@
         return f"release {reservation_id}".encode()
 
 
+def server_calls(notices: Optional[ServerNotices] = None) -> ServerCalls:
+    """Returns the calls of a VM without leader and followers."""
+    notices = ServerNotices() if notices is None else notices
+    distributor = NoticeDistributor(
+        notices, trio.current_time, lambda: None, lambda service, pause: None
+    )
+    return ServerCalls(ConnectionPool(0.5), SampleHeaders(), notices, distributor.observe)
+
+
 def attempt_id_of(request: HttpRequest) -> str:
     """Returns the attempt id of a request that a server received."""
     return request.headers.get("x-attempt", "")
@@ -323,6 +338,10 @@
         self.requests: list[HttpRequest] = []
         self.connections = 0
         self.report = b"0 0"
+        self.report_status = b"200 OK"
+        self.report_count = 0
+        #: Lines that the response to a report has besides its length.
+        self.report_headers = b""
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled."""
@@ -337,8 +356,10 @@
 
         async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
             if request.target.encode() == SampleReports.path:
-                head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(self.report)
-                await stream.send_all(head + self.report)
+                self.report_count += 1
+                head = b"HTTP/1.1 %s\r\ncontent-length: %d\r\n"
+                head = head % (self.report_status, len(self.report)) + self.report_headers
+                await stream.send_all(head + b"\r\n" + self.report)
                 return True
             self.requests.append(request)
             return await self.script(request, stream)
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -18,6 +18,7 @@
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_scheduler import EngineScheduler
 from camphordrift.relay._leader_election import LEADER_SETTLING_PERIOD, LeaderElection
+from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import (
     LinkBrokenError,
@@ -29,6 +30,7 @@
 from camphordrift.relay._placement_values import AttemptOutcome, Grant
 from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay._server_notices import ServerNotices
 from camphordrift.relay._settings import Address
 from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
 from camphordrift.relay._store_watchers import (
@@ -88,7 +90,7 @@
     host = f"{process_loopback_network()}.{number}"
     member = Member(f"vm-{number}", started_ms, host, free_ports(host)[0], zone=zone)
     scheduler = EngineScheduler(member.vm, trio.current_time)
-    dispatcher = Dispatcher(member.vm, scheduler, trio.current_time)
+    dispatcher = Dispatcher(member.vm, scheduler, trio.current_time, lambda service: ())
     eras = StoreEraTracker()
     checked_log = EraCheckedLog(log, eras)
     lease = ConfigurationLease(5.0)
@@ -119,8 +121,11 @@
     records = QuarantineRecords(
         checked_log, TOPICS.members, parts, eras, lambda: election.is_leader
     )
+    notices = NoticeDistributor(
+        ServerNotices(), trio.current_time, lambda: vm.refresh(), dispatcher.report_pause
+    )
     election = LeaderElection(
-        member, checked_log, eras, TOPICS, dispatcher, scheduler, updates, records
+        member, checked_log, eras, TOPICS, dispatcher, scheduler, updates, records, notices
     )
     vm = Vm(
         member, dispatcher, scheduler, lease, configuration, servers, directory, parts, election
