Soak: requests sent late after SIGTERM need a response

The exception for requests on which a server still works in the last sixth of the grace period holds only for those sent within 3 s of the signal.

--- a/camphordrift/platform/soak/_answer_checks.py
+++ b/camphordrift/platform/soak/_answer_checks.py
@@ -11,6 +11,9 @@
 #: Share of the grace period at whose end a VM may give up requests on which a server still works.
 _FULL_SERVICE_SHARE = 5 / 6
 
+#: Seconds after SIGTERM in which such requests must have been sent.
+_LATEST_SENDING = 3.0
+
 #: Seconds before its deadline from which a request may end without a response.
 _DEADLINE_MARGIN = 0.1
 
@@ -59,6 +62,10 @@
         if not overlaps([(stopped_at, exited_at)], sent_at, ended_at):
             continue
         at_work_until = max((e.ended_at or ended_at for e in executions), default=sent_at)
-        if not executions or at_work_until >= stopped_at + GRACE_PERIOD * _FULL_SERVICE_SHARE:
+        may_give_up = (
+            sent_at <= stopped_at + _LATEST_SENDING
+            and at_work_until >= stopped_at + GRACE_PERIOD * _FULL_SERVICE_SHARE
+        )
+        if may_give_up or not executions:
             return True
     return False
--- a/camphordrift/platform/soak/tests/test_checks.py
+++ b/camphordrift/platform/soak/tests/test_checks.py
@@ -126,6 +126,12 @@
         self.assertEqual([], self.violations(request, execution, stopped_at=1.1))
         self.assertEqual(1, len(self.violations(request, execution, stopped_at=1.9)))
 
+    def test_a_vm_may_not_give_up_requests_that_were_sent_late_in_its_grace_period(self) -> None:
+        request = replace(_UNANSWERED, sent_at=4.2, timeout=9.0, ended_at=5.0)
+        execution = replace(EXECUTION, started_at=4.3, ended_at=4.9)
+        self.assertEqual(1, len(self.violations(request, execution, stopped_at=1.1)))
+        self.assertEqual([], self.violations(replace(request, sent_at=4.0), execution, 1.1))
+
 
 class UnframedResponseTest(testtools.TestCase):
     def test_half_of_the_responses_are_broken_off_in_each_way(self) -> None:
