Exit later if the grace period is short

A stopping VM cut running streams 3.3 s after SIGTERM in the soak, whose grace period is 4 s: the fixed margin of 0.7 s began before the last sixth of the period, until which streams may run. The margin is at most an eighth of the period now.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -72,8 +72,11 @@
 #: Seconds for which a draining VM accepts connections, until the load balancer has removed it.
 DEREGISTRATION_DELAY = 3.0
 
-#: Seconds before the end of the grace period at which a draining VM exits by itself.
+#: Maximum number of seconds before the end of the grace period at which a draining VM exits by
+#: itself, and maximum share of that period. Requests that a server still processes in its last
+#: sixth need not be finished.
 STOP_MARGIN = 0.7
+STOP_MARGIN_SHARE = 1 / 8
 
 #: Seconds before that time at which requests whose response has not started are refused.
 LAST_REFUSAL_TIME = 0.25
@@ -370,7 +373,7 @@
         callers here. New connections are therefore refused once it has had time to remove this VM.
         """
         self._stopping = True
-        deadline = trio.current_time() + self._settings.shutdown_grace_period - STOP_MARGIN
+        deadline = trio.current_time() + drain_time(self._settings.shutdown_grace_period)
         await trio.sleep(DEREGISTRATION_DELAY)
         self._accept_scope.cancel()
         while self._callers and trio.current_time() < deadline:
@@ -422,6 +425,11 @@
                 return
 
 
+def drain_time(grace_period: float) -> float:
+    """Returns the seconds after which a draining VM exits, given its grace period in seconds."""
+    return grace_period - min(STOP_MARGIN, grace_period * STOP_MARGIN_SHARE)
+
+
 def run_relay(settings: RelaySettings, adapters: Adapters) -> None:
     """Runs a relay until a stop signal; logs go to standard output."""
     log_output = configure_bounded_logging(LogLevel.INFO.value, sys.stdout.fileno())
--- a/camphordrift/relay/tests/test_shutdown.py
+++ b/camphordrift/relay/tests/test_shutdown.py
@@ -7,6 +7,7 @@
 import trio
 
 from camphordrift.relay import _process
+from camphordrift.relay._process import drain_time
 from camphordrift.relay.tests.relay_harness import (
     CallerResponse,
     RelayHarness,
@@ -41,7 +42,12 @@
     def setUp(self) -> None:
         super().setUp()
         self.patch(_process, "DEREGISTRATION_DELAY", 0.1)
-        self.patch(_process, "STOP_MARGIN", 7.0)
+        self.patch(_process, "drain_time", lambda grace_period: 1.0)
+
+    def test_streams_may_run_until_the_last_sixth_of_the_grace_period(self) -> None:
+        """Guards against a fixed margin that is too long for short grace periods."""
+        for grace_period in (1.0, 2.0, 4.0, 5.0, 8.0, 30.0):
+            self.assertTrue(grace_period * 5 / 6 < drain_time(grace_period) < grace_period)
 
     def test_a_request_that_waits_for_an_engine_is_refused(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
