--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -8,7 +8,6 @@
 """
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Optional
 
@@ -18,33 +17,20 @@
 from camphordrift.relay._byte_stream import connect
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_scheduler import EngineScheduler
+from camphordrift.relay._follower_session import FollowerSession
 from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, LogTopics, StoreError
 from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._peer_messages import (
-    ConfigurationRequest,
-    EventGapReport,
-    Finished,
-    Granted,
     LinkBrokenError,
     Member,
     Message,
     MessageLink,
-    PartEvidenceUpdate,
-    Ping,
-    PrefillFinished,
-    Refused,
-    Register,
-    ServerPaused,
     ServersLeaving,
     StoreReachable,
     StoreUnreachable,
-    Submit,
-    Waiting,
-    Withdraw,
     decode_member,
     encode_member,
 )
-from camphordrift.relay._placement_values import Grant, PlacementDecision
 from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._store_era import StoreEraTracker
 from camphordrift.relay._update_distribution import UpdateDistributor
@@ -377,7 +363,7 @@
 
     async def _serve_follower(self, stream: trio.SocketStream) -> None:
         self._last_follower_id += 1
-        session = _FollowerSession(
+        session = FollowerSession(
             f"{self._last_follower_id}",
             self._scheduler,
             self._updates,
@@ -410,87 +396,3 @@
     member: Member
     stream: trio.SocketStream
     link: MessageLink
-
-
-class _FollowerSession:
-    """Handles the messages of one follower."""
-
-    def __init__(
-        self,
-        follower_id: str,
-        scheduler: EngineScheduler,
-        updates: UpdateDistributor,
-        notices: NoticeDistributor,
-        add_member: Callable[[Member], None],
-        record_store_unreachable: Callable[[str], None],
-        better_leaders: Callable[[], list[Member]],
-    ) -> None:
-        self.follower_id = follower_id
-        self._updates = updates
-        self._notices = notices
-        self.link: Optional[MessageLink] = None
-        self._scheduler = scheduler
-        self._add_member = add_member
-        self._record_store_unreachable = record_store_unreachable
-        self._better_leaders = better_leaders
-
-    def handle(self, message: Message) -> None:
-        """Handles a message of the follower; messages of other kinds are ignored."""
-        match message:
-            case Member():
-                self._add_member(message)
-                if self.link is not None:
-                    self._updates.add_follower(self.link, message, self._better_leaders())
-                    self._notices.add_link(self.link)
-            case Ping():
-                if self.link is not None:
-                    self._updates.record_follower_state(self.link, message)
-                    self.link.send(self._updates.pong_for(message))
-            case StoreUnreachable(vm):
-                self._record_store_unreachable(vm)
-            case ServersLeaving(starts):
-                self._notices.record_leaving(starts, "follower")
-            case ConfigurationRequest(version) if self.link is not None:
-                self._updates.send_document(self.link, version)
-            case PartEvidenceUpdate(evidence) if self.link is not None:
-                self._updates.handle_part_evidence(evidence, self.link)
-            case Submit():
-                self._submit(message)
-            case Register(request, grant, is_prefilling):
-                self._scheduler.register(self.follower_id, request, grant, is_prefilling)
-            case Withdraw(ask_id):
-                self._scheduler.withdraw(ask_id)
-            case PrefillFinished(ask_id):
-                self._scheduler.record_first_event(ask_id)
-            case EventGapReport(ask_id, gap):
-                self._scheduler.record_event_gap(ask_id, gap)
-            case Finished(ask_id, outcome, at_fault):
-                self._scheduler.record_finished(ask_id, outcome, at_fault)
-            case ServerPaused(service, pause):
-                self._scheduler.record_pause(self.follower_id, service, pause)
-            case _:
-                pass
-
-    def _submit(self, message: Submit) -> None:
-        request = message.ask
-        if not self._scheduler.has_pool(request.service):
-            return
-        decided = False
-
-        def reply(decision: PlacementDecision) -> None:
-            nonlocal decided
-            decided = True
-            self._send_decision(decision)
-
-        self._scheduler.submit(self.follower_id, request, reply)
-        if not decided and self.link is not None:
-            self.link.send(Waiting(request.id))
-
-    def _send_decision(self, decision: PlacementDecision) -> None:
-        if self.link is None:
-            return
-        match decision:
-            case Grant():
-                self.link.send(Granted(decision))
-            case _:
-                self.link.send(Refused(decision))
