--- a/camphordrift/relay/_request_attempts.py
+++ b/camphordrift/relay/_request_attempts.py
@@ -133,7 +133,7 @@
             self._handle_result(result)
 
     def _handle_result(self, result: Union[AttemptResult, RequestRefusedError]) -> None:
-        if _is_final(result) or not self._running:
+        if self._is_final(result) or not self._running:
             self._result = result
             self._nursery.cancel_scope.cancel()
             return
@@ -143,6 +143,17 @@
         elif isinstance(result, (NotSent, Withheld)) and self._may_try_another_server():
             self._start_attempt()
 
+    def _is_final(self, result: Union[AttemptResult, RequestRefusedError]) -> bool:
+        """Returns whether a result is a complete response that another attempt cannot improve."""
+        match result:
+            case Streamed():
+                return True
+            case Answered(status):
+                # Another server's error response cannot continue a stream that has started.
+                return status < 500 and not self._progress.response.started
+            case _:
+                return False
+
     def _handle_silence(self, attempt: RunningAttempt) -> None:
         """Starts a further attempt, if the request may be retried and none has begun since."""
         if self._stream is not None and self._stream.lock.locked():
@@ -178,14 +189,3 @@
             other.scope.cancel()
         attempt.is_silent = False
         attempt.has_forwarded = True
-
-
-def _is_final(result: Union[AttemptResult, RequestRefusedError]) -> bool:
-    """Returns whether a result is a complete response that another attempt cannot improve."""
-    match result:
-        case Streamed():
-            return True
-        case Answered(status):
-            return status < 500
-        case _:
-            return False
--- a/camphordrift/relay/tests/test_request_attempts.py
+++ b/camphordrift/relay/tests/test_request_attempts.py
@@ -206,6 +206,13 @@
             )
             self.assertEqual((Streamed(), [1, 2]), (outcome.result, outcome.ids))
 
+    def test_the_silent_server_continues_if_the_other_one_rejects_the_resumed_stream(self) -> None:
+        """Guards against truncating a stream because of a response that cannot continue it."""
+        outcome = run_attempts(
+            silent_server((1,), 1.6, (2,)), server(0.1, result=Answered(404, [], b"")), retries=1
+        )
+        self.assertEqual((Streamed(), [1, 2]), (outcome.result, outcome.ids))
+
     def test_another_server_is_tried_if_the_further_attempt_was_not_sent(self) -> None:
         async def not_sent(running: RunningAttempt) -> AttemptResult:
             await trio.sleep(0.1)
