Make the test of a restored store independent of the machine's speed

Trace: for 2 s after each restore no read confirms the keys, and the test restored the store three times within about 4.2 s; the only read in between that can confirm them falls into the last 0.1 s before the next restore. The test as it was fails in the same way (401 != 503, age 5.25 s) if it starts 0.9 s later after the last long poll and pauses 0.9 s instead of 1 s; with pauses of 0.85 and 0.7 s alone it passes. The refusal is allowed: keys are not accepted for longer than 4.6 s without a confirmation. The test now waits until the store has confirmed the configuration before it is restored again, which it did not check before; all assertions stay.

--- a/camphordrift/relay/tests/relay_harness.py
+++ b/camphordrift/relay/tests/relay_harness.py
@@ -12,6 +12,7 @@
 
 from camphordrift.relay import Configuration, RelayProcess
 from camphordrift.relay._placement_values import Grant, PlacementDecision, PlacementRequest
+from camphordrift.relay._store_watchers import boot_time_clock
 from camphordrift.relay.tests.samples import (
     CONFIGURATION,
     TOPICS,
@@ -101,6 +102,12 @@
         while (self.process._routing_state.version or 0) < version:
             await trio.sleep(0.01)
 
+    async def wait_until_confirmed(self) -> None:
+        """Waits until the store confirms the configuration, as it does not just after a restore."""
+        started_at = boot_time_clock()
+        while self.process._lease.age(boot_time_clock()) > boot_time_clock() - started_at:
+            await trio.sleep(0.01)
+
     async def wait_until_ready(self) -> None:
         """Waits until the relay accepts connections."""
         while not self.process.ready:
--- a/camphordrift/relay/tests/test_end_to_end.py
+++ b/camphordrift/relay/tests/test_end_to_end.py
@@ -499,7 +499,7 @@
                     self.assertEqual(200, response.status)
                 relay.publish(CONFIGURATION)
                 relay.register_server(servers[0])
-                await trio.sleep(1.0)
+                await relay.wait_until_confirmed()
             relay.log.restore({})
             relay.publish(replace(CONFIGURATION, version=4, accounts={}))
             await relay.wait_for_version(4)
