Read the change again: two checks that were made twice

failure_without_server looked for an earlier error response, but since a request that got one counts as one that may have run. A broken attempt checked whether its route may be retried, which _may_retry checks as well.

Behaviour is the same.

--- a/camphordrift/relay/_refusals.py
+++ b/camphordrift/relay/_refusals.py
@@ -2,7 +2,7 @@
 
 from typing import Optional
 
-from camphordrift.relay._attempt import Answered, AttemptResult
+from camphordrift.relay._attempt import AttemptResult
 from camphordrift.relay._placement_values import PlacementRefusal, RefusalReason
 from camphordrift.relay._request_progress import RequestProgress
 from camphordrift.results import Failure, ResultCode, RunState
@@ -120,7 +120,7 @@
         pause: Seconds until the first server ends its pause; ``None`` unless all are pausing.
 
     """
-    if progress.may_have_run or isinstance(progress.last_result, Answered):
+    if progress.may_have_run:
         return Failure(
             ResultCode.BACKEND_STREAM_BROKEN, "no other server is available to retry the request"
         )
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -190,11 +190,7 @@
                     return False
             case Broken():
                 progress.may_have_run = True
-                if (
-                    progress.route.retryable
-                    and self._is_safe_to_retry(progress)
-                    and self._may_retry(progress)
-                ):
+                if self._is_safe_to_retry(progress) and self._may_retry(progress):
                     return False
         if progress.response.started:
             return True
