--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -287,6 +287,11 @@
             "Time since the configuration was last confirmed to be current.",
             self._routing_state.configuration_age,
         )
+        gauge(
+            "relay_configuration_waiting_seconds",
+            "Time since the VM learned of a version that is not in force yet; 0 without one.",
+            self._configuration.waiting_time,
+        )
         gauge(
             "relay_servers",
             "Backend servers in the directory.",
--- a/camphordrift/relay/_store_watchers.py
+++ b/camphordrift/relay/_store_watchers.py
@@ -22,6 +22,7 @@
     LogTopics,
     StoreError,
 )
+from camphordrift.relay._pending_versions import PendingVersions
 from camphordrift.relay._routing_table import RoutingTable
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import Address
@@ -96,6 +97,7 @@
         self._table: Optional[RoutingTable] = None
         self._document: Optional[bytes] = None
         self._expected_version = 0
+        self._pending = PendingVersions()
         #: Version for which the store was last searched, if it was expected but not fetched.
         self._searched_version = 0
         #: Newest version that the store was seen to contain in its present era.
@@ -132,6 +134,10 @@
         """Version of the current configuration; 0 before the first one was read."""
         return 0 if self._table is None else self._table.configuration.version
 
+    def waiting_time(self) -> float:
+        """Returns the seconds since this VM learned of a version that is not in force yet."""
+        return self._pending.waiting_time(trio.current_time())
+
     async def run(self) -> None:
         """Keeps the configuration up to date until cancelled."""
         while True:
@@ -170,6 +176,7 @@
         """
         if version > max(self.version, self._expected_version):
             self._expected_version = version
+            self._pending.announce(version, trio.current_time())
             self._source = source
             self._newer_expected.set()
 
@@ -217,7 +224,7 @@
             return False
         document = await self._fetch(source, self._expected_version)
         if document is not None:
-            self.apply_document(document)
+            self.apply_document(document, "fetch")
         return self._expected_version <= self.version or self._source is not None
 
     async def _wait_for_update(self) -> None:
@@ -225,11 +232,17 @@
         with trio.move_on_after(AGE_CHECK_INTERVAL):
             await self._newer_expected.wait()
 
-    def apply_document(self, document: bytes) -> None:
-        """Applies a document if its version is newer; logs and ignores an invalid one."""
+    def apply_document(self, document: bytes, origin: str) -> None:
+        """Applies a document if its version is newer; logs and ignores an invalid one.
+
+        Args:
+            document: The document.
+            origin: The way by which it arrived, for the log.
+
+        """
         configuration = self._parse(document)
         if configuration is not None:
-            self._apply(configuration, document)
+            self._apply(configuration, document, origin)
 
     def _parse(self, document: bytes) -> Optional[Configuration]:
         try:
@@ -238,7 +251,7 @@
             log_event("configuration_unreadable", level=LogLevel.ERROR, reason=str(error))
             return None
 
-    def _apply(self, configuration: Configuration, document: bytes) -> None:
+    def _apply(self, configuration: Configuration, document: bytes, origin: str) -> None:
         current = self._table
         if current is not None and configuration.version <= current.configuration.version:
             return
@@ -249,7 +262,10 @@
             version=configuration.version,
             routes=len(configuration.routes),
             accounts=len(configuration.accounts or ()),
+            origin=origin,
+            waited=self.waiting_time(),
         )
+        self._pending.record_in_force(configuration.version)
         self._on_change()
 
     def confirm_read(self, read_started: float, confirmed_read_started: float) -> None:
@@ -284,7 +300,7 @@
             self._stored_version = max(self._stored_version, self.version)
             return
         self._stored_version = max(self._stored_version, configuration.version)
-        self._apply(configuration, record.value)
+        self._apply(configuration, record.value, "store")
 
 
 class ServersWatcher:
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -205,7 +205,7 @@
             case ConfigurationUpdate(version, source):
                 self._configuration.expect_version(version, source)
             case ConfigurationDocument(document):
-                self._configuration.apply_document(document)
+                self._configuration.apply_document(document, "leader")
             case ServerUpdate(changes):
                 self._eras.observe_peer(max((c.era for c in changes), default=0), "leader")
                 self._servers.apply_changes(changes)
