--- a/camphordrift/relay/tests/watched_vms.py
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -7,14 +7,16 @@
 from unittest import mock
 
 import trio
+import trio.testing
 
 from camphordrift.relay import BackendServer, Batch, KeyedRecord, ServerState, StoreError
 from camphordrift.relay._configuration_lease import ConfigurationLease
 from camphordrift.relay._interfaces import KeyedLog
-from camphordrift.relay._leader_election import PING_INTERVAL
+from camphordrift.relay._leader_election import LINK_IDLE_TIMEOUT, PING_INTERVAL
 from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import (
     ConfigurationRequest,
+    LinkBrokenError,
     Member,
     Message,
     MessageLink,
@@ -36,6 +38,10 @@
 #: Seconds that a call to the store takes.
 STORE_LATENCY = 0.005
 
+#: Seconds after which a call to the store without a response fails, beside those that it waits for
+#: a record.
+RESPONSE_TIMEOUT = 1.0
+
 
 class DirectLink:
     """Delivers messages to a function at once."""
@@ -44,13 +50,50 @@
         self.send = deliver
 
 
+#: Seconds until a VM connects to its leader again after the connection broke.
+RECONNECT_INTERVAL = 0.05
+
+
+class ThrottledStream(trio.abc.Stream):
+    """A stream in memory with a limited bandwidth.
+
+    Args:
+        stream: Transports the data.
+        bytes_per_second: The bandwidth.
+
+    """
+
+    def __init__(self, stream: trio.abc.Stream, bytes_per_second: float) -> None:
+        self._stream = stream
+        self._bytes_per_second = bytes_per_second
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Sends data, which takes as long as the bandwidth allows."""
+        await trio.sleep(len(data) / self._bytes_per_second)
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Returns at once."""
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes: Optional[int] = None) -> bytes:
+        """Returns data that has arrived."""
+        return bytes(await self._stream.receive_some(max_bytes))
+
+    async def aclose(self) -> None:
+        """Closes the stream."""
+        await self._stream.aclose()
+
+
 class VmLog:
-    """One VM's connection to the store, which can be cut or slow."""
+    """One VM's connection to the store, which can be cut, silent or slow."""
 
     def __init__(self, log: KeyedLog) -> None:
         self._log = log
         #: Whether all calls fail.
         self.is_cut = False
+        #: Whether calls in progress and new ones get no response; they fail after a timeout.
+        self.is_silent = False
         #: Seconds by which responses arrive late.
         self.delay = 0.0
 
@@ -60,15 +103,19 @@
 
     async def read(self, topic: str, offset: int, wait: float) -> Batch:
         """Returns records starting at ``offset``."""
-        return await self._forward(self._log.read(topic, offset, wait))
+        return await self._forward(self._log.read(topic, offset, wait), wait)
 
     async def append(self, topic: str, record: KeyedRecord) -> int:
         """Appends a record."""
         return await self._forward(self._log.append(topic, record))
 
-    async def _forward(self, pending_call: Awaitable[_Result]) -> _Result:
+    async def _forward(self, pending_call: Awaitable[_Result], wait: float = 0.0) -> _Result:
+        started_at = trio.current_time()
         result = await pending_call
         await trio.sleep(self.delay)
+        if self.is_silent:
+            await trio.sleep_until(started_at + RESPONSE_TIMEOUT + wait)
+            raise StoreError("no response in time")
         if self.is_cut:
             raise StoreError("the connection is cut")
         return result
@@ -85,6 +132,8 @@
         self._leader_scope: Optional[trio.CancelScope] = None
         #: Versions in the order in which they came into force.
         self.versions: list[int] = []
+        #: When each version came into force.
+        self.in_force: list[tuple[float, int]] = []
         self.eras = StoreEraTracker()
         checked_log = EraCheckedLog(log, self.eras)
         self.lease = ConfigurationLease(REVOCATION_DELAY)
@@ -152,6 +201,36 @@
                 leader.updates.remove_follower(to_follower)
                 self.updates.record_leader_lost()
 
+    async def follow_over_stream(self, leader: "WatchedVm", bytes_per_second: float) -> None:
+        """Gets updates from a leader over a connection with limited bandwidth."""
+        while True:
+            try:
+                await self._follow_until_broken(leader, bytes_per_second)
+            except* LinkBrokenError:
+                await trio.sleep(RECONNECT_INTERVAL)
+
+    async def _follow_until_broken(self, leader: "WatchedVm", bytes_per_second: float) -> None:
+        near, far = trio.testing.memory_stream_pair()
+        to_leader = MessageLink(cast(trio.SocketStream, near), LINK_IDLE_TIMEOUT)
+        throttled = cast(trio.SocketStream, ThrottledStream(far, bytes_per_second))
+        to_follower = MessageLink(throttled, LINK_IDLE_TIMEOUT)
+        leader.updates.add_follower(to_follower, self.member, [])
+        self.updates.record_leader_found(to_leader)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(to_leader.write_queued)
+                nursery.start_soon(to_follower.write_queued)
+                nursery.start_soon(to_leader.read_messages, self._handle_leader_message)
+                nursery.start_soon(
+                    to_follower.read_messages, lambda m: leader.handle_request(m, to_follower)
+                )
+                while True:
+                    to_leader.send(self.updates.next_ping())
+                    await trio.sleep(PING_INTERVAL)
+        finally:
+            leader.updates.remove_follower(to_follower)
+            self.updates.record_leader_lost()
+
     def unfollow(self) -> None:
         """Loses the leader."""
         if self._leader_scope is not None:
@@ -171,6 +250,7 @@
 
     def _configuration_changed(self) -> None:
         self.versions.append(self.configuration.version)
+        self.in_force.append((trio.current_time(), self.configuration.version))
         self.updates.announce_configuration()
 
     def _servers_changed(self, changes: list[DirectoryChange]) -> None:
@@ -192,9 +272,14 @@
         self.vms: dict[str, WatchedVm] = {}
         self._nursery = nursery
 
-    def start(self, number: int, log: Optional[KeyedLog] = None) -> WatchedVm:
-        """Starts a VM; it reads ``log``, or the fleet's store."""
-        vm = WatchedVm(number, self.log if log is None else log, self.documents, self.vms)
+    def start(
+        self,
+        number: int,
+        log: Optional[KeyedLog] = None,
+        documents: Optional[SampleDocuments] = None,
+    ) -> WatchedVm:
+        """Starts a VM; it reads ``log``, or the fleet's store, and parses with ``documents``."""
+        vm = WatchedVm(number, log or self.log, documents or self.documents, self.vms)
         self.vms[vm.member.vm] = vm
         self._nursery.start_soon(vm.run)
         return vm
@@ -203,6 +288,12 @@
         """Lets a VM get updates from a leader."""
         self._nursery.start_soon(follower.follow, leader)
 
+    def follow_over_stream(
+        self, follower: WatchedVm, leader: WatchedVm, bytes_per_second: float
+    ) -> None:
+        """Lets a VM get updates from a leader over a connection with limited bandwidth."""
+        self._nursery.start_soon(follower.follow_over_stream, leader, bytes_per_second)
+
     def publish(self, version: int, *keys: str) -> None:
         """Appends a configuration with the given API keys."""
         account = (CONFIGURATION.accounts or {})["key-1"]
