--- a/camphordrift/relay/_configuration_lease.py
+++ b/camphordrift/relay/_configuration_lease.py
@@ -1,5 +1,6 @@
 """Limits how long a VM accepts API keys without confirming that its configuration is current."""
 
+import time
 from typing import Optional
 
 #: Seconds by which the lease is shortened, to allow for clock drift and for the time until a
@@ -12,6 +13,11 @@
 RESTORE_SETTLING_PERIOD = 2.0
 
 
+def boot_time_clock() -> float:
+    """Returns the seconds of a monotonic clock that also runs while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ConfigurationLease:
     """Tracks whether the configuration was confirmed recently enough to accept keys.
 
--- a/camphordrift/relay/_store_watchers.py
+++ b/camphordrift/relay/_configuration_watcher.py
@@ -1,19 +1,17 @@
-"""Keeps the configuration and the backend servers up to date.
+"""Keeps the configuration up to date.
 
-The leader reads the store for all VMs. It forwards changes of backend servers, and announces a
-newer configuration, which each VM then gets from a VM of its zone. A VM reads the store itself
-while it has no leader, while the state that its leader reports is too old, or if it does not get an
-announced configuration in time.
+The leader reads the store for all VMs and announces a newer configuration, which each VM then gets
+from a VM of its zone. A VM reads the store itself while it has no leader, while the state that its
+leader reports is too old, or if it does not get an announced configuration in time.
 """
 
-import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from typing import Optional
 
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
 from camphordrift.relay._interfaces import (
     Batch,
     DocumentFormat,
@@ -24,10 +22,13 @@
 )
 from camphordrift.relay._pending_versions import PendingVersions
 from camphordrift.relay._routing_table import RoutingTable
-from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._settings import Address
 from camphordrift.relay._store_era import StoreEraTracker
-from camphordrift.relay._topic_watcher import STORE_RETRY_INTERVAL, TopicWatcher
+from camphordrift.relay._topic_watcher import (
+    AGE_CHECK_INTERVAL,
+    STORE_RETRY_INTERVAL,
+    TopicWatcher,
+)
 from camphordrift.relay._values import Configuration
 
 #: Seconds that a read of the configuration waits for a change (long poll). A new read and the one
@@ -41,34 +42,17 @@
 #: leader normally uses long polls.
 MAX_LONG_POLL_AGE = 1.5
 
-#: Seconds between reads of the servers. Together with the read and the forwarding this must stay
-#: well below the time after which a draining server must get no more requests (2 s on today's
-#: deployments).
-SERVERS_INTERVAL = 0.7
-
 #: Age of the configuration in seconds from which a follower reads the store itself, and from which
 #: its leader counts as unable to reach the store. It exceeds the duration of two reads of the
 #: configuration and a ping. It is about two seconds shorter than the time for which API keys are
 #: accepted without a confirmed configuration (5 s on today's deployments, less a margin).
 MAX_CONFIGURATION_AGE = 2.8
 
-#: Age of the list of servers in seconds from which a follower reads the store itself.
-MAX_SERVERS_AGE = 1.5
-
-#: Seconds between a follower's checks of the ages of its configuration and its list of servers.
-AGE_CHECK_INTERVAL = 0.1
-
-
 #: Fetches a configuration of at least a version from the VM at an address; returns the document, or
 #: ``None`` if there was none in time.
 FetchDocument = Callable[[Address, int], Awaitable[Optional[bytes]]]
 
 
-def boot_time_clock() -> float:
-    """Returns the seconds of a monotonic clock that also runs while the VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def long_poll_timeout(age: float) -> float:
     """Returns how many seconds a read waits for a change, given the configuration's age."""
     return LONG_POLL_SECONDS if age <= MAX_LONG_POLL_AGE else 0.0
@@ -301,150 +285,3 @@
             return
         self._stored_version = max(self._stored_version, configuration.version)
         self._apply(configuration, record.value, "store")
-
-
-class ServersWatcher:
-    """Reads changes of the backend servers from the store into the server directory.
-
-    A VM with a leader gets the changes from it, and reads the store once itself after the leader
-    was found, as it may have missed earlier changes.
-    """
-
-    def __init__(
-        self,
-        log: KeyedLog,
-        eras: StoreEraTracker,
-        topics: LogTopics,
-        documents: DocumentFormat,
-        directory: ServerDirectory,
-        on_change: Callable[[list[DirectoryChange]], None],
-        store_reachable: Callable[[], bool],
-    ) -> None:
-        self._topic = TopicWatcher(log, eras, topics.servers)
-        self._eras = eras
-        self._documents = documents
-        self._directory = directory
-        self._on_change = on_change
-        self._store_reachable = store_reachable
-        self._last_read_at = float("-inf")
-        self._needs_own_read = False
-        self._own_read_needed_at = float("-inf")
-        self._own_read_ended_at = float("-inf")
-        self._leader_read_at = float("-inf")
-        #: Whether this VM has a leader that sends it updates.
-        self.has_leader = False
-        eras.call_on_restore(self._record_restore)
-
-    def age(self, now: float) -> float:
-        """Returns the seconds since the directory was last known to be complete."""
-        return now - self._last_read_at
-
-    async def run(self) -> None:
-        """Keeps the directory up to date until cancelled."""
-        while True:
-            read_started = trio.current_time()
-            if self.has_leader and self._directory.has_overdue_entries(read_started):
-                # The leader sends no change for an entry that is not missing or deferred there.
-                self._require_own_read()
-            if (
-                self.has_leader
-                and not self._needs_own_read
-                and self.age(read_started) < MAX_SERVERS_AGE
-            ):
-                await trio.sleep(AGE_CHECK_INTERVAL)
-                continue
-            if self.has_leader and not self._needs_own_read and not self._store_reachable():
-                # Entries may expire in the meantime. The configuration watcher notices when the
-                # store is available again.
-                self._directory.record_store_failure(read_started)
-                await trio.sleep(AGE_CHECK_INTERVAL)
-                continue
-            try:
-                batch, is_snapshot = await self._topic.next_batch(0.0)
-            except StoreError:
-                self._directory.record_store_failure(trio.current_time())
-                await self._topic.back_off(self.has_leader)
-                continue
-            self._own_read_ended_at = trio.current_time()
-            if batch.complete:
-                self._needs_own_read &= read_started < self._own_read_needed_at
-                self._record_complete_read(read_started)
-            self._publish_changes(self._apply_batch(batch, is_snapshot))
-            await trio.sleep(max(0.0, read_started + SERVERS_INTERVAL - trio.current_time()))
-
-    def apply_changes(self, changes: Iterable[DirectoryChange]) -> None:
-        """Applies changes that the leader read."""
-        self._publish_changes(self._directory.apply_changes(changes, trio.current_time()))
-
-    def record_leader_found(self) -> None:
-        """Records that a leader forwards changes; earlier ones are read once from the store."""
-        self.has_leader = True
-        self._leader_read_at = float("-inf")
-        self._require_own_read()
-
-    def confirm_read(self, read_started: float) -> None:
-        """Records that the leader has sent everything written before ``read_started``.
-
-        Args:
-            read_started: Start of the leader's read, in seconds of trio's clock.
-
-        """
-        self._leader_read_at = max(self._leader_read_at, read_started)
-        self._record_complete_read(read_started)
-
-    def _record_restore(self) -> None:
-        self._directory.record_restore(self._eras.era, trio.current_time())
-        if self.has_leader and self._leader_read_at <= self._own_read_ended_at:
-            # This VM may have read entries that the leader had not, and that were lost.
-            self._require_own_read()
-
-    def _require_own_read(self) -> None:
-        self._needs_own_read = True
-        self._own_read_needed_at = trio.current_time()
-
-    def _record_complete_read(self, read_started: float) -> None:
-        if not self._needs_own_read:
-            self._last_read_at = max(self._last_read_at, read_started)
-
-    def _publish_changes(self, changes: list[DirectoryChange]) -> None:
-        for change in changes:
-            if not change.is_renewal:
-                _log_change(change)
-        if changes:
-            self._on_change(changes)
-
-    def _apply_batch(self, batch: Batch, is_snapshot: bool) -> list[DirectoryChange]:
-        now = trio.current_time()
-        changes = [
-            change
-            for record in batch.records
-            if (change := self._apply_record(record, batch.era, now)) is not None
-        ]
-        if is_snapshot:
-            keys = [record.key for record in batch.records]
-            changes += self._directory.remove_all_except(keys, batch.next_offset, now, batch.era)
-        return changes + self._directory.expire(now)
-
-    def _apply_record(self, record: KeyedRecord, era: int, now: float) -> Optional[DirectoryChange]:
-        if record.value is None:
-            return self._directory.remove(record.key, record.offset, now, era)
-        try:
-            server = self._documents.server(record.key, record.value)
-        except (ValueError, KeyError) as error:
-            log_event("server_entry_unreadable", server=record.key, reason=str(error))
-            return None
-        return self._directory.put(server, record.offset, era)
-
-
-def _log_change(change: DirectoryChange) -> None:
-    if change.server is None:
-        log_event("server_removed", server=change.server_id, offset=change.offset)
-        return
-    log_event(
-        "server_listed",
-        server=change.server_id,
-        service=change.server.service,
-        address=change.server.address,
-        state=change.server.state,
-        offset=change.offset,
-    )
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -17,8 +17,9 @@
 )
 from camphordrift.relay._admission import Admission
 from camphordrift.relay._byte_stream import READ_SIZE
-from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
 from camphordrift.relay._configuration_sharing import fetch_configuration
+from camphordrift.relay._configuration_watcher import ConfigurationWatcher
 from camphordrift.relay._counted_log import CountedLog
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_inspection import EngineInspector
@@ -47,13 +48,9 @@
 from camphordrift.relay._server_calls import ServerCalls
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._server_notices import ServerNotices
+from camphordrift.relay._servers_watcher import ServersWatcher
 from camphordrift.relay._settings import RelaySettings
 from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
-from camphordrift.relay._store_watchers import (
-    ConfigurationWatcher,
-    ServersWatcher,
-    boot_time_clock,
-)
 from camphordrift.relay._update_distribution import UpdateDistributor
 from camphordrift.relay._values import CallerLimits
 from camphordrift.resident_memory import resident_bytes
--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/_routing_state.py
@@ -6,13 +6,12 @@
 
 import trio
 
-from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
 from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from camphordrift.relay._routing_table import RoutingTable
 from camphordrift.relay._server_directory import ServerDirectory
 from camphordrift.relay._server_notices import ServerNotices
-from camphordrift.relay._store_watchers import boot_time_clock
 from camphordrift.relay._values import Account, BackendServer, Configuration
 
 #: Seconds between checks of whether the configuration and the servers are loaded.
--- a/camphordrift/relay/_topic_watcher.py
+++ b/camphordrift/relay/_topic_watcher.py
@@ -18,6 +18,9 @@
 #: store during an outage.
 FOLLOWER_RETRY_INTERVAL = 1.0
 
+#: Seconds between a follower's checks of the ages of what its leader forwards.
+AGE_CHECK_INTERVAL = 0.1
+
 
 class TopicWatcher:
     """Reads a topic: first the newest record of every key, then the records that follow.
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -8,8 +8,9 @@
 
 import trio
 
-from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
 from camphordrift.relay._configuration_sharing import choose_zone_sources
+from camphordrift.relay._configuration_watcher import MAX_CONFIGURATION_AGE, ConfigurationWatcher
 from camphordrift.relay._part_evidence import PartEvidence
 from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import (
@@ -27,13 +28,8 @@
     StoreUnreachable,
 )
 from camphordrift.relay._server_directory import DirectoryChange
+from camphordrift.relay._servers_watcher import ServersWatcher
 from camphordrift.relay._store_era import StoreEraTracker
-from camphordrift.relay._store_watchers import (
-    MAX_CONFIGURATION_AGE,
-    ConfigurationWatcher,
-    ServersWatcher,
-    boot_time_clock,
-)
 
 #: Seconds after a successful read of the store in which a VM is assumed to reach the store.
 RECENT_READ_SECONDS = 1.5
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -10,11 +10,17 @@
 import trio
 
 from camphordrift.relay import _leader_election
-from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
 from camphordrift.relay._configuration_sharing import (
     choose_zone_sources,
     fetch_configuration,
 )
+from camphordrift.relay._configuration_watcher import (
+    LONG_POLL_SECONDS,
+    MAX_CONFIGURATION_AGE,
+    ConfigurationWatcher,
+    long_poll_timeout,
+)
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_scheduler import EngineScheduler
 from camphordrift.relay._leader_election import LEADER_SETTLING_PERIOD, LeaderElection
@@ -31,16 +37,9 @@
 from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay._server_notices import ServerNotices
+from camphordrift.relay._servers_watcher import ServersWatcher
 from camphordrift.relay._settings import Address
 from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
-from camphordrift.relay._store_watchers import (
-    LONG_POLL_SECONDS,
-    MAX_CONFIGURATION_AGE,
-    ConfigurationWatcher,
-    ServersWatcher,
-    boot_time_clock,
-    long_poll_timeout,
-)
 from camphordrift.relay._update_distribution import UpdateDistributor
 from camphordrift.relay.tests.relay_harness import free_ports
 from camphordrift.relay.tests.samples import (
--- a/camphordrift/relay/tests/watched_vms.py
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -11,6 +11,7 @@
 
 from camphordrift.relay import BackendServer, Batch, KeyedRecord, ServerState, StoreError
 from camphordrift.relay._configuration_lease import ConfigurationLease
+from camphordrift.relay._configuration_watcher import ConfigurationWatcher
 from camphordrift.relay._interfaces import KeyedLog
 from camphordrift.relay._leader_election import LINK_IDLE_TIMEOUT, PING_INTERVAL
 from camphordrift.relay._part_monitor import PartMonitor
@@ -23,9 +24,9 @@
     Ping,
 )
 from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay._servers_watcher import ServersWatcher
 from camphordrift.relay._settings import Address
 from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
-from camphordrift.relay._store_watchers import ConfigurationWatcher, ServersWatcher
 from camphordrift.relay._update_distribution import UpdateDistributor
 from camphordrift.relay.tests.samples import CONFIGURATION, TOPICS, InMemoryLog, SampleDocuments
 from camphordrift.testing import run_in_virtual_time
@@ -314,7 +315,7 @@
 
 @contextmanager
 def _boot_time_is_virtual() -> Iterator[None]:
-    modules = ("_store_watchers", "_update_distribution")
+    modules = ("_configuration_watcher", "_update_distribution")
     names = [f"camphordrift.relay.{module}.boot_time_clock" for module in modules]
     with mock.patch(names[0], trio.current_time), mock.patch(names[1], trio.current_time):
         yield
