Apply only the newest of several versions that have arrived

Each version of a batch from the store was parsed and applied, and each document of the leader, one after the other; the leader also queued every document on every link. With versions faster than that, the lag grew with each one.

The version alone is now read first, and only the newest readable document of a batch is parsed. A VM keeps only the newest document that its leader sent until it gets to apply it, at the latest before the pong that follows. A link keeps only the newest document that it has not begun to write.

--- a/camphordrift/platform/_documents.py
+++ b/camphordrift/platform/_documents.py
@@ -101,6 +101,12 @@
     tenants: Optional[tuple[_Tenant, ...]] = None
 
 
+class _ConfigurationVersion(_Document, frozen=True):
+    """A configuration of which all other fields are skipped."""
+
+    version: int
+
+
 class _ServerEntry(_Document, frozen=True):
     service: str
     address: str
@@ -113,6 +119,7 @@
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
+_version_decoder = msgspec.json.Decoder(_ConfigurationVersion)
 _entry_decoder = msgspec.json.Decoder(_ServerEntry)
 
 
@@ -135,6 +142,10 @@
             ),
         )
 
+    def configuration_version(self, document: bytes) -> int:
+        """Returns a configuration's version; raises ``ValueError`` if it is malformed."""
+        return _version_decoder.decode(document).version
+
     def server(self, server_id: str, document: bytes) -> BackendServer:
         """Parses a backend server's entry.
 
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -45,6 +45,11 @@
         super().setUp()
         self.parsed = PlatformDocuments().configuration(CONFIGURATION)
 
+    def test_version_alone(self) -> None:
+        documents = PlatformDocuments()
+        self.assertEqual(self.parsed.version, documents.configuration_version(CONFIGURATION))
+        self.assertRaises(ValueError, documents.configuration_version, b'{"Routes": []}')
+
     def test_routes(self) -> None:
         stream, non_idempotent, repeatable = self.parsed.routes
         self.assertEqual((ServiceShare("s1", 90), ServiceShare("s2", 10)), stream.shares)
--- a/camphordrift/relay/_configuration_watcher.py
+++ b/camphordrift/relay/_configuration_watcher.py
@@ -5,7 +5,7 @@
 leader reports is too old, or if it does not get an announced configuration in time.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Optional
 
 import trio
@@ -81,6 +81,11 @@
         self._table: Optional[RoutingTable] = None
         self._document: Optional[bytes] = None
         self._expected_version = 0
+        #: Newest document that the leader sent and that is not applied yet, and newest version that
+        #: it ever sent.
+        self._offered: Optional[bytes] = None
+        self._offered_version = 0
+        self._has_offered = trio.Event()
         self._pending = PendingVersions()
         #: Version for which the store was last searched, if it was expected but not fetched.
         self._searched_version = 0
@@ -124,6 +129,12 @@
 
     async def run(self) -> None:
         """Keeps the configuration up to date until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._apply_offered_documents)
+            await self._read_store()
+
+    async def _read_store(self) -> None:
+        """Reads the store while the leader does not do it for this VM, until cancelled."""
         while True:
             read_started = boot_time_clock()
             if (
@@ -207,8 +218,8 @@
         if source is None:
             return False
         document = await self._fetch(source, self._expected_version)
-        if document is not None:
-            self.apply_document(document, "fetch")
+        if document is not None and (version := self._read_version(document)) is not None:
+            self._apply_if_newer(version, document, "fetch")
         return self._expected_version <= self.version or self._source is not None
 
     async def _wait_for_update(self) -> None:
@@ -216,17 +227,37 @@
         with trio.move_on_after(AGE_CHECK_INTERVAL):
             await self._newer_expected.wait()
 
-    def apply_document(self, document: bytes, origin: str) -> None:
-        """Applies a document if its version is newer; logs and ignores an invalid one.
+    def offer_document(self, document: bytes) -> None:
+        """Keeps a document that the leader sent until it is applied, unless a newer one arrives."""
+        version = self._read_version(document)
+        if version is not None and version > max(self.version, self._offered_version):
+            self._offered_version, self._offered = version, document
+            self._has_offered.set()
 
-        Args:
-            document: The document.
-            origin: The way by which it arrived, for the log.
+    def apply_offered(self) -> None:
+        """Applies the newest document that the leader sent, if there is one."""
+        document, self._offered = self._offered, None
+        if document is not None:
+            self._apply_if_newer(self._offered_version, document, "leader")
+
+    async def _apply_offered_documents(self) -> None:
+        """Applies the documents of the leader until cancelled.
 
+        Messages that have arrived together are all handled before this task runs, so that only the
+        newest of several documents is parsed.
         """
-        configuration = self._parse(document)
-        if configuration is not None:
-            self._apply(configuration, document, origin)
+        while True:
+            await self._has_offered.wait()
+            self._has_offered = trio.Event()
+            self.apply_offered()
+
+    def _read_version(self, document: bytes) -> Optional[int]:
+        """Returns a document's version; logs and returns ``None`` if it is unreadable."""
+        try:
+            return self._documents.configuration_version(document)
+        except ValueError as error:
+            log_event("configuration_unreadable", level=LogLevel.ERROR, reason=str(error))
+            return None
 
     def _parse(self, document: bytes) -> Optional[Configuration]:
         try:
@@ -266,8 +297,7 @@
     def _apply_batch(self, batch: Batch, is_snapshot: bool, read_started: float) -> None:
         if is_snapshot:
             self._stored_version = 0
-        for record in batch.records:
-            self._apply_record(record)
+        self._apply_newest(batch.records)
         if not batch.complete:
             return
         if self._store_has_known_version():
@@ -275,13 +305,30 @@
         else:
             self._lease.record_read(read_started)
 
-    def _apply_record(self, record: KeyedRecord) -> None:
-        if record.key != self._key or record.value is None:
-            return
-        configuration = self._parse(record.value)
-        if configuration is None:
+    def _apply_newest(self, records: Iterable[KeyedRecord]) -> None:
+        """Applies the newest readable version of some records.
+
+        The versions before it are not parsed: while a VM works through versions that arrive faster
+        than that, the newest one is not in force.
+        """
+        documents: list[tuple[int, bytes]] = []
+        for record in records:
+            if record.key == self._key and record.value is not None:
+                version = self._read_version(record.value)
+                documents.append((version or 0, record.value))
+        for version, document in sorted(documents, reverse=True):
+            if version and self._apply_if_newer(version, document, "store"):
+                self._stored_version = max(self._stored_version, version)
+                return
             # An unreadable version does not replace the one in force.
             self._stored_version = max(self._stored_version, self.version)
-            return
-        self._stored_version = max(self._stored_version, configuration.version)
-        self._apply(configuration, record.value, "store")
+
+    def _apply_if_newer(self, version: int, document: bytes, origin: str) -> bool:
+        """Applies a document if its version is newer; returns ``False`` if it is unreadable."""
+        if version <= self.version:
+            return True
+        configuration = self._parse(document)
+        if configuration is None:
+            return False
+        self._apply(configuration, document, origin)
+        return True
--- a/camphordrift/relay/_interfaces.py
+++ b/camphordrift/relay/_interfaces.py
@@ -190,6 +190,15 @@
         """
         ...
 
+    def configuration_version(self, document: bytes) -> int:
+        """Returns the version of a configuration, at much less cost than parsing all of it.
+
+        Raises:
+            ValueError: The document is malformed.
+
+        """
+        ...
+
     def server(self, server_id: str, document: bytes) -> BackendServer:
         """Parses the directory entry of a backend server.
 
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -283,13 +283,23 @@
         self._stream = stream
         self._idle_timeout = idle_timeout
         self._write_buffer = bytearray()
+        #: Queued messages of which only the newest of each type is sent, encoded.
+        self._newest: dict[type, bytes] = {}
         self._has_queued = trio.Event()
         self._read_buffer = bytearray()
 
     def send(self, message: Message) -> None:
         """Queues a message, which :meth:`write_queued` writes."""
-        content = _encoder.encode(message)
-        self._write_buffer += _LENGTH.pack(len(content)) + content
+        self._write_buffer += _encode(message)
+        self._has_queued.set()
+
+    def send_newest(self, message: Message) -> None:
+        """Queues a message in place of one of the same type that was queued so and not written.
+
+        Use it for large messages of which only the newest is of use: the peer would get all of them
+        one after the other, however long that takes.
+        """
+        self._newest[type(message)] = _encode(message)
         self._has_queued.set()
 
     async def write_queued(self) -> None:
@@ -311,7 +321,10 @@
 
         """
         self._has_queued = trio.Event()
-        content, self._write_buffer = self._write_buffer, bytearray()
+        # A pong must follow the documents that were queued before it.
+        content = b"".join(self._newest.values()) + self._write_buffer
+        self._newest.clear()
+        self._write_buffer = bytearray()
         try:
             await self._stream.send_all(content)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -371,6 +384,11 @@
             raise LinkBrokenError(f"message cannot be decoded: {error}") from error
 
 
+def _encode(message: Message) -> bytes:
+    content = _encoder.encode(message)
+    return _LENGTH.pack(len(content)) + content
+
+
 def encode_member(member: Member) -> bytes:
     """Returns the value of a member's record in the store."""
     return _encoder.encode(member)
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -109,7 +109,7 @@
         for link, follower in self._followers.items():
             source = sources[follower.zone]
             if follower == source:
-                link.send(ConfigurationDocument(document))
+                link.send_newest(ConfigurationDocument(document))
             else:
                 link.send(ConfigurationUpdate(version, source.address))
         for link, awaited_version in list(self._awaited_versions.items()):
@@ -146,7 +146,7 @@
             self._awaited_versions[link] = version
             return
         self._awaited_versions.pop(link, None)
-        link.send(ConfigurationDocument(document))
+        link.send_newest(ConfigurationDocument(document))
 
     def handle_part_evidence(self, evidence: PartEvidence, link: MessageLink) -> None:
         """Merges evidence of this VM's leader or of a follower."""
@@ -201,7 +201,7 @@
             case ConfigurationUpdate(version, source):
                 self._configuration.expect_version(version, source)
             case ConfigurationDocument(document):
-                self._configuration.apply_document(document, "leader")
+                self._configuration.offer_document(document)
             case ServerUpdate(changes):
                 self._eras.observe_peer(max((c.era for c in changes), default=0), "leader")
                 self._servers.apply_changes(changes)
@@ -218,6 +218,8 @@
             return
         self._observe_era(pong, "leader")
         self._leader_age = pong.store_read_age
+        # The leader had sent all documents up to its version before the pong.
+        self._configuration.apply_offered()
         # The leader stated the age of its state after this VM had sent the ping. The leader's last
         # read of the store therefore began no earlier than that age before the ping was sent.
         if self._configuration.version >= pong.version:
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -235,6 +235,12 @@
         assert isinstance(value, Configuration)
         return value
 
+    def configuration_version(self, document: bytes) -> int:
+        """Returns the version of a document's configuration."""
+        value = self._values[int(document)]
+        assert isinstance(value, Configuration)
+        return value.version
+
     def server(self, server_id: str, document: bytes) -> BackendServer:
         """Returns the server entry of a document."""
         value = self._values[int(document)]
--- a/camphordrift/relay/tests/test_configuration_backlog.py
+++ b/camphordrift/relay/tests/test_configuration_backlog.py
@@ -191,6 +191,34 @@
         run_fleet(body)
 
 
+class UnreadableVersionTest(testtools.TestCase):
+    def test_the_newest_readable_version_of_a_batch_comes_into_force(self) -> None:
+        class Documents(CostlyDocuments):
+            def configuration(self, document: bytes) -> Configuration:
+                configuration = super().configuration(document)
+                if configuration.version == 12:
+                    raise ValueError("a field is missing")
+                return configuration
+
+        async def body(fleet: WatchedFleet) -> None:
+            fleet.documents = Documents()
+            log = VmLog(fleet.log)
+            vm = fleet.start(1, log)
+            fleet.publish(9)
+            await trio.sleep(1.0)
+            log.delay = 0.5
+            for version in (10, 11, 12):
+                fleet.publish(version)
+            await trio.sleep(1.0)
+            log.delay = 0.0
+            await trio.sleep(2.0)
+            self.assertEqual([9, 11], vm.versions)
+            # The unreadable version does not keep the lease from being confirmed.
+            self.assertLess(vm.lease.age(trio.current_time()), 2.0)
+
+        run_fleet(body)
+
+
 class WaitingTest(testtools.TestCase):
     """Each way in which a VM can wait for a version while others have it."""
 
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -477,7 +477,7 @@
             await trio.sleep(LONG_POLL_SECONDS + 0.2)
             second.configuration._topic._log = _unavailable_log()
             # The leader sends the document to one follower of each zone without a request.
-            self.patch(second.configuration, "apply_document", lambda document, origin: None)
+            self.patch(second.configuration, "offer_document", lambda document: None)
             fleet.publish(4)
             await wait_until(lambda: second.lease.age(boot_time_clock()) > 1.5)
             self.assertEqual(3, second.configuration.version)
--- a/camphordrift/relay/tests/watched_vms.py
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -48,7 +48,7 @@
     """Delivers messages to a function at once."""
 
     def __init__(self, deliver: Callable[[Message], None]) -> None:
-        self.send = deliver
+        self.send = self.send_newest = deliver
 
 
 #: Seconds until a VM connects to its leader again after the connection broke.
