Read the store when versions have waited long for other VMs

A newer announcement made it try the next source instead, again for 0.8 s: while versions followed each other, a VM whose source was silent got none of them.

The limit now counts from the time at which the VM learned of the oldest version that it does not have, over all sources. It is lifted while the store cannot be reached, or has been searched in vain.

--- a/camphordrift/relay/_configuration_watcher.py
+++ b/camphordrift/relay/_configuration_watcher.py
@@ -12,6 +12,7 @@
 
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
+from camphordrift.relay._configuration_sharing import FETCH_TIMEOUT
 from camphordrift.relay._interfaces import (
     Batch,
     DocumentFormat,
@@ -211,16 +212,34 @@
     async def _fetch_expected(self) -> bool:
         """Fetches the expected version from another VM.
 
+        While newer versions are announced, one source after the other may fail. Versions that have
+        waited long are therefore read from the store, if this VM can reach it.
+
         Returns whether the store need not be read, because the version was applied or another VM
         has announced a newer one in the meantime.
         """
-        source, self._source = self._source, None
-        if source is None:
+        source, ends_at = self._source, self._fetch_deadline()
+        if source is None or trio.current_time() >= ends_at:
             return False
-        document = await self._fetch(source, self._expected_version)
-        if document is not None and (version := self._read_version(document)) is not None:
-            self._apply_if_newer(version, document, "fetch")
-        return self._expected_version <= self.version or self._source is not None
+        self._source = None
+        with trio.move_on_at(ends_at):
+            document = await self._fetch(source, self._expected_version)
+            if document is not None and (version := self._read_version(document)) is not None:
+                self._apply_if_newer(version, document, "fetch")
+        return self._expected_version <= self.version or (
+            self._source is not None and trio.current_time() < ends_at
+        )
+
+    def _fetch_deadline(self) -> float:
+        """Returns the time from which the store is read instead of another VM.
+
+        There is none if the store cannot be reached, or was searched in vain.
+        """
+        known_since = self._pending.oldest_known_since
+        was_searched = self._searched_version >= self._expected_version
+        if known_since is None or was_searched or not self.store_reachable:
+            return float("inf")
+        return known_since + FETCH_TIMEOUT
 
     async def _wait_for_update(self) -> None:
         self._newer_expected = trio.Event()
