Derive the waits for a configuration from the time within which it must be in force

The time is now a setting of the relay (configuration_apply_delay). A follower reads the store itself 0.4 s before it has passed, so a long poll takes at most 0.6 s where the time is 2 s: an age of up to two reads and a ping is normal. A long poll that returns nothing is given up 0.5 s after it was due; other reads keep the longer limit, so that a store that is slower can still be read.

--- a/camphordrift/platform/_settings.py
+++ b/camphordrift/platform/_settings.py
@@ -31,6 +31,8 @@
     grace_s: float = 8.0
     #: Milliseconds after which a revoked API key must be rejected.
     revoke_ms: float = 5000.0
+    #: Milliseconds after which a new configuration must be in force.
+    config_apply_ms: float = 2000.0
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     #: Retries that all VMs together may make in each window in addition to the ratio.
@@ -91,6 +93,7 @@
         store=_parse_address(parsed.platform.address),
         shutdown_grace_period=parsed.bounds.grace_s,
         key_revocation_delay=parsed.bounds.revoke_ms / _MS_PER_SECOND,
+        configuration_apply_delay=parsed.bounds.config_apply_ms / _MS_PER_SECOND,
         budget=RetryBudgetSettings(
             ratio=parsed.bounds.retry_budget_ratio,
             slack=parsed.bounds.retry_slack,
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -216,6 +216,7 @@
             (8.0, 5.0, 102.0),
             (parsed.shutdown_grace_period, parsed.key_revocation_delay, parsed.budget.slack),
         )
+        self.assertEqual(2.0, parsed.configuration_apply_delay)
 
     def test_the_error_for_a_missing_field_names_it(self) -> None:
         error = self.assertRaises(
--- a/camphordrift/relay/_configuration_watcher.py
+++ b/camphordrift/relay/_configuration_watcher.py
@@ -32,35 +32,74 @@
 )
 from camphordrift.relay._values import Configuration
 
-#: Seconds that a read of the configuration waits for a change (long poll). A new read and the one
-#: before it must together take much less than the time for which API keys are accepted without a
-#: confirmed configuration (the lease; 5 s on today's deployments).
+#: Maximum number of seconds that a read of the configuration waits for a change (long poll). A new
+#: read and the one before it must together take much less than the time for which API keys are
+#: accepted without a confirmed configuration (the lease; 5 s on today's deployments).
 LONG_POLL_SECONDS = 1.0
 
+#: Seconds until a follower learns that its leader's read has ended: a ping and its response.
+PONG_DELAY = 0.4
+
 #: Age of the configuration in seconds above which a read does not wait for a change. A long poll
 #: confirms nothing before its response, and other VMs assume that a leader with an old
 #: configuration cannot reach the store. The value exceeds the duration of a long poll, so that a
 #: leader normally uses long polls.
 MAX_LONG_POLL_AGE = 1.5
 
-#: Age of the configuration in seconds from which a follower reads the store itself, and from which
-#: its leader counts as unable to reach the store. It exceeds the duration of two reads of the
-#: configuration and a ping. It is about two seconds shorter than the time for which API keys are
-#: accepted without a confirmed configuration (5 s on today's deployments, less a margin).
+#: Age of the configuration in seconds from which a VM's leader counts as unable to reach the store.
+#: It exceeds the duration of two reads of the configuration and a ping. It is about two seconds
+#: shorter than the time for which API keys are accepted without a confirmed configuration (5 s on
+#: today's deployments, less a margin).
 MAX_CONFIGURATION_AGE = 2.8
 
+#: Seconds that a follower's own read of a slow store may take, with the checks of its age.
+OWN_READ_TIME = 0.4
+
 #: Fetches a configuration of at least a version from the VM at an address; returns the document, or
 #: ``None`` if there was none in time.
 FetchDocument = Callable[[Address, int], Awaitable[Optional[bytes]]]
 
 
-def long_poll_timeout(age: float) -> float:
-    """Returns how many seconds a read waits for a change, given the configuration's age."""
-    return LONG_POLL_SECONDS if age <= MAX_LONG_POLL_AGE else 0.0
+def own_read_age(apply_delay: float) -> float:
+    """Returns the age of the configuration in seconds from which a follower reads the store itself.
+
+    Args:
+        apply_delay: Seconds within which a new version must be in force.
+
+    """
+    return min(MAX_CONFIGURATION_AGE, apply_delay - OWN_READ_TIME)
+
+
+def long_poll_timeout(age: float, apply_delay: float) -> float:
+    """Returns how many seconds a read waits for a change.
+
+    A read confirms the configuration only when it ends, so two reads pass until a follower learns
+    that its leader has lost the store.
+
+    Args:
+        age: Age of the configuration in seconds.
+        apply_delay: Seconds within which a new version must be in force.
+
+    """
+    if age > MAX_LONG_POLL_AGE:
+        return 0.0
+    return min(LONG_POLL_SECONDS, (own_read_age(apply_delay) - PONG_DELAY) / 2)
 
 
 class ConfigurationWatcher:
-    """Reads the newest configuration from the store; never replaces it by an older version."""
+    """Reads the newest configuration from the store; never replaces it by an older version.
+
+    Args:
+        log: The store.
+        eras: Restores of the store.
+        topics: Topic and key of the configuration.
+        documents: Parses the configuration.
+        lease: Gets the reads that confirm the configuration.
+        on_change: Called after a new version came into force.
+        fetch: Fetches a document from another VM.
+        apply_delay: Seconds within which a new version must be in force.
+
+    """
 
     def __init__(
         self,
@@ -71,6 +110,7 @@
         lease: ConfigurationLease,
         on_change: Callable[[], None],
         fetch: FetchDocument,
+        apply_delay: float,
     ) -> None:
         self._topic = TopicWatcher(log, eras, topics.configuration)
         self._key = topics.configuration_key
@@ -78,6 +118,7 @@
         self._lease = lease
         self._on_change = on_change
         self._fetch = fetch
+        self._apply_delay = apply_delay
         self._source: Optional[Address] = None
         self._table: Optional[RoutingTable] = None
         self._document: Optional[bytes] = None
@@ -141,7 +182,7 @@
             if (
                 self.has_leader
                 and not self._newer_is_expected
-                and self._lease.read_age(read_started) < MAX_CONFIGURATION_AGE
+                and self._lease.read_age(read_started) < own_read_age(self._apply_delay)
             ):
                 await self._wait_for_update()
                 continue
@@ -184,11 +225,10 @@
         """Returns how many seconds a read of the store waits for a change."""
         settling_time = self._lease.settling_time(now)
         if settling_time > 0:
-            return min(settling_time, LONG_POLL_SECONDS)
-        if not self._store_has_known_version():
-            # No read confirms the configuration before the operator has written it again.
-            return LONG_POLL_SECONDS
-        return long_poll_timeout(self._lease.age(now))
+            return min(settling_time, long_poll_timeout(0.0, self._apply_delay))
+        # No read confirms the configuration before the operator has written a lost version again.
+        age = self._lease.age(now) if self._store_has_known_version() else 0.0
+        return long_poll_timeout(age, self._apply_delay)
 
     def _store_has_known_version(self) -> bool:
         """Returns whether the store contains the newest version that any VM is known to have."""
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -142,6 +142,7 @@
             self._lease,
             self._configuration_changed,
             fetch_configuration,
+            settings.configuration_apply_delay,
         )
         self._servers = ServersWatcher(
             log,
--- a/camphordrift/relay/_settings.py
+++ b/camphordrift/relay/_settings.py
@@ -42,6 +42,8 @@
     shutdown_grace_period: float
     #: Maximum time after the revocation of an API key for which requests with it may still run.
     key_revocation_delay: float
+    #: Maximum time after the acknowledgement of a configuration until it is in force.
+    configuration_apply_delay: float
     budget: RetryBudgetSettings
     #: Processor cores available to the VM.
     cores: float = 1.0
--- a/camphordrift/relay/_topic_watcher.py
+++ b/camphordrift/relay/_topic_watcher.py
@@ -22,6 +22,12 @@
 AGE_CHECK_INTERVAL = 0.1
 
 
+#: Seconds within which a long poll must return after it has waited for a record. A slow store takes
+#: 0.25 s. Other reads have the longer time limit of the store's client, so that a store that is
+#: slower still can be read.
+LONG_POLL_RESPONSE_TIMEOUT = 0.5
+
+
 class TopicWatcher:
     """Reads a topic: first the newest record of every key, then the records that follow.
 
@@ -58,9 +64,7 @@
             else:
                 # After a failure the read returns at once, so that the recovery of the store is
                 # noticed soon.
-                batch = await self._log.read(
-                    self._topic, self._offset, timeout if self._reachable else 0.0
-                )
+                batch = await self._read(self._offset, timeout if self._reachable else 0.0)
         except HistoryLostError:
             log_event("history_lost", level=LogLevel.WARNING, topic=self._topic)
             self._offset = None
@@ -76,6 +80,12 @@
         self._offset, self._era = batch.next_offset, batch.era
         return batch, is_snapshot
 
+    async def _read(self, offset: int, timeout: float) -> Batch:
+        limit = timeout + LONG_POLL_RESPONSE_TIMEOUT if timeout else float("inf")
+        with trio.move_on_after(limit):
+            return await self._log.read(self._topic, offset, timeout)
+        raise StoreError("no response to a long poll")
+
     @property
     def reachable(self) -> bool:
         """Whether the last read of the topic from the store succeeded."""
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -386,6 +386,7 @@
         store=Address(host, ports + 4),
         shutdown_grace_period=8.0,
         key_revocation_delay=5.0,
+        configuration_apply_delay=2.0,
         budget=RetryBudgetSettings(0.2, 100.0, 10.0),
     )
 
--- a/camphordrift/relay/tests/test_configuration_backlog.py
+++ b/camphordrift/relay/tests/test_configuration_backlog.py
@@ -13,10 +13,13 @@
 from camphordrift.relay._configuration_sharing import FETCH_TIMEOUT
 from camphordrift.relay._settings import Address
 from camphordrift.relay.tests.samples import SampleDocuments, server
-from camphordrift.relay.tests.watched_vms import VmLog, WatchedFleet, WatchedVm, run_fleet
-
-#: Seconds after which a version that the store acknowledged must be in force on every VM.
-APPLY_DELAY = 2.0
+from camphordrift.relay.tests.watched_vms import (
+    APPLY_DELAY,
+    VmLog,
+    WatchedFleet,
+    WatchedVm,
+    run_fleet,
+)
 
 #: Seconds between two versions.
 INTERVAL = 0.06
--- a/camphordrift/relay/tests/watched_vms.py
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -36,6 +36,9 @@
 #: Seconds after which a removed API key must be refused.
 REVOCATION_DELAY = 5.0
 
+#: Seconds after which a version that the store acknowledged must be in force on every VM.
+APPLY_DELAY = 2.0
+
 #: Seconds that a call to the store takes.
 STORE_LATENCY = 0.005
 
@@ -147,6 +150,7 @@
             self.lease,
             self._configuration_changed,
             self._fetch,
+            APPLY_DELAY,
         )
         self.servers = ServersWatcher(
             checked_log,
