Refuse requests that a pending configuration may not allow

A VM that knew of a newer version and could not get it, as neither a VM nor the store sent it, went on with the old one without a limit; only API keys were refused, after 4.6 s. API keys come first: an announcement names the keys that the version withdraws, and they are refused at once, whatever the document has to wait for.

--- a/camphordrift/relay/_admission.py
+++ b/camphordrift/relay/_admission.py
@@ -42,6 +42,12 @@
                 "no configuration has been loaded yet",
                 NOT_READY_RETRY_AFTER,
             )
+        if self._routing_state.is_overdue():
+            raise refusal_error(
+                ResultCode.CONFIGURATION_UNKNOWN,
+                "a newer configuration exists that has not arrived in time",
+                NOT_READY_RETRY_AFTER,
+            )
         route = self._find_route(table, request)
         account = self._find_account(table, route, metadata)
         service = self._find_service(table, route)
@@ -88,6 +94,12 @@
                 NOT_READY_RETRY_AFTER,
             )
         account = table.find_account(metadata.key)
+        if metadata.key is not None and self._routing_state.pending.withdraws(metadata.key):
+            raise refusal_error(
+                ResultCode.CONFIGURATION_UNKNOWN,
+                "the API key is withdrawn by a configuration that has not arrived yet",
+                NOT_READY_RETRY_AFTER,
+            )
         if account is None:
             raise refusal_error(
                 ResultCode.UNAUTHENTICATED, "the API key belongs to no client account"
--- a/camphordrift/relay/_configuration_watcher.py
+++ b/camphordrift/relay/_configuration_watcher.py
@@ -128,7 +128,10 @@
         self._offered: Optional[bytes] = None
         self._offered_version = 0
         self._has_offered = trio.Event()
-        self._pending = PendingVersions()
+        #: Versions that this VM knows of and does not have.
+        self.pending = PendingVersions(apply_delay)
+        #: API keys that the version in force withdrew from the one before it.
+        self.withdrawn_keys: frozenset[str] = frozenset()
         #: Version for which the store was last searched, if it was expected but not fetched.
         self._searched_version = 0
         #: Newest version that the store was seen to contain in its present era.
@@ -167,7 +170,7 @@
 
     def waiting_time(self) -> float:
         """Returns the seconds since this VM learned of a version that is not in force yet."""
-        return self._pending.waiting_time(trio.current_time())
+        return self.pending.waiting_time(trio.current_time())
 
     async def run(self) -> None:
         """Keeps the configuration up to date until cancelled."""
@@ -202,18 +205,24 @@
             if self._table is None:
                 await trio.sleep(STORE_RETRY_INTERVAL)
 
-    def expect_version(self, version: int, source: Optional[Address] = None) -> None:
+    def expect_version(
+        self,
+        version: int,
+        source: Optional[Address] = None,
+        withdrawn_keys: frozenset[str] = frozenset(),
+    ) -> None:
         """Records the leader's version, so that it is fetched if it is newer.
 
         Args:
             version: The leader's version.
             source: Address of a VM that has the document or gets it next; without one, or if it
                 does not send the document in time, the store is read.
+            withdrawn_keys: API keys that the version is known to withdraw.
 
         """
         if version > max(self.version, self._expected_version):
             self._expected_version = version
-            self._pending.announce(version, trio.current_time())
+            self.pending.announce(version, trio.current_time(), withdrawn_keys)
             self._source = source
             self._newer_expected.set()
 
@@ -275,7 +284,7 @@
 
         There is none if the store cannot be reached, or was searched in vain.
         """
-        known_since = self._pending.oldest_known_since
+        known_since = self.pending.oldest_known_since
         was_searched = self._searched_version >= self._expected_version
         if known_since is None or was_searched or not self.store_reachable:
             return float("inf")
@@ -329,6 +338,7 @@
         current = self._table
         if current is not None and configuration.version <= current.configuration.version:
             return
+        self.withdrawn_keys = _withdrawn_keys(current, configuration)
         self._table = RoutingTable(configuration)
         self._document = document
         log_event(
@@ -339,7 +349,7 @@
             origin=origin,
             waited=self.waiting_time(),
         )
-        self._pending.record_in_force(configuration.version)
+        self.pending.record_in_force(configuration.version)
         self._on_change()
 
     def confirm_read(self, read_started: float, confirmed_read_started: float) -> None:
@@ -391,3 +401,15 @@
             return False
         self._apply(configuration, document, origin)
         return True
+
+
+def _withdrawn_keys(former: Optional[RoutingTable], configuration: Configuration) -> frozenset[str]:
+    """Returns the API keys that a new configuration takes away from their client accounts."""
+    if former is None:
+        return frozenset()
+    accounts = configuration.accounts or {}
+    return frozenset(
+        key
+        for key, account in (former.configuration.accounts or {}).items()
+        if key not in accounts or accounts[key].name != account.name
+    )
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -152,6 +152,8 @@
     version: int
     #: Address of a VM that sends the document on request; without one, it is read from the store.
     source: Optional[Address] = None
+    #: API keys that it withdraws, which are refused at once, before the document has arrived.
+    withdrawn_keys: frozenset[str] = frozenset()
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, tag="ConfigurationWanted"):
--- a/camphordrift/relay/_pending_versions.py
+++ b/camphordrift/relay/_pending_versions.py
@@ -4,6 +4,10 @@
 from dataclasses import dataclass
 from typing import Optional
 
+#: Seconds before a version must be in force at which requests are refused without it. The VM learns
+#: of a version some time after the store acknowledged it, and requests take time to arrive.
+MAX_WAITING_MARGIN = 0.5
+
 
 @dataclass(frozen=True)
 class PendingVersion:
@@ -12,15 +16,22 @@
     version: int
     #: When the VM learned of it.
     known_since: float
+    #: API keys that it is known to withdraw.
+    withdrawn_keys: frozenset[str] = frozenset()
 
 
 class PendingVersions:
     """The versions that a VM knows of and that are newer than the one in force.
 
     All times are seconds of one monotonic clock.
+
+    Args:
+        apply_delay: Seconds within which a new version must be in force.
+
     """
 
-    def __init__(self) -> None:
+    def __init__(self, apply_delay: float) -> None:
+        self._max_waiting_time = apply_delay - MAX_WAITING_MARGIN
         #: In ascending order of both fields.
         self._pending: deque[PendingVersion] = deque()
 
@@ -34,12 +45,19 @@
         """When the VM learned of the oldest pending version; ``None`` if none is pending."""
         return self._pending[0].known_since if self._pending else None
 
-    def announce(self, version: int, now: float) -> bool:
-        """Records a version; returns whether it is newer than all that are pending."""
-        if version <= self.newest:
-            return False
-        self._pending.append(PendingVersion(version, now))
-        return True
+    def announce(
+        self, version: int, now: float, withdrawn_keys: frozenset[str] = frozenset()
+    ) -> None:
+        """Records a version, unless one that is as new is pending.
+
+        Args:
+            version: The version.
+            now: The current time.
+            withdrawn_keys: API keys that the version is known to withdraw.
+
+        """
+        if version > self.newest:
+            self._pending.append(PendingVersion(version, now, withdrawn_keys))
 
     def record_in_force(self, version: int) -> None:
         """Removes the versions that are in force now, or were replaced by the one that is."""
@@ -50,3 +68,11 @@
         """Returns the seconds since the VM learned of the oldest pending version; 0 without one."""
         since = self.oldest_known_since
         return 0.0 if since is None else now - since
+
+    def is_overdue(self, now: float) -> bool:
+        """Returns whether a version has waited so long that the one in force must not be used."""
+        return self.waiting_time(now) >= self._max_waiting_time
+
+    def withdraws(self, key: str) -> bool:
+        """Returns whether a pending version withdraws an API key; a later one may restore it."""
+        return any(key in pending.withdrawn_keys for pending in self._pending)
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -187,6 +187,7 @@
         self._routing_state = RoutingState(
             table=lambda: self._configuration.table,
             lease=self._lease,
+            pending=self._configuration.pending,
             directory=self._directory,
             notices=self._notices,
             budget_settings=settings.budget,
@@ -241,6 +242,7 @@
             and self._configuration.table is not None
             and bool(self._directory.servers)
             and self._lease.age(boot_time_clock()) < MAX_READY_CONFIGURATION_AGE
+            and not self._routing_state.is_overdue()
         )
 
     def _own_member(self) -> Member:
--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/_routing_state.py
@@ -8,6 +8,7 @@
 
 from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
 from camphordrift.relay._part_monitor import PartMonitor
+from camphordrift.relay._pending_versions import PendingVersions
 from camphordrift.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from camphordrift.relay._routing_table import RoutingTable
 from camphordrift.relay._server_directory import ServerDirectory
@@ -26,6 +27,8 @@
     #: read.
     table: Callable[[], Optional[RoutingTable]]
     lease: ConfigurationLease
+    #: Versions of the configuration that this VM knows of and does not have.
+    pending: PendingVersions
     directory: ServerDirectory
     #: What the servers announced about further requests.
     notices: ServerNotices
@@ -64,6 +67,10 @@
         """Returns whether the configuration is recent enough to accept keys."""
         return self.lease.is_valid(boot_time_clock())
 
+    def is_overdue(self) -> bool:
+        """Returns whether a newer configuration has waited too long, so that this one is unusable."""
+        return self.pending.is_overdue(trio.current_time())
+
     def usable_servers(self, service: str) -> list[BackendServer]:
         """Returns the servers of a service that accept new requests."""
         ready = self.directory.ready_servers(service)
@@ -107,5 +114,7 @@
         if account is None or table is None:
             return table is not None
         current = table.find_account(key)
+        if key is None or current is None or self.pending.withdraws(key):
+            return False
         # A change of the account's other properties revokes no key.
-        return self.has_valid_lease() and current is not None and current.name == account.name
+        return self.has_valid_lease() and current.name == account.name
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -105,13 +105,14 @@
         document, version = self._configuration.document, self._configuration.version
         if document is None:
             return
+        withdrawn_keys = self._configuration.withdrawn_keys
         sources = choose_zone_sources(self._followers.values())
         for link, follower in self._followers.items():
             source = sources[follower.zone]
             if follower == source:
                 link.send_newest(ConfigurationDocument(document))
             else:
-                link.send(ConfigurationUpdate(version, source.address))
+                link.send(ConfigurationUpdate(version, source.address, withdrawn_keys))
         for link, awaited_version in list(self._awaited_versions.items()):
             self.send_document(link, awaited_version)
 
@@ -198,8 +199,8 @@
     def handle_message(self, message: Message, handle_other: Callable[[Message], None]) -> None:
         """Applies an update of this VM's leader; passes other messages to ``handle_other``."""
         match message:
-            case ConfigurationUpdate(version, source):
-                self._configuration.expect_version(version, source)
+            case ConfigurationUpdate(version, source, withdrawn_keys):
+                self._configuration.expect_version(version, source, withdrawn_keys)
             case ConfigurationDocument(document):
                 self._configuration.offer_document(document)
             case ServerUpdate(changes):
--- a/camphordrift/relay/tests/test_configuration_backlog.py
+++ b/camphordrift/relay/tests/test_configuration_backlog.py
@@ -295,3 +295,22 @@
                 self.assertEqual([], operator.late_versions(late_vm))
 
         run_fleet(body)
+
+    def test_a_vm_knows_withdrawn_keys_before_it_has_the_document(self) -> None:
+        async def fetch(source: Address, version: int) -> Optional[bytes]:
+            await trio.sleep(FETCH_TIMEOUT)
+            return None
+
+        async def body(fleet: WatchedFleet) -> None:
+            _, _, vm = await start_vms(fleet, 3)
+            vm.configuration._fetch = fetch
+            fleet.publish(4, "key-2")
+            await trio.sleep(0.1)
+            self.assertEqual(3, vm.configuration.version)
+            self.assertTrue(vm.configuration.pending.withdraws("key-1"))
+            fleet.publish(5, "key-1", "key-2")
+            await trio.sleep(APPLY_DELAY)
+            self.assertEqual(5, vm.configuration.version)
+            self.assertFalse(vm.configuration.pending.withdraws("key-1"))
+
+        run_fleet(body)
