--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/_routing_state.py
@@ -68,7 +68,7 @@
         return self.lease.is_valid(boot_time_clock())
 
     def is_overdue(self) -> bool:
-        """Returns whether a newer configuration has waited too long, so that this one is unusable."""
+        """Returns whether a newer configuration has waited so long that this one is unusable."""
         return self.pending.is_overdue(trio.current_time())
 
     def usable_servers(self, service: str) -> list[BackendServer]:
