Decode the limit of requests that a server names, and log it

The adapter ignored the header. It is decoded into ResponseMetadata.request_limit, and server_limited shows who learned of which limit when. Nothing is limited yet.

retry_after_unreadable becomes header_unreadable, which names the header.

--- a/camphordrift/platform/_headers.py
+++ b/camphordrift/platform/_headers.py
@@ -40,9 +40,12 @@
 #: ``1`` in all responses of a server that leaves.
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
+#: Requests per second that a server takes from all VMs together, for as long as it says so.
+_REQUEST_LIMIT = b"server-limit"
 
-#: Seconds, possibly with a fraction. Dates, which HTTP allows as well, are not used.
-_SECONDS = re.compile(rb"\d+(\.\d+)?")
+#: A number without a sign, possibly with a fraction. For times, HTTP allows dates as well; they are
+#: not used.
+_DECIMAL = re.compile(rb"\d+(\.\d+)?")
 
 #: Headers of a caller's request that are not forwarded: the relay sets them itself, or they are
 #: meant only for the relay.
@@ -96,7 +99,8 @@
             server_at_fault=_decode_text(values.get(_SERVER_AT_FAULT)),
             idle_timeout=_parse_idle_timeout(values.get(_KEEP_ALIVE)),
             leaving=values.get(_LEAVING) == b"1",
-            retry_after=_parse_retry_after(values.get(_RETRY_AFTER)),
+            retry_after=_parse_decimal(_RETRY_AFTER, values.get(_RETRY_AFTER)),
+            request_limit=_parse_decimal(_REQUEST_LIMIT, values.get(_REQUEST_LIMIT)),
         )
 
     def outgoing_headers(
@@ -167,10 +171,11 @@
     return None
 
 
-def _parse_retry_after(value: Optional[bytes]) -> Optional[float]:
+def _parse_decimal(name: bytes, value: Optional[bytes]) -> Optional[float]:
+    """Parses the value of a header; logs and returns ``None`` if it is not a number."""
     if value is None:
         return None
-    if not _SECONDS.fullmatch(value):
-        log_event("retry_after_unreadable", value=value.decode("latin-1"))
+    if not _DECIMAL.fullmatch(value):
+        log_event("header_unreadable", header=name.decode(), value=value.decode("latin-1"))
         return None
     return float(value)
--- a/camphordrift/relay/_notice_distribution.py
+++ b/camphordrift/relay/_notice_distribution.py
@@ -71,6 +71,14 @@
         """
         if metadata.leaving and status != WRONG_SERVER_STATUS:
             self.record_leaving([start_of(server)], source)
+        if metadata.request_limit is not None and status != WRONG_SERVER_STATUS:
+            log_event(
+                "server_limited",
+                level=LogLevel.WARNING,
+                server=server.id,
+                limit=metadata.request_limit,
+                source=source,
+            )
         if metadata.retry_after and status == PAUSE_STATUS:
             self._record_pause(server, metadata.retry_after, source)
 
--- a/camphordrift/relay/_values.py
+++ b/camphordrift/relay/_values.py
@@ -222,6 +222,8 @@
     leaving: bool = False
     #: Seconds for which the server wants no further requests, if stated.
     retry_after: Optional[float] = None
+    #: Requests per second that the server takes from all VMs together, if it states a limit.
+    request_limit: Optional[float] = None
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -275,6 +275,7 @@
             server_at_fault=found.get(b"x-at-fault"),
             leaving=b"x-leaving" in found,
             retry_after=float(found[b"retry-after"]) if b"retry-after" in found else None,
+            request_limit=float(found[b"x-limit"]) if b"x-limit" in found else None,
         )
 
     def outgoing_headers(
