Keep the limit that a server names by all VMs together

A limit on each VM would not be enough, as all VMs send.

- Limits (_request_limits.py) are taken from responses, shared by all VMs at once and with new connections, and end with a response to a later request of a caller that states none.
They hold for one start of a server.
- One VM decides for all: the leader takes each request that it places from a token bucket, first attempts, retries and resumed streams alike.
For plain servers a VM asks the leader for a permit.
VMs without a leader divide the limit: each decides on the share of the VMs for which it decides, and saves nothing up before.
- Limited engines compute no parts of other engines' prompts.
Reports respect the limit; orders for reservations that exist count, and every second renewal is left out.
- Requests that no server takes before their deadline are refused at once, code 2007, with Retry-After for the time at which a request is taken, another one for each caller.

--- a/camphordrift/relay/_dispatcher.py
+++ b/camphordrift/relay/_dispatcher.py
@@ -1,5 +1,6 @@
 """Gets engines for this VM's requests, from the leader or from the local scheduler."""
 
+import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Optional
@@ -12,8 +13,11 @@
     EventGapReport,
     Finished,
     Granted,
+    LimitedRequestSent,
     Message,
     MessageLink,
+    PermitRequest,
+    PermitResponse,
     PrefillFinished,
     Refused,
     Register,
@@ -28,6 +32,7 @@
     PlacementDecision,
     PlacementRequest,
 )
+from camphordrift.relay._request_limits import UNKNOWN_WAIT, Permit
 from camphordrift.relay._server_notices import ServerPause
 
 #: Seconds within which the leader must send a decision or acknowledge that the request waits. After
@@ -55,6 +60,12 @@
     is_prefilling: bool = True
 
 
+@dataclass
+class _PendingPermit:
+    decided: trio.Event
+    permit: Optional[Permit] = None
+
+
 class Dispatcher:
     """Sends placement requests to the leader, or to the local scheduler while there is no leader.
 
@@ -82,6 +93,8 @@
         self._link: Optional[MessageLink] = None
         self._pending: dict[str, _PendingRequest] = {}
         self._active: dict[str, _ActiveRequest] = {}
+        self._pending_permits: dict[int, _PendingPermit] = {}
+        self._permit_numbers = itertools.count()
 
     @property
     def schedules_locally(self) -> bool:
@@ -111,6 +124,10 @@
                 self._handle_grant(grant)
             case Refused(refusal):
                 self._apply_decision(refusal)
+            case PermitResponse(number, permit):
+                if pending_permit := self._pending_permits.get(number):
+                    pending_permit.permit = permit
+                    pending_permit.decided.set()
             case _:
                 pass
 
@@ -172,6 +189,36 @@
         if self._link is not None:
             self._link.send(ServerPaused(service, pause))
 
+    def report_limited_request(self, server_id: str) -> None:
+        """Reports a request to a limited server that was sent without a grant."""
+        self._local_scheduler.record_limited_request(server_id)
+        if self._link is not None:
+            self._link.send(LimitedRequestSent(server_id))
+
+    async def request_permit(
+        self, service: str, server_ids: tuple[str, ...], max_delay: float
+    ) -> Permit:
+        """Returns whether and when a request may be sent to one of several limited servers.
+
+        Args:
+            service: The service of the servers.
+            server_ids: Ids of the servers.
+            max_delay: Maximum number of seconds until the request may be sent.
+
+        """
+        link = self._link
+        if link is None:
+            return self._local_scheduler.reserve(service, server_ids, max_delay)
+        number = next(self._permit_numbers)
+        pending = self._pending_permits[number] = _PendingPermit(trio.Event())
+        link.send(PermitRequest(number, service, server_ids, max_delay))
+        try:
+            with trio.move_on_after(LEADER_RESPONSE_TIMEOUT):
+                await pending.decided.wait()
+        finally:
+            del self._pending_permits[number]
+        return pending.permit or Permit(None, UNKNOWN_WAIT)
+
     async def _submit_to_leader(self, pending: _PendingRequest) -> None:
         link = self._link
         if link is None:
--- a/camphordrift/relay/_engine_load.py
+++ b/camphordrift/relay/_engine_load.py
@@ -5,6 +5,7 @@
 from typing import Optional
 
 from camphordrift.relay._engine_health import EngineHealth
+from camphordrift.relay._request_limits import RequestLimits
 from camphordrift.relay._values import BackendServer, EngineCosts
 
 #: Weight of the newest observation in the moving average of an engine's latency factor, the ratio
@@ -60,9 +61,10 @@
 class EngineLoad:
     """Estimates the load of one engine from the tasks that are placed on it."""
 
-    def __init__(self, server: BackendServer, costs: EngineCosts) -> None:
+    def __init__(self, server: BackendServer, costs: EngineCosts, limits: RequestLimits) -> None:
         self.server = server
         self._costs = costs
+        self._limits = limits
         self._tasks: dict[str, EngineTask] = {}
         #: Cached, because placements read them more often than they change.
         self._totals = _LoadTotals()
@@ -120,6 +122,15 @@
         """Expected time at which the engine has finished the prefill that is placed on it."""
         return self._prefill_until
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether the engine named how many requests per second it takes."""
+        return self._limits.is_limited(self.server)
+
+    def limit_wait(self, now: float) -> float:
+        """Returns the seconds until the engine's limit permits a request; 0 without a limit."""
+        return self._limits.wait_time(self.server, now)
+
     def set_costs(self, costs: EngineCosts) -> None:
         """Replaces the engine's costs by those of a new configuration."""
         self._costs = costs
@@ -148,6 +159,7 @@
 
     def add(self, ask_id: str, task: EngineTask, now: float) -> None:
         """Adds a task that is placed on the engine at ``now``."""
+        self._limits.take(self.server, now)
         self._tasks[ask_id] = task
         self._totals = _totals_of(self._tasks.values())
         if task.is_prefilling:
--- a/camphordrift/relay/_engine_planner.py
+++ b/camphordrift/relay/_engine_planner.py
@@ -96,6 +96,7 @@
     max_part_seconds: float
     #: Maximum prefill time of a part for another engine at which no prompt in prefill here misses
     #: its target time to the first event. Engines run such parts before their own prompts.
+    #: Negative for limited engines: a part is followed by orders that count as requests.
     max_helper_seconds: float
     min_gap_target: Optional[float]
     decoding_requests: int
@@ -202,8 +203,7 @@
             + pending_prefill
             + own_iteration,
             max_part_seconds=max_part_seconds,
-            max_helper_seconds=max(0.0, engine.first_event_due_at - self._now - pending_prefill)
-            / latency_factor,
+            max_helper_seconds=_max_helper_seconds(engine, self._now),
             min_gap_target=gap_target,
             decoding_requests=decoding,
             free_slots=engine.free_slots,
@@ -285,7 +285,13 @@
             plan = self._plan_long_on(request, prefill, snapshots, objective)
         if plan is None and may_delay_others:
             unlimited = [
-                replace(item, max_part_seconds=float("inf"), max_helper_seconds=float("inf"))
+                replace(
+                    item,
+                    max_part_seconds=float("inf"),
+                    max_helper_seconds=(
+                        item.max_helper_seconds if item.engine.is_limited else float("inf")
+                    ),
+                )
                 for item in snapshots
             ]
             plan = self._plan_long_on(request, prefill, unlimited, objective)
@@ -375,7 +381,18 @@
 
 def is_usable(engine: EngineLoad, now: float) -> bool:
     """Returns whether an engine may get new requests."""
-    return not engine.health.is_backing_off(now) and engine.server.state is ServerState.READY
+    return (
+        engine.server.state is ServerState.READY
+        and not engine.health.is_backing_off(now)
+        and engine.limit_wait(now) == 0.0
+    )
+
+
+def _max_helper_seconds(engine: EngineLoad, now: float) -> float:
+    if engine.is_limited:
+        return -1.0
+    slack = engine.first_event_due_at - now - engine.pending_prefill(now)
+    return max(0.0, slack) / engine.latency_factor
 
 
 def required_memory(request: PlacementRequest) -> int:
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -25,6 +25,7 @@
     PlacementRequest,
     RefusalReason,
 )
+from camphordrift.relay._request_limits import RequestLimits, total_wait
 from camphordrift.relay._server_notices import ServerPause
 from camphordrift.relay._values import BackendServer, EngineCosts, EngineReport, ServerState
 
@@ -43,6 +44,10 @@
 #: reported.
 FINISH_REPORT_TIMEOUT = 1.0
 
+#: Share of its time left within which limited engines must be expected to take a request; it is
+#: refused at once otherwise. The engines may take it later, as they are busy or others come first.
+LIMITED_WAIT_SHARE = 0.8
+
 #: Seconds after which a caller may retry when no engine is usable.
 DEFAULT_RETRY_AFTER = 1.0
 
@@ -96,13 +101,22 @@
     Args:
         costs: Capacity and cost model of the engines.
         tie_breaker: Determines the order of equally loaded engines; see :class:`EngineIndex`.
+        limits: Limits of requests that engines named; without it, there are none.
 
     """
 
-    def __init__(self, costs: EngineCosts, tie_breaker: str = "") -> None:
+    def __init__(
+        self,
+        costs: EngineCosts,
+        tie_breaker: str = "",
+        limits: Optional[RequestLimits] = None,
+    ) -> None:
         self._costs = costs
+        self._limits = RequestLimits(lambda: 1.0) if limits is None else limits
         self._index = EngineIndex(tie_breaker)
         self._draining_count = 0
+        #: Requests of the present round that come first, and that were not placed.
+        self._requests_ahead = 0
         self._waiting: dict[str, _WaitingRequest] = {}
         self._placed: dict[str, _PlacedRequest] = {}
         #: Heap of the times at which placed requests are released without a report, and their ids;
@@ -135,7 +149,7 @@
         for server in servers:
             load = self._index.find(server.id)
             if load is None or load.server.started_ms != server.started_ms:
-                load = EngineLoad(server, self._costs)
+                load = EngineLoad(server, self._costs, self._limits)
             load.server = server
             loads.append(load)
         self._draining_count = sum(load.server.state is ServerState.LEAVING for load in loads)
@@ -265,30 +279,43 @@
         if not self._waiting:
             return []
         placement_round = PlacementRound(self._index, self._costs, now)
+        limited = self._limited_engines()
+        self._requests_ahead = 0
         by_urgency = sorted(self._waiting.values(), key=_urgency)
         decisions: list[PlacementDecision] = []
         for _, group in itertools.groupby(by_urgency, key=lambda waiting: waiting.request.priority):
-            decisions += self._decide_group(group, placement_round, now)
+            decisions += self._decide_group(group, placement_round, limited, now)
         for decision in decisions:
             del self._waiting[decision.ask_id]
         return decisions
 
     def _decide_group(
-        self, group: Iterable[_WaitingRequest], placement_round: PlacementRound, now: float
+        self,
+        group: Iterable[_WaitingRequest],
+        placement_round: PlacementRound,
+        limited: list[EngineLoad],
+        now: float,
     ) -> Iterator[PlacementDecision]:
         """Yields the decisions on requests of one priority, given in order of urgency."""
         deferred: list[tuple[_WaitingRequest, PlacementRequest]] = []
         for waiting in group:
             request = waiting.at(now) if waiting.paused_until else waiting.request
-            if (refusal := self._refusal_for(waiting, request, now)) is not None:
+            refusal = self._refusal_for(waiting, request, now)
+            if limited and (refusal is None or refusal.reason is RefusalReason.TOO_LATE):
+                refusal = self._refusal_by_limits(waiting, limited, now)
+            if refusal is not None:
                 yield refusal
                 continue
+            self._requests_ahead += 1
             objective = waiting.first_event_due_at - now
-            may_be_deferred = now < waiting.deferral_ends_at
+            is_deferral_over = now >= waiting.deferral_ends_at
+            # Requests that limited engines take in time are served in the order in which that was
+            # decided.
+            may_be_deferred = not is_deferral_over and not limited
             if may_be_deferred and objective <= 0:
                 deferred.append((waiting, request))
                 continue
-            plan = placement_round.plan(request, objective, may_delay_others=not may_be_deferred)
+            plan = placement_round.plan(request, objective, may_delay_others=is_deferral_over)
             if (
                 plan is not None
                 and may_be_deferred
@@ -307,6 +334,7 @@
     ) -> Grant:
         objective = waiting.first_event_due_at - now
         grant = self._add_placement(waiting.request, plan, objective, now)
+        self._requests_ahead -= 1
         placement_round.record_placement(plan)
         return grant
 
@@ -337,6 +365,31 @@
             )
         return None
 
+    def _limited_engines(self) -> list[EngineLoad]:
+        """Returns the engines that are not draining if all of them are limited; else nothing."""
+        if not self._limits.limited_count:
+            return []
+        engines = [e for e in self._index.engines if e.server.state is ServerState.READY]
+        return engines if all(engine.is_limited for engine in engines) else []
+
+    def _refusal_by_limits(
+        self, waiting: _WaitingRequest, limited: list[EngineLoad], now: float
+    ) -> Optional[PlacementRefusal]:
+        """Returns a refusal of a request that limited engines do not take before its deadline.
+
+        Requests that are more urgent come first.
+        """
+        engines = [engine for engine in limited if not engine.health.is_backing_off(now)]
+        rates = [self._limits.rate(engine.server) for engine in engines]
+        # Placements of this round have been taken from the limits already.
+        waits = [engine.limit_wait(now) for engine in engines]
+        wait = total_wait(waits, rates, self._requests_ahead)
+        time_left = waiting.deadline - now - waiting.minimum_time
+        if not engines or wait <= time_left * LIMITED_WAIT_SHARE:
+            return None
+        retry_after = self._limits.promise([engine.server for engine in engines], wait, now)
+        return PlacementRefusal(waiting.request.id, RefusalReason.LIMITED, retry_after)
+
     def _excludes_all_engines(self, request: PlacementRequest) -> bool:
         """Returns whether all engines that are not draining are excluded."""
         engines = self._index.engines
--- a/camphordrift/relay/_engine_scheduler.py
+++ b/camphordrift/relay/_engine_scheduler.py
@@ -1,6 +1,6 @@
 """Schedules requests on the engines of all model services, on behalf of one or more VMs."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Optional
 
 from camphordrift.event_log import LogLevel, log_event
@@ -12,6 +12,7 @@
     PlacementRefusal,
     PlacementRequest,
 )
+from camphordrift.relay._request_limits import Permit, RequestLimits
 from camphordrift.relay._server_notices import ServerPause
 from camphordrift.relay._values import BackendServer, EngineReport, Service
 
@@ -27,11 +28,16 @@
     Args:
         vm: Id of this VM.
         clock: Returns the seconds of a monotonic clock.
+        limits: Limits of requests that servers named; without it, there are none.
 
     """
 
-    def __init__(self, vm: str, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, vm: str, clock: Callable[[], float], limits: Optional[RequestLimits] = None
+    ) -> None:
         self._vm = vm
+        #: Limits of requests that servers named.
+        self.limits = RequestLimits(lambda: 1.0) if limits is None else limits
         self._clock = clock
         self._pools: dict[str, EnginePool] = {}
         #: Engine pool and id of the owner, by the id of the placement request.
@@ -47,7 +53,7 @@
             if pool := self._pools.get(service.name):
                 pool.set_costs(service.engine_costs)
             else:
-                self._pools[service.name] = EnginePool(service.engine_costs, self._vm)
+                self._pools[service.name] = EnginePool(service.engine_costs, self._vm, self.limits)
 
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replaces the engines of all pools by the servers listed in the directory."""
@@ -135,6 +141,17 @@
         for ask_id in [key for key, (_, vm) in self._owners.items() if vm == owner]:
             self.record_finished(ask_id, AttemptOutcome.SERVED)
 
+    def reserve(self, service: str, server_ids: Sequence[str], max_delay: float) -> Permit:
+        """Grants a request to one of several limited servers of a plain service.
+
+        See :meth:`RequestLimits.reserve`.
+        """
+        return self.limits.reserve(service, server_ids, max_delay, self._clock())
+
+    def record_limited_request(self, server_id: str) -> None:
+        """Records a request that a VM has sent to a limited server without a grant."""
+        self.limits.take_by_id(server_id, self._clock())
+
     def servers_to_inspect(self) -> list[BackendServer]:
         """Returns the engines from which a report is needed now; each counts as requested."""
         now = self._clock()
--- a/camphordrift/relay/_follower_session.py
+++ b/camphordrift/relay/_follower_session.py
@@ -10,16 +10,20 @@
     EventGapReport,
     Finished,
     Granted,
+    LimitedRequestSent,
     Member,
     Message,
     MessageLink,
     PartEvidenceUpdate,
+    PermitRequest,
+    PermitResponse,
     Ping,
     PrefillFinished,
     Refused,
     Register,
     ServerPaused,
     ServersLeaving,
+    ServersLimited,
     StoreUnreachable,
     Submit,
     Waiting,
@@ -57,6 +61,8 @@
         self._updates = updates
         self._notices = notices
         self.link: Optional[MessageLink] = None
+        #: The follower, once it has introduced itself.
+        self.member: Optional[Member] = None
         self._scheduler = scheduler
         self._add_member = add_member
         self._record_store_unreachable = record_store_unreachable
@@ -66,6 +72,7 @@
         """Handles a message of the follower; messages of other kinds are ignored."""
         match message:
             case Member():
+                self.member = message
                 self._add_member(message)
                 if self.link is not None:
                     self._updates.add_follower(self.link, message, self._better_leaders())
@@ -78,6 +85,13 @@
                 self._record_store_unreachable(vm)
             case ServersLeaving(starts):
                 self._notices.record_leaving(starts, "follower")
+            case ServersLimited(limits):
+                self._notices.record_limits(limits, "follower")
+            case PermitRequest(number, service, server_ids, max_delay) if self.link is not None:
+                permit = self._scheduler.reserve(service, server_ids, max_delay)
+                self.link.send(PermitResponse(number, permit))
+            case LimitedRequestSent(server_id):
+                self._scheduler.record_limited_request(server_id)
             case ConfigurationRequest(version) if self.link is not None:
                 self._updates.send_document(self.link, version)
             case PartEvidenceUpdate(evidence) if self.link is not None:
--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -26,6 +26,7 @@
     Message,
     MessageLink,
     ServersLeaving,
+    ServersLimited,
     StoreReachable,
     StoreUnreachable,
     decode_member,
@@ -72,6 +73,9 @@
 #: new leader has to read the store once before its configuration is current.
 LEADER_SETTLING_PERIOD = 1.0
 
+#: Seconds for which a VM that is not connected counts as one that may decide for itself.
+MEMBER_RETENTION = 300.0
+
 #: Seconds that a VM waits before it makes decisions itself after it lost its leader, so that other
 #: VMs can register their requests.
 TAKEOVER_DELAY = 0.04
@@ -107,6 +111,8 @@
         self._notices = notices
         self._members: dict[str, Member] = {own_member.vm: own_member}
         self._connect_attempts: dict[str, int] = {}
+        #: When other VMs were last connected, directly or by a common leader.
+        self._last_seen: dict[str, float] = {}
         self._store_unreachable_until: dict[str, float] = {}
         self._members_changed = trio.Event()
         self._last_follower_id = 0
@@ -124,6 +130,20 @@
             self._updates.has_followers or self.member_count == 1
         )
 
+    @property
+    def limit_share(self) -> float:
+        """Share of the limits of servers on which this VM decides; 0 if its leader decides.
+
+        VMs that were connected recently, or that this VM has just learned of, may decide for
+        themselves; together, the shares are no more than the whole.
+        """
+        if not self._dispatcher.schedules_locally:
+            return 0.0
+        connected = {self._own_member.vm, *self._updates.follower_ids}
+        oldest = trio.current_time() - MEMBER_RETENTION
+        others = sum(seen >= oldest and vm not in connected for vm, seen in self._last_seen.items())
+        return len(connected) / (len(connected) + others)
+
     @property
     def member_count(self) -> int:
         """Number of known VMs, this one included."""
@@ -183,6 +203,7 @@
         if known is not None and known.started_ms >= member.started_ms:
             return
         self._members[member.vm] = member
+        self._last_seen[member.vm] = trio.current_time()
         self._connect_attempts.pop(member.vm, None)
         log_event("member_known", vm=member.vm, started_ms=member.started_ms)
         if member.leader_rank < self._own_member.leader_rank:
@@ -292,6 +313,7 @@
         except* LinkBrokenError as errors:
             reason = str(errors.exceptions[0])
         finally:
+            self._last_seen = dict.fromkeys(self._members, trio.current_time())
             self._scheduler.suspend_decisions(TAKEOVER_DELAY)
             self._updates.record_leader_lost()
             self._notices.remove_link(link)
@@ -334,6 +356,8 @@
                 self._record_store_reachable(vm)
             case ServersLeaving(starts):
                 self._notices.record_leaving(starts, self.leader)
+            case ServersLimited(limits):
+                self._notices.record_limits(limits, self.leader)
             case _:
                 self._updates.handle_message(message, self._dispatcher.handle_message)
 
@@ -385,6 +409,8 @@
         except* LinkBrokenError:
             pass
         finally:
+            if session.member is not None:
+                self._last_seen[session.member.vm] = trio.current_time()
             self._updates.remove_follower(link)
             self._notices.remove_link(link)
             self._scheduler.remove_owner(session.follower_id)
--- a/camphordrift/relay/_notice_distribution.py
+++ b/camphordrift/relay/_notice_distribution.py
@@ -1,9 +1,11 @@
 """Collects the notices of backend servers from their responses, and shares them between VMs."""
 
 from collections.abc import Callable, Iterable
+from typing import Optional
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._peer_messages import MessageLink, ServersLeaving
+from camphordrift.relay._peer_messages import MessageLink, ServersLeaving, ServersLimited
+from camphordrift.relay._request_limits import RequestLimits, ServerLimit
 from camphordrift.relay._server_notices import (
     ServerNotices,
     ServerPause,
@@ -20,12 +22,13 @@
 
 
 class NoticeDistributor:
-    """Records notices, and passes those of servers that leave on to the leader and followers.
+    """Records notices, and passes those that concern all VMs on to the leader and followers.
 
     A pause holds for this VM only, so only whoever schedules for this VM has to know of it.
 
     Args:
         notices: The notices that this VM knows.
+        limits: The limits of requests that this VM knows.
         clock: Returns the seconds of a monotonic clock.
         on_leaving: Called when a server newly announced that it leaves.
         on_pause: Called with the service of a server that starts or extends a pause.
@@ -35,11 +38,13 @@
     def __init__(
         self,
         notices: ServerNotices,
+        limits: RequestLimits,
         clock: Callable[[], float],
         on_leaving: Callable[[], None],
         on_pause: Callable[[str, ServerPause], None],
     ) -> None:
         self._notices = notices
+        self._limits = limits
         self._clock = clock
         self._on_leaving = on_leaving
         self._on_pause = on_pause
@@ -51,6 +56,8 @@
         self._links.append(link)
         if self._notices.leaving:
             link.send(ServersLeaving(self._notices.leaving))
+        if limits := self._limits.known(self._clock()):
+            link.send(ServersLimited(limits))
 
     def remove_link(self, link: MessageLink) -> None:
         """Stops to share notices on a link; unknown links are ignored."""
@@ -58,7 +65,12 @@
             self._links.remove(link)
 
     def observe(
-        self, server: BackendServer, status: int, metadata: ResponseMetadata, source: str
+        self,
+        server: BackendServer,
+        status: int,
+        metadata: ResponseMetadata,
+        source: str,
+        sent_at: Optional[float],
     ) -> None:
         """Records the notices in a response.
 
@@ -67,18 +79,14 @@
             status: Status of the response.
             metadata: Metadata of the response.
             source: What the server responded to, for the log.
+            sent_at: When a caller's request was sent; ``None`` for the relay's own requests, whose
+                responses need not state a limit that holds.
 
         """
         if metadata.leaving and status != WRONG_SERVER_STATUS:
             self.record_leaving([start_of(server)], source)
-        if metadata.request_limit is not None and status != WRONG_SERVER_STATUS:
-            log_event(
-                "server_limited",
-                level=LogLevel.WARNING,
-                server=server.id,
-                limit=metadata.request_limit,
-                source=source,
-            )
+        if status != WRONG_SERVER_STATUS:
+            self._observe_limit(server, metadata.request_limit, sent_at, source)
         if metadata.retry_after and status == PAUSE_STATUS:
             self._record_pause(server, metadata.retry_after, source)
 
@@ -104,6 +112,36 @@
             for link in self._links:
                 link.send(ServersLeaving(new))
 
+    def record_limits(self, limits: Iterable[ServerLimit], source: str) -> None:
+        """Records limits that another VM knows, or that have ended.
+
+        Args:
+            limits: The limits.
+            source: Where they come from, for the log.
+
+        """
+        self._share_limits([x for x in limits if self._limits.merge(x, self._clock())], source)
+
+    def _observe_limit(
+        self, server: BackendServer, rate: Optional[float], sent_at: Optional[float], source: str
+    ) -> None:
+        change = self._limits.observe_response(server, rate, sent_at, self._clock())
+        if change is not None:
+            self._share_limits([change], source)
+
+    def _share_limits(self, changes: list[ServerLimit], source: str) -> None:
+        for change in changes:
+            log_event(
+                "server_limited",
+                level=LogLevel.WARNING,
+                server=change.start.server_id,
+                limit=change.rate,
+                source=source,
+            )
+        if changes:
+            for link in self._links:
+                link.send(ServersLimited(tuple(changes)))
+
     def _record_pause(self, server: BackendServer, seconds: float, source: str) -> None:
         if not self._notices.record_pause(server, self._clock() + seconds):
             return
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -18,6 +18,7 @@
     PlacementRefusal,
     PlacementRequest,
 )
+from camphordrift.relay._request_limits import Permit, ServerLimit
 from camphordrift.relay._server_directory import DirectoryChange
 from camphordrift.relay._server_notices import ServerPause, ServerStart
 from camphordrift.relay._settings import Address
@@ -189,6 +190,37 @@
     starts: tuple[ServerStart, ...]
 
 
+class ServersLimited(msgspec.Struct, frozen=True, tag=True):
+    """Tells a VM of limits that backend servers named in responses, or that have ended."""
+
+    limits: tuple[ServerLimit, ...]
+
+
+class PermitRequest(msgspec.Struct, frozen=True, tag=True):
+    """Asks the leader for permission to send a request to a limited server."""
+
+    #: Number of the request on this connection; the response repeats it.
+    number: int
+    service: str
+    #: Ids of the servers that may get the request.
+    server_ids: tuple[str, ...]
+    #: Maximum number of seconds until it may be sent.
+    max_delay: float
+
+
+class PermitResponse(msgspec.Struct, frozen=True, tag=True):
+    """Response to a permit request."""
+
+    number: int
+    permit: Permit
+
+
+class LimitedRequestSent(msgspec.Struct, frozen=True, tag=True):
+    """Reports a request to a limited server that needed no permission, such as an order."""
+
+    server_id: str
+
+
 class ServerPaused(msgspec.Struct, frozen=True, tag=True):
     """Tells the leader that a backend server wants no requests from the sender for some time."""
 
@@ -258,6 +290,10 @@
     ServerUpdate,
     PartEvidenceUpdate,
     ServersLeaving,
+    ServersLimited,
+    PermitRequest,
+    PermitResponse,
+    LimitedRequestSent,
     ServerPaused,
     Ping,
     Pong,
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/_placement_values.py
@@ -66,6 +66,8 @@
 class RefusalReason(Enum):
     """Why a placement request is refused."""
 
+    #: All engines named a limit of requests, and take none before the deadline.
+    LIMITED = "the engines take no more requests for now"
     #: No usable engine is left: none is listed, all are draining, pausing or excluded, or the
     #: preferred one is not usable.
     NO_ENGINE = "no_engine"
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -41,6 +41,7 @@
 from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._relay_metrics import RelayMetrics
 from camphordrift.relay._request_handler import RequestHandler
+from camphordrift.relay._request_limits import RequestLimits
 from camphordrift.relay._request_reports import RequestReports
 from camphordrift.relay._reservations import ReservationManager
 from camphordrift.relay._routing_state import RoutingState
@@ -119,7 +120,8 @@
         self._directory = ServerDirectory()
         self._notices = ServerNotices()
         self._lease = ConfigurationLease(settings.key_revocation_delay)
-        self._scheduler = EngineScheduler(settings.vm, trio.current_time)
+        self._request_limits = RequestLimits(lambda: self._election.limit_share)
+        self._scheduler = EngineScheduler(settings.vm, trio.current_time, self._request_limits)
         self._dispatcher = Dispatcher(
             settings.vm,
             self._scheduler,
@@ -128,6 +130,7 @@
         )
         self._notice_distributor = NoticeDistributor(
             self._notices,
+            self._request_limits,
             trio.current_time,
             on_leaving=self._refresh_pools,
             on_pause=self._dispatcher.report_pause,
@@ -176,7 +179,9 @@
             self._connections,
             adapters.headers,
             self._notices,
+            self._request_limits,
             self._notice_distributor.observe,
+            self._dispatcher.report_limited_request,
         )
         self._inspector = EngineInspector(
             self._scheduler,
@@ -190,6 +195,7 @@
             pending=self._configuration.pending,
             directory=self._directory,
             notices=self._notices,
+            limits=self._request_limits,
             budget_settings=settings.budget,
             vm_count=lambda: self._election.member_count,
             parts=self._parts,
@@ -302,6 +308,11 @@
             "Parts of prompts that are not sent, as engines crash on them.",
             lambda: len(self._parts.quarantined_parts()),
         )
+        gauge(
+            "relay_limited_servers",
+            "Servers that named how many requests per second they take.",
+            lambda: self._request_limits.limited_count,
+        )
         gauge("relay_resident_bytes", "Resident memory of the process.", resident_bytes)
         gauge(
             "relay_log_lines_left_out",
@@ -363,6 +374,7 @@
                 last_check = trio.current_time()
                 self._connections.close_expired()
                 self._notices.forget_unlisted(self._directory.servers, last_check)
+                self._request_limits.forget_unlisted(self._directory.servers, last_check)
 
     async def _wait_for_stop(self, signals: AsyncIterator[int]) -> None:
         async for signal_number in signals:
--- a/camphordrift/relay/_refusals.py
+++ b/camphordrift/relay/_refusals.py
@@ -131,6 +131,17 @@
     )
 
 
+def failure_of_limits(progress: RequestProgress, retry_after: float) -> Failure:
+    """Returns the failure for a request that no server of a plain service takes in time."""
+    if progress.may_have_run:
+        return Failure(
+            ResultCode.BACKEND_STREAM_BROKEN, "no other server takes a retry of the request"
+        )
+    return Failure(
+        ResultCode.NO_ENGINE_AVAILABLE, "the servers take no more requests for now", retry_after
+    )
+
+
 def failure_of_placement(refusal: PlacementRefusal, progress: RequestProgress) -> Failure:
     """Returns the failure for a request that was assigned no engine."""
     if progress.may_have_run:
@@ -139,6 +150,7 @@
         )
     code = {
         RefusalReason.NO_ENGINE: ResultCode.NO_ENGINE_AVAILABLE,
+        RefusalReason.LIMITED: ResultCode.NO_ENGINE_AVAILABLE,
         RefusalReason.TOO_LATE: ResultCode.DEADLINE_UNREACHABLE,
         RefusalReason.NEVER_FITS: ResultCode.PROMPT_NEVER_FITS,
     }[refusal.reason]
--- a/camphordrift/relay/_reservations.py
+++ b/camphordrift/relay/_reservations.py
@@ -82,6 +82,8 @@
         self._calls = calls
         #: Ids of reservations whose last renewal was refused or got no response.
         self._turned_away: set[str] = set()
+        #: Ids of reservations whose last renewal was left out.
+        self._left_out: set[str] = set()
         self._orders = orders
         self._release_queue, self._releases = trio.open_memory_channel[Sequence[ReservedPart]](
             float("inf")
@@ -175,8 +177,16 @@
                 nursery.start_soon(self._renew, part)
 
     async def _renew(self, part: ReservedPart) -> None:
-        """Renews a reservation, unless its engine pauses and has turned a renewal away."""
+        """Renews a reservation, unless its engine pauses and has turned a renewal away.
+
+        On an engine that limits requests, every second renewal is left out; the reservation lasts
+        long enough for that.
+        """
         reservation_id = part.reservation.id
+        if self._calls.is_limited(part.server) and reservation_id not in self._left_out:
+            self._left_out.add(reservation_id)
+            return
+        self._left_out.discard(reservation_id)
         if reservation_id in self._turned_away and self._calls.is_pausing(part.server):
             return
         self._turned_away.discard(reservation_id)
@@ -203,6 +213,7 @@
 
     async def _send_release_order(self, part: ReservedPart) -> None:
         self._turned_away.discard(part.reservation.id)
+        self._left_out.discard(part.reservation.id)
         if self._calls.is_pausing(part.server):
             return
         for _ in range(RELEASE_ATTEMPTS):
--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/_routing_state.py
@@ -9,6 +9,7 @@
 from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
 from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._pending_versions import PendingVersions
+from camphordrift.relay._request_limits import RequestLimits
 from camphordrift.relay._retry_budget import RetryBudget, RetryBudgetSettings
 from camphordrift.relay._routing_table import RoutingTable
 from camphordrift.relay._server_directory import ServerDirectory
@@ -32,6 +33,8 @@
     directory: ServerDirectory
     #: What the servers announced about further requests.
     notices: ServerNotices
+    #: Limits of requests that the servers named.
+    limits: RequestLimits
     budget_settings: RetryBudgetSettings
     #: Returns how many VMs share the retry budget.
     vm_count: Callable[[], int]
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -28,6 +28,7 @@
 from camphordrift.relay._plain_servers import PlainServerBalancer
 from camphordrift.relay._refusals import (
     RequestRefusedError,
+    failure_of_limits,
     failure_of_placement,
     failure_without_server,
 )
@@ -104,8 +105,9 @@
             RequestRefusedError: No server is left for the request.
 
         """
+        usable = self._routing_state.usable_servers(progress.service.name)
         server = self._plain_balancer.choose(
-            self._routing_state.usable_servers(progress.service.name),
+            await self._permitted_servers(progress, usable),
             self._zone,
             progress.excluded_servers,
             trio.current_time(),
@@ -126,6 +128,36 @@
             self._plain_balancer.record_finished(server.id, failed, trio.current_time())
         return result
 
+    async def _permitted_servers(
+        self, progress: RequestProgress, usable: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Returns the servers of a plain service whose limits permit the request now.
+
+        Waits until a limited server takes the request if there are no other servers.
+
+        Raises:
+            RequestRefusedError: All servers are limited, and none takes the request in time.
+
+        """
+        limits = self._routing_state.limits
+        candidates = [s for s in usable if s.id not in progress.excluded_servers]
+        limited = [server for server in candidates if limits.is_limited(server)]
+        if not limited:
+            return usable
+        unlimited = [server for server in candidates if server not in limited]
+        max_delay = progress.remaining_time - progress.route.latency_objective
+        permit = await self._dispatcher.request_permit(
+            progress.service.name,
+            tuple(server.id for server in limited),
+            0.0 if unlimited else max(0.0, max_delay),
+        )
+        if permit.server_id is not None:
+            await trio.sleep(permit.delay)
+            return [server for server in limited if server.id == permit.server_id]
+        if not unlimited:
+            raise RequestRefusedError(failure_of_limits(progress, permit.delay))
+        return unlimited
+
     async def try_engine(self, progress: RequestProgress, running: RunningAttempt) -> AttemptResult:
         """Sends a request to an engine and returns the result of the attempt.
 
@@ -241,14 +273,16 @@
         running: RunningAttempt,
     ) -> AttemptResult:
         """Runs an attempt on the first of ``servers``; the others are the helpers."""
-        server = servers[0]
+        server, started_at = servers[0], trio.current_time()
         attempt = Attempt(
             progress.request,
             progress.metadata.attempt_id,
             server,
             self._connections,
             self._header_format,
-            lambda status, metadata: self._observe_response(server, status, metadata, "request"),
+            lambda status, metadata: self._observe_response(
+                server, status, metadata, "request", started_at
+            ),
         )
         progress.excluded_servers.append(server.id)
 
@@ -256,7 +290,6 @@
             return self._prepare_send(progress, servers, helpers, running)
 
         force_new = not progress.route.retryable
-        started_at = trio.current_time()
         result = await attempt.run(
             prepare_send, timeouts, running.record_silence, force_new, running.sink
         )
--- a/camphordrift/relay/_server_calls.py
+++ b/camphordrift/relay/_server_calls.py
@@ -1,16 +1,19 @@
 """The relay's own requests to backend servers: orders and requests for reports."""
 
 from collections.abc import Callable
+from typing import Optional
 
 import trio
 
 from camphordrift.relay._http_client import ConnectionPool, SmallRequest, SmallResponse
 from camphordrift.relay._interfaces import HeaderFormat
+from camphordrift.relay._request_limits import RequestLimits
 from camphordrift.relay._server_notices import ServerNotices
 from camphordrift.relay._values import BackendServer, ResponseMetadata
 
-#: Gets each response's server, status and metadata, and what it responds to.
-ResponseObserver = Callable[[BackendServer, int, ResponseMetadata, str], None]
+#: Gets a response's server, status and metadata, what it responds to, and when that was sent; see
+#: :meth:`NoticeDistributor.observe`.
+ResponseObserver = Callable[[BackendServer, int, ResponseMetadata, str, Optional[float]], None]
 
 
 class ServerUnreachableError(OSError):
@@ -24,7 +27,9 @@
         connections: Connections to backend servers.
         header_format: Parses the headers of the responses.
         notices: What the servers announced about further requests.
+        limits: Limits of requests that the servers named.
         observe: Called with each response.
+        on_limited_request: Called with the id of a limited server when a request is sent to it.
 
     """
 
@@ -33,16 +38,28 @@
         connections: ConnectionPool,
         header_format: HeaderFormat,
         notices: ServerNotices,
+        limits: RequestLimits,
         observe: ResponseObserver,
+        on_limited_request: Callable[[str], None],
     ) -> None:
         self._connections = connections
         self._header_format = header_format
         self._notices = notices
+        self._limits = limits
         self._observe = observe
+        self._on_limited_request = on_limited_request
 
     def accepts_requests(self, server: BackendServer) -> bool:
-        """Returns whether a server neither leaves nor pauses."""
-        return self._notices.accepts_requests(server, trio.current_time())
+        """Returns whether a server neither leaves nor pauses, and its limit permits a request."""
+        now = trio.current_time()
+        return (
+            self._notices.accepts_requests(server, now)
+            and self._limits.wait_time(server, now) == 0.0
+        )
+
+    def is_limited(self, server: BackendServer) -> bool:
+        """Returns whether a server named how many requests per second it takes."""
+        return self._limits.is_limited(server)
 
     def is_pausing(self, server: BackendServer) -> bool:
         """Returns whether a server wants nothing from this VM for now."""
@@ -69,9 +86,11 @@
             connection = await self._connections.acquire(server.host, server.port)
         except OSError as error:
             raise ServerUnreachableError(str(error)) from error
+        if self._limits.is_limited(server):
+            self._on_limited_request(server.id)
         response = await self._connections.exchange(
             server.host, server.port, connection, request, idle_timeout
         )
         metadata = self._header_format.response_metadata(response.headers)
-        self._observe(server, response.status, metadata, purpose)
+        self._observe(server, response.status, metadata, purpose, None)
         return response
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -65,6 +65,11 @@
         """Whether any VM uses this one as its leader."""
         return bool(self._followers)
 
+    @property
+    def follower_ids(self) -> set[str]:
+        """Ids of the VMs that use this one as their leader."""
+        return {member.vm for member in self._followers.values()}
+
     def add_follower(
         self, link: MessageLink, follower: Member, better_leaders: Iterable[Member]
     ) -> None:
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -35,6 +35,7 @@
 from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._placement_values import PlacementRequest
+from camphordrift.relay._request_limits import RequestLimits
 from camphordrift.relay._server_calls import ServerCalls
 from camphordrift.relay._server_notices import ServerNotices
 from camphordrift.testing import (
@@ -321,10 +322,18 @@
 def server_calls(notices: Optional[ServerNotices] = None) -> ServerCalls:
     """Returns the calls of a VM without leader and followers."""
     notices = ServerNotices() if notices is None else notices
+    limits = RequestLimits(lambda: 1.0)
     distributor = NoticeDistributor(
-        notices, trio.current_time, lambda: None, lambda service, pause: None
+        notices, limits, trio.current_time, lambda: None, lambda service, pause: None
+    )
+    return ServerCalls(
+        ConnectionPool(0.5),
+        SampleHeaders(),
+        notices,
+        limits,
+        distributor.observe,
+        lambda server_id: None,
     )
-    return ServerCalls(ConnectionPool(0.5), SampleHeaders(), notices, distributor.observe)
 
 
 def attempt_id_of(request: HttpRequest) -> str:
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -121,7 +121,11 @@
         checked_log, TOPICS.members, parts, eras, lambda: election.is_leader
     )
     notices = NoticeDistributor(
-        ServerNotices(), trio.current_time, lambda: vm.refresh(), dispatcher.report_pause
+        ServerNotices(),
+        scheduler.limits,
+        trio.current_time,
+        lambda: vm.refresh(),
+        dispatcher.report_pause,
     )
     election = LeaderElection(
         member, checked_log, eras, TOPICS, dispatcher, scheduler, updates, records, notices
@@ -218,6 +222,25 @@
 
         run(body)
 
+    def test_vms_never_decide_on_more_than_the_whole_limit_of_a_server(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+            self.assertEqual([1.0, 0.0, 0.0], [vm.election.limit_share for vm in vms])
+            fleet.kill(vms[0])
+            # Both decide for themselves first, and the one that is lost may still run.
+            while leaders(*vms[1:]) != ["vm-2"] * 2:
+                lost = 1 / 3 if vms[1].election.leader != "vm-1" else 0.0
+                shares = [vm.election.limit_share for vm in vms[1:]]
+                self.assertLessEqual(sum(shares) + lost, 1.0 + 1e-9)
+                await trio.sleep(0.005)
+            self.assertEqual(0.0, vms[2].election.limit_share)
+            self.assertAlmostEqual(2 / 3, vms[1].election.limit_share)
+            self.patch(_leader_election, "MEMBER_RETENTION", 0.0)
+            self.assertEqual(1.0, vms[1].election.limit_share)
+
+        run(body)
+
     def test_a_leader_that_restarted_ranks_last(self) -> None:
         async def body(fleet: Fleet) -> None:
             first, second, third = (fleet.start(number, 100 + number) for number in (1, 2, 3))
--- a/camphordrift/relay/tests/test_server_notices.py
+++ b/camphordrift/relay/tests/test_server_notices.py
@@ -9,6 +9,7 @@
 
 from camphordrift.relay import BackendServer, ResponseMetadata, ServerState
 from camphordrift.relay._notice_distribution import NoticeDistributor
+from camphordrift.relay._request_limits import RequestLimits
 from camphordrift.relay._server_notices import (
     UNLISTED_RETENTION,
     ServerNotices,
@@ -197,7 +198,11 @@
         self.changes = 0
         self.pauses: list[tuple[str, ServerPause]] = []
         self.distributor = NoticeDistributor(
-            self.notices, lambda: 100.0, self._count_change, self._record_pause
+            self.notices,
+            RequestLimits(lambda: 1.0),
+            lambda: 100.0,
+            self._count_change,
+            self._record_pause,
         )
 
     def test_a_new_notice_is_reported_once(self) -> None:
@@ -224,11 +229,11 @@
 
     def _observe_retry_after(self, status: int, seconds: Optional[float]) -> None:
         metadata = ResponseMetadata("a1", signed=False, not_run=False, retry_after=seconds)
-        self.distributor.observe(server(1), status, metadata, "request")
+        self.distributor.observe(server(1), status, metadata, "request", 99.0)
 
     def _observe(self, status: int) -> None:
         metadata = ResponseMetadata("a1", signed=False, not_run=True, leaving=True)
-        self.distributor.observe(server(1), status, metadata, "request")
+        self.distributor.observe(server(1), status, metadata, "request", 99.0)
 
     def _record_pause(self, service: str, pause: ServerPause) -> None:
         self.pauses.append((service, pause))
