Leave out the body of responses that must not have one

On real machines connections of callers ended without a response, with the error "Too much data for declared Content-Length" on four VMs. A refusal was written with its body also for a HEAD request, for which h11 allows none; the exception closed the connection. The same on the metrics address ended the process, as its connections had no guard.

ResponseWriter now leaves out the body of responses to HEAD and of those with status 204 and 304, and forwards the length that a server states for them. A fault on a connection of the metrics address is logged.

--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -9,7 +9,7 @@
 
 from camphordrift.relay._events import EventSplitter, StreamEvent
 from camphordrift.relay._http_client import BrokenAnswerError, ConnectionPool, HttpConnection
-from camphordrift.relay._http_server import CallerRequest
+from camphordrift.relay._http_server import CallerRequest, may_have_body
 from camphordrift.relay._interfaces import HeaderFormat, Headers
 from camphordrift.relay._values import BackendServer, ForwardingMetadata, ResponseMetadata
 
@@ -296,7 +296,11 @@
             timer.restart(event_timeout)
             if len(body) > MAX_BUFFERED_RESPONSE_BYTES:
                 return Broken("the response is too large to buffer")
-        return Answered(head.status_code, _end_to_end_headers(head.headers), bytes(body))
+        headers = _end_to_end_headers(head.headers)
+        if not may_have_body(self._request.method, head.status_code):
+            # The length is that of the body which the response to another request would have.
+            headers += [item for item in head.headers if item[0] == b"content-length"]
+        return Answered(head.status_code, headers, bytes(body))
 
     async def _forward_events(
         self,
--- a/camphordrift/relay/_http_server.py
+++ b/camphordrift/relay/_http_server.py
@@ -23,6 +23,9 @@
 #: Maximum size of a request line and headers in bytes, whatever the configuration permits.
 MAX_HEAD_BYTES = 1 << 20
 
+#: Statuses of responses that never have a body.
+NO_CONTENT, NOT_MODIFIED = 204, 304
+
 #: Seconds within which a caller must accept the data of one write.
 WRITE_TIMEOUT = 20.0
 
@@ -53,10 +56,19 @@
 
 
 class ResponseWriter:
-    """Writes the response to one request."""
+    """Writes the response to one request.
+
+    The body is left out of responses that must not have one, see :func:`may_have_body`.
+
+    Args:
+        connection: The connection to the caller.
+        method: Method of the request.
+
+    """
 
-    def __init__(self, connection: "CallerConnection") -> None:
+    def __init__(self, connection: "CallerConnection", method: bytes) -> None:
         self._connection = connection
+        self._method = method
         self._started = False
         self._completed = False
         self._buffered = b""
@@ -81,7 +93,9 @@
 
     async def write(self, data: bytes) -> None:
         """Writes a part of the body."""
-        encoded, self._buffered = self._buffered + self._connection.encode_data(data), b""
+        if may_have_body(self._method, self.status):
+            self._buffered += self._connection.encode_data(data)
+        encoded, self._buffered = self._buffered, b""
         await self._connection.write(encoded)
 
     async def end(self) -> None:
@@ -91,13 +105,25 @@
         self._completed = True
 
     async def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
-        """Writes a complete response."""
-        await self.start(status, [*headers, (b"content-length", b"%d" % len(body))])
-        if body:
+        """Writes a complete response.
+
+        The length of the body is added unless the headers state it, as in the response of a server
+        to a HEAD request.
+        """
+        states_length = any(name == b"content-length" for name, _ in headers)
+        if not states_length and status != NO_CONTENT:
+            headers = [*headers, (b"content-length", b"%d" % len(body))]
+        await self.start(status, headers)
+        if body and may_have_body(self._method, status):
             self._buffered += self._connection.encode_data(body)
         await self.end()
 
 
+def may_have_body(method: bytes, status: int) -> bool:
+    """Returns whether a response to a request may have a body (RFC 9112, section 6.3)."""
+    return method != b"HEAD" and status not in (NO_CONTENT, NOT_MODIFIED)
+
+
 Handler = Callable[[CallerRequest, ResponseWriter], Awaitable[None]]
 
 
@@ -188,7 +214,7 @@
             return False
         if request is None:
             return False
-        response = ResponseWriter(self)
+        response = ResponseWriter(self, request.method)
         await self._handle_until_disconnect(request, response)
         if not response.completed:
             return False
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -336,7 +336,11 @@
         connection = CallerConnection(
             stream, CallerLimits, self._handle_metrics_request, lambda: True
         )
-        await connection.serve()
+        try:
+            await connection.serve()
+        except Exception as error:
+            # A fault on one connection must not end the process.
+            log_event("metrics_connection_failed", level=LogLevel.ERROR, error=repr(error))
 
     async def _handle_metrics_request(
         self, request: CallerRequest, response: ResponseWriter
