Refuse late requests that may outlast a VM that stops

After SIGTERM a VM closes idle connections from 3 s on and exits shortly before the end of its grace period. A connection that was busy at that time stayed open, and its caller's next request was served whatever time it had: a stream that was still running when the VM exited was cut, although its caller could have used another VM from the beginning.

The test failed before: the late request with 10 s left was sent to the server and cut 0.8 s later.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -391,19 +391,24 @@
         """Lets requests in flight finish; returns before the grace period ends.
 
         If most VMs of an availability zone stop at the same time, the load balancer keeps sending
-        callers here. New connections are therefore refused once it has had time to remove this VM.
+        callers here. New connections are therefore refused once it has had time to remove this VM,
+        and so are requests on open ones that may not end in time.
         """
         self._stopping = True
         deadline = trio.current_time() + drain_time(self._settings.shutdown_grace_period)
         await trio.sleep(DEREGISTRATION_DELAY)
         self._accept_scope.cancel()
+        self._handler.refuse_late(deadline)
         while self._callers and trio.current_time() < deadline:
             if trio.current_time() >= deadline - LAST_REFUSAL_TIME:
                 self._handler.refuse_unstarted()
-            for caller in list(self._callers):
-                caller.close_if_idle()
+            self._close_idle_callers()
             await trio.sleep(DECISION_INTERVAL)
 
+    def _close_idle_callers(self) -> None:
+        for caller in list(self._callers):
+            caller.close_if_idle()
+
     async def _serve_callers(self) -> None:
         address = self._settings.callers
         listeners = await trio.open_tcp_listeners(address.port, host=address.host)
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -71,6 +71,16 @@
         #: Requests in progress, by the scope that cancels them at their deadline.
         self._in_progress: dict[trio.CancelScope, RequestProgress] = {}
         self._is_stopping = False
+        self._exit_at: Optional[float] = None
+
+    def refuse_late(self, exit_at: float) -> None:
+        """Refuses all new requests that may run for longer than this VM does.
+
+        Args:
+            exit_at: When this VM exits, by trio's clock.
+
+        """
+        self._exit_at = exit_at
 
     def refuse_unstarted(self) -> None:
         """Refuses all requests whose response has not started, because this VM is about to stop."""
@@ -93,7 +103,8 @@
         except RequestRefusedError as error:
             await self._refuse(request, response, metadata, error.failure)
             return
-        if self._is_stopping:
+        may_outlast_vm = self._exit_at is not None and progress.deadline > self._exit_at
+        if self._is_stopping or may_outlast_vm:
             await self._refuse(request, response, metadata, failure_of_stop(progress), progress)
             return
         await self._serve_until_deadline(progress)
--- a/camphordrift/relay/tests/test_shutdown.py
+++ b/camphordrift/relay/tests/test_shutdown.py
@@ -13,6 +13,8 @@
     RelayHarness,
     chunk,
     events,
+    read_response,
+    request_bytes,
     run_scenario,
     stream_head,
 )
@@ -74,6 +76,32 @@
 
         run_scenario(scenario, never_ends)
 
+    def test_a_late_request_that_may_outlast_the_vm_is_refused(self) -> None:
+        """Guards against streams that are cut although their callers could use another VM."""
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            short, long = await relay.connect(), await relay.connect()
+            for stream in (short, long):
+                await stream.send_all(request_bytes("/nowhere"))
+                await read_response(stream)
+            responses: dict[str, CallerResponse] = {}
+
+            async def request(stream: trio.SocketStream, attempt: str, patience: str) -> None:
+                await stream.send_all(request_bytes("/quick/x", attempt, x_patience=patience))
+                responses[attempt] = await read_response(stream)
+
+            self.patch(relay.process, "_close_idle_callers", lambda: None)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(relay.process._drain)
+                await trio.sleep(2 * 0.1)
+                nursery.start_soon(request, short, "short", "0.5")
+                nursery.start_soon(request, long, "long", "10")
+            self.assertEqual(503, responses["long"].status)
+            self.assertIn("retry-after", responses["long"].headers)
+            self.assertEqual(["short"], [item.headers["x-attempt"] for item in servers[0].requests])
+
+        run_scenario(scenario, never_ends)
+
     def test_a_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             responses: list[CallerResponse] = []
