Bound what a server may send before and after its response

Servers in trouble may send bytes without end, in a head or a body. Heads, chunk headers, trailers and bytes after a response were bounded already. An event without an end was buffered until the deadline, as were the responses to orders, reports and calls to the store; informational responses were read until the deadline; so was the request of whoever connects to the readiness address.

An event may have 1 MB, a response to a small request 4 MB, a buffered response 4 MB instead of 16 MB, and 16 informational responses may come first. Beyond that the connection is closed, and the request goes on as after any broken response.

--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/_attempt.py
@@ -7,14 +7,15 @@
 import h11
 import trio
 
-from camphordrift.relay._events import EventSplitter, StreamEvent
+from camphordrift.relay._events import EventSplitter, EventTooLongError, StreamEvent
 from camphordrift.relay._http_client import BrokenAnswerError, ConnectionPool, HttpConnection
 from camphordrift.relay._http_server import CallerRequest, may_have_body
 from camphordrift.relay._interfaces import HeaderFormat, Headers
 from camphordrift.relay._values import BackendServer, ForwardingMetadata, ResponseMetadata
 
-#: Maximum size in bytes of a response that is buffered until it is complete.
-MAX_BUFFERED_RESPONSE_BYTES = 16 << 20
+#: Maximum size in bytes of a response that is buffered until it is complete. A VM of 200 MB can
+#: buffer some dozens of these.
+MAX_BUFFERED_RESPONSE_BYTES = 4 << 20
 
 #: Seconds for which an idle connection is reused if the server states no keep-alive timeout.
 DEFAULT_IDLE_TIMEOUT = 4.0
@@ -313,7 +314,10 @@
         splitter = EventSplitter()
         started = False
         while (chunk := await timer.receive(connection.receive_data)) is not None:
-            events = splitter.feed(chunk)
+            try:
+                events = splitter.feed(chunk)
+            except EventTooLongError as error:
+                return Broken(str(error))
             if not events:
                 continue
             if not started:
--- a/camphordrift/relay/_events.py
+++ b/camphordrift/relay/_events.py
@@ -5,6 +5,13 @@
 
 _EVENT_END = b"\n\n"
 
+#: Maximum size of an event in bytes. An event has a few tokens.
+MAX_EVENT_BYTES = 1 << 20
+
+
+class EventTooLongError(Exception):
+    """An event exceeds the maximum size."""
+
 
 @dataclass(frozen=True)
 class StreamEvent:
@@ -27,8 +34,15 @@
         return bool(self._partial_event)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Adds received bytes and returns the events that they complete."""
+        """Adds received bytes and returns the events that they complete.
+
+        Raises:
+            EventTooLongError: The event that the bytes do not complete is too long.
+
+        """
         *complete, self._partial_event = (self._partial_event + data).split(_EVENT_END)
+        if len(self._partial_event) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"event of more than {MAX_EVENT_BYTES} bytes")
         return [StreamEvent(part + _EVENT_END, _event_id(part)) for part in complete]
 
 
--- a/camphordrift/relay/_http_client.py
+++ b/camphordrift/relay/_http_client.py
@@ -17,6 +17,13 @@
 #: Maximum size of the status line and headers of a response, in bytes.
 MAX_HEAD_SIZE = 65536
 
+#: Maximum number of informational responses (1xx) before the response to a request.
+MAX_INFORMATIONAL_RESPONSES = 16
+
+#: Maximum size in bytes of the body of a response to a small request. The largest are pages of the
+#: store (1 MB, in base64).
+MAX_SMALL_RESPONSE_BYTES = 4 << 20
+
 #: Seconds subtracted from a server's keep-alive timeout, to allow for clock drift and network
 #: latency.
 IDLE_MARGIN = 0.5
@@ -97,7 +104,7 @@
         """Sends a small request and returns the response.
 
         Raises:
-            BrokenAnswerError: The response was incomplete or malformed.
+            BrokenAnswerError: The response was incomplete, malformed or too large.
             OSError: The connection broke.
 
         """
@@ -106,21 +113,25 @@
         content = bytearray()
         while (chunk := await self.receive_data()) is not None:
             content += chunk
+            if len(content) > MAX_SMALL_RESPONSE_BYTES:
+                raise BrokenAnswerError("the response is too large")
         return SmallResponse(head.status_code, list(head.headers), bytes(content))
 
     async def receive_head(self) -> h11.Response:
         """Returns the status line and headers of the response.
 
         Raises:
-            BrokenAnswerError: The connection ended first, or the data was not valid HTTP.
+            BrokenAnswerError: The connection ended first, the data was not valid HTTP, or too many
+                informational responses came first.
 
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("the connection was closed before the response")
+        raise BrokenAnswerError("too many informational responses")
 
     async def receive_data(self) -> Optional[bytes]:
         """Returns the next chunk of the response body; ``None`` at its end.
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -85,6 +85,9 @@
 #: Seconds between flushes of the log output.
 LOG_INTERVAL = 0.05
 
+#: Maximum size in bytes of the load balancer's readiness request.
+MAX_READINESS_REQUEST_BYTES = 16384
+
 #: Timeout in seconds for the load balancer's readiness request.
 READINESS_REQUEST_TIMEOUT = 2.0
 
@@ -440,7 +443,7 @@
                 request_head = b""
                 while b"\r\n\r\n" not in request_head:
                     data = await stream.receive_some(READ_SIZE)
-                    if not data:
+                    if not data or len(request_head) > MAX_READINESS_REQUEST_BYTES:
                         return
                     request_head += data
                 status = b"200 OK" if self.ready else b"503 Service Unavailable"
--- /dev/null
+++ b/camphordrift/relay/tests/test_endless_responses.py
@@ -0,0 +1,178 @@
+"""Tests of servers that send bytes without end, until the relay closes the connection."""
+
+import tracemalloc
+from collections.abc import Iterator
+
+import pytest
+import testtools
+import trio
+
+from camphordrift.relay._http_client import MAX_SMALL_RESPONSE_BYTES
+from camphordrift.relay.tests.relay_harness import (
+    RelayHarness,
+    chunk,
+    complete_stream,
+    events,
+    plain_response,
+    plain_success,
+    run_scenario,
+    stream_head,
+)
+from camphordrift.relay.tests.samples import ScriptedServer, attempt_id_of
+from camphordrift.testing import HttpRequest, HttpRequestHandler
+
+pytestmark = pytest.mark.sockets
+
+#: Bytes that a server sends at once.
+BLOCK = b"x" * 65536
+
+#: Bytes that the relay may allocate for one endless response.
+MAX_MEMORY = 24 << 20
+
+#: Bytes after which a server gives up. They arrive well before the deadline of a request.
+GIVE_UP = 96 << 20
+
+
+class EndlessServer:
+    """A script that sends blocks after a beginning, and records whether the relay closed."""
+
+    def __init__(self, beginning: bytes, block: bytes, signed: bool = True) -> None:
+        self._beginning, self._block, self._signed = beginning, block, signed
+        self.was_closed = False
+
+    async def respond(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
+        """Sends bytes until the relay closes the connection."""
+        try:
+            await stream.send_all(self._beginning.replace(b"ID", attempt_id_of(request).encode()))
+            for _ in self._blocks():
+                await stream.send_all(self._block)
+        except trio.BrokenResourceError:
+            self.was_closed = True
+        return False
+
+    def _blocks(self) -> Iterator[None]:
+        for _ in range(GIVE_UP // len(self._block)):
+            yield
+
+
+#: Head of a response with a body of any length.
+UNFRAMED = b"HTTP/1.1 200 OK\r\nx-signature: s\r\nx-attempt: ID\r\n\r\n"
+
+#: The same in chunks.
+CHUNKED = UNFRAMED.replace(b"\r\n\r\n", b"\r\ntransfer-encoding: chunked\r\n\r\n")
+
+
+class EndlessResponseTest(testtools.TestCase):
+    def check(self, path: str, service: str, endless: EndlessServer) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            tracemalloc.start()
+            try:
+                response = await relay.send_request(path)
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            # The only server failed, so the outcome is unknown, and the caller is told so.
+            self.assertEqual((502, True), (response.status, response.complete))
+            self.assertLess(peak, MAX_MEMORY)
+            with trio.fail_after(5):
+                while not endless.was_closed:
+                    await trio.sleep(0.01)
+
+        run_scenario(scenario, endless.respond, service=service)
+
+    def test_head(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nx-endless: "
+        self.check("/book/x", "office", EndlessServer(head, BLOCK))
+        self.check("/quick/x", "engines", EndlessServer(head, BLOCK))
+
+    def test_bytes_that_are_no_response(self) -> None:
+        self.check("/book/x", "office", EndlessServer(b"", BLOCK))
+
+    def test_informational_responses(self) -> None:
+        block = b"HTTP/1.1 102 Processing\r\n\r\n" * 100
+        self.check("/book/x", "office", EndlessServer(b"", block))
+        self.check("/quick/x", "engines", EndlessServer(b"", block))
+
+    def test_body(self) -> None:
+        self.check("/book/x", "office", EndlessServer(UNFRAMED, BLOCK))
+        self.check("/book/x", "office", EndlessServer(CHUNKED, chunk(BLOCK)))
+
+    def test_event(self) -> None:
+        self.check("/quick/x", "engines", EndlessServer(UNFRAMED, BLOCK))
+        self.check("/quick/x", "engines", EndlessServer(CHUNKED, chunk(BLOCK)))
+
+    def test_chunk_header(self) -> None:
+        self.check("/quick/x", "engines", EndlessServer(CHUNKED + b"5;", BLOCK))
+
+    def test_trailers(self) -> None:
+        beginning = CHUNKED + chunk(b"body") + b"0\r\nx-endless: "
+        self.check("/book/x", "office", EndlessServer(beginning, BLOCK))
+
+
+class AfterResponseTest(testtools.TestCase):
+    def test_bytes_after_a_response(self) -> None:
+        async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            endless = EndlessServer(plain_response(request), BLOCK)
+            closed.append(endless)
+            return await endless.respond(request, stream)
+
+        closed: list[EndlessServer] = []
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            for attempt in ("a1", "a2"):
+                response = await relay.send_request("/book/x", attempt)
+                self.assertEqual((200, b"done"), (response.status, response.body))
+            with trio.fail_after(5):
+                while not all(item.was_closed for item in closed):
+                    await trio.sleep(0.01)
+
+        run_scenario(scenario, answer, service="office")
+
+    def test_events_after_the_end_of_a_stream(self) -> None:
+        async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            body = chunk(events(1, 5)) + b"0\r\n\r\n"
+            return await EndlessServer(stream_head(request) + body, BLOCK).respond(request, stream)
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            response = await relay.send_request("/quick/x")
+            self.assertEqual((events(1, 5), True), (response.body, response.complete))
+
+        run_scenario(scenario, answer)
+
+
+class OwnRequestTest(testtools.TestCase):
+    def check(self, target: str, script: HttpRequestHandler, tokens: str) -> None:
+        peaks: list[int] = []
+
+        async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            if request.target == target:
+                return await EndlessServer(UNFRAMED, BLOCK).respond(request, stream)
+            return await script(request, stream)
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            tracemalloc.start()
+            try:
+                response = await relay.send_request("/quick/x", x_tokens=tokens)
+                peaks.append(tracemalloc.get_traced_memory()[1])
+            finally:
+                tracemalloc.stop()
+            self.assertEqual(503, response.status)
+
+        run_scenario(scenario, answer, answer)
+        self.assertLess(peaks[0], 4 * MAX_SMALL_RESPONSE_BYTES)
+
+    def test_response_to_an_order(self) -> None:
+        self.check("/order", complete_stream, "400000")
+
+
+class ReadinessTest(testtools.TestCase):
+    def test_endless_readiness_request(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            port = relay.process._settings.readiness.port
+            stream = await trio.open_tcp_stream(relay.host, port)
+            with trio.fail_after(1.0), testtools.ExpectedException(trio.BrokenResourceError):
+                await stream.send_all(b"GET / HTTP/1.1\r\nx-endless: ")
+                while True:
+                    await stream.send_all(BLOCK)
+
+        run_scenario(scenario, plain_success, service="office")
