Soak: limits of servers, configurations in quick succession, HEAD requests

It now checks that all VMs together keep a limit, and that a VM in touch uses a new configuration in time; for failures of the relay on a caller's connection it already searches the logs. Two short runs are part of the tests.

--- a/camphordrift/platform/soak/_callers.py
+++ b/camphordrift/platform/soak/_callers.py
@@ -8,7 +8,12 @@
 
 import trio
 
-from camphordrift.platform.soak._exchange import PATHS, REQUEST_TIMEOUTS, exchange
+from camphordrift.platform.soak._exchange import (
+    PATHS,
+    REQUEST_TIMEOUTS,
+    exchange,
+    send_head_request,
+)
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._prompts import draw_sound_prompt
 from camphordrift.platform.soak._records import STREAM_KINDS, CallerRequest
@@ -22,6 +27,9 @@
 #: Share of requests with a revoked API key, once there is one.
 REVOKED_KEY_SHARE = 0.15
 
+#: Share of requests before which the caller sends a HEAD request for an unknown path.
+HEAD_SHARE = 0.05
+
 #: Mean number of seconds between requests of one caller.
 THINK_TIME = 0.1
 
@@ -97,6 +105,8 @@
     async def _send_requests(self, vm: VmAddress, stream: trio.SocketStream) -> None:
         for _ in range(self._random.randrange(1, REQUESTS_PER_CONNECTION_LIMIT)):
             await trio.sleep(self._think_time())
+            if self._random.random() < HEAD_SHARE and not await send_head_request(stream):
+                return
             request = self._next_request(vm)
             stays_connected = self._random.random() >= DISCONNECT_SHARE
             disconnect_after = (
--- a/camphordrift/platform/soak/_checks.py
+++ b/camphordrift/platform/soak/_checks.py
@@ -1,7 +1,10 @@
 """Checks the observations of a run against the documented guarantees."""
 
 from camphordrift.platform.soak._answer_checks import unanswered_violations
-from camphordrift.platform.soak._configuration_checks import rollback_violations
+from camphordrift.platform.soak._configuration_checks import (
+    late_configuration_violations,
+    rollback_violations,
+)
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._prompt_checks import crashing_prompt_violations
 from camphordrift.platform.soak._request_checks import (
@@ -12,6 +15,7 @@
 from camphordrift.platform.soak._server_checks import (
     draining_violations,
     leaving_violations,
+    limit_violations,
     pause_violations,
 )
 
@@ -32,6 +36,8 @@
     violations += leaving_violations(observations)
     violations += draining_violations(observations)
     violations += pause_violations(observations)
+    violations += limit_violations(observations)
+    violations += late_configuration_violations(observations)
     violations += rollback_violations(observations)
     violations += unanswered_violations(observations)
     if check_timing:
--- a/camphordrift/platform/soak/_configuration_checks.py
+++ b/camphordrift/platform/soak/_configuration_checks.py
@@ -1,14 +1,18 @@
-"""Checks that no VM returns to an older configuration."""
+"""Checks that VMs use new configurations in time, and do not return to older ones."""
 
 from collections.abc import Iterator
 
 from camphordrift.platform.soak._observations import Observations
-from camphordrift.platform.soak._records import CallerRequest, overlaps
+from camphordrift.platform.soak._records import SCHEDULING_SLACK, CallerRequest, overlaps
+from camphordrift.platform.soak._request_checks import KEY_REVOCATION_DELAY
 
 #: Seconds after a VM applied a configuration in which requests may still be handled as an older
 #: one requires (RollbackSlackMs).
 ROLLBACK_SLACK = 0.25
 
+#: Seconds after the acknowledgement of a configuration until it is in force (ConfigApplyMs).
+APPLY_DELAY = 2.0
+
 #: Status of a response to a request with an unknown API key.
 _UNAUTHORIZED = 401
 
@@ -29,6 +33,25 @@
         yield from _changed_back(accepted, rejected_before, "rejected", observations)
 
 
+def late_configuration_violations(observations: Observations) -> Iterator[str]:
+    """Yields requests with a revoked API key that a VM in touch sent to a server too late.
+
+    Those that no VM may send any more are reported by another check.
+    """
+    for execution in observations.executions:
+        request = observations.requests.get(execution.request_id)
+        if request is None:
+            continue
+        revoked_at = observations.key_revoked_at.get(request.key, float("inf"))
+        late = request.sent_at - revoked_at
+        is_late = APPLY_DELAY + SCHEDULING_SLACK < late <= KEY_REVOCATION_DELAY
+        if is_late and observations.is_in_touch_throughout(request.vm, revoked_at, request.sent_at):
+            yield (
+                f"{request.vm} sent {request.id} to {execution.server}, though key {request.key}"
+                f" had been revoked {late:.2f} s before"
+            )
+
+
 def _changed_back(
     earlier: list[CallerRequest],
     later: list[CallerRequest],
--- a/camphordrift/platform/soak/_exchange.py
+++ b/camphordrift/platform/soak/_exchange.py
@@ -17,6 +17,9 @@
 #: Number of tokens of each prompt, and the maximum number of output tokens.
 PROMPT_TOKENS, OUTPUT_TOKENS = 500, 400
 
+#: Seconds within which a HEAD request must be answered for its connection to be used further.
+HEAD_TIMEOUT = 2.0
+
 #: Seconds for which a caller continues to read after the timeout of its request.
 EXTRA_READ_TIME = 3.0
 
@@ -61,6 +64,28 @@
     return reusable
 
 
+async def send_head_request(stream: trio.SocketStream) -> bool:
+    """Sends a HEAD request for a path without a route; returns whether the connection is usable.
+
+    The relay's log shows if it fails on it.
+    """
+    protocol = h11.Connection(h11.CLIENT)
+    head = h11.Request(method="HEAD", target="/unknown/", headers=[("host", "soak.example")])
+    data = (protocol.send(head) or b"") + (protocol.send(h11.EndOfMessage()) or b"")
+    with trio.move_on_after(HEAD_TIMEOUT):
+        try:
+            await stream.send_all(data)
+            while not isinstance(event := protocol.next_event(), h11.EndOfMessage):
+                if isinstance(event, h11.ConnectionClosed):
+                    return False
+                if event is h11.NEED_DATA:
+                    protocol.receive_data(await stream.receive_some(65536))
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+            return False
+        return protocol.their_state is h11.DONE
+    return False
+
+
 def _format_request(request: CallerRequest, body: bytes, protocol: h11.Connection) -> bytes:
     headers = [
         ("host", "soak.example"),
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -21,6 +21,9 @@
 STORE_OUTAGE_TIME = 3.0
 
 
+#: Versions of the configuration that follow each other quickly, and the seconds between two.
+STORM_VERSIONS, STORM_INTERVAL = 30, 0.06
+
 #: Seconds in which the VMs read a configuration that is lost then.
 _READING_TIME = 0.5
 
@@ -74,8 +77,7 @@
             case "prompt":
                 await self._crashing_callers.run(fault.seconds)
             case "configuration":
-                await self._store.wait_until_up()
-                self._publisher.change_limits()
+                await self._change_configuration(action)
             case _:
                 await self._change_key(vm, store_proxy, action)
 
@@ -132,6 +134,18 @@
         else:
             await _disturb_server(server, action, fault.seconds)
 
+    async def _change_configuration(self, action: str) -> None:
+        await self._store.wait_until_up()
+        if action != "storm":
+            self._publisher.change_limits()
+            return
+        for number in range(STORM_VERSIONS):
+            if not self._store.is_up:
+                return
+            change = self._publisher.change_limits
+            (self._publisher.replace_oldest_key if number % 4 == 0 else change)()
+            await trio.sleep(STORM_INTERVAL)
+
     async def _change_key(self, vm: Vm, store_proxy: Proxy, action: str) -> None:
         await self._store.wait_until_up()
         if action != "change_unseen":
@@ -160,6 +174,9 @@
         server.fall_silent(seconds)
         await trio.sleep(seconds)
         return
+    if action == "limit":
+        await server.limit_requests(seconds)
+        return
     if action == "turn_away":
         server.turn_away(seconds)
         await trio.sleep(seconds)
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -46,6 +46,9 @@
     "server_turn_away",
     "servers_turn_away",
     "store_restore",
+    "server_limit",
+    "servers_limit",
+    "configuration_storm",
 )
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
@@ -57,6 +60,8 @@
     "server_turn_away": (3.0, 5.0),
     "servers_turn_away": (3.0, 5.0),
     "store_restore": (1.0, 2.5),
+    "server_limit": (8.0, 10.0),
+    "servers_limit": (8.0, 10.0),
 }
 
 #: Mean number of seconds between the starts of two faults. Most faults last longer than that, so
--- a/camphordrift/platform/soak/_records.py
+++ b/camphordrift/platform/soak/_records.py
@@ -81,6 +81,10 @@
     refused_at: Optional[float] = None
     #: End of that pause.
     pause_ends_at: float = float("-inf")
+    #: Requests per second that the server named as its limit; ``None`` without one.
+    limit: Optional[float] = None
+    #: Time at which the server began to name it.
+    limited_since: float = float("inf")
 
 
 @dataclass(frozen=True)
--- a/camphordrift/platform/soak/_server_checks.py
+++ b/camphordrift/platform/soak/_server_checks.py
@@ -1,4 +1,4 @@
-"""Checks that VMs stop sending requests to servers that leave or turn requests away."""
+"""Checks that VMs heed servers that leave, turn requests away or limit them."""
 
 from collections.abc import Iterator
 
@@ -20,6 +20,10 @@
 #: the number of requests that may arrive from then on until the end of the pause.
 PAUSE_DELAY, TOLERATED_IN_PAUSE = 0.5, 2
 
+#: A server that named a limit gets at most the limit times the window times the factor, plus the
+#: slack, in any window of seconds (LIMIT).
+LIMIT_FACTOR, LIMIT_WINDOW, LIMIT_SLACK = 1.5, 4.0, 5
+
 
 def leaving_violations(observations: Observations) -> Iterator[str]:
     """Yields requests that a VM sent to a server after forwarding a response that says it leaves.
@@ -103,6 +107,38 @@
             yield f"{server} got {count} requests of {vm} in a pause for which it had asked"
 
 
+def limit_violations(observations: Observations) -> Iterator[str]:
+    """Yields servers that got more requests than the limits that they named allow."""
+    arrivals: dict[tuple[str, float], list[Arrival]] = {}
+    for arrival in observations.arrivals:
+        if arrival.limit is not None and _must_keep_limit(arrival, observations):
+            arrivals.setdefault((arrival.server, arrival.limited_since), []).append(arrival)
+    for (server, _), limited in arrivals.items():
+        limit = limited[0].limit or 0.0
+        allowed = LIMIT_FACTOR * limit * LIMIT_WINDOW + LIMIT_SLACK
+        count = max(
+            sum(first.at <= arrival.at < first.at + LIMIT_WINDOW for arrival in limited)
+            for first in limited
+        )
+        if count > allowed:
+            yield (
+                f"{server} got {count} requests in {LIMIT_WINDOW:g} s at a limit of {limit:g} per"
+                f" second; allowed {allowed:g}"
+            )
+
+
+def _must_keep_limit(arrival: Arrival, observations: Observations) -> bool:
+    request = observations.requests.get(arrival.request_id)
+    return (
+        request is not None
+        and arrival.at >= arrival.limited_since + STABLE_WINDOW
+        and not overlaps(observations.vm_disruptions[request.vm], arrival.limited_since, arrival.at)
+        and not overlaps(
+            observations.disruptions_of(arrival.server), arrival.limited_since, arrival.at
+        )
+    )
+
+
 def _arrivals_in_pause(
     refusal: Arrival, arrivals: list[Arrival], vm: str, observations: Observations
 ) -> int:
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -5,6 +5,7 @@
 import zlib
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
+from typing import Optional
 
 import msgspec
 import trio
@@ -17,6 +18,9 @@
 from camphordrift.platform.soak._responses import EVENT_INTERVAL, Response, format_head
 from camphordrift.testing import HttpRequest, handle_requests
 
+#: Requests per second that a server takes from all VMs together while it names a limit.
+REQUEST_LIMIT = 1.5
+
 #: Minimum number of seconds between two times in which a server sends nothing.
 SILENCE_INTERVAL = 0.5
 
@@ -45,6 +49,8 @@
         #: Whether the server says in its responses that it leaves.
         self.leaving = False
         self._pause_ends_at = float("-inf")
+        self._limit: Optional[float] = None
+        self._limited_since = float("inf")
         self._silent_until = float("-inf")
         self._observations = observations
 
@@ -61,6 +67,14 @@
         """Refuses all requests for some seconds, and says for how long."""
         self._pause_ends_at = max(self._pause_ends_at, trio.current_time() + seconds)
 
+    async def limit_requests(self, seconds: float) -> None:
+        """Names a limit of requests in all responses for some seconds, unless it does already."""
+        if self._limit is not None:
+            return
+        self._limit, self._limited_since = REQUEST_LIMIT, trio.current_time()
+        await trio.sleep(seconds)
+        self._limit = None
+
     async def run(self, on_listening: Callable[[], None]) -> None:
         """Serves until the server crashes.
 
@@ -106,7 +120,9 @@
             return True
         now = trio.current_time()
         request_id = request.headers.get("camphordrift-attempt-id", "")
-        arrival = Arrival(request_id, self.id, now)
+        arrival = Arrival(
+            request_id, self.id, now, limit=self._limit, limited_since=self._limited_since
+        )
         self._observations.arrivals.append(arrival)
         if now < self._pause_ends_at:
             arrival.pause_ends_at = self._pause_ends_at
@@ -123,7 +139,7 @@
         content = msgspec.json.encode({"Running": len(self._running), "Queued": 0})
         head = format_head(
             "200 OK",
-            {"content-type": "application/json", **self._leaving_header()},
+            {"content-type": "application/json", **self._notices()},
             Framing.LENGTH,
             len(content),
         )
@@ -138,7 +154,7 @@
     ) -> None:
         headers = {
             **_identity(request),
-            **self._leaving_header(),
+            **self._notices(),
             **extra_headers,
             "camphordrift-not-executed": "1",
         }
@@ -175,7 +191,7 @@
             await trio.sleep_forever()
         headers = {
             **_identity(request),
-            **self._leaving_header(),
+            **self._notices(),
             "camphordrift-engine-signature": self.id,
         }
         execution.leaving = self.leaving
@@ -200,8 +216,10 @@
             return await response.send_stream(headers, last_event_id)
         return await response.send_body(headers)
 
-    def _leaving_header(self) -> dict[str, str]:
-        return {"server-leaving": "1"} if self.leaving else {}
+    def _notices(self) -> dict[str, str]:
+        """Returns the headers in which the server announces what concerns further requests."""
+        notices = {"server-leaving": "1"} if self.leaving else {}
+        return notices if self._limit is None else {**notices, "server-limit": f"{self._limit:g}"}
 
     async def _send(self, stream: trio.SocketStream, data: bytes) -> None:
         while (remaining := self._silent_until - trio.current_time()) > 0:
--- a/camphordrift/platform/soak/tests/test_configuration_checks.py
+++ b/camphordrift/platform/soak/tests/test_configuration_checks.py
@@ -11,6 +11,26 @@
 _REJECTED = replace(REQUEST, id="a2", key="old", status=401, signature=None)
 
 
+class LateConfigurationTest(testtools.TestCase):
+    def violations(self, sent_at: float, vm: str = "vm-0") -> list[str]:
+        request = replace(_RAN, vm=vm, sent_at=sent_at, head_at=sent_at, ended_at=sent_at)
+        observations = Observations(requests={request.id: request})
+        observations.executions = [replace(EXECUTION, started_at=sent_at)]
+        observations.key_revoked_at["old"] = 10.0
+        observations.store_link_disruptions["vm-9"].append((8.0, 8.5))
+        return find_violations(observations, 20.0, check_timing=False)
+
+    def test_reports_a_revoked_key_that_is_used_too_late(self) -> None:
+        (line,) = self.violations(13.1)
+        self.assertIn("key old had been revoked 3.10 s before", line)
+
+    def test_a_revoked_key_may_be_used_until_the_configuration_must_be_in_force(self) -> None:
+        self.assertEqual([], self.violations(12.9))
+
+    def test_a_vm_that_was_disrupted_may_use_it_for_longer(self) -> None:
+        self.assertEqual([], self.violations(13.1, "vm-9"))
+
+
 class RollbackTest(testtools.TestCase):
     def violations(self, *requests: CallerRequest, revoked_at: float) -> list[str]:
         observations = Observations(requests={request.id: request for request in requests})
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -63,6 +63,14 @@
         kinds = ("server_turn_away", "servers_turn_away")
         self.check_report(run_short_soak(kinds, seconds=2.0, callers=18))
 
+    def test_servers_that_limit_requests_get_no_more(self) -> None:
+        kinds = ("server_limit", "servers_limit")
+        self.check_report(run_short_soak(kinds, seconds=1.5, callers=18))
+
+    def test_versions_in_quick_succession_are_in_force_in_time(self) -> None:
+        kinds = ("configuration_storm", "server_replace")
+        self.check_report(run_short_soak(kinds, seconds=3.0, recovery_seconds=4.0))
+
     def test_no_configuration_is_missed_after_the_store_was_restored_from_an_older_copy(
         self,
     ) -> None:
--- a/camphordrift/platform/soak/tests/test_server_checks.py
+++ b/camphordrift/platform/soak/tests/test_server_checks.py
@@ -36,6 +36,33 @@
         self.assertEqual([], self.violations(9.0))
 
 
+class LimitTest(testtools.TestCase):
+    def violations(self, count: int, first_at: float, vm: str = "vm-0") -> list[str]:
+        """A limit of one request per second is named from 10 s on, which allows 11 in 4 s."""
+        observations = Observations()
+        observations.vm_disruptions["vm-9"].append((12.0, 12.1))
+        for number in range(count):
+            at = first_at + number * 0.3
+            request = replace(
+                REQUEST, id=f"r{number}", vm=vm, sent_at=at, head_at=at, ended_at=at, status=503
+            )
+            observations.requests[request.id] = replace(request, signature=None, body=b"")
+            arrival = Arrival(request.id, "office-1", at, limit=1.0, limited_since=10.0)
+            observations.arrivals.append(arrival)
+        return find_violations(observations, 30.0)
+
+    def test_reports_requests_beyond_the_limit(self) -> None:
+        (line,) = self.violations(12, 13.0)
+        self.assertIn("got 12 requests in 4 s at a limit of 1 per second; allowed 11", line)
+
+    def test_requests_may_arrive_within_the_limit_or_before_it_holds(self) -> None:
+        self.assertEqual([], self.violations(11, 13.0))
+        self.assertEqual([], self.violations(14, 10.5))
+
+    def test_requests_of_a_vm_that_was_restarted_do_not_count(self) -> None:
+        self.assertEqual([], self.violations(20, 13.0, "vm-9"))
+
+
 class DrainingServerTest(testtools.TestCase):
     def violations(self, sent_at: float, vm: str = "vm-0", server: str = "office-1") -> list[str]:
         request = replace(REQUEST, vm=vm, sent_at=sent_at, head_at=sent_at, ended_at=sent_at)
