Limits: refuse retries that only limited engines may get; floors for short apply delays

Found in reading the change: a request was refused early only if all engines are limited, also where it may not go to the others again. A retry could then wait until its deadline; the test failed before (no decision).

Deployments with an apply delay below 0.8 s would have got negative waits; the shortest are 0.1 s for a long poll, 0.4 s for the age of a follower's own read, and a quarter of the delay for the margin of refusals.

--- a/camphordrift/relay/_configuration_watcher.py
+++ b/camphordrift/relay/_configuration_watcher.py
@@ -32,10 +32,11 @@
 )
 from camphordrift.relay._values import Configuration
 
-#: Maximum number of seconds that a read of the configuration waits for a change (long poll). A new
-#: read and the one before it must together take much less than the time for which API keys are
-#: accepted without a confirmed configuration (the lease; 5 s on today's deployments).
+#: Maximum and minimum number of seconds that a read of the configuration waits for a change (long
+#: poll). A new read and the one before it must together take much less than the time for which API
+#: keys are accepted without a confirmed configuration (the lease; 5 s on today's deployments).
 LONG_POLL_SECONDS = 1.0
+MIN_LONG_POLL_SECONDS = 0.1
 
 #: Seconds until a follower learns that its leader's read has ended: a ping and its response.
 PONG_DELAY = 0.4
@@ -67,7 +68,7 @@
         apply_delay: Seconds within which a new version must be in force.
 
     """
-    return min(MAX_CONFIGURATION_AGE, apply_delay - OWN_READ_TIME)
+    return min(MAX_CONFIGURATION_AGE, max(OWN_READ_TIME, apply_delay - OWN_READ_TIME))
 
 
 def long_poll_timeout(age: float, apply_delay: float) -> float:
@@ -83,7 +84,8 @@
     """
     if age > MAX_LONG_POLL_AGE:
         return 0.0
-    return min(LONG_POLL_SECONDS, (own_read_age(apply_delay) - PONG_DELAY) / 2)
+    longest = (own_read_age(apply_delay) - PONG_DELAY) / 2
+    return min(LONG_POLL_SECONDS, max(MIN_LONG_POLL_SECONDS, longest))
 
 
 class ConfigurationWatcher:
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -117,6 +117,8 @@
         self._draining_count = 0
         #: Requests of the present round that come first, and that were not placed.
         self._requests_ahead = 0
+        #: Usable engines of the present round if all are limited, by the ids of excluded ones.
+        self._limited_engines: dict[tuple[str, ...], list[EngineLoad]] = {}
         self._waiting: dict[str, _WaitingRequest] = {}
         self._placed: dict[str, _PlacedRequest] = {}
         #: Heap of the times at which placed requests are released without a report, and their ids;
@@ -279,28 +281,25 @@
         if not self._waiting:
             return []
         placement_round = PlacementRound(self._index, self._costs, now)
-        limited = self._limited_engines()
+        self._limited_engines.clear()
         self._requests_ahead = 0
         by_urgency = sorted(self._waiting.values(), key=_urgency)
         decisions: list[PlacementDecision] = []
         for _, group in itertools.groupby(by_urgency, key=lambda waiting: waiting.request.priority):
-            decisions += self._decide_group(group, placement_round, limited, now)
+            decisions += self._decide_group(group, placement_round, now)
         for decision in decisions:
             del self._waiting[decision.ask_id]
         return decisions
 
     def _decide_group(
-        self,
-        group: Iterable[_WaitingRequest],
-        placement_round: PlacementRound,
-        limited: list[EngineLoad],
-        now: float,
+        self, group: Iterable[_WaitingRequest], placement_round: PlacementRound, now: float
     ) -> Iterator[PlacementDecision]:
         """Yields the decisions on requests of one priority, given in order of urgency."""
         deferred: list[tuple[_WaitingRequest, PlacementRequest]] = []
         for waiting in group:
             request = waiting.at(now) if waiting.paused_until else waiting.request
             refusal = self._refusal_for(waiting, request, now)
+            limited = self._limited_engines_for(request)
             if limited and (refusal is None or refusal.reason is RefusalReason.TOO_LATE):
                 refusal = self._refusal_by_limits(waiting, limited, now)
             if refusal is not None:
@@ -365,12 +364,20 @@
             )
         return None
 
-    def _limited_engines(self) -> list[EngineLoad]:
-        """Returns the engines that are not draining if all of them are limited; else nothing."""
+    def _limited_engines_for(self, request: PlacementRequest) -> list[EngineLoad]:
+        """Returns the engines that a request may use if all of them are limited; else nothing."""
         if not self._limits.limited_count:
             return []
-        engines = [e for e in self._index.engines if e.server.state is ServerState.READY]
-        return engines if all(engine.is_limited for engine in engines) else []
+        if request.excluded not in self._limited_engines:
+            engines = [
+                engine
+                for engine in self._index.engines
+                if engine.server.state is ServerState.READY
+                and engine.server.id not in request.excluded
+            ]
+            all_limited = all(engine.is_limited for engine in engines)
+            self._limited_engines[request.excluded] = engines if all_limited else []
+        return self._limited_engines[request.excluded]
 
     def _refusal_by_limits(
         self, waiting: _WaitingRequest, limited: list[EngineLoad], now: float
--- a/camphordrift/relay/_pending_versions.py
+++ b/camphordrift/relay/_pending_versions.py
@@ -4,9 +4,11 @@
 from dataclasses import dataclass
 from typing import Optional
 
-#: Seconds before a version must be in force at which requests are refused without it. The VM learns
-#: of a version some time after the store acknowledged it, and requests take time to arrive.
-MAX_WAITING_MARGIN = 0.5
+#: Seconds before a version must be in force at which requests are refused without it, and maximum
+#: share of that time. The VM learns of a version some time after the store acknowledged it, and
+#: requests take time to arrive.
+WAITING_MARGIN = 0.5
+WAITING_MARGIN_SHARE = 1 / 4
 
 
 @dataclass(frozen=True)
@@ -31,7 +33,8 @@
     """
 
     def __init__(self, apply_delay: float) -> None:
-        self._max_waiting_time = apply_delay - MAX_WAITING_MARGIN
+        margin = min(WAITING_MARGIN, apply_delay * WAITING_MARGIN_SHARE)
+        self._max_waiting_time = apply_delay - margin
         #: In ascending order of both fields.
         self._pending: deque[PendingVersion] = deque()
 
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -365,7 +365,7 @@
 
         A long poll would not confirm its old configuration in time.
         """
-        for apply_delay, long_poll in ((2.0, 0.6), (4.0, LONG_POLL_SECONDS)):
+        for apply_delay, long_poll in ((0.5, 0.1), (2.0, 0.6), (4.0, LONG_POLL_SECONDS)):
             self.assertEqual(0.0, long_poll_timeout(MAX_CONFIGURATION_AGE, apply_delay))
             age = LONG_POLL_SECONDS + 0.1
             self.assertAlmostEqual(long_poll, long_poll_timeout(age, apply_delay))
--- a/camphordrift/relay/tests/test_pending_versions.py
+++ b/camphordrift/relay/tests/test_pending_versions.py
@@ -7,7 +7,7 @@
 import trio
 
 from camphordrift.relay import Account
-from camphordrift.relay._pending_versions import MAX_WAITING_MARGIN, PendingVersions
+from camphordrift.relay._pending_versions import WAITING_MARGIN, PendingVersions
 from camphordrift.relay.tests.relay_harness import RelayHarness, open_relay
 from camphordrift.relay.tests.samples import CONFIGURATION, ScriptedServer, server, settings
 from camphordrift.testing import HttpRequest
@@ -60,7 +60,7 @@
             async with open_relay([self.office], self.configuration) as relay:
                 relay.process._configuration.expect_version(99)
                 self.assertEqual([200, 200], await self.statuses(relay))
-                await trio.sleep(settings(1, 0).configuration_apply_delay - MAX_WAITING_MARGIN)
+                await trio.sleep(settings(1, 0).configuration_apply_delay - WAITING_MARGIN)
                 self.assertEqual([503, 503], await self.statuses(relay))
                 self.assertFalse(relay.process.ready)
                 relay.publish(replace(self.configuration, version=99))
@@ -90,3 +90,4 @@
         pending.announce(10, 5.0)
         self.assertFalse(pending.is_overdue(6.4))
         self.assertTrue(pending.is_overdue(6.5))
+        self.assertFalse(PendingVersions(0.4).is_overdue(5.0))
--- a/camphordrift/relay/tests/test_request_limits.py
+++ b/camphordrift/relay/tests/test_request_limits.py
@@ -219,6 +219,17 @@
                 pool.record_finished(decision.ask_id, AttemptOutcome.SERVED, step * 0.1)
         self.assertEqual(3, granted)
 
+    def test_a_retry_that_only_limited_engines_may_get_is_refused(self) -> None:
+        decider = Decider()
+        decider.name_limit(server(0), 0.1, 0.0)
+        pool = pool_of(decider, server(0), server(1))
+        request = placement_request("r0", excluded=("engines-1",), time_left=5.0)
+        pool.submit(request, 0.0)
+        (refusal,) = pool.decide(0.0)
+        assert isinstance(refusal, PlacementRefusal)
+        self.assertEqual(RefusalReason.LIMITED, refusal.reason)
+        self.assertEqual(10.0, refusal.retry_after)
+
     def test_an_unlimited_engine_that_fails_is_waited_for(self) -> None:
         decider = Decider()
         decider.name_limit(server(0), 0.1, 0.0)
