--- a/camphordrift/relay/_request_limits.py
+++ b/camphordrift/relay/_request_limits.py
@@ -10,7 +10,12 @@
 from dataclasses import dataclass
 from typing import Optional
 
-from camphordrift.relay._server_notices import UNLISTED_RETENTION, ServerStart, start_of
+from camphordrift.relay._server_notices import (
+    ServerStart,
+    is_obsolete,
+    start_of,
+    unlisted_since,
+)
 from camphordrift.relay._values import BackendServer
 
 #: Seconds of the limit's rate that a server may get at once after a time without requests, if that
@@ -61,6 +66,7 @@
     #: Requests that may be sent now; negative if requests were granted in advance.
     tokens: float
     refilled_at: float
+    #: Time since which the directory has not listed the server; ``None`` while it does.
     unlisted_since: Optional[float] = None
 
 
@@ -194,12 +200,9 @@
     def forget_unlisted(self, listed: Mapping[str, BackendServer], now: float) -> None:
         """Drops the limits of servers that have not been listed for some time."""
         for server_id, limit in list(self._limits.items()):
-            server = listed.get(server_id)
-            if server is not None and server.started_ms <= limit.started_ms:
-                limit.unlisted_since = None
-            elif limit.unlisted_since is None:
-                limit.unlisted_since = now
-            elif now - limit.unlisted_since >= UNLISTED_RETENTION:
+            start = ServerStart(server_id, limit.started_ms)
+            limit.unlisted_since = unlisted_since(start, listed, limit.unlisted_since, now)
+            if is_obsolete(limit.unlisted_since, now):
                 del self._limits[server_id]
 
     def _record(
--- a/camphordrift/relay/_server_notices.py
+++ b/camphordrift/relay/_server_notices.py
@@ -40,6 +40,29 @@
     return ServerStart(server.id, server.started_ms)
 
 
+def unlisted_since(
+    start: ServerStart, listed: Mapping[str, BackendServer], former: Optional[float], now: float
+) -> Optional[float]:
+    """Returns since when the directory has not listed a start of a server; ``None`` if it does.
+
+    Args:
+        start: The start of the server.
+        listed: The listed servers, by id. One that started later replaces the others.
+        former: What this function returned before.
+        now: The current time.
+
+    """
+    server = listed.get(start.server_id)
+    if server is not None and server.started_ms <= start.started_ms:
+        return None
+    return now if former is None else former
+
+
+def is_obsolete(since: Optional[float], now: float) -> bool:
+    """Returns whether what a server announced may be forgotten, by :func:`unlisted_since`."""
+    return since is not None and now - since >= UNLISTED_RETENTION
+
+
 @dataclass
 class _Notice:
     """The notices of the latest start of a server that gave any."""
@@ -130,14 +153,10 @@
     def forget_unlisted(self, listed: Mapping[str, BackendServer], now: float) -> None:
         """Drops ended pauses, and the notices of servers that were not listed for some time."""
         for server_id, notice in list(self._notices.items()):
-            server = listed.get(server_id)
-            if server is not None and server.started_ms <= notice.started_ms:
-                notice.unlisted_since = None
-            elif notice.unlisted_since is None:
-                notice.unlisted_since = now
+            start = ServerStart(server_id, notice.started_ms)
+            notice.unlisted_since = unlisted_since(start, listed, notice.unlisted_since, now)
             has_ended = not notice.leaving and notice.paused_until <= now
-            unlisted_for = 0.0 if notice.unlisted_since is None else now - notice.unlisted_since
-            if has_ended or unlisted_for >= UNLISTED_RETENTION:
+            if has_ended or is_obsolete(notice.unlisted_since, now):
                 del self._notices[server_id]
 
     def _notice_to_update(self, start: ServerStart) -> Optional[_Notice]:
