Count forgotten members for the limits of servers

A leader that refuses connections is forgotten after ten attempts, and the next loss of a leader then replaced the times at which members were last seen: the VM took half of the limit instead of a third. A VM may be cut off only from some others, so members count for 300 s, whether they were forgotten or not.

--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -313,7 +313,8 @@
         except* LinkBrokenError as errors:
             reason = str(errors.exceptions[0])
         finally:
-            self._last_seen = dict.fromkeys(self._members, trio.current_time())
+            # Members that were forgotten meanwhile may be cut off from this VM alone.
+            self._last_seen |= dict.fromkeys(self._members, trio.current_time())
             self._scheduler.suspend_decisions(TAKEOVER_DELAY)
             self._updates.record_leader_lost()
             self._notices.remove_link(link)
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -207,7 +207,9 @@
             await wait_until(lambda: first.election.is_leader)
             second = fleet.start(2, 102)
             await wait_until(lambda: leaders(second) == ["vm-1"])
-            self.assertEqual((True, False), (first.election.is_leader, second.election.is_leader))
+            # The leader learns of its follower a moment after the follower has found it.
+            await wait_until(lambda: first.election.is_leader)
+            self.assertFalse(second.election.is_leader)
             fleet.kill(second)
             await wait_until(lambda: not first.election.is_leader)
 
@@ -241,6 +243,21 @@
 
         run(body)
 
+    def test_a_member_that_was_forgotten_still_counts_for_the_limits_of_servers(self) -> None:
+        """Guards against two groups of VMs that decide on more than the whole limit."""
+
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+            fleet.kill(vms[0])
+            await wait_until(lambda: "vm-1" not in vms[2].election._members)
+            await wait_until(lambda: leaders(vms[2]) == ["vm-2"])
+            fleet.kill(vms[1])
+            await wait_until(lambda: leaders(vms[2]) == ["vm-3"])
+            self.assertAlmostEqual(1 / 3, vms[2].election.limit_share)
+
+        run(body)
+
     def test_a_leader_that_restarted_ranks_last(self) -> None:
         async def body(fleet: Fleet) -> None:
             first, second, third = (fleet.start(number, 100 + number) for number in (1, 2, 3))
