Soak: callers notice that an idle connection was closed

It had kept its connection while idle, and sent on one whose process was gone. Callers now look at an idle connection before they use it, as HTTP clients do; what a VM does with requests that it can read is checked as before.

--- a/camphordrift/platform/soak/_callers.py
+++ b/camphordrift/platform/soak/_callers.py
@@ -105,6 +105,9 @@
     async def _send_requests(self, vm: VmAddress, stream: trio.SocketStream) -> None:
         for _ in range(self._random.randrange(1, REQUESTS_PER_CONNECTION_LIMIT)):
             await trio.sleep(self._think_time())
+            if stream.socket.is_readable():
+                # The VM closed the connection while it was idle, or its process ended.
+                return
             if self._random.random() < HEAD_SHARE and not await send_head_request(stream):
                 return
             request = self._next_request(vm)
