--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/_engine_pool.py
@@ -25,7 +25,7 @@
     PlacementRequest,
     RefusalReason,
 )
-from camphordrift.relay._request_limits import RequestLimits, total_wait
+from camphordrift.relay._request_limits import LIMITED_WAIT_SHARE, RequestLimits, total_wait
 from camphordrift.relay._server_notices import ServerPause
 from camphordrift.relay._values import BackendServer, EngineCosts, EngineReport, ServerState
 
@@ -44,10 +44,6 @@
 #: reported.
 FINISH_REPORT_TIMEOUT = 1.0
 
-#: Share of its time left within which limited engines must be expected to take a request; it is
-#: refused at once otherwise. The engines may take it later, as they are busy or others come first.
-LIMITED_WAIT_SHARE = 0.8
-
 #: Seconds after which a caller may retry when no engine is usable.
 DEFAULT_RETRY_AFTER = 1.0
 
--- a/camphordrift/relay/_request_limits.py
+++ b/camphordrift/relay/_request_limits.py
@@ -18,6 +18,10 @@
 )
 from camphordrift.relay._values import BackendServer
 
+#: Share of its time left within which limited servers must be expected to take a request; it is
+#: refused at once otherwise. They may take it later, as they are busy or others come first.
+LIMITED_WAIT_SHARE = 0.8
+
 #: Seconds of the limit's rate that a server may get at once after a time without requests, if that
 #: is more than one request.
 BURST_SECONDS = 0.25
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -33,6 +33,7 @@
     failure_without_server,
 )
 from camphordrift.relay._request_attempts import RunningAttempt
+from camphordrift.relay._request_limits import LIMITED_WAIT_SHARE
 from camphordrift.relay._request_progress import RequestProgress
 from camphordrift.relay._request_reports import RequestReports
 from camphordrift.relay._reservations import (
@@ -145,11 +146,11 @@
         if not limited:
             return usable
         unlimited = [server for server in candidates if server not in limited]
-        max_delay = progress.remaining_time - progress.route.latency_objective
+        time_left = progress.remaining_time - progress.route.latency_objective
         permit = await self._dispatcher.request_permit(
             progress.service.name,
             tuple(server.id for server in limited),
-            0.0 if unlimited else max(0.0, max_delay),
+            0.0 if unlimited else max(0.0, time_left * LIMITED_WAIT_SHARE),
         )
         if permit.server_id is not None:
             await trio.sleep(permit.delay)
