--- a/camphordrift/relay/tests/test_configuration_backlog.py
+++ b/camphordrift/relay/tests/test_configuration_backlog.py
@@ -83,7 +83,7 @@
         else:
             self._fleet.remove(engine.id)
 
-    async def publish_all(self, on_version: Callable[[int], None] = lambda version: None) -> None:
+    async def publish_all(self, on_version: Callable[[int], None]) -> None:
         """Publishes all versions in quick succession."""
         started_at = trio.current_time()
         for index in range(VERSION_COUNT):
@@ -131,6 +131,15 @@
     return vms
 
 
+async def publish_until_due(
+    operator: Operator, on_version: Callable[[int], None] = lambda version: None
+) -> None:
+    """Publishes all versions, and waits until they must be in force."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(operator.publish_all, on_version)
+        await wait_until_all_are_due()
+
+
 class BacklogTest(testtools.TestCase):
     """Each way by which versions can queue up."""
 
@@ -145,9 +154,7 @@
             vms = prepare(fleet)
             await trio.sleep(3.0)
             operator = Operator(fleet)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(operator.publish_all)
-                await wait_until_all_are_due()
+            await publish_until_due(operator)
             for vm in vms:
                 self.assertEqual([], operator.late_versions(vm))
                 self.assertEqual(sorted(vm.versions), vm.versions)
@@ -185,10 +192,9 @@
             fleet.documents = documents
             operator = Operator(fleet)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(operator.publish_all)
+                nursery.start_soon(publish_until_due, operator)
                 await trio.sleep(1.0)
                 started_at, vm = trio.current_time(), fleet.start(1)
-                await wait_until_all_are_due()
             self.assertEqual([], operator.late_versions(vm, since=started_at))
 
         run_fleet(body)
@@ -234,9 +240,7 @@
             leader, source, vm = await start_vms(fleet, 3)
             vm.configuration._fetch = fetch
             operator = Operator(fleet)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(operator.publish_all)
-                await wait_until_all_are_due()
+            await publish_until_due(operator)
             for late_vm in (leader, source, vm):
                 self.assertEqual([], operator.late_versions(late_vm))
 
@@ -251,9 +255,7 @@
             def fall_silent(index: int) -> None:
                 log.is_silent = 20 <= index < 30
 
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(operator.publish_all, fall_silent)
-                await wait_until_all_are_due()
+            await publish_until_due(operator, fall_silent)
             for late_vm in vms:
                 self.assertEqual([], operator.late_versions(late_vm))
 
@@ -268,9 +270,7 @@
             def cut(index: int) -> None:
                 log.is_cut = index >= 20
 
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(operator.publish_all, cut)
-                await wait_until_all_are_due()
+            await publish_until_due(operator, cut)
             for late_vm in vms[1:]:
                 self.assertEqual([], operator.late_versions(late_vm))
 
@@ -288,9 +288,7 @@
                 if index == 30:
                     fleet.follow(vms[2], vms[1])
 
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(operator.publish_all, take_over)
-                await wait_until_all_are_due()
+            await publish_until_due(operator, take_over)
             for late_vm in vms[1:]:
                 self.assertEqual([], operator.late_versions(late_vm))
 
