--- a/camphordrift/relay/_request_limits.py
+++ b/camphordrift/relay/_request_limits.py
@@ -163,8 +163,7 @@
 
     def take_by_id(self, server_id: str, now: float) -> None:
         """Counts a request that another VM has sent without a grant."""
-        limit = self._limits.get(server_id)
-        if limit is not None and limit.rate is not None:
+        if (limit := self._find_by_id(server_id)) is not None:
             self._take(limit, now)
 
     def reserve(
@@ -225,10 +224,13 @@
 
     def _find(self, server: BackendServer) -> Optional[_Limit]:
         """Returns the limit of this start of a server; ``None`` if it has none."""
-        limit = self._limits.get(server.id)
-        if limit is None or limit.rate is None or server.started_ms > limit.started_ms:
-            return None
-        return limit
+        limit = self._find_by_id(server.id)
+        return None if limit is None or server.started_ms > limit.started_ms else limit
+
+    def _find_by_id(self, server_id: str) -> Optional[_Limit]:
+        """Returns the limit of a server, whichever of its starts named it."""
+        limit = self._limits.get(server_id)
+        return None if limit is None or limit.rate is None else limit
 
     def _refill(self, limit: _Limit, now: float) -> None:
         share = self._share()
@@ -252,8 +254,8 @@
         return (1.0 - limit.tokens) / rate if rate else float("inf")
 
     def _wait_time_by_id(self, server_id: str, now: float) -> float:
-        limit = self._limits.get(server_id)
-        return 0.0 if limit is None or limit.rate is None else self._wait_time(limit, now)
+        limit = self._find_by_id(server_id)
+        return 0.0 if limit is None else self._wait_time(limit, now)
 
     def _promise(self, service: str, rate: float, wait: float, now: float) -> float:
         if not rate:
