--- a/camphordrift/relay/_request_progress.py
+++ b/camphordrift/relay/_request_progress.py
@@ -1,12 +1,14 @@
 """State of an admitted request until its response is complete."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Optional
 
 import trio
 
 from camphordrift.relay._attempt import AttemptResult
 from camphordrift.relay._http_server import CallerRequest, ResponseWriter
+from camphordrift.relay._request_fingerprint import fingerprint
 from camphordrift.relay._values import Account, RequestMetadata, Route, Service
 
 
@@ -36,6 +38,11 @@
     is_established: bool = False
     last_result: Optional[AttemptResult] = None
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """The same text for all requests that are the same."""
+        return fingerprint(self.request, self.account)
+
     @property
     def remaining_time(self) -> float:
         """Seconds until the deadline; negative afterwards."""
--- a/camphordrift/relay/_request_reports.py
+++ b/camphordrift/relay/_request_reports.py
@@ -81,6 +81,7 @@
             helpers=helpers,
             tokens=progress.metadata.prompt_tokens,
             parts=",".join(progress.metadata.prompt_parts),
+            fingerprint=progress.fingerprint,
             result=outcome,
             status=getattr(result, "status", None),
             reason=getattr(result, "reason", None),
