--- /dev/null
+++ b/camphordrift/relay/tests/crashing_servers.py
@@ -0,0 +1,111 @@
+"""Backend servers that crash on certain requests and start again, for tests."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import replace
+
+import trio
+
+from camphordrift.relay import BackendServer
+from camphordrift.relay.tests.relay_harness import (
+    RelayHarness,
+    chunk,
+    events,
+    plain_response,
+    stream_head,
+)
+from camphordrift.relay.tests.samples import TOPICS, ScriptedServer, server
+from camphordrift.testing import HttpRequest
+
+#: Seconds between the events of a response, and until a response that is no stream.
+RESPONSE_TIME = 0.04
+
+
+class CrashingServer:
+    """A server that crashes on some requests when it begins to respond.
+
+    All its connections are closed then, and it is listed again under a new id.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        service: str,
+        crashes_on: Callable[[HttpRequest], bool],
+        list_again: Callable[[BackendServer, BackendServer], None],
+    ) -> None:
+        self.server = ScriptedServer(server(number, service, port=0), self._respond)
+        self._crashes_on = crashes_on
+        self._list_again = list_again
+        self._numbers = itertools.count(1)
+        self._first_id = self.server.entry.id
+        self._streams: set[trio.SocketStream] = set()
+        self.crashes = 0
+
+    async def _respond(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
+        self._streams.add(stream)
+        try:
+            if self.server.entry.service == "engines":
+                await stream.send_all(stream_head(request))
+            await trio.sleep(RESPONSE_TIME)
+            if self._crashes_on(request):
+                self.crash()
+                return False
+            if self.server.entry.service != "engines":
+                await stream.send_all(plain_response(request))
+                return True
+            first = int(request.headers.get("last-event-id", "0")) + 1
+            for number in range(first, 6):
+                await stream.send_all(chunk(events(number, number)))
+                await trio.sleep(RESPONSE_TIME)
+            await stream.send_all(b"0\r\n\r\n")
+            return True
+        finally:
+            self._streams.discard(stream)
+
+    def crash(self) -> None:
+        """Closes the connections of all requests in progress, and lists the server again."""
+        self.crashes += 1
+        for stream in self._streams:
+            stream.socket.close()
+        former = self.server.entry
+        restarted = replace(former, id=f"{self._first_id}-{next(self._numbers)}")
+        self.server.entry = restarted
+        self._list_again(former, restarted)
+
+
+class CrashingServers:
+    """The crashing servers of a relay, or of several relays with one store."""
+
+    def __init__(self, count: int, service: str, crashes_on: Callable[[HttpRequest], bool]) -> None:
+        self._relay: list[RelayHarness] = []
+        self._crashes_on = crashes_on
+        self.servers = [
+            CrashingServer(number, service, crashes_on, self._list_again) for number in range(count)
+        ]
+
+    @property
+    def scripted(self) -> list[ScriptedServer]:
+        """The servers to run."""
+        return [item.server for item in self.servers]
+
+    def set_relay(self, relay: RelayHarness) -> None:
+        """Sets the relay in whose directory the servers are listed."""
+        self._relay = [relay]
+
+    @property
+    def crashes(self) -> int:
+        """Number of crashes of all servers."""
+        return sum(item.crashes for item in self.servers)
+
+    @property
+    def crashing_requests(self) -> int:
+        """Number of requests that reached servers and crash them."""
+        return sum(
+            self._crashes_on(request) for item in self.servers for request in item.server.requests
+        )
+
+    def _list_again(self, former: BackendServer, restarted: BackendServer) -> None:
+        for relay in self._relay:
+            relay.log.put(TOPICS.servers, former.id, None)
+            relay.log.put(TOPICS.servers, restarted.id, relay.documents.write(restarted))
--- a/camphordrift/relay/tests/test_crashing_prompts.py
+++ b/camphordrift/relay/tests/test_crashing_prompts.py
@@ -1,17 +1,15 @@
 """End-to-end tests of prompts with a part on which engines crash."""
 
-import itertools
 import json
 from collections.abc import Callable
-from dataclasses import replace
 
 import pytest
 import testtools
 import trio
 
-from camphordrift.relay import BackendServer
 from camphordrift.relay._part_crashes import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
 from camphordrift.relay._quarantines import QUARANTINE_PERIOD
+from camphordrift.relay.tests.crashing_servers import CrashingServers
 from camphordrift.relay.tests.relay_harness import (
     CallerResponse,
     RelayHarness,
@@ -22,7 +20,7 @@
     run_scenario,
     stream_head,
 )
-from camphordrift.relay.tests.samples import COSTS, TOPICS, ScriptedServer, server
+from camphordrift.relay.tests.samples import COSTS, ScriptedServer, server
 from camphordrift.testing import HttpRequest
 
 pytestmark = pytest.mark.sockets
@@ -36,80 +34,9 @@
 #: Requests with the part that may reach engines after that.
 MAX_LATER_REQUESTS = 3
 
-#: Seconds between the events of a response.
-EVENT_GAP = 0.04
 
-
-class CrashingEngine:
-    """An engine that crashes when it begins to write a response on the part ``bad``.
-
-    All its connections are closed then, and it is listed again under a new id.
-    """
-
-    def __init__(self, number: int, list_again: Callable[[BackendServer, BackendServer], None]):
-        self.server = ScriptedServer(server(number, port=0), self._respond)
-        self._list_again = list_again
-        self._numbers = itertools.count(1)
-        self._first_id = self.server.entry.id
-        self._streams: set[trio.SocketStream] = set()
-        self.crashes = 0
-
-    async def _respond(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
-        self._streams.add(stream)
-        try:
-            await stream.send_all(stream_head(request))
-            await trio.sleep(EVENT_GAP)
-            if "bad" in request.headers.get("x-parts", "").split():
-                self._crash()
-                return False
-            first = int(request.headers.get("last-event-id", "0")) + 1
-            for number in range(first, 6):
-                await stream.send_all(chunk(events(number, number)))
-                await trio.sleep(EVENT_GAP)
-            await stream.send_all(b"0\r\n\r\n")
-            return True
-        finally:
-            self._streams.discard(stream)
-
-    def _crash(self) -> None:
-        self.crashes += 1
-        for stream in self._streams:
-            stream.socket.close()
-        former = self.server.entry
-        restarted = replace(former, id=f"{self._first_id}-{next(self._numbers)}")
-        self.server.entry = restarted
-        self._list_again(former, restarted)
-
-
-class Engines:
-    """The crashing engines of a relay."""
-
-    def __init__(self) -> None:
-        self._relay: list[RelayHarness] = []
-        self.engines = [CrashingEngine(number, self._list_again) for number in range(ENGINE_COUNT)]
-
-    def set_relay(self, relay: RelayHarness) -> None:
-        """Sets the relay in whose directory the engines are listed."""
-        self._relay = [relay]
-
-    @property
-    def crashes(self) -> int:
-        """Number of crashes of all engines."""
-        return sum(engine.crashes for engine in self.engines)
-
-    @property
-    def bad_requests(self) -> int:
-        """Number of requests with the part that reached engines."""
-        return sum(
-            "bad" in request.headers.get("x-parts", "").split()
-            for engine in self.engines
-            for request in engine.server.requests
-        )
-
-    def _list_again(self, former: BackendServer, restarted: BackendServer) -> None:
-        for relay in self._relay:
-            relay.log.put(TOPICS.servers, former.id, None)
-            relay.log.put(TOPICS.servers, restarted.id, relay.documents.write(restarted))
+def _is_bad(request: HttpRequest) -> bool:
+    return "bad" in request.headers.get("x-parts", "").split()
 
 
 class RefusalTest(testtools.TestCase):
@@ -219,7 +146,7 @@
         bad, _, engines = self._run(bad_count=15)
         self.assertTrue(engines.crashes <= MAX_CRASHES, engines.crashes)
         self.assertTrue(
-            engines.bad_requests <= MAX_CRASHES + MAX_LATER_REQUESTS, engines.bad_requests
+            engines.crashing_requests <= MAX_CRASHES + MAX_LATER_REQUESTS, engines.crashing_requests
         )
         self.assertEqual({502, 503}, {response.status for response in bad})
         self.assertEqual(503, bad[-1].status)
@@ -231,13 +158,15 @@
             [(response.status, response.body, response.complete) for response in sound],
         )
 
-    def _run(self, bad_count: int) -> tuple[list[CallerResponse], list[CallerResponse], Engines]:
-        engines = Engines()
+    def _run(
+        self, bad_count: int
+    ) -> tuple[list[CallerResponse], list[CallerResponse], CrashingServers]:
+        engines = CrashingServers(ENGINE_COUNT, "engines", _is_bad)
         bad: list[CallerResponse] = []
         sound: list[CallerResponse] = []
 
         async def main() -> None:
-            async with open_relay([engine.server for engine in engines.engines]) as relay:
+            async with open_relay(engines.scripted) as relay:
                 engines.set_relay(relay)
                 await _send(relay, "s", "shared", sound)
                 async with trio.open_nursery() as nursery:
