Rename parts of prompts that crash engines to traits of requests that crash servers

No change of behaviour. The mechanism is to cover whole requests to any service too, so its names must not speak of prompts and engines. Fields and messages keep their names on the wire, as VMs with the former code share evidence during a rollout; the events parts_accused, parts_quarantined and parts_released and the gauge relay_quarantined_parts are renamed.

--- a/camphordrift/relay/_attempt_evidence.py
+++ b/camphordrift/relay/_attempt_evidence.py
@@ -1,7 +1,7 @@
 """Derives from an attempt whether the parts of its prompt are sound or may crash engines."""
 
 from camphordrift.relay._attempt import Answered, AttemptResult, Broken, Streamed
-from camphordrift.relay._part_monitor import PartMonitor
+from camphordrift.relay._crash_monitor import CrashMonitor
 from camphordrift.relay._request_progress import RequestProgress
 from camphordrift.relay._values import BackendServer
 
@@ -21,7 +21,7 @@
     """
 
     def __init__(
-        self, monitor: PartMonitor, progress: RequestProgress, server: BackendServer
+        self, monitor: CrashMonitor, progress: RequestProgress, server: BackendServer
     ) -> None:
         self._monitor = monitor
         self._progress = progress
--- /dev/null
+++ b/camphordrift/relay/_crash_monitor.py
@@ -0,0 +1,134 @@
+"""Shares evidence about traits of requests that crash servers, and answers which may be sent.
+
+Each VM decides by itself from its own evidence and that of the VMs it is connected to: its leader
+and its followers. Evidence that is new to a VM is passed on to all of them but the sender. A new
+connection begins with everything that each side knows.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Optional
+
+from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay._crash_evidence import CrashEvidence, QuarantinedTraits
+from camphordrift.relay._peer_messages import CrashEvidenceUpdate, MessageLink
+from camphordrift.relay._quarantines import (
+    QuarantineChange,
+    QuarantineEnded,
+    QuarantineStarted,
+    Traits,
+)
+from camphordrift.relay._trait_quarantine import TraitQuarantine
+from camphordrift.relay._values import BackendServer
+
+#: Crashes of servers on one trait after which a request with it is not retried.
+MAX_RETRIED_CRASHES = 1
+
+
+class CrashMonitor:
+    """Keeps this VM's knowledge of traits that crash servers up to date, and logs changes.
+
+    Args:
+        vm: Id of this VM.
+        clock: Returns the seconds of a monotonic clock.
+
+    """
+
+    def __init__(self, vm: str, clock: Callable[[], float]) -> None:
+        self._vm = vm
+        self._clock = clock
+        self._quarantine = TraitQuarantine()
+        self._links: list[MessageLink] = []
+
+    def quarantined_traits(self) -> dict[Traits, float]:
+        """Returns the seconds for which each quarantine has been in force."""
+        self._review()
+        return self._quarantine.quarantined_traits(self._clock())
+
+    def add_quarantined(self, traits: Traits, age: float) -> None:
+        """Applies a record of traits that were quarantined ``age`` seconds ago."""
+        evidence = CrashEvidence(quarantined=(QuarantinedTraits(traits, age),))
+        self._share(self._quarantine.merge(evidence, self._clock()).news)
+        self._review()
+
+    def add_link(self, link: MessageLink) -> None:
+        """Starts to share evidence with the VM at the other end of ``link``."""
+        self._links.append(link)
+        _send(link, self._quarantine.snapshot(self._clock()))
+
+    def remove_link(self, link: MessageLink) -> None:
+        """Stops sharing evidence over ``link``; unknown links are ignored."""
+        if link in self._links:
+            self._links.remove(link)
+
+    def handle(self, evidence: CrashEvidence, link: MessageLink) -> None:
+        """Merges evidence that arrived over ``link``."""
+        merged = self._quarantine.merge(evidence, self._clock())
+        self._share(merged.news, link)
+        _send(link, merged.reply)
+        self._review()
+
+    def record_crash(self, traits: tuple[str, ...], server: BackendServer) -> None:
+        """Records that a server ended the connection before a response was established."""
+        start = f"{server.id}@{server.started_ms}"
+        news = self._quarantine.record_crash(start, traits, self._vm, self._clock())
+        self._share(news)
+
+    def record_sound(self, traits: tuple[str, ...]) -> None:
+        """Records that a response was established on traits."""
+        self._share(self._quarantine.record_sound(traits, self._clock()))
+        self._review()
+
+    def quarantine_seconds_left(self, traits: Iterable[str]) -> float:
+        """Returns the seconds for which requests with the traits are refused; 0 if they may run."""
+        self._review()
+        return self._quarantine.seconds_left(traits, self._clock())
+
+    def is_suspect(self, traits: Iterable[str]) -> bool:
+        """Returns whether a server may have crashed on a trait that is not known to be sound."""
+        return self._accused_of(traits) > 0
+
+    def may_retry(self, traits: Iterable[str]) -> bool:
+        """Returns whether a request whose server may have crashed on it may be sent again."""
+        return self._accused_of(traits) <= MAX_RETRIED_CRASHES
+
+    def _accused_of(self, traits: Iterable[str]) -> int:
+        now = self._clock()
+        return max((self._quarantine.accused_of(trait, now) for trait in traits), default=0)
+
+    def _share(self, news: CrashEvidence, source: Optional[MessageLink] = None) -> None:
+        for crash in news.crashes:
+            log_event(
+                "traits_accused",
+                level=LogLevel.WARNING,
+                server=crash.server,
+                traits=",".join(crash.traits),
+                age=crash.age,
+                vm=crash.vm,
+            )
+        for link in self._links:
+            if link is not source:
+                _send(link, news)
+
+    def _review(self) -> None:
+        for change in self._quarantine.review(self._clock()):
+            _log_change(change)
+
+
+def _send(link: MessageLink, evidence: CrashEvidence) -> None:
+    if evidence:
+        link.send(CrashEvidenceUpdate(evidence))
+
+
+def _log_change(change: QuarantineChange) -> None:
+    match change:
+        case QuarantineStarted(traits, servers, vms):
+            log_event(
+                "traits_quarantined",
+                level=LogLevel.WARNING,
+                traits=",".join(traits),
+                crashes=len(servers),
+                servers=",".join(servers),
+                vms=",".join(vms),
+            )
+        case QuarantineEnded(traits, is_sound):
+            log_event("traits_released", traits=",".join(traits), sound=is_sound)
--- a/camphordrift/relay/_follower_session.py
+++ b/camphordrift/relay/_follower_session.py
@@ -7,6 +7,7 @@
 from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._peer_messages import (
     ConfigurationRequest,
+    CrashEvidenceUpdate,
     EventGapReport,
     Finished,
     Granted,
@@ -14,7 +15,6 @@
     Member,
     Message,
     MessageLink,
-    PartEvidenceUpdate,
     PermitRequest,
     PermitResponse,
     Ping,
@@ -94,8 +94,8 @@
                 self._scheduler.record_limited_request(server_id)
             case ConfigurationRequest(version) if self.link is not None:
                 self._updates.send_document(self.link, version)
-            case PartEvidenceUpdate(evidence) if self.link is not None:
-                self._updates.handle_part_evidence(evidence, self.link)
+            case CrashEvidenceUpdate(evidence) if self.link is not None:
+                self._updates.handle_crash_evidence(evidence, self.link)
             case Submit():
                 self._submit(message)
             case Register(request, grant, is_prefilling):
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -11,7 +11,7 @@
 import trio
 
 from camphordrift.relay._byte_stream import READ_SIZE
-from camphordrift.relay._part_evidence import PartEvidence
+from camphordrift.relay._crash_evidence import CrashEvidence
 from camphordrift.relay._placement_values import (
     AttemptOutcome,
     Grant,
@@ -178,10 +178,10 @@
     changes: tuple[DirectoryChange, ...]
 
 
-class PartEvidenceUpdate(msgspec.Struct, frozen=True, tag=True):
+class CrashEvidenceUpdate(msgspec.Struct, frozen=True, tag="PartEvidenceUpdate"):
     """Tells a VM about parts of prompts that may crash engines, in either direction of a link."""
 
-    evidence: PartEvidence
+    evidence: CrashEvidence
 
 
 class ServersLeaving(msgspec.Struct, frozen=True, tag=True):
@@ -290,7 +290,7 @@
     ConfigurationRequest,
     ConfigurationDocument,
     ServerUpdate,
-    PartEvidenceUpdate,
+    CrashEvidenceUpdate,
     ServersLeaving,
     ServersLimited,
     PermitRequest,
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -21,6 +21,7 @@
 from camphordrift.relay._configuration_sharing import fetch_configuration
 from camphordrift.relay._configuration_watcher import ConfigurationWatcher
 from camphordrift.relay._counted_log import CountedLog
+from camphordrift.relay._crash_monitor import CrashMonitor
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_inspection import EngineInspector
 from camphordrift.relay._engine_scheduler import EngineScheduler
@@ -36,7 +37,6 @@
 )
 from camphordrift.relay._leader_election import LeaderElection
 from camphordrift.relay._notice_distribution import NoticeDistributor
-from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import Member
 from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._relay_metrics import RelayMetrics
@@ -159,12 +159,12 @@
             self._servers_changed,
             lambda: self._configuration.store_reachable,
         )
-        self._parts = PartMonitor(settings.vm, trio.current_time)
+        self._crashes = CrashMonitor(settings.vm, trio.current_time)
         self._updates = UpdateDistributor(
-            self._configuration, self._servers, self._lease, eras, self._parts
+            self._configuration, self._servers, self._lease, eras, self._crashes
         )
         quarantine_records = QuarantineRecords(
-            log, adapters.topics.members, self._parts, eras, lambda: self._election.is_leader
+            log, adapters.topics.members, self._crashes, eras, lambda: self._election.is_leader
         )
         self._election = LeaderElection(
             self._own_member(),
@@ -201,7 +201,7 @@
             limits=self._request_limits,
             budget_settings=settings.budget,
             vm_count=lambda: self._election.member_count,
-            parts=self._parts,
+            crashes=self._crashes,
         )
         reports = RequestReports(self._routing_state, self._metrics)
         self._reservations = ReservationManager(calls, adapters.orders)
@@ -307,9 +307,9 @@
             lambda: len(self._directory.servers),
         )
         gauge(
-            "relay_quarantined_parts",
-            "Parts of prompts that are not sent, as engines crash on them.",
-            lambda: len(self._parts.quarantined_parts()),
+            "relay_quarantined_traits",
+            "Traits of prompts that are not sent, as engines crash on them.",
+            lambda: len(self._crashes.quarantined_traits()),
         )
         gauge(
             "relay_limited_servers",
--- a/camphordrift/relay/_quarantine_records.py
+++ b/camphordrift/relay/_quarantine_records.py
@@ -1,4 +1,4 @@
-"""Keeps quarantined parts of prompts on the store, for VMs that all start again.
+"""Keeps quarantined traits of requests on the store, for VMs that all start again.
 
 VMs tell each other what they know, so the records are needed only if no VM is left that knows it,
 or if VMs cannot reach each other. The leader writes them. VMs without a leader read them together
@@ -11,12 +11,12 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay._crash_monitor import CrashMonitor
 from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, StoreError
-from camphordrift.relay._part_monitor import PartMonitor
-from camphordrift.relay._quarantines import Parts
+from camphordrift.relay._quarantines import Traits
 from camphordrift.relay._store_era import StoreEraTracker
 
-#: Prefix of the keys of records in the members' topic; the ids of the parts follow.
+#: Prefix of the keys of records in the members' topic; the ids of the traits follow.
 KEY_PREFIX = "quarantine/"
 
 #: Maximum length of a key in bytes; quarantines with longer ones are not stored.
@@ -34,7 +34,7 @@
 
 
 class QuarantineRecords:
-    """Reads and writes the records of quarantined parts.
+    """Reads and writes the records of quarantined traits.
 
     A record contains the beginning of the quarantine by the writer's clock. A clock that is off
     only shortens or lengthens the quarantine.
@@ -42,7 +42,7 @@
     Args:
         log: The store.
         topic: Topic of the members.
-        parts: The quarantined parts as this VM knows them.
+        traits: The quarantined traits as this VM knows them.
         eras: Tracks restores of the store, which may lack records that were written.
         is_leader: Returns whether this VM is the leader.
 
@@ -52,30 +52,30 @@
         self,
         log: KeyedLog,
         topic: str,
-        parts: PartMonitor,
+        traits: CrashMonitor,
         eras: StoreEraTracker,
         is_leader: Callable[[], bool],
     ) -> None:
         self._log = log
         self._topic = topic
-        self._parts = parts
+        self._crashes = traits
         self._is_leader = is_leader
         #: Quarantines of which this VM has read or written a record.
-        self._stored: set[Parts] = set()
+        self._stored: set[Traits] = set()
         eras.call_on_restore(self._stored.clear)
 
     def read(self, record: KeyedRecord) -> bool:
         """Applies a record of the members' topic; returns whether it is one of a quarantine."""
         if not record.key.startswith(KEY_PREFIX):
             return False
-        parts = tuple(record.key.removeprefix(KEY_PREFIX).split(","))
+        traits = tuple(record.key.removeprefix(KEY_PREFIX).split(","))
         try:
             started_ms = int(record.value or b"")
         except ValueError:
-            self._stored.discard(parts)
+            self._stored.discard(traits)
             return True
-        self._stored.add(parts)
-        self._parts.add_quarantined(parts, max(0.0, time.time() - started_ms / 1000))
+        self._stored.add(traits)
+        self._crashes.add_quarantined(traits, max(0.0, time.time() - started_ms / 1000))
         return True
 
     async def run(self) -> None:
@@ -93,17 +93,17 @@
                     await trio.sleep(RETRY_INTERVAL)
 
     async def _write_changes(self) -> None:
-        quarantined = self._parts.quarantined_parts()
-        for parts in sorted(quarantined.keys() - self._stored):
-            started_ms = int((time.time() - quarantined[parts]) * 1000)
-            if len(_key(parts)) <= MAX_KEY_LENGTH:
-                await self._log.append(self._topic, KeyedRecord(_key(parts), b"%d" % started_ms))
-            self._stored.add(parts)
-        for parts in sorted(self._stored - quarantined.keys()):
-            if len(_key(parts)) <= MAX_KEY_LENGTH:
-                await self._log.append(self._topic, KeyedRecord(_key(parts), None))
-            self._stored.discard(parts)
-
-
-def _key(parts: Parts) -> str:
-    return KEY_PREFIX + ",".join(parts)
+        quarantined = self._crashes.quarantined_traits()
+        for traits in sorted(quarantined.keys() - self._stored):
+            started_ms = int((time.time() - quarantined[traits]) * 1000)
+            if len(_key(traits)) <= MAX_KEY_LENGTH:
+                await self._log.append(self._topic, KeyedRecord(_key(traits), b"%d" % started_ms))
+            self._stored.add(traits)
+        for traits in sorted(self._stored - quarantined.keys()):
+            if len(_key(traits)) <= MAX_KEY_LENGTH:
+                await self._log.append(self._topic, KeyedRecord(_key(traits), None))
+            self._stored.discard(traits)
+
+
+def _key(traits: Traits) -> str:
+    return KEY_PREFIX + ",".join(traits)
--- a/camphordrift/relay/_refusals.py
+++ b/camphordrift/relay/_refusals.py
@@ -46,7 +46,7 @@
     )
 
 
-def failure_of_quarantined_parts(progress: RequestProgress, seconds_left: float) -> Failure:
+def failure_of_quarantine(progress: RequestProgress, seconds_left: float) -> Failure:
     """Returns the failure for a request with parts that are quarantined for ``seconds_left``."""
     if progress.may_have_run:
         return Failure(
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -23,7 +23,7 @@
     RequestRefusedError,
     failure_of_attempt,
     failure_of_deadline,
-    failure_of_quarantined_parts,
+    failure_of_quarantine,
     failure_of_revoked_key,
     failure_of_stop,
 )
@@ -174,8 +174,8 @@
         if not self._routing_state.is_still_authorized(progress.metadata.key, progress.account):
             raise RequestRefusedError(failure_of_revoked_key(progress))
         parts = progress.metadata.prompt_parts
-        if (seconds_left := self._routing_state.parts.quarantine_seconds_left(parts)) > 0:
-            raise RequestRefusedError(failure_of_quarantined_parts(progress, seconds_left))
+        if (seconds_left := self._routing_state.crashes.quarantine_seconds_left(parts)) > 0:
+            raise RequestRefusedError(failure_of_quarantine(progress, seconds_left))
         if progress.service.engine_costs is not None:
             return await self._sender.try_engine(progress, running)
         return await self._sender.try_plain_server(progress, running)
@@ -214,7 +214,7 @@
     def _is_safe_to_retry(self, progress: RequestProgress) -> bool:
         """Returns whether a request may be retried although its engine may have crashed on it."""
         parts = progress.metadata.prompt_parts
-        return progress.is_established or self._routing_state.parts.may_retry(parts)
+        return progress.is_established or self._routing_state.crashes.may_retry(parts)
 
     def _may_retry(self, progress: RequestProgress) -> bool:
         return self._is_retry_permitted(progress) and self._charge_retry(progress)
--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/_routing_state.py
@@ -7,7 +7,7 @@
 import trio
 
 from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
-from camphordrift.relay._part_monitor import PartMonitor
+from camphordrift.relay._crash_monitor import CrashMonitor
 from camphordrift.relay._pending_versions import PendingVersions
 from camphordrift.relay._request_limits import RequestLimits
 from camphordrift.relay._retry_budget import RetryBudget, RetryBudgetSettings
@@ -38,8 +38,8 @@
     budget_settings: RetryBudgetSettings
     #: Returns how many VMs share the retry budget.
     vm_count: Callable[[], int]
-    #: Parts of prompts that crash engines.
-    parts: PartMonitor
+    #: Traits of prompts that crash engines.
+    crashes: CrashMonitor
     _budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
     @property
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -173,7 +173,7 @@
         if isinstance(decision, PlacementRefusal):
             raise RequestRefusedError(failure_of_placement(decision, progress))
         result: Optional[AttemptResult] = None
-        evidence = AttemptEvidence(self._routing_state.parts, progress, decision.server)
+        evidence = AttemptEvidence(self._routing_state.crashes, progress, decision.server)
         # The further attempt may use the engines that this one occupies.
         running.on_replacement = lambda: self._dispatcher.report_finished(
             placement_request.id, AttemptOutcome.SILENT
@@ -262,7 +262,7 @@
             resumed=metadata.last_event_id is not None
             or (sink is not None and sink.last_event_id is not None),
             isolated=not progress.is_established
-            and self._routing_state.parts.is_suspect(metadata.prompt_parts),
+            and self._routing_state.crashes.is_suspect(metadata.prompt_parts),
         )
 
     async def _attempt(
@@ -330,7 +330,7 @@
             return None
         if not self._routing_state.directory.may_receive_requests(server.id):
             return None
-        if self._routing_state.parts.quarantine_seconds_left(progress.metadata.prompt_parts) > 0:
+        if self._routing_state.crashes.quarantine_seconds_left(progress.metadata.prompt_parts) > 0:
             return None
         if not all(map(self._routing_state.accepts_requests, servers)):
             return None
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -11,16 +11,16 @@
 from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
 from camphordrift.relay._configuration_sharing import choose_zone_sources
 from camphordrift.relay._configuration_watcher import MAX_CONFIGURATION_AGE, ConfigurationWatcher
-from camphordrift.relay._part_evidence import PartEvidence
-from camphordrift.relay._part_monitor import PartMonitor
+from camphordrift.relay._crash_evidence import CrashEvidence
+from camphordrift.relay._crash_monitor import CrashMonitor
 from camphordrift.relay._peer_messages import (
     ConfigurationDocument,
     ConfigurationRequest,
     ConfigurationUpdate,
+    CrashEvidenceUpdate,
     Member,
     Message,
     MessageLink,
-    PartEvidenceUpdate,
     Ping,
     Pong,
     ServerUpdate,
@@ -44,13 +44,13 @@
         servers: ServersWatcher,
         lease: ConfigurationLease,
         eras: StoreEraTracker,
-        parts: PartMonitor,
+        crashes: CrashMonitor,
     ) -> None:
         self._configuration = configuration
         self._servers = servers
         self._lease = lease
         self._eras = eras
-        self._parts = parts
+        self._crashes = crashes
         self._leader_link: Optional[MessageLink] = None
         self._followers: dict[MessageLink, Member] = {}
         #: Requested versions of the configuration that this VM does not have yet.
@@ -89,12 +89,12 @@
         self._followers[link] = follower
         for member in better_leaders:
             link.send(member)
-        self._parts.add_link(link)
+        self._crashes.add_link(link)
 
     def remove_follower(self, link: MessageLink) -> None:
         """Stops sending updates to a follower; unknown links are ignored."""
         self._followers.pop(link, None)
-        self._parts.remove_link(link)
+        self._crashes.remove_link(link)
         self._awaited_versions.pop(link, None)
 
     def announce_store_unreachable(self, vm: str) -> None:
@@ -159,9 +159,9 @@
         self._awaited_versions.pop(link, None)
         link.send_newest(ConfigurationDocument(document))
 
-    def handle_part_evidence(self, evidence: PartEvidence, link: MessageLink) -> None:
+    def handle_crash_evidence(self, evidence: CrashEvidence, link: MessageLink) -> None:
         """Merges evidence of this VM's leader or of a follower."""
-        self._parts.handle(evidence, link)
+        self._crashes.handle(evidence, link)
 
     def leader_cannot_reach_store(self) -> bool:
         """Returns whether the leader cannot reach the store, while this VM can."""
@@ -181,14 +181,14 @@
         self._configuration.request_document = lambda: link.send(ConfigurationRequest())
         self._leader_age = None
         self._leader_link = link
-        self._parts.add_link(link)
+        self._crashes.add_link(link)
         self._configuration.has_leader = True
         self._servers.record_leader_found()
 
     def record_leader_lost(self) -> None:
         """Records that this VM has no leader."""
         if self._leader_link is not None:
-            self._parts.remove_link(self._leader_link)
+            self._crashes.remove_link(self._leader_link)
             self._leader_link = None
         self._configuration.has_leader = False
         self._servers.has_leader = False
@@ -216,8 +216,8 @@
             case ServerUpdate(changes):
                 self._eras.observe_peer(max((c.era for c in changes), default=0), "leader")
                 self._servers.apply_changes(changes)
-            case PartEvidenceUpdate(evidence) if self._leader_link is not None:
-                self.handle_part_evidence(evidence, self._leader_link)
+            case CrashEvidenceUpdate(evidence) if self._leader_link is not None:
+                self.handle_crash_evidence(evidence, self._leader_link)
             case Pong():
                 self._handle_pong(message)
             case _:
--- a/camphordrift/relay/tests/test_part_evidence.py
+++ b/camphordrift/relay/tests/test_crash_evidence.py
@@ -1,4 +1,4 @@
-"""Tests of the exchange of evidence about parts of prompts between VMs, over sockets."""
+"""Tests of the exchange of evidence about traits of prompts between VMs, over sockets."""
 
 from collections.abc import Callable
 
@@ -7,35 +7,35 @@
 import trio
 
 from camphordrift.relay import KeyedRecord
-from camphordrift.relay._part_crashes import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
+from camphordrift.relay._crash_analysis import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
 from camphordrift.relay._quarantine_records import CHECK_INTERVAL, KEY_PREFIX, SETTLING_PERIOD
 from camphordrift.relay.tests.samples import TOPICS, server
 from camphordrift.relay.tests.test_leader_election import Fleet, Vm, leaders, run, wait_until
 
 pytestmark = pytest.mark.sockets
 
-#: Seconds within which the platform allows requests with a part to be sent after the fifth crash.
+#: Seconds within which the platform allows requests with a trait to be sent after the fifth crash.
 KNOWN_WITHIN = 3.0
 
 #: Seconds between two crashes; crashes at the same moment count as one.
 CRASH_INTERVAL = 2 * SAME_CAUSE_SECONDS
 
 
-def crash(number: int, vm: Vm, *parts: str) -> None:
+def crash(number: int, vm: Vm, *traits: str) -> None:
     """Makes a VM observe the crash of an engine."""
-    vm.parts.record_crash(parts, server(number))
+    vm.crashes.record_crash(traits, server(number))
 
 
-async def crash_engines(*vms: Vm, part: str = "bad") -> None:
-    """Crashes as many engines on a part as are needed, each seen by the next one of the VMs."""
+async def crash_engines(*vms: Vm, trait: str = "bad") -> None:
+    """Crashes as many engines on a trait as are needed, each seen by the next one of the VMs."""
     for number in range(CRASHES_TO_QUARANTINE):
-        crash(number, vms[number % len(vms)], part)
+        crash(number, vms[number % len(vms)], trait)
         await trio.sleep(CRASH_INTERVAL)
 
 
-def refuses(vm: Vm, part: str = "bad") -> Callable[[], bool]:
-    """Returns a function that tells whether a VM refuses requests with a part."""
-    return lambda: vm.parts.quarantine_seconds_left((part,)) > 0
+def refuses(vm: Vm, trait: str = "bad") -> Callable[[], bool]:
+    """Returns a function that tells whether a VM refuses requests with a trait."""
+    return lambda: vm.crashes.quarantine_seconds_left((trait,)) > 0
 
 
 def quarantine_records(fleet: Fleet) -> list[KeyedRecord]:
@@ -45,14 +45,14 @@
 
 
 async def wait_until_all_refuse(*vms: Vm) -> None:
-    """Waits until all VMs refuse the part; fails if that takes too long."""
+    """Waits until all VMs refuse the trait; fails if that takes too long."""
     with trio.fail_after(KNOWN_WITHIN):
         for vm in vms:
             await wait_until(refuses(vm))
 
 
-class PartEvidenceTest(testtools.TestCase):
-    """Guards against VMs that each have to find a part that crashes engines by themselves."""
+class CrashEvidenceTest(testtools.TestCase):
+    """Guards against VMs that each have to find a trait that crashes engines by themselves."""
 
     def test_crashes_that_different_vms_see_are_added_up_on_all(self) -> None:
         async def body(fleet: Fleet) -> None:
@@ -68,9 +68,9 @@
             vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
             await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
             crash(0, vms[1], "rare")
-            await wait_until(lambda: all(vm.parts.is_suspect(("rare",)) for vm in vms))
-            vms[2].parts.record_sound(("rare",))
-            await wait_until(lambda: not any(vm.parts.is_suspect(("rare",)) for vm in vms))
+            await wait_until(lambda: all(vm.crashes.is_suspect(("rare",)) for vm in vms))
+            vms[2].crashes.record_sound(("rare",))
+            await wait_until(lambda: not any(vm.crashes.is_suspect(("rare",)) for vm in vms))
 
         run(body)
 
@@ -78,21 +78,21 @@
         async def body(fleet: Fleet) -> None:
             vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
             await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
-            vms[2].parts.record_sound(("hot",))
+            vms[2].crashes.record_sound(("hot",))
             crash(0, vms[1], "hot", "bad")
-            await wait_until(lambda: all(vm.parts.is_suspect(("bad",)) for vm in vms))
-            await wait_until(lambda: not any(vm.parts.is_suspect(("hot",)) for vm in vms))
+            await wait_until(lambda: all(vm.crashes.is_suspect(("bad",)) for vm in vms))
+            await wait_until(lambda: not any(vm.crashes.is_suspect(("hot",)) for vm in vms))
 
         run(body)
 
     def test_evidence_survives_the_loss_of_the_leader(self) -> None:
-        """The crashes are seen in part before, in part after the leader is lost."""
+        """The crashes are seen in trait before, in trait after the leader is lost."""
 
         async def body(fleet: Fleet) -> None:
             vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
             await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
             crash(0, vms[0], "bad")
-            await wait_until(lambda: vms[1].parts.is_suspect(("bad",)))
+            await wait_until(lambda: vms[1].crashes.is_suspect(("bad",)))
             fleet.kill(vms[0])
             for number in (1, 2):
                 await trio.sleep(CRASH_INTERVAL)
@@ -137,10 +137,10 @@
             crash(1, third, "bad")
             await trio.sleep(CRASH_INTERVAL)
             crash(2, second, "bad")
-            first.parts.record_sound(("rare",))
+            first.crashes.record_sound(("rare",))
             await wait_until(lambda: leaders(first, second, third) == ["vm-1"] * 3)
             await wait_until_all_refuse(first, second, third)
-            self.assertFalse(any(vm.parts.is_suspect(("rare",)) for vm in (first, second, third)))
+            self.assertFalse(any(vm.crashes.is_suspect(("rare",)) for vm in (first, second, third)))
 
         run(body)
 
@@ -179,7 +179,7 @@
             await wait_until(lambda: leaders(*vms) == ["vm-1"] * 2)
             await crash_engines(*vms)
             await wait_until(lambda: len(quarantine_records(fleet)) == 1)
-            vms[1].parts.record_sound(("bad",))
+            vms[1].crashes.record_sound(("bad",))
             await wait_until(lambda: len(quarantine_records(fleet)) == 2)
             for vm in vms:
                 fleet.kill(vm)
@@ -202,11 +202,11 @@
 
     def test_a_record_that_cannot_be_read_is_ignored(self) -> None:
         async def body(fleet: Fleet) -> None:
-            for part, value in (("bad", b"soon"), ("worse", b"")):
-                fleet.log.put(TOPICS.members, KEY_PREFIX + part, value)
+            for trait, value in (("bad", b"soon"), ("worse", b"")):
+                fleet.log.put(TOPICS.members, KEY_PREFIX + trait, value)
             first, second = fleet.start(1, 101), fleet.start(2, 102)
             await wait_until(lambda: leaders(first, second) == ["vm-1"] * 2)
-            self.assertEqual({}, first.parts.quarantined_parts())
+            self.assertEqual({}, first.crashes.quarantined_traits())
 
         run(body)
 
@@ -235,10 +235,10 @@
         run(body)
 
     def _count_messages(self, vm: Vm, received: list[int], index: int) -> None:
-        handle = vm.parts.handle
+        handle = vm.crashes.handle
 
         def count(*arguments: object) -> None:
             received[index] += 1
             handle(*arguments)  # type: ignore[arg-type]
 
-        self.patch(vm.parts, "handle", count)
+        self.patch(vm.crashes, "handle", count)
--- a/camphordrift/relay/tests/test_crashing_prompts.py
+++ b/camphordrift/relay/tests/test_crashing_prompts.py
@@ -7,7 +7,7 @@
 import testtools
 import trio
 
-from camphordrift.relay._part_crashes import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
+from camphordrift.relay._crash_analysis import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
 from camphordrift.relay._quarantines import QUARANTINE_PERIOD
 from camphordrift.relay.tests.crashing_servers import CrashingServers
 from camphordrift.relay.tests.relay_harness import (
@@ -74,7 +74,7 @@
             self.assertTrue(float(response.headers["retry-after"]) > QUARANTINE_PERIOD / 2)
             self.assertEqual([], servers[0].requests)
             self.assertEqual(200, (await relay.send_request("/quick/x", x_parts="shared")).status)
-            self.assertIn("camphordrift_relay_quarantined_parts 1.0", await relay.metrics_page())
+            self.assertIn("camphordrift_relay_quarantined_traits 1.0", await relay.metrics_page())
 
         run_scenario(scenario, complete_stream)
 
@@ -86,7 +86,7 @@
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             await relay.send_request("/quick/x", x_parts="shared", x_patience="1.5")
             self.assertTrue(servers[0].requests or servers[1].requests)
-            self.assertFalse(relay.process._parts.is_suspect(("shared",)))
+            self.assertFalse(relay.process._crashes.is_suspect(("shared",)))
 
         run_scenario(scenario, never_responds, never_responds)
 
@@ -99,7 +99,7 @@
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             response = await relay.send_request("/quick/x", x_parts="shared")
             self.assertFalse(response.complete)
-            self.assertFalse(relay.process._parts.is_suspect(("shared",)))
+            self.assertFalse(relay.process._crashes.is_suspect(("shared",)))
 
         run_scenario(scenario, truncates, truncates)
 
@@ -109,10 +109,10 @@
             return True
 
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
-            relay.process._parts.record_crash(("shared",), server(9))
-            self.assertTrue(relay.process._parts.is_suspect(("shared",)))
+            relay.process._crashes.record_crash(("shared",), server(9))
+            self.assertTrue(relay.process._crashes.is_suspect(("shared",)))
             await relay.send_request("/quick/x", x_parts="shared")
-            self.assertFalse(relay.process._parts.is_suspect(("shared",)))
+            self.assertFalse(relay.process._crashes.is_suspect(("shared",)))
 
         run_scenario(scenario, one_event)
 
@@ -131,9 +131,9 @@
 async def _accuse(relay: RelayHarness, part: str) -> None:
     """Lets the relay observe so many crashes that it quarantines a part."""
     for number in range(CRASHES_TO_QUARANTINE):
-        relay.process._parts.record_crash((part,), server(100 + number))
+        relay.process._crashes.record_crash((part,), server(100 + number))
         await trio.sleep(2 * SAME_CAUSE_SECONDS)
-    await _wait_until(lambda: len(relay.process._parts.quarantined_parts()) == 1)
+    await _wait_until(lambda: len(relay.process._crashes.quarantined_traits()) == 1)
 
 
 class CrashingPartTest(testtools.TestCase):
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -21,6 +21,7 @@
     ConfigurationWatcher,
     long_poll_timeout,
 )
+from camphordrift.relay._crash_monitor import CrashMonitor
 from camphordrift.relay._dispatcher import Dispatcher
 from camphordrift.relay._engine_scheduler import EngineScheduler
 from camphordrift.relay._leader_election import (
@@ -29,7 +30,6 @@
     LeaderElection,
 )
 from camphordrift.relay._notice_distribution import NoticeDistributor
-from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import (
     LinkBrokenError,
     Member,
@@ -70,7 +70,7 @@
     configuration: ConfigurationWatcher
     servers: ServersWatcher
     directory: ServerDirectory
-    parts: PartMonitor
+    crashes: CrashMonitor
     election: LeaderElection
 
     @property
@@ -123,7 +123,7 @@
         servers_changed,
         lambda: configuration.store_reachable,
     )
-    parts = PartMonitor(member.vm, trio.current_time)
+    parts = CrashMonitor(member.vm, trio.current_time)
     updates = UpdateDistributor(configuration, servers, lease, eras, parts)
     records = QuarantineRecords(
         checked_log, TOPICS.members, parts, eras, lambda: election.is_leader
--- a/camphordrift/relay/tests/test_part_quarantine.py
+++ b/camphordrift/relay/tests/test_trait_quarantine.py
@@ -1,4 +1,4 @@
-"""Tests of the decision which parts of prompts are quarantined."""
+"""Tests of the decision which traits of prompts are quarantined."""
 
 import random
 from collections.abc import Iterable
@@ -7,15 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from camphordrift.relay import _sound_parts
-from camphordrift.relay._part_crashes import CRASHES_IF_SOUND_BEFORE, CRASHES_TO_QUARANTINE
-from camphordrift.relay._part_evidence import EngineCrash, PartEvidence, QuarantinedParts, SoundPart
-from camphordrift.relay._part_quarantine import (
-    CRASH_MEMORY,
-    EVIDENCE_DELAY,
-    MAX_ACCUSED_PARTS,
-    MAX_CRASHES,
-    PartQuarantine,
+from camphordrift.relay import _sound_traits
+from camphordrift.relay._crash_analysis import CRASHES_IF_SOUND_BEFORE, CRASHES_TO_QUARANTINE
+from camphordrift.relay._crash_evidence import (
+    CrashEvidence,
+    QuarantinedTraits,
+    ServerCrash,
+    SoundTrait,
 )
 from camphordrift.relay._quarantines import (
     MAX_QUARANTINES,
@@ -24,8 +22,15 @@
     QuarantineEnded,
     QuarantineStarted,
 )
+from camphordrift.relay._trait_quarantine import (
+    CRASH_MEMORY,
+    EVIDENCE_DELAY,
+    MAX_ACCUSED_TRAITS,
+    MAX_CRASHES,
+    TraitQuarantine,
+)
 
-#: Engines that may crash on a part: five, and three more while the VMs learn of it.
+#: Engines that may crash on a trait: five, and three more while the VMs learn of it.
 PERMITTED_CRASHES = 5 + 3
 
 
@@ -34,31 +39,31 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.quarantine = PartQuarantine()
+        self.quarantine = TraitQuarantine()
         self.now = 1000.0
         self.engines = 0
 
-    def crash(self, *parts: str, gap: float = 1.0) -> None:
+    def crash(self, *traits: str, gap: float = 1.0) -> None:
         """Records the crash of another engine, ``gap`` seconds after the former event."""
         self.now += gap
         self.engines += 1
-        self.quarantine.record_crash(f"engine-{self.engines}", parts, "vm-1", self.now)
+        self.quarantine.record_crash(f"engine-{self.engines}", traits, "vm-1", self.now)
 
-    def sound(self, *parts: str) -> None:
-        """Records a response on parts, a second after the former event."""
+    def sound(self, *traits: str) -> None:
+        """Records a response on traits, a second after the former event."""
         self.now += 1.0
-        self.quarantine.record_sound(parts, self.now)
+        self.quarantine.record_sound(traits, self.now)
 
     def quarantined(self) -> list[str]:
-        """Returns the quarantined parts once the evidence counts."""
+        """Returns the quarantined traits once the evidence counts."""
         self.now += EVIDENCE_DELAY
-        return quarantined_parts(self.quarantine, self.now)
+        return quarantined_traits(self.quarantine, self.now)
 
 
-def quarantined_parts(quarantine: PartQuarantine, now: float) -> list[str]:
-    """Returns the quarantined parts, with a plus sign between those that were not told apart."""
+def quarantined_traits(quarantine: TraitQuarantine, now: float) -> list[str]:
+    """Returns the quarantined traits, with a plus sign between those that were not told apart."""
     quarantine.review(now)
-    return sorted("+".join(parts) for parts in quarantine.quarantined_parts(now))
+    return sorted("+".join(traits) for traits in quarantine.quarantined_traits(now))
 
 
 class CulpritTest(QuarantineCase):
@@ -77,7 +82,7 @@
         self.assertEqual([], self.quarantined())
 
     def test_engines_that_crash_at_one_moment_accuse_no_part(self) -> None:
-        """Guards against a hot part that is refused after a loss of power."""
+        """Guards against a hot trait that is refused after a loss of power."""
         for _ in range(10):
             self.crash("hot", gap=0.002)
         self.assertEqual([], self.quarantined())
@@ -146,11 +151,11 @@
         self.assertEqual(["bad", "worse"], self.quarantined())
 
     def test_evidence_that_is_under_way_is_awaited(self) -> None:
-        """Guards against a sound part that is refused because its VM knows only its own crashes."""
+        """Guards against a sound trait refused because its VM knows only its own crashes."""
         for _ in range(CRASHES_TO_QUARANTINE):
             self.crash("rare")
-        self.assertEqual([], quarantined_parts(self.quarantine, self.now + EVIDENCE_DELAY / 2))
-        told = PartEvidence(sound=(SoundPart("rare", 0.05),))
+        self.assertEqual([], quarantined_traits(self.quarantine, self.now + EVIDENCE_DELAY / 2))
+        told = CrashEvidence(sound=(SoundTrait("rare", 0.05),))
         self.quarantine.merge(told, self.now + EVIDENCE_DELAY / 2)
         self.assertEqual([], self.quarantined())
 
@@ -185,7 +190,7 @@
         self.assertEqual(["bad"], self.quarantined())
 
     def test_changes_are_reported_once(self) -> None:
-        quarantine = PartQuarantine()
+        quarantine = TraitQuarantine()
         for number in range(3):
             quarantine.record_crash(f"engine-{number}", ("bad",), f"vm-{number}", 10.0 + number)
         engines = ("engine-0", "engine-1", "engine-2")
@@ -226,13 +231,13 @@
 class MemoryTest(QuarantineCase):
     def test_memory_is_bounded(self) -> None:
         for number in range(2 * MAX_CRASHES):
-            parts = tuple(f"{number}-{index}" for index in range(2 * MAX_ACCUSED_PARTS))
-            self.crash(*parts, gap=0.01)
+            traits = tuple(f"{number}-{index}" for index in range(2 * MAX_ACCUSED_TRAITS))
+            self.crash(*traits, gap=0.01)
         snapshot = self.quarantine.snapshot(self.now)
         self.assertEqual(MAX_CRASHES, len(snapshot.crashes))
-        self.assertEqual(MAX_ACCUSED_PARTS, max(len(crash.parts) for crash in snapshot.crashes))
+        self.assertEqual(MAX_ACCUSED_TRAITS, max(len(crash.traits) for crash in snapshot.crashes))
         oldest = min(snapshot.crashes, key=lambda crash: -crash.age)
-        self.assertEqual(f"engine-{MAX_CRASHES + 1}", oldest.engine)
+        self.assertEqual(f"engine-{MAX_CRASHES + 1}", oldest.server)
 
     def test_the_number_of_quarantined_parts_is_bounded(self) -> None:
         for number in range(2 * MAX_QUARANTINES):
@@ -240,40 +245,40 @@
                 self.crash(f"bad-{number}", gap=0.1)
         self.assertTrue(len(self.quarantined()) <= MAX_QUARANTINES)
 
-    def test_the_number_of_sound_parts_is_bounded(self) -> None:
-        self.patch(_sound_parts, "MAX_SOUND_PARTS", 10)
-        self.sound(*(f"part-{number}" for number in range(20)))
-        self.crash(*(f"part-{number}" for number in range(20)))
+    def test_the_number_of_sound_traits_is_bounded(self) -> None:
+        self.patch(_sound_traits, "MAX_SOUND_TRAITS", 10)
+        self.sound(*(f"trait-{number}" for number in range(20)))
+        self.crash(*(f"trait-{number}" for number in range(20)))
         self.assertEqual(10, len(self.quarantine.snapshot(self.now).sound))
 
 
 class MergeTest(QuarantineCase):
     def test_crashes_of_several_vms_are_added_up(self) -> None:
         for number in range(CRASHES_TO_QUARANTINE):
-            crash = EngineCrash(f"engine-{number}", ("bad",), 3.0 - number, f"vm-{number}")
-            self.quarantine.merge(PartEvidence(crashes=(crash,)), self.now)
+            crash = ServerCrash(f"engine-{number}", ("bad",), 3.0 - number, f"vm-{number}")
+            self.quarantine.merge(CrashEvidence(crashes=(crash,)), self.now)
         self.assertEqual(["bad"], self.quarantined())
 
     def test_evidence_that_is_known_is_not_passed_on(self) -> None:
-        crash = EngineCrash("engine-1", ("bad",), 1.0, "vm-2")
-        evidence = PartEvidence(
-            (crash,), (SoundPart("hot", 5.0),), (QuarantinedParts(("worse",), 2.0),)
+        crash = ServerCrash("engine-1", ("bad",), 1.0, "vm-2")
+        evidence = CrashEvidence(
+            (crash,), (SoundTrait("hot", 5.0),), (QuarantinedTraits(("worse",), 2.0),)
         )
         self.assertEqual(evidence, self.quarantine.merge(evidence, self.now).news)
         self.assertFalse(self.quarantine.merge(evidence, self.now).news)
 
     def test_a_vm_that_saw_a_response_on_an_accused_part_replies(self) -> None:
         self.sound("hot")
-        crash = EngineCrash("engine-1", ("hot", "bad"), 0.0, "vm-2")
+        crash = ServerCrash("engine-1", ("hot", "bad"), 0.0, "vm-2")
         self.now += 1.5
-        merged = self.quarantine.merge(PartEvidence(crashes=(crash,)), self.now)
-        self.assertEqual(PartEvidence(sound=(SoundPart("hot", 1.5),)), merged.reply)
+        merged = self.quarantine.merge(CrashEvidence(crashes=(crash,)), self.now)
+        self.assertEqual(CrashEvidence(sound=(SoundTrait("hot", 1.5),)), merged.reply)
 
     def test_a_response_after_a_crash_is_told_once(self) -> None:
         self.crash("rare")
         self.now += 0.1
         news = self.quarantine.record_sound(("hot", "rare"), self.now)
-        self.assertEqual(PartEvidence(sound=(SoundPart("rare", 0.0),)), news)
+        self.assertEqual(CrashEvidence(sound=(SoundTrait("rare", 0.0),)), news)
         self.assertFalse(self.quarantine.record_sound(("hot", "rare"), self.now + 0.1))
 
     def test_a_vm_that_was_cut_off_does_not_revive_a_quarantine(self) -> None:
@@ -283,16 +288,16 @@
         former = self.quarantine.snapshot(self.now)
         self.sound("bad")
         self.now += 5.0
-        aged = PartEvidence(
+        aged = CrashEvidence(
             tuple(
-                EngineCrash(item.engine, item.parts, item.age + 6.0, item.vm)
+                ServerCrash(item.server, item.traits, item.age + 6.0, item.vm)
                 for item in former.crashes
             ),
-            quarantined=(QuarantinedParts(("bad",), former.quarantined[0].age + 6.0),),
+            quarantined=(QuarantinedTraits(("bad",), former.quarantined[0].age + 6.0),),
         )
         merged = self.quarantine.merge(aged, self.now)
         self.assertEqual([], self.quarantined())
-        self.assertEqual(["bad"], [item.part for item in merged.reply.sound])
+        self.assertEqual(["bad"], [item.trait for item in merged.reply.sound])
 
     def test_a_vm_that_restarted_learns_of_a_quarantine(self) -> None:
         for _ in range(CRASHES_TO_QUARANTINE):
@@ -300,14 +305,14 @@
         self.assertEqual(["bad"], self.quarantined())
         # The crashes are forgotten before the quarantine ends.
         self.now += CRASH_MEMORY
-        restarted = PartQuarantine()
+        restarted = TraitQuarantine()
         restarted.merge(self.quarantine.snapshot(self.now), self.now)
-        self.assertEqual(["bad"], quarantined_parts(restarted, self.now))
+        self.assertEqual(["bad"], quarantined_traits(restarted, self.now))
         left = QUARANTINE_PERIOD - CRASH_MEMORY
         self.assertEqual(left, restarted.seconds_left(["bad"], self.now))
 
 
-#: What a VM observes: the time, the engine that crashed or ``None`` for a response, and the parts.
+#: What a VM observes: the time, the engine that crashed or ``None`` for a response, and the traits.
 Observation = tuple[int, int, frozenset[str]]
 
 _PARTS = st.frozensets(st.sampled_from(["a", "b", "c", "d"]), min_size=1, max_size=3)
@@ -337,37 +342,37 @@
         self, observations: list[Observation]
     ) -> None:
         now = 100.0
-        responses = [(at, parts) for at, engine, parts in observations if engine <= 0]
-        crashed = [(at, parts) for at, engine, parts in observations if engine > 0]
+        responses = [(at, traits) for at, engine, traits in observations if engine <= 0]
+        crashed = [(at, traits) for at, engine, traits in observations if engine > 0]
         quarantined, _ = _outcome([_evidence_of(item, now) for item in observations], now)
-        for part in "+".join(quarantined).split("+") if quarantined else []:
-            latest = max(at for at, parts in crashed if part in parts)
-            self.assertTrue(all(at <= latest for at, parts in responses if part in parts))
+        for trait in "+".join(quarantined).split("+") if quarantined else []:
+            latest = max(at for at, traits in crashed if trait in traits)
+            self.assertTrue(all(at <= latest for at, traits in responses if trait in traits))
 
     @settings(derandomize=True, max_examples=100)
     @given(st.integers(0, 2**32), st.integers(1, 4), st.integers(0, 12))
     def test_the_culprit_is_found_in_random_traffic(
         self, seed: int, concurrency: int, topics: int
     ) -> None:
-        """Each engine processes several requests, some with the part that crashes it."""
+        """Each engine processes several requests, some with the trait that crashes it."""
         chosen = random.Random(seed)
-        quarantine, now, crashes = PartQuarantine(), 0.0, 0
+        quarantine, now, crashes = TraitQuarantine(), 0.0, 0
         for number in range(60):
             now += 0.3
             requests = [["first", f"topic-{chosen.randint(0, topics)}"] for _ in range(concurrency)]
             if chosen.random() < 0.4:
                 requests.append(["first", "bad", f"topic-{chosen.randint(0, topics)}"])
-            sent = [parts for parts in requests if quarantine.seconds_left(parts, now) == 0]
-            if any("bad" in parts for parts in sent):
+            sent = [traits for traits in requests if quarantine.seconds_left(traits, now) == 0]
+            if any("bad" in traits for traits in sent):
                 crashes += 1
-                accused = {part for parts in sent for part in parts}
+                accused = {trait for traits in sent for trait in traits}
                 quarantine.record_crash(f"engine-{number}", sorted(accused), "vm", now)
             else:
-                for parts in sent:
-                    quarantine.record_sound(parts, now)
+                for traits in sent:
+                    quarantine.record_sound(traits, now)
             quarantine.review(now + EVIDENCE_DELAY)
         self.assertTrue(crashes <= PERMITTED_CRASHES, crashes)
-        self.assertNotIn("first", quarantined_parts(quarantine, now))
+        self.assertNotIn("first", quarantined_traits(quarantine, now))
 
 
 class SeveralVmsTest(testtools.TestCase):
@@ -376,13 +381,13 @@
     def test_vms_that_see_different_requests_find_the_culprit_together(
         self, seed: int, vm_count: int, topics: int
     ) -> None:
-        """Requests with and without the part share engines, VMs, the first part and topics."""
+        """Requests with and without the trait share engines, VMs, the first trait and topics."""
         fleet = SimulatedFleet(random.Random(seed), vm_count)
         for _ in range(100):
             fleet.run_engine(topics)
         self.assertTrue(fleet.crashes <= PERMITTED_CRASHES, fleet.crashes)
         fleet.deliver_all()
-        refused = [quarantined_parts(vm, fleet.now) for vm in fleet.vms]
+        refused = [quarantined_traits(vm, fleet.now) for vm in fleet.vms]
         self.assertEqual([refused[0]] * vm_count, refused)
         self.assertIn("bad", refused[0])
         self.assertNotIn("first", refused[0])
@@ -394,13 +399,13 @@
 
     def __init__(self, chosen: random.Random, vm_count: int) -> None:
         self._chosen = chosen
-        self.vms = [PartQuarantine() for _ in range(vm_count)]
+        self.vms = [TraitQuarantine() for _ in range(vm_count)]
         self.now = 1000.0
         self.crashes = 0
         self.sound_requests_refused = 0
         self._engines = 0
         #: Time of arrival, sender, receiver and content of each message.
-        self._messages: list[tuple[float, int, int, PartEvidence]] = []
+        self._messages: list[tuple[float, int, int, CrashEvidence]] = []
 
     def run_engine(self, topics: int) -> None:
         """Runs the requests of one engine until it crashes or has responded to all."""
@@ -413,22 +418,22 @@
         if self._chosen.random() < 0.3:
             requests.append(("first", "bad", f"topic-{self._chosen.randint(0, topics)}"))
         sent: list[tuple[int, tuple[str, ...]]] = []
-        for parts in requests:
+        for traits in requests:
             vm = self._chosen.randrange(len(self.vms))
             self.vms[vm].review(self.now)
-            if self.vms[vm].seconds_left(parts, self.now) == 0:
-                sent.append((vm, parts))
-            elif "bad" not in parts:
+            if self.vms[vm].seconds_left(traits, self.now) == 0:
+                sent.append((vm, traits))
+            elif "bad" not in traits:
                 self.sound_requests_refused += 1
         self._engines += 1
-        is_crash = any("bad" in parts for _, parts in sent)
+        is_crash = any("bad" in traits for _, traits in sent)
         self.crashes += is_crash
-        for vm, parts in sent:
+        for vm, traits in sent:
             if is_crash:
                 engine = f"engine-{self._engines}"
-                news = self.vms[vm].record_crash(engine, parts, f"vm-{vm}", self.now)
+                news = self.vms[vm].record_crash(engine, traits, f"vm-{vm}", self.now)
             else:
-                news = self.vms[vm].record_sound(parts, self.now)
+                news = self.vms[vm].record_sound(traits, self.now)
             self._send(vm, None, news)
 
     def deliver_all(self) -> None:
@@ -448,33 +453,33 @@
             self._post(receiver, sender, merged.reply, at)
 
     def _send(
-        self, sender: int, source: int | None, evidence: PartEvidence, at: float | None = None
+        self, sender: int, source: int | None, evidence: CrashEvidence, at: float | None = None
     ) -> None:
         receivers = range(1, len(self.vms)) if sender == 0 else [0]
         for receiver in receivers:
             if receiver != source:
                 self._post(sender, receiver, evidence, self.now if at is None else at)
 
-    def _post(self, sender: int, receiver: int, evidence: PartEvidence, at: float) -> None:
+    def _post(self, sender: int, receiver: int, evidence: CrashEvidence, at: float) -> None:
         if evidence:
             arrival = at + self._chosen.uniform(0.001, 0.05)
             self._messages.append((arrival, sender, receiver, evidence))
 
 
-def _evidence_of(observation: Observation, now: float) -> PartEvidence:
-    at, engine, parts = observation
+def _evidence_of(observation: Observation, now: float) -> CrashEvidence:
+    at, engine, traits = observation
     if engine > 0:
-        crash = EngineCrash(f"engine-{engine}", tuple(sorted(parts)), now - at, "vm")
-        return PartEvidence(crashes=(crash,))
-    return PartEvidence(sound=tuple(SoundPart(part, now - at) for part in sorted(parts)))
+        crash = ServerCrash(f"engine-{engine}", tuple(sorted(traits)), now - at, "vm")
+        return CrashEvidence(crashes=(crash,))
+    return CrashEvidence(sound=tuple(SoundTrait(trait, now - at) for trait in sorted(traits)))
 
 
 def _outcome(
-    evidence: Iterable[PartEvidence], now: float
+    evidence: Iterable[CrashEvidence], now: float
 ) -> tuple[list[str], dict[str, tuple[str, ...]]]:
-    quarantine = PartQuarantine()
+    quarantine = TraitQuarantine()
     for item in evidence:
         quarantine.merge(item, now)
-    parts = quarantined_parts(quarantine, now)
-    crashes = {item.engine: item.parts for item in quarantine.snapshot(now).crashes}
-    return parts, crashes
+    traits = quarantined_traits(quarantine, now)
+    crashes = {item.server: item.traits for item in quarantine.snapshot(now).crashes}
+    return traits, crashes
--- a/camphordrift/relay/tests/watched_vms.py
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -12,9 +12,9 @@
 from camphordrift.relay import BackendServer, Batch, KeyedRecord, ServerState, StoreError
 from camphordrift.relay._configuration_lease import ConfigurationLease
 from camphordrift.relay._configuration_watcher import ConfigurationWatcher
+from camphordrift.relay._crash_monitor import CrashMonitor
 from camphordrift.relay._interfaces import KeyedLog
 from camphordrift.relay._leader_election import LINK_IDLE_TIMEOUT, PING_INTERVAL
-from camphordrift.relay._part_monitor import PartMonitor
 from camphordrift.relay._peer_messages import (
     ConfigurationRequest,
     LinkBrokenError,
@@ -166,7 +166,7 @@
             self.servers,
             self.lease,
             self.eras,
-            PartMonitor(self.member.vm, trio.current_time),
+            CrashMonitor(self.member.vm, trio.current_time),
         )
 
     @property
