Refuse whole requests on which servers of any service crash

Cause: only shared parts of prompts could be accused of crashes. Attempts on plain servers gave no evidence at all, and a request whose shared parts are sound had nothing else to accuse.

Change: a request has one more trait, which stands for the whole of it: method, host, path, client account and body. It goes through the same evidence, analysis, exchange between VMs and store records as parts of prompts, for servers of all services. If several whole requests crashed the same servers, a part that they share is quarantined, or all of them after five crashes; until then each runs on a server without other requests, which plain servers now also provide. A silent server is no longer raced for a request that may not be retried. Code 2013 is renamed to REQUEST_QUARANTINED.

--- a/camphordrift/relay/_attempt_evidence.py
+++ b/camphordrift/relay/_attempt_evidence.py
@@ -1,22 +1,22 @@
-"""Derives from an attempt whether the parts of its prompt are sound or may crash engines."""
+"""Derives from an attempt whether the traits of its request are sound or may crash servers."""
 
 from camphordrift.relay._attempt import Answered, AttemptResult, Broken, Streamed
 from camphordrift.relay._crash_monitor import CrashMonitor
 from camphordrift.relay._request_progress import RequestProgress
 from camphordrift.relay._values import BackendServer
 
-#: Events of a response after which it counts as established: the engine did not crash when it began
+#: Events of a stream after which it counts as established: the server did not crash when it began
 #: to write the response.
 ESTABLISHING_EVENTS = 3
 
 
 class AttemptEvidence:
-    """Records evidence of one attempt to send a request to an engine.
+    """Records evidence of one attempt to send a request to a server.
 
     Args:
         monitor: Gets the evidence.
         progress: State of the request.
-        server: The engine.
+        server: The server.
 
     """
 
@@ -39,11 +39,11 @@
         match result:
             case Streamed() if self._events:
                 self._record_established()
-            case Answered(status) if 200 <= status < 300:
+            case Answered(status) if status < 500:
                 self._record_established()
             case Broken(connection_closed=True) if not self._progress.is_established:
-                self._monitor.record_crash(self._progress.metadata.prompt_parts, self._server)
+                self._monitor.record_crash(self._progress.traits, self._server)
 
     def _record_established(self) -> None:
         self._progress.is_established = True
-        self._monitor.record_sound(self._progress.metadata.prompt_parts)
+        self._monitor.record_sound(self._progress.traits)
--- a/camphordrift/relay/_crash_analysis.py
+++ b/camphordrift/relay/_crash_analysis.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Optional
 
+from camphordrift.relay._quarantines import Traits
+from camphordrift.relay._request_traits import is_whole_request
 from camphordrift.relay._sound_traits import SoundTraits
 
 #: Servers that crash on a trait before it is quarantined.
@@ -12,6 +14,10 @@
 #: The same for a trait that was sound before.
 CRASHES_IF_SOUND_BEFORE = 5
 
+#: The same for whole requests that cannot be told apart. Until then, the next attempt on each of
+#: them runs on a server without other requests, so that it crashes or clears one request alone.
+CRASHES_IF_INDISTINGUISHABLE = 5
+
 #: Seconds after a response on a trait in which the trait counts as sound before a crash.
 SOUND_MEMORY = 120.0
 
@@ -89,7 +95,7 @@
             return 0
         return len(accusation.servers)
 
-    def find_culprits(self, excluded: Collection[tuple[str, ...]]) -> Optional[tuple[str, ...]]:
+    def find_culprits(self, excluded: Collection[Traits]) -> Optional[Traits]:
         """Returns the trait that explains crashes best; several if they cannot be told apart.
 
         A trait is no culprit while another one explains its crashes better: one that is also
@@ -118,11 +124,11 @@
         latest = max(self._crashes[server].at for server in accusation.servers)
         return accusation.count >= CRASHES_IF_SOUND_BEFORE and self._sound.latest > latest
 
-    def _alike(self, candidate: _Accusation) -> Optional[tuple[str, ...]]:
+    def _alike(self, candidate: _Accusation) -> Optional[Traits]:
         """Returns the traits with the same crashes; ``None`` if another trait explains more."""
         rivals = [item for item in self._accusations.values() if item.explains_at_least(candidate)]
         if all(candidate.explains_at_least(item) for item in rivals):
-            return tuple(sorted(item.trait for item in rivals))
+            return _select_culprits(sorted(item.trait for item in rivals), candidate.count)
         return None
 
     def _accuse(self, trait: str, servers: frozenset[str]) -> _Accusation:
@@ -137,6 +143,20 @@
         )
 
 
+def _select_culprits(alike: list[str], crashes: int) -> Optional[Traits]:
+    """Returns those of indistinguishable traits to quarantine; ``None`` if it is too early.
+
+    A part of the prompts that several whole requests share explains their crashes more simply than
+    the requests do.
+    """
+    whole_requests = [trait for trait in alike if is_whole_request(trait)]
+    if len(whole_requests) < 2:
+        return tuple(alike)
+    if len(whole_requests) < len(alike):
+        return tuple(trait for trait in alike if trait not in whole_requests)
+    return tuple(alike) if crashes >= CRASHES_IF_INDISTINGUISHABLE else None
+
+
 def _rank(accusation: _Accusation) -> tuple[float, int, str]:
     """Sort key: the trait that was never sound, or longest ago, and explains most crashes first.
 
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -179,7 +179,7 @@
 
 
 class CrashEvidenceUpdate(msgspec.Struct, frozen=True, tag="PartEvidenceUpdate"):
-    """Tells a VM about parts of prompts that may crash engines, in either direction of a link."""
+    """Tells a VM about traits of requests that may crash servers, in either direction of a link."""
 
     evidence: CrashEvidence
 
--- a/camphordrift/relay/_quarantines.py
+++ b/camphordrift/relay/_quarantines.py
@@ -1,13 +1,16 @@
 """Quarantines of traits of requests: when they began, whether they are in force, and their changes.
 
 A quarantine names one trait, or several that could not be told apart. It applies to requests that
-have all of its traits, so that a request with only some of them can show that these are sound.
+have all of its traits, so that a request with only some of them can show that these are sound. If
+one of them is a whole request, it applies to that request alone.
 """
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Union
 
+from camphordrift.relay._request_traits import is_whole_request
+
 #: Seconds for which requests with quarantined traits are refused.
 QUARANTINE_PERIOD = 600.0
 
@@ -71,7 +74,9 @@
         """Returns the seconds for which requests with the traits are refused; 0 if they may run."""
         present = frozenset(traits)
         left = (
-            self.started_at(p) + QUARANTINE_PERIOD - now for p in self._active if present >= {*p}
+            self.started_at(quarantined) + QUARANTINE_PERIOD - now
+            for quarantined in self._active
+            if _applies(quarantined, present)
         )
         return max(0.0, max(left, default=0.0))
 
@@ -127,3 +132,11 @@
         if traits in self._active:
             self._active.remove(traits)
             self._changes.append(QuarantineEnded(traits, is_sound))
+
+
+def _applies(quarantined: Traits, present: frozenset[str]) -> bool:
+    """Returns whether a quarantine applies to a request with the traits ``present``."""
+    whole_requests = frozenset(filter(is_whole_request, quarantined))
+    if whole_requests:
+        return not whole_requests.isdisjoint(present)
+    return present.issuperset(quarantined)
--- a/camphordrift/relay/_refusals.py
+++ b/camphordrift/relay/_refusals.py
@@ -47,16 +47,16 @@
 
 
 def failure_of_quarantine(progress: RequestProgress, seconds_left: float) -> Failure:
-    """Returns the failure for a request with parts that are quarantined for ``seconds_left``."""
+    """Returns the failure for a request with traits that are quarantined for ``seconds_left``."""
     if progress.may_have_run:
         return Failure(
             ResultCode.BACKEND_STREAM_BROKEN,
-            "not retried, as engines crash on a part of the prompt",
+            "not retried, as servers crash on the request or on a part of its prompt",
             run_state_override=RunState.OUTCOME_UNKNOWN,
         )
     return Failure(
-        ResultCode.PROMPT_PART_QUARANTINED,
-        "engines crash on a part of the prompt",
+        ResultCode.REQUEST_QUARANTINED,
+        "servers crash on the request or on a part of its prompt",
         seconds_left,
     )
 
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/_request_handler.py
@@ -158,6 +158,7 @@
             progress,
             self._run_attempt,
             may_retry=lambda: self._is_retry_permitted(progress)
+            and self._is_safe_to_retry(progress)
             and self._budget(progress).has_retry(trio.current_time()),
             charge_retry=lambda: self._charge_retry(progress),
             may_try_another_server=lambda: self._may_try_another_server(progress),
@@ -173,8 +174,8 @@
     ) -> AttemptResult:
         if not self._routing_state.is_still_authorized(progress.metadata.key, progress.account):
             raise RequestRefusedError(failure_of_revoked_key(progress))
-        parts = progress.metadata.prompt_parts
-        if (seconds_left := self._routing_state.crashes.quarantine_seconds_left(parts)) > 0:
+        seconds_left = self._routing_state.crashes.quarantine_seconds_left(progress.traits)
+        if seconds_left > 0:
             raise RequestRefusedError(failure_of_quarantine(progress, seconds_left))
         if progress.service.engine_costs is not None:
             return await self._sender.try_engine(progress, running)
@@ -212,9 +213,8 @@
         return progress.remaining_time > 0 and len(progress.excluded_servers) < MAX_EXCLUDED_SERVERS
 
     def _is_safe_to_retry(self, progress: RequestProgress) -> bool:
-        """Returns whether a request may be retried although its engine may have crashed on it."""
-        parts = progress.metadata.prompt_parts
-        return progress.is_established or self._routing_state.crashes.may_retry(parts)
+        """Returns whether a request may be retried although its server may have crashed on it."""
+        return progress.is_established or self._routing_state.crashes.may_retry(progress.traits)
 
     def _may_retry(self, progress: RequestProgress) -> bool:
         return self._is_retry_permitted(progress) and self._charge_retry(progress)
--- a/camphordrift/relay/_request_progress.py
+++ b/camphordrift/relay/_request_progress.py
@@ -8,7 +8,7 @@
 
 from camphordrift.relay._attempt import AttemptResult
 from camphordrift.relay._http_server import CallerRequest, ResponseWriter
-from camphordrift.relay._request_fingerprint import fingerprint
+from camphordrift.relay._request_traits import whole_request_trait
 from camphordrift.relay._values import Account, RequestMetadata, Route, Service
 
 
@@ -34,14 +34,15 @@
     preferred_server: Optional[str] = None
     #: Whether a server may have executed the request.
     may_have_run: bool = False
-    #: Whether an engine wrote so much of the response that it cannot crash on the prompt.
+    #: Whether a server wrote so much of a response that it does not crash on the request.
     is_established: bool = False
     last_result: Optional[AttemptResult] = None
 
     @cached_property
-    def fingerprint(self) -> str:
-        """The same text for all requests that are the same."""
-        return fingerprint(self.request, self.account)
+    def traits(self) -> tuple[str, ...]:
+        """What the request may have in common with others on which servers crash."""
+        whole_request = whole_request_trait(self.request, self.account)
+        return (*self.metadata.prompt_parts, whole_request)
 
     @property
     def remaining_time(self) -> float:
--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/_routing_state.py
@@ -1,4 +1,4 @@
-"""Configuration, backend servers, retry budgets and parts that request handling depends on."""
+"""Configuration, backend servers, retry budgets and crashes that request handling depends on."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -22,7 +22,7 @@
 
 @dataclass
 class RoutingState:
-    """The configuration with its lease, the backend servers, the retry budgets and the parts."""
+    """The configuration with its lease, the backend servers, the retry budgets and the crashes."""
 
     #: Returns the routing table of the current configuration; ``None`` before the first one was
     #: read.
@@ -38,7 +38,7 @@
     budget_settings: RetryBudgetSettings
     #: Returns how many VMs share the retry budget.
     vm_count: Callable[[], int]
-    #: Traits of prompts that crash engines.
+    #: Traits of requests that crash servers.
     crashes: CrashMonitor
     _budgets: dict[str, RetryBudget] = field(default_factory=dict)
 
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/_sender.py
@@ -107,11 +107,13 @@
 
         """
         usable = self._routing_state.usable_servers(progress.service.name)
+        isolated = self._is_suspect(progress)
         server = self._plain_balancer.choose(
             await self._permitted_servers(progress, usable),
             self._zone,
             progress.excluded_servers,
             trio.current_time(),
+            isolated,
         )
         if server is None:
             pause = self._routing_state.shortest_pause(progress.service.name)
@@ -122,13 +124,25 @@
             route.event_gap_objective * EVENT_GAP_FACTOR,
         )
         result: Optional[AttemptResult] = None
+        evidence = AttemptEvidence(self._routing_state.crashes, progress, server)
         try:
+            if running.sink is not None:
+                running.sink.on_events = evidence.record_events
             result = await self._attempt(progress, (server,), (), timeouts, running)
+            evidence.record_result(result)
         finally:
             failed = running.is_silent if result is None else isinstance(result, (NotSent, Broken))
-            self._plain_balancer.record_finished(server.id, failed, trio.current_time())
+            self._plain_balancer.record_finished(server.id, failed, trio.current_time(), isolated)
         return result
 
+    def _is_suspect(self, progress: RequestProgress) -> bool:
+        """Returns whether a server may have crashed on the request, which is not known to be sound.
+
+        Such a request is kept apart from others, which its server's crash would break as well.
+        """
+        crashes = self._routing_state.crashes
+        return not progress.is_established and crashes.is_suspect(progress.traits)
+
     async def _permitted_servers(
         self, progress: RequestProgress, usable: list[BackendServer]
     ) -> list[BackendServer]:
@@ -261,8 +275,7 @@
             preferred=progress.preferred_server,
             resumed=metadata.last_event_id is not None
             or (sink is not None and sink.last_event_id is not None),
-            isolated=not progress.is_established
-            and self._routing_state.crashes.is_suspect(metadata.prompt_parts),
+            isolated=self._is_suspect(progress),
         )
 
     async def _attempt(
@@ -319,7 +332,7 @@
     ) -> Optional[ForwardingMetadata]:
         """Returns the metadata to forward; ``None`` if the request must not be sent any more.
 
-        Repeats the checks of the deadline, the API key, the prompt and the servers, because
+        Repeats the checks of the deadline, the API key, the traits and the servers, because
         connecting to the server may have taken long, and the leader may not know what the servers
         announced.
         """
@@ -330,7 +343,7 @@
             return None
         if not self._routing_state.directory.may_receive_requests(server.id):
             return None
-        if self._routing_state.crashes.quarantine_seconds_left(progress.metadata.prompt_parts) > 0:
+        if self._routing_state.crashes.quarantine_seconds_left(progress.traits) > 0:
             return None
         if not all(map(self._routing_state.accepts_requests, servers)):
             return None
--- a/camphordrift/relay/_sound_traits.py
+++ b/camphordrift/relay/_sound_traits.py
@@ -3,8 +3,10 @@
 from collections import OrderedDict
 
 from camphordrift.relay._crash_evidence import CrashEvidence, SoundTrait
+from camphordrift.relay._request_traits import is_whole_request
 
-#: Maximum number of traits that are remembered; the ones set least recently are dropped first.
+#: Maximum number of traits of each kind that are remembered; those set least recently are dropped
+#: first. Whole requests are so many that they would displace the parts of prompts.
 MAX_SOUND_TRAITS = 4096
 
 #: A newer time is not worth a message by itself if it differs by fewer seconds.
@@ -15,24 +17,26 @@
     """Time of the latest established response on each trait."""
 
     def __init__(self) -> None:
-        self._sound_at: OrderedDict[str, float] = OrderedDict()
+        self._parts: OrderedDict[str, float] = OrderedDict()
+        self._whole_requests: OrderedDict[str, float] = OrderedDict()
         #: Time of the latest response on any trait.
         self.latest = float("-inf")
 
     def __getitem__(self, trait: str) -> float:
         """Returns the time of the latest response; minus infinity if there is none."""
-        return self._sound_at.get(trait, float("-inf"))
+        return self._kind_of(trait).get(trait, float("-inf"))
 
     def __contains__(self, trait: str) -> bool:
-        return trait in self._sound_at
+        return trait in self._kind_of(trait)
 
     def record(self, trait: str, at: float) -> None:
         """Records a response that is later than the known one."""
-        self._sound_at[trait] = at
+        sound_at = self._kind_of(trait)
+        sound_at[trait] = at
         self.latest = max(self.latest, at)
-        self._sound_at.move_to_end(trait)
-        if len(self._sound_at) > MAX_SOUND_TRAITS:
-            self._sound_at.popitem(last=False)
+        sound_at.move_to_end(trait)
+        if len(sound_at) > MAX_SOUND_TRAITS:
+            sound_at.popitem(last=False)
 
     def unknown_in(self, evidence: CrashEvidence, now: float) -> tuple[SoundTrait, ...]:
         """Returns the responses that matter to a VM that knows only ``evidence``."""
@@ -50,6 +54,9 @@
         }
         return tuple(SoundTrait(trait, now - self[trait]) for trait in sorted(unknown))
 
+    def _kind_of(self, trait: str) -> OrderedDict[str, float]:
+        return self._whole_requests if is_whole_request(trait) else self._parts
+
 
 def _adds_knowledge(known_at: float, told_at: float, accused_at: float) -> bool:
     return known_at > told_at + SOUND_TOLERANCE or told_at <= accused_at < known_at
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -1,6 +1,6 @@
 """Distributes the configuration and the backend servers from the leader to its followers.
 
-Evidence about parts of prompts is sent in both directions.
+Evidence about traits of requests is sent in both directions.
 """
 
 from collections.abc import Callable, Iterable
--- a/camphordrift/relay/tests/crashing_servers.py
+++ b/camphordrift/relay/tests/crashing_servers.py
@@ -24,7 +24,8 @@
 class CrashingServer:
     """A server that crashes on some requests when it begins to respond.
 
-    All its connections are closed then, and it is listed again under a new id.
+    All its connections are closed then, and it is listed again under a new id. It rejects requests
+    to the former one.
     """
 
     def __init__(
@@ -41,9 +42,15 @@
         self._first_id = self.server.entry.id
         self._streams: set[trio.SocketStream] = set()
         self.crashes = 0
+        #: Requests that the server began to run.
+        self.started_requests: list[HttpRequest] = []
 
     async def _respond(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
+        if request.headers.get("x-server") != self.server.entry.id:
+            await stream.send_all(plain_response(request, "421 Misdirected Request"))
+            return True
         self._streams.add(stream)
+        self.started_requests.append(request)
         try:
             if self.server.entry.service == "engines":
                 await stream.send_all(stream_head(request))
@@ -100,9 +107,9 @@
 
     @property
     def crashing_requests(self) -> int:
-        """Number of requests that reached servers and crash them."""
+        """Number of requests that servers began to run and crash on."""
         return sum(
-            self._crashes_on(request) for item in self.servers for request in item.server.requests
+            self._crashes_on(request) for item in self.servers for request in item.started_requests
         )
 
     def _list_again(self, former: BackendServer, restarted: BackendServer) -> None:
--- a/camphordrift/relay/tests/test_components.py
+++ b/camphordrift/relay/tests/test_components.py
@@ -312,8 +312,23 @@
         assert chosen is not None
         self.assertEqual("office-3", chosen.id)
 
-    def _choose(self) -> str:
-        chosen = self.balancer.choose(self.servers, "z1", [], 0.0)
+    def test_no_other_request_is_sent_to_the_server_of_an_isolated_one(self) -> None:
+        isolated = self._choose(isolated=True)
+        self.assertNotIn(isolated, [self._choose() for _ in range(6)])
+        self.assertNotEqual(isolated, self._choose(isolated=True))
+
+    def test_the_server_of_an_isolated_request_is_used_after_its_end(self) -> None:
+        isolated = self._choose(isolated=True)
+        self.balancer.record_finished(isolated, False, 0.0, isolated=True)
+        self.assertIn(isolated, [self._choose() for _ in range(6)])
+
+    def test_the_server_of_an_isolated_request_is_used_if_there_is_no_other(self) -> None:
+        for _ in range(3):
+            self._choose(isolated=True)
+        self._choose()
+
+    def _choose(self, isolated: bool = False) -> str:
+        chosen = self.balancer.choose(self.servers, "z1", [], 0.0, isolated)
         assert chosen is not None
         return chosen.id
 
--- a/camphordrift/relay/tests/test_crash_evidence.py
+++ b/camphordrift/relay/tests/test_crash_evidence.py
@@ -86,7 +86,7 @@
         run(body)
 
     def test_evidence_survives_the_loss_of_the_leader(self) -> None:
-        """The crashes are seen in trait before, in trait after the leader is lost."""
+        """The crashes are seen in part before, in part after the leader is lost."""
 
         async def body(fleet: Fleet) -> None:
             vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
@@ -160,6 +160,20 @@
 
         run(body)
 
+    def test_the_quarantine_of_a_whole_request_survives_the_loss_of_all_vms(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 2)
+            await crash_engines(*vms, trait="request:1")
+            await wait_until(lambda: len(quarantine_records(fleet)) == 1)
+            for vm in vms:
+                fleet.kill(vm)
+            restarted = fleet.start(1, 200)
+            with trio.fail_after(KNOWN_WITHIN):
+                await wait_until(refuses(restarted, "request:1"))
+
+        run(body)
+
     def test_a_quarantine_is_written_again_on_a_restored_store(self) -> None:
         async def body(fleet: Fleet) -> None:
             vms = [fleet.start(number, 100 + number) for number in (1, 2)]
--- a/camphordrift/results/_codes.py
+++ b/camphordrift/results/_codes.py
@@ -53,7 +53,7 @@
     VM_NOT_READY = 2010
     DEADLINE_PASSED_IN_QUEUE = 2011
     MEMORY_NOT_AVAILABLE = 2012
-    PROMPT_PART_QUARANTINED = 2013
+    REQUEST_QUARANTINED = 2013
 
     # 3000: backend servers.
     BACKEND_UNREACHABLE = 3000
@@ -189,10 +189,10 @@
         _C.MEMORY_NOT_AVAILABLE, 503, _NOT_RUN, "No hold on engine memory could be placed in time."
     ),
     _meaning(
-        _C.PROMPT_PART_QUARANTINED,
+        _C.REQUEST_QUARANTINED,
         503,
         _NOT_RUN,
-        "Engines crash on a part of the prompt; requests with it are refused for a while.",
+        "Servers crash on the request or on a part of its prompt; it is refused for a while.",
     ),
     _meaning(_C.BACKEND_UNREACHABLE, 502, _NOT_RUN, "No connection to a backend server succeeded."),
     _meaning(_C.BACKEND_REFUSED, 502, _FAILED, "The backend server responded with an error."),
