Soak: requests that come again and crash servers of any service

One request, with the same key, path and body each time, is sent to random VMs; each server that runs it crashes. At most three may reach servers later than 3 s after the third crash, and sound requests of the same kind must still be served.

--- a/camphordrift/platform/soak/_checks.py
+++ b/camphordrift/platform/soak/_checks.py
@@ -5,8 +5,8 @@
     late_configuration_violations,
     rollback_violations,
 )
+from camphordrift.platform.soak._crash_checks import crash_violations
 from camphordrift.platform.soak._observations import Observations
-from camphordrift.platform.soak._prompt_checks import crashing_prompt_violations
 from camphordrift.platform.soak._request_checks import (
     execution_violations,
     response_violations,
@@ -32,7 +32,7 @@
     violations = list(observations.process_failures)
     violations += execution_violations(observations)
     violations += response_violations(observations)
-    violations += crashing_prompt_violations(observations)
+    violations += crash_violations(observations)
     violations += leaving_violations(observations)
     violations += draining_violations(observations)
     violations += pause_violations(observations)
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -75,7 +75,9 @@
                 with self._observations.record_span(self._observations.server_faults):
                     await self._disturb_server(fault, action, background)
             case "prompt":
-                await self._crashing_callers.run(fault.seconds)
+                await self._crashing_callers.send_prompts(fault.seconds)
+            case "request":
+                await self._crashing_callers.send_one_request(fault.seconds)
             case "configuration":
                 await self._change_configuration(action)
             case _:
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -49,6 +49,7 @@
     "server_limit",
     "servers_limit",
     "configuration_storm",
+    "request_crash",
 )
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
@@ -56,6 +57,7 @@
     "server_silent": (0.8, 1.8),
     "servers_silent": (0.8, 1.8),
     "prompt_crash": (12.0, 14.0),
+    "request_crash": (12.0, 14.0),
     "server_leave": (3.0, 6.0),
     "server_turn_away": (3.0, 5.0),
     "servers_turn_away": (3.0, 5.0),
--- a/camphordrift/platform/soak/_prompts.py
+++ b/camphordrift/platform/soak/_prompts.py
@@ -1,4 +1,4 @@
-"""Prompts that consist of parts, some of which crash engines."""
+"""Prompts that consist of parts, and which parts and whole requests crash servers."""
 
 import random
 import zlib
@@ -11,6 +11,9 @@
 #: Beginning of the ids of parts that crash engines.
 _CRASHING_PREFIX = "dead"
 
+#: Beginning of the bodies of requests that crash servers of any service.
+_CRASHING_BODY_PREFIX = "crashing request "
+
 
 def draw_sound_prompt(generator: random.Random, request_id: str) -> tuple[str, ...]:
     """Returns the ids of the parts of a prompt, of which the last is its own."""
@@ -43,6 +46,22 @@
     return next((part for part in parts if part.startswith(_CRASHING_PREFIX)), None)
 
 
+def crashing_body(number: int) -> bytes:
+    """Returns the body of a request that crashes servers."""
+    return f"{_CRASHING_BODY_PREFIX}{number}".encode()
+
+
+def find_crashing_body(body: bytes) -> Optional[str]:
+    """Returns what servers crash on if the request with this body crashes them."""
+    text = body.decode("latin-1")
+    return text if text.startswith(_CRASHING_BODY_PREFIX) else None
+
+
+def is_whole_request(crash_cause: str) -> bool:
+    """Returns whether servers crash on one request, instead of on a part of several prompts."""
+    return crash_cause.startswith(_CRASHING_BODY_PREFIX)
+
+
 def format_parts(parts: Sequence[str], prompt_tokens: int) -> str:
     """Returns the value of the header that lists the parts of a prompt."""
     return ",".join(f"{part}:{prompt_tokens // len(parts)}" for part in parts)
--- a/camphordrift/platform/soak/_records.py
+++ b/camphordrift/platform/soak/_records.py
@@ -35,6 +35,8 @@
     timeout: float
     #: Ids of the parts of the prompt; empty for requests to servers that are not engines.
     parts: tuple[str, ...] = ()
+    #: What servers crash on: a part of the prompt, or the whole request; ``None`` if it is sound.
+    crash_cause: Optional[str] = None
     #: Whether the caller sent the whole request.
     sent_completely: bool = False
     status: Optional[int] = None
@@ -89,11 +91,11 @@
 
 @dataclass(frozen=True)
 class Crash:
-    """A crash of an engine."""
+    """A crash of a server."""
 
     server: str
-    #: Prompt part that crashed the engine.
-    part: str
+    #: What the server crashed on: a part of a prompt, or a whole request.
+    cause: str
     at: float
 
 
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -12,7 +12,6 @@
 from camphordrift.platform.soak._fault_injection import FaultInjector
 from camphordrift.platform.soak._faults import FAULT_KINDS, draw_faults
 from camphordrift.platform.soak._observations import Observations
-from camphordrift.platform.soak._prompts import find_crashing_part
 from camphordrift.platform.soak._proxy import Proxy
 from camphordrift.platform.soak._server_fleet import SERVER_PORT, ServerFleet
 from camphordrift.platform.soak._store import SoakStore
@@ -142,7 +141,7 @@
             and now - request.sent_at > 1.0
             and request.disconnected_at is None
             and request.key in self._publisher.keys.accounts
-            and find_crashing_part(request.parts) is None
+            and request.crash_cause is None
         ]
         served = [request for request in sent if request.complete and request.status == 200]
         if len(served) >= len(sent) * REQUIRED_SUCCESS_SHARE and sent:
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -11,7 +11,11 @@
 import trio
 
 from camphordrift.platform.soak._observations import Observations
-from camphordrift.platform.soak._prompts import find_crashing_part, parse_parts
+from camphordrift.platform.soak._prompts import (
+    find_crashing_body,
+    find_crashing_part,
+    parse_parts,
+)
 from camphordrift.platform.soak._proxy import reset_connection
 from camphordrift.platform.soak._records import Arrival, Crash, Execution
 from camphordrift.platform.soak._response_plans import Framing, ServerMode, plan_response
@@ -101,9 +105,9 @@
         finally:
             self._connections.remove(stream)
 
-    async def _crash(self, part: str) -> None:
+    async def _crash(self, cause: str) -> None:
         """Resets all connections and ends :meth:`run`."""
-        self._observations.crashes.append(Crash(self.id, part, trio.current_time()))
+        self._observations.crashes.append(Crash(self.id, cause, trio.current_time()))
         for execution in self._running:
             execution.broken_off = True
         for stream in self._connections:
@@ -203,19 +207,22 @@
         await trio.sleep(EVENT_INTERVAL)
         plan = plan_response(self.mode, execution.request_id, self.id, self.streams)
         response = Response(execution, plan, stream, self._send)
-        crashing_part = find_crashing_part(
-            parse_parts(request.headers.get("camphordrift-prompt-prefix", ""))
-        )
-        if self.streams and crashing_part is not None:
+        crash_cause = self._find_crash_cause(request)
+        if crash_cause is not None:
             # Half of the engines that crash have sent a part of the first event.
-            if zlib.crc32(execution.request_id.encode()) % 2:
+            if self.streams and zlib.crc32(execution.request_id.encode()) % 2:
                 await response.send_start(headers)
-            await self._crash(crashing_part)
+            await self._crash(crash_cause)
         if self.streams:
             last_event_id = int(request.headers.get("last-event-id", "0"))
             return await response.send_stream(headers, last_event_id)
         return await response.send_body(headers)
 
+    def _find_crash_cause(self, request: HttpRequest) -> Optional[str]:
+        parts = parse_parts(request.headers.get("camphordrift-prompt-prefix", ""))
+        crashing_part = find_crashing_part(parts) if self.streams else None
+        return crashing_part or find_crashing_body(request.body)
+
     def _notices(self) -> dict[str, str]:
         """Returns the headers in which the server announces what concerns further requests."""
         notices = {"server-leaving": "1"} if self.leaving else {}
--- a/camphordrift/platform/soak/tests/test_prompt_checks.py
+++ b/camphordrift/platform/soak/tests/test_crash_checks.py
@@ -1,4 +1,4 @@
-"""Tests that the soak reports prompts that crash engines for too long."""
+"""Tests that the soak reports requests that crash servers for too long."""
 
 import random
 from dataclasses import replace
@@ -7,9 +7,11 @@
 
 from camphordrift.platform.soak import CallerRequest, Observations, find_violations
 from camphordrift.platform.soak._prompts import (
+    crashing_body,
     crashing_part_id,
     draw_crashing_prompt,
     draw_sound_prompt,
+    find_crashing_body,
     find_crashing_part,
     format_parts,
     parse_parts,
@@ -32,6 +34,7 @@
         complete=True,
         body=stream_body(request_id),
         ended_at=sent_at + 0.5,
+        crash_cause=_PART if _PART in parts else None,
     )
 
 
@@ -49,7 +52,7 @@
 
     def test_reports_requests_that_arrive_after_five_crashes(self) -> None:
         (line,) = find_violations(self.observations(5, 4), 30.0)
-        self.assertIn("4 requests with prompt part", line)
+        self.assertIn(f"4 requests with '{_PART}' reached servers", line)
 
     def test_three_requests_may_arrive_after_five_crashes(self) -> None:
         self.assertEqual([], find_violations(self.observations(5, 3), 30.0))
@@ -88,6 +91,36 @@
         self.assertEqual([], find_violations(observations, 60.0))
 
 
+class CrashingRequestTest(testtools.TestCase):
+    """A request that comes again must be known after three crashes."""
+
+    def observations(self, crashes: int, late_requests: int) -> Observations:
+        """Crashes from 10 s on every 0.1 s, and the same request at 15 s."""
+        cause = find_crashing_body(crashing_body(7))
+        assert cause is not None
+        observations = Observations()
+        for number in range(crashes):
+            observations.crashes.append(Crash(f"office-{number}", cause, 10.0 + 0.1 * number))
+        for number in range(late_requests):
+            request = replace(
+                _request(f"r{number}", (), 15.0, 502), kind="repeatable", crash_cause=cause
+            )
+            observations.requests[request.id] = request
+            observations.arrivals.append(Arrival(request.id, "office-9", 15.0))
+        return observations
+
+    def test_reports_a_request_that_arrives_after_three_crashes(self) -> None:
+        (line,) = find_violations(self.observations(3, 4), 30.0)
+        self.assertIn("4 requests with 'crashing request 7' reached servers", line)
+
+    def test_it_may_arrive_three_times_after_three_crashes(self) -> None:
+        self.assertEqual([], find_violations(self.observations(3, 3), 30.0))
+        self.assertEqual([], find_violations(self.observations(2, 9), 30.0))
+
+    def test_bodies_of_other_requests_crash_no_server(self) -> None:
+        self.assertIsNone(find_crashing_body(b"w" * 200))
+
+
 class PromptTest(testtools.TestCase):
     def test_a_crashing_part_is_never_the_last(self) -> None:
         generator = random.Random(1)
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -56,6 +56,9 @@
     def test_prompts_that_crash_engines_are_stopped(self) -> None:
         self.check_report(run_short_soak(("prompt_crash",), seconds=1.0))
 
+    def test_requests_that_crash_servers_are_stopped(self) -> None:
+        self.check_report(run_short_soak(("request_crash",), seconds=1.0))
+
     def test_servers_that_say_that_they_leave_get_no_more_requests(self) -> None:
         self.check_report(run_short_soak(("server_leave",), seed=31, seconds=1.5, callers=12))
 
