--- a/camphordrift/relay/_server_connector.py
+++ b/camphordrift/relay/_server_connector.py
@@ -20,8 +20,8 @@
 #: Timeout in seconds of a connection through another VM, and the maximum number of VMs to ask.
 TUNNEL_TIMEOUT, MAX_VMS_ASKED = 0.4, 4
 
-#: Seconds after which the next VM is asked as well. A VM that has just lost its paths, too, does not
-#: respond before the timeout.
+#: Seconds after which the next VM is asked as well. A VM that has just lost its paths, too, does
+#: not respond before the timeout.
 NEXT_VM_DELAY = 0.06
 
 #: Seconds between checks of whether lost paths are back, and the number of servers that are
