Retry requests beside two crashes on a part of their prompts

Seen once in the tests of the relay (test_sound_requests_beside_a_part_on_which_engines_crash_are_served, six test processes), traced with 32 runs beside 16 processes, of which 3 failed: a sound stream that ran beside one crash was truncated instead of retried, because another stream with the same part had run beside the crash before, so that the part was in two crashes. A request itself still is not retried after two crashes on it; a part of its prompt, which requests that differ share, may now be in two.

--- a/camphordrift/relay/_crash_monitor.py
+++ b/camphordrift/relay/_crash_monitor.py
@@ -17,12 +17,17 @@
     QuarantineStarted,
     Traits,
 )
+from camphordrift.relay._request_traits import is_whole_request
 from camphordrift.relay._trait_quarantine import TraitQuarantine
 from camphordrift.relay._values import BackendServer
 
-#: Crashes of servers on one trait after which a request with it is not retried.
+#: Crashes of servers on one request after which it is not retried.
 MAX_RETRIED_CRASHES = 1
 
+#: The same for the crashes on a part of its prompt. Requests that ran beside two crashes on another
+#: part may share a part, and each of them is to be retried.
+MAX_RETRIED_CRASHES_ON_PART = 2
+
 
 class CrashMonitor:
     """Keeps this VM's knowledge of traits that crash servers up to date, and logs changes.
@@ -89,7 +94,11 @@
 
     def may_retry(self, traits: Iterable[str]) -> bool:
         """Returns whether a request whose server may have crashed on it may be sent again."""
-        return self._accused_of(traits) <= MAX_RETRIED_CRASHES
+        now = self._clock()
+        return all(
+            self._quarantine.accused_of(trait, now) <= _max_retried_crashes(trait)
+            for trait in traits
+        )
 
     def _accused_of(self, traits: Iterable[str]) -> int:
         now = self._clock()
@@ -114,6 +123,10 @@
             _log_change(change)
 
 
+def _max_retried_crashes(trait: str) -> int:
+    return MAX_RETRIED_CRASHES if is_whole_request(trait) else MAX_RETRIED_CRASHES_ON_PART
+
+
 def _send(link: MessageLink, evidence: CrashEvidence) -> None:
     if evidence:
         link.send(CrashEvidenceUpdate(evidence))
--- a/camphordrift/relay/tests/test_whole_requests.py
+++ b/camphordrift/relay/tests/test_whole_requests.py
@@ -1,6 +1,7 @@
 """Tests of the decision which whole requests are quarantined."""
 
 import msgspec
+import testtools
 
 from camphordrift.relay import _sound_traits
 from camphordrift.relay._crash_analysis import (
@@ -13,6 +14,8 @@
     ServerCrash,
     SoundTrait,
 )
+from camphordrift.relay._crash_monitor import CrashMonitor
+from camphordrift.relay.tests.samples import server
 from camphordrift.relay.tests.test_trait_quarantine import QuarantineCase
 
 CULPRIT, OTHER, THIRD = "request:c", "request:o", "request:t"
@@ -131,3 +134,32 @@
         encoded = msgspec.msgpack.encode(evidence)
         self.assertEqual(expected, msgspec.msgpack.decode(encoded))
         self.assertEqual(evidence, msgspec.msgpack.decode(encoded, type=CrashEvidence))
+
+
+class RetryTest(testtools.TestCase):
+    """A request that ran beside a crash is retried; one on which servers crash is not."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.monitor = CrashMonitor("vm-1", lambda: 100.0)
+
+    def crash(self, number: int, *traits: str) -> None:
+        self.monitor.record_crash(traits, server(number))
+
+    def test_a_request_is_retried_after_one_crash_on_it(self) -> None:
+        self.crash(1, CULPRIT)
+        self.assertTrue(self.monitor.may_retry((CULPRIT,)))
+        self.crash(2, CULPRIT)
+        self.assertFalse(self.monitor.may_retry((CULPRIT,)))
+
+    def test_a_request_whose_part_was_beside_two_crashes_is_retried(self) -> None:
+        """Guards against sound streams that are truncated as another one with their part was."""
+        self.crash(1, "topic", CULPRIT, OTHER)
+        self.crash(2, "topic", CULPRIT, THIRD)
+        self.assertTrue(self.monitor.may_retry(("topic", THIRD)))
+        self.assertFalse(self.monitor.may_retry(("topic", CULPRIT)))
+
+    def test_a_request_whose_part_was_in_three_crashes_is_not_retried(self) -> None:
+        for number in range(3):
+            self.crash(number, "topic", f"request:{number}")
+        self.assertFalse(self.monitor.may_retry(("topic", THIRD)))
