Let a VM that stops finish the connections that it holds for other VMs

Found while the soak was extended: a VM that got SIGTERM exited when its last caller had gone, whatever it forwarded for VMs that had lost their paths. It now opens no new ones and waits for those that are open, until its usual deadline.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -430,11 +430,12 @@
         and so are requests on open ones that may not end in time.
         """
         self._stopping = True
+        self._tunnels.stop()
         deadline = trio.current_time() + drain_time(self._settings.shutdown_grace_period)
         await trio.sleep(DEREGISTRATION_DELAY)
         self._accept_scope.cancel()
         self._handler.refuse_late(deadline)
-        while self._callers and trio.current_time() < deadline:
+        while (self._callers or self._tunnels.count) and trio.current_time() < deadline:
             if trio.current_time() >= deadline - LAST_REFUSAL_TIME:
                 self._handler.refuse_unstarted()
             self._close_idle_callers()
--- a/camphordrift/relay/_tunnels.py
+++ b/camphordrift/relay/_tunnels.py
@@ -149,6 +149,11 @@
         self._connect_directly = connect_directly
         #: Number of tunnels that are open.
         self.count = 0
+        self._is_stopping = False
+
+    def stop(self) -> None:
+        """Refuses new tunnels, because this VM is about to stop."""
+        self._is_stopping = True
 
     async def serve(
         self, stream: trio.SocketStream, link: MessageLink, request: OpenTunnel
@@ -160,8 +165,8 @@
 
         """
         enable_dead_peer_detection(stream)
-        if self.count >= MAX_TUNNELS or not self._may_connect(request.server):
-            await _refuse(link, "too many tunnels, or not a listed server")
+        if self._is_stopping or self.count >= MAX_TUNNELS or not self._may_connect(request.server):
+            await _refuse(link, "the VM stops, has too many tunnels, or does not list the server")
             return
         self.count += 1
         try:
--- a/camphordrift/relay/tests/test_tunnels.py
+++ b/camphordrift/relay/tests/test_tunnels.py
@@ -193,6 +193,17 @@
 
         run(echo, scenario)
 
+    def test_a_vm_that_stops_opens_no_tunnel_and_keeps_open_ones(self) -> None:
+        async def scenario(network: Network) -> None:
+            tunnel = await open_tunnel(network.vm, network.server, TIMEOUT)
+            network.tunnels.stop()
+            error = await _error_of(open_tunnel(network.vm, network.server, TIMEOUT))
+            self.assertIsInstance(error, TunnelRefusedError)
+            await tunnel.send_all(b"still")
+            self.assertEqual(b"still", await receive_exactly(tunnel, 5))
+
+        run(echo, scenario)
+
     def test_a_server_that_refuses_is_told_from_a_vm_without_a_path(self) -> None:
         async def scenario(network: Network) -> None:
             network.server = Address(network.server.host, 9)
