Soak: VMs that lose their paths to the servers

New connections to servers are intercepted in the relay's process, and get the VM's own address, so that the proxies of the servers can disrupt the open ones.

--- a/camphordrift/platform/soak/_answer_checks.py
+++ b/camphordrift/platform/soak/_answer_checks.py
@@ -17,13 +17,16 @@
 #: Seconds before its deadline from which a request may end without a response.
 _DEADLINE_MARGIN = 0.1
 
+#: Seconds after a cut for which a VM may still reuse connections through other VMs.
+_TUNNEL_REUSE_TIME = 5.0
+
 
 def unanswered_violations(observations: Observations) -> Iterator[str]:
     """Yields requests whose connection ended without a complete response.
 
     A response may be incomplete if a server broke it off or was cut off, if the deadline came, or
-    if the VM was killed or paused. A VM that got SIGTERM may close connections on which it has read
-    no request.
+    if the VM was killed or paused, or the one through which it reached the server. A VM that got
+    SIGTERM may close connections on which it has read no request.
     """
     executions = observations.executions_by_request()
     for request in observations.requests.values():
@@ -54,6 +57,8 @@
     sent_at, ended_at = request.sent_at, request.ended_at or request.sent_at
     if overlaps(observations.vm_interruptions[request.vm], sent_at, ended_at):
         return True
+    if _lost_its_path(request, ended_at, observations):
+        return True
     for execution in executions:
         disruptions = observations.disruptions_of(execution.server)
         if execution.broken_off or overlaps(disruptions, sent_at, ended_at):
@@ -69,3 +74,24 @@
         if may_give_up or not executions:
             return True
     return False
+
+
+def _lost_its_path(request: CallerRequest, ended_at: float, observations: Observations) -> bool:
+    """Returns whether the connection to the server broke between the request's VM and the server.
+
+    That is so if the VM's paths were cut after the request was sent, or if another VM, through
+    which it may have reached the server, was killed or paused.
+    """
+    for cut in observations.path_cuts:
+        if request.vm not in cut.vms:
+            continue
+        if request.sent_at < cut.start < ended_at:
+            return True
+        uses_other_vm = cut.start < ended_at and request.sent_at < cut.end + _TUNNEL_REUSE_TIME
+        if uses_other_vm and any(
+            overlaps(spans, request.sent_at, ended_at)
+            for vm, spans in observations.vm_interruptions.items()
+            if vm != request.vm
+        ):
+            return True
+    return False
--- a/camphordrift/platform/soak/_checks.py
+++ b/camphordrift/platform/soak/_checks.py
@@ -7,6 +7,7 @@
 )
 from camphordrift.platform.soak._crash_checks import crash_violations
 from camphordrift.platform.soak._observations import Observations
+from camphordrift.platform.soak._path_checks import lost_path_violations
 from camphordrift.platform.soak._request_checks import (
     execution_violations,
     response_violations,
@@ -33,6 +34,7 @@
     violations += execution_violations(observations)
     violations += response_violations(observations)
     violations += crash_violations(observations)
+    violations += lost_path_violations(observations)
     violations += leaving_violations(observations)
     violations += draining_violations(observations)
     violations += pause_violations(observations)
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -9,12 +9,14 @@
 from camphordrift.platform.soak._faults import Fault
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._proxy import Proxy, ProxyMode
+from camphordrift.platform.soak._records import PathCut
 from camphordrift.platform.soak._request_checks import KEY_REVOCATION_DELAY
 from camphordrift.platform.soak._response_plans import ServerMode
 from camphordrift.platform.soak._server_fleet import ServerFleet
 from camphordrift.platform.soak._servers import SoakServer
 from camphordrift.platform.soak._store import SoakStore, StoreMode
 from camphordrift.platform.soak._vm import Vm
+from camphordrift.platform.soak._vm_process import Cut
 
 #: Seconds for which a VM still cannot reach the store after the time at which it must reject a key
 #: that was revoked meanwhile.
@@ -32,6 +34,14 @@
 STORE_DOWNTIME, MAX_REWRITE_DELAY = 0.5, 2.0
 
 
+#: What becomes of the open connections to servers of a VM that is cut off, by the fault's action.
+_MODES_OF_CUT = {
+    "hang": ProxyMode.SILENCE,
+    "reset": ProxyMode.RESET,
+    "refuse": ProxyMode.PASS,
+}
+
+
 class FaultInjector:
     """Applies faults to the VMs, the store, the servers and the configuration of a run."""
 
@@ -50,6 +60,7 @@
         self._publisher = publisher
         self._crashing_callers = crashing_callers
         self._observations = observations
+        self._paths_are_cut = False
 
     async def inject(self, fault: Fault, background: trio.Nursery) -> None:
         """Applies a fault, and returns at its end.
@@ -76,6 +87,11 @@
                     await self._disturb_server(fault, action, background)
             case "prompt":
                 await self._crashing_callers.send_prompts(fault.seconds)
+            case "path":
+                await self._cut_paths([vm], action, fault.seconds)
+            case "paths":
+                others = [item for item, _ in self._vms if item is not vm]
+                await self._cut_paths(others, action, fault.seconds)
             case "request":
                 await self._crashing_callers.send_one_request(fault.seconds)
             case "configuration":
@@ -105,6 +121,27 @@
             await trio.sleep(seconds)
             self._store.mode = StoreMode.WELL
 
+    async def _cut_paths(self, vms: list[Vm], action: str, seconds: float) -> None:
+        """Cuts VMs off from all servers, unless some VMs are so already."""
+        if self._paths_are_cut:
+            return
+        self._paths_are_cut = True
+        started_at = trio.current_time()
+        for vm in vms:
+            vm.set_cut(Cut.HANG if action == "hang" else Cut.REFUSE)
+            self._set_host_modes(vm, _MODES_OF_CUT[action])
+        await trio.sleep(seconds)
+        for vm in vms:
+            vm.set_cut(Cut.NONE)
+            self._set_host_modes(vm, ProxyMode.PASS)
+        names = frozenset(vm.name for vm in vms)
+        self._observations.path_cuts.append(PathCut(names, started_at, trio.current_time()))
+        self._paths_are_cut = False
+
+    def _set_host_modes(self, vm: Vm, mode: ProxyMode) -> None:
+        for _, proxy in self._fleet.servers:
+            proxy.set_host_mode(vm.host, mode)
+
     async def _restore_store(self, fault: Fault) -> None:
         """Restores the store from a copy that lacks a configuration which the VMs have read.
 
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -50,6 +50,10 @@
     "servers_limit",
     "configuration_storm",
     "request_crash",
+    "path_hang",
+    "path_reset",
+    "path_refuse",
+    "paths_hang",
 )
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
@@ -58,6 +62,10 @@
     "servers_silent": (0.8, 1.8),
     "prompt_crash": (12.0, 14.0),
     "request_crash": (12.0, 14.0),
+    "path_hang": (9.0, 12.0),
+    "path_reset": (9.0, 12.0),
+    "path_refuse": (9.0, 12.0),
+    "paths_hang": (9.0, 12.0),
     "server_leave": (3.0, 6.0),
     "server_turn_away": (3.0, 5.0),
     "servers_turn_away": (3.0, 5.0),
--- a/camphordrift/platform/soak/_observations.py
+++ b/camphordrift/platform/soak/_observations.py
@@ -13,6 +13,7 @@
     CallerRequest,
     Crash,
     Execution,
+    PathCut,
     Span,
     overlaps,
 )
@@ -48,6 +49,8 @@
     store_disruptions: list[Span] = field(default_factory=list)
     #: Intervals in which the connections of a VM to the store were disrupted, by VM.
     store_link_disruptions: dict[str, list[Span]] = field(default_factory=_spans_by_name)
+    #: Intervals in which some VMs had no path to the servers, while the others had.
+    path_cuts: list[PathCut] = field(default_factory=list)
     #: Unexpected exits and errors of the relay processes.
     process_failures: list[str] = field(default_factory=list)
 
--- a/camphordrift/platform/soak/_records.py
+++ b/camphordrift/platform/soak/_records.py
@@ -99,6 +99,15 @@
     at: float
 
 
+@dataclass(frozen=True)
+class PathCut:
+    """An interval in which some VMs had no path to any server."""
+
+    vms: frozenset[str]
+    start: float
+    end: float
+
+
 #: Number of events in one stream.
 STREAM_EVENTS = 8
 
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -12,7 +12,7 @@
 from camphordrift.platform.soak._fault_injection import FaultInjector
 from camphordrift.platform.soak._faults import FAULT_KINDS, draw_faults
 from camphordrift.platform.soak._observations import Observations
-from camphordrift.platform.soak._proxy import Proxy
+from camphordrift.platform.soak._proxy import Proxy, SilentAddress
 from camphordrift.platform.soak._server_fleet import SERVER_PORT, ServerFleet
 from camphordrift.platform.soak._store import SoakStore
 from camphordrift.platform.soak._vm import Vm
@@ -63,8 +63,16 @@
         self.observations = Observations()
         self._store = SoakStore(f"{network}.1", SERVER_PORT)
         self._vms: list[tuple[Vm, Proxy]] = []
+        self._silent_address = SilentAddress(f"{network}.2")
         for number in range(settings.vms):
-            vm = Vm(number, network, SERVER_PORT, directory, self.observations)
+            vm = Vm(
+                number,
+                network,
+                SERVER_PORT,
+                directory,
+                self.observations,
+                str(self._silent_address),
+            )
             proxy = Proxy(vm.host, SERVER_PORT, self._store.host, SERVER_PORT)
             self._vms.append((vm, proxy))
         self._publisher = DocumentPublisher(self._store, self.observations)
@@ -102,6 +110,7 @@
                     vm.check_process()
                 background.cancel_scope.cancel()
         finally:
+            self._silent_address.close()
             for vm, _ in self._vms:
                 vm.kill_now()
         now, check_timing = trio.current_time(), self._settings.check_timing
--- a/camphordrift/platform/soak/_vm.py
+++ b/camphordrift/platform/soak/_vm.py
@@ -12,10 +12,12 @@
 import msgspec
 import trio
 
+from camphordrift.platform.soak import _vm_process
 from camphordrift.platform.soak._answer_checks import GRACE_PERIOD
 from camphordrift.platform.soak._callers import VmAddress
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._records import SCHEDULING_SLACK
+from camphordrift.platform.soak._vm_process import Cut
 
 #: Seconds for which a VM still counts as disrupted after it is ready again, as other VMs may still
 #: treat it as their leader.
@@ -35,6 +37,7 @@
         store_port: int,
         directory: Path,
         observations: Observations,
+        silent_address: str,
     ) -> None:
         self.name = f"vm-{number}"
         self.host = f"{network}.{number + 10}"
@@ -47,6 +50,10 @@
         self.disruption_running = False
         self._settings_path = directory / f"{self.name}.json"
         self._settings_path.write_bytes(msgspec.json.encode(self._document(number, store_port)))
+        self._server_port = store_port
+        self._silent_address = silent_address
+        self._cut_path = directory / f"{self.name}.cut"
+        self.set_cut(Cut.NONE)
         self._output_path = directory / f"{self.name}.log"
         self._errors_path = directory / f"{self.name}.err"
 
@@ -73,8 +80,15 @@
         self._end_expected = False
         with self._output_path.open("ab") as output, self._errors_path.open("ab") as errors:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "camphordrift.platform"],
-                env={**os.environ, "CAMPHORDRIFT_SETTINGS": str(self._settings_path)},
+                [sys.executable, _vm_process.__file__],
+                env={
+                    **os.environ,
+                    "CAMPHORDRIFT_SETTINGS": str(self._settings_path),
+                    _vm_process.VM_HOST: self.host,
+                    _vm_process.SERVER_PORT: str(self._server_port),
+                    _vm_process.CUT_PATH: str(self._cut_path),
+                    _vm_process.SILENT_ADDRESS: self._silent_address,
+                },
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=errors,
@@ -83,6 +97,10 @@
             while not await self._is_ready():
                 await trio.sleep(0.1)
 
+    def set_cut(self, cut: Cut) -> None:
+        """Sets what becomes of new connections to servers."""
+        self._cut_path.write_text(cut.value)
+
     async def kill(self, downtime: float) -> None:
         """Kills the process and starts it again after ``downtime`` seconds."""
         with self._disruption(), self._interruption():
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -59,6 +59,10 @@
     def test_requests_that_crash_servers_are_stopped(self) -> None:
         self.check_report(run_short_soak(("request_crash",), seconds=1.0))
 
+    def test_vms_that_lose_their_paths_to_servers_keep_all_guarantees(self) -> None:
+        kinds = ("path_hang", "path_reset", "path_refuse", "paths_hang")
+        self.check_report(run_short_soak(kinds, seed=2, seconds=1.0))
+
     def test_servers_that_say_that_they_leave_get_no_more_requests(self) -> None:
         self.check_report(run_short_soak(("server_leave",), seed=31, seconds=1.5, callers=12))
 
