--- a/camphordrift/platform/tests/test_boundary.py
+++ b/camphordrift/platform/tests/test_boundary.py
@@ -31,7 +31,8 @@
     r"|request_handler|admission|sender|refusals|server_directory|plain_servers"
     r"|configuration_lease|leader_election|store_watchers|store_era|routing_state"
     r"|request_attempts|follower_session|topic_watcher|server_notices|notice_distribution"
-    r"|trait_quarantine|crash_analysis|crash_monitor|quarantines|sound_traits|attempt_evidence)"
+    r"|trait_quarantine|crash_analysis|crash_monitor|quarantines|sound_traits|attempt_evidence"
+    r"|request_traits|server_paths|server_connector|cut_off_vms|path_sharing|tunnels)"
 )
 
 
--- a/camphordrift/relay/_http_client.py
+++ b/camphordrift/relay/_http_client.py
@@ -169,18 +169,14 @@
             raise BrokenAnswerError(f"not a valid HTTP response: {error}") from error
 
 
-async def open_socket(host: str, port: int, timeout: float) -> trio.SocketStream:
+async def open_stream(host: str, port: int, timeout: float) -> ByteStream:
     """Opens a connection to an IP address over this VM's own path.
 
     Raises:
         OSError: The connection failed, or was not established within ``timeout`` seconds.
 
     """
-    return await connect(host, port, timeout)
-
-
-async def _open_stream(host: str, port: int, timeout: float) -> ByteStream:
-    return SocketByteStream(await open_socket(host, port, timeout))
+    return SocketByteStream(await connect(host, port, timeout))
 
 
 #: Opens a connection to a host and port within a timeout in seconds; raises ``OSError``.
@@ -200,7 +196,7 @@
     def __init__(
         self,
         connect_timeout: float,
-        open_stream: OpenStream = _open_stream,
+        open_stream: OpenStream = open_stream,
         on_silence: Callable[[str, int], None] = lambda host, port: None,
     ) -> None:
         self._connect_timeout = connect_timeout
--- a/camphordrift/relay/_server_connector.py
+++ b/camphordrift/relay/_server_connector.py
@@ -7,8 +7,8 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._byte_stream import ByteStream, SocketByteStream
-from camphordrift.relay._http_client import open_socket
+from camphordrift.relay._byte_stream import ByteStream
+from camphordrift.relay._http_client import open_stream
 from camphordrift.relay._server_paths import ServerPaths
 from camphordrift.relay._settings import Address
 from camphordrift.relay._tunnels import TunnelRefusedError, open_tunnel
@@ -87,7 +87,7 @@
             OSError: The connection failed, or was not established within ``timeout`` seconds.
 
         """
-        stream = SocketByteStream(await open_socket(address.host, address.port, timeout))
+        stream = await open_stream(address.host, address.port, timeout)
         self._paths.record_reached(address)
         self._update()
         return stream
