--- a/camphordrift/relay/_server_connector.py
+++ b/camphordrift/relay/_server_connector.py
@@ -121,7 +121,7 @@
                 return await self._connect_through_other_vm(address)
             except TunnelRefusedError as error:
                 self._paths.record_unreachable(address, trio.current_time())
-                log_event("tunnel_failed", server=f"{host}:{port}", reason=str(error))
+                log_event("tunnel_failed", server=str(address), reason=str(error))
         race = _Race()
         async with trio.open_nursery() as nursery:
             race.scope = nursery.cancel_scope
@@ -157,7 +157,7 @@
         try:
             (await self.connect(address.host, address.port, CHECK_TIMEOUT)).abort()
         except OSError as error:
-            log_event("path_check_failed", server=address.host, reason=str(error))
+            log_event("path_check_failed", server=str(address), reason=str(error))
         finally:
             self._checking.discard(address)
 
@@ -228,7 +228,7 @@
         is_new = address not in self._paths.lost
         self._paths.record_lost(address)
         if is_new:
-            log_event("path_lost", level=LogLevel.WARNING, server=f"{address.host}:{address.port}")
+            log_event("path_lost", level=LogLevel.WARNING, server=str(address))
             self._on_paths_lost(address)
             if not self._paths.is_cut_off:
                 self._check_others(address)
@@ -253,10 +253,9 @@
     @staticmethod
     def _failure_of(address: Address, race: "_Race") -> OSError:
         """Returns why there is no connection to a server."""
-        name = f"{address.host}:{address.port}"
         if race.tunnel_error is not None and race.tunnel_error.server_refused:
-            return ConnectionRefusedError(f"{name} refused the connection of another VM")
-        return race.direct_error or TimeoutError(f"connecting to {name} timed out")
+            return ConnectionRefusedError(f"{address} refused the connection of another VM")
+        return race.direct_error or TimeoutError(f"connecting to {address} timed out")
 
 
 class _Race:
