Tell a reset of a server's connection from its end through other VMs

Cause: the VM in between reported a reset like the regular end of the connection, which ends a response without length. Change: the end says whether the server closed or reset the connection, or whether it was lost on the way. The VM in between also reads on after the end, as closing with unread data would reset the tunnel before the end has arrived.

Measured: test_a_reset_of_the_server_is_not_taken_for_its_regular_end failed before and passes.

--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -5,6 +5,7 @@
 
 import struct
 from collections.abc import Callable
+from enum import Enum
 from typing import Optional, Union
 
 import msgspec
@@ -255,8 +256,21 @@
     content: bytes
 
 
+class ConnectionEnd(Enum):
+    """How a connection to a server ended."""
+
+    #: The server closed it, which may be the regular end of a response.
+    CLOSED = "closed"
+    #: The server reset it, so that a response is incomplete.
+    RESET = "reset"
+    #: It broke on the way.
+    LOST = "lost"
+
+
 class TunnelEnded(msgspec.Struct, frozen=True, tag=True):
-    """Tells that the server closed the connection."""
+    """Tells that the connection to the server ended."""
+
+    end: ConnectionEnd
 
 
 class Ping(msgspec.Struct, frozen=True, tag=True):
--- a/camphordrift/relay/_tunnels.py
+++ b/camphordrift/relay/_tunnels.py
@@ -19,6 +19,7 @@
     enable_dead_peer_detection,
 )
 from camphordrift.relay._peer_messages import (
+    ConnectionEnd,
     LinkBrokenError,
     MessageLink,
     OpenTunnel,
@@ -33,6 +34,10 @@
 MAX_TUNNELS = 600
 
 
+#: Maximum number of seconds until the other VM closes a tunnel whose server closed the connection.
+END_TIMEOUT = 1.0
+
+
 class TunnelRefusedError(OSError):
     """The other VM has no connection to the server either, or does not answer.
 
@@ -53,7 +58,7 @@
     def __init__(self, stream: trio.SocketStream, link: MessageLink) -> None:
         self._stream = stream
         self._link = link
-        self._ended = False
+        self._end: Optional[ConnectionEnd] = None
 
     async def send_all(self, data: bytes) -> None:
         """Sends data; raises :class:`PathBrokenError` if the other VM is gone."""
@@ -68,23 +73,32 @@
         """Returns the next data; nothing if the server closed the connection.
 
         Raises:
-            PathBrokenError: The other VM is gone.
+            trio.BrokenResourceError: The server reset the connection.
+            PathBrokenError: The other VM is gone, or lost the connection to the server.
 
         """
-        while not self._ended:
+        while self._end is None:
             try:
                 message = await self._link.receive()
             except LinkBrokenError as error:
                 reason = f"the VM between here and the server is gone: {error}"
                 raise PathBrokenError(reason) from error
-            if isinstance(message, TunnelData) and message.content:
-                return message.content
-            self._ended = isinstance(message, TunnelEnded)
-        return b""
+            match message:
+                case TunnelData(content) if content:
+                    return content
+                case TunnelEnded(end):
+                    self._end = end
+        match self._end:
+            case ConnectionEnd.CLOSED:
+                return b""
+            case ConnectionEnd.RESET:
+                raise trio.BrokenResourceError("the server reset the connection")
+            case ConnectionEnd.LOST:
+                raise PathBrokenError("the other VM lost its connection to the server")
 
     def is_readable(self) -> bool:
         """Returns whether data or the end of the stream has arrived."""
-        return self._ended or self._link.has_unread or self._stream.socket.is_readable()
+        return self._end is not None or self._link.has_unread or self._stream.socket.is_readable()
 
     def abort(self) -> None:
         """Closes the tunnel, so that the other VM closes its connection with a reset."""
@@ -181,6 +195,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_forward_to_server, link, server)
                 await _forward_to_vm(server, link)
+                # Closing with unread data would reset the tunnel, and the end might not arrive.
+                await trio.sleep(END_TIMEOUT)
                 nursery.cancel_scope.cancel()
         finally:
             self.count -= 1
@@ -199,18 +215,20 @@
         if isinstance(message, TunnelData):
             try:
                 await server.send_all(message.content)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                # What the server sent before it closed the connection may still arrive.
-                await trio.sleep_forever()
+            except (trio.BrokenResourceError, trio.ClosedResourceError, PathBrokenError):
+                # The other direction reports the end, after what the server sent before it.
+                continue
 
 
 async def _forward_to_vm(server: ByteStream, link: MessageLink) -> None:
-    while True:
+    end: Optional[ConnectionEnd] = None
+    while end is None:
         try:
             data = await server.receive_some(READ_SIZE)
+            end = None if data else ConnectionEnd.CLOSED
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            data = b""
-        link.send(TunnelData(data) if data else TunnelEnded())
+            end = ConnectionEnd.RESET
+        except PathBrokenError:
+            end = ConnectionEnd.LOST
+        link.send(TunnelData(data) if end is None else TunnelEnded(end))
         await link.write_once()
-        if not data:
-            return
--- a/camphordrift/relay/tests/test_tunnels.py
+++ b/camphordrift/relay/tests/test_tunnels.py
@@ -11,6 +11,7 @@
     ByteStream,
     PathBrokenError,
     SocketByteStream,
+    abort,
     connect,
 )
 from camphordrift.relay._peer_messages import LinkBrokenError, MessageLink, OpenTunnel
@@ -132,6 +133,43 @@
 
         run(closes, scenario)
 
+    def test_a_reset_of_the_server_is_not_taken_for_its_regular_end(self) -> None:
+        """Guards against a truncated response without length that looks complete."""
+
+        async def resets(stream: trio.SocketStream) -> None:
+            await stream.send_all(b"first")
+            await trio.sleep(0.1)
+            abort(stream)
+
+        async def scenario(network: Network) -> None:
+            tunnel = await open_tunnel(network.vm, network.server, TIMEOUT)
+            self.assertEqual(b"first", await receive_exactly(tunnel, 5))
+            for _ in range(2):
+                try:
+                    await tunnel.receive_some()
+                except trio.BrokenResourceError:
+                    continue
+                self.fail("the reset was not reported")
+
+        run(resets, scenario)
+
+    def test_an_early_response_arrives_although_the_request_is_not_read(self) -> None:
+        async def responds_early(stream: trio.SocketStream) -> None:
+            await stream.send_all(b"early")
+            await stream.send_eof()
+            await trio.sleep(5.0)
+
+        async def scenario(network: Network) -> None:
+            tunnel = await open_tunnel(network.vm, network.server, TIMEOUT)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(tunnel.send_all, LARGE)
+                await trio.sleep(0.2)
+                self.assertEqual(b"early", await receive_exactly(tunnel, 5))
+                self.assertEqual(b"", await tunnel.receive_some())
+                nursery.cancel_scope.cancel()
+
+        run(responds_early, scenario)
+
     def test_the_loss_of_the_vm_in_between_is_not_taken_for_the_servers_end(self) -> None:
         """A server that did not crash accuses no request."""
 
