Keep the links to leader and followers in one place

Notices of servers, evidence of crashes and statements on paths each kept a list of the same links, with its own methods to add and remove one, its own loop and its own greeting; the election called all of them at four places. PeerLinks does it once for all. What is sent does not change.

--- a/camphordrift/relay/_crash_monitor.py
+++ b/camphordrift/relay/_crash_monitor.py
@@ -10,6 +10,7 @@
 
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay._crash_evidence import CrashEvidence, QuarantinedTraits
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay._peer_messages import CrashEvidenceUpdate, MessageLink
 from camphordrift.relay._quarantines import (
     QuarantineChange,
@@ -35,14 +36,16 @@
     Args:
         vm: Id of this VM.
         clock: Returns the seconds of a monotonic clock.
+        links: Links to the leader and to followers.
 
     """
 
-    def __init__(self, vm: str, clock: Callable[[], float]) -> None:
+    def __init__(self, vm: str, clock: Callable[[], float], links: PeerLinks) -> None:
         self._vm = vm
         self._clock = clock
         self._quarantine = TraitQuarantine()
-        self._links: list[MessageLink] = []
+        self._links = links
+        links.add_greeting(lambda: _messages(self._quarantine.snapshot(clock())))
 
     def quarantined_traits(self) -> dict[Traits, float]:
         """Returns the seconds for which each quarantine has been in force."""
@@ -55,21 +58,12 @@
         self._share(self._quarantine.merge(evidence, self._clock()).news)
         self._review()
 
-    def add_link(self, link: MessageLink) -> None:
-        """Starts to share evidence with the VM at the other end of ``link``."""
-        self._links.append(link)
-        _send(link, self._quarantine.snapshot(self._clock()))
-
-    def remove_link(self, link: MessageLink) -> None:
-        """Stops sharing evidence over ``link``; unknown links are ignored."""
-        if link in self._links:
-            self._links.remove(link)
-
     def handle(self, evidence: CrashEvidence, link: MessageLink) -> None:
         """Merges evidence that arrived over ``link``."""
         merged = self._quarantine.merge(evidence, self._clock())
         self._share(merged.news, link)
-        _send(link, merged.reply)
+        for message in _messages(merged.reply):
+            link.send(message)
         self._review()
 
     def record_crash(self, traits: tuple[str, ...], server: BackendServer) -> None:
@@ -114,9 +108,8 @@
                 age=crash.age,
                 vm=crash.vm,
             )
-        for link in self._links:
-            if link is not source:
-                _send(link, news)
+        for message in _messages(news):
+            self._links.send(message, source)
 
     def _review(self) -> None:
         for change in self._quarantine.review(self._clock()):
@@ -127,9 +120,8 @@
     return MAX_RETRIED_CRASHES if is_whole_request(trait) else MAX_RETRIED_CRASHES_ON_PART
 
 
-def _send(link: MessageLink, evidence: CrashEvidence) -> None:
-    if evidence:
-        link.send(CrashEvidenceUpdate(evidence))
+def _messages(evidence: CrashEvidence) -> list[CrashEvidenceUpdate]:
+    return [CrashEvidenceUpdate(evidence)] if evidence else []
 
 
 def _log_change(change: QuarantineChange) -> None:
--- a/camphordrift/relay/_follower_session.py
+++ b/camphordrift/relay/_follower_session.py
@@ -7,6 +7,7 @@
 from camphordrift.relay._engine_scheduler import EngineScheduler
 from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._path_sharing import PathSharing
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay._peer_messages import (
     ConfigurationRequest,
     CrashEvidenceUpdate,
@@ -44,6 +45,7 @@
         updates: Sends updates to the follower.
         notices: Shares the notices of backend servers.
         paths: Shares which VMs are cut off from the servers.
+        links: Gets the link to the follower, once it has introduced itself.
         add_member: Called with VMs of which the follower tells.
         record_store_unreachable: Called with a VM that cannot reach the store.
         better_leaders: Returns the VMs that are preferred as leader over this one.
@@ -57,6 +59,7 @@
         updates: UpdateDistributor,
         notices: NoticeDistributor,
         paths: PathSharing,
+        links: PeerLinks,
         add_member: Callable[[Member], None],
         record_store_unreachable: Callable[[str], None],
         better_leaders: Callable[[], list[Member]],
@@ -65,6 +68,7 @@
         self._updates = updates
         self._notices = notices
         self._paths = paths
+        self._links = links
         self.link: Optional[MessageLink] = None
         #: The follower, once it has introduced itself.
         self.member: Optional[Member] = None
@@ -81,8 +85,7 @@
                 self._add_member(message)
                 if self.link is not None:
                     self._updates.add_follower(self.link, message, self._better_leaders())
-                    self._notices.add_link(self.link)
-                    self._paths.add_link(self.link)
+                    self._links.add(self.link)
             case Ping():
                 if self.link is not None:
                     self._updates.record_follower_state(self.link, message)
--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/_leader_election.py
@@ -23,6 +23,7 @@
 from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, LogTopics, StoreError
 from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._path_sharing import PathSharing
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay._peer_messages import (
     LinkBrokenError,
     Member,
@@ -106,6 +107,7 @@
         notices: NoticeDistributor,
         paths: PathSharing,
         tunnels: TunnelServer,
+        links: PeerLinks,
     ) -> None:
         self._own_member = own_member
         self._log = log
@@ -118,13 +120,14 @@
         self._notices = notices
         self._paths = paths
         self._tunnels = tunnels
+        self._links = links
         self._members: dict[str, Member] = {own_member.vm: own_member}
         self._connect_attempts: dict[str, int] = {}
         #: When other VMs were last connected, directly or by a common leader.
         self._last_seen: dict[str, float] = {}
         self._leader_lost_at = float("-inf")
         updates.count_vms = self._count_vms
-        paths.members = lambda: list(self._members.values())
+        paths.members = self._members.values
         self._store_unreachable_until: dict[str, float] = {}
         self._members_changed = trio.Event()
         self._last_follower_id = 0
@@ -321,8 +324,7 @@
         log_event("home_found", home=leader.vm)
         self._dispatcher.attach_leader(link)
         self._updates.record_leader_found(link)
-        self._notices.add_link(link)
-        self._paths.add_link(link)
+        self._links.add(link)
         self._leader = leader
         reason = "another VM is preferred as leader"
         try:
@@ -340,8 +342,7 @@
             self._last_seen |= dict.fromkeys(self._members, self._leader_lost_at)
             self._scheduler.suspend_decisions(TAKEOVER_DELAY)
             self._updates.record_leader_lost()
-            self._notices.remove_link(link)
-            self._paths.remove_link(link)
+            self._links.remove(link)
             self._leader = self._own_member
             self._dispatcher.detach_leader()
             stream.socket.close()
@@ -420,6 +421,7 @@
             self._updates,
             self._notices,
             self._paths,
+            self._links,
             self._add_member,
             self._record_store_unreachable,
             lambda: self._better_leaders(self._own_member),
@@ -449,8 +451,7 @@
             if session.member is not None:
                 self._last_seen[session.member.vm] = trio.current_time()
             self._updates.remove_follower(link)
-            self._notices.remove_link(link)
-            self._paths.remove_link(link)
+            self._links.remove(link)
             self._scheduler.remove_owner(session.follower_id)
             stream.socket.close()
 
--- a/camphordrift/relay/_notice_distribution.py
+++ b/camphordrift/relay/_notice_distribution.py
@@ -1,10 +1,11 @@
 """Collects the notices of backend servers from their responses, and shares them between VMs."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Optional
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._peer_messages import MessageLink, ServersLeaving, ServersLimited
+from camphordrift.relay._peer_links import PeerLinks
+from camphordrift.relay._peer_messages import Message, ServersLeaving, ServersLimited
 from camphordrift.relay._request_limits import RequestLimits, ServerLimit
 from camphordrift.relay._server_notices import (
     ServerNotices,
@@ -32,6 +33,7 @@
         clock: Returns the seconds of a monotonic clock.
         on_leaving: Called when a server newly announced that it leaves.
         on_pause: Called with the service of a server that starts or extends a pause.
+        links: Links to the leader and to followers.
 
     """
 
@@ -42,27 +44,15 @@
         clock: Callable[[], float],
         on_leaving: Callable[[], None],
         on_pause: Callable[[str, ServerPause], None],
+        links: PeerLinks,
     ) -> None:
         self._notices = notices
         self._limits = limits
         self._clock = clock
         self._on_leaving = on_leaving
         self._on_pause = on_pause
-        #: Links to the leader and to followers.
-        self._links: list[MessageLink] = []
-
-    def add_link(self, link: MessageLink) -> None:
-        """Starts to share notices with the VM at the other end of a link."""
-        self._links.append(link)
-        if self._notices.leaving:
-            link.send(ServersLeaving(self._notices.leaving))
-        if limits := self._limits.known(self._clock()):
-            link.send(ServersLimited(limits))
-
-    def remove_link(self, link: MessageLink) -> None:
-        """Stops to share notices on a link; unknown links are ignored."""
-        if link in self._links:
-            self._links.remove(link)
+        self._links = links
+        links.add_greeting(self._known)
 
     def observe(
         self,
@@ -109,8 +99,7 @@
             )
         if new:
             self._on_leaving()
-            for link in self._links:
-                link.send(ServersLeaving(new))
+            self._links.send(ServersLeaving(new))
 
     def record_limits(self, limits: Iterable[ServerLimit], source: str) -> None:
         """Records limits that another VM knows, or that have ended.
@@ -122,6 +111,12 @@
         """
         self._share_limits([x for x in limits if self._limits.merge(x, self._clock())], source)
 
+    def _known(self) -> Iterator[Message]:
+        if self._notices.leaving:
+            yield ServersLeaving(self._notices.leaving)
+        if limits := self._limits.known(self._clock()):
+            yield ServersLimited(limits)
+
     def _observe_limit(
         self, server: BackendServer, rate: Optional[float], sent_at: Optional[float], source: str
     ) -> None:
@@ -139,8 +134,7 @@
                 source=source,
             )
         if changes:
-            for link in self._links:
-                link.send(ServersLimited(tuple(changes)))
+            self._links.send(ServersLimited(tuple(changes)))
 
     def _record_pause(self, server: BackendServer, seconds: float, source: str) -> None:
         if not self._notices.record_pause(server, self._clock() + seconds):
--- a/camphordrift/relay/_path_sharing.py
+++ b/camphordrift/relay/_path_sharing.py
@@ -9,6 +9,7 @@
 import trio
 
 from camphordrift.relay._cut_off_vms import STATEMENT_INTERVAL, CutOffVms, PathStatement
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay._peer_messages import Member, MessageLink
 from camphordrift.relay._settings import Address
 
@@ -25,33 +26,23 @@
     Args:
         own_member: This VM.
         clock: Returns the seconds of a monotonic clock.
+        links: Links to the leader and to followers.
 
     """
 
-    def __init__(self, own_member: Member, clock: Callable[[], float]) -> None:
+    def __init__(self, own_member: Member, clock: Callable[[], float], links: PeerLinks) -> None:
         self._own_member = own_member
         self._clock = clock
         self._cut_off_vms = CutOffVms()
         self._numbers = itertools.count()
         self._is_cut_off = False
-        #: Links to the leader and to followers.
-        self._links: list[MessageLink] = []
+        self._links = links
+        links.add_greeting(lambda: self._cut_off_vms.current(clock()))
         self._known: OrderedDict[str, Member] = OrderedDict()
         self._failed_at: dict[Address, float] = {}
         #: Returns the members that this VM knows.
         self.members: Callable[[], Iterable[Member]] = lambda: ()
 
-    def add_link(self, link: MessageLink) -> None:
-        """Starts to share statements with the VM at the other end of a link."""
-        self._links.append(link)
-        for statement in self._cut_off_vms.current(self._clock()):
-            link.send(statement)
-
-    def remove_link(self, link: MessageLink) -> None:
-        """Stops to share statements on a link; unknown links are ignored."""
-        if link in self._links:
-            self._links.remove(link)
-
     def add_known(self, member: Member) -> None:
         """Remembers a VM that another one named."""
         self._known[member.vm] = member
@@ -62,9 +53,7 @@
     def handle(self, statement: PathStatement, source: Optional[MessageLink] = None) -> None:
         """Merges a VM's statement, and passes it on if it is new."""
         if self._cut_off_vms.merge(statement, self._clock()):
-            for link in self._links:
-                if link is not source:
-                    link.send(statement)
+            self._links.send(statement, source)
 
     def state_cut_off(self, is_cut_off: bool) -> None:
         """Tells the other VMs whether this one is cut off from the servers."""
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -38,6 +38,7 @@
 from camphordrift.relay._leader_election import LeaderElection
 from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._path_sharing import PathSharing
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay._peer_messages import Member
 from camphordrift.relay._quarantine_records import QuarantineRecords
 from camphordrift.relay._relay_metrics import RelayMetrics
@@ -131,12 +132,14 @@
             trio.current_time,
             lambda service: self._notices.pauses_of(service, trio.current_time()),
         )
+        links = PeerLinks()
         self._notice_distributor = NoticeDistributor(
             self._notices,
             self._request_limits,
             trio.current_time,
             on_leaving=self._refresh_pools,
             on_pause=self._dispatcher.report_pause,
+            links=links,
         )
         eras = StoreEraTracker()
         log = EraCheckedLog(CountedLog(adapters.log, self._metrics.store_calls), eras)
@@ -159,9 +162,9 @@
             self._servers_changed,
             lambda: self._configuration.store_reachable,
         )
-        self._crashes = CrashMonitor(settings.vm, trio.current_time)
+        self._crashes = CrashMonitor(settings.vm, trio.current_time, links)
         own_member = self._own_member()
-        paths = PathSharing(own_member, trio.current_time)
+        paths = PathSharing(own_member, trio.current_time, links)
         self._connector = ServerConnector(
             paths, self._listed_addresses, lambda server: self._connections.close_idle(server)
         )
@@ -187,6 +190,7 @@
             self._notice_distributor,
             paths,
             self._tunnels,
+            links,
         )
         self._connections = ConnectionPool(
             BACKEND_CONNECT_TIMEOUT, self._connector.connect, self._connector.check
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/_update_distribution.py
@@ -95,13 +95,11 @@
         self._other_vms = itertools.cycle(list(self._followers.values()))
         for member in better_leaders:
             link.send(member)
-        self._crashes.add_link(link)
 
     def remove_follower(self, link: MessageLink) -> None:
         """Stops sending updates to a follower; unknown links are ignored."""
         self._followers.pop(link, None)
         self._other_vms = itertools.cycle(list(self._followers.values()))
-        self._crashes.remove_link(link)
         self._awaited_versions.pop(link, None)
 
     def announce_store_unreachable(self, vm: str) -> None:
@@ -189,15 +187,12 @@
         self._configuration.request_document = lambda: link.send(ConfigurationRequest())
         self._leader_age = None
         self._leader_link = link
-        self._crashes.add_link(link)
         self._configuration.has_leader = True
         self._servers.record_leader_found()
 
     def record_leader_lost(self) -> None:
         """Records that this VM has no leader."""
-        if self._leader_link is not None:
-            self._crashes.remove_link(self._leader_link)
-            self._leader_link = None
+        self._leader_link = None
         self._configuration.has_leader = False
         self._servers.has_leader = False
         self._pings.clear()
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -34,6 +34,7 @@
 )
 from camphordrift.relay._http_client import ConnectionPool
 from camphordrift.relay._notice_distribution import NoticeDistributor
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay._placement_values import PlacementRequest
 from camphordrift.relay._request_limits import RequestLimits
 from camphordrift.relay._server_calls import ServerCalls
@@ -324,7 +325,7 @@
     notices = ServerNotices() if notices is None else notices
     limits = RequestLimits(lambda: 1.0)
     distributor = NoticeDistributor(
-        notices, limits, trio.current_time, lambda: None, lambda service, pause: None
+        notices, limits, trio.current_time, lambda: None, lambda service, pause: None, PeerLinks()
     )
     return ServerCalls(
         ConnectionPool(0.5),
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -32,6 +32,7 @@
 )
 from camphordrift.relay._notice_distribution import NoticeDistributor
 from camphordrift.relay._path_sharing import PathSharing
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay._peer_messages import (
     LinkBrokenError,
     Member,
@@ -126,8 +127,9 @@
         servers_changed,
         lambda: configuration.store_reachable,
     )
-    parts = CrashMonitor(member.vm, trio.current_time)
-    paths = PathSharing(member, trio.current_time)
+    links = PeerLinks()
+    parts = CrashMonitor(member.vm, trio.current_time, links)
+    paths = PathSharing(member, trio.current_time, links)
     updates = UpdateDistributor(configuration, servers, lease, eras, parts, paths)
     records = QuarantineRecords(
         checked_log, TOPICS.members, parts, eras, lambda: election.is_leader
@@ -138,6 +140,7 @@
         trio.current_time,
         lambda: vm.refresh(),
         dispatcher.report_pause,
+        links,
     )
     election = LeaderElection(
         member,
@@ -151,6 +154,7 @@
         notices,
         paths,
         TunnelServer(lambda address: False, _connect_nowhere),
+        links,
     )
     vm = Vm(
         member, dispatcher, scheduler, lease, configuration, servers, directory, parts, election
--- a/camphordrift/relay/tests/test_server_notices.py
+++ b/camphordrift/relay/tests/test_server_notices.py
@@ -9,6 +9,7 @@
 
 from camphordrift.relay import BackendServer, ResponseMetadata, ServerState
 from camphordrift.relay._notice_distribution import NoticeDistributor
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay._request_limits import RequestLimits
 from camphordrift.relay._server_notices import (
     UNLISTED_RETENTION,
@@ -203,6 +204,7 @@
             lambda: 100.0,
             self._count_change,
             self._record_pause,
+            PeerLinks(),
         )
 
     def test_a_new_notice_is_reported_once(self) -> None:
--- a/camphordrift/relay/tests/test_server_paths.py
+++ b/camphordrift/relay/tests/test_server_paths.py
@@ -4,6 +4,7 @@
 
 from camphordrift.relay._cut_off_vms import STATEMENT_LIFETIME, CutOffVms, PathStatement
 from camphordrift.relay._path_sharing import FAILURE_PERIOD, MAX_KNOWN_VMS, PathSharing
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay._peer_messages import Member
 from camphordrift.relay._server_paths import (
     LOSSES_TO_CUT_OFF,
@@ -96,7 +97,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.now = 100.0
-        self.sharing = PathSharing(member(0), lambda: self.now)
+        self.sharing = PathSharing(member(0), lambda: self.now, PeerLinks())
 
     def test_a_vm_of_the_own_zone_is_asked_first_and_one_of_another_zone_next(self) -> None:
         for number in range(1, 5):
--- a/camphordrift/relay/tests/test_whole_requests.py
+++ b/camphordrift/relay/tests/test_whole_requests.py
@@ -15,6 +15,7 @@
     SoundTrait,
 )
 from camphordrift.relay._crash_monitor import CrashMonitor
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay.tests.samples import server
 from camphordrift.relay.tests.test_trait_quarantine import QuarantineCase
 
@@ -141,7 +142,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.monitor = CrashMonitor("vm-1", lambda: 100.0)
+        self.monitor = CrashMonitor("vm-1", lambda: 100.0, PeerLinks())
 
     def crash(self, number: int, *traits: str) -> None:
         self.monitor.record_crash(traits, server(number))
--- a/camphordrift/relay/tests/watched_vms.py
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -16,6 +16,7 @@
 from camphordrift.relay._interfaces import KeyedLog
 from camphordrift.relay._leader_election import LINK_IDLE_TIMEOUT, PING_INTERVAL
 from camphordrift.relay._path_sharing import PathSharing
+from camphordrift.relay._peer_links import PeerLinks
 from camphordrift.relay._peer_messages import (
     ConfigurationRequest,
     LinkBrokenError,
@@ -167,8 +168,8 @@
             self.servers,
             self.lease,
             self.eras,
-            CrashMonitor(self.member.vm, trio.current_time),
-            PathSharing(self.member, trio.current_time),
+            CrashMonitor(self.member.vm, trio.current_time, PeerLinks()),
+            PathSharing(self.member, trio.current_time, PeerLinks()),
         )
 
     @property
