Use one function to receive a message, and end tunnels in one place

Change: read_next() calls receive(); the count is kept by one try/finally, forwarding is a function. A gauge's description says requests instead of prompts, as whole requests are quarantined since.

--- a/camphordrift/relay/_http_client.py
+++ b/camphordrift/relay/_http_client.py
@@ -29,7 +29,6 @@
 #: latency.
 IDLE_MARGIN = 0.5
 
-
 #: Timeout in seconds for connecting to a backend server.
 BACKEND_CONNECT_TIMEOUT = 0.5
 
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/_peer_messages.py
@@ -431,9 +431,7 @@
 
         """
         with trio.move_on_after(self._idle_timeout):
-            while (message := self._decode_next()) is None:
-                await self._receive_some()
-            return message
+            return await self.receive()
         raise LinkBrokenError("no data from the peer within the idle timeout")
 
     @property
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -329,7 +329,7 @@
         )
         gauge(
             "relay_quarantined_traits",
-            "Traits of prompts that are not sent, as engines crash on them.",
+            "Traits of requests that are not sent, as servers crash on them.",
             lambda: len(self._crashes.quarantined_traits()),
         )
         gauge(
--- a/camphordrift/relay/_tunnels.py
+++ b/camphordrift/relay/_tunnels.py
@@ -33,7 +33,6 @@
 #: Maximum number of tunnels of other VMs at the same time; each takes two file descriptors.
 MAX_TUNNELS = 600
 
-
 #: Maximum number of seconds until the other VM closes a tunnel whose server closed the connection.
 END_TIMEOUT = 1.0
 
@@ -183,24 +182,32 @@
             await _refuse(link, "the VM stops, has too many tunnels, or does not list the server")
             return
         self.count += 1
+        try:
+            await self._connect_and_forward(link, request)
+        finally:
+            self.count -= 1
+
+    async def _connect_and_forward(self, link: MessageLink, request: OpenTunnel) -> None:
         try:
             server = await self._connect_directly(request.server, request.timeout)
         except OSError as error:
-            self.count -= 1
             await _refuse(link, str(error), isinstance(error, ConnectionRefusedError))
             return
-        try:
-            link.send(TunnelOpened())
-            await link.write_once()
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(_forward_to_server, link, server)
-                await _forward_to_vm(server, link)
-                # Closing with unread data would reset the tunnel, and the end might not arrive.
-                await trio.sleep(END_TIMEOUT)
-                nursery.cancel_scope.cancel()
-        finally:
-            self.count -= 1
-            server.abort()
+        await _forward(link, server)
+
+
+async def _forward(link: MessageLink, server: ByteStream) -> None:
+    try:
+        link.send(TunnelOpened())
+        await link.write_once()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_forward_to_server, link, server)
+            await _forward_to_vm(server, link)
+            # Closing with unread data would reset the tunnel, and the end might not arrive.
+            await trio.sleep(END_TIMEOUT)
+            nursery.cancel_scope.cancel()
+    finally:
+        server.abort()
 
 
 async def _refuse(link: MessageLink, reason: str, server_refused: bool = False) -> None:
