--- a/camphordrift/experiments/placement_costs.py
+++ b/camphordrift/experiments/placement_costs.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass
 from types import FrameType
 
-from camphordrift.relay._engine_pool import EnginePool
-from camphordrift.relay._placement_values import AttemptOutcome, Grant, PlacementRequest
-from camphordrift.relay._values import BackendServer, EngineCosts, ServerState
+from camphordrift.relay.model._values import BackendServer, EngineCosts, ServerState
+from camphordrift.relay.scheduling._engine_pool import EnginePool
+from camphordrift.relay.scheduling._placement_values import AttemptOutcome, Grant, PlacementRequest
 
 #: Engines of the large deployment, with five slots each.
 _COSTS = EngineCosts(
--- a/camphordrift/relay/__init__.py
+++ b/camphordrift/relay/__init__.py
@@ -5,15 +5,24 @@
 its deployment: headers, documents, engine orders and the keyed log.
 """
 
-from camphordrift.relay._http_client import (
+from camphordrift.relay._process import Adapters, RelayProcess, run_relay
+from camphordrift.relay.connections import (
     BrokenAnswerError,
     ConnectionPool,
     SmallRequest,
     SmallResponse,
 )
-from camphordrift.relay._interfaces import (
+from camphordrift.relay.model import (
+    Account,
+    Address,
+    BackendServer,
     Batch,
+    CallerLimits,
+    Configuration,
     DocumentFormat,
+    EngineCosts,
+    EngineReport,
+    ForwardingMetadata,
     HeaderFormat,
     Headers,
     HistoryLostError,
@@ -21,29 +30,19 @@
     KeyedRecord,
     LogTopics,
     OrderFormat,
-    ReportFormat,
-    Reservation,
-    StoreError,
-)
-from camphordrift.relay._process import Adapters, RelayProcess, run_relay
-from camphordrift.relay._retry_budget import RetryBudgetSettings
-from camphordrift.relay._settings import Address, RelaySettings
-from camphordrift.relay._values import (
-    Account,
-    BackendServer,
-    CallerLimits,
-    Configuration,
-    EngineCosts,
-    EngineReport,
-    ForwardingMetadata,
     PrefillHelper,
+    RelaySettings,
+    ReportFormat,
     RequestMetadata,
+    Reservation,
     ResponseMetadata,
+    RetryBudgetSettings,
     Route,
     RunRule,
     ServerState,
     Service,
     ServiceShare,
+    StoreError,
 )
 
 __all__ = [
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -15,49 +15,59 @@
     configure_bounded_logging,
     log_event,
 )
-from camphordrift.relay._admission import Admission
-from camphordrift.relay._byte_stream import READ_SIZE
-from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
-from camphordrift.relay._configuration_sharing import fetch_configuration
-from camphordrift.relay._configuration_watcher import ConfigurationWatcher
-from camphordrift.relay._counted_log import CountedLog
-from camphordrift.relay._crash_monitor import CrashMonitor
-from camphordrift.relay._dispatcher import Dispatcher
-from camphordrift.relay._engine_inspection import EngineInspector
-from camphordrift.relay._engine_scheduler import EngineScheduler
-from camphordrift.relay._http_client import BACKEND_CONNECT_TIMEOUT, ConnectionPool
-from camphordrift.relay._http_server import CallerConnection, CallerRequest, ResponseWriter
-from camphordrift.relay._interfaces import (
+from camphordrift.relay.connections import (
+    BACKEND_CONNECT_TIMEOUT,
+    READ_SIZE,
+    CallerConnection,
+    CallerRequest,
+    ConnectionPool,
+    ResponseWriter,
+)
+from camphordrift.relay.fleet import Dispatcher, LeaderElection, UpdateDistributor
+from camphordrift.relay.model import (
+    Address,
+    CallerLimits,
     DocumentFormat,
     HeaderFormat,
     KeyedLog,
     LogTopics,
     OrderFormat,
+    RelaySettings,
     ReportFormat,
 )
-from camphordrift.relay._leader_election import LeaderElection
-from camphordrift.relay._notice_distribution import NoticeDistributor
-from camphordrift.relay._path_sharing import PathSharing
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._peer_messages import Member
-from camphordrift.relay._quarantine_records import QuarantineRecords
-from camphordrift.relay._relay_metrics import RelayMetrics
-from camphordrift.relay._request_handler import RequestHandler
-from camphordrift.relay._request_limits import RequestLimits
-from camphordrift.relay._request_reports import RequestReports
-from camphordrift.relay._reservations import ReservationManager
-from camphordrift.relay._routing_state import RoutingState
-from camphordrift.relay._sender import Sender
-from camphordrift.relay._server_calls import ServerCalls
-from camphordrift.relay._server_connector import ServerConnector
-from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
-from camphordrift.relay._server_notices import ServerNotices
-from camphordrift.relay._servers_watcher import ServersWatcher
-from camphordrift.relay._settings import Address, RelaySettings
-from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
-from camphordrift.relay._tunnels import TunnelServer
-from camphordrift.relay._update_distribution import UpdateDistributor
-from camphordrift.relay._values import CallerLimits
+from camphordrift.relay.peers import (
+    CrashMonitor,
+    Member,
+    NoticeDistributor,
+    PathSharing,
+    PeerLinks,
+    TunnelServer,
+    fetch_configuration,
+)
+from camphordrift.relay.requests import (
+    Admission,
+    EngineInspector,
+    RelayMetrics,
+    RequestHandler,
+    RequestReports,
+    ReservationManager,
+    RoutingState,
+    Sender,
+    ServerCalls,
+    ServerConnector,
+)
+from camphordrift.relay.scheduling import EngineScheduler, RequestLimits
+from camphordrift.relay.servers import DirectoryChange, ServerDirectory, ServerNotices
+from camphordrift.relay.store import (
+    ConfigurationLease,
+    ConfigurationWatcher,
+    CountedLog,
+    EraCheckedLog,
+    QuarantineRecords,
+    ServersWatcher,
+    StoreEraTracker,
+    boot_time_clock,
+)
 from camphordrift.resident_memory import resident_bytes
 from camphordrift.telemetry import METRICS_CONTENT_TYPE
 
@@ -95,7 +105,7 @@
 
 @dataclass(frozen=True)
 class Adapters:
-    """A deployment's implementations of the interfaces in :mod:`camphordrift.relay._interfaces`."""
+    """A deployment's implementations of the interfaces in :mod:`camphordrift.relay.model`."""
 
     headers: HeaderFormat
     documents: DocumentFormat
--- /dev/null
+++ b/camphordrift/relay/connections/__init__.py
@@ -0,0 +1,53 @@
+"""HTTP exchange with callers and backend servers over byte streams.
+
+May hold I/O and parsing, but no choice of a server and no retry. Imports only
+:mod:`camphordrift.relay.model`.
+"""
+
+from camphordrift.relay.connections._byte_stream import (
+    READ_SIZE,
+    ByteStream,
+    PathBrokenError,
+    abort,
+    connect,
+    enable_dead_peer_detection,
+)
+from camphordrift.relay.connections._events import EventSplitter, EventTooLongError, StreamEvent
+from camphordrift.relay.connections._http_client import (
+    BACKEND_CONNECT_TIMEOUT,
+    BrokenAnswerError,
+    ConnectionPool,
+    HttpConnection,
+    SmallRequest,
+    SmallResponse,
+    open_stream,
+)
+from camphordrift.relay.connections._http_server import (
+    CallerConnection,
+    CallerRequest,
+    ResponseWriter,
+    may_have_body,
+)
+
+__all__ = [
+    "BACKEND_CONNECT_TIMEOUT",
+    "BrokenAnswerError",
+    "ByteStream",
+    "CallerConnection",
+    "CallerRequest",
+    "ConnectionPool",
+    "EventSplitter",
+    "EventTooLongError",
+    "HttpConnection",
+    "PathBrokenError",
+    "READ_SIZE",
+    "ResponseWriter",
+    "SmallRequest",
+    "SmallResponse",
+    "StreamEvent",
+    "abort",
+    "connect",
+    "enable_dead_peer_detection",
+    "may_have_body",
+    "open_stream",
+]
--- a/camphordrift/relay/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -12,8 +12,13 @@
 import h11
 import trio
 
-from camphordrift.relay._byte_stream import READ_SIZE, ByteStream, SocketByteStream, connect
-from camphordrift.relay._settings import Address
+from camphordrift.relay.connections._byte_stream import (
+    READ_SIZE,
+    ByteStream,
+    SocketByteStream,
+    connect,
+)
+from camphordrift.relay.model import Address
 
 #: Maximum size of the status line and headers of a response, in bytes.
 MAX_HEAD_SIZE = 65536
--- a/camphordrift/relay/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -13,9 +13,8 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._byte_stream import READ_SIZE, abort, enable_dead_peer_detection
-from camphordrift.relay._interfaces import Headers
-from camphordrift.relay._values import CallerLimits
+from camphordrift.relay.connections._byte_stream import READ_SIZE, abort, enable_dead_peer_detection
+from camphordrift.relay.model import CallerLimits, Headers
 
 #: Maximum number of bytes that are read from a caller while a previous request is in progress.
 MAX_READ_AHEAD_BYTES = 65536
--- a/camphordrift/relay/_crash_analysis.py
+++ b/camphordrift/relay/crashes/_crash_analysis.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from typing import Optional
 
-from camphordrift.relay._quarantines import Traits
-from camphordrift.relay._request_traits import is_whole_request
-from camphordrift.relay._sound_traits import SoundTraits
+from camphordrift.relay.crashes._quarantines import Traits
+from camphordrift.relay.crashes._request_traits import is_whole_request
+from camphordrift.relay.crashes._sound_traits import SoundTraits
 
 #: Servers that crash on a trait before it is quarantined.
 CRASHES_TO_QUARANTINE = 3
--- a/camphordrift/relay/_crash_evidence.py
+++ b/camphordrift/relay/crashes/_crash_evidence.py
@@ -1,7 +1,7 @@
 """Evidence about traits of requests on which servers may crash, as VMs exchange it.
 
 A trait is what requests may have in common: a part of their prompts, or that they are the same; see
-:mod:`camphordrift.relay._request_traits`.
+:mod:`camphordrift.relay.crashes`.
 
 All times are ages in seconds at the time of sending, as the clocks of VMs differ. Fields that were
 renamed keep their former names on the wire.
--- a/camphordrift/relay/_quarantines.py
+++ b/camphordrift/relay/crashes/_quarantines.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Union
 
-from camphordrift.relay._request_traits import is_whole_request
+from camphordrift.relay.crashes._request_traits import is_whole_request
 
 #: Seconds for which requests with quarantined traits are refused.
 QUARANTINE_PERIOD = 600.0
--- a/camphordrift/relay/_request_traits.py
+++ b/camphordrift/relay/crashes/_request_traits.py
@@ -7,8 +7,8 @@
 import hashlib
 from typing import Optional
 
-from camphordrift.relay._http_server import CallerRequest
-from camphordrift.relay._values import Account
+from camphordrift.relay.connections import CallerRequest
+from camphordrift.relay.model import Account
 
 #: Prefix of the traits of whole requests. Ids of parts of prompts have no colon.
 _WHOLE_REQUEST_PREFIX = "request:"
--- a/camphordrift/relay/_sound_traits.py
+++ b/camphordrift/relay/crashes/_sound_traits.py
@@ -2,8 +2,8 @@
 
 from collections import OrderedDict
 
-from camphordrift.relay._crash_evidence import CrashEvidence, SoundTrait
-from camphordrift.relay._request_traits import is_whole_request
+from camphordrift.relay.crashes._crash_evidence import CrashEvidence, SoundTrait
+from camphordrift.relay.crashes._request_traits import is_whole_request
 
 #: Maximum number of traits of each kind that are remembered; those set least recently are dropped
 #: first. Whole requests are so many that they would displace the parts of prompts.
--- a/camphordrift/relay/_trait_quarantine.py
+++ b/camphordrift/relay/crashes/_trait_quarantine.py
@@ -8,14 +8,14 @@
 from dataclasses import dataclass
 from typing import Optional
 
-from camphordrift.relay._crash_analysis import CrashAnalysis, RecordedCrash
-from camphordrift.relay._crash_evidence import (
+from camphordrift.relay.crashes._crash_analysis import CrashAnalysis, RecordedCrash
+from camphordrift.relay.crashes._crash_evidence import (
     CrashEvidence,
     QuarantinedTraits,
     ServerCrash,
     SoundTrait,
 )
-from camphordrift.relay._quarantines import (
+from camphordrift.relay.crashes._quarantines import (
     MAX_QUARANTINES,
     PROBATION_PERIOD,
     QUARANTINE_PERIOD,
@@ -24,7 +24,7 @@
     QuarantineStarted,
     Traits,
 )
-from camphordrift.relay._sound_traits import SOUND_TOLERANCE, SoundTraits
+from camphordrift.relay.crashes._sound_traits import SOUND_TOLERANCE, SoundTraits
 
 #: Seconds after which a crash no longer counts.
 CRASH_MEMORY = 300.0
--- a/camphordrift/relay/_dispatcher.py
+++ b/camphordrift/relay/fleet/_dispatcher.py
@@ -8,8 +8,7 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._engine_scheduler import EngineScheduler
-from camphordrift.relay._peer_messages import (
+from camphordrift.relay.peers import (
     EventGapReport,
     Finished,
     Granted,
@@ -26,14 +25,16 @@
     Waiting,
     Withdraw,
 )
-from camphordrift.relay._placement_values import (
+from camphordrift.relay.scheduling import (
+    UNKNOWN_WAIT,
     AttemptOutcome,
+    EngineScheduler,
     Grant,
+    Permit,
     PlacementDecision,
     PlacementRequest,
 )
-from camphordrift.relay._request_limits import UNKNOWN_WAIT, Permit
-from camphordrift.relay._server_notices import ServerPause
+from camphordrift.relay.servers import ServerPause
 
 #: Seconds within which the leader must send a decision or acknowledge that the request waits. After
 #: them the request is submitted to the local scheduler.
--- a/camphordrift/relay/_follower_session.py
+++ b/camphordrift/relay/fleet/_follower_session.py
@@ -3,12 +3,8 @@
 from collections.abc import Callable
 from typing import Optional
 
-from camphordrift.relay._cut_off_vms import PathStatement
-from camphordrift.relay._engine_scheduler import EngineScheduler
-from camphordrift.relay._notice_distribution import NoticeDistributor
-from camphordrift.relay._path_sharing import PathSharing
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._peer_messages import (
+from camphordrift.relay.fleet._update_distribution import UpdateDistributor
+from camphordrift.relay.peers import (
     ConfigurationRequest,
     CrashEvidenceUpdate,
     EventGapReport,
@@ -18,6 +14,9 @@
     Member,
     Message,
     MessageLink,
+    NoticeDistributor,
+    PathSharing,
+    PeerLinks,
     PermitRequest,
     PermitResponse,
     Ping,
@@ -32,8 +31,8 @@
     Waiting,
     Withdraw,
 )
-from camphordrift.relay._placement_values import Grant, PlacementDecision
-from camphordrift.relay._update_distribution import UpdateDistributor
+from camphordrift.relay.scheduling import EngineScheduler, Grant, PlacementDecision
+from camphordrift.relay.servers import PathStatement
 
 
 class FollowerSession:
--- a/camphordrift/relay/_leader_election.py
+++ b/camphordrift/relay/fleet/_leader_election.py
@@ -15,32 +15,31 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._byte_stream import connect
-from camphordrift.relay._cut_off_vms import PathStatement
-from camphordrift.relay._dispatcher import Dispatcher
-from camphordrift.relay._engine_scheduler import EngineScheduler
-from camphordrift.relay._follower_session import FollowerSession
-from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, LogTopics, StoreError
-from camphordrift.relay._notice_distribution import NoticeDistributor
-from camphordrift.relay._path_sharing import PathSharing
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._peer_messages import (
+from camphordrift.relay.connections import connect
+from camphordrift.relay.fleet._dispatcher import Dispatcher
+from camphordrift.relay.fleet._follower_session import FollowerSession
+from camphordrift.relay.fleet._update_distribution import UpdateDistributor
+from camphordrift.relay.model import KeyedLog, KeyedRecord, LogTopics, StoreError
+from camphordrift.relay.peers import (
     LinkBrokenError,
     Member,
     Message,
     MessageLink,
+    NoticeDistributor,
     OpenTunnel,
+    PathSharing,
+    PeerLinks,
     ServersLeaving,
     ServersLimited,
     StoreReachable,
     StoreUnreachable,
+    TunnelServer,
     decode_member,
     encode_member,
 )
-from camphordrift.relay._quarantine_records import QuarantineRecords
-from camphordrift.relay._store_era import StoreEraTracker
-from camphordrift.relay._tunnels import TunnelServer
-from camphordrift.relay._update_distribution import UpdateDistributor
+from camphordrift.relay.scheduling import EngineScheduler
+from camphordrift.relay.servers import PathStatement
+from camphordrift.relay.store import QuarantineRecords, StoreEraTracker
 
 #: Seconds between the pings that a follower sends to its leader.
 PING_INTERVAL = 0.25
--- a/camphordrift/relay/_update_distribution.py
+++ b/camphordrift/relay/fleet/_update_distribution.py
@@ -9,29 +9,33 @@
 
 import trio
 
-from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
-from camphordrift.relay._configuration_sharing import choose_zone_sources
-from camphordrift.relay._configuration_watcher import MAX_CONFIGURATION_AGE, ConfigurationWatcher
-from camphordrift.relay._crash_evidence import CrashEvidence
-from camphordrift.relay._crash_monitor import CrashMonitor
-from camphordrift.relay._path_sharing import PathSharing
-from camphordrift.relay._peer_messages import (
+from camphordrift.relay.crashes import CrashEvidence
+from camphordrift.relay.peers import (
     ConfigurationDocument,
     ConfigurationRequest,
     ConfigurationUpdate,
     CrashEvidenceUpdate,
+    CrashMonitor,
     Member,
     Message,
     MessageLink,
+    PathSharing,
     Ping,
     Pong,
     ServerUpdate,
     StoreReachable,
     StoreUnreachable,
+    choose_zone_sources,
+)
+from camphordrift.relay.servers import DirectoryChange
+from camphordrift.relay.store import (
+    MAX_CONFIGURATION_AGE,
+    ConfigurationLease,
+    ConfigurationWatcher,
+    ServersWatcher,
+    StoreEraTracker,
+    boot_time_clock,
 )
-from camphordrift.relay._server_directory import DirectoryChange
-from camphordrift.relay._servers_watcher import ServersWatcher
-from camphordrift.relay._store_era import StoreEraTracker
 
 #: Seconds after a successful read of the store in which a VM is assumed to reach the store.
 RECENT_READ_SECONDS = 1.5
--- a/camphordrift/relay/_interfaces.py
+++ b/camphordrift/relay/model/_interfaces.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Optional, Protocol
 
-from camphordrift.relay._values import (
+from camphordrift.relay.model._values import (
     BackendServer,
     Configuration,
     EngineReport,
--- a/camphordrift/relay/_settings.py
+++ b/camphordrift/relay/model/_settings.py
@@ -3,8 +3,6 @@
 import math
 from dataclasses import dataclass
 
-from camphordrift.relay._retry_budget import RetryBudgetSettings
-
 #: Processor cores, and bandwidth in Mbit/s, of the smallest VMs, which have capacity class 0. The
 #: smallest VMs of the grown deployments have 0.516 cores and 10 Mbit/s.
 SMALL_CORES = 0.5
@@ -22,6 +20,18 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclass(frozen=True)
+class RetryBudgetSettings:
+    """Limits for the retries to one service, summed over all VMs."""
+
+    #: Retries allowed per request.
+    ratio: float
+    #: Retries allowed in each window in addition to the ratio.
+    slack: float
+    #: Length of the sliding window in seconds.
+    window: float
+
+
 @dataclass(frozen=True)
 class RelaySettings:
     """Settings of one relay process. All times are in seconds."""
--- a/camphordrift/relay/_configuration_sharing.py
+++ b/camphordrift/relay/peers/_configuration_sharing.py
@@ -11,15 +11,15 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._byte_stream import connect
-from camphordrift.relay._peer_messages import (
+from camphordrift.relay.connections import connect
+from camphordrift.relay.model import Address
+from camphordrift.relay.peers._peer_messages import (
     ConfigurationDocument,
     ConfigurationRequest,
     LinkBrokenError,
     Member,
     MessageLink,
 )
-from camphordrift.relay._settings import Address
 
 #: Timeout in seconds of a connection attempt to the VM that has the document.
 CONNECT_TIMEOUT = 0.3
--- a/camphordrift/relay/_crash_monitor.py
+++ b/camphordrift/relay/peers/_crash_monitor.py
@@ -9,18 +9,19 @@
 from typing import Optional
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._crash_evidence import CrashEvidence, QuarantinedTraits
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._peer_messages import CrashEvidenceUpdate, MessageLink
-from camphordrift.relay._quarantines import (
+from camphordrift.relay.crashes import (
+    CrashEvidence,
     QuarantineChange,
+    QuarantinedTraits,
     QuarantineEnded,
     QuarantineStarted,
+    TraitQuarantine,
     Traits,
+    is_whole_request,
 )
-from camphordrift.relay._request_traits import is_whole_request
-from camphordrift.relay._trait_quarantine import TraitQuarantine
-from camphordrift.relay._values import BackendServer
+from camphordrift.relay.model import BackendServer
+from camphordrift.relay.peers._peer_links import PeerLinks
+from camphordrift.relay.peers._peer_messages import CrashEvidenceUpdate, MessageLink
 
 #: Crashes of servers on one request after which it is not retried.
 MAX_RETRIED_CRASHES = 1
--- a/camphordrift/relay/_notice_distribution.py
+++ b/camphordrift/relay/peers/_notice_distribution.py
@@ -4,16 +4,11 @@
 from typing import Optional
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._peer_messages import Message, ServersLeaving, ServersLimited
-from camphordrift.relay._request_limits import RequestLimits, ServerLimit
-from camphordrift.relay._server_notices import (
-    ServerNotices,
-    ServerPause,
-    ServerStart,
-    start_of,
-)
-from camphordrift.relay._values import BackendServer, ResponseMetadata
+from camphordrift.relay.model import BackendServer, ResponseMetadata
+from camphordrift.relay.peers._peer_links import PeerLinks
+from camphordrift.relay.peers._peer_messages import Message, ServersLeaving, ServersLimited
+from camphordrift.relay.scheduling import RequestLimits, ServerLimit
+from camphordrift.relay.servers import ServerNotices, ServerPause, ServerStart, start_of
 
 #: Status of a response in which another server than the intended one says that it is another one.
 WRONG_SERVER_STATUS = 421
--- a/camphordrift/relay/_path_sharing.py
+++ b/camphordrift/relay/peers/_path_sharing.py
@@ -8,10 +8,10 @@
 
 import trio
 
-from camphordrift.relay._cut_off_vms import STATEMENT_INTERVAL, CutOffVms, PathStatement
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._peer_messages import Member, MessageLink
-from camphordrift.relay._settings import Address
+from camphordrift.relay.model import Address
+from camphordrift.relay.peers._peer_links import PeerLinks
+from camphordrift.relay.peers._peer_messages import Member, MessageLink
+from camphordrift.relay.servers import STATEMENT_INTERVAL, CutOffVms, PathStatement
 
 #: Maximum number of VMs that are remembered besides the members.
 MAX_KNOWN_VMS = 32
--- a/camphordrift/relay/_peer_links.py
+++ b/camphordrift/relay/peers/_peer_links.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Optional
 
-from camphordrift.relay._peer_messages import Message, MessageLink
+from camphordrift.relay.peers._peer_messages import Message, MessageLink
 
 
 class PeerLinks:
--- a/camphordrift/relay/_peer_messages.py
+++ b/camphordrift/relay/peers/_peer_messages.py
@@ -11,19 +11,18 @@
 import msgspec
 import trio
 
-from camphordrift.relay._byte_stream import READ_SIZE
-from camphordrift.relay._crash_evidence import CrashEvidence
-from camphordrift.relay._cut_off_vms import PathStatement
-from camphordrift.relay._placement_values import (
+from camphordrift.relay.connections import READ_SIZE
+from camphordrift.relay.crashes import CrashEvidence
+from camphordrift.relay.model import Address
+from camphordrift.relay.scheduling import (
     AttemptOutcome,
     Grant,
+    Permit,
     PlacementRefusal,
     PlacementRequest,
+    ServerLimit,
 )
-from camphordrift.relay._request_limits import Permit, ServerLimit
-from camphordrift.relay._server_directory import DirectoryChange
-from camphordrift.relay._server_notices import ServerPause, ServerStart
-from camphordrift.relay._settings import Address
+from camphordrift.relay.servers import DirectoryChange, PathStatement, ServerPause, ServerStart
 
 #: Largest message in bytes; a longer one closes the connection. Configurations are the largest
 #: messages.
--- a/camphordrift/relay/_tunnels.py
+++ b/camphordrift/relay/peers/_tunnels.py
@@ -10,7 +10,7 @@
 import trio
 
 from camphordrift.event_log import log_event
-from camphordrift.relay._byte_stream import (
+from camphordrift.relay.connections import (
     READ_SIZE,
     ByteStream,
     PathBrokenError,
@@ -18,7 +18,8 @@
     connect,
     enable_dead_peer_detection,
 )
-from camphordrift.relay._peer_messages import (
+from camphordrift.relay.model import Address
+from camphordrift.relay.peers._peer_messages import (
     ConnectionEnd,
     LinkBrokenError,
     MessageLink,
@@ -28,7 +29,6 @@
     TunnelOpened,
     TunnelRefused,
 )
-from camphordrift.relay._settings import Address
 
 #: Maximum number of tunnels of other VMs at the same time; each takes two file descriptors.
 MAX_TUNNELS = 600
--- a/camphordrift/relay/_admission.py
+++ b/camphordrift/relay/requests/_admission.py
@@ -3,12 +3,12 @@
 import random
 from typing import Optional
 
-from camphordrift.relay._http_server import CallerRequest, ResponseWriter
-from camphordrift.relay._refusals import NOT_READY_RETRY_AFTER, refusal_error
-from camphordrift.relay._request_progress import RequestProgress
-from camphordrift.relay._routing_state import RoutingState
-from camphordrift.relay._routing_table import RoutingTable, choose_service
-from camphordrift.relay._values import Account, RequestMetadata, Route, Service
+from camphordrift.relay.connections import CallerRequest, ResponseWriter
+from camphordrift.relay.model import Account, RequestMetadata, Route, Service
+from camphordrift.relay.requests._refusals import NOT_READY_RETRY_AFTER, refusal_error
+from camphordrift.relay.requests._request_progress import RequestProgress
+from camphordrift.relay.requests._routing_state import RoutingState
+from camphordrift.relay.store import RoutingTable, choose_service
 from camphordrift.results import ResultCode
 
 #: Seconds before the caller's deadline at which the relay must start its final response.
--- a/camphordrift/relay/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -7,12 +7,24 @@
 import h11
 import trio
 
-from camphordrift.relay._byte_stream import PathBrokenError
-from camphordrift.relay._events import EventSplitter, EventTooLongError, StreamEvent
-from camphordrift.relay._http_client import BrokenAnswerError, ConnectionPool, HttpConnection
-from camphordrift.relay._http_server import CallerRequest, may_have_body
-from camphordrift.relay._interfaces import HeaderFormat, Headers
-from camphordrift.relay._values import BackendServer, ForwardingMetadata, ResponseMetadata
+from camphordrift.relay.connections import (
+    BrokenAnswerError,
+    CallerRequest,
+    ConnectionPool,
+    EventSplitter,
+    EventTooLongError,
+    HttpConnection,
+    PathBrokenError,
+    StreamEvent,
+    may_have_body,
+)
+from camphordrift.relay.model import (
+    BackendServer,
+    ForwardingMetadata,
+    HeaderFormat,
+    Headers,
+    ResponseMetadata,
+)
 
 #: Maximum size in bytes of a response that is buffered until it is complete. A VM of 200 MB can
 #: buffer some dozens of these.
--- a/camphordrift/relay/_attempt_evidence.py
+++ b/camphordrift/relay/requests/_attempt_evidence.py
@@ -1,9 +1,9 @@
 """Derives from an attempt whether the traits of its request are sound or may crash servers."""
 
-from camphordrift.relay._attempt import Answered, AttemptResult, Broken, Streamed
-from camphordrift.relay._crash_monitor import CrashMonitor
-from camphordrift.relay._request_progress import RequestProgress
-from camphordrift.relay._values import BackendServer
+from camphordrift.relay.model import BackendServer
+from camphordrift.relay.peers import CrashMonitor
+from camphordrift.relay.requests._attempt import Answered, AttemptResult, Broken, Streamed
+from camphordrift.relay.requests._request_progress import RequestProgress
 
 #: Events of a stream after which it counts as established: the server did not crash when it began
 #: to write the response.
--- a/camphordrift/relay/_caller_sink.py
+++ b/camphordrift/relay/requests/_caller_sink.py
@@ -5,10 +5,9 @@
 
 import trio
 
-from camphordrift.relay._attempt import EventSink
-from camphordrift.relay._events import StreamEvent
-from camphordrift.relay._http_server import ResponseWriter
-from camphordrift.relay._interfaces import Headers
+from camphordrift.relay.connections import ResponseWriter, StreamEvent
+from camphordrift.relay.model import Headers
+from camphordrift.relay.requests._attempt import EventSink
 
 #: Number of gaps between events that are sampled at the start of each attempt; the shortest of them
 #: is reported to the engine scheduler as the time of one engine iteration.
--- a/camphordrift/relay/_engine_inspection.py
+++ b/camphordrift/relay/requests/_engine_inspection.py
@@ -6,11 +6,10 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._engine_scheduler import EngineScheduler
-from camphordrift.relay._http_client import BrokenAnswerError, SmallRequest
-from camphordrift.relay._interfaces import ReportFormat
-from camphordrift.relay._server_calls import ServerCalls, ServerUnreachableError
-from camphordrift.relay._values import BackendServer, EngineReport
+from camphordrift.relay.connections import BrokenAnswerError, SmallRequest
+from camphordrift.relay.model import BackendServer, EngineReport, ReportFormat
+from camphordrift.relay.requests._server_calls import ServerCalls, ServerUnreachableError
+from camphordrift.relay.scheduling import EngineScheduler
 
 #: Seconds between checks of which reports are due.
 CHECK_INTERVAL = 0.1
--- a/camphordrift/relay/_refusals.py
+++ b/camphordrift/relay/requests/_refusals.py
@@ -2,9 +2,9 @@
 
 from typing import Optional
 
-from camphordrift.relay._attempt import AttemptResult
-from camphordrift.relay._placement_values import PlacementRefusal, RefusalReason
-from camphordrift.relay._request_progress import RequestProgress
+from camphordrift.relay.requests._attempt import AttemptResult
+from camphordrift.relay.requests._request_progress import RequestProgress
+from camphordrift.relay.scheduling import PlacementRefusal, RefusalReason
 from camphordrift.results import Failure, ResultCode, RunState
 
 #: Retry-After in seconds while a VM has no current configuration.
--- a/camphordrift/relay/_request_attempts.py
+++ b/camphordrift/relay/requests/_request_attempts.py
@@ -13,7 +13,7 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._attempt import (
+from camphordrift.relay.requests._attempt import (
     Answered,
     AttemptResult,
     Broken,
@@ -21,9 +21,9 @@
     Streamed,
     Withheld,
 )
-from camphordrift.relay._caller_sink import CallerEventSink, CallerStream
-from camphordrift.relay._refusals import RequestRefusedError
-from camphordrift.relay._request_progress import RequestProgress
+from camphordrift.relay.requests._caller_sink import CallerEventSink, CallerStream
+from camphordrift.relay.requests._refusals import RequestRefusedError
+from camphordrift.relay.requests._request_progress import RequestProgress
 
 
 class RunningAttempt:
--- a/camphordrift/relay/_request_handler.py
+++ b/camphordrift/relay/requests/_request_handler.py
@@ -7,8 +7,10 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._admission import Admission
-from camphordrift.relay._attempt import (
+from camphordrift.relay.connections import CallerRequest, ResponseWriter
+from camphordrift.relay.model import HeaderFormat, RequestMetadata
+from camphordrift.relay.requests._admission import Admission
+from camphordrift.relay.requests._attempt import (
     Answered,
     AttemptResult,
     Broken,
@@ -17,9 +19,7 @@
     Streamed,
     Withheld,
 )
-from camphordrift.relay._http_server import CallerRequest, ResponseWriter
-from camphordrift.relay._interfaces import HeaderFormat
-from camphordrift.relay._refusals import (
+from camphordrift.relay.requests._refusals import (
     RequestRefusedError,
     failure_of_attempt,
     failure_of_deadline,
@@ -27,13 +27,12 @@
     failure_of_revoked_key,
     failure_of_stop,
 )
-from camphordrift.relay._request_attempts import RequestAttempts, RunningAttempt
-from camphordrift.relay._request_progress import RequestProgress
-from camphordrift.relay._request_reports import RequestReports
-from camphordrift.relay._retry_budget import RetryBudget
-from camphordrift.relay._routing_state import RoutingState
-from camphordrift.relay._sender import Sender
-from camphordrift.relay._values import RequestMetadata
+from camphordrift.relay.requests._request_attempts import RequestAttempts, RunningAttempt
+from camphordrift.relay.requests._request_progress import RequestProgress
+from camphordrift.relay.requests._request_reports import RequestReports
+from camphordrift.relay.requests._routing_state import RoutingState
+from camphordrift.relay.requests._sender import Sender
+from camphordrift.relay.scheduling import RetryBudget
 from camphordrift.results import Failure, ResultCode, describe_failure
 
 #: Maximum number of seconds that a request on a VM that has just started waits for the
--- a/camphordrift/relay/_request_progress.py
+++ b/camphordrift/relay/requests/_request_progress.py
@@ -6,10 +6,10 @@
 
 import trio
 
-from camphordrift.relay._attempt import AttemptResult
-from camphordrift.relay._http_server import CallerRequest, ResponseWriter
-from camphordrift.relay._request_traits import whole_request_trait
-from camphordrift.relay._values import Account, RequestMetadata, Route, Service
+from camphordrift.relay.connections import CallerRequest, ResponseWriter
+from camphordrift.relay.crashes import whole_request_trait
+from camphordrift.relay.model import Account, RequestMetadata, Route, Service
+from camphordrift.relay.requests._attempt import AttemptResult
 
 
 @dataclass
--- a/camphordrift/relay/_request_reports.py
+++ b/camphordrift/relay/requests/_request_reports.py
@@ -5,14 +5,14 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._attempt import AttemptResult, SilenceTimeouts
-from camphordrift.relay._caller_sink import CallerEventSink
-from camphordrift.relay._http_server import CallerRequest
-from camphordrift.relay._placement_values import PlacementRequest
-from camphordrift.relay._relay_metrics import RelayMetrics, length_band
-from camphordrift.relay._request_progress import RequestProgress
-from camphordrift.relay._routing_state import RoutingState
-from camphordrift.relay._values import BackendServer, RequestMetadata
+from camphordrift.relay.connections import CallerRequest
+from camphordrift.relay.model import BackendServer, RequestMetadata
+from camphordrift.relay.requests._attempt import AttemptResult, SilenceTimeouts
+from camphordrift.relay.requests._caller_sink import CallerEventSink
+from camphordrift.relay.requests._relay_metrics import RelayMetrics, length_band
+from camphordrift.relay.requests._request_progress import RequestProgress
+from camphordrift.relay.requests._routing_state import RoutingState
+from camphordrift.relay.scheduling import PlacementRequest
 from camphordrift.results import Failure
 
 
--- a/camphordrift/relay/_reservations.py
+++ b/camphordrift/relay/requests/_reservations.py
@@ -12,14 +12,9 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._http_client import (
-    BACKEND_CONNECT_TIMEOUT,
-    BrokenAnswerError,
-    SmallRequest,
-)
-from camphordrift.relay._interfaces import OrderFormat, Reservation
-from camphordrift.relay._server_calls import ServerCalls, ServerUnreachableError
-from camphordrift.relay._values import BackendServer
+from camphordrift.relay.connections import BACKEND_CONNECT_TIMEOUT, BrokenAnswerError, SmallRequest
+from camphordrift.relay.model import BackendServer, OrderFormat, Reservation
+from camphordrift.relay.requests._server_calls import ServerCalls, ServerUnreachableError
 
 #: Seconds for which an engine keeps a reservation that is not renewed. Unused memory may stay
 #: reserved for at most 4 s (FreeMs of today's deployments). Detecting a crash of the primary engine
--- a/camphordrift/relay/_routing_state.py
+++ b/camphordrift/relay/requests/_routing_state.py
@@ -6,15 +6,16 @@
 
 import trio
 
-from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
-from camphordrift.relay._crash_monitor import CrashMonitor
-from camphordrift.relay._pending_versions import PendingVersions
-from camphordrift.relay._request_limits import RequestLimits
-from camphordrift.relay._retry_budget import RetryBudget, RetryBudgetSettings
-from camphordrift.relay._routing_table import RoutingTable
-from camphordrift.relay._server_directory import ServerDirectory
-from camphordrift.relay._server_notices import ServerNotices
-from camphordrift.relay._values import Account, BackendServer, Configuration
+from camphordrift.relay.model import Account, BackendServer, Configuration, RetryBudgetSettings
+from camphordrift.relay.peers import CrashMonitor
+from camphordrift.relay.scheduling import RequestLimits, RetryBudget
+from camphordrift.relay.servers import ServerDirectory, ServerNotices
+from camphordrift.relay.store import (
+    ConfigurationLease,
+    PendingVersions,
+    RoutingTable,
+    boot_time_clock,
+)
 
 #: Seconds between checks of whether the configuration and the servers are loaded.
 LOAD_CHECK_INTERVAL = 0.01
--- a/camphordrift/relay/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -5,7 +5,16 @@
 
 import trio
 
-from camphordrift.relay._attempt import (
+from camphordrift.relay.connections import ConnectionPool
+from camphordrift.relay.fleet import Dispatcher
+from camphordrift.relay.model import (
+    BackendServer,
+    ForwardingMetadata,
+    HeaderFormat,
+    PrefillHelper,
+    Reservation,
+)
+from camphordrift.relay.requests._attempt import (
     Answered,
     Attempt,
     AttemptResult,
@@ -15,36 +24,32 @@
     SilenceTimeouts,
     Withheld,
 )
-from camphordrift.relay._attempt_evidence import AttemptEvidence
-from camphordrift.relay._dispatcher import Dispatcher
-from camphordrift.relay._http_client import ConnectionPool
-from camphordrift.relay._interfaces import HeaderFormat, Reservation
-from camphordrift.relay._placement_values import (
-    AttemptOutcome,
-    Grant,
-    PlacementRefusal,
-    PlacementRequest,
-)
-from camphordrift.relay._plain_servers import PlainServerBalancer
-from camphordrift.relay._refusals import (
+from camphordrift.relay.requests._attempt_evidence import AttemptEvidence
+from camphordrift.relay.requests._refusals import (
     RequestRefusedError,
     failure_of_limits,
     failure_of_placement,
     failure_without_server,
 )
-from camphordrift.relay._request_attempts import RunningAttempt
-from camphordrift.relay._request_limits import LIMITED_WAIT_SHARE
-from camphordrift.relay._request_progress import RequestProgress
-from camphordrift.relay._request_reports import RequestReports
-from camphordrift.relay._reservations import (
+from camphordrift.relay.requests._request_attempts import RunningAttempt
+from camphordrift.relay.requests._request_progress import RequestProgress
+from camphordrift.relay.requests._request_reports import RequestReports
+from camphordrift.relay.requests._reservations import (
     RESERVATION_LIFETIME,
     ReservationManager,
     ReservationRefusedError,
     ReservedPart,
 )
-from camphordrift.relay._routing_state import RoutingState
-from camphordrift.relay._server_calls import ResponseObserver
-from camphordrift.relay._values import BackendServer, ForwardingMetadata, PrefillHelper
+from camphordrift.relay.requests._routing_state import RoutingState
+from camphordrift.relay.requests._server_calls import ResponseObserver
+from camphordrift.relay.scheduling import (
+    LIMITED_WAIT_SHARE,
+    AttemptOutcome,
+    Grant,
+    PlacementRefusal,
+    PlacementRequest,
+    PlainServerBalancer,
+)
 
 #: Factor on the expected time to the first event of an engine. The engine counts as silent after
 #: the product plus the route's latency objective, or plus :data:`FIRST_EVENT_SLACK` if that is
--- a/camphordrift/relay/_server_calls.py
+++ b/camphordrift/relay/requests/_server_calls.py
@@ -5,11 +5,10 @@
 
 import trio
 
-from camphordrift.relay._http_client import ConnectionPool, SmallRequest, SmallResponse
-from camphordrift.relay._interfaces import HeaderFormat
-from camphordrift.relay._request_limits import RequestLimits
-from camphordrift.relay._server_notices import ServerNotices
-from camphordrift.relay._values import BackendServer, ResponseMetadata
+from camphordrift.relay.connections import ConnectionPool, SmallRequest, SmallResponse
+from camphordrift.relay.model import BackendServer, HeaderFormat, ResponseMetadata
+from camphordrift.relay.scheduling import RequestLimits
+from camphordrift.relay.servers import ServerNotices
 
 #: Gets a response's server, status and metadata, what it responds to, and when that was sent; see
 #: :meth:`NoticeDistributor.observe`.
--- a/camphordrift/relay/_server_connector.py
+++ b/camphordrift/relay/requests/_server_connector.py
@@ -7,11 +7,10 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._byte_stream import ByteStream
-from camphordrift.relay._http_client import open_stream
-from camphordrift.relay._server_paths import ServerPaths
-from camphordrift.relay._settings import Address
-from camphordrift.relay._tunnels import TunnelRefusedError, open_tunnel
+from camphordrift.relay.connections import ByteStream, open_stream
+from camphordrift.relay.model import Address
+from camphordrift.relay.peers import TunnelRefusedError, open_tunnel
+from camphordrift.relay.servers import ServerPaths
 
 #: Seconds after which a connection through another VM is attempted as well. Usual delays are a few
 #: milliseconds; a lost packet is sent again after a second.
--- a/camphordrift/relay/_engine_health.py
+++ b/camphordrift/relay/scheduling/_engine_health.py
@@ -8,7 +8,7 @@
 
 from typing import Optional
 
-from camphordrift.relay._values import EngineReport
+from camphordrift.relay.model import EngineReport
 
 #: Backoff in seconds after an engine's first failure; each further failure in a row doubles it.
 INITIAL_BACKOFF = 1.0
--- a/camphordrift/relay/_engine_index.py
+++ b/camphordrift/relay/scheduling/_engine_index.py
@@ -11,7 +11,7 @@
 
 from sortedcontainers import SortedList
 
-from camphordrift.relay._engine_load import EngineLoad
+from camphordrift.relay.scheduling._engine_load import EngineLoad
 
 #: Latency factors are compared in steps of this size, so that small differences between engines do
 #: not decide before their pending prefill does.
--- a/camphordrift/relay/_engine_load.py
+++ b/camphordrift/relay/scheduling/_engine_load.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from typing import Optional
 
-from camphordrift.relay._engine_health import EngineHealth
-from camphordrift.relay._request_limits import RequestLimits
-from camphordrift.relay._values import BackendServer, EngineCosts
+from camphordrift.relay.model import BackendServer, EngineCosts
+from camphordrift.relay.scheduling._engine_health import EngineHealth
+from camphordrift.relay.scheduling._request_limits import RequestLimits
 
 #: Weight of the newest observation in the moving average of an engine's latency factor, the ratio
 #: of its observed iteration time to the time predicted from the configured costs.
--- a/camphordrift/relay/_engine_planner.py
+++ b/camphordrift/relay/scheduling/_engine_planner.py
@@ -20,10 +20,10 @@
 from dataclasses import dataclass, replace
 from typing import Optional
 
-from camphordrift.relay._engine_index import EngineIndex
-from camphordrift.relay._engine_load import EngineLoad
-from camphordrift.relay._placement_values import PlacementRequest
-from camphordrift.relay._values import EngineCosts, ServerState
+from camphordrift.relay.model import EngineCosts, ServerState
+from camphordrift.relay.scheduling._engine_index import EngineIndex
+from camphordrift.relay.scheduling._engine_load import EngineLoad
+from camphordrift.relay.scheduling._placement_values import PlacementRequest
 
 #: Maximum number of engines that may prefill one prompt (PROTOCOL.md: 16 helpers and the primary
 #: engine).
--- a/camphordrift/relay/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -7,9 +7,10 @@
 from dataclasses import dataclass, field, replace
 from typing import Optional
 
-from camphordrift.relay._engine_index import EngineIndex
-from camphordrift.relay._engine_load import EngineLoad, EngineTask
-from camphordrift.relay._engine_planner import (
+from camphordrift.relay.model import BackendServer, EngineCosts, EngineReport, ServerState
+from camphordrift.relay.scheduling._engine_index import EngineIndex
+from camphordrift.relay.scheduling._engine_load import EngineLoad, EngineTask
+from camphordrift.relay.scheduling._engine_planner import (
     MAX_MEMORY_SHARE,
     MAX_PARTS,
     PlacementRound,
@@ -17,7 +18,7 @@
     is_usable,
     required_memory,
 )
-from camphordrift.relay._placement_values import (
+from camphordrift.relay.scheduling._placement_values import (
     AttemptOutcome,
     Grant,
     PlacementDecision,
@@ -25,9 +26,12 @@
     PlacementRequest,
     RefusalReason,
 )
-from camphordrift.relay._request_limits import LIMITED_WAIT_SHARE, RequestLimits, total_wait
-from camphordrift.relay._server_notices import ServerPause
-from camphordrift.relay._values import BackendServer, EngineCosts, EngineReport, ServerState
+from camphordrift.relay.scheduling._request_limits import (
+    LIMITED_WAIT_SHARE,
+    RequestLimits,
+    total_wait,
+)
+from camphordrift.relay.servers import ServerPause
 
 #: Requests that miss their target time to the first event are deferred in favour of those that can
 #: still meet it, but only during this share of the time from submission to deadline. The rest is
--- a/camphordrift/relay/_engine_scheduler.py
+++ b/camphordrift/relay/scheduling/_engine_scheduler.py
@@ -4,17 +4,17 @@
 from typing import Optional
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._engine_pool import EnginePool
-from camphordrift.relay._placement_values import (
+from camphordrift.relay.model import BackendServer, EngineReport, Service
+from camphordrift.relay.scheduling._engine_pool import EnginePool
+from camphordrift.relay.scheduling._placement_values import (
     AttemptOutcome,
     Grant,
     PlacementDecision,
     PlacementRefusal,
     PlacementRequest,
 )
-from camphordrift.relay._request_limits import Permit, RequestLimits
-from camphordrift.relay._server_notices import ServerPause
-from camphordrift.relay._values import BackendServer, EngineReport, Service
+from camphordrift.relay.scheduling._request_limits import Permit, RequestLimits
+from camphordrift.relay.servers import ServerPause
 
 #: Delivers a decision to the VM that made the placement request.
 DecisionCallback = Callable[[PlacementDecision], None]
--- a/camphordrift/relay/_placement_values.py
+++ b/camphordrift/relay/scheduling/_placement_values.py
@@ -4,8 +4,8 @@
 from enum import Enum
 from typing import Optional, Union
 
-from camphordrift.relay._server_notices import ServerPause
-from camphordrift.relay._values import BackendServer
+from camphordrift.relay.model import BackendServer
+from camphordrift.relay.servers import ServerPause
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/_plain_servers.py
+++ b/camphordrift/relay/scheduling/_plain_servers.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Optional
 
-from camphordrift.relay._values import BackendServer
+from camphordrift.relay.model import BackendServer
 
 #: Backoff of a server in seconds after a failure. During it, the server gets requests only if all
 #: other candidates back off as well.
--- a/camphordrift/relay/_request_limits.py
+++ b/camphordrift/relay/scheduling/_request_limits.py
@@ -10,13 +10,8 @@
 from dataclasses import dataclass
 from typing import Optional
 
-from camphordrift.relay._server_notices import (
-    ServerStart,
-    is_obsolete,
-    start_of,
-    unlisted_since,
-)
-from camphordrift.relay._values import BackendServer
+from camphordrift.relay.model import BackendServer
+from camphordrift.relay.servers import ServerStart, is_obsolete, start_of, unlisted_since
 
 #: Share of its time left within which limited servers must be expected to take a request; it is
 #: refused at once otherwise. They may take it later, as they are busy or others come first.
--- a/camphordrift/relay/_retry_budget.py
+++ b/camphordrift/relay/scheduling/_retry_budget.py
@@ -1,20 +1,8 @@
 """Limits retries to a service, so that an outage is not amplified by retry traffic."""
 
 from collections import deque
-from dataclasses import dataclass
-
-
-@dataclass(frozen=True)
-class RetryBudgetSettings:
-    """Limits for the retries to one service, summed over all VMs."""
-
-    #: Retries allowed per request.
-    ratio: float
-    #: Retries allowed in each window in addition to the ratio.
-    slack: float
-    #: Length of the sliding window in seconds.
-    window: float
 
+from camphordrift.relay.model import RetryBudgetSettings
 
 #: Fraction of the total slack that is divided among the VMs. The rest is a reserve, because VMs
 #: start and stop and their windows slide independently.
--- a/camphordrift/relay/_server_directory.py
+++ b/camphordrift/relay/servers/_server_directory.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 from typing import Optional
 
-from camphordrift.relay._values import BackendServer, ServerState
+from camphordrift.relay.model import BackendServer, ServerState
 
 #: Seconds after a failure or a restore of the store for which servers are kept although their
 #: entries are missing. Servers write their entries again about two seconds after the store is back
--- a/camphordrift/relay/_server_paths.py
+++ b/camphordrift/relay/servers/_server_paths.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Collection
 
-from camphordrift.relay._settings import Address
+from camphordrift.relay.model import Address
 
 #: Lost paths without a connection in between after which the VM counts as cut off.
 LOSSES_TO_CUT_OFF = 3
--- a/camphordrift/relay/_configuration_watcher.py
+++ b/camphordrift/relay/store/_configuration_watcher.py
@@ -11,26 +11,26 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
-from camphordrift.relay._configuration_sharing import FETCH_TIMEOUT
-from camphordrift.relay._interfaces import (
+from camphordrift.relay.model import (
+    Address,
     Batch,
+    Configuration,
     DocumentFormat,
     KeyedLog,
     KeyedRecord,
     LogTopics,
     StoreError,
 )
-from camphordrift.relay._pending_versions import PendingVersions
-from camphordrift.relay._routing_table import RoutingTable
-from camphordrift.relay._settings import Address
-from camphordrift.relay._store_era import StoreEraTracker
-from camphordrift.relay._topic_watcher import (
+from camphordrift.relay.peers import FETCH_TIMEOUT
+from camphordrift.relay.store._configuration_lease import ConfigurationLease, boot_time_clock
+from camphordrift.relay.store._pending_versions import PendingVersions
+from camphordrift.relay.store._routing_table import RoutingTable
+from camphordrift.relay.store._store_era import StoreEraTracker
+from camphordrift.relay.store._topic_watcher import (
     AGE_CHECK_INTERVAL,
     STORE_RETRY_INTERVAL,
     TopicWatcher,
 )
-from camphordrift.relay._values import Configuration
 
 #: Maximum and minimum number of seconds that a read of the configuration waits for a change (long
 #: poll). A new read and the one before it must together take much less than the time for which API
--- a/camphordrift/relay/_counted_log.py
+++ b/camphordrift/relay/store/_counted_log.py
@@ -3,13 +3,7 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
-from camphordrift.relay._interfaces import (
-    Batch,
-    HistoryLostError,
-    KeyedLog,
-    KeyedRecord,
-    StoreError,
-)
+from camphordrift.relay.model import Batch, HistoryLostError, KeyedLog, KeyedRecord, StoreError
 from camphordrift.telemetry import Counter
 
 _Result = TypeVar("_Result")
--- a/camphordrift/relay/_quarantine_records.py
+++ b/camphordrift/relay/store/_quarantine_records.py
@@ -11,10 +11,10 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._crash_monitor import CrashMonitor
-from camphordrift.relay._interfaces import KeyedLog, KeyedRecord, StoreError
-from camphordrift.relay._quarantines import Traits
-from camphordrift.relay._store_era import StoreEraTracker
+from camphordrift.relay.crashes import Traits
+from camphordrift.relay.model import KeyedLog, KeyedRecord, StoreError
+from camphordrift.relay.peers import CrashMonitor
+from camphordrift.relay.store._store_era import StoreEraTracker
 
 #: Prefix of the keys of records in the members' topic; the ids of the traits follow.
 KEY_PREFIX = "quarantine/"
--- a/camphordrift/relay/_routing_table.py
+++ b/camphordrift/relay/store/_routing_table.py
@@ -2,7 +2,7 @@
 
 from typing import Optional
 
-from camphordrift.relay._values import Account, Configuration, Route, ServiceShare
+from camphordrift.relay.model import Account, Configuration, Route, ServiceShare
 
 
 class RoutingTable:
--- a/camphordrift/relay/_servers_watcher.py
+++ b/camphordrift/relay/store/_servers_watcher.py
@@ -10,7 +10,7 @@
 import trio
 
 from camphordrift.event_log import log_event
-from camphordrift.relay._interfaces import (
+from camphordrift.relay.model import (
     Batch,
     DocumentFormat,
     KeyedLog,
@@ -18,9 +18,9 @@
     LogTopics,
     StoreError,
 )
-from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
-from camphordrift.relay._store_era import StoreEraTracker
-from camphordrift.relay._topic_watcher import AGE_CHECK_INTERVAL, TopicWatcher
+from camphordrift.relay.servers import DirectoryChange, ServerDirectory
+from camphordrift.relay.store._store_era import StoreEraTracker
+from camphordrift.relay.store._topic_watcher import AGE_CHECK_INTERVAL, TopicWatcher
 
 #: Seconds between reads of the servers. Together with the read and the forwarding this must stay
 #: well below the time after which a draining server must get no more requests (2 s on today's
--- a/camphordrift/relay/_store_era.py
+++ b/camphordrift/relay/store/_store_era.py
@@ -6,13 +6,7 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._interfaces import (
-    Batch,
-    HistoryLostError,
-    KeyedLog,
-    KeyedRecord,
-    StoreError,
-)
+from camphordrift.relay.model import Batch, HistoryLostError, KeyedLog, KeyedRecord, StoreError
 
 _Result = TypeVar("_Result")
 
--- a/camphordrift/relay/_topic_watcher.py
+++ b/camphordrift/relay/store/_topic_watcher.py
@@ -5,8 +5,8 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay._interfaces import Batch, HistoryLostError, KeyedLog, StoreError
-from camphordrift.relay._store_era import StoreEraTracker
+from camphordrift.relay.model import Batch, HistoryLostError, KeyedLog, StoreError
+from camphordrift.relay.store._store_era import StoreEraTracker
 
 #: Seconds before the first retry while the store is unavailable, and the maximum. The interval
 #: doubles after each retry.
--- a/camphordrift/relay/tests/partitions.py
+++ b/camphordrift/relay/tests/partitions.py
@@ -8,7 +8,7 @@
 import testtools
 import trio
 
-from camphordrift.relay import _byte_stream, _http_client
+from camphordrift.relay.connections import _byte_stream, _http_client
 from camphordrift.relay.tests import relay_harness
 
 #: The VM to which the running task belongs; tasks inherit it from the one that started the VM.
--- a/camphordrift/relay/tests/relay_harness.py
+++ b/camphordrift/relay/tests/relay_harness.py
@@ -11,8 +11,12 @@
 import trio
 
 from camphordrift.relay import Configuration, RelayProcess
-from camphordrift.relay._configuration_lease import boot_time_clock
-from camphordrift.relay._placement_values import Grant, PlacementDecision, PlacementRequest
+from camphordrift.relay.scheduling._placement_values import (
+    Grant,
+    PlacementDecision,
+    PlacementRequest,
+)
+from camphordrift.relay.store._configuration_lease import boot_time_clock
 from camphordrift.relay.tests.samples import (
     CONFIGURATION,
     TOPICS,
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -32,13 +32,13 @@
     ServiceShare,
     StoreError,
 )
-from camphordrift.relay._http_client import ConnectionPool
-from camphordrift.relay._notice_distribution import NoticeDistributor
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._placement_values import PlacementRequest
-from camphordrift.relay._request_limits import RequestLimits
-from camphordrift.relay._server_calls import ServerCalls
-from camphordrift.relay._server_notices import ServerNotices
+from camphordrift.relay.connections._http_client import ConnectionPool
+from camphordrift.relay.peers._notice_distribution import NoticeDistributor
+from camphordrift.relay.peers._peer_links import PeerLinks
+from camphordrift.relay.requests._server_calls import ServerCalls
+from camphordrift.relay.scheduling._placement_values import PlacementRequest
+from camphordrift.relay.scheduling._request_limits import RequestLimits
+from camphordrift.relay.servers._server_notices import ServerNotices
 from camphordrift.testing import (
     HttpRequest,
     HttpRequestHandler,
--- a/camphordrift/relay/tests/test_components.py
+++ b/camphordrift/relay/tests/test_components.py
@@ -7,19 +7,19 @@
 from hypothesis import strategies as st
 
 from camphordrift.relay import RetryBudgetSettings, ServerState, ServiceShare
-from camphordrift.relay._configuration_lease import (
-    RESTORE_SETTLING_PERIOD,
-    ConfigurationLease,
-)
-from camphordrift.relay._events import EventSplitter
-from camphordrift.relay._plain_servers import PlainServerBalancer
-from camphordrift.relay._retry_budget import RetryBudget
-from camphordrift.relay._routing_table import RoutingTable, choose_service
-from camphordrift.relay._server_directory import (
+from camphordrift.relay.connections._events import EventSplitter
+from camphordrift.relay.scheduling._plain_servers import PlainServerBalancer
+from camphordrift.relay.scheduling._retry_budget import RetryBudget
+from camphordrift.relay.servers._server_directory import (
     EXPIRY_GRACE,
     DirectoryChange,
     ServerDirectory,
 )
+from camphordrift.relay.store._configuration_lease import (
+    RESTORE_SETTLING_PERIOD,
+    ConfigurationLease,
+)
+from camphordrift.relay.store._routing_table import RoutingTable, choose_service
 from camphordrift.relay.tests.samples import CONFIGURATION, ONCE, STREAM, server
 
 
--- a/camphordrift/relay/tests/test_configuration_backlog.py
+++ b/camphordrift/relay/tests/test_configuration_backlog.py
@@ -10,8 +10,8 @@
 import trio.testing
 
 from camphordrift.relay import Configuration, ServerState
-from camphordrift.relay._configuration_sharing import FETCH_TIMEOUT
-from camphordrift.relay._settings import Address
+from camphordrift.relay.model._settings import Address
+from camphordrift.relay.peers._configuration_sharing import FETCH_TIMEOUT
 from camphordrift.relay.tests.samples import SampleDocuments, server
 from camphordrift.relay.tests.watched_vms import (
     APPLY_DELAY,
--- a/camphordrift/relay/tests/test_crash_evidence.py
+++ b/camphordrift/relay/tests/test_crash_evidence.py
@@ -7,8 +7,8 @@
 import trio
 
 from camphordrift.relay import KeyedRecord
-from camphordrift.relay._crash_analysis import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
-from camphordrift.relay._quarantine_records import CHECK_INTERVAL, KEY_PREFIX, SETTLING_PERIOD
+from camphordrift.relay.crashes._crash_analysis import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
+from camphordrift.relay.store._quarantine_records import CHECK_INTERVAL, KEY_PREFIX, SETTLING_PERIOD
 from camphordrift.relay.tests.samples import TOPICS, server
 from camphordrift.relay.tests.test_leader_election import Fleet, Vm, leaders, run, wait_until
 
--- a/camphordrift/relay/tests/test_crashing_prompts.py
+++ b/camphordrift/relay/tests/test_crashing_prompts.py
@@ -7,8 +7,8 @@
 import testtools
 import trio
 
-from camphordrift.relay._crash_analysis import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
-from camphordrift.relay._quarantines import QUARANTINE_PERIOD
+from camphordrift.relay.crashes._crash_analysis import CRASHES_TO_QUARANTINE, SAME_CAUSE_SECONDS
+from camphordrift.relay.crashes._quarantines import QUARANTINE_PERIOD
 from camphordrift.relay.tests.crashing_servers import CrashingServers
 from camphordrift.relay.tests.relay_harness import (
     CallerResponse,
--- a/camphordrift/relay/tests/test_end_to_end.py
+++ b/camphordrift/relay/tests/test_end_to_end.py
@@ -9,9 +9,10 @@
 import testtools
 import trio
 
-from camphordrift.relay import Account, _http_server
-from camphordrift.relay._attempt import SOCKET_BUFFERED_BODY_BYTES
-from camphordrift.relay._placement_values import PlacementDecision, PlacementRequest
+from camphordrift.relay.connections import _http_server
+from camphordrift.relay.model import Account
+from camphordrift.relay.requests._attempt import SOCKET_BUFFERED_BODY_BYTES
+from camphordrift.relay.scheduling._placement_values import PlacementDecision, PlacementRequest
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     chunk,
--- a/camphordrift/relay/tests/test_endless_responses.py
+++ b/camphordrift/relay/tests/test_endless_responses.py
@@ -7,7 +7,7 @@
 import testtools
 import trio
 
-from camphordrift.relay._http_client import MAX_SMALL_RESPONSE_BYTES
+from camphordrift.relay.connections._http_client import MAX_SMALL_RESPONSE_BYTES
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     chunk,
--- a/camphordrift/relay/tests/test_engine_inspection.py
+++ b/camphordrift/relay/tests/test_engine_inspection.py
@@ -6,8 +6,8 @@
 import testtools
 import trio
 
-from camphordrift.relay._engine_inspection import SETTLING_PERIOD, EngineInspector
-from camphordrift.relay._engine_scheduler import EngineScheduler
+from camphordrift.relay.requests._engine_inspection import SETTLING_PERIOD, EngineInspector
+from camphordrift.relay.scheduling._engine_scheduler import EngineScheduler
 from camphordrift.relay.tests.samples import (
     CONFIGURATION,
     SampleReports,
--- a/camphordrift/relay/tests/test_engine_pauses.py
+++ b/camphordrift/relay/tests/test_engine_pauses.py
@@ -9,16 +9,16 @@
 
 from camphordrift.experiments.placement_costs import count_calls
 from camphordrift.relay import BackendServer, ServerState
-from camphordrift.relay._engine_pool import DEFAULT_RETRY_AFTER, EnginePool
-from camphordrift.relay._engine_scheduler import EngineScheduler
-from camphordrift.relay._placement_values import (
+from camphordrift.relay.scheduling._engine_pool import DEFAULT_RETRY_AFTER, EnginePool
+from camphordrift.relay.scheduling._engine_scheduler import EngineScheduler
+from camphordrift.relay.scheduling._placement_values import (
     AttemptOutcome,
     Grant,
     PlacementDecision,
     PlacementRefusal,
     RefusalReason,
 )
-from camphordrift.relay._server_notices import ServerPause, ServerStart, start_of
+from camphordrift.relay.servers._server_notices import ServerPause, ServerStart, start_of
 from camphordrift.relay.tests.samples import CONFIGURATION, COSTS, placement_request, server
 
 
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -7,17 +7,17 @@
 from hypothesis import strategies as st
 
 from camphordrift.experiments.placement_costs import count_calls, measure
-from camphordrift.relay._engine_health import MAX_INSPECTION_PERIOD
-from camphordrift.relay._engine_planner import MAX_PREFILLING_REQUESTS, PlacementRound
-from camphordrift.relay._engine_pool import EnginePool
-from camphordrift.relay._placement_values import (
+from camphordrift.relay.model._values import EngineReport, ServerState
+from camphordrift.relay.scheduling._engine_health import MAX_INSPECTION_PERIOD
+from camphordrift.relay.scheduling._engine_planner import MAX_PREFILLING_REQUESTS, PlacementRound
+from camphordrift.relay.scheduling._engine_pool import EnginePool
+from camphordrift.relay.scheduling._placement_values import (
     AttemptOutcome,
     Grant,
     PlacementDecision,
     PlacementRefusal,
     RefusalReason,
 )
-from camphordrift.relay._values import EngineReport, ServerState
 from camphordrift.relay.tests.samples import COSTS, placement_request, server
 
 
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -9,46 +9,43 @@
 import testtools
 import trio
 
-from camphordrift.relay import _leader_election
-from camphordrift.relay._byte_stream import ByteStream
-from camphordrift.relay._configuration_lease import ConfigurationLease, boot_time_clock
-from camphordrift.relay._configuration_sharing import (
-    choose_zone_sources,
-    fetch_configuration,
-)
-from camphordrift.relay._configuration_watcher import (
-    LONG_POLL_SECONDS,
-    MAX_CONFIGURATION_AGE,
-    ConfigurationWatcher,
-    long_poll_timeout,
-)
-from camphordrift.relay._crash_monitor import CrashMonitor
-from camphordrift.relay._dispatcher import Dispatcher
-from camphordrift.relay._engine_scheduler import EngineScheduler
-from camphordrift.relay._leader_election import (
+from camphordrift.relay.connections._byte_stream import ByteStream
+from camphordrift.relay.fleet import _leader_election
+from camphordrift.relay.fleet._dispatcher import Dispatcher
+from camphordrift.relay.fleet._leader_election import (
     LEADER_SETTLING_PERIOD,
     PING_INTERVAL,
     LeaderElection,
 )
-from camphordrift.relay._notice_distribution import NoticeDistributor
-from camphordrift.relay._path_sharing import PathSharing
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._peer_messages import (
+from camphordrift.relay.fleet._update_distribution import UpdateDistributor
+from camphordrift.relay.model._settings import Address
+from camphordrift.relay.peers._configuration_sharing import choose_zone_sources, fetch_configuration
+from camphordrift.relay.peers._crash_monitor import CrashMonitor
+from camphordrift.relay.peers._notice_distribution import NoticeDistributor
+from camphordrift.relay.peers._path_sharing import PathSharing
+from camphordrift.relay.peers._peer_links import PeerLinks
+from camphordrift.relay.peers._peer_messages import (
     LinkBrokenError,
     Member,
     Message,
     MessageLink,
     StoreUnreachable,
 )
-from camphordrift.relay._placement_values import AttemptOutcome, Grant
-from camphordrift.relay._quarantine_records import QuarantineRecords
-from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
-from camphordrift.relay._server_notices import ServerNotices
-from camphordrift.relay._servers_watcher import ServersWatcher
-from camphordrift.relay._settings import Address
-from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
-from camphordrift.relay._tunnels import TunnelServer
-from camphordrift.relay._update_distribution import UpdateDistributor
+from camphordrift.relay.peers._tunnels import TunnelServer
+from camphordrift.relay.scheduling._engine_scheduler import EngineScheduler
+from camphordrift.relay.scheduling._placement_values import AttemptOutcome, Grant
+from camphordrift.relay.servers._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay.servers._server_notices import ServerNotices
+from camphordrift.relay.store._configuration_lease import ConfigurationLease, boot_time_clock
+from camphordrift.relay.store._configuration_watcher import (
+    LONG_POLL_SECONDS,
+    MAX_CONFIGURATION_AGE,
+    ConfigurationWatcher,
+    long_poll_timeout,
+)
+from camphordrift.relay.store._quarantine_records import QuarantineRecords
+from camphordrift.relay.store._servers_watcher import ServersWatcher
+from camphordrift.relay.store._store_era import EraCheckedLog, StoreEraTracker
 from camphordrift.relay.tests.relay_harness import free_ports
 from camphordrift.relay.tests.samples import (
     CONFIGURATION,
--- a/camphordrift/relay/tests/test_message_link.py
+++ b/camphordrift/relay/tests/test_message_link.py
@@ -6,7 +6,7 @@
 import trio
 import trio.testing
 
-from camphordrift.relay._peer_messages import (
+from camphordrift.relay.peers._peer_messages import (
     ConfigurationDocument,
     Message,
     MessageLink,
--- a/camphordrift/relay/tests/test_pausing_servers.py
+++ b/camphordrift/relay/tests/test_pausing_servers.py
@@ -6,9 +6,9 @@
 import testtools
 import trio
 
-from camphordrift.relay._engine_planner import MAX_PREFILLING_REQUESTS
-from camphordrift.relay._engine_scheduler import DecisionCallback
-from camphordrift.relay._placement_values import PlacementRequest
+from camphordrift.relay.scheduling._engine_planner import MAX_PREFILLING_REQUESTS
+from camphordrift.relay.scheduling._engine_scheduler import DecisionCallback
+from camphordrift.relay.scheduling._placement_values import PlacementRequest
 from camphordrift.relay.tests.relay_harness import (
     CallerResponse,
     RelayFleet,
--- a/camphordrift/relay/tests/test_pending_versions.py
+++ b/camphordrift/relay/tests/test_pending_versions.py
@@ -7,7 +7,7 @@
 import trio
 
 from camphordrift.relay import Account
-from camphordrift.relay._pending_versions import WAITING_MARGIN, PendingVersions
+from camphordrift.relay.store._pending_versions import WAITING_MARGIN, PendingVersions
 from camphordrift.relay.tests.relay_harness import RelayHarness, open_relay
 from camphordrift.relay.tests.samples import CONFIGURATION, ScriptedServer, server, settings
 from camphordrift.testing import HttpRequest
--- a/camphordrift/relay/tests/test_request_attempts.py
+++ b/camphordrift/relay/tests/test_request_attempts.py
@@ -8,7 +8,9 @@
 import trio
 
 from camphordrift.relay import Headers, RequestMetadata
-from camphordrift.relay._attempt import (
+from camphordrift.relay.connections._events import StreamEvent
+from camphordrift.relay.connections._http_server import CallerRequest, ResponseWriter
+from camphordrift.relay.requests._attempt import (
     Answered,
     AttemptResult,
     Broken,
@@ -17,11 +19,9 @@
     Streamed,
     Withheld,
 )
-from camphordrift.relay._events import StreamEvent
-from camphordrift.relay._http_server import CallerRequest, ResponseWriter
-from camphordrift.relay._refusals import RequestRefusedError, refusal_error
-from camphordrift.relay._request_attempts import RequestAttempts, RunningAttempt
-from camphordrift.relay._request_progress import RequestProgress
+from camphordrift.relay.requests._refusals import RequestRefusedError, refusal_error
+from camphordrift.relay.requests._request_attempts import RequestAttempts, RunningAttempt
+from camphordrift.relay.requests._request_progress import RequestProgress
 from camphordrift.relay.tests.samples import CONFIGURATION, STREAM
 from camphordrift.results import ResultCode
 from camphordrift.testing import run_in_virtual_time
--- a/camphordrift/relay/tests/test_request_limits.py
+++ b/camphordrift/relay/tests/test_request_limits.py
@@ -7,22 +7,22 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from camphordrift.relay._engine_pool import EnginePool
-from camphordrift.relay._placement_values import (
+from camphordrift.relay.model._values import BackendServer
+from camphordrift.relay.scheduling._engine_pool import EnginePool
+from camphordrift.relay.scheduling._placement_values import (
     AttemptOutcome,
     Grant,
     PlacementRefusal,
     RefusalReason,
 )
-from camphordrift.relay._request_limits import (
+from camphordrift.relay.scheduling._request_limits import (
     MIN_RATE,
     UNKNOWN_WAIT,
     Permit,
     RequestLimits,
     ServerLimit,
 )
-from camphordrift.relay._server_notices import UNLISTED_RETENTION, start_of
-from camphordrift.relay._values import BackendServer
+from camphordrift.relay.servers._server_notices import UNLISTED_RETENTION, start_of
 from camphordrift.relay.tests.samples import COSTS, placement_request, server
 
 #: Window in seconds in which the requests to a limited server are counted.
--- a/camphordrift/relay/tests/test_request_traits.py
+++ b/camphordrift/relay/tests/test_request_traits.py
@@ -5,8 +5,8 @@
 import testtools
 
 from camphordrift.relay import Account
-from camphordrift.relay._http_server import CallerRequest
-from camphordrift.relay._request_traits import whole_request_trait
+from camphordrift.relay.connections._http_server import CallerRequest
+from camphordrift.relay.crashes._request_traits import whole_request_trait
 
 REQUEST = CallerRequest(
     b"POST", b"/look/x", ((b"host", b"a.example"), (b"x-attempt", b"a1")), b"body", 1.0
--- a/camphordrift/relay/tests/test_reservations.py
+++ b/camphordrift/relay/tests/test_reservations.py
@@ -8,8 +8,8 @@
 import trio
 
 from camphordrift.relay import BackendServer, Reservation
-from camphordrift.relay._http_client import BACKEND_CONNECT_TIMEOUT
-from camphordrift.relay._reservations import (
+from camphordrift.relay.connections._http_client import BACKEND_CONNECT_TIMEOUT
+from camphordrift.relay.requests._reservations import (
     CRASH_DETECTION_SECONDS,
     ORDER_TIMEOUT,
     RENEWAL_INTERVAL,
@@ -18,8 +18,8 @@
     ReservationRefusedError,
     ReservedPart,
 )
-from camphordrift.relay._server_calls import ServerCalls
-from camphordrift.relay._server_notices import ServerNotices, start_of
+from camphordrift.relay.requests._server_calls import ServerCalls
+from camphordrift.relay.servers._server_notices import ServerNotices, start_of
 from camphordrift.relay.tests.relay_harness import first_then
 from camphordrift.relay.tests.samples import (
     SampleOrders,
--- a/camphordrift/relay/tests/test_server_notices.py
+++ b/camphordrift/relay/tests/test_server_notices.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies as st
 
 from camphordrift.relay import BackendServer, ResponseMetadata, ServerState
-from camphordrift.relay._notice_distribution import NoticeDistributor
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._request_limits import RequestLimits
-from camphordrift.relay._server_notices import (
+from camphordrift.relay.peers._notice_distribution import NoticeDistributor
+from camphordrift.relay.peers._peer_links import PeerLinks
+from camphordrift.relay.scheduling._request_limits import RequestLimits
+from camphordrift.relay.servers._server_notices import (
     UNLISTED_RETENTION,
     ServerNotices,
     ServerPause,
--- a/camphordrift/relay/tests/test_server_paths.py
+++ b/camphordrift/relay/tests/test_server_paths.py
@@ -2,16 +2,16 @@
 
 import testtools
 
-from camphordrift.relay._cut_off_vms import STATEMENT_LIFETIME, CutOffVms, PathStatement
-from camphordrift.relay._path_sharing import FAILURE_PERIOD, MAX_KNOWN_VMS, PathSharing
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._peer_messages import Member
-from camphordrift.relay._server_paths import (
+from camphordrift.relay.model._settings import Address
+from camphordrift.relay.peers._path_sharing import FAILURE_PERIOD, MAX_KNOWN_VMS, PathSharing
+from camphordrift.relay.peers._peer_links import PeerLinks
+from camphordrift.relay.peers._peer_messages import Member
+from camphordrift.relay.servers._cut_off_vms import STATEMENT_LIFETIME, CutOffVms, PathStatement
+from camphordrift.relay.servers._server_paths import (
     LOSSES_TO_CUT_OFF,
     UNREACHABLE_PERIOD,
     ServerPaths,
 )
-from camphordrift.relay._settings import Address
 
 
 def address(number: int) -> Address:
--- a/camphordrift/relay/tests/test_silent_servers.py
+++ b/camphordrift/relay/tests/test_silent_servers.py
@@ -7,7 +7,7 @@
 import trio
 
 from camphordrift.relay import Configuration
-from camphordrift.relay._placement_values import PlacementDecision, PlacementRequest
+from camphordrift.relay.scheduling._placement_values import PlacementDecision, PlacementRequest
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     chunk,
--- a/camphordrift/relay/tests/test_store_era.py
+++ b/camphordrift/relay/tests/test_store_era.py
@@ -7,8 +7,8 @@
 import trio
 
 from camphordrift.relay import Batch, HistoryLostError, KeyedRecord, StoreError
-from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
-from camphordrift.relay._topic_watcher import TopicWatcher
+from camphordrift.relay.store._store_era import EraCheckedLog, StoreEraTracker
+from camphordrift.relay.store._topic_watcher import TopicWatcher
 from camphordrift.testing import run_in_virtual_time
 
 Response = Union[Batch, HistoryLostError, StoreError]
--- a/camphordrift/relay/tests/test_store_restore.py
+++ b/camphordrift/relay/tests/test_store_restore.py
@@ -7,9 +7,9 @@
 import trio
 
 from camphordrift.relay import BackendServer, ServerState
-from camphordrift.relay._configuration_watcher import MAX_CONFIGURATION_AGE
-from camphordrift.relay._server_directory import EXPIRY_GRACE, ServerDirectory
-from camphordrift.relay._servers_watcher import SERVERS_INTERVAL
+from camphordrift.relay.servers._server_directory import EXPIRY_GRACE, ServerDirectory
+from camphordrift.relay.store._configuration_watcher import MAX_CONFIGURATION_AGE
+from camphordrift.relay.store._servers_watcher import SERVERS_INTERVAL
 from camphordrift.relay.tests.samples import TOPICS, InMemoryLog, server
 from camphordrift.relay.tests.watched_vms import (
     REVOCATION_DELAY,
--- a/camphordrift/relay/tests/test_streams_without_events.py
+++ b/camphordrift/relay/tests/test_streams_without_events.py
@@ -6,7 +6,7 @@
 import testtools
 import trio
 
-from camphordrift.relay._attempt import AttemptResult
+from camphordrift.relay.requests._attempt import AttemptResult
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     complete_stream,
--- a/camphordrift/relay/tests/test_trait_quarantine.py
+++ b/camphordrift/relay/tests/test_trait_quarantine.py
@@ -7,22 +7,25 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from camphordrift.relay import _sound_traits
-from camphordrift.relay._crash_analysis import CRASHES_IF_SOUND_BEFORE, CRASHES_TO_QUARANTINE
-from camphordrift.relay._crash_evidence import (
+from camphordrift.relay.crashes import _sound_traits
+from camphordrift.relay.crashes._crash_analysis import (
+    CRASHES_IF_SOUND_BEFORE,
+    CRASHES_TO_QUARANTINE,
+)
+from camphordrift.relay.crashes._crash_evidence import (
     CrashEvidence,
     QuarantinedTraits,
     ServerCrash,
     SoundTrait,
 )
-from camphordrift.relay._quarantines import (
+from camphordrift.relay.crashes._quarantines import (
     MAX_QUARANTINES,
     PROBATION_PERIOD,
     QUARANTINE_PERIOD,
     QuarantineEnded,
     QuarantineStarted,
 )
-from camphordrift.relay._trait_quarantine import (
+from camphordrift.relay.crashes._trait_quarantine import (
     CRASH_MEMORY,
     EVIDENCE_DELAY,
     MAX_ACCUSED_TRAITS,
--- a/camphordrift/relay/tests/test_tunnels.py
+++ b/camphordrift/relay/tests/test_tunnels.py
@@ -6,17 +6,17 @@
 import testtools
 import trio
 
-from camphordrift.relay import _tunnels
-from camphordrift.relay._byte_stream import (
+from camphordrift.relay.connections._byte_stream import (
     ByteStream,
     PathBrokenError,
     SocketByteStream,
     abort,
     connect,
 )
-from camphordrift.relay._peer_messages import LinkBrokenError, MessageLink, OpenTunnel
-from camphordrift.relay._settings import Address
-from camphordrift.relay._tunnels import (
+from camphordrift.relay.model._settings import Address
+from camphordrift.relay.peers import _tunnels
+from camphordrift.relay.peers._peer_messages import LinkBrokenError, MessageLink, OpenTunnel
+from camphordrift.relay.peers._tunnels import (
     TunnelRefusedError,
     TunnelServer,
     TunnelStream,
--- a/camphordrift/relay/tests/test_whole_requests.py
+++ b/camphordrift/relay/tests/test_whole_requests.py
@@ -3,19 +3,19 @@
 import msgspec
 import testtools
 
-from camphordrift.relay import _sound_traits
-from camphordrift.relay._crash_analysis import (
+from camphordrift.relay.crashes import _sound_traits
+from camphordrift.relay.crashes._crash_analysis import (
     CRASHES_IF_INDISTINGUISHABLE,
     CRASHES_TO_QUARANTINE,
 )
-from camphordrift.relay._crash_evidence import (
+from camphordrift.relay.crashes._crash_evidence import (
     CrashEvidence,
     QuarantinedTraits,
     ServerCrash,
     SoundTrait,
 )
-from camphordrift.relay._crash_monitor import CrashMonitor
-from camphordrift.relay._peer_links import PeerLinks
+from camphordrift.relay.peers._crash_monitor import CrashMonitor
+from camphordrift.relay.peers._peer_links import PeerLinks
 from camphordrift.relay.tests.samples import server
 from camphordrift.relay.tests.test_trait_quarantine import QuarantineCase
 
--- a/camphordrift/relay/tests/watched_vms.py
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -10,14 +10,14 @@
 import trio.testing
 
 from camphordrift.relay import BackendServer, Batch, KeyedRecord, ServerState, StoreError
-from camphordrift.relay._configuration_lease import ConfigurationLease
-from camphordrift.relay._configuration_watcher import ConfigurationWatcher
-from camphordrift.relay._crash_monitor import CrashMonitor
-from camphordrift.relay._interfaces import KeyedLog
-from camphordrift.relay._leader_election import LINK_IDLE_TIMEOUT, PING_INTERVAL
-from camphordrift.relay._path_sharing import PathSharing
-from camphordrift.relay._peer_links import PeerLinks
-from camphordrift.relay._peer_messages import (
+from camphordrift.relay.fleet._leader_election import LINK_IDLE_TIMEOUT, PING_INTERVAL
+from camphordrift.relay.fleet._update_distribution import UpdateDistributor
+from camphordrift.relay.model._interfaces import KeyedLog
+from camphordrift.relay.model._settings import Address
+from camphordrift.relay.peers._crash_monitor import CrashMonitor
+from camphordrift.relay.peers._path_sharing import PathSharing
+from camphordrift.relay.peers._peer_links import PeerLinks
+from camphordrift.relay.peers._peer_messages import (
     ConfigurationRequest,
     LinkBrokenError,
     Member,
@@ -25,11 +25,11 @@
     MessageLink,
     Ping,
 )
-from camphordrift.relay._server_directory import DirectoryChange, ServerDirectory
-from camphordrift.relay._servers_watcher import ServersWatcher
-from camphordrift.relay._settings import Address
-from camphordrift.relay._store_era import EraCheckedLog, StoreEraTracker
-from camphordrift.relay._update_distribution import UpdateDistributor
+from camphordrift.relay.servers._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay.store._configuration_lease import ConfigurationLease
+from camphordrift.relay.store._configuration_watcher import ConfigurationWatcher
+from camphordrift.relay.store._servers_watcher import ServersWatcher
+from camphordrift.relay.store._store_era import EraCheckedLog, StoreEraTracker
 from camphordrift.relay.tests.samples import CONFIGURATION, TOPICS, InMemoryLog, SampleDocuments
 from camphordrift.testing import run_in_virtual_time
 
@@ -322,7 +322,7 @@
 
 @contextmanager
 def _boot_time_is_virtual() -> Iterator[None]:
-    modules = ("_configuration_watcher", "_update_distribution")
+    modules = ("store._configuration_watcher", "fleet._update_distribution")
     names = [f"camphordrift.relay.{module}.boot_time_clock" for module in modules]
     with mock.patch(names[0], trio.current_time), mock.patch(names[1], trio.current_time):
         yield
