Tell a network that refuses a VM's connections from servers that crashed

The first such statement ended the search, sound servers counted as crashed for all VMs, and the leader, cut off as well, got no report of any engine. Change: a VM states that a server refused only if it reaches another server at that moment. A VM on which two servers failed in a row without a connection in between may be cut off; its failures are NoPathError, which excludes the server for that request but is no failure of the engine, and no missing report.

--- a/camphordrift/relay/connections/__init__.py
+++ b/camphordrift/relay/connections/__init__.py
@@ -7,6 +7,7 @@
 from camphordrift.relay.connections._byte_stream import (
     READ_SIZE,
     ByteStream,
+    NoPathError,
     PathBrokenError,
     abort,
     connect,
@@ -39,6 +40,7 @@
     "EventSplitter",
     "EventTooLongError",
     "HttpConnection",
+    "NoPathError",
     "PathBrokenError",
     "READ_SIZE",
     "ResponseWriter",
--- a/camphordrift/relay/connections/_byte_stream.py
+++ b/camphordrift/relay/connections/_byte_stream.py
@@ -27,6 +27,13 @@
     """A connection broke on the way to its peer, which did not close it."""
 
 
+class NoPathError(OSError):
+    """No VM reached a server, but those that tried may have lost their paths.
+
+    It says nothing about the server.
+    """
+
+
 class ByteStream:
     """A connection to a backend server."""
 
--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -14,6 +14,7 @@
     EventSplitter,
     EventTooLongError,
     HttpConnection,
+    NoPathError,
     PathBrokenError,
     StreamEvent,
     may_have_body,
@@ -49,6 +50,8 @@
     """No connection was established; nothing was sent."""
 
     reason: str
+    #: Whether the server may be sound, as this VM may have lost its paths.
+    has_no_path: bool = False
 
 
 @dataclass(frozen=True)
@@ -207,7 +210,7 @@
                 server.host, server.port, force_new_connection
             )
         except OSError as error:
-            return NotSent(str(error))
+            return NotSent(str(error), isinstance(error, NoPathError))
         idle_timeout = 0.0
         try:
             metadata = prepare_send()
--- a/camphordrift/relay/requests/_engine_inspection.py
+++ b/camphordrift/relay/requests/_engine_inspection.py
@@ -6,7 +6,7 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay.connections import BrokenAnswerError, SmallRequest
+from camphordrift.relay.connections import BrokenAnswerError, NoPathError, SmallRequest
 from camphordrift.relay.model import BackendServer, EngineReport, ReportFormat
 from camphordrift.relay.requests._server_calls import ServerCalls, ServerUnreachableError
 from camphordrift.relay.scheduling import EngineScheduler
@@ -71,8 +71,12 @@
         async with self._limiter:
             if not self._calls.accepts_requests(server):
                 return
-            with trio.move_on_after(REPORT_TIMEOUT):
-                report = await self._request_report(server)
+            try:
+                with trio.move_on_after(REPORT_TIMEOUT):
+                    report = await self._request_report(server)
+            except NoPathError as error:
+                log_event("engine_not_inspected", server=server.id, reason=str(error))
+                return
         log_event(
             "engine_report",
             level=LogLevel.WARNING if report is None else LogLevel.INFO,
@@ -83,6 +87,12 @@
         self._scheduler.record_report(server, report)
 
     async def _request_report(self, server: BackendServer) -> Optional[EngineReport]:
+        """Returns an engine's report; ``None`` if it did not answer as expected.
+
+        Raises:
+            NoPathError: The engine may be sound, but no VM has a path to it.
+
+        """
         request = SmallRequest(b"GET", self._format.path, [(b"host", server.address.encode())])
         try:
             response = await self._calls.call(server, request, "report", REPORT_CONNECTION_IDLE)
@@ -90,6 +100,8 @@
                 log_event("engine_report_refused", server=server.id, status=response.status)
                 return None
             return self._format.parse(response.body)
+        except NoPathError:
+            raise
         except ServerUnreachableError as error:
             log_event("engine_unreachable", server=server.id, reason=str(error))
             return None
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -395,6 +395,8 @@
             return AttemptOutcome.SILENT
         case Rejected():
             return AttemptOutcome.REJECTED
+        case NotSent(has_no_path=True):
+            return AttemptOutcome.WITHHELD
         case Broken() | NotSent():
             return AttemptOutcome.FAILED
         case Answered(status) if status >= 500 and status != ENGINE_TIMEOUT_STATUS:
--- a/camphordrift/relay/requests/_server_calls.py
+++ b/camphordrift/relay/requests/_server_calls.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from camphordrift.relay.connections import ConnectionPool, SmallRequest, SmallResponse
+from camphordrift.relay.connections import ConnectionPool, NoPathError, SmallRequest, SmallResponse
 from camphordrift.relay.model import BackendServer, HeaderFormat, ResponseMetadata
 from camphordrift.relay.scheduling import RequestLimits
 from camphordrift.relay.servers import ServerNotices
@@ -87,6 +87,7 @@
             idle_timeout: Seconds for which the server keeps the connection open while it is idle.
 
         Raises:
+            NoPathError: No connection could be established, and the server may be sound.
             ServerUnreachableError: No connection could be established.
             BrokenAnswerError: The response was incomplete or malformed.
             OSError: The connection broke.
@@ -94,6 +95,8 @@
         """
         try:
             connection = await self._connections.acquire(server.host, server.port)
+        except NoPathError:
+            raise
         except OSError as error:
             raise ServerUnreachableError(str(error)) from error
         if self._limits.is_limited(server):
--- a/camphordrift/relay/requests/_server_connector.py
+++ b/camphordrift/relay/requests/_server_connector.py
@@ -7,7 +7,7 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay.connections import ByteStream, open_stream
+from camphordrift.relay.connections import ByteStream, NoPathError, open_stream
 from camphordrift.relay.model import Address
 from camphordrift.relay.peers import TunnelRefusedError, open_tunnel
 from camphordrift.relay.servers import ServerPaths
@@ -95,6 +95,7 @@
         """Opens a connection for another VM.
 
         Raises:
+            ConnectionRefusedError: The server refused the connection.
             OSError: This VM has no path to the server, or the connection failed.
 
         """
@@ -102,6 +103,11 @@
             raise OSError("this VM lost its path to the server, too")
         try:
             return await self.connect_directly(address, timeout)
+        except ConnectionRefusedError as error:
+            # A network that refuses all connections of this VM looks like a crash of the server.
+            if await self._reaches_another_server(address):
+                raise
+            raise OSError(f"{error}; this VM reaches no other server, either") from error
         except TimeoutError:
             # Both VMs may have lost their paths at the same time.
             self.check(address.host, address.port)
@@ -111,6 +117,7 @@
         """Opens a connection to a server, through another VM if this one does not reach it.
 
         Raises:
+            NoPathError: No VM reached the server, and this one may be cut off.
             OSError: No connection was established within about ``timeout`` seconds.
 
         """
@@ -132,8 +139,7 @@
                 race.tunnel_error = TunnelRefusedError("no VM reached the server just before")
         if race.winner is not None:
             return race.winner
-        self._paths.record_unreachable(address, trio.current_time())
-        raise self._failure_of(address, race)
+        raise self._record_failure(address, race)
 
     def check(self, host: str, port: int) -> None:
         """Checks a path in the background, because a server has been silent on it."""
@@ -249,12 +255,39 @@
         if is_cut_off:
             self._on_paths_lost(None)
 
-    @staticmethod
-    def _failure_of(address: Address, race: "_Race") -> OSError:
-        """Returns why there is no connection to a server."""
+    def _record_failure(self, address: Address, race: "_Race") -> OSError:
+        """Records that there is no connection to a server; returns why."""
+        could_be_cut_off = self._paths.may_be_cut_off
+        self._paths.record_unreachable(address, trio.current_time())
         if race.tunnel_error is not None and race.tunnel_error.server_refused:
             return ConnectionRefusedError(f"{address} refused the connection of another VM")
-        return race.direct_error or TimeoutError(f"connecting to {address} timed out")
+        error = race.direct_error or TimeoutError(f"connecting to {address} timed out")
+        if not self._paths.may_be_cut_off:
+            return error
+        if not could_be_cut_off:
+            log_event("may_be_cut_off", level=LogLevel.WARNING, server=str(address))
+            self._check_others(address)
+        return NoPathError(f"{error}; this VM may have lost its paths")
+
+    async def _reaches_another_server(self, address: Address) -> bool:
+        """Returns whether this VM can connect to any of some servers other than the given one."""
+        others = [item for item in self._listed() if item != address]
+        has_path = False
+
+        async def try_server(other: Address) -> None:
+            nonlocal has_path
+            try:
+                (await self.connect_directly(other, CHECK_TIMEOUT)).abort()
+            except OSError:
+                # The caller logs that this VM reaches no server.
+                return
+            has_path = True
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for other in random.sample(others, min(len(others), SERVERS_CHECKED)):
+                nursery.start_soon(try_server, other)
+        return has_path
 
 
 class _Race:
