Refuse streams that get no engine before their caller leaves

Cause: the scheduler knew the deadline of the complete response only; callers leave earlier if no event arrives. Change: routes state how long callers wait for an event (PROTOCOL.md, in the adapter); a request that can get none in that time is refused as not run, with Retry-After.

--- a/camphordrift/platform/_documents.py
+++ b/camphordrift/platform/_documents.py
@@ -25,6 +25,12 @@
 
 _MS_PER_SECOND = 1000.0
 
+#: Callers abandon a stream after the longest of these milliseconds without an event, this many
+#: objectives, and this many target gaps between events.
+_MIN_PATIENCE_MS = 2000.0
+_PATIENCE_OBJECTIVES = 4.0
+_PATIENCE_GAPS = 8.0
+
 
 class _Document(msgspec.Struct, rename="pascal", frozen=True, gc=False):
     """Base class of all documents; unknown fields are ignored."""
@@ -190,7 +196,18 @@
         max_attempts=route.max_attempts,
         priority=route.priority,
         allows_anonymous=route.no_auth,
+        caller_patience=_caller_patience(route),
+    )
+
+
+def _caller_patience(route: _Route) -> float:
+    """Returns the seconds without an event after which callers abandon a stream (PROTOCOL.md)."""
+    if route.kind != _STREAM_KIND:
+        return float("inf")
+    patience_ms = max(
+        _MIN_PATIENCE_MS, _PATIENCE_OBJECTIVES * route.slo_ms, _PATIENCE_GAPS * route.gap_target_ms
     )
+    return patience_ms / _MS_PER_SECOND
 
 
 def _convert_service(service: _Service) -> Service:
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -57,12 +57,19 @@
             (10.0, 0.3, 0.25),
             (stream.timeout, stream.latency_objective, stream.event_gap_objective),
         )
+        self.assertEqual(2.0, stream.caller_patience)
+        self.assertEqual(float("inf"), repeatable.caller_patience)
         self.assertTrue(stream.retryable)
         self.assertFalse(non_idempotent.retryable)
         self.assertEqual((ServiceShare("s2", 1.0),), non_idempotent.shares)
         self.assertIs(RunRule.REPEATABLE, repeatable.run_rule)
         self.assertTrue(repeatable.allows_anonymous)
 
+    def test_callers_wait_longer_for_streams_with_long_targets(self) -> None:
+        document = CONFIGURATION.replace(b'"GapTargetMs":250', b'"GapTargetMs":800')
+        self.assertNotEqual(document, CONFIGURATION)
+        self.assertEqual(6.4, PlatformDocuments().configuration(document).routes[0].caller_patience)
+
     def test_a_stream_that_is_not_resumable_is_not_retryable(self) -> None:
         document = CONFIGURATION.replace(b'"ResumeStreams":true,', b"")
         self.assertFalse(PlatformDocuments().configuration(document).routes[0].retryable)
--- a/camphordrift/relay/fleet/_dispatcher.py
+++ b/camphordrift/relay/fleet/_dispatcher.py
@@ -242,6 +242,7 @@
             pending.request,
             objective=pending.request.objective - elapsed,
             time_left=pending.request.time_left - elapsed,
+            patience=pending.request.patience - elapsed,
             server_pauses=self._pauses(pending.request.service),
         )
         self._local_scheduler.submit(self._vm, request, self._apply_decision)
--- a/camphordrift/relay/model/_values.py
+++ b/camphordrift/relay/model/_values.py
@@ -57,6 +57,8 @@
     priority: int
     #: Whether requests need no API key.
     allows_anonymous: bool
+    #: Seconds without an event after which callers abandon a stream, also before its first event.
+    caller_patience: float = float("inf")
 
     @property
     def retryable(self) -> bool:
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -281,6 +281,7 @@
             resumed=metadata.last_event_id is not None
             or (sink is not None and sink.last_event_id is not None),
             isolated=self._is_suspect(progress),
+            patience=_patience(progress, running),
         )
 
     async def _attempt(
@@ -369,6 +370,18 @@
         )
 
 
+def _patience(progress: RequestProgress, running: RunningAttempt) -> float:
+    """Returns the seconds within which the caller has to get an event.
+
+    For a stream that has begun, that depends on when its last event was sent; it is not known to
+    leave before the deadline.
+    """
+    if running.sink is None or running.sink.last_event_id is not None:
+        return float("inf")
+    elapsed = trio.current_time() - progress.request.received_at
+    return progress.route.caller_patience - elapsed
+
+
 def _exclude_helper_at_fault(
     progress: RequestProgress, grant: Grant, at_fault: Optional[str]
 ) -> None:
--- a/camphordrift/relay/scheduling/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -61,10 +61,14 @@
     #: End of the time in which the request may be deferred in favour of others.
     deferral_ends_at: float
     deadline: float
+    #: When the caller leaves unless it has got an event.
+    leaves_at: float
     #: Whether the engines together have enough memory.
     can_ever_fit: bool = True
     #: Seconds that the request needs if all engines are idle.
     minimum_time: float = 0.0
+    #: Seconds that it needs of these until its first event.
+    minimum_prefill: float = 0.0
     #: Ends of the pauses of engines that want no requests from the request's VM, by engine id.
     paused_until: dict[str, float] = field(default_factory=dict)
     #: The request with the pausing engines as excluded ones, until the next pause ends.
@@ -165,6 +169,7 @@
             first_event_due_at=now + request.objective,
             deferral_ends_at=now + request.time_left * DEFERRAL_SHARE,
             deadline=now + request.time_left,
+            leaves_at=now + request.patience,
         )
         self._set_needs(waiting)
         for pause in request.server_pauses:
@@ -362,6 +367,15 @@
             return PlacementRefusal(
                 request.id, RefusalReason.TOO_LATE, None, time_left, waiting.minimum_time
             )
+        patience_left = waiting.leaves_at - now
+        if patience_left < waiting.minimum_prefill:
+            return PlacementRefusal(
+                request.id,
+                RefusalReason.TOO_LATE,
+                DEFAULT_RETRY_AFTER,
+                patience_left,
+                waiting.minimum_prefill,
+            )
         return None
 
     def _limited_engines_for(self, request: PlacementRequest) -> list[EngineLoad]:
@@ -430,7 +444,8 @@
 
     def _set_needs(self, waiting: _WaitingRequest) -> None:
         waiting.can_ever_fit = self._can_ever_fit(waiting.request)
-        waiting.minimum_time = self._minimum_time(waiting.request)
+        waiting.minimum_prefill = self._minimum_prefill(waiting.request)
+        waiting.minimum_time = waiting.minimum_prefill + self._minimum_decode(waiting.request)
 
     def _can_ever_fit(self, request: PlacementRequest) -> bool:
         engines = min(MAX_PARTS, len(self._index.engines))
@@ -438,14 +453,17 @@
             self._costs.memory_tokens * MAX_MEMORY_SHARE
         )
 
-    def _minimum_time(self, request: PlacementRequest) -> float:
-        """Returns the seconds that a request needs if all engines are idle."""
+    def _minimum_prefill(self, request: PlacementRequest) -> float:
+        """Returns the seconds until the first event of a request if all engines are idle."""
         parts = max(1, min(MAX_PARTS, len(self._index.engines)))
+        return self._costs.prefill_time(request.prompt_tokens) / parts
+
+    def _minimum_decode(self, request: PlacementRequest) -> float:
+        """Returns the seconds from the first event to the end if all engines are idle."""
         # The remaining length of a resumed output is unknown, but it is at least one event.
         answer_tokens = 1 if request.resumed else max(1, request.answer_tokens // 2)
         iterations = math.ceil(answer_tokens / self._costs.decode_steps_per_iteration)
-        decode = self._costs.iteration_time(1, request.prompt_tokens) * iterations
-        return self._costs.prefill_time(request.prompt_tokens) / parts + decode
+        return self._costs.iteration_time(1, request.prompt_tokens) * iterations
 
     def _is_usable(self, server_id: str, now: float) -> bool:
         engine = self._index.find(server_id)
--- a/camphordrift/relay/scheduling/_placement_values.py
+++ b/camphordrift/relay/scheduling/_placement_values.py
@@ -45,6 +45,8 @@
     isolated: bool = False
     #: Engines that want no requests from the VM for now.
     server_pauses: tuple[ServerPause, ...] = ()
+    #: Time after which the caller leaves unless it has got an event; not more than is left.
+    patience: float = float("inf")
 
 
 @dataclass(frozen=True)
@@ -71,7 +73,7 @@
     #: No usable engine is left: none is listed, all are draining, pausing or excluded, or the
     #: preferred one is not usable.
     NO_ENGINE = "no_engine"
-    #: The deadline would pass even on idle engines.
+    #: The deadline would pass, or the caller would leave, even on idle engines.
     TOO_LATE = "too_late"
     #: The prompt and the output need more KV memory than all allowed engines have.
     NEVER_FITS = "never_fits"
@@ -86,7 +88,7 @@
     reason: RefusalReason
     #: Seconds after which an engine may be free; ``None`` if a retry cannot succeed.
     retry_after: Optional[float]
-    #: Seconds to the deadline; set only if the deadline caused the refusal.
+    #: Seconds to the deadline, or until the caller leaves; set only if that caused the refusal.
     time_left: Optional[float] = None
     #: Minimum number of seconds that the request needs; set together with ``time_left``.
     time_needed: Optional[float] = None
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -174,6 +174,20 @@
         assert isinstance(decision, PlacementRefusal)
         self.assertEqual(RefusalReason.TOO_LATE, decision.reason)
 
+    def test_a_request_is_refused_once_its_caller_leaves_before_an_event(self) -> None:
+        """On an own day, 22 of 23 engines expired, and requests waited until callers left."""
+        pool = pool_of(1)
+        for number in range(COSTS.slots):
+            place_request(pool, f"r{number}", 1000)
+            pool.record_first_event(f"r{number}", 0.0)
+        pool.submit(placement_request("patient", 20_000), 0.0)
+        pool.submit(placement_request("short", 20_000, patience=2.0), 0.0)
+        self.assertEqual([], pool.decide(1.8))
+        (decision,) = pool.decide(1.95)
+        assert isinstance(decision, PlacementRefusal)
+        self.assertEqual(("short", RefusalReason.TOO_LATE), (decision.ask_id, decision.reason))
+        self.assertIsNotNone(decision.retry_after)
+
     def test_a_resumed_request_is_not_refused_for_the_full_output_length(self) -> None:
         """Guards against the refusal of a retry after an engine failed near the end of its output.
 
