Move streams off engines that are too slow to complete them

Cause: only silence starts a further attempt, and a slow engine is never silent. Change: StreamPace estimates from the latest gaps whether a stream is complete before its deadline. If not, a further attempt begins; from the moment at which it is sent, events of the slow one are held back, so that it resumes exactly after the last forwarded one. The slow one continues if no other engine is free, no retry is permitted, or the further attempt fails.

--- a/camphordrift/relay/requests/_caller_sink.py
+++ b/camphordrift/relay/requests/_caller_sink.py
@@ -66,12 +66,22 @@
         stream: The caller's stream.
         claim_stream: Called before anything is forwarded. It is cancelled if another attempt has
             continued the stream in the meantime.
+        has_turn: Returns whether the attempt may forward events now.
+        wait_for_turn: Waits until it may.
 
     """
 
-    def __init__(self, stream: CallerStream, claim_stream: Callable[[], Awaitable[None]]) -> None:
+    def __init__(
+        self,
+        stream: CallerStream,
+        claim_stream: Callable[[], Awaitable[None]],
+        has_turn: Callable[[], bool],
+        wait_for_turn: Callable[[], Awaitable[None]],
+    ) -> None:
         self._stream = stream
         self._claim_stream = claim_stream
+        self._has_turn = has_turn
+        self._wait_for_turn = wait_for_turn
         self._status = 0
         self._headers: Headers = ()
         #: Time of the attempt's first event, by trio's clock.
@@ -86,6 +96,8 @@
         self.on_first_event: Callable[[], None] = lambda: None
         #: Called with the seconds of the shortest of the attempt's first gaps between events.
         self.on_shortest_gap: Callable[[float], None] = lambda gap: None
+        #: Called with the seconds of each gap, and the number of events that ended it.
+        self.on_gap: Callable[[float, int], None] = lambda gap, event_count: None
 
     @property
     def last_event_id(self) -> Optional[int]:
@@ -100,25 +112,35 @@
         self.on_first_event()
 
     async def write_events(self, events: list[StreamEvent]) -> None:
-        self._record_gap()
+        self._record_gap(len(events))
         self.on_events(len(events))
+        while not await self._forward(events):
+            await self._wait_for_turn()
+
+    async def _forward(self, events: list[StreamEvent]) -> bool:
+        """Forwards events; returns whether it was the attempt's turn."""
         async with self._stream.lock:
+            if not self._has_turn():
+                return False
             if new := self._stream.select_new(events):
                 await self._claim_stream()
                 await self._stream.start(self._status, self._headers)
                 await self._stream.write(new)
+        return True
 
     async def end_response(self) -> None:
         async with self._stream.lock:
             await self._claim_stream()
             await self._stream.start(self._status, self._headers)
 
-    def _record_gap(self) -> None:
+    def _record_gap(self, event_count: int) -> None:
         now = trio.current_time()
-        if now > self._last_event_at:
-            self.longest_gap = max(self.longest_gap or 0.0, now - self._last_event_at)
-        if now > self._last_event_at and len(self._gaps) < SAMPLED_GAPS:
-            self._gaps.append(now - self._last_event_at)
+        gap, self._last_event_at = now - self._last_event_at, now
+        if gap <= 0:
+            return
+        self.longest_gap = max(self.longest_gap or 0.0, gap)
+        if len(self._gaps) < SAMPLED_GAPS:
+            self._gaps.append(gap)
             if len(self._gaps) == SAMPLED_GAPS:
                 self.on_shortest_gap(min(self._gaps))
-        self._last_event_at = now
+        self.on_gap(gap, event_count)
--- a/camphordrift/relay/requests/_request_attempts.py
+++ b/camphordrift/relay/requests/_request_attempts.py
@@ -5,6 +5,11 @@
 the next event continues the stream, and the other attempt is cancelled; of responses that are no
 streams, the first complete one is used. If there is no further attempt, as no server is free or no
 retry is permitted, the silent server has until the deadline of the request.
+
+A stream that is too slow to be complete before its deadline goes on in this way, until a further
+attempt is sent. From then its events are held back until that attempt has sent an event, which
+cancels the slow one, or has failed: the further attempt resumes the stream after the last event
+that was forwarded, and events of both must not be mixed.
 """
 
 from collections.abc import Awaitable, Callable
@@ -31,6 +36,7 @@
 
     Args:
         record_silence: Called with the attempt each time its server has been silent.
+        record_slowness: Called with the attempt once, if its stream is too slow.
         charge_retry: Called immediately before the attempt is sent if it is a further one; returns
             whether it may be sent. ``None`` for the first attempt.
 
@@ -39,9 +45,11 @@
     def __init__(
         self,
         record_silence: Callable[["RunningAttempt"], None],
+        record_slowness: Callable[["RunningAttempt"], None],
         charge_retry: Optional[Callable[[], bool]] = None,
     ) -> None:
         self._record_silence = record_silence
+        self._record_slowness = record_slowness
         self._charge_retry = charge_retry
         self.scope = trio.CancelScope()
         #: Receives the events; ``None`` if the response is no stream.
@@ -50,6 +58,10 @@
         self.on_replacement: Callable[[], None] = lambda: None
         #: Whether the server has been silent since its last event.
         self.is_silent = False
+        #: Whether the stream is too slow to be complete before the deadline.
+        self.is_slow = False
+        #: Whether the attempt was sent.
+        self.is_sent = False
         #: Whether the attempt forwarded an event to the caller.
         self.has_forwarded = False
 
@@ -58,9 +70,16 @@
         self.is_silent = True
         self._record_silence(self)
 
+    def record_slowness(self) -> None:
+        """Records that the stream is too slow to be complete before the deadline."""
+        if not self.is_slow:
+            self.is_slow = True
+            self._record_slowness(self)
+
     def may_send(self) -> bool:
         """Returns whether the attempt may be sent now, and counts it as a retry if it is one."""
-        return self._charge_retry is None or self._charge_retry()
+        self.is_sent = self._charge_retry is None or self._charge_retry()
+        return self.is_sent
 
 
 #: Runs one attempt.
@@ -97,6 +116,8 @@
             self._stream = CallerStream(progress.response, progress.metadata.last_event_id)
         #: The attempts in progress, in the order in which they began.
         self._running: list[RunningAttempt] = []
+        #: Set and replaced when an attempt ends.
+        self._attempt_ended = trio.Event()
 
     async def run(self) -> AttemptResult:
         """Runs an attempt, and further ones while servers are silent; returns the deciding result.
@@ -115,9 +136,18 @@
 
     def _start_attempt(self) -> None:
         is_further = bool(self._running)
-        attempt = RunningAttempt(self._handle_silence, self._charge_retry if is_further else None)
+        attempt = RunningAttempt(
+            self._handle_silence,
+            self._handle_slowness,
+            self._charge_retry if is_further else None,
+        )
         if self._stream is not None:
-            attempt.sink = CallerEventSink(self._stream, lambda: self._claim_stream(attempt))
+            attempt.sink = CallerEventSink(
+                self._stream,
+                lambda: self._claim_stream(attempt),
+                lambda: self._has_turn(attempt),
+                lambda: self._wait_for_turn(attempt),
+            )
         self._running.append(attempt)
         self._nursery.start_soon(self._run_to_result, attempt)
 
@@ -129,9 +159,14 @@
             except RequestRefusedError as error:
                 result = error
         if attempt in self._running and result is not None:
-            self._running.remove(attempt)
+            self._remove(attempt)
             self._handle_result(result)
 
+    def _remove(self, attempt: RunningAttempt) -> None:
+        self._running.remove(attempt)
+        self._attempt_ended.set()
+        self._attempt_ended = trio.Event()
+
     def _handle_result(self, result: Union[AttemptResult, RequestRefusedError]) -> None:
         if self._is_final(result) or not self._running:
             self._result = result
@@ -159,6 +194,11 @@
         if self._stream is not None and self._stream.lock.locked():
             # It is the caller that does not read.
             return
+        if any(not self._has_turn(other) for other in self._running):
+            # The slow attempt that this one was to replace continues instead.
+            self._remove(attempt)
+            attempt.scope.cancel()
+            return
         is_latest = self._running[-1:] == [attempt]
         is_retried = is_latest and self._may_retry()
         log_event(
@@ -175,17 +215,49 @@
                 attempt.on_replacement()
             self._start_attempt()
 
+    def _handle_slowness(self, attempt: RunningAttempt) -> None:
+        """Starts a further attempt, if the request may be retried and no other one is running."""
+        is_retried = self._running == [attempt] and self._may_retry()
+        log_event(
+            "stream_slow",
+            level=LogLevel.WARNING,
+            request=self._progress.metadata.attempt_id,
+            tried=",".join(self._progress.attempted_servers),
+            retried=is_retried,
+            time_left=self._progress.remaining_time,
+        )
+        if is_retried:
+            self._start_attempt()
+
+    def _has_turn(self, attempt: RunningAttempt) -> bool:
+        """Returns whether an attempt may forward events.
+
+        A slow one may not while an attempt that resumes its stream is waiting for the first event.
+        """
+        if not attempt.is_slow or attempt not in self._running:
+            return True
+        later = self._running[self._running.index(attempt) + 1 :]
+        return not any(other.is_sent for other in later)
+
+    async def _wait_for_turn(self, attempt: RunningAttempt) -> None:
+        while not self._has_turn(attempt):
+            await self._attempt_ended.wait()
+
     async def _claim_stream(self, attempt: RunningAttempt) -> None:
         """Makes an attempt the one that continues the stream, and cancels the others."""
         if attempt.scope.cancel_called:
             await trio.lowlevel.checkpoint()
         for other in [item for item in self._running if item is not attempt]:
+            if attempt.is_slow and not other.is_sent:
+                # It waits for a server, and resumes the stream after what is forwarded until then.
+                continue
             log_event(
                 "attempt_superseded",
                 request=self._progress.metadata.attempt_id,
                 was_silent=other.is_silent,
+                was_slow=other.is_slow,
             )
-            self._running.remove(other)
+            self._remove(other)
             other.scope.cancel()
         attempt.is_silent = False
         attempt.has_forwarded = True
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -1,6 +1,8 @@
 """Selects a backend server for a request and forwards the request to it."""
 
 import itertools
+import math
+from collections.abc import Callable
 from typing import Optional
 
 import trio
@@ -49,6 +51,7 @@
     PlacementRefusal,
     PlacementRequest,
     PlainServerBalancer,
+    StreamPace,
 )
 
 #: Factor on the expected time to the first event of an engine. The engine counts as silent after
@@ -206,6 +209,7 @@
                 running.sink.on_shortest_gap = lambda gap: self._dispatcher.report_event_gap(
                     placement_request.id, gap
                 )
+                running.sink.on_gap = self._pace_watcher(progress, running, placement_request)
             result = await self._attempt_on_granted_engines(progress, decision, running)
             evidence.record_result(result)
             _exclude_helper_at_fault(progress, decision, _server_at_fault(result))
@@ -217,6 +221,22 @@
             )
         return result
 
+    def _pace_watcher(
+        self, progress: RequestProgress, running: RunningAttempt, request: PlacementRequest
+    ) -> Callable[[float, int], None]:
+        """Returns a function that records gaps between events, and reports a stream as too slow."""
+        costs = progress.service.engine_costs
+        steps = 1 if costs is None else costs.decode_steps_per_iteration
+        pace = StreamPace(math.ceil(request.answer_tokens / steps))
+
+        def record_gap(gap: float, event_count: int) -> None:
+            pace.record_gap(gap, event_count)
+            if not running.is_slow and pace.misses_deadline(progress.remaining_time):
+                self._dispatcher.report_event_gap(request.id, pace.recent_gap)
+                running.record_slowness()
+
+        return record_gap
+
     async def _attempt_on_granted_engines(
         self, progress: RequestProgress, grant: Grant, running: RunningAttempt
     ) -> AttemptResult:
--- a/camphordrift/relay/scheduling/__init__.py
+++ b/camphordrift/relay/scheduling/__init__.py
@@ -22,6 +22,7 @@
     ServerLimit,
 )
 from camphordrift.relay.scheduling._retry_budget import RetryBudget
+from camphordrift.relay.scheduling._stream_pace import StreamPace
 
 __all__ = [
     "AttemptOutcome",
@@ -37,5 +38,6 @@
     "RequestLimits",
     "RetryBudget",
     "ServerLimit",
+    "StreamPace",
     "UNKNOWN_WAIT",
 ]
--- a/camphordrift/relay/tests/test_request_attempts.py
+++ b/camphordrift/relay/tests/test_request_attempts.py
@@ -170,6 +170,60 @@
     raise refusal_error(ResultCode.NO_ENGINE_AVAILABLE, "no engine")
 
 
+def slow_server(last: int, gap: float) -> Script:
+    """Returns a script that sends an event each ``gap`` seconds, slow from the second one on."""
+
+    async def script(running: RunningAttempt) -> AttemptResult:
+        running.may_send()
+        for number in range(1, last + 1):
+            await forward(running, number)
+            if number == 2:
+                running.record_slowness()
+            await trio.sleep(gap)
+        return Streamed()
+
+    return script
+
+
+class SlowStreamTest(testtools.TestCase):
+    """Guards against streams that stay on an engine that turned slow until their deadline.
+
+    On a day of slow engines (Trentfield), streams of 0.5 s were broken off after 9.7 s.
+    """
+
+    def test_a_further_attempt_continues_after_the_last_event_before_it_was_sent(self) -> None:
+        outcome = run_attempts(slow_server(9, 1.0), server(1.5, 3, 4, 5))
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+        self.assertEqual([0], outcome.cancelled)
+        self.assertAlmostEqual(2.5, outcome.seconds)
+
+    def test_events_are_held_back_while_the_further_attempt_has_none(self) -> None:
+        outcome = run_attempts(slow_server(9, 1.0), server(3.0, 3, 4, 5))
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+        self.assertAlmostEqual(4.0, outcome.seconds)
+
+    def test_the_slow_server_continues_if_the_further_attempt_fails(self) -> None:
+        outcome = run_attempts(slow_server(5, 1.0), server(1.5, result=Broken("crashed")))
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+
+    def test_the_slow_server_continues_if_the_further_attempt_is_silent(self) -> None:
+        outcome = run_attempts(slow_server(5, 1.0), silent_server((), 8.0, (3,)))
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+        self.assertEqual([1], outcome.cancelled)
+
+    def test_the_slow_server_continues_while_no_other_one_is_free(self) -> None:
+        async def waits_for_an_engine(running: RunningAttempt) -> AttemptResult:
+            await trio.sleep(2.5)
+            return await server(0.1, 5, 6)(running)
+
+        outcome = run_attempts(slow_server(9, 1.0), waits_for_an_engine)
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5, 6]), (outcome.result, outcome.ids))
+
+    def test_the_slow_server_continues_if_no_retry_is_permitted(self) -> None:
+        outcome = run_attempts(slow_server(5, 1.0), retries=0)
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+
+
 class SilentStreamTest(testtools.TestCase):
     def test_the_silent_server_continues_if_it_is_first(self) -> None:
         outcome = run_attempts(silent_server((1, 2), 1.5, (3, 4)), server(2.0, 3, 4))
