--- a/camphordrift/relay/scheduling/_stream_pace.py
+++ b/camphordrift/relay/scheduling/_stream_pace.py
@@ -6,7 +6,7 @@
 
 from collections import deque
 
-#: Number of latest gaps between events from which the pace is estimated. The shortest of them
+#: Latest gaps between events from which the pace is estimated. The shortest of them
 #: counts, so that prefill beside the stream, which lengthens single gaps, is not taken for its pace.
 RECENT_GAPS = 4
 
