Take no late copy of a response for the response to the next request

Operators of similar systems saw a server send a second copy of an answer, late, on a connection that was in use again. Cause: an idle connection is looked at before it is reused, but a copy that comes later was forwarded if it is a failure that names no request, and any response of a caller's request was taken for the response to an order or a report. Change: on a reused connection a response must name its request, unless it states that the request did not run (such requests are repeatable, as others use new connections); orders and reports refuse a response that names a request.

--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -70,6 +70,8 @@
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
         #: Time, by trio's clock, after which the connection must not be reused.
         self.usable_until = float("inf")
+        #: Whether the connection had a response before the present one, which may come again late.
+        self.is_reused = False
 
     @property
     def reusable(self) -> bool:
@@ -87,6 +89,7 @@
     def start_next_request(self) -> None:
         """Resets the protocol state for the next request."""
         self._protocol.start_next_cycle()
+        self.is_reused = True
 
     async def send(
         self, method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes
--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -283,6 +283,8 @@
         if metadata.not_run or head.status_code == 421:
             await self._discard_body(connection)
             return Rejected(head.status_code, metadata.server_at_fault), idle_timeout
+        if metadata.attempt_id is None and self._attempt_id and connection.is_reused:
+            return Broken("the response may be a late copy of one to another request"), 0.0
         success = 200 <= head.status_code < 300
         if success and not metadata.signed:
             return Broken("the response has no signature"), 0.0
--- a/camphordrift/relay/requests/_server_calls.py
+++ b/camphordrift/relay/requests/_server_calls.py
@@ -5,8 +5,14 @@
 
 import trio
 
-from camphordrift.relay.connections import ConnectionPool, NoPathError, SmallRequest, SmallResponse
-from camphordrift.relay.model import BackendServer, HeaderFormat, ResponseMetadata
+from camphordrift.relay.connections import (
+    BrokenAnswerError,
+    ConnectionPool,
+    NoPathError,
+    SmallRequest,
+    SmallResponse,
+)
+from camphordrift.relay.model import Address, BackendServer, HeaderFormat, ResponseMetadata
 from camphordrift.relay.scheduling import RequestLimits
 from camphordrift.relay.servers import ServerNotices
 
@@ -89,7 +95,8 @@
         Raises:
             NoPathError: No connection could be established, and the server may be sound.
             ServerUnreachableError: No connection could be established.
-            BrokenAnswerError: The response was incomplete or malformed.
+            BrokenAnswerError: The response was incomplete or malformed, or belongs to a caller's
+                request.
             OSError: The connection broke.
 
         """
@@ -110,5 +117,8 @@
             if response is None:
                 self._connections.record_silence(server.host, server.port)
         metadata = self._header_format.response_metadata(response.headers)
+        if metadata.attempt_id is not None:
+            self._connections.close_idle(Address(server.host, server.port))
+            raise BrokenAnswerError("the response belongs to a request of a caller")
         self._observe(server, response.status, metadata, purpose, None)
         return response
--- a/camphordrift/relay/scheduling/_stream_pace.py
+++ b/camphordrift/relay/scheduling/_stream_pace.py
@@ -6,8 +6,8 @@
 
 from collections import deque
 
-#: Latest gaps between events from which the pace is estimated. The shortest of them
-#: counts, so that prefill beside the stream, which lengthens single gaps, is not taken for its pace.
+#: Number of latest gaps between events from which the pace is estimated. The shortest of them
+#: counts, as prefill beside the stream lengthens single gaps.
 RECENT_GAPS = 4
 
 
