Read from the store which availability zones are evacuated

Cause: an operator can evacuate a zone (`evacuate/ZONE` in the topic of the configuration); the VMs passed over the record. Change: the reads of the configuration also yield these records. Each becomes a statement with the position (era and offset) of its record; the highest position holds, in whatever order and how often statements arrive. On only where the settings have `EvacuateMs`; then reads wait no longer than that bound allows either.

--- a/camphordrift/platform/__main__.py
+++ b/camphordrift/platform/__main__.py
@@ -15,6 +15,7 @@
     configuration_key="config",
     servers="keyed.servers",
     members="keyed.members",
+    evacuation_key_prefix="evacuate/",
 )
 
 
--- a/camphordrift/platform/_settings.py
+++ b/camphordrift/platform/_settings.py
@@ -33,6 +33,9 @@
     revoke_ms: float = 5000.0
     #: Milliseconds after which a new configuration must be in force.
     config_apply_ms: float = 2000.0
+    #: Milliseconds after which no request may be sent to an evacuated zone; absent if there are no
+    #: evacuations.
+    evacuate_ms: Optional[float] = None
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     #: Retries that all VMs together may make in each window in addition to the ratio.
@@ -99,6 +102,7 @@
             slack=parsed.bounds.retry_slack,
             window=parsed.bounds.budget_window_s,
         ),
+        evacuation_delay=_seconds(parsed.bounds.evacuate_ms),
         cores=parsed.limits.cpu_share * parsed.limits.cpu_cores,
         link_mbps=parsed.limits.link_mbps,
     )
@@ -108,6 +112,10 @@
 _METRICS_PORT = 9464
 
 
+def _seconds(milliseconds: Optional[float]) -> Optional[float]:
+    return None if milliseconds is None else milliseconds / _MS_PER_SECOND
+
+
 def _parse_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -218,6 +218,13 @@
         )
         self.assertEqual(2.0, parsed.configuration_apply_delay)
 
+    def test_the_bound_on_evacuations(self) -> None:
+        content = SETTINGS.replace(b'"GraceS":8', b'"GraceS":8,"EvacuateMs":5000')
+        self.assertEqual(5.0, decode_settings(content).evacuation_delay)
+
+    def test_a_deployment_without_evacuations(self) -> None:
+        self.assertIsNone(decode_settings(SETTINGS).evacuation_delay)
+
     def test_the_error_for_a_missing_field_names_it(self) -> None:
         error = self.assertRaises(
             ValueError, decode_settings, SETTINGS.replace(b'"Zone":"z1",', b"")
--- a/camphordrift/relay/model/_interfaces.py
+++ b/camphordrift/relay/model/_interfaces.py
@@ -220,3 +220,6 @@
     servers: str
     #: Topic of the VMs, keyed by VM name.
     members: str
+    #: What the keys of the records that evacuate zones have before the name of the zone; they are
+    #: in the topic of the configuration.
+    evacuation_key_prefix: str = "evacuate/"
--- a/camphordrift/relay/model/_settings.py
+++ b/camphordrift/relay/model/_settings.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass
+from typing import Optional
 
 #: Processor cores, and bandwidth in Mbit/s, of the smallest VMs, which have capacity class 0. The
 #: smallest VMs of the grown deployments have 0.516 cores and 10 Mbit/s.
@@ -55,6 +56,9 @@
     #: Maximum time after the acknowledgement of a configuration until it is in force.
     configuration_apply_delay: float
     budget: RetryBudgetSettings
+    #: Maximum time after the acknowledgement of a zone's evacuation until no request is sent to its
+    #: servers; ``None`` if the deployment does not evacuate zones.
+    evacuation_delay: Optional[float] = None
     #: Processor cores available to the VM.
     cores: float = 1.0
     #: Bandwidth of the VM's link in Mbit/s.
--- a/camphordrift/relay/servers/__init__.py
+++ b/camphordrift/relay/servers/__init__.py
@@ -15,6 +15,7 @@
     unlisted_since,
 )
 from camphordrift.relay.servers._server_paths import ServerPaths
+from camphordrift.relay.servers._zone_evacuations import ZoneEvacuations, ZoneStatement
 
 __all__ = [
     "CutOffVms",
@@ -26,6 +27,8 @@
     "ServerPaths",
     "ServerPause",
     "ServerStart",
+    "ZoneEvacuations",
+    "ZoneStatement",
     "is_obsolete",
     "start_of",
     "unlisted_since",
--- a/camphordrift/relay/store/__init__.py
+++ b/camphordrift/relay/store/__init__.py
@@ -10,6 +10,7 @@
     ConfigurationWatcher,
 )
 from camphordrift.relay.store._counted_log import CountedLog
+from camphordrift.relay.store._evacuation_records import EvacuationRecords
 from camphordrift.relay.store._pending_versions import PendingVersions
 from camphordrift.relay.store._quarantine_records import QuarantineRecords
 from camphordrift.relay.store._routing_table import RoutingTable, choose_service
@@ -21,6 +22,7 @@
     "ConfigurationWatcher",
     "CountedLog",
     "EraCheckedLog",
+    "EvacuationRecords",
     "MAX_CONFIGURATION_AGE",
     "PendingVersions",
     "QuarantineRecords",
--- a/camphordrift/relay/store/_configuration_watcher.py
+++ b/camphordrift/relay/store/_configuration_watcher.py
@@ -23,6 +23,7 @@
 )
 from camphordrift.relay.peers import FETCH_TIMEOUT
 from camphordrift.relay.store._configuration_lease import ConfigurationLease, boot_time_clock
+from camphordrift.relay.store._evacuation_records import EvacuationRecords
 from camphordrift.relay.store._pending_versions import PendingVersions
 from camphordrift.relay.store._routing_table import RoutingTable
 from camphordrift.relay.store._store_era import StoreEraTracker
@@ -100,6 +101,8 @@
         on_change: Called after a new version came into force.
         fetch: Fetches a document from another VM.
         apply_delay: Seconds within which a new version must be in force.
+        evacuations: Gets the reads, as they contain the evacuations of zones; ``None`` if the
+            deployment does not evacuate zones.
 
     """
 
@@ -113,6 +116,7 @@
         on_change: Callable[[], None],
         fetch: FetchDocument,
         apply_delay: float,
+        evacuations: Optional[EvacuationRecords] = None,
     ) -> None:
         self._topic = TopicWatcher(log, eras, topics.configuration)
         self._key = topics.configuration_key
@@ -120,7 +124,11 @@
         self._lease = lease
         self._on_change = on_change
         self._fetch = fetch
-        self._apply_delay = apply_delay
+        self._evacuations = evacuations
+        #: Seconds within which a record must be in force, whatever it is.
+        self._read_delay = (
+            apply_delay if evacuations is None else min(apply_delay, evacuations.delay)
+        )
         self._source: Optional[Address] = None
         self._table: Optional[RoutingTable] = None
         self._document: Optional[bytes] = None
@@ -187,7 +195,7 @@
             if (
                 self.has_leader
                 and not self._newer_is_expected
-                and self._lease.read_age(read_started) < own_read_age(self._apply_delay)
+                and self._lease.read_age(read_started) < own_read_age(self._read_delay)
             ):
                 await self._wait_for_update()
                 continue
@@ -236,10 +244,10 @@
         """Returns how many seconds a read of the store waits for a change."""
         settling_time = self._lease.settling_time(now)
         if settling_time > 0:
-            return min(settling_time, long_poll_timeout(0.0, self._apply_delay))
+            return min(settling_time, long_poll_timeout(0.0, self._read_delay))
         # No read confirms the configuration before the operator has written a lost version again.
         age = self._lease.age(now) if self._store_has_known_version() else 0.0
-        return long_poll_timeout(age, self._apply_delay)
+        return long_poll_timeout(age, self._read_delay)
 
     def _store_has_known_version(self) -> bool:
         """Returns whether the store contains the newest version that any VM is known to have."""
@@ -366,6 +374,8 @@
         self._lease.confirm(confirmed_read_started)
 
     def _apply_batch(self, batch: Batch, is_snapshot: bool, read_started: float) -> None:
+        # Other VMs are told before they learn that this VM has read the store.
+        self._apply_evacuations(batch, is_snapshot, read_started)
         if is_snapshot:
             self._stored_version = 0
         self._apply_newest(batch.records)
@@ -376,6 +386,11 @@
         else:
             self._lease.record_read(read_started)
 
+    def _apply_evacuations(self, batch: Batch, is_snapshot: bool, read_started: float) -> None:
+        records = self._evacuations
+        if records is not None and records.apply_batch(batch, is_snapshot, read_started):
+            self._topic.restart_from_snapshot()
+
     def _apply_newest(self, records: Iterable[KeyedRecord]) -> None:
         """Applies the newest readable version of some records.
 
