Send nothing to the servers of evacuated zones

Cause: VMs knew which zones are evacuated and went on sending requests there; only the leader reads the store. Change: statements pass over the links of leader and followers, in both directions, as greeting and when new. Reports, new reservations and tunnels are refused likewise. A refusal names the evacuated zones of its service. Logged: zone_evacuated, zone_returned; gauge relay_evacuated_zones. Changed tests: LeaderElection and ServerCalls get an argument more; the harnesses read evacuations. Nothing eased.

--- a/camphordrift/event_log/_explanation.py
+++ b/camphordrift/event_log/_explanation.py
@@ -49,6 +49,8 @@
         "paths_regained",
         "server_leaving",
         "server_paused",
+        "zone_evacuated",
+        "zone_returned",
         "log_lines_left_out",
     }
 )
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -37,6 +37,7 @@
 )
 from camphordrift.relay.peers import (
     CrashMonitor,
+    EvacuationSharing,
     Member,
     NoticeDistributor,
     PathSharing,
@@ -57,12 +58,18 @@
     ServerConnector,
 )
 from camphordrift.relay.scheduling import EngineScheduler, RequestLimits
-from camphordrift.relay.servers import DirectoryChange, ServerDirectory, ServerNotices
+from camphordrift.relay.servers import (
+    DirectoryChange,
+    ServerDirectory,
+    ServerNotices,
+    ZoneEvacuations,
+)
 from camphordrift.relay.store import (
     ConfigurationLease,
     ConfigurationWatcher,
     CountedLog,
     EraCheckedLog,
+    EvacuationRecords,
     QuarantineRecords,
     ServersWatcher,
     StoreEraTracker,
@@ -133,6 +140,7 @@
         self._callers: set[CallerConnection] = set()
         self._directory = ServerDirectory()
         self._notices = ServerNotices()
+        self._evacuations = ZoneEvacuations()
         self._lease = ConfigurationLease(settings.key_revocation_delay)
         self._request_limits = RequestLimits(lambda: self._election.limit_share)
         self._scheduler = EngineScheduler(settings.vm, trio.current_time, self._request_limits)
@@ -151,6 +159,12 @@
             on_pause=self._dispatcher.report_pause,
             links=links,
         )
+        evacuation_sharing = EvacuationSharing(
+            self._evacuations,
+            links,
+            lambda: self._lease.read_age(boot_time_clock()),
+            self._refresh_pools,
+        )
         eras = StoreEraTracker()
         log = EraCheckedLog(CountedLog(adapters.log, self._metrics.store_calls), eras)
         self._configuration = ConfigurationWatcher(
@@ -162,6 +176,7 @@
             self._configuration_changed,
             fetch_configuration,
             settings.configuration_apply_delay,
+            self._evacuation_records(adapters.topics, evacuation_sharing),
         )
         self._servers = ServersWatcher(
             log,
@@ -179,7 +194,7 @@
             paths, self._listed_addresses, lambda server: self._connections.close_idle(server)
         )
         self._tunnels = TunnelServer(
-            lambda server: server in self._listed_addresses(),
+            lambda server: server in self._usable_addresses(),
             self._connector.connect_for_other_vm,
         )
         self._updates = UpdateDistributor(
@@ -198,6 +213,7 @@
             self._updates,
             quarantine_records,
             self._notice_distributor,
+            evacuation_sharing,
             paths,
             self._tunnels,
             links,
@@ -209,6 +225,7 @@
             self._connections,
             adapters.headers,
             self._notices,
+            self._evacuations,
             self._request_limits,
             self._notice_distributor.observe,
             self._dispatcher.report_limited_request,
@@ -225,6 +242,7 @@
             pending=self._configuration.pending,
             directory=self._directory,
             notices=self._notices,
+            evacuations=self._evacuations,
             limits=self._request_limits,
             budget_settings=settings.budget,
             vm_count=lambda: self._election.member_count,
@@ -285,6 +303,28 @@
     def _listed_addresses(self) -> set[Address]:
         return {Address(item.host, item.port) for item in self._directory.servers.values()}
 
+    def _usable_addresses(self) -> set[Address]:
+        """Returns the addresses of the servers whose zones are not evacuated."""
+        return {
+            Address(item.host, item.port)
+            for item in self._directory.servers.values()
+            if not self._evacuations.is_evacuated(item)
+        }
+
+    def _evacuation_records(
+        self, topics: LogTopics, sharing: EvacuationSharing
+    ) -> Optional[EvacuationRecords]:
+        """Returns the reader of evacuations; ``None`` if the deployment has none."""
+        delay = self._settings.evacuation_delay
+        if delay is None:
+            return None
+        return EvacuationRecords(
+            topics.evacuation_key_prefix,
+            delay,
+            self._evacuations,
+            lambda statements: sharing.handle(statements, "store"),
+        )
+
     def _own_member(self) -> Member:
         peers = self._settings.peers
         capacity = self._settings.capacity
@@ -337,6 +377,11 @@
             "Backend servers in the directory.",
             lambda: len(self._directory.servers),
         )
+        gauge(
+            "relay_evacuated_zones",
+            "Availability zones whose servers get no requests, by order of the operator.",
+            lambda: len(self._evacuations.evacuated_zones),
+        )
         gauge(
             "relay_quarantined_traits",
             "Traits of requests that are not sent, as servers crash on them.",
@@ -404,7 +449,8 @@
         table = self._configuration.table
         if table is not None:
             self._scheduler.set_services(table.configuration.services.values())
-            self._scheduler.set_servers(self._notices.apply_to(self._directory.servers.values()))
+            servers = self._notices.apply_to(self._directory.servers.values())
+            self._scheduler.set_servers(self._evacuations.apply_to(servers))
 
     def _configuration_changed(self) -> None:
         self._refresh_pools()
--- a/camphordrift/relay/fleet/_follower_session.py
+++ b/camphordrift/relay/fleet/_follower_session.py
@@ -7,6 +7,7 @@
 from camphordrift.relay.peers import (
     ConfigurationRequest,
     CrashEvidenceUpdate,
+    EvacuationSharing,
     EventGapReport,
     Finished,
     Granted,
@@ -30,6 +31,7 @@
     Submit,
     Waiting,
     Withdraw,
+    ZonesStated,
 )
 from camphordrift.relay.scheduling import EngineScheduler, Grant, PlacementDecision
 from camphordrift.relay.servers import PathStatement
@@ -43,6 +45,7 @@
         scheduler: Schedules the follower's requests.
         updates: Sends updates to the follower.
         notices: Shares the notices of backend servers.
+        evacuations: Shares which zones are evacuated.
         paths: Shares which VMs are cut off from the servers.
         links: Gets the link to the follower, once it has introduced itself.
         add_member: Called with VMs of which the follower tells.
@@ -57,6 +60,7 @@
         scheduler: EngineScheduler,
         updates: UpdateDistributor,
         notices: NoticeDistributor,
+        evacuations: EvacuationSharing,
         paths: PathSharing,
         links: PeerLinks,
         add_member: Callable[[Member], None],
@@ -66,6 +70,7 @@
         self.follower_id = follower_id
         self._updates = updates
         self._notices = notices
+        self._evacuations = evacuations
         self._paths = paths
         self._links = links
         self.link: Optional[MessageLink] = None
@@ -97,6 +102,8 @@
                 self._notices.record_leaving(starts, "follower")
             case ServersLimited(limits):
                 self._notices.record_limits(limits, "follower")
+            case ZonesStated(statements):
+                self._evacuations.handle(statements, "follower", self.link)
             case PermitRequest(number, service, server_ids, max_delay) if self.link is not None:
                 permit = self._scheduler.reserve(service, server_ids, max_delay)
                 self.link.send(PermitResponse(number, permit))
--- a/camphordrift/relay/fleet/_leader_election.py
+++ b/camphordrift/relay/fleet/_leader_election.py
@@ -21,6 +21,7 @@
 from camphordrift.relay.fleet._update_distribution import UpdateDistributor
 from camphordrift.relay.model import KeyedLog, KeyedRecord, LogTopics, StoreError
 from camphordrift.relay.peers import (
+    EvacuationSharing,
     LinkBrokenError,
     Member,
     Message,
@@ -34,6 +35,7 @@
     StoreReachable,
     StoreUnreachable,
     TunnelServer,
+    ZonesStated,
     decode_member,
     encode_member,
 )
@@ -104,6 +106,7 @@
         updates: UpdateDistributor,
         quarantine_records: QuarantineRecords,
         notices: NoticeDistributor,
+        evacuations: EvacuationSharing,
         paths: PathSharing,
         tunnels: TunnelServer,
         links: PeerLinks,
@@ -117,6 +120,7 @@
         self._updates = updates
         self._quarantine_records = quarantine_records
         self._notices = notices
+        self._evacuations = evacuations
         self._paths = paths
         self._tunnels = tunnels
         self._links = links
@@ -385,6 +389,8 @@
                 self._notices.record_leaving(starts, self.leader)
             case ServersLimited(limits):
                 self._notices.record_limits(limits, self.leader)
+            case ZonesStated(statements):
+                self._evacuations.handle(statements, self.leader, link)
             case _:
                 self._updates.handle_message(message, self._dispatcher.handle_message)
 
@@ -419,6 +425,7 @@
             self._scheduler,
             self._updates,
             self._notices,
+            self._evacuations,
             self._paths,
             self._links,
             self._add_member,
--- a/camphordrift/relay/peers/__init__.py
+++ b/camphordrift/relay/peers/__init__.py
@@ -10,6 +10,7 @@
     fetch_configuration,
 )
 from camphordrift.relay.peers._crash_monitor import CrashMonitor
+from camphordrift.relay.peers._evacuation_sharing import EvacuationSharing
 from camphordrift.relay.peers._notice_distribution import NoticeDistributor
 from camphordrift.relay.peers._path_sharing import PathSharing
 from camphordrift.relay.peers._peer_links import PeerLinks
@@ -43,6 +44,7 @@
     Submit,
     Waiting,
     Withdraw,
+    ZonesStated,
     decode_member,
     encode_member,
 )
@@ -54,6 +56,7 @@
     "ConfigurationUpdate",
     "CrashEvidenceUpdate",
     "CrashMonitor",
+    "EvacuationSharing",
     "EventGapReport",
     "FETCH_TIMEOUT",
     "Finished",
@@ -85,6 +88,7 @@
     "TunnelServer",
     "Waiting",
     "Withdraw",
+    "ZonesStated",
     "choose_zone_sources",
     "decode_member",
     "encode_member",
--- a/camphordrift/relay/peers/_peer_messages.py
+++ b/camphordrift/relay/peers/_peer_messages.py
@@ -22,7 +22,13 @@
     PlacementRequest,
     ServerLimit,
 )
-from camphordrift.relay.servers import DirectoryChange, PathStatement, ServerPause, ServerStart
+from camphordrift.relay.servers import (
+    DirectoryChange,
+    PathStatement,
+    ServerPause,
+    ServerStart,
+    ZoneStatement,
+)
 
 #: Largest message in bytes; a longer one closes the connection. Configurations are the largest
 #: messages.
@@ -197,6 +203,12 @@
     limits: tuple[ServerLimit, ...]
 
 
+class ZonesStated(msgspec.Struct, frozen=True, tag=True):
+    """Tells a VM which zones are evacuated or taken back, in either direction of a link."""
+
+    statements: tuple[ZoneStatement, ...]
+
+
 class PermitRequest(msgspec.Struct, frozen=True, tag=True):
     """Asks the leader for permission to send a request to a limited server."""
 
@@ -351,6 +363,7 @@
     TunnelEnded,
     Ping,
     Pong,
+    ZonesStated,
 ]
 
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/camphordrift/relay/requests/_engine_inspection.py
+++ b/camphordrift/relay/requests/_engine_inspection.py
@@ -33,7 +33,7 @@
 
     Args:
         scheduler: Decides which reports are needed.
-        calls: Sends the requests. A server that asked to get no more requests is not inspected.
+        calls: Sends the requests. A server that must get no more requests is not inspected.
         report_format: Path and format of the engines' reports.
         is_leader: Returns whether this VM schedules for all VMs that it knows. A VM that is cut off
             from the others requests no reports, as each such VM would inspect all engines.
--- a/camphordrift/relay/requests/_refusals.py
+++ b/camphordrift/relay/requests/_refusals.py
@@ -1,5 +1,6 @@
 """Failures that the relay itself reports to callers, instead of a server's response."""
 
+from collections.abc import Sequence
 from typing import Optional
 
 from camphordrift.relay.requests._attempt import AttemptResult
@@ -112,12 +113,15 @@
     )
 
 
-def failure_without_server(progress: RequestProgress, pause: Optional[float]) -> Failure:
+def failure_without_server(
+    progress: RequestProgress, pause: Optional[float], evacuated: Sequence[str] = ()
+) -> Failure:
     """Returns the failure for a request to a plain service that no server is left for.
 
     Args:
         progress: State of the request.
         pause: Seconds until the first server ends its pause; ``None`` unless all are pausing.
+        evacuated: Evacuated zones with servers of the service.
 
     """
     if progress.may_have_run:
@@ -126,7 +130,7 @@
         )
     return Failure(
         ResultCode.NO_ENGINE_AVAILABLE,
-        "no server of the service accepts the request",
+        _with_zones("no server of the service accepts the request", evacuated),
         NO_SERVER_RETRY_AFTER if pause is None else pause,
     )
 
@@ -142,8 +146,17 @@
     )
 
 
-def failure_of_placement(refusal: PlacementRefusal, progress: RequestProgress) -> Failure:
-    """Returns the failure for a request that was assigned no engine."""
+def failure_of_placement(
+    refusal: PlacementRefusal, progress: RequestProgress, evacuated: Sequence[str] = ()
+) -> Failure:
+    """Returns the failure for a request that was assigned no engine.
+
+    Args:
+        refusal: The decision.
+        progress: State of the request.
+        evacuated: Evacuated zones with engines of the service.
+
+    """
     if progress.may_have_run:
         return Failure(
             ResultCode.BACKEND_STREAM_BROKEN, "no other engine was available to resume the request"
@@ -154,4 +167,9 @@
         RefusalReason.TOO_LATE: ResultCode.DEADLINE_UNREACHABLE,
         RefusalReason.NEVER_FITS: ResultCode.PROMPT_NEVER_FITS,
     }[refusal.reason]
-    return Failure(code, refusal.reason.value, refusal.retry_after)
+    return Failure(code, _with_zones(refusal.reason.value, evacuated), refusal.retry_after)
+
+
+def _with_zones(detail: str, evacuated: Sequence[str]) -> str:
+    """Adds the evacuated zones to the reason of a refusal, as they may have caused it."""
+    return f"{detail} (evacuated: {', '.join(evacuated)})" if evacuated else detail
--- a/camphordrift/relay/requests/_reservations.py
+++ b/camphordrift/relay/requests/_reservations.py
@@ -63,9 +63,9 @@
     """Makes, renews and releases reservations on engines; :meth:`run` must be running.
 
     Args:
-        calls: Sends the orders. A server that leaves or pauses gets no orders to make a
-            reservation. Those that it has are renewed, so that running streams can end. They are
-            released on servers that leave, and expire on those that pause.
+        calls: Sends the orders. A server that leaves or pauses, or whose zone is evacuated, gets no
+            orders to make a reservation. Those that it has are renewed, so that running streams
+            can end. They are released at their end, but expire on servers that pause.
         orders: Format of the orders.
 
     """
--- a/camphordrift/relay/requests/_routing_state.py
+++ b/camphordrift/relay/requests/_routing_state.py
@@ -9,7 +9,7 @@
 from camphordrift.relay.model import Account, BackendServer, Configuration, RetryBudgetSettings
 from camphordrift.relay.peers import CrashMonitor
 from camphordrift.relay.scheduling import RequestLimits, RetryBudget
-from camphordrift.relay.servers import ServerDirectory, ServerNotices
+from camphordrift.relay.servers import ServerDirectory, ServerNotices, ZoneEvacuations
 from camphordrift.relay.store import (
     ConfigurationLease,
     PendingVersions,
@@ -34,6 +34,8 @@
     directory: ServerDirectory
     #: What the servers announced about further requests.
     notices: ServerNotices
+    #: Zones whose servers must get no requests.
+    evacuations: ZoneEvacuations
     #: Limits of requests that the servers named.
     limits: RequestLimits
     budget_settings: RetryBudgetSettings
@@ -81,19 +83,27 @@
         return [server for server in ready if self.accepts_requests(server)]
 
     def accepts_requests(self, server: BackendServer) -> bool:
-        """Returns whether a server has not announced that it leaves or pauses."""
-        return self.notices.accepts_requests(server, trio.current_time())
+        """Returns whether a server neither leaves nor pauses, and its zone is not evacuated."""
+        return not self.evacuations.is_evacuated(server) and self.notices.accepts_requests(
+            server, trio.current_time()
+        )
+
+    def evacuated_zones(self, service: str) -> list[str]:
+        """Returns the evacuated zones in which there are servers of a service."""
+        ready = self.directory.ready_servers(service)
+        return sorted({server.zone for server in ready if self.evacuations.is_evacuated(server)})
 
     def shortest_pause(self, service: str) -> Optional[float]:
         """Returns the seconds until the first server of a service ends its pause.
 
-        Returns ``None`` unless all servers that do not leave are pausing.
+        Returns ``None`` unless all servers that do not leave, and whose zones are not evacuated,
+        are pausing.
         """
         now = trio.current_time()
         pauses = [
             self.notices.pause_left(server, now)
             for server in self.directory.ready_servers(service)
-            if not self.notices.is_leaving(server)
+            if not (self.notices.is_leaving(server) or self.evacuations.is_evacuated(server))
         ]
         return min(pauses, default=0.0) or None
 
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -122,7 +122,8 @@
         )
         if server is None:
             pause = self._routing_state.shortest_pause(progress.service.name)
-            raise RequestRefusedError(failure_without_server(progress, pause))
+            evacuated = self._routing_state.evacuated_zones(progress.service.name)
+            raise RequestRefusedError(failure_without_server(progress, pause, evacuated))
         route = progress.route
         timeouts = SilenceTimeouts(
             route.latency_objective * PLAIN_RESPONSE_FACTOR,
@@ -190,7 +191,8 @@
         decision = await self._dispatcher.request_placement(placement_request)
         self._reports.record_placed(placement_request, trio.current_time() - requested_at)
         if isinstance(decision, PlacementRefusal):
-            raise RequestRefusedError(failure_of_placement(decision, progress))
+            evacuated = self._routing_state.evacuated_zones(progress.service.name)
+            raise RequestRefusedError(failure_of_placement(decision, progress, evacuated))
         result: Optional[AttemptResult] = None
         evidence = AttemptEvidence(self._routing_state.crashes, progress, decision.server)
         # The further attempt may use the engines that this one occupies.
--- a/camphordrift/relay/requests/_server_calls.py
+++ b/camphordrift/relay/requests/_server_calls.py
@@ -8,7 +8,7 @@
 from camphordrift.relay.connections import ConnectionPool, SmallRequest, SmallResponse
 from camphordrift.relay.model import BackendServer, HeaderFormat, ResponseMetadata
 from camphordrift.relay.scheduling import RequestLimits
-from camphordrift.relay.servers import ServerNotices
+from camphordrift.relay.servers import ServerNotices, ZoneEvacuations
 
 #: Gets a response's server, status and metadata, what it responds to, and when that was sent; see
 #: :meth:`NoticeDistributor.observe`.
@@ -26,6 +26,7 @@
         connections: Connections to backend servers.
         header_format: Parses the headers of the responses.
         notices: What the servers announced about further requests.
+        evacuations: Zones whose servers must get no requests.
         limits: Limits of requests that the servers named.
         observe: Called with each response.
         on_limited_request: Called with the id of a limited server when a request is sent to it.
@@ -37,6 +38,7 @@
         connections: ConnectionPool,
         header_format: HeaderFormat,
         notices: ServerNotices,
+        evacuations: ZoneEvacuations,
         limits: RequestLimits,
         observe: ResponseObserver,
         on_limited_request: Callable[[str], None],
@@ -44,15 +46,21 @@
         self._connections = connections
         self._header_format = header_format
         self._notices = notices
+        self._evacuations = evacuations
         self._limits = limits
         self._observe = observe
         self._on_limited_request = on_limited_request
 
     def accepts_requests(self, server: BackendServer) -> bool:
-        """Returns whether a server neither leaves nor pauses, and its limit permits a request."""
+        """Returns whether a server takes a request now.
+
+        It must neither leave nor pause, its limit must permit a request, and its zone must not be
+        evacuated.
+        """
         now = trio.current_time()
         return (
-            self._notices.accepts_requests(server, now)
+            not self._evacuations.is_evacuated(server)
+            and self._notices.accepts_requests(server, now)
             and self._limits.wait_time(server, now) == 0.0
         )
 
--- a/camphordrift/relay/tests/relay_harness.py
+++ b/camphordrift/relay/tests/relay_harness.py
@@ -81,6 +81,19 @@
         """Adds a server to the directory."""
         self.log.put(TOPICS.servers, server.entry.id, self.documents.write(server.entry))
 
+    def evacuate(self, zone: str) -> None:
+        """Appends the record that evacuates a zone."""
+        self.log.put(TOPICS.configuration, TOPICS.evacuation_key_prefix + zone, b"{}")
+
+    def take_back(self, zone: str) -> None:
+        """Appends the removal of the record that evacuates a zone."""
+        self.log.put(TOPICS.configuration, TOPICS.evacuation_key_prefix + zone, None)
+
+    async def wait_for_evacuated(self, *zones: str) -> None:
+        """Waits until exactly these zones are evacuated, as far as the VM knows."""
+        while self.process._evacuations.evacuated_zones != set(zones):
+            await trio.sleep(0.01)
+
     async def connect(self) -> trio.SocketStream:
         """Opens a connection as a caller."""
         return await trio.open_tcp_stream(self.host, self.port)
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -39,6 +39,7 @@
 from camphordrift.relay.scheduling._placement_values import PlacementRequest
 from camphordrift.relay.scheduling._request_limits import RequestLimits
 from camphordrift.relay.servers._server_notices import ServerNotices
+from camphordrift.relay.servers._zone_evacuations import ZoneEvacuations
 from camphordrift.testing import (
     HttpRequest,
     HttpRequestHandler,
@@ -331,6 +332,7 @@
         ConnectionPool(0.5),
         SampleHeaders(),
         notices,
+        ZoneEvacuations(),
         limits,
         distributor.observe,
         lambda server_id: None,
@@ -399,6 +401,7 @@
         key_revocation_delay=5.0,
         configuration_apply_delay=2.0,
         budget=RetryBudgetSettings(0.2, 100.0, 10.0),
+        evacuation_delay=5.0,
     )
 
 
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -21,6 +21,7 @@
 from camphordrift.relay.model._settings import Address
 from camphordrift.relay.peers._configuration_sharing import choose_zone_sources, fetch_configuration
 from camphordrift.relay.peers._crash_monitor import CrashMonitor
+from camphordrift.relay.peers._evacuation_sharing import EvacuationSharing
 from camphordrift.relay.peers._notice_distribution import NoticeDistributor
 from camphordrift.relay.peers._path_sharing import PathSharing
 from camphordrift.relay.peers._peer_links import PeerLinks
@@ -36,6 +37,7 @@
 from camphordrift.relay.scheduling._placement_values import AttemptOutcome, Grant
 from camphordrift.relay.servers._server_directory import DirectoryChange, ServerDirectory
 from camphordrift.relay.servers._server_notices import ServerNotices
+from camphordrift.relay.servers._zone_evacuations import ZoneEvacuations
 from camphordrift.relay.store._configuration_lease import ConfigurationLease, boot_time_clock
 from camphordrift.relay.store._configuration_watcher import (
     LONG_POLL_SECONDS,
@@ -149,6 +151,7 @@
         updates,
         records,
         notices,
+        EvacuationSharing(ZoneEvacuations(), links, lambda: 0.0, lambda: vm.refresh()),
         paths,
         TunnelServer(lambda address: False, _connect_nowhere),
         links,
--- a/camphordrift/relay/tests/watched_vms.py
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -15,6 +15,7 @@
 from camphordrift.relay.model._interfaces import KeyedLog
 from camphordrift.relay.model._settings import Address
 from camphordrift.relay.peers._crash_monitor import CrashMonitor
+from camphordrift.relay.peers._evacuation_sharing import EvacuationSharing
 from camphordrift.relay.peers._path_sharing import PathSharing
 from camphordrift.relay.peers._peer_links import PeerLinks
 from camphordrift.relay.peers._peer_messages import (
@@ -24,10 +25,13 @@
     Message,
     MessageLink,
     Ping,
+    ZonesStated,
 )
 from camphordrift.relay.servers._server_directory import DirectoryChange, ServerDirectory
+from camphordrift.relay.servers._zone_evacuations import ZoneEvacuations
 from camphordrift.relay.store._configuration_lease import ConfigurationLease
 from camphordrift.relay.store._configuration_watcher import ConfigurationWatcher
+from camphordrift.relay.store._evacuation_records import EvacuationRecords
 from camphordrift.relay.store._servers_watcher import ServersWatcher
 from camphordrift.relay.store._store_era import EraCheckedLog, StoreEraTracker
 from camphordrift.relay.tests.samples import CONFIGURATION, TOPICS, InMemoryLog, SampleDocuments
@@ -41,6 +45,9 @@
 #: Seconds after which a version that the store acknowledged must be in force on every VM.
 APPLY_DELAY = 2.0
 
+#: Seconds after which the evacuation of a zone must be known to every VM.
+EVACUATION_DELAY = 5.0
+
 #: Seconds that a call to the store takes.
 STORE_LATENCY = 0.005
 
@@ -144,6 +151,13 @@
         checked_log = EraCheckedLog(log, self.eras)
         self.lease = ConfigurationLease(REVOCATION_DELAY)
         self.directory = ServerDirectory()
+        self.links = PeerLinks()
+        self.evacuations = ZoneEvacuations()
+        #: When each change of the evacuated zones became known, and the zones.
+        self.zones: list[tuple[float, frozenset[str]]] = []
+        self.sharing = EvacuationSharing(
+            self.evacuations, self.links, lambda: 0.0, self._zones_changed
+        )
         self.configuration = ConfigurationWatcher(
             checked_log,
             self.eras,
@@ -153,6 +167,12 @@
             self._configuration_changed,
             self._fetch,
             APPLY_DELAY,
+            EvacuationRecords(
+                TOPICS.evacuation_key_prefix,
+                EVACUATION_DELAY,
+                self.evacuations,
+                lambda statements: self.sharing.handle(statements, "store"),
+            ),
         )
         self.servers = ServersWatcher(
             checked_log,
@@ -200,12 +220,16 @@
         )
         with trio.CancelScope() as self._leader_scope:
             leader.updates.add_follower(to_follower, self.member, [])
+            leader.links.add(to_follower)
+            self.links.add(to_leader)
             self.updates.record_leader_found(to_leader)
             try:
                 while True:
                     to_leader.send(self.updates.next_ping())
                     await trio.sleep(PING_INTERVAL)
             finally:
+                leader.links.remove(to_follower)
+                self.links.remove(to_leader)
                 leader.updates.remove_follower(to_follower)
                 self.updates.record_leader_lost()
 
@@ -223,6 +247,8 @@
         throttled = cast(trio.SocketStream, ThrottledStream(far, bytes_per_second))
         to_follower = MessageLink(throttled, LINK_IDLE_TIMEOUT)
         leader.updates.add_follower(to_follower, self.member, [])
+        leader.links.add(to_follower)
+        self.links.add(to_leader)
         self.updates.record_leader_found(to_leader)
         try:
             async with trio.open_nursery() as nursery:
@@ -236,6 +262,8 @@
                     to_leader.send(self.updates.next_ping())
                     await trio.sleep(PING_INTERVAL)
         finally:
+            leader.links.remove(to_follower)
+            self.links.remove(to_leader)
             leader.updates.remove_follower(to_follower)
             self.updates.record_leader_lost()
 
@@ -252,9 +280,17 @@
                 link.send(self.updates.pong_for(message))
             case ConfigurationRequest(version):
                 self.updates.send_document(link, version)
+            case ZonesStated(statements):
+                self.sharing.handle(statements, "follower", link)
 
     def _handle_leader_message(self, message: Message) -> None:
-        self.updates.handle_message(message, lambda other: None)
+        if isinstance(message, ZonesStated):
+            self.sharing.handle(message.statements, "leader")
+        else:
+            self.updates.handle_message(message, lambda other: None)
+
+    def _zones_changed(self) -> None:
+        self.zones.append((trio.current_time(), self.evacuations.evacuated_zones))
 
     def _configuration_changed(self) -> None:
         self.versions.append(self.configuration.version)
@@ -315,6 +351,14 @@
         """Appends a server's entry."""
         self.log.put(TOPICS.servers, entry.id, self.documents.write(entry))
 
+    def evacuate(self, zone: str) -> None:
+        """Appends the record that evacuates a zone."""
+        self.log.put(TOPICS.configuration, TOPICS.evacuation_key_prefix + zone, b"{}")
+
+    def take_back(self, zone: str) -> None:
+        """Appends the removal of the record that evacuates a zone."""
+        self.log.put(TOPICS.configuration, TOPICS.evacuation_key_prefix + zone, None)
+
     def remove(self, server_id: str) -> None:
         """Appends the removal of a server's entry."""
         self.log.put(TOPICS.servers, server_id, None)
