Keep newer kinds of messages from VMs of older builds

Builds up to close a link on a message of an unknown kind, so a new kind would cut VMs of two builds off from each other while VMs are replaced.

A link withholds other kinds (message_withheld, once for each link and kind) and holds newer ones back until the peer's first message has arrived. Unknown kinds that arrive are passed over (message_kind_unknown); malformed messages break the link as before, now with a log line (message_undecodable). Whoever adds a type to the Message union need do nothing else.

A VM of an older build passes records on without the new field. Such a record must not keep a VM from its leader, so the leader is recognized by its id, start and address instead of the whole record.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -36,6 +36,7 @@
     ReportFormat,
 )
 from camphordrift.relay.peers import (
+    NEWER_KINDS,
     CrashMonitor,
     Member,
     NoticeDistributor,
@@ -295,6 +296,7 @@
             peers.port,
             capacity,
             self._settings.zone,
+            NEWER_KINDS,
         )
 
     def _register_gauges(self) -> None:
--- a/camphordrift/relay/fleet/_leader_election.py
+++ b/camphordrift/relay/fleet/_leader_election.py
@@ -224,6 +224,9 @@
     def _add_member(self, member: Member) -> None:
         known = self._members.get(member.vm)
         if known is not None and known.started_ms >= member.started_ms:
+            if known.is_same_start(member) and not known.newer_kinds:
+                # The known record came from a VM of an older build, which dropped the field.
+                self._members[member.vm] = member
             return
         self._members[member.vm] = member
         self._last_seen[member.vm] = trio.current_time()
@@ -307,7 +310,8 @@
             return False
         if isinstance(found, Member):
             self._add_member(found)
-        return found == expected
+            return found.is_same_start(expected)
+        return False
 
     def _record_unreachable(self, member: Member) -> None:
         attempts = self._connect_attempts.get(member.vm, 0) + 1
--- a/camphordrift/relay/peers/__init__.py
+++ b/camphordrift/relay/peers/__init__.py
@@ -14,6 +14,7 @@
 from camphordrift.relay.peers._path_sharing import PathSharing
 from camphordrift.relay.peers._peer_links import PeerLinks
 from camphordrift.relay.peers._peer_messages import (
+    NEWER_KINDS,
     ConfigurationDocument,
     ConfigurationRequest,
     ConfigurationUpdate,
@@ -63,6 +64,7 @@
     "Member",
     "Message",
     "MessageLink",
+    "NEWER_KINDS",
     "NoticeDistributor",
     "OpenTunnel",
     "PathSharing",
--- a/camphordrift/relay/peers/_peer_messages.py
+++ b/camphordrift/relay/peers/_peer_messages.py
@@ -6,14 +6,23 @@
 import struct
 from collections.abc import Callable
 from enum import Enum
+from functools import partial
 from typing import Optional, Union
 
 import msgspec
 import trio
 
+from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay.connections import READ_SIZE
 from camphordrift.relay.crashes import CrashEvidence
 from camphordrift.relay.model import Address
+from camphordrift.relay.peers._message_kinds import (
+    BASE_KINDS,
+    PeerKinds,
+    kind_of,
+    kinds_in,
+    read_kind,
+)
 from camphordrift.relay.scheduling import (
     AttemptOutcome,
     Grant,
@@ -46,6 +55,9 @@
     capacity: int = 0
     #: Availability zone of the VM.
     zone: str = ""
+    #: Kinds of messages that the VM understands besides those of commit 0a2fe75. Empty if its build
+    #: understands no others, or if a VM of such a build passed the record on.
+    newer_kinds: tuple[str, ...] = ()
 
     @property
     def address(self) -> Address:
@@ -57,6 +69,17 @@
         """Sort key for the choice of a leader: highest capacity first, then earliest start."""
         return -self.capacity, self.started_ms, self.vm
 
+    def is_same_start(self, other: "Member") -> bool:
+        """Returns whether both are of one start of the VM.
+
+        Records that VMs of older builds passed on may lack fields.
+        """
+        return (self.vm, self.started_ms, self.address) == (
+            other.vm,
+            other.started_ms,
+            other.address,
+        )
+
 
 class Submit(msgspec.Struct, frozen=True, tag=True):
     """Submits a placement request to the leader."""
@@ -353,6 +376,11 @@
     Pong,
 ]
 
+_KINDS = kinds_in(Message)
+
+#: Kinds of messages that this build understands besides those that every build understands.
+NEWER_KINDS = tuple(sorted(_KINDS - BASE_KINDS))
+
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
@@ -364,6 +392,10 @@
 class MessageLink:
     """A bidirectional message connection; sending only queues a message and never blocks.
 
+    The peer gets only messages of kinds that it understands, and messages of unknown kinds are
+    passed over. What the peer understands is known once its first message has arrived; messages of
+    newer kinds are held back until then.
+
     Args:
         stream: The connection.
         idle_timeout: Seconds without received data after which the connection counts as broken;
@@ -379,11 +411,15 @@
         self._newest: dict[type, bytes] = {}
         self._has_queued = trio.Event()
         self._read_buffer = bytearray()
+        self._peer_kinds = PeerKinds()
+        #: Messages of newer kinds that wait for the peer's first message.
+        self._held_back: list[Callable[[], None]] = []
 
     def send(self, message: Message) -> None:
         """Queues a message, which :meth:`write_queued` writes."""
-        self._write_buffer += _encode(message)
-        self._has_queued.set()
+        if self._may_send(message, partial(self.send, message)):
+            self._write_buffer += _encode(message)
+            self._has_queued.set()
 
     def send_newest(self, message: Message) -> None:
         """Queues a message in place of one of the same type that was queued so and not written.
@@ -391,8 +427,19 @@
         Use it for large messages of which only the newest is of use: the peer would get all of them
         one after the other, however long that takes.
         """
-        self._newest[type(message)] = _encode(message)
-        self._has_queued.set()
+        if self._may_send(message, partial(self.send_newest, message)):
+            self._newest[type(message)] = _encode(message)
+            self._has_queued.set()
+
+    def _may_send(self, message: Message, send_later: Callable[[], None]) -> bool:
+        kind = kind_of(type(message))
+        if self._peer_kinds.understands(kind):
+            return True
+        if self._peer_kinds.is_known:
+            self._peer_kinds.record_withheld(kind)
+        else:
+            self._held_back.append(send_later)
+        return False
 
     async def write_queued(self) -> None:
         """Writes queued messages until cancelled.
@@ -474,6 +521,15 @@
         self._read_buffer += data
 
     def _decode_next(self) -> Union[Message, None]:
+        while (content := self._take_content()) is not None:
+            message = self._decode(content)
+            if message is not None:
+                self._record_introduction(message)
+                return message
+        return None
+
+    def _take_content(self) -> Optional[bytes]:
+        """Returns the next encoded message, if it has arrived as a whole."""
         if len(self._read_buffer) < _LENGTH.size:
             return None
         (length,) = _LENGTH.unpack_from(self._read_buffer)
@@ -484,10 +540,43 @@
             return None
         content = bytes(self._read_buffer[_LENGTH.size : end])
         del self._read_buffer[:end]
+        return content
+
+    def _decode(self, content: bytes) -> Optional[Message]:
+        """Decodes a message; returns ``None`` if its kind is unknown."""
         try:
             return _decoder.decode(content)
         except msgspec.MsgspecError as error:
-            raise LinkBrokenError(f"message cannot be decoded: {error}") from error
+            kind = _unknown_kind(content)
+            if kind is None:
+                log_event("message_undecodable", level=LogLevel.WARNING, reason=str(error))
+                raise LinkBrokenError(f"message cannot be decoded: {error}") from error
+        self._peer_kinds.record_unknown(kind)
+        return None
+
+    def _record_introduction(self, message: Message) -> None:
+        """Learns from the peer's first message which kinds it understands.
+
+        VMs that only open a tunnel or request a document do not introduce themselves.
+        """
+        if self._peer_kinds.is_known:
+            return
+        if isinstance(message, Member):
+            self._peer_kinds.record_introduction(message.vm, message.newer_kinds)
+        else:
+            self._peer_kinds.record_introduction(None, ())
+        held_back, self._held_back = self._held_back, []
+        for send in held_back:
+            send()
+
+
+def _unknown_kind(content: bytes) -> Optional[str]:
+    """Returns the kind of an encoded message if it is well-formed and of an unknown kind."""
+    try:
+        kind = read_kind(content)
+    except msgspec.MsgspecError:
+        return None
+    return None if kind in _KINDS else kind
 
 
 def _encode(message: Message) -> bytes:
