Take unknown values of newer builds as known ones, and send none to older

Unknown values that arrive are taken as a harmless one of the enumeration (value_unknown, once per process and value) instead of breaking the link.

Tests: 10 new in test_message_kinds.py.

--- a/camphordrift/relay/model/__init__.py
+++ b/camphordrift/relay/model/__init__.py
@@ -19,6 +19,7 @@
     StoreError,
 )
 from camphordrift.relay.model._settings import Address, RelaySettings, RetryBudgetSettings
+from camphordrift.relay.model._tolerant_enum import TolerantEnum
 from camphordrift.relay.model._values import (
     Account,
     BackendServer,
@@ -68,4 +69,5 @@
     "Service",
     "ServiceShare",
     "StoreError",
+    "TolerantEnum",
 ]
--- a/camphordrift/relay/model/_values.py
+++ b/camphordrift/relay/model/_values.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from typing import Optional
 
+from camphordrift.relay.model._tolerant_enum import TolerantEnum
+
 
 class RunRule(Enum):
     """Execution guarantee of a route's requests."""
@@ -14,13 +16,17 @@
     ONCE = "once"
 
 
-class ServerState(Enum):
+class ServerState(TolerantEnum):
     """Whether a backend server accepts new requests."""
 
     READY = "ready"
     #: The server is draining and must get no new requests.
     LEAVING = "leaving"
 
+    @classmethod
+    def _fallback(cls) -> "ServerState":
+        return cls.LEAVING
+
 
 @dataclass(frozen=True)
 class ServiceShare:
--- a/camphordrift/relay/peers/_message_kinds.py
+++ b/camphordrift/relay/peers/_message_kinds.py
@@ -4,11 +4,13 @@
 announce the kinds that they understand beyond those, get no others, and pass over unknown ones.
 """
 
+from enum import Enum
 from typing import Optional, get_args
 
 import msgspec
 
 from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay.scheduling import AttemptOutcome, RefusalReason
 
 #: Kinds of messages that every build understands; they are those of commit 0a2fe75. This list never
 #: changes: all other kinds are newer, and are sent only to VMs that announce them.
@@ -48,6 +50,24 @@
     }
 )
 
+#: Values in messages that every build understands, those of commit 0a2fe75, by enumeration. This
+#: list never changes either; newer values are announced like newer kinds.
+BASE_VALUES: dict[type[Enum], frozenset[str]] = {
+    RefusalReason: frozenset(
+        {
+            "the engines take no more requests for now",
+            "no_engine",
+            "too_late",
+            "never_fits",
+        }
+    ),
+    AttemptOutcome: frozenset({"served", "withheld", "rejected", "failed", "silent"}),
+}
+
+#: What this build can do besides, for features that all VMs must take part in but that need no kind
+#: of message of their own.
+ABILITIES: frozenset[str] = frozenset()
+
 
 class _Envelope(msgspec.Struct):
     """The part of a message that is the same for all kinds."""
@@ -80,6 +100,23 @@
     return frozenset(kind_of(message_type) for message_type in get_args(union))
 
 
+def value_name(value: Enum) -> str:
+    """Returns the name under which a VM announces that it understands a newer value."""
+    return f"{type(value).__name__}:{value.value}"
+
+
+def is_base_value(value: Enum) -> bool:
+    """Returns whether every build understands a value."""
+    return value.value in BASE_VALUES[type(value)]
+
+
+def newer_values() -> frozenset[str]:
+    """Returns the names of all values of this build that not every build understands."""
+    return frozenset(
+        value_name(value) for values in BASE_VALUES for value in values if not is_base_value(value)
+    )
+
+
 class PeerKinds:
     """The kinds of messages that the VM at the other end of a link understands."""
 
@@ -106,7 +143,14 @@
 
     def understands(self, kind: str) -> bool:
         """Returns whether the other VM is known to understand a kind of message."""
-        return kind in BASE_KINDS or (self._newer is not None and kind in self._newer)
+        return kind in BASE_KINDS or self._has_announced(kind)
+
+    def understands_value(self, value: Enum) -> bool:
+        """Returns whether the other VM is known to understand a value in a message."""
+        return is_base_value(value) or self._has_announced(value_name(value))
+
+    def _has_announced(self, name: str) -> bool:
+        return self._newer is not None and name in self._newer
 
     def record_withheld(self, kind: str) -> None:
         """Records that the other VM did not get a message, as it does not understand its kind."""
--- a/camphordrift/relay/peers/_peer_messages.py
+++ b/camphordrift/relay/peers/_peer_messages.py
@@ -5,7 +5,7 @@
 
 import struct
 from collections.abc import Callable
-from enum import Enum
+from dataclasses import replace
 from functools import partial
 from typing import Optional, Union
 
@@ -15,12 +15,14 @@
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay.connections import READ_SIZE
 from camphordrift.relay.crashes import CrashEvidence
-from camphordrift.relay.model import Address
+from camphordrift.relay.model import Address, TolerantEnum
 from camphordrift.relay.peers._message_kinds import (
+    ABILITIES,
     BASE_KINDS,
     PeerKinds,
     kind_of,
     kinds_in,
+    newer_values,
     read_kind,
 )
 from camphordrift.relay.scheduling import (
@@ -29,6 +31,7 @@
     Permit,
     PlacementRefusal,
     PlacementRequest,
+    RefusalReason,
     ServerLimit,
 )
 from camphordrift.relay.servers import DirectoryChange, PathStatement, ServerPause, ServerStart
@@ -55,8 +58,8 @@
     capacity: int = 0
     #: Availability zone of the VM.
     zone: str = ""
-    #: Kinds of messages that the VM understands besides those of commit 0a2fe75. Empty if its build
-    #: understands no others, or if a VM of such a build passed the record on.
+    #: Kinds of messages that the VM understands besides those of commit 0a2fe75, and its other
+    #: abilities. Empty if its build has no others, or if a VM of such a build passed the record on.
     newer_kinds: tuple[str, ...] = ()
 
     @property
@@ -278,7 +281,7 @@
     content: bytes
 
 
-class ConnectionEnd(Enum):
+class ConnectionEnd(TolerantEnum):
     """How a connection to a server ended."""
 
     #: The server closed it, which may be the regular end of a response.
@@ -288,6 +291,10 @@
     #: It broke on the way.
     LOST = "lost"
 
+    @classmethod
+    def _fallback(cls) -> "ConnectionEnd":
+        return cls.LOST
+
 
 class TunnelEnded(msgspec.Struct, frozen=True, tag=True):
     """Tells that the connection to the server ended."""
@@ -333,6 +340,9 @@
     vm_count: int = 1
     #: One of the leader's followers, each time another one.
     other_vm: Optional[Member] = None
+    #: Kinds of messages and abilities that all VMs have which the leader is in touch with, as in
+    #: :attr:`Member.newer_kinds`.
+    common_kinds: tuple[str, ...] = ()
 
     @property
     def store_read_age(self) -> float:
@@ -378,8 +388,9 @@
 
 _KINDS = kinds_in(Message)
 
-#: Kinds of messages that this build understands besides those that every build understands.
-NEWER_KINDS = tuple(sorted(_KINDS - BASE_KINDS))
+#: Kinds of messages that this build understands besides those that every build understands, values
+#: in messages that it understands so, and its other abilities.
+NEWER_KINDS = tuple(sorted((_KINDS - BASE_KINDS) | newer_values() | ABILITIES))
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
@@ -418,7 +429,7 @@
     def send(self, message: Message) -> None:
         """Queues a message, which :meth:`write_queued` writes."""
         if self._may_send(message, partial(self.send, message)):
-            self._write_buffer += _encode(message)
+            self._write_buffer += _encode(self._translate(message))
             self._has_queued.set()
 
     def send_newest(self, message: Message) -> None:
@@ -431,6 +442,17 @@
             self._newest[type(message)] = _encode(message)
             self._has_queued.set()
 
+    def _translate(self, message: Message) -> Message:
+        """Replaces a value that the peer does not understand by the nearest one that it does."""
+        understands = self._peer_kinds.understands_value
+        match message:
+            case Refused(refusal) if not understands(refusal.reason):
+                return Refused(replace(refusal, reason=RefusalReason.NO_ENGINE))
+            case Finished(ask_id, outcome, at_fault) if not understands(outcome):
+                return Finished(ask_id, AttemptOutcome.SERVED, at_fault)
+            case _:
+                return message
+
     def _may_send(self, message: Message, send_later: Callable[[], None]) -> bool:
         kind = kind_of(type(message))
         if self._peer_kinds.understands(kind):
--- a/camphordrift/relay/scheduling/_placement_values.py
+++ b/camphordrift/relay/scheduling/_placement_values.py
@@ -1,10 +1,9 @@
 """Placement requests to the engine scheduler, its decisions, and outcomes of placed requests."""
 
 from dataclasses import dataclass
-from enum import Enum
 from typing import Optional, Union
 
-from camphordrift.relay.model import BackendServer
+from camphordrift.relay.model import BackendServer, TolerantEnum
 from camphordrift.relay.servers import ServerPause
 
 
@@ -63,7 +62,7 @@
     first_event: float
 
 
-class RefusalReason(Enum):
+class RefusalReason(TolerantEnum):
     """Why a placement request is refused."""
 
     #: All engines named a limit of requests, and take none before the deadline.
@@ -76,6 +75,10 @@
     #: The prompt and the output need more KV memory than all allowed engines have.
     NEVER_FITS = "never_fits"
 
+    @classmethod
+    def _fallback(cls) -> "RefusalReason":
+        return cls.NO_ENGINE
+
 
 @dataclass(frozen=True)
 class PlacementRefusal:
@@ -95,7 +98,7 @@
 PlacementDecision = Union[Grant, PlacementRefusal]
 
 
-class AttemptOutcome(Enum):
+class AttemptOutcome(TolerantEnum):
     """How a request ended on its engine; decides whether the engine backs off."""
 
     #: The response was complete and is no internal error, or the caller disconnected.
@@ -109,3 +112,8 @@
     FAILED = "failed"
     #: The engine sent nothing for a while, and the request was sent to another one or ended.
     SILENT = "silent"
+
+    @classmethod
+    def _fallback(cls) -> "AttemptOutcome":
+        # The engine's place is free again, and nothing is held against the engine.
+        return cls.SERVED
--- a/camphordrift/relay/tests/test_message_kinds.py
+++ b/camphordrift/relay/tests/test_message_kinds.py
@@ -10,18 +10,32 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from camphordrift.relay.peers._message_kinds import BASE_KINDS, kinds_in
+from camphordrift.relay.model import ServerState
+from camphordrift.relay.peers import _message_kinds
+from camphordrift.relay.peers._message_kinds import (
+    BASE_KINDS,
+    BASE_VALUES,
+    kinds_in,
+    newer_values,
+)
 from camphordrift.relay.peers._peer_messages import (
     NEWER_KINDS,
     ConfigurationRequest,
+    ConnectionEnd,
+    Finished,
     LinkBrokenError,
     Member,
     Message,
     MessageLink,
     Ping,
+    Refused,
+    ServerUpdate,
+    TunnelEnded,
     Withdraw,
     _encode,
 )
+from camphordrift.relay.scheduling import AttemptOutcome, PlacementRefusal, RefusalReason
+from camphordrift.relay.tests.samples import server
 from camphordrift.testing import run_in_virtual_time
 
 #: Members of a build that understands the kind below, and of one that does not.
@@ -91,7 +105,10 @@
         self.assertEqual(set(), BASE_KINDS - kinds_in(Message))
 
     def test_all_other_kinds_are_announced(self) -> None:
-        self.assertEqual(kinds_in(Message), BASE_KINDS | set(NEWER_KINDS))
+        self.assertEqual(
+            set(NEWER_KINDS),
+            (kinds_in(Message) - BASE_KINDS) | newer_values() | _message_kinds.ABILITIES,
+        )
 
     def test_each_type_has_a_kind_of_its_own(self) -> None:
         self.assertEqual(len(get_args(Message)), len(kinds_in(Message)))
@@ -135,6 +152,97 @@
         )
 
 
+class NewerValuesTest(testtools.TestCase):
+    """Tests of values of enumerations that one of two VMs does not understand."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        base = dict(BASE_VALUES)
+        base[RefusalReason] -= {RefusalReason.LIMITED.value}
+        base[AttemptOutcome] -= {AttemptOutcome.SILENT.value}
+        self.patch(_message_kinds, "BASE_VALUES", base)
+
+    def test_newer_values_are_announced(self) -> None:
+        self.assertEqual(
+            {f"RefusalReason:{RefusalReason.LIMITED.value}", "AttemptOutcome:silent"},
+            set(newer_values()),
+        )
+
+    def test_an_older_vm_gets_a_refusal_that_it_understands(self) -> None:
+        message = Refused(PlacementRefusal("a", RefusalReason.LIMITED, 1.5))
+        self.assertEqual(
+            Refused(PlacementRefusal("a", RefusalReason.NO_ENGINE, 1.5)),
+            self._sent_to(OLD_MEMBER, message),
+        )
+
+    def test_an_older_vm_gets_an_outcome_that_it_understands(self) -> None:
+        message = Finished("a", AttemptOutcome.SILENT)
+        self.assertEqual(Finished("a", AttemptOutcome.SERVED), self._sent_to(OLD_MEMBER, message))
+
+    def test_a_vm_that_announced_a_value_gets_it(self) -> None:
+        message = Refused(PlacementRefusal("a", RefusalReason.LIMITED, 1.5))
+        peer = Member("vm-3", 1, "10.0.0.3", 8010, newer_kinds=tuple(newer_values()))
+        self.assertEqual(message, self._sent_to(peer, message))
+
+    def _sent_to(self, peer: Member, message: Message) -> Message:
+        results: list[Message] = []
+
+        async def main() -> None:
+            near, far = trio.testing.memory_stream_pair()
+            link = MessageLink(cast(trio.SocketStream, near), 1.0)
+            other = MessageLink(cast(trio.SocketStream, far), 1.0)
+            other.send(peer)
+            await other.write_once()
+            await link.read_next()
+            link.send(message)
+            await link.write_once()
+            results.append(await other.read_next())
+
+        run_in_virtual_time(main)
+        return results[0]
+
+
+class UnknownValuesTest(testtools.TestCase):
+    """Tests of values of newer builds that arrive although they were not announced."""
+
+    def test_an_unknown_reason_is_taken_as_no_engine(self) -> None:
+        content = encoded(
+            {"type": "Refused", "refusal": {"ask_id": "a", "reason": "x", "retry_after": None}}
+        )
+        expected = Refused(PlacementRefusal("a", RefusalReason.NO_ENGINE, None))
+        self.assertEqual([expected], read_from(content, 1))
+
+    def test_an_unknown_outcome_is_held_against_no_engine(self) -> None:
+        content = encoded({"type": "Finished", "ask_id": "a", "outcome": "x"})
+        self.assertEqual([Finished("a", AttemptOutcome.SERVED)], read_from(content, 1))
+
+    def test_an_unknown_end_of_a_tunnel_is_no_complete_response(self) -> None:
+        content = encoded({"type": "TunnelEnded", "end": "x"})
+        self.assertEqual([TunnelEnded(ConnectionEnd.LOST)], read_from(content, 1))
+
+    def test_a_server_of_unknown_state_gets_no_new_requests(self) -> None:
+        entry = msgspec.to_builtins(server(1)) | {"state": "resting"}
+        change = {"server_id": "a", "server": entry, "offset": 1}
+        [message] = read_from(encoded({"type": "ServerNews", "changes": [change]}), 1)
+        assert isinstance(message, ServerUpdate)
+        [decoded] = message.changes
+        assert decoded.server is not None
+        self.assertEqual(ServerState.LEAVING, decoded.server.state)
+
+    def test_an_unknown_value_is_logged_once(self) -> None:
+        content = encoded({"type": "TunnelEnded", "end": "logged once"})
+        with self.assertLogs("absl", "WARNING") as logs:
+            read_from(2 * content, 2)
+        self.assertEqual(
+            ['event=value_unknown kind=ConnectionEnd value="logged once" taken_as=lost'],
+            [record.getMessage() for record in logs.records],
+        )
+
+    def test_a_value_of_another_type_breaks_the_link(self) -> None:
+        content = encoded({"type": "TunnelEnded", "end": 3})
+        self.assertRaises(LinkBrokenError, read_from, content, 1)
+
+
 class ReceivingTest(testtools.TestCase):
     def test_a_message_of_an_unknown_kind_is_passed_over(self) -> None:
         content = _encode(NEWER_MESSAGE) + _encode(Ping(1)) + _encode(NEWER_MESSAGE)
