Tell VMs what all VMs in touch understand

What all VMs must do together (limits, quarantines, evacuation) may begin only once every VM can take part. LeaderElection.understood_by_all() says so by what VMs announce: the followers' records at the leader, the pong at a follower, and for 10 s also VMs that were connected. A VM without a leader counts what its last leader stated, as it need not know all VMs.

relay_followers_of_other_builds counts the leader's followers that understand other kinds; member_known names the kinds.

Tests: 5 new in test_leader_election.py.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -304,6 +304,11 @@
         gauge("relay_ready", "1 while the VM accepts new connections.", lambda: self.ready)
         gauge("relay_callers", "Open connections from callers.", lambda: len(self._callers))
         gauge("relay_members", "Known VMs, this one included.", lambda: self._election.member_count)
+        gauge(
+            "relay_followers_of_other_builds",
+            "Followers that understand other kinds of messages than this VM.",
+            lambda: self._election.other_build_count,
+        )
         gauge(
             "relay_decides_alone",
             "1 while no other VM schedules engines for this one.",
--- a/camphordrift/relay/fleet/_leader_election.py
+++ b/camphordrift/relay/fleet/_leader_election.py
@@ -81,6 +81,10 @@
 #: Seconds for which a VM that is not connected counts as one that may decide for itself.
 MEMBER_RETENTION = 300.0
 
+#: Seconds for which a VM that is not connected still has to understand what all VMs do together, as
+#: it may be back in a moment.
+TOUCH_PERIOD = 10.0
+
 #: Seconds that a VM waits before it makes decisions itself after it lost its leader, so that other
 #: VMs can register their requests.
 TAKEOVER_DELAY = 0.04
@@ -126,6 +130,7 @@
         self._last_seen: dict[str, float] = {}
         self._leader_lost_at = float("-inf")
         updates.count_vms = self._count_vms
+        updates.common_kinds = lambda: self.common_kinds
         paths.members = self._members.values
         self._store_unreachable_until: dict[str, float] = {}
         self._members_changed = trio.Event()
@@ -166,6 +171,41 @@
         had_leader = self._leader_lost_at >= oldest
         return max(len(connected | recent), self._updates.leader_vm_count if had_leader else 1)
 
+    @property
+    def common_kinds(self) -> tuple[str, ...]:
+        """Kinds of messages and abilities that all VMs in touch have announced, this one included.
+
+        A VM is in touch if it is connected, directly or by a common leader, or was so in the last
+        :data:`TOUCH_PERIOD` seconds. The kinds that every build understands are not included.
+        """
+        common = set(self._own_member.newer_kinds)
+        if not common:
+            return ()
+        oldest = trio.current_time() - TOUCH_PERIOD
+        if not self._dispatcher.schedules_locally or self._leader_lost_at >= oldest:
+            common.intersection_update(self._updates.leader_common_kinds)
+        members = list(self._updates.followers)
+        if self._dispatcher.schedules_locally:
+            connected = {member.vm for member in members}
+            members += [
+                member
+                for vm, member in self._members.items()
+                if vm not in connected and self._last_seen.get(vm, oldest) > oldest
+            ]
+        for member in members:
+            common.intersection_update(member.newer_kinds)
+        return tuple(sorted(common))
+
+    def understood_by_all(self, kind: str) -> bool:
+        """Returns whether all VMs in touch have announced a kind of message or an ability."""
+        return kind in self.common_kinds
+
+    @property
+    def other_build_count(self) -> int:
+        """Number of followers that announced other kinds or abilities than this VM has."""
+        own = self._own_member.newer_kinds
+        return sum(member.newer_kinds != own for member in self._updates.followers)
+
     @property
     def member_count(self) -> int:
         """Number of known VMs, this one included."""
@@ -231,7 +271,12 @@
         self._members[member.vm] = member
         self._last_seen[member.vm] = trio.current_time()
         self._connect_attempts.pop(member.vm, None)
-        log_event("member_known", vm=member.vm, started_ms=member.started_ms)
+        log_event(
+            "member_known",
+            vm=member.vm,
+            started_ms=member.started_ms,
+            newer_kinds=",".join(member.newer_kinds),
+        )
         if member.leader_rank < self._own_member.leader_rank:
             # This VM's followers may not know of the better leader.
             self._updates.announce_member(member)
--- a/camphordrift/relay/fleet/_update_distribution.py
+++ b/camphordrift/relay/fleet/_update_distribution.py
@@ -40,6 +40,9 @@
 #: Seconds after a successful read of the store in which a VM is assumed to reach the store.
 RECENT_READ_SECONDS = 1.5
 
+#: Seconds for which the common kinds are stated again before they are determined anew.
+COMMON_KINDS_INTERVAL = 0.25
+
 
 class UpdateDistributor:
     """Sends updates to this VM's followers, and applies the updates of this VM's leader."""
@@ -72,6 +75,12 @@
         self.count_vms: Callable[[], int] = lambda: 1
         #: The number of VMs that the last leader stated.
         self.leader_vm_count = 1
+        #: Returns what all VMs in touch understand, as in :attr:`Pong.common_kinds`.
+        self.common_kinds: Callable[[], tuple[str, ...]] = lambda: ()
+        self._stated_kinds: tuple[str, ...] = ()
+        self._kinds_determined_at = float("-inf")
+        #: The common kinds that the last leader stated; none before its first pong.
+        self.leader_common_kinds: tuple[str, ...] = ()
 
     @property
     def has_followers(self) -> bool:
@@ -83,6 +92,11 @@
         """Ids of the VMs that use this one as their leader."""
         return {member.vm for member in self._followers.values()}
 
+    @property
+    def followers(self) -> Iterable[Member]:
+        """The VMs that use this one as their leader."""
+        return self._followers.values()
+
     def add_follower(
         self, link: MessageLink, follower: Member, better_leaders: Iterable[Member]
     ) -> None:
@@ -96,6 +110,7 @@
 
         """
         self._followers[link] = follower
+        self._kinds_determined_at = float("-inf")
         self._other_vms = itertools.cycle(list(self._followers.values()))
         for member in better_leaders:
             link.send(member)
@@ -151,8 +166,16 @@
             self._lease.restore_age(now),
             self.count_vms(),
             next(self._other_vms, None),
+            self._current_common_kinds(),
         )
 
+    def _current_common_kinds(self) -> tuple[str, ...]:
+        now = trio.current_time()
+        if now >= self._kinds_determined_at + COMMON_KINDS_INTERVAL:
+            self._kinds_determined_at = now
+            self._stated_kinds = self.common_kinds()
+        return self._stated_kinds
+
     def record_follower_state(self, link: MessageLink, ping: Ping) -> None:
         """Records what a follower knows, which may be newer after the store was restored."""
         self._observe_era(ping, "follower")
@@ -190,6 +213,7 @@
         """Records that this VM has a leader, connected by ``link``."""
         self._configuration.request_document = lambda: link.send(ConfigurationRequest())
         self._leader_age = None
+        self.leader_common_kinds = ()
         self._leader_link = link
         self._configuration.has_leader = True
         self._servers.record_leader_found()
@@ -237,6 +261,7 @@
         self._observe_era(pong, "leader")
         self._leader_age = pong.store_read_age
         self.leader_vm_count = pong.vm_count
+        self.leader_common_kinds = pong.common_kinds
         if pong.other_vm is not None:
             self._paths.add_known(pong.other_vm)
         # The leader had sent all documents up to its version before the pong.
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -94,7 +94,12 @@
 
 
 def make_vm(
-    number: int, started_ms: int, log: InMemoryLog, documents: SampleDocuments, zone: str
+    number: int,
+    started_ms: int,
+    log: InMemoryLog,
+    documents: SampleDocuments,
+    zone: str,
+    newer_kinds: tuple[str, ...],
 ) -> Vm:
     host = f"{process_loopback_network()}.{number}"
     member = Member(
@@ -103,7 +108,7 @@
         host,
         free_ports(host)[0],
         zone=zone,
-        newer_kinds=("Evacuated",),
+        newer_kinds=newer_kinds,
     )
     scheduler = EngineScheduler(member.vm, trio.current_time)
     dispatcher = Dispatcher(member.vm, scheduler, trio.current_time, lambda service: ())
@@ -181,8 +186,14 @@
             self.log.put(TOPICS.servers, entry.id, self.documents.write(entry))
         self._scopes: dict[str, trio.CancelScope] = {}
 
-    def start(self, number: int, started_ms: int, zone: str = "z1") -> Vm:
-        vm = make_vm(number, started_ms, self.log, self.documents, zone)
+    def start(
+        self,
+        number: int,
+        started_ms: int,
+        zone: str = "z1",
+        newer_kinds: tuple[str, ...] = ("Evacuated",),
+    ) -> Vm:
+        vm = make_vm(number, started_ms, self.log, self.documents, zone, newer_kinds)
         self._scopes[vm.member.vm] = trio.CancelScope()
         self._nursery.start_soon(vm.run, self._scopes[vm.member.vm])
         return vm
@@ -650,6 +661,72 @@
         run(body)
 
 
+class CommonKindsTest(testtools.TestCase):
+    """Tests of what all VMs understand while VMs of two builds serve together."""
+
+    def test_all_vms_learn_what_all_of_them_understand(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 3)
+            await wait_until(lambda: _understanding(*vms) == [True] * 3)
+            self.assertFalse(vms[0].election.understood_by_all("Later"))
+
+        run(body)
+
+    def test_a_follower_of_an_older_build_does_not_understand(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            vms = [fleet.start(number, 100 + number) for number in (1, 2)]
+            await wait_until(lambda: _understanding(*vms) == [True] * 2)
+            fleet.start(3, 103, newer_kinds=())
+            await wait_until(lambda: _understanding(*vms) == [False] * 2)
+            self.assertEqual(1, vms[0].election.other_build_count)
+
+        run(body)
+
+    def test_a_leader_of_an_older_build_does_not_understand(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            fleet.start(1, 101, newer_kinds=())
+            vms = [fleet.start(number, 100 + number) for number in (2, 3)]
+            await wait_until(lambda: leaders(*vms) == ["vm-1"] * 2)
+            await trio.sleep(2 * PING_INTERVAL)
+            self.assertEqual([False, False], _understanding(*vms))
+
+        run(body)
+
+    def test_a_vm_of_an_older_build_counts_for_a_while_after_it_is_lost(self) -> None:
+        self.patch(_leader_election, "TOUCH_PERIOD", 1.0)
+
+        async def body(fleet: Fleet) -> None:
+            first, second = fleet.start(1, 101), fleet.start(2, 102)
+            old = fleet.start(3, 103, newer_kinds=())
+            await wait_until(lambda: first.election._updates.follower_ids == {"vm-2", "vm-3"})
+            fleet.kill(old)
+            await wait_until(lambda: first.election._updates.follower_ids == {"vm-2"})
+            self.assertEqual([False], _understanding(first))
+            await wait_until(lambda: _understanding(first, second) == [True, True])
+
+        run(body)
+
+    def test_a_vm_that_has_lost_its_leader_counts_the_vms_that_only_the_leader_knew(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            first, second = fleet.start(1, 101), fleet.start(2, 102)
+            await wait_until(lambda: leaders(second) == ["vm-1"])
+            old = fleet.start(3, 103, newer_kinds=())
+            await wait_until(lambda: first.election._updates.follower_ids == {"vm-2", "vm-3"})
+            await wait_until(lambda: _understanding(second) == [False])
+            fleet.kill(old)
+            second.election._members.pop("vm-3", None)
+            fleet.kill(first)
+            await wait_until(lambda: leaders(second) == ["vm-2"])
+            self.assertEqual([False], _understanding(second))
+
+        run(body)
+
+
+def _understanding(*vms: Vm) -> list[bool]:
+    return [vm.election.understood_by_all("Evacuated") for vm in vms]
+
+
 def _has_version(vm: Vm, version: int) -> bool:
     return vm.configuration.version == version
 
