Replace VMs of an earlier build by today's in the soak

`--former DIRECTORY` starts all VMs with the build of a checkout of an earlier commit and replaces them one after the other by today's while faults come, with a step back in the middle; runs with odd seeds go all the way back. No kinds of faults at all (--empty-kinds) are allowed, to see replacements alone.

--- a/camphordrift/platform/soak/__main__.py
+++ b/camphordrift/platform/soak/__main__.py
@@ -36,6 +36,7 @@
     regressions: bool = False,
     compact: bool = False,
     logs: Optional[Path] = None,
+    former: Optional[Path] = None,
 ) -> int:
     """Runs seeds one after the other; keeps the logs of those that fail.
 
@@ -50,14 +51,18 @@
         regressions: Run the seeds that failed in the past instead.
         compact: Print one line for each kind of violation, with their number and the first one.
         logs: Directory for the logs; the system's directory for temporary files by default.
+        former: Checkout of an earlier commit. All VMs begin with its build and are replaced by this
+            one, one after the other, with a step back; after odd seeds, by the former one again.
 
     """
     failed_seeds = 0
+    if former is not None:
+        former = former.resolve(strict=True)
     if regressions:
         kinds = BASIC_KINDS
     for seed in REGRESSIONS if regressions else range(first, first + seeds):
         directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=logs))
-        settings = SoakSettings(seed, seconds, vms, servers, callers, kinds)
+        settings = SoakSettings(seed, seconds, vms, servers, callers, kinds, former=former)
         report = trio.run(run_soak, settings, process_loopback_network(), directory)
         failed_seeds += bool(report.violations)
         _print_report(seed, report, directory, compact)
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -1,6 +1,8 @@
 """Injects the faults of a run."""
 
 from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Optional
 
 import trio
 
@@ -99,6 +101,20 @@
             case _:
                 await self._change_key(vm, store_proxy, action)
 
+    async def replace(self, vm: Vm, former: Optional[Path], is_kill: bool) -> None:
+        """Replaces a VM's process by one of another build, after other faults of the VM.
+
+        Args:
+            vm: The VM.
+            former: Root directory of an earlier build; ``None`` for this one.
+            is_kill: Whether the old process is killed instead of being stopped.
+
+        """
+        while vm.disruption_running:
+            await trio.sleep(0.05)
+        vm.former = former
+        await _run_exclusively(vm, lambda: vm.kill(0.0) if is_kill else vm.restart())
+
     async def _disturb_vm(self, vm: Vm, action: str, seconds: float) -> None:
         match action:
             case "kill":
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -96,10 +96,12 @@
 
 
 def draw_faults(seed: int, seconds: float, kinds: Sequence[str] = FAULT_KINDS) -> list[Fault]:
-    """Returns the faults of a run, of the given kinds.
+    """Returns the faults of a run, of the given kinds; none without kinds.
 
     Some faults of a VM are followed by a fault of the next VM within a second.
     """
+    if not kinds:
+        return []
     generator = random.Random(seed)
     faults: list[Fault] = []
     start = generator.expovariate(1 / _MEAN_INTERVAL)
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Optional
 
 import trio
 
@@ -13,6 +14,7 @@
 from camphordrift.platform.soak._faults import FAULT_KINDS, draw_faults
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._proxy import Proxy, SilentAddress
+from camphordrift.platform.soak._replacement import plan_replacements
 from camphordrift.platform.soak._server_fleet import SERVER_PORT, ServerFleet
 from camphordrift.platform.soak._store import SoakStore
 from camphordrift.platform.soak._vm import Vm
@@ -43,6 +45,9 @@
     recovery_seconds: float = RECOVERY_TIME
     #: Whether to check times too, which a slow machine may exceed.
     check_timing: bool = True
+    #: Root directory of an earlier build with which all VMs begin; they are replaced by this one
+    #: while faults are injected. ``None`` to run this build only.
+    former: Optional[Path] = None
 
 
 @dataclass(frozen=True)
@@ -72,6 +77,7 @@
                 directory,
                 self.observations,
                 str(self._silent_address),
+                settings.former,
             )
             proxy = Proxy(vm.host, SERVER_PORT, self._store.host, SERVER_PORT)
             self._vms.append((vm, proxy))
@@ -127,6 +133,8 @@
                 load.start_soon(caller.run)
             load_start = trio.current_time()
             async with trio.open_nursery() as faults:
+                if self._settings.former is not None:
+                    faults.start_soon(self._replace_vms, self._settings.former, load_start)
                 for fault in draw_faults(
                     self._settings.seed, self._settings.seconds, self._settings.kinds
                 ):
@@ -141,6 +149,13 @@
             load.cancel_scope.cancel()
         return recovery_violations
 
+    async def _replace_vms(self, former: Path, load_start: float) -> None:
+        plan = plan_replacements(self._settings.seed, self._settings.seconds, len(self._vms))
+        for step in plan:
+            await trio.sleep_until(load_start + step.start)
+            vm, _ = self._vms[step.target]
+            await self._injector.replace(vm, former if step.to_former else None, step.is_kill)
+
     def _recovery_violations(self, since: float) -> list[str]:
         now = trio.current_time()
         sent = [
--- a/camphordrift/platform/soak/_vm.py
+++ b/camphordrift/platform/soak/_vm.py
@@ -38,6 +38,7 @@
         directory: Path,
         observations: Observations,
         silent_address: str,
+        former: Optional[Path] = None,
     ) -> None:
         self.name = f"vm-{number}"
         self.host = f"{network}.{number + 10}"
@@ -46,6 +47,8 @@
         self._observations = observations
         self._process: Optional[subprocess.Popen[bytes]] = None
         self._end_expected = False
+        #: Root directory of the earlier build if the next process has to be of that build.
+        self.former = former
         #: Whether a fault of this VM is in progress.
         self.disruption_running = False
         self._settings_path = directory / f"{self.name}.json"
@@ -83,6 +86,7 @@
                 [sys.executable, _vm_process.__file__],
                 env={
                     **os.environ,
+                    **self._search_path(),
                     "CAMPHORDRIFT_SETTINGS": str(self._settings_path),
                     _vm_process.VM_HOST: self.host,
                     _vm_process.SERVER_PORT: str(self._server_port),
@@ -97,6 +101,10 @@
             while not await self._is_ready():
                 await trio.sleep(0.1)
 
+    def _search_path(self) -> dict[str, str]:
+        """Returns the environment variable by which Python finds the earlier build."""
+        return {} if self.former is None else {"PYTHONPATH": str(self.former)}
+
     def set_cut(self, cut: Cut) -> None:
         """Sets what becomes of new connections to servers."""
         self._cut_path.write_text(cut.value)
