--- a/camphordrift/documents/tests/test_documents.py
+++ b/camphordrift/documents/tests/test_documents.py
@@ -32,6 +32,7 @@
         "python -m camphordrift.platform.soak --first 1 --seeds 50",
         "python -m camphordrift.platform.soak --first 1 --seeds 10"
         " --kinds store_restore server_replace vm_kill",
+        "python -m camphordrift.platform.soak --first 1 --seeds 6 --former ../former",
         ". .venv/bin/activate",
         "camphordrift standins --settings examples/kowalczyk/standins.toml",
         "camphordrift entry --settings examples/kowalczyk/oliwa-1.toml",
