--- a/camphordrift/relay/peers/__init__.py
+++ b/camphordrift/relay/peers/__init__.py
@@ -15,6 +15,7 @@
 from camphordrift.relay.peers._path_sharing import PathSharing
 from camphordrift.relay.peers._peer_links import PeerLinks
 from camphordrift.relay.peers._peer_messages import (
+    NEWER_KINDS,
     ConfigurationDocument,
     ConfigurationRequest,
     ConfigurationUpdate,
@@ -66,6 +67,7 @@
     "Member",
     "Message",
     "MessageLink",
+    "NEWER_KINDS",
     "NoticeDistributor",
     "OpenTunnel",
     "PathSharing",
--- a/camphordrift/relay/peers/_peer_messages.py
+++ b/camphordrift/relay/peers/_peer_messages.py
@@ -5,21 +5,33 @@
 
 import struct
 from collections.abc import Callable
-from enum import Enum
+from dataclasses import replace
+from functools import partial
 from typing import Optional, Union
 
 import msgspec
 import trio
 
+from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay.connections import READ_SIZE
 from camphordrift.relay.crashes import CrashEvidence
-from camphordrift.relay.model import Address
+from camphordrift.relay.model import Address, TolerantEnum
+from camphordrift.relay.peers._message_kinds import (
+    ABILITIES,
+    BASE_KINDS,
+    PeerKinds,
+    kind_of,
+    kinds_in,
+    newer_values,
+    read_kind,
+)
 from camphordrift.relay.scheduling import (
     AttemptOutcome,
     Grant,
     Permit,
     PlacementRefusal,
     PlacementRequest,
+    RefusalReason,
     ServerLimit,
 )
 from camphordrift.relay.servers import (
@@ -52,6 +64,9 @@
     capacity: int = 0
     #: Availability zone of the VM.
     zone: str = ""
+    #: Kinds of messages that the VM understands besides those of commit 0a2fe75, and its other
+    #: abilities. Empty if its build has no others, or if a VM of such a build passed the record on.
+    newer_kinds: tuple[str, ...] = ()
 
     @property
     def address(self) -> Address:
@@ -63,6 +78,17 @@
         """Sort key for the choice of a leader: highest capacity first, then earliest start."""
         return -self.capacity, self.started_ms, self.vm
 
+    def is_same_start(self, other: "Member") -> bool:
+        """Returns whether both are of one start of the VM.
+
+        Records that VMs of older builds passed on may lack fields.
+        """
+        return (self.vm, self.started_ms, self.address) == (
+            other.vm,
+            other.started_ms,
+            other.address,
+        )
+
 
 class Submit(msgspec.Struct, frozen=True, tag=True):
     """Submits a placement request to the leader."""
@@ -267,7 +293,7 @@
     content: bytes
 
 
-class ConnectionEnd(Enum):
+class ConnectionEnd(TolerantEnum):
     """How a connection to a server ended."""
 
     #: The server closed it, which may be the regular end of a response.
@@ -277,6 +303,10 @@
     #: It broke on the way.
     LOST = "lost"
 
+    @classmethod
+    def _fallback(cls) -> "ConnectionEnd":
+        return cls.LOST
+
 
 class TunnelEnded(msgspec.Struct, frozen=True, tag=True):
     """Tells that the connection to the server ended."""
@@ -322,6 +352,9 @@
     vm_count: int = 1
     #: One of the leader's followers, each time another one.
     other_vm: Optional[Member] = None
+    #: Kinds of messages and abilities that all VMs have which the leader is in touch with, as in
+    #: :attr:`Member.newer_kinds`.
+    common_kinds: tuple[str, ...] = ()
 
     @property
     def store_read_age(self) -> float:
@@ -366,6 +399,12 @@
     ZonesStated,
 ]
 
+_KINDS = kinds_in(Message)
+
+#: Kinds of messages that this build understands besides those that every build understands, values
+#: in messages that it understands so, and its other abilities.
+NEWER_KINDS = tuple(sorted((_KINDS - BASE_KINDS) | newer_values() | ABILITIES))
+
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
@@ -377,6 +416,10 @@
 class MessageLink:
     """A bidirectional message connection; sending only queues a message and never blocks.
 
+    The peer gets only messages of kinds that it understands, and messages of unknown kinds are
+    passed over. What the peer understands is known once its first message has arrived; messages of
+    newer kinds are held back until then.
+
     Args:
         stream: The connection.
         idle_timeout: Seconds without received data after which the connection counts as broken;
@@ -392,11 +435,15 @@
         self._newest: dict[type, bytes] = {}
         self._has_queued = trio.Event()
         self._read_buffer = bytearray()
+        self._peer_kinds = PeerKinds()
+        #: Messages of newer kinds that wait for the peer's first message.
+        self._held_back: list[Callable[[], None]] = []
 
     def send(self, message: Message) -> None:
         """Queues a message, which :meth:`write_queued` writes."""
-        self._write_buffer += _encode(message)
-        self._has_queued.set()
+        if self._may_send(message, partial(self.send, message)):
+            self._write_buffer += _encode(self._translate(message))
+            self._has_queued.set()
 
     def send_newest(self, message: Message) -> None:
         """Queues a message in place of one of the same type that was queued so and not written.
@@ -404,8 +451,30 @@
         Use it for large messages of which only the newest is of use: the peer would get all of them
         one after the other, however long that takes.
         """
-        self._newest[type(message)] = _encode(message)
-        self._has_queued.set()
+        if self._may_send(message, partial(self.send_newest, message)):
+            self._newest[type(message)] = _encode(message)
+            self._has_queued.set()
+
+    def _translate(self, message: Message) -> Message:
+        """Replaces a value that the peer does not understand by the nearest one that it does."""
+        understands = self._peer_kinds.understands_value
+        match message:
+            case Refused(refusal) if not understands(refusal.reason):
+                return Refused(replace(refusal, reason=RefusalReason.NO_ENGINE))
+            case Finished(ask_id, outcome, at_fault) if not understands(outcome):
+                return Finished(ask_id, AttemptOutcome.SERVED, at_fault)
+            case _:
+                return message
+
+    def _may_send(self, message: Message, send_later: Callable[[], None]) -> bool:
+        kind = kind_of(type(message))
+        if self._peer_kinds.understands(kind):
+            return True
+        if self._peer_kinds.is_known:
+            self._peer_kinds.record_withheld(kind)
+        else:
+            self._held_back.append(send_later)
+        return False
 
     async def write_queued(self) -> None:
         """Writes queued messages until cancelled.
@@ -487,6 +556,15 @@
         self._read_buffer += data
 
     def _decode_next(self) -> Union[Message, None]:
+        while (content := self._take_content()) is not None:
+            message = self._decode(content)
+            if message is not None:
+                self._record_introduction(message)
+                return message
+        return None
+
+    def _take_content(self) -> Optional[bytes]:
+        """Returns the next encoded message, if it has arrived as a whole."""
         if len(self._read_buffer) < _LENGTH.size:
             return None
         (length,) = _LENGTH.unpack_from(self._read_buffer)
@@ -497,10 +575,43 @@
             return None
         content = bytes(self._read_buffer[_LENGTH.size : end])
         del self._read_buffer[:end]
+        return content
+
+    def _decode(self, content: bytes) -> Optional[Message]:
+        """Decodes a message; returns ``None`` if its kind is unknown."""
         try:
             return _decoder.decode(content)
         except msgspec.MsgspecError as error:
-            raise LinkBrokenError(f"message cannot be decoded: {error}") from error
+            kind = _unknown_kind(content)
+            if kind is None:
+                log_event("message_undecodable", level=LogLevel.WARNING, reason=str(error))
+                raise LinkBrokenError(f"message cannot be decoded: {error}") from error
+        self._peer_kinds.record_unknown(kind)
+        return None
+
+    def _record_introduction(self, message: Message) -> None:
+        """Learns from the peer's first message which kinds it understands.
+
+        VMs that only open a tunnel or request a document do not introduce themselves.
+        """
+        if self._peer_kinds.is_known:
+            return
+        if isinstance(message, Member):
+            self._peer_kinds.record_introduction(message.vm, message.newer_kinds)
+        else:
+            self._peer_kinds.record_introduction(None, ())
+        held_back, self._held_back = self._held_back, []
+        for send in held_back:
+            send()
+
+
+def _unknown_kind(content: bytes) -> Optional[str]:
+    """Returns the kind of an encoded message if it is well-formed and of an unknown kind."""
+    try:
+        kind = read_kind(content)
+    except msgspec.MsgspecError:
+        return None
+    return None if kind in _KINDS else kind
 
 
 def _encode(message: Message) -> bytes:
