Move the fair queue between client accounts into a package of its own

Cause: the scheduler of the relay needs the fair queue that only the entry VMs' routing had. Change: camphordrift/fair_queue holds start-time fair queueing by account, generic in the item; routing keeps one queue for each length band in RequestQueue.

--- a/camphordrift/routing/_choice.py
+++ b/camphordrift/routing/_choice.py
@@ -4,8 +4,8 @@
 from typing import Optional
 
 from camphordrift.routing._engine_view import EngineJob, EngineView
-from camphordrift.routing._fair_queue import QueuedAsk
 from camphordrift.routing._policy import RoutingPolicy
+from camphordrift.routing._request_queue import QueuedAsk
 
 #: Remaining seconds of a long prefill below which the engine no longer counts as busy with it.
 NEARLY_DONE_SECONDS = 0.005
--- a/camphordrift/routing/_pool_scheduler.py
+++ b/camphordrift/routing/_pool_scheduler.py
@@ -20,7 +20,6 @@
 )
 from camphordrift.routing._demand import DemandMeter, EngineSplit, split_engines
 from camphordrift.routing._engine_view import EngineJob, EngineView
-from camphordrift.routing._fair_queue import FairQueue, QueuedAsk
 from camphordrift.routing._grants import Grant, GrantAsk, GrantOutcome
 from camphordrift.routing._home_messages import RunningGrant
 from camphordrift.routing._placement import (
@@ -32,6 +31,7 @@
 )
 from camphordrift.routing._policy import RoutingPolicy
 from camphordrift.routing._pool_engines import PoolEngines
+from camphordrift.routing._request_queue import QueuedAsk, RequestQueue
 from camphordrift.routing._scheduler import AttemptKey, Decision, EngineSpec, Granted, Refused
 from camphordrift.routing._shedding import (
     predicted_wait,
@@ -63,7 +63,7 @@
     def __init__(self, policy: RoutingPolicy) -> None:
         self._policy = policy
         self._engines = PoolEngines(policy)
-        self._queue = FairQueue(policy.band_count)
+        self._queue = RequestQueue(policy.band_count)
         self._demand = DemandMeter(policy.band_count)
         self._granted_demand = DemandMeter(policy.band_count)
         self._reservation = EngineReservation()
--- a/camphordrift/routing/_fair_queue.py
+++ b/camphordrift/routing/_request_queue.py
@@ -1,10 +1,10 @@
 """The request queue of a pool, with fair queueing between client accounts in each length band."""
 
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Optional
 
+from camphordrift.fair_queue import FairQueue
 from camphordrift.identifiers import AccountId
 from camphordrift.routing._grants import GrantAsk
 from camphordrift.routing._scheduler import AttemptKey
@@ -44,7 +44,7 @@
         return (now - self.queued_at) / max(self.prefill_seconds, 0.01)
 
 
-class FairQueue:
+class RequestQueue:
     """Orders the queued requests of a pool.
 
     Within a band, the client account with the least service relative to its weight comes first
@@ -53,12 +53,8 @@
     """
 
     def __init__(self, band_count: int) -> None:
-        self._queues: list[dict[AccountId, deque[QueuedAsk]]] = [{} for _ in range(band_count)]
-        self._finish_tags: list[dict[AccountId, float]] = [{} for _ in range(band_count)]
-        self._virtual_times = [0.0] * band_count
-        self._work: list[dict[AccountId, float]] = [{} for _ in range(band_count)]
+        self._bands = [FairQueue[AttemptKey, AccountId, QueuedAsk]() for _ in range(band_count)]
         self._queued: dict[AttemptKey, QueuedAsk] = {}
-        self._weights: dict[AccountId, float] = {}
 
     def __len__(self) -> int:
         return len(self._queued)
@@ -68,80 +64,48 @@
 
     def set_weights(self, weights: dict[AccountId, float]) -> None:
         """Sets the weights of client accounts; an account without one has weight 1."""
-        self._weights = {account: max(weight, 0.01) for account, weight in weights.items()}
+        for band in self._bands:
+            band.set_weights(weights)
 
     def weight(self, account_id: AccountId) -> float:
         """Returns the weight of a client account."""
-        return self._weights.get(account_id, 1.0)
+        return self._bands[0].weight(account_id)
 
     def add(self, queued: QueuedAsk) -> None:
         """Appends a request to the queue of its account and band."""
         account = queued.ask.account_id
-        queues = self._queues[queued.band]
-        if account not in queues:
-            queues[account] = deque()
-            finish_tags = self._finish_tags[queued.band]
-            finish_tags[account] = max(
-                finish_tags.get(account, 0.0), self._virtual_times[queued.band]
-            )
-        queues[account].append(queued)
-        work = self._work[queued.band]
-        work[account] = work.get(account, 0.0) + queued.prefill_seconds
+        self._bands[queued.band].add(queued.key, account, queued, queued.prefill_seconds)
         self._queued[queued.key] = queued
 
     def remove(self, key: AttemptKey) -> Optional[QueuedAsk]:
         """Removes and returns a request; returns ``None`` if it is not queued."""
         queued = self._queued.pop(key, None)
         if queued is not None:
-            account = queued.ask.account_id
-            queue = self._queues[queued.band][account]
-            queue.remove(queued)
-            self._work[queued.band][account] -= queued.prefill_seconds
-            if not queue:
-                del self._queues[queued.band][account]
-                del self._work[queued.band][account]
+            self._bands[queued.band].remove(key)
         return queued
 
     def charge(self, queued: QueuedAsk) -> None:
         """Charges the prefill of a granted request to its account."""
-        account = queued.ask.account_id
-        finish_tags = self._finish_tags[queued.band]
-        start_tag = max(finish_tags.get(account, 0.0), self._virtual_times[queued.band])
-        self._virtual_times[queued.band] = start_tag
-        finish_tags[account] = start_tag + queued.prefill_seconds / self.weight(account)
-        self._drop_idle(queued.band)
+        self._bands[queued.band].charge(queued.ask.account_id, queued.prefill_seconds)
 
     def candidates(self, now: float) -> list[QueuedAsk]:
         """Returns the first request of each account and band, the one to serve first in front."""
+        first_by_band = [band.first_of_each_account() for band in self._bands]
         ranked = [
-            (-max(queue[0].waiting_ratio(now) for queue in queues.values()), band)
-            for band, queues in enumerate(self._queues)
-            if queues
-        ]
-        return [
-            queued for _, band in sorted(ranked) for queued in self._first_of_each_account(band)
+            (-max(queued.waiting_ratio(now) for queued in first), band)
+            for band, first in enumerate(first_by_band)
+            if first
         ]
+        return [queued for _, band in sorted(ranked) for queued in first_by_band[band]]
 
     def work_of(self, account_id: AccountId, band: int) -> float:
         """Returns the seconds of queued prefill of an account in one band."""
-        return self._work[band].get(account_id, 0.0)
+        return self._bands[band].work_of(account_id)
 
     def work_above(self, band: int) -> float:
         """Returns the seconds of queued prefill of all longer bands."""
-        return sum(sum(work.values()) for work in self._work[band + 1 :])
+        return sum(sum(queue.work_by_account().values()) for queue in self._bands[band + 1 :])
 
     def work_in(self, band: int) -> dict[AccountId, float]:
         """Returns the seconds of queued prefill of each account in one band."""
-        return dict(self._work[band])
-
-    def _first_of_each_account(self, band: int) -> list[QueuedAsk]:
-        finish_tags = self._finish_tags[band]
-        accounts = sorted(self._queues[band], key=lambda account: (finish_tags[account], account))
-        return [self._queues[band][account][0] for account in accounts]
-
-    def _drop_idle(self, band: int) -> None:
-        """Removes idle accounts whose next request would start at the virtual time anyway."""
-        finish_tags, virtual_time = self._finish_tags[band], self._virtual_times[band]
-        for account in [name for name, amount in finish_tags.items() if amount <= virtual_time]:
-            if account not in self._queues[band]:
-                del finish_tags[account]
+        return self._bands[band].work_by_account()
--- a/camphordrift/routing/_shedding.py
+++ b/camphordrift/routing/_shedding.py
@@ -4,7 +4,7 @@
 
 from camphordrift.results import Failure, ResultCode
 from camphordrift.routing._demand import DemandMeter
-from camphordrift.routing._fair_queue import FairQueue, QueuedAsk
+from camphordrift.routing._request_queue import QueuedAsk, RequestQueue
 
 #: The wait estimate assumes that a length band gets at least this share of the engines.
 MIN_BAND_SHARE = 0.05
@@ -19,7 +19,11 @@
 
 
 def predicted_wait(
-    queued: QueuedAsk, queue: FairQueue, granted_demand: DemandMeter, engine_count: int, now: float
+    queued: QueuedAsk,
+    queue: RequestQueue,
+    granted_demand: DemandMeter,
+    engine_count: int,
+    now: float,
 ) -> float:
     """Returns the estimated number of seconds that a request will be queued.
 
@@ -33,7 +37,7 @@
     return WAIT_SAFETY_FACTOR * work_ahead / service_rate
 
 
-def _work_ahead(queued: QueuedAsk, queue: FairQueue) -> float:
+def _work_ahead(queued: QueuedAsk, queue: RequestQueue) -> float:
     """Returns the seconds of prefill that fair queueing serves before the request in its band."""
     account = queued.ask.account_id
     own_work = queue.work_of(account, queued.band)
