Divide engines between client accounts while requests wait

Cause: waiting requests were ordered by urgency alone, so an account that sends most got most, and small accounts waited behind its backlog. Change: PlacementRequest names the account. While a backlog lasts, the places of a kind of request (same priority and target gap) go to its accounts by start-time fair queueing, charged in engine time. An account that was idle comes first. With one account, or without a backlog, the order is that of urgency. WaitingRequest has a module of its own.

--- a/camphordrift/experiments/placement_costs.py
+++ b/camphordrift/experiments/placement_costs.py
@@ -1,6 +1,6 @@
-"""Measures what the leader spends on one short request, by the number of engines.
+"""Measures what the leader spends on a short request, by the numbers of engines and accounts.
 
-Run with ``python -m camphordrift.experiments.placement_costs`` (``make bench``). Only the decisions
+Run with ``make bench`` or ``python -m camphordrift.experiments.placement_costs``. Only decisions
 are measured: submission, placement, first event and end; no sockets, messages or logs.
 """
 
@@ -29,6 +29,9 @@
 #: Numbers of engines measured by default.
 ENGINE_COUNTS = (23, 78, 195, 313, 1000)
 
+#: Numbers of client accounts measured with a backlog.
+ACCOUNT_COUNTS = (1, 24, 970)
+
 #: Share of the slots that are taken before the measurement, without waiting requests.
 _USED_SHARE = 0.75
 
@@ -47,21 +50,22 @@
     """Cost of one short request."""
 
     engines: int
+    accounts: int
     waiting: int
     microseconds: float
     #: Calls of functions, which do not depend on the speed of the machine.
     calls: float
 
 
-def measure(engines: int, backlog: bool) -> PlacementCost:
+def measure(engines: int, backlog: bool, accounts: int = 1) -> PlacementCost:
     """Returns the cost of a request on a pool that is three quarters full, or has a backlog."""
-    microseconds = _measure_pool(engines, backlog, _timed) * 1e6
-    calls = _measure_pool(engines, backlog, count_calls)
-    return PlacementCost(engines, _BACKLOG if backlog else 0, microseconds, calls)
+    microseconds = _measure_pool(engines, backlog, accounts, _timed) * 1e6
+    calls = _measure_pool(engines, backlog, accounts, count_calls)
+    return PlacementCost(engines, accounts, _BACKLOG if backlog else 0, microseconds, calls)
 
 
 def _measure_pool(
-    engines: int, backlog: bool, cost_of: Callable[[Callable[[], None]], float]
+    engines: int, backlog: bool, accounts: int, cost_of: Callable[[Callable[[], None]], float]
 ) -> float:
     pool = EnginePool(_COSTS)
     pool.set_servers([_server(number) for number in range(engines)])
@@ -70,14 +74,14 @@
     now = float(len(running))
     if backlog:
         for number in range(_BACKLOG):
-            pool.submit(_request(f"waiting-{number}"), now)
+            pool.submit(_request(f"waiting-{number}", number % accounts), now)
         pool.decide(now)
 
     def serve_requests() -> None:
         nonlocal now
         for number in range(_SAMPLES):
             now += _STEP
-            pool.submit(_request(f"new-{number}"), now)
+            pool.submit(_request(f"new-{number}", (_BACKLOG + number) % accounts), now)
             placed = [item.ask_id for item in pool.decide(now) if isinstance(item, Grant)]
             for ask_id in placed:
                 pool.record_first_event(ask_id, now + _STEP / 2)
@@ -129,7 +133,7 @@
     )
 
 
-def _request(request_id: str) -> PlacementRequest:
+def _request(request_id: str, account: int = 0) -> PlacementRequest:
     return PlacementRequest(
         id=request_id,
         service="model",
@@ -140,18 +144,20 @@
         pause=0.3,
         time_left=1e6,
         priority=1,
+        account=f"account-{account}",
     )
 
 
 def main() -> None:
     """Prints the costs as a table."""
     counts = tuple(int(argument) for argument in sys.argv[1:]) or ENGINE_COUNTS
-    print(f"{'engines':>8}{'waiting':>9}{'us a request':>14}{'calls a request':>17}")
-    for backlog in (False, True):
+    print(f"{'engines':>8}{'accounts':>9}{'waiting':>9}{'us a request':>14}{'calls a request':>17}")
+    for backlog, accounts in ((False, 1), *((True, count) for count in ACCOUNT_COUNTS)):
         for engines in counts:
-            cost = measure(engines, backlog)
+            cost = measure(engines, backlog, accounts)
             print(
-                f"{cost.engines:8}{cost.waiting:9}{cost.microseconds:14.0f}{cost.calls:17.0f}",
+                f"{cost.engines:8}{cost.accounts:9}{cost.waiting:9}{cost.microseconds:14.0f}"
+                f"{cost.calls:17.0f}",
                 flush=True,
             )
 
--- a/camphordrift/fair_queue/_fair_queue.py
+++ b/camphordrift/fair_queue/_fair_queue.py
@@ -1,12 +1,16 @@
 """A queue in which the account with the least service relative to its weight comes first."""
 
-from collections.abc import Hashable, Iterable, Iterator, Mapping
+import math
+from collections.abc import Collection, Hashable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any, Generic, Optional, Protocol, TypeVar
 
 #: Lower bound of weights, so that no account waits forever.
 MIN_WEIGHT = 0.01
 
+#: By how much the start tag of a favoured item is below all others.
+IDLE_ADVANTAGE = 1e-6
+
 
 class _Account(Hashable, Protocol):
     """An account's identifier; the order of identifiers decides between equal tags."""
@@ -36,9 +40,16 @@
     is the start tag of the item that was served last; an account that was idle starts there, so
     that it cannot save up service. An idle account takes up no memory once the virtual time has
     reached its finish tag.
+
+    Args:
+        favours_idle: Whether the next item of an account that was idle, and is not ahead of the
+            virtual time, comes before those of all accounts that have items. Otherwise it waits
+            until each of those has been served.
+
     """
 
-    def __init__(self) -> None:
+    def __init__(self, favours_idle: bool = False) -> None:
+        self._favours_idle = favours_idle
         self._entries: dict[KeyT, _Entry[AccountT, ItemT]] = {}
         #: Items in the order of arrival, by account; without accounts that have none.
         self._queues: dict[AccountT, dict[KeyT, ItemT]] = {}
@@ -55,7 +66,7 @@
         return iter([entry.item for entry in self._entries.values()])
 
     @property
-    def accounts(self) -> Iterable[AccountT]:
+    def accounts(self) -> Collection[AccountT]:
         """The accounts that have items."""
         return self._queues.keys()
 
@@ -83,8 +94,8 @@
 
         """
         if account not in self._queues:
+            self._finish_tags[account] = self._first_start_tag(account)
             self._queues[account] = {}
-            self._finish_tags[account] = self._start_tag(account)
         self._queues[account][key] = item
         self._work[account] = self._work.get(account, 0.0) + work
         self._entries[key] = _Entry(account, item, work)
@@ -121,15 +132,17 @@
                 between those of accounts with equal service.
 
         """
-        start_tags = self._finish_tags.copy()
-        ranked: list[tuple[float, int, ItemT]] = []
-        for position, key in enumerate(keys):
-            entry = self._entries[key]
-            start_tag = start_tags[entry.account]
-            ranked.append((start_tag, position, entry.item))
-            start_tags[entry.account] = start_tag + entry.work / self.weight(entry.account)
-        ranked.sort()
-        return [item for _, _, item in ranked]
+        # Hundreds of items are ordered again at each decision, so the loop calls no functions.
+        entries = [self._entries[key] for key in keys]
+        next_tags, weights = self._finish_tags.copy(), self._weights
+        start_tags = [0.0] * len(entries)
+        for position, entry in enumerate(entries):
+            account = entry.account
+            start_tags[position] = start_tag = next_tags[account]
+            weight = weights[account] if account in weights else 1.0  # noqa: SIM401
+            next_tags[account] = start_tag + entry.work / weight
+        order = sorted(range(len(entries)), key=start_tags.__getitem__)
+        return [entries[position].item for position in order]
 
     def work_of(self, account: AccountT) -> float:
         """Returns the sum of the work of an account's items."""
@@ -160,6 +173,13 @@
     def _start_tag(self, account: AccountT) -> float:
         return max(self._finish_tags.get(account, 0.0), self._virtual_time)
 
+    def _first_start_tag(self, account: AccountT) -> float:
+        """Returns the start tag of the next item of an account that is idle."""
+        if not self._favours_idle or account in self._finish_tags:
+            return self._start_tag(account)
+        lowest = min((self._finish_tags[name] for name in self._queues), default=math.inf)
+        return min(lowest, self._virtual_time) - IDLE_ADVANTAGE
+
     def _drop_idle(self) -> None:
         """Removes idle accounts whose next item would start at the virtual time anyway."""
         for account in [
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -281,6 +281,7 @@
             resumed=metadata.last_event_id is not None
             or (sink is not None and sink.last_event_id is not None),
             isolated=self._is_suspect(progress),
+            account="" if account is None else account.name,
         )
 
     async def _attempt(
--- a/camphordrift/relay/scheduling/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -4,10 +4,11 @@
 import itertools
 import math
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 from typing import Optional
 
 from camphordrift.relay.model import BackendServer, EngineCosts, EngineReport, ServerState
+from camphordrift.relay.scheduling._account_order import AccountOrder
 from camphordrift.relay.scheduling._engine_index import EngineIndex
 from camphordrift.relay.scheduling._engine_load import EngineLoad, EngineTask
 from camphordrift.relay.scheduling._engine_planner import (
@@ -31,13 +32,14 @@
     RequestLimits,
     total_wait,
 )
+from camphordrift.relay.scheduling._waiting_requests import (
+    WaitingRequest,
+    engine_seconds,
+    urgency,
+    waiting_request,
+)
 from camphordrift.relay.servers import ServerPause
 
-#: Requests that miss their target time to the first event are deferred in favour of those that can
-#: still meet it, but only during this share of the time from submission to deadline. The rest is
-#: left for serving the request before its deadline.
-DEFERRAL_SHARE = 0.5
-
 #: A first event is overdue, which suggests that the engine crashed, after the expected time times
 #: :data:`OVERDUE_FACTOR` plus :data:`OVERDUE_SLACK` seconds. Prompts that arrive later may delay a
 #: first event.
@@ -52,40 +54,6 @@
 DEFAULT_RETRY_AFTER = 1.0
 
 
-@dataclass
-class _WaitingRequest:
-    """A waiting request with values that each round needs, computed once."""
-
-    request: PlacementRequest
-    first_event_due_at: float
-    #: End of the time in which the request may be deferred in favour of others.
-    deferral_ends_at: float
-    deadline: float
-    #: Whether the engines together have enough memory.
-    can_ever_fit: bool = True
-    #: Seconds that the request needs if all engines are idle.
-    minimum_time: float = 0.0
-    #: Ends of the pauses of engines that want no requests from the request's VM, by engine id.
-    paused_until: dict[str, float] = field(default_factory=dict)
-    #: The request with the pausing engines as excluded ones, until the next pause ends.
-    _restricted: Optional[PlacementRequest] = None
-    _restricted_until: float = float("-inf")
-
-    def add_pause(self, server_id: str, until: float) -> None:
-        """Records the end of an engine's pause, unless a later one is known."""
-        self.paused_until[server_id] = max(until, self.paused_until.get(server_id, until))
-        self._restricted_until = float("-inf")
-
-    def at(self, now: float) -> PlacementRequest:
-        """Returns the request, with the engines that pause now as excluded ones."""
-        if self._restricted is None or now >= self._restricted_until:
-            paused = {name: until for name, until in self.paused_until.items() if until > now}
-            excluded = (*self.request.excluded, *sorted(paused))
-            self._restricted = replace(self.request, excluded=excluded)
-            self._restricted_until = min(paused.values(), default=float("inf"))
-        return self._restricted
-
-
 @dataclass
 class _PlacedRequest:
     request: PlacementRequest
@@ -119,7 +87,8 @@
         self._requests_ahead = 0
         #: Usable engines of the present round if all are limited, by the ids of excluded ones.
         self._limited_engines: dict[tuple[str, ...], list[EngineLoad]] = {}
-        self._waiting: dict[str, _WaitingRequest] = {}
+        self._waiting: dict[str, WaitingRequest] = {}
+        self._account_order = AccountOrder()
         self._placed: dict[str, _PlacedRequest] = {}
         #: Heap of the times at which placed requests are released without a report, and their ids;
         #: those of requests that have ended are removed when their time comes.
@@ -160,13 +129,9 @@
 
     def submit(self, request: PlacementRequest, now: float) -> None:
         """Queues a placement request; :meth:`decide` returns the decision on it."""
-        self._waiting[request.id] = waiting = _WaitingRequest(
-            request,
-            first_event_due_at=now + request.objective,
-            deferral_ends_at=now + request.time_left * DEFERRAL_SHARE,
-            deadline=now + request.time_left,
-        )
+        self._waiting[request.id] = waiting = waiting_request(request, now)
         self._set_needs(waiting)
+        self._account_order.add(waiting)
         for pause in request.server_pauses:
             self._add_pause(waiting, pause, now)
 
@@ -182,7 +147,7 @@
             now: The current time.
 
         """
-        self._waiting.pop(request.id, None)
+        self.withdraw(request.id)
         engines = tuple(
             engine
             for server in (grant.server, *grant.helpers)
@@ -200,7 +165,8 @@
 
     def withdraw(self, ask_id: str) -> None:
         """Removes a waiting request; unknown ids are ignored."""
-        self._waiting.pop(ask_id, None)
+        if (waiting := self._waiting.pop(ask_id, None)) is not None:
+            self._account_order.remove(waiting)
 
     def record_pause(self, ask_ids: Iterable[str], pause: ServerPause, now: float) -> None:
         """Records that an engine wants none of some waiting requests; ignores unknown ids."""
@@ -283,19 +249,22 @@
         placement_round = PlacementRound(self._index, self._costs, now)
         self._limited_engines.clear()
         self._requests_ahead = 0
-        by_urgency = sorted(self._waiting.values(), key=_urgency)
+        by_urgency = sorted(self._waiting.values(), key=urgency)
+        in_order = self._account_order.arrange(by_urgency, self._count_free_slots, now)
         decisions: list[PlacementDecision] = []
-        for _, group in itertools.groupby(by_urgency, key=lambda waiting: waiting.request.priority):
+        for _, group in itertools.groupby(in_order, key=lambda waiting: waiting.request.priority):
             decisions += self._decide_group(group, placement_round, now)
         for decision in decisions:
-            del self._waiting[decision.ask_id]
+            self.withdraw(decision.ask_id)
+        for waiting in self._waiting.values():
+            waiting.was_left = True
         return decisions
 
     def _decide_group(
-        self, group: Iterable[_WaitingRequest], placement_round: PlacementRound, now: float
+        self, group: Iterable[WaitingRequest], placement_round: PlacementRound, now: float
     ) -> Iterator[PlacementDecision]:
-        """Yields the decisions on requests of one priority, given in order of urgency."""
-        deferred: list[tuple[_WaitingRequest, PlacementRequest]] = []
+        """Yields the decisions on requests of one priority, given in the order to place them."""
+        deferred: list[tuple[WaitingRequest, PlacementRequest]] = []
         for waiting in group:
             request = waiting.at(now) if waiting.paused_until else waiting.request
             refusal = self._refusal_for(waiting, request, now)
@@ -329,10 +298,11 @@
                 yield self._place_in_round(placement_round, waiting, plan, now)
 
     def _place_in_round(
-        self, placement_round: PlacementRound, waiting: _WaitingRequest, plan: Plan, now: float
+        self, placement_round: PlacementRound, waiting: WaitingRequest, plan: Plan, now: float
     ) -> Grant:
         objective = waiting.first_event_due_at - now
         grant = self._add_placement(waiting.request, plan, objective, now)
+        self._account_order.record_placed(waiting)
         self._requests_ahead -= 1
         placement_round.record_placement(plan)
         return grant
@@ -345,7 +315,7 @@
             self.record_finished(ask_id, AttemptOutcome.SERVED, now)
 
     def _refusal_for(
-        self, waiting: _WaitingRequest, request: PlacementRequest, now: float
+        self, waiting: WaitingRequest, request: PlacementRequest, now: float
     ) -> Optional[PlacementRefusal]:
         """Returns a refusal of a waiting request that cannot be served; ``None`` otherwise."""
         if self._excludes_all_engines(request):
@@ -380,7 +350,7 @@
         return self._limited_engines[request.excluded]
 
     def _refusal_by_limits(
-        self, waiting: _WaitingRequest, limited: list[EngineLoad], now: float
+        self, waiting: WaitingRequest, limited: list[EngineLoad], now: float
     ) -> Optional[PlacementRefusal]:
         """Returns a refusal of a request that limited engines do not take before its deadline.
 
@@ -407,7 +377,7 @@
             for engine in engines
         )
 
-    def _retry_after(self, waiting: _WaitingRequest, now: float) -> float:
+    def _retry_after(self, waiting: WaitingRequest, now: float) -> float:
         """Returns after how many seconds an engine may accept a request that was refused."""
         pauses = [
             waiting.paused_until.get(engine.server.id, now) - now
@@ -417,7 +387,7 @@
         shortest = min(pauses, default=0.0)
         return shortest if shortest > 0 else DEFAULT_RETRY_AFTER
 
-    def _add_pause(self, waiting: _WaitingRequest, pause: ServerPause, now: float) -> None:
+    def _add_pause(self, waiting: WaitingRequest, pause: ServerPause, now: float) -> None:
         server_id, until = pause.start.server_id, now + pause.seconds
         engine = self._index.find(server_id)
         if engine is None or engine.server.started_ms <= pause.start.started_ms:
@@ -428,9 +398,10 @@
         for waiting in self._waiting.values():
             self._set_needs(waiting)
 
-    def _set_needs(self, waiting: _WaitingRequest) -> None:
+    def _set_needs(self, waiting: WaitingRequest) -> None:
         waiting.can_ever_fit = self._can_ever_fit(waiting.request)
         waiting.minimum_time = self._minimum_time(waiting.request)
+        waiting.engine_seconds = engine_seconds(waiting.request, self._costs)
 
     def _can_ever_fit(self, request: PlacementRequest) -> bool:
         engines = min(MAX_PARTS, len(self._index.engines))
@@ -447,6 +418,9 @@
         decode = self._costs.iteration_time(1, request.prompt_tokens) * iterations
         return self._costs.prefill_time(request.prompt_tokens) / parts + decode
 
+    def _count_free_slots(self) -> int:
+        return sum(engine.free_slots for engine in self._index.engines if engine.free_slots > 0)
+
     def _is_usable(self, server_id: str, now: float) -> bool:
         engine = self._index.find(server_id)
         return engine is not None and is_usable(engine, now)
@@ -497,10 +471,6 @@
                 yield engine
 
 
-def _urgency(waiting: _WaitingRequest) -> tuple[int, float]:
-    return waiting.request.priority, waiting.first_event_due_at
-
-
 def _record_outcome(engine: EngineLoad, outcome: AttemptOutcome, now: float) -> None:
     if outcome is AttemptOutcome.SERVED:
         engine.health.record_success()
--- a/camphordrift/relay/scheduling/_placement_values.py
+++ b/camphordrift/relay/scheduling/_placement_values.py
@@ -45,6 +45,8 @@
     isolated: bool = False
     #: Engines that want no requests from the VM for now.
     server_pauses: tuple[ServerPause, ...] = ()
+    #: Name of the client account; empty if there are none, or if the VM does not tell it.
+    account: str = ""
 
 
 @dataclass(frozen=True)
