Refuse requests at once that the backlog keeps from being served before their deadline

Cause: at sustained overload a request waited until its deadline before it was refused. Change: a new request of a client account that gets no engine at its arrival is refused (code 2014, not run) if the work before it, in the order between accounts, takes longer than 1.5 times its time. The rate is that of requests of its kind that ended in the last 10 s, or that of the placed ones if they last as long as those, whichever is higher. No refusal while a usable engine has a free slot, without an account, for a request that an engine may have worked on, with fewer than 10 ended requests, or in the first 10 s after a takeover. Retry-After is the time at which the account is expected to have room, another one for each caller.

--- a/camphordrift/relay/requests/_refusals.py
+++ b/camphordrift/relay/requests/_refusals.py
@@ -152,6 +152,7 @@
         RefusalReason.NO_ENGINE: ResultCode.NO_ENGINE_AVAILABLE,
         RefusalReason.LIMITED: ResultCode.NO_ENGINE_AVAILABLE,
         RefusalReason.TOO_LATE: ResultCode.DEADLINE_UNREACHABLE,
+        RefusalReason.BACKLOG: ResultCode.ACCOUNT_BACKLOG,
         RefusalReason.NEVER_FITS: ResultCode.PROMPT_NEVER_FITS,
     }[refusal.reason]
     return Failure(code, refusal.reason.value, refusal.retry_after)
--- a/camphordrift/relay/scheduling/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -9,6 +9,7 @@
 
 from camphordrift.relay.model import BackendServer, EngineCosts, EngineReport, ServerState
 from camphordrift.relay.scheduling._account_order import AccountOrder
+from camphordrift.relay.scheduling._backlog_admission import BacklogAdmission
 from camphordrift.relay.scheduling._engine_index import EngineIndex
 from camphordrift.relay.scheduling._engine_load import EngineLoad, EngineTask
 from camphordrift.relay.scheduling._engine_planner import (
@@ -58,6 +59,8 @@
 class _PlacedRequest:
     request: PlacementRequest
     engine_ids: tuple[str, ...]
+    placed_at: float
+    engine_seconds: float
     is_prefilled: bool = False
 
 
@@ -89,6 +92,7 @@
         self._limited_engines: dict[tuple[str, ...], list[EngineLoad]] = {}
         self._waiting: dict[str, WaitingRequest] = {}
         self._account_order = AccountOrder()
+        self._admission = BacklogAdmission(self._account_order)
         self._placed: dict[str, _PlacedRequest] = {}
         #: Heap of the times at which placed requests are released without a report, and their ids;
         #: those of requests that have ended are removed when their time comes.
@@ -216,6 +220,8 @@
         if placed is None:
             self.withdraw(ask_id)
             return False
+        duration = now - placed.placed_at
+        self._admission.record_ended(placed.request, placed.engine_seconds, duration, now)
         for engine in self._engines_of(placed):
             engine.remove(ask_id, now)
             self._index.update(engine)
@@ -237,6 +243,10 @@
         if engine is not None:
             engine.health.record_report(report, len(engine.tasks), now)
 
+    def restart_estimates(self, now: float) -> None:
+        """Forgets how fast requests were served, as this VM begins to decide for others."""
+        self._admission.restart_estimates(now)
+
     def decide(self, now: float) -> list[PlacementDecision]:
         """Returns decisions on all waiting requests that can be placed or must be refused now.
 
@@ -256,6 +266,9 @@
             decisions += self._decide_group(group, placement_round, now)
         for decision in decisions:
             self.withdraw(decision.ask_id)
+        for refusal in self._refuse_behind_backlog(now):
+            self.withdraw(refusal.ask_id)
+            decisions.append(refusal)
         for waiting in self._waiting.values():
             waiting.was_left = True
         return decisions
@@ -297,6 +310,17 @@
             if plan is not None:
                 yield self._place_in_round(placement_round, waiting, plan, now)
 
+    def _refuse_behind_backlog(self, now: float) -> Iterator[PlacementRefusal]:
+        """Yields refusals of new requests that cannot be served before their deadline."""
+        arrived = [waiting for waiting in self._waiting.values() if not waiting.was_left]
+        if not arrived or self._has_free_slots(now):
+            return
+        for waiting in arrived:
+            if not self._limited_engines_for(waiting.request) and (
+                refusal := self._admission.refusal(waiting, now)
+            ):
+                yield refusal
+
     def _place_in_round(
         self, placement_round: PlacementRound, waiting: WaitingRequest, plan: Plan, now: float
     ) -> Grant:
@@ -421,6 +445,9 @@
     def _count_free_slots(self) -> int:
         return sum(engine.free_slots for engine in self._index.engines if engine.free_slots > 0)
 
+    def _has_free_slots(self, now: float) -> bool:
+        return any(is_usable(engine, now) for engine in self._index.in_order_for_short_prompts())
+
     def _is_usable(self, server_id: str, now: float) -> bool:
         engine = self._index.find(server_id)
         return engine is not None and is_usable(engine, now)
@@ -446,7 +473,9 @@
             self._index.update(engine)
         servers = tuple(engine.server for engine in plan.engines)
         ids = tuple(server.id for server in servers)
-        self._placed[request.id] = _PlacedRequest(request, ids)
+        work = engine_seconds(request, self._costs)
+        self._placed[request.id] = _PlacedRequest(request, ids, now, work)
+        self._admission.record_placed(request, work, now)
         release_at = now + request.time_left + FINISH_REPORT_TIMEOUT
         heapq.heappush(self._release_times, (release_at, request.id))
         return Grant(
--- a/camphordrift/relay/scheduling/_engine_scheduler.py
+++ b/camphordrift/relay/scheduling/_engine_scheduler.py
@@ -165,7 +165,10 @@
 
     def suspend_decisions(self, seconds: float) -> None:
         """Suspends decisions for some seconds, until other VMs have reported their requests."""
-        self._suspended_until = self._clock() + seconds
+        now = self._clock()
+        self._suspended_until = now + seconds
+        for pool in self._pools.values():
+            pool.restart_estimates(now)
 
     def decide(self) -> None:
         """Makes and delivers all decisions that are possible now."""
--- a/camphordrift/relay/scheduling/_placement_values.py
+++ b/camphordrift/relay/scheduling/_placement_values.py
@@ -75,6 +75,8 @@
     NO_ENGINE = "no_engine"
     #: The deadline would pass even on idle engines.
     TOO_LATE = "too_late"
+    #: Requests that come first take up the engines until the deadline.
+    BACKLOG = "other requests take up the engines until the deadline"
     #: The prompt and the output need more KV memory than all allowed engines have.
     NEVER_FITS = "never_fits"
 
--- a/camphordrift/relay/tests/test_competing_accounts.py
+++ b/camphordrift/relay/tests/test_competing_accounts.py
@@ -1,10 +1,7 @@
 """Tests of the order between client accounts while more requests wait than can be placed."""
 
-import heapq
 import itertools
-from collections import Counter
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import msgspec
 import testtools
@@ -13,12 +10,15 @@
 
 from camphordrift.experiments.placement_costs import measure
 from camphordrift.relay.scheduling._engine_pool import EnginePool
-from camphordrift.relay.scheduling._placement_values import (
-    AttemptOutcome,
-    Grant,
-    PlacementDecision,
-    PlacementRefusal,
-    PlacementRequest,
+from camphordrift.relay.scheduling._placement_values import PlacementDecision, PlacementRequest
+from camphordrift.relay.tests.load_replay import (
+    CAPACITY,
+    ENGINES,
+    Replay,
+    arrivals_of,
+    many_accounts,
+    pool_of,
+    repeat_at_once,
 )
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
@@ -27,119 +27,6 @@
 )
 from camphordrift.relay.tests.samples import COSTS, ScriptedServer, placement_request, server
 
-#: Number of engines, and seconds for which a request occupies its slot on average.
-ENGINES, SERVICE_SECONDS = 4, 1.5
-
-#: Requests per second for which the engines have slots.
-CAPACITY = ENGINES * COSTS.slots / SERVICE_SECONDS
-
-#: Seconds between two steps of a replay.
-STEP = 0.01
-
-#: Called with a request that was refused, the refusal, and the time; returns when it comes back.
-Repeat = Callable[[PlacementRequest, PlacementRefusal, float], float | None]
-
-
-@dataclass
-class Replay:
-    """Submits requests to a pool at given times, and ends them after their service time."""
-
-    pool: EnginePool
-    arrivals: list[tuple[float, PlacementRequest]]
-    repeat: Repeat = lambda request, refusal, now: None
-    #: Requests that were placed, and refusals with the seconds since the arrival, by request id.
-    granted: dict[str, float] = field(default_factory=dict)
-    refused: dict[str, tuple[PlacementRefusal, float]] = field(default_factory=dict)
-    submitted: dict[str, tuple[float, PlacementRequest]] = field(default_factory=dict)
-
-    def run(self, until: float, start: float = 0.0) -> "Replay":
-        """Replays the load until a time."""
-        numbers = itertools.count()
-        queue = [(at, next(numbers), request) for at, request in self.arrivals if at >= start]
-        heapq.heapify(queue)
-        ends: list[tuple[float, str]] = []
-        for step in range(int(start / STEP), int(until / STEP)):
-            now = step * STEP
-            while queue and queue[0][0] <= now:
-                _, _, request = heapq.heappop(queue)
-                self.submitted[request.id] = (now, request)
-                self.pool.submit(request, now)
-                self._apply(self.pool.decide(now), now, ends, queue, numbers)
-            while ends and ends[0][0] <= now:
-                self.pool.record_finished(heapq.heappop(ends)[1], AttemptOutcome.SERVED, now)
-                self._apply(self.pool.decide(now), now, ends, queue, numbers)
-            self._apply(self.pool.decide(now), now, ends, queue, numbers)
-        return self
-
-    def _apply(
-        self,
-        decisions: Iterable[PlacementDecision],
-        now: float,
-        ends: list[tuple[float, str]],
-        queue: list[tuple[float, int, PlacementRequest]],
-        numbers: "itertools.count[int]",
-    ) -> None:
-        for decision in decisions:
-            arrived, request = self.submitted[decision.ask_id]
-            if isinstance(decision, Grant):
-                self.granted[request.id] = now
-                self.pool.record_first_event(request.id, now)
-                ends_at = now + decision.first_event + service_seconds(request)
-                heapq.heappush(ends, (ends_at, request.id))
-                continue
-            self.refused[request.id] = (decision, now - arrived)
-            returns_at = self.repeat(request, decision, now)
-            if returns_at is not None:
-                number = next(numbers)
-                again = replace(request, id=f"{request.id}+")
-                heapq.heappush(queue, (returns_at, number, again))
-
-    def served_shares(self) -> dict[str, float]:
-        """Returns which share of each account's callers was served, counting repeats once."""
-        callers = Counter(
-            request.account for _, request in self.submitted.values() if "+" not in request.id
-        )
-        served = Counter(self.submitted[name][1].account for name in self.granted)
-        return {account: served[account] / count for account, count in callers.items()}
-
-
-def pool_of(engines: int = ENGINES) -> EnginePool:
-    pool = EnginePool(COSTS)
-    pool.set_servers([server(number) for number in range(engines)])
-    return pool
-
-
-def arrivals_of(
-    account: str, rate: float, until: float, start: float = 0.0, prompt_tokens: int = 5000
-) -> list[tuple[float, PlacementRequest]]:
-    """Returns requests of an account that arrive evenly, shifted by a part of their distance."""
-    offset = (hash_of(account) % 97) / 97 / rate
-    times = (start + offset + number / rate for number in itertools.count())
-    return [
-        (at, placement_request(f"{account}-{start}-{number}", prompt_tokens, account=account))
-        for number, at in enumerate(itertools.takewhile(lambda at: at < until, times))
-    ]
-
-
-def service_seconds(request: PlacementRequest) -> float:
-    """Returns for how long a request decodes, between 0.4 and 1.6 times the mean."""
-    return SERVICE_SECONDS * (0.4 + 1.2 * (hash_of(request.id) % 101) / 100)
-
-
-def hash_of(text: str) -> int:
-    return sum(ord(letter) * 31**index for index, letter in enumerate(text))
-
-
-def many_accounts(
-    load: float, seconds: float, large_factor: float = 10.0
-) -> list[tuple[float, PlacementRequest]]:
-    """Returns requests of 24 accounts, the first of which sends ``large_factor`` times as many."""
-    rate = CAPACITY * load / (23 + large_factor)
-    arrivals = arrivals_of("large", rate * large_factor, seconds)
-    for number in range(23):
-        arrivals += arrivals_of(f"small-{number}", rate, seconds)
-    return arrivals
-
 
 class OrderWithoutCompetitionTest(testtools.TestCase):
     """The order of urgency holds unless accounts compete, for decisions alike in every detail."""
@@ -242,3 +129,56 @@
         waits = [replay.granted.get(request.id, 99.0) - at for at, request in rare]
         in_time = sum(wait <= rare[0][1].objective for wait in waits) / len(waits)
         self.assertTrue(in_time >= 0.8, f"{in_time:.3f} in time")
+
+
+class HotSubjectTest(testtools.TestCase):
+    """All callers of one account ask for the same subject at once, at three times the capacity."""
+
+    def test_other_accounts_lose_no_request(self) -> None:
+        others = [
+            arrival
+            for number in range(23)
+            for arrival in arrivals_of(f"small-{number}", CAPACITY * 0.7 / 23, 20.0)
+        ]
+        hot = arrivals_of("hot", CAPACITY * 3, 9.0, start=5.0)
+        shares = Replay(pool_of(), others + hot).run(32.0).served_shares()
+        smallest = min(share for account, share in shares.items() if account != "hot")
+        self.assertEqual(1.0, smallest, f"smallest {smallest:.3f}, hot {shares['hot']:.3f}")
+
+
+class LargestTenthTest(testtools.TestCase):
+    """A tenth of the requests of a kind has prompts that are several times as long."""
+
+    TOKENS = 23_800
+
+    def test_a_burst_of_long_prompts_of_one_account_pushes_no_others_out(self) -> None:
+        others = [
+            arrival
+            for number in range(23)
+            for arrival in arrivals_of(f"small-{number}", CAPACITY * 0.7 / 23, 20.0)
+        ]
+        burst = arrivals_of("small-0", 12.0, 9.0, start=5.0, prompt_tokens=self.TOKENS)
+        replay = Replay(pool_of(), others + burst).run(32.0)
+        self.assertEqual([], [request.id for _, request in others if request.id in replay.refused])
+
+    def test_the_largest_tenth_is_served_half_as_often_as_its_kind_at_least(self) -> None:
+        load = [
+            (at, replace(request, prompt_tokens=self.TOKENS) if number % 10 == 0 else request)
+            for number, (at, request) in enumerate(many_accounts(2.5, 30.0))
+        ]
+        replay = Replay(pool_of(), load).run(45.0)
+        largest = [request.id for _, request in load if request.prompt_tokens == self.TOKENS]
+        largest_share = sum(name in replay.granted for name in largest) / len(largest)
+        overall = len(replay.granted) / len(load)
+        message = f"largest {largest_share:.3f}, all {overall:.3f}"
+        self.assertTrue(largest_share >= overall / 2, message)
+
+
+class RepeatingCallersTest(testtools.TestCase):
+    """Callers of the large account repeat each refused request at once, up to three times."""
+
+    def test_the_smallest_account_is_served_at_least_as_often_as_the_largest(self) -> None:
+        replay = Replay(pool_of(), many_accounts(2.5, 30.0), repeat_at_once("large")).run(45.0)
+        shares = replay.served_shares()
+        smallest, largest = min(shares[name] for name in shares if name != "large"), shares["large"]
+        self.assertTrue(smallest >= largest, f"smallest {smallest:.3f}, largest {largest:.3f}")
--- a/camphordrift/results/_codes.py
+++ b/camphordrift/results/_codes.py
@@ -54,6 +54,7 @@
     DEADLINE_PASSED_IN_QUEUE = 2011
     MEMORY_NOT_AVAILABLE = 2012
     REQUEST_QUARANTINED = 2013
+    ACCOUNT_BACKLOG = 2014
 
     # 3000: backend servers.
     BACKEND_UNREACHABLE = 3000
@@ -194,6 +195,12 @@
         _NOT_RUN,
         "Servers crash on the request or on a part of its prompt; it is refused for a while.",
     ),
+    _meaning(
+        _C.ACCOUNT_BACKLOG,
+        503,
+        _NOT_RUN,
+        "Other requests, most of them of the same account, take up the engines until the deadline.",
+    ),
     _meaning(_C.BACKEND_UNREACHABLE, 502, _NOT_RUN, "No connection to a backend server succeeded."),
     _meaning(_C.BACKEND_REFUSED, 502, _FAILED, "The backend server responded with an error."),
     _meaning(
