Show operators how client accounts compete for engines

Cause: logs and metrics named no account when a backlog decided who was placed. Change: engine_granted and engine_refused have the account, its share of the service, the share it is entitled to, and the number of competing accounts where a backlog decided. relay_account_placements_total and relay_account_placement_seconds by account; beyond 32 accounts a VM counts the others together.

--- a/camphordrift/fair_queue/_fair_queue.py
+++ b/camphordrift/fair_queue/_fair_queue.py
@@ -83,6 +83,11 @@
         """Returns the weight of an account."""
         return self._weights.get(account, 1.0)
 
+    def weight_share(self, account: AccountT) -> float:
+        """Returns an account's part of the weights of all accounts that have items."""
+        extra = [weight - 1.0 for name, weight in self._weights.items() if name in self._queues]
+        return self.weight(account) / (len(self._queues) + sum(extra))
+
     def add(self, key: KeyT, account: AccountT, item: ItemT, work: float) -> None:
         """Appends an item to those of its account.
 
--- a/camphordrift/relay/requests/_relay_metrics.py
+++ b/camphordrift/relay/requests/_relay_metrics.py
@@ -11,6 +11,29 @@
     return next((name for bound, name in _LENGTH_BANDS if prompt_tokens <= bound), "over_300k")
 
 
+#: Maximum number of client accounts with a metric label of their own.
+MAX_ACCOUNT_LABELS = 32
+
+
+class AccountLabels:
+    """Metric labels of client accounts; those beyond a number share one label.
+
+    The accounts that are used first keep their labels, so that no time series changes its meaning.
+    """
+
+    def __init__(self) -> None:
+        self._labels: set[str] = set()
+
+    def label(self, account: str) -> str:
+        """Returns the label of an account; empty for requests without one."""
+        if not account or account in self._labels:
+            return account
+        if len(self._labels) >= MAX_ACCOUNT_LABELS:
+            return "other"
+        self._labels.add(account)
+        return account
+
+
 class RelayMetrics(InstrumentRegistry):
     """The relay's instruments, each a public attribute."""
 
@@ -42,6 +65,14 @@
         self.placement_seconds = self.seconds_histogram(
             "relay_placement_seconds", "Time until an engine was assigned, by prompt length."
         )
+        self.account_placements = self.counter(
+            "relay_account_placements",
+            "Decisions on requests of client accounts, by account, prompt length and outcome.",
+        )
+        self.account_placement_seconds = self.seconds_histogram(
+            "relay_account_placement_seconds", "Time until an engine was assigned, by account."
+        )
+        self.account_labels = AccountLabels()
         self.request_seconds = self.seconds_histogram(
             "relay_request_seconds", "Time from request to complete response, by route."
         )
--- a/camphordrift/relay/requests/_request_reports.py
+++ b/camphordrift/relay/requests/_request_reports.py
@@ -12,7 +12,7 @@
 from camphordrift.relay.requests._relay_metrics import RelayMetrics, length_band
 from camphordrift.relay.requests._request_progress import RequestProgress
 from camphordrift.relay.requests._routing_state import RoutingState
-from camphordrift.relay.scheduling import PlacementRequest
+from camphordrift.relay.scheduling import PlacementDecision, PlacementRefusal, PlacementRequest
 from camphordrift.results import Failure
 
 
@@ -98,10 +98,21 @@
         if longest_gap is not None:
             self._metrics.longest_gap_seconds.record(longest_gap, band=band)
 
-    def record_placed(self, placement_request: PlacementRequest, seconds: float) -> None:
+    def record_placed(
+        self, placement_request: PlacementRequest, decision: PlacementDecision, seconds: float
+    ) -> None:
         """Records the seconds until an engine was assigned or refused."""
         band = length_band(placement_request.prompt_tokens)
         self._metrics.placement_seconds.record(seconds, band=band)
+        if not placement_request.account:
+            return
+        account = self._metrics.account_labels.label(placement_request.account)
+        outcome = "placed"
+        if isinstance(decision, PlacementRefusal):
+            outcome = decision.reason.name.lower()
+        else:
+            self._metrics.account_placement_seconds.record(seconds, account=account)
+        self._metrics.account_placements.add(account=account, band=band, outcome=outcome)
 
     def record_refused(
         self,
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -188,7 +188,8 @@
         placement_request = self._build_placement_request(progress, running)
         requested_at = trio.current_time()
         decision = await self._dispatcher.request_placement(placement_request)
-        self._reports.record_placed(placement_request, trio.current_time() - requested_at)
+        elapsed = trio.current_time() - requested_at
+        self._reports.record_placed(placement_request, decision, elapsed)
         if isinstance(decision, PlacementRefusal):
             raise RequestRefusedError(failure_of_placement(decision, progress))
         result: Optional[AttemptResult] = None
--- a/camphordrift/relay/scheduling/_account_order.py
+++ b/camphordrift/relay/scheduling/_account_order.py
@@ -7,6 +7,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from camphordrift.fair_queue import FairQueue
 from camphordrift.relay.scheduling._waiting_requests import RequestKind, WaitingRequest, kind_of
@@ -20,6 +21,19 @@
 _Queue = FairQueue[str, str, WaitingRequest]
 
 
+@dataclass(frozen=True)
+class AccountShare:
+    """How a request's account stood in the backlog when the request was decided on."""
+
+    account: str
+    #: The account's share of the engine time that its kind of request got since requests wait.
+    served_share: float
+    #: The share to which its weight entitles it.
+    entitled_share: float
+    #: Number of accounts with waiting requests of the kind.
+    accounts: int
+
+
 class _Competition:
     """The accounts whose requests of one kind wait, until none waits any more."""
 
@@ -31,11 +45,6 @@
         #: Engine time in seconds of the requests that were placed, by account.
         self._served: dict[str, float] = {}
 
-    @property
-    def account_count(self) -> int:
-        """Number of accounts that have waiting requests."""
-        return len(self.queue.accounts)
-
     def add(self, waiting: WaitingRequest) -> None:
         request, engine_seconds = waiting.request, waiting.engine_seconds
         self.queue.add(request.id, request.account, waiting, engine_seconds)
@@ -67,6 +76,12 @@
 
     def __init__(self) -> None:
         self._competitions: dict[RequestKind, _Competition] = {}
+        self._is_contested = False
+
+    @property
+    def is_contested(self) -> bool:
+        """Whether accounts competed in the last round."""
+        return self._is_contested
 
     def add(self, waiting: WaitingRequest) -> None:
         """Adds a request that waits."""
@@ -102,8 +117,11 @@
             now: The current time.
 
         """
-        contested = {kind for kind, item in self._competitions.items() if item.account_count > 1}
-        if not contested or not _is_backlog(by_urgency, free_slots):
+        contested = {
+            kind for kind, item in self._competitions.items() if len(item.queue.accounts) > 1
+        }
+        self._is_contested = bool(contested) and _is_backlog(by_urgency, free_slots)
+        if not self._is_contested:
             return by_urgency
         places: defaultdict[tuple[RequestKind, bool], list[int]] = defaultdict(list)
         for position, waiting in enumerate(by_urgency):
@@ -119,14 +137,15 @@
                 in_order[position] = waiting
         return in_order
 
-    def account_count(self, waiting: WaitingRequest) -> int:
-        """Returns how many accounts have waiting requests of the same kind."""
-        return self._competitions[kind_of(waiting.request)].account_count
-
-    def served_share(self, waiting: WaitingRequest) -> float:
-        """Returns the account's share of the service of its kind since requests wait."""
-        competition = self._competitions[kind_of(waiting.request)]
-        return competition.served_share(waiting.request.account)
+    def share_of(self, waiting: WaitingRequest) -> AccountShare:
+        """Returns how the account of a waiting request stands."""
+        competition, account = self._competitions[kind_of(waiting.request)], waiting.request.account
+        return AccountShare(
+            account,
+            competition.served_share(account),
+            self.weight_share(waiting),
+            len(competition.queue.accounts),
+        )
 
     def work_before(self, waiting: WaitingRequest) -> float:
         """Returns the engine time in seconds that comes before the newest request of an account."""
@@ -135,7 +154,7 @@
     def weight_share(self, waiting: WaitingRequest) -> float:
         """Returns the share of the service to which the account of a request is entitled."""
         queue = self._competitions[kind_of(waiting.request)].queue
-        return queue.weight(waiting.request.account) / sum(map(queue.weight, queue.accounts))
+        return queue.weight_share(waiting.request.account)
 
 
 def _is_backlog(by_urgency: list[WaitingRequest], free_slots: Callable[[], int]) -> bool:
--- a/camphordrift/relay/scheduling/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -8,7 +8,7 @@
 from typing import Optional
 
 from camphordrift.relay.model import BackendServer, EngineCosts, EngineReport, ServerState
-from camphordrift.relay.scheduling._account_order import AccountOrder
+from camphordrift.relay.scheduling._account_order import AccountOrder, AccountShare
 from camphordrift.relay.scheduling._backlog_admission import BacklogAdmission
 from camphordrift.relay.scheduling._engine_index import EngineIndex
 from camphordrift.relay.scheduling._engine_load import EngineLoad, EngineTask
@@ -86,6 +86,8 @@
         self._limits = RequestLimits(lambda: 1.0) if limits is None else limits
         self._index = EngineIndex(tie_breaker)
         self._draining_count = 0
+        #: How accounts stood in the last round, by the ids of the requests that a backlog decided.
+        self._shares: dict[str, AccountShare] = {}
         #: Requests of the present round that come first, and that were not placed.
         self._requests_ahead = 0
         #: Usable engines of the present round if all are limited, by the ids of excluded ones.
@@ -108,6 +110,13 @@
         """Number of requests that are placed on engines."""
         return len(self._placed)
 
+    def share_of(self, ask_id: str) -> Optional[AccountShare]:
+        """Returns how accounts stood when a request was decided on in the last round.
+
+        ``None`` if no backlog decided.
+        """
+        return self._shares.get(ask_id)
+
     def set_costs(self, costs: EngineCosts) -> None:
         """Replaces the engines' costs by those of a new configuration."""
         if costs == self._costs:
@@ -254,6 +263,7 @@
         are already late. Otherwise every request would be served just after it became late.
         """
         self._release_unreported(now)
+        self._shares.clear()
         if not self._waiting:
             return []
         placement_round = PlacementRound(self._index, self._costs, now)
@@ -319,6 +329,7 @@
             if not self._limited_engines_for(waiting.request) and (
                 refusal := self._admission.refusal(waiting, now)
             ):
+                self._shares[refusal.ask_id] = self._account_order.share_of(waiting)
                 yield refusal
 
     def _place_in_round(
@@ -326,6 +337,8 @@
     ) -> Grant:
         objective = waiting.first_event_due_at - now
         grant = self._add_placement(waiting.request, plan, objective, now)
+        if self._account_order.is_contested:
+            self._shares[waiting.request.id] = self._account_order.share_of(waiting)
         self._account_order.record_placed(waiting)
         self._requests_ahead -= 1
         placement_round.record_placement(plan)
--- a/camphordrift/relay/scheduling/_engine_scheduler.py
+++ b/camphordrift/relay/scheduling/_engine_scheduler.py
@@ -1,7 +1,7 @@
 """Schedules requests on the engines of all model services, on behalf of one or more VMs."""
 
 from collections.abc import Callable, Iterable, Sequence
-from typing import Optional
+from typing import Any, Optional
 
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay.model import BackendServer, EngineReport, Service
@@ -199,6 +199,7 @@
                 expected=first_event,
                 placed=pool.placed_count,
                 waiting=pool.waiting_count,
+                **_share_fields(pool, ask_id),
             )
         case PlacementRefusal(ask_id, reason, retry_after, time_left, time_needed):
             log_event(
@@ -211,4 +212,18 @@
                 time_needed=time_needed,
                 placed=pool.placed_count,
                 waiting=pool.waiting_count,
+                **_share_fields(pool, ask_id),
             )
+
+
+def _share_fields(pool: EnginePool, ask_id: str) -> dict[str, Any]:
+    """Returns the log fields of a decision that depends on the order between accounts."""
+    share = pool.share_of(ask_id)
+    if share is None:
+        return {}
+    return {
+        "account": share.account,
+        "share": share.served_share,
+        "entitled": share.entitled_share,
+        "accounts": share.accounts,
+    }
