--- a/camphordrift/relay/requests/_refusals.py
+++ b/camphordrift/relay/requests/_refusals.py
@@ -165,6 +165,7 @@
         RefusalReason.NO_ENGINE: ResultCode.NO_ENGINE_AVAILABLE,
         RefusalReason.LIMITED: ResultCode.NO_ENGINE_AVAILABLE,
         RefusalReason.TOO_LATE: ResultCode.DEADLINE_UNREACHABLE,
+        RefusalReason.BACKLOG: ResultCode.ACCOUNT_BACKLOG,
         RefusalReason.NEVER_FITS: ResultCode.PROMPT_NEVER_FITS,
     }[refusal.reason]
     return Failure(code, _with_zones(refusal.reason.value, evacuated), refusal.retry_after)
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -192,7 +192,8 @@
         placement_request = self._build_placement_request(progress, running)
         requested_at = trio.current_time()
         decision = await self._dispatcher.request_placement(placement_request)
-        self._reports.record_placed(placement_request, trio.current_time() - requested_at)
+        elapsed = trio.current_time() - requested_at
+        self._reports.record_placed(placement_request, decision, elapsed)
         if isinstance(decision, PlacementRefusal):
             evacuated = self._routing_state.evacuated_zones(progress.service.name)
             raise RequestRefusedError(failure_of_placement(decision, progress, evacuated))
@@ -304,6 +305,7 @@
             or (sink is not None and sink.last_event_id is not None),
             isolated=self._is_suspect(progress),
             patience=_patience(progress, running),
+            account="" if account is None else account.name,
         )
 
     async def _attempt(
--- a/camphordrift/relay/scheduling/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -4,10 +4,12 @@
 import itertools
 import math
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 from typing import Optional
 
 from camphordrift.relay.model import BackendServer, EngineCosts, EngineReport, ServerState
+from camphordrift.relay.scheduling._account_order import AccountOrder, AccountShare
+from camphordrift.relay.scheduling._backlog_admission import BacklogAdmission
 from camphordrift.relay.scheduling._engine_index import EngineIndex
 from camphordrift.relay.scheduling._engine_load import EngineLoad, EngineTask
 from camphordrift.relay.scheduling._engine_planner import (
@@ -31,13 +33,14 @@
     RequestLimits,
     total_wait,
 )
+from camphordrift.relay.scheduling._waiting_requests import (
+    WaitingRequest,
+    engine_seconds,
+    urgency,
+    waiting_request,
+)
 from camphordrift.relay.servers import ServerPause
 
-#: Requests that miss their target time to the first event are deferred in favour of those that can
-#: still meet it, but only during this share of the time from submission to deadline. The rest is
-#: left for serving the request before its deadline.
-DEFERRAL_SHARE = 0.5
-
 #: A first event is overdue, which suggests that the engine crashed, after the expected time times
 #: :data:`OVERDUE_FACTOR` plus :data:`OVERDUE_SLACK` seconds. Prompts that arrive later may delay a
 #: first event.
@@ -52,48 +55,12 @@
 DEFAULT_RETRY_AFTER = 1.0
 
 
-@dataclass
-class _WaitingRequest:
-    """A waiting request with values that each round needs, computed once."""
-
-    request: PlacementRequest
-    first_event_due_at: float
-    #: End of the time in which the request may be deferred in favour of others.
-    deferral_ends_at: float
-    deadline: float
-    #: When the caller leaves unless it has got an event.
-    leaves_at: float
-    #: Whether the engines together have enough memory.
-    can_ever_fit: bool = True
-    #: Seconds that the request needs if all engines are idle.
-    minimum_time: float = 0.0
-    #: Seconds that it needs of these until its first event.
-    minimum_prefill: float = 0.0
-    #: Ends of the pauses of engines that want no requests from the request's VM, by engine id.
-    paused_until: dict[str, float] = field(default_factory=dict)
-    #: The request with the pausing engines as excluded ones, until the next pause ends.
-    _restricted: Optional[PlacementRequest] = None
-    _restricted_until: float = float("-inf")
-
-    def add_pause(self, server_id: str, until: float) -> None:
-        """Records the end of an engine's pause, unless a later one is known."""
-        self.paused_until[server_id] = max(until, self.paused_until.get(server_id, until))
-        self._restricted_until = float("-inf")
-
-    def at(self, now: float) -> PlacementRequest:
-        """Returns the request, with the engines that pause now as excluded ones."""
-        if self._restricted is None or now >= self._restricted_until:
-            paused = {name: until for name, until in self.paused_until.items() if until > now}
-            excluded = (*self.request.excluded, *sorted(paused))
-            self._restricted = replace(self.request, excluded=excluded)
-            self._restricted_until = min(paused.values(), default=float("inf"))
-        return self._restricted
-
-
 @dataclass
 class _PlacedRequest:
     request: PlacementRequest
     engine_ids: tuple[str, ...]
+    placed_at: float
+    engine_seconds: float
     is_prefilled: bool = False
 
 
@@ -119,11 +86,15 @@
         self._limits = RequestLimits(lambda: 1.0) if limits is None else limits
         self._index = EngineIndex(tie_breaker)
         self._draining_count = 0
+        #: How accounts stood in the last round, by the ids of the requests that a backlog decided.
+        self._shares: dict[str, AccountShare] = {}
         #: Requests of the present round that come first, and that were not placed.
         self._requests_ahead = 0
         #: Usable engines of the present round if all are limited, by the ids of excluded ones.
         self._limited_engines: dict[tuple[str, ...], list[EngineLoad]] = {}
-        self._waiting: dict[str, _WaitingRequest] = {}
+        self._waiting: dict[str, WaitingRequest] = {}
+        self._account_order = AccountOrder()
+        self._admission = BacklogAdmission(self._account_order)
         self._placed: dict[str, _PlacedRequest] = {}
         #: Heap of the times at which placed requests are released without a report, and their ids;
         #: those of requests that have ended are removed when their time comes.
@@ -139,6 +110,13 @@
         """Number of requests that are placed on engines."""
         return len(self._placed)
 
+    def share_of(self, ask_id: str) -> Optional[AccountShare]:
+        """Returns how accounts stood when a request was decided on in the last round.
+
+        ``None`` if no backlog decided.
+        """
+        return self._shares.get(ask_id)
+
     def set_costs(self, costs: EngineCosts) -> None:
         """Replaces the engines' costs by those of a new configuration."""
         if costs == self._costs:
@@ -164,14 +142,9 @@
 
     def submit(self, request: PlacementRequest, now: float) -> None:
         """Queues a placement request; :meth:`decide` returns the decision on it."""
-        self._waiting[request.id] = waiting = _WaitingRequest(
-            request,
-            first_event_due_at=now + request.objective,
-            deferral_ends_at=now + request.time_left * DEFERRAL_SHARE,
-            deadline=now + request.time_left,
-            leaves_at=now + request.patience,
-        )
+        self._waiting[request.id] = waiting = waiting_request(request, now)
         self._set_needs(waiting)
+        self._account_order.add(waiting)
         for pause in request.server_pauses:
             self._add_pause(waiting, pause, now)
 
@@ -187,7 +160,7 @@
             now: The current time.
 
         """
-        self._waiting.pop(request.id, None)
+        self.withdraw(request.id)
         engines = tuple(
             engine
             for server in (grant.server, *grant.helpers)
@@ -205,7 +178,8 @@
 
     def withdraw(self, ask_id: str) -> None:
         """Removes a waiting request; unknown ids are ignored."""
-        self._waiting.pop(ask_id, None)
+        if (waiting := self._waiting.pop(ask_id, None)) is not None:
+            self._account_order.remove(waiting)
 
     def record_pause(self, ask_ids: Iterable[str], pause: ServerPause, now: float) -> None:
         """Records that an engine wants none of some waiting requests; ignores unknown ids."""
@@ -255,6 +229,8 @@
         if placed is None:
             self.withdraw(ask_id)
             return False
+        duration = now - placed.placed_at
+        self._admission.record_ended(placed.request, placed.engine_seconds, duration, now)
         for engine in self._engines_of(placed):
             engine.remove(ask_id, now)
             self._index.update(engine)
@@ -276,6 +252,10 @@
         if engine is not None:
             engine.health.record_report(report, len(engine.tasks), now)
 
+    def restart_estimates(self, now: float) -> None:
+        """Forgets how fast requests were served, as this VM begins to decide for others."""
+        self._admission.restart_estimates(now)
+
     def decide(self, now: float) -> list[PlacementDecision]:
         """Returns decisions on all waiting requests that can be placed or must be refused now.
 
@@ -283,24 +263,31 @@
         are already late. Otherwise every request would be served just after it became late.
         """
         self._release_unreported(now)
+        self._shares.clear()
         if not self._waiting:
             return []
         placement_round = PlacementRound(self._index, self._costs, now)
         self._limited_engines.clear()
         self._requests_ahead = 0
-        by_urgency = sorted(self._waiting.values(), key=_urgency)
+        by_urgency = sorted(self._waiting.values(), key=urgency)
+        in_order = self._account_order.arrange(by_urgency, self._count_free_slots, now)
         decisions: list[PlacementDecision] = []
-        for _, group in itertools.groupby(by_urgency, key=lambda waiting: waiting.request.priority):
+        for _, group in itertools.groupby(in_order, key=lambda waiting: waiting.request.priority):
             decisions += self._decide_group(group, placement_round, now)
         for decision in decisions:
-            del self._waiting[decision.ask_id]
+            self.withdraw(decision.ask_id)
+        for refusal in self._refuse_behind_backlog(now):
+            self.withdraw(refusal.ask_id)
+            decisions.append(refusal)
+        for waiting in self._waiting.values():
+            waiting.was_left = True
         return decisions
 
     def _decide_group(
-        self, group: Iterable[_WaitingRequest], placement_round: PlacementRound, now: float
+        self, group: Iterable[WaitingRequest], placement_round: PlacementRound, now: float
     ) -> Iterator[PlacementDecision]:
-        """Yields the decisions on requests of one priority, given in order of urgency."""
-        deferred: list[tuple[_WaitingRequest, PlacementRequest]] = []
+        """Yields the decisions on requests of one priority, given in the order to place them."""
+        deferred: list[tuple[WaitingRequest, PlacementRequest]] = []
         for waiting in group:
             request = waiting.at(now) if waiting.paused_until else waiting.request
             refusal = self._refusal_for(waiting, request, now)
@@ -333,11 +320,26 @@
             if plan is not None:
                 yield self._place_in_round(placement_round, waiting, plan, now)
 
+    def _refuse_behind_backlog(self, now: float) -> Iterator[PlacementRefusal]:
+        """Yields refusals of new requests that cannot be served before their deadline."""
+        arrived = [waiting for waiting in self._waiting.values() if not waiting.was_left]
+        if not arrived or self._has_free_slots(now):
+            return
+        for waiting in arrived:
+            if not self._limited_engines_for(waiting.request) and (
+                refusal := self._admission.refusal(waiting, now)
+            ):
+                self._shares[refusal.ask_id] = self._account_order.share_of(waiting)
+                yield refusal
+
     def _place_in_round(
-        self, placement_round: PlacementRound, waiting: _WaitingRequest, plan: Plan, now: float
+        self, placement_round: PlacementRound, waiting: WaitingRequest, plan: Plan, now: float
     ) -> Grant:
         objective = waiting.first_event_due_at - now
         grant = self._add_placement(waiting.request, plan, objective, now)
+        if self._account_order.is_contested:
+            self._shares[waiting.request.id] = self._account_order.share_of(waiting)
+        self._account_order.record_placed(waiting)
         self._requests_ahead -= 1
         placement_round.record_placement(plan)
         return grant
@@ -350,7 +352,7 @@
             self.record_finished(ask_id, AttemptOutcome.SERVED, now)
 
     def _refusal_for(
-        self, waiting: _WaitingRequest, request: PlacementRequest, now: float
+        self, waiting: WaitingRequest, request: PlacementRequest, now: float
     ) -> Optional[PlacementRefusal]:
         """Returns a refusal of a waiting request that cannot be served; ``None`` otherwise."""
         if self._excludes_all_engines(request):
@@ -394,7 +396,7 @@
         return self._limited_engines[request.excluded]
 
     def _refusal_by_limits(
-        self, waiting: _WaitingRequest, limited: list[EngineLoad], now: float
+        self, waiting: WaitingRequest, limited: list[EngineLoad], now: float
     ) -> Optional[PlacementRefusal]:
         """Returns a refusal of a request that limited engines do not take before its deadline.
 
@@ -421,7 +423,7 @@
             for engine in engines
         )
 
-    def _retry_after(self, waiting: _WaitingRequest, now: float) -> float:
+    def _retry_after(self, waiting: WaitingRequest, now: float) -> float:
         """Returns after how many seconds an engine may accept a request that was refused."""
         pauses = [
             waiting.paused_until.get(engine.server.id, now) - now
@@ -431,7 +433,7 @@
         shortest = min(pauses, default=0.0)
         return shortest if shortest > 0 else DEFAULT_RETRY_AFTER
 
-    def _add_pause(self, waiting: _WaitingRequest, pause: ServerPause, now: float) -> None:
+    def _add_pause(self, waiting: WaitingRequest, pause: ServerPause, now: float) -> None:
         server_id, until = pause.start.server_id, now + pause.seconds
         engine = self._index.find(server_id)
         if engine is None or engine.server.started_ms <= pause.start.started_ms:
@@ -442,10 +444,11 @@
         for waiting in self._waiting.values():
             self._set_needs(waiting)
 
-    def _set_needs(self, waiting: _WaitingRequest) -> None:
+    def _set_needs(self, waiting: WaitingRequest) -> None:
         waiting.can_ever_fit = self._can_ever_fit(waiting.request)
         waiting.minimum_prefill = self._minimum_prefill(waiting.request)
         waiting.minimum_time = waiting.minimum_prefill + self._minimum_decode(waiting.request)
+        waiting.engine_seconds = engine_seconds(waiting.request, self._costs)
 
     def _can_ever_fit(self, request: PlacementRequest) -> bool:
         engines = min(MAX_PARTS, len(self._index.engines))
@@ -465,6 +468,12 @@
         iterations = math.ceil(answer_tokens / self._costs.decode_steps_per_iteration)
         return self._costs.iteration_time(1, request.prompt_tokens) * iterations
 
+    def _count_free_slots(self) -> int:
+        return sum(engine.free_slots for engine in self._index.engines if engine.free_slots > 0)
+
+    def _has_free_slots(self, now: float) -> bool:
+        return any(is_usable(engine, now) for engine in self._index.in_order_for_short_prompts())
+
     def _is_usable(self, server_id: str, now: float) -> bool:
         engine = self._index.find(server_id)
         return engine is not None and is_usable(engine, now)
@@ -490,7 +499,9 @@
             self._index.update(engine)
         servers = tuple(engine.server for engine in plan.engines)
         ids = tuple(server.id for server in servers)
-        self._placed[request.id] = _PlacedRequest(request, ids)
+        work = engine_seconds(request, self._costs)
+        self._placed[request.id] = _PlacedRequest(request, ids, now, work)
+        self._admission.record_placed(request, work, now)
         release_at = now + request.time_left + FINISH_REPORT_TIMEOUT
         heapq.heappush(self._release_times, (release_at, request.id))
         return Grant(
@@ -515,10 +526,6 @@
                 yield engine
 
 
-def _urgency(waiting: _WaitingRequest) -> tuple[int, float]:
-    return waiting.request.priority, waiting.first_event_due_at
-
-
 def _record_outcome(engine: EngineLoad, outcome: AttemptOutcome, now: float) -> None:
     if outcome is AttemptOutcome.SERVED:
         engine.health.record_success()
--- a/camphordrift/relay/scheduling/_placement_values.py
+++ b/camphordrift/relay/scheduling/_placement_values.py
@@ -46,6 +46,8 @@
     server_pauses: tuple[ServerPause, ...] = ()
     #: Time after which the caller leaves unless it has got an event; not more than is left.
     patience: float = float("inf")
+    #: Name of the client account; empty if there are none, or if the VM does not tell it.
+    account: str = ""
 
 
 @dataclass(frozen=True)
@@ -74,6 +76,8 @@
     NO_ENGINE = "no_engine"
     #: The deadline would pass, or the caller would leave, even on idle engines.
     TOO_LATE = "too_late"
+    #: Requests that come first take up the engines until the deadline.
+    BACKLOG = "other requests take up the engines until the deadline"
     #: The prompt and the output need more KV memory than all allowed engines have.
     NEVER_FITS = "never_fits"
 
