Read from the platform which servers are cold, and for how long

A service of the configuration may state for how long a server is cold after a start (ColdStartS) and how many requests per second it takes then (ColdPerS); entries (ColdLeftMs) and responses (Camphordrift-Cold-Ms) state the time left. The time left takes no part in the comparison of entries, as each heartbeat states another one, which would be a change that is sent to all VMs.

--- a/camphordrift/platform/_documents.py
+++ b/camphordrift/platform/_documents.py
@@ -77,6 +77,10 @@
     name: str
     max_conns: int = 100
     engine: Optional[_Engine] = None
+    #: Seconds for which a server is cold after it started during traffic.
+    cold_start_s: float = 0.0
+    #: Requests per second that a cold server takes from all VMs together; 0 without a bound.
+    cold_per_s: float = 0.0
 
 
 class _Limits(_Document, frozen=True):
@@ -116,6 +120,8 @@
     #: Start of the process in milliseconds since 1970. The only field of the platform that is not
     #: capitalized.
     born: int = msgspec.field(name="born", default=0)
+    #: Milliseconds for which the server was still cold when it wrote the entry.
+    cold_left_ms: Optional[float] = None
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -165,6 +171,9 @@
             slots=parsed.slots,
             state=_SERVER_STATES[parsed.state],
             started_ms=parsed.born,
+            cold_left=(
+                None if parsed.cold_left_ms is None else parsed.cold_left_ms / _MS_PER_SECOND
+            ),
         )
 
 
@@ -195,7 +204,13 @@
 
 def _convert_service(service: _Service) -> Service:
     costs = None if service.engine is None else _convert_costs(service.engine)
-    return Service(name=service.name, max_connections=service.max_conns, engine_costs=costs)
+    return Service(
+        name=service.name,
+        max_connections=service.max_conns,
+        engine_costs=costs,
+        cold_period=service.cold_start_s,
+        cold_request_rate=service.cold_per_s or None,
+    )
 
 
 def _convert_costs(engine: _Engine) -> EngineCosts:
--- a/camphordrift/platform/_headers.py
+++ b/camphordrift/platform/_headers.py
@@ -42,6 +42,8 @@
 _RETRY_AFTER = b"retry-after"
 #: Requests per second that a server takes from all VMs together, for as long as it says so.
 _REQUEST_LIMIT = b"server-limit"
+#: Milliseconds for which a server is still cold.
+_COLD_LEFT = b"camphordrift-cold-ms"
 
 #: A number without a sign, possibly with a fraction. For times, HTTP allows dates as well; they are
 #: not used.
@@ -92,6 +94,7 @@
     def response_metadata(self, headers: Headers) -> ResponseMetadata:
         """Parses the headers of a backend server's response."""
         values = dict(headers)
+        cold_left = _parse_decimal(_COLD_LEFT, values.get(_COLD_LEFT))
         return ResponseMetadata(
             attempt_id=_decode_text(values.get(_ATTEMPT)),
             signed=_SIGNATURE in values,
@@ -101,6 +104,7 @@
             leaving=values.get(_LEAVING) == b"1",
             retry_after=_parse_decimal(_RETRY_AFTER, values.get(_RETRY_AFTER)),
             request_limit=_parse_decimal(_REQUEST_LIMIT, values.get(_REQUEST_LIMIT)),
+            cold_left=None if cold_left is None else cold_left / 1000,
         )
 
     def outgoing_headers(
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -117,6 +117,54 @@
             self.assertRaises((ValueError, KeyError), PlatformDocuments().server, "i-1", entry)
 
 
+class ColdServersTest(testtools.TestCase):
+    def test_a_service_names_period_and_rate(self) -> None:
+        document = CONFIGURATION.replace(
+            b'"MaxConns":100', b'"MaxConns":100,"ColdStartS":6.5,"ColdPerS":4'
+        )
+        plain = PlatformDocuments().configuration(document).services["s2"]
+        self.assertEqual((6.5, 4.0), (plain.cold_period, plain.cold_request_rate))
+
+    def test_a_rate_of_zero_is_no_bound(self) -> None:
+        document = CONFIGURATION.replace(
+            b'"MaxConns":100', b'"MaxConns":100,"ColdStartS":6,"ColdPerS":0'
+        )
+        plain = PlatformDocuments().configuration(document).services["s2"]
+        self.assertEqual((6.0, None), (plain.cold_period, plain.cold_request_rate))
+
+    def test_a_service_need_not_mention_cold_servers(self) -> None:
+        for service in PlatformDocuments().configuration(CONFIGURATION).services.values():
+            self.assertEqual((0.0, None), (service.cold_period, service.cold_request_rate))
+            self.assertFalse(service.may_be_cold)
+
+    def test_an_entry_states_the_time_left(self) -> None:
+        entry = ServerEntryTest.ENTRY
+        for stated, seconds in (
+            (b'"ColdLeftMs":2500', 2.5),
+            (b'"ColdLeftMs":0', 0.0),
+            (b'"Other":1', None),
+        ):
+            document = entry.replace(b'"ColdLeftMs":0', stated)
+            self.assertEqual(seconds, PlatformDocuments().server("i-1", document).cold_left)
+
+    def test_the_time_left_does_not_distinguish_entries(self) -> None:
+        entry = ServerEntryTest.ENTRY
+        changed = entry.replace(b'"ColdLeftMs":0', b'"ColdLeftMs":9')
+        documents = PlatformDocuments()
+        self.assertEqual(documents.server("i-1", entry), documents.server("i-1", changed))
+
+    def test_a_response_states_the_time_left(self) -> None:
+        for value, seconds in ((b"2500", 2.5), (b"0", 0.0), (b"12.5", 0.0125)):
+            metadata = PlatformHeaders().response_metadata([(b"camphordrift-cold-ms", value)])
+            self.assertEqual(seconds, metadata.cold_left)
+
+    def test_a_malformed_or_missing_time_is_ignored(self) -> None:
+        for value in (b"", b"long", b"-1", b"nan"):
+            metadata = PlatformHeaders().response_metadata([(b"camphordrift-cold-ms", value)])
+            self.assertIsNone(metadata.cold_left)
+        self.assertIsNone(PlatformHeaders().response_metadata([]).cold_left)
+
+
 class HeadersTest(testtools.TestCase):
     RECEIVED = (
         (b"host", b"a.example"),
--- a/camphordrift/relay/model/_values.py
+++ b/camphordrift/relay/model/_values.py
@@ -117,6 +117,16 @@
     max_connections: int
     #: ``None`` for services whose servers are not model engines.
     engine_costs: Optional[EngineCosts]
+    #: Seconds for which a server is cold after it started during traffic; 0 if servers are never
+    #: cold.
+    cold_period: float = 0.0
+    #: Requests per second from all VMs together that a cold server takes; ``None`` without a bound.
+    cold_request_rate: Optional[float] = None
+
+    @property
+    def may_be_cold(self) -> bool:
+        """Whether the configuration says anything about cold servers."""
+        return self.cold_period > 0 or self.cold_request_rate is not None
 
 
 @dataclass(frozen=True)
@@ -167,6 +177,9 @@
     state: ServerState
     #: Start time in milliseconds since the epoch; distinguishes restarts of a server.
     started_ms: int = 0
+    #: Seconds for which the server is cold, at the time of reading the entry; ``None`` if it does
+    #: not say so. Each heartbeat states another value, which is no change of the entry.
+    cold_left: Optional[float] = field(default=None, compare=False)
 
     @property
     def address(self) -> str:
@@ -224,6 +237,8 @@
     retry_after: Optional[float] = None
     #: Requests per second that the server takes from all VMs together, if it states a limit.
     request_limit: Optional[float] = None
+    #: Seconds for which the server is still cold, if stated; 0 if it is not.
+    cold_left: Optional[float] = None
 
 
 @dataclass(frozen=True)
