Keep the bound on requests to cold servers, summed over all VMs

Cause: a server that starts during traffic, or whose zone returns, is slow for some seconds and crashes well above a rate that its service names. All VMs sent it as much as it had places for.

Change: a cold server has a limit in RequestLimits like a server that names one, with an end. ColdServers keeps what is known: entries, responses, later starts and other VMs (new message ServersCold with ages; the newest observation wins by the time at which it was made, entries only lengthen a period). A VM that starts to decide uses its share only after the time in which a former leader may still decide, with nothing saved up, and VMs with small shares send at different moments. Warm engines are preferred; a cold one stores no memory for others. Off unless the service names a rate or a period.

RequestLimits.rate() gets the time, so test_request_limits passes it in one call.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -134,7 +134,9 @@
         self._directory = ServerDirectory()
         self._notices = ServerNotices()
         self._lease = ConfigurationLease(settings.key_revocation_delay)
-        self._request_limits = RequestLimits(lambda: self._election.limit_share)
+        self._request_limits = RequestLimits(
+            lambda: self._election.limit_share, phase=lambda: self._election.limit_phase
+        )
         self._scheduler = EngineScheduler(settings.vm, trio.current_time, self._request_limits)
         self._dispatcher = Dispatcher(
             settings.vm,
@@ -171,6 +173,7 @@
             self._directory,
             self._servers_changed,
             lambda: self._configuration.store_reachable,
+            self._notice_distributor.record_entries,
         )
         self._crashes = CrashMonitor(settings.vm, trio.current_time, links)
         own_member = self._own_member()
@@ -347,6 +350,11 @@
             "Servers that named how many requests per second they take.",
             lambda: self._request_limits.limited_count,
         )
+        gauge(
+            "relay_cold_servers",
+            "Servers that are cold, and so slow and sensitive to load for some seconds.",
+            lambda: len(self._request_limits.cold.ids(trio.current_time())),
+        )
         gauge(
             "relay_lost_paths",
             "Servers that this VM reaches only through other VMs.",
@@ -403,7 +411,10 @@
     def _refresh_pools(self) -> None:
         table = self._configuration.table
         if table is not None:
-            self._scheduler.set_services(table.configuration.services.values())
+            services = table.configuration.services.values()
+            self._request_limits.cold.set_services(services)
+            self._notice_distributor.record_listed(self._directory.servers.values())
+            self._scheduler.set_services(services)
             self._scheduler.set_servers(self._notices.apply_to(self._directory.servers.values()))
 
     def _configuration_changed(self) -> None:
@@ -423,6 +434,7 @@
         while True:
             await trio.sleep(DECISION_INTERVAL)
             self._scheduler.decide()
+            self._notice_distributor.log_warm_servers()
             if trio.current_time() - last_check > IDLE_CONNECTION_CHECK_INTERVAL:
                 last_check = trio.current_time()
                 self._connections.close_expired()
--- a/camphordrift/relay/fleet/_follower_session.py
+++ b/camphordrift/relay/fleet/_follower_session.py
@@ -24,6 +24,7 @@
     Refused,
     Register,
     ServerPaused,
+    ServersCold,
     ServersLeaving,
     ServersLimited,
     StoreUnreachable,
@@ -97,6 +98,8 @@
                 self._notices.record_leaving(starts, "follower")
             case ServersLimited(limits):
                 self._notices.record_limits(limits, "follower")
+            case ServersCold(servers):
+                self._notices.record_cold(servers, "follower")
             case PermitRequest(number, service, server_ids, max_delay) if self.link is not None:
                 permit = self._scheduler.reserve(service, server_ids, max_delay)
                 self.link.send(PermitResponse(number, permit))
--- a/camphordrift/relay/fleet/_leader_election.py
+++ b/camphordrift/relay/fleet/_leader_election.py
@@ -29,6 +29,7 @@
     OpenTunnel,
     PathSharing,
     PeerLinks,
+    ServersCold,
     ServersLeaving,
     ServersLimited,
     StoreReachable,
@@ -155,6 +156,12 @@
             return 0.0
         return (1 + len(self._updates.follower_ids)) / self._count_vms()
 
+    @property
+    def limit_phase(self) -> float:
+        """Place of this VM among the known ones, from 0 to 1; see :class:`RequestLimits`."""
+        known = sorted({self._own_member.vm, *self._members, *self._last_seen})
+        return known.index(self._own_member.vm) / len(known)
+
     def _count_vms(self) -> int:
         """Returns the number of VMs that are or were recently connected, this one included.
 
@@ -385,6 +392,8 @@
                 self._notices.record_leaving(starts, self.leader)
             case ServersLimited(limits):
                 self._notices.record_limits(limits, self.leader)
+            case ServersCold(servers):
+                self._notices.record_cold(servers, self.leader)
             case _:
                 self._updates.handle_message(message, self._dispatcher.handle_message)
 
--- a/camphordrift/relay/peers/_notice_distribution.py
+++ b/camphordrift/relay/peers/_notice_distribution.py
@@ -6,8 +6,13 @@
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay.model import BackendServer, ResponseMetadata
 from camphordrift.relay.peers._peer_links import PeerLinks
-from camphordrift.relay.peers._peer_messages import Message, ServersLeaving, ServersLimited
-from camphordrift.relay.scheduling import RequestLimits, ServerLimit
+from camphordrift.relay.peers._peer_messages import (
+    Message,
+    ServersCold,
+    ServersLeaving,
+    ServersLimited,
+)
+from camphordrift.relay.scheduling import ColdServer, RequestLimits, ServerLimit
 from camphordrift.relay.servers import ServerNotices, ServerPause, ServerStart, start_of
 
 #: Status of a response in which another server than the intended one says that it is another one.
@@ -72,6 +77,8 @@
             self.record_leaving([start_of(server)], source)
         if status != WRONG_SERVER_STATUS:
             self._observe_limit(server, metadata.request_limit, sent_at, source)
+        if status != WRONG_SERVER_STATUS and metadata.cold_left is not None:
+            self._observe_cold(server, metadata.cold_left, sent_at, source)
         if metadata.retry_after and status == PAUSE_STATUS:
             self._record_pause(server, metadata.retry_after, source)
 
@@ -106,11 +113,64 @@
         """
         self._share_limits([x for x in limits if self._limits.merge(x, self._clock())], source)
 
+    def record_listed(self, servers: Iterable[BackendServer]) -> None:
+        """Records the starts of the listed servers; those during traffic make them cold."""
+        news = self._limits.cold.observe_listed(servers, self._clock())
+        self._share_cold(news, "start")
+
+    def record_entries(self, entries: Iterable[tuple[BackendServer, tuple[int, int]]]) -> None:
+        """Records entries that were read from the store, each with its era and offset."""
+        cold, now = self._limits.cold, self._clock()
+        news = [cold.observe_entry(server, position, now) for server, position in entries]
+        self._share_cold([item for item in news if item is not None], "directory")
+
+    def record_cold(self, servers: Iterable[ColdServer], source: str) -> None:
+        """Records cold servers that another VM knows.
+
+        Args:
+            servers: The servers.
+            source: Where they come from, for the log.
+
+        """
+        cold, now = self._limits.cold, self._clock()
+        self._share_cold([item for item in servers if cold.merge(item, now)], source)
+
+    def log_warm_servers(self) -> None:
+        """Logs the servers whose cold period has ended."""
+        for item in self._limits.cold.take_ended(self._clock()):
+            self._log_cold("server_warm", item, "time")
+
     def _known(self) -> Iterator[Message]:
         if self._notices.leaving:
             yield ServersLeaving(self._notices.leaving)
         if limits := self._limits.known(self._clock()):
             yield ServersLimited(limits)
+        if cold := self._limits.cold.known(self._clock()):
+            yield ServersCold(cold)
+
+    def _observe_cold(
+        self, server: BackendServer, left: float, sent_at: Optional[float], source: str
+    ) -> None:
+        news = self._limits.cold.observe_response(server, left, sent_at, self._clock())
+        if news is not None:
+            self._share_cold([news], source)
+
+    def _share_cold(self, news: list[ColdServer], source: str) -> None:
+        for item in news:
+            if item.left > 0:
+                self._log_cold("server_cold", item, source)
+        if news:
+            self._links.send(ServersCold(tuple(news)))
+
+    def _log_cold(self, event: str, item: ColdServer, source: str) -> None:
+        log_event(
+            event,
+            server=item.start.server_id,
+            rate=self._limits.cold.rate(item.service),
+            seconds=item.left,
+            source=source,
+            age=item.age,
+        )
 
     def _observe_limit(
         self, server: BackendServer, rate: Optional[float], sent_at: Optional[float], source: str
--- a/camphordrift/relay/peers/_peer_messages.py
+++ b/camphordrift/relay/peers/_peer_messages.py
@@ -16,6 +16,7 @@
 from camphordrift.relay.model import Address
 from camphordrift.relay.scheduling import (
     AttemptOutcome,
+    ColdServer,
     Grant,
     Permit,
     PlacementRefusal,
@@ -197,6 +198,12 @@
     limits: tuple[ServerLimit, ...]
 
 
+class ServersCold(msgspec.Struct, frozen=True, tag=True):
+    """Tells a VM of servers that are cold, or that became warm earlier than expected."""
+
+    servers: tuple[ColdServer, ...]
+
+
 class PermitRequest(msgspec.Struct, frozen=True, tag=True):
     """Asks the leader for permission to send a request to a limited server."""
 
@@ -351,6 +358,7 @@
     TunnelEnded,
     Ping,
     Pong,
+    ServersCold,
 ]
 
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -161,7 +161,8 @@
         """
         limits = self._routing_state.limits
         candidates = [s for s in usable if s.id not in progress.excluded_servers]
-        limited = [server for server in candidates if limits.is_limited(server)]
+        now = trio.current_time()
+        limited = [server for server in candidates if limits.has_limit(server, now)]
         if not limited:
             return usable
         unlimited = [server for server in candidates if server not in limited]
--- a/camphordrift/relay/requests/_server_calls.py
+++ b/camphordrift/relay/requests/_server_calls.py
@@ -57,8 +57,8 @@
         )
 
     def is_limited(self, server: BackendServer) -> bool:
-        """Returns whether a server named how many requests per second it takes."""
-        return self._limits.is_limited(server)
+        """Returns whether the requests to a server are limited, also because it is cold."""
+        return self._limits.has_limit(server, trio.current_time())
 
     def is_pausing(self, server: BackendServer) -> bool:
         """Returns whether a server wants nothing from this VM for now."""
@@ -96,7 +96,7 @@
             connection = await self._connections.acquire(server.host, server.port)
         except OSError as error:
             raise ServerUnreachableError(str(error)) from error
-        if self._limits.is_limited(server):
+        if self.is_limited(server):
             self._on_limited_request(server.id)
         response: Optional[SmallResponse] = None
         try:
--- a/camphordrift/relay/scheduling/__init__.py
+++ b/camphordrift/relay/scheduling/__init__.py
@@ -4,6 +4,7 @@
 :mod:`camphordrift.relay.model` and :mod:`camphordrift.relay.servers`.
 """
 
+from camphordrift.relay.scheduling._cold_servers import ColdServer, ColdServers
 from camphordrift.relay.scheduling._engine_scheduler import EngineScheduler
 from camphordrift.relay.scheduling._placement_values import (
     AttemptOutcome,
@@ -25,6 +26,8 @@
 
 __all__ = [
     "AttemptOutcome",
+    "ColdServer",
+    "ColdServers",
     "EngineScheduler",
     "Grant",
     "LIMITED_WAIT_SHARE",
--- a/camphordrift/relay/scheduling/_engine_index.py
+++ b/camphordrift/relay/scheduling/_engine_index.py
@@ -17,16 +17,18 @@
 #: not decide before their pending prefill does.
 LATENCY_FACTOR_STEP = 0.25
 
-#: Position of an engine: shortest target gap between events, negated number of decoding requests,
-#: latency factor in steps, end of the pending prefill, tie breaker, and the engine's id.
-_Position = tuple[float, int, int, float, int, str]
+#: Position of an engine: whether it is cold, shortest target gap between events, negated number of
+#: decoding requests, latency factor in steps, end of the pending prefill, tie breaker, and the
+#: engine's id.
+_Position = tuple[bool, float, int, int, float, int, str]
 
 
 class EngineIndex:
     """The engines of one service, by id and in order of preference.
 
     Engines that already decode responses with short target gaps come first, as the others can then
-    prefill large parts of long prompts; among these the ones with most decoding requests.
+    prefill large parts of long prompts; among these the ones with most decoding requests. Cold
+    engines come after all others.
 
     Args:
         tie_breaker: Determines the order of equally loaded engines. VMs use different ones, because
@@ -83,6 +85,7 @@
     def _position_of(self, engine: EngineLoad) -> _Position:
         gap_target, server_id = engine.min_gap_target, engine.server.id
         return (
+            engine.is_cold,
             float("inf") if gap_target is None else gap_target,
             -engine.decoding_requests,
             round(engine.latency_factor / LATENCY_FACTOR_STEP),
--- a/camphordrift/relay/scheduling/_engine_load.py
+++ b/camphordrift/relay/scheduling/_engine_load.py
@@ -71,6 +71,8 @@
         self._prefill_until = 0.0
         self._health = EngineHealth()
         self._latency_factor = 1.0
+        #: Whether warm engines are preferred to this one, as it is cold.
+        self.is_cold = False
 
     @property
     def tasks(self) -> dict[str, EngineTask]:
@@ -127,6 +129,10 @@
         """Whether the engine named how many requests per second it takes."""
         return self._limits.is_limited(self.server)
 
+    def has_limit(self, now: float) -> bool:
+        """Returns whether the engine has a limit, because it named one or because it is cold."""
+        return self._limits.has_limit(self.server, now)
+
     def limit_wait(self, now: float) -> float:
         """Returns the seconds until the engine's limit permits a request; 0 without a limit."""
         return self._limits.wait_time(self.server, now)
@@ -157,9 +163,9 @@
         """Returns the expected seconds of prefill work that the engine has not finished."""
         return max(0.0, self._prefill_until - now)
 
-    def add(self, ask_id: str, task: EngineTask, now: float) -> None:
-        """Adds a task that is placed on the engine at ``now``."""
-        self._limits.take(self.server, now)
+    def add(self, ask_id: str, task: EngineTask, now: float, is_running: bool = False) -> None:
+        """Adds a task that is placed on the engine at ``now``, or runs there already."""
+        self._limits.take(self.server, now, is_running)
         self._tasks[ask_id] = task
         self._totals = _totals_of(self._tasks.values())
         if task.is_prefilling:
--- a/camphordrift/relay/scheduling/_engine_planner.py
+++ b/camphordrift/relay/scheduling/_engine_planner.py
@@ -61,6 +61,10 @@
 #: the availability zone decides between them.
 CROSS_ZONE_SECONDS = 0.004
 
+#: Seconds of pending prefill for which a warm engine is still preferred to a cold one for a part of
+#: a long prompt. A cold engine is slower, and the slowest part decides when the first event comes.
+COLD_SECONDS = TARGET_PART_SECONDS
+
 #: Maximum number of equally loaded engines among which one in the request's zone is looked for.
 MAX_ZONE_CANDIDATES = 16
 
@@ -105,6 +109,9 @@
     prefilling_requests: int
     #: Whether other engines are preferred.
     is_suspect: bool
+    #: Whether the engine is cold. It stores no KV memory for other engines, as the orders that make
+    #: and renew a reservation count as requests.
+    is_cold: bool
 
     def expected_first_event_seconds(self, part_seconds: float) -> float:
         """Returns the expected time to the first event of a prompt that is prefilled here."""
@@ -210,6 +217,7 @@
             free_memory=engine.free_memory,
             prefilling_requests=engine.prefilling_requests,
             is_suspect=engine.is_suspect(self._now),
+            is_cold=engine.is_cold,
         )
 
     def _plan_short(
@@ -373,18 +381,18 @@
                 ),
                 None,
             )
-            if primary is not None and len(with_memory) >= count:
-                others = [snapshot for snapshot in with_memory if snapshot is not primary]
+            others = [item for item in with_memory if item is not primary and not item.is_cold]
+            if primary is not None and len(others) >= count - 1:
                 return (primary, *others[: count - 1])
         return None
 
 
-def is_usable(engine: EngineLoad, now: float) -> bool:
-    """Returns whether an engine may get new requests."""
+def is_usable(engine: EngineLoad, now: float, is_limit_kept: bool = True) -> bool:
+    """Returns whether an engine may get new requests, its limit of requests considered or not."""
     return (
         engine.server.state is ServerState.READY
         and not engine.health.is_backing_off(now)
-        and engine.limit_wait(now) == 0.0
+        and not (is_limit_kept and engine.limit_wait(now) > 0.0)
     )
 
 
@@ -404,6 +412,7 @@
     return (
         first.min_gap_target == second.min_gap_target
         and first.decoding_requests == second.decoding_requests
+        and first.is_cold == second.is_cold
         and abs(first.pending_prefill - second.pending_prefill) <= CROSS_ZONE_SECONDS
     )
 
@@ -417,9 +426,10 @@
     return Plan((snapshot.engine,), prefill, first_event_seconds, (memory,))
 
 
-def _rank_for_isolation(snapshot: _EngineSnapshot) -> tuple[bool, int, int]:
+def _rank_for_isolation(snapshot: _EngineSnapshot) -> tuple[bool, int, int, bool]:
     """Sort key for isolated prompts: healthy engines with the fewest requests first."""
-    return snapshot.is_suspect, snapshot.decoding_requests, snapshot.prefilling_requests
+    load = snapshot.decoding_requests, snapshot.prefilling_requests
+    return snapshot.is_suspect, *load, snapshot.is_cold
 
 
 def _plan_of(
@@ -446,4 +456,5 @@
     gap_target = snapshot.min_gap_target
     has_short_gaps = gap_target is not None and gap_target < request.pause
     others = snapshot.decoding_requests if request.isolated else 0
-    return others, has_short_gaps, snapshot.pending_prefill, snapshot.zone != request.zone
+    busy_seconds = snapshot.pending_prefill + (COLD_SECONDS if snapshot.is_cold else 0.0)
+    return others, has_short_gaps, busy_seconds, snapshot.zone != request.zone
--- a/camphordrift/relay/scheduling/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -114,6 +114,8 @@
         self._costs = costs
         self._limits = RequestLimits(lambda: 1.0) if limits is None else limits
         self._index = EngineIndex(tie_breaker)
+        #: Ids of the engines that counted as cold in the last round, and of cold ones elsewhere.
+        self._cold_ids: frozenset[str] = frozenset()
         self._draining_count = 0
         #: Requests of the present round that come first, and that were not placed.
         self._requests_ahead = 0
@@ -152,6 +154,7 @@
             load = self._index.find(server.id)
             if load is None or load.server.started_ms != server.started_ms:
                 load = EngineLoad(server, self._costs, self._limits)
+                load.is_cold = server.id in self._cold_ids
             load.server = server
             loads.append(load)
         self._draining_count = sum(load.server.state is ServerState.LEAVING for load in loads)
@@ -194,7 +197,7 @@
         primary_memory = required_memory(request) - sum(grant.helper_memory)
         memory = (primary_memory, *grant.helper_memory)[: len(engines)]
         plan = Plan(engines, part_seconds, grant.first_event, memory)
-        self._add_placement(request, plan, request.objective, now)
+        self._add_placement(request, plan, request.objective, now, is_running=not is_prefilling)
         if not is_prefilling:
             self.record_first_event(request.id, now)
 
@@ -280,6 +283,7 @@
         self._release_unreported(now)
         if not self._waiting:
             return []
+        self._update_cold_engines(now)
         placement_round = PlacementRound(self._index, self._costs, now)
         self._limited_engines.clear()
         self._requests_ahead = 0
@@ -291,6 +295,17 @@
             del self._waiting[decision.ask_id]
         return decisions
 
+    def _update_cold_engines(self, now: float) -> None:
+        """Moves engines to their places after they became cold or warm."""
+        cold_ids = self._limits.cold.ids(now)
+        if cold_ids is self._cold_ids:
+            return
+        for server_id in cold_ids ^ self._cold_ids:
+            if (engine := self._index.find(server_id)) is not None:
+                engine.is_cold = server_id in cold_ids
+                self._index.update(engine)
+        self._cold_ids = cold_ids
+
     def _decide_group(
         self, group: Iterable[_WaitingRequest], placement_round: PlacementRound, now: float
     ) -> Iterator[PlacementDecision]:
@@ -299,7 +314,7 @@
         for waiting in group:
             request = waiting.at(now) if waiting.paused_until else waiting.request
             refusal = self._refusal_for(waiting, request, now)
-            limited = self._limited_engines_for(request)
+            limited = self._limited_engines_for(request, now)
             if limited and (refusal is None or refusal.reason is RefusalReason.TOO_LATE):
                 refusal = self._refusal_by_limits(waiting, limited, now)
             if refusal is not None:
@@ -364,9 +379,9 @@
             )
         return None
 
-    def _limited_engines_for(self, request: PlacementRequest) -> list[EngineLoad]:
+    def _limited_engines_for(self, request: PlacementRequest, now: float) -> list[EngineLoad]:
         """Returns the engines that a request may use if all of them are limited; else nothing."""
-        if not self._limits.limited_count:
+        if not self._limits.may_limit(now):
             return []
         if request.excluded not in self._limited_engines:
             engines = [
@@ -375,7 +390,7 @@
                 if engine.server.state is ServerState.READY
                 and engine.server.id not in request.excluded
             ]
-            all_limited = all(engine.is_limited for engine in engines)
+            all_limited = all(engine.has_limit(now) for engine in engines)
             self._limited_engines[request.excluded] = engines if all_limited else []
         return self._limited_engines[request.excluded]
 
@@ -387,10 +402,13 @@
         Requests that are more urgent come first.
         """
         engines = [engine for engine in limited if not engine.health.is_backing_off(now)]
-        rates = [self._limits.rate(engine.server) for engine in engines]
+        rates = [self._limits.rate(engine.server, now) for engine in engines]
         # Placements of this round have been taken from the limits already.
         waits = [engine.limit_wait(now) for engine in engines]
         wait = total_wait(waits, rates, self._requests_ahead)
+        # Cold engines become warm by themselves.
+        ends = (self._limits.time_left(engine.server, now) for engine in engines)
+        wait = min(wait, min(ends, default=float("inf")))
         time_left = waiting.deadline - now - waiting.minimum_time
         if not engines or wait <= time_left * LIMITED_WAIT_SHARE:
             return None
@@ -449,10 +467,18 @@
 
     def _is_usable(self, server_id: str, now: float) -> bool:
         engine = self._index.find(server_id)
-        return engine is not None and is_usable(engine, now)
+        if engine is None:
+            return False
+        # A cold engine takes the request after a short time.
+        return is_usable(engine, now, is_limit_kept=not engine.is_cold or engine.is_limited)
 
     def _add_placement(
-        self, request: PlacementRequest, plan: Plan, objective: float, now: float
+        self,
+        request: PlacementRequest,
+        plan: Plan,
+        objective: float,
+        now: float,
+        is_running: bool = False,
     ) -> Grant:
         overdue_at = now + plan.expected_first_event_seconds * OVERDUE_FACTOR + OVERDUE_SLACK
         for index, engine in enumerate(plan.engines):
@@ -468,7 +494,7 @@
                 overdue_at=overdue_at,
                 first_event_due_at=now + objective,
             )
-            engine.add(request.id, task, now)
+            engine.add(request.id, task, now, is_running)
             self._index.update(engine)
         servers = tuple(engine.server for engine in plan.engines)
         ids = tuple(server.id for server in servers)
--- a/camphordrift/relay/scheduling/_engine_scheduler.py
+++ b/camphordrift/relay/scheduling/_engine_scheduler.py
@@ -169,6 +169,7 @@
 
     def decide(self) -> None:
         """Makes and delivers all decisions that are possible now."""
+        self.limits.observe_share(self._clock())
         for pool in self._pools.values():
             self._decide_for(pool)
 
--- a/camphordrift/relay/scheduling/_request_limits.py
+++ b/camphordrift/relay/scheduling/_request_limits.py
@@ -4,6 +4,10 @@
 permits for plain servers. VMs that cannot reach each other divide the limit: each deciding VM has
 the share of the VMs for which it decides. A server states its limit in its responses, and the limit
 holds until a response to a later request does not state it.
+
+A cold server has a limit as well if its service's configuration bounds the requests to cold
+servers. It ends by itself when the server is warm. As it must hold within any second, a VM that
+starts to decide uses its share only once the VM that decided before has noticed that.
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -11,6 +15,8 @@
 from typing import Optional
 
 from camphordrift.relay.model import BackendServer
+from camphordrift.relay.scheduling._cold_servers import ColdBound, ColdServers
+from camphordrift.relay.scheduling._settled_share import SettledShare
 from camphordrift.relay.servers import ServerStart, is_obsolete, start_of, unlisted_since
 
 #: Share of its time left within which limited servers must be expected to take a request; it is
@@ -67,6 +73,8 @@
     refilled_at: float
     #: Time since which the directory has not listed the server; ``None`` while it does.
     unlisted_since: Optional[float] = None
+    #: Time at which the limit of a cold server ends; ``None`` for limits that servers named.
+    warm_at: Optional[float] = None
 
 
 class RequestLimits:
@@ -76,12 +84,27 @@
 
     Args:
         share: Returns the share of each limit on which this VM decides; 0 if its leader decides.
+        cold: The cold servers; without it, there are none.
+        phase: Returns a number from 0 to 1 that differs between VMs. Those that start to decide at
+            the same moment, each on a small share, would otherwise all send their first request to
+            a cold server together.
 
     """
 
-    def __init__(self, share: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        share: Callable[[], float],
+        cold: Optional[ColdServers] = None,
+        phase: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._share = share
+        self._phase = phase
+        self._settled_share = SettledShare(share)
         self._limits: dict[str, _Limit] = {}
+        #: Limits of cold servers, by server.
+        self._cold_limits: dict[str, _Limit] = {}
+        #: The cold servers.
+        self.cold = ColdServers() if cold is None else cold
         #: Times until which refused callers were told to return, by service.
         self._promised_until: dict[str, float] = {}
 
@@ -138,29 +161,59 @@
         return is_change
 
     def is_limited(self, server: BackendServer) -> bool:
-        """Returns whether a server has a limit."""
+        """Returns whether a server named a limit."""
         return self._find(server) is not None
 
-    def rate(self, server: BackendServer) -> float:
+    def has_limit(self, server: BackendServer, now: float) -> bool:
+        """Returns whether a server has a limit, because it named one or because it is cold."""
+        return bool(self._limits_of(server, now))
+
+    def may_limit(self, now: float) -> bool:
+        """Returns whether any server may have a limit."""
+        return bool(self._limits) or bool(self.cold.ids(now))
+
+    def rate(self, server: BackendServer, now: float) -> float:
         """Returns the requests per second to a limited server on which this VM decides."""
-        limit = self._find(server)
-        return 0.0 if limit is None else _rate_of(limit) * self._share()
+        return min(map(_rate_of, self._limits_of(server, now)), default=0.0) * self._share()
+
+    def time_left(self, server: BackendServer, now: float) -> float:
+        """Returns the seconds until a server has no limit any more, as far as that is known."""
+        return max(
+            (
+                float("inf") if limit.warm_at is None else limit.warm_at - now
+                for limit in self._limits_of(server, now)
+            ),
+            default=0.0,
+        )
 
     def wait_time(self, server: BackendServer, now: float) -> float:
         """Returns the seconds until this VM may grant a request to a server; 0 without a limit."""
-        limit = self._find(server)
-        return 0.0 if limit is None else self._wait_time(limit, now)
+        limits = self._limits_of(server, now)
+        return max((self._wait_time(limit, now) for limit in limits), default=0.0)
 
-    def take(self, server: BackendServer, now: float) -> None:
-        """Counts a request that was granted, whether it was available or not."""
-        if (limit := self._find(server)) is not None:
-            self._take(limit, now)
+    def take(self, server: BackendServer, now: float, is_running: bool = False) -> None:
+        """Counts a request that was granted, whether it was available or not.
+
+        Args:
+            server: The server.
+            now: The current time.
+            is_running: Whether the server has responded already. The VM that decided before has
+                counted such a request to a cold server.
+
+        """
+        for limit in self._limits_of(server, now):
+            if limit.warm_at is None or not is_running:
+                self._take(limit, now)
 
     def take_by_id(self, server_id: str, now: float) -> None:
         """Counts a request that another VM has sent without a grant."""
-        if (limit := self._find_by_id(server_id)) is not None:
+        for limit in self._limits_by_id(server_id, now):
             self._take(limit, now)
 
+    def observe_share(self, now: float) -> None:
+        """Records this VM's present share; must be called regularly."""
+        self._settled_share.value(now)
+
     def reserve(
         self, service: str, server_ids: Sequence[str], max_delay: float, now: float
     ) -> Permit:
@@ -173,13 +226,16 @@
             now: The current time.
 
         """
-        waits = {key: self._wait_time_by_id(key, now) for key in server_ids}
+        limits = {key: self._limits_by_id(key, now) for key in server_ids}
+        waits = {
+            key: max((self._wait_time(limit, now) for limit in limits[key]), default=0.0)
+            for key in server_ids
+        }
         first = min(server_ids, key=waits.__getitem__)
         if waits[first] <= max_delay:
             self.take_by_id(first, now)
             return Permit(first, waits[first])
-        limits = [self._limits[key] for key in server_ids]
-        rate = sum(map(_rate_of, limits)) * self._share()
+        rate = sum(min(map(_rate_of, limits[key])) for key in server_ids) * self._share()
         return Permit(None, self._promise(service, rate, waits[first], now))
 
     def promise(self, servers: Sequence[BackendServer], wait: float, now: float) -> float:
@@ -193,15 +249,19 @@
             now: The current time.
 
         """
-        return self._promise(servers[0].service, sum(map(self.rate, servers)), wait, now)
+        rate = sum(self.rate(server, now) for server in servers)
+        return self._promise(servers[0].service, rate, wait, now)
 
     def forget_unlisted(self, listed: Mapping[str, BackendServer], now: float) -> None:
-        """Drops the limits of servers that have not been listed for some time."""
+        """Drops the limits of servers that are not listed for some time, and those that ended."""
         for server_id, limit in list(self._limits.items()):
             start = ServerStart(server_id, limit.started_ms)
             limit.unlisted_since = unlisted_since(start, listed, limit.unlisted_since, now)
             if is_obsolete(limit.unlisted_since, now):
                 del self._limits[server_id]
+        self.cold.forget_ended(now)
+        for server_id in self._cold_limits.keys() - self.cold.ids(now):
+            del self._cold_limits[server_id]
 
     def _record(
         self, start: ServerStart, rate: Optional[float], observed_at: float, now: float
@@ -227,30 +287,64 @@
         limit = self._limits.get(server_id)
         return None if limit is None or limit.rate is None else limit
 
+    def _limits_of(self, server: BackendServer, now: float) -> list[_Limit]:
+        """Returns the limits that hold for this start of a server."""
+        limits = self._limits_by_id(server.id, now)
+        return [limit for limit in limits if server.started_ms <= limit.started_ms]
+
+    def _limits_by_id(self, server_id: str, now: float) -> list[_Limit]:
+        """Returns the limits that hold for a server, whichever of its starts has them."""
+        limits = []
+        if (named := self._find_by_id(server_id)) is not None:
+            limits.append(named)
+        if (bound := self.cold.bound(server_id, now)) is not None:
+            limits.append(self._cold_limit(server_id, bound))
+        return limits
+
+    def _cold_limit(self, server_id: str, bound: ColdBound) -> _Limit:
+        """Returns the limit of a cold server; nothing was saved up when the server became cold."""
+        limit = self._cold_limits.get(server_id)
+        if limit is None or (limit.started_ms, limit.observed_at) != (
+            bound.started_ms,
+            bound.since,
+        ):
+            limit = _Limit(bound.started_ms, bound.rate, bound.since, self._phase(), bound.since)
+            self._cold_limits[server_id] = limit
+        limit.rate, limit.warm_at = bound.rate, bound.until
+        return limit
+
+    def _share_of(self, limit: _Limit, now: float) -> float:
+        return self._share() if limit.warm_at is None else self._settled_share.value(now)
+
     def _refill(self, limit: _Limit, now: float) -> None:
-        share = self._share()
+        share = self._share_of(limit, now)
         rate = _rate_of(limit) * share
         burst = max(1.0, rate * BURST_SECONDS)
-        added = rate * max(0.0, now - limit.refilled_at)
+        refilled_at = limit.refilled_at
+        if limit.warm_at is not None:
+            refilled_at = max(refilled_at, self._settled_share.risen_at)
+        tokens = limit.tokens + rate * max(0.0, now - refilled_at)
         # What was saved up is not kept while the leader decides: after its loss, all VMs have it.
-        limit.tokens = min(burst if share else 0.0, limit.tokens + added)
+        limit.tokens = min(burst if share else 0.0, tokens)
+        if limit.warm_at is not None and not share:
+            limit.tokens = self._phase()
+        elif limit.warm_at is not None and share < 1.0 and tokens >= 1.0 + rate * BURST_SECONDS:
+            # Many VMs with small shares would have a request each, which are too many in a second.
+            limit.tokens = min(burst, tokens % 1.0 + int(rate * BURST_SECONDS))
         limit.refilled_at = now
 
     def _take(self, limit: _Limit, now: float) -> None:
         self._refill(limit, now)
-        if self._share():
+        if self._share_of(limit, now):
             limit.tokens -= 1.0
 
     def _wait_time(self, limit: _Limit, now: float) -> float:
         self._refill(limit, now)
-        rate = _rate_of(limit) * self._share()
         if limit.tokens >= 1.0:
             return 0.0
-        return (1.0 - limit.tokens) / rate if rate else float("inf")
-
-    def _wait_time_by_id(self, server_id: str, now: float) -> float:
-        limit = self._find_by_id(server_id)
-        return 0.0 if limit is None else self._wait_time(limit, now)
+        rate = _rate_of(limit) * self._share_of(limit, now)
+        wait = (1.0 - limit.tokens) / rate if rate else float("inf")
+        return wait if limit.warm_at is None else min(wait, limit.warm_at - now)
 
     def _promise(self, service: str, rate: float, wait: float, now: float) -> float:
         if not rate:
--- a/camphordrift/relay/store/_servers_watcher.py
+++ b/camphordrift/relay/store/_servers_watcher.py
@@ -11,6 +11,7 @@
 
 from camphordrift.event_log import log_event
 from camphordrift.relay.model import (
+    BackendServer,
     Batch,
     DocumentFormat,
     KeyedLog,
@@ -30,12 +31,18 @@
 #: Age of the list of servers in seconds from which a follower reads the store itself.
 MAX_SERVERS_AGE = 1.5
 
+#: An entry that was read from the store, and the era and offset of its record.
+ReadEntry = tuple[BackendServer, tuple[int, int]]
+
 
 class ServersWatcher:
     """Reads changes of the backend servers from the store into the server directory.
 
     A VM with a leader gets the changes from it, and reads the store once itself after the leader
     was found, as it may have missed earlier changes.
+
+    Entries that this VM read itself and that state for how long their server is cold are passed to
+    ``on_entries``, also if they change nothing else.
     """
 
     def __init__(
@@ -47,7 +54,9 @@
         directory: ServerDirectory,
         on_change: Callable[[list[DirectoryChange]], None],
         store_reachable: Callable[[], bool],
+        on_entries: Callable[[list[ReadEntry]], None] = lambda entries: None,
     ) -> None:
+        self._on_entries = on_entries
         self._topic = TopicWatcher(log, eras, topics.servers)
         self._eras = eras
         self._documents = documents
@@ -143,17 +152,22 @@
 
     def _apply_batch(self, batch: Batch, is_snapshot: bool) -> list[DirectoryChange]:
         now = trio.current_time()
+        cold: list[ReadEntry] = []
         changes = [
             change
             for record in batch.records
-            if (change := self._apply_record(record, batch.era, now)) is not None
+            if (change := self._apply_record(record, batch.era, now, cold)) is not None
         ]
+        if cold:
+            self._on_entries(cold)
         if is_snapshot:
             keys = [record.key for record in batch.records]
             changes += self._directory.remove_all_except(keys, batch.next_offset, now, batch.era)
         return changes + self._directory.expire(now)
 
-    def _apply_record(self, record: KeyedRecord, era: int, now: float) -> Optional[DirectoryChange]:
+    def _apply_record(
+        self, record: KeyedRecord, era: int, now: float, cold: list[ReadEntry]
+    ) -> Optional[DirectoryChange]:
         if record.value is None:
             return self._directory.remove(record.key, record.offset, now, era)
         try:
@@ -161,6 +175,8 @@
         except (ValueError, KeyError) as error:
             log_event("server_entry_unreadable", server=record.key, reason=str(error))
             return None
+        if server.cold_left is not None:
+            cold.append((server, (era, record.offset)))
         return self._directory.put(server, record.offset, era)
 
 
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -278,6 +278,7 @@
             leaving=b"x-leaving" in found,
             retry_after=float(found[b"retry-after"]) if b"retry-after" in found else None,
             request_limit=float(found[b"x-limit"]) if b"x-limit" in found else None,
+            cold_left=float(found[b"x-cold"]) if b"x-cold" in found else None,
         )
 
     def outgoing_headers(
--- a/camphordrift/relay/tests/test_request_limits.py
+++ b/camphordrift/relay/tests/test_request_limits.py
@@ -127,7 +127,7 @@
         for limit in first.limits.known(11.0):
             self.assertTrue(second.limits.merge(limit, 11.0))
             self.assertFalse(second.limits.merge(limit, 11.0))
-        self.assertEqual(2.0, second.limits.rate(server(1)))
+        self.assertEqual(2.0, second.limits.rate(server(1), 11.0))
         ended = ServerLimit(start_of(server(1)), None, 0.0)
         self.assertTrue(second.limits.merge(ended, 12.0))
         # What the first VM knew before is older.
