Heed only the newest entry of each server that is read at once

Change: ServersWatcher passes on the last entry of each server, once a read has reached the end of the topic.

Measured: WatcherTest fails without the change and passes with it; test_cold_servers and, three times alone, test_cold_fleet pass. Once in a run with two workers at a load of 20 test_cold_fleet's test_plain_servers failed, with links between the VMs of the test timed out (home_lost); its assertion was not seen.

--- a/camphordrift/relay/store/_servers_watcher.py
+++ b/camphordrift/relay/store/_servers_watcher.py
@@ -57,6 +57,9 @@
         on_entries: Callable[[list[ReadEntry]], None] = lambda entries: None,
     ) -> None:
         self._on_entries = on_entries
+        #: Entries of the batches since the last complete one that state for how long their server
+        #: is cold; only the newest of each server counts, as earlier ones may be old.
+        self._cold_entries: dict[str, ReadEntry] = {}
         self._topic = TopicWatcher(log, eras, topics.servers)
         self._eras = eras
         self._documents = documents
@@ -152,22 +155,20 @@
 
     def _apply_batch(self, batch: Batch, is_snapshot: bool) -> list[DirectoryChange]:
         now = trio.current_time()
-        cold: list[ReadEntry] = []
         changes = [
             change
             for record in batch.records
-            if (change := self._apply_record(record, batch.era, now, cold)) is not None
+            if (change := self._apply_record(record, batch.era, now)) is not None
         ]
-        if cold:
-            self._on_entries(cold)
+        if batch.complete and self._cold_entries:
+            self._on_entries(list(self._cold_entries.values()))
+            self._cold_entries.clear()
         if is_snapshot:
             keys = [record.key for record in batch.records]
             changes += self._directory.remove_all_except(keys, batch.next_offset, now, batch.era)
         return changes + self._directory.expire(now)
 
-    def _apply_record(
-        self, record: KeyedRecord, era: int, now: float, cold: list[ReadEntry]
-    ) -> Optional[DirectoryChange]:
+    def _apply_record(self, record: KeyedRecord, era: int, now: float) -> Optional[DirectoryChange]:
         if record.value is None:
             return self._directory.remove(record.key, record.offset, now, era)
         try:
@@ -176,7 +177,7 @@
             log_event("server_entry_unreadable", server=record.key, reason=str(error))
             return None
         if server.cold_left is not None:
-            cold.append((server, (era, record.offset)))
+            self._cold_entries[server.id] = server, (era, record.offset)
         return self._directory.put(server, record.offset, era)
 
 
--- a/camphordrift/relay/tests/test_cold_servers.py
+++ b/camphordrift/relay/tests/test_cold_servers.py
@@ -4,8 +4,10 @@
 from typing import Optional
 
 import testtools
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
+from trio.testing import MockClock
 
 from camphordrift.relay.model import BackendServer, ResponseMetadata, Service
 from camphordrift.relay.peers._notice_distribution import NoticeDistributor
@@ -13,7 +15,8 @@
 from camphordrift.relay.peers._peer_messages import ServersCold
 from camphordrift.relay.scheduling import ColdServer, ColdServers, RequestLimits
 from camphordrift.relay.servers import ServerDirectory, ServerNotices, start_of
-from camphordrift.relay.tests.samples import COSTS, server
+from camphordrift.relay.store import EraCheckedLog, ServersWatcher, StoreEraTracker
+from camphordrift.relay.tests.samples import COSTS, TOPICS, InMemoryLog, SampleDocuments, server
 
 #: Seconds for which a server is cold after a start, and requests per second that it takes then.
 PERIOD = 6.0
@@ -75,6 +78,41 @@
         self.assertEqual(15.0, cold_until(cold, 12.0))
 
 
+class WatcherTest(testtools.TestCase):
+    def test_entries_that_were_replaced_while_the_vm_did_not_read_say_nothing(self) -> None:
+        """Guards against servers that count as cold long after the end of their period.
+
+        In the soak (seed 1 of server_cold, 2 servers, 30 callers), a follower read the store itself
+        again, as its leader was slow, and got all heartbeats since its last read. It told all VMs
+        that each server which had been cold then was cold now.
+        """
+        read: list[Optional[float]] = []
+
+        async def scenario() -> None:
+            log, documents, eras = InMemoryLog(latency=0.01), SampleDocuments(), StoreEraTracker()
+            watcher = ServersWatcher(
+                EraCheckedLog(log, eras),
+                eras,
+                TOPICS,
+                documents,
+                ServerDirectory(),
+                lambda changes: None,
+                lambda: True,
+                lambda entries: read.extend(item.cold_left for item, _ in entries),
+            )
+            log.put(TOPICS.servers, "engines-1", documents.write(entry(0.0)))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watcher.run)
+                await trio.sleep(0.35)
+                for left in (6.0, 5.0, 0.0):
+                    log.put(TOPICS.servers, "engines-1", documents.write(entry(left)))
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario, clock=MockClock(autojump_threshold=0))
+        self.assertEqual([0.0, 0.0], read)
+
+
 class StartTest(testtools.TestCase):
     def test_a_later_start_is_cold_before_it_says_so(self) -> None:
         cold = cold_servers()
