Let the soak make servers cold, and check the bound

Kinds server_cold and servers_cold: the server states in its entry and in its reports that it is cold for 6 to 8 s, and its service names one request per second. Three seconds later it must get no more than 1.5 times that plus 5 in any second, summed over all VMs.

--- a/camphordrift/platform/soak/_checks.py
+++ b/camphordrift/platform/soak/_checks.py
@@ -14,6 +14,7 @@
     timing_violations,
 )
 from camphordrift.platform.soak._server_checks import (
+    cold_violations,
     draining_violations,
     leaving_violations,
     limit_violations,
@@ -39,6 +40,7 @@
     violations += draining_violations(observations)
     violations += pause_violations(observations)
     violations += limit_violations(observations)
+    violations += cold_violations(observations)
     violations += late_configuration_violations(observations)
     violations += rollback_violations(observations)
     violations += unanswered_violations(observations)
--- a/camphordrift/platform/soak/_document_publisher.py
+++ b/camphordrift/platform/soak/_document_publisher.py
@@ -17,6 +17,10 @@
 #: Seconds after which the entry of a server expires that does not write it.
 EXPIRY_TIME = 3 * HEARTBEAT_INTERVAL
 
+#: Seconds for which a server is cold after it started in traffic, and requests per second that a
+#: cold server takes from all VMs together.
+COLD_PERIOD, COLD_RATE = 2.0, 1.0
+
 #: Routes of the soak: name, which is also the path, kind, timeout in milliseconds, service, and
 #: whether streams may be resumed.
 _ROUTES = (
@@ -46,7 +50,12 @@
 class DocumentPublisher:
     """Writes to the store what operators and backend servers write on the platform."""
 
-    def __init__(self, store: SoakStore, observations: Observations) -> None:
+    def __init__(
+        self, store: SoakStore, observations: Observations, mentions_cold_servers: bool = False
+    ) -> None:
+        self._cold_settings: dict[str, object] = {}
+        if mentions_cold_servers:
+            self._cold_settings = {"ColdStartS": COLD_PERIOD, "ColdPerS": COLD_RATE}
         self._store = store
         self._observations = observations
         self.keys = ApiKeys({"k1": "school", "k2": "club"})
@@ -58,6 +67,7 @@
         self._configuration_era = 0
         #: Entries of the servers that have not left, by id.
         self._entries: dict[str, dict[str, object]] = {}
+        self._servers: dict[str, SoakServer] = {}
 
     async def run_heartbeats(self) -> None:
         """Writes the entries of the servers again and again until cancelled."""
@@ -96,8 +106,15 @@
             "State": state,
             "born": server.born,
         }
+        self._servers[server.id] = server
         self._write_entry(server.id)
 
+    def make_cold(self, server: SoakServer, seconds: float) -> None:
+        """Makes a server cold, and writes its entry if it has not left."""
+        server.become_cold(seconds)
+        if server.id in self._entries:
+            self._write_entry(server.id)
+
     def remove_server(self, server_id: str) -> None:
         """Removes a server's entry."""
         self._entries.pop(server_id, None)
@@ -115,6 +132,7 @@
         if not self._store.is_up:
             return
         entry = self._entries[server_id]
+        entry["ColdLeftMs"] = round(self._servers[server_id].cold_left * 1000)
         self._store.put("keyed.servers", server_id, entry)
         if entry["State"] == "draining":
             self._observations.draining_at.setdefault(server_id, trio.current_time())
@@ -130,8 +148,12 @@
             "Routes": [_route(*route, self._limits) for route in _ROUTES],
             "Limits": {"IdleTimeoutMs": self._limits.idle_timeout_ms},
             "Services": [
-                {"Name": "engines", "Engine": {"Slots": 8, "KvCacheTokens": 300_000}},
-                {"Name": "office"},
+                {
+                    "Name": "engines",
+                    "Engine": {"Slots": 8, "KvCacheTokens": 300_000},
+                    **self._cold_settings,
+                },
+                {"Name": "office", **self._cold_settings},
             ],
             "Tenants": [{"Name": name, "ApiKeys": keys} for name, keys in accounts.items()],
         }
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -159,7 +159,14 @@
         with self._observations.record_span(self._observations.server_faults):
             async with trio.open_nursery() as nursery:
                 for server, _ in self._fleet.servers:
-                    nursery.start_soon(_disturb_server, server, action, seconds)
+                    nursery.start_soon(self._apply_server_fault, server, action, seconds)
+
+    async def _apply_server_fault(self, server: SoakServer, action: str, seconds: float) -> None:
+        if action == "cold":
+            self._publisher.make_cold(server, seconds)
+            await trio.sleep(seconds)
+        else:
+            await _disturb_server(server, action, seconds)
 
     async def _disturb_server(self, fault: Fault, action: str, background: trio.Nursery) -> None:
         server, proxy = self._fleet.servers[fault.target % len(self._fleet.servers)]
@@ -171,7 +178,7 @@
             with self._observations.record_span(self._observations.server_disruptions[server.name]):
                 await _apply_proxy_mode(proxy, action.removeprefix("way_"), fault.seconds)
         else:
-            await _disturb_server(server, action, fault.seconds)
+            await self._apply_server_fault(server, action, fault.seconds)
 
     async def _change_configuration(self, action: str) -> None:
         await self._store.wait_until_up()
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -33,6 +33,9 @@
     "key_change_unseen",
 )
 
+#: Servers that become cold again.
+COLD_KINDS = ("server_cold", "servers_cold")
+
 #: All kinds of faults.
 FAULT_KINDS = (
     *BASIC_KINDS,
@@ -54,6 +57,7 @@
     "path_reset",
     "path_refuse",
     "paths_hang",
+    *COLD_KINDS,
 )
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
@@ -72,6 +76,8 @@
     "store_restore": (1.0, 2.5),
     "server_limit": (8.0, 10.0),
     "servers_limit": (8.0, 10.0),
+    "server_cold": (6.0, 8.0),
+    "servers_cold": (6.0, 8.0),
 }
 
 #: Mean number of seconds between the starts of two faults. Most faults last longer than that, so
--- a/camphordrift/platform/soak/_records.py
+++ b/camphordrift/platform/soak/_records.py
@@ -87,6 +87,8 @@
     limit: Optional[float] = None
     #: Time at which the server began to name it.
     limited_since: float = float("inf")
+    #: Time at which the server became cold; ``None`` if it is warm.
+    cold_since: Optional[float] = None
 
 
 @dataclass(frozen=True)
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -10,7 +10,7 @@
 from camphordrift.platform.soak._crashing_callers import CrashingCallers
 from camphordrift.platform.soak._document_publisher import DocumentPublisher
 from camphordrift.platform.soak._fault_injection import FaultInjector
-from camphordrift.platform.soak._faults import FAULT_KINDS, draw_faults
+from camphordrift.platform.soak._faults import COLD_KINDS, FAULT_KINDS, draw_faults
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._proxy import Proxy, SilentAddress
 from camphordrift.platform.soak._server_fleet import SERVER_PORT, ServerFleet
@@ -75,7 +75,11 @@
             )
             proxy = Proxy(vm.host, SERVER_PORT, self._store.host, SERVER_PORT)
             self._vms.append((vm, proxy))
-        self._publisher = DocumentPublisher(self._store, self.observations)
+        self._publisher = DocumentPublisher(
+            self._store,
+            self.observations,
+            mentions_cold_servers=not set(COLD_KINDS).isdisjoint(settings.kinds),
+        )
         self._fleet = ServerFleet(settings.seed, network, self._publisher, self.observations)
         self._injector = FaultInjector(
             self._vms,
--- a/camphordrift/platform/soak/_server_checks.py
+++ b/camphordrift/platform/soak/_server_checks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from camphordrift.platform.soak._document_publisher import COLD_RATE
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._records import (
     SCHEDULING_SLACK,
@@ -24,6 +25,10 @@
 #: slack, in any window of seconds (LIMIT).
 LIMIT_FACTOR, LIMIT_WINDOW, LIMIT_SLACK = 1.5, 4.0, 5
 
+#: A cold server gets at most its service's rate times the factor, plus the slack, in any second
+#: (ColdOverage, ColdSlack; FAILBACK).
+COLD_FACTOR, COLD_SLACK = 1.5, 5
+
 
 def leaving_violations(observations: Observations) -> Iterator[str]:
     """Yields requests that a VM sent to a server after forwarding a response that says it leaves.
@@ -127,6 +132,32 @@
             )
 
 
+def cold_violations(observations: Observations) -> Iterator[str]:
+    """Yields cold servers that got more requests in a second than all VMs together may send."""
+    arrivals: dict[tuple[str, float], list[Arrival]] = {}
+    for arrival in observations.arrivals:
+        since = arrival.cold_since
+        if since is not None and _must_know_cold(arrival, since, observations):
+            arrivals.setdefault((arrival.server, since), []).append(arrival)
+    allowed = COLD_FACTOR * COLD_RATE + COLD_SLACK
+    for (server, _), cold in arrivals.items():
+        count = max(sum(first.at <= item.at < first.at + 1.0 for item in cold) for first in cold)
+        if count > allowed:
+            yield f"{server} got {count} requests in 1 s while it was cold; allowed {allowed:g}"
+
+
+def _must_know_cold(arrival: Arrival, since: float, observations: Observations) -> bool:
+    request = observations.requests.get(arrival.request_id)
+    known_at = since + DRAIN_DELAY + SCHEDULING_SLACK
+    return (
+        request is not None
+        and arrival.at >= known_at
+        and observations.is_in_touch_throughout(request.vm, since, known_at)
+        and not overlaps(observations.vm_disruptions[request.vm], since, arrival.at)
+        and not overlaps(observations.disruptions_of(arrival.server), since, arrival.at)
+    )
+
+
 def _must_keep_limit(arrival: Arrival, observations: Observations) -> bool:
     request = observations.requests.get(arrival.request_id)
     return (
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -56,8 +56,20 @@
         self._limit: Optional[float] = None
         self._limited_since = float("inf")
         self._silent_until = float("-inf")
+        self._cold_since = self._cold_until = float("-inf")
         self._observations = observations
 
+    @property
+    def cold_left(self) -> float:
+        """Seconds for which the server is still cold."""
+        return max(0.0, self._cold_until - trio.current_time())
+
+    def become_cold(self, seconds: float) -> None:
+        """Makes the server cold for some seconds, unless it is."""
+        if not self.cold_left:
+            self._cold_since = trio.current_time()
+            self._cold_until = self._cold_since + seconds
+
     def fall_silent(self, seconds: float) -> None:
         """Delays everything that the server sends until ``seconds`` have passed.
 
@@ -125,7 +137,12 @@
         now = trio.current_time()
         request_id = request.headers.get("camphordrift-attempt-id", "")
         arrival = Arrival(
-            request_id, self.id, now, limit=self._limit, limited_since=self._limited_since
+            request_id,
+            self.id,
+            now,
+            limit=self._limit,
+            limited_since=self._limited_since,
+            cold_since=self._cold_since if self.cold_left else None,
         )
         self._observations.arrivals.append(arrival)
         if now < self._pause_ends_at:
@@ -143,7 +160,11 @@
         content = msgspec.json.encode({"Running": len(self._running), "Queued": 0})
         head = format_head(
             "200 OK",
-            {"content-type": "application/json", **self._notices()},
+            {
+                "content-type": "application/json",
+                "camphordrift-cold-ms": f"{self.cold_left * 1000:.0f}",
+                **self._notices(),
+            },
             Framing.LENGTH,
             len(content),
         )
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -74,6 +74,10 @@
         kinds = ("server_limit", "servers_limit")
         self.check_report(run_short_soak(kinds, seconds=1.5, callers=18))
 
+    def test_servers_that_become_cold_get_no_more_than_their_rate(self) -> None:
+        kinds = ("server_cold", "servers_cold")
+        self.check_report(run_short_soak(kinds, seconds=1.5, callers=18))
+
     def test_versions_in_quick_succession_are_in_force_in_time(self) -> None:
         kinds = ("configuration_storm", "server_replace")
         self.check_report(run_short_soak(kinds, seconds=3.0, recovery_seconds=4.0))
--- a/camphordrift/platform/soak/tests/test_server_checks.py
+++ b/camphordrift/platform/soak/tests/test_server_checks.py
@@ -63,6 +63,34 @@
         self.assertEqual([], self.violations(20, 13.0, "vm-9"))
 
 
+class ColdTest(testtools.TestCase):
+    def violations(self, count: int, first_at: float, vm: str = "vm-0") -> list[str]:
+        """A server is cold from 10 s on, at one request per second, which allows 6 in 1 s."""
+        observations = Observations()
+        observations.vm_disruptions["vm-9"].append((12.0, 12.1))
+        observations.store_link_disruptions["vm-8"].append((10.5, 11.0))
+        for number in range(count):
+            at = first_at + number * 0.1
+            request = replace(
+                REQUEST, id=f"r{number}", vm=vm, sent_at=at, head_at=at, ended_at=at, status=503
+            )
+            observations.requests[request.id] = replace(request, signature=None, body=b"")
+            observations.arrivals.append(Arrival(request.id, "office-1", at, cold_since=10.0))
+        return find_violations(observations, 30.0)
+
+    def test_reports_requests_beyond_the_bound(self) -> None:
+        (line,) = self.violations(7, 13.1)
+        self.assertIn("got 7 requests in 1 s while it was cold; allowed 6.5", line)
+
+    def test_requests_may_arrive_within_the_bound_or_before_it_is_known(self) -> None:
+        self.assertEqual([], self.violations(6, 13.1))
+        self.assertEqual([], self.violations(20, 10.1))
+
+    def test_requests_of_a_vm_that_may_not_know_do_not_count(self) -> None:
+        self.assertEqual([], self.violations(9, 13.1, "vm-9"))
+        self.assertEqual([], self.violations(9, 13.1, "vm-8"))
+
+
 class DrainingServerTest(testtools.TestCase):
     def violations(self, sent_at: float, vm: str = "vm-0", server: str = "office-1") -> list[str]:
         request = replace(REQUEST, vm=vm, sent_at=sent_at, head_at=sent_at, ended_at=sent_at)
