--- a/camphordrift/relay/fleet/_follower_session.py
+++ b/camphordrift/relay/fleet/_follower_session.py
@@ -25,6 +25,7 @@
     Refused,
     Register,
     ServerPaused,
+    ServersCold,
     ServersLeaving,
     ServersLimited,
     StoreUnreachable,
@@ -104,6 +105,8 @@
                 self._notices.record_limits(limits, "follower")
             case ZonesStated(statements):
                 self._evacuations.handle(statements, "follower", self.link)
+            case ServersCold(servers):
+                self._notices.record_cold(servers, "follower")
             case PermitRequest(number, service, server_ids, max_delay) if self.link is not None:
                 permit = self._scheduler.reserve(service, server_ids, max_delay)
                 self.link.send(PermitResponse(number, permit))
--- a/camphordrift/relay/peers/_peer_messages.py
+++ b/camphordrift/relay/peers/_peer_messages.py
@@ -27,6 +27,7 @@
 )
 from camphordrift.relay.scheduling import (
     AttemptOutcome,
+    ColdServer,
     Grant,
     Permit,
     PlacementRefusal,
@@ -235,6 +236,12 @@
     statements: tuple[ZoneStatement, ...]
 
 
+class ServersCold(msgspec.Struct, frozen=True, tag=True):
+    """Tells a VM of servers that are cold, or that became warm earlier than expected."""
+
+    servers: tuple[ColdServer, ...]
+
+
 class PermitRequest(msgspec.Struct, frozen=True, tag=True):
     """Asks the leader for permission to send a request to a limited server."""
 
@@ -397,6 +404,7 @@
     Ping,
     Pong,
     ZonesStated,
+    ServersCold,
 ]
 
 _KINDS = kinds_in(Message)
--- a/camphordrift/relay/requests/_server_calls.py
+++ b/camphordrift/relay/requests/_server_calls.py
@@ -71,8 +71,8 @@
         )
 
     def is_limited(self, server: BackendServer) -> bool:
-        """Returns whether a server named how many requests per second it takes."""
-        return self._limits.is_limited(server)
+        """Returns whether the requests to a server are limited, also because it is cold."""
+        return self._limits.has_limit(server, trio.current_time())
 
     def is_pausing(self, server: BackendServer) -> bool:
         """Returns whether a server wants nothing from this VM for now."""
@@ -114,7 +114,7 @@
             raise
         except OSError as error:
             raise ServerUnreachableError(str(error)) from error
-        if self._limits.is_limited(server):
+        if self.is_limited(server):
             self._on_limited_request(server.id)
         response: Optional[SmallResponse] = None
         try:
