Load OpenTelemetry only when metrics are asked for

A VM that starts imports OpenTelemetry and the Prometheus client before it serves its first request, although nobody may ever ask it for its metrics. The instruments now keep what is recorded until the first scrape, or until an instrument keeps 1,000 durations; then the libraries are imported in steps, with pauses in which the event loop serves callers. The first scrape waits for that. Processes of the entry load them at once, as before.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -262,6 +262,7 @@
                 nursery.start_soon(self._flush_log)
                 nursery.start_soon(self._serve_readiness)
                 nursery.start_soon(self._serve_metrics)
+                nursery.start_soon(self._metrics.load_when_needed)
                 nursery.start_soon(self._serve_callers)
                 log_event("started", vm=self._settings.vm, callers=self._settings.callers)
                 await self._wait_for_stop(signals)
@@ -397,6 +398,7 @@
         if request.target.partition(b"?")[0] != b"/metrics":
             await response.send_complete(404, [], b"")
             return
+        await self._metrics.load_in_steps()
         content_type = (b"content-type", METRICS_CONTENT_TYPE.encode())
         await response.send_complete(200, [content_type], self._metrics.render())
 
--- a/camphordrift/telemetry/_metrics.py
+++ b/camphordrift/telemetry/_metrics.py
@@ -2,30 +2,51 @@
 
 The process runs one event loop on one thread. OpenTelemetry's periodic readers would start threads;
 its Prometheus reader collects the metrics in the task that renders them.
+
+A process that is not asked for its metrics need not load OpenTelemetry: instruments keep what is
+recorded until it is loaded. A VM thus serves callers sooner after a start.
 """
 
+import importlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING, Optional
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import Histogram as SdkHistogram
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
-from opentelemetry.sdk.resources import Resource
-from prometheus_client import CollectorRegistry, generate_latest
+import trio
 
-from camphordrift.event_log import LogLevel, log_event
 from camphordrift.telemetry._gauges import ObservedGauge
 
-#: Upper bounds in seconds of the buckets of all histograms of durations.
-SECONDS_BUCKETS = (
-    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0, 900.0,
-)  # fmt: skip
+if TYPE_CHECKING:
+    from opentelemetry.metrics import Counter as CounterInstrument
+    from opentelemetry.metrics import Histogram
+
+    from camphordrift.telemetry._open_telemetry import OpenTelemetryInstruments
 
 #: The content type of the text that ``Metrics.render`` returns.
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
+#: Number of durations that an instrument keeps before OpenTelemetry should be loaded, which then
+#: sums them up.
+MAX_KEPT_DURATIONS = 1000
+
+#: Modules that are imported one after the other, with a pause between them, so that loading
+#: OpenTelemetry does not hold up the event loop for long.
+_LOADING_STEPS = (
+    "typing_extensions",
+    "email.message",
+    "http.server",
+    "wsgiref.simple_server",
+    "prometheus_client.registry",
+    "opentelemetry.metrics",
+    "opentelemetry.sdk.resources",
+    "opentelemetry.sdk.metrics",
+    "opentelemetry.exporter.prometheus",
+    "camphordrift.telemetry._open_telemetry",
+)
+
+#: Pause in seconds between these steps.
+_LOADING_PAUSE = 0.05
+
 
 @dataclass(frozen=True)
 class InstrumentDescription:
@@ -44,90 +65,143 @@
 class Counter:
     """A counter metric, whose series only increase."""
 
-    def __init__(self, provider: MeterProvider, name: str, description: str) -> None:
-        meter = provider.get_meter("camphordrift")
-        self._counter = meter.create_counter(name, description=description)
+    def __init__(self) -> None:
+        self._instrument: Optional[CounterInstrument] = None
+        self._kept: dict[tuple[tuple[str, str], ...], int] = {}
 
     def add(self, amount: int = 1, **labels: str) -> None:
         """Adds ``amount``, which must not be negative, to the series of ``labels``."""
-        self._counter.add(amount, labels)
+        if self._instrument is not None:
+            self._instrument.add(amount, labels)
+            return
+        series = tuple(labels.items())
+        self._kept[series] = self._kept.get(series, 0) + amount
+
+    def use(self, instrument: "CounterInstrument") -> None:
+        """Records in ``instrument`` from now on, and what was recorded before."""
+        self._instrument = instrument
+        for series, amount in self._kept.items():
+            instrument.add(amount, dict(series))
+        self._kept.clear()
 
 
 class SecondsHistogram:
-    """A histogram metric of durations in seconds."""
+    """A histogram metric of durations in seconds.
 
-    def __init__(self, provider: MeterProvider, name: str, description: str) -> None:
-        meter = provider.get_meter("camphordrift")
-        self._histogram = meter.create_histogram(name, unit="s", description=description)
+    Args:
+        on_many_kept: Called when :data:`MAX_KEPT_DURATIONS` are kept.
+
+    """
+
+    def __init__(self, on_many_kept: Callable[[], None]) -> None:
+        self._instrument: Optional[Histogram] = None
+        self._kept: list[tuple[float, dict[str, str]]] = []
+        self._on_many_kept = on_many_kept
 
     def record(self, seconds: float, **labels: str) -> None:
         """Records one duration in the series of ``labels``."""
-        self._histogram.record(seconds, labels)
+        if self._instrument is not None:
+            self._instrument.record(seconds, labels)
+            return
+        self._kept.append((seconds, labels))
+        if len(self._kept) == MAX_KEPT_DURATIONS:
+            self._on_many_kept()
+
+    def use(self, instrument: "Histogram") -> None:
+        """Records in ``instrument`` from now on, and what was recorded before."""
+        self._instrument = instrument
+        for seconds, labels in self._kept:
+            instrument.record(seconds, labels)
+        self._kept.clear()
 
 
 class InstrumentRegistry:
     """Creates instruments and renders their values.
 
-    Each instance has its own Prometheus registry, so that several VMs can run in one process.
+    OpenTelemetry is loaded by :meth:`load_in_steps`, by :meth:`load`, or by the first rendering.
     """
 
     def __init__(self, vm_id: str) -> None:
-        self._registry = CollectorRegistry()
-        self._reader = PrometheusMetricReader(
-            disable_target_info=True,
-            prefix="camphordrift",
-            scope_info_enabled=False,
-            registry=self._registry,
-        )
-        buckets = ExplicitBucketHistogramAggregation(SECONDS_BUCKETS)
-        self._provider = MeterProvider(
-            metric_readers=[self._reader],
-            resource=Resource({"service.name": "camphordrift", "service.instance.id": vm_id}),
-            views=[View(instrument_type=SdkHistogram, aggregation=buckets)],
-            shutdown_on_exit=False,
-        )
+        self._vm_id = vm_id
+        self._instruments: Optional[OpenTelemetryInstruments] = None
+        self._load_needed = trio.Event()
         self._descriptions: list[InstrumentDescription] = []
+        #: Creates the instruments of OpenTelemetry for those that were created before it is loaded.
+        self._creations: list[Callable[[OpenTelemetryInstruments], None]] = []
 
     @property
     def descriptions(self) -> tuple[InstrumentDescription, ...]:
         """Descriptions of all instruments, in order of creation."""
         return tuple(self._descriptions)
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether OpenTelemetry is loaded."""
+        return self._instruments is not None
+
     def counter(self, name: str, description: str) -> Counter:
         """Creates and describes a counter with the given metric name."""
         self._descriptions.append(InstrumentDescription(name, "counter", description))
-        return Counter(self._provider, name, description)
+        counter = Counter()
+        self._create(lambda instruments: counter.use(instruments.counter(name, description)))
+        return counter
 
     def seconds_histogram(self, name: str, description: str) -> SecondsHistogram:
         """Creates and describes a histogram of durations in seconds."""
         self._descriptions.append(InstrumentDescription(name, "histogram", description))
-        return SecondsHistogram(self._provider, name, description)
+        histogram = SecondsHistogram(self._load_needed.set)
+        self._create(
+            lambda instruments: histogram.use(instruments.seconds_histogram(name, description))
+        )
+        return histogram
 
     def gauge(self, name: str, description: str, read: Callable[[], float]) -> None:
         """Creates a gauge; ``read`` returns its value when the metrics are collected.
 
         ``read`` must not block. If it raises, the error is logged and the gauge is not rendered.
         """
-
-        def observations(options: CallbackOptions) -> list[Observation]:
-            try:
-                return [Observation(float(read()))]
-            except Exception as error:
-                log_event("metric_failed", level=LogLevel.ERROR, metric=name, error=repr(error))
-                return []
-
         self._descriptions.append(InstrumentDescription(name, "level", description))
-        self._provider.get_meter("camphordrift").create_observable_gauge(
-            name, [observations], description=description
-        )
+        self._create(lambda instruments: instruments.gauge(name, description, read))
+
+    def load(self) -> None:
+        """Loads OpenTelemetry at once, if it is not loaded yet."""
+        if self._instruments is not None:
+            return
+        module = importlib.import_module("camphordrift.telemetry._open_telemetry")
+        self._instruments = instruments = module.OpenTelemetryInstruments(self._vm_id)
+        for create in self._creations:
+            create(instruments)
+        self._creations.clear()
+
+    async def load_in_steps(self) -> None:
+        """Loads OpenTelemetry, if it is not loaded yet; other tasks run between the steps."""
+        for module in () if self.is_loaded else _LOADING_STEPS:
+            importlib.import_module(module)
+            await trio.sleep(_LOADING_PAUSE)
+        self.load()
+
+    async def load_when_needed(self) -> None:
+        """Loads OpenTelemetry in steps once an instrument keeps many durations."""
+        await self._load_needed.wait()
+        await self.load_in_steps()
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
-        return generate_latest(self._registry)
+        self.load()
+        assert self._instruments is not None
+        return self._instruments.render()
 
     def close(self) -> None:
         """Shuts the meter provider down. The instance must not be used afterwards."""
-        self._provider.shutdown()
+        if self._instruments is not None:
+            self._instruments.shutdown()
+
+    def _create(self, create: Callable[["OpenTelemetryInstruments"], None]) -> None:
+        """Creates an instrument of OpenTelemetry, now or when it is loaded."""
+        if self._instruments is None:
+            self._creations.append(create)
+        else:
+            create(self._instruments)
 
 
 class Metrics(InstrumentRegistry):
@@ -142,6 +216,7 @@
 
     def __init__(self, vm_id: str) -> None:
         super().__init__(vm_id)
+        self.load()
         self.requests = self.counter(
             "requests", "Requests that received a response, by interface and code."
         )
--- a/camphordrift/telemetry/tests/test_metrics.py
+++ b/camphordrift/telemetry/tests/test_metrics.py
@@ -1,13 +1,22 @@
 """Tests of the metrics and their rendering."""
 
 import re
+import subprocess
+import sys
 import threading
 from pathlib import Path
 
 import testtools
 import trio
 
-from camphordrift.telemetry import Metrics, ObservedGauge, measure_loop_lag, render_metrics
+from camphordrift.telemetry import (
+    InstrumentRegistry,
+    Metrics,
+    ObservedGauge,
+    measure_loop_lag,
+    render_metrics,
+)
+from camphordrift.telemetry._metrics import MAX_KEPT_DURATIONS
 from camphordrift.testing import run_in_virtual_time
 
 
@@ -77,3 +86,67 @@
     def test_every_instrument_is_described_once(self) -> None:
         names = [item.name for item in self.metrics.descriptions]
         self.assertEqual(sorted(set(names)), sorted(names))
+
+
+class LateLoadingTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.metrics = InstrumentRegistry("oliwa-1")
+        self.addCleanup(self.metrics.close)
+
+    def test_the_relay_starts_without_opentelemetry(self) -> None:
+        program = (
+            "import sys, camphordrift.platform.__main__;"
+            "print([name for name in sys.modules if 'telemetry.sdk' in name])"
+        )
+        result = subprocess.run(
+            [sys.executable, "-c", program], capture_output=True, text=True, check=True
+        )
+        self.assertEqual("[]", result.stdout.strip())
+
+    def test_creating_instruments_loads_nothing(self) -> None:
+        self.metrics.counter("visits", "Visits.").add()
+        self.assertFalse(self.metrics.is_loaded)
+
+    def test_what_was_recorded_before_the_loading_is_rendered(self) -> None:
+        visits = self.metrics.counter("visits", "Visits.")
+        visits.add(2, zone="oliwa")
+        visits.add(3, zone="oliwa")
+        self.metrics.seconds_histogram("stay_seconds", "Stays.").record(0.03, zone="oliwa")
+        self.metrics.gauge("guests", "Guests.", lambda: 7)
+        text = self.metrics.render().decode()
+        self.assertIn('camphordrift_visits_total{zone="oliwa"} 5.0', text)
+        self.assertIn('camphordrift_stay_seconds_bucket{le="0.05",zone="oliwa"} 1.0', text)
+        self.assertIn("camphordrift_guests 7.0", text)
+
+    def test_records_before_and_after_the_loading_are_summed_up(self) -> None:
+        visits = self.metrics.counter("visits", "Visits.")
+        stays = self.metrics.seconds_histogram("stay_seconds", "Stays.")
+        for _ in range(2):
+            visits.add()
+            stays.record(1.0)
+            text = self.metrics.render().decode()
+        self.assertIn("camphordrift_visits_total 2.0", text)
+        self.assertIn("camphordrift_stay_seconds_count 2.0", text)
+
+    def test_an_instrument_created_after_the_loading_is_rendered(self) -> None:
+        self.metrics.load()
+        self.metrics.counter("visits", "Visits.").add()
+        self.assertIn(b"camphordrift_visits_total 1.0", self.metrics.render())
+
+    def test_many_kept_durations_cause_the_loading(self) -> None:
+        stays = self.metrics.seconds_histogram("stay_seconds", "Stays.")
+
+        async def main() -> tuple[bool, bool]:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.metrics.load_when_needed)
+                for _ in range(MAX_KEPT_DURATIONS - 1):
+                    stays.record(1.0)
+                await trio.sleep(10.0)
+                loaded_before = self.metrics.is_loaded
+                stays.record(1.0)
+            return loaded_before, self.metrics.is_loaded
+
+        self.assertEqual((False, True), run_in_virtual_time(main))
+        count = f"camphordrift_stay_seconds_count {MAX_KEPT_DURATIONS}.0"
+        self.assertIn(count, self.metrics.render().decode())
