--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -264,12 +264,7 @@
                 nursery.start_soon(self._serve_metrics)
                 nursery.start_soon(self._metrics.load_when_needed)
                 nursery.start_soon(self._serve_callers)
-                log_event(
-                    "started",
-                    vm=self._settings.vm,
-                    callers=self._settings.callers,
-                    processor_seconds=time.process_time(),
-                )
+                log_event("started", vm=self._settings.vm, callers=self._settings.callers)
                 await self._wait_for_stop(signals)
                 await self._drain()
                 nursery.cancel_scope.cancel()
