Listen for callers before the program is imported

After a loss of power a VM of half a core refuses connections for more than half a second, until all imports are done. Callers find the other VMs in the same state, and those without a retry left fail. The program now opens the callers' socket first, from the address in the settings file; connections wait in its queue and are served once the relay runs.

--- a/camphordrift/platform/_program.py
+++ b/camphordrift/platform/_program.py
@@ -1,5 +1,8 @@
 """Composes the relay of one VM from the adapter's parts."""
 
+import socket
+from typing import Optional
+
 from camphordrift.platform._documents import PlatformDocuments
 from camphordrift.platform._headers import PlatformHeaders
 from camphordrift.platform._orders import PlatformOrders
@@ -18,8 +21,13 @@
 )
 
 
-def run_program() -> None:
-    """Runs the relay of one VM until the platform stops the process."""
+def run_program(caller_socket: Optional[socket.socket] = None) -> None:
+    """Runs the relay of one VM until the platform stops the process.
+
+    Args:
+        caller_socket: Listens for callers already; without it, the relay opens a socket.
+
+    """
     settings = load_settings()
     run_relay(
         settings,
@@ -31,4 +39,5 @@
             log=PlatformStore(settings.store),
             topics=_TOPICS,
         ),
+        caller_socket,
     )
--- a/camphordrift/platform/_settings.py
+++ b/camphordrift/platform/_settings.py
@@ -6,11 +6,9 @@
 
 import msgspec
 
+from camphordrift.platform._caller_socket import SETTINGS_PATH_VARIABLE
 from camphordrift.relay import Address, RelaySettings, RetryBudgetSettings
 
-#: Environment variable with the path of the settings file.
-_SETTINGS_PATH_VARIABLE = "CAMPHORDRIFT_SETTINGS"
-
 _MS_PER_SECOND = 1000.0
 
 
@@ -71,7 +69,7 @@
         OSError: The file cannot be read.
 
     """
-    content = Path(os.environ[_SETTINGS_PATH_VARIABLE]).read_bytes()
+    content = Path(os.environ[SETTINGS_PATH_VARIABLE]).read_bytes()
     return decode_settings(content)
 
 
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -1,6 +1,7 @@
 """The relay process: creates all components and runs them in one event loop."""
 
 import signal
+import socket
 import sys
 import time
 from collections.abc import AsyncIterator
@@ -123,8 +124,10 @@
         settings: RelaySettings,
         adapters: Adapters,
         log_output: Optional[BoundedLogHandler] = None,
+        caller_socket: Optional[socket.socket] = None,
     ) -> None:
         self._settings = settings
+        self._caller_socket = caller_socket
         self._started_ms = int(time.time() * 1000)
         self._metrics = RelayMetrics(settings.vm)
         self._log_output = log_output
@@ -462,14 +465,19 @@
             caller.close_if_idle()
 
     async def _serve_callers(self) -> None:
-        address = self._settings.callers
-        listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        listeners = await self._open_caller_listeners()
         async with trio.open_nursery() as connections:
             with self._accept_scope:
                 await trio.serve_listeners(
                     self._serve_caller, listeners, handler_nursery=connections
                 )
 
+    async def _open_caller_listeners(self) -> list[trio.SocketListener]:
+        if self._caller_socket is not None:
+            return [trio.SocketListener(trio.socket.from_stdlib_socket(self._caller_socket))]
+        address = self._settings.callers
+        return await trio.open_tcp_listeners(address.port, host=address.host)
+
     async def _serve_caller(self, stream: trio.SocketStream) -> None:
         caller = CallerConnection(
             stream, self._limits, self._handler.handle, lambda: self._stopping
@@ -508,10 +516,19 @@
     return grace_period - min(STOP_MARGIN, grace_period * STOP_MARGIN_SHARE)
 
 
-def run_relay(settings: RelaySettings, adapters: Adapters) -> None:
-    """Runs a relay until a stop signal; logs go to standard output."""
+def run_relay(
+    settings: RelaySettings, adapters: Adapters, caller_socket: Optional[socket.socket] = None
+) -> None:
+    """Runs a relay until a stop signal; logs go to standard output.
+
+    Args:
+        settings: Settings of this VM.
+        adapters: Formats and store of the deployment.
+        caller_socket: Listens for callers already; without it, the relay opens a socket.
+
+    """
     log_output = configure_bounded_logging(LogLevel.INFO.value, sys.stdout.fileno())
     try:
-        trio.run(RelayProcess(settings, adapters, log_output).run)
+        trio.run(RelayProcess(settings, adapters, log_output, caller_socket).run)
     finally:
         log_output.drain()
--- a/camphordrift/relay/tests/relay_harness.py
+++ b/camphordrift/relay/tests/relay_harness.py
@@ -49,12 +49,19 @@
     """A running relay, with methods to configure it and to act as its caller."""
 
     def __init__(
-        self, log: InMemoryLog, documents: SampleDocuments, number: int = 1, cores: float = 1.0
+        self,
+        log: InMemoryLog,
+        documents: SampleDocuments,
+        number: int = 1,
+        cores: float = 1.0,
+        caller_socket: Optional[socket.socket] = None,
     ) -> None:
         self.log = log
         self.documents = documents
         self.host = f"{process_loopback_network()}.{number}"
         self.port, readiness_port, peers_port, self.metrics_port = free_ports(self.host)
+        if caller_socket is not None:
+            self.host, self.port = caller_socket.getsockname()
         vm = settings(number, 0)
         vm = replace(
             vm,
@@ -64,7 +71,7 @@
             metrics=replace(vm.metrics, port=self.metrics_port),
             cores=cores,
         )
-        self.process = RelayProcess(vm, adapters(log, documents))
+        self.process = RelayProcess(vm, adapters(log, documents), caller_socket=caller_socket)
 
     @property
     def leader(self) -> str:
