Let the first requests of a VM that started wait for its leader

VMs that start together accept requests some tens of milliseconds before they have found their leader. A request on a VM that has just started now waits up to 0.1 s until the VM has found its leader or has learned that it knows of none to follow. The leader is told the times that are left.

--- a/camphordrift/relay/fleet/_dispatcher.py
+++ b/camphordrift/relay/fleet/_dispatcher.py
@@ -40,6 +40,12 @@
 #: them the request is submitted to the local scheduler.
 LEADER_RESPONSE_TIMEOUT = 0.15
 
+#: Seconds for which a request on a VM that has just started waits until the VM has found its leader
+#: or learned that it has none. VMs that start together would otherwise place their first requests
+#: without knowing of each other's, often several on one engine. Finding the leader takes less than
+#: half of this time; the whole is a fraction of the shortest target times of today's deployments.
+FIRST_LEADER_WAIT = 0.1
+
 
 @dataclass
 class _PendingRequest:
@@ -96,15 +102,32 @@
         self._active: dict[str, _ActiveRequest] = {}
         self._pending_permits: dict[int, _PendingPermit] = {}
         self._permit_numbers = itertools.count()
+        #: Set when the search for this VM's first leader has ended; ``None`` if none is expected.
+        self._first_search_ended: Optional[trio.Event] = None
 
     @property
     def schedules_locally(self) -> bool:
         """Whether this VM's own scheduler decides, because there is no link to a leader."""
         return self._link is None
 
+    @property
+    def leader_search_ended(self) -> bool:
+        """Whether the search for this VM's first leader was started and has ended."""
+        return self._first_search_ended is not None and self._first_search_ended.is_set()
+
+    def expect_leader(self) -> None:
+        """Lets requests wait for the leader for a short time, as this VM has just started."""
+        self._first_search_ended = trio.Event()
+
+    def record_search_ended(self) -> None:
+        """Records that this VM found a leader, or that it knows of none to follow."""
+        if self._first_search_ended is not None:
+            self._first_search_ended.set()
+
     def attach_leader(self, link: MessageLink) -> None:
         """Starts to use the leader at the other end of ``link``, and registers active requests."""
         self._link = link
+        self.record_search_ended()
         for active in self._active.values():
             link.send(Register(active.request, active.grant, active.is_prefilling))
 
@@ -221,12 +244,14 @@
         return pending.permit or Permit(None, UNKNOWN_WAIT)
 
     async def _submit_to_leader(self, pending: _PendingRequest) -> None:
+        if self._first_search_ended is not None and not self._first_search_ended.is_set():
+            with trio.move_on_after(FIRST_LEADER_WAIT):
+                await self._first_search_ended.wait()
         link = self._link
         if link is None:
             self._submit_locally(pending)
             return
-        request = pending.request
-        link.send(Submit(replace(request, server_pauses=self._pauses(request.service))))
+        link.send(Submit(self._present_request(pending)))
         with trio.move_on_after(LEADER_RESPONSE_TIMEOUT):
             await pending.acknowledged.wait()
             return
@@ -237,14 +262,18 @@
 
     def _submit_locally(self, pending: _PendingRequest) -> None:
         pending.submitted_locally = True
+        request = self._present_request(pending)
+        self._local_scheduler.submit(self._vm, request, self._apply_decision)
+
+    def _present_request(self, pending: _PendingRequest) -> PlacementRequest:
+        """Returns a pending request with the times that are left now, and the present pauses."""
         elapsed = self._clock() - pending.submitted_at
-        request = replace(
+        return replace(
             pending.request,
             objective=pending.request.objective - elapsed,
             time_left=pending.request.time_left - elapsed,
             server_pauses=self._pauses(pending.request.service),
         )
-        self._local_scheduler.submit(self._vm, request, self._apply_decision)
 
     def _handle_grant(self, grant: Grant) -> None:
         pending = self._pending.get(grant.ask_id)
--- a/camphordrift/relay/fleet/_leader_election.py
+++ b/camphordrift/relay/fleet/_leader_election.py
@@ -129,6 +129,8 @@
         paths.members = self._members.values
         self._store_unreachable_until: dict[str, float] = {}
         self._members_changed = trio.Event()
+        #: Whether this VM has tried to read the members from the store.
+        self._members_read = False
         self._last_follower_id = 0
         self._leader = own_member
 
@@ -173,6 +175,7 @@
 
     async def run(self) -> None:
         """Runs until cancelled."""
+        self._dispatcher.expect_leader()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._announce_own_member)
             nursery.start_soon(self._read_members)
@@ -203,6 +206,9 @@
         while True:
             if self._dispatcher.schedules_locally:
                 await self._read_members_once()
+                self._members_read = True
+                if not self._better_leaders(self._own_member):
+                    self._dispatcher.record_search_ended()
             else:
                 intervals = iter(MEMBER_READ_INTERVALS)
             await trio.sleep(next(intervals, MAX_MEMBER_READ_INTERVAL))
@@ -271,6 +277,8 @@
         while True:
             found = await self._find_leader(self._own_member)
             if found is None:
+                if self._members_read:
+                    self._dispatcher.record_search_ended()
                 members_changed = self._members_changed
                 with trio.move_on_after(LEADER_CHECK_INTERVAL):
                     await members_changed.wait()
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -370,6 +370,25 @@
 
 
 class RequestRegistrationTest(testtools.TestCase):
+    def test_the_requests_of_a_vm_that_is_alone_wait_for_no_leader(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            only = fleet.start(1, 101)
+            await wait_until(lambda: only.dispatcher.leader_search_ended)
+            self.assertEqual("vm-1", only.election.leader)
+
+        run(body)
+
+    def test_the_search_of_a_vm_ends_when_it_follows_another(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            first = fleet.start(1, 101)
+            # Afterwards its record is in the store, where the second one finds it.
+            await wait_until(lambda: first.dispatcher.leader_search_ended)
+            second = fleet.start(2, 102)
+            await wait_until(lambda: second.dispatcher.leader_search_ended)
+            self.assertEqual(["vm-1", "vm-1"], leaders(first, second))
+
+        run(body)
+
     def test_running_requests_are_registered_with_a_new_leader(self) -> None:
         async def body(fleet: Fleet) -> None:
             first, second, third = (fleet.start(number, 100 + number) for number in (1, 2, 3))
