Do not queue a short prompt behind prefill that outlasts its target time

After all VMs lost power, callers came back together: about 200 requests in a quarter of a second, with very long prompts among them. The other engines were free again 0.05 s later. Until its target time has passed, a short prompt now waits instead: it would not be prefilled sooner on such an engine, and another one may be free earlier. Afterwards it is placed as before.

--- a/camphordrift/relay/scheduling/_engine_planner.py
+++ b/camphordrift/relay/scheduling/_engine_planner.py
@@ -128,9 +128,12 @@
         self._now = now
         #: Snapshots of the engines that this round has examined; ``None`` for unusable ones.
         self._snapshots: dict[str, Optional[_EngineSnapshot]] = {}
-        #: Demands of short prompts that could not be placed in this round, by excluded engines:
-        #: tokens of KV memory, and prefill seconds.
-        self._failed_short: _FailedDemands = defaultdict(list)
+        #: Demands of short prompts that could not be placed in this round, by whether their target
+        #: time has passed and by excluded engines: tokens of KV memory, and prefill seconds.
+        self._failed_short: dict[bool, _FailedDemands] = {
+            False: defaultdict(list),
+            True: defaultdict(list),
+        }
         #: Demands of long prompts that could not be placed in this round, by whether they may delay
         #: others and by excluded engines: prefill seconds, and the negated seconds until the first
         #: event is due, so that a greater value is more urgent.
@@ -155,7 +158,9 @@
         is_short = prefill <= SHORT_PREFILL_SECONDS
         if is_short and not self._index.has_free_slots:
             return None
-        failed = self._failed_short if is_short else self._failed_long[may_delay_others]
+        failed = (
+            self._failed_short[objective <= 0] if is_short else self._failed_long[may_delay_others]
+        )
         demand = (required_memory(request), prefill) if is_short else (prefill, -objective)
         # Capacity only shrinks during a round, so a request whose demands are both at least those
         # of a request that could not be placed on the same or more engines cannot be placed either.
@@ -220,7 +225,9 @@
         The other engines then have no short target gaps, and can prefill large parts of long
         prompts. The first engine in order of preference that fits is used; among equally loaded
         ones, one in the zone of the request. Engines that are suspect, or would miss a share of the
-        target time, are used only if no other one fits.
+        target time, are used only if no other one fits. Engines whose pending prefill lasts beyond
+        the target time are not used before that has passed: until then another one may be free
+        earlier, and a prompt that was placed there would not be prefilled sooner.
         """
         memory = required_memory(request)
         if request.isolated:
@@ -233,6 +240,8 @@
         fallback: Optional[_EngineSnapshot] = None
         equally_loaded = 0
         for snapshot in self._candidates_for_short_prompt(request, memory, prefill):
+            if 0 < objective <= snapshot.pending_prefill:
+                continue
             misses_target = snapshot.expected_first_event_seconds(prefill) > latest
             if snapshot.is_suspect or (misses_target and can_meet_target):
                 if fallback is None or (fallback.is_suspect and not snapshot.is_suspect):
--- a/camphordrift/relay/tests/test_engine_pool.py
+++ b/camphordrift/relay/tests/test_engine_pool.py
@@ -56,6 +56,30 @@
         grants = [place_request(pool, f"r{number}", 5000) for number in range(40)]
         self.assertTrue(max(grant.first_event for grant in grants) <= 0.3)
 
+    def test_no_prompt_is_queued_behind_prefill_that_lasts_beyond_its_target_time(self) -> None:
+        """Guards against short prompts behind a very long one whose parts take seconds each.
+
+        The other engines have their share of short prompts at that moment, but soon take more.
+        """
+        pool = pool_of(4)
+        very_long = place_request(pool, "very-long", 900_000, objective=30.0, time_left=60.0)
+        self.assertTrue(very_long.first_event > 1.0)
+        busy = {engine.id for engine in (very_long.server, *very_long.helpers)}
+        pool.set_servers([server(number) for number in range(5)])
+        for number in range(20):
+            pool.submit(placement_request(f"r{number}", 5000, objective=0.3), 0.0)
+        grants = [item for item in pool.decide(0.0) if isinstance(item, Grant)]
+        self.assertTrue(len(grants) >= 1)
+        self.assertEqual(set(), busy & {grant.server.id for grant in grants})
+
+    def test_a_late_prompt_is_queued_behind_any_prefill(self) -> None:
+        pool = pool_of(4)
+        place_request(pool, "very-long", 900_000, objective=30.0, time_left=60.0)
+        pool.submit(placement_request("short", 5000, objective=0.3), 0.0)
+        self.assertEqual([], pool.decide(0.0))
+        (decision,) = pool.decide(0.31)
+        self.assertIsInstance(decision, Grant)
+
     def test_no_engine_gets_more_than_its_slots(self) -> None:
         pool = pool_of(2)
         for number in range(40):
