--- a/camphordrift/relay/scheduling/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -341,7 +341,7 @@
         if not arrived or self._has_free_slots(now):
             return
         for waiting in arrived:
-            if not self._limited_engines_for(waiting.request) and (
+            if not self._limited_engines_for(waiting.request, now) and (
                 refusal := self._admission.refusal(waiting, now)
             ):
                 self._shares[refusal.ask_id] = self._account_order.share_of(waiting)
