Evacuate zones in the soak

Cause: the soak did not evacuate zones, so nothing checked the bound beside other faults. Change: servers are in two zones; the kind zone_evacuate evacuates one for 8 to 11 s; after a restore the operator writes these records again as well. A check reports requests that reach an evacuated zone later than 5 s (plus 1 s for a busy machine) from a VM in touch.

--- a/camphordrift/platform/soak/_checks.py
+++ b/camphordrift/platform/soak/_checks.py
@@ -6,6 +6,7 @@
     rollback_violations,
 )
 from camphordrift.platform.soak._crash_checks import crash_violations
+from camphordrift.platform.soak._evacuation_checks import evacuation_violations
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._path_checks import lost_path_violations
 from camphordrift.platform.soak._request_checks import (
@@ -39,6 +40,7 @@
     violations += draining_violations(observations)
     violations += pause_violations(observations)
     violations += limit_violations(observations)
+    violations += evacuation_violations(observations)
     violations += late_configuration_violations(observations)
     violations += rollback_violations(observations)
     violations += unanswered_violations(observations)
--- a/camphordrift/platform/soak/_document_publisher.py
+++ b/camphordrift/platform/soak/_document_publisher.py
@@ -2,12 +2,14 @@
 
 import itertools
 from dataclasses import dataclass
+from typing import Optional
 
 import trio
 
 from camphordrift.platform.soak._callers import ApiKeys
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._proxy import Proxy
+from camphordrift.platform.soak._records import Evacuation
 from camphordrift.platform.soak._servers import SoakServer
 from camphordrift.platform.soak._store import SoakStore
 
@@ -17,6 +19,9 @@
 #: Seconds after which the entry of a server expires that does not write it.
 EXPIRY_TIME = 3 * HEARTBEAT_INTERVAL
 
+#: Zones of the servers.
+ZONES = ("z0", "z1")
+
 #: Routes of the soak: name, which is also the path, kind, timeout in milliseconds, service, and
 #: whether streams may be resumed.
 _ROUTES = (
@@ -58,6 +63,8 @@
         self._configuration_era = 0
         #: Entries of the servers that have not left, by id.
         self._entries: dict[str, dict[str, object]] = {}
+        #: The evacuation in progress.
+        self._evacuation: Optional[Evacuation] = None
 
     async def run_heartbeats(self) -> None:
         """Writes the entries of the servers again and again until cancelled."""
@@ -79,6 +86,8 @@
         await self._store.wait_until_up()
         if self._configuration_era < self._store.era:
             self._write_configuration()
+        for zone in ZONES:
+            self._write_zone(zone)
         for server_id in self._entries:
             self._write_entry(server_id)
         await trio.sleep(EXPIRY_TIME - delay)
@@ -91,11 +100,12 @@
         self._entries[server.id] = {
             "Service": "engines" if server.streams else "office",
             "Address": f"{proxy.host}:{proxy.port}",
-            "Zone": "z0",
+            "Zone": server.zone,
             "Slots": 8,
             "State": state,
             "born": server.born,
         }
+        self._observations.zones[server.id] = server.zone
         self._write_entry(server.id)
 
     def remove_server(self, server_id: str) -> None:
@@ -141,6 +151,29 @@
         self._store.put("keyed.op", "config", self._configuration)
         self._configuration_era = self._store.era
 
+    async def evacuate(self, zone: str, seconds: float) -> None:
+        """Evacuates a zone and takes it back; does nothing while another zone is evacuated.
+
+        Args:
+            zone: The zone.
+            seconds: Seconds after which the zone is taken back, as soon as the store is up.
+
+        """
+        await self._store.wait_until_up()
+        if self._evacuation is not None:
+            return
+        self._evacuation = evacuation = Evacuation(zone, trio.current_time())
+        self._observations.evacuations.append(evacuation)
+        self._write_zone(zone)
+        await trio.sleep(seconds)
+        await self._store.wait_until_up()
+        self._evacuation, evacuation.end = None, trio.current_time()
+        self._write_zone(zone)
+
+    def _write_zone(self, zone: str) -> None:
+        is_evacuated = self._evacuation is not None and self._evacuation.zone == zone
+        self._store.put("keyed.op", f"evacuate/{zone}", {} if is_evacuated else None)
+
     def change_limits(self) -> None:
         """Publishes a configuration with other limits."""
         self._limits = _LIMITS[(_LIMITS.index(self._limits) + 1) % len(_LIMITS)]
--- a/camphordrift/platform/soak/_fault_injection.py
+++ b/camphordrift/platform/soak/_fault_injection.py
@@ -5,7 +5,7 @@
 import trio
 
 from camphordrift.platform.soak._crashing_callers import CrashingCallers
-from camphordrift.platform.soak._document_publisher import DocumentPublisher
+from camphordrift.platform.soak._document_publisher import ZONES, DocumentPublisher
 from camphordrift.platform.soak._faults import Fault
 from camphordrift.platform.soak._observations import Observations
 from camphordrift.platform.soak._proxy import Proxy, ProxyMode
@@ -94,6 +94,8 @@
                 await self._cut_paths(others, action, fault.seconds)
             case "request":
                 await self._crashing_callers.send_one_request(fault.seconds)
+            case "zone":
+                await self._publisher.evacuate(ZONES[fault.target % len(ZONES)], fault.seconds)
             case "configuration":
                 await self._change_configuration(action)
             case _:
--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -54,6 +54,7 @@
     "path_reset",
     "path_refuse",
     "paths_hang",
+    "zone_evacuate",
 )
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
@@ -72,6 +73,8 @@
     "store_restore": (1.0, 2.5),
     "server_limit": (8.0, 10.0),
     "servers_limit": (8.0, 10.0),
+    # Longer than VMs may take to notice it.
+    "zone_evacuate": (8.0, 11.0),
 }
 
 #: Mean number of seconds between the starts of two faults. Most faults last longer than that, so
--- a/camphordrift/platform/soak/_observations.py
+++ b/camphordrift/platform/soak/_observations.py
@@ -12,6 +12,7 @@
     Arrival,
     CallerRequest,
     Crash,
+    Evacuation,
     Execution,
     PathCut,
     Span,
@@ -51,6 +52,9 @@
     store_link_disruptions: dict[str, list[Span]] = field(default_factory=_spans_by_name)
     #: Intervals in which some VMs had no path to the servers, while the others had.
     path_cuts: list[PathCut] = field(default_factory=list)
+    #: Zone by server id.
+    zones: dict[str, str] = field(default_factory=dict)
+    evacuations: list[Evacuation] = field(default_factory=list)
     #: Unexpected exits and errors of the relay processes.
     process_failures: list[str] = field(default_factory=list)
 
--- a/camphordrift/platform/soak/_records.py
+++ b/camphordrift/platform/soak/_records.py
@@ -99,6 +99,17 @@
     at: float
 
 
+@dataclass
+class Evacuation:
+    """An interval in which a zone was evacuated."""
+
+    zone: str
+    #: Time at which the store acknowledged the evacuation.
+    start: float
+    #: Time at which the zone was taken back; infinite before that.
+    end: float = float("inf")
+
+
 @dataclass(frozen=True)
 class PathCut:
     """An interval in which some VMs had no path to any server."""
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -43,6 +43,8 @@
         self.host = host
         self.port = port
         self.streams = streams
+        #: Availability zone; each zone has servers of both services.
+        self.zone = f"z{number // 2 % 2}"
         self.mode = ServerMode.WELL
         #: Whether another server replaces this one.
         self.replaced = False
--- a/camphordrift/platform/soak/_vm.py
+++ b/camphordrift/platform/soak/_vm.py
@@ -68,7 +68,7 @@
             },
             "PortRange": [8010, 8020],
             "Platform": {"Address": f"{self.host}:{store_port}"},
-            "Bounds": {"GraceS": GRACE_PERIOD, "RevokeMs": 5000},
+            "Bounds": {"GraceS": GRACE_PERIOD, "RevokeMs": 5000, "EvacuateMs": 5000},
         }
 
     async def start(self) -> None:
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -74,6 +74,10 @@
         kinds = ("server_limit", "servers_limit")
         self.check_report(run_short_soak(kinds, seconds=1.5, callers=18))
 
+    def test_evacuated_zones_get_no_requests(self) -> None:
+        kinds = ("configuration_change", "zone_evacuate")
+        self.check_report(run_short_soak(kinds, seed=354, seconds=5.0, callers=12))
+
     def test_versions_in_quick_succession_are_in_force_in_time(self) -> None:
         kinds = ("configuration_storm", "server_replace")
         self.check_report(run_short_soak(kinds, seconds=3.0, recovery_seconds=4.0))
