Name evacuated zones where a tunnel or a request is refused

Cause: the reasons of tunnel_refused and of attempts that were not sent named leaving and pausing servers only. Change: both reasons and their docstrings name evacuated zones, or no usable server.

--- a/camphordrift/relay/peers/_tunnels.py
+++ b/camphordrift/relay/peers/_tunnels.py
@@ -148,7 +148,8 @@
     """Opens connections to servers for other VMs.
 
     Args:
-        may_connect: Returns whether an address is that of a listed server.
+        may_connect: Returns whether an address is that of a listed server whose zone is not
+            evacuated.
         connect_directly: Connects to a server over this VM's own path.
 
     """
@@ -179,7 +180,9 @@
         """
         enable_dead_peer_detection(stream)
         if self._is_stopping or self.count >= MAX_TUNNELS or not self._may_connect(request.server):
-            await _refuse(link, "the VM stops, has too many tunnels, or does not list the server")
+            await _refuse(
+                link, "the VM stops, has too many tunnels, or lists no usable server there"
+            )
             return
         self.count += 1
         try:
--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -56,7 +56,7 @@
     """The relay did not send the request, although the server did not fail.
 
     Its deadline passed, its key is no longer valid, the server or a helper engine is draining,
-    pauses or was removed, or a helper engine made no memory reservation.
+    pauses, was removed or is in an evacuated zone, or a helper engine made no memory reservation.
     """
 
     reason: str
@@ -214,7 +214,7 @@
             if metadata is None:
                 return Withheld(
                     "the deadline passed, the key is not valid any more, or the server is draining "
-                    "or pauses"
+                    "or pauses or is in an evacuated zone"
                 )
             timer = _SilenceTimer(timeouts.first_event, on_silence)
             result, idle_timeout = await self._exchange(
