--- a/camphordrift/platform/soak/_faults.py
+++ b/camphordrift/platform/soak/_faults.py
@@ -58,6 +58,7 @@
     "path_refuse",
     "paths_hang",
     *COLD_KINDS,
+    "zone_evacuate",
 )
 
 #: Minimum and maximum duration in seconds of faults that need other ones than most.
@@ -78,6 +79,8 @@
     "servers_limit": (8.0, 10.0),
     "server_cold": (6.0, 8.0),
     "servers_cold": (6.0, 8.0),
+    # Longer than VMs may take to notice it.
+    "zone_evacuate": (8.0, 11.0),
 }
 
 #: Mean number of seconds between the starts of two faults. Most faults last longer than that, so
