--- a/camphordrift/relay/fleet/_follower_session.py
+++ b/camphordrift/relay/fleet/_follower_session.py
@@ -88,7 +88,7 @@
             case Ping():
                 if self.link is not None:
                     self._updates.record_follower_state(self.link, message)
-                    self.link.send(self._updates.pong_for(message))
+                    self.link.send(self._updates.pong_for(message, self.link))
             case StoreUnreachable(vm):
                 self._record_store_unreachable(vm)
             case PathStatement():
--- a/camphordrift/relay/fleet/_update_distribution.py
+++ b/camphordrift/relay/fleet/_update_distribution.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Optional, Union
 
+import msgspec
 import trio
 
 from camphordrift.relay.crashes import CrashEvidence
@@ -77,7 +78,9 @@
         self.leader_vm_count = 1
         #: Returns what all VMs in touch understand, as in :attr:`Pong.common_kinds`.
         self.common_kinds: Callable[[], tuple[str, ...]] = lambda: ()
-        self._stated_kinds: tuple[str, ...] = ()
+        #: The common kinds when they were last determined, and as stated to each follower.
+        self._last_common_kinds: tuple[str, ...] = ()
+        self._stated_kinds: dict[MessageLink, tuple[str, ...]] = {}
         self._kinds_determined_at = float("-inf")
         #: The common kinds that the last leader stated; none before its first pong.
         self.leader_common_kinds: tuple[str, ...] = ()
@@ -118,6 +121,7 @@
     def remove_follower(self, link: MessageLink) -> None:
         """Stops sending updates to a follower; unknown links are ignored."""
         self._followers.pop(link, None)
+        self._stated_kinds.pop(link, None)
         self._other_vms = itertools.cycle(list(self._followers.values()))
         self._awaited_versions.pop(link, None)
 
@@ -153,9 +157,10 @@
         """Forwards changes of the backend servers to the followers."""
         self._send_all(ServerUpdate(tuple(changes)))
 
-    def pong_for(self, ping: Ping) -> Pong:
-        """Returns the response to a follower's ping."""
+    def pong_for(self, ping: Ping, link: MessageLink) -> Pong:
+        """Returns the response to a follower's ping that arrived on the link."""
         now = boot_time_clock()
+        other_vm = next(self._other_vms, None)
         return Pong(
             ping.number,
             self._configuration.version,
@@ -165,16 +170,20 @@
             self._eras.era,
             self._lease.restore_age(now),
             self.count_vms(),
-            next(self._other_vms, None),
-            self._current_common_kinds(),
+            other_vm and msgspec.structs.replace(other_vm, newer_kinds=()),
+            self._common_kinds_to_state(link),
         )
 
-    def _current_common_kinds(self) -> tuple[str, ...]:
+    def _common_kinds_to_state(self, link: MessageLink) -> Optional[tuple[str, ...]]:
+        """Returns the common kinds if they have changed since they were stated on the link."""
         now = trio.current_time()
         if now >= self._kinds_determined_at + COMMON_KINDS_INTERVAL:
             self._kinds_determined_at = now
-            self._stated_kinds = self.common_kinds()
-        return self._stated_kinds
+            self._last_common_kinds = self.common_kinds()
+        if self._stated_kinds.get(link, ()) == self._last_common_kinds:
+            return None
+        self._stated_kinds[link] = self._last_common_kinds
+        return self._last_common_kinds
 
     def record_follower_state(self, link: MessageLink, ping: Ping) -> None:
         """Records what a follower knows, which may be newer after the store was restored."""
@@ -261,7 +270,8 @@
         self._observe_era(pong, "leader")
         self._leader_age = pong.store_read_age
         self.leader_vm_count = pong.vm_count
-        self.leader_common_kinds = pong.common_kinds
+        if pong.common_kinds is not None:
+            self.leader_common_kinds = pong.common_kinds
         if pong.other_vm is not None:
             self._paths.add_known(pong.other_vm)
         # The leader had sent all documents up to its version before the pong.
--- a/camphordrift/relay/peers/_peer_messages.py
+++ b/camphordrift/relay/peers/_peer_messages.py
@@ -338,11 +338,11 @@
     restore_age: Optional[float] = None
     #: Number of VMs that the leader knows to run, itself included. A follower need not know all.
     vm_count: int = 1
-    #: One of the leader's followers, each time another one.
+    #: One of the leader's followers, each time another one, without its newer kinds.
     other_vm: Optional[Member] = None
     #: Kinds of messages and abilities that all VMs have which the leader is in touch with, as in
-    #: :attr:`Member.newer_kinds`.
-    common_kinds: tuple[str, ...] = ()
+    #: :attr:`Member.newer_kinds`; ``None`` if they are as in the last pong that stated them.
+    common_kinds: Optional[tuple[str, ...]] = None
 
     @property
     def store_read_age(self) -> float:
