--- a/camphordrift/platform/soak/_vm.py
+++ b/camphordrift/platform/soak/_vm.py
@@ -136,7 +136,7 @@
         self._send_signal(signal.SIGHUP)
 
     def check_process(self) -> None:
-        """Records an unexpected exit, output to stderr, and logged failures of connections."""
+        """Records an unexpected exit, output to stderr, and failures that the log shows."""
         process = self._process
         if process is not None and process.poll() is not None and not self._end_expected:
             self._observations.process_failures.append(
@@ -146,10 +146,15 @@
             self._observations.process_failures.append(
                 f"{self.name} wrote to stderr: {errors[-500:]!r}"
             )
-        if "event=caller_connection_failed" in self._output_path.read_text(errors="replace"):
+        output = self._output_path.read_text(errors="replace")
+        if "event=caller_connection_failed" in output:
             self._observations.process_failures.append(
                 f"{self.name} logged a failure of a caller's connection"
             )
+        if "event=message_undecodable" in output or "message cannot be decoded" in output:
+            self._observations.process_failures.append(
+                f"{self.name} could not decode a message of another VM"
+            )
 
     def kill_now(self) -> None:
         """Kills the process if it is running, and waits for its exit."""
--- a/camphordrift/platform/soak/tests/test_run.py
+++ b/camphordrift/platform/soak/tests/test_run.py
@@ -3,8 +3,13 @@
 They check only what must never happen. Longer runs check times too, which depend on the machine.
 """
 
+import io
+import subprocess
+import tarfile
 import tempfile
+import tomllib
 from pathlib import Path
+from typing import Optional
 
 import pytest
 import testtools
@@ -16,6 +21,18 @@
 
 pytestmark = pytest.mark.sockets
 
+ROOT = Path(__file__).parents[4]
+
+
+def extract_production_build(directory: Path) -> None:
+    """Extracts the code of the commit that ``deploy/system.toml`` names as in production."""
+    commit = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["production"]
+    archive = subprocess.run(
+        ["git", "-C", str(ROOT), "archive", commit, "camphordrift"], capture_output=True, check=True
+    )
+    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as content:
+        content.extractall(directory, filter="data")
+
 
 def run_short_soak(
     kinds: tuple[str, ...],
@@ -23,6 +40,7 @@
     seconds: float = 4.0,
     recovery_seconds: float = 1.0,
     callers: int = 6,
+    former: Optional[Path] = None,
 ) -> SoakReport:
     settings = SoakSettings(
         seed=seed,
@@ -33,6 +51,7 @@
         kinds=kinds,
         recovery_seconds=recovery_seconds,
         check_timing=False,
+        former=former,
     )
     with tempfile.TemporaryDirectory() as directory:
         return trio.run(run_soak, settings, process_loopback_network(), Path(directory))
@@ -83,3 +102,9 @@
     ) -> None:
         report = run_short_soak(("store_restore",), seed=2, seconds=3.0, recovery_seconds=4.0)
         self.check_report(report)
+
+    def test_vms_of_the_build_in_production_are_replaced_by_this_one_and_back(self) -> None:
+        """Needs the repository's history, as the code of that build is taken from it."""
+        with tempfile.TemporaryDirectory() as directory:
+            extract_production_build(Path(directory))
+            self.check_report(run_short_soak((), seed=1, seconds=8.0, former=Path(directory)))
