Let requests wait for a new leader's share of cold engines

Cause: a new leader uses its share of the bound only after 0.8 s. If all engines of a service were cold, it expected to send nothing until they are warm, and refused requests that had less time. Change: the expected wait ends when the share counts.

Measured: test_requests_wait_for_a_new_leader_that_may_not_use_its_share_yet fails without the change and passes with it; test_cold_limits, test_cold_servers, test_cold_fleet, test_request_limits, test_engine_pool and test_server_limits pass (118).

--- a/camphordrift/relay/scheduling/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -404,7 +404,7 @@
         engines = [engine for engine in limited if not engine.health.is_backing_off(now)]
         rates = [self._limits.rate(engine.server, now) for engine in engines]
         # Placements of this round have been taken from the limits already.
-        waits = [engine.limit_wait(now) for engine in engines]
+        waits = [self._limits.expected_wait(engine.server, now) for engine in engines]
         wait = total_wait(waits, rates, self._requests_ahead)
         # Cold engines become warm by themselves.
         ends = (self._limits.time_left(engine.server, now) for engine in engines)
--- a/camphordrift/relay/scheduling/_request_limits.py
+++ b/camphordrift/relay/scheduling/_request_limits.py
@@ -191,6 +191,14 @@
         limits = self._limits_of(server, now)
         return max((self._wait_time(limit, now) for limit in limits), default=0.0)
 
+    def expected_wait(self, server: BackendServer, now: float) -> float:
+        """Returns what :meth:`wait_time` will be once this VM may use its present share."""
+        wait = self.wait_time(server, now)
+        rate = self.rate(server, now)
+        if not rate or self.is_limited(server) or self._settled_share.value(now):
+            return wait
+        return min(wait, self._settled_share.time_left(now) + 1.0 / rate)
+
     def take(self, server: BackendServer, now: float, is_running: bool = False) -> None:
         """Counts a request that was granted, whether it was available or not.
 
--- a/camphordrift/relay/scheduling/_settled_share.py
+++ b/camphordrift/relay/scheduling/_settled_share.py
@@ -27,6 +27,10 @@
         #: Time of the last rise of the settled share.
         self.risen_at = float("-inf")
 
+    def time_left(self, now: float) -> float:
+        """Returns the seconds until a rise is settled; 0 if there is none."""
+        return 0.0 if self._rise is None else max(0.0, self._rise[1] + SETTLING_TIME - now)
+
     def value(self, now: float) -> float:
         """Returns the settled share; must be called regularly to notice changes in time."""
         present = self._share()
--- a/camphordrift/relay/tests/test_cold_limits.py
+++ b/camphordrift/relay/tests/test_cold_limits.py
@@ -362,6 +362,19 @@
         pool.decide(1.0)
         self.assertEqual(0, sum(engine.is_cold for engine in pool._index.engines))
 
+    def test_requests_wait_for_a_new_leader_that_may_not_use_its_share_yet(self) -> None:
+        vm, pool = self._pool(range(self.COUNT))
+        vm.share = 0.0
+        vm.limits.observe_share(1.0)
+        vm.share = 1.0
+        vm.limits.observe_share(1.1)
+        pool.submit(placement_request("r0", time_left=4.0), 1.1)
+        self.assertEqual([], pool.decide(1.1))
+        vm.limits.observe_share(1.95)
+        self.assertEqual([], pool.decide(1.95))
+        (decision,) = pool.decide(2.3)
+        self.assertIsInstance(decision, Grant)
+
     def test_a_cold_engine_stores_nothing_for_other_engines(self) -> None:
         vm, pool = self._pool(range(0))
         for number in range(1, self.COUNT):
