Spread the returns of refused callers evenly, and count registered requests once

Cause: beyond 10 s all further refused callers of an account were told the same time; a request that another VM registered again was counted twice as placed work, which would have raised the estimated rate for good. Change: times beyond the spread are distributed over it from its beginning; placed work is counted once for each request.

--- a/camphordrift/relay/scheduling/__init__.py
+++ b/camphordrift/relay/scheduling/__init__.py
@@ -1,7 +1,8 @@
 """Decides which requests are sent to which backend servers, in which order, and when.
 
 May hold decisions only: plain synchronous code without I/O, to which the time is passed. Imports
-:mod:`camphordrift.relay.model` and :mod:`camphordrift.relay.servers`.
+:mod:`camphordrift.relay.model`, :mod:`camphordrift.relay.servers` and
+:mod:`camphordrift.fair_queue`.
 """
 
 from camphordrift.relay.scheduling._engine_scheduler import EngineScheduler
--- a/camphordrift/relay/scheduling/_backlog_admission.py
+++ b/camphordrift/relay/scheduling/_backlog_admission.py
@@ -115,6 +115,7 @@
     for name in [name for name, until in promised.items() if until < now]:
         del promised[name]
     first = now + max(earliest, MIN_RETURN_SECONDS)
-    latest = first + MAX_RETURN_SPREAD
-    promised[account] = min(latest, max(first, promised.get(account, 0.0) + spacing))
+    following = max(first, promised.get(account, 0.0) + spacing)
+    # Those that would come after the maximum spread are distributed over it from its beginning.
+    promised[account] = first + (following - first) % MAX_RETURN_SPREAD
     return promised[account] - now
--- a/camphordrift/relay/scheduling/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -142,6 +142,7 @@
 
     def submit(self, request: PlacementRequest, now: float) -> None:
         """Queues a placement request; :meth:`decide` returns the decision on it."""
+        self.withdraw(request.id)
         self._waiting[request.id] = waiting = waiting_request(request, now)
         self._set_needs(waiting)
         self._account_order.add(waiting)
@@ -487,8 +488,12 @@
         servers = tuple(engine.server for engine in plan.engines)
         ids = tuple(server.id for server in servers)
         work = engine_seconds(request, self._costs)
+        if (former := self._placed.get(request.id)) is None:
+            self._admission.record_placed(request, work, now)
+        else:
+            # Another VM registered the request once more; it is counted already.
+            work = former.engine_seconds
         self._placed[request.id] = _PlacedRequest(request, ids, now, work)
-        self._admission.record_placed(request, work, now)
         release_at = now + request.time_left + FINISH_REPORT_TIMEOUT
         heapq.heappush(self._release_times, (release_at, request.id))
         return Grant(
--- a/camphordrift/relay/tests/test_backlog_admission.py
+++ b/camphordrift/relay/tests/test_backlog_admission.py
@@ -99,6 +99,16 @@
         pool.restart_estimates(20.0)
         self.assertEqual([], refusals(pool, placement_request("new", 500, account="school")))
 
+    def test_a_request_that_is_registered_again_counts_once(self) -> None:
+        pool, request = pool_of(1), placement_request("one", 500, account="school")
+        pool.submit(request, 0.0)
+        (grant,) = pool.decide(0.0)
+        assert isinstance(grant, Grant)
+        pool.register(request, grant, True, 1.0)
+        pool.record_finished("one", AttemptOutcome.SERVED, 2.0)
+        (record,) = pool._admission._kinds.values()
+        self.assertEqual(0.0, record.rate._placed_work)
+
     def test_no_request_is_refused_while_the_rate_is_unknown(self) -> None:
         pool = pool_of(1)
         for number in range(COSTS.slots * 20):
@@ -131,6 +141,13 @@
         self.assertEqual(sorted(times), times)
         self.assertTrue(times[-1] - times[0] <= MAX_RETURN_SPREAD)
 
+    def test_many_refused_callers_do_not_return_together(self) -> None:
+        requests = [placement_request(f"n{number}", 500, account="school") for number in range(200)]
+        refused = refusals(busy_pool(RefusalTest.BACKLOG), *requests)
+        returns = Counter(int(refusal.retry_after or 0.0) for refusal in refused)
+        most = 2 * len(requests) / MAX_RETURN_SPREAD
+        self.assertTrue(max(returns.values()) <= most, str(returns))
+
     def test_callers_return_when_there_is_room(self) -> None:
         """The backlog takes 20 s, and a request may wait for 10 s."""
         new = placement_request("new", 500, account="school")
