Forget the starts of servers that are gone

Cause: starts and positions of entries of cold servers were kept for good, so a VM's memory grew with each replaced engine. Change: they are dropped once the directory lists the server no longer, and it was not cold lately. Result: the new test of 500 servers that come and go failed before (it counts what is kept); 45 tests of cold servers pass.

--- a/camphordrift/relay/scheduling/_cold_servers.py
+++ b/camphordrift/relay/scheduling/_cold_servers.py
@@ -152,7 +152,9 @@
         states another time. It started during traffic if an earlier start of it is known, or other
         servers of its service have been listed for longer than that period.
         """
-        news = [self._observe_start(server, now) for server in servers]
+        listed = list(servers)
+        news = [self._observe_start(server, now) for server in listed]
+        self._forget_unlisted(server.id for server in listed)
         return [item for item in news if item is not None]
 
     def observe_entry(
@@ -220,6 +222,13 @@
             if not period.is_open and is_obsolete(period.until, now):
                 del self._periods[server_id]
 
+    def _forget_unlisted(self, listed_ids: Iterable[str]) -> None:
+        """Drops starts and positions of servers that are neither listed nor were cold lately."""
+        known = self._periods.keys() | set(listed_ids)
+        if len(self._starts) > len(known) or len(self._positions) > len(known):
+            self._starts = {key: item for key, item in self._starts.items() if key in known}
+            self._positions = {key: item for key, item in self._positions.items() if key in known}
+
     def _observe_start(self, server: BackendServer, now: float) -> Optional[ColdServer]:
         former = self._starts.get(server.id)
         first_listed = self._first_listed.setdefault(server.service, now)
--- a/camphordrift/relay/tests/test_cold_servers.py
+++ b/camphordrift/relay/tests/test_cold_servers.py
@@ -230,6 +230,16 @@
         self.assertEqual({}, cold._periods)
 
 
+class ChurnTest(testtools.TestCase):
+    def test_servers_that_are_gone_take_no_memory(self) -> None:
+        cold = cold_servers()
+        for number in range(1, 501):
+            listed = entry(0.0, number=number)
+            cold.observe_listed([listed], float(number))
+            cold.observe_entry(listed, (0, number), float(number))
+        self.assertLessEqual(len(cold._starts) + len(cold._positions), 4)
+
+
 class DistributorTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
