Count a server as silent that sends a byte of a plain response now and then

Operators of similar systems saw stalled responses that sent a byte now and then and never ended. Cause: each byte of a response that is no stream restarted the timeout after which another server is tried, so a repeatable request stayed with a stalled server until its deadline (504). Streams count complete events only, and were not affected. Change: the timeout restarts with each KiB. The slow attempt still goes on beside the further one.

--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -44,6 +44,10 @@
 #: block on a server that responds before it has read the body.
 SOCKET_BUFFERED_BODY_BYTES = 8192
 
+#: Bytes of a response that is no stream after which its server does not count as silent. A stalled
+#: server may still send a byte now and then.
+MIN_PROGRESS_BYTES = 1024
+
 
 @dataclass(frozen=True)
 class NotSent:
@@ -310,9 +314,12 @@
         event_timeout: float,
     ) -> AttemptResult:
         body = bytearray()
+        progress = 0
         while (chunk := await timer.receive(connection.receive_data)) is not None:
             body += chunk
-            timer.restart(event_timeout)
+            if len(body) >= progress + MIN_PROGRESS_BYTES:
+                progress = len(body)
+                timer.restart(event_timeout)
             if len(body) > MAX_BUFFERED_RESPONSE_BYTES:
                 return Broken("the response is too large to buffer")
         headers = _end_to_end_headers(head.headers)
