--- a/camphordrift/relay/peers/__init__.py
+++ b/camphordrift/relay/peers/__init__.py
@@ -11,6 +11,7 @@
 )
 from camphordrift.relay.peers._crash_monitor import CrashMonitor
 from camphordrift.relay.peers._evacuation_sharing import EvacuationSharing
+from camphordrift.relay.peers._message_link import LinkBrokenError, MessageLink
 from camphordrift.relay.peers._notice_distribution import NoticeDistributor
 from camphordrift.relay.peers._path_sharing import PathSharing
 from camphordrift.relay.peers._peer_links import PeerLinks
@@ -24,10 +25,8 @@
     Finished,
     Granted,
     LimitedRequestSent,
-    LinkBrokenError,
     Member,
     Message,
-    MessageLink,
     OpenTunnel,
     PermitRequest,
     PermitResponse,
--- a/camphordrift/relay/peers/_configuration_sharing.py
+++ b/camphordrift/relay/peers/_configuration_sharing.py
@@ -13,12 +13,11 @@
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay.connections import connect
 from camphordrift.relay.model import Address
+from camphordrift.relay.peers._message_link import LinkBrokenError, MessageLink
 from camphordrift.relay.peers._peer_messages import (
     ConfigurationDocument,
     ConfigurationRequest,
-    LinkBrokenError,
     Member,
-    MessageLink,
 )
 
 #: Timeout in seconds of a connection attempt to the VM that has the document.
--- a/camphordrift/relay/peers/_crash_monitor.py
+++ b/camphordrift/relay/peers/_crash_monitor.py
@@ -20,8 +20,9 @@
     is_whole_request,
 )
 from camphordrift.relay.model import BackendServer
+from camphordrift.relay.peers._message_link import MessageLink
 from camphordrift.relay.peers._peer_links import PeerLinks
-from camphordrift.relay.peers._peer_messages import CrashEvidenceUpdate, MessageLink
+from camphordrift.relay.peers._peer_messages import CrashEvidenceUpdate
 
 #: Crashes of servers on one request after which it is not retried.
 MAX_RETRIED_CRASHES = 1
--- a/camphordrift/relay/peers/_evacuation_sharing.py
+++ b/camphordrift/relay/peers/_evacuation_sharing.py
@@ -5,8 +5,9 @@
 from typing import Optional
 
 from camphordrift.event_log import LogLevel, log_event
+from camphordrift.relay.peers._message_link import MessageLink
 from camphordrift.relay.peers._peer_links import PeerLinks
-from camphordrift.relay.peers._peer_messages import Message, MessageLink, ZonesStated
+from camphordrift.relay.peers._peer_messages import Message, ZonesStated
 from camphordrift.relay.servers import ZoneEvacuations, ZoneStatement
 
 
--- a/camphordrift/relay/peers/_path_sharing.py
+++ b/camphordrift/relay/peers/_path_sharing.py
@@ -9,8 +9,9 @@
 import trio
 
 from camphordrift.relay.model import Address
+from camphordrift.relay.peers._message_link import MessageLink
 from camphordrift.relay.peers._peer_links import PeerLinks
-from camphordrift.relay.peers._peer_messages import Member, MessageLink
+from camphordrift.relay.peers._peer_messages import Member
 from camphordrift.relay.servers import STATEMENT_INTERVAL, CutOffVms, PathStatement
 
 #: Maximum number of VMs that are remembered besides the members.
--- a/camphordrift/relay/peers/_peer_links.py
+++ b/camphordrift/relay/peers/_peer_links.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterable
 from typing import Optional
 
-from camphordrift.relay.peers._peer_messages import Message, MessageLink
+from camphordrift.relay.peers._message_link import MessageLink
+from camphordrift.relay.peers._peer_messages import Message
 
 
 class PeerLinks:
--- a/camphordrift/relay/peers/_tunnels.py
+++ b/camphordrift/relay/peers/_tunnels.py
@@ -19,10 +19,9 @@
     enable_dead_peer_detection,
 )
 from camphordrift.relay.model import Address
+from camphordrift.relay.peers._message_link import LinkBrokenError, MessageLink
 from camphordrift.relay.peers._peer_messages import (
     ConnectionEnd,
-    LinkBrokenError,
-    MessageLink,
     OpenTunnel,
     TunnelData,
     TunnelEnded,
--- a/camphordrift/relay/tests/test_first_leader.py
+++ b/camphordrift/relay/tests/test_first_leader.py
@@ -6,7 +6,8 @@
 import trio
 
 from camphordrift.relay.fleet._dispatcher import FIRST_LEADER_WAIT, Dispatcher
-from camphordrift.relay.peers._peer_messages import Granted, Message, MessageLink, Submit
+from camphordrift.relay.peers._message_link import MessageLink
+from camphordrift.relay.peers._peer_messages import Granted, Message, Submit
 from camphordrift.relay.scheduling._engine_scheduler import EngineScheduler
 from camphordrift.relay.scheduling._placement_values import Grant, PlacementDecision
 from camphordrift.relay.tests.samples import CONFIGURATION, placement_request, server
--- a/camphordrift/relay/tests/test_leader_election.py
+++ b/camphordrift/relay/tests/test_leader_election.py
@@ -23,16 +23,11 @@
 from camphordrift.relay.peers._configuration_sharing import choose_zone_sources, fetch_configuration
 from camphordrift.relay.peers._crash_monitor import CrashMonitor
 from camphordrift.relay.peers._evacuation_sharing import EvacuationSharing
+from camphordrift.relay.peers._message_link import LinkBrokenError, MessageLink
 from camphordrift.relay.peers._notice_distribution import NoticeDistributor
 from camphordrift.relay.peers._path_sharing import PathSharing
 from camphordrift.relay.peers._peer_links import PeerLinks
-from camphordrift.relay.peers._peer_messages import (
-    LinkBrokenError,
-    Member,
-    Message,
-    MessageLink,
-    StoreUnreachable,
-)
+from camphordrift.relay.peers._peer_messages import Member, Message, StoreUnreachable
 from camphordrift.relay.peers._tunnels import TunnelServer
 from camphordrift.relay.scheduling._engine_scheduler import EngineScheduler
 from camphordrift.relay.scheduling._placement_values import AttemptOutcome, Grant
--- a/camphordrift/relay/tests/test_message_kinds.py
+++ b/camphordrift/relay/tests/test_message_kinds.py
@@ -18,21 +18,19 @@
     kinds_in,
     newer_values,
 )
+from camphordrift.relay.peers._message_link import LinkBrokenError, MessageLink, _encode
 from camphordrift.relay.peers._peer_messages import (
     NEWER_KINDS,
     ConfigurationRequest,
     ConnectionEnd,
     Finished,
-    LinkBrokenError,
     Member,
     Message,
-    MessageLink,
     Ping,
     Refused,
     ServerUpdate,
     TunnelEnded,
     Withdraw,
-    _encode,
 )
 from camphordrift.relay.scheduling import AttemptOutcome, PlacementRefusal, RefusalReason
 from camphordrift.relay.tests.samples import server
--- a/camphordrift/relay/tests/test_message_link.py
+++ b/camphordrift/relay/tests/test_message_link.py
@@ -6,13 +6,8 @@
 import trio
 import trio.testing
 
-from camphordrift.relay.peers._peer_messages import (
-    ConfigurationDocument,
-    Message,
-    MessageLink,
-    Ping,
-    Withdraw,
-)
+from camphordrift.relay.peers._message_link import MessageLink
+from camphordrift.relay.peers._peer_messages import ConfigurationDocument, Message, Ping, Withdraw
 from camphordrift.testing import run_in_virtual_time
 
 
--- a/camphordrift/relay/tests/test_tunnels.py
+++ b/camphordrift/relay/tests/test_tunnels.py
@@ -15,7 +15,8 @@
 )
 from camphordrift.relay.model._settings import Address
 from camphordrift.relay.peers import _tunnels
-from camphordrift.relay.peers._peer_messages import LinkBrokenError, MessageLink, OpenTunnel
+from camphordrift.relay.peers._message_link import LinkBrokenError, MessageLink
+from camphordrift.relay.peers._peer_messages import OpenTunnel
 from camphordrift.relay.peers._tunnels import (
     TunnelRefusedError,
     TunnelServer,
--- a/camphordrift/relay/tests/test_wire_compatibility.py
+++ b/camphordrift/relay/tests/test_wire_compatibility.py
@@ -15,7 +15,8 @@
 from camphordrift.relay.model import KeyedRecord
 from camphordrift.relay.peers import decode_member, encode_member
 from camphordrift.relay.peers._message_kinds import BASE_KINDS, BASE_VALUES
-from camphordrift.relay.peers._peer_messages import Member, Message, MessageLink, _decoder
+from camphordrift.relay.peers._message_link import MessageLink
+from camphordrift.relay.peers._peer_messages import Member, Message, message_decoder
 from camphordrift.relay.store import QuarantineRecords
 from camphordrift.relay.tests.wire_records import (
     TRAITS,
@@ -102,7 +103,7 @@
         lost: list[str] = []
         for kind, contents in FORMER.messages.items():
             for content in contents:
-                again = msgspec.msgpack.encode(_decoder.decode(content))
+                again = msgspec.msgpack.encode(message_decoder.decode(content))
                 former, present = msgspec.msgpack.decode(content), msgspec.msgpack.decode(again)
                 lost += missing(former, present, kind)
         self.assertEqual([], lost)
@@ -204,7 +205,7 @@
         document = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
         added = {f"{name} of a later build": value for name in names}
         content = msgspec.msgpack.encode(_with_fields(document, added))
-        self.assertEqual(message, _decoder.decode(content))
+        self.assertEqual(message, message_decoder.decode(content))
 
     def test_all_messages_are_tagged(self) -> None:
         for message_type in get_args(Message):
--- a/camphordrift/relay/tests/watched_vms.py
+++ b/camphordrift/relay/tests/watched_vms.py
@@ -16,14 +16,13 @@
 from camphordrift.relay.model._settings import Address
 from camphordrift.relay.peers._crash_monitor import CrashMonitor
 from camphordrift.relay.peers._evacuation_sharing import EvacuationSharing
+from camphordrift.relay.peers._message_link import LinkBrokenError, MessageLink
 from camphordrift.relay.peers._path_sharing import PathSharing
 from camphordrift.relay.peers._peer_links import PeerLinks
 from camphordrift.relay.peers._peer_messages import (
     ConfigurationRequest,
-    LinkBrokenError,
     Member,
     Message,
-    MessageLink,
     Ping,
     ZonesStated,
 )
