Call the functions that exist for the kind of a request and for other servers

Cause: the order of accounts wrote out what kind_of() returns, and the connector drew a sample of other servers twice. Change: kind_of() is called, and one function draws the sample. No change of behaviour.

--- a/camphordrift/relay/requests/_server_connector.py
+++ b/camphordrift/relay/requests/_server_connector.py
@@ -241,10 +241,14 @@
 
     def _check_others(self, address: Address) -> None:
         """Checks some other paths, which may be lost for the same reason."""
-        others = [item for item in self._listed() if item != address]
-        for other in random.sample(others, min(len(others), SERVERS_CHECKED)):
+        for other in self._sample_others(address):
             self.check(other.host, other.port)
 
+    def _sample_others(self, address: Address) -> list[Address]:
+        """Returns some listed servers other than the given one."""
+        others = [item for item in self._listed() if item != address]
+        return random.sample(others, min(len(others), SERVERS_CHECKED))
+
     def _update(self) -> None:
         is_cut_off = self._paths.is_cut_off
         if is_cut_off == self._was_cut_off:
@@ -271,7 +275,6 @@
 
     async def _reaches_another_server(self, address: Address) -> bool:
         """Returns whether this VM can connect to any of some servers other than the given one."""
-        others = [item for item in self._listed() if item != address]
         has_path = False
 
         async def try_server(other: Address) -> None:
@@ -285,7 +288,7 @@
             nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            for other in random.sample(others, min(len(others), SERVERS_CHECKED)):
+            for other in self._sample_others(address):
                 nursery.start_soon(try_server, other)
         return has_path
 
--- a/camphordrift/relay/scheduling/_account_order.py
+++ b/camphordrift/relay/scheduling/_account_order.py
@@ -125,7 +125,7 @@
             return by_urgency
         places: defaultdict[tuple[RequestKind, bool], list[int]] = defaultdict(list)
         for position, waiting in enumerate(by_urgency):
-            kind = waiting.request.priority, waiting.request.pause
+            kind = kind_of(waiting.request)
             if kind in contested:
                 is_late = waiting.first_event_due_at <= now < waiting.deferral_ends_at
                 places[kind, is_late].append(position)
