--- a/review/2/case.py
+++ b/review/2/case.py
@@ -99,6 +99,8 @@
 
     async def _write_events(self, writer: asyncio.StreamWriter) -> None:
         for number in range(EVENTS):
+            if writer.is_closing():
+                raise ClosedError("the machine closed the channel")
             event = b"id: %d\ndata: %s\n\n" % (number + 1, b"x" * 60)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await asyncio.sleep(0.04)
@@ -106,9 +108,10 @@
 
     async def _write_endless(self, writer: asyncio.StreamWriter) -> None:
         self._fleet.record.write(f"{self.id} begins a body without end")
-        while True:
+        while not writer.is_closing():
             writer.write(CHUNKS)
             await writer.drain()
+        raise ClosedError("the machine closed the channel")
 
 
 async def look_up(fleet: Fleet, machine: Machine, results: list[Exchange]) -> None:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,8 @@
 """A request that crashes each engine shortly after the engine has begun to run it.
 
 The request comes again and again, with the same path, caller and body, at any machine. Each engine
-that runs it sends its first events and crashes; it is back after two seconds.
+that runs it sends its first events and crashes; it is back after two seconds. Sound streams, which
+may not be resumed, run beside it; they show what the crashes cost, and decide nothing.
 """
 
 import asyncio
@@ -37,6 +38,9 @@
 #: Times that the request comes, and seconds between them.
 COMES, PAUSE = 40, 0.5
 
+#: Sound streams, and seconds between them.
+SOUND, SOUND_PAUSE = 100, 0.2
+
 #: Body of the request, by which engines know it.
 DEADLY = b"{" + b"deadly " * 100 + b"}"
 
@@ -121,17 +125,48 @@
             if is_deadly and disturbed() and number == first + CRASH_AFTER:
                 asyncio.get_running_loop().create_task(self._crash())
                 await asyncio.sleep(3600)
+            if writer.is_closing():
+                raise ClosedError("the engine crashed, or the machine closed the channel")
             event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 60)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await asyncio.sleep(GAP)
         writer.write(b"0\r\n\r\n")
 
 
+async def ask_sound(fleet: Fleet) -> None:
+    """Sends sound streams and records how many were complete."""
+    async with asyncio.TaskGroup() as group:
+        tasks = []
+        for number in range(SOUND):
+            tasks.append(
+                group.create_task(
+                    exchange(
+                        fleet,
+                        random.choice(fleet.machines).host,
+                        f"POST /tell/{number}",
+                        f"sound-{number}",
+                        deadline_ms=10000,
+                        patience=10.0,
+                        body=b"sound",
+                        Camphordrift_Model="m",
+                        Camphordrift_Token_Count="5000,510",
+                        Camphordrift_Prompt_Prefix=f"5c1e07a2:40,77bd{number:04x}:4960",
+                    )
+                )
+            )
+            await asyncio.sleep(SOUND_PAUSE)
+    complete = sum(task.result().status == 200 for task in tasks)
+    fleet.record.write(f"{complete} of {SOUND} sound streams were complete")
+
+
 async def play(fleet: Fleet) -> bool:
     """Plays the case; returns whether few enough requests reached engines after the bound."""
     times = {"TimeoutMs": 10000, "SloMs": 300}
     fleet.configure(
-        [route("ask", "models", "streaming", ResumeStreams=True, Sticky=True, **times)],
+        [
+            route("ask", "models", "streaming", ResumeStreams=True, Sticky=True, **times),
+            route("tell", "models", "streaming", Sticky=True, **times),
+        ],
         [engine_service("models")],
     )
     arrivals: list[float] = []
@@ -141,6 +176,7 @@
     await fleet.start(MACHINES)
     await asyncio.sleep(4.0)
     async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(ask_sound(fleet))
         for number in range(COMES):
             tasks.create_task(
                 exchange(
