--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -210,8 +210,13 @@
                     raise CannotRunError(f"{machine.name} is not ready")
                 await asyncio.sleep(0.05)
 
-    def configure(self, routes: list[dict[str, Any]], services: list[dict[str, Any]]) -> None:
-        """Writes a new version of the configuration with one tenant."""
+    def configure(
+        self,
+        routes: list[dict[str, Any]],
+        services: list[dict[str, Any]],
+        keys: tuple[str, ...] = ("key-1",),
+    ) -> None:
+        """Writes a new version of the configuration with one tenant, which holds the keys."""
         self.version += 1
         self.store.put(
             "keyed.op",
@@ -226,7 +231,7 @@
                     "HeaderTimeoutMs": 3000,
                     "IdleTimeoutMs": 15000,
                 },
-                "Tenants": [{"Name": "tenant-1", "ApiKeys": ["key-1"], "Priority": 1}],
+                "Tenants": [{"Name": "tenant-1", "ApiKeys": list(keys), "Priority": 1}],
             },
         )
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import struct
+import time
 from collections import Counter, defaultdict
 from typing import Any, Optional
 from urllib.parse import parse_qs, urlsplit
@@ -19,6 +20,7 @@
         era: Value of the header ``Store-Era``.
         silent: Addresses at which calls get no answer.
         busy: Whether all calls are answered with 503.
+        is_down: Whether the store is away: calls get no answer, and their channels end.
         reads: Number of reads of the configuration, by the address at which they arrived.
 
     """
@@ -27,8 +29,9 @@
         self.era = 1
         self.silent: set[str] = set()
         self.busy = False
+        self.is_down = False
         self.reads: Counter[str] = Counter()
-        self._records: dict[str, list[tuple[str, bytes]]] = defaultdict(list)
+        self._records: dict[str, list[tuple[str, bytes, float]]] = defaultdict(list)
         self._changed = asyncio.Event()
         self._servers: list[asyncio.Server] = []
 
@@ -47,12 +50,31 @@
         content = b"" if document is None else json.dumps(document).encode()
         self._append(topic, key, content)
 
+    async def restore(self, age: float, downtime: float) -> None:
+        """Goes away, and comes back from a copy.
+
+        Args:
+            age: Seconds before the beginning of which all records are kept.
+            downtime: Seconds for which the store is away.
+
+        """
+        self.is_down = True
+        limit = time.monotonic() - age
+        for topic, records in self._records.items():
+            self._records[topic] = [record for record in records if record[2] <= limit]
+        self.era += 1
+        await asyncio.sleep(downtime)
+        self.is_down = False
+
     async def _serve(
         self, host: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while True:
             head = await read_head(reader)
             body = await read_body(reader, head)
+            if self.is_down:
+                return
+            era = self.era
             if host in self.silent:
                 await asyncio.sleep(3600)
             await asyncio.sleep(0.004)
@@ -63,6 +85,8 @@
                 status, content = await self._answer(head, body)
             if host in self.silent:
                 await asyncio.sleep(3600)
+            if self.is_down or era != self.era:
+                return
             writer.write(encode(f"HTTP/1.1 {status}", {"Store-Era": str(self.era)}, content))
             await writer.drain()
 
@@ -85,20 +109,20 @@
                 while len(records) <= offset:
                     await self._changed.wait()
         content = struct.pack(">qq", len(records), 0)
-        for key, value in records[offset:]:
+        for key, value, _ in records[offset:]:
             record = bytes((len(key),)) + key.encode() + value
             content += struct.pack(">I", len(record)) + record
         return "200 OK", content
 
     def _append(self, topic: str, key: str, value: bytes) -> None:
-        self._records[topic].append((key, value))
+        self._records[topic].append((key, value, time.monotonic()))
         self._changed.set()
         self._changed = asyncio.Event()
 
     @staticmethod
-    def _newest(records: list[tuple[str, bytes]]) -> bytes:
+    def _newest(records: list[tuple[str, bytes, float]]) -> bytes:
         newest: dict[str, dict[str, Any]] = {}
-        for offset, (key, value) in enumerate(records):
+        for offset, (key, value, _) in enumerate(records):
             text = base64.b64encode(value).decode()
             newest[key] = {"Key": key, "Value": text, "Offset": offset}
             if not value:
