--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,7 +24,7 @@
 from standins.http_messages import ClosedError, encode, read_body, read_head  # noqa: E402
 
 #: Length of a long body in bytes; the configuration allows 4,194,304.
-LONG = 1_000_000
+LONG = 4_000_000
 
 #: Long requests, and short ones after each.
 ROUNDS, SHORT = 12, 6
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -324,6 +324,10 @@
     record.write(f"disruption: {'yes' if disturbed() else 'no'}")
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as directory:
             fleet = Fleet(Path(directory), record, bounds)
             try:
@@ -339,7 +343,7 @@
         held = asyncio.run(run())
         status = HELD if held else BROKEN
         record.write("the rule held" if held else "the rule was broken")
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"could not run: {error!r}")
         status = COULD_NOT_RUN
     record.close()
