A body in very small chunks no longer occupies the event loop

Cause: one read of 64 KiB holds some 10,900 chunks of a byte, and HttpConnection returned each from its buffer without a checkpoint. EventSplitter copied and searched the unfinished event for each of them, so that the work grew with the square of its length. Bodies of callers were parsed in the same loop, and connections through other VMs returned buffered messages without a checkpoint.

Fix: chunks out of one read are joined, and after 64 of them the connection pauses for 2 ms; the splitter searches each byte once, and gets at most 8 KiB between two writes. The pause bounds the share of the processor that one peer can take, whatever its chunks are; chunks of usual sizes never cause one.

--- a/camphordrift/relay/connections/_events.py
+++ b/camphordrift/relay/connections/_events.py
@@ -26,12 +26,14 @@
     """Buffers received bytes and returns complete events; a partial event stays buffered."""
 
     def __init__(self) -> None:
-        self._partial_event = b""
+        self._buffer = bytearray()
+        #: Length of the buffered bytes that contain no end of an event.
+        self._searched = 0
 
     @property
     def has_partial_event(self) -> bool:
         """Whether an incomplete event is buffered."""
-        return bool(self._partial_event)
+        return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds received bytes and returns the events that they complete.
@@ -40,10 +42,20 @@
             EventTooLongError: The event that the bytes do not complete is too long.
 
         """
-        *complete, self._partial_event = (self._partial_event + data).split(_EVENT_END)
-        if len(self._partial_event) > MAX_EVENT_BYTES:
+        self._buffer += data
+        # The end may have begun in the bytes that were searched before.
+        position = max(0, self._searched - len(_EVENT_END) + 1)
+        events, start = [], 0
+        while (found := self._buffer.find(_EVENT_END, position)) >= 0:
+            position = found + len(_EVENT_END)
+            event = bytes(self._buffer[start:position])
+            events.append(StreamEvent(event, _event_id(event)))
+            start = position
+        del self._buffer[:start]
+        self._searched = len(self._buffer)
+        if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLongError(f"event of more than {MAX_EVENT_BYTES} bytes")
-        return [StreamEvent(part + _EVENT_END, _event_id(part)) for part in complete]
+        return events
 
 
 def _event_id(event: bytes) -> Optional[int]:
--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
-from typing import Optional
+from typing import Optional, Union
 
 import h11
 import trio
@@ -18,6 +18,7 @@
     SocketByteStream,
     connect,
 )
+from camphordrift.relay.connections._parsing_pace import ParsingPace
 from camphordrift.relay.model import Address
 
 #: Maximum size of the status line and headers of a response, in bytes.
@@ -68,6 +69,9 @@
     def __init__(self, stream: ByteStream) -> None:
         self._stream = stream
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
+        self._pace = ParsingPace()
+        #: A parsed event that follows the data returned last, or the error that was found there.
+        self._next: Union[h11.Event, BrokenAnswerError, None] = None
         #: Time, by trio's clock, after which the connection must not be reused.
         self.usable_until = float("inf")
         #: Whether the connection had a response before the present one, which may come again late.
@@ -79,6 +83,7 @@
         return (
             self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
+            and self._next is None
             and not self._protocol.trailing_data[0]
         )
 
@@ -146,15 +151,27 @@
         raise BrokenAnswerError("too many informational responses")
 
     async def receive_data(self) -> Optional[bytes]:
-        """Returns the next chunk of the response body; ``None`` at its end.
+        """Returns the next part of the response body; ``None`` at its end.
+
+        The part consists of all chunks that have arrived, up to a maximum number.
 
         Raises:
             BrokenAnswerError: The response was incomplete or malformed.
 
         """
-        event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
+        event: Optional[h11.Event] = await self._next_event()
+        chunks: list[bytes] = []
+        while isinstance(event, h11.Data):
+            chunks.append(bytes(event.data))
+            if self._pace.is_turn_over:
+                return b"".join(chunks)
+            try:
+                event = self._parse_next()
+            except BrokenAnswerError as error:
+                event, self._next = None, error
+        if chunks:
+            self._next = self._next or event
+            return b"".join(chunks)
         if isinstance(event, h11.EndOfMessage):
             return None
         raise BrokenAnswerError("the response was truncated")
@@ -164,16 +181,35 @@
         self._stream.abort()
 
     async def _next_event(self) -> h11.Event:
+        event, self._next = self._next, None
+        if isinstance(event, BrokenAnswerError):
+            raise event
         try:
-            while True:
-                event = self._protocol.next_event()
-                if isinstance(event, h11.Event):
-                    return event
-                self._protocol.receive_data(await self._stream.receive_some(READ_SIZE))
+            while event is None:
+                await self._pace.pause_between_turns()
+                event = self._parse_next()
+                if event is None:
+                    self._protocol.receive_data(await self._stream.receive_some(READ_SIZE))
+                    self._pace.record_read()
+            return event
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise BrokenAnswerError("the connection was reset") from error
+
+    def _parse_next(self) -> Optional[h11.Event]:
+        """Returns the next event that has arrived completely.
+
+        Raises:
+            BrokenAnswerError: The data is not valid HTTP.
+
+        """
+        try:
+            event = self._protocol.next_event()
         except h11.RemoteProtocolError as error:
             raise BrokenAnswerError(f"not a valid HTTP response: {error}") from error
+        if not isinstance(event, h11.Event):
+            return None
+        self._pace.record_event()
+        return event
 
 
 async def open_stream(host: str, port: int, timeout: float) -> ByteStream:
--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -14,6 +14,7 @@
 
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay.connections._byte_stream import READ_SIZE, abort, enable_dead_peer_detection
+from camphordrift.relay.connections._parsing_pace import ParsingPace
 from camphordrift.relay.model import CallerLimits, Headers
 
 #: Maximum number of bytes that are read from a caller while a previous request is in progress.
@@ -145,6 +146,7 @@
         #: Cancel scope of the request in progress.
         self._request_scope: Optional[trio.CancelScope] = None
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._pace = ParsingPace()
         self._read_ahead_bytes = 0
 
     async def serve(self) -> None:
@@ -302,14 +304,17 @@
 
     async def _next_event(self) -> h11.Event:
         while True:
+            await self._pace.pause_between_turns()
             event = self._protocol.next_event()
             if isinstance(event, h11.Event):
+                self._pace.record_event()
                 return event
             self._check_head_size()
             if self._protocol.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 await self.write(self._protocol.send(continue_response) or b"")
             self._protocol.receive_data(await self._stream.receive_some(READ_SIZE))
+            self._pace.record_read()
 
     def _check_head_size(self) -> None:
         """Raises an error if an incomplete request line with headers exceeds the current limit."""
--- a/camphordrift/relay/peers/_tunnels.py
+++ b/camphordrift/relay/peers/_tunnels.py
@@ -76,6 +76,8 @@
 
         """
         while self._end is None:
+            # Many short messages may have been read at once.
+            await trio.lowlevel.checkpoint()
             try:
                 message = await self._link.receive()
             except LinkBrokenError as error:
--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -1,6 +1,6 @@
 """A single attempt to send a request to one backend server."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from typing import Optional, TypeVar, Union
 
@@ -44,6 +44,9 @@
 #: block on a server that responds before it has read the body.
 SOCKET_BUFFERED_BODY_BYTES = 8192
 
+#: Maximum number of bytes of a stream that are split into events before other tasks get their turn.
+MAX_PART_BYTES = 8192
+
 #: Bytes of a response that is no stream after which its server does not count as silent. A stalled
 #: server may still send a byte now and then.
 MIN_PROGRESS_BYTES = 1024
@@ -339,17 +342,18 @@
         splitter = EventSplitter()
         started = False
         while (chunk := await timer.receive(connection.receive_data)) is not None:
-            try:
-                events = splitter.feed(chunk)
-            except EventTooLongError as error:
-                return Broken(str(error))
-            if not events:
-                continue
-            if not started:
-                started = True
-                await sink.start_response(head.status_code, _end_to_end_headers(head.headers))
-            await sink.write_events(events)
-            timer.restart(event_timeout)
+            for part in _parts(chunk):
+                try:
+                    events = splitter.feed(part)
+                except EventTooLongError as error:
+                    return Broken(str(error))
+                if not events:
+                    continue
+                if not started:
+                    started = True
+                    await sink.start_response(head.status_code, _end_to_end_headers(head.headers))
+                await sink.write_events(events)
+                timer.restart(event_timeout)
         if splitter.has_partial_event:
             return Broken("stream ended mid-event", connection_closed=True)
         if not started:
@@ -360,6 +364,12 @@
         return Streamed()
 
 
+def _parts(chunk: bytes) -> Iterator[bytes]:
+    """Cuts a chunk into parts, as it may consist of very many events."""
+    for start in range(0, len(chunk), MAX_PART_BYTES):
+        yield chunk[start : start + MAX_PART_BYTES]
+
+
 def _broken(error: Exception) -> Broken:
     return Broken(str(error), connection_closed=not isinstance(error, PathBrokenError))
 
