A connection whose request was not written completely is not reused

Cause: HttpConnection.send() passes the whole request to h11 before it writes the first byte. An attempt cancels the write when the response is complete, and h11 then counts the request as sent, so the pool kept the connection.

Fix: the connection records whether a write is unfinished; it is then closed instead of being reused.

--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -70,6 +70,8 @@
         self._stream = stream
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
         self._pace = ParsingPace()
+        #: Whether a request was started of which not all bytes were written.
+        self._is_request_unfinished = False
         #: A parsed event that follows the data returned last, or the error that was found there.
         self._next: Union[h11.Event, BrokenAnswerError, None] = None
         #: Time, by trio's clock, after which the connection must not be reused.
@@ -79,9 +81,15 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether the connection can be used for another request."""
+        """Whether the connection can be used for another request.
+
+        A server may respond before it has read the request, and read on later. The connection of a
+        request that was not written completely is of no further use, as the server would take what
+        follows for the rest of the body.
+        """
         return (
-            self._protocol.our_state is h11.DONE
+            not self._is_request_unfinished
+            and self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
             and self._next is None
             and not self._protocol.trailing_data[0]
@@ -110,12 +118,14 @@
         if body:
             data += self._protocol.send(h11.Data(data=body))
         data += self._protocol.send(h11.EndOfMessage())
+        self._is_request_unfinished = True
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionError(
                 "the server closed the connection while the request was being sent"
             ) from error
+        self._is_request_unfinished = False
 
     async def exchange(self, request: SmallRequest) -> SmallResponse:
         """Sends a small request and returns the response.
