Only a complete response clears a request of crashes

Cause: AttemptEvidence took three events as proof that the traits of a request are sound. That cleared the crashes before on all VMs, and the crash that followed was not recorded, since the response was established; for the same reason the request was always safe to retry.

Fix: a request and its parts are sound once a response is complete, and each connection that the server ends before counts as a crash. A resumed stream proves nothing unless it was longer than the attempts that broke off, as its engine may have had too little left to crash.

--- a/camphordrift/relay/requests/_attempt_evidence.py
+++ b/camphordrift/relay/requests/_attempt_evidence.py
@@ -6,13 +6,17 @@
 from camphordrift.relay.requests._request_progress import RequestProgress
 
 #: Events of a stream after which it counts as established: the server did not crash when it began
-#: to write the response.
+#: to write the response. It may still crash later.
 ESTABLISHING_EVENTS = 3
 
 
 class AttemptEvidence:
     """Records evidence of one attempt to send a request to a server.
 
+    Only a complete response shows that a request is sound, as a server may crash at any time after
+    it began to write. A resumed stream shows it only if it was longer than the attempts before,
+    because the server may have had too little left to write.
+
     Args:
         monitor: Gets the evidence.
         progress: State of the request.
@@ -30,20 +34,25 @@
 
     def record_events(self, count: int) -> None:
         """Records events of the response."""
-        before, self._events = self._events, self._events + count
-        if before < ESTABLISHING_EVENTS <= self._events:
-            self._record_established()
+        self._events += count
+        if self._events >= ESTABLISHING_EVENTS:
+            self._progress.is_established = True
 
     def record_result(self, result: AttemptResult) -> None:
         """Records the result of the attempt."""
         match result:
-            case Streamed() if self._events:
-                self._record_established()
+            case Streamed() if self._events and self._is_longest_attempt():
+                self._monitor.record_sound(self._progress.traits)
             case Answered(status) if status < 500:
-                self._record_established()
-            case Broken(connection_closed=True) if not self._progress.is_established:
+                self._monitor.record_sound(self._progress.traits)
+            case Broken(connection_closed=True):
+                self._progress.most_events_before_crash = max(
+                    self._progress.most_events_before_crash, self._events
+                )
                 self._monitor.record_crash(self._progress.traits, self._server)
 
-    def _record_established(self) -> None:
-        self._progress.is_established = True
-        self._monitor.record_sound(self._progress.traits)
+    def _is_longest_attempt(self) -> bool:
+        if self._progress.metadata.last_event_id is not None:
+            # Attempts of an earlier request of the caller may have been longer.
+            return False
+        return self._events > self._progress.most_events_before_crash
--- a/camphordrift/relay/requests/_request_handler.py
+++ b/camphordrift/relay/requests/_request_handler.py
@@ -212,8 +212,13 @@
         return progress.remaining_time > 0 and len(progress.excluded_servers) < MAX_EXCLUDED_SERVERS
 
     def _is_safe_to_retry(self, progress: RequestProgress) -> bool:
-        """Returns whether a request may be retried although its server may have crashed on it."""
-        return progress.is_established or self._routing_state.crashes.may_retry(progress.traits)
+        """Returns whether a request may be retried although its server may have crashed on it.
+
+        Servers rather crash at the beginning of a response. The parts of an established one are
+        therefore not held against it, as other requests have them too.
+        """
+        traits = (progress.whole_request,) if progress.is_established else progress.traits
+        return self._routing_state.crashes.may_retry(traits)
 
     def _may_retry(self, progress: RequestProgress) -> bool:
         return self._is_retry_permitted(progress) and self._charge_retry(progress)
--- a/camphordrift/relay/requests/_request_progress.py
+++ b/camphordrift/relay/requests/_request_progress.py
@@ -34,8 +34,10 @@
     preferred_server: Optional[str] = None
     #: Whether a server may have executed the request.
     may_have_run: bool = False
-    #: Whether a server wrote so much of a response that it does not crash on the request.
+    #: Whether a server wrote so much of a response that it did not crash at its beginning.
     is_established: bool = False
+    #: Events of the longest attempt whose server may have crashed on the request.
+    most_events_before_crash: int = 0
     #: Whether a server was silent. Further attempts use new connections, as open ones may hang.
     met_silence: bool = False
     last_result: Optional[AttemptResult] = None
@@ -43,8 +45,12 @@
     @cached_property
     def traits(self) -> tuple[str, ...]:
         """What the request may have in common with others on which servers crash."""
-        whole_request = whole_request_trait(self.request, self.account)
-        return (*self.metadata.prompt_parts, whole_request)
+        return (*self.metadata.prompt_parts, self.whole_request)
+
+    @cached_property
+    def whole_request(self) -> str:
+        """The one of the traits that stands for the whole request."""
+        return whole_request_trait(self.request, self.account)
 
     @property
     def remaining_time(self) -> float:
