An odd entry, report, page or message ends no process

Reported by operators of similar systems: one entry among those of the engines that is nested deeply, or has a number too large, ended the VMs that read the list again and again.

Cause: documents were checked for types only. msgspec raises RecursionError for nested documents, where all callers expect ValueError; numbers of any size were accepted, and msgpack raises OverflowError when the leader sends them on. On related paths: engines' reports, configurations, pages of the store, records and messages of VMs (nesting), ids that no header can carry (status 500 for each request placed there), values that are no base64, and times of quarantines with 400 digits.

Fix: one function decodes JSON from outside and raises ValueError for nested documents; numbers, names and ids have bounds that all encodings can represent; a record that cannot be decoded is left out and counted in the log. DocumentFormat.server() now raises ValueError for an unknown state as well, as its interface says, so the tests expect no KeyError any more.

--- a/camphordrift/platform/_documents.py
+++ b/camphordrift/platform/_documents.py
@@ -1,10 +1,12 @@
 """Parses the configuration and the entries of backend servers from the platform's store."""
 
-from typing import Optional
+import re
+from typing import Annotated, Optional
 
 import msgspec
 
 from camphordrift.platform._addresses import parse_address
+from camphordrift.platform._json import Count, Name, decode_json
 from camphordrift.relay import (
     Account,
     BackendServer,
@@ -32,6 +34,12 @@
 _PATIENCE_OBJECTIVES = 4.0
 _PATIENCE_GAPS = 8.0
 
+#: Longest time in milliseconds for which an entry may call its server cold: one day.
+_MAX_COLD_MS = 86_400_000.0
+
+#: Ids of servers are sent in headers, so they consist of visible ASCII characters.
+_SERVER_ID = re.compile(r"[!-~]{1,255}")
+
 
 class _Document(msgspec.Struct, rename="pascal", frozen=True, gc=False):
     """Base class of all documents; unknown fields are ignored."""
@@ -119,16 +127,16 @@
 
 
 class _ServerEntry(_Document, frozen=True):
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: str
+    service: Name
+    address: Name
+    zone: Name
+    slots: Count
+    state: Name
     #: Start of the process in milliseconds since 1970. The only field of the platform that is not
     #: capitalized.
-    born: int = msgspec.field(name="born", default=0)
+    born: Count = msgspec.field(name="born", default=0)
     #: Milliseconds for which the server was still cold when it wrote the entry.
-    cold_left_ms: Optional[float] = None
+    cold_left_ms: Optional[Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_MS)]] = None
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -141,7 +149,7 @@
 
     def configuration(self, document: bytes) -> Configuration:
         """Parses a configuration; raises ``ValueError`` if it is malformed."""
-        parsed = _configuration_decoder.decode(document)
+        parsed = decode_json(_configuration_decoder, document)
         return Configuration(
             version=parsed.version,
             routes=tuple(map(_convert_route, parsed.routes)),
@@ -157,17 +165,21 @@
 
     def configuration_version(self, document: bytes) -> int:
         """Returns a configuration's version; raises ``ValueError`` if it is malformed."""
-        return _version_decoder.decode(document).version
+        return decode_json(_version_decoder, document).version
 
     def server(self, server_id: str, document: bytes) -> BackendServer:
         """Parses a backend server's entry.
 
         Raises:
-            ValueError: The entry is malformed, or no connection can be opened to its address.
-            KeyError: The state is unknown.
+            ValueError: The entry is malformed, its state is unknown, no connection can be opened to
+                its address, or no request can be addressed to its id.
 
         """
-        parsed = _entry_decoder.decode(document)
+        if not _SERVER_ID.fullmatch(server_id):
+            raise ValueError("the id of the server cannot be sent in a header")
+        parsed = decode_json(_entry_decoder, document)
+        if parsed.state not in _SERVER_STATES:
+            raise ValueError(f"unknown state {parsed.state!r}")
         address = parse_address(parsed.address)
         return BackendServer(
             id=server_id,
--- /dev/null
+++ b/camphordrift/platform/_json.py
@@ -0,0 +1,26 @@
+"""Decodes JSON documents from outside."""
+
+from typing import Annotated, TypeVar
+
+import msgspec
+
+_Document = TypeVar("_Document")
+
+#: A name: of a service, an availability zone or the like.
+Name = Annotated[str, msgspec.Meta(max_length=255)]
+
+#: A number that all encodings of the relay can represent.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
+def decode_json(decoder: msgspec.json.Decoder[_Document], content: bytes) -> _Document:
+    """Decodes a document.
+
+    Raises:
+        ValueError: The document is malformed, or nested too deeply.
+
+    """
+    try:
+        return decoder.decode(content)
+    except RecursionError as error:
+        raise ValueError("the document is nested too deeply") from error
--- a/camphordrift/platform/_reports.py
+++ b/camphordrift/platform/_reports.py
@@ -2,12 +2,13 @@
 
 import msgspec
 
+from camphordrift.platform._json import Count, decode_json
 from camphordrift.relay import EngineReport
 
 
 class _Report(msgspec.Struct, rename="pascal", frozen=True):
-    running: int
-    queued: int
+    running: Count
+    queued: Count
 
 
 _decoder = msgspec.json.Decoder(_Report)
@@ -28,5 +29,5 @@
             ValueError: The report is malformed.
 
         """
-        report = _decoder.decode(content)
+        report = decode_json(_decoder, content)
         return EngineReport(report.running, report.queued)
--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -12,6 +12,7 @@
 import trio
 
 from camphordrift.event_log import log_event
+from camphordrift.platform._json import decode_json
 from camphordrift.relay import (
     Address,
     Batch,
@@ -50,6 +51,13 @@
     value: str = ""
     offset: int = 0
 
+    def decode_record(self) -> Optional[KeyedRecord]:
+        """Returns the record; ``None`` if its value is not base64."""
+        try:
+            return KeyedRecord(self.key, base64.b64decode(self.value), self.offset)
+        except ValueError:
+            return None
+
 
 class _NewestPage(msgspec.Struct, rename="pascal"):
     items: list[_NewestItem]
@@ -98,10 +106,8 @@
             era = response.era
             page = _decode_page(response.content)
             next_offset = page.end_offset if next_offset is None else next_offset
-            records += [
-                KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
-                for item in page.items
-            ]
+            decoded = [item.decode_record() for item in page.items]
+            records += _readable(decoded, topic)
             if not page.has_more or not page.items:
                 return Batch(tuple(records), next_offset, era=era or 0)
             after = page.items[-1].key
@@ -120,12 +126,14 @@
         if len(content) < _READ_HEADER.size:
             raise StoreError("response to a read is shorter than its offset header")
         end, _ = _READ_HEADER.unpack_from(content)
-        records = tuple(_parse_records(content[_READ_HEADER.size :], offset))
+        records = list(_parse_records(content[_READ_HEADER.size :], offset))
         next_offset = offset + len(records)
-        readable = tuple(record for record in records if record is not None)
-        if len(readable) < len(records):
-            log_event("records_unreadable", topic=topic, count=len(records) - len(readable))
-        return Batch(readable, next_offset, complete=next_offset >= end, era=response.era or 0)
+        return Batch(
+            tuple(_readable(records, topic)),
+            next_offset,
+            complete=next_offset >= end,
+            era=response.era or 0,
+        )
 
     async def append(self, topic: str, record: KeyedRecord) -> int:
         """Appends a record and returns the era of the store that contains it.
@@ -181,11 +189,19 @@
 
 def _decode_page(content: bytes) -> _NewestPage:
     try:
-        return _page_decoder.decode(content)
-    except msgspec.MsgspecError as error:
+        return decode_json(_page_decoder, content)
+    except ValueError as error:
         raise StoreError(f"malformed page of newest records: {error}") from error
 
 
+def _readable(records: list[Optional[KeyedRecord]], topic: str) -> list[KeyedRecord]:
+    """Returns the records that could be decoded; logs the number of the others."""
+    readable = [record for record in records if record is not None]
+    if len(readable) < len(records):
+        log_event("records_unreadable", topic=topic, count=len(records) - len(readable))
+    return readable
+
+
 def _parse_records(content: bytes, offset: int) -> Iterator[Optional[KeyedRecord]]:
     """Yields the records of a read, and ``None`` for each malformed one."""
     position = 0
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -1,6 +1,10 @@
 """Tests of the adapter's parsers and encoders."""
 
+import json
+
 import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from camphordrift.platform import (
     PlatformDocuments,
@@ -9,6 +13,7 @@
     PlatformReports,
     decode_settings,
 )
+from camphordrift.platform._addresses import parse_address
 from camphordrift.relay import (
     Account,
     Address,
@@ -20,6 +25,7 @@
     ServerState,
     ServiceShare,
 )
+from camphordrift.relay.peers._peer_messages import message_encoder
 
 CONFIGURATION = b"""{"Version":7,"Routes":[
  {"Name":"r-1","Host":"a.example","PathPrefix":"/q/","Kind":"streaming","TimeoutMs":10000,
@@ -97,6 +103,27 @@
             self.assertRaises(ValueError, PlatformDocuments().configuration, document)
 
 
+def odd_entries() -> st.SearchStrategy[bytes]:
+    """Returns entries in which fields are replaced or missing, and arbitrary bytes."""
+    odd = st.recursive(
+        st.one_of(
+            st.none(),
+            st.booleans(),
+            st.integers(),
+            st.integers(min_value=2**62),
+            st.floats(allow_nan=False, allow_infinity=False),
+            st.text(max_size=20),
+            st.from_regex(r"[0-9.]{1,12}:-?[0-9]{1,6}", fullmatch=True),
+        ),
+        lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+        max_leaves=5,
+    )
+    entry = json.loads(ServerEntryTest.ENTRY)
+    replaced = st.dictionaries(st.sampled_from(sorted(entry)), odd, min_size=1, max_size=2)
+    changed = replaced.map(lambda fields: json.dumps(entry | fields).encode())
+    return st.one_of(changed, st.binary(), changed.map(lambda content: content[:-7]))
+
+
 class ServerEntryTest(testtools.TestCase):
     ENTRY = (
         b'{"Service":"s1","Address":"10.1.0.9:8080","Zone":"z1","Version":"v1","Slots":8,'
@@ -121,7 +148,7 @@
             self.ENTRY.replace(b"10.1.0.9:8080", b"nowhere"),
             self.ENTRY.replace(b'"Slots":8', b'"Slots":"8"'),
         ):
-            self.assertRaises((ValueError, KeyError), PlatformDocuments().server, "i-1", entry)
+            self.assertRaises(ValueError, PlatformDocuments().server, "i-1", entry)
 
     def test_addresses_that_no_socket_takes_are_rejected(self) -> None:
         # Guards against servers that are listed although no connection to them can be opened.
@@ -143,6 +170,44 @@
             entry = self.ENTRY.replace(b"10.1.0.9:8080", address)
             self.assertRaises(ValueError, PlatformDocuments().server, "i-1", entry)
 
+    def test_ids_that_no_header_can_carry_are_rejected(self) -> None:
+        # Guards against servers to which no request can be addressed.
+        for server_id in ("", "a\nb", "a b", "a\0", "\ufffd", "a" * 256):
+            self.assertRaises(ValueError, PlatformDocuments().server, server_id, self.ENTRY)
+
+    def test_nested_documents_are_rejected(self) -> None:
+        # Guards against a RecursionError, which ended the processes that read the list.
+        for depth in (2_000, 100_000):
+            value = b"[" * depth + b"]" * depth
+            for field in (b'"Seq":4', b'"ColdLeftMs":0'):
+                entry = self.ENTRY.replace(field, field.split(b":")[0] + b":" + value)
+                self.assertRaises(ValueError, PlatformDocuments().server, "i-1", entry)
+            documents = PlatformDocuments()
+            document = b'{"Other":' + value + b"," + CONFIGURATION[1:]
+            self.assertRaises(ValueError, documents.configuration, document)
+            self.assertRaises(ValueError, documents.configuration_version, document)
+            report = b'{"Running":1,"Queued":0,"Tickets":' + value + b"}"
+            self.assertRaises(ValueError, PlatformReports().parse, report)
+
+    def test_numbers_that_no_message_can_carry_are_rejected(self) -> None:
+        # Guards against an OverflowError when the leader sends the entry to the other VMs.
+        for field in (b'"Slots":8', b'"ColdLeftMs":0', b'"born":1771403090306'):
+            name = field.split(b":")[0]
+            for number in (b"-1", b"1e308", b"1e999", b"1" * 30, b"9" * 5000):
+                entry = self.ENTRY.replace(field, name + b":" + number)
+                self.assertRaises(ValueError, PlatformDocuments().server, "i-1", entry)
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.deferred(odd_entries))
+    def test_any_entry_is_rejected_or_usable(self, entry: bytes) -> None:
+        # Guards against entries of another writer that are listed and then end a process.
+        try:
+            server = PlatformDocuments().server("i-1", entry)
+        except ValueError:
+            return
+        message_encoder.encode(server)
+        self.assertEqual(Address(server.host, server.port), parse_address(server.address))
+
 
 class ColdServersTest(testtools.TestCase):
     def test_a_service_names_period_and_rate(self) -> None:
--- a/camphordrift/platform/tests/test_store.py
+++ b/camphordrift/platform/tests/test_store.py
@@ -89,7 +89,21 @@
             with testtools.ExpectedException(StoreError):
                 await store.newest("keyed.op")
 
-        run(lambda line: http_response("200 OK", b"{"), check)
+        for page in (b"{", b'{"Items":' + b"[" * 100_000):
+            run(lambda line, page=page: http_response("200 OK", page), check)  # type: ignore[misc]
+
+    def test_a_record_whose_value_is_no_base64_is_left_out(self) -> None:
+        # Guards against one odd record that keeps all others from being read.
+        async def check(store: PlatformStore, calls: list[str]) -> None:
+            batch = await store.newest("keyed.servers")
+            self.assertEqual((KeyedRecord("b", b"v", 2),), batch.records)
+
+        items = [
+            {"Key": "a", "Value": "Y", "Offset": 1},
+            {"Key": "b", "Value": "dg==", "Offset": 2},
+        ]
+        body = json.dumps({"Items": items, "HasMore": False, "EndOffset": 3}).encode()
+        run(lambda line: http_response("200 OK", body), check)
 
 
 class ReadTest(testtools.TestCase):
--- a/camphordrift/relay/peers/_message_link.py
+++ b/camphordrift/relay/peers/_message_link.py
@@ -209,7 +209,7 @@
         """Decodes a message; returns ``None`` if its kind is unknown."""
         try:
             return message_decoder.decode(content)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             kind = _unknown_kind(content)
             if kind is None:
                 log_event("message_undecodable", level=LogLevel.WARNING, reason=str(error))
@@ -237,7 +237,7 @@
     """Returns the kind of an encoded message if it is well-formed and of an unknown kind."""
     try:
         kind = read_kind(content)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
     return None if kind in MESSAGE_KINDS else kind
 
--- a/camphordrift/relay/peers/_peer_messages.py
+++ b/camphordrift/relay/peers/_peer_messages.py
@@ -417,4 +417,7 @@
         ValueError: The value is not a valid member.
 
     """
-    return _member_decoder.decode(content)
+    try:
+        return _member_decoder.decode(content)
+    except RecursionError as error:
+        raise ValueError("the record is nested too deeply") from error
--- a/camphordrift/relay/store/_quarantine_records.py
+++ b/camphordrift/relay/store/_quarantine_records.py
@@ -22,6 +22,9 @@
 #: Maximum length of a key in bytes; quarantines with longer ones are not stored.
 MAX_KEY_LENGTH = 255
 
+#: Maximum number of digits of a time in milliseconds since 1970.
+MAX_TIME_DIGITS = 15
+
 #: Seconds between checks of whether a record has to be written or deleted.
 CHECK_INTERVAL = 0.5
 
@@ -69,11 +72,11 @@
         if not record.key.startswith(KEY_PREFIX):
             return False
         traits = tuple(record.key.removeprefix(KEY_PREFIX).split(","))
-        try:
-            started_ms = int(record.value or b"")
-        except ValueError:
+        value = record.value or b""
+        if not value.isdigit() or len(value) > MAX_TIME_DIGITS:
             self._stored.discard(traits)
             return True
+        started_ms = int(value)
         self._stored.add(traits)
         self._crashes.add_quarantined(traits, max(0.0, time.time() - started_ms / 1000))
         return True
--- a/camphordrift/relay/store/_servers_watcher.py
+++ b/camphordrift/relay/store/_servers_watcher.py
@@ -173,7 +173,7 @@
             return self._directory.remove(record.key, record.offset, now, era)
         try:
             server = self._documents.server(record.key, record.value)
-        except (ValueError, KeyError) as error:
+        except ValueError as error:
             log_event("server_entry_unreadable", server=record.key, reason=str(error))
             return None
         if server.cold_left is not None:
--- a/camphordrift/relay/tests/test_crash_evidence.py
+++ b/camphordrift/relay/tests/test_crash_evidence.py
@@ -216,7 +216,8 @@
 
     def test_a_record_that_cannot_be_read_is_ignored(self) -> None:
         async def body(fleet: Fleet) -> None:
-            for trait, value in (("bad", b"soon"), ("worse", b"")):
+            values = {"a": b"soon", "b": b"", "c": b"9" * 400, "d": b"9" * 5000, "e": b"-1"}
+            for trait, value in values.items():
                 fleet.log.put(TOPICS.members, KEY_PREFIX + trait, value)
             first, second = fleet.start(1, 101), fleet.start(2, 102)
             await wait_until(lambda: leaders(first, second) == ["vm-1"] * 2)
--- a/camphordrift/relay/tests/test_message_link.py
+++ b/camphordrift/relay/tests/test_message_link.py
@@ -1,15 +1,48 @@
 """Tests of the connection over which VMs exchange messages."""
 
+import struct
 from typing import cast
 
+import msgspec
 import testtools
 import trio
 import trio.testing
 
-from camphordrift.relay.peers._message_link import MessageLink
-from camphordrift.relay.peers._peer_messages import ConfigurationDocument, Message, Ping, Withdraw
+from camphordrift.relay.peers._message_link import LinkBrokenError, MessageLink
+from camphordrift.relay.peers._peer_messages import (
+    ConfigurationDocument,
+    Message,
+    Ping,
+    Withdraw,
+    decode_member,
+)
 from camphordrift.testing import run_in_virtual_time
 
+#: Msgpack of an array in an array and so on, too deep for a decoder.
+NESTED = b"\x91" * 100_000 + b"\xc0"
+
+
+class NestedMessageTest(testtools.TestCase):
+    def test_a_nested_message_breaks_the_link_alone(self) -> None:
+        # Guards against a RecursionError, which would end the process.
+        async def main() -> None:
+            near, far = trio.testing.memory_stream_pair()
+            receiver = MessageLink(cast(trio.SocketStream, far), 1.0)
+            content = msgspec.msgpack.encode({"type": "Ping", "number": 1, "other": None})
+            content = content.replace(b"\xc0", NESTED)
+            await near.send_all(struct.pack(">I", len(content)) + content)
+            with testtools.ExpectedException(LinkBrokenError):
+                await receiver.read_next()
+
+        run_in_virtual_time(main)
+
+    def test_a_nested_record_of_a_vm_is_malformed(self) -> None:
+        content = msgspec.msgpack.encode(
+            {"type": "Member", "vm": "a", "started_ms": 1, "host": "b", "port": 2, "other": None}
+        )
+        self.assertEqual("a", decode_member(content).vm)
+        self.assertRaises(ValueError, decode_member, content.replace(b"\xc0", NESTED))
+
 
 class SendNewestTest(testtools.TestCase):
     def test_only_the_newest_document_is_written_and_before_other_messages(self) -> None:
