A rejection on a used connection counts only if it names the attempt

Reported by operators of similar systems: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran, or these ran at a second engine. It happens here for lookups and resumable streams; requests that must not run twice always get connections of their own.

Cause: Attempt._receive() believed a rejection before it asked whether a response without an attempt id on a used connection may be a copy.

Fix: on a used connection, each response without an id leaves the outcome unknown. A request without an id, and one that was sent to the same server before, gets a new connection. A long request is encoded before its response is awaited, as h11 raised AttributeError in the sending task if bytes came first (seen in a test with a scripted stream).

--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -104,21 +104,27 @@
         self._protocol.start_next_cycle()
         self.is_reused = True
 
-    async def send(
+    def encode(
         self, method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes
-    ) -> None:
-        """Sends a request; waits while the server's receive buffer is full.
-
-        Raises:
-            OSError: The connection broke.
+    ) -> bytes:
+        """Returns the bytes of a request, which :meth:`send` sends.
 
+        From then on, received data counts as the response to this request.
         """
+        self._is_request_unfinished = True
         request = h11.Request(method=method, target=target, headers=list(headers))
         data = self._protocol.send(request)
         if body:
             data += self._protocol.send(h11.Data(data=body))
-        data += self._protocol.send(h11.EndOfMessage())
-        self._is_request_unfinished = True
+        return data + self._protocol.send(h11.EndOfMessage())
+
+    async def send(self, data: bytes) -> None:
+        """Sends an encoded request; waits while the server's receive buffer is full.
+
+        Raises:
+            OSError: The connection broke.
+
+        """
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -135,7 +141,7 @@
             OSError: The connection broke.
 
         """
-        await self.send(request.method, request.target, request.headers, request.body)
+        await self.send(self.encode(request.method, request.target, request.headers, request.body))
         head = await self.receive_head()
         content = bytearray()
         while (chunk := await self.receive_data()) is not None:
--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -246,12 +246,13 @@
     ) -> tuple[AttemptResult, float]:
         headers = self._header_format.outgoing_headers(self._request.headers, metadata)
         if len(self._request.body) <= SOCKET_BUFFERED_BODY_BYTES:
-            await self._send(connection, headers)
+            await connection.send(self._encode(connection, headers))
             return await self._receive(connection, timer, event_timeout, sink)
         # Sends and receives concurrently: the server may respond before it has read the body, and
         # may never read it.
+        data = self._encode(connection, headers)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_ignoring_errors, connection, headers)
+            nursery.start_soon(self._send_ignoring_errors, connection, data)
             try:
                 result = await self._receive(connection, timer, event_timeout, sink)
             except (BrokenAnswerError, OSError) as error:
@@ -260,14 +261,13 @@
             nursery.cancel_scope.cancel()
         return result
 
-    async def _send(self, connection: HttpConnection, headers: Headers) -> None:
-        await connection.send(
-            self._request.method, self._request.target, headers, self._request.body
-        )
+    def _encode(self, connection: HttpConnection, headers: Headers) -> bytes:
+        request = self._request
+        return connection.encode(request.method, request.target, headers, request.body)
 
-    async def _send_ignoring_errors(self, connection: HttpConnection, headers: Headers) -> None:
+    async def _send_ignoring_errors(self, connection: HttpConnection, data: bytes) -> None:
         try:
-            await self._send(connection, headers)
+            await connection.send(data)
         except OSError:
             # The receiving side reports the broken connection, or returns an early response.
             return
@@ -287,11 +287,12 @@
         )
         if metadata.attempt_id not in (None, self._attempt_id):
             return Broken("the response belongs to another request"), 0.0
+        if metadata.attempt_id is None and connection.is_reused:
+            # Also if it is a rejection: the server may run the request all the same.
+            return Broken("the response may be a late copy of one to another request"), 0.0
         if metadata.not_run or head.status_code == 421:
             await self._discard_body(connection)
             return Rejected(head.status_code, metadata.server_at_fault), idle_timeout
-        if metadata.attempt_id is None and self._attempt_id and connection.is_reused:
-            return Broken("the response may be a late copy of one to another request"), 0.0
         success = 200 <= head.status_code < 300
         if success and not metadata.signed:
             return Broken("the response has no signature"), 0.0
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -339,8 +339,13 @@
             self._connections.record_silence(server.host, server.port)
             running.record_silence()
 
-        force_new = progress.met_silence or not progress.route.retryable
-        result = await attempt.run(prepare_send, timeouts, record_silence, force_new, running.sink)
+        result = await attempt.run(
+            prepare_send,
+            timeouts,
+            record_silence,
+            self._needs_new_connection(progress, server),
+            running.sink,
+        )
         self._reports.record_attempt(
             progress, server, len(helpers), timeouts, result, running.sink, started_at
         )
@@ -349,6 +354,21 @@
             progress.excluded_servers.remove(server.id)
         return result
 
+    def _needs_new_connection(self, progress: RequestProgress, server: BackendServer) -> bool:
+        """Returns whether a request must not be sent on a connection that was used before.
+
+        On such a connection, the server may send a copy of an earlier response, which is told apart
+        only by the id of the attempt. The server may also close it or, after it was silent, hang.
+        """
+        is_identified = bool(progress.metadata.attempt_id)
+        was_sent_there = server.id in progress.attempted_servers
+        return (
+            progress.met_silence
+            or not progress.route.retryable
+            or not is_identified
+            or was_sent_there
+        )
+
     def _record_withheld(
         self, progress: RequestProgress, servers: tuple[BackendServer, ...]
     ) -> list[str]:
--- a/camphordrift/relay/tests/test_early_responses.py
+++ b/camphordrift/relay/tests/test_early_responses.py
@@ -6,7 +6,6 @@
 import pytest
 import testtools
 import trio
-from trio.testing import wait_all_tasks_blocked
 
 from camphordrift.relay.connections import HttpConnection
 from camphordrift.relay.connections._byte_stream import ByteStream
@@ -51,8 +50,8 @@
             connection = HttpConnection(_UnreadStream(response))
             async with trio.open_nursery() as nursery:
                 headers = [(b"host", b"a"), (b"content-length", b"4")]
-                nursery.start_soon(connection.send, b"POST", b"/", headers, b"body")
-                await wait_all_tasks_blocked()
+                data = connection.encode(b"POST", b"/", headers, b"body")
+                nursery.start_soon(connection.send, data)
                 await connection.receive_head()
                 self.assertIsNone(await connection.receive_data())
                 nursery.cancel_scope.cancel()
--- a/camphordrift/relay/tests/test_fine_chunks.py
+++ b/camphordrift/relay/tests/test_fine_chunks.py
@@ -88,7 +88,7 @@
     def test_body_that_is_forwarded_in_parts(self) -> None:
         async def receive() -> None:
             connection = HttpConnection(_RecordedStream(HEAD + FINE_CHUNKS + b"0\r\n\r\n"))
-            await connection.send(b"GET", b"/", [(b"host", b"a")], b"")
+            await connection.send(connection.encode(b"GET", b"/", [(b"host", b"a")], b""))
             await connection.receive_head()
             received = 0
             while (part := await connection.receive_data()) is not None:
@@ -188,7 +188,7 @@
         async def main() -> None:
             content = HEAD + chunk(b"one") + chunk(b"two") + b"no chunk\r\n"
             connection = HttpConnection(_RecordedStream(content))
-            await connection.send(b"GET", b"/", [(b"host", b"a")], b"")
+            await connection.send(connection.encode(b"GET", b"/", [(b"host", b"a")], b""))
             await connection.receive_head()
             self.assertEqual(b"onetwo", await connection.receive_data())
             with testtools.ExpectedException(BrokenAnswerError, "not a valid HTTP response: .*"):
