Only a response of the same kind continues a stream

Reported by operators of similar systems: a stream broke off, the next engine answered with an error, and callers found its text in the middle of their stream, or the stream looked complete. Here, errors with their status never did that, but other forms did: a signed 200 of another content type, or a 206, was forwarded where it looked like events, an empty one ended the stream as complete, events without ids were forwarded into resumed streams, and a stream without ids was begun again from its first event.

Cause: any 2xx response counted as the continuation of the stream that was open, and each event without an id as new.

Fix: the status and the media type have to be those with which the stream was started; an event without an id fails an attempt that resumes a stream; and a stream is resumed only while the place of its last event is known. A comment has no place and is always forwarded.

--- a/camphordrift/relay/connections/_events.py
+++ b/camphordrift/relay/connections/_events.py
@@ -21,6 +21,11 @@
     #: Value of the event's ``id`` field; ``None`` if it is missing or not a number.
     id: Optional[int]
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether the event has nothing but comments, which keep a connection alive."""
+        return all(line.startswith(b":") for line in self.data.splitlines() if line)
+
 
 class EventSplitter:
     """Buffers received bytes and returns complete events; a partial event stays buffered."""
--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -106,15 +106,29 @@
 AttemptResult = Union[NotSent, Withheld, Rejected, Broken, Answered, Streamed]
 
 
+class StreamMismatchError(Exception):
+    """A response cannot continue the stream that the caller already has a part of."""
+
+
 class EventSink:
     """Receives the events of a streamed response."""
 
     async def start_response(self, status: int, headers: Headers) -> None:
-        """Receives status and headers; called once, when the first event has arrived."""
+        """Receives status and headers; called once, when the first event has arrived.
+
+        Raises:
+            StreamMismatchError: The response is of another kind than the stream.
+
+        """
         raise NotImplementedError
 
     async def write_events(self, events: list[StreamEvent]) -> None:
-        """Receives complete events in order."""
+        """Receives complete events in order.
+
+        Raises:
+            StreamMismatchError: The place of an event in the stream is unknown.
+
+        """
         raise NotImplementedError
 
     async def end_response(self) -> None:
@@ -341,13 +355,35 @@
         sink: EventSink,
     ) -> AttemptResult:
         splitter = EventSplitter()
+        try:
+            started = await self._forward_complete_events(
+                connection, head, timer, event_timeout, sink, splitter
+            )
+            if splitter.has_partial_event:
+                return Broken("stream ended mid-event", connection_closed=True)
+            if not started:
+                if not _is_framed(head):
+                    return Broken("the stream ended before its first event", connection_closed=True)
+                await sink.start_response(head.status_code, _end_to_end_headers(head.headers))
+        except (EventTooLongError, StreamMismatchError) as error:
+            return Broken(str(error))
+        await sink.end_response()
+        return Streamed()
+
+    async def _forward_complete_events(
+        self,
+        connection: HttpConnection,
+        head: h11.Response,
+        timer: _SilenceTimer,
+        event_timeout: float,
+        sink: EventSink,
+        splitter: EventSplitter,
+    ) -> bool:
+        """Forwards events until the end of the response; returns whether there was one."""
         started = False
         while (chunk := await timer.receive(connection.receive_data)) is not None:
             for part in _parts(chunk):
-                try:
-                    events = splitter.feed(part)
-                except EventTooLongError as error:
-                    return Broken(str(error))
+                events = splitter.feed(part)
                 if not events:
                     continue
                 if not started:
@@ -355,14 +391,7 @@
                     await sink.start_response(head.status_code, _end_to_end_headers(head.headers))
                 await sink.write_events(events)
                 timer.restart(event_timeout)
-        if splitter.has_partial_event:
-            return Broken("stream ended mid-event", connection_closed=True)
-        if not started:
-            if not _is_framed(head):
-                return Broken("the stream ended before its first event", connection_closed=True)
-            await sink.start_response(head.status_code, _end_to_end_headers(head.headers))
-        await sink.end_response()
-        return Streamed()
+        return started
 
 
 def _parts(chunk: bytes) -> Iterator[bytes]:
--- a/camphordrift/relay/requests/_caller_sink.py
+++ b/camphordrift/relay/requests/_caller_sink.py
@@ -7,7 +7,7 @@
 
 from camphordrift.relay.connections import ResponseWriter, StreamEvent
 from camphordrift.relay.model import Headers
-from camphordrift.relay.requests._attempt import EventSink
+from camphordrift.relay.requests._attempt import EventSink, StreamMismatchError
 
 #: Number of gaps between events that are sampled at the start of each attempt; the shortest of them
 #: is reported to the engine scheduler as the time of one engine iteration.
@@ -30,6 +30,11 @@
         if resume_id is not None and resume_id.isdigit():
             self._last_event_id = int(resume_id)
         self._forwarded_any = False
+        #: Status and media type of the response that started the stream.
+        self._started_as: Optional[tuple[int, Optional[bytes]]] = None
+        #: Whether the place of the last event in the stream is known, so that another server can
+        #: continue after it.
+        self.is_resumable = True
         #: Held while an attempt writes, so that the events of two attempts are not interleaved.
         self.lock = trio.Lock()
 
@@ -38,9 +43,14 @@
         """Id of the last event forwarded to the caller; ``None`` before the first one."""
         return self._last_event_id if self._forwarded_any else None
 
+    def accepts(self, status: int, headers: Headers) -> bool:
+        """Returns whether a response can start the stream, or continue it as it was started."""
+        return self._started_as in (None, (status, _media_type(headers)))
+
     async def start(self, status: int, headers: Headers) -> None:
         """Starts the response, unless an earlier attempt has started it."""
         if not self._response.started:
+            self._started_as = status, _media_type(headers)
             await self._response.start(status, headers)
 
     def select_new(self, events: list[StreamEvent]) -> list[StreamEvent]:
@@ -53,6 +63,8 @@
         # Set before writing, as events that may have reached the caller must not be sent again.
         self._last_event_id = ids[-1] if ids else self._last_event_id
         self._forwarded_any = True
+        for event in events:
+            self.is_resumable = event.id is not None or (self.is_resumable and event.is_comment)
         await self._response.write(b"".join(event.data for event in events))
 
     def _is_new(self, event: StreamEvent) -> bool:
@@ -84,6 +96,8 @@
         self._wait_for_turn = wait_for_turn
         self._status = 0
         self._headers: Headers = ()
+        #: Whether another attempt has forwarded events before this one.
+        self._is_resumption = False
         #: Time of the attempt's first event, by trio's clock.
         self.first_event_at: Optional[float] = None
         #: Longest gap between events in seconds; ``None`` before the second event.
@@ -107,11 +121,16 @@
     async def start_response(self, status: int, headers: Headers) -> None:
         # The caller's response starts with the first event that is forwarded, as another attempt
         # may still be the first to have one.
+        if not self._stream.accepts(status, headers):
+            raise StreamMismatchError(f"a response with status {status} cannot continue the stream")
+        self._is_resumption = self._stream.last_event_id is not None
         self._status, self._headers = status, headers
         self.first_event_at = self._last_event_at = trio.current_time()
         self.on_first_event()
 
     async def write_events(self, events: list[StreamEvent]) -> None:
+        if self._is_resumption and any(e.id is None and not e.is_comment for e in events):
+            raise StreamMismatchError("an event without an id cannot continue the stream")
         self._record_gap(len(events))
         self.on_events(len(events))
         while not await self._forward(events):
@@ -144,3 +163,10 @@
             if len(self._gaps) == SAMPLED_GAPS:
                 self.on_shortest_gap(min(self._gaps))
         self.on_gap(gap, event_count)
+
+
+def _media_type(headers: Headers) -> Optional[bytes]:
+    for name, value in headers:
+        if name == b"content-type":
+            return value.partition(b";")[0].strip().lower()
+    return None
--- a/camphordrift/relay/requests/_request_attempts.py
+++ b/camphordrift/relay/requests/_request_attempts.py
@@ -114,6 +114,7 @@
         self._stream: Optional[CallerStream] = None
         if progress.route.streams:
             self._stream = CallerStream(progress.response, progress.metadata.last_event_id)
+            progress.stream = self._stream
         #: The attempts in progress, in the order in which they began.
         self._running: list[RunningAttempt] = []
         #: Set and replaced when an attempt ends.
--- a/camphordrift/relay/requests/_request_handler.py
+++ b/camphordrift/relay/requests/_request_handler.py
@@ -227,6 +227,8 @@
         route = progress.route
         if progress.remaining_time <= 0:
             return False
+        if progress.stream is not None and not progress.stream.is_resumable:
+            return False
         if (
             progress.preferred_server is None
             and progress.distinct_servers_attempted >= route.max_attempts
--- a/camphordrift/relay/requests/_request_progress.py
+++ b/camphordrift/relay/requests/_request_progress.py
@@ -10,6 +10,7 @@
 from camphordrift.relay.crashes import whole_request_trait
 from camphordrift.relay.model import Account, RequestMetadata, Route, Service
 from camphordrift.relay.requests._attempt import AttemptResult
+from camphordrift.relay.requests._caller_sink import CallerStream
 
 
 @dataclass
@@ -41,6 +42,8 @@
     #: Whether a server was silent. Further attempts use new connections, as open ones may hang.
     met_silence: bool = False
     last_result: Optional[AttemptResult] = None
+    #: The stream to the caller; ``None`` if the response is no stream.
+    stream: Optional[CallerStream] = None
 
     @cached_property
     def traits(self) -> tuple[str, ...]:
