Soak: engines crash after any number of events

Until now, half of the engines that crash had sent a part of the first event, and the others nothing; a crash later in a stream was never played.

--- a/camphordrift/platform/soak/_responses.py
+++ b/camphordrift/platform/soak/_responses.py
@@ -87,11 +87,19 @@
         await self._send(format_part(b"", plan.framing))
         return plan.framing is not Framing.CONNECTION
 
-    async def send_start(self, headers: dict[str, str]) -> None:
-        """Sends the head of a stream and a part of its first event."""
+    async def send_beginning(
+        self, headers: dict[str, str], last_event_id: int, event_count: int
+    ) -> None:
+        """Sends ``event_count`` events at most after ``last_event_id``, and a part of the next."""
         stream_headers = {**headers, "content-type": "text/event-stream"}
-        event = stream_event(self._execution.request_id, 1)
         await self._send(format_head("200 OK", stream_headers, self._plan.framing))
+        first = last_event_id + 1
+        partial = min(first + event_count, STREAM_EVENTS)
+        for number in range(first, partial):
+            event = stream_event(self._execution.request_id, number)
+            await self._send(format_part(event, self._plan.framing))
+            await trio.sleep(EVENT_INTERVAL)
+        event = stream_event(self._execution.request_id, partial)
         await self._send(format_part(event[:-4], self._plan.framing))
 
     async def _break_off(self, part: bytes) -> None:
--- a/camphordrift/platform/soak/_servers.py
+++ b/camphordrift/platform/soak/_servers.py
@@ -17,7 +17,7 @@
     parse_parts,
 )
 from camphordrift.platform.soak._proxy import reset_connection
-from camphordrift.platform.soak._records import Arrival, Crash, Execution
+from camphordrift.platform.soak._records import STREAM_EVENTS, Arrival, Crash, Execution
 from camphordrift.platform.soak._response_plans import Framing, ServerMode, plan_response
 from camphordrift.platform.soak._responses import EVENT_INTERVAL, Response, format_head
 from camphordrift.testing import HttpRequest, handle_requests
@@ -230,14 +230,15 @@
         await trio.sleep(EVENT_INTERVAL)
         plan = plan_response(self.mode, execution.request_id, self.id, self.streams)
         response = Response(execution, plan, stream, self._send)
+        last_event_id = int(request.headers.get("last-event-id", "0"))
         crash_cause = self._find_crash_cause(request)
         if crash_cause is not None:
-            # Half of the engines that crash have sent a part of the first event.
-            if self.streams and zlib.crc32(execution.request_id.encode()) % 2:
-                await response.send_start(headers)
+            # Half of the engines that crash have sent a part of the stream, of any length.
+            draw = zlib.crc32(execution.request_id.encode())
+            if self.streams and draw % 2:
+                await response.send_beginning(headers, last_event_id, draw // 2 % STREAM_EVENTS)
             await self._crash(crash_cause)
         if self.streams:
-            last_event_id = int(request.headers.get("last-event-id", "0"))
             return await response.send_stream(headers, last_event_id)
         return await response.send_body(headers)
 
