A stream is split into events in parts of 2 KiB

Another form of the body in small chunks: one chunk of events of two bytes each. A part of 8 KiB holds 4,096 of them, and took 16 ms of processor time between two turns of other tasks on this machine; VMs have half of its speed. The new test counts the turns, and fails with parts of 8 KiB. Responses of usual events come in chunks of less than 2 KiB, so nothing changes for them.

--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -45,7 +45,7 @@
 SOCKET_BUFFERED_BODY_BYTES = 8192
 
 #: Maximum number of bytes of a stream that are split into events before other tasks get their turn.
-MAX_PART_BYTES = 8192
+MAX_PART_BYTES = 2048
 
 #: Bytes of a response that is no stream after which its server does not count as silent. A stalled
 #: server may still send a byte now and then.
@@ -395,7 +395,7 @@
 
 
 def _parts(chunk: bytes) -> Iterator[bytes]:
-    """Cuts a chunk into parts, as it may consist of very many events."""
+    """Cuts a chunk into parts, as it may consist of very many and very short events."""
     for start in range(0, len(chunk), MAX_PART_BYTES):
         yield chunk[start : start + MAX_PART_BYTES]
 
--- a/camphordrift/relay/tests/test_fine_chunks.py
+++ b/camphordrift/relay/tests/test_fine_chunks.py
@@ -13,12 +13,16 @@
     BrokenAnswerError,
     ByteStream,
     CallerConnection,
+    CallerRequest,
+    ConnectionPool,
     EventSplitter,
     HttpConnection,
     SmallRequest,
+    StreamEvent,
 )
 from camphordrift.relay.connections._parsing_pace import EVENTS_PER_TURN
-from camphordrift.relay.model import CallerLimits
+from camphordrift.relay.model import CallerLimits, ForwardingMetadata, Headers
+from camphordrift.relay.requests._attempt import Attempt, EventSink, SilenceTimeouts, Streamed
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     chunk,
@@ -27,7 +31,7 @@
     plain_success,
     run_scenario,
 )
-from camphordrift.relay.tests.samples import ScriptedServer
+from camphordrift.relay.tests.samples import SampleHeaders, ScriptedServer, server
 from camphordrift.testing import HttpRequest
 
 #: Body of many one-byte chunks.
@@ -40,6 +44,10 @@
 #: Maximum number of chunks that are parsed between two turns of other tasks.
 MAX_CHUNKS_BETWEEN_TURNS = 2 * EVENTS_PER_TURN
 
+#: The same for events of a stream, and their number in the test.
+MAX_EVENTS_BETWEEN_TURNS = 1024
+SHORT_EVENT_COUNT = 30_000
+
 
 class _RecordedStream(ByteStream):
     """A connection from which the given data can be read at once."""
@@ -107,6 +115,49 @@
 
         self.check(exchange)
 
+    def test_stream_of_very_short_events(self) -> None:
+        received = 0
+
+        class CountingSink(EventSink):
+            async def start_response(self, status: int, headers: Headers) -> None:
+                await trio.lowlevel.checkpoint()
+
+            async def write_events(self, events: list[StreamEvent]) -> None:
+                nonlocal received
+                received += len(events)
+                await trio.lowlevel.checkpoint()
+
+            async def end_response(self) -> None:
+                await trio.lowlevel.checkpoint()
+
+        async def forward() -> None:
+            head = (
+                b"HTTP/1.1 200 OK\r\nx-signature: s\r\nx-attempt: a1\r\n"
+                b"transfer-encoding: chunked\r\n\r\n"
+            )
+            content = head + chunk(b"\n\n" * SHORT_EVENT_COUNT) + b"0\r\n\r\n"
+
+            async def open_recorded(host: str, port: int, timeout: float) -> ByteStream:
+                return _RecordedStream(content)
+
+            request = CallerRequest(b"POST", b"/", [(b"host", b"a")], b"", 0.0)
+            pool = ConnectionPool(1.0, open_recorded)
+            attempt = Attempt(
+                request, "a1", server(1), pool, SampleHeaders(), lambda status, metadata: None
+            )
+            result = await attempt.run(
+                lambda: ForwardingMetadata(1.0, "engines-1", None),
+                SilenceTimeouts(1.0, 1.0),
+                lambda: None,
+                False,
+                CountingSink(),
+            )
+            self.assertEqual(Streamed(), result)
+
+        turns = trio.run(_count_turns, forward)
+        self.assertEqual(SHORT_EVENT_COUNT, received)
+        self.assertGreaterEqual(turns, SHORT_EVENT_COUNT // MAX_EVENTS_BETWEEN_TURNS)
+
     @pytest.mark.sockets
     def test_body_of_a_caller(self) -> None:
         received: list[bytes] = []
