--- a/camphordrift/relay/tests/crashing_servers.py
+++ b/camphordrift/relay/tests/crashing_servers.py
@@ -58,6 +58,9 @@
         self.crashes = 0
         #: Requests that the server began to run.
         self.started_requests: list[HttpRequest] = []
+        #: Times at which they began, and at which the server crashed.
+        self.started_at: list[float] = []
+        self.crashed_at: list[float] = []
 
     async def _respond(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
         if request.headers.get("x-server") != self.server.entry.id:
@@ -65,6 +68,7 @@
             return True
         self._streams.add(stream)
         self.started_requests.append(request)
+        self.started_at.append(trio.current_time())
         try:
             if self.server.entry.service == "engines":
                 await stream.send_all(stream_head(request))
@@ -90,6 +94,7 @@
     def crash(self) -> None:
         """Closes the connections of all requests in progress, and lists the server again."""
         self.crashes += 1
+        self.crashed_at.append(trio.current_time())
         for stream in self._streams:
             stream.socket.close()
         former = self.server.entry
@@ -136,6 +141,17 @@
             self._crashes_on(request) for item in self.servers for request in item.started_requests
         )
 
+    def late_crashing_requests(self, crashes: int, seconds: float) -> int:
+        """Returns how many such requests began later than ``seconds`` after so many crashes."""
+        times = sorted(time for item in self.servers for time in item.crashed_at)
+        if len(times) < crashes:
+            return 0
+        return sum(
+            self._crashes_on(request) and started_at > times[crashes - 1] + seconds
+            for item in self.servers
+            for request, started_at in zip(item.started_requests, item.started_at, strict=True)
+        )
+
     def _list_again(self, former: BackendServer, restarted: BackendServer) -> None:
         for relay in self._relay:
             relay.log.put(TOPICS.servers, former.id, None)
