Log requests that a VM cuts as it exits, and what a failed connection was asked for

The record of the streams that were cut at a stop cannot tell its hypotheses apart. A request that the end of the process cut was logged as caller_left, as if its caller had gone, without a word on when it had come; it is now request_cut, with the seconds between the signal and its arrival. caller_connection_failed named neither method nor framing, so requests with HEAD and bodies in chunks looked alike.

--- a/camphordrift/event_log/_explanation.py
+++ b/camphordrift/event_log/_explanation.py
@@ -11,6 +11,7 @@
 #: Events that show the outcome of a request, the most specific first.
 _DECIDING_EVENTS = (
     "answer_broken_off",
+    "request_cut",
     "request_refused",
     "caller_left",
     "engine_refused",
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -515,7 +515,8 @@
         """
         self._stopping = True
         self._tunnels.stop()
-        deadline = trio.current_time() + drain_time(self._settings.shutdown_grace_period)
+        requested_at = trio.current_time()
+        deadline = requested_at + drain_time(self._settings.shutdown_grace_period)
         await trio.sleep(DEREGISTRATION_DELAY)
         self._accept_scope.cancel()
         self._handler.refuse_late(deadline)
@@ -524,6 +525,7 @@
                 self._handler.refuse_unstarted()
             self._close_idle_callers()
             await trio.sleep(DECISION_INTERVAL)
+        self._handler.record_exit(requested_at)
 
     def _close_idle_callers(self) -> None:
         for caller in list(self._callers):
@@ -551,10 +553,21 @@
         try:
             await caller.serve()
         except Exception as error:
-            log_event("caller_connection_failed", level=LogLevel.ERROR, error=repr(error))
+            self._log_failed_connection(caller.current_request, error)
         finally:
             self._callers.discard(caller)
 
+    def _log_failed_connection(self, request: Optional[CallerRequest], error: Exception) -> None:
+        log_event(
+            "caller_connection_failed",
+            level=LogLevel.ERROR,
+            method=None if request is None else request.method.decode("latin-1"),
+            target=None if request is None else request.target.decode("latin-1"),
+            chunked=None if request is None else request.is_chunked,
+            body_bytes=None if request is None else len(request.body),
+            error=repr(error),
+        )
+
     async def _serve_readiness(self) -> None:
         address = self._settings.readiness
         await trio.serve_tcp(self._serve_readiness_request, address.port, host=address.host)
--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -46,6 +46,11 @@
     #: Time at which its last byte was read, by trio's clock.
     received_at: float
 
+    @property
+    def is_chunked(self) -> bool:
+        """Whether the caller sent the body in chunks."""
+        return self.header(b"transfer-encoding") is not None
+
     def header(self, name: bytes) -> Optional[bytes]:
         """Returns the value of a header; the last one if it occurs more than once."""
         return dict(self.headers).get(name)
@@ -148,6 +153,12 @@
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._pace = ParsingPace()
         self._read_ahead_bytes = 0
+        self._current_request: Optional[CallerRequest] = None
+
+    @property
+    def current_request(self) -> Optional[CallerRequest]:
+        """The request that is being handled, or in whose handling an exception was raised."""
+        return self._current_request
 
     async def serve(self) -> None:
         """Handles requests until one side closes the connection."""
@@ -215,8 +226,10 @@
             return False
         if request is None:
             return False
+        self._current_request = request
         response = ResponseWriter(self, request.method)
         await self._handle_until_disconnect(request, response)
+        self._current_request = None
         if not response.completed:
             return False
         return self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE
--- a/camphordrift/relay/requests/_request_handler.py
+++ b/camphordrift/relay/requests/_request_handler.py
@@ -71,6 +71,8 @@
         self._in_progress: dict[trio.CancelScope, RequestProgress] = {}
         self._is_stopping = False
         self._exit_at: Optional[float] = None
+        #: When the VM that exits now was told to stop, by trio's clock.
+        self._stop_requested_at: Optional[float] = None
 
     def refuse_late(self, exit_at: float) -> None:
         """Refuses all new requests that may run for longer than this VM does.
@@ -88,6 +90,15 @@
             if not progress.response.started:
                 scope.cancel()
 
+    def record_exit(self, stop_requested_at: float) -> None:
+        """Records that this VM exits now, and so cuts the requests that are still in progress.
+
+        Args:
+            stop_requested_at: When it was told to stop, by trio's clock.
+
+        """
+        self._stop_requested_at = stop_requested_at
+
     async def handle(self, request: CallerRequest, response: ResponseWriter) -> None:
         """Handles a request from admission to the end of the response."""
         await self._routing_state.wait_until_loaded(STARTUP_WAIT)
@@ -126,9 +137,15 @@
             del self._in_progress[scope]
             # Cancellation may arrive as an exception group, which no except clause here matches.
             if was_cancelled:
-                self._reports.record_caller_disconnected(progress)
+                self._record_cancelled(progress)
         await self._finish(progress, refusal)
 
+    def _record_cancelled(self, progress: RequestProgress) -> None:
+        if self._stop_requested_at is None:
+            self._reports.record_caller_disconnected(progress)
+        else:
+            self._reports.record_cut(progress, self._stop_requested_at)
+
     def _failure_of_error(self, progress: RequestProgress, error: Exception) -> Failure:
         log_event(
             "request_failed",
--- a/camphordrift/relay/requests/_request_reports.py
+++ b/camphordrift/relay/requests/_request_reports.py
@@ -55,6 +55,27 @@
             elapsed=trio.current_time() - progress.request.received_at,
         )
 
+    def record_cut(self, progress: RequestProgress, stop_requested_at: float) -> None:
+        """Records that this VM exited before the response was complete.
+
+        Args:
+            progress: State of the request.
+            stop_requested_at: When the VM was told to stop, by trio's clock.
+
+        """
+        self._metrics.truncated_responses.add(route=progress.route.name)
+        log_event(
+            "request_cut",
+            level=LogLevel.WARNING,
+            request=progress.metadata.attempt_id,
+            route=progress.route.name,
+            tried=",".join(progress.attempted_servers),
+            started=progress.response.started,
+            received_after_signal=progress.request.received_at - stop_requested_at,
+            time_left=progress.remaining_time,
+            elapsed=trio.current_time() - progress.request.received_at,
+        )
+
     def record_attempt(
         self,
         progress: RequestProgress,
--- a/camphordrift/relay/tests/test_shutdown.py
+++ b/camphordrift/relay/tests/test_shutdown.py
@@ -102,6 +102,57 @@
 
         run_scenario(scenario, never_ends)
 
+    def test_the_next_request_of_a_connection_that_was_busy_is_refused(self) -> None:
+        """Guards against a stream that is cut as its connection did not announce the stop."""
+        ended = trio.Event()
+
+        async def stream_until_ended(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            await stream.send_all(stream_head(request) + chunk(events(1, 1)))
+            await ended.wait()
+            await stream.send_all(chunk(events(2, 2)) + b"0\r\n\r\n")
+            return True
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            self.patch(relay.process, "_close_idle_callers", lambda: None)
+            stream = await relay.connect()
+            await stream.send_all(request_bytes("/quick/x"))
+            while not servers[0].requests:
+                await trio.sleep(0.01)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(relay.process._drain)
+                while relay.process._handler._exit_at is None:
+                    await trio.sleep(0.01)
+                ended.set()
+                first = await read_response(stream)
+                self.assertNotIn("connection", first.headers)
+                await stream.send_all(request_bytes("/quick/x", "a2"))
+                second = await read_response(stream)
+            self.assertEqual((200, True), (first.status, first.complete))
+            self.assertEqual((503, True), (second.status, second.complete))
+            self.assertEqual(["a1"], [item.headers["x-attempt"] for item in servers[0].requests])
+
+        run_scenario(scenario, stream_until_ended)
+
+    def test_a_request_that_is_cut_is_logged_as_such(self) -> None:
+        callers: list[trio.SocketStream] = []
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            callers.append(await relay.connect())
+            await callers[0].send_all(request_bytes("/quick/x"))
+            while not servers[0].requests:
+                await trio.sleep(0.01)
+            # The VM exits at the end of the scenario.
+            await relay.process._drain()
+
+        with self.assertLogs("absl", level="INFO") as logs:
+            run_scenario(scenario, never_ends)
+        lines = [line for line in logs.output if "event=request_cut" in line]
+        self.assertEqual(1, len(lines), logs.output)
+        self.assertIn("request=a1", lines[0])
+        self.assertIn("started=true", lines[0])
+        self.assertIn("received_after_signal=-", lines[0])
+        self.assertFalse([line for line in logs.output if "event=caller_left" in line])
+
     def test_a_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             responses: list[CallerResponse] = []
