--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -286,7 +286,8 @@
         self, headers: Headers, metadata: ForwardingMetadata
     ) -> list[tuple[bytes, bytes]]:
         """Returns the headers of a caller's request in the form to forward to a server."""
-        removed = (b"x-key", b"connection", b"last-event-id")
+        hop_by_hop = (b"connection", b"transfer-encoding", b"trailer", b"expect")
+        removed = (b"x-key", b"last-event-id", *hop_by_hop)
         sent = [(name, value) for name, value in headers if name not in removed]
         sent.append((b"x-server", metadata.server_id.encode()))
         sent.append((b"x-time-left", str(metadata.remaining_time).encode()))
