Answer a request in whose handling any exception was raised

Only exceptions between the first attempt and the response were answered with code 9000; those before closed the caller's connection without a response (caller_connection_failed), which callers cannot tell from a lost one. Shown with a deadline that is not a number (the sample adapter lets it pass, as the platform's does), which trio refuses as the time of a scope, and with an exception in admission. Class: a request ends without a response because the relay itself failed; the users' record has it for HEAD requests and bodies in chunks. RequestHandler.handle() now answers all exceptions in one place.

--- a/camphordrift/relay/requests/_request_handler.py
+++ b/camphordrift/relay/requests/_request_handler.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from collections.abc import Sequence
 from typing import Optional
 
 import trio
@@ -100,7 +101,18 @@
         self._stop_requested_at = stop_requested_at
 
     async def handle(self, request: CallerRequest, response: ResponseWriter) -> None:
-        """Handles a request from admission to the end of the response."""
+        """Handles a request from admission to the end of the response.
+
+        An exception is answered as well, unless the response has started.
+        """
+        try:
+            await self._admit_and_serve(request, response)
+        except Exception as error:
+            failure = self._failure_of_error(error, "", ())
+            if not response.started:
+                await self._refuse(request, response, None, failure)
+
+    async def _admit_and_serve(self, request: CallerRequest, response: ResponseWriter) -> None:
         await self._routing_state.wait_until_loaded(STARTUP_WAIT)
         try:
             metadata = self._header_format.request_metadata(request.headers)
@@ -132,7 +144,9 @@
             refusal, was_cancelled = error.failure, False
         except Exception as error:
             # The caller gets a response even if the relay itself has a fault.
-            refusal, was_cancelled = self._failure_of_error(progress, error), False
+            tried = progress.attempted_servers
+            refusal = self._failure_of_error(error, progress.metadata.attempt_id, tried)
+            was_cancelled = False
         finally:
             del self._in_progress[scope]
             # Cancellation may arrive as an exception group, which no except clause here matches.
@@ -146,12 +160,12 @@
         else:
             self._reports.record_cut(progress, self._stop_requested_at)
 
-    def _failure_of_error(self, progress: RequestProgress, error: Exception) -> Failure:
+    def _failure_of_error(self, error: Exception, request_id: str, tried: Sequence[str]) -> Failure:
         log_event(
             "request_failed",
             level=LogLevel.ERROR,
-            request=progress.metadata.attempt_id,
-            tried=",".join(progress.attempted_servers),
+            request=request_id,
+            tried=",".join(tried),
             error=repr(error),
         )
         return Failure(ResultCode.INTERNAL_ERROR, "internal error; see the log for details")
