Refuse CONNECT requests

A CONNECT request for a route was forwarded. h11 takes a server's success to it for the start of a tunnel and reads no response from then on, so the caller got none until its deadline, and what the server sent was kept without a bound. It is now refused with status 501 before anything else is done with it.

--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -293,6 +293,10 @@
             match event:
                 case h11.Request():
                     head = event
+                    if event.method == b"CONNECT":
+                        raise h11.RemoteProtocolError(
+                            "tunnels are not supported", error_status_hint=501
+                        )
                     if _has_ambiguous_length(event.headers):
                         raise h11.RemoteProtocolError(
                             "both Transfer-Encoding and Content-Length are present",
