Refuse requests that may outlast a stopping VM before its first three seconds end

The times of a stop are decided in a module of their own, without I/O. Two tests fail on the code before, as it refuses nothing before it closes its listener: test_a_late_request_on_a_new_connection_is_refused, and the one of the schedule.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -16,6 +16,7 @@
     configure_bounded_logging,
     log_event,
 )
+from camphordrift.relay._stop_schedule import stop_schedule
 from camphordrift.relay.connections import (
     BACKEND_CONNECT_TIMEOUT,
     READ_SIZE,
@@ -87,18 +88,6 @@
 #: decisions depend on time alone, such as refusals of requests that cannot meet their deadline.
 DECISION_INTERVAL = 0.1
 
-#: Seconds for which a draining VM accepts connections, until the load balancer has removed it.
-DEREGISTRATION_DELAY = 3.0
-
-#: Maximum number of seconds before the end of the grace period at which a draining VM exits by
-#: itself, and maximum share of that period. Requests that a server still processes in its last
-#: sixth need not be finished.
-STOP_MARGIN = 0.7
-STOP_MARGIN_SHARE = 1 / 8
-
-#: Seconds before that time at which requests whose response has not started are refused.
-LAST_REFUSAL_TIME = 0.25
-
 #: Age of the configuration in seconds at which a VM starts to report that it is not ready.
 MAX_READY_CONFIGURATION_AGE = 3.5
 
@@ -511,21 +500,23 @@
 
         If most VMs of an availability zone stop at the same time, the load balancer keeps sending
         callers here. New connections are therefore refused once it has had time to remove this VM,
-        and so are requests on open ones that may not end in time.
+        and, a little earlier, requests that may not end in time.
         """
         self._stopping = True
         self._tunnels.stop()
-        requested_at = trio.current_time()
-        deadline = requested_at + drain_time(self._settings.shutdown_grace_period)
-        await trio.sleep(DEREGISTRATION_DELAY)
+        signalled_at = trio.current_time()
+        schedule = stop_schedule(self._settings.shutdown_grace_period)
+        exit_at = signalled_at + schedule.exit
+        await trio.sleep_until(signalled_at + schedule.late_refusal)
+        self._handler.refuse_late(exit_at)
+        await trio.sleep_until(signalled_at + schedule.deregistration)
         self._accept_scope.cancel()
-        self._handler.refuse_late(deadline)
-        while (self._callers or self._tunnels.count) and trio.current_time() < deadline:
-            if trio.current_time() >= deadline - LAST_REFUSAL_TIME:
+        while (self._callers or self._tunnels.count) and trio.current_time() < exit_at:
+            if trio.current_time() >= signalled_at + schedule.last_refusal:
                 self._handler.refuse_unstarted()
             self._close_idle_callers()
             await trio.sleep(DECISION_INTERVAL)
-        self._handler.record_exit(requested_at)
+        self._handler.record_exit(signalled_at)
 
     def _close_idle_callers(self) -> None:
         for caller in list(self._callers):
@@ -589,11 +580,6 @@
                 return
 
 
-def drain_time(grace_period: float) -> float:
-    """Returns the seconds after which a draining VM exits, given its grace period in seconds."""
-    return grace_period - min(STOP_MARGIN, grace_period * STOP_MARGIN_SHARE)
-
-
 def run_relay(
     settings: RelaySettings, adapters: Adapters, caller_socket: Optional[socket.socket] = None
 ) -> None:
--- a/camphordrift/relay/requests/_request_handler.py
+++ b/camphordrift/relay/requests/_request_handler.py
@@ -72,8 +72,8 @@
         self._in_progress: dict[trio.CancelScope, RequestProgress] = {}
         self._is_stopping = False
         self._exit_at: Optional[float] = None
-        #: When the VM that exits now was told to stop, by trio's clock.
-        self._stop_requested_at: Optional[float] = None
+        #: When the VM that exits now got the signal to stop, by trio's clock.
+        self._signalled_at: Optional[float] = None
 
     def refuse_late(self, exit_at: float) -> None:
         """Refuses all new requests that may run for longer than this VM does.
@@ -91,14 +91,14 @@
             if not progress.response.started:
                 scope.cancel()
 
-    def record_exit(self, stop_requested_at: float) -> None:
+    def record_exit(self, signalled_at: float) -> None:
         """Records that this VM exits now, and so cuts the requests that are still in progress.
 
         Args:
-            stop_requested_at: When it was told to stop, by trio's clock.
+            signalled_at: When it got the signal to stop, by trio's clock.
 
         """
-        self._stop_requested_at = stop_requested_at
+        self._signalled_at = signalled_at
 
     async def handle(self, request: CallerRequest, response: ResponseWriter) -> None:
         """Handles a request from admission to the end of the response.
@@ -155,10 +155,10 @@
         await self._finish(progress, refusal)
 
     def _record_cancelled(self, progress: RequestProgress) -> None:
-        if self._stop_requested_at is None:
+        if self._signalled_at is None:
             self._reports.record_caller_disconnected(progress)
         else:
-            self._reports.record_cut(progress, self._stop_requested_at)
+            self._reports.record_cut(progress, self._signalled_at)
 
     def _failure_of_error(self, error: Exception, request_id: str, tried: Sequence[str]) -> Failure:
         log_event(
--- a/camphordrift/relay/requests/_request_reports.py
+++ b/camphordrift/relay/requests/_request_reports.py
@@ -55,12 +55,12 @@
             elapsed=trio.current_time() - progress.request.received_at,
         )
 
-    def record_cut(self, progress: RequestProgress, stop_requested_at: float) -> None:
+    def record_cut(self, progress: RequestProgress, signalled_at: float) -> None:
         """Records that this VM exited before the response was complete.
 
         Args:
             progress: State of the request.
-            stop_requested_at: When the VM was told to stop, by trio's clock.
+            signalled_at: When the VM got the signal to stop, by trio's clock.
 
         """
         self._metrics.truncated_responses.add(route=progress.route.name)
@@ -71,7 +71,7 @@
             route=progress.route.name,
             tried=",".join(progress.attempted_servers),
             started=progress.response.started,
-            received_after_signal=progress.request.received_at - stop_requested_at,
+            received_after_signal=progress.request.received_at - signalled_at,
             time_left=progress.remaining_time,
             elapsed=trio.current_time() - progress.request.received_at,
         )
--- a/camphordrift/relay/tests/test_shutdown.py
+++ b/camphordrift/relay/tests/test_shutdown.py
@@ -7,7 +7,7 @@
 import trio
 
 from camphordrift.relay import _process
-from camphordrift.relay._process import drain_time
+from camphordrift.relay._stop_schedule import StopSchedule, stop_schedule
 from camphordrift.relay.tests.relay_harness import (
     CallerResponse,
     RelayHarness,
@@ -23,6 +23,12 @@
 
 pytestmark = pytest.mark.sockets
 
+#: Grace periods in seconds.
+GRACE_PERIODS = (1.0, 2.0, 4.0, 5.0, 8.0, 30.0)
+
+#: Seconds by which a VM may notice the signal late, and a request may be under way.
+MAX_SIGNAL_DELAY = 0.4
+
 #: Number of requests that occupy all slots of the only engine.
 SLOTS = 8
 
@@ -38,18 +44,48 @@
     return False
 
 
+class StopScheduleTest(testtools.TestCase):
+    def test_streams_may_run_until_the_last_sixth_of_the_grace_period(self) -> None:
+        """Guards against a fixed margin that is too long for short grace periods."""
+        for grace_period in GRACE_PERIODS:
+            exit_at = stop_schedule(grace_period).exit
+            self.assertTrue(grace_period * 5 / 6 < exit_at < grace_period)
+
+    def test_late_requests_are_refused_before_the_first_three_seconds_end(self) -> None:
+        """Guards against requests that are sent after 3 s, but before a busy VM refuses them."""
+        for grace_period in GRACE_PERIODS:
+            self.assertLessEqual(stop_schedule(grace_period).late_refusal, 3.0 - MAX_SIGNAL_DELAY)
+
+
 class GracePeriodTest(testtools.TestCase):
     """Guards against connections that are closed without a response when the grace period ends."""
 
     def setUp(self) -> None:
         super().setUp()
-        self.patch(_process, "DEREGISTRATION_DELAY", 0.1)
-        self.patch(_process, "drain_time", lambda grace_period: 1.0)
+        self.use_schedule(StopSchedule(0.1, 0.1, 0.75, 1.0))
 
-    def test_streams_may_run_until_the_last_sixth_of_the_grace_period(self) -> None:
-        """Guards against a fixed margin that is too long for short grace periods."""
-        for grace_period in (1.0, 2.0, 4.0, 5.0, 8.0, 30.0):
-            self.assertTrue(grace_period * 5 / 6 < drain_time(grace_period) < grace_period)
+    def use_schedule(self, schedule: StopSchedule) -> None:
+        self.patch(_process, "stop_schedule", lambda grace_period: schedule)
+
+    def test_a_late_request_on_a_new_connection_is_refused(self) -> None:
+        """Guards against requests that are sent after the first 3 s, and read before their end."""
+        self.use_schedule(StopSchedule(0.1, 60.0, 60.0, 60.0))
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            patient = replace(STREAM, timeout=90.0)
+            relay.publish(replace(CONFIGURATION, version=4, routes=(patient,)))
+            await relay.wait_for_version(4)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(relay.process._drain)
+                while relay.process._handler._exit_at is None:
+                    await trio.sleep(0.01)
+                response = await relay.send_request("/quick/x", x_patience="90")
+                self.assertEqual((503, True), (response.status, response.complete))
+                self.assertIn("retry-after", response.headers)
+                nursery.cancel_scope.cancel()
+            self.assertEqual([], servers[0].requests)
+
+        run_scenario(scenario, never_ends)
 
     def test_a_request_that_waits_for_an_engine_is_refused(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
