Fit the steps of a planned stop into short grace periods

A VM waits 3 s until the load balancer has removed it, whatever its grace period. With one of less than 3.4 s it would be killed before it refuses anything: requests end with a reset, those without a response as well. Found on reading the drain for the record of cut streams; the users' grace period is 8 s, for which nothing changes. Each step now has a maximum share of the period. test_a_short_grace_period_leaves_time_for_each_step failed before (2.5 and 3.0 s after an exit at 0.875 s).

--- a/camphordrift/relay/_stop_schedule.py
+++ b/camphordrift/relay/_stop_schedule.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass
 
-#: Seconds for which a stopping VM accepts connections, until the load balancer has removed it.
+#: Seconds for which a stopping VM accepts connections, until the load balancer has removed it, and
+#: maximum share of the grace period.
 DEREGISTRATION_DELAY = 3.0
+DEREGISTRATION_SHARE = 3 / 8
 
-#: Seconds before that time from which requests that may outlast the VM are refused. It covers a
-#: signal that is noticed late and requests that are under way.
+#: Seconds before that time from which requests that may outlast the VM are refused, and maximum
+#: share of that time. It covers a signal that is noticed late and requests that are under way.
 LATE_REFUSAL_LEAD = 0.5
+LATE_REFUSAL_SHARE = 1 / 2
 
 #: Maximum number of seconds before the end of the grace period at which a stopping VM exits by
 #: itself, and maximum share of that period. Requests that a server still processes in its last
@@ -15,8 +18,10 @@
 EXIT_MARGIN = 0.7
 EXIT_MARGIN_SHARE = 1 / 8
 
-#: Seconds before that time at which requests whose response has not started are refused.
+#: Seconds before that time at which requests whose response has not started are refused, and
+#: maximum share of the grace period.
 LAST_REFUSAL_LEAD = 0.25
+LAST_REFUSAL_SHARE = 1 / 8
 
 
 @dataclass(frozen=True)
@@ -36,9 +41,10 @@
 def stop_schedule(grace_period: float) -> StopSchedule:
     """Returns the schedule of a VM that is killed ``grace_period`` seconds after the signal."""
     exit_at = grace_period - min(EXIT_MARGIN, grace_period * EXIT_MARGIN_SHARE)
+    deregistration = min(DEREGISTRATION_DELAY, grace_period * DEREGISTRATION_SHARE)
     return StopSchedule(
-        late_refusal=DEREGISTRATION_DELAY - LATE_REFUSAL_LEAD,
-        deregistration=DEREGISTRATION_DELAY,
-        last_refusal=exit_at - LAST_REFUSAL_LEAD,
+        late_refusal=deregistration - min(LATE_REFUSAL_LEAD, deregistration * LATE_REFUSAL_SHARE),
+        deregistration=deregistration,
+        last_refusal=exit_at - min(LAST_REFUSAL_LEAD, grace_period * LAST_REFUSAL_SHARE),
         exit=exit_at,
     )
