--- a/camphordrift/platform/soak/_callers.py
+++ b/camphordrift/platform/soak/_callers.py
@@ -44,6 +44,10 @@
 #: for them.
 BODY_SIZES = (0, 200, 40_000)
 
+#: Sizes in bytes of the chunks of a caller's bodies, in turn; ``None`` for a body whose length is
+#: stated.
+CHUNK_SIZES = (None, None, 1000)
+
 
 @dataclass
 class VmAddress:
@@ -83,8 +87,10 @@
         vms: Sequence[VmAddress],
         keys: ApiKeys,
         observations: Observations,
+        chunk_sizes: Sequence[Optional[int]] = CHUNK_SIZES,
     ) -> None:
         self._number = number
+        self._chunk_sizes = itertools.cycle(chunk_sizes)
         self._random = random.Random(seed * 1000 + number)
         self._vms = vms
         self._keys = keys
@@ -116,7 +122,8 @@
                 None if stays_connected else self._random.uniform(0.0, MAX_DISCONNECT_DELAY)
             )
             body = b"w" * self._random.choice(BODY_SIZES)
-            if not await exchange(request, stream, body, disconnect_after):
+            chunk_bytes = next(self._chunk_sizes)
+            if not await exchange(request, stream, body, disconnect_after, chunk_bytes):
                 return
 
     def _think_time(self) -> float:
--- a/camphordrift/platform/soak/_exchange.py
+++ b/camphordrift/platform/soak/_exchange.py
@@ -29,6 +29,7 @@
     stream: trio.SocketStream,
     body: bytes = b"",
     disconnect_after: Optional[float] = None,
+    chunk_bytes: Optional[int] = None,
 ) -> bool:
     """Sends a request, reads the response and records both.
 
@@ -38,6 +39,7 @@
         body: Body of the request.
         disconnect_after: Seconds after which the caller disconnects; without it, the caller reads
             until :data:`EXTRA_READ_TIME` after the timeout.
+        chunk_bytes: Size of the chunks in which the body is sent; without it, its length is stated.
 
     Returns:
         Whether the connection can be reused.
@@ -48,7 +50,7 @@
     reusable = False
     try:
         with trio.move_on_after(read_time):
-            await stream.send_all(_format_request(request, body, protocol))
+            await stream.send_all(_format_request(request, body, protocol, chunk_bytes))
             request.sent_completely = True
             reusable = await _read_response(request, stream, protocol)
     except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
@@ -86,19 +88,26 @@
     return False
 
 
-def _format_request(request: CallerRequest, body: bytes, protocol: h11.Connection) -> bytes:
+def _format_request(
+    request: CallerRequest, body: bytes, protocol: h11.Connection, chunk_bytes: Optional[int]
+) -> bytes:
     headers = [
         ("host", "soak.example"),
         ("camphordrift-attempt-id", request.id),
         ("camphordrift-deadline-ms", str(int(request.timeout * 1000))),
         ("camphordrift-credential", request.key),
         ("camphordrift-token-count", f"{PROMPT_TOKENS},{OUTPUT_TOKENS}"),
-        ("content-length", str(len(body))),
     ]
+    if chunk_bytes is None:
+        headers.append(("content-length", str(len(body))))
+    else:
+        headers.append(("transfer-encoding", "chunked"))
     if request.parts:
         headers.append(("camphordrift-prompt-prefix", format_parts(request.parts, PROMPT_TOKENS)))
     data = protocol.send(h11.Request(method="POST", target=PATHS[request.kind], headers=headers))
-    data = (data or b"") + (protocol.send(h11.Data(data=body)) or b"")
+    size = chunk_bytes or max(1, len(body))
+    chunks = [body[start : start + size] for start in range(0, len(body), size)]
+    data = (data or b"") + b"".join(protocol.send(h11.Data(data=part)) or b"" for part in chunks)
     return data + (protocol.send(h11.EndOfMessage()) or b"")
 
 
--- a/camphordrift/platform/soak/_run.py
+++ b/camphordrift/platform/soak/_run.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from camphordrift.platform.soak._callers import Caller
+from camphordrift.platform.soak._callers import CHUNK_SIZES, Caller
 from camphordrift.platform.soak._checks import find_violations
 from camphordrift.platform.soak._crashing_callers import CrashingCallers
 from camphordrift.platform.soak._document_publisher import DocumentPublisher
@@ -132,7 +132,13 @@
             for number in range(self._settings.callers):
                 vms = [vm.callers for vm, _ in self._vms]
                 caller = Caller(
-                    number, self._settings.seed, vms, self._publisher.keys, self.observations
+                    number,
+                    self._settings.seed,
+                    vms,
+                    self._publisher.keys,
+                    self.observations,
+                    # Earlier builds answer bodies in chunks with code 9000.
+                    CHUNK_SIZES if self._settings.former is None else (None,),
                 )
                 load.start_soon(caller.run)
             load_start = trio.current_time()
--- a/camphordrift/platform/soak/_vm.py
+++ b/camphordrift/platform/soak/_vm.py
@@ -151,6 +151,8 @@
             self._observations.process_failures.append(
                 f"{self.name} logged a failure of a caller's connection"
             )
+        if "event=request_failed" in output:
+            self._observations.process_failures.append(f"{self.name} failed to handle a request")
         if "event=message_undecodable" in output or "message cannot be decoded" in output:
             self._observations.process_failures.append(
                 f"{self.name} could not decode a message of another VM"
