Do not take two response heads for one

Symptom: none reported. On a connection that was used before, a server may send a part of a late copy of an earlier response before the response to the next request. If that part ends in the middle of a header's value or of the reason phrase, the caller gets a response with headers of both, mostly with the status of the wrong one; and a request that the server ran counts as rejected.

Cause: the cut line runs on into the next status line, which is a valid header line ("x-signature: 3eHTTP/1.1 500 Oops"), and the id of the attempt is found in the second head.

Evidence: ReusedConnectionTest cuts other responses at each byte of their heads.

Why it works: every such head contains a status line inside the reason phrase or a header's value, and no other head does. h11 rejects a cut anywhere else. Such a response counts as broken, and its connection is closed.

--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -5,6 +5,7 @@
 complete body was sent, and whether further bytes follow a response.
 """
 
+import re
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Optional, Union
@@ -31,6 +32,9 @@
 #: store (1 MB, in base64).
 MAX_SMALL_RESPONSE_BYTES = 4 << 20
 
+#: The beginning of a response. It is part of a line of another head only if that head was cut off.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d( |$)")
+
 #: Seconds subtracted from a server's keep-alive timeout, to allow for clock drift and network
 #: latency.
 IDLE_MARGIN = 0.5
@@ -154,12 +158,15 @@
         """Returns the status line and headers of the response.
 
         Raises:
-            BrokenAnswerError: The connection ended first, the data was not valid HTTP, or too many
-                informational responses came first.
+            BrokenAnswerError: The connection ended first, the data was not valid HTTP, too many
+                informational responses came first, or the head runs on into that of another
+                response.
 
         """
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
+            if isinstance(event, (h11.InformationalResponse, h11.Response)):
+                _check_is_one_head(event)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -228,6 +235,18 @@
         return event
 
 
+def _check_is_one_head(head: Union[h11.InformationalResponse, h11.Response]) -> None:
+    """Checks that a head does not consist of the beginning of one response and of another one.
+
+    Raises:
+        BrokenAnswerError: A server stopped in the middle of a line, and sent another response.
+
+    """
+    lines = [bytes(head.reason), *(value for _, value in head.headers)]
+    if any(_STATUS_LINE.search(line) for line in lines):
+        raise BrokenAnswerError("the head runs on into that of another response")
+
+
 async def open_stream(host: str, port: int, timeout: float) -> ByteStream:
     """Opens a connection to an IP address over this VM's own path.
 
--- a/camphordrift/relay/tests/test_cut_responses.py
+++ b/camphordrift/relay/tests/test_cut_responses.py
@@ -12,7 +12,7 @@
 import testtools
 import trio
 
-from camphordrift.relay.connections import BrokenAnswerError, ByteStream
+from camphordrift.relay.connections import BrokenAnswerError, ByteStream, ConnectionPool
 from camphordrift.relay.connections._byte_stream import abort
 from camphordrift.relay.connections._http_client import HttpConnection, SmallRequest
 from camphordrift.relay.peers._peer_messages import ConnectionEnd
@@ -25,6 +25,7 @@
     SampleResponse,
     received_content,
     run_attempt,
+    run_attempt_on,
     stream_opener,
 )
 from camphordrift.relay.tests.relay_harness import (
@@ -166,6 +167,38 @@
         run(cuts, scenario)
 
 
+class ReusedConnectionTest(testtools.TestCase):
+    """Tests of a server that stops in the middle of a response and goes on with the next one."""
+
+    def check(self, response: SampleResponse, earlier: SampleResponse) -> None:
+        """Checks a response after the beginning of another one, for each possible beginning."""
+        other = earlier.data.replace(b"a1", b"a0").replace(b"0123", b"abcd")
+
+        async def main() -> None:
+            complete = await run_attempt(
+                stream_opener(CutStream([response.data], ConnectionEnd.CLOSED)), None
+            )
+            for cut in range(len(earlier.head) + 1):
+                data = [WITH_LENGTH.data.replace(b"a1", b"a0"), other[:cut] + response.data]
+                stream = CutStream(data, ConnectionEnd.CLOSED)
+                stream.has_arrived = False
+                connections = ConnectionPool(1.0, stream_opener(stream))
+                first = await run_attempt_on(connections, None, "a0")
+                self.assertIsInstance(first, Answered)
+                result = await run_attempt_on(connections, None)
+                if not isinstance(result, Broken):
+                    self.assertEqual(complete, result, f"after {data[1]!r}")
+
+        trio.run(main)
+
+    def test_beginnings_of_plain_responses(self) -> None:
+        names = ("length", "informational")
+        earlier = [item for item in PLAIN if item.name in names] + [NOT_RUN]
+        later = [item for item in PLAIN if item.name == "length"] + [NOT_RUN]
+        for response, other in product(later, earlier):
+            self.check(response, other)
+
+
 class SmallRequestTest(testtools.TestCase):
     def test_responses_to_reports_orders_and_reads_of_the_store(self) -> None:
         request = SmallRequest(b"GET", b"/report", [(b"host", b"a")])
