Give up a connection on which the server switches the protocol

Symptom: none reported. If a server answers a CONNECT request with 200, or a request with Upgrade with 101, and then sends bytes without end, the relay keeps all of them until the request's deadline. At the end of the stream it loops until then.

Cause: after the switch, h11 returns PAUSED and does not limit what it keeps; HttpConnection took PAUSED for "more data is needed".

A 101 that was not requested was refused before as well.

Why it works: PAUSED is only returned while a response is awaited if no HTTP follows.

--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -222,13 +222,16 @@
         """Returns the next event that has arrived completely.
 
         Raises:
-            BrokenAnswerError: The data is not valid HTTP.
+            BrokenAnswerError: The data is not valid HTTP, or no HTTP follows any more.
 
         """
         try:
             event = self._protocol.next_event()
         except h11.RemoteProtocolError as error:
             raise BrokenAnswerError(f"not a valid HTTP response: {error}") from error
+        if event is h11.PAUSED:
+            # The server switched to another protocol. h11 would keep what follows, without a limit.
+            raise BrokenAnswerError("the server switched to another protocol")
         if not isinstance(event, h11.Event):
             return None
         self._pace.record_event()
--- a/camphordrift/relay/tests/cut_responses.py
+++ b/camphordrift/relay/tests/cut_responses.py
@@ -64,7 +64,8 @@
     """A connection on which given data arrives, and then the end."""
 
     def __init__(self, pieces: Sequence[bytes], end: ConnectionEnd) -> None:
-        self._pieces = [piece for piece in pieces if piece]
+        #: Data that was not received yet.
+        self.pieces = [piece for piece in pieces if piece]
         self._end = end
         #: Whether the next data has arrived before it is requested.
         self.has_arrived = True
@@ -76,8 +77,8 @@
     async def receive_some(self, max_bytes: Optional[int] = None) -> bytes:
         """Returns the next piece."""
         await trio.lowlevel.checkpoint()
-        if self._pieces:
-            return self._pieces.pop(0)
+        if self.pieces:
+            return self.pieces.pop(0)
         if self._end is ConnectionEnd.RESET:
             raise trio.BrokenResourceError
         return b""
--- a/camphordrift/relay/tests/test_endless_responses.py
+++ b/camphordrift/relay/tests/test_endless_responses.py
@@ -7,7 +7,11 @@
 import testtools
 import trio
 
+from camphordrift.relay.connections import BrokenAnswerError, HttpConnection, SmallRequest
 from camphordrift.relay.connections._http_client import MAX_SMALL_RESPONSE_BYTES
+from camphordrift.relay.model import Headers
+from camphordrift.relay.peers._peer_messages import ConnectionEnd
+from camphordrift.relay.tests.cut_responses import CutStream
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     chunk,
@@ -109,6 +113,36 @@
         self.check("/book/x", "office", EndlessServer(beginning, BLOCK))
 
 
+class OtherProtocolTest(testtools.TestCase):
+    """Guards against bytes of another protocol that are kept without a limit."""
+
+    def check(self, method: bytes, headers: Headers, head: bytes) -> None:
+        """Checks that a connection is given up on which the server switches the protocol."""
+        blocks = [head, *[BLOCK] * 100]
+        stream = CutStream(blocks, ConnectionEnd.CLOSED)
+        request = SmallRequest(method, b"/book/x", [(b"host", b"a"), *headers])
+
+        async def main() -> None:
+            connection = HttpConnection(stream)
+            with trio.fail_after(5), testtools.ExpectedException(BrokenAnswerError):
+                await connection.exchange(request)
+            self.assertFalse(connection.reusable)
+
+        trio.run(main)
+        self.assertGreater(len(stream.pieces), 95)
+
+    def test_upgrade(self) -> None:
+        headers = [(b"connection", b"upgrade"), (b"upgrade", b"x")]
+        head = b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n"
+        self.check(b"GET", headers, head)
+
+    def test_upgrade_that_was_not_requested(self) -> None:
+        self.check(b"GET", [], b"HTTP/1.1 101 Switching Protocols\r\n\r\n")
+
+    def test_connect(self) -> None:
+        self.check(b"CONNECT", [], UNFRAMED)
+
+
 class AfterResponseTest(testtools.TestCase):
     def test_bytes_after_a_response(self) -> None:
         async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
