Limit engines' responses to reports and orders to 256 KiB

Symptom: none reported here; in another system, a machine kept endless bytes of a faulty engine until it ran out of memory. A leader requests up to 32 reports at the same time, and kept up to 4 MiB of each: 128 MiB, on VMs that may have 160 MB.

Cause: small requests shared the limit of the store's pages.

A report has at most some dozens of KiB: 64 reservations with their ids.

--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -34,6 +34,9 @@
 #: Maximum size in KiB of the records that one read returns (PROTOCOL.md: 1,024 is the default).
 _MAX_READ_KB = 1024
 
+#: Maximum size of a response in bytes. The largest are pages of newest records (1 MB, in base64).
+_MAX_RESPONSE_BYTES = 4 << 20
+
 #: Header of the response to a read: end offset of the topic, and its first retained offset.
 _READ_HEADER = struct.Struct(">qq")
 
@@ -173,7 +176,7 @@
             (b"host", str(self._address).encode()),
             (b"content-length", b"%d" % len(body)),
         ]
-        request = SmallRequest(method.encode(), target.encode(), headers, body)
+        request = SmallRequest(method.encode(), target.encode(), headers, body, _MAX_RESPONSE_BYTES)
         connection = await self._connections.acquire(host, port)
         # The connection may be reused at any later time, as long as the store keeps it open.
         response = await self._connections.exchange(host, port, connection, request, math.inf)
--- a/camphordrift/platform/tests/test_store.py
+++ b/camphordrift/platform/tests/test_store.py
@@ -92,6 +92,24 @@
         for page in (b"{", b'{"Items":' + b"[" * 100_000):
             run(lambda line, page=page: http_response("200 OK", page), check)  # type: ignore[misc]
 
+    def test_a_page_of_the_largest_size(self) -> None:
+        value = b"v" * (1 << 20)
+
+        async def check(store: PlatformStore, calls: list[str]) -> None:
+            batch = await store.newest("keyed.t")
+            self.assertEqual([value], [record.value for record in batch.records])
+
+        item = {"Key": "a", "Value": base64.b64encode(value).decode(), "Offset": 0}
+        page = {"Items": [item], "HasMore": False, "EndOffset": 1}
+        run(lambda line: http_response("200 OK", json.dumps(page).encode()), check)
+
+    def test_a_page_that_is_too_large(self) -> None:
+        async def check(store: PlatformStore, calls: list[str]) -> None:
+            with testtools.ExpectedException(StoreError):
+                await store.newest("keyed.t")
+
+        run(lambda line: http_response("200 OK", b" " * (5 << 20)), check)
+
     def test_a_record_whose_value_is_no_base64_is_left_out(self) -> None:
         # Guards against one odd record that keeps all others from being read.
         async def check(store: PlatformStore, calls: list[str]) -> None:
--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -28,9 +28,9 @@
 #: Maximum number of informational responses (1xx) before the response to a request.
 MAX_INFORMATIONAL_RESPONSES = 16
 
-#: Maximum size in bytes of the body of a response to a small request. The largest are pages of the
-#: store (1 MB, in base64).
-MAX_SMALL_RESPONSE_BYTES = 4 << 20
+#: Maximum size in bytes of the body of a response to a small request, unless the request states
+#: another one. A VM requests reports from many engines at the same time.
+MAX_SMALL_RESPONSE_BYTES = 256 << 10
 
 #: The beginning of a response. It is part of a line of another head only if that head was cut off.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d( |$)")
@@ -55,6 +55,8 @@
     target: bytes
     headers: Sequence[tuple[bytes, bytes]]
     body: bytes = b""
+    #: Maximum size of the body of the response, in bytes.
+    max_response_bytes: int = MAX_SMALL_RESPONSE_BYTES
 
 
 @dataclass(frozen=True)
@@ -150,7 +152,7 @@
         content = bytearray()
         while (chunk := await self.receive_data()) is not None:
             content += chunk
-            if len(content) > MAX_SMALL_RESPONSE_BYTES:
+            if len(content) > request.max_response_bytes:
                 raise BrokenAnswerError("the response is too large")
         return SmallResponse(head.status_code, list(head.headers), bytes(content))
 
--- a/camphordrift/relay/tests/test_endless_responses.py
+++ b/camphordrift/relay/tests/test_endless_responses.py
@@ -8,7 +8,6 @@
 import trio
 
 from camphordrift.relay.connections import BrokenAnswerError, HttpConnection, SmallRequest
-from camphordrift.relay.connections._http_client import MAX_SMALL_RESPONSE_BYTES
 from camphordrift.relay.model import Headers
 from camphordrift.relay.peers._peer_messages import ConnectionEnd
 from camphordrift.relay.tests.cut_responses import CutStream
@@ -17,13 +16,14 @@
     chunk,
     complete_stream,
     events,
+    open_relay,
     plain_response,
     plain_success,
     run_scenario,
     stream_head,
 )
-from camphordrift.relay.tests.samples import ScriptedServer, attempt_id_of
-from camphordrift.testing import HttpRequest, HttpRequestHandler
+from camphordrift.relay.tests.samples import ScriptedServer, attempt_id_of, server
+from camphordrift.testing import HttpRequest, HttpRequestHandler, handle_requests
 
 pytestmark = pytest.mark.sockets
 
@@ -193,12 +193,38 @@
             self.assertEqual(503, response.status)
 
         run_scenario(scenario, answer, answer)
-        self.assertLess(peaks[0], 4 * MAX_SMALL_RESPONSE_BYTES)
+        self.assertLess(peaks[0], 16 << 20)
 
     def test_response_to_an_order(self) -> None:
         self.check("/order", complete_stream, "400000")
 
 
+class EndlessReports(ScriptedServer):
+    """An engine whose reports have no end."""
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        await handle_requests(stream, EndlessServer(b"HTTP/1.1 200 OK\r\n\r\n", BLOCK).respond)
+
+
+class ManyReportsTest(testtools.TestCase):
+    def test_reports_of_many_engines(self) -> None:
+        async def main() -> None:
+            servers = [EndlessReports(server(n, port=0), complete_stream) for n in range(40)]
+            tracemalloc.start()
+            try:
+                async with open_relay(servers):
+                    while not all(item.connections for item in servers):
+                        await trio.sleep(0.01)
+                    peaks.append(tracemalloc.get_traced_memory()[1])
+            finally:
+                tracemalloc.stop()
+
+        peaks: list[int] = []
+        trio.run(main)
+        self.assertLess(peaks[0], MAX_MEMORY)
+
+
 class ReadinessTest(testtools.TestCase):
     def test_endless_readiness_request(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
