--- a/camphordrift/relay/tests/test_endless_responses.py
+++ b/camphordrift/relay/tests/test_endless_responses.py
@@ -67,7 +67,7 @@
 
 
 class EndlessResponseTest(testtools.TestCase):
-    def check(self, path: str, service: str, endless: EndlessServer) -> None:
+    def check(self, path: str, service: str, endless: EndlessServer, status: int = 502) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             tracemalloc.start()
             try:
@@ -76,7 +76,7 @@
             finally:
                 tracemalloc.stop()
             # The only server failed, so the outcome is unknown, and the caller is told so.
-            self.assertEqual((502, True), (response.status, response.complete))
+            self.assertEqual((status, True), (response.status, response.complete))
             self.assertLess(peak, MAX_MEMORY)
             with trio.fail_after(5):
                 while not endless.was_closed:
@@ -111,6 +111,25 @@
     def test_trailers(self) -> None:
         beginning = CHUNKED + chunk(b"body") + b"0\r\nx-endless: "
         self.check("/book/x", "office", EndlessServer(beginning, BLOCK))
+        block = b"x-endless: 1\r\n" * 4000
+        self.check("/book/x", "office", EndlessServer(beginning + b"1\r\n", block))
+
+    def test_lengths_that_no_body_has(self) -> None:
+        for length in (b"9" * 19, b"9" * 30, b"9" * 5000):
+            head = UNFRAMED.replace(b"\r\n\r\n", b"\r\ncontent-length: " + length + b"\r\n\r\n")
+            self.check("/book/x", "office", EndlessServer(head, BLOCK))
+            self.check("/quick/x", "engines", EndlessServer(head, BLOCK))
+
+    def test_sizes_that_no_chunk_has(self) -> None:
+        for size in (b"f" * 16, b"f" * 20, b"f" * 5000):
+            beginning = CHUNKED + size + b"\r\n"
+            self.check("/book/x", "office", EndlessServer(beginning, BLOCK))
+            self.check("/quick/x", "engines", EndlessServer(beginning, BLOCK))
+
+    def test_small_chunks_with_extensions(self) -> None:
+        block = (b"1;" + b"e" * 1000 + b"\r\nx\r\n") * 60
+        # They are read slowly, until the deadline.
+        self.check("/book/x", "office", EndlessServer(CHUNKED, block), status=504)
 
 
 class OtherProtocolTest(testtools.TestCase):
