--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -5,6 +5,7 @@
 complete body was sent, and whether further bytes follow a response.
 """
 
+import re
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Optional, Union
@@ -27,9 +28,12 @@
 #: Maximum number of informational responses (1xx) before the response to a request.
 MAX_INFORMATIONAL_RESPONSES = 16
 
-#: Maximum size in bytes of the body of a response to a small request. The largest are pages of the
-#: store (1 MB, in base64).
-MAX_SMALL_RESPONSE_BYTES = 4 << 20
+#: Maximum size in bytes of the body of a response to a small request, unless the request states
+#: another one. A VM requests reports from many engines at the same time.
+MAX_SMALL_RESPONSE_BYTES = 256 << 10
+
+#: The beginning of a response. It is part of a line of another head only if that head was cut off.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d( |$)")
 
 #: Seconds subtracted from a server's keep-alive timeout, to allow for clock drift and network
 #: latency.
@@ -51,6 +55,8 @@
     target: bytes
     headers: Sequence[tuple[bytes, bytes]]
     body: bytes = b""
+    #: Maximum size of the body of the response, in bytes.
+    max_response_bytes: int = MAX_SMALL_RESPONSE_BYTES
 
 
 @dataclass(frozen=True)
@@ -154,7 +160,7 @@
         content = bytearray()
         while (chunk := await self.receive_data()) is not None:
             content += chunk
-            if len(content) > MAX_SMALL_RESPONSE_BYTES:
+            if len(content) > request.max_response_bytes:
                 raise BrokenAnswerError("the response is too large")
         return SmallResponse(head.status_code, list(head.headers), bytes(content))
 
@@ -162,12 +168,15 @@
         """Returns the status line and headers of the response.
 
         Raises:
-            BrokenAnswerError: The connection ended first, the data was not valid HTTP, or too many
-                informational responses came first.
+            BrokenAnswerError: The connection ended first, the data was not valid HTTP, too many
+                informational responses came first, or the head runs on into that of another
+                response.
 
         """
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
+            if isinstance(event, (h11.InformationalResponse, h11.Response)):
+                _check_is_one_head(event)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -223,13 +232,16 @@
         """Returns the next event that has arrived completely.
 
         Raises:
-            BrokenAnswerError: The data is not valid HTTP.
+            BrokenAnswerError: The data is not valid HTTP, or no HTTP follows any more.
 
         """
         try:
             event = self._protocol.next_event()
         except h11.RemoteProtocolError as error:
             raise BrokenAnswerError(f"not a valid HTTP response: {error}") from error
+        if event is h11.PAUSED:
+            # The server switched to another protocol. h11 would keep what follows, without a limit.
+            raise BrokenAnswerError("the server switched to another protocol")
         if not isinstance(event, h11.Event):
             return None
         self._pace.record_event()
@@ -253,6 +265,18 @@
     return framed
 
 
+def _check_is_one_head(head: Union[h11.InformationalResponse, h11.Response]) -> None:
+    """Checks that a head does not consist of the beginning of one response and of another one.
+
+    Raises:
+        BrokenAnswerError: A server stopped in the middle of a line, and sent another response.
+
+    """
+    lines = [bytes(head.reason), *(value for _, value in head.headers)]
+    if any(_STATUS_LINE.search(line) for line in lines):
+        raise BrokenAnswerError("the head runs on into that of another response")
+
+
 async def open_stream(host: str, port: int, timeout: float) -> ByteStream:
     """Opens a connection to an IP address over this VM's own path.
 
--- a/camphordrift/relay/tests/test_endless_responses.py
+++ b/camphordrift/relay/tests/test_endless_responses.py
@@ -7,19 +7,23 @@
 import testtools
 import trio
 
-from camphordrift.relay.connections._http_client import MAX_SMALL_RESPONSE_BYTES
+from camphordrift.relay.connections import BrokenAnswerError, HttpConnection, SmallRequest
+from camphordrift.relay.model import Headers
+from camphordrift.relay.peers._peer_messages import ConnectionEnd
+from camphordrift.relay.tests.cut_responses import CutStream
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     chunk,
     complete_stream,
     events,
+    open_relay,
     plain_response,
     plain_success,
     run_scenario,
     stream_head,
 )
-from camphordrift.relay.tests.samples import ScriptedServer, attempt_id_of
-from camphordrift.testing import HttpRequest, HttpRequestHandler
+from camphordrift.relay.tests.samples import ScriptedServer, attempt_id_of, server
+from camphordrift.testing import HttpRequest, HttpRequestHandler, handle_requests
 
 pytestmark = pytest.mark.sockets
 
@@ -63,7 +67,7 @@
 
 
 class EndlessResponseTest(testtools.TestCase):
-    def check(self, path: str, service: str, endless: EndlessServer) -> None:
+    def check(self, path: str, service: str, endless: EndlessServer, status: int = 502) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             tracemalloc.start()
             try:
@@ -72,7 +76,7 @@
             finally:
                 tracemalloc.stop()
             # The only server failed, so the outcome is unknown, and the caller is told so.
-            self.assertEqual((502, True), (response.status, response.complete))
+            self.assertEqual((status, True), (response.status, response.complete))
             self.assertLess(peak, MAX_MEMORY)
             with trio.fail_after(5):
                 while not endless.was_closed:
@@ -107,6 +111,55 @@
     def test_trailers(self) -> None:
         beginning = CHUNKED + chunk(b"body") + b"0\r\nx-endless: "
         self.check("/book/x", "office", EndlessServer(beginning, BLOCK))
+        block = b"x-endless: 1\r\n" * 4000
+        self.check("/book/x", "office", EndlessServer(beginning + b"1\r\n", block))
+
+    def test_lengths_that_no_body_has(self) -> None:
+        for length in (b"9" * 19, b"9" * 30, b"9" * 5000):
+            head = UNFRAMED.replace(b"\r\n\r\n", b"\r\ncontent-length: " + length + b"\r\n\r\n")
+            self.check("/book/x", "office", EndlessServer(head, BLOCK))
+            self.check("/quick/x", "engines", EndlessServer(head, BLOCK))
+
+    def test_sizes_that_no_chunk_has(self) -> None:
+        for size in (b"f" * 16, b"f" * 20, b"f" * 5000):
+            beginning = CHUNKED + size + b"\r\n"
+            self.check("/book/x", "office", EndlessServer(beginning, BLOCK))
+            self.check("/quick/x", "engines", EndlessServer(beginning, BLOCK))
+
+    def test_small_chunks_with_extensions(self) -> None:
+        block = (b"1;" + b"e" * 1000 + b"\r\nx\r\n") * 60
+        # They are read slowly, until the deadline.
+        self.check("/book/x", "office", EndlessServer(CHUNKED, block), status=504)
+
+
+class OtherProtocolTest(testtools.TestCase):
+    """Guards against bytes of another protocol that are kept without a limit."""
+
+    def check(self, method: bytes, headers: Headers, head: bytes) -> None:
+        """Checks that a connection is given up on which the server switches the protocol."""
+        blocks = [head, *[BLOCK] * 100]
+        stream = CutStream(blocks, ConnectionEnd.CLOSED)
+        request = SmallRequest(method, b"/book/x", [(b"host", b"a"), *headers])
+
+        async def main() -> None:
+            connection = HttpConnection(stream)
+            with trio.fail_after(5), testtools.ExpectedException(BrokenAnswerError):
+                await connection.exchange(request)
+            self.assertFalse(connection.reusable)
+
+        trio.run(main)
+        self.assertGreater(len(stream.pieces), 95)
+
+    def test_upgrade(self) -> None:
+        headers = [(b"connection", b"upgrade"), (b"upgrade", b"x")]
+        head = b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n"
+        self.check(b"GET", headers, head)
+
+    def test_upgrade_that_was_not_requested(self) -> None:
+        self.check(b"GET", [], b"HTTP/1.1 101 Switching Protocols\r\n\r\n")
+
+    def test_connect(self) -> None:
+        self.check(b"CONNECT", [], UNFRAMED)
 
 
 class AfterResponseTest(testtools.TestCase):
@@ -159,12 +212,38 @@
             self.assertEqual(503, response.status)
 
         run_scenario(scenario, answer, answer)
-        self.assertLess(peaks[0], 4 * MAX_SMALL_RESPONSE_BYTES)
+        self.assertLess(peaks[0], 16 << 20)
 
     def test_response_to_an_order(self) -> None:
         self.check("/order", complete_stream, "400000")
 
 
+class EndlessReports(ScriptedServer):
+    """An engine whose reports have no end."""
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        await handle_requests(stream, EndlessServer(b"HTTP/1.1 200 OK\r\n\r\n", BLOCK).respond)
+
+
+class ManyReportsTest(testtools.TestCase):
+    def test_reports_of_many_engines(self) -> None:
+        async def main() -> None:
+            servers = [EndlessReports(server(n, port=0), complete_stream) for n in range(40)]
+            tracemalloc.start()
+            try:
+                async with open_relay(servers):
+                    while not all(item.connections for item in servers):
+                        await trio.sleep(0.01)
+                    peaks.append(tracemalloc.get_traced_memory()[1])
+            finally:
+                tracemalloc.stop()
+
+        peaks: list[int] = []
+        trio.run(main)
+        self.assertLess(peaks[0], MAX_MEMORY)
+
+
 class ReadinessTest(testtools.TestCase):
     def test_endless_readiness_request(self) -> None:
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
