A complete stream does not wait for another engine, and keeps no memory

Cause: from the moment a further attempt is sent, the events of the slow attempt are held back. The task that writes them is the one that reads the response, so it did not see the end of the response, and hold_reservations() went on renewing until the further attempt had an event or failed.

Evidence: on the code before, with the new tests, test_request_attempts.py::HeldBackEventsTest::test_a_complete_response_ends_the_stream fails (the slow attempt is cancelled, not the further one; 5.3 s instead of 1.5 s of virtual time), and so does ..._although_the_caller_reads_slowly; test_slow_streams.py::CompleteStreamTest::test_a_slow_stream_ends_before_the_further_attempt_has_an_event fails over sockets: answer_broken_off, reason="the deadline passed", elapsed=9.98. The tests of the maximum and of release() use what is new. The tests of mixed events, of a slow server that breaks and of its silence guard the new paths; they hold for the code before as well.

Why it works: an attempt goes on reading while its events are held back (bounded at 1 MiB). If its response is complete before the further attempt has an event, it claims the stream, forwards the rest and ends it; claiming cancels the further attempt under the lock of the stream, so that events of both are never mixed. Reservations are released when the end of the response has been received. When the further attempt fails, the receiving task is interrupted and forwards at once. Silence of an attempt whose events are held back starts nothing, as before, when it was not read.

--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -131,6 +131,13 @@
         """
         raise NotImplementedError
 
+    async def receive(self, receive: Callable[[], Awaitable[Optional[bytes]]]) -> Optional[bytes]:
+        """Returns what ``receive`` returns.
+
+        A sink that holds events back may interrupt it to forward them, and return no bytes.
+        """
+        return await receive()
+
     async def end_response(self) -> None:
         """Called when the response is complete, possibly without any event."""
         raise NotImplementedError
@@ -378,7 +385,14 @@
     ) -> bool:
         """Forwards events until the end of the response; returns whether there was one."""
         started = False
-        while (chunk := await timer.receive(connection.receive_data)) is not None:
+
+        async def receive() -> Optional[bytes]:
+            return await timer.receive(connection.receive_data)
+
+        while (chunk := await sink.receive(receive)) is not None:
+            if not chunk:
+                # The time that it took to write to the caller is not the server's.
+                timer.restart(event_timeout)
             for part in _parts(chunk):
                 events = splitter.feed(part)
                 if not events:
--- a/camphordrift/relay/requests/_caller_sink.py
+++ b/camphordrift/relay/requests/_caller_sink.py
@@ -13,6 +13,13 @@
 #: is reported to the engine scheduler as the time of one engine iteration.
 SAMPLED_GAPS = 4
 
+#: Maximum number of bytes that the events which an attempt holds back may take; with more, it
+#: continues the stream.
+MAX_HELD_BACK_BYTES = 1 << 20
+
+#: Approximate number of bytes of memory that an event takes besides its data.
+EVENT_OVERHEAD_BYTES = 256
+
 
 class CallerStream:
     """The event stream to a caller; gets each event at most once and in order, across attempts.
@@ -74,12 +81,16 @@
 class CallerEventSink(EventSink):
     """Forwards the events of one attempt to the caller's stream.
 
+    Events that arrive while it is not the attempt's turn are held back. They are forwarded as soon
+    as it is, or when the response is complete: then no other attempt can be faster.
+
     Args:
         stream: The caller's stream.
         claim_stream: Called before anything is forwarded. It is cancelled if another attempt has
             continued the stream in the meantime.
-        has_turn: Returns whether the attempt may forward events now.
-        wait_for_turn: Waits until it may.
+        has_turn: Returns whether the attempt may forward events now. :meth:`resume` is called when
+            it may again.
+        on_arrival: Called when events arrive, whether they are forwarded or not.
 
     """
 
@@ -88,12 +99,16 @@
         stream: CallerStream,
         claim_stream: Callable[[], Awaitable[None]],
         has_turn: Callable[[], bool],
-        wait_for_turn: Callable[[], Awaitable[None]],
+        on_arrival: Callable[[], None],
     ) -> None:
         self._stream = stream
         self._claim_stream = claim_stream
         self._has_turn = has_turn
-        self._wait_for_turn = wait_for_turn
+        self._on_arrival = on_arrival
+        self._held_back: list[StreamEvent] = []
+        self._held_back_bytes = 0
+        #: Interrupts :meth:`receive`.
+        self._receive_scope = trio.CancelScope()
         self._status = 0
         self._headers: Headers = ()
         #: Whether another attempt has forwarded events before this one.
@@ -110,6 +125,8 @@
         self.on_first_event: Callable[[], None] = lambda: None
         #: Called with the seconds of the shortest of the attempt's first gaps between events.
         self.on_shortest_gap: Callable[[float], None] = lambda gap: None
+        #: Called when the response is complete, before the last of it is forwarded.
+        self.on_complete: Callable[[], None] = lambda: None
         #: Called with the seconds of each gap, and the number of events that ended it.
         self.on_gap: Callable[[float, int], None] = lambda gap, event_count: None
 
@@ -128,29 +145,60 @@
         self.first_event_at = self._last_event_at = trio.current_time()
         self.on_first_event()
 
+    async def receive(self, receive: Callable[[], Awaitable[Optional[bytes]]]) -> Optional[bytes]:
+        if not self._held_back:
+            return await receive()
+        if not self._has_turn():
+            with trio.CancelScope() as self._receive_scope:
+                return await receive()
+        await self._forward([])
+        return b""
+
+    def resume(self) -> None:
+        """Forwards the events that were held back, as it is the attempt's turn again."""
+        self._receive_scope.cancel()
+
     async def write_events(self, events: list[StreamEvent]) -> None:
         if self._is_resumption and any(e.id is None and not e.is_comment for e in events):
             raise StreamMismatchError("an event without an id cannot continue the stream")
+        self._on_arrival()
         self._record_gap(len(events))
         self.on_events(len(events))
-        while not await self._forward(events):
-            await self._wait_for_turn()
+        await self._forward(events)
+
+    async def end_response(self) -> None:
+        self.on_complete()
+        async with self._stream.lock:
+            await self._claim_stream()
+            await self._stream.start(self._status, self._headers)
+            if new := self._take_new([]):
+                await self._stream.write(new)
 
-    async def _forward(self, events: list[StreamEvent]) -> bool:
-        """Forwards events; returns whether it was the attempt's turn."""
+    async def _forward(self, events: list[StreamEvent]) -> None:
+        """Forwards events after those that were held back, or holds them back as well."""
         async with self._stream.lock:
-            if not self._has_turn():
-                return False
-            if new := self._stream.select_new(events):
+            if not self._has_turn() and self._hold_back(events):
+                return
+            if new := self._take_new(events):
                 await self._claim_stream()
                 await self._stream.start(self._status, self._headers)
                 await self._stream.write(new)
+
+    def _hold_back(self, events: list[StreamEvent]) -> bool:
+        """Holds events back; returns ``False`` if they are too many."""
+        size = self._held_back_bytes
+        size += sum(len(event.data) + EVENT_OVERHEAD_BYTES for event in events)
+        if size > MAX_HELD_BACK_BYTES:
+            return False
+        self._held_back += events
+        self._held_back_bytes = size
         return True
 
-    async def end_response(self) -> None:
-        async with self._stream.lock:
-            await self._claim_stream()
-            await self._stream.start(self._status, self._headers)
+    def _take_new(self, events: list[StreamEvent]) -> list[StreamEvent]:
+        """Returns those of the events, and of the ones held back, that the caller does not have."""
+        new = self._stream.select_new(self._held_back + events)
+        self._held_back, self._held_back_bytes = [], 0
+        return new
 
     def _record_gap(self, event_count: int) -> None:
         now = trio.current_time()
--- a/camphordrift/relay/requests/_request_attempts.py
+++ b/camphordrift/relay/requests/_request_attempts.py
@@ -7,9 +7,10 @@
 retry is permitted, the silent server has until the deadline of the request.
 
 A stream that is too slow to be complete before its deadline goes on in this way, until a further
-attempt is sent. From then its events are held back until that attempt has sent an event, which
-cancels the slow one, or has failed: the further attempt resumes the stream after the last event
-that was forwarded, and events of both must not be mixed.
+attempt is sent. From then its events are received but held back until that attempt has sent an
+event, which cancels the slow one, or has failed: the further attempt resumes the stream after the
+last event that was forwarded, and events of both must not be mixed. If the slow response is
+complete before that, it ends the stream, and the further attempt is cancelled.
 """
 
 from collections.abc import Awaitable, Callable
@@ -70,6 +71,10 @@
         self.is_silent = True
         self._record_silence(self)
 
+    def record_arrival(self) -> None:
+        """Records that events of the server have arrived."""
+        self.is_silent = False
+
     def record_slowness(self) -> None:
         """Records that the stream is too slow to be complete before the deadline."""
         if not self.is_slow:
@@ -117,8 +122,6 @@
             progress.stream = self._stream
         #: The attempts in progress, in the order in which they began.
         self._running: list[RunningAttempt] = []
-        #: Set and replaced when an attempt ends.
-        self._attempt_ended = trio.Event()
 
     async def run(self) -> AttemptResult:
         """Runs an attempt, and further ones while servers are silent; returns the deciding result.
@@ -147,7 +150,7 @@
                 self._stream,
                 lambda: self._claim_stream(attempt),
                 lambda: self._has_turn(attempt),
-                lambda: self._wait_for_turn(attempt),
+                attempt.record_arrival,
             )
         self._running.append(attempt)
         self._nursery.start_soon(self._run_to_result, attempt)
@@ -165,8 +168,9 @@
 
     def _remove(self, attempt: RunningAttempt) -> None:
         self._running.remove(attempt)
-        self._attempt_ended.set()
-        self._attempt_ended = trio.Event()
+        for other in self._running:
+            if other.sink is not None and self._has_turn(other):
+                other.sink.resume()
 
     def _handle_result(self, result: Union[AttemptResult, RequestRefusedError]) -> None:
         if self._is_final(result) or not self._running:
@@ -195,6 +199,9 @@
         if self._stream is not None and self._stream.lock.locked():
             # It is the caller that does not read.
             return
+        if not self._has_turn(attempt):
+            # A further attempt was sent before.
+            return
         if any(not self._has_turn(other) for other in self._running):
             # The slow attempt that this one was to replace continues instead.
             self._remove(attempt)
@@ -240,10 +247,6 @@
         later = self._running[self._running.index(attempt) + 1 :]
         return not any(other.is_sent for other in later)
 
-    async def _wait_for_turn(self, attempt: RunningAttempt) -> None:
-        while not self._has_turn(attempt):
-            await self._attempt_ended.wait()
-
     async def _claim_stream(self, attempt: RunningAttempt) -> None:
         """Makes an attempt the one that continues the stream, and cancels the others."""
         if attempt.scope.cancel_called:
@@ -260,5 +263,4 @@
             )
             self._remove(other)
             other.scope.cancel()
-        attempt.is_silent = False
         attempt.has_forwarded = True
--- a/camphordrift/relay/requests/_reservations.py
+++ b/camphordrift/relay/requests/_reservations.py
@@ -96,11 +96,12 @@
         parts: Sequence[ReservedPart],
         primary: BackendServer,
         on_silence: Callable[[], None],
-    ) -> AsyncIterator[None]:
+    ) -> AsyncIterator[Callable[[], None]]:
         """Keeps reservations on all given engines while the body of the ``async with`` block runs.
 
-        The body is cancelled and the reservations are released when the primary engine refuses
-        connections, as nothing uses the memory then. The block then ends without an exception.
+        Yields a function that releases them earlier, when the primary engine has finished. Until
+        then, the body is cancelled and the reservations are released when that engine refuses
+        connections, as nothing uses the memory any more. The block then ends without an exception.
         While the engine only does not respond, the reservations are not renewed; they expire unless
         it responds again in time.
 
@@ -113,16 +114,25 @@
             ReservationRefusedError: An engine refused its reservation or did not respond.
 
         """
+        renewals = trio.CancelScope()
+
+        def release() -> None:
+            if not renewals.cancel_called:
+                renewals.cancel()
+                self._release_queue.send_nowait(parts)
+
+        async def keep_renewed() -> None:
+            with renewals:
+                await self._keep_renewed(parts, primary, on_silence, nursery.cancel_scope)
+
         try:
             await self._reserve_all(parts)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    self._keep_renewed, parts, primary, on_silence, nursery.cancel_scope
-                )
-                yield
+                nursery.start_soon(keep_renewed)
+                yield release
                 nursery.cancel_scope.cancel()
         finally:
-            self._release_queue.send_nowait(parts)
+            release()
 
     async def _reserve_all(self, parts: Sequence[ReservedPart]) -> None:
         refused: list[str] = []
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -269,7 +269,9 @@
         try:
             async with self._reservations.hold_reservations(
                 parts, grant.server, running.record_silence
-            ):
+            ) as release:
+                if running.sink is not None:
+                    running.sink.on_complete = release
                 return await self._attempt(progress, servers, helpers, timeouts, running)
         except ReservationRefusedError as error:
             withheld = self._record_withheld(progress, grant.helpers)
--- a/camphordrift/relay/tests/test_request_attempts.py
+++ b/camphordrift/relay/tests/test_request_attempts.py
@@ -19,6 +19,7 @@
     Streamed,
     Withheld,
 )
+from camphordrift.relay.requests._caller_sink import EVENT_OVERHEAD_BYTES, MAX_HELD_BACK_BYTES
 from camphordrift.relay.requests._refusals import RequestRefusedError, refusal_error
 from camphordrift.relay.requests._request_attempts import RequestAttempts, RunningAttempt
 from camphordrift.relay.requests._request_progress import RequestProgress
@@ -180,11 +181,28 @@
             if number == 2:
                 running.record_slowness()
             await trio.sleep(gap)
-        return Streamed()
+        return await end(running)
 
     return script
 
 
+async def end(running: RunningAttempt) -> AttemptResult:
+    """Ends a server's response."""
+    assert running.sink is not None
+    await running.sink.end_response()
+    return Streamed()
+
+
+async def receive_nothing(running: RunningAttempt) -> None:
+    """Waits for data of a server until events that were held back have been forwarded."""
+
+    async def receive() -> Optional[bytes]:
+        await trio.sleep_forever()
+
+    assert running.sink is not None
+    await running.sink.receive(receive)
+
+
 class SlowStreamTest(testtools.TestCase):
     """Guards against streams that stay on an engine that turned slow until their deadline.
 
@@ -224,6 +242,111 @@
         self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
 
 
+class HeldBackEventsTest(testtools.TestCase):
+    """Guards against complete streams that wait for another server, and keep memory reserved.
+
+    A slow stream was complete 0.5 s after a further attempt was sent. Its events were not read
+    until the further attempt had one, 5 s later (LEAK on bazarnik-prod).
+    """
+
+    def test_a_complete_response_ends_the_stream(self) -> None:
+        outcome = run_attempts(slow_server(5, 0.3), server(5.0, 3, 4, 5))
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+        self.assertEqual([1], outcome.cancelled)
+        self.assertAlmostEqual(1.5, outcome.seconds)
+
+    def test_a_complete_response_ends_the_stream_although_the_caller_reads_slowly(self) -> None:
+        outcome = run_attempts(slow_server(5, 0.3), server(2.0, 3, 4, 5), write_seconds=0.4)
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+        self.assertEqual([1], outcome.cancelled)
+
+    def test_events_of_two_servers_are_not_mixed(self) -> None:
+        """The slow response ends just when the further attempt has its first event."""
+        ids = {0: [1, 2, 3, 4, 5, 6], 1: [1, 2, 3, 4, 5]}
+        for delay in (1.2 - 1e-9, 1.2, 1.2 + 1e-9):
+            outcome = run_attempts(
+                slow_server(5, 0.3), server(delay, 3, 4, 5, 6), write_seconds=0.1
+            )
+            (cancelled,) = outcome.cancelled
+            self.assertEqual((Streamed(), ids[cancelled]), (outcome.result, outcome.ids))
+
+    def test_events_are_forwarded_as_soon_as_the_further_attempt_fails(self) -> None:
+        forwarded_at: list[float] = []
+
+        async def pauses(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            await trio.sleep(0.1)
+            await forward(running, 3)
+            started_at = trio.current_time()
+            await receive_nothing(running)
+            forwarded_at.append(trio.current_time() - started_at)
+            return await end(running)
+
+        outcome = run_attempts(pauses, server(1.1, result=Broken("crashed")))
+        self.assertEqual((Streamed(), [1, 2, 3]), (outcome.result, outcome.ids))
+        self.assertAlmostEqual(1.0, forwarded_at[0])
+
+    def test_events_are_dropped_if_the_slow_server_breaks(self) -> None:
+        """The further attempt resumes the stream before them."""
+
+        async def breaks(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            await trio.sleep(0.1)
+            await forward(running, 3)
+            return Broken("crashed")
+
+        outcome = run_attempts(breaks, server(1.0, 3, 4))
+        self.assertEqual((Streamed(), [1, 2, 3, 4]), (outcome.result, outcome.ids))
+        self.assertAlmostEqual(1.0, outcome.seconds)
+
+    def test_a_silence_of_the_slow_server_does_not_end_its_attempt(self) -> None:
+        async def silent(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            await trio.sleep(1.0)
+            running.record_silence()
+            await trio.sleep(0.5)
+            await forward(running, 3)
+            self.assertFalse(running.is_silent)
+            return await end(running)
+
+        outcome = run_attempts(silent, server(5.0, 3))
+        self.assertEqual((Streamed(), [1, 2, 3]), (outcome.result, outcome.ids))
+        self.assertEqual(2, outcome.attempts)
+
+    def test_no_more_than_a_maximum_is_held_back(self) -> None:
+        self._check_continues([StreamEvent(b"id: 3\n:%s\n\n" % bytes(MAX_HELD_BACK_BYTES), 3)])
+
+    def test_very_short_events_count_with_the_memory_that_they_take(self) -> None:
+        count = MAX_HELD_BACK_BYTES // EVENT_OVERHEAD_BYTES
+        self._check_continues(
+            [StreamEvent(b"id: 3\n\n", 3)] + [StreamEvent(b":\n\n", None)] * count
+        )
+
+    def _check_continues(self, events: list[StreamEvent]) -> None:
+        """Checks that a slow server continues the stream when it has sent these events."""
+
+        async def sends_much(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            await trio.sleep(0.1)
+            assert running.sink is not None
+            await running.sink.write_events(events)
+            await forward(running, 4)
+            await trio.sleep(0.5)
+            return await end(running)
+
+        outcome = run_attempts(sends_much, server(5.0, 3, 4))
+        self.assertEqual((Streamed(), [1, 2, 3, 4]), (outcome.result, outcome.ids))
+        self.assertEqual([1], outcome.cancelled)
+
+
 class SilentStreamTest(testtools.TestCase):
     def test_the_silent_server_continues_if_it_is_first(self) -> None:
         outcome = run_attempts(silent_server((1, 2), 1.5, (3, 4)), server(2.0, 3, 4))
--- a/camphordrift/relay/tests/test_reservations.py
+++ b/camphordrift/relay/tests/test_reservations.py
@@ -127,6 +127,20 @@
         (orders,) = self._received_orders(accept_orders, hold_seconds=RENEWAL_INTERVAL * 1.5)
         self.assertEqual(["reserve t0 100", "reserve t0 100", "release t0"], orders)
 
+    def test_reservations_are_released_when_the_engine_has_finished(self) -> None:
+        """Guards against memory that stays reserved while a caller reads the last events."""
+        self._releases_early = True
+        (orders,) = self._received_orders(accept_orders, hold_seconds=RENEWAL_INTERVAL * 2.5)
+        self.assertTrue(self._body_ended)
+        self.assertEqual(["reserve t0 100", "release t0"], orders)
+
+    def test_a_crash_of_the_primary_engine_after_it_has_finished_ends_nothing(self) -> None:
+        self._releases_early = True
+        self._received_orders(
+            accept_orders, hold_seconds=RENEWAL_INTERVAL * 2.5, primary=server(9, port=9)
+        )
+        self.assertTrue(self._body_ended)
+
     def test_all_reservations_are_released_when_one_engine_refuses(self) -> None:
         first, second = self._received_orders(accept_orders, refuse_orders, hold_seconds=0.0)
         self.assertEqual(["reserve t0 100", "release t0"], first)
@@ -180,6 +194,9 @@
     def _record_silence(self) -> None:
         self._silences += 1
 
+    #: Whether the block releases its reservations as soon as it begins.
+    _releases_early = False
+
     #: Whether the block that held the reservations ran to its end.
     _body_ended = False
 
@@ -210,7 +227,9 @@
                     with contextlib.suppress(ReservationRefusedError):
                         async with manager.hold_reservations(
                             parts, primary or servers[0].entry, self._record_silence
-                        ):
+                        ) as release:
+                            if self._releases_early:
+                                release()
                             await trio.sleep(hold_seconds)
                             self._body_ended = True
                             self._body_ended_at = trio.current_time()
--- /dev/null
+++ b/camphordrift/relay/tests/test_slow_streams.py
@@ -0,0 +1,73 @@
+"""Tests of streams that are too slow to be complete before their deadline, over sockets."""
+
+import pytest
+import testtools
+import trio
+
+from camphordrift.relay.requests import _sender
+from camphordrift.relay.scheduling import StreamPace
+from camphordrift.relay.tests.relay_harness import (
+    RelayHarness,
+    chunk,
+    events,
+    first_then,
+    run_scenario,
+    stream_head,
+)
+from camphordrift.relay.tests.samples import ScriptedServer
+from camphordrift.testing import HttpRequest
+
+pytestmark = pytest.mark.sockets
+
+#: Seconds between the events of the slow stream.
+GAP = 0.02
+
+
+class SlowStream:
+    """A script that sends single events until it is told to send the rest of the response."""
+
+    def __init__(self) -> None:
+        self.rest_is_due = trio.Event()
+        self.event_count = 0
+
+    async def __call__(self, request: HttpRequest, stream: trio.SocketStream) -> bool:
+        await stream.send_all(stream_head(request))
+        while not self.rest_is_due.is_set():
+            await self._send_event(stream)
+            await trio.sleep(GAP)
+        for _ in range(3):
+            await self._send_event(stream)
+        await stream.send_all(b"0\r\n\r\n")
+        return True
+
+    async def _send_event(self, stream: trio.SocketStream) -> None:
+        self.event_count += 1
+        await stream.send_all(chunk(events(self.event_count, self.event_count)))
+
+
+class CompleteStreamTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.patch(StreamPace, "misses_deadline", lambda pace, time_left: True)
+
+    def test_a_slow_stream_ends_before_the_further_attempt_has_an_event(self) -> None:
+        """Guards against a complete response that waits for another server until its deadline."""
+        self.patch(_sender, "FIRST_EVENT_SLACK", 60.0)
+        slow, cancelled = SlowStream(), trio.Event()
+
+        async def never_responds(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            slow.rest_is_due.set()
+            try:
+                await stream.receive_some(1)
+            finally:
+                cancelled.set()
+            return False
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            response = await relay.send_request("/quick/x")
+            self.assertTrue(response.complete)
+            self.assertEqual(events(1, slow.event_count), response.body)
+            await cancelled.wait()
+
+        script = first_then(slow, never_responds)
+        run_scenario(scenario, script, script)
