The first final result of a request stands

Cause: the end of a slow stream frees an engine, so the scheduler decides on the further attempt that waits for one. The task of that attempt is scheduled before Streamed cancels it, runs on, and its refusal replaced Streamed as the result of the last running attempt in RequestAttempts._handle_result(). A complete response that is no stream was replaced in the same way.

Evidence: on the code before, with the new tests, three fail: FirstFinalResultTest::test_a_complete_stream_stands and ::test_a_complete_response_that_is_no_stream_stands with RequestRefusedError: no engine; test_slow_streams.py::CompleteStreamTest::test_a_refusal_that_follows_from_its_end_does_not_break_it_off with answer_broken_off, time_left=9.92.

Why it works: results that come after the one that decided the request are ignored. A complete stream cancels the attempts that wait for an engine before it is ended, and an attempt that runs on after its cancellation finds out before it claims the stream, also if the whole request was cancelled.

--- a/camphordrift/relay/requests/_caller_sink.py
+++ b/camphordrift/relay/requests/_caller_sink.py
@@ -86,8 +86,8 @@
 
     Args:
         stream: The caller's stream.
-        claim_stream: Called before anything is forwarded. It is cancelled if another attempt has
-            continued the stream in the meantime.
+        claim_stream: Called before anything is forwarded, with whether the response is complete. It
+            is cancelled if another attempt has continued the stream in the meantime.
         has_turn: Returns whether the attempt may forward events now. :meth:`resume` is called when
             it may again.
         on_arrival: Called when events arrive, whether they are forwarded or not.
@@ -97,7 +97,7 @@
     def __init__(
         self,
         stream: CallerStream,
-        claim_stream: Callable[[], Awaitable[None]],
+        claim_stream: Callable[[bool], Awaitable[None]],
         has_turn: Callable[[], bool],
         on_arrival: Callable[[], None],
     ) -> None:
@@ -169,7 +169,7 @@
     async def end_response(self) -> None:
         self.on_complete()
         async with self._stream.lock:
-            await self._claim_stream()
+            await self._claim_stream(True)
             await self._stream.start(self._status, self._headers)
             if new := self._take_new([]):
                 await self._stream.write(new)
@@ -180,7 +180,7 @@
             if not self._has_turn() and self._hold_back(events):
                 return
             if new := self._take_new(events):
-                await self._claim_stream()
+                await self._claim_stream(False)
                 await self._stream.start(self._status, self._headers)
                 await self._stream.write(new)
 
--- a/camphordrift/relay/requests/_request_attempts.py
+++ b/camphordrift/relay/requests/_request_attempts.py
@@ -148,7 +148,7 @@
         if self._stream is not None:
             attempt.sink = CallerEventSink(
                 self._stream,
-                lambda: self._claim_stream(attempt),
+                lambda is_complete: self._claim_stream(attempt, is_complete),
                 lambda: self._has_turn(attempt),
                 attempt.record_arrival,
             )
@@ -173,6 +173,9 @@
                 other.sink.resume()
 
     def _handle_result(self, result: Union[AttemptResult, RequestRefusedError]) -> None:
+        if self._result is not None:
+            # An attempt may end after the result that cancels it, as it had been resumed before.
+            return
         if self._is_final(result) or not self._running:
             self._result = result
             self._nursery.cancel_scope.cancel()
@@ -247,12 +250,11 @@
         later = self._running[self._running.index(attempt) + 1 :]
         return not any(other.is_sent for other in later)
 
-    async def _claim_stream(self, attempt: RunningAttempt) -> None:
+    async def _claim_stream(self, attempt: RunningAttempt, is_complete: bool) -> None:
         """Makes an attempt the one that continues the stream, and cancels the others."""
-        if attempt.scope.cancel_called:
-            await trio.lowlevel.checkpoint()
+        await trio.lowlevel.checkpoint_if_cancelled()
         for other in [item for item in self._running if item is not attempt]:
-            if attempt.is_slow and not other.is_sent:
+            if attempt.is_slow and not other.is_sent and not is_complete:
                 # It waits for a server, and resumes the stream after what is forwarded until then.
                 continue
             log_event(
--- a/camphordrift/relay/tests/test_request_attempts.py
+++ b/camphordrift/relay/tests/test_request_attempts.py
@@ -513,6 +513,89 @@
         self.assertEqual(result, run_attempts(silent, server(0.5, result=result)).result)
 
 
+class FirstFinalResultTest(testtools.TestCase):
+    """Guards against a complete stream that is broken off because a further attempt is refused.
+
+    The end of a stream frees its engine, which may decide what becomes of the further attempt.
+    """
+
+    def test_a_complete_response_that_is_no_stream_stands(self) -> None:
+        for turns in range(4):
+            self._check_response(turns)
+
+    def _check_response(self, turns: int) -> None:
+        complete = trio.Event()
+
+        async def silent(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            running.record_silence()
+            await trio.sleep(0.1)
+            complete.set()
+            for _ in range(turns):
+                await trio.lowlevel.checkpoint()
+            return Answered(200, [], b"first")
+
+        async def further(running: RunningAttempt) -> AttemptResult:
+            await complete.wait()
+            return await refuses(running)
+
+        self.assertEqual(Answered(200, [], b"first"), run_attempts(silent, further).result)
+
+    def _check_stream(self, point: int, turns: int, result: Optional[AttemptResult]) -> None:
+        """Ends the further attempt at a point of the stream.
+
+        Args:
+            point: When: before the last event (0), before the end (1), after the end (2).
+            turns: How many turns other tasks get before the stream goes on.
+            result: Result of the further attempt; ``None`` if it is refused.
+
+        """
+        ends = trio.Event()
+
+        async def reach(number: int) -> None:
+            if number == point:
+                ends.set()
+                for _ in range(turns):
+                    await trio.lowlevel.checkpoint()
+
+        async def slow(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            await trio.sleep(0.1)
+            await reach(0)
+            await forward(running, 3)
+            await reach(1)
+            result = await end(running)
+            await reach(2)
+            return result
+
+        async def further(running: RunningAttempt) -> AttemptResult:
+            if isinstance(result, (Broken, Rejected, Answered)):
+                running.may_send()
+            await ends.wait()
+            return await refuses(running) if result is None else result
+
+        outcome = run_attempts(slow, further, *[server(5.0, 3)] * 3)
+        self.assertEqual((Streamed(), [1, 2, 3]), (outcome.result, outcome.ids))
+        self.assertTrue(outcome.seconds < 1.0)
+
+    def test_a_complete_stream_stands(self) -> None:
+        results = (
+            None,
+            NotSent("connection refused"),
+            Withheld("the engine is draining"),
+            Broken("reset"),
+            Rejected(503, None),
+            Answered(500, [], b""),
+            Answered(404, [], b""),
+        )
+        for result in results:
+            for point in range(3):
+                for turns in range(4):
+                    self._check_stream(point, turns, result)
+
+
 class RetryBudgetTest(testtools.TestCase):
     def test_a_further_attempt_that_is_not_sent_costs_no_retry(self) -> None:
         outcome = run_attempts(silent_server((1,), 9.5, (2,)), *[refuses] * 9, retries=1)
--- a/camphordrift/relay/tests/test_slow_streams.py
+++ b/camphordrift/relay/tests/test_slow_streams.py
@@ -1,11 +1,20 @@
 """Tests of streams that are too slow to be complete before their deadline, over sockets."""
 
+from typing import Optional
+
 import pytest
 import testtools
 import trio
 
 from camphordrift.relay.requests import _sender
-from camphordrift.relay.scheduling import StreamPace
+from camphordrift.relay.scheduling import (
+    AttemptOutcome,
+    PlacementDecision,
+    PlacementRefusal,
+    PlacementRequest,
+    StreamPace,
+)
+from camphordrift.relay.scheduling._placement_values import RefusalReason
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
     chunk,
@@ -71,3 +80,36 @@
 
         script = first_then(slow, never_responds)
         run_scenario(scenario, script, script)
+
+    def test_a_refusal_that_follows_from_its_end_does_not_break_it_off(self) -> None:
+        """The engine that becomes free makes the scheduler decide on the further attempt."""
+        slow, ended = SlowStream(), trio.Event()
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            dispatcher = relay.process._dispatcher
+            request_placement = dispatcher.request_placement
+            report_finished = dispatcher.report_finished
+            requests: list[PlacementRequest] = []
+
+            async def refuse_further(request: PlacementRequest) -> PlacementDecision:
+                requests.append(request)
+                if len(requests) == 1:
+                    return await request_placement(request)
+                slow.rest_is_due.set()
+                await ended.wait()
+                return PlacementRefusal(request.id, RefusalReason.LIMITED, 1.0)
+
+            def record_end(
+                ask_id: str, outcome: AttemptOutcome, at_fault: Optional[str] = None
+            ) -> None:
+                report_finished(ask_id, outcome, at_fault)
+                ended.set()
+
+            self.patch(dispatcher, "request_placement", refuse_further)
+            self.patch(dispatcher, "report_finished", record_end)
+            response = await relay.send_request("/quick/x")
+            self.assertTrue(response.complete)
+            self.assertEqual(events(1, slow.event_count), response.body)
+            self.assertEqual(2, len(requests))
+
+        run_scenario(scenario, slow, slow)
