Nothing is written to a caller after a write that was cut

Cause: ReservationManager cancels an attempt whose primary engine is gone, also in the middle of a write. Its events counted as sent, so the next attempt resumed after them, and its first chunk followed the part of them that had been written.

Why it works: CallerConnection.write() is the only place that writes to a caller. Once one of its writes has ended early, it refuses all others, and the connection is closed with a reset. A request whose response is cut is neither retried nor continued by an attempt that is in progress.

--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -85,6 +85,11 @@
         """Whether the complete response has been written."""
         return self._completed
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether a write ended early, so that nothing can be written any more."""
+        return self._connection.is_cut
+
     async def start(self, status: int, headers: Headers) -> None:
         """Sets status and headers; they are sent together with the first part of the body."""
         self._started = True
@@ -148,6 +153,12 @@
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._pace = ParsingPace()
         self._read_ahead_bytes = 0
+        self._is_cut = False
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether a write ended before all of its bytes were sent."""
+        return self._is_cut
 
     async def serve(self) -> None:
         """Handles requests until one side closes the connection."""
@@ -158,7 +169,8 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, CallerGoneError):
             pass
         finally:
-            (abort(self._stream) if self._response_in_progress() else self._stream.socket.close())
+            is_incomplete = self._is_cut or self._response_in_progress()
+            (abort(self._stream) if is_incomplete else self._stream.socket.close())
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is being received or handled."""
@@ -186,16 +198,21 @@
         """Writes bytes to the caller.
 
         If the caller does not accept the data in time, the request in progress is cancelled, as if
-        the caller had closed the connection.
+        the caller had closed the connection. After a write that was cancelled, nothing is written
+        any more, as it is unknown which bytes the caller has.
 
         Raises:
             CallerGoneError: The caller disconnected or did not accept the data in time, and no
-                request is in progress.
+                request is in progress, or an earlier write was cancelled.
 
         """
+        if self._is_cut:
+            raise CallerGoneError("an earlier write was cancelled")
+        is_complete = False
         try:
             with trio.fail_after(WRITE_TIMEOUT):
                 await self._stream.send_all(data)
+            is_complete = True
         except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
             if self._request_scope is not None:
                 self._request_scope.cancel()
@@ -203,6 +220,8 @@
             raise CallerGoneError(
                 "the caller disconnected or does not read the response"
             ) from error
+        finally:
+            self._is_cut = not is_complete
 
     def _response_in_progress(self) -> bool:
         return self._protocol.our_state is h11.SEND_BODY
--- a/camphordrift/relay/requests/_caller_sink.py
+++ b/camphordrift/relay/requests/_caller_sink.py
@@ -67,7 +67,8 @@
     async def write(self, events: list[StreamEvent]) -> None:
         """Forwards events that the caller does not have yet."""
         ids = [event.id for event in events if event.id is not None]
-        # Set before writing, as events that may have reached the caller must not be sent again.
+        # Set before writing: an attempt that is sent meanwhile resumes after these events. They are
+        # written completely, or nothing is written after them.
         self._last_event_id = ids[-1] if ids else self._last_event_id
         self._forwarded_any = True
         for event in events:
--- a/camphordrift/relay/requests/_request_attempts.py
+++ b/camphordrift/relay/requests/_request_attempts.py
@@ -187,7 +187,9 @@
             self._start_attempt()
 
     def _is_final(self, result: Union[AttemptResult, RequestRefusedError]) -> bool:
-        """Returns whether a result is a complete response that another attempt cannot improve."""
+        """Returns whether another attempt cannot improve a result."""
+        if self._progress.response.is_cut:
+            return True
         match result:
             case Streamed():
                 return True
--- a/camphordrift/relay/requests/_request_handler.py
+++ b/camphordrift/relay/requests/_request_handler.py
@@ -182,6 +182,8 @@
 
     async def _finish_or_retry(self, progress: RequestProgress, result: AttemptResult) -> bool:
         """Handles the result of an attempt; returns ``False`` if the request is to be retried."""
+        if progress.response.is_cut:
+            return True
         match result:
             case Streamed():
                 await progress.response.end()
--- a/camphordrift/relay/tests/test_request_attempts.py
+++ b/camphordrift/relay/tests/test_request_attempts.py
@@ -36,6 +36,7 @@
 
     def __init__(self, write_seconds: float = 0.0) -> None:
         self.started = False
+        self.is_cut = False
         self.body = b""
         self._write_seconds = write_seconds
 
@@ -44,7 +45,11 @@
 
     async def write(self, data: bytes) -> None:
         self.body += data[: len(data) // 2]
-        await trio.sleep(self._write_seconds)
+        try:
+            await trio.sleep(self._write_seconds)
+        except trio.Cancelled:
+            self.is_cut = True
+            raise
         self.body += data[len(data) // 2 :]
 
 
@@ -53,6 +58,8 @@
     """What became of a request."""
 
     result: Optional[AttemptResult]
+    #: What the caller received.
+    body: bytes
     ids: list[int]
     progress: RequestProgress
     seconds: float
@@ -108,6 +115,7 @@
         ids = [int(line[3:]) for line in text.splitlines() if line.startswith("id:")]
         return Outcome(
             result,
+            response.body,
             ids,
             progress,
             trio.current_time() - request.received_at,
@@ -486,6 +494,43 @@
         self.assertEqual(1, outcome.attempts)
 
 
+class CutWriteTest(testtools.TestCase):
+    """Guards against events that follow a part of another one.
+
+    Memory reservations cancel an attempt whose engine is gone, also while it writes.
+    """
+
+    def test_nothing_follows_a_write_that_was_cancelled(self) -> None:
+        for sent_after in (0.0, 0.1, 0.5, 5.0):
+            self._check_cut(sent_after)
+
+    def _check_cut(self, sent_after: float) -> None:
+        """Cuts a write during which a further attempt is sent after so many seconds."""
+        broken = Broken("the engine became unreachable")
+
+        async def loses_its_engine(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            with trio.move_on_after(0.5):
+                await forward(running, 3, 4)
+            return broken
+
+        async def further(running: RunningAttempt) -> AttemptResult:
+            await trio.sleep(sent_after)
+            return await server(1.0, 3, 4, 5)(running)
+
+        outcome = run_attempts(loses_its_engine, further, write_seconds=1.0)
+        self.assertEqual(broken, outcome.result)
+        self.assertEqual(b"id: 1\n\nid: 2\n\nid: 3\n\n", outcome.body)
+
+    def test_a_failure_of_another_attempt_does_not_cut_a_write(self) -> None:
+        outcome = run_attempts(
+            slow_server(5, 0.3), server(0.2, result=Broken("crashed")), write_seconds=1.0
+        )
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+
+
 class CompleteResponseTest(testtools.TestCase):
     def test_a_response_of_the_silent_server_is_used(self) -> None:
         """Guards against dropping it because a further attempt is in progress."""
