--- a/camphordrift/relay/tests/test_slow_streams.py
+++ b/camphordrift/relay/tests/test_slow_streams.py
@@ -23,7 +23,7 @@
     run_scenario,
     stream_head,
 )
-from camphordrift.relay.tests.samples import ScriptedServer
+from camphordrift.relay.tests.samples import SampleOrders, ScriptedServer
 from camphordrift.testing import HttpRequest
 
 pytestmark = pytest.mark.sockets
@@ -31,6 +31,9 @@
 #: Seconds between the events of the slow stream.
 GAP = 0.02
 
+#: Tokens of a prompt that needs the memory of several engines.
+LONG_PROMPT = 320_000
+
 
 class SlowStream:
     """A script that sends single events until it is told to send the rest of the response."""
@@ -81,6 +84,37 @@
         script = first_then(slow, never_responds)
         run_scenario(scenario, script, script)
 
+    def test_its_memory_is_released_when_it_is_complete(self) -> None:
+        """Guards against reservations that are renewed until the further attempt has an event."""
+        self.patch(_sender, "FIRST_EVENT_SLACK", 60.0)
+        slow = SlowStream()
+        reserved: list[bytes] = []
+        released: list[bytes] = []
+        streams: list[HttpRequest] = []
+
+        async def respond(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            if request.target.encode() == SampleOrders.path:
+                operation, reservation_id, *_ = request.body.split()
+                (reserved if operation == b"reserve" else released).append(reservation_id)
+                await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+                return True
+            streams.append(request)
+            if len(streams) == 1:
+                return await slow(request, stream)
+            slow.rest_is_due.set()
+            await stream.receive_some(1)
+            return False
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            response = await relay.send_request("/quick/x", x_tokens=str(LONG_PROMPT))
+            self.assertTrue(response.complete)
+            self.assertEqual(2, len(streams))
+            self.assertTrue(reserved)
+            while set(released) != set(reserved):
+                await trio.sleep(0.01)
+
+        run_scenario(scenario, *[respond] * 6)
+
     def test_a_refusal_that_follows_from_its_end_does_not_break_it_off(self) -> None:
         """The engine that becomes free makes the scheduler decide on the further attempt."""
         slow, ended = SlowStream(), trio.Event()
