--- a/camphordrift/relay/requests/_request_attempts.py
+++ b/camphordrift/relay/requests/_request_attempts.py
@@ -7,9 +7,10 @@
 retry is permitted, the silent server has until the deadline of the request.
 
 A stream that is too slow to be complete before its deadline goes on in this way, until a further
-attempt is sent. From then its events are held back until that attempt has sent an event, which
-cancels the slow one, or has failed: the further attempt resumes the stream after the last event
-that was forwarded, and events of both must not be mixed.
+attempt is sent. From then its events are received but held back until that attempt has sent an
+event, which cancels the slow one, or has failed: the further attempt resumes the stream after the
+last event that was forwarded, and events of both must not be mixed. If the slow response is
+complete before that, it ends the stream, and the further attempt is cancelled.
 """
 
 from collections.abc import Awaitable, Callable
@@ -70,6 +71,10 @@
         self.is_silent = True
         self._record_silence(self)
 
+    def record_arrival(self) -> None:
+        """Records that events of the server have arrived."""
+        self.is_silent = False
+
     def record_slowness(self) -> None:
         """Records that the stream is too slow to be complete before the deadline."""
         if not self.is_slow:
@@ -117,8 +122,6 @@
             progress.stream = self._stream
         #: The attempts in progress, in the order in which they began.
         self._running: list[RunningAttempt] = []
-        #: Set and replaced when an attempt ends.
-        self._attempt_ended = trio.Event()
 
     async def run(self) -> AttemptResult:
         """Runs an attempt, and further ones while servers are silent; returns the deciding result.
@@ -145,9 +148,9 @@
         if self._stream is not None:
             attempt.sink = CallerEventSink(
                 self._stream,
-                lambda: self._claim_stream(attempt),
+                lambda is_complete: self._claim_stream(attempt, is_complete),
                 lambda: self._has_turn(attempt),
-                lambda: self._wait_for_turn(attempt),
+                attempt.record_arrival,
             )
         self._running.append(attempt)
         self._nursery.start_soon(self._run_to_result, attempt)
@@ -165,10 +168,14 @@
 
     def _remove(self, attempt: RunningAttempt) -> None:
         self._running.remove(attempt)
-        self._attempt_ended.set()
-        self._attempt_ended = trio.Event()
+        for other in self._running:
+            if other.sink is not None and self._has_turn(other):
+                other.sink.resume()
 
     def _handle_result(self, result: Union[AttemptResult, RequestRefusedError]) -> None:
+        if self._result is not None:
+            # An attempt may end after the result that cancels it, as it had been resumed before.
+            return
         if self._is_final(result) or not self._running:
             self._result = result
             self._nursery.cancel_scope.cancel()
@@ -180,7 +187,9 @@
             self._start_attempt()
 
     def _is_final(self, result: Union[AttemptResult, RequestRefusedError]) -> bool:
-        """Returns whether a result is a complete response that another attempt cannot improve."""
+        """Returns whether another attempt cannot improve a result."""
+        if self._progress.response.is_cut:
+            return True
         match result:
             case Streamed():
                 return True
@@ -195,6 +204,9 @@
         if self._stream is not None and self._stream.lock.locked():
             # It is the caller that does not read.
             return
+        if not self._has_turn(attempt):
+            # A further attempt was sent before.
+            return
         if any(not self._has_turn(other) for other in self._running):
             # The slow attempt that this one was to replace continues instead.
             self._remove(attempt)
@@ -240,16 +252,11 @@
         later = self._running[self._running.index(attempt) + 1 :]
         return not any(other.is_sent for other in later)
 
-    async def _wait_for_turn(self, attempt: RunningAttempt) -> None:
-        while not self._has_turn(attempt):
-            await self._attempt_ended.wait()
-
-    async def _claim_stream(self, attempt: RunningAttempt) -> None:
+    async def _claim_stream(self, attempt: RunningAttempt, is_complete: bool) -> None:
         """Makes an attempt the one that continues the stream, and cancels the others."""
-        if attempt.scope.cancel_called:
-            await trio.lowlevel.checkpoint()
+        await trio.lowlevel.checkpoint_if_cancelled()
         for other in [item for item in self._running if item is not attempt]:
-            if attempt.is_slow and not other.is_sent:
+            if attempt.is_slow and not other.is_sent and not is_complete:
                 # It waits for a server, and resumes the stream after what is forwarded until then.
                 continue
             log_event(
@@ -260,5 +267,4 @@
             )
             self._remove(other)
             other.scope.cancel()
-        attempt.is_silent = False
         attempt.has_forwarded = True
--- a/camphordrift/relay/tests/test_request_attempts.py
+++ b/camphordrift/relay/tests/test_request_attempts.py
@@ -19,6 +19,7 @@
     Streamed,
     Withheld,
 )
+from camphordrift.relay.requests._caller_sink import EVENT_OVERHEAD_BYTES, MAX_HELD_BACK_BYTES
 from camphordrift.relay.requests._refusals import RequestRefusedError, refusal_error
 from camphordrift.relay.requests._request_attempts import RequestAttempts, RunningAttempt
 from camphordrift.relay.requests._request_progress import RequestProgress
@@ -35,6 +36,7 @@
 
     def __init__(self, write_seconds: float = 0.0) -> None:
         self.started = False
+        self.is_cut = False
         self.body = b""
         self._write_seconds = write_seconds
 
@@ -43,7 +45,11 @@
 
     async def write(self, data: bytes) -> None:
         self.body += data[: len(data) // 2]
-        await trio.sleep(self._write_seconds)
+        try:
+            await trio.sleep(self._write_seconds)
+        except trio.Cancelled:
+            self.is_cut = True
+            raise
         self.body += data[len(data) // 2 :]
 
 
@@ -52,6 +58,8 @@
     """What became of a request."""
 
     result: Optional[AttemptResult]
+    #: What the caller received.
+    body: bytes
     ids: list[int]
     progress: RequestProgress
     seconds: float
@@ -107,6 +115,7 @@
         ids = [int(line[3:]) for line in text.splitlines() if line.startswith("id:")]
         return Outcome(
             result,
+            response.body,
             ids,
             progress,
             trio.current_time() - request.received_at,
@@ -180,11 +189,28 @@
             if number == 2:
                 running.record_slowness()
             await trio.sleep(gap)
-        return Streamed()
+        return await end(running)
 
     return script
 
 
+async def end(running: RunningAttempt) -> AttemptResult:
+    """Ends a server's response."""
+    assert running.sink is not None
+    await running.sink.end_response()
+    return Streamed()
+
+
+async def receive_nothing(running: RunningAttempt) -> None:
+    """Waits for data of a server until events that were held back have been forwarded."""
+
+    async def receive() -> Optional[bytes]:
+        await trio.sleep_forever()
+
+    assert running.sink is not None
+    await running.sink.receive(receive)
+
+
 class SlowStreamTest(testtools.TestCase):
     """Guards against streams that stay on an engine that turned slow until their deadline.
 
@@ -224,6 +250,111 @@
         self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
 
 
+class HeldBackEventsTest(testtools.TestCase):
+    """Guards against complete streams that wait for another server, and keep memory reserved.
+
+    A slow stream was complete 0.5 s after a further attempt was sent. Its events were not read
+    until the further attempt had one, 5 s later (LEAK on bazarnik-prod).
+    """
+
+    def test_a_complete_response_ends_the_stream(self) -> None:
+        outcome = run_attempts(slow_server(5, 0.3), server(5.0, 3, 4, 5))
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+        self.assertEqual([1], outcome.cancelled)
+        self.assertAlmostEqual(1.5, outcome.seconds)
+
+    def test_a_complete_response_ends_the_stream_although_the_caller_reads_slowly(self) -> None:
+        outcome = run_attempts(slow_server(5, 0.3), server(2.0, 3, 4, 5), write_seconds=0.4)
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+        self.assertEqual([1], outcome.cancelled)
+
+    def test_events_of_two_servers_are_not_mixed(self) -> None:
+        """The slow response ends just when the further attempt has its first event."""
+        ids = {0: [1, 2, 3, 4, 5, 6], 1: [1, 2, 3, 4, 5]}
+        for delay in (1.2 - 1e-9, 1.2, 1.2 + 1e-9):
+            outcome = run_attempts(
+                slow_server(5, 0.3), server(delay, 3, 4, 5, 6), write_seconds=0.1
+            )
+            (cancelled,) = outcome.cancelled
+            self.assertEqual((Streamed(), ids[cancelled]), (outcome.result, outcome.ids))
+
+    def test_events_are_forwarded_as_soon_as_the_further_attempt_fails(self) -> None:
+        forwarded_at: list[float] = []
+
+        async def pauses(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            await trio.sleep(0.1)
+            await forward(running, 3)
+            started_at = trio.current_time()
+            await receive_nothing(running)
+            forwarded_at.append(trio.current_time() - started_at)
+            return await end(running)
+
+        outcome = run_attempts(pauses, server(1.1, result=Broken("crashed")))
+        self.assertEqual((Streamed(), [1, 2, 3]), (outcome.result, outcome.ids))
+        self.assertAlmostEqual(1.0, forwarded_at[0])
+
+    def test_events_are_dropped_if_the_slow_server_breaks(self) -> None:
+        """The further attempt resumes the stream before them."""
+
+        async def breaks(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            await trio.sleep(0.1)
+            await forward(running, 3)
+            return Broken("crashed")
+
+        outcome = run_attempts(breaks, server(1.0, 3, 4))
+        self.assertEqual((Streamed(), [1, 2, 3, 4]), (outcome.result, outcome.ids))
+        self.assertAlmostEqual(1.0, outcome.seconds)
+
+    def test_a_silence_of_the_slow_server_does_not_end_its_attempt(self) -> None:
+        async def silent(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            await trio.sleep(1.0)
+            running.record_silence()
+            await trio.sleep(0.5)
+            await forward(running, 3)
+            self.assertFalse(running.is_silent)
+            return await end(running)
+
+        outcome = run_attempts(silent, server(5.0, 3))
+        self.assertEqual((Streamed(), [1, 2, 3]), (outcome.result, outcome.ids))
+        self.assertEqual(2, outcome.attempts)
+
+    def test_no_more_than_a_maximum_is_held_back(self) -> None:
+        self._check_continues([StreamEvent(b"id: 3\n:%s\n\n" % bytes(MAX_HELD_BACK_BYTES), 3)])
+
+    def test_very_short_events_count_with_the_memory_that_they_take(self) -> None:
+        count = MAX_HELD_BACK_BYTES // EVENT_OVERHEAD_BYTES
+        self._check_continues(
+            [StreamEvent(b"id: 3\n\n", 3)] + [StreamEvent(b":\n\n", None)] * count
+        )
+
+    def _check_continues(self, events: list[StreamEvent]) -> None:
+        """Checks that a slow server continues the stream when it has sent these events."""
+
+        async def sends_much(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            await trio.sleep(0.1)
+            assert running.sink is not None
+            await running.sink.write_events(events)
+            await forward(running, 4)
+            await trio.sleep(0.5)
+            return await end(running)
+
+        outcome = run_attempts(sends_much, server(5.0, 3, 4))
+        self.assertEqual((Streamed(), [1, 2, 3, 4]), (outcome.result, outcome.ids))
+        self.assertEqual([1], outcome.cancelled)
+
+
 class SilentStreamTest(testtools.TestCase):
     def test_the_silent_server_continues_if_it_is_first(self) -> None:
         outcome = run_attempts(silent_server((1, 2), 1.5, (3, 4)), server(2.0, 3, 4))
@@ -363,6 +494,43 @@
         self.assertEqual(1, outcome.attempts)
 
 
+class CutWriteTest(testtools.TestCase):
+    """Guards against events that follow a part of another one.
+
+    Memory reservations cancel an attempt whose engine is gone, also while it writes.
+    """
+
+    def test_nothing_follows_a_write_that_was_cancelled(self) -> None:
+        for sent_after in (0.0, 0.1, 0.5, 5.0):
+            self._check_cut(sent_after)
+
+    def _check_cut(self, sent_after: float) -> None:
+        """Cuts a write during which a further attempt is sent after so many seconds."""
+        broken = Broken("the engine became unreachable")
+
+        async def loses_its_engine(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            with trio.move_on_after(0.5):
+                await forward(running, 3, 4)
+            return broken
+
+        async def further(running: RunningAttempt) -> AttemptResult:
+            await trio.sleep(sent_after)
+            return await server(1.0, 3, 4, 5)(running)
+
+        outcome = run_attempts(loses_its_engine, further, write_seconds=1.0)
+        self.assertEqual(broken, outcome.result)
+        self.assertEqual(b"id: 1\n\nid: 2\n\nid: 3\n\n", outcome.body)
+
+    def test_a_failure_of_another_attempt_does_not_cut_a_write(self) -> None:
+        outcome = run_attempts(
+            slow_server(5, 0.3), server(0.2, result=Broken("crashed")), write_seconds=1.0
+        )
+        self.assertEqual((Streamed(), [1, 2, 3, 4, 5]), (outcome.result, outcome.ids))
+
+
 class CompleteResponseTest(testtools.TestCase):
     def test_a_response_of_the_silent_server_is_used(self) -> None:
         """Guards against dropping it because a further attempt is in progress."""
@@ -390,6 +558,89 @@
         self.assertEqual(result, run_attempts(silent, server(0.5, result=result)).result)
 
 
+class FirstFinalResultTest(testtools.TestCase):
+    """Guards against a complete stream that is broken off because a further attempt is refused.
+
+    The end of a stream frees its engine, which may decide what becomes of the further attempt.
+    """
+
+    def test_a_complete_response_that_is_no_stream_stands(self) -> None:
+        for turns in range(4):
+            self._check_response(turns)
+
+    def _check_response(self, turns: int) -> None:
+        complete = trio.Event()
+
+        async def silent(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            running.record_silence()
+            await trio.sleep(0.1)
+            complete.set()
+            for _ in range(turns):
+                await trio.lowlevel.checkpoint()
+            return Answered(200, [], b"first")
+
+        async def further(running: RunningAttempt) -> AttemptResult:
+            await complete.wait()
+            return await refuses(running)
+
+        self.assertEqual(Answered(200, [], b"first"), run_attempts(silent, further).result)
+
+    def _check_stream(self, point: int, turns: int, result: Optional[AttemptResult]) -> None:
+        """Ends the further attempt at a point of the stream.
+
+        Args:
+            point: When: before the last event (0), before the end (1), after the end (2).
+            turns: How many turns other tasks get before the stream goes on.
+            result: Result of the further attempt; ``None`` if it is refused.
+
+        """
+        ends = trio.Event()
+
+        async def reach(number: int) -> None:
+            if number == point:
+                ends.set()
+                for _ in range(turns):
+                    await trio.lowlevel.checkpoint()
+
+        async def slow(running: RunningAttempt) -> AttemptResult:
+            running.may_send()
+            await forward(running, 1, 2)
+            running.record_slowness()
+            await trio.sleep(0.1)
+            await reach(0)
+            await forward(running, 3)
+            await reach(1)
+            result = await end(running)
+            await reach(2)
+            return result
+
+        async def further(running: RunningAttempt) -> AttemptResult:
+            if isinstance(result, (Broken, Rejected, Answered)):
+                running.may_send()
+            await ends.wait()
+            return await refuses(running) if result is None else result
+
+        outcome = run_attempts(slow, further, *[server(5.0, 3)] * 3)
+        self.assertEqual((Streamed(), [1, 2, 3]), (outcome.result, outcome.ids))
+        self.assertTrue(outcome.seconds < 1.0)
+
+    def test_a_complete_stream_stands(self) -> None:
+        results = (
+            None,
+            NotSent("connection refused"),
+            Withheld("the engine is draining"),
+            Broken("reset"),
+            Rejected(503, None),
+            Answered(500, [], b""),
+            Answered(404, [], b""),
+        )
+        for result in results:
+            for point in range(3):
+                for turns in range(4):
+                    self._check_stream(point, turns, result)
+
+
 class RetryBudgetTest(testtools.TestCase):
     def test_a_further_attempt_that_is_not_sent_costs_no_retry(self) -> None:
         outcome = run_attempts(silent_server((1,), 9.5, (2,)), *[refuses] * 9, retries=1)
