Numbers in callers' headers are decimal digits and have a bound

Callers saw: a request with a time limit of `nan` ended with its connection closed and no answer; a token count of 400 digits or a Last-Event-Id of 5,000 digits got 500 with code 9000 and "may have run", though no server had the request; `inf`, `1e400`, `1_000` and negative token counts were taken for numbers.

Cause: the values went through float() and int(), which accept NaN, infinity, signs, exponents and underscores, and nothing bounded the result, so that the first calculation with it failed.

Now such a number consists of decimal digits (a time limit may have a fraction) and is at most 2^53, which no client inside PROTOCOL.md meets; any other gets 400 with code 1002 before anything is calculated, and the connection serves the next request. Ids of events are numbers up to 2^63 - 1, also in streams of servers, where 5,000 digits ended the response; others count as no number, as words did before.

--- a/camphordrift/platform/_headers.py
+++ b/camphordrift/platform/_headers.py
@@ -4,6 +4,7 @@
 from typing import Optional
 
 from camphordrift.event_log import log_event
+from camphordrift.platform._json import MAX_NUMBER
 from camphordrift.relay import (
     ForwardingMetadata,
     Headers,
@@ -49,6 +50,12 @@
 #: not used.
 _DECIMAL = re.compile(rb"\d+(\.\d+)?")
 
+#: A whole number with as many digits as :data:`MAX_NUMBER` at most.
+_WHOLE = re.compile(rb"\d{1,%d}" % len(str(MAX_NUMBER)))
+
+#: Number of bytes of a malformed value that an error or a log line shows.
+_SHOWN_BYTES = 100
+
 #: Headers of a caller's request that are not forwarded: the relay sets them itself, or they are
 #: meant only for the relay.
 _RESERVED = frozenset(
@@ -79,14 +86,13 @@
         """Parses a caller's headers; raises ``ValueError`` for one that is malformed."""
         values = dict(headers)
         prompt_tokens, max_output_tokens = _parse_token_counts(values.get(_TOKEN_COUNTS))
-        caller_timeout = values.get(_DEADLINE)
         return RequestMetadata(
             attempt_id=_decode_text(values.get(_ATTEMPT)) or "",
-            caller_timeout=None if caller_timeout is None else float(caller_timeout) / 1000,
+            caller_timeout=_parse_caller_timeout(values.get(_DEADLINE)),
             key=_decode_text(values.get(_KEY)),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
-            estimated_output_tokens=int(values.get(_OUTPUT_ESTIMATE) or 0),
+            estimated_output_tokens=_parse_count(_OUTPUT_ESTIMATE, values.get(_OUTPUT_ESTIMATE)),
             last_event_id=_decode_text(values.get(_LAST_EVENT)),
             prompt_parts=_parse_shared_parts(values.get(_PROMPT_PARTS)),
         )
@@ -146,11 +152,39 @@
     return None if value is None else value.decode("latin-1")
 
 
+def _parse_caller_timeout(value: Optional[bytes]) -> Optional[float]:
+    if value is None:
+        return None
+    if not _DECIMAL.fullmatch(value) or float(value) > MAX_NUMBER:
+        raise ValueError(_describe_bad_number(_DEADLINE, value))
+    return float(value) / 1000
+
+
 def _parse_token_counts(value: Optional[bytes]) -> tuple[int, int]:
     if not value:
         return 0, 0
     first, _, second = value.partition(b",")
-    return int(first), int(second or 0)
+    if not first:
+        raise ValueError(_describe_bad_number(_TOKEN_COUNTS, value))
+    return _parse_count(_TOKEN_COUNTS, first), _parse_count(_TOKEN_COUNTS, second)
+
+
+def _parse_count(name: bytes, value: Optional[bytes]) -> int:
+    """Parses a whole number; returns 0 if there is none.
+
+    Raises:
+        ValueError: It is no number, or more than :data:`MAX_NUMBER`.
+
+    """
+    if not value:
+        return 0
+    if not _WHOLE.fullmatch(value.strip()) or int(value) > MAX_NUMBER:
+        raise ValueError(_describe_bad_number(name, value))
+    return int(value)
+
+
+def _describe_bad_number(name: bytes, value: bytes) -> str:
+    return f"{name.decode()} is not a number from 0 to {MAX_NUMBER}: {value[:_SHOWN_BYTES]!r}"
 
 
 def _parse_shared_parts(value: Optional[bytes]) -> tuple[str, ...]:
@@ -162,8 +196,10 @@
 
 def _parse_part_id(entry: bytes) -> str:
     part_id, separator, tokens = entry.strip().partition(b":")
-    if not part_id or not separator or not tokens.isdigit():
-        raise ValueError(f"not a part of a prompt: {entry!r}")
+    if not part_id or not separator or not tokens:
+        raise ValueError(f"not a part of a prompt: {entry[:_SHOWN_BYTES]!r}")
+    # Checked only, as the parts are told apart by their ids.
+    _parse_count(_PROMPT_PARTS, tokens)
     return part_id.decode("ascii").lower()
 
 
--- a/camphordrift/platform/_json.py
+++ b/camphordrift/platform/_json.py
@@ -9,8 +9,12 @@
 #: A name: of a service, an availability zone or the like.
 Name = Annotated[str, msgspec.Meta(max_length=255)]
 
-#: A number that all encodings of the relay can represent.
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+#: Largest number that the platform's formats may state, whatever it counts. All encodings of the
+#: relay can represent it, and what is calculated from it is finite.
+MAX_NUMBER = 2**53
+
+#: A number of bytes, requests, milliseconds since 1970 or the like.
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 
 def decode_json(decoder: msgspec.json.Decoder[_Document], content: bytes) -> _Document:
--- a/camphordrift/relay/connections/__init__.py
+++ b/camphordrift/relay/connections/__init__.py
@@ -13,7 +13,12 @@
     connect,
     enable_dead_peer_detection,
 )
-from camphordrift.relay.connections._events import EventSplitter, EventTooLongError, StreamEvent
+from camphordrift.relay.connections._events import (
+    EventSplitter,
+    EventTooLongError,
+    StreamEvent,
+    parse_event_id,
+)
 from camphordrift.relay.connections._http_client import (
     BACKEND_CONNECT_TIMEOUT,
     BrokenAnswerError,
@@ -52,4 +57,5 @@
     "enable_dead_peer_detection",
     "may_have_body",
     "open_stream",
+    "parse_event_id",
 ]
--- a/camphordrift/relay/connections/_events.py
+++ b/camphordrift/relay/connections/_events.py
@@ -8,6 +8,9 @@
 #: Maximum size of an event in bytes. An event has a few tokens.
 MAX_EVENT_BYTES = 1 << 20
 
+#: Largest id of an event after which a stream can be continued.
+MAX_EVENT_ID = 2**63 - 1
+
 
 class EventTooLongError(Exception):
     """An event exceeds the maximum size."""
@@ -18,7 +21,7 @@
     """A complete event, with its bytes unchanged."""
 
     data: bytes
-    #: Value of the event's ``id`` field; ``None`` if it is missing or not a number.
+    #: Value of the event's ``id`` field; ``None`` if it is missing or no number in its bounds.
     id: Optional[int]
 
     @property
@@ -66,6 +69,13 @@
 def _event_id(event: bytes) -> Optional[int]:
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
-            text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return parse_event_id(line[3:].strip())
     return None
+
+
+def parse_event_id(text: bytes) -> Optional[int]:
+    """Returns the id of an event; ``None`` if it is not a number up to :data:`MAX_EVENT_ID`."""
+    if not text.isdigit() or len(text) > len(str(MAX_EVENT_ID)):
+        return None
+    event_id = int(text)
+    return event_id if event_id <= MAX_EVENT_ID else None
--- a/camphordrift/relay/requests/_caller_sink.py
+++ b/camphordrift/relay/requests/_caller_sink.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from camphordrift.relay.connections import ResponseWriter, StreamEvent
+from camphordrift.relay.connections import ResponseWriter, StreamEvent, parse_event_id
 from camphordrift.relay.model import Headers
 from camphordrift.relay.requests._attempt import EventSink, StreamMismatchError
 
@@ -27,8 +27,8 @@
     def __init__(self, response: ResponseWriter, resume_id: Optional[str]) -> None:
         self._response = response
         self._last_event_id: Optional[int] = None
-        if resume_id is not None and resume_id.isdigit():
-            self._last_event_id = int(resume_id)
+        if resume_id is not None:
+            self._last_event_id = parse_event_id(resume_id.encode())
         self._forwarded_any = False
         #: Status and media type of the response that started the stream.
         self._started_as: Optional[tuple[int, Optional[bytes]]] = None
--- a/camphordrift/relay/tests/test_components.py
+++ b/camphordrift/relay/tests/test_components.py
@@ -1,13 +1,16 @@
 """Tests of single components of the relay, without sockets."""
 
 import dataclasses
+from typing import cast
 
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from camphordrift.relay import RetryBudgetSettings, ServerState, ServiceShare
-from camphordrift.relay.connections._events import EventSplitter
+from camphordrift.relay.connections._events import MAX_EVENT_ID, EventSplitter, StreamEvent
+from camphordrift.relay.connections._http_server import ResponseWriter
+from camphordrift.relay.requests._caller_sink import CallerStream
 from camphordrift.relay.scheduling._plain_servers import PlainServerBalancer
 from camphordrift.relay.scheduling._retry_budget import RetryBudget
 from camphordrift.relay.servers._server_directory import (
@@ -168,6 +171,21 @@
         (event,) = EventSplitter().feed(b"weights: 2\nid: 7\ndata: x\n\n")
         self.assertEqual(7, event.id)
 
+    def test_an_id_that_is_no_usable_number_is_no_id(self) -> None:
+        # Guards against a ValueError for ids of thousands of digits, which ends the response.
+        for text in (b"9" * 5000, b"9" * 19, b"-1", b"1e3", b"1_0", b"\xb2", b"", b"x"):
+            (event,) = EventSplitter().feed(b"id: " + text + b"\ndata: x\n\n")
+            self.assertIsNone(event.id, repr(text))
+        (event,) = EventSplitter().feed(b"id: %d\ndata: x\n\n" % MAX_EVENT_ID)
+        self.assertEqual(MAX_EVENT_ID, event.id)
+
+    def test_a_stream_is_not_resumed_after_an_id_that_is_no_usable_number(self) -> None:
+        # Guards against a ValueError for ids of callers, such as a digit in superscript.
+        for text in ("\xb2", "9" * 5000, "9" * 19, "-1", "x", ""):
+            stream = CallerStream(cast(ResponseWriter, None), text)
+            event = StreamEvent(b"id: 1\ndata: x\n\n", 1)
+            self.assertEqual([event], stream.select_new([event]), repr(text))
+
 
 class ServerDirectoryTest(testtools.TestCase):
     def setUp(self) -> None:
