Numbers in servers' headers have a bound, and a bad one names its server in the log

Cause: the values were checked for being digits, not for how many; float() makes infinity of them, and math.ceil() of an infinite pause raises OverflowError while the request is refused.

Evidence, on the code before: test_numbers_of_servers.py, RelayTest: "503 != 0: retry-after: 1111...", log "caller_connection_failed ... OverflowError('cannot convert float infinity to integer')"; the three cases of ResponseMetadataTest failed too ("(None, None, None, None) != (inf, None, None, None)").

The adapter hands what it could not read to NoticeDistributor, which logs header_unreadable with the server's id and address: before, the line did not say whose header it was.

--- a/camphordrift/platform/_documents.py
+++ b/camphordrift/platform/_documents.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from camphordrift.platform._addresses import parse_address
-from camphordrift.platform._json import Count, Name, decode_json
+from camphordrift.platform._json import MAX_COLD_MS, Count, Name, decode_json
 from camphordrift.relay import (
     Account,
     BackendServer,
@@ -34,9 +34,6 @@
 _PATIENCE_OBJECTIVES = 4.0
 _PATIENCE_GAPS = 8.0
 
-#: Longest time in milliseconds for which an entry may call its server cold: one day.
-_MAX_COLD_MS = 86_400_000.0
-
 #: Ids of servers are sent in headers, so they consist of visible ASCII characters.
 _SERVER_ID = re.compile(r"[!-~]{1,255}")
 
@@ -136,7 +133,7 @@
     #: capitalized.
     born: Count = msgspec.field(name="born", default=0)
     #: Milliseconds for which the server was still cold when it wrote the entry.
-    cold_left_ms: Optional[Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_MS)]] = None
+    cold_left_ms: Optional[Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)]] = None
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
--- a/camphordrift/platform/_headers.py
+++ b/camphordrift/platform/_headers.py
@@ -3,14 +3,14 @@
 import re
 from typing import Optional
 
-from camphordrift.event_log import log_event
-from camphordrift.platform._json import MAX_NUMBER
+from camphordrift.platform._json import MAX_COLD_MS, MAX_NUMBER
 from camphordrift.relay import (
     ForwardingMetadata,
     Headers,
     PrefillHelper,
     RequestMetadata,
     ResponseMetadata,
+    UnreadableHeader,
 )
 
 _ATTEMPT = b"camphordrift-attempt-id"
@@ -46,6 +46,15 @@
 #: Milliseconds for which a server is still cold.
 _COLD_LEFT = b"camphordrift-cold-ms"
 
+#: Longest time in seconds for which a server may want no requests: one year.
+_MAX_RETRY_AFTER = 366 * 86_400.0
+
+#: Longest time in seconds for which a server may say that it keeps an idle connection: one day.
+_MAX_IDLE_TIMEOUT = 86_400.0
+
+#: Highest limit in requests per second that a server may name. More is no limit.
+_MAX_REQUEST_LIMIT = 1e9
+
 #: A number without a sign, possibly with a fraction. For times, HTTP allows dates as well; they are
 #: not used.
 _DECIMAL = re.compile(rb"\d+(\.\d+)?")
@@ -98,19 +107,35 @@
         )
 
     def response_metadata(self, headers: Headers) -> ResponseMetadata:
-        """Parses the headers of a backend server's response."""
+        """Parses the headers of a backend server's response.
+
+        A number that is malformed or beyond its bound counts as not stated.
+        """
         values = dict(headers)
-        cold_left = _parse_decimal(_COLD_LEFT, values.get(_COLD_LEFT))
+        unreadable: list[UnreadableHeader] = []
+
+        def decimal(name: bytes, value: Optional[bytes], maximum: float) -> Optional[float]:
+            if value is None:
+                return None
+            if not _DECIMAL.fullmatch(value) or float(value) > maximum:
+                shown = value[:_SHOWN_BYTES].decode("latin-1")
+                unreadable.append(UnreadableHeader(name.decode(), shown))
+                return None
+            return float(value)
+
+        keep_alive = _find_idle_timeout(values.get(_KEEP_ALIVE))
+        cold_ms = decimal(_COLD_LEFT, values.get(_COLD_LEFT), MAX_COLD_MS)
         return ResponseMetadata(
             attempt_id=_decode_text(values.get(_ATTEMPT)),
             signed=_SIGNATURE in values,
             not_run=_NOT_RUN in values,
             server_at_fault=_decode_text(values.get(_SERVER_AT_FAULT)),
-            idle_timeout=_parse_idle_timeout(values.get(_KEEP_ALIVE)),
+            idle_timeout=decimal(_KEEP_ALIVE, keep_alive, _MAX_IDLE_TIMEOUT),
             leaving=values.get(_LEAVING) == b"1",
-            retry_after=_parse_decimal(_RETRY_AFTER, values.get(_RETRY_AFTER)),
-            request_limit=_parse_decimal(_REQUEST_LIMIT, values.get(_REQUEST_LIMIT)),
-            cold_left=None if cold_left is None else cold_left / 1000,
+            retry_after=decimal(_RETRY_AFTER, values.get(_RETRY_AFTER), _MAX_RETRY_AFTER),
+            request_limit=decimal(_REQUEST_LIMIT, values.get(_REQUEST_LIMIT), _MAX_REQUEST_LIMIT),
+            cold_left=None if cold_ms is None else cold_ms / 1000,
+            unreadable=tuple(unreadable),
         )
 
     def outgoing_headers(
@@ -203,19 +228,10 @@
     return part_id.decode("ascii").lower()
 
 
-def _parse_idle_timeout(value: Optional[bytes]) -> Optional[float]:
+def _find_idle_timeout(value: Optional[bytes]) -> Optional[bytes]:
+    """Returns the text of the timeout in a Keep-Alive header; ``None`` if it states none."""
     for part in (value or b"").split(b","):
         name, _, seconds = part.strip().partition(b"=")
-        if name == b"timeout" and seconds.isdigit():
-            return float(seconds)
+        if name == b"timeout":
+            return seconds
     return None
-
-
-def _parse_decimal(name: bytes, value: Optional[bytes]) -> Optional[float]:
-    """Parses the value of a header; logs and returns ``None`` if it is not a number."""
-    if value is None:
-        return None
-    if not _DECIMAL.fullmatch(value):
-        log_event("header_unreadable", header=name.decode(), value=value.decode("latin-1"))
-        return None
-    return float(value)
--- a/camphordrift/platform/_json.py
+++ b/camphordrift/platform/_json.py
@@ -13,6 +13,9 @@
 #: relay can represent it, and what is calculated from it is finite.
 MAX_NUMBER = 2**53
 
+#: Longest time in milliseconds for which a server may call itself cold: one day.
+MAX_COLD_MS = 86_400_000.0
+
 #: A number of bytes, requests, milliseconds since 1970 or the like.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
--- a/camphordrift/platform/tests/test_numbers_of_callers.py
+++ b/camphordrift/platform/tests/test_numbers_of_callers.py
@@ -82,6 +82,7 @@
                 st.binary(max_size=20),
                 st.from_regex(rb"[-+]?[0-9]{1,400}([.,:eE_][-+]?[0-9]{1,20}){0,3}", fullmatch=True),
                 st.integers().map(lambda number: b"%d" % number),
+                st.integers(1, 5000).map(lambda length: b"9" * length),
                 st.floats().map(lambda number: str(number).encode()),
             ),
         )
--- a/camphordrift/relay/__init__.py
+++ b/camphordrift/relay/__init__.py
@@ -43,6 +43,7 @@
     Service,
     ServiceShare,
     StoreError,
+    UnreadableHeader,
 )
 
 __all__ = [
@@ -82,5 +83,6 @@
     "SmallRequest",
     "SmallResponse",
     "StoreError",
+    "UnreadableHeader",
     "run_relay",
 ]
--- a/camphordrift/relay/model/__init__.py
+++ b/camphordrift/relay/model/__init__.py
@@ -36,6 +36,7 @@
     ServerState,
     Service,
     ServiceShare,
+    UnreadableHeader,
 )
 
 __all__ = [
@@ -70,4 +71,5 @@
     "ServiceShare",
     "StoreError",
     "TolerantEnum",
+    "UnreadableHeader",
 ]
--- a/camphordrift/relay/model/_interfaces.py
+++ b/camphordrift/relay/model/_interfaces.py
@@ -30,7 +30,7 @@
         ...
 
     def response_metadata(self, headers: Headers) -> ResponseMetadata:
-        """Parses the headers of a backend server's response."""
+        """Parses the headers of a backend server's response; raises no error for any of them."""
         ...
 
     def outgoing_headers(
--- a/camphordrift/relay/model/_values.py
+++ b/camphordrift/relay/model/_values.py
@@ -226,6 +226,15 @@
     prompt_parts: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class UnreadableHeader:
+    """A header of a response whose value is malformed or beyond its bound."""
+
+    name: str
+    #: The beginning of the value.
+    value: str
+
+
 @dataclass(frozen=True)
 class ResponseMetadata:
     """Response metadata from a backend server's headers."""
@@ -247,6 +256,8 @@
     request_limit: Optional[float] = None
     #: Seconds for which the server is still cold, if stated; 0 if it is not.
     cold_left: Optional[float] = None
+    #: Headers that are ignored.
+    unreadable: tuple[UnreadableHeader, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/peers/_notice_distribution.py
+++ b/camphordrift/relay/peers/_notice_distribution.py
@@ -73,6 +73,16 @@
                 responses need not state a limit that holds.
 
         """
+        for header in metadata.unreadable:
+            log_event(
+                "header_unreadable",
+                level=LogLevel.WARNING,
+                server=server.id,
+                address=server.address,
+                header=header.name,
+                value=header.value,
+                source=source,
+            )
         if metadata.leaving and status != WRONG_SERVER_STATUS:
             self.record_leaving([start_of(server)], source)
         if status != WRONG_SERVER_STATUS:
--- a/camphordrift/relay/tests/test_server_notices.py
+++ b/camphordrift/relay/tests/test_server_notices.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from camphordrift.relay import BackendServer, ResponseMetadata, ServerState
+from camphordrift.relay import BackendServer, ResponseMetadata, ServerState, UnreadableHeader
 from camphordrift.relay.peers._notice_distribution import NoticeDistributor
 from camphordrift.relay.peers._peer_links import PeerLinks
 from camphordrift.relay.scheduling._request_limits import RequestLimits
@@ -229,6 +229,16 @@
         self.assertEqual([], self.pauses)
         self.assertTrue(self.notices.accepts_requests(server(1), 100.0))
 
+    def test_an_unreadable_header_is_logged_with_its_server(self) -> None:
+        header = UnreadableHeader("retry-after", "soon")
+        metadata = ResponseMetadata("a1", signed=False, not_run=False, unreadable=(header,))
+        with self.assertLogs("absl", "WARNING") as logs:
+            self.distributor.observe(server(1), 503, metadata, "report", 99.0)
+        (line,) = (record.getMessage() for record in logs.records)
+        expected = "event=header_unreadable server=engines-1 address="
+        self.assertTrue(line.startswith(expected), line)
+        self.assertTrue(line.endswith("header=retry-after value=soon source=report"), line)
+
     def _observe_retry_after(self, status: int, seconds: Optional[float]) -> None:
         metadata = ResponseMetadata("a1", signed=False, not_run=False, retry_after=seconds)
         self.distributor.observe(server(1), status, metadata, "request", 99.0)
