Odd responses of the store are store errors, whatever they contain

Seen: a Store-Era of 5,000 digits raises ValueError in PlatformStore, status 410 in response to an append or a page of newest records raises HistoryLostError there, and pages with HasMore and always the same last key are requested without end.

Cause: the era was converted without a bound, 410 counted as lost history for each call, offsets had no bound, and nothing checked that pages advance.

An era that is no number up to 2^53 is logged (store_era_unreadable) and counts as not stated; offsets have the same bound; only a read has records that expired; a page with the key of the last one is a store error.

--- a/camphordrift/platform/_store.py
+++ b/camphordrift/platform/_store.py
@@ -11,8 +11,8 @@
 import msgspec
 import trio
 
-from camphordrift.event_log import log_event
-from camphordrift.platform._json import decode_json
+from camphordrift.event_log import LogLevel, log_event
+from camphordrift.platform._json import MAX_NUMBER, Count, decode_json
 from camphordrift.relay import (
     Address,
     Batch,
@@ -34,6 +34,9 @@
 #: Maximum size in KiB of the records that one read returns (PROTOCOL.md: 1,024 is the default).
 _MAX_READ_KB = 1024
 
+#: Path of reads; only their records can have expired.
+_READ_PATH = "/v1/log-read"
+
 #: Header of the response to a read: end offset of the topic, and its first retained offset.
 _READ_HEADER = struct.Struct(">qq")
 
@@ -41,6 +44,9 @@
 #: copy.
 _ERA_HEADER = b"store-era"
 
+#: Number of bytes of an unreadable value or a body that a log line shows.
+_SHOWN_BYTES = 200
+
 #: Length prefix of each record in a read or an append, in bytes.
 _RECORD_LENGTH = struct.Struct(">I")
 
@@ -49,7 +55,7 @@
     key: str
     #: Base64; empty if the key was removed.
     value: str = ""
-    offset: int = 0
+    offset: Count = 0
 
     def decode_record(self) -> Optional[KeyedRecord]:
         """Returns the record; ``None`` if its value is not base64."""
@@ -61,7 +67,7 @@
 
 class _NewestPage(msgspec.Struct, rename="pascal"):
     items: list[_NewestItem]
-    end_offset: int
+    end_offset: Count
     has_more: bool = False
 
 
@@ -110,6 +116,8 @@
             records += _readable(decoded, topic)
             if not page.has_more or not page.items:
                 return Batch(tuple(records), next_offset, era=era or 0)
+            if page.items[-1].key == after:
+                raise StoreError("a page of newest records is the same as the last one", era)
             after = page.items[-1].key
 
     async def read(self, topic: str, offset: int, wait: float) -> Batch:
@@ -121,7 +129,7 @@
             "WaitMs": str(int(wait * 1000)),
             "MaxKb": str(_MAX_READ_KB),
         }
-        response = await self._call("GET", "/v1/log-read", query, wait=wait)
+        response = await self._call("GET", _READ_PATH, query, wait=wait)
         content = response.content
         if len(content) < _READ_HEADER.size:
             raise StoreError("response to a read is shorter than its offset header")
@@ -160,10 +168,10 @@
                 response = await self._exchange(method, target, body)
         except (OSError, BrokenAnswerError, trio.TooSlowError) as error:
             raise StoreError(f"{path}: {type(error).__name__} {error}") from error
-        if response.status == 410:
+        if response.status == 410 and path == _READ_PATH:
             raise HistoryLostError(path, response.era)
         if response.status != 200:
-            reason = f"{path}: status {response.status} {response.content[:200]!r}"
+            reason = f"{path}: status {response.status} {response.content[:_SHOWN_BYTES]!r}"
             raise StoreError(reason, response.era)
         return response
 
@@ -182,8 +190,11 @@
 
 def _parse_era(headers: Iterable[tuple[bytes, bytes]]) -> Optional[int]:
     for name, value in headers:
-        if name == _ERA_HEADER and value.isdigit():
+        if name != _ERA_HEADER:
+            continue
+        if value.isdigit() and len(value) <= len(str(MAX_NUMBER)) and int(value) <= MAX_NUMBER:
             return int(value)
+        log_event("store_era_unreadable", level=LogLevel.WARNING, value=value[:_SHOWN_BYTES])
     return None
 
 
