Numbers in configurations and settings have bounds

Negative numbers were taken. Nested settings ended with RecursionError, which names nothing.

Cause: the types of the documents had no bounds, unlike those of servers' entries.

Each number now has a bound in its type: 0 to 2^53, and at least 1 or 1e-6 where the relay divides by it or takes its logarithm. A document beyond them is malformed as any other: a configuration does not replace the one in force (configuration_unreadable), settings end the program at its start with the name of the field.

--- a/camphordrift/platform/_addresses.py
+++ b/camphordrift/platform/_addresses.py
@@ -5,7 +5,7 @@
 from camphordrift.relay import Address
 
 #: Highest TCP port.
-_MAX_PORT = 65535
+MAX_PORT = 65535
 
 
 def parse_address(text: str) -> Address:
@@ -26,7 +26,7 @@
 
 
 def _parse_port(text: str) -> int:
-    is_decimal = text.isascii() and text.isdigit() and len(text) <= len(str(_MAX_PORT))
-    if not is_decimal or not 1 <= int(text) <= _MAX_PORT:
-        raise ValueError(f"not a port from 1 to {_MAX_PORT}: {text[:100]!r}")
+    is_decimal = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_PORT))
+    if not is_decimal or not 1 <= int(text) <= MAX_PORT:
+        raise ValueError(f"not a port from 1 to {MAX_PORT}: {text[:100]!r}")
     return int(text)
--- a/camphordrift/platform/_documents.py
+++ b/camphordrift/platform/_documents.py
@@ -6,7 +6,16 @@
 import msgspec
 
 from camphordrift.platform._addresses import parse_address
-from camphordrift.platform._json import MAX_COLD_MS, Count, Name, decode_json
+from camphordrift.platform._json import (
+    MAX_COLD_MS,
+    MAX_NUMBER,
+    Amount,
+    Count,
+    Name,
+    PositiveAmount,
+    PositiveCount,
+    decode_json,
+)
 from camphordrift.relay import (
     Account,
     BackendServer,
@@ -37,6 +46,13 @@
 #: Ids of servers are sent in headers, so they consist of visible ASCII characters.
 _SERVER_ID = re.compile(r"[!-~]{1,255}")
 
+#: Capacity of an engine's KV cache in tokens. The relay leaves a part of it unused, and divides by
+#: the rest.
+_MemoryTokens = Annotated[int, msgspec.Meta(ge=2, le=MAX_NUMBER)]
+
+#: Rank of a route or client account; 0 is the highest one in use.
+_Priority = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
 
 class _Document(msgspec.Struct, rename="pascal", frozen=True, gc=False):
     """Base class of all documents; unknown fields are ignored."""
@@ -44,7 +60,7 @@
 
 class _Share(_Document, frozen=True):
     service: str
-    weight: float
+    weight: Amount
 
 
 class _Route(_Document, frozen=True):
@@ -52,15 +68,15 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = 30000.0
+    timeout_ms: Amount = 30000.0
     #: Target time in milliseconds to the response, or to the first event of a stream.
-    slo_ms: float = 1000.0
-    max_attempts: int = 1
-    priority: int = 5
+    slo_ms: Amount = 1000.0
+    max_attempts: Count = 1
+    priority: _Priority = 5
     no_auth: bool = False
     resume_streams: bool = False
     #: Maximum number of milliseconds between events of a stream that still meets the objective.
-    gap_target_ms: float = 1000.0
+    gap_target_ms: Amount = 1000.0
     #: A route has either a service or a traffic split.
     service: Optional[str] = None
     traffic_split: tuple[_Share, ...] = ()
@@ -69,47 +85,47 @@
 class _Engine(_Document, rename=None, frozen=True):
     """Capacity and cost model of a service's engines."""
 
-    slots: int = msgspec.field(name="Slots")
-    memory_tokens: int = msgspec.field(name="KvCacheTokens")
+    slots: PositiveCount = msgspec.field(name="Slots")
+    memory_tokens: _MemoryTokens = msgspec.field(name="KvCacheTokens")
     #: Decode steps that an engine runs in one iteration.
-    stride: int = msgspec.field(name="Stride", default=1)
+    stride: PositiveCount = msgspec.field(name="Stride", default=1)
     #: Base duration of a decode step in milliseconds.
-    step_ms: float = 1.0
+    step_ms: PositiveAmount = 1.0
     #: Milliseconds added to a decode step for each decoding request.
-    per_seq_ms: float = 0.0
+    per_seq_ms: Amount = 0.0
     #: Milliseconds added to a decode step for each 1,000 tokens of context.
-    context_per_k: float = 0.0
+    context_per_k: Amount = 0.0
     #: Prompt tokens prefilled per second.
-    read_per_s: float = 1e5
+    read_per_s: PositiveAmount = 1e5
     #: Attention cost of prefill: milliseconds per million (token, earlier token) pairs.
-    pairs_per_m: float = 0.0
+    pairs_per_m: Amount = 0.0
 
 
 class _Service(_Document, frozen=True):
     name: str
-    max_conns: int = 100
+    max_conns: Count = 100
     engine: Optional[_Engine] = None
     #: Seconds for which a server is cold after it started during traffic.
-    cold_start_s: float = 0.0
+    cold_start_s: Amount = 0.0
     #: Requests per second that a cold server takes from all VMs together; 0 without a bound.
-    cold_per_s: float = 0.0
+    cold_per_s: Amount = 0.0
 
 
 class _Limits(_Document, frozen=True):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 10000.0
-    idle_timeout_ms: float = 60000.0
+    max_header_bytes: Count = 16384
+    max_body_bytes: Count = 4194304
+    header_timeout_ms: Amount = 10000.0
+    idle_timeout_ms: Amount = 60000.0
 
 
 class _Tenant(_Document, frozen=True):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: Optional[int] = None
+    priority: Optional[_Priority] = None
 
 
 class _Configuration(_Document, frozen=True):
-    version: int
+    version: Count
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
@@ -120,7 +136,7 @@
 class _ConfigurationVersion(_Document, frozen=True):
     """A configuration of which all other fields are skipped."""
 
-    version: int
+    version: Count
 
 
 class _ServerEntry(_Document, frozen=True):
--- a/camphordrift/platform/_json.py
+++ b/camphordrift/platform/_json.py
@@ -19,6 +19,18 @@
 #: A number of bytes, requests, milliseconds since 1970 or the like.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
+#: A number of milliseconds, a weight or the like.
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+#: Smallest number that the relay divides by.
+_MIN_DIVISOR = 1e-6
+
+#: A number that the relay divides by, or whose logarithm it takes.
+PositiveAmount = Annotated[float, msgspec.Meta(ge=_MIN_DIVISOR, le=MAX_NUMBER)]
+
+#: A number of things of which there must be one.
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
+
 
 def decode_json(decoder: msgspec.json.Decoder[_Document], content: bytes) -> _Document:
     """Decodes a document.
--- a/camphordrift/platform/_settings.py
+++ b/camphordrift/platform/_settings.py
@@ -2,16 +2,19 @@
 
 import os
 from pathlib import Path
-from typing import Optional
+from typing import Annotated, Optional
 
 import msgspec
 
-from camphordrift.platform._addresses import parse_address
+from camphordrift.platform._addresses import MAX_PORT, parse_address
 from camphordrift.platform._caller_socket import SETTINGS_PATH_VARIABLE
+from camphordrift.platform._json import Amount, PositiveAmount, decode_json
 from camphordrift.relay import Address, RelaySettings, RetryBudgetSettings
 
 _MS_PER_SECOND = 1000.0
 
+_Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+
 
 class _Section(msgspec.Struct, rename="pascal", frozen=True):
     """Base class of all sections; unknown fields are ignored."""
@@ -27,18 +30,18 @@
 
 class _Bounds(_Section, frozen=True):
     #: Seconds from SIGTERM to SIGKILL.
-    grace_s: float = 8.0
+    grace_s: Amount = 8.0
     #: Milliseconds after which a revoked API key must be rejected.
-    revoke_ms: float = 5000.0
+    revoke_ms: Amount = 5000.0
     #: Milliseconds after which a new configuration must be in force.
-    config_apply_ms: float = 2000.0
+    config_apply_ms: Amount = 2000.0
     #: Milliseconds after which no request may be sent to an evacuated zone; absent if there are no
     #: evacuations.
-    evacuate_ms: Optional[float] = None
-    retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10.0
+    evacuate_ms: Optional[Amount] = None
+    retry_budget_ratio: Amount = 0.2
+    budget_window_s: PositiveAmount = 10.0
     #: Retries that all VMs together may make in each window in addition to the ratio.
-    retry_slack: float = 100.0
+    retry_slack: Amount = 100.0
 
 
 class _Store(_Section, frozen=True):
@@ -47,10 +50,10 @@
 
 class _MachineLimits(_Section, frozen=True):
     #: Share of a core's time that the VM gets.
-    cpu_share: float = 1.0
+    cpu_share: PositiveAmount = 1.0
     #: Speed of the core relative to a standard core.
-    cpu_cores: float = 1.0
-    link_mbps: float = 1000.0
+    cpu_cores: PositiveAmount = 1.0
+    link_mbps: PositiveAmount = 1000.0
 
 
 class _Settings(_Section, frozen=True):
@@ -59,12 +62,15 @@
     zone: str
     listen: _Listen
     #: First and last port for traffic between VMs.
-    port_range: tuple[int, int]
+    port_range: tuple[_Port, _Port]
     platform: _Store
     bounds: _Bounds = _Bounds()
     limits: _MachineLimits = _MachineLimits()
 
 
+_decoder = msgspec.json.Decoder(_Settings)
+
+
 def load_settings() -> RelaySettings:
     """Loads the settings file whose path is in the environment.
 
@@ -84,7 +90,7 @@
         ValueError: The content is malformed; the message names the field.
 
     """
-    parsed = msgspec.json.decode(content, type=_Settings)
+    parsed = decode_json(_decoder, content)
     return RelaySettings(
         vm=parsed.node_name,
         zone=parsed.zone,
