--- a/camphordrift/platform/_headers.py
+++ b/camphordrift/platform/_headers.py
@@ -3,13 +3,14 @@
 import re
 from typing import Optional
 
-from camphordrift.event_log import log_event
+from camphordrift.platform._json import MAX_COLD_MS, MAX_NUMBER
 from camphordrift.relay import (
     ForwardingMetadata,
     Headers,
     PrefillHelper,
     RequestMetadata,
     ResponseMetadata,
+    UnreadableHeader,
 )
 
 _ATTEMPT = b"camphordrift-attempt-id"
@@ -45,10 +46,25 @@
 #: Milliseconds for which a server is still cold.
 _COLD_LEFT = b"camphordrift-cold-ms"
 
+#: Longest time in seconds for which a server may want no requests: one year.
+_MAX_RETRY_AFTER = 366 * 86_400.0
+
+#: Longest time in seconds for which a server may say that it keeps an idle connection: one day.
+_MAX_IDLE_TIMEOUT = 86_400.0
+
+#: Highest limit in requests per second that a server may name. More is no limit.
+_MAX_REQUEST_LIMIT = 1e9
+
 #: A number without a sign, possibly with a fraction. For times, HTTP allows dates as well; they are
 #: not used.
 _DECIMAL = re.compile(rb"\d+(\.\d+)?")
 
+#: A whole number with as many digits as :data:`MAX_NUMBER` at most.
+_WHOLE = re.compile(rb"\d{1,%d}" % len(str(MAX_NUMBER)))
+
+#: Number of bytes of a malformed value that an error or a log line shows.
+_SHOWN_BYTES = 100
+
 #: Headers of a caller's request that are not forwarded: the relay sets them itself, or they are
 #: meant only for the relay.
 _RESERVED = frozenset(
@@ -79,32 +95,47 @@
         """Parses a caller's headers; raises ``ValueError`` for one that is malformed."""
         values = dict(headers)
         prompt_tokens, max_output_tokens = _parse_token_counts(values.get(_TOKEN_COUNTS))
-        caller_timeout = values.get(_DEADLINE)
         return RequestMetadata(
             attempt_id=_decode_text(values.get(_ATTEMPT)) or "",
-            caller_timeout=None if caller_timeout is None else float(caller_timeout) / 1000,
+            caller_timeout=_parse_caller_timeout(values.get(_DEADLINE)),
             key=_decode_text(values.get(_KEY)),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
-            estimated_output_tokens=int(values.get(_OUTPUT_ESTIMATE) or 0),
+            estimated_output_tokens=_parse_count(_OUTPUT_ESTIMATE, values.get(_OUTPUT_ESTIMATE)),
             last_event_id=_decode_text(values.get(_LAST_EVENT)),
             prompt_parts=_parse_shared_parts(values.get(_PROMPT_PARTS)),
         )
 
     def response_metadata(self, headers: Headers) -> ResponseMetadata:
-        """Parses the headers of a backend server's response."""
+        """Parses the headers of a backend server's response.
+
+        A number that is malformed or beyond its bound counts as not stated.
+        """
         values = dict(headers)
-        cold_left = _parse_decimal(_COLD_LEFT, values.get(_COLD_LEFT))
+        unreadable: list[UnreadableHeader] = []
+
+        def decimal(name: bytes, value: Optional[bytes], maximum: float) -> Optional[float]:
+            if value is None:
+                return None
+            if not _DECIMAL.fullmatch(value) or float(value) > maximum:
+                shown = value[:_SHOWN_BYTES].decode("latin-1")
+                unreadable.append(UnreadableHeader(name.decode(), shown))
+                return None
+            return float(value)
+
+        keep_alive = _find_idle_timeout(values.get(_KEEP_ALIVE))
+        cold_ms = decimal(_COLD_LEFT, values.get(_COLD_LEFT), MAX_COLD_MS)
         return ResponseMetadata(
             attempt_id=_decode_text(values.get(_ATTEMPT)),
             signed=_SIGNATURE in values,
             not_run=_NOT_RUN in values,
             server_at_fault=_decode_text(values.get(_SERVER_AT_FAULT)),
-            idle_timeout=_parse_idle_timeout(values.get(_KEEP_ALIVE)),
+            idle_timeout=decimal(_KEEP_ALIVE, keep_alive, _MAX_IDLE_TIMEOUT),
             leaving=values.get(_LEAVING) == b"1",
-            retry_after=_parse_decimal(_RETRY_AFTER, values.get(_RETRY_AFTER)),
-            request_limit=_parse_decimal(_REQUEST_LIMIT, values.get(_REQUEST_LIMIT)),
-            cold_left=None if cold_left is None else cold_left / 1000,
+            retry_after=decimal(_RETRY_AFTER, values.get(_RETRY_AFTER), _MAX_RETRY_AFTER),
+            request_limit=decimal(_REQUEST_LIMIT, values.get(_REQUEST_LIMIT), _MAX_REQUEST_LIMIT),
+            cold_left=None if cold_ms is None else cold_ms / 1000,
+            unreadable=tuple(unreadable),
         )
 
     def outgoing_headers(
@@ -146,11 +177,39 @@
     return None if value is None else value.decode("latin-1")
 
 
+def _parse_caller_timeout(value: Optional[bytes]) -> Optional[float]:
+    if value is None:
+        return None
+    if not _DECIMAL.fullmatch(value) or float(value) > MAX_NUMBER:
+        raise ValueError(_describe_bad_number(_DEADLINE, value))
+    return float(value) / 1000
+
+
 def _parse_token_counts(value: Optional[bytes]) -> tuple[int, int]:
     if not value:
         return 0, 0
     first, _, second = value.partition(b",")
-    return int(first), int(second or 0)
+    if not first:
+        raise ValueError(_describe_bad_number(_TOKEN_COUNTS, value))
+    return _parse_count(_TOKEN_COUNTS, first), _parse_count(_TOKEN_COUNTS, second)
+
+
+def _parse_count(name: bytes, value: Optional[bytes]) -> int:
+    """Parses a whole number; returns 0 if there is none.
+
+    Raises:
+        ValueError: It is no number, or more than :data:`MAX_NUMBER`.
+
+    """
+    if not value:
+        return 0
+    if not _WHOLE.fullmatch(value.strip()) or int(value) > MAX_NUMBER:
+        raise ValueError(_describe_bad_number(name, value))
+    return int(value)
+
+
+def _describe_bad_number(name: bytes, value: bytes) -> str:
+    return f"{name.decode()} is not a number from 0 to {MAX_NUMBER}: {value[:_SHOWN_BYTES]!r}"
 
 
 def _parse_shared_parts(value: Optional[bytes]) -> tuple[str, ...]:
@@ -162,24 +221,17 @@
 
 def _parse_part_id(entry: bytes) -> str:
     part_id, separator, tokens = entry.strip().partition(b":")
-    if not part_id or not separator or not tokens.isdigit():
-        raise ValueError(f"not a part of a prompt: {entry!r}")
+    if not part_id or not separator or not tokens:
+        raise ValueError(f"not a part of a prompt: {entry[:_SHOWN_BYTES]!r}")
+    # Checked only, as the parts are told apart by their ids.
+    _parse_count(_PROMPT_PARTS, tokens)
     return part_id.decode("ascii").lower()
 
 
-def _parse_idle_timeout(value: Optional[bytes]) -> Optional[float]:
+def _find_idle_timeout(value: Optional[bytes]) -> Optional[bytes]:
+    """Returns the text of the timeout in a Keep-Alive header; ``None`` if it states none."""
     for part in (value or b"").split(b","):
         name, _, seconds = part.strip().partition(b"=")
-        if name == b"timeout" and seconds.isdigit():
-            return float(seconds)
+        if name == b"timeout":
+            return seconds
     return None
-
-
-def _parse_decimal(name: bytes, value: Optional[bytes]) -> Optional[float]:
-    """Parses the value of a header; logs and returns ``None`` if it is not a number."""
-    if value is None:
-        return None
-    if not _DECIMAL.fullmatch(value):
-        log_event("header_unreadable", header=name.decode(), value=value.decode("latin-1"))
-        return None
-    return float(value)
--- a/camphordrift/platform/_json.py
+++ b/camphordrift/platform/_json.py
@@ -9,8 +9,27 @@
 #: A name: of a service, an availability zone or the like.
 Name = Annotated[str, msgspec.Meta(max_length=255)]
 
-#: A number that all encodings of the relay can represent.
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+#: Largest number that the platform's formats may state, whatever it counts. All encodings of the
+#: relay can represent it, and what is calculated from it is finite.
+MAX_NUMBER = 2**53
+
+#: Longest time in milliseconds for which a server may call itself cold: one day.
+MAX_COLD_MS = 86_400_000.0
+
+#: A number of bytes, requests, milliseconds since 1970 or the like.
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+#: A number of milliseconds, a weight or the like.
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+#: Smallest number that the relay divides by.
+_MIN_DIVISOR = 1e-6
+
+#: A number that the relay divides by, or whose logarithm it takes.
+PositiveAmount = Annotated[float, msgspec.Meta(ge=_MIN_DIVISOR, le=MAX_NUMBER)]
+
+#: A number of things of which there must be one.
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
 
 
 def decode_json(decoder: msgspec.json.Decoder[_Document], content: bytes) -> _Document:
