Metrics that tell apart what bodies and connections of callers hold

The resident memory and the number of callers did not show what held it. New: the bytes of unfinished bodies and of those of requests in progress, and the open descriptors.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -22,6 +22,7 @@
     CallerConnection,
     CallerRequest,
     ConnectionPool,
+    HeldBodies,
     ResponseWriter,
 )
 from camphordrift.relay.fleet import Dispatcher, LeaderElection, UpdateDistributor
@@ -77,7 +78,7 @@
     StoreEraTracker,
     boot_time_clock,
 )
-from camphordrift.resident_memory import resident_bytes
+from camphordrift.resident_memory import open_descriptors, resident_bytes
 from camphordrift.telemetry import METRICS_CONTENT_TYPE
 
 #: Seconds between checks of the idle connections in the pool.
@@ -142,6 +143,7 @@
         self._stopping = False
         self._accept_scope = trio.CancelScope()
         self._callers: set[CallerConnection] = set()
+        self._bodies = HeldBodies()
         self._directory = ServerDirectory()
         self._notices = ServerNotices()
         self._evacuations = ZoneEvacuations()
@@ -350,6 +352,17 @@
         gauge = self._metrics.gauge
         gauge("relay_ready", "1 while the VM accepts new connections.", lambda: self.ready)
         gauge("relay_callers", "Open connections from callers.", lambda: len(self._callers))
+        gauge(
+            "relay_unfinished_body_bytes",
+            "Bytes held of request bodies whose end has not arrived.",
+            lambda: self._bodies.unfinished_bytes,
+        )
+        gauge(
+            "relay_complete_body_bytes",
+            "Bytes of the bodies of requests in progress.",
+            lambda: self._bodies.complete_bytes,
+        )
+        gauge("relay_open_descriptors", "Open descriptors of the process.", open_descriptors)
         gauge("relay_members", "Known VMs, this one included.", lambda: self._election.member_count)
         gauge(
             "relay_followers_of_other_builds",
@@ -545,7 +558,7 @@
 
     async def _serve_caller(self, stream: trio.SocketStream) -> None:
         caller = CallerConnection(
-            stream, self._limits, self._handler.handle, lambda: self._stopping
+            stream, self._limits, self._handler.handle, lambda: self._stopping, self._bodies
         )
         self._callers.add(caller)
         try:
--- a/camphordrift/relay/connections/__init__.py
+++ b/camphordrift/relay/connections/__init__.py
@@ -14,6 +14,7 @@
     enable_dead_peer_detection,
 )
 from camphordrift.relay.connections._events import EventSplitter, EventTooLongError, StreamEvent
+from camphordrift.relay.connections._held_bodies import HeldBodies
 from camphordrift.relay.connections._http_client import (
     BACKEND_CONNECT_TIMEOUT,
     BrokenAnswerError,
@@ -39,6 +40,7 @@
     "ConnectionPool",
     "EventSplitter",
     "EventTooLongError",
+    "HeldBodies",
     "HttpConnection",
     "NoPathError",
     "PathBrokenError",
--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -14,6 +14,7 @@
 
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay.connections._byte_stream import READ_SIZE, abort, enable_dead_peer_detection
+from camphordrift.relay.connections._held_bodies import HeldBodies, HeldBody
 from camphordrift.relay.connections._parsing_pace import ParsingPace
 from camphordrift.relay.model import CallerLimits, Headers
 
@@ -128,7 +129,16 @@
 
 
 class CallerConnection:
-    """A connection from a caller; handles one request at a time."""
+    """A connection from a caller; handles one request at a time.
+
+    Args:
+        stream: The connection.
+        limits: Returns the limits in force.
+        handle: Handles a request.
+        close_after_response: Returns whether the connection ends with the next response.
+        bodies: The bodies that the VM holds.
+
+    """
 
     def __init__(
         self,
@@ -136,6 +146,7 @@
         limits: Callable[[], CallerLimits],
         handle: Handler,
         close_after_response: Callable[[], bool],
+        bodies: Optional[HeldBodies] = None,
     ) -> None:
         self._stream = stream
         self._limits = limits
@@ -148,6 +159,7 @@
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._pace = ParsingPace()
         self._read_ahead_bytes = 0
+        self._bodies = HeldBodies() if bodies is None else bodies
 
     async def serve(self) -> None:
         """Handles requests until one side closes the connection."""
@@ -208,8 +220,15 @@
         return self._protocol.our_state is h11.SEND_BODY
 
     async def _serve_request(self) -> bool:
+        body = self._bodies.open()
+        try:
+            return await self._serve_request_with(body)
+        finally:
+            body.release()
+
+    async def _serve_request_with(self, body: HeldBody) -> bool:
         try:
-            request = await self._read_request()
+            request = await self._read_request(body)
         except h11.RemoteProtocolError as error:
             await self._send_error(error.error_status_hint or 400, str(error))
             return False
@@ -245,13 +264,13 @@
             self._read_ahead_bytes += len(data)
             self._protocol.receive_data(data)
 
-    async def _read_request(self) -> Optional[CallerRequest]:
+    async def _read_request(self, body: HeldBody) -> Optional[CallerRequest]:
         """Returns the next request; ``None`` at end of stream, on timeout or on shutdown."""
         if not await self._wait_for_first_byte():
             return None
         limits = self._limits()
         with trio.move_on_after(limits.header_timeout):
-            return await self._receive_request(limits)
+            return await self._receive_request(limits, body)
         await self._send_error(408, "the request was not received in time")
         return None
 
@@ -272,9 +291,10 @@
                 return False
         return False
 
-    async def _receive_request(self, limits: CallerLimits) -> Optional[CallerRequest]:
+    async def _receive_request(
+        self, limits: CallerLimits, body: HeldBody
+    ) -> Optional[CallerRequest]:
         head: Optional[h11.Request] = None
-        body = bytearray()
         while True:
             event = await self._next_event()
             match event:
@@ -286,8 +306,8 @@
                             error_status_hint=400,
                         )
                 case h11.Data():
-                    body += event.data
-                    if len(body) > limits.body_bytes:
+                    body.append(event.data)
+                    if body.size > limits.body_bytes:
                         raise h11.RemoteProtocolError(
                             "the request body is too large", error_status_hint=413
                         )
@@ -296,7 +316,7 @@
                         bytes(head.method),
                         bytes(head.target),
                         list(head.headers),
-                        bytes(body),
+                        body.complete(),
                         trio.current_time(),
                     )
                 case _:
--- a/camphordrift/resident_memory.py
+++ b/camphordrift/resident_memory.py
@@ -41,6 +41,17 @@
     return pages * os.sysconf("SC_PAGE_SIZE")
 
 
+def open_descriptors() -> int:
+    """Returns the number of open descriptors of this process; 0 if the system does not list them.
+
+    Listing them takes a descriptor as well, and fails if none is left.
+    """
+    try:
+        return len(os.listdir("/proc/self/fd"))
+    except OSError:
+        return 0
+
+
 def measure_imports() -> tuple[MemoryStep, ...]:
     """Imports the modules of an entry VM; returns the memory before them and after each step.
 
