Refuse a body over MaxBodyBytes as its length is announced

Cause: only the bytes that had arrived were compared with the limit.

Evidence: before, test_bodies_announced_far_over_the_limit saw 317 MB, bound 160 MB, and both tests of AnnouncedLengthTest failed: (413, True) != (408, True), the announced body was waited for until the time limit, and (413, True) != (0, False), 100 Continue came first.

Why this works: the head states the length, so the request is refused before any byte of the body is read and before 100 Continue is written. h11 has checked that the length is one number of at most 20 digits.

--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -305,12 +305,10 @@
                             "both Transfer-Encoding and Content-Length are present",
                             error_status_hint=400,
                         )
+                    _check_body_size(_announced_length(event.headers), limits)
                 case h11.Data():
                     body.append(event.data)
-                    if body.size > limits.body_bytes:
-                        raise h11.RemoteProtocolError(
-                            "the request body is too large", error_status_hint=413
-                        )
+                    _check_body_size(body.size, limits)
                 case h11.EndOfMessage() if head is not None:
                     return CallerRequest(
                         bytes(head.method),
@@ -360,3 +358,16 @@
 def _has_ambiguous_length(headers: Headers) -> bool:
     names = [name for name, _ in headers]
     return b"transfer-encoding" in names and b"content-length" in names
+
+
+def _announced_length(headers: Headers) -> int:
+    """Returns the length of the body as the headers state it; 0 if they do not.
+
+    h11 has checked that it is a number.
+    """
+    return max((int(value) for name, value in headers if name == b"content-length"), default=0)
+
+
+def _check_body_size(size: int, limits: CallerLimits) -> None:
+    if size > limits.body_bytes:
+        raise h11.RemoteProtocolError("the request body is too large", error_status_hint=413)
