Bound the size line of a chunk and the trailers like the headers

What callers saw: a crowd that sent the size line of a chunk without end took the process over its memory; each connection could hold 1 MiB that no limit of the configuration names.

Cause: h11 holds back what is incomplete. Its size was compared with MaxHeaderBytes only before the end of the head; after that, only h11's own maximum of 1 MiB applied, to size lines (which may have extensions) and to trailers.

Why this works: parts of a body are returned as they arrive, so what h11 holds back after it asks for more data is always such a line.

--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -327,19 +327,24 @@
             if isinstance(event, h11.Event):
                 self._pace.record_event()
                 return event
-            self._check_head_size()
+            self._check_incomplete_event()
             if self._protocol.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 await self.write(self._protocol.send(continue_response) or b"")
             self._protocol.receive_data(await self._stream.receive_some(READ_SIZE))
             self._pace.record_read()
 
-    def _check_head_size(self) -> None:
-        """Raises an error if an incomplete request line with headers exceeds the current limit."""
-        if self._protocol.their_state is not h11.IDLE:
-            return
+    def _check_incomplete_event(self) -> None:
+        """Raises an error if what h11 holds back exceeds the current limit of a head.
+
+        It is an incomplete head, size line of a chunk or trailer, as parts of a body are never held
+        back.
+        """
         if len(self._protocol.trailing_data[0]) > self._limits().header_bytes:
-            raise h11.RemoteProtocolError("the headers are too large", error_status_hint=431)
+            raise h11.RemoteProtocolError(
+                "the headers, a chunk's size line or the trailers are too large",
+                error_status_hint=431,
+            )
 
     async def _send_error(self, status: int, reason: str) -> None:
         log_event("request_unreadable", level=LogLevel.WARNING, status=status, reason=reason)
