Send a large body without a copy of it behind the request's head

Cause: HttpConnection.encode() returned head and body as one bytes object, which the attempt held until its result, beside the caller's body.

Why this works: a request is encoded in parts, and the body is one of them, the caller's own object. Bodies of up to 16 KiB are still written together with their head, in one write.

--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -31,6 +31,9 @@
 #: store (1 MB, in base64).
 MAX_SMALL_RESPONSE_BYTES = 4 << 20
 
+#: Maximum size in bytes of a body that is sent in one write with its head.
+MAX_JOINED_BODY_BYTES = 16384
+
 #: Seconds subtracted from a server's keep-alive timeout, to allow for clock drift and network
 #: latency.
 IDLE_MARGIN = 0.5
@@ -106,19 +109,24 @@
 
     def encode(
         self, method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes
-    ) -> bytes:
-        """Returns the bytes of a request, which :meth:`send` sends.
+    ) -> Sequence[bytes]:
+        """Returns the bytes of a request in parts, which :meth:`send` sends.
+
+        A large body is a part by itself, so that the request holds no copy of it.
 
         From then on, received data counts as the response to this request.
         """
         self._is_request_unfinished = True
         request = h11.Request(method=method, target=target, headers=list(headers))
-        data = self._protocol.send(request)
+        parts = [self._protocol.send(request) or b""]
         if body:
-            data += self._protocol.send(h11.Data(data=body))
-        return data + self._protocol.send(h11.EndOfMessage())
+            parts.append(self._protocol.send(h11.Data(data=body)) or b"")
+        parts.append(self._protocol.send(h11.EndOfMessage()) or b"")
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            return [b"".join(parts)]
+        return [part for part in parts if part]
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, parts: Sequence[bytes]) -> None:
         """Sends an encoded request; waits while the server's receive buffer is full.
 
         Raises:
@@ -126,7 +134,8 @@
 
         """
         try:
-            await self._stream.send_all(data)
+            for part in parts:
+                await self._stream.send_all(part)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionError(
                 "the server closed the connection while the request was being sent"
--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -1,6 +1,6 @@
 """A single attempt to send a request to one backend server."""
 
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Optional, TypeVar, Union
 
@@ -260,14 +260,14 @@
     ) -> tuple[AttemptResult, float]:
         headers = self._header_format.outgoing_headers(self._request.headers, metadata)
         request = self._request
-        data = connection.encode(request.method, request.target, headers, request.body)
+        parts = connection.encode(request.method, request.target, headers, request.body)
         if len(request.body) <= SOCKET_BUFFERED_BODY_BYTES:
-            await connection.send(data)
+            await connection.send(parts)
             return await self._receive(connection, timer, event_timeout, sink)
         # Sends and receives concurrently: the server may respond before it has read the body, and
         # may never read it.
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_ignoring_errors, connection, data)
+            nursery.start_soon(self._send_ignoring_errors, connection, parts)
             try:
                 result = await self._receive(connection, timer, event_timeout, sink)
             except (BrokenAnswerError, OSError) as error:
@@ -276,9 +276,11 @@
             nursery.cancel_scope.cancel()
         return result
 
-    async def _send_ignoring_errors(self, connection: HttpConnection, data: bytes) -> None:
+    async def _send_ignoring_errors(
+        self, connection: HttpConnection, parts: Sequence[bytes]
+    ) -> None:
         try:
-            await connection.send(data)
+            await connection.send(parts)
         except OSError:
             # The receiving side reports the broken connection, or returns an early response.
             return
--- a/camphordrift/relay/tests/test_caller_bodies.py
+++ b/camphordrift/relay/tests/test_caller_bodies.py
@@ -2,7 +2,10 @@
 
 import pytest
 import testtools
+import trio
 
+from camphordrift.relay.connections import ByteStream, HttpConnection
+from camphordrift.relay.connections._http_client import MAX_JOINED_BODY_BYTES
 from camphordrift.relay.model import CallerLimits
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
@@ -17,6 +20,39 @@
 FAR_OVER_LIMIT = 100 * CallerLimits().body_bytes
 
 
+class _WrittenStream(ByteStream):
+    """A connection that keeps what is written."""
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+
+    async def send_all(self, data: bytes) -> None:
+        await trio.lowlevel.checkpoint()
+        self.written.append(data)
+
+
+class ForwardedBodyTest(testtools.TestCase):
+    """Guards against requests that hold a copy of their body while they are in progress."""
+
+    def send(self, body: bytes) -> list[bytes]:
+        async def main() -> list[bytes]:
+            stream = _WrittenStream()
+            connection = HttpConnection(stream)
+            headers = [(b"host", b"a"), (b"content-length", b"%d" % len(body))]
+            await connection.send(connection.encode(b"POST", b"/", headers, body))
+            return stream.written
+
+        return trio.run(main)
+
+    def test_a_large_body_is_not_copied(self) -> None:
+        body = b"x" * (MAX_JOINED_BODY_BYTES + 1)
+        self.assertIs(body, self.send(body)[-1])
+
+    def test_a_small_body_is_sent_in_one_write(self) -> None:
+        for body in (b"", b"x" * MAX_JOINED_BODY_BYTES):
+            self.assertEqual(1, len(self.send(body)))
+
+
 @pytest.mark.sockets
 class AnnouncedLengthTest(testtools.TestCase):
     """Guards against bodies that are read although their announced length is not permitted."""
