A budget for the bodies that a VM holds

Cause: each connection may hold a body of MaxBodyBytes, and nothing counted what all of them hold together: 40 callers with 4 MiB each fill a VM of 160 MB. Beside its body, a connection also held the last part that it had read, and a refused one, through its exception, all that had been received while it lingered.

Why this works: BodyBudget, which does no I/O, counts bytes as they arrive, a quarter of the VM's memory by default. When it is spent, the largest unfinished body is dropped at once, and its caller gets 503 with Retry-After: it was not complete, so it was never sent. A stalled body can therefore not block others, complete bodies never give way, and an eighth is left to bodies of up to 64 KiB, so that ordinary requests are served while large ones fill the rest. A single body is always held. What is read ahead behind a request counts as well. Callers are read in parts of 16 KiB, as each connection may hold one such part that is not counted.

--- a/camphordrift/platform/_settings.py
+++ b/camphordrift/platform/_settings.py
@@ -12,6 +12,8 @@
 
 _MS_PER_SECOND = 1000.0
 
+_BYTES_PER_MB = 1e6
+
 
 class _Section(msgspec.Struct, rename="pascal", frozen=True):
     """Base class of all sections; unknown fields are ignored."""
@@ -51,6 +53,7 @@
     #: Speed of the core relative to a standard core.
     cpu_cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 160.0
 
 
 class _Settings(_Section, frozen=True):
@@ -104,6 +107,7 @@
         evacuation_delay=_seconds(parsed.bounds.evacuate_ms),
         cores=parsed.limits.cpu_share * parsed.limits.cpu_cores,
         link_mbps=parsed.limits.link_mbps,
+        memory_bytes=parsed.limits.memory_mb * _BYTES_PER_MB,
     )
 
 
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -358,6 +358,11 @@
         )
         self.assertEqual(2.0, parsed.configuration_apply_delay)
 
+    def test_the_memory_of_the_vm(self) -> None:
+        content = json.dumps({**json.loads(SETTINGS), "Limits": {"MemoryMb": 300}}).encode()
+        self.assertEqual(300e6, decode_settings(content).memory_bytes)
+        self.assertEqual(75e6, decode_settings(content).body_budget)
+
     def test_the_bound_on_evacuations(self) -> None:
         content = SETTINGS.replace(b'"GraceS":8', b'"GraceS":8,"EvacuateMs":5000')
         self.assertEqual(5.0, decode_settings(content).evacuation_delay)
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -19,10 +19,10 @@
 from camphordrift.relay.connections import (
     BACKEND_CONNECT_TIMEOUT,
     READ_SIZE,
+    BodyBudget,
     CallerConnection,
     CallerRequest,
     ConnectionPool,
-    HeldBodies,
     ResponseWriter,
 )
 from camphordrift.relay.fleet import Dispatcher, LeaderElection, UpdateDistributor
@@ -143,7 +143,7 @@
         self._stopping = False
         self._accept_scope = trio.CancelScope()
         self._callers: set[CallerConnection] = set()
-        self._bodies = HeldBodies()
+        self._bodies = BodyBudget(settings.body_budget)
         self._directory = ServerDirectory()
         self._notices = ServerNotices()
         self._evacuations = ZoneEvacuations()
--- a/camphordrift/relay/connections/__init__.py
+++ b/camphordrift/relay/connections/__init__.py
@@ -4,6 +4,7 @@
 :mod:`camphordrift.relay.model`.
 """
 
+from camphordrift.relay.connections._body_budget import BodyBudget
 from camphordrift.relay.connections._byte_stream import (
     READ_SIZE,
     ByteStream,
@@ -14,7 +15,6 @@
     enable_dead_peer_detection,
 )
 from camphordrift.relay.connections._events import EventSplitter, EventTooLongError, StreamEvent
-from camphordrift.relay.connections._held_bodies import HeldBodies
 from camphordrift.relay.connections._http_client import (
     BACKEND_CONNECT_TIMEOUT,
     BrokenAnswerError,
@@ -33,6 +33,7 @@
 
 __all__ = [
     "BACKEND_CONNECT_TIMEOUT",
+    "BodyBudget",
     "BrokenAnswerError",
     "ByteStream",
     "CallerConnection",
@@ -40,7 +41,6 @@
     "ConnectionPool",
     "EventSplitter",
     "EventTooLongError",
-    "HeldBodies",
     "HttpConnection",
     "NoPathError",
     "PathBrokenError",
--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -7,14 +7,14 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Optional
+from typing import Optional, Union
 
 import h11
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay.connections._byte_stream import READ_SIZE, abort, enable_dead_peer_detection
-from camphordrift.relay.connections._held_bodies import HeldBodies, HeldBody
+from camphordrift.relay.connections._body_budget import BodyBudget, BodyBudgetError, HeldBody
+from camphordrift.relay.connections._byte_stream import abort, enable_dead_peer_detection
 from camphordrift.relay.connections._parsing_pace import ParsingPace
 from camphordrift.relay.model import CallerLimits, Headers
 
@@ -34,6 +34,10 @@
 #: the connection, and the caller might not receive the error response.
 REFUSAL_LINGER_TIMEOUT = 0.5
 
+#: Maximum number of bytes that are read at once from a caller. As much may be held for each
+#: connection beside what counts as a body.
+CALLER_READ_SIZE = 16384
+
 
 @dataclass(frozen=True)
 class CallerRequest:
@@ -136,7 +140,7 @@
         limits: Returns the limits in force.
         handle: Handles a request.
         close_after_response: Returns whether the connection ends with the next response.
-        bodies: The bodies that the VM holds.
+        bodies: Bounds what the bodies of all connections hold in memory.
 
     """
 
@@ -146,7 +150,7 @@
         limits: Callable[[], CallerLimits],
         handle: Handler,
         close_after_response: Callable[[], bool],
-        bodies: Optional[HeldBodies] = None,
+        bodies: Optional[BodyBudget] = None,
     ) -> None:
         self._stream = stream
         self._limits = limits
@@ -159,7 +163,9 @@
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._pace = ParsingPace()
         self._read_ahead_bytes = 0
-        self._bodies = HeldBodies() if bodies is None else bodies
+        self._bodies = BodyBudget() if bodies is None else bodies
+        #: Cancel scope of the request that is being received.
+        self._receive_scope = trio.CancelScope()
 
     async def serve(self) -> None:
         """Handles requests until one side closes the connection."""
@@ -220,42 +226,45 @@
         return self._protocol.our_state is h11.SEND_BODY
 
     async def _serve_request(self) -> bool:
-        body = self._bodies.open()
+        body = self._bodies.open(give_way=lambda: self._receive_scope.cancel())
         try:
             return await self._serve_request_with(body)
         finally:
             body.release()
 
     async def _serve_request_with(self, body: HeldBody) -> bool:
-        try:
-            request = await self._read_request(body)
-        except h11.RemoteProtocolError as error:
-            await self._send_error(error.error_status_hint or 400, str(error))
+        request = await self._read_request(body)
+        if isinstance(request, _Refusal):
+            body.release()
+            await self._send_error(request)
             return False
         if request is None:
             return False
         response = ResponseWriter(self, request.method)
-        await self._handle_until_disconnect(request, response)
+        await self._handle_until_disconnect(request, response, body)
         if not response.completed:
             return False
         return self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE
 
     async def _handle_until_disconnect(
-        self, request: CallerRequest, response: ResponseWriter
+        self, request: CallerRequest, response: ResponseWriter, body: HeldBody
     ) -> None:
         async with trio.open_nursery() as nursery:
             self._request_scope = nursery.cancel_scope
-            nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
+            nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope, body)
             await self._handle(request, response)
             nursery.cancel_scope.cancel()
         self._request_scope = None
 
-    async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
-        """Cancels the request when the caller closes the connection."""
+    async def _cancel_on_disconnect(self, scope: trio.CancelScope, body: HeldBody) -> None:
+        """Cancels the request when the caller closes the connection.
+
+        Reads no further when the budget for bodies has no room for what it reads.
+        """
         self._read_ahead_bytes = 0
         while self._read_ahead_bytes < MAX_READ_AHEAD_BYTES:
             try:
-                data = await self._stream.receive_some(READ_SIZE)
+                data = await self._stream.receive_some(CALLER_READ_SIZE)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
@@ -263,16 +272,25 @@
                 return
             self._read_ahead_bytes += len(data)
             self._protocol.receive_data(data)
+            if not body.read_ahead(len(data)):
+                return
 
-    async def _read_request(self, body: HeldBody) -> Optional[CallerRequest]:
-        """Returns the next request; ``None`` at end of stream, on timeout or on shutdown."""
+    async def _read_request(self, body: HeldBody) -> Union[CallerRequest, "_Refusal", None]:
+        """Returns the next request; ``None`` at end of stream, on idle timeout or on shutdown."""
         if not await self._wait_for_first_byte():
             return None
         limits = self._limits()
-        with trio.move_on_after(limits.header_timeout):
-            return await self._receive_request(limits, body)
-        await self._send_error(408, "the request was not received in time")
-        return None
+        # Exceptions end here, as their frames refer to data that was received.
+        try:
+            with trio.move_on_after(limits.header_timeout) as self._receive_scope:
+                return await self._receive_request(limits, body)
+        except h11.RemoteProtocolError as error:
+            return _Refusal(error.error_status_hint or 400, str(error))
+        except BodyBudgetError:
+            return _NO_BODY_MEMORY
+        if body.gave_way:
+            return _NO_BODY_MEMORY
+        return _Refusal(408, "the request was not received in time")
 
     async def _wait_for_first_byte(self) -> bool:
         """Returns whether a request began before the idle timeout."""
@@ -282,7 +300,7 @@
         # A new configuration may extend the timeout while the connection is idle.
         while (idle_until := idle_since + self._limits().idle_timeout) > trio.current_time():
             with trio.CancelScope(deadline=idle_until) as self._idle_scope:
-                data = await self._stream.receive_some(READ_SIZE)
+                data = await self._stream.receive_some(CALLER_READ_SIZE)
                 if not data:
                     return False
                 self._protocol.receive_data(data)
@@ -319,6 +337,8 @@
                     )
                 case _:
                     return None
+            # Not held until the next event has arrived.
+            del event
 
     async def _next_event(self) -> h11.Event:
         while True:
@@ -331,7 +351,7 @@
             if self._protocol.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 await self.write(self._protocol.send(continue_response) or b"")
-            self._protocol.receive_data(await self._stream.receive_some(READ_SIZE))
+            self._protocol.receive_data(await self._stream.receive_some(CALLER_READ_SIZE))
             self._pace.record_read()
 
     def _check_incomplete_event(self) -> None:
@@ -346,20 +366,43 @@
                 error_status_hint=431,
             )
 
-    async def _send_error(self, status: int, reason: str) -> None:
-        log_event("request_unreadable", level=LogLevel.WARNING, status=status, reason=reason)
+    async def _send_error(self, refusal: "_Refusal") -> None:
+        log_event(
+            "request_unreadable",
+            level=LogLevel.WARNING,
+            status=refusal.status,
+            reason=refusal.reason,
+        )
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
-        response = h11.Response(status_code=status, headers=headers)
-        await self.write(self._protocol.send(response) or b"")
-        self._protocol.send(h11.EndOfMessage())
+        if refusal.retry_after is not None:
+            headers.append((b"retry-after", refusal.retry_after))
+        response = h11.Response(status_code=refusal.status, headers=headers)
+        encoded = self._protocol.send(response) or b""
+        # Drops what was received and not parsed.
+        self._protocol = h11.Connection(h11.SERVER)
+        await self.write(encoded)
         with trio.move_on_after(REFUSAL_LINGER_TIMEOUT):
             await self._stream.send_eof()
-            while await self._stream.receive_some(READ_SIZE):
+            while await self._stream.receive_some(CALLER_READ_SIZE):
                 pass
 
 
+@dataclass(frozen=True)
+class _Refusal:
+    """The response to a request that was not received completely, and so did not run."""
+
+    status: int
+    reason: str
+    #: Seconds after which the caller may try again.
+    retry_after: Optional[bytes] = None
+
+
+#: Refusal of a body for which there is no memory. Others end or give way by the time that it names.
+_NO_BODY_MEMORY = _Refusal(503, "the memory for request bodies is used up", b"1")
+
+
 def _has_ambiguous_length(headers: Headers) -> bool:
     names = [name for name, _ in headers]
     return b"transfer-encoding" in names and b"content-length" in names
--- a/camphordrift/relay/model/_settings.py
+++ b/camphordrift/relay/model/_settings.py
@@ -9,6 +9,9 @@
 SMALL_CORES = 0.5
 SMALL_LINK = 10.0
 
+#: Share of a VM's memory that the bodies of requests may use together.
+BODY_MEMORY_SHARE = 1 / 4
+
 
 @dataclass(frozen=True)
 class Address:
@@ -63,6 +66,13 @@
     cores: float = 1.0
     #: Bandwidth of the VM's link in Mbit/s.
     link_mbps: float = 1000.0
+    #: Memory of the VM in bytes; the process is killed if it uses more.
+    memory_bytes: float = 160e6
+
+    @property
+    def body_budget(self) -> float:
+        """Bytes that the bodies of all requests may have in memory together."""
+        return self.memory_bytes * BODY_MEMORY_SHARE
 
     @property
     def capacity(self) -> int:
--- a/camphordrift/relay/tests/test_caller_bodies.py
+++ b/camphordrift/relay/tests/test_caller_bodies.py
@@ -4,7 +4,7 @@
 import testtools
 import trio
 
-from camphordrift.relay.connections import ByteStream, HttpConnection
+from camphordrift.relay.connections import BodyBudget, ByteStream, HttpConnection
 from camphordrift.relay.connections._http_client import MAX_JOINED_BODY_BYTES
 from camphordrift.relay.model import CallerLimits
 from camphordrift.relay.tests.relay_harness import (
@@ -14,7 +14,7 @@
     request_bytes,
     run_scenario,
 )
-from camphordrift.relay.tests.samples import ScriptedServer
+from camphordrift.relay.tests.samples import ScriptedServer, attempt_id_of
 
 #: A length far over the limit of a body.
 FAR_OVER_LIMIT = 100 * CallerLimits().body_bytes
@@ -61,12 +61,12 @@
         async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
             async with await relay.connect() as stream:
                 headers["content_length"] = str(FAR_OVER_LIMIT)
-                await stream.send_all(request_bytes("/quick/1", **headers))
+                await stream.send_all(request_bytes("/quick/1", "a1", b"", **headers))
                 response = await read_response(stream)
             self.assertEqual((413, True), (response.status, response.complete))
             self.assertEqual([], servers[0].requests)
 
-        run_scenario(scenario, plain_success, service="plain")
+        run_scenario(scenario, plain_success)
 
     def test_refused_before_the_body(self) -> None:
         self.check()
@@ -88,10 +88,32 @@
             self.assertEqual((431, True), (response.status, response.complete))
             self.assertEqual([], servers[0].requests)
 
-        run_scenario(scenario, plain_success, service="plain")
+        run_scenario(scenario, plain_success)
 
     def test_size_line(self) -> None:
         self.check(b"1;extension=" + b"x" * 2 * CallerLimits().header_bytes)
 
     def test_trailers(self) -> None:
         self.check(b"1\r\nx\r\n0\r\ntrailer: " + b"x" * 2 * CallerLimits().header_bytes)
+
+
+@pytest.mark.sockets
+class StalledBodiesTest(testtools.TestCase):
+    """Guards against unfinished bodies that keep others from being served."""
+
+    def test_a_stalled_body_is_refused_as_not_run_in_favour_of_a_later_one(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            size = CallerLimits().body_bytes
+            relay.process._bodies = BodyBudget(size * 1.5)
+            async with await relay.connect() as stalled:
+                await stalled.send_all(request_bytes("/book/1", "a1", content_length=str(size)))
+                await stalled.send_all(b"x" * (size - 1))
+                while relay.process._bodies.unfinished_bytes < size - 1:
+                    await trio.sleep(0.01)
+                response = await relay.send_request("/book/2", "a2", b"x" * (size // 2))
+                self.assertEqual(200, response.status)
+                refusal = await read_response(stalled)
+            self.assertEqual((503, "1"), (refusal.status, refusal.headers["retry-after"]))
+            self.assertEqual(["a2"], [attempt_id_of(item) for item in servers[0].requests])
+
+        run_scenario(scenario, plain_success, service="office")
