Bound the open connections of callers

Cause: every connection was accepted and kept until the idle or the header time limit.

Why this works: ConnectionLimit, which does no I/O, counts connections, and a request in progress twice, for the connection to its server. Requests in progress never give way.

--- a/camphordrift/platform/_settings.py
+++ b/camphordrift/platform/_settings.py
@@ -54,6 +54,7 @@
     cpu_cores: float = 1.0
     link_mbps: float = 1000.0
     memory_mb: float = 160.0
+    max_fds: int = 4100
 
 
 class _Settings(_Section, frozen=True):
@@ -107,6 +108,7 @@
         evacuation_delay=_seconds(parsed.bounds.evacuate_ms),
         cores=parsed.limits.cpu_share * parsed.limits.cpu_cores,
         link_mbps=parsed.limits.link_mbps,
+        max_descriptors=parsed.limits.max_fds,
         memory_bytes=parsed.limits.memory_mb * _BYTES_PER_MB,
     )
 
--- a/camphordrift/platform/tests/test_formats.py
+++ b/camphordrift/platform/tests/test_formats.py
@@ -358,10 +358,11 @@
         )
         self.assertEqual(2.0, parsed.configuration_apply_delay)
 
-    def test_the_memory_of_the_vm(self) -> None:
-        content = json.dumps({**json.loads(SETTINGS), "Limits": {"MemoryMb": 300}}).encode()
-        self.assertEqual(300e6, decode_settings(content).memory_bytes)
-        self.assertEqual(75e6, decode_settings(content).body_budget)
+    def test_memory_and_descriptors_of_the_vm(self) -> None:
+        limits = {"MemoryMb": 300, "MaxFds": 8200}
+        parsed = decode_settings(json.dumps({**json.loads(SETTINGS), "Limits": limits}).encode())
+        self.assertEqual((300e6, 8200), (parsed.memory_bytes, parsed.max_descriptors))
+        self.assertEqual((75e6, 6000), (parsed.body_budget, parsed.max_callers))
 
     def test_the_bound_on_evacuations(self) -> None:
         content = SETTINGS.replace(b'"GraceS":8', b'"GraceS":8,"EvacuateMs":5000')
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -22,6 +22,7 @@
     BodyBudget,
     CallerConnection,
     CallerRequest,
+    ConnectionLimit,
     ConnectionPool,
     ResponseWriter,
 )
@@ -144,6 +145,7 @@
         self._accept_scope = trio.CancelScope()
         self._callers: set[CallerConnection] = set()
         self._bodies = BodyBudget(settings.body_budget)
+        self._caller_limit = ConnectionLimit(settings.max_callers, busy_weight=2)
         self._directory = ServerDirectory()
         self._notices = ServerNotices()
         self._evacuations = ZoneEvacuations()
@@ -362,6 +364,21 @@
             "Bytes of the bodies of requests in progress.",
             lambda: self._bodies.complete_bytes,
         )
+        gauge(
+            "relay_idle_callers",
+            "Open connections from callers without a request.",
+            lambda: self._caller_limit.idle_count,
+        )
+        gauge(
+            "relay_receiving_callers",
+            "Open connections from callers whose request has not arrived completely.",
+            lambda: self._caller_limit.receiving_count,
+        )
+        gauge(
+            "relay_callers_closed",
+            "Connections from callers that were closed to make room for others.",
+            lambda: self._caller_limit.closed_count,
+        )
         gauge("relay_open_descriptors", "Open descriptors of the process.", open_descriptors)
         gauge("relay_members", "Known VMs, this one included.", lambda: self._election.member_count)
         gauge(
@@ -558,7 +575,12 @@
 
     async def _serve_caller(self, stream: trio.SocketStream) -> None:
         caller = CallerConnection(
-            stream, self._limits, self._handler.handle, lambda: self._stopping, self._bodies
+            stream,
+            self._limits,
+            self._handler.handle,
+            lambda: self._stopping,
+            self._bodies,
+            self._caller_limit,
         )
         self._callers.add(caller)
         try:
--- a/camphordrift/relay/connections/__init__.py
+++ b/camphordrift/relay/connections/__init__.py
@@ -14,6 +14,7 @@
     connect,
     enable_dead_peer_detection,
 )
+from camphordrift.relay.connections._connection_limit import ConnectionLimit
 from camphordrift.relay.connections._events import EventSplitter, EventTooLongError, StreamEvent
 from camphordrift.relay.connections._http_client import (
     BACKEND_CONNECT_TIMEOUT,
@@ -38,6 +39,7 @@
     "ByteStream",
     "CallerConnection",
     "CallerRequest",
+    "ConnectionLimit",
     "ConnectionPool",
     "EventSplitter",
     "EventTooLongError",
--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -15,6 +15,7 @@
 from camphordrift.event_log import LogLevel, log_event
 from camphordrift.relay.connections._body_budget import BodyBudget, BodyBudgetError, HeldBody
 from camphordrift.relay.connections._byte_stream import abort, enable_dead_peer_detection
+from camphordrift.relay.connections._connection_limit import ConnectionLimit
 from camphordrift.relay.connections._parsing_pace import ParsingPace
 from camphordrift.relay.model import CallerLimits, Headers
 
@@ -141,6 +142,7 @@
         handle: Handles a request.
         close_after_response: Returns whether the connection ends with the next response.
         bodies: Bounds what the bodies of all connections hold in memory.
+        connections: Bounds the number of connections.
 
     """
 
@@ -151,6 +153,7 @@
         handle: Handler,
         close_after_response: Callable[[], bool],
         bodies: Optional[BodyBudget] = None,
+        connections: Optional[ConnectionLimit] = None,
     ) -> None:
         self._stream = stream
         self._limits = limits
@@ -164,6 +167,10 @@
         self._pace = ParsingPace()
         self._read_ahead_bytes = 0
         self._bodies = BodyBudget() if bodies is None else bodies
+        #: Cancelled to close the connection in favour of others.
+        self._scope = trio.CancelScope()
+        limit = ConnectionLimit() if connections is None else connections
+        self._open_connection = limit.add(close=self._scope.cancel)
         #: Cancel scope of the request that is being received.
         self._receive_scope = trio.CancelScope()
 
@@ -171,11 +178,13 @@
         """Handles requests until one side closes the connection."""
         enable_dead_peer_detection(self._stream)
         try:
-            while await self._serve_request():
-                self._protocol.start_next_cycle()
+            with self._scope:
+                while await self._serve_request():
+                    self._protocol.start_next_cycle()
         except (trio.BrokenResourceError, trio.ClosedResourceError, CallerGoneError):
             pass
         finally:
+            self._open_connection.remove()
             (abort(self._stream) if self._response_in_progress() else self._stream.socket.close())
 
     def close_if_idle(self) -> None:
@@ -233,6 +242,10 @@
             body.release()
 
     async def _serve_request_with(self, body: HeldBody) -> bool:
+        self._open_connection.set_idle()
+        if not await self._wait_for_first_byte():
+            return False
+        self._open_connection.set_receiving()
         request = await self._read_request(body)
         if isinstance(request, _Refusal):
             body.release()
@@ -240,6 +253,7 @@
             return False
         if request is None:
             return False
+        self._open_connection.set_busy()
         response = ResponseWriter(self, request.method)
         await self._handle_until_disconnect(request, response, body)
         if not response.completed:
@@ -276,9 +290,7 @@
                 return
 
     async def _read_request(self, body: HeldBody) -> Union[CallerRequest, "_Refusal", None]:
-        """Returns the next request; ``None`` at end of stream, on idle timeout or on shutdown."""
-        if not await self._wait_for_first_byte():
-            return None
+        """Returns a request whose first byte has arrived; ``None`` at end of stream."""
         limits = self._limits()
         # Exceptions end here, as their frames refer to data that was received.
         try:
--- a/camphordrift/relay/model/_settings.py
+++ b/camphordrift/relay/model/_settings.py
@@ -12,6 +12,19 @@
 #: Share of a VM's memory that the bodies of requests may use together.
 BODY_MEMORY_SHARE = 1 / 4
 
+#: Share of a VM's memory that connections from callers may use, and bytes that an idle one uses.
+CALLER_MEMORY_SHARE = 1 / 4
+CALLER_CONNECTION_BYTES = 12288
+
+#: Descriptors that are not for sockets.
+RESERVED_DESCRIPTORS = 200
+
+#: Shares of the sockets: for callers and the servers of their requests, for other VMs that have not
+#: introduced themselves, and for readiness probes and for readers of the metrics.
+CALLER_SOCKET_SHARE = 3 / 4
+NEW_PEER_SOCKET_SHARE = 1 / 16
+PROBE_SOCKET_SHARE = 1 / 32
+
 
 @dataclass(frozen=True)
 class Address:
@@ -68,12 +81,34 @@
     link_mbps: float = 1000.0
     #: Memory of the VM in bytes; the process is killed if it uses more.
     memory_bytes: float = 160e6
+    #: Descriptors that the process may have open.
+    max_descriptors: int = 4100
 
     @property
     def body_budget(self) -> float:
         """Bytes that the bodies of all requests may have in memory together."""
         return self.memory_bytes * BODY_MEMORY_SHARE
 
+    @property
+    def max_callers(self) -> float:
+        """Open connections from callers; one with a request in progress counts twice."""
+        by_memory = self.memory_bytes * CALLER_MEMORY_SHARE / CALLER_CONNECTION_BYTES
+        return min(self._max_sockets * CALLER_SOCKET_SHARE, by_memory)
+
+    @property
+    def max_new_peers(self) -> float:
+        """Open connections from other VMs that have not introduced themselves."""
+        return self._max_sockets * NEW_PEER_SOCKET_SHARE
+
+    @property
+    def max_probes(self) -> float:
+        """Open connections for readiness probes, and as many for readers of the metrics."""
+        return max(1.0, self._max_sockets * PROBE_SOCKET_SHARE)
+
+    @property
+    def _max_sockets(self) -> int:
+        return max(1, self.max_descriptors - RESERVED_DESCRIPTORS)
+
     @property
     def capacity(self) -> int:
         """Capacity class of the VM: log2 of its size relative to the smallest VMs, rounded down.
