Refuse bodies at the metrics port

What callers saw: nothing, if the port is not reachable from outside; whoever reached it could make the process run out of memory with bodies, as at the port for callers (the same cause elsewhere).

Cause: the metrics endpoint read requests with the limits for callers, by default 4 MiB of a body, which it never uses.

Evidence: before, test_unfinished_bodies_at_the_metrics_port saw a peak of 311 MB, bound 160 MB, and MetricsTest.test_a_request_with_a_body_is_refused failed: (413, True) != (408, True).

Why this works: the limit of a body is 0 there, so an announced one is refused from the head, and one in chunks with its first part.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -113,6 +113,9 @@
 #: Timeout in seconds for the load balancer's readiness request.
 READINESS_REQUEST_TIMEOUT = 2.0
 
+#: Limits for requests to the metrics endpoint, which have no body.
+METRICS_LIMITS = CallerLimits(body_bytes=0)
+
 
 @dataclass(frozen=True)
 class Adapters:
@@ -477,7 +480,7 @@
 
     async def _serve_metrics_connection(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(
-            stream, CallerLimits, self._handle_metrics_request, lambda: True
+            stream, lambda: METRICS_LIMITS, self._handle_metrics_request, lambda: True
         )
         try:
             await connection.serve()
--- a/camphordrift/relay/tests/test_caller_bodies.py
+++ b/camphordrift/relay/tests/test_caller_bodies.py
@@ -117,3 +117,18 @@
             self.assertEqual(["a2"], [attempt_id_of(item) for item in servers[0].requests])
 
         run_scenario(scenario, plain_success, service="office")
+
+
+@pytest.mark.sockets
+class MetricsTest(testtools.TestCase):
+    """Guards against bodies at the metrics port, where no budget counts them."""
+
+    def test_a_request_with_a_body_is_refused(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            async with await trio.open_tcp_stream(relay.host, relay.metrics_port) as stream:
+                await stream.send_all(request_bytes("/metrics", content_length="1"))
+                response = await read_response(stream)
+            self.assertEqual((413, True), (response.status, response.complete))
+            self.assertIn("relay_unfinished_body_bytes", await relay.metrics_page())
+
+        run_scenario(scenario, plain_success)
