Bound the connections to the ports for readiness, metrics and other VMs

What callers saw: as with connections of callers, a VM without descriptors serves nobody; here whoever reaches these ports took them (the same cause elsewhere).

Cause: each of the three ports accepted connections without end.

Evidence: before, 400 idle connections made a process of MaxFds 264 open 416 descriptors, at each of the three ports.

Why this works: each port has a ConnectionLimit of its own.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -149,6 +149,8 @@
         self._callers: set[CallerConnection] = set()
         self._bodies = BodyBudget(settings.body_budget)
         self._caller_limit = ConnectionLimit(settings.max_callers, busy_weight=2)
+        self._metrics_limit = ConnectionLimit(settings.max_probes)
+        self._readiness_limit = ConnectionLimit(settings.max_probes)
         self._directory = ServerDirectory()
         self._notices = ServerNotices()
         self._evacuations = ZoneEvacuations()
@@ -231,6 +233,7 @@
             paths,
             self._tunnels,
             links,
+            ConnectionLimit(settings.max_new_peers, busy_weight=0),
         )
         self._connections = ConnectionPool(
             BACKEND_CONNECT_TIMEOUT, self._connector.connect, self._connector.check
@@ -480,7 +483,11 @@
 
     async def _serve_metrics_connection(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(
-            stream, lambda: METRICS_LIMITS, self._handle_metrics_request, lambda: True
+            stream,
+            lambda: METRICS_LIMITS,
+            self._handle_metrics_request,
+            lambda: True,
+            connections=self._metrics_limit,
         )
         try:
             await connection.serve()
@@ -598,7 +605,8 @@
         await trio.serve_tcp(self._serve_readiness_request, address.port, host=address.host)
 
     async def _serve_readiness_request(self, stream: trio.SocketStream) -> None:
-        with trio.move_on_after(READINESS_REQUEST_TIMEOUT):
+        with trio.move_on_after(READINESS_REQUEST_TIMEOUT) as scope:
+            connection = self._readiness_limit.add(close=scope.cancel)
             try:
                 request_head = b""
                 while b"\r\n\r\n" not in request_head:
@@ -612,6 +620,8 @@
                 )
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return
+            finally:
+                connection.remove()
 
 
 def drain_time(grace_period: float) -> float:
--- a/camphordrift/relay/fleet/_leader_election.py
+++ b/camphordrift/relay/fleet/_leader_election.py
@@ -15,7 +15,7 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay.connections import connect
+from camphordrift.relay.connections import ConnectionLimit, connect
 from camphordrift.relay.fleet._dispatcher import Dispatcher
 from camphordrift.relay.fleet._follower_session import FollowerSession
 from camphordrift.relay.fleet._update_distribution import UpdateDistributor
@@ -115,6 +115,7 @@
         paths: PathSharing,
         tunnels: TunnelServer,
         links: PeerLinks,
+        new_peers: Optional[ConnectionLimit] = None,
     ) -> None:
         self._own_member = own_member
         self._log = log
@@ -129,6 +130,8 @@
         self._paths = paths
         self._tunnels = tunnels
         self._links = links
+        #: Bounds the connections of other VMs that have not introduced themselves.
+        self._new_peers = ConnectionLimit() if new_peers is None else new_peers
         self._members: dict[str, Member] = {own_member.vm: own_member}
         self._connect_attempts: dict[str, int] = {}
         #: When other VMs were last connected, directly or by a common leader.
@@ -505,21 +508,26 @@
             link.send(StoreUnreachable(self._own_member.vm))
         session.link = link
         tunnel: Optional[OpenTunnel] = None
+        scope = trio.CancelScope()
+        connection = self._new_peers.add(close=scope.cancel)
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(link.write_queued)
-                first = await link.read_next()
-                if isinstance(first, OpenTunnel):
-                    tunnel = first
-                    nursery.cancel_scope.cancel()
-                else:
-                    session.handle(first)
-                    await link.read_messages(session.handle)
+            with scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(link.write_queued)
+                    first = await link.read_next()
+                    connection.set_busy()
+                    if isinstance(first, OpenTunnel):
+                        tunnel = first
+                        nursery.cancel_scope.cancel()
+                    else:
+                        session.handle(first)
+                        await link.read_messages(session.handle)
             if tunnel is not None:
                 await self._tunnels.serve(stream, link, tunnel)
         except* LinkBrokenError:
             pass
         finally:
+            connection.remove()
             if session.member is not None:
                 self._last_seen[session.member.vm] = trio.current_time()
             self._updates.remove_follower(link)
