--- a/camphordrift/platform/_settings.py
+++ b/camphordrift/platform/_settings.py
@@ -8,11 +8,13 @@
 
 from camphordrift.platform._addresses import MAX_PORT, parse_address
 from camphordrift.platform._caller_socket import SETTINGS_PATH_VARIABLE
-from camphordrift.platform._json import Amount, PositiveAmount, decode_json
+from camphordrift.platform._json import Amount, PositiveAmount, PositiveCount, decode_json
 from camphordrift.relay import Address, RelaySettings, RetryBudgetSettings
 
 _MS_PER_SECOND = 1000.0
 
+_BYTES_PER_MB = 1e6
+
 _Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 
 
@@ -54,6 +56,8 @@
     #: Speed of the core relative to a standard core.
     cpu_cores: PositiveAmount = 1.0
     link_mbps: PositiveAmount = 1000.0
+    memory_mb: PositiveAmount = 160.0
+    max_fds: PositiveCount = 4100
 
 
 class _Settings(_Section, frozen=True):
@@ -110,6 +114,8 @@
         evacuation_delay=_seconds(parsed.bounds.evacuate_ms),
         cores=parsed.limits.cpu_share * parsed.limits.cpu_cores,
         link_mbps=parsed.limits.link_mbps,
+        max_descriptors=parsed.limits.max_fds,
+        memory_bytes=parsed.limits.memory_mb * _BYTES_PER_MB,
     )
 
 
--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -20,8 +20,10 @@
 from camphordrift.relay.connections import (
     BACKEND_CONNECT_TIMEOUT,
     READ_SIZE,
+    BodyBudget,
     CallerConnection,
     CallerRequest,
+    ConnectionLimit,
     ConnectionPool,
     ResponseWriter,
 )
@@ -78,7 +80,7 @@
     StoreEraTracker,
     boot_time_clock,
 )
-from camphordrift.resident_memory import resident_bytes
+from camphordrift.resident_memory import open_descriptors, resident_bytes
 from camphordrift.telemetry import METRICS_CONTENT_TYPE
 
 #: Seconds between checks of the idle connections in the pool.
@@ -100,6 +102,9 @@
 #: Timeout in seconds for the load balancer's readiness request.
 READINESS_REQUEST_TIMEOUT = 2.0
 
+#: Limits for requests to the metrics endpoint, which have no body.
+METRICS_LIMITS = CallerLimits(body_bytes=0)
+
 
 @dataclass(frozen=True)
 class Adapters:
@@ -131,6 +136,10 @@
         self._stopping = False
         self._accept_scope = trio.CancelScope()
         self._callers: set[CallerConnection] = set()
+        self._bodies = BodyBudget(settings.body_budget)
+        self._caller_limit = ConnectionLimit(settings.max_callers, busy_weight=2)
+        self._metrics_limit = ConnectionLimit(settings.max_probes)
+        self._readiness_limit = ConnectionLimit(settings.max_probes)
         self._directory = ServerDirectory()
         self._notices = ServerNotices()
         self._evacuations = ZoneEvacuations()
@@ -213,6 +222,7 @@
             paths,
             self._tunnels,
             links,
+            ConnectionLimit(settings.max_new_peers, busy_weight=0),
         )
         self._connections = ConnectionPool(
             BACKEND_CONNECT_TIMEOUT, self._connector.connect, self._connector.check
@@ -339,6 +349,32 @@
         gauge = self._metrics.gauge
         gauge("relay_ready", "1 while the VM accepts new connections.", lambda: self.ready)
         gauge("relay_callers", "Open connections from callers.", lambda: len(self._callers))
+        gauge(
+            "relay_unfinished_body_bytes",
+            "Bytes held of request bodies whose end has not arrived.",
+            lambda: self._bodies.unfinished_bytes,
+        )
+        gauge(
+            "relay_complete_body_bytes",
+            "Bytes of the bodies of requests in progress.",
+            lambda: self._bodies.complete_bytes,
+        )
+        gauge(
+            "relay_idle_callers",
+            "Open connections from callers without a request.",
+            lambda: self._caller_limit.idle_count,
+        )
+        gauge(
+            "relay_receiving_callers",
+            "Open connections from callers whose request has not arrived completely.",
+            lambda: self._caller_limit.receiving_count,
+        )
+        gauge(
+            "relay_callers_closed",
+            "Connections from callers that were closed to make room for others.",
+            lambda: self._caller_limit.closed_count,
+        )
+        gauge("relay_open_descriptors", "Open descriptors of the process.", open_descriptors)
         gauge("relay_members", "Known VMs, this one included.", lambda: self._election.member_count)
         gauge(
             "relay_followers_of_other_builds",
@@ -436,7 +472,11 @@
 
     async def _serve_metrics_connection(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(
-            stream, CallerLimits, self._handle_metrics_request, lambda: True
+            stream,
+            lambda: METRICS_LIMITS,
+            self._handle_metrics_request,
+            lambda: True,
+            connections=self._metrics_limit,
         )
         try:
             await connection.serve()
@@ -538,7 +578,12 @@
 
     async def _serve_caller(self, stream: trio.SocketStream) -> None:
         caller = CallerConnection(
-            stream, self._limits, self._handler.handle, lambda: self._stopping
+            stream,
+            self._limits,
+            self._handler.handle,
+            lambda: self._stopping,
+            self._bodies,
+            self._caller_limit,
         )
         self._callers.add(caller)
         try:
@@ -564,7 +609,8 @@
         await trio.serve_tcp(self._serve_readiness_request, address.port, host=address.host)
 
     async def _serve_readiness_request(self, stream: trio.SocketStream) -> None:
-        with trio.move_on_after(READINESS_REQUEST_TIMEOUT):
+        with trio.move_on_after(READINESS_REQUEST_TIMEOUT) as scope:
+            connection = self._readiness_limit.add(close=scope.cancel)
             try:
                 request_head = b""
                 while b"\r\n\r\n" not in request_head:
@@ -578,6 +624,8 @@
                 )
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return
+            finally:
+                connection.remove()
 
 
 def run_relay(
--- a/camphordrift/relay/connections/__init__.py
+++ b/camphordrift/relay/connections/__init__.py
@@ -4,6 +4,7 @@
 :mod:`camphordrift.relay.model`.
 """
 
+from camphordrift.relay.connections._body_budget import BodyBudget
 from camphordrift.relay.connections._byte_stream import (
     READ_SIZE,
     ByteStream,
@@ -13,6 +14,7 @@
     connect,
     enable_dead_peer_detection,
 )
+from camphordrift.relay.connections._connection_limit import ConnectionLimit
 from camphordrift.relay.connections._events import (
     EventSplitter,
     EventTooLongError,
@@ -37,10 +39,12 @@
 
 __all__ = [
     "BACKEND_CONNECT_TIMEOUT",
+    "BodyBudget",
     "BrokenAnswerError",
     "ByteStream",
     "CallerConnection",
     "CallerRequest",
+    "ConnectionLimit",
     "ConnectionPool",
     "EventSplitter",
     "EventTooLongError",
--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -7,13 +7,15 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Optional
+from typing import Optional, Union
 
 import h11
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay.connections._byte_stream import READ_SIZE, abort, enable_dead_peer_detection
+from camphordrift.relay.connections._body_budget import BodyBudget, BodyBudgetError, HeldBody
+from camphordrift.relay.connections._byte_stream import abort, enable_dead_peer_detection
+from camphordrift.relay.connections._connection_limit import ConnectionLimit
 from camphordrift.relay.connections._parsing_pace import ParsingPace
 from camphordrift.relay.model import CallerLimits, Headers
 
@@ -33,6 +35,10 @@
 #: the connection, and the caller might not receive the error response.
 REFUSAL_LINGER_TIMEOUT = 0.5
 
+#: Maximum number of bytes that are read at once from a caller. As much may be held for each
+#: connection beside what counts as a body.
+CALLER_READ_SIZE = 16384
+
 
 @dataclass(frozen=True)
 class CallerRequest:
@@ -138,7 +144,17 @@
 
 
 class CallerConnection:
-    """A connection from a caller; handles one request at a time."""
+    """A connection from a caller; handles one request at a time.
+
+    Args:
+        stream: The connection.
+        limits: Returns the limits in force.
+        handle: Handles a request.
+        close_after_response: Returns whether the connection ends with the next response.
+        bodies: Bounds what the bodies of all connections hold in memory.
+        connections: Bounds the number of connections.
+
+    """
 
     def __init__(
         self,
@@ -146,6 +162,8 @@
         limits: Callable[[], CallerLimits],
         handle: Handler,
         close_after_response: Callable[[], bool],
+        bodies: Optional[BodyBudget] = None,
+        connections: Optional[ConnectionLimit] = None,
     ) -> None:
         self._stream = stream
         self._limits = limits
@@ -160,6 +178,13 @@
         self._read_ahead_bytes = 0
         self._is_cut = False
         self._current_request: Optional[CallerRequest] = None
+        self._bodies = BodyBudget() if bodies is None else bodies
+        #: Cancelled to close the connection in favour of others.
+        self._scope = trio.CancelScope()
+        limit = ConnectionLimit() if connections is None else connections
+        self._open_connection = limit.add(close=self._scope.cancel)
+        #: Cancel scope of the request that is being received.
+        self._receive_scope = trio.CancelScope()
 
     @property
     def is_cut(self) -> bool:
@@ -175,11 +200,13 @@
         """Handles requests until one side closes the connection."""
         enable_dead_peer_detection(self._stream)
         try:
-            while await self._serve_request():
-                self._protocol.start_next_cycle()
+            with self._scope:
+                while await self._serve_request():
+                    self._protocol.start_next_cycle()
         except (trio.BrokenResourceError, trio.ClosedResourceError, CallerGoneError):
             pass
         finally:
+            self._open_connection.remove()
             is_incomplete = self._is_cut or self._response_in_progress()
             (abort(self._stream) if is_incomplete else self._stream.socket.close())
 
@@ -238,37 +265,52 @@
         return self._protocol.our_state is h11.SEND_BODY
 
     async def _serve_request(self) -> bool:
+        body = self._bodies.open(give_way=lambda: self._receive_scope.cancel())
         try:
-            request = await self._read_request()
-        except h11.RemoteProtocolError as error:
-            await self._send_error(error.error_status_hint or 400, str(error))
+            return await self._serve_request_with(body)
+        finally:
+            body.release()
+
+    async def _serve_request_with(self, body: HeldBody) -> bool:
+        self._open_connection.set_idle()
+        if not await self._wait_for_first_byte():
+            return False
+        self._open_connection.set_receiving()
+        request = await self._read_request(body)
+        if isinstance(request, _Refusal):
+            body.release()
+            await self._send_error(request)
             return False
         if request is None:
             return False
+        self._open_connection.set_busy()
         self._current_request = request
         response = ResponseWriter(self, request.method)
-        await self._handle_until_disconnect(request, response)
+        await self._handle_until_disconnect(request, response, body)
         self._current_request = None
         if not response.completed:
             return False
         return self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE
 
     async def _handle_until_disconnect(
-        self, request: CallerRequest, response: ResponseWriter
+        self, request: CallerRequest, response: ResponseWriter, body: HeldBody
     ) -> None:
         async with trio.open_nursery() as nursery:
             self._request_scope = nursery.cancel_scope
-            nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
+            nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope, body)
             await self._handle(request, response)
             nursery.cancel_scope.cancel()
         self._request_scope = None
 
-    async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
-        """Cancels the request when the caller closes the connection."""
+    async def _cancel_on_disconnect(self, scope: trio.CancelScope, body: HeldBody) -> None:
+        """Cancels the request when the caller closes the connection.
+
+        Reads no further when the budget for bodies has no room for what it reads.
+        """
         self._read_ahead_bytes = 0
         while self._read_ahead_bytes < MAX_READ_AHEAD_BYTES:
             try:
-                data = await self._stream.receive_some(READ_SIZE)
+                data = await self._stream.receive_some(CALLER_READ_SIZE)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
@@ -276,16 +318,23 @@
                 return
             self._read_ahead_bytes += len(data)
             self._protocol.receive_data(data)
+            if not body.read_ahead(len(data)):
+                return
 
-    async def _read_request(self) -> Optional[CallerRequest]:
-        """Returns the next request; ``None`` at end of stream, on timeout or on shutdown."""
-        if not await self._wait_for_first_byte():
-            return None
+    async def _read_request(self, body: HeldBody) -> Union[CallerRequest, "_Refusal", None]:
+        """Returns a request whose first byte has arrived; ``None`` at end of stream."""
         limits = self._limits()
-        with trio.move_on_after(limits.header_timeout):
-            return await self._receive_request(limits)
-        await self._send_error(408, "the request was not received in time")
-        return None
+        # Exceptions end here, as their frames refer to data that was received.
+        try:
+            with trio.move_on_after(limits.header_timeout) as self._receive_scope:
+                return await self._receive_request(limits, body)
+        except h11.RemoteProtocolError as error:
+            return _Refusal(error.error_status_hint or 400, str(error))
+        except BodyBudgetError:
+            return _NO_BODY_MEMORY
+        if body.gave_way:
+            return _NO_BODY_MEMORY
+        return _Refusal(408, "the request was not received in time")
 
     async def _wait_for_first_byte(self) -> bool:
         """Returns whether a request began before the idle timeout."""
@@ -295,7 +344,7 @@
         # A new configuration may extend the timeout while the connection is idle.
         while (idle_until := idle_since + self._limits().idle_timeout) > trio.current_time():
             with trio.CancelScope(deadline=idle_until) as self._idle_scope:
-                data = await self._stream.receive_some(READ_SIZE)
+                data = await self._stream.receive_some(CALLER_READ_SIZE)
                 if not data:
                     return False
                 self._protocol.receive_data(data)
@@ -304,9 +353,10 @@
                 return False
         return False
 
-    async def _receive_request(self, limits: CallerLimits) -> Optional[CallerRequest]:
+    async def _receive_request(
+        self, limits: CallerLimits, body: HeldBody
+    ) -> Optional[CallerRequest]:
         head: Optional[h11.Request] = None
-        body = bytearray()
         while True:
             event = await self._next_event()
             match event:
@@ -321,22 +371,22 @@
                             "both Transfer-Encoding and Content-Length are present",
                             error_status_hint=400,
                         )
+                    _check_body_size(_announced_length(event.headers), limits)
                 case h11.Data():
-                    body += event.data
-                    if len(body) > limits.body_bytes:
-                        raise h11.RemoteProtocolError(
-                            "the request body is too large", error_status_hint=413
-                        )
+                    body.append(event.data)
+                    _check_body_size(body.size, limits)
                 case h11.EndOfMessage() if head is not None:
                     return CallerRequest(
                         bytes(head.method),
                         bytes(head.target),
                         list(head.headers),
-                        bytes(body),
+                        body.complete(),
                         trio.current_time(),
                     )
                 case _:
                     return None
+            # Not held until the next event has arrived.
+            del event
 
     async def _next_event(self) -> h11.Event:
         while True:
@@ -345,34 +395,75 @@
             if isinstance(event, h11.Event):
                 self._pace.record_event()
                 return event
-            self._check_head_size()
+            self._check_incomplete_event()
             if self._protocol.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 await self.write(self._protocol.send(continue_response) or b"")
-            self._protocol.receive_data(await self._stream.receive_some(READ_SIZE))
+            self._protocol.receive_data(await self._stream.receive_some(CALLER_READ_SIZE))
             self._pace.record_read()
 
-    def _check_head_size(self) -> None:
-        """Raises an error if an incomplete request line with headers exceeds the current limit."""
-        if self._protocol.their_state is not h11.IDLE:
-            return
-        if len(self._protocol.trailing_data[0]) > self._limits().header_bytes:
-            raise h11.RemoteProtocolError("the headers are too large", error_status_hint=431)
+    def _check_incomplete_event(self) -> None:
+        """Raises an error if what h11 holds back exceeds the current limit of a head.
 
-    async def _send_error(self, status: int, reason: str) -> None:
-        log_event("request_unreadable", level=LogLevel.WARNING, status=status, reason=reason)
+        It is an incomplete head, size line of a chunk or trailer, as parts of a body are never held
+        back.
+        """
+        if len(self._protocol.trailing_data[0]) > self._limits().header_bytes:
+            raise h11.RemoteProtocolError(
+                "the headers, a chunk's size line or the trailers are too large",
+                error_status_hint=431,
+            )
+
+    async def _send_error(self, refusal: "_Refusal") -> None:
+        log_event(
+            "request_unreadable",
+            level=LogLevel.WARNING,
+            status=refusal.status,
+            reason=refusal.reason,
+        )
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
-        response = h11.Response(status_code=status, headers=headers)
-        await self.write(self._protocol.send(response) or b"")
-        self._protocol.send(h11.EndOfMessage())
+        if refusal.retry_after is not None:
+            headers.append((b"retry-after", refusal.retry_after))
+        response = h11.Response(status_code=refusal.status, headers=headers)
+        encoded = self._protocol.send(response) or b""
+        # Drops what was received and not parsed.
+        self._protocol = h11.Connection(h11.SERVER)
+        await self.write(encoded)
         with trio.move_on_after(REFUSAL_LINGER_TIMEOUT):
             await self._stream.send_eof()
-            while await self._stream.receive_some(READ_SIZE):
+            while await self._stream.receive_some(CALLER_READ_SIZE):
                 pass
 
 
+@dataclass(frozen=True)
+class _Refusal:
+    """The response to a request that was not received completely, and so did not run."""
+
+    status: int
+    reason: str
+    #: Seconds after which the caller may try again.
+    retry_after: Optional[bytes] = None
+
+
+#: Refusal of a body for which there is no memory. Others end or give way by the time that it names.
+_NO_BODY_MEMORY = _Refusal(503, "the memory for request bodies is used up", b"1")
+
+
 def _has_ambiguous_length(headers: Headers) -> bool:
     names = [name for name, _ in headers]
     return b"transfer-encoding" in names and b"content-length" in names
+
+
+def _announced_length(headers: Headers) -> int:
+    """Returns the length of the body as the headers state it; 0 if they do not.
+
+    h11 has checked that it is a number.
+    """
+    return max((int(value) for name, value in headers if name == b"content-length"), default=0)
+
+
+def _check_body_size(size: int, limits: CallerLimits) -> None:
+    if size > limits.body_bytes:
+        raise h11.RemoteProtocolError("the request body is too large", error_status_hint=413)
--- /dev/null
+++ b/camphordrift/relay/tests/test_caller_bodies.py
@@ -0,0 +1,134 @@
+"""Tests of what a VM holds of the bodies of callers' requests."""
+
+import pytest
+import testtools
+import trio
+
+from camphordrift.relay.connections import BodyBudget, ByteStream, HttpConnection
+from camphordrift.relay.connections._http_client import MAX_JOINED_BODY_BYTES
+from camphordrift.relay.model import CallerLimits
+from camphordrift.relay.tests.relay_harness import (
+    RelayHarness,
+    plain_success,
+    read_response,
+    request_bytes,
+    run_scenario,
+)
+from camphordrift.relay.tests.samples import ScriptedServer, attempt_id_of
+
+#: A length far over the limit of a body.
+FAR_OVER_LIMIT = 100 * CallerLimits().body_bytes
+
+
+class _WrittenStream(ByteStream):
+    """A connection that keeps what is written."""
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+
+    async def send_all(self, data: bytes) -> None:
+        await trio.lowlevel.checkpoint()
+        self.written.append(data)
+
+
+class ForwardedBodyTest(testtools.TestCase):
+    """Guards against requests that hold a copy of their body while they are in progress."""
+
+    def send(self, body: bytes) -> list[bytes]:
+        async def main() -> list[bytes]:
+            stream = _WrittenStream()
+            connection = HttpConnection(stream)
+            headers = [(b"host", b"a"), (b"content-length", b"%d" % len(body))]
+            await connection.send(connection.encode(b"POST", b"/", headers, body))
+            return stream.written
+
+        return trio.run(main)
+
+    def test_a_large_body_is_not_copied(self) -> None:
+        body = b"x" * (MAX_JOINED_BODY_BYTES + 1)
+        self.assertIs(body, self.send(body)[-1])
+
+    def test_a_small_body_is_sent_in_one_write(self) -> None:
+        for body in (b"", b"x" * MAX_JOINED_BODY_BYTES):
+            self.assertEqual(1, len(self.send(body)))
+
+
+@pytest.mark.sockets
+class AnnouncedLengthTest(testtools.TestCase):
+    """Guards against bodies that are read although their announced length is not permitted."""
+
+    def check(self, **headers: str) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            async with await relay.connect() as stream:
+                headers["content_length"] = str(FAR_OVER_LIMIT)
+                await stream.send_all(request_bytes("/quick/1", "a1", b"", **headers))
+                response = await read_response(stream)
+            self.assertEqual((413, True), (response.status, response.complete))
+            self.assertEqual([], servers[0].requests)
+
+        run_scenario(scenario, plain_success)
+
+    def test_refused_before_the_body(self) -> None:
+        self.check()
+
+    def test_refused_instead_of_100_continue(self) -> None:
+        self.check(expect="100-continue")
+
+
+@pytest.mark.sockets
+class IncompleteEventTest(testtools.TestCase):
+    """Guards against size lines of chunks and trailers of which any length is kept."""
+
+    def check(self, body: bytes) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            async with await relay.connect() as stream:
+                head = request_bytes("/quick/1", transfer_encoding="chunked")
+                await stream.send_all(head.replace(b"content-length: 0\r\n", b"") + body)
+                response = await read_response(stream)
+            self.assertEqual((431, True), (response.status, response.complete))
+            self.assertEqual([], servers[0].requests)
+
+        run_scenario(scenario, plain_success)
+
+    def test_size_line(self) -> None:
+        self.check(b"1;extension=" + b"x" * 2 * CallerLimits().header_bytes)
+
+    def test_trailers(self) -> None:
+        self.check(b"1\r\nx\r\n0\r\ntrailer: " + b"x" * 2 * CallerLimits().header_bytes)
+
+
+@pytest.mark.sockets
+class StalledBodiesTest(testtools.TestCase):
+    """Guards against unfinished bodies that keep others from being served."""
+
+    def test_a_stalled_body_is_refused_as_not_run_in_favour_of_a_later_one(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            size = CallerLimits().body_bytes
+            relay.process._bodies = BodyBudget(size * 1.5)
+            async with await relay.connect() as stalled:
+                await stalled.send_all(request_bytes("/book/1", "a1", content_length=str(size)))
+                await stalled.send_all(b"x" * (size - 1))
+                while relay.process._bodies.unfinished_bytes < size - 1:
+                    await trio.sleep(0.01)
+                response = await relay.send_request("/book/2", "a2", b"x" * (size // 2))
+                self.assertEqual(200, response.status)
+                refusal = await read_response(stalled)
+            self.assertEqual((503, "1"), (refusal.status, refusal.headers["retry-after"]))
+            self.assertEqual(["a2"], [attempt_id_of(item) for item in servers[0].requests])
+
+        run_scenario(scenario, plain_success, service="office")
+
+
+@pytest.mark.sockets
+class MetricsTest(testtools.TestCase):
+    """Guards against bodies at the metrics port, where no budget counts them."""
+
+    def test_a_request_with_a_body_is_refused(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            async with await trio.open_tcp_stream(relay.host, relay.metrics_port) as stream:
+                await stream.send_all(request_bytes("/metrics", content_length="1"))
+                response = await read_response(stream)
+            self.assertEqual((413, True), (response.status, response.complete))
+            self.assertIn("relay_unfinished_body_bytes", await relay.metrics_page())
+
+        run_scenario(scenario, plain_success)
--- a/camphordrift/relay/tests/test_chunked_requests.py
+++ b/camphordrift/relay/tests/test_chunked_requests.py
@@ -181,7 +181,7 @@
         pass
 
     connection = HttpConnection(_NoStream())  # type: ignore[arg-type]
-    data = connection.encode(method, b"/x", [(b"host", b"a"), *headers], body)
+    data = b"".join(connection.encode(method, b"/x", [(b"host", b"a"), *headers], body))
     server = h11.Connection(h11.SERVER)
     server.receive_data(data)
     head = server.next_event()
