--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,13 @@
 demo: setup
 	$(BIN)/python -m camphordrift demo
 
+# The crowds run one at a time, after all other tests.
 test: setup
 	$(BIN)/python -m black --check --quiet camphordrift
 	$(BIN)/python -m ruff check camphordrift
 	$(BIN)/python -m mypy camphordrift
-	$(BIN)/python -m pytest -n $(JOBS) -m "not processes"
+	$(BIN)/python -m pytest -n $(JOBS) -m "not processes and not crowds"
+	$(BIN)/python -m pytest -m crowds
 
 # Real processes under load and faults. Their verdict depends on the machine's speed, so they are
 # run by hand, on a machine that does nothing else.
--- a/camphordrift/platform/tests/test_crowds.py
+++ b/camphordrift/platform/tests/test_crowds.py
@@ -22,7 +22,7 @@
 from camphordrift.platform.soak._store import SoakStore
 from camphordrift.testing import HttpRequest, process_loopback_network, serve_requests
 
-pytestmark = pytest.mark.sockets
+pytestmark = pytest.mark.crowds
 
 #: Memory of the VM in megabytes, as of the smallest VMs.
 MEMORY_MB = 160
