Deliver a response that arrives just as its request is given up

A request whose complete response arrived in the same turn of the event loop in which it was cancelled, at its deadline or at the last refusal of a stopping VM, ended with a closed connection and not one byte, though its server had run it. Cause: ResponseWriter.start() marked the response as started before the first write, which the cancellation then ended, so the handler took it for truncated and refused nothing.

--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -103,6 +103,8 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Sets status and headers; they are sent together with the first part of the body."""
+        # As long as nothing was sent, a request that is cancelled can be answered otherwise.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self._started = True
         self.status = status
         self._buffered = self._connection.encode_head(status, headers)
--- a/camphordrift/relay/requests/_request_handler.py
+++ b/camphordrift/relay/requests/_request_handler.py
@@ -173,6 +173,10 @@
     async def _finish(self, progress: RequestProgress, refusal: Optional[Failure]) -> None:
         """Records the response, and refuses the request if there is none."""
         request, response, metadata = progress.request, progress.response, progress.metadata
+        match progress.last_result:
+            case Answered(status, headers, body) if status < 500 and not response.started:
+                # It arrived as the request was cancelled.
+                await response.send_complete(status, headers, body)
         if response.completed:
             self._reports.record_completed(progress)
         elif response.started:
