Make the last refusal of a stopping VM however late it wakes up

The loop of the drain asked first whether the time to exit had come, and the refusal was made only inside it, 0.25 s before. The test failed before: the call was answered by its own deadline only (504 instead of 502).

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -90,6 +90,9 @@
 #: decisions depend on time alone, such as refusals of requests that cannot meet their deadline.
 DECISION_INTERVAL = 0.1
 
+#: Seconds within which the last refusals of a stopping VM are written.
+REFUSAL_TIME = 0.1
+
 #: Age of the configuration in seconds at which a VM starts to report that it is not ready.
 MAX_READY_CONFIGURATION_AGE = 3.5
 
@@ -551,13 +554,18 @@
         self._handler.refuse_late(exit_at)
         await trio.sleep_until(signalled_at + schedule.deregistration)
         self._accept_scope.cancel()
-        while (self._callers or self._tunnels.count) and trio.current_time() < exit_at:
-            if trio.current_time() >= signalled_at + schedule.last_refusal:
-                self._handler.refuse_unstarted()
-            self._close_idle_callers()
-            await trio.sleep(DECISION_INTERVAL)
+        await self._wait_for_callers(signalled_at + schedule.last_refusal)
+        self._handler.refuse_unstarted()
+        # The last refusals are written even if the VM woke up late.
+        await self._wait_for_callers(max(exit_at, trio.current_time() + REFUSAL_TIME))
         self._handler.record_exit(signalled_at)
 
+    async def _wait_for_callers(self, until: float) -> None:
+        """Closes idle connections until a time, or until no caller and no tunnel is left."""
+        while (self._callers or self._tunnels.count) and trio.current_time() < until:
+            self._close_idle_callers()
+            await trio.sleep(min(DECISION_INTERVAL, max(0.0, until - trio.current_time())))
+
     def _close_idle_callers(self) -> None:
         for caller in list(self._callers):
             caller.close_if_idle()
--- a/camphordrift/relay/tests/test_shutdown.py
+++ b/camphordrift/relay/tests/test_shutdown.py
@@ -147,6 +147,22 @@
 
         run_scenario(scenario, never_ends)
 
+    def test_a_vm_that_wakes_up_late_still_refuses_before_it_exits(self) -> None:
+        """Guards against requests without a response after a pause around the last refusal."""
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            caller = await relay.connect()
+            await caller.send_all(request_bytes("/book/x"))
+            while not servers[0].requests:
+                await trio.sleep(0.01)
+            # The time to exit has passed when the VM wakes up for the first time.
+            self.use_schedule(StopSchedule(0.0, 0.0, 0.0, 0.0))
+            await relay.process._drain()
+            response = await read_response(caller)
+            self.assertEqual((502, True), (response.status, response.complete))
+
+        run_scenario(scenario, never_responds, service="office")
+
     def test_the_next_request_of_a_connection_that_was_busy_is_refused(self) -> None:
         """Guards against a stream that is cut as its connection did not announce the stop."""
         ended = trio.Event()
