A message of another VM that cannot be handled ends neither the process nor its link

Cause: _serve_follower() expects LinkBrokenError alone, so that an exception in the handling of a decoded message leaves the link's task and ends the process. Times could be NaN.

Evidence, on the code before: test_odd_messages.py, new: test_any_bytes_of_a_follower and test_the_vm_and_its_other_links_go_on ("IndexError: tuple index out of range"), three more of UnexpectedMessageTest.

An exception in the handling of a message is logged (message_failed, once for each link and kind), and the next message is handled; what fails on a follower's link besides closes that link alone. Times in messages cannot be NaN. The three messages are handled. A link causes at most 64 lines about kinds. What builds send each other is the same as before (test_wire_compatibility.py).

--- a/camphordrift/relay/crashes/_crash_evidence.py
+++ b/camphordrift/relay/crashes/_crash_evidence.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from camphordrift.relay.model import Seconds
+
 
 class ServerCrash(msgspec.Struct, frozen=True, rename={"server": "engine", "traits": "parts"}):
     """A server that ended its connections while responses were not established on it."""
@@ -18,7 +20,7 @@
     #: Traits of these responses' requests.
     traits: tuple[str, ...]
     #: Seconds since the crash.
-    age: float
+    age: Seconds
     #: Id of the VM that recorded the crash first.
     vm: str
 
@@ -28,7 +30,7 @@
 
     trait: str
     #: Seconds since the latest such response.
-    age: float
+    age: Seconds
 
 
 class QuarantinedTraits(msgspec.Struct, frozen=True, rename={"traits": "parts"}):
@@ -37,7 +39,7 @@
     #: In alphabetical order. There are several if they could not be told apart.
     traits: tuple[str, ...]
     #: Seconds since the beginning of the quarantine.
-    age: float
+    age: Seconds
 
 
 class CrashEvidence(msgspec.Struct, frozen=True):
--- a/camphordrift/relay/fleet/_leader_election.py
+++ b/camphordrift/relay/fleet/_leader_election.py
@@ -485,6 +485,13 @@
         )
 
     async def _serve_follower(self, stream: trio.SocketStream) -> None:
+        try:
+            await self._serve_follower_until_closed(stream)
+        except Exception as error:
+            # A fault on one link must not end the process.
+            log_event("follower_failed", level=LogLevel.ERROR, error=repr(error))
+
+    async def _serve_follower_until_closed(self, stream: trio.SocketStream) -> None:
         self._last_follower_id += 1
         session = FollowerSession(
             f"{self._last_follower_id}",
@@ -513,19 +520,19 @@
                     tunnel = first
                     nursery.cancel_scope.cancel()
                 else:
-                    session.handle(first)
+                    link.handle(first, session.handle)
                     await link.read_messages(session.handle)
             if tunnel is not None:
                 await self._tunnels.serve(stream, link, tunnel)
         except* LinkBrokenError:
             pass
         finally:
+            stream.socket.close()
             if session.member is not None:
                 self._last_seen[session.member.vm] = trio.current_time()
             self._updates.remove_follower(link)
             self._links.remove(link)
             self._scheduler.remove_owner(session.follower_id)
-            stream.socket.close()
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/model/__init__.py
+++ b/camphordrift/relay/model/__init__.py
@@ -18,6 +18,7 @@
     Reservation,
     StoreError,
 )
+from camphordrift.relay.model._numbers import Rate, Seconds
 from camphordrift.relay.model._settings import Address, RelaySettings, RetryBudgetSettings
 from camphordrift.relay.model._tolerant_enum import TolerantEnum
 from camphordrift.relay.model._values import (
@@ -59,6 +60,7 @@
     "OrderFormat",
     "PrefillHelper",
     "RelaySettings",
+    "Rate",
     "ReportFormat",
     "RequestMetadata",
     "Reservation",
@@ -66,6 +68,7 @@
     "RetryBudgetSettings",
     "Route",
     "RunRule",
+    "Seconds",
     "ServerState",
     "Service",
     "ServiceShare",
--- a/camphordrift/relay/peers/_message_kinds.py
+++ b/camphordrift/relay/peers/_message_kinds.py
@@ -69,6 +69,10 @@
 ABILITIES: frozenset[str] = frozenset()
 
 
+#: Maximum number of lines about kinds of messages that one link causes.
+MAX_LOGGED_KINDS = 64
+
+
 class _Envelope(msgspec.Struct):
     """The part of a message that is the same for all kinds."""
 
@@ -160,7 +164,13 @@
         """Records a message of the other VM whose kind this VM does not understand."""
         self._log_once("message_kind_unknown", kind)
 
-    def _log_once(self, event: str, kind: str) -> None:
-        if (event, kind) not in self._logged:
+    def record_failed(self, kind: str, error: Exception) -> None:
+        """Records a message that could not be handled."""
+        self._log_once("message_failed", kind, LogLevel.ERROR, error=repr(error))
+
+    def _log_once(
+        self, event: str, kind: str, level: LogLevel = LogLevel.WARNING, **fields: str
+    ) -> None:
+        if (event, kind) not in self._logged and len(self._logged) < MAX_LOGGED_KINDS:
             self._logged.add((event, kind))
-            log_event(event, level=LogLevel.WARNING, kind=kind, peer=self._peer)
+            log_event(event, level=level, kind=kind, peer=self._peer, **fields)
--- a/camphordrift/relay/peers/_message_link.py
+++ b/camphordrift/relay/peers/_message_link.py
@@ -159,6 +159,16 @@
             await self._receive_some()
         return message
 
+    def handle(self, message: Message, handle: Callable[[Message], None]) -> None:
+        """Passes a message to ``handle``; an exception ends neither the link nor the process.
+
+        The messages that follow may be sound, and other VMs depend on this one.
+        """
+        try:
+            handle(message)
+        except Exception as error:
+            self._peer_kinds.record_failed(kind_of(type(message)), error)
+
     async def read_messages(self, handle: Callable[[Message], None]) -> None:
         """Passes messages to ``handle`` until the connection breaks or times out.
 
@@ -168,7 +178,7 @@
         """
         while True:
             while (message := self._decode_next()) is not None:
-                handle(message)
+                self.handle(message, handle)
             with trio.move_on_after(self._idle_timeout) as scope:
                 await self._receive_some()
             if scope.cancelled_caught:
--- a/camphordrift/relay/peers/_peer_messages.py
+++ b/camphordrift/relay/peers/_peer_messages.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from camphordrift.relay.crashes import CrashEvidence
-from camphordrift.relay.model import Address, TolerantEnum
+from camphordrift.relay.model import Address, Seconds, TolerantEnum
 from camphordrift.relay.peers._message_kinds import (
     ABILITIES,
     BASE_KINDS,
@@ -111,7 +111,7 @@
     #: Id of the placement request.
     ask_id: str
     #: The gap in seconds.
-    pause: float
+    pause: Seconds
 
 
 class Finished(msgspec.Struct, frozen=True, tag=True):
@@ -234,7 +234,7 @@
     #: Ids of the servers that may get the request.
     server_ids: tuple[str, ...]
     #: Maximum number of seconds until it may be sent.
-    max_delay: float
+    max_delay: Seconds
 
 
 class PermitResponse(msgspec.Struct, frozen=True, tag=True):
@@ -262,7 +262,7 @@
 
     server: Address
     #: Seconds within which the connection to the server must be established.
-    timeout: float
+    timeout: Seconds
 
 
 class TunnelOpened(msgspec.Struct, frozen=True, tag=True):
@@ -314,7 +314,7 @@
     #: Era of the store, as far as the sender knows; 0 if it knows none.
     era: int = 0
     #: Seconds since the restore that began this era was noticed; ``None`` if it was not.
-    restore_age: Optional[float] = None
+    restore_age: Optional[Seconds] = None
 
 
 class Pong(msgspec.Struct, frozen=True, tag=True):
@@ -329,15 +329,15 @@
     #: Version of the leader's configuration; 0 while it has none.
     version: int
     #: Seconds since the leader sent the read that last confirmed its configuration.
-    configuration_age: float
+    configuration_age: Seconds
     #: Age of the leader's backend server directory in seconds.
-    servers_age: float
+    servers_age: Seconds
     #: Seconds since the leader last read the configuration; ``None`` if all reads confirm it.
-    configuration_read_age: Optional[float] = None
+    configuration_read_age: Optional[Seconds] = None
     #: Era of the store, as far as the leader knows; 0 if it knows none.
     era: int = 0
     #: Seconds since the restore that began this era was noticed; ``None`` if it was not.
-    restore_age: Optional[float] = None
+    restore_age: Optional[Seconds] = None
     #: Number of VMs that the leader knows to run, itself included. A follower need not know all.
     vm_count: int = 1
     #: One of the leader's followers, each time another one, without its newer kinds.
--- a/camphordrift/relay/scheduling/_cold_servers.py
+++ b/camphordrift/relay/scheduling/_cold_servers.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Optional
 
-from camphordrift.relay.model import BackendServer, Service
+from camphordrift.relay.model import BackendServer, Seconds, Service
 from camphordrift.relay.servers import ServerStart, is_obsolete, start_of
 
 #: Seconds by which the end of a cold period must move to be worth a message. Entries and responses
@@ -34,9 +34,9 @@
     #: Service of the server.
     service: str
     #: Seconds for which the server stays cold; 0 if it is warm.
-    left: float
+    left: Seconds
     #: Seconds since this was observed.
-    age: float
+    age: Seconds
 
 
 @dataclass(frozen=True)
--- a/camphordrift/relay/scheduling/_engine_pool.py
+++ b/camphordrift/relay/scheduling/_engine_pool.py
@@ -174,7 +174,8 @@
             return
         part_seconds = self._costs.prefill_time(request.prompt_tokens) / (1 + len(grant.helpers))
         primary_memory = required_memory(request) - sum(grant.helper_memory)
-        memory = (primary_memory, *grant.helper_memory)[: len(engines)]
+        missing = (0,) * (len(grant.helpers) - len(grant.helper_memory))
+        memory = (primary_memory, *grant.helper_memory, *missing)[: len(engines)]
         plan = Plan(engines, part_seconds, grant.first_event, memory)
         self._add_placement(request, plan, request.objective, now, is_running=not is_prefilling)
         if not is_prefilling:
--- a/camphordrift/relay/scheduling/_placement_values.py
+++ b/camphordrift/relay/scheduling/_placement_values.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Optional, Union
 
-from camphordrift.relay.model import BackendServer, TolerantEnum
+from camphordrift.relay.model import BackendServer, Seconds, TolerantEnum
 from camphordrift.relay.servers import ServerPause
 
 
@@ -25,11 +25,11 @@
     #: Expected length of the output.
     answer_tokens: int
     #: Target time to the first event.
-    objective: float
+    objective: Seconds
     #: Maximum gap between events that still meets the target.
-    pause: float
+    pause: Seconds
     #: Time until the deadline of the complete response.
-    time_left: float
+    time_left: Seconds
     #: 0 is the highest priority.
     priority: int
     #: Ids of engines that must not be chosen.
@@ -45,7 +45,7 @@
     #: Engines that want no requests from the VM for now.
     server_pauses: tuple[ServerPause, ...] = ()
     #: Time after which the caller leaves unless it has got an event; not more than is left.
-    patience: float = float("inf")
+    patience: Seconds = float("inf")
     #: Name of the client account; empty if there are none, or if the VM does not tell it.
     account: str = ""
 
@@ -63,7 +63,7 @@
     #: Tokens of KV memory to reserve on each helper; 0 where the primary engine stores the part.
     helper_memory: tuple[int, ...]
     #: Expected seconds from the placement to the first event.
-    first_event: float
+    first_event: Seconds
 
 
 class RefusalReason(TolerantEnum):
@@ -94,11 +94,11 @@
     ask_id: str
     reason: RefusalReason
     #: Seconds after which an engine may be free; ``None`` if a retry cannot succeed.
-    retry_after: Optional[float]
+    retry_after: Optional[Seconds]
     #: Seconds to the deadline, or until the caller leaves; set only if that caused the refusal.
-    time_left: Optional[float] = None
+    time_left: Optional[Seconds] = None
     #: Minimum number of seconds that the request needs; set together with ``time_left``.
-    time_needed: Optional[float] = None
+    time_needed: Optional[Seconds] = None
 
 
 PlacementDecision = Union[Grant, PlacementRefusal]
--- a/camphordrift/relay/scheduling/_request_limits.py
+++ b/camphordrift/relay/scheduling/_request_limits.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Optional
 
-from camphordrift.relay.model import BackendServer
+from camphordrift.relay.model import BackendServer, Rate, Seconds
 from camphordrift.relay.scheduling._cold_servers import ColdBound, ColdServers
 from camphordrift.relay.scheduling._settled_share import SettledShare
 from camphordrift.relay.servers import ServerStart, is_obsolete, start_of, unlisted_since
@@ -46,9 +46,9 @@
 
     start: ServerStart
     #: Requests per second from all VMs together; ``None`` if the limit has ended.
-    rate: Optional[float]
+    rate: Optional[Rate]
     #: Seconds since a response showed it.
-    age: float
+    age: Seconds
 
 
 @dataclass(frozen=True)
@@ -58,7 +58,7 @@
     #: Id of the server; ``None`` if no server takes the request in time.
     server_id: Optional[str]
     #: Seconds until the request may be sent, or until a caller that is refused may return.
-    delay: float
+    delay: Seconds
 
 
 @dataclass
@@ -239,11 +239,14 @@
             key: max((self._wait_time(limit, now) for limit in limits[key]), default=0.0)
             for key in server_ids
         }
-        first = min(server_ids, key=waits.__getitem__)
+        first = min(server_ids, key=waits.__getitem__, default=None)
+        if first is None:
+            return Permit(None, UNKNOWN_WAIT)
         if waits[first] <= max_delay:
             self.take_by_id(first, now)
             return Permit(first, waits[first])
-        rate = sum(min(map(_rate_of, limits[key])) for key in server_ids) * self._share()
+        rates = (min(map(_rate_of, limits[key]), default=0.0) for key in server_ids)
+        rate = sum(rates) * self._share()
         return Permit(None, self._promise(service, rate, waits[first], now))
 
     def promise(self, servers: Sequence[BackendServer], wait: float, now: float) -> float:
--- a/camphordrift/relay/servers/_server_notices.py
+++ b/camphordrift/relay/servers/_server_notices.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import Optional
 
-from camphordrift.relay.model import BackendServer, ServerState
+from camphordrift.relay.model import BackendServer, Seconds, ServerState
 
 #: Seconds for which a notice is kept after the directory has stopped to list the server. A store
 #: that is restored from an older copy lists servers again that were removed some seconds before.
@@ -32,7 +32,7 @@
 
     start: ServerStart
     #: Remaining seconds.
-    seconds: float
+    seconds: Seconds
 
 
 def start_of(server: BackendServer) -> ServerStart:
