A failure of the store that a follower saw counts until its leader has read the store since

Cause: ConfigurationWatcher.store_reachable was the result of the VM's last own read. A follower makes none while its leader reads, so that a failure stood for as long as the leader did. When the leader then loses the store, the follower's list of servers may be too old before its configuration is; ServersWatcher records a failure of the store in that time without reading it, and keeps servers that disappear for 3 s.

The failure now counts until the leader has read the store after it; a follower that then needs the servers reads them itself and finds out.

--- a/camphordrift/relay/store/_configuration_watcher.py
+++ b/camphordrift/relay/store/_configuration_watcher.py
@@ -148,6 +148,10 @@
         self._stored_version = 0
         self._newer_expected = trio.Event()
         self._last_read_at = float("-inf")
+        #: End of this VM's last read that failed, and start of the leader's last read, in seconds
+        #: of :func:`boot_time_clock`.
+        self._failed_at = float("-inf")
+        self._leader_read_at = float("-inf")
         #: Whether this VM has a leader that sends it updates.
         self.has_leader = False
         #: Requests the document from the leader, while this VM cannot reach the store.
@@ -161,8 +165,12 @@
 
     @property
     def store_reachable(self) -> bool:
-        """Whether the last read of the configuration from the store succeeded."""
-        return self._topic.reachable
+        """Whether this VM presumably reaches the store.
+
+        It does if its last read of the configuration succeeded. A VM whose leader reads the store
+        makes no reads, so that its last failure says nothing once the leader has read the store.
+        """
+        return self._topic.reachable or self._leader_read_at > self._failed_at
 
     def own_read_age(self, now: float) -> float:
         """Returns the seconds since this VM itself last read the configuration from the store."""
@@ -206,6 +214,7 @@
             try:
                 batch, is_snapshot = await self._topic.next_batch(self._poll_timeout(read_started))
             except StoreError:
+                self._failed_at = boot_time_clock()
                 self._request_expected()
                 await self._topic.back_off(self.has_leader)
                 continue
@@ -370,6 +379,7 @@
             confirmed_read_started: Start of its last read that confirmed the configuration.
 
         """
+        self._leader_read_at = max(self._leader_read_at, read_started)
         self._lease.record_read(read_started)
         self._lease.confirm(confirmed_read_started)
 
