The route of a path of slashes is found without looking up each of its beginnings

Callers would see all requests of a VM stand still: a request with a path of 16 KB of slashes takes 66 ms of the event loop, one of 64 KB 875 ms (found by measuring inputs; not played over sockets).

Cause: find_route() looks up each beginning of the path that ends at a slash, the longest first, and each lookup copies and hashes it, so that the time grows with the square of the length.

Evidence, on the code before: RoutingTableTest.test_a_path_of_slashes_is_not_looked_up_for_each_of_them: 60000 lookups.

No route has a prefix that is longer than the longest one of its host, so the lookup begins there. A property-based test compares the found route with the longest matching prefix.

--- a/camphordrift/relay/store/_routing_table.py
+++ b/camphordrift/relay/store/_routing_table.py
@@ -11,8 +11,12 @@
     def __init__(self, configuration: Configuration) -> None:
         self._configuration = configuration
         self._routes: dict[str, dict[str, Route]] = {}
+        #: Length of the longest prefix of each host.
+        self._longest_prefix: dict[str, int] = {}
         for route in configuration.routes:
-            self._routes.setdefault(route.host.lower(), {})[route.path_prefix] = route
+            host, prefix = route.host.lower(), route.path_prefix
+            self._routes.setdefault(host, {})[prefix] = route
+            self._longest_prefix[host] = max(len(prefix), self._longest_prefix.get(host, 0))
 
     @property
     def configuration(self) -> Configuration:
@@ -27,11 +31,13 @@
             path: Path of the request, with or without a query.
 
         """
-        routes = self._routes.get(_host_name(host))
+        host_name = _host_name(host)
+        routes = self._routes.get(host_name)
         if not routes:
             return None
         path = path.partition("?")[0]
-        end = len(path)
+        # A path may have thousands of slashes, and each lookup costs time in proportion to its key.
+        end = min(len(path), self._longest_prefix[host_name])
         while (end := path.rfind("/", 0, end)) >= 0:
             if route := routes.get(path[: end + 1]):
                 return route
--- a/camphordrift/relay/tests/test_components.py
+++ b/camphordrift/relay/tests/test_components.py
@@ -1,13 +1,13 @@
 """Tests of single components of the relay, without sockets."""
 
 import dataclasses
-from typing import cast
+from typing import Any, cast
 
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from camphordrift.relay import RetryBudgetSettings, ServerState, ServiceShare
+from camphordrift.relay import RetryBudgetSettings, Route, ServerState, ServiceShare
 from camphordrift.relay.connections._events import MAX_EVENT_ID, EventSplitter, StreamEvent
 from camphordrift.relay.connections._http_server import ResponseWriter
 from camphordrift.relay.requests._caller_sink import CallerStream
@@ -46,6 +46,35 @@
     def test_unknown_host_has_no_route(self) -> None:
         self.assertIsNone(self.table.find_route("b.example", "/quick/x"))
 
+    def test_a_path_of_slashes_is_not_looked_up_for_each_of_them(self) -> None:
+        # Guards against a request that occupies the event loop, as each lookup copies the path.
+        lookups: list[str] = []
+
+        class CountedRoutes(dict[str, Route]):
+            def get(self, key: str, default: Any = None) -> Any:
+                lookups.append(key)
+                return super().get(key, default)
+
+        routes = self.table._routes
+        self.table._routes["a.example"] = CountedRoutes(routes["a.example"])
+        self.assertIsNone(self.table.find_route("a.example", "/" * 60_000))
+        self.assertTrue(len(lookups) <= len("/quick/deep/"), len(lookups))
+
+    @settings(derandomize=True)
+    @given(
+        st.lists(st.text("/ab", max_size=6).map(lambda text: f"/{text}/"), max_size=6),
+        st.text("/ab?", max_size=20),
+    )
+    def test_the_route_is_that_of_the_longest_prefix(self, prefixes: list[str], path: str) -> None:
+        routes = tuple(
+            dataclasses.replace(STREAM, name=prefix, path_prefix=prefix) for prefix in prefixes
+        )
+        table = RoutingTable(dataclasses.replace(CONFIGURATION, routes=routes))
+        found = table.find_route("a.example", path)
+        matching = [prefix for prefix in prefixes if path.partition("?")[0].startswith(prefix)]
+        longest = max(matching, key=len, default=None)
+        self.assertEqual(longest, None if found is None else found.name)
+
     def _name(self, host: str, path: str) -> str:
         route = self.table.find_route(host, path)
         assert route is not None
