A fault in the handling of one record or report concerns that one; nested settings open no socket

Entries, configurations, records of VMs and reports of engines were passed over only if their parser raised ValueError. Any other exception, a fault of the parser, left the task that reads the others, and ended the process; with a record on the store, so did it again after the restart (as an unusable address and a nested document did before). Settings nested 100,000 deep ended the program with RecursionError before they were checked.

Each of the four places now catches what one record or report raises, logs it as before with the exception's type, and goes on with the next one.

--- a/camphordrift/platform/_caller_socket.py
+++ b/camphordrift/platform/_caller_socket.py
@@ -28,7 +28,7 @@
         settings = json.loads(Path(os.environ[SETTINGS_PATH_VARIABLE]).read_bytes())
         host, _, port = settings["Listen"]["Front"].rpartition(":")
         listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    except (OSError, ValueError, KeyError, TypeError, AttributeError):
+    except (OSError, ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return None
     try:
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/camphordrift/platform/tests/test_start.py
+++ b/camphordrift/platform/tests/test_start.py
@@ -2,6 +2,7 @@
 
 import gc
 import json
+import os
 import socket
 import tempfile
 from pathlib import Path
@@ -91,6 +92,13 @@
             self.write_settings(content)
             self.assertIs(None, open_caller_socket(), str(content))
 
+    def test_nested_settings_open_no_socket(self) -> None:
+        # Guards against a RecursionError, which ends the program before it says what is wrong.
+        self.write_settings({"Other": "nested"})
+        path = Path(os.environ[SETTINGS_PATH_VARIABLE])
+        path.write_text('{"Other":' + "[" * 100_000 + "]" * 100_000 + "}", encoding="utf-8")
+        self.assertIs(None, open_caller_socket())
+
     def test_an_address_in_use_opens_no_socket(self) -> None:
         self.write_settings({"Listen": {"Front": f"{self.host}:0"}})
         host, port = self.open_socket().getsockname()
--- a/camphordrift/relay/fleet/_leader_election.py
+++ b/camphordrift/relay/fleet/_leader_election.py
@@ -275,8 +275,9 @@
                 continue
             try:
                 self._add_member(decode_member(record.value))
-            except ValueError as error:
-                log_event("member_unreadable", vm=record.key, reason=str(error))
+            except Exception as error:
+                # Whatever is wrong with one record, the others hold.
+                log_event("member_unreadable", vm=record.key, reason=repr(error))
 
     def _add_member(self, member: Member) -> None:
         known = self._members.get(member.vm)
--- a/camphordrift/relay/requests/_engine_inspection.py
+++ b/camphordrift/relay/requests/_engine_inspection.py
@@ -6,7 +6,7 @@
 import trio
 
 from camphordrift.event_log import LogLevel, log_event
-from camphordrift.relay.connections import BrokenAnswerError, NoPathError, SmallRequest
+from camphordrift.relay.connections import NoPathError, SmallRequest
 from camphordrift.relay.model import BackendServer, EngineReport, ReportFormat
 from camphordrift.relay.requests._server_calls import ServerCalls, ServerUnreachableError
 from camphordrift.relay.scheduling import EngineScheduler
@@ -105,6 +105,7 @@
         except ServerUnreachableError as error:
             log_event("engine_unreachable", server=server.id, reason=str(error))
             return None
-        except (BrokenAnswerError, OSError, ValueError) as error:
-            log_event("engine_report_unreadable", server=server.id, reason=str(error))
+        except Exception as error:
+            # Whatever is wrong with one engine's report, the others are requested.
+            log_event("engine_report_unreadable", server=server.id, reason=repr(error))
             return None
--- a/camphordrift/relay/store/_configuration_watcher.py
+++ b/camphordrift/relay/store/_configuration_watcher.py
@@ -342,15 +342,17 @@
         """Returns a document's version; logs and returns ``None`` if it is unreadable."""
         try:
             return self._documents.configuration_version(document)
-        except ValueError as error:
-            log_event("configuration_unreadable", level=LogLevel.ERROR, reason=str(error))
+        except Exception as error:
+            # Whatever is wrong with it, the version in force holds, and the next one is read.
+            log_event("configuration_unreadable", level=LogLevel.ERROR, reason=repr(error))
             return None
 
     def _parse(self, document: bytes) -> Optional[Configuration]:
         try:
             return self._documents.configuration(document)
-        except ValueError as error:
-            log_event("configuration_unreadable", level=LogLevel.ERROR, reason=str(error))
+        except Exception as error:
+            # Whatever is wrong with it, the version in force holds, and the next one is read.
+            log_event("configuration_unreadable", level=LogLevel.ERROR, reason=repr(error))
             return None
 
     def _apply(self, configuration: Configuration, document: bytes, origin: str) -> None:
--- a/camphordrift/relay/store/_servers_watcher.py
+++ b/camphordrift/relay/store/_servers_watcher.py
@@ -173,8 +173,9 @@
             return self._directory.remove(record.key, record.offset, now, era)
         try:
             server = self._documents.server(record.key, record.value)
-        except ValueError as error:
-            log_event("server_entry_unreadable", server=record.key, reason=str(error))
+        except Exception as error:
+            # Whatever is wrong with one entry, the others hold.
+            log_event("server_entry_unreadable", server=record.key, reason=repr(error))
             return None
         if server.cold_left is not None:
             self._cold_entries[server.id] = server, (era, record.offset)
