--- a/camphordrift/relay/tests/test_odd_messages.py
+++ b/camphordrift/relay/tests/test_odd_messages.py
@@ -29,6 +29,7 @@
     message_decoder,
 )
 from camphordrift.relay.scheduling import Grant
+from camphordrift.relay.tests.memory_sockets import stream_pair
 from camphordrift.relay.tests.samples import (
     COSTS,
     InMemoryLog,
@@ -53,29 +54,6 @@
 ]
 
 
-class SocketStreamDouble:
-    """A stream in memory that is used like a socket."""
-
-    def __init__(self, stream: "trio.StapledStream[Any, Any]") -> None:
-        self._stream = stream
-        self.send_all, self.receive_some = stream.send_all, stream.receive_some
-        self.socket = self
-
-    def setsockopt(self, *args: object) -> None:
-        """Takes options of TCP."""
-
-    def close(self) -> None:
-        """Closes the stream."""
-        self._stream.send_stream.close()
-        self._stream.receive_stream.close()
-
-
-def stream_pair() -> tuple[trio.SocketStream, trio.abc.Stream]:
-    """Returns a stream for a VM and the one at its other end."""
-    near, far = trio.testing.memory_stream_pair()
-    return cast(trio.SocketStream, SocketStreamDouble(near)), far
-
-
 def framed(content: bytes) -> bytes:
     """Returns an encoded message with its length."""
     return len(content).to_bytes(4, "big") + content
