--- a/camphordrift/relay/fleet/_leader_election.py
+++ b/camphordrift/relay/fleet/_leader_election.py
@@ -278,8 +278,9 @@
                 continue
             try:
                 self._add_member(decode_member(record.value))
-            except ValueError as error:
-                log_event("member_unreadable", vm=record.key, reason=str(error))
+            except Exception as error:
+                # Whatever is wrong with one record, the others hold.
+                log_event("member_unreadable", vm=record.key, reason=repr(error))
 
     def _add_member(self, member: Member) -> None:
         known = self._members.get(member.vm)
@@ -488,6 +489,13 @@
         )
 
     async def _serve_follower(self, stream: trio.SocketStream) -> None:
+        try:
+            await self._serve_follower_until_closed(stream)
+        except Exception as error:
+            # A fault on one link must not end the process.
+            log_event("follower_failed", level=LogLevel.ERROR, error=repr(error))
+
+    async def _serve_follower_until_closed(self, stream: trio.SocketStream) -> None:
         self._last_follower_id += 1
         session = FollowerSession(
             f"{self._last_follower_id}",
@@ -520,7 +528,7 @@
                         tunnel = first
                         nursery.cancel_scope.cancel()
                     else:
-                        session.handle(first)
+                        link.handle(first, session.handle)
                         await link.read_messages(session.handle)
             if tunnel is not None:
                 await self._tunnels.serve(stream, link, tunnel)
@@ -528,12 +536,12 @@
             pass
         finally:
             connection.remove()
+            stream.socket.close()
             if session.member is not None:
                 self._last_seen[session.member.vm] = trio.current_time()
             self._updates.remove_follower(link)
             self._links.remove(link)
             self._scheduler.remove_owner(session.follower_id)
-            stream.socket.close()
 
 
 @dataclass(frozen=True)
