A budget for the responses that a VM buffers

Here each response has a limit, but their sum had none.

Cause: 4 MiB for each buffered response and 1 MiB for each unfinished event, times the requests in progress, on VMs that may have 160 MB.

Why it works: what is buffered counts against a BodyBudget, as bodies of requests do, from the first byte until the request has ended: an eighth of the VM's memory. When it is spent, the largest response whose end has not arrived is given up and its connection closed, so that an endless one blocks no other. Its attempt is broken, but not as ended by the server, and accuses no request. For streams only the unfinished event counts. A large complete response is written without a copy behind its head. A single response of any permitted size is still served.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -143,6 +143,7 @@
         self._caller_limit = ConnectionLimit(settings.max_callers, busy_weight=2)
         self._metrics_limit = ConnectionLimit(settings.max_probes)
         self._readiness_limit = ConnectionLimit(settings.max_probes)
+        self._responses = BodyBudget(settings.response_budget)
         self._directory = ServerDirectory()
         self._notices = ServerNotices()
         self._evacuations = ZoneEvacuations()
@@ -269,6 +270,7 @@
             adapters.headers,
             self._notice_distributor.observe,
             reports,
+            self._responses,
         )
         self._handler = RequestHandler(
             self._routing_state, Admission(self._routing_state), sender, adapters.headers, reports
@@ -377,6 +379,11 @@
             "Connections from callers that were closed to make room for others.",
             lambda: self._caller_limit.closed_count,
         )
+        gauge(
+            "relay_response_bytes",
+            "Bytes held of responses that are buffered, and of unfinished events of streams.",
+            lambda: self._responses.unfinished_bytes + self._responses.complete_bytes,
+        )
         gauge("relay_open_descriptors", "Open descriptors of the process.", open_descriptors)
         gauge("relay_members", "Known VMs, this one included.", lambda: self._election.member_count)
         gauge(
--- a/camphordrift/relay/connections/__init__.py
+++ b/camphordrift/relay/connections/__init__.py
@@ -4,7 +4,11 @@
 :mod:`camphordrift.relay.model`.
 """
 
-from camphordrift.relay.connections._body_budget import BodyBudget
+from camphordrift.relay.connections._body_budget import (
+    BodyBudget,
+    BodyBudgetError,
+    HeldBody,
+)
 from camphordrift.relay.connections._byte_stream import (
     READ_SIZE,
     ByteStream,
@@ -40,6 +44,7 @@
 __all__ = [
     "BACKEND_CONNECT_TIMEOUT",
     "BodyBudget",
+    "BodyBudgetError",
     "BrokenAnswerError",
     "ByteStream",
     "CallerConnection",
@@ -48,6 +53,7 @@
     "ConnectionPool",
     "EventSplitter",
     "EventTooLongError",
+    "HeldBody",
     "HttpConnection",
     "NoPathError",
     "PathBrokenError",
--- a/camphordrift/relay/connections/_body_budget.py
+++ b/camphordrift/relay/connections/_body_budget.py
@@ -1,4 +1,4 @@
-"""Bounds what the bodies of callers' requests hold in memory. Decisions only, no I/O."""
+"""Bounds what bodies of requests, or of responses, hold in memory. Decisions only, no I/O."""
 
 import math
 from collections.abc import Callable
@@ -16,7 +16,7 @@
 
 
 class HeldBody:
-    """The body of one request, from its first byte until the request has ended.
+    """The body of a request or response, from its first byte until the request has ended.
 
     Args:
         budget: The budget that it counts against.
@@ -54,6 +54,19 @@
         self._content += data
         self._grow(len(data))
 
+    def resize(self, size: int) -> None:
+        """Counts bytes that are kept elsewhere, in place of those counted before.
+
+        Raises:
+            BodyBudgetError: The body gave way.
+
+        """
+        if size > self._size and not self._gave_way:
+            self._budget.make_room(self, size - self._size)
+        self._check()
+        if size != self._size:
+            self._grow(size - self._size)
+
     def complete(self) -> bytes:
         """Returns the complete body, which counts until :meth:`release` and gives way no more.
 
@@ -86,7 +99,7 @@
 
     def _check(self) -> None:
         if self._gave_way:
-            raise BodyBudgetError("the memory for request bodies is used up")
+            raise BodyBudgetError("the memory for bodies is used up")
 
     def _grow(self, size: int) -> None:
         self._size += size
--- a/camphordrift/relay/connections/_events.py
+++ b/camphordrift/relay/connections/_events.py
@@ -43,6 +43,11 @@
         """Whether an incomplete event is buffered."""
         return bool(self._buffer)
 
+    @property
+    def partial_size(self) -> int:
+        """Number of bytes of the incomplete event that is buffered; 0 if there is none."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds received bytes and returns the events that they complete.
 
--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -25,6 +25,9 @@
 #: Maximum size of a request line and headers in bytes, whatever the configuration permits.
 MAX_HEAD_BYTES = 1 << 20
 
+#: Maximum size in bytes of a complete response that is sent in one write with its head.
+MAX_JOINED_RESPONSE_BYTES = 16384
+
 #: Statuses of responses that never have a body.
 NO_CONTENT, NOT_MODIFIED = 204, 304
 
@@ -83,6 +86,7 @@
         self._started = False
         self._completed = False
         self._buffered = b""
+        self._held: list[HeldBody] = []
         #: HTTP status of the response; 0 before it is known.
         self.status = 0
 
@@ -101,6 +105,16 @@
         """Whether a write ended early, so that nothing can be written any more."""
         return self._connection.is_cut
 
+    def hold(self, body: HeldBody) -> HeldBody:
+        """Makes the body of a server's response count until the request has ended."""
+        self._held.append(body)
+        return body
+
+    def release(self) -> None:
+        """Releases the bodies of servers' responses, as the request has ended."""
+        for body in self._held:
+            body.release()
+
     async def start(self, status: int, headers: Headers) -> None:
         """Sets status and headers; they are sent together with the first part of the body."""
         # As long as nothing was sent, a request that is cancelled can be answered otherwise.
@@ -133,7 +147,13 @@
             headers = [*headers, (b"content-length", b"%d" % len(body))]
         await self.start(status, headers)
         if body and may_have_body(self._method, status):
-            self._buffered += self._connection.encode_data(body)
+            if len(body) > MAX_JOINED_RESPONSE_BYTES:
+                # Written without a copy behind the head.
+                head, self._buffered = self._buffered, b""
+                await self._connection.write(head)
+                await self._connection.write(self._connection.encode_data(body))
+            else:
+                self._buffered += self._connection.encode_data(body)
         await self.end()
 
 
@@ -288,7 +308,10 @@
         self._open_connection.set_busy()
         self._current_request = request
         response = ResponseWriter(self, request.method)
-        await self._handle_until_disconnect(request, response, body)
+        try:
+            await self._handle_until_disconnect(request, response, body)
+        finally:
+            response.release()
         self._current_request = None
         if not response.completed:
             return False
--- a/camphordrift/relay/model/_settings.py
+++ b/camphordrift/relay/model/_settings.py
@@ -25,6 +25,9 @@
 NEW_PEER_SOCKET_SHARE = 1 / 16
 PROBE_SOCKET_SHARE = 1 / 32
 
+#: Share of a VM's memory that buffered responses of servers may use together.
+RESPONSE_MEMORY_SHARE = 1 / 8
+
 
 @dataclass(frozen=True)
 class Address:
@@ -89,6 +92,11 @@
         """Bytes that the bodies of all requests may have in memory together."""
         return self.memory_bytes * BODY_MEMORY_SHARE
 
+    @property
+    def response_budget(self) -> float:
+        """Bytes that the buffered responses of servers may have in memory together."""
+        return self.memory_bytes * RESPONSE_MEMORY_SHARE
+
     @property
     def max_callers(self) -> float:
         """Open connections from callers; one with a request in progress counts twice."""
--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -8,11 +8,14 @@
 import trio
 
 from camphordrift.relay.connections import (
+    BodyBudget,
+    BodyBudgetError,
     BrokenAnswerError,
     CallerRequest,
     ConnectionPool,
     EventSplitter,
     EventTooLongError,
+    HeldBody,
     HttpConnection,
     NoPathError,
     PathBrokenError,
@@ -27,8 +30,7 @@
     ResponseMetadata,
 )
 
-#: Maximum size in bytes of a response that is buffered until it is complete. A VM of 200 MB can
-#: buffer some dozens of these.
+#: Maximum size in bytes of a response that is buffered until it is complete.
 MAX_BUFFERED_RESPONSE_BYTES = 4 << 20
 
 #: Seconds for which an idle connection is reused if the server states no keep-alive timeout.
@@ -190,6 +192,9 @@
         connections: Connections to backend servers.
         header_format: Format of the headers.
         on_response: Called with status and metadata when the head of a response has arrived.
+        open_body: Opens the body of the response, which counts against the budget for responses
+            until the request has ended, and gets what to call if it must give way. Without it
+            the budget is unlimited.
 
     """
 
@@ -201,6 +206,7 @@
         connections: ConnectionPool,
         header_format: HeaderFormat,
         on_response: Callable[[int, ResponseMetadata], None],
+        open_body: Optional[Callable[[Callable[[], None]], HeldBody]] = None,
     ) -> None:
         self._request = request
         self._attempt_id = attempt_id
@@ -208,6 +214,7 @@
         self._connections = connections
         self._header_format = header_format
         self._on_response = on_response
+        self._open_body = BodyBudget().open if open_body is None else open_body
 
     async def run(
         self,
@@ -318,11 +325,25 @@
             return Broken("the response has no signature"), 0.0
         if success and metadata.attempt_id is None:
             return Broken("the response has no attempt id"), 0.0
-        if success and sink is not None:
-            result = await self._forward_events(connection, head, timer, event_timeout, sink)
-        else:
-            result = await self._receive_complete_response(connection, head, timer, event_timeout)
-        return result, idle_timeout
+        held = self._open_body(connection.close)
+        result: Optional[AttemptResult] = None
+        try:
+            if success and sink is not None:
+                result = await self._forward_events(
+                    connection, head, timer, event_timeout, sink, held
+                )
+            else:
+                result = await self._receive_complete_response(
+                    connection, head, timer, event_timeout, held
+                )
+            return result, idle_timeout
+        except (BodyBudgetError, BrokenAnswerError, OSError):
+            if not held.gave_way:
+                raise
+            return Broken("the memory for responses is used up"), 0.0
+        finally:
+            if not isinstance(result, Answered):
+                held.release()
 
     async def _discard_body(self, connection: HttpConnection) -> None:
         """Reads and drops the rest of a response, so that the connection can be reused."""
@@ -336,21 +357,22 @@
         head: h11.Response,
         timer: _SilenceTimer,
         event_timeout: float,
+        held: HeldBody,
     ) -> AttemptResult:
-        body = bytearray()
         progress = 0
         while (chunk := await timer.receive(connection.receive_data)) is not None:
-            body += chunk
-            if len(body) >= progress + MIN_PROGRESS_BYTES:
-                progress = len(body)
+            held.append(chunk)
+            del chunk
+            if held.size >= progress + MIN_PROGRESS_BYTES:
+                progress = held.size
                 timer.restart(event_timeout)
-            if len(body) > MAX_BUFFERED_RESPONSE_BYTES:
+            if held.size > MAX_BUFFERED_RESPONSE_BYTES:
                 return Broken("the response is too large to buffer")
         headers = _end_to_end_headers(head.headers)
         if not may_have_body(self._request.method, head.status_code):
             # The length is that of the body which the response to another request would have.
             headers += [item for item in head.headers if item[0] == b"content-length"]
-        return Answered(head.status_code, headers, bytes(body))
+        return Answered(head.status_code, headers, held.complete())
 
     async def _forward_events(
         self,
@@ -359,11 +381,12 @@
         timer: _SilenceTimer,
         event_timeout: float,
         sink: EventSink,
+        held: HeldBody,
     ) -> AttemptResult:
         splitter = EventSplitter()
         try:
             started = await self._forward_complete_events(
-                connection, head, timer, event_timeout, sink, splitter
+                connection, head, timer, event_timeout, sink, splitter, held
             )
             if splitter.has_partial_event:
                 return Broken("stream ended mid-event", connection_closed=True)
@@ -384,6 +407,7 @@
         event_timeout: float,
         sink: EventSink,
         splitter: EventSplitter,
+        held: HeldBody,
     ) -> bool:
         """Forwards events until the end of the response; returns whether there was one."""
         started = False
@@ -397,6 +421,7 @@
                 timer.restart(event_timeout)
             for part in _parts(chunk):
                 events = splitter.feed(part)
+                held.resize(splitter.partial_size)
                 if not events:
                     continue
                 if not started:
--- a/camphordrift/relay/requests/_sender.py
+++ b/camphordrift/relay/requests/_sender.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from camphordrift.relay.connections import ConnectionPool
+from camphordrift.relay.connections import BodyBudget, ConnectionPool
 from camphordrift.relay.fleet import Dispatcher
 from camphordrift.relay.model import (
     BackendServer,
@@ -92,6 +92,7 @@
         header_format: HeaderFormat,
         observe_response: ResponseObserver,
         reports: RequestReports,
+        responses: BodyBudget,
     ) -> None:
         self._vm = vm
         self._zone = zone
@@ -102,6 +103,7 @@
         self._header_format = header_format
         self._observe_response = observe_response
         self._reports = reports
+        self._responses = responses
         self._placement_numbers = itertools.count()
         self._plain_balancer = PlainServerBalancer()
 
@@ -330,6 +332,7 @@
             lambda status, metadata: self._observe_response(
                 server, status, metadata, "request", started_at
             ),
+            lambda give_way: progress.response.hold(self._responses.open(give_way)),
         )
         progress.excluded_servers.append(server.id)
 
--- a/camphordrift/relay/tests/cut_responses.py
+++ b/camphordrift/relay/tests/cut_responses.py
@@ -6,7 +6,13 @@
 
 import trio
 
-from camphordrift.relay.connections import ByteStream, CallerRequest, ConnectionPool, StreamEvent
+from camphordrift.relay.connections import (
+    BodyBudget,
+    ByteStream,
+    CallerRequest,
+    ConnectionPool,
+    StreamEvent,
+)
 from camphordrift.relay.connections._http_client import OpenStream
 from camphordrift.relay.model import ForwardingMetadata, Headers
 from camphordrift.relay.peers._peer_messages import ConnectionEnd
@@ -120,13 +126,18 @@
     return open_stream
 
 
-async def run_attempt(open_stream: OpenStream, sink: Optional[EventSink]) -> AttemptResult:
+async def run_attempt(
+    open_stream: OpenStream, sink: Optional[EventSink], budget: Optional[BodyBudget] = None
+) -> AttemptResult:
     """Runs an attempt on a connection that ``open_stream`` opens."""
-    return await run_attempt_on(ConnectionPool(1.0, open_stream), sink)
+    return await run_attempt_on(ConnectionPool(1.0, open_stream), sink, budget=budget)
 
 
 async def run_attempt_on(
-    connections: ConnectionPool, sink: Optional[EventSink], attempt_id: str = ATTEMPT_ID
+    connections: ConnectionPool,
+    sink: Optional[EventSink],
+    attempt_id: str = ATTEMPT_ID,
+    budget: Optional[BodyBudget] = None,
 ) -> AttemptResult:
     """Runs an attempt on a connection of a pool, which may be one that was used before."""
     backend = server(0)
@@ -138,6 +149,7 @@
         connections,
         SampleHeaders(),
         lambda status, metadata: None,
+        None if budget is None else budget.open,
     )
     metadata = ForwardingMetadata(10.0, backend.id, None)
     timeouts = SilenceTimeouts(10.0, 10.0)
--- a/camphordrift/relay/tests/test_body_budget.py
+++ b/camphordrift/relay/tests/test_body_budget.py
@@ -118,3 +118,23 @@
             self.assertEqual(sum(item.size for item in bodies.values()), held)
             self.assertLessEqual(held, max(LIMIT, largest + LIMIT * SMALL_BODY_SHARE))
             self.assertFalse(any(bodies[item].gave_way for item in completed))
+
+
+class ResizedBodyTest(testtools.TestCase):
+    def test_the_newest_size_counts(self) -> None:
+        budget = BodyBudget(LIMIT)
+        body = budget.open(lambda: None)
+        for size in (10, 3, 0, 7):
+            body.resize(size)
+            self.assertEqual(size, budget.unfinished_bytes)
+        body.release()
+        self.assertEqual(0, budget.unfinished_bytes)
+
+    def test_the_largest_gives_way(self) -> None:
+        budget, gave_way = BodyBudget(LIMIT), []
+        for size in (9 * LARGE // 2, 3 * LARGE, LARGE):
+            body = budget.open(lambda size=size: gave_way.append(size))  # type: ignore[misc]
+            body.resize(size)
+        self.assertEqual([9 * LARGE // 2], gave_way)
+        body.resize(0)
+        self.assertEqual(3 * LARGE, budget.unfinished_bytes)
