Bound the first message at the port for other VMs

What callers saw: whoever reached the port for other VMs could make the process run out of memory, with messages of legal size that never end (the same cause elsewhere).

Cause: a connection could begin a message of 16 MiB before it had said anything; as many as sockets were held.

Evidence: before, test_unfinished_messages_at_the_port_for_vms saw a peak of 308 MB, bound 160 MB, and FirstMessageTest.test_a_large_first_message_breaks_the_link waited for the message: "no data from the peer within the idle timeout". Now 36 MB, and both pass.

Why this works: the first message of each VM introduces it, or asks for a tunnel or a document, and is short; the largest size applies after it. What unknown parties may hold there is now bounded by 128 KiB for each of a 16th of the sockets, 32 MB with 4,100 descriptors.

--- a/camphordrift/platform/tests/test_crowds.py
+++ b/camphordrift/platform/tests/test_crowds.py
@@ -397,6 +397,14 @@
 
         self.run_crowd(caller)
 
+    def test_unfinished_messages_at_the_port_for_vms(self) -> None:
+        pieces = repeated(b"x" * 65536, MAX_BODY_BYTES)
+
+        async def caller(vm: VmProcess) -> None:
+            await vm.send_and_stay(b"\x01\x00\x00\x00", *pieces, port=vm.peers)
+
+        self.run_crowd(caller)
+
     def test_one_large_body_is_served_in_calm(self) -> None:
         """Holds before any limit, and must hold with each."""
 
--- a/camphordrift/relay/peers/_message_link.py
+++ b/camphordrift/relay/peers/_message_link.py
@@ -34,6 +34,9 @@
 #: messages.
 MAX_MESSAGE_SIZE = 16 << 20
 
+#: Largest first message in bytes. Anyone may connect and begin one.
+MAX_FIRST_MESSAGE_SIZE = 131072
+
 _LENGTH = struct.Struct(">I")
 
 
@@ -196,7 +199,7 @@
         if len(self._read_buffer) < _LENGTH.size:
             return None
         (length,) = _LENGTH.unpack_from(self._read_buffer)
-        if length > MAX_MESSAGE_SIZE:
+        if length > (MAX_MESSAGE_SIZE if self._peer_kinds.is_known else MAX_FIRST_MESSAGE_SIZE):
             raise LinkBrokenError(f"message of {length} bytes exceeds the limit")
         end = _LENGTH.size + length
         if len(self._read_buffer) < end:
--- a/camphordrift/relay/tests/test_message_link.py
+++ b/camphordrift/relay/tests/test_message_link.py
@@ -8,7 +8,11 @@
 import trio
 import trio.testing
 
-from camphordrift.relay.peers._message_link import LinkBrokenError, MessageLink
+from camphordrift.relay.peers._message_link import (
+    MAX_FIRST_MESSAGE_SIZE,
+    LinkBrokenError,
+    MessageLink,
+)
 from camphordrift.relay.peers._peer_messages import (
     ConfigurationDocument,
     Message,
@@ -44,6 +48,36 @@
         self.assertRaises(ValueError, decode_member, content.replace(b"\xc0", NESTED))
 
 
+class FirstMessageTest(testtools.TestCase):
+    """Guards against large messages of connections that are none of VMs."""
+
+    def test_a_large_first_message_breaks_the_link(self) -> None:
+        # The error comes with the length, before the message has been received.
+        async def main() -> None:
+            near, far = trio.testing.memory_stream_pair()
+            receiver = MessageLink(cast(trio.SocketStream, far), 1.0)
+            await near.send_all(struct.pack(">I", MAX_FIRST_MESSAGE_SIZE + 1))
+            with testtools.ExpectedException(LinkBrokenError, "message of .* exceeds the limit"):
+                await receiver.read_next()
+
+        run_in_virtual_time(main)
+
+    def test_later_messages_may_be_large(self) -> None:
+        document = ConfigurationDocument(b"x" * (MAX_FIRST_MESSAGE_SIZE + 1))
+
+        async def main() -> Message:
+            near, far = trio.testing.memory_stream_pair()
+            sender = MessageLink(cast(trio.SocketStream, near), 1.0)
+            receiver = MessageLink(cast(trio.SocketStream, far), 1.0)
+            sender.send(Ping(1))
+            sender.send(document)
+            await sender.write_once()
+            await receiver.read_next()
+            return await receiver.read_next()
+
+        self.assertEqual(document, run_in_virtual_time(main))
+
+
 class SendNewestTest(testtools.TestCase):
     def test_only_the_newest_document_is_written_and_before_other_messages(self) -> None:
         received: list[Message] = []
