Soak: drop data held back by a path that hangs once its sender has reset the connection

The request went over an idle connection while the path hung. The relay reset it when the caller left; the proxy waited with the request in its hands, did not look at its sender, and delivered the request when the path was back. The server worked for 2 ms, and the relay did nothing wrong. A network does not deliver data whose sender has reset the connection.

The proxy now looks while it holds data back whether its sender has reset the connection. The check is unchanged.

--- a/camphordrift/platform/soak/_proxy.py
+++ b/camphordrift/platform/soak/_proxy.py
@@ -100,21 +100,38 @@
     ) -> None:
         try:
             while data := await source.receive_some(65536):
-                await self._wait_until_passable(host, towards_target)
+                await self._wait_until_passable(source, host, towards_target)
                 await destination.send_all(data)
             # Forward an orderly close, so that the peer does not see a broken connection.
-            await self._wait_until_passable(host, towards_target)
+            await self._wait_until_passable(source, host, towards_target)
             await destination.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             scope.cancel()
 
-    async def _wait_until_passable(self, host: str, towards_target: bool) -> None:
+    async def _wait_until_passable(
+        self, source: trio.SocketStream, host: str, towards_target: bool
+    ) -> None:
+        """Waits until data of ``source`` may be forwarded.
+
+        Raises:
+            trio.BrokenResourceError: The source reset the connection while its data was held back,
+                which a network would then not deliver.
+
+        """
         if self.mode is ProxyMode.DELAY:
             await trio.sleep(DELAY)
         while ProxyMode.SILENCE in (self.mode, self.host_modes.get(host)) or (
             self.mode is ProxyMode.ONE_WAY and not towards_target
         ):
             await trio.sleep(_POLL_INTERVAL)
+            if _is_reset(source):
+                raise trio.BrokenResourceError("the peer reset the connection")
+
+
+def _is_reset(stream: trio.SocketStream) -> bool:
+    """Returns whether a connection was closed here, or reset by the peer."""
+    sock = stream.socket
+    return sock.fileno() < 0 or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
 
 
 def reset_connection(stream: trio.SocketStream) -> None:
