Parse the small chunks of all callers at one pace

Cause: the pace of fine chunks applied to each connection, 64 chunks every 2 ms, so that the work grew with the number of callers; and each read began a new turn, so that small reads avoided the pause.

No test checks a time; ManyCallersTest checks in virtual time that turns are spaced whatever the number of callers, which could not run before, as the schedule is new.

Why this works: the connections of callers share a TurnSchedule, which gives each waiting one its own time, 4 ms apart. A read pays for one event per 128 bytes, so bodies in chunks of usual sizes never wait. Responses of servers keep a pace of their own, as their streams have small chunks.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -19,12 +19,14 @@
 from camphordrift.relay.connections import (
     BACKEND_CONNECT_TIMEOUT,
     READ_SIZE,
+    SHARED_TURN_INTERVAL,
     BodyBudget,
     CallerConnection,
     CallerRequest,
     ConnectionLimit,
     ConnectionPool,
     ResponseWriter,
+    TurnSchedule,
 )
 from camphordrift.relay.fleet import Dispatcher, LeaderElection, UpdateDistributor
 from camphordrift.relay.model import (
@@ -149,6 +151,7 @@
         self._callers: set[CallerConnection] = set()
         self._bodies = BodyBudget(settings.body_budget)
         self._caller_limit = ConnectionLimit(settings.max_callers, busy_weight=2)
+        self._caller_turns = TurnSchedule(SHARED_TURN_INTERVAL)
         self._metrics_limit = ConnectionLimit(settings.max_probes)
         self._readiness_limit = ConnectionLimit(settings.max_probes)
         self._directory = ServerDirectory()
@@ -591,6 +594,7 @@
             lambda: self._stopping,
             self._bodies,
             self._caller_limit,
+            self._caller_turns,
         )
         self._callers.add(caller)
         try:
--- a/camphordrift/relay/connections/__init__.py
+++ b/camphordrift/relay/connections/__init__.py
@@ -31,6 +31,7 @@
     ResponseWriter,
     may_have_body,
 )
+from camphordrift.relay.connections._parsing_pace import SHARED_TURN_INTERVAL, TurnSchedule
 
 __all__ = [
     "BACKEND_CONNECT_TIMEOUT",
@@ -48,9 +49,11 @@
     "PathBrokenError",
     "READ_SIZE",
     "ResponseWriter",
+    "SHARED_TURN_INTERVAL",
     "SmallRequest",
     "SmallResponse",
     "StreamEvent",
+    "TurnSchedule",
     "abort",
     "connect",
     "enable_dead_peer_detection",
--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -16,7 +16,7 @@
 from camphordrift.relay.connections._body_budget import BodyBudget, BodyBudgetError, HeldBody
 from camphordrift.relay.connections._byte_stream import abort, enable_dead_peer_detection
 from camphordrift.relay.connections._connection_limit import ConnectionLimit
-from camphordrift.relay.connections._parsing_pace import ParsingPace
+from camphordrift.relay.connections._parsing_pace import ParsingPace, TurnSchedule
 from camphordrift.relay.model import CallerLimits, Headers
 
 #: Maximum number of bytes that are read from a caller while a previous request is in progress.
@@ -143,6 +143,7 @@
         close_after_response: Returns whether the connection ends with the next response.
         bodies: Bounds what the bodies of all connections hold in memory.
         connections: Bounds the number of connections.
+        turns: Spaces the parsing of bodies in very small chunks on all connections.
 
     """
 
@@ -154,6 +155,7 @@
         close_after_response: Callable[[], bool],
         bodies: Optional[BodyBudget] = None,
         connections: Optional[ConnectionLimit] = None,
+        turns: Optional[TurnSchedule] = None,
     ) -> None:
         self._stream = stream
         self._limits = limits
@@ -164,7 +166,7 @@
         #: Cancel scope of the request in progress.
         self._request_scope: Optional[trio.CancelScope] = None
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._pace = ParsingPace()
+        self._pace = ParsingPace(turns)
         self._read_ahead_bytes = 0
         self._bodies = BodyBudget() if bodies is None else bodies
         #: Cancelled to close the connection in favour of others.
@@ -357,14 +359,17 @@
             await self._pace.pause_between_turns()
             event = self._protocol.next_event()
             if isinstance(event, h11.Event):
-                self._pace.record_event()
+                if isinstance(event, h11.Data):
+                    self._pace.record_event()
                 return event
             self._check_incomplete_event()
             if self._protocol.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 await self.write(self._protocol.send(continue_response) or b"")
-            self._protocol.receive_data(await self._stream.receive_some(CALLER_READ_SIZE))
-            self._pace.record_read()
+            data = await self._stream.receive_some(CALLER_READ_SIZE)
+            self._protocol.receive_data(data)
+            self._pace.record_bytes(len(data))
+            del data
 
     def _check_incomplete_event(self) -> None:
         """Raises an error if what h11 holds back exceeds the current limit of a head.
--- a/camphordrift/relay/tests/test_fine_chunks.py
+++ b/camphordrift/relay/tests/test_fine_chunks.py
@@ -20,7 +20,12 @@
     SmallRequest,
     StreamEvent,
 )
-from camphordrift.relay.connections._parsing_pace import EVENTS_PER_TURN
+from camphordrift.relay.connections._parsing_pace import (
+    EVENTS_PER_TURN,
+    SHARED_TURN_INTERVAL,
+    ParsingPace,
+    TurnSchedule,
+)
 from camphordrift.relay.model import CallerLimits, ForwardingMetadata, Headers
 from camphordrift.relay.requests._attempt import Attempt, EventSink, SilenceTimeouts, Streamed
 from camphordrift.relay.tests.relay_harness import (
@@ -32,7 +37,7 @@
     run_scenario,
 )
 from camphordrift.relay.tests.samples import SampleHeaders, ScriptedServer, server
-from camphordrift.testing import HttpRequest
+from camphordrift.testing import HttpRequest, run_in_virtual_time
 
 #: Body of many one-byte chunks.
 CHUNK_COUNT = 5000
@@ -181,6 +186,42 @@
         self.assertEqual([b"x" * CHUNK_COUNT], received)
 
 
+class ManyCallersTest(testtools.TestCase):
+    """Guards against callers whose small chunks, each at its pace, together occupy the VM."""
+
+    def parse(self, callers: int, read_bytes: int, reads: int, events: int) -> float:
+        """Returns the seconds in which callers' reads are parsed, if parsing takes no time."""
+
+        async def parse_reads(pace: ParsingPace) -> None:
+            for _ in range(reads):
+                pace.record_bytes(read_bytes)
+                for _ in range(events):
+                    await pace.pause_between_turns()
+                    pace.record_event()
+
+        async def main() -> float:
+            turns, started_at = TurnSchedule(SHARED_TURN_INTERVAL), trio.current_time()
+            async with trio.open_nursery() as nursery:
+                for _ in range(callers):
+                    nursery.start_soon(parse_reads, ParsingPace(turns))
+            return trio.current_time() - started_at
+
+        return run_in_virtual_time(main)
+
+    def test_turns_are_spaced_whatever_the_number_of_callers(self) -> None:
+        for callers in (1, 10, 100):
+            elapsed = self.parse(callers, 16384, 1, 10 * EVENTS_PER_TURN + 1)
+            self.assertAlmostEqual(callers * 10 * SHARED_TURN_INTERVAL, elapsed)
+
+    def test_small_reads_do_not_avoid_the_pauses(self) -> None:
+        elapsed = self.parse(10, 6 * EVENTS_PER_TURN, 100, EVENTS_PER_TURN)
+        self.assertGreater(elapsed, 10 * 90 * SHARED_TURN_INTERVAL)
+
+    def test_chunks_of_usual_sizes_are_never_paused(self) -> None:
+        self.assertEqual(0.0, self.parse(100, 16384, 100, 16384 // 256))
+        self.assertEqual(0.0, self.parse(100, 300, 100, 1))
+
+
 @pytest.mark.sockets
 class RelayTest(testtools.TestCase):
     def test_requests_are_served_beside_an_endless_response(self) -> None:
