Count incomplete heads against the budget for bodies

Cause: the bound on connections counts what an idle one costs, 9 KB, and not the head of up to 16 KiB that it may hold as well.

Why this works: what h11 holds back of an incomplete head, size line or trailer counts like a part of a body until it is parsed. A head that arrives in one read is never counted, so ordinary requests are not affected.

--- a/camphordrift/platform/tests/test_crowds.py
+++ b/camphordrift/platform/tests/test_crowds.py
@@ -27,8 +27,8 @@
 #: Memory of the VM in megabytes, as of the smallest VMs.
 MEMORY_MB = 160
 
-#: Descriptors of the VM, and of one whose descriptors are scarce.
-MAX_DESCRIPTORS, FEW_DESCRIPTORS = 4100, 264
+#: Descriptors of the VM, of one whose descriptors are scarce, and of one with many for its memory.
+MAX_DESCRIPTORS, FEW_DESCRIPTORS, MANY_DESCRIPTORS = 4100, 264, 8192
 
 #: Largest legal body in bytes.
 MAX_BODY_BYTES = 4194304
@@ -39,6 +39,9 @@
 #: Number of callers that exceed a VM's few descriptors.
 MANY_CONNECTIONS = 400
 
+#: Number of callers with a large unfinished head for each one with a large unfinished body.
+HEADS_PER_BODY = 60
+
 #: Bytes that are sent of a body far over the limit.
 ENDLESS_BYTES = 2 * MAX_BODY_BYTES
 
@@ -397,6 +400,18 @@
 
         self.run_crowd(caller)
 
+    def test_unfinished_large_heads_and_bodies(self) -> None:
+        head = b"POST /bulk/ HTTP/1.1\r\nhost:" + b"x" * 15_000
+        pieces = repeated(b"x" * 16384, MAX_BODY_BYTES - 16384)
+
+        async def caller(vm: VmProcess) -> None:
+            for _ in range(HEADS_PER_BODY):
+                await vm.send_and_stay(head)
+            length = f"content-length: {MAX_BODY_BYTES}"
+            await vm.send_and_stay(request_head("/bulk/", length), *pieces)
+
+        self.run_crowd(caller, max_descriptors=MANY_DESCRIPTORS)
+
     def test_unfinished_messages_at_the_port_for_vms(self) -> None:
         pieces = repeated(b"x" * 65536, MAX_BODY_BYTES)
 
--- a/camphordrift/relay/connections/_body_budget.py
+++ b/camphordrift/relay/connections/_body_budget.py
@@ -29,13 +29,19 @@
         self._give_way = give_way
         self._content = bytearray()
         self._size = 0
+        self._unparsed_size = 0
         self._gave_way = False
 
     @property
     def size(self) -> int:
-        """Number of bytes that are held."""
+        """Number of bytes that are held, including those that are not parsed yet."""
         return self._size
 
+    @property
+    def content_size(self) -> int:
+        """Number of bytes of the body that have been parsed."""
+        return len(self._content)
+
     @property
     def gave_way(self) -> bool:
         """Whether the body was dropped because the budget is spent."""
@@ -48,11 +54,18 @@
             BodyBudgetError: The body gave way.
 
         """
-        if not self._gave_way:
-            self._budget.make_room(self, len(data))
-        self._check()
+        self._hold(len(data))
         self._content += data
-        self._grow(len(data))
+
+    def set_unparsed_size(self, size: int) -> None:
+        """Counts what the parser holds back of an incomplete head, chunk's size line or trailer.
+
+        Raises:
+            BodyBudgetError: The body gave way.
+
+        """
+        added, self._unparsed_size = size - self._unparsed_size, size
+        self._hold(added)
 
     def complete(self) -> bytes:
         """Returns the complete body, which counts until :meth:`release` and gives way no more.
@@ -84,6 +97,12 @@
         self._budget.remove(self)
         self._content, self._size = bytearray(), 0
 
+    def _hold(self, size: int) -> None:
+        if size > 0 and not self._gave_way:
+            self._budget.make_room(self, size)
+        self._check()
+        self._grow(size)
+
     def _check(self) -> None:
         if self._gave_way:
             raise BodyBudgetError("the memory for request bodies is used up")
--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -328,7 +328,7 @@
     ) -> Optional[CallerRequest]:
         head: Optional[h11.Request] = None
         while True:
-            event = await self._next_event()
+            event = await self._next_event(body)
             match event:
                 case h11.Request():
                     head = event
@@ -340,7 +340,7 @@
                     _check_body_size(_announced_length(event.headers), limits)
                 case h11.Data():
                     body.append(event.data)
-                    _check_body_size(body.size, limits)
+                    _check_body_size(body.content_size, limits)
                 case h11.EndOfMessage() if head is not None:
                     return CallerRequest(
                         bytes(head.method),
@@ -354,15 +354,18 @@
             # Not held until the next event has arrived.
             del event
 
-    async def _next_event(self) -> h11.Event:
+    async def _next_event(self, body: HeldBody) -> h11.Event:
         while True:
             await self._pace.pause_between_turns()
             event = self._protocol.next_event()
             if isinstance(event, h11.Event):
+                body.set_unparsed_size(0)
                 if isinstance(event, h11.Data):
                     self._pace.record_event()
                 return event
-            self._check_incomplete_event()
+            unparsed_size = len(self._protocol.trailing_data[0])
+            self._check_unparsed_size(unparsed_size)
+            body.set_unparsed_size(unparsed_size)
             if self._protocol.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 await self.write(self._protocol.send(continue_response) or b"")
@@ -371,13 +374,13 @@
             self._pace.record_bytes(len(data))
             del data
 
-    def _check_incomplete_event(self) -> None:
+    def _check_unparsed_size(self, size: int) -> None:
         """Raises an error if what h11 holds back exceeds the current limit of a head.
 
         It is an incomplete head, size line of a chunk or trailer, as parts of a body are never held
         back.
         """
-        if len(self._protocol.trailing_data[0]) > self._limits().header_bytes:
+        if size > self._limits().header_bytes:
             raise h11.RemoteProtocolError(
                 "the headers, a chunk's size line or the trailers are too large",
                 error_status_hint=431,
--- a/camphordrift/relay/tests/test_body_budget.py
+++ b/camphordrift/relay/tests/test_body_budget.py
@@ -71,6 +71,22 @@
         self.open("new", LARGE)
         self.assertEqual([], self.gave_way)
 
+    def test_what_is_not_parsed_gives_way_like_a_body(self) -> None:
+        self.open_complete(8)
+        head = self.budget.open(lambda: self.gave_way.append("head"))
+        head.set_unparsed_size(SMALL_BODY_BYTES)
+        for number in range(4):
+            self.open(f"small {number}", SMALL_BODY_BYTES - 1)
+        self.assertEqual(["head"], self.gave_way)
+
+    def test_what_is_not_parsed_counts_until_it_is_parsed(self) -> None:
+        body = self.budget.open(lambda: None)
+        body.set_unparsed_size(5)
+        body.append(b"xx")
+        self.assertEqual((7, 7, 2), (self.budget.unfinished_bytes, body.size, body.content_size))
+        body.set_unparsed_size(0)
+        self.assertEqual((2, 2), (self.budget.unfinished_bytes, body.size))
+
     def test_what_is_read_ahead_counts(self) -> None:
         first = self.open_complete(8)[0]
         self.assertFalse(first.read_ahead(1))
