--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -16,7 +16,7 @@
 from camphordrift.relay.connections._body_budget import BodyBudget, BodyBudgetError, HeldBody
 from camphordrift.relay.connections._byte_stream import abort, enable_dead_peer_detection
 from camphordrift.relay.connections._connection_limit import ConnectionLimit
-from camphordrift.relay.connections._parsing_pace import ParsingPace
+from camphordrift.relay.connections._parsing_pace import ParsingPace, TurnSchedule
 from camphordrift.relay.model import CallerLimits, Headers
 
 #: Maximum number of bytes that are read from a caller while a previous request is in progress.
@@ -175,6 +175,7 @@
         close_after_response: Returns whether the connection ends with the next response.
         bodies: Bounds what the bodies of all connections hold in memory.
         connections: Bounds the number of connections.
+        turns: Spaces the parsing of bodies in very small chunks on all connections.
 
     """
 
@@ -186,6 +187,7 @@
         close_after_response: Callable[[], bool],
         bodies: Optional[BodyBudget] = None,
         connections: Optional[ConnectionLimit] = None,
+        turns: Optional[TurnSchedule] = None,
     ) -> None:
         self._stream = stream
         self._limits = limits
@@ -196,7 +198,7 @@
         #: Cancel scope of the request in progress.
         self._request_scope: Optional[trio.CancelScope] = None
         self._protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._pace = ParsingPace()
+        self._pace = ParsingPace(turns)
         self._read_ahead_bytes = 0
         self._is_cut = False
         self._current_request: Optional[CallerRequest] = None
@@ -383,7 +385,7 @@
     ) -> Optional[CallerRequest]:
         head: Optional[h11.Request] = None
         while True:
-            event = await self._next_event()
+            event = await self._next_event(body)
             match event:
                 case h11.Request():
                     head = event
@@ -399,7 +401,7 @@
                     _check_body_size(_announced_length(event.headers), limits)
                 case h11.Data():
                     body.append(event.data)
-                    _check_body_size(body.size, limits)
+                    _check_body_size(body.content_size, limits)
                 case h11.EndOfMessage() if head is not None:
                     return CallerRequest(
                         bytes(head.method),
@@ -413,27 +415,33 @@
             # Not held until the next event has arrived.
             del event
 
-    async def _next_event(self) -> h11.Event:
+    async def _next_event(self, body: HeldBody) -> h11.Event:
         while True:
             await self._pace.pause_between_turns()
             event = self._protocol.next_event()
             if isinstance(event, h11.Event):
-                self._pace.record_event()
+                body.set_unparsed_size(0)
+                if isinstance(event, h11.Data):
+                    self._pace.record_event()
                 return event
-            self._check_incomplete_event()
+            unparsed_size = len(self._protocol.trailing_data[0])
+            self._check_unparsed_size(unparsed_size)
+            body.set_unparsed_size(unparsed_size)
             if self._protocol.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 await self.write(self._protocol.send(continue_response) or b"")
-            self._protocol.receive_data(await self._stream.receive_some(CALLER_READ_SIZE))
-            self._pace.record_read()
+            data = await self._stream.receive_some(CALLER_READ_SIZE)
+            self._protocol.receive_data(data)
+            self._pace.record_bytes(len(data))
+            del data
 
-    def _check_incomplete_event(self) -> None:
+    def _check_unparsed_size(self, size: int) -> None:
         """Raises an error if what h11 holds back exceeds the current limit of a head.
 
         It is an incomplete head, size line of a chunk or trailer, as parts of a body are never held
         back.
         """
-        if len(self._protocol.trailing_data[0]) > self._limits().header_bytes:
+        if size > self._limits().header_bytes:
             raise h11.RemoteProtocolError(
                 "the headers, a chunk's size line or the trailers are too large",
                 error_status_hint=431,
