Answer requests that a gateway VM cuts at its drain bound

What callers saw: a gateway VM that stops closed the connections of requests that were still running at the drain bound or at a second signal. A completion got no byte, a stream ended without an error event, and a booking at a silent service kept the process from exiting until the call's timeout.

Cause: GracefulShutdown only logged CutRemaining, though the controller promises an explicit failure for each request; the cancellation of the process's nursery closed the connections. A claimed dispatch is shielded from cancellation, so also from this one.

Why this works: the work on a request runs in scopes that CutRemaining cancels, one of them inside the shield of a dispatch; responses are written outside of them. Code 3009 (new) is for generation that may have run, 3008 for calls that may have run, 2009 for what was not sent. The flush waits for the ends of these requests, at most 2 s, as they add outcome records.

--- a/camphordrift/entry/_graceful_shutdown.py
+++ b/camphordrift/entry/_graceful_shutdown.py
@@ -27,6 +27,9 @@
 from camphordrift.settings import DrainingSettings
 from camphordrift.telemetry import LogLevel, log_event
 
+#: Maximum number of seconds for the failures of aborted requests to be written to their callers.
+FAILURE_RESPONSES_SECONDS = 2.0
+
 
 @dataclass(frozen=True)
 class ShutdownActions:
@@ -121,15 +124,22 @@
                     pass
                 case CutRemaining(running):
                     log_event("stop_cuts_requests", level=LogLevel.ERROR, running=running)
+                    self._active.cut_all()
                 case HandOver(seconds):
                     nursery.start_soon(
                         self._run_action, self._actions.hand_over, seconds, HandoverDone()
                     )
                 case Flush(seconds):
-                    nursery.start_soon(self._run_action, self._actions.flush, seconds, FlushDone())
+                    nursery.start_soon(self._run_action, self._flush, seconds, FlushDone())
                 case Exit(clean):
                     self._clean = clean
 
+    async def _flush(self) -> None:
+        """Flushes once aborted requests have ended, as their ends add records."""
+        with trio.move_on_after(FAILURE_RESPONSES_SECONDS):
+            await self._active.wait_until_empty()
+        await self._actions.flush()
+
     async def _run_action(
         self, action: Callable[[], Awaitable[None]], seconds: float, completed: DrainEvent
     ) -> None:
--- a/camphordrift/gateway/_active_requests.py
+++ b/camphordrift/gateway/_active_requests.py
@@ -29,6 +29,31 @@
     deadline: float
 
 
+class TrackedRequest:
+    """The handle by which the work on an active request can be cut.
+
+    The response is written outside of the scopes, so that the caller gets a failure.
+    """
+
+    def __init__(self) -> None:
+        self._scopes: list[trio.CancelScope] = []
+        self._is_cut = False
+
+    def new_scope(self) -> trio.CancelScope:
+        """Returns a scope for work on the request, which :meth:`cut` cancels."""
+        scope = trio.CancelScope()
+        self._scopes.append(scope)
+        if self._is_cut:
+            scope.cancel()
+        return scope
+
+    def cut(self) -> None:
+        """Cancels the work on the request."""
+        self._is_cut = True
+        for scope in self._scopes:
+            scope.cancel()
+
+
 class ActiveRequests:
     """Lists every request from its admission to the last byte of its response.
 
@@ -37,6 +62,7 @@
 
     def __init__(self) -> None:
         self._requests: dict[RequestId, ActiveRequest] = {}
+        self._tracked: dict[RequestId, TrackedRequest] = {}
         self._changed = trio.Event()
 
     @property
@@ -54,16 +80,29 @@
         return tuple(self._requests.values())
 
     @contextmanager
-    def track(self, request: ActiveRequest) -> Iterator[None]:
+    def track(self, request: ActiveRequest) -> Iterator[TrackedRequest]:
         """Keeps ``request`` among the active requests until the context is left."""
+        tracked = TrackedRequest()
         self._requests[request.request_id] = request
+        self._tracked[request.request_id] = tracked
         self._notify_changed()
         try:
-            yield
+            yield tracked
         finally:
             del self._requests[request.request_id]
+            del self._tracked[request.request_id]
             self._notify_changed()
 
+    def cut_all(self) -> None:
+        """Cuts all active requests; they end once their callers have got a failure."""
+        for tracked in self._tracked.values():
+            tracked.cut()
+
+    async def wait_until_empty(self) -> None:
+        """Waits until no request is active."""
+        while self._requests:
+            await self.wait_for_change()
+
     async def wait_for_change(self) -> None:
         """Waits until a request has been added or has ended."""
         await self._changed.wait()
--- a/camphordrift/gateway/_at_most_once.py
+++ b/camphordrift/gateway/_at_most_once.py
@@ -1,6 +1,7 @@
 """Sends calls that must run at most once, over a new connection and to a single server."""
 
 import trio
+from returns import result
 from returns.pipeline import is_successful
 
 from camphordrift.backend_http import HttpConnections, HttpResponse, SendRefusedError
@@ -52,6 +53,12 @@
         self._selector = selector
         self._request = request
         self._servers = servers
+        self._may_have_sent = False
+
+    @property
+    def may_have_sent(self) -> bool:
+        """Whether the gate permitted sending, so that the call may have run."""
+        return self._may_have_sent
 
     async def dispatch(self, call: ServiceCall, gate: SendGate) -> DispatchReply:
         """Sends the call and returns its response; without one, returns whether it may have run."""
@@ -95,9 +102,15 @@
         address = self._selector.address_of(server)
         if address is None:
             raise BackendUnreachableError(f"no address is configured for {server}")
+
+        def authorize() -> result.Result[None, Failure]:
+            permission = gate.authorize()
+            self._may_have_sent = self._may_have_sent or is_successful(permission)
+            return permission
+
         with trio.fail_after(seconds):
             return await self._connections.fetch_gated(
-                http_call(self._request, address), seconds, gate.authorize
+                http_call(self._request, address), seconds, authorize
             )
 
 
--- a/camphordrift/gateway/_errors.py
+++ b/camphordrift/gateway/_errors.py
@@ -7,7 +7,10 @@
 
 from camphordrift.gateway._headers import REQUEST_ID_HEADER
 from camphordrift.identifiers import RequestId
-from camphordrift.results import Failure, describe_failure
+from camphordrift.results import Failure, ResultCode, describe_failure
+
+#: Retry-After in seconds for a request that was cut by the stop of the VM.
+STOPPED_RETRY_AFTER_SECONDS = 1.0
 
 
 def error_body(failure: Failure, request_id: RequestId) -> bytes:
@@ -32,6 +35,23 @@
     )
 
 
+def failure_of_cut_request(may_have_run: bool) -> Failure:
+    """Returns the failure of a generation request that was cut by the stop of the VM."""
+    if may_have_run:
+        detail = "this VM stopped before the output was complete; retry to reach another VM"
+        return Failure(ResultCode.VM_STOPPED, detail, STOPPED_RETRY_AFTER_SECONDS)
+    detail = "this VM stopped before the request was sent; retry to reach another VM"
+    return Failure(ResultCode.VM_DRAINING, detail, STOPPED_RETRY_AFTER_SECONDS)
+
+
+def failure_of_cut_call(may_have_run: bool) -> Failure:
+    """Returns the failure of a call to a plain service that was cut by the stop of the VM."""
+    if may_have_run:
+        detail = "this VM stopped before the service responded; the call may have run"
+        return Failure(ResultCode.SERVICE_OUTCOME_UNKNOWN, detail)
+    return failure_of_cut_request(may_have_run=False)
+
+
 def error_event(failure: Failure, request_id: RequestId) -> bytes:
     """Returns the server-sent event that ends a truncated stream."""
     return b"data: " + error_body(failure, request_id) + b"\n\n"
--- a/camphordrift/gateway/_generation.py
+++ b/camphordrift/gateway/_generation.py
@@ -96,6 +96,11 @@
         """The number of attempts started so far."""
         return self._attempt
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt may have reached an engine."""
+        return self._may_have_run
+
     async def run(self) -> result.Result[GenerationSummary, Failure]:
         """Returns a summary once the output is complete, or the reason why the request failed."""
         with trio.move_on_at(self._deadline):
--- a/camphordrift/gateway/_generation_endpoint.py
+++ b/camphordrift/gateway/_generation_endpoint.py
@@ -100,8 +100,10 @@
         release = gate.unwrap()
         active = _active_request(admitted)
         try:
-            with self._context.active.track(active):
-                responder = GenerationResponder(self._context, admitted, scope, receive, send)
+            with self._context.active.track(active) as tracked:
+                responder = GenerationResponder(
+                    self._context, admitted, tracked, scope, receive, send
+                )
                 await run_while_connected(receive, responder.run)
                 self._record_end(active, responder)
         finally:
--- a/camphordrift/gateway/_generation_responder.py
+++ b/camphordrift/gateway/_generation_responder.py
@@ -11,9 +11,10 @@
 from starlette.types import Receive, Scope, Send
 
 from camphordrift.backend_servers import GenerationRequest, TokenChunk
+from camphordrift.gateway._active_requests import TrackedRequest
 from camphordrift.gateway._caller_stream import CallerGoneError, CallerStream
 from camphordrift.gateway._context import GatewayContext
-from camphordrift.gateway._errors import error_event, error_response
+from camphordrift.gateway._errors import error_event, error_response, failure_of_cut_request
 from camphordrift.gateway._generation import GenerationRunner, GenerationSummary
 from camphordrift.gateway._headers import REQUEST_ID_HEADER
 from camphordrift.gateway._lengths import prefix_block_hashes
@@ -57,12 +58,14 @@
         self,
         context: GatewayContext,
         admitted: AdmittedGeneration,
+        tracked: TrackedRequest,
         scope: Scope,
         receive: Receive,
         send: Send,
     ) -> None:
         self._context = context
         self._admitted = admitted
+        self._tracked = tracked
         self._scope = scope
         self._receive = receive
         self._send = send
@@ -112,7 +115,7 @@
         async with trio.open_nursery() as nursery:
             interval = self._context.limits.keep_alive_seconds
             nursery.start_soon(self._stream.keep_alive, KEEP_ALIVE, interval)
-            outcome = await self._runner.run()
+            outcome = await self._run_until_cut()
             nursery.cancel_scope.cancel()
         # The outcome is stored before the last write. A caller may disconnect as soon as it has the
         # last byte, which cancels this task.
@@ -127,13 +130,18 @@
             await self._send_refusal(outcome.failure())
 
     async def _run_unstreamed(self) -> None:
-        outcome = await self._runner.run()
+        outcome = await self._run_until_cut()
         self._outcome = outcome
         if is_successful(outcome):
             await self._write_complete(outcome.unwrap())
         else:
             await self._send_refusal(outcome.failure())
 
+    async def _run_until_cut(self) -> Outcome:
+        with self._tracked.new_scope():
+            return await self._runner.run()
+        return result.Failure(failure_of_cut_request(self._runner.may_have_run))
+
     async def _write_complete(self, summary: GenerationSummary) -> None:
         text = self._runner.delivered_text
         body = self._encoder.complete_body(text, summary.finish_reason, summary.output_tokens)
--- a/camphordrift/gateway/_service_endpoint.py
+++ b/camphordrift/gateway/_service_endpoint.py
@@ -8,8 +8,15 @@
 from starlette.types import Receive, Scope, Send
 
 from camphordrift.backend_http import HttpResponse
-from camphordrift.calls import Repeatability, ServiceCall
-from camphordrift.gateway._active_requests import ActiveRequest
+from camphordrift.calls import (
+    DispatchNotSent,
+    DispatchReply,
+    DispatchUnanswered,
+    Repeatability,
+    SendGate,
+    ServiceCall,
+)
+from camphordrift.gateway._active_requests import ActiveRequest, TrackedRequest
 from camphordrift.gateway._admission import identify_caller, new_request_id
 from camphordrift.gateway._at_most_once import (
     REPEATED_HEADER,
@@ -18,7 +25,7 @@
 )
 from camphordrift.gateway._bodies import BodyReader
 from camphordrift.gateway._context import GatewayContext
-from camphordrift.gateway._errors import error_response
+from camphordrift.gateway._errors import error_response, failure_of_cut_call
 from camphordrift.gateway._headers import (
     IDEMPOTENCY_KEY_HEADER,
     REQUEST_ID_HEADER,
@@ -109,34 +116,50 @@
 
         active = _active_request(request_id, permission, seconds)
 
-        async def work() -> None:
-            outcome = await self._send_call(call, permission, seconds)
+        async def work(tracked: TrackedRequest) -> None:
+            outcome = await self._send_call(call, permission, seconds, tracked)
             self._context.recorder.record_ended(active, RequestEnd(INTERFACE, failure_of(outcome)))
             response = _response_from_outcome(outcome, request_id)
             await response(request.scope, request.receive, send)
 
         try:
-            with self._context.active.track(active):
+            with self._context.active.track(active) as tracked:
                 if not _is_repeatable(permission, request):
                     # A call that must not be retried is completed even if its caller disconnects.
-                    await work()
-                elif not await run_while_connected(request.receive, work):
+                    await work(tracked)
+                elif not await run_while_connected(request.receive, lambda: work(tracked)):
                     self._context.recorder.record_abandoned(active, INTERFACE, 0)
         finally:
             release()
 
     async def _send_call(
-        self, call: ServiceRequest, permission: ServicePermission, seconds: float
+        self,
+        call: ServiceRequest,
+        permission: ServicePermission,
+        seconds: float,
+        tracked: TrackedRequest,
     ) -> result.Result[HttpResponse, Failure]:
         path = call.target.partition("?")[0]
         if permission.service.is_repeatable(call.method, path):
-            return await self._context.services.call(call, permission.servers, seconds)
+            with tracked.new_scope():
+                return await self._context.services.call(call, permission.servers, seconds)
+            return result.Failure(failure_of_cut_call(may_have_run=True))
         sender = AtMostOnceSender(
             self._context.connections, self._context.server_selector, call, permission.servers
         )
+
+        async def dispatch(service_call: ServiceCall, gate: SendGate) -> DispatchReply:
+            # The coordinator shields a claimed dispatch from the scope below.
+            with tracked.new_scope():
+                return await sender.dispatch(service_call, gate)
+            failure = failure_of_cut_call(sender.may_have_sent)
+            return (DispatchUnanswered if sender.may_have_sent else DispatchNotSent)(failure)
+
         service_call = _service_call(call, permission, seconds)
-        outcome = await self._context.calls.execute(service_call, sender.dispatch)
-        return outcome.map(http_response_from_outcome)
+        with tracked.new_scope():
+            outcome = await self._context.calls.execute(service_call, dispatch)
+            return outcome.map(http_response_from_outcome)
+        return result.Failure(failure_of_cut_call(sender.may_have_sent))
 
 
 def _is_repeatable(permission: ServicePermission, request: Request) -> bool:
--- a/camphordrift/results/_codes.py
+++ b/camphordrift/results/_codes.py
@@ -66,6 +66,7 @@
     RETRY_BUDGET_SPENT = 3006
     CIRCUIT_OPEN = 3007
     SERVICE_OUTCOME_UNKNOWN = 3008
+    VM_STOPPED = 3009
 
     # 4000: non-repeatable calls and their idempotency keys.
     KEY_MALFORMED = 4000
@@ -229,6 +230,9 @@
         _OUTCOME_UNKNOWN,
         "It is unknown whether the service ran the call.",
     ),
+    _meaning(
+        _C.VM_STOPPED, 503, _FAILED, "The VM stopped before the request was complete; retry it."
+    ),
     _meaning(_C.KEY_MALFORMED, 400, _NOT_RUN, "The idempotency key is not a version 7 UUID."),
     _meaning(
         _C.KEY_TOO_OLD, 409, _NOT_RUN, "The idempotency key is older than the retention of claims."
