Keep a gateway VM until the bodies that are arriving are complete

What callers saw: a gateway VM that stopped closed the connection of a request that it had let in before it began to refuse requests, and whose body was still arriving, without a response.

Cause: requests were active only once the body was read and the account's limits were passed. Until then the VM counted as idle, and the stop went on to the exit at once.

Evidence: on the code before, test_a_request_whose_body_is_still_arriving_keeps_the_vm_alive and test_a_booking_whose_body_is_still_arriving_keeps_the_vm_alive fail with "<DrainPhase.FINISHING> != <DrainPhase.FLUSHING>", and test_a_request_whose_body_is_incomplete_at_the_drain_bound_is_not_run with "b'HTTP/1.1 503 ' != b''". All pass now.

Why this works: a request is active from its caller's authentication on, and until the last byte of its response, also that of a refusal. Requests of unknown callers and those refused at once do not count, so that they cannot hold a VM.

--- a/camphordrift/draining/_phases.py
+++ b/camphordrift/draining/_phases.py
@@ -38,7 +38,7 @@
 class RunningChanged:
     """The number of running requests has changed."""
 
-    #: Number of admitted requests that have not ended.
+    #: Number of requests that have not ended, including those whose bodies are still arriving.
     running: int
 
 
--- a/camphordrift/entry/_process.py
+++ b/camphordrift/entry/_process.py
@@ -141,7 +141,7 @@
 
     @property
     def active_count(self) -> int:
-        """Number of admitted requests that have not ended."""
+        """Number of requests of authenticated callers that have not ended."""
         return self._active.count
 
     @property
--- a/camphordrift/gateway/_active_requests.py
+++ b/camphordrift/gateway/_active_requests.py
@@ -1,4 +1,4 @@
-"""Keeps track of the requests that this VM has admitted and that have not ended."""
+"""Keeps track of the requests that this VM receives or runs."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True)
 class ActiveRequest:
-    """One admitted request, as shown in the state dump."""
+    """One request of an authenticated caller, as shown in the state dump."""
 
     #: Id that this VM assigned to the request.
     request_id: RequestId
@@ -19,13 +19,15 @@
     #: The client account that is charged for it.
     account_id: AccountId
 
-    #: Name of the requested model or service.
+    #: Name of the requested model or service; empty while the body that names a model arrives.
     subject: str
 
-    #: When it was admitted, in seconds of the event loop's clock.
+    #: When it was admitted, in seconds of the event loop's clock. While its body arrives: when the
+    #: caller was authenticated.
     admitted_at: float
 
-    #: When its timeout ends, in seconds of the event loop's clock.
+    #: When its timeout ends, in seconds of the event loop's clock. While its body arrives: that of
+    #: the body.
     deadline: float
 
 
@@ -35,7 +37,9 @@
     The response is written outside of the scopes, so that the caller gets a failure.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, request: ActiveRequest) -> None:
+        #: The request; replaced when it is admitted.
+        self.request = request
         self._scopes: list[trio.CancelScope] = []
         self._is_cut = False
 
@@ -55,41 +59,38 @@
 
 
 class ActiveRequests:
-    """Lists every request from its admission to the last byte of its response.
+    """Lists every request from its caller's authentication to the last byte of its response.
 
     A graceful shutdown waits until the list is empty. The state dump shows the list.
     """
 
     def __init__(self) -> None:
-        self._requests: dict[RequestId, ActiveRequest] = {}
         self._tracked: dict[RequestId, TrackedRequest] = {}
         self._changed = trio.Event()
 
     @property
     def count(self) -> int:
         """The number of active requests."""
-        return len(self._requests)
+        return len(self._tracked)
 
     @property
     def request_ids(self) -> frozenset[RequestId]:
         """The ids of the active requests."""
-        return frozenset(self._requests)
+        return frozenset(self._tracked)
 
     def all(self) -> tuple[ActiveRequest, ...]:
         """Returns the active requests, oldest first."""
-        return tuple(self._requests.values())
+        return tuple(tracked.request for tracked in self._tracked.values())
 
     @contextmanager
     def track(self, request: ActiveRequest) -> Iterator[TrackedRequest]:
         """Keeps ``request`` among the active requests until the context is left."""
-        tracked = TrackedRequest()
-        self._requests[request.request_id] = request
+        tracked = TrackedRequest(request)
         self._tracked[request.request_id] = tracked
         self._notify_changed()
         try:
             yield tracked
         finally:
-            del self._requests[request.request_id]
             del self._tracked[request.request_id]
             self._notify_changed()
 
@@ -100,7 +101,7 @@
 
     async def wait_until_empty(self) -> None:
         """Waits until no request is active."""
-        while self._requests:
+        while self._tracked:
             await self.wait_for_change()
 
     async def wait_for_change(self) -> None:
--- a/camphordrift/gateway/_context.py
+++ b/camphordrift/gateway/_context.py
@@ -91,7 +91,7 @@
     #: Enforces the limits of client accounts.
     gate: AdmissionGate
 
-    #: Admitted requests that have not ended.
+    #: Requests of authenticated callers that have not ended.
     active: ActiveRequests
 
     #: Memory budget for request bodies.
--- a/camphordrift/gateway/_generation_endpoint.py
+++ b/camphordrift/gateway/_generation_endpoint.py
@@ -8,11 +8,11 @@
 from starlette.requests import Request
 from starlette.types import Receive, Scope, Send
 
-from camphordrift.gateway._active_requests import ActiveRequest
+from camphordrift.gateway._active_requests import ActiveRequest, TrackedRequest
 from camphordrift.gateway._admission import Caller, identify_caller, new_request_id
 from camphordrift.gateway._bodies import BodyReader
 from camphordrift.gateway._context import GatewayContext
-from camphordrift.gateway._errors import error_response
+from camphordrift.gateway._errors import error_response, failure_of_cut_request
 from camphordrift.gateway._generation_responder import AdmittedGeneration, GenerationResponder
 from camphordrift.gateway._headers import read_timeout
 from camphordrift.gateway._openai_bodies import GenerationBody
@@ -43,11 +43,17 @@
             self._context.body_memory, limits.max_body_bytes, limits.body_timeout_seconds
         )
         with request_context(request_id), reader:
-            admitted = await self._validate_request(request, request_id, reader)
-            if not is_successful(admitted):
-                await self._send_refusal(request_id, admitted.failure(), scope, receive, send)
+            caller = self._identify_caller(request)
+            if not is_successful(caller):
+                await self._send_refusal(request_id, caller.failure(), scope, receive, send)
                 return
-            await self._run_admitted(admitted.unwrap(), scope, receive, send)
+            arriving = _arriving_request(request_id, caller.unwrap(), limits.body_timeout_seconds)
+            with self._context.active.track(arriving) as tracked:
+                valid = await self._read_request(request, caller.unwrap(), reader, tracked)
+                if not is_successful(valid):
+                    await self._send_refusal(request_id, valid.failure(), scope, receive, send)
+                    return
+                await self._run_valid(valid.unwrap(), tracked, scope, receive, send)
 
     async def _send_refusal(
         self,
@@ -60,20 +66,23 @@
         self._context.recorder.record_refused(request_id, self._interface, failure)
         await error_response(failure, request_id)(scope, receive, send)
 
-    async def _validate_request(
-        self, request: Request, request_id: RequestId, reader: BodyReader
-    ) -> result.Result[AdmittedGeneration, Failure]:
+    def _identify_caller(self, request: Request) -> result.Result[Caller, Failure]:
         if request.method != "POST":
             detail = f"the path accepts POST, not {request.method}"
             return result.Failure(Failure(ResultCode.METHOD_NOT_ALLOWED, detail))
-        caller = identify_caller(self._context, request)
-        if not is_successful(caller):
-            return result.Failure(caller.failure())
-        raw = await reader.read(request)
-        parsed = raw.bind(self._parse)
-        if not is_successful(parsed):
-            return result.Failure(parsed.failure())
-        return self._check_permission(request, request_id, caller.unwrap(), parsed.unwrap())
+        return identify_caller(self._context, request)
+
+    async def _read_request(
+        self, request: Request, caller: Caller, reader: BodyReader, tracked: TrackedRequest
+    ) -> result.Result[AdmittedGeneration, Failure]:
+        with tracked.new_scope():
+            raw = await reader.read(request)
+            parsed = raw.bind(self._parse)
+            if not is_successful(parsed):
+                return result.Failure(parsed.failure())
+            request_id = tracked.request.request_id
+            return self._check_permission(request, request_id, caller, parsed.unwrap())
+        return result.Failure(failure_of_cut_request(may_have_run=False))
 
     def _check_permission(
         self, request: Request, request_id: RequestId, caller: Caller, body: GenerationBody
@@ -88,24 +97,33 @@
             lambda seconds: AdmittedGeneration(request_id, body, permission, seconds, is_long)
         )
 
-    async def _run_admitted(
-        self, admitted: AdmittedGeneration, scope: Scope, receive: Receive, send: Send
+    async def _pass_gate(
+        self, valid: AdmittedGeneration, tracked: TrackedRequest
+    ) -> result.Result[Callable[[], None], Failure]:
+        tokens = valid.body.prompt_tokens + valid.body.max_output_tokens
+        account_id = valid.permission.account_id
+        with tracked.new_scope():
+            return await self._context.gate.admit(account_id, tokens, valid.is_long)
+        return result.Failure(failure_of_cut_request(may_have_run=False))
+
+    async def _run_valid(
+        self,
+        admitted: AdmittedGeneration,
+        tracked: TrackedRequest,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
     ) -> None:
-        tokens = admitted.body.prompt_tokens + admitted.body.max_output_tokens
-        account_id = admitted.permission.account_id
-        gate = await self._context.gate.admit(account_id, tokens, admitted.is_long)
+        gate = await self._pass_gate(admitted, tracked)
         if not is_successful(gate):
             await self._send_refusal(admitted.request_id, gate.failure(), scope, receive, send)
             return
         release = gate.unwrap()
-        active = _active_request(admitted)
+        tracked.request = _active_request(admitted)
         try:
-            with self._context.active.track(active) as tracked:
-                responder = GenerationResponder(
-                    self._context, admitted, tracked, scope, receive, send
-                )
-                await run_while_connected(receive, responder.run)
-                self._record_end(active, responder)
+            responder = GenerationResponder(self._context, admitted, tracked, scope, receive, send)
+            await run_while_connected(receive, responder.run)
+            self._record_end(tracked.request, responder)
         finally:
             release()
 
@@ -129,6 +147,19 @@
         self._context.recorder.record_ended(active, end)
 
 
+def _arriving_request(
+    request_id: RequestId, caller: Caller, body_timeout_seconds: float
+) -> ActiveRequest:
+    now = trio.current_time()
+    return ActiveRequest(
+        request_id=request_id,
+        account_id=caller.account.account_id,
+        subject="",
+        admitted_at=now,
+        deadline=now + body_timeout_seconds,
+    )
+
+
 def _active_request(admitted: AdmittedGeneration) -> ActiveRequest:
     now = trio.current_time()
     return ActiveRequest(
--- a/camphordrift/gateway/_service_endpoint.py
+++ b/camphordrift/gateway/_service_endpoint.py
@@ -1,5 +1,7 @@
 """Forwards calls to plain services; the path of a call selects the service."""
 
+from collections.abc import Callable
+
 import trio
 from returns import result
 from returns.pipeline import is_successful
@@ -74,11 +76,28 @@
             if not is_successful(permitted):
                 await self._send_refusal(request, request_id, permitted.failure(), send)
                 return
-            body = await reader.read(request)
-            if not is_successful(body):
-                await self._send_refusal(request, request_id, body.failure(), send)
-                return
-            await self._run_permitted(request, request_id, permitted.unwrap(), body.unwrap(), send)
+            permission = permitted.unwrap()
+            arriving = _active_request(request_id, permission, limits.body_timeout_seconds)
+            with self._context.active.track(arriving) as tracked:
+                body = await self._read_body(request, reader, tracked)
+                if not is_successful(body):
+                    await self._send_refusal(request, request_id, body.failure(), send)
+                    return
+                await self._run_permitted(request, tracked, permission, body.unwrap(), send)
+
+    async def _read_body(
+        self, request: Request, reader: BodyReader, tracked: TrackedRequest
+    ) -> result.Result[bytes, Failure]:
+        with tracked.new_scope():
+            return await reader.read(request)
+        return result.Failure(failure_of_cut_call(may_have_run=False))
+
+    async def _pass_gate(
+        self, permission: ServicePermission, tracked: TrackedRequest
+    ) -> result.Result[Callable[[], None], Failure]:
+        with tracked.new_scope():
+            return await self._context.gate.admit(permission.account_id, 0, False)
+        return result.Failure(failure_of_cut_call(may_have_run=False))
 
     async def _send_refusal(
         self, request: Request, request_id: RequestId, failure: Failure, send: Send
@@ -97,16 +116,17 @@
     async def _run_permitted(
         self,
         request: Request,
-        request_id: RequestId,
+        tracked: TrackedRequest,
         permission: ServicePermission,
         body: bytes,
         send: Send,
     ) -> None:
+        request_id = tracked.request.request_id
         timeout = read_timeout(request.headers, permission.timeouts)
         if not is_successful(timeout):
             await self._send_refusal(request, request_id, timeout.failure(), send)
             return
-        admitted = await self._context.gate.admit(permission.account_id, 0, False)
+        admitted = await self._pass_gate(permission, tracked)
         if not is_successful(admitted):
             await self._send_refusal(request, request_id, admitted.failure(), send)
             return
@@ -115,20 +135,20 @@
         call = _service_request(request, request_id, permission, body)
 
         active = _active_request(request_id, permission, seconds)
+        tracked.request = active
 
-        async def work(tracked: TrackedRequest) -> None:
+        async def work() -> None:
             outcome = await self._send_call(call, permission, seconds, tracked)
             self._context.recorder.record_ended(active, RequestEnd(INTERFACE, failure_of(outcome)))
             response = _response_from_outcome(outcome, request_id)
             await response(request.scope, request.receive, send)
 
         try:
-            with self._context.active.track(active) as tracked:
-                if not _is_repeatable(permission, request):
-                    # A call that must not be retried is completed even if its caller disconnects.
-                    await work(tracked)
-                elif not await run_while_connected(request.receive, lambda: work(tracked)):
-                    self._context.recorder.record_abandoned(active, INTERFACE, 0)
+            if not _is_repeatable(permission, request):
+                # A call that must not be retried is completed even if its caller disconnects.
+                await work()
+            elif not await run_while_connected(request.receive, work):
+                self._context.recorder.record_abandoned(active, INTERFACE, 0)
         finally:
             release()
 
--- a/camphordrift/telemetry/_gauges.py
+++ b/camphordrift/telemetry/_gauges.py
@@ -12,7 +12,7 @@
 
     READY = ("ready", "1 while the VM accepts requests, 0 otherwise.")
     DRAINING = ("draining", "1 from the start of a graceful shutdown, 0 before.")
-    REQUESTS_RUNNING = ("requests_running", "Admitted requests that have not ended.")
+    REQUESTS_RUNNING = ("requests_running", "Requests of known accounts that have not ended.")
     BODY_BYTES_HELD = ("body_bytes_held", "Bytes of request bodies held in memory.")
     ASKS_WAITING = ("asks_waiting", "Grant requests for an engine waiting in this VM's queues.")
     ENGINES_KNOWN = ("engines_known", "Engines in the configuration.")
--- a/camphordrift/tests/test_graceful_shutdown.py
+++ b/camphordrift/tests/test_graceful_shutdown.py
@@ -10,8 +10,9 @@
 
 from camphordrift.backend_http import HttpConnections, HttpResponse
 from camphordrift.demo import DEMO_MODEL, DemoFleet, DemoPlan
+from camphordrift.draining import DrainPhase
 from camphordrift.results import ResultCode
-from camphordrift.tests.fleet_client import Client, isolated_plan, run_with_fleet
+from camphordrift.tests.fleet_client import ACCOUNT_KEY, Client, isolated_plan, run_with_fleet
 
 #: Drain bound in the tests of requests that it cuts, in seconds.
 DRAIN_BOUND_SECONDS = 0.2
@@ -29,6 +30,24 @@
     return replace(plan, entries=tuple(replace(entry, draining=draining) for entry in plan.entries))
 
 
+async def send_half_of_request(fleet: DemoFleet, path: str, body: bytes) -> trio.SocketStream:
+    """Sends the head and half of the body to the first entry VM, and waits until it has them."""
+    address = fleet.plan.entries[0].listen.callers
+    stream = await trio.open_tcp_stream(address.host, address.port)
+    lines = (
+        f"POST {path} HTTP/1.1",
+        "Host: entry",
+        f"Authorization: Bearer {ACCOUNT_KEY}",
+        f"Idempotency-Key: {uuid6.uuid7()}",
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+    )
+    await stream.send_all(("\r\n".join(lines) + "\r\n\r\n").encode() + body[: len(body) // 2])
+    while fleet.entries[0].body_memory.used_bytes == 0:
+        await trio.sleep(0.01)
+    return stream
+
+
 def running_requests(fleet: DemoFleet) -> int:
     """Returns the number of requests that run on all engines."""
     engines = fleet.standins.engines
@@ -95,3 +114,43 @@
             self.assert_failure(code, "outcome_unknown", responses[0].body)
 
         run_with_fleet(test, plan_with_drain_bound(DRAIN_BOUND_SECONDS))
+
+
+class ArrivingBodyTest(testtools.TestCase):
+    def check(self, path: str, body: dict[str, Any]) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            encoded = json.dumps(body).encode()
+            stream = await send_half_of_request(fleet, path, encoded)
+            shutdown = fleet.entries[0].graceful_shutdown
+            shutdown.start("test")
+            while shutdown.controller.admits_requests:
+                await trio.sleep(0.01)
+            self.assertEqual(DrainPhase.FINISHING, shutdown.controller.phase)
+            await stream.send_all(encoded[len(encoded) // 2 :])
+            response = b"".join([part async for part in stream])
+            self.assertEqual(b"HTTP/1.1 200 ", response.partition(b"\r\n")[0])
+            while shutdown.controller.phase is not DrainPhase.EXITED:
+                await trio.sleep(0.01)
+
+        run_with_fleet(test, plan_with_drain_bound(60.0))
+
+    # The VM counted as idle, and exited before the body was complete.
+    def test_a_request_whose_body_is_still_arriving_keeps_the_vm_alive(self) -> None:
+        self.check("/v1/completions", {"model": DEMO_MODEL, "prompt": "x", "max_tokens": 5})
+
+    # The same with the other endpoint.
+    def test_a_booking_whose_body_is_still_arriving_keeps_the_vm_alive(self) -> None:
+        self.check("/booking-office/bookings", {"reference": "late"})
+
+    # The connection was closed without a response.
+    def test_a_request_whose_body_is_incomplete_at_the_drain_bound_is_not_run(self) -> None:
+        async def test(fleet: DemoFleet, connections: HttpConnections) -> None:
+            stream = await send_half_of_request(fleet, "/v1/completions", b"x" * 100)
+            fleet.entries[0].graceful_shutdown.start("test")
+            head, _, body = b"".join([part async for part in stream]).partition(b"\r\n\r\n")
+            self.assertEqual(b"HTTP/1.1 503 ", head.partition(b"\r\n")[0])
+            error = json.loads(body)["error"]
+            self.assertEqual(int(ResultCode.VM_DRAINING), error["code"])
+            self.assertEqual("not_run", error["run_state"])
+
+        run_with_fleet(test, plan_with_drain_bound(DRAIN_BOUND_SECONDS))
