State no length of a response without body that its server did not state

What callers saw: a 204 with its server's content-length, which RFC 9110, section 8.6, forbids; and content-length: 0 in responses to HEAD requests and with status 304 whose servers stated no length.

Cause: the length of a response that may not have a body was forwarded for 204 as well, and send_complete stated the length of an empty body where none was meant.

Evidence: on the code before, test_a_response_without_body_states_no_length_that_its_server_did_not fails with [b'5'] for both 204 with a length and [b'0'] for 304, HEAD in chunks and HEAD without a length, where [] is expected. It passes now, with the lengths that servers state unchanged.

Why this works: 204 is left out where the length is kept, and a length is added only to a response that may have a body, or whose body is given, as in a refusal of a HEAD request.

--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -124,10 +124,11 @@
         """Writes a complete response.
 
         The length of the body is added unless the headers state it, as in the response of a server
-        to a HEAD request.
+        to a HEAD request, or the response has no body and its length is not known.
         """
         states_length = any(name == b"content-length" for name, _ in headers)
-        if not states_length and status != NO_CONTENT:
+        has_known_length = status != NO_CONTENT and (body or may_have_body(self._method, status))
+        if has_known_length and not states_length:
             headers = [*headers, (b"content-length", b"%d" % len(body))]
         await self.start(status, headers)
         if body and may_have_body(self._method, status):
--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Optional, TypeVar, Union
 
 import h11
@@ -347,8 +348,10 @@
             if len(body) > MAX_BUFFERED_RESPONSE_BYTES:
                 return Broken("the response is too large to buffer")
         headers = _end_to_end_headers(head.headers)
-        if not may_have_body(self._request.method, head.status_code):
-            # The length is that of the body which the response to another request would have.
+        method, status = self._request.method, head.status_code
+        if status != HTTPStatus.NO_CONTENT and not may_have_body(method, status):
+            # The length is that of the body which the response to another request would have. One
+            # of status 204 must not state it (RFC 9110, section 8.6).
             headers += [item for item in head.headers if item[0] == b"content-length"]
         return Answered(head.status_code, headers, bytes(body))
 
--- a/camphordrift/relay/tests/test_responses_without_body.py
+++ b/camphordrift/relay/tests/test_responses_without_body.py
@@ -134,3 +134,46 @@
 
     def test_status_304(self) -> None:
         self.check(304, "GET", b"content-length: 5\r\n")
+
+
+class LengthTest(testtools.TestCase):
+    def lengths(self, method: str, server_head: str) -> list[bytes]:
+        """Returns the lengths that a caller is told if a server sends only the given head."""
+        lengths: list[bytes] = []
+
+        async def answer(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            attempt = f"x-signature: s\r\nx-attempt: {attempt_id_of(request)}\r\n\r\n"
+            await stream.send_all(f"HTTP/1.1 {server_head}\r\n{attempt}".encode())
+            return True
+
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            stream = await relay.connect()
+            head = f"{method} /look/x HTTP/1.1\r\nhost: a.example\r\nx-attempt: a1\r\nx-key: key-1"
+            await stream.send_all(f"{head}\r\nconnection: close\r\n\r\n".encode())
+            protocol = h11.Connection(h11.CLIENT)
+            protocol.send(h11.Request(method=method, target="/look/x", headers=[("host", "a")]))
+            protocol.receive_data(b"".join([bytes(part) async for part in stream]))
+            response = protocol.next_event()
+            assert isinstance(response, h11.Response)
+            self.assertEqual(int(server_head[:3]), response.status_code)
+            lengths.extend(value for name, value in response.headers if name == b"content-length")
+
+        run_scenario(scenario, answer, service="office")
+        return lengths
+
+    # The length of a 204 was forwarded, and others were told a length of 0.
+    def test_a_response_without_body_states_no_length_that_its_server_did_not(self) -> None:
+        chunked = "200 OK\r\ntransfer-encoding: chunked"
+        cases: tuple[tuple[str, str, list[bytes]], ...] = (
+            ("POST", "204 No Content\r\ncontent-length: 5", []),
+            ("HEAD", "204 No Content\r\ncontent-length: 5", []),
+            ("POST", "204 No Content", []),
+            ("GET", "304 Not Modified", []),
+            ("GET", "304 Not Modified\r\ncontent-length: 5", [b"5"]),
+            ("HEAD", chunked, []),
+            ("HEAD", "200 OK", []),
+            ("HEAD", "200 OK\r\ncontent-length: 5", [b"5"]),
+            ("HEAD", "200 OK\r\ncontent-length: 0", [b"0"]),
+        )
+        told = [(method, head, self.lengths(method, head)) for method, head, _ in cases]
+        self.assertEqual(list(cases), told)
