Count heads that arrive in part against the budget for responses

A head whose end does not arrive holds up to 64 KiB and what was read last, for each request.

Why it works: a head counts with the bytes that were read once it is incomplete after a read, and until it is complete; beyond the budget, the largest gives way. A head that arrives in one read is not touched.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -390,7 +390,7 @@
         )
         gauge(
             "relay_response_bytes",
-            "Bytes held of responses that are buffered, and of unfinished events of streams.",
+            "Bytes held of incomplete heads, buffered responses and unfinished events.",
             lambda: self._responses.unfinished_bytes + self._responses.complete_bytes,
         )
         gauge("relay_open_descriptors", "Open descriptors of the process.", open_descriptors)
--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -83,6 +83,8 @@
         self._stream = stream
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
         self._pace = ParsingPace()
+        #: Number of bytes that were read since the last event.
+        self._incomplete_size = 0
         #: Whether a request was started of which not all bytes were written.
         self._is_request_unfinished = False
         #: Whether the end of the stream was received.
@@ -179,9 +181,15 @@
                 raise BrokenAnswerError("the response is too large")
         return SmallResponse(head.status_code, list(head.headers), bytes(content))
 
-    async def receive_head(self) -> h11.Response:
+    async def receive_head(
+        self, on_incomplete: Callable[[int], None] = lambda size: None
+    ) -> h11.Response:
         """Returns the status line and headers of the response.
 
+        Args:
+            on_incomplete: Called with the number of bytes of an incomplete head that have arrived.
+                What it raises ends the call.
+
         Raises:
             BrokenAnswerError: The connection ended first, the data was not valid HTTP, too many
                 informational responses came first, or the head runs on into that of another
@@ -189,7 +197,7 @@
 
         """
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
-            event = await self._next_event()
+            event = await self._next_event(on_incomplete)
             if isinstance(event, (h11.InformationalResponse, h11.Response)):
                 _check_is_one_head(event)
             if isinstance(event, h11.Response):
@@ -228,7 +236,9 @@
         """Closes the connection with a reset, so that the server aborts the request."""
         self._stream.abort()
 
-    async def _next_event(self) -> h11.Event:
+    async def _next_event(
+        self, on_incomplete: Callable[[int], None] = lambda size: None
+    ) -> h11.Event:
         event, self._next = self._next, None
         if isinstance(event, BrokenAnswerError):
             raise event
@@ -237,8 +247,11 @@
                 await self._pace.pause_between_turns()
                 event = self._parse_next()
                 if event is None:
+                    if self._incomplete_size:
+                        on_incomplete(self._incomplete_size)
                     data = await self._stream.receive_some(READ_SIZE)
                     self._has_ended = not data
+                    self._incomplete_size += len(data)
                     self._protocol.receive_data(data)
                     self._pace.record_read()
             return event
@@ -264,6 +277,7 @@
             raise BrokenAnswerError("the server switched to another protocol")
         if not isinstance(event, h11.Event):
             return None
+        self._incomplete_size = 0
         self._pace.record_event()
         return event
 
--- a/camphordrift/relay/requests/_attempt.py
+++ b/camphordrift/relay/requests/_attempt.py
@@ -309,7 +309,31 @@
         event_timeout: float,
         sink: Optional[EventSink],
     ) -> tuple[AttemptResult, float]:
-        head = await timer.receive(connection.receive_head)
+        held = self._open_body(connection.close)
+        result: Optional[AttemptResult] = None
+        try:
+            result, idle_timeout = await self._receive_held(
+                connection, timer, event_timeout, sink, held
+            )
+            return result, idle_timeout
+        except (BodyBudgetError, BrokenAnswerError, OSError):
+            if not held.gave_way:
+                raise
+            return Broken("the memory for responses is used up"), 0.0
+        finally:
+            if not isinstance(result, Answered):
+                held.release()
+
+    async def _receive_held(
+        self,
+        connection: HttpConnection,
+        timer: _SilenceTimer,
+        event_timeout: float,
+        sink: Optional[EventSink],
+        held: HeldBody,
+    ) -> tuple[AttemptResult, float]:
+        head = await timer.receive(lambda: connection.receive_head(held.resize))
+        held.resize(0)
         metadata = self._header_format.response_metadata(list(head.headers))
         self._on_response(head.status_code, metadata)
         idle_timeout = (
@@ -328,25 +352,14 @@
             return Broken("the response has no signature"), 0.0
         if success and metadata.attempt_id is None:
             return Broken("the response has no attempt id"), 0.0
-        held = self._open_body(connection.close)
-        result: Optional[AttemptResult] = None
-        try:
-            if success and sink is not None:
-                result = await self._forward_events(
-                    connection, head, timer, event_timeout, sink, held
-                )
-            else:
-                result = await self._receive_complete_response(
-                    connection, head, timer, event_timeout, held
-                )
-            return result, idle_timeout
-        except (BodyBudgetError, BrokenAnswerError, OSError):
-            if not held.gave_way:
-                raise
-            return Broken("the memory for responses is used up"), 0.0
-        finally:
-            if not isinstance(result, Answered):
-                held.release()
+        result: AttemptResult
+        if success and sink is not None:
+            result = await self._forward_events(connection, head, timer, event_timeout, sink, held)
+        else:
+            result = await self._receive_complete_response(
+                connection, head, timer, event_timeout, held
+            )
+        return result, idle_timeout
 
     async def _discard_body(self, connection: HttpConnection) -> None:
         """Reads and drops the rest of a response, so that the connection can be reused."""
