--- a/camphordrift/relay/tests/test_faulty_responses.py
+++ b/camphordrift/relay/tests/test_faulty_responses.py
@@ -10,6 +10,7 @@
 from camphordrift.relay.crashes._trait_quarantine import EVIDENCE_DELAY
 from camphordrift.relay.requests._crash_checks import OPEN_TIME
 from camphordrift.relay.tests.relay_harness import (
+    TEST_TIMEOUT,
     CallerResponse,
     RelayHarness,
     chunk,
@@ -38,23 +39,13 @@
     """
 
     def test_a_part_whose_streams_were_truncated_is_served(self) -> None:
-        async def truncate(request: HttpRequest, stream: trio.SocketStream) -> None:
-            await stream.send_all(stream_head(request) + chunk(events(1, 2)))
-
-        self._check_is_served(truncate)
+        self._check_is_served(_truncate)
 
     def test_a_part_whose_streams_ended_inside_an_event_is_served(self) -> None:
-        async def end_inside_event(request: HttpRequest, stream: trio.SocketStream) -> None:
-            data = stream_head(request) + chunk(events(1, 2) + b"id: 3\ndat") + b"0\r\n\r\n"
-            await stream.send_all(data)
-
-        self._check_is_served(end_inside_event)
+        self._check_is_served(_end_inside_event)
 
     def test_a_part_on_which_servers_sent_no_http_is_served(self) -> None:
-        async def send_garbage(request: HttpRequest, stream: trio.SocketStream) -> None:
-            await stream.send_all(b"\x16\x03\x01garbage\r\n\r\n")
-
-        self._check_is_served(send_garbage)
+        self._check_is_served(_send_garbage)
 
     def test_a_part_on_which_servers_sent_nothing_is_served(self) -> None:
         async def send_nothing(request: HttpRequest, stream: trio.SocketStream) -> None:
@@ -89,5 +80,47 @@
         self.assertEqual((200, True), (responses[0].status, responses[0].complete))
 
 
+class LastResponseTest(testtools.TestCase):
+    """What a server sent last, before it refuses connections, shows whether it crashed on it."""
+
+    def test_a_truncated_stream_accuses_its_parts(self) -> None:
+        self._check_accused(_truncate, True)
+
+    def test_a_stream_that_ended_inside_an_event_accuses_nothing(self) -> None:
+        self._check_accused(_end_inside_event, False)
+
+    def test_bytes_that_are_no_http_accuse_nothing(self) -> None:
+        self._check_accused(_send_garbage, False)
+
+    def _check_accused(self, respond: Respond, expected: bool) -> None:
+        engines: list[ScriptedServer] = []
+
+        async def script(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            await respond(request, stream)
+            engines[0].refuse_connections(TEST_TIMEOUT, lambda: None)
+            return False
+
+        async def main() -> None:
+            engines.append(ScriptedServer(server(0, "engines", port=0), script))
+            async with open_relay(engines) as relay:
+                await relay.send_request("/quick/x", x_parts="shared", x_patience="1")
+                await trio.sleep(2 * OPEN_TIME)
+                self.assertEqual(expected, relay.process._crashes.is_suspect(("shared",)))
+
+        trio.run(main)
+
+
+async def _truncate(request: HttpRequest, stream: trio.SocketStream) -> None:
+    await stream.send_all(stream_head(request) + chunk(events(1, 2)))
+
+
+async def _end_inside_event(request: HttpRequest, stream: trio.SocketStream) -> None:
+    await stream.send_all(stream_head(request) + chunk(events(1, 2) + b"id: 3\ndat") + b"0\r\n\r\n")
+
+
+async def _send_garbage(request: HttpRequest, stream: trio.SocketStream) -> None:
+    await stream.send_all(b"\x16\x03\x01garbage\r\n\r\n")
+
+
 async def _send(relay: RelayHarness, attempt: str) -> CallerResponse:
     return await relay.send_request("/quick/x", attempt, attempt.encode(), x_parts="shared")
