--- a/camphordrift/relay/connections/__init__.py
+++ b/camphordrift/relay/connections/__init__.py
@@ -19,6 +19,12 @@
     enable_dead_peer_detection,
 )
 from camphordrift.relay.connections._connection_limit import ConnectionLimit
+from camphordrift.relay.connections._connection_pool import (
+    BACKEND_CONNECT_TIMEOUT,
+    ConnectionPool,
+    OpenStream,
+    open_stream,
+)
 from camphordrift.relay.connections._events import (
     EventSplitter,
     EventTooLongError,
@@ -26,15 +32,11 @@
     parse_event_id,
 )
 from camphordrift.relay.connections._http_client import (
-    BACKEND_CONNECT_TIMEOUT,
     BrokenAnswerError,
     ConnectionEndedError,
-    ConnectionPool,
     HttpConnection,
-    OpenStream,
     SmallRequest,
     SmallResponse,
-    open_stream,
 )
 from camphordrift.relay.connections._http_server import (
     CallerConnection,
--- a/camphordrift/relay/tests/cut_responses.py
+++ b/camphordrift/relay/tests/cut_responses.py
@@ -13,7 +13,7 @@
     ConnectionPool,
     StreamEvent,
 )
-from camphordrift.relay.connections._http_client import OpenStream
+from camphordrift.relay.connections._connection_pool import OpenStream
 from camphordrift.relay.model import ForwardingMetadata, Headers
 from camphordrift.relay.peers._peer_messages import ConnectionEnd
 from camphordrift.relay.requests._attempt import (
--- a/camphordrift/relay/tests/samples.py
+++ b/camphordrift/relay/tests/samples.py
@@ -33,7 +33,7 @@
     ServiceShare,
     StoreError,
 )
-from camphordrift.relay.connections._http_client import ConnectionPool
+from camphordrift.relay.connections._connection_pool import ConnectionPool
 from camphordrift.relay.peers._notice_distribution import NoticeDistributor
 from camphordrift.relay.peers._peer_links import PeerLinks
 from camphordrift.relay.requests._server_calls import ServerCalls
--- a/camphordrift/relay/tests/test_cold_servers.py
+++ b/camphordrift/relay/tests/test_cold_servers.py
@@ -168,8 +168,8 @@
         self.assertEqual(1, sum(item is not None for item in news))
 
 
-#: Times of observations in seconds. VMs state the age of an observation, so times that differ by less
-#: than the rounding of that cannot be told apart.
+#: Times of observations in seconds. VMs state the age of an observation, so times that differ by
+#: less than the rounding of that cannot be told apart.
 OBSERVATION_TIMES = st.integers(0, 10_000_000).map(lambda microseconds: microseconds / 1e6)
 
 
--- a/camphordrift/relay/tests/test_reservations.py
+++ b/camphordrift/relay/tests/test_reservations.py
@@ -8,7 +8,7 @@
 import trio
 
 from camphordrift.relay import BackendServer, Reservation
-from camphordrift.relay.connections._http_client import BACKEND_CONNECT_TIMEOUT
+from camphordrift.relay.connections._connection_pool import BACKEND_CONNECT_TIMEOUT
 from camphordrift.relay.requests._reservations import (
     CRASH_DETECTION_SECONDS,
     ORDER_TIMEOUT,
