Let a released body count nothing, whatever is set later

HeldBody.release() left the size of what was not parsed, so a later set_unparsed_size(0) would have made the total of the budget negative (-50 in the test before).

--- a/camphordrift/relay/connections/_body_budget.py
+++ b/camphordrift/relay/connections/_body_budget.py
@@ -108,7 +108,7 @@
     def release(self) -> None:
         """Drops the body, as its request has ended."""
         self._budget.remove(self)
-        self._content, self._size = bytearray(), 0
+        self._content, self._size, self._unparsed_size = bytearray(), 0, 0
 
     def _hold(self, size: int) -> None:
         if size > 0 and not self._gave_way:
--- a/camphordrift/relay/tests/test_body_budget.py
+++ b/camphordrift/relay/tests/test_body_budget.py
@@ -154,3 +154,14 @@
         self.assertEqual([9 * LARGE // 2], gave_way)
         body.resize(0)
         self.assertEqual(3 * LARGE, budget.unfinished_bytes)
+
+
+class ReleaseTest(testtools.TestCase):
+    def test_a_released_body_counts_nothing_any_more(self) -> None:
+        # Guards against a total that becomes negative.
+        budget = BodyBudget(1000)
+        body = budget.open(lambda: None)
+        body.set_unparsed_size(50)
+        body.release()
+        body.set_unparsed_size(0)
+        self.assertEqual(0, budget.unfinished_bytes)
