Bound the number of a head's fields, and count complete heads

Cause: h11 keeps some hundred bytes for each field, and a complete head counted nowhere. Heads of servers have the same cause (100 of 62 KB: 230 MB). A head has at most 256 fields (431; a response with more is broken), and a request's head counts against the budget for bodies, with 256 bytes a field, until the request has ended. The two tests failed before: 200 in place of 431, and 0 bytes counted.

--- a/camphordrift/relay/connections/_body_budget.py
+++ b/camphordrift/relay/connections/_body_budget.py
@@ -57,6 +57,15 @@
         self._hold(len(data))
         self._content += data
 
+    def hold_head(self, size: int) -> None:
+        """Counts the parsed head of the request.
+
+        Raises:
+            BodyBudgetError: The body gave way.
+
+        """
+        self._hold(size)
+
     def set_unparsed_size(self, size: int) -> None:
         """Counts what the parser holds back of an incomplete head, chunk's size line or trailer.
 
--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -22,6 +22,9 @@
 #: Maximum size of the status line and headers of a response, in bytes.
 MAX_HEAD_SIZE = 65536
 
+#: Maximum number of fields of a response's head, each of which takes far more memory than its bytes.
+MAX_HEADER_FIELDS = 256
+
 #: Maximum number of informational responses (1xx) before the response to a request.
 MAX_INFORMATIONAL_RESPONSES = 16
 
@@ -189,6 +192,8 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event(on_incomplete)
             if isinstance(event, (h11.InformationalResponse, h11.Response)):
+                if len(event.headers) > MAX_HEADER_FIELDS:
+                    raise BrokenAnswerError("the head has too many fields")
                 _check_is_one_head(event)
             if isinstance(event, h11.Response):
                 return event
--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -28,6 +28,10 @@
 #: Maximum size in bytes of a complete response that is sent in one write with its head.
 MAX_JOINED_RESPONSE_BYTES = 16384
 
+#: Maximum number of fields of a request's head, and approximate number of bytes of memory that a
+#: field takes besides its name and value.
+MAX_HEADER_FIELDS, HEADER_FIELD_OVERHEAD = 256, 256
+
 #: Statuses of responses that never have a body.
 NO_CONTENT, NOT_MODIFIED = 204, 304
 
@@ -399,6 +403,11 @@
                             "both Transfer-Encoding and Content-Length are present",
                             error_status_hint=400,
                         )
+                    if len(event.headers) > MAX_HEADER_FIELDS:
+                        raise h11.RemoteProtocolError(
+                            "the head has too many fields", error_status_hint=431
+                        )
+                    body.hold_head(_held_size(event.headers))
                     _check_body_size(_announced_length(event.headers), limits)
                 case h11.Data():
                     body.append(event.data)
@@ -490,6 +499,11 @@
     return b"transfer-encoding" in names and b"content-length" in names
 
 
+def _held_size(headers: Headers) -> int:
+    """Returns the approximate number of bytes of memory that headers take."""
+    return sum(len(name) + len(value) + HEADER_FIELD_OVERHEAD for name, value in headers)
+
+
 def _announced_length(headers: Headers) -> int:
     """Returns the length of the body as the headers state it; 0 if they do not.
 
--- a/camphordrift/relay/tests/test_caller_bodies.py
+++ b/camphordrift/relay/tests/test_caller_bodies.py
@@ -3,9 +3,18 @@
 import pytest
 import testtools
 import trio
-
-from camphordrift.relay.connections import BodyBudget, ByteStream, HttpConnection
+import trio.testing
+
+from camphordrift.relay.connections import (
+    BodyBudget,
+    ByteStream,
+    CallerConnection,
+    CallerRequest,
+    HttpConnection,
+    ResponseWriter,
+)
 from camphordrift.relay.connections._http_client import MAX_JOINED_BODY_BYTES
+from camphordrift.relay.connections._http_server import Handler
 from camphordrift.relay.model import CallerLimits
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
@@ -132,3 +141,70 @@
             self.assertIn("relay_unfinished_body_bytes", await relay.metrics_page())
 
         run_scenario(scenario, plain_success)
+
+
+@pytest.mark.sockets
+class HeaderFieldsTest(testtools.TestCase):
+    """Guards against small heads whose many fields take far more memory than their bytes."""
+
+    def test_a_head_with_very_many_fields_is_refused(self) -> None:
+        async def scenario(relay: RelayHarness, servers: list[ScriptedServer]) -> None:
+            head, _, _ = request_bytes("/look/x").partition(b"\r\n\r\n")
+            async with await relay.connect() as stream:
+                await stream.send_all(head + b"\r\na:" * 3000 + b"\r\n\r\n")
+                response = await read_response(stream)
+            self.assertEqual((431, True), (response.status, response.complete))
+            self.assertEqual([], servers[0].requests)
+
+        run_scenario(scenario, plain_success, service="office")
+
+    def test_a_complete_head_counts_until_its_request_has_ended(self) -> None:
+        budget = BodyBudget()
+
+        async def handle(request: CallerRequest, response: ResponseWriter) -> None:
+            held.append(budget.complete_bytes)
+            await response.send_complete(200, [], b"")
+
+        held: list[int] = []
+        run_connection(handle, budget, request_bytes("/x", x_long="x" * 10_000))
+        self.assertGreater(held[0], 10_000)
+        self.assertEqual(0, budget.complete_bytes + budget.unfinished_bytes)
+
+
+def run_connection(handle: Handler, budget: BodyBudget, data: bytes) -> None:
+    """Serves a connection over which data is sent, until the end of the data."""
+
+    async def main() -> None:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        caller = await trio.open_tcp_stream(*listener.socket.getsockname())
+        connection = CallerConnection(
+            await listener.accept(), CallerLimits, handle, lambda: False, budget
+        )
+
+        async def discard() -> None:
+            try:
+                async for _ in caller:
+                    pass
+            except trio.BrokenResourceError:
+                return
+
+        async def send() -> None:
+            try:
+                await caller.send_all(data)
+            except trio.BrokenResourceError:
+                # The connection was closed first.
+                return
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(discard)
+            nursery.start_soon(send)
+            nursery.start_soon(stop_when_idle, connection)
+            await connection.serve()
+            nursery.cancel_scope.cancel()
+
+    async def stop_when_idle(connection: CallerConnection) -> None:
+        while True:
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            connection.close_if_idle()
+
+    trio.run(main)
