Bound what one connection's pipelined requests leave unread by the parser

Cause: each request in progress read up to 64 KiB more, whatever was read ahead before, and what carried over counted nowhere. What is left of earlier reads now counts first, for the bound and for the budget. The test failed before: 4,130,652 bytes held back in 60 requests; 81,920 are allowed.

--- a/camphordrift/relay/connections/_http_server.py
+++ b/camphordrift/relay/connections/_http_server.py
@@ -339,7 +339,10 @@
 
         Reads no further when the budget for bodies has no room for what it reads.
         """
-        self._read_ahead_bytes = 0
+        # Includes what followed the request before.
+        self._read_ahead_bytes = len(self._protocol.trailing_data[0])
+        if not body.read_ahead(self._read_ahead_bytes):
+            return
         while self._read_ahead_bytes < MAX_READ_AHEAD_BYTES:
             try:
                 data = await self._stream.receive_some(CALLER_READ_SIZE)
--- a/camphordrift/relay/tests/test_caller_bodies.py
+++ b/camphordrift/relay/tests/test_caller_bodies.py
@@ -14,7 +14,11 @@
     ResponseWriter,
 )
 from camphordrift.relay.connections._http_client import MAX_JOINED_BODY_BYTES
-from camphordrift.relay.connections._http_server import Handler
+from camphordrift.relay.connections._http_server import (
+    CALLER_READ_SIZE,
+    MAX_READ_AHEAD_BYTES,
+    Handler,
+)
 from camphordrift.relay.model import CallerLimits
 from camphordrift.relay.tests.relay_harness import (
     RelayHarness,
@@ -25,6 +29,9 @@
 )
 from camphordrift.relay.tests.samples import ScriptedServer, attempt_id_of
 
+#: Requests after which a connection with pipelined requests is closed, and the bytes that it sends.
+PIPELINED_REQUESTS, ENDLESS_BYTES = 60, 8 << 20
+
 #: A length far over the limit of a body.
 FAR_OVER_LIMIT = 100 * CallerLimits().body_bytes
 
@@ -171,6 +178,32 @@
         self.assertEqual(0, budget.complete_bytes + budget.unfinished_bytes)
 
 
+@pytest.mark.sockets
+class PipelinedRequestsTest(testtools.TestCase):
+    """Guards against one connection whose requests without end are all kept."""
+
+    def test_what_follows_a_request_is_bounded_and_counts(self) -> None:
+        budget = BodyBudget()
+        request = request_bytes("/x")
+        #: Bytes that the parser holds back during each request, and those that count.
+        unparsed: list[int] = []
+        counted: list[int] = []
+
+        async def handle(current: CallerRequest, response: ResponseWriter) -> None:
+            await trio.testing.wait_all_tasks_blocked()
+            unparsed.append(len(response._connection._protocol.trailing_data[0]))
+            counted.append(budget.complete_bytes)
+            is_last = len(unparsed) == PIPELINED_REQUESTS
+            headers = [(b"connection", b"close")] if is_last else []
+            await response.send_complete(200, headers, b"")
+
+        run_connection(handle, budget, request * (ENDLESS_BYTES // len(request)))
+        self.assertEqual(PIPELINED_REQUESTS, len(unparsed))
+        self.assertLessEqual(max(unparsed), MAX_READ_AHEAD_BYTES + CALLER_READ_SIZE)
+        for held_back, held in zip(unparsed, counted, strict=True):
+            self.assertGreaterEqual(held, held_back)
+
+
 def run_connection(handle: Handler, budget: BodyBudget, data: bytes) -> None:
     """Serves a connection over which data is sent, until the end of the data."""
 
