Bound the idle connections to servers

Cause: the bound on callers counts a connection to a server only while a request is in progress, and the pool kept all of them idle. It keeps an eighth of the sockets at most.

--- a/camphordrift/relay/_process.py
+++ b/camphordrift/relay/_process.py
@@ -236,7 +236,10 @@
             ConnectionLimit(settings.max_new_peers, busy_weight=0),
         )
         self._connections = ConnectionPool(
-            BACKEND_CONNECT_TIMEOUT, self._connector.connect, self._connector.check
+            BACKEND_CONNECT_TIMEOUT,
+            self._connector.connect,
+            self._connector.check,
+            settings.max_idle_servers,
         )
         calls = ServerCalls(
             self._connections,
--- a/camphordrift/relay/connections/_connection_pool.py
+++ b/camphordrift/relay/connections/_connection_pool.py
@@ -1,5 +1,6 @@
 """Opens connections to backend servers and to the store, and keeps idle ones for reuse."""
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import Optional
 
@@ -42,6 +43,7 @@
         connect_timeout: Seconds within which a new connection must be established.
         open_stream: Opens a new connection; over this VM's own path by default.
         on_silence: Called with the host and port of a server that was silent on a connection.
+        max_idle: Maximum number of idle connections; further ones are closed after use.
 
     """
 
@@ -50,12 +52,19 @@
         connect_timeout: float,
         open_stream: OpenStream = open_stream,
         on_silence: Callable[[str, int], None] = lambda host, port: None,
+        max_idle: float = math.inf,
     ) -> None:
         self._connect_timeout = connect_timeout
         self._open_stream = open_stream
         self.record_silence = on_silence
+        self._max_idle = max_idle
         self._idle_connections: dict[tuple[str, int], list[HttpConnection]] = {}
 
+    @property
+    def idle_count(self) -> int:
+        """Number of idle connections."""
+        return sum(map(len, self._idle_connections.values()))
+
     async def acquire(self, host: str, port: int, force_new: bool = False) -> HttpConnection:
         """Returns an idle connection, or a new one.
 
@@ -127,7 +136,8 @@
             idle_timeout: Seconds for which the server keeps the connection open while it is idle.
 
         """
-        if not connection.reusable or idle_timeout <= IDLE_MARGIN:
+        is_kept = connection.reusable and idle_timeout > IDLE_MARGIN
+        if not is_kept or self.idle_count >= self._max_idle:
             connection.close()
             return
         connection.usable_until = trio.current_time() + idle_timeout - IDLE_MARGIN
--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -22,7 +22,7 @@
 #: Maximum size of the status line and headers of a response, in bytes.
 MAX_HEAD_SIZE = 65536
 
-#: Maximum number of fields of a response's head, each of which takes far more memory than its bytes.
+#: Maximum number of fields of a response's head. Each takes far more memory than its bytes.
 MAX_HEADER_FIELDS = 256
 
 #: Maximum number of informational responses (1xx) before the response to a request.
--- a/camphordrift/relay/model/_settings.py
+++ b/camphordrift/relay/model/_settings.py
@@ -20,9 +20,11 @@
 RESERVED_DESCRIPTORS = 200
 
 #: Shares of the sockets: for callers and the servers of their requests, for other VMs that have not
-#: introduced themselves, and for readiness probes and for readers of the metrics.
+#: introduced themselves, for idle connections to servers, and for readiness probes and for readers
+#: of the metrics.
 CALLER_SOCKET_SHARE = 3 / 4
 NEW_PEER_SOCKET_SHARE = 1 / 16
+IDLE_SERVER_SOCKET_SHARE = 1 / 8
 PROBE_SOCKET_SHARE = 1 / 32
 
 #: Share of a VM's memory that buffered responses of servers may use together.
@@ -108,6 +110,11 @@
         """Open connections from other VMs that have not introduced themselves."""
         return self._max_sockets * NEW_PEER_SOCKET_SHARE
 
+    @property
+    def max_idle_servers(self) -> float:
+        """Idle connections to servers that are kept for reuse."""
+        return self._max_sockets * IDLE_SERVER_SOCKET_SHARE
+
     @property
     def max_probes(self) -> float:
         """Open connections for readiness probes, and as many for readers of the metrics."""
