--- a/camphordrift/platform/tests/test_crowds.py
+++ b/camphordrift/platform/tests/test_crowds.py
@@ -20,6 +20,8 @@
 
 from camphordrift.platform._caller_socket import SETTINGS_PATH_VARIABLE
 from camphordrift.platform.soak._store import SoakStore
+from camphordrift.relay.peers import Member
+from camphordrift.relay.peers._message_link import _encode as encode_message
 from camphordrift.testing import HttpRequest, process_loopback_network, serve_requests
 
 pytestmark = pytest.mark.crowds
@@ -42,6 +44,10 @@
 #: Number of callers with a large unfinished head for each one with a large unfinished body.
 HEADS_PER_BODY = 60
 
+#: Number of requests that occupy all connections of a VM with few descriptors, and of connections
+#: of others that introduce themselves as VMs.
+WAITING_REQUESTS, INTRODUCED_VMS = 30, 16
+
 #: Bytes that are sent of a body far over the limit.
 ENDLESS_BYTES = 2 * MAX_BODY_BYTES
 
@@ -420,6 +426,22 @@
 
         self.run_crowd(caller)
 
+    def test_more_waiting_requests_than_connections(self) -> None:
+        async def caller(vm: VmProcess) -> None:
+            await vm.send_and_stay(request_head("/bulk/", "content-length: 2") + b"hi")
+
+        self.run_crowd(caller, WAITING_REQUESTS, FEW_DESCRIPTORS)
+
+    def test_unfinished_messages_of_introduced_vms(self) -> None:
+        introduction = encode_message(Member("vm-x", 1, "127.0.0.1", 9, 0, "z0", ()))
+        size_line = (15 << 20).to_bytes(4, "big")
+        pieces = repeated(b"x" * 65536, (15 << 20) - 65536)
+
+        async def caller(vm: VmProcess) -> None:
+            await vm.send_and_stay(introduction, size_line, *pieces, port=vm.peers)
+
+        self.run_crowd(caller, INTRODUCED_VMS)
+
     def test_one_large_body_is_served_in_calm(self) -> None:
         """Holds before any limit, and must hold with each."""
 
