--- a/camphordrift/relay/tests/partitions.py
+++ b/camphordrift/relay/tests/partitions.py
@@ -8,7 +8,7 @@
 import testtools
 import trio
 
-from camphordrift.relay.connections import _byte_stream, _http_client
+from camphordrift.relay.connections import _byte_stream, _connection_pool
 from camphordrift.relay.tests import relay_harness
 
 #: The VM to which the running task belongs; tasks inherit it from the one that started the VM.
@@ -56,7 +56,7 @@
         self._streams: list[_CuttableStream] = []
         self._changed = trio.Event()
         self._connect = _byte_stream.connect
-        case.patch(_http_client, "connect", self._connect_unless_cut)
+        case.patch(_connection_pool, "connect", self._connect_unless_cut)
 
     async def start(self, fleet: relay_harness.RelayFleet, vm: str) -> relay_harness.RelayHarness:
         """Starts the next VM of a fleet, whose id must be ``vm``."""
