--- a/review/harness-2/harness2.py
+++ b/review/harness-2/harness2.py
@@ -104,6 +104,30 @@
     writer.transport.abort()
 
 
+def client_socket():
+    """Returns a socket with the operating system's usual buffers, for use in an event loop."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    return sock
+
+
+async def read_answer_head(loop, sock):
+    """Returns the head of an answer, and what has arrived of its body.
+
+    Raises:
+        ConnectionError: The channel ended first.
+
+    """
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = await loop.sock_recv(sock, 4096)
+        if not part:
+            raise ConnectionResetError("the channel ended before the answer")
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    return head.decode("latin-1"), body
+
+
 class Store:
     """The platform's store: keyed topics, each with partition 0 alone."""
 
