--- a/review/harness-2/harness2.py
+++ b/review/harness-2/harness2.py
@@ -35,17 +35,21 @@
     """Writes what was sent, answered and run to ``record.txt``."""
 
     def __init__(self, folder):
-        self._file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+        self._path = Path(folder) / "record.txt"
+        self._path.write_text("", encoding="utf-8")
 
     def __call__(self, text):
-        self._file.write(f"{now():8.3f} {text}\n")
-        self._file.flush()
+        """Adds a line with the time in seconds."""
+        with self._path.open("a", encoding="utf-8") as file:
+            file.write(f"{now():8.3f} {text}\n")
 
 
 def free_host():
     """Returns a loopback address on which the metrics port is free."""
     for _ in range(200):
-        host = f"127.{random.randrange(60, 250)}.{random.randrange(1, 250)}.{random.randrange(2, 250)}"
+        host = (
+            f"127.{random.randrange(60, 250)}.{random.randrange(1, 250)}.{random.randrange(2, 250)}"
+        )
         with socket.socket() as probe:
             try:
                 probe.bind((host, METRICS_PORT))
@@ -141,6 +145,7 @@
         self._writers = set()
 
     async def start(self):
+        """Listens at the address; raises ``OSError`` if it is taken."""
         self._server = await asyncio.start_server(self._serve, self.host, self.port)
 
     async def stop(self):
@@ -298,6 +303,7 @@
         self.process = None
 
     def start(self):
+        """Starts the process with the command of the deploy file."""
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 ["python3", "-m", "camphordrift.platform"],
@@ -323,6 +329,7 @@
         return False
 
     async def is_ready(self):
+        """Returns whether the readiness check gets 200 within a second."""
         try:
             reader, writer = await asyncio.open_connection(self.host, self.ready_port)
         except OSError:
@@ -331,16 +338,18 @@
             writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: vm\r\n\r\n")
             data = await asyncio.wait_for(reader.read(200), 1.0)
             return b" 200 " in data
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return False
         finally:
             writer.close()
 
     def signal(self, number):
+        """Sends a signal, if the process runs."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
     def end(self):
+        """Kills the process if it runs, and waits for its end."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
