--- a/review/harness-2/harness2.py
+++ b/review/harness-2/harness2.py
@@ -410,6 +410,8 @@
 
 def run(main):
     """Runs a script's coroutine, which returns 0, 1 or 2, and exits with that."""
+    # Ignored signals are inherited, as under nohup; the platform ignores none for its processes.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     try:
         code = asyncio.run(asyncio.wait_for(main(), 115.0))
     except Exception as error:
