Keep the error of a failed write for the reads that follow

What callers saw: a server answered a long upload at once with a 200 without a length, sent 2,500 of 6,000 bytes and reset the connection while the body was being written. The caller got 2,500 bytes with Content-Length 2500, as a complete answer. Streams without a length ended as complete in the same way, also those that came through another VM, and rejections without a length counted as promises.

Cause: Linux reports the error of a socket to one call only. If that is the write of the body, the next read returns what arrived before the reset and then nothing, as after a regular end, and h11 takes a response without a length for complete. The task that sends the body drops its error in the belief that the reading side gets it as well; the tunnel for other VMs does the same. Where the kernel ended the connection itself (ETIMEDOUT), the same happened.

Change: SocketByteStream, which both use, keeps the error of a write and raises it where a read would return the end. It does not keep EPIPE, which Linux reports for a reset after the peer's FIN: there the response did end regularly.

--- a/camphordrift/relay/connections/_byte_stream.py
+++ b/camphordrift/relay/connections/_byte_stream.py
@@ -67,23 +67,35 @@
 
 
 class SocketByteStream(ByteStream):
-    """A connection over this VM's own path."""
+    """A connection over this VM's own path.
+
+    The kernel reports the error of a socket to one call only. If that is a write, the reads that
+    follow return what arrived before the error, and then the same as at a regular end. The error is
+    therefore kept for them.
+    """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
+        #: Error of a write, unless the peer had ended its side of the connection regularly before.
+        self._write_error: Optional[trio.BrokenResourceError] = None
 
     async def send_all(self, data: bytes) -> None:
         """Sends data."""
         try:
             await self._stream.send_all(data)
         except trio.BrokenResourceError as error:
+            if self._write_error is None and not _follows_regular_end(error):
+                self._write_error = error
             _raise_if_path_broke(error)
             raise
 
     async def receive_some(self, max_bytes: Optional[int] = None) -> bytes:
         """Returns the next data."""
         try:
-            return await self._stream.receive_some(max_bytes)
+            data = await self._stream.receive_some(max_bytes)
+            if not data and self._write_error is not None:
+                raise trio.BrokenResourceError from self._write_error.__cause__
+            return data
         except trio.BrokenResourceError as error:
             _raise_if_path_broke(error)
             raise
@@ -101,6 +113,15 @@
 _PATH_ERRORS = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH))
 
 
+def _follows_regular_end(error: trio.BrokenResourceError) -> bool:
+    """Returns whether the peer had ended its side of the connection before a write failed.
+
+    Linux reports EPIPE for a reset that follows the peer's FIN, and ECONNRESET for one without FIN.
+    """
+    cause = error.__cause__
+    return isinstance(cause, OSError) and cause.errno == errno.EPIPE
+
+
 def _raise_if_path_broke(error: trio.BrokenResourceError) -> None:
     cause = error.__cause__
     if isinstance(cause, OSError) and cause.errno in _PATH_ERRORS:
--- a/camphordrift/relay/tests/cut_responses.py
+++ b/camphordrift/relay/tests/cut_responses.py
@@ -138,12 +138,13 @@
     sink: Optional[EventSink],
     attempt_id: str = ATTEMPT_ID,
     budget: Optional[BodyBudget] = None,
+    body: bytes = b"",
 ) -> AttemptResult:
     """Runs an attempt on a connection of a pool, which may be one that was used before."""
     backend = server(0)
     headers = [(b"host", b"a.example"), (b"x-attempt", attempt_id.encode())]
     attempt = Attempt(
-        CallerRequest(b"GET", b"/look/x", headers, b"", trio.current_time()),
+        CallerRequest(b"GET", b"/look/x", headers, body, trio.current_time()),
         attempt_id,
         backend,
         connections,
