Keep the error of a failed write for the reads of httpcore, too

What callers saw: nothing was reported; found by reading the other places that read answers. The core that calls back ends with httpcore passed on the first part of an answer without a length whose connection was reset while the request was being written, to calls that run at most once as well. A generation stream ended without an error, an append to the log counted as done, and the command line printed part of a VM's response as a success.

Cause: httpcore ignores the error of a write and reads the response. As in the relay, the kernel has reported the reset by then, and the next read returns the same as at a regular end.

Change: the streams of a network backend of our own keep the error of a write and raise it where a read would return the end. HttpConnections, its gated connections and the operators' client use it. What EPIPE tells moves to response_checks, which the relay uses as well.

--- a/camphordrift/backend_http/__init__.py
+++ b/camphordrift/backend_http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP client for backend servers: connections, server-sent events and the engine protocol."""
 
+from camphordrift.backend_http._checked_backend import CheckedBackend
 from camphordrift.backend_http._connections import (
     HttpCall,
     HttpConnections,
@@ -24,6 +25,7 @@
 
 __all__ = [
     "AuthorizeSending",
+    "CheckedBackend",
     "EventSplitter",
     "EventTooLongError",
     "HttpCall",
--- a/camphordrift/backend_http/_connections.py
+++ b/camphordrift/backend_http/_connections.py
@@ -9,6 +9,7 @@
 import httpcore
 import trio
 
+from camphordrift.backend_http._checked_backend import CheckedBackend
 from camphordrift.backend_http._gated_backend import AuthorizeSending, GatedBackend
 from camphordrift.backend_servers import (
     BackendSilentError,
@@ -150,14 +151,12 @@
         """
         pool = self._pools.get(call.base_url)
         if pool is None:
-            pool = self._make_pool(KEEPALIVE_SECONDS)
+            pool = self._make_pool(KEEPALIVE_SECONDS, CheckedBackend())
             self._pools[call.base_url] = pool
         return pool
 
     def _make_pool(
-        self,
-        keepalive_seconds: float,
-        network_backend: Optional[httpcore.AsyncNetworkBackend] = None,
+        self, keepalive_seconds: float, network_backend: httpcore.AsyncNetworkBackend
     ) -> httpcore.AsyncConnectionPool:
         return httpcore.AsyncConnectionPool(
             ssl_context=self._ssl_context,
--- a/camphordrift/backend_http/_gated_backend.py
+++ b/camphordrift/backend_http/_gated_backend.py
@@ -8,6 +8,7 @@
 from returns import result
 from returns.pipeline import is_successful
 
+from camphordrift.backend_http._checked_backend import CheckedBackend
 from camphordrift.results import Failure
 
 #: Returns success if the request may be sent, or why not. It is called once. No other task runs
@@ -71,7 +72,7 @@
     """
 
     def __init__(self, authorize: AuthorizeSending) -> None:
-        self._inner = httpcore.TrioBackend()
+        self._inner = CheckedBackend()
         self._authorize = authorize
 
     async def connect_tcp(
--- a/camphordrift/daemons/_operator_client.py
+++ b/camphordrift/daemons/_operator_client.py
@@ -12,6 +12,7 @@
 import trio
 from returns.result import Failure, Success
 
+from camphordrift.backend_http import CheckedBackend
 from camphordrift.daemons._exit_codes import CommandError, ExitCode, exit_code_for
 from camphordrift.results import RunState
 from camphordrift.security import client_tls_context
@@ -107,7 +108,7 @@
     scheme = "http" if access.authorities is None else "https"
     try:
         async with httpcore.AsyncConnectionPool(
-            ssl_context=_tls_context(access.authorities)
+            ssl_context=_tls_context(access.authorities), network_backend=CheckedBackend()
         ) as pool:
             return await pool.request(
                 method,
--- a/camphordrift/daemons/tests/test_operator_client.py
+++ b/camphordrift/daemons/tests/test_operator_client.py
@@ -1,13 +1,15 @@
 """Tests of the operators' client: the request sent, and the exit code for each response."""
 
-from collections.abc import Awaitable, Callable
-from typing import Optional
+from collections.abc import Awaitable, Callable, Mapping
+from types import MappingProxyType
+from typing import Any, Optional
 
 import testtools
 import trio
 
 from camphordrift.daemons._exit_codes import CommandError, ExitCode
 from camphordrift.daemons._operator_client import VmAccess, request_vm
+from camphordrift.testing import UNBUFFERED_BODY, EarlyReset
 
 
 def http_response(status: int, body: str) -> bytes:
@@ -67,9 +69,20 @@
         line = self.check_error(ExitCode.OUTCOME_UNKNOWN, "POST", None)
         self.assertIn("may have taken effect", line)
 
+    def test_outcome_is_unknown_if_the_response_was_reset(self) -> None:
+        """The VM resets the connection while the change is being written."""
+        response = b"HTTP/1.1 200 OK\r\n\r\n{"
+        body = {"text": UNBUFFERED_BODY.decode()}
+        error = self.assertRaises(
+            CommandError, request_from_server, EarlyReset(response), "POST", body
+        )
+        self.assertIs(ExitCode.OUTCOME_UNKNOWN, error.exit_code)
+
 
 def request_from_server(
-    serve: Callable[[trio.SocketStream], Awaitable[None]], method: str
+    serve: Callable[[trio.SocketStream], Awaitable[None]],
+    method: str,
+    body: Mapping[str, Any] = MappingProxyType({}),
 ) -> bytes:
     """Sends one request to a loopback server that runs ``serve`` for each connection."""
 
@@ -80,7 +93,7 @@
                 port = listeners[0].socket.getsockname()[1]
                 nursery.start_soon(trio.serve_listeners, serve, listeners)
                 access = VmAccess(f"127.0.0.1:{port}", "key")
-                content = await request_vm(access, method, "/drain", {"a": "b"}, {})
+                content = await request_vm(access, method, "/drain", {"a": "b"}, dict(body))
                 nursery.cancel_scope.cancel()
                 return content
         raise AssertionError("unreachable")
--- a/camphordrift/relay/connections/__init__.py
+++ b/camphordrift/relay/connections/__init__.py
@@ -1,7 +1,7 @@
 """HTTP exchange with callers and backend servers over byte streams.
 
 May hold I/O and parsing, but no choice of a server and no retry. Imports only
-:mod:`camphordrift.relay.model`.
+:mod:`camphordrift.relay.model` and :mod:`camphordrift.response_checks`.
 """
 
 from camphordrift.relay.connections._body_budget import (
--- a/camphordrift/relay/connections/_byte_stream.py
+++ b/camphordrift/relay/connections/_byte_stream.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from camphordrift.response_checks import follows_regular_end
+
 #: Maximum number of bytes read at once.
 READ_SIZE = 65536
 
@@ -84,7 +86,7 @@
         try:
             await self._stream.send_all(data)
         except trio.BrokenResourceError as error:
-            if self._write_error is None and not _follows_regular_end(error):
+            if self._write_error is None and not follows_regular_end(error):
                 self._write_error = error
             _raise_if_path_broke(error)
             raise
@@ -113,15 +115,6 @@
 _PATH_ERRORS = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH))
 
 
-def _follows_regular_end(error: trio.BrokenResourceError) -> bool:
-    """Returns whether the peer had ended its side of the connection before a write failed.
-
-    Linux reports EPIPE for a reset that follows the peer's FIN, and ECONNRESET for one without FIN.
-    """
-    cause = error.__cause__
-    return isinstance(cause, OSError) and cause.errno == errno.EPIPE
-
-
 def _raise_if_path_broke(error: trio.BrokenResourceError) -> None:
     cause = error.__cause__
     if isinstance(cause, OSError) and cause.errno in _PATH_ERRORS:
--- a/camphordrift/relay/tests/test_early_resets.py
+++ b/camphordrift/relay/tests/test_early_resets.py
@@ -7,8 +7,7 @@
 
 import errno
 import os
-import socket
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any, Optional, cast
 
 import pytest
@@ -24,7 +23,7 @@
     _connection_pool,
     connect,
 )
-from camphordrift.relay.connections._byte_stream import SocketByteStream, abort
+from camphordrift.relay.connections._byte_stream import SocketByteStream
 from camphordrift.relay.connections._http_client import HttpConnection, SmallRequest
 from camphordrift.relay.model import Address
 from camphordrift.relay.peers._tunnels import open_tunnel
@@ -45,16 +44,13 @@
     server,
 )
 from camphordrift.relay.tests.test_tunnels import TIMEOUT, Network, run
-from camphordrift.testing import HttpRequest, HttpRequestHandler, process_loopback_network
-
-#: Body of a request that does not fit into the buffers of a connection.
-LONG_BODY = b"q" * 2_000_000
-
-#: Receive buffer in bytes of the servers' connections.
-RECEIVE_BUFFER = 4096
-
-#: Seconds between a response and the reset, in which a client gets the response.
-RESET_DELAY = 0.05
+from camphordrift.testing import (
+    UNBUFFERED_BODY,
+    EarlyReset,
+    HttpRequest,
+    HttpRequestHandler,
+    process_loopback_network,
+)
 
 #: Seconds after which a client that waits for a failed write counts as hanging.
 HANG_TIMEOUT = 10.0
@@ -121,30 +117,10 @@
     return FailedWriteFirst(SocketByteStream(await connect(host, port, timeout)))
 
 
-@dataclass(frozen=True)
-class EarlyReset:
-    """Responds as soon as a request begins, reads no further, and resets the connection."""
-
-    #: The bytes of the response that are sent.
-    response: bytes
-    #: Whether the server ends its side of the connection regularly before the reset.
-    ends_first: bool = False
-
-    async def __call__(self, stream: trio.SocketStream) -> None:
-        """Serves one connection."""
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        await stream.receive_some(1)
-        await stream.send_all(self.response)
-        if self.ends_first:
-            await stream.send_eof()
-        await trio.sleep(RESET_DELAY)
-        abort(stream)
-
-
 async def attempt_through(open_stream: OpenStream, sink: Optional[RecordingSink]) -> AttemptResult:
     """Runs an attempt of a long request."""
     with trio.fail_after(HANG_TIMEOUT):
-        return await run_attempt_on(ConnectionPool(1.0, open_stream), sink, body=LONG_BODY)
+        return await run_attempt_on(ConnectionPool(1.0, open_stream), sink, body=UNBUFFERED_BODY)
 
 
 def attempt(script: EarlyReset, sink: Optional[RecordingSink] = None) -> AttemptResult:
@@ -248,7 +224,7 @@
     def test_part_of_a_response_to_an_order_or_a_call_of_the_store(self) -> None:
         async def exchange(network: Network) -> None:
             stream = await open_failing(network.server.host, network.server.port, TIMEOUT)
-            request = SmallRequest(b"POST", b"/order", [(b"host", b"a")], LONG_BODY)
+            request = SmallRequest(b"POST", b"/order", [(b"host", b"a")], UNBUFFERED_BODY)
             try:
                 response = await HttpConnection(stream).exchange(request)
             except OSError:
@@ -336,7 +312,9 @@
             async with open_relay(servers, replace(CONFIGURATION, routes=(route,))) as relay:
                 # Which server gets a request first is not determined.
                 while not resetting.has_reset:
-                    response = await relay.send_request(f"{route.path_prefix}x", "a1", LONG_BODY)
+                    response = await relay.send_request(
+                        f"{route.path_prefix}x", "a1", UNBUFFERED_BODY
+                    )
 
         trio.run(main)
         assert response is not None
--- a/camphordrift/testing/__init__.py
+++ b/camphordrift/testing/__init__.py
@@ -1,5 +1,6 @@
 """Helpers for the tests of several packages."""
 
+from camphordrift.testing._early_resets import UNBUFFERED_BODY, EarlyReset
 from camphordrift.testing._http_requests import (
     HttpRequest,
     HttpRequestHandler,
@@ -10,8 +11,10 @@
 from camphordrift.testing._virtual_time import run_in_virtual_time
 
 __all__ = [
+    "EarlyReset",
     "HttpRequest",
     "HttpRequestHandler",
+    "UNBUFFERED_BODY",
     "handle_requests",
     "process_loopback_network",
     "run_in_virtual_time",
