Reject responses whose status is outside 100 to 599

What callers saw: an answer whose status was 000 is said to have reached clients of other systems. Here 000 to 099, four digits and texts were refused already, so callers got 502 or the answer of another server. Statuses 600 to 999 were passed on as they came; beside them a promise that the request did not run, a notice that the server leaves and the store's era were believed.

Cause: h11 takes each status from 200 to 999 for a final one. RFC 9110, section 15, defines 100 to 599, and lets a client treat all others as a failure of the server. Neither core checked it.

Change: response_checks.ResponseHeadCheck reads the heads of responses as their bytes arrive and raises an error for such a status, also after informational responses. The relay's client and the network backend for httpcore feed it what they feed h11, so there is no head that only one of the two reads. It keeps 14 bytes at most.

--- a/camphordrift/backend_http/_checked_backend.py
+++ b/camphordrift/backend_http/_checked_backend.py
@@ -1,4 +1,4 @@
-"""A network backend for httpcore whose reads report the errors of earlier writes."""
+"""A network backend for httpcore that finds broken responses which httpcore takes for sound."""
 
 import ssl
 from collections.abc import Iterable
@@ -6,27 +6,35 @@
 
 import httpcore
 
-from camphordrift.response_checks import follows_regular_end
+from camphordrift.response_checks import MalformedHeadError, ResponseHeadCheck, follows_regular_end
 
 
 class _CheckedStream(httpcore.AsyncNetworkStream):
-    """A stream that keeps the error of a write for the reads that follow.
+    """A stream that checks the heads of responses, and keeps errors of writes for later reads.
 
-    httpcore ignores that error and reads the response, which may have arrived before it. The kernel
-    reports the error to one call only, so a read would return the same as at a regular end.
+    httpcore ignores the error of a write and reads the response, which may have arrived before it.
+    The kernel reports the error to one call only, so a read would return the same as at a regular
+    end.
     """
 
     def __init__(self, inner: httpcore.AsyncNetworkStream) -> None:
         self._inner = inner
+        self._head_check = ResponseHeadCheck()
         self._write_error: Optional[httpcore.WriteError] = None
 
     async def read(self, max_bytes: int, timeout: Optional[float] = None) -> bytes:
         data = await self._inner.read(max_bytes, timeout)
         if not data and self._write_error is not None:
             raise httpcore.ReadError(str(self._write_error)) from self._write_error
+        try:
+            self._head_check.receive(data)
+        except MalformedHeadError as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
         return data
 
     async def write(self, buffer: bytes, timeout: Optional[float] = None) -> None:
+        # httpcore sends the whole request before it reads the response.
+        self._head_check.expect_response()
         try:
             await self._inner.write(buffer, timeout)
         except httpcore.WriteError as error:
@@ -50,7 +58,7 @@
 
 
 class CheckedBackend(httpcore.AsyncNetworkBackend):
-    """Opens connections on which a truncated response does not look complete."""
+    """Opens connections that raise errors of httpcore for broken responses."""
 
     def __init__(self) -> None:
         self._inner = httpcore.TrioBackend()
--- a/camphordrift/backend_http/tests/test_early_resets.py
+++ b/camphordrift/backend_http/tests/test_early_resets.py
@@ -4,26 +4,22 @@
 the error of a write, and the read that follows returns the same as after a regular end.
 """
 
-from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from itertools import product
 
 import pytest
 import testtools
-import trio
-from returns import result
 
 from camphordrift.backend_http import HttpCall, HttpConnections, HttpEngineClient, HttpResponse
+from camphordrift.backend_http.tests.faulty_servers import WAYS_TO_SEND, Send, run_client
 from camphordrift.backend_servers import GenerationRequest, StreamBrokenError, TokenChunk
 from camphordrift.identifiers import BackendServerId, ModelName, RequestId
 from camphordrift.platform_http import HttpLogTransport
 from camphordrift.platform_log import AppendUnsureError
-from camphordrift.testing import UNBUFFERED_BODY, EarlyReset, process_loopback_network
+from camphordrift.testing import UNBUFFERED_BODY, EarlyReset
 
 pytestmark = pytest.mark.sockets
 
-TIMEOUT = 5.0
-
 HEAD = b"HTTP/1.1 200 OK\r\n"
 UNFRAMED = HEAD + b"\r\n"
 INFORMATIONAL = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"
@@ -42,46 +38,6 @@
     b"",
 )
 
-Client = Callable[[HttpConnections, str], Awaitable[None]]
-
-
-def run_client(script: EarlyReset, client: Client) -> None:
-    """Runs a client of a server."""
-
-    async def main() -> None:
-        host = f"{process_loopback_network()}.72"
-        (listener,) = await trio.open_tcp_listeners(0, host=host)
-        port = listener.socket.getsockname()[1]
-        with trio.fail_after(2 * TIMEOUT):
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(trio.serve_listeners, script, [listener])
-                connections = HttpConnections()
-                await client(connections, f"http://{host}:{port}")
-                await connections.close()
-                nursery.cancel_scope.cancel()
-
-    trio.run(main)
-
-
-async def fetch(connections: HttpConnections, call: HttpCall) -> HttpResponse:
-    return await connections.fetch(call, TIMEOUT)
-
-
-async def fetch_gated(connections: HttpConnections, call: HttpCall) -> HttpResponse:
-    return await connections.fetch_gated(call, TIMEOUT, lambda: result.Success(None))
-
-
-async def read_stream(connections: HttpConnections, call: HttpCall) -> HttpResponse:
-    async with connections.stream(call, TIMEOUT) as stream:
-        body = b"".join([part async for part in stream.parts])
-        return HttpResponse(stream.status, stream.headers, body)
-
-
-#: Sends a call in one of the ways of :class:`HttpConnections`.
-Send = Callable[[HttpConnections, HttpCall], Awaitable[HttpResponse]]
-
-WAYS_TO_SEND: tuple[Send, ...] = (fetch, fetch_gated, read_stream)
-
 
 class HttpConnectionsTest(testtools.TestCase):
     def respond(self, send: Send, script: EarlyReset) -> list[HttpResponse]:
--- a/camphordrift/daemons/tests/test_operator_client.py
+++ b/camphordrift/daemons/tests/test_operator_client.py
@@ -9,7 +9,7 @@
 
 from camphordrift.daemons._exit_codes import CommandError, ExitCode
 from camphordrift.daemons._operator_client import VmAccess, request_vm
-from camphordrift.testing import UNBUFFERED_BODY, EarlyReset
+from camphordrift.testing import UNBUFFERED_BODY, EarlyReset, heads_with_invalid_status
 
 
 def http_response(status: int, body: str) -> bytes:
@@ -69,6 +69,13 @@
         line = self.check_error(ExitCode.OUTCOME_UNKNOWN, "POST", None)
         self.assertIn("may have taken effect", line)
 
+    def test_outcome_is_unknown_if_the_response_has_no_valid_status(self) -> None:
+        for head in heads_with_invalid_status(http_response(200, "")):
+            self.check_error(ExitCode.OUTCOME_UNKNOWN, "POST", head)
+        body = error_body(5001, "not_run")
+        for head in heads_with_invalid_status(http_response(409, body)):
+            self.check_error(ExitCode.OUTCOME_UNKNOWN, "POST", head)
+
     def test_outcome_is_unknown_if_the_response_was_reset(self) -> None:
         """The VM resets the connection while the change is being written."""
         response = b"HTTP/1.1 200 OK\r\n\r\n{"
--- a/camphordrift/gateway/tests/test_broken_responses.py
+++ b/camphordrift/gateway/tests/test_broken_responses.py
@@ -1,7 +1,7 @@
 """Tests of calls to plain services whose servers send broken responses."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import pytest
 import testtools
@@ -20,7 +20,12 @@
 from camphordrift.gateway._server_selector import ServerSelector
 from camphordrift.gateway._service_calls import ServiceCaller, ServiceRequest
 from camphordrift.identifiers import AccountId, BackendServerId, RequestId, ServiceName
-from camphordrift.testing import UNBUFFERED_BODY, EarlyReset, process_loopback_network
+from camphordrift.testing import (
+    UNBUFFERED_BODY,
+    EarlyReset,
+    heads_with_invalid_status,
+    process_loopback_network,
+)
 
 pytestmark = pytest.mark.sockets
 
@@ -52,13 +57,24 @@
 RESET = EarlyReset(b"HTTP/1.1 200 OK\r\n\r\npart")
 
 
-async def respond(stream: trio.SocketStream) -> None:
-    """Reads a long request and responds to it."""
-    received = 0
-    while received < len(UNBUFFERED_BODY):
-        received += len(await stream.receive_some(65536))
-    await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole")
-    await stream.receive_some(1)
+#: Heads of responses whose body is ``whole``.
+HEADS = (
+    b"HTTP/1.1 200 OK\r\nx-other: 1\r\ncontent-length: 5\r\n\r\n",
+    b"HTTP/1.1 503 Busy\r\nx-other: 1\r\ncontent-length: 5\r\n\r\n",
+)
+
+
+def responds(head: bytes) -> Script:
+    """Returns a script that reads a long request and responds to it."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        received = 0
+        while received < len(UNBUFFERED_BODY):
+            received += len(await stream.receive_some(65536))
+        await stream.send_all(head + b"whole")
+        await stream.receive_some(1)
+
+    return serve
 
 
 def run_client(script: Script, client: Client) -> None:
@@ -67,7 +83,7 @@
     async def main() -> None:
         addresses: dict[BackendServerId, str] = {}
         async with trio.open_nursery() as nursery:
-            for server_id, serve in ((BROKEN, script), (SOUND, respond)):
+            for server_id, serve in ((BROKEN, script), (SOUND, responds(HEADS[0]))):
                 host = f"{process_loopback_network()}.73"
                 listeners = await trio.open_tcp_listeners(0, host=host)
                 addresses[server_id] = f"http://{host}:{listeners[0].socket.getsockname()[1]}"
@@ -121,3 +137,18 @@
 
     def test_a_repeatable_call_gets_the_response_of_another_server(self) -> None:
         self.assertEqual({b"whole"}, set(call_until_broken(RESET)))
+
+
+class MalformedHeadTest(testtools.TestCase):
+    """Tests of a server whose response has a head that is not valid HTTP."""
+
+    def check(self, malform: Callable[[bytes], Sequence[bytes]]) -> None:
+        """Checks calls that run once and calls that may be repeated."""
+        for head in HEADS:
+            for malformed in malform(head):
+                self.assertIsInstance(dispatch(responds(malformed)), DispatchUnanswered)
+                bodies = call_until_broken(responds(malformed))
+                self.assertEqual({b"whole"}, set(bodies), f"{malformed!r}")
+
+    def test_invalid_status(self) -> None:
+        self.check(heads_with_invalid_status)
--- a/camphordrift/platform/tests/test_odd_store_responses.py
+++ b/camphordrift/platform/tests/test_odd_store_responses.py
@@ -2,6 +2,8 @@
 
 import json
 import struct
+from collections.abc import Callable, Sequence
+from itertools import product
 from typing import Optional
 
 import testtools
@@ -18,7 +20,7 @@
     StoreError,
 )
 from camphordrift.relay.connections import ByteStream
-from camphordrift.testing import run_in_virtual_time
+from camphordrift.testing import heads_with_invalid_status, run_in_virtual_time
 
 OPERATIONS = ("newest", "read", "append")
 
@@ -49,8 +51,13 @@
         self._unread.clear()
 
 
-def call_store(operation: str, response: bytes, sizes: list[int]) -> Optional[Batch]:
-    """Calls the store; returns what it read, or ``None`` if there is nothing or the call failed."""
+def call_store(
+    operation: str, response: bytes, sizes: list[int], raises: bool = False
+) -> Optional[Batch]:
+    """Calls the store; returns what it read, or ``None`` if there is nothing or the call failed.
+
+    If ``raises`` is true, the error of a call that failed is raised.
+    """
     batches: list[Batch] = []
 
     async def open_stream(host: str, port: int, timeout: float) -> ByteStream:
@@ -68,7 +75,8 @@
                 case _:
                     await store.append("t", KeyedRecord("a", b"v"))
         except StoreError:
-            pass
+            if raises:
+                raise
         except HistoryLostError:
             # Only a read may report expired records; others have none.
             if operation != "read":
@@ -112,6 +120,23 @@
             self.assertIsNone(call_store(operation, response_with(b"{}", "410 Gone"), []))
 
 
+class MalformedHeadTest(testtools.TestCase):
+    """Guards against responses whose head is not valid HTTP and that are read all the same."""
+
+    def check(self, malform: Callable[[bytes], Sequence[bytes]]) -> None:
+        """Checks that each operation fails; a read must not take records for expired, either."""
+        for status in ("200 OK", "410 Gone"):
+            head, _, body = response_with(page(), status).partition(b"\r\n\r\n")
+            for operation, malformed in product(OPERATIONS, malform(head + b"\r\n\r\n")):
+                error = self.assertRaises(
+                    StoreError, call_store, operation, malformed + body, [], raises=True
+                )
+                self.assertIsNone(error.era, f"{operation}: {malformed!r}")
+
+    def test_invalid_status(self) -> None:
+        self.check(heads_with_invalid_status)
+
+
 class PagesTest(testtools.TestCase):
     def test_pages_that_do_not_advance_are_a_store_error(self) -> None:
         # Guards against a call that never ends.
--- a/camphordrift/relay/connections/_http_client.py
+++ b/camphordrift/relay/connections/_http_client.py
@@ -18,6 +18,7 @@
     ByteStream,
 )
 from camphordrift.relay.connections._parsing_pace import ParsingPace
+from camphordrift.response_checks import MalformedHeadError, ResponseHeadCheck
 
 #: Maximum size of the status line and headers of a response, in bytes.
 MAX_HEAD_SIZE = 65536
@@ -75,6 +76,7 @@
     def __init__(self, stream: ByteStream) -> None:
         self._stream = stream
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_SIZE)
+        self._head_check = ResponseHeadCheck()
         self._pace = ParsingPace()
         #: Number of bytes that were read since the last event.
         self._incomplete_size = 0
@@ -131,6 +133,7 @@
 
         """
         self._is_request_unfinished = True
+        self._head_check.expect_response()
         framed_headers = _with_length(method, headers, body)
         request = h11.Request(method=method, target=target, headers=framed_headers)
         parts = [self._protocol.send(request) or b""]
@@ -247,9 +250,12 @@
                     data = await self._stream.receive_some(READ_SIZE)
                     self._has_ended = not data
                     self._incomplete_size += len(data)
+                    self._head_check.receive(data)
                     self._protocol.receive_data(data)
                     self._pace.record_read()
             return event
+        except MalformedHeadError as error:
+            raise BrokenAnswerError(f"not a valid HTTP response: {error}") from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionEndedError("the connection was reset") from error
 
--- /dev/null
+++ b/camphordrift/relay/tests/test_malformed_heads.py
@@ -0,0 +1,302 @@
+"""Tests of responses whose head is not valid HTTP.
+
+Guards against a caller that gets such a response as the server's.
+"""
+
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import replace
+from typing import Optional
+
+import pytest
+import testtools
+import trio
+
+from camphordrift.relay import Route
+from camphordrift.relay.connections import BrokenAnswerError, ByteStream, ConnectionPool
+from camphordrift.relay.connections._http_client import HttpConnection, SmallRequest
+from camphordrift.relay.model import Address
+from camphordrift.relay.peers._peer_messages import ConnectionEnd
+from camphordrift.relay.peers._tunnels import open_tunnel
+from camphordrift.relay.requests._attempt import Answered, Broken
+from camphordrift.relay.tests.cut_responses import (
+    CutStream,
+    RecordingSink,
+    run_attempt,
+    run_attempt_on,
+    stream_opener,
+)
+from camphordrift.relay.tests.relay_harness import (
+    chunk,
+    complete_stream,
+    events,
+    open_relay,
+    plain_response,
+)
+from camphordrift.relay.tests.samples import (
+    CONFIGURATION,
+    ONCE,
+    REPEATABLE,
+    STREAM,
+    SampleOrders,
+    SampleReports,
+    ScriptedServer,
+    attempt_id_of,
+    server,
+)
+from camphordrift.relay.tests.test_tunnels import TIMEOUT, Network, echo, run
+from camphordrift.testing import HttpRequest, handle_requests, heads_with_invalid_status
+
+#: Seconds after which some hundred exchanges count as hanging.
+HANG_TIMEOUT = 120.0
+
+#: Tokens of a prompt that needs the memory of several engines.
+LONG_PROMPT = "400000"
+
+CONTENT = events(1, 5)
+
+#: Fields of a sound response, of which each may be malformed.
+FIELDS = b"x-signature: s\r\nx-attempt: a1\r\ncontent-type: text/event-stream\r\nx-other: 1\r\n"
+
+SUCCESS = b"HTTP/1.1 200 OK\r\n" + FIELDS
+WITH_LENGTH = SUCCESS + b"content-length: %d\r\n\r\n" % len(CONTENT)
+CHUNKED = SUCCESS + b"transfer-encoding: chunked\r\n\r\n"
+UNFRAMED = SUCCESS + b"\r\n"
+REJECTION = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nx-attempt: a1\r\ncontent-length: 0\r\n\r\n"
+INFORMATIONAL = b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\nx-more: 1\r\n\r\n"
+
+#: Heads and bodies of sound responses.
+RESPONSES = (
+    (WITH_LENGTH, CONTENT),
+    (CHUNKED, chunk(CONTENT) + b"0\r\n\r\n"),
+    (UNFRAMED, CONTENT),
+    (REJECTION, b""),
+)
+
+#: Returns malformed variants of a head.
+Malform = Callable[[bytes], Sequence[bytes]]
+
+
+def malformed_responses(malform: Malform) -> Iterator[bytes]:
+    """Yields responses with malformed heads, also beside informational responses."""
+    for head, body in RESPONSES:
+        for malformed in malform(head):
+            yield malformed + body
+            yield INFORMATIONAL + malformed + body
+        for malformed in malform(INFORMATIONAL):
+            yield malformed + head + body
+
+
+def single_bytes(data: bytes) -> list[bytes]:
+    """Returns data in pieces of one byte."""
+    return [data[position : position + 1] for position in range(len(data))]
+
+
+class AttemptTest(testtools.TestCase):
+    """Tests of whole responses, streams and rejections."""
+
+    def check(self, malform: Malform) -> None:
+        """Checks that no malformed response is one, however it arrives."""
+
+        async def main() -> None:
+            for response in malformed_responses(malform):
+                for pieces in ([response], single_bytes(response)):
+                    for sink in (None, RecordingSink()):
+                        stream = CutStream(pieces, ConnectionEnd.CLOSED)
+                        result = await run_attempt(stream_opener(stream), sink)
+                        self.assertIsInstance(result, Broken, f"{response!r}: {result}")
+                        self.assertFalse(sink is not None and (sink.content or sink.has_ended))
+
+        trio.run(main)
+
+    def test_invalid_status(self) -> None:
+        self.check(heads_with_invalid_status)
+
+
+class ReusedConnectionTest(testtools.TestCase):
+    def check(self, malform: Malform) -> None:
+        """Checks malformed responses that follow a sound one on the same connection."""
+
+        async def main() -> None:
+            for response in malformed_responses(malform):
+                sound = WITH_LENGTH.replace(b"a1", b"a0") + CONTENT
+                stream = CutStream([sound, response], ConnectionEnd.CLOSED)
+                stream.has_arrived = False
+                connections = ConnectionPool(1.0, stream_opener(stream))
+                first = await run_attempt_on(connections, None, "a0")
+                self.assertIsInstance(first, Answered)
+                result = await run_attempt_on(connections, None)
+                self.assertIsInstance(result, Broken, f"{response!r}: {result}")
+                self.assertEqual(0, connections.idle_count)
+
+        trio.run(main)
+
+    def test_invalid_status(self) -> None:
+        self.check(heads_with_invalid_status)
+
+
+@pytest.mark.sockets
+class OtherVmTest(testtools.TestCase):
+    """Tests of responses that arrive through another VM."""
+
+    def check(self, malform: Malform) -> None:
+        """Checks that no malformed response is one."""
+        pieces: list[bytes] = []
+
+        async def connect_server(address: Address, timeout: float) -> ByteStream:
+            return CutStream(pieces, ConnectionEnd.CLOSED)
+
+        async def scenario(network: Network) -> None:
+            async def open_stream(host: str, port: int, timeout: float) -> ByteStream:
+                return await open_tunnel(network.vm, network.server, TIMEOUT)
+
+            network.tunnels._connect_directly = connect_server
+            for response in malformed_responses(malform):
+                pieces[:] = [response]
+                for sink in (None, RecordingSink()):
+                    result = await run_attempt(open_stream, sink)
+                    self.assertIsInstance(result, Broken, f"{response!r}: {result}")
+
+        run(echo, scenario, HANG_TIMEOUT)
+
+    def test_invalid_status(self) -> None:
+        self.check(heads_with_invalid_status)
+
+
+class SmallRequestTest(testtools.TestCase):
+    """Tests of responses to reports, orders and calls to the store."""
+
+    def check(self, malform: Malform) -> None:
+        """Checks that no malformed response is one."""
+        request = SmallRequest(b"GET", b"/report", [(b"host", b"a")])
+
+        async def main() -> None:
+            for response in malformed_responses(malform):
+                connection = HttpConnection(CutStream([response], ConnectionEnd.CLOSED))
+                try:
+                    small = await connection.exchange(request)
+                except BrokenAnswerError:
+                    continue
+                self.fail(f"{response!r}: {small}")
+
+        trio.run(main)
+
+    def test_invalid_status(self) -> None:
+        self.check(heads_with_invalid_status)
+
+
+@pytest.mark.sockets
+class CallerTest(testtools.TestCase):
+    """Tests of what callers get if the first server that they reach responds with such a head."""
+
+    def check(self, malform: Malform, route: Route, expected_status: int) -> None:
+        """Checks the responses to one request for each malformed head."""
+        heads = [head for response, _ in RESPONSES for head in malform(response)]
+        malformed: dict[str, bytes] = {f"a-{n}": head for n, head in enumerate(heads)}
+
+        async def respond(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            attempt = attempt_id_of(request)
+            if (head := malformed.pop(attempt, None)) is None:
+                return await complete_stream(request, stream)
+            await stream.send_all(head.replace(b"a1", attempt.encode()) + CONTENT)
+            return False
+
+        async def main() -> None:
+            servers = [ScriptedServer(server(n, "office", port=0), respond) for n in range(2)]
+            served = replace(route, shares=ONCE.shares)
+            async with open_relay(servers, replace(CONFIGURATION, routes=(served,))) as relay:
+                for attempt, head in list(malformed.items()):
+                    response = await relay.send_request(f"{route.path_prefix}x", attempt)
+                    self.assertEqual(expected_status, response.status, f"{head!r}: {response}")
+                    self.assertTrue(response.complete)
+                    if response.status == 200:
+                        self.assertEqual(CONTENT, response.body, f"{head!r}")
+
+        trio.run(main)
+        self.assertEqual({}, malformed)
+
+    def check_all_routes(self, malform: Malform) -> None:
+        """Checks requests that run once, that may be repeated, and streams of both kinds."""
+        self.check(malform, ONCE, 502)
+        self.check(malform, REPEATABLE, 200)
+        self.check(malform, replace(STREAM, resumable=False, max_attempts=1), 502)
+        self.check(malform, STREAM, 200)
+
+    def test_invalid_status(self) -> None:
+        self.check_all_routes(heads_with_invalid_status)
+
+
+class MalformedReports(ScriptedServer):
+    """An engine whose reports have a malformed head."""
+
+    def __init__(self, number: int, head: bytes) -> None:
+        super().__init__(server(number, port=0), complete_stream)
+        self.head = head
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        async def respond(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            if request.target.encode() != SampleReports.path:
+                return await complete_stream(request, stream)
+            await stream.send_all(self.head + b"0 0")
+            self.report_count += 1
+            return False
+
+        await handle_requests(stream, respond)
+
+
+@pytest.mark.sockets
+class OwnRequestTest(testtools.TestCase):
+    """Tests of the relay's own requests to engines."""
+
+    def check_order(self, malform: Malform) -> None:
+        """Checks that no malformed response to an order reserves memory."""
+        heads = list(malform(b"HTTP/1.1 200 OK\r\nx-other: 1\r\ncontent-length: 0\r\n\r\n"))
+        prompts: list[HttpRequest] = []
+        head: Optional[bytes] = None
+
+        async def respond(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            if request.target.encode() != SampleOrders.path:
+                prompts.append(request)
+                return await complete_stream(request, stream)
+            await stream.send_all(head or plain_response(request, body=b""))
+            return head is None
+
+        async def main() -> None:
+            nonlocal head
+            for head in heads:
+                servers = [ScriptedServer(server(n, port=0), respond) for n in range(2)]
+                async with open_relay(servers) as relay:
+                    response = await relay.send_request(
+                        "/quick/x", x_tokens=LONG_PROMPT, x_patience="1"
+                    )
+                    self.assertEqual(503, response.status, f"{head!r}: {response}")
+            head = None
+            servers = [ScriptedServer(server(n, port=0), respond) for n in range(2)]
+            async with open_relay(servers) as relay:
+                response = await relay.send_request("/quick/x", x_tokens=LONG_PROMPT)
+                self.assertEqual(200, response.status)
+
+        trio.run(main)
+        self.assertEqual(1, len(prompts))
+
+    def check_report(self, malform: Malform) -> None:
+        """Checks that no malformed response to a report says anything of its engine."""
+        head = b"HTTP/1.1 200 OK\r\nx-leaving: 1\r\nx-other: 1\r\ncontent-length: 3\r\n\r\n"
+
+        async def main() -> None:
+            engines = [MalformedReports(n, item) for n, item in enumerate(malform(head))]
+            async with open_relay(engines) as relay:
+                while not all(engine.report_count for engine in engines):
+                    await trio.sleep(0.01)
+                for number in range(len(engines)):
+                    response = await relay.send_request("/quick/x", f"a-{number}")
+                    self.assertEqual((200, True), (response.status, response.complete))
+                notices = relay.process._notices
+                self.assertEqual([], [e.head for e in engines if notices.is_leaving(e.entry)])
+
+        trio.run(main)
+
+    def test_report_with_invalid_status(self) -> None:
+        self.check_report(heads_with_invalid_status)
+
+    def test_order_with_invalid_status(self) -> None:
+        self.check_order(heads_with_invalid_status)
--- /dev/null
+++ b/camphordrift/response_checks/_response_head.py
@@ -0,0 +1,67 @@
+"""Checks the heads of HTTP/1.1 responses as their bytes arrive."""
+
+import re
+
+#: The first bytes of a status line, and their number.
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] ([0-9]{3})")
+_STATUS_LINE_SIZE = 12
+
+#: Statuses that RFC 9110, section 15, defines, and those of informational responses among them.
+_STATUSES = range(100, 600)
+_INFORMATIONAL_STATUSES = range(100, 200)
+
+#: The end of a head, and the number of bytes that may precede it at the end of other data.
+_HEAD_END = re.compile(rb"\n\r?\n")
+_PARTIAL_END_SIZE = 2
+
+
+class MalformedHeadError(Exception):
+    """The head of a response is not valid HTTP."""
+
+
+class ResponseHeadCheck:
+    """Checks what h11 accepts in the head of a response although it is not valid.
+
+    h11 accepts statuses up to 999. Everything else is left to it. Bytes are not kept, as clients
+    limit the size of a head themselves.
+    """
+
+    def __init__(self) -> None:
+        self.expect_response()
+
+    def expect_response(self) -> None:
+        """Expects the head of the response to another request next."""
+        self._is_in_head = True
+        self._start = b""
+        self._end = b""
+
+    def receive(self, data: bytes) -> None:
+        """Checks the next bytes of a response; ignores those that follow its head.
+
+        Raises:
+            MalformedHeadError: The head is not valid.
+
+        """
+        while self._is_in_head and data:
+            if len(self._start) < _STATUS_LINE_SIZE:
+                self._start = (self._start + data)[:_STATUS_LINE_SIZE]
+            status = self._status()
+            unsearched = self._end + data
+            end = _HEAD_END.search(unsearched)
+            if end is None:
+                self._end = unsearched[-_PARTIAL_END_SIZE:]
+                return
+            # The response to the request follows an informational one.
+            data = unsearched[end.end() :]
+            self.expect_response()
+            self._is_in_head = status in _INFORMATIONAL_STATUSES
+
+    def _status(self) -> int:
+        """Returns the status; 0 if it has not arrived, or if the line is none, as h11 detects."""
+        line = _STATUS_LINE.match(self._start)
+        if line is None:
+            return 0
+        status = int(line[1])
+        if status not in _STATUSES:
+            raise MalformedHeadError(f"{status} is not a status")
+        return status
