Reject responses in whose head a line begins with a blank

What callers saw: an answer in whose head the name of a field held a blank or a control byte is said to have reached clients of other systems. Here a blank, a control byte or another byte outside of names was refused already, within and after the name, and so was a control byte before it. A blank or a tab before the name was not: callers got the line as the end of the value before it. Where the name was that of the length, they got what had arrived when the connection ended as the whole body; a promise or a signature in such a line, or in the one before it, was lost or changed.

Cause: h11 reads such a line as the continuation of the one before (obs-fold). RFC 9112, section 5.2, lets a gateway discard a response with one, or replace the break by blanks; it forbids servers to send it. A name that holds a blank is none (RFC 9110, section 5.1).

Change: ResponseHeadCheck, which reads all heads in both cores, raises an error for a line that begins with a blank.

Evidence: without the change 14 tests failed: each test with invalid names of whole answers, streams, rejections, reused connections, answers through another VM, small requests, callers of all four kinds of routes, reports, calls to the store; of httpcore's clients, the engine client, the log service, gateway and the operators' client; and the property that tries all ways to cut a head. Only responses to orders held (the status was never 200). With it all pass.

--- a/camphordrift/backend_http/tests/test_malformed_heads.py
+++ b/camphordrift/backend_http/tests/test_malformed_heads.py
@@ -26,7 +26,7 @@
 from camphordrift.identifiers import BackendServerId, ModelName, RequestId
 from camphordrift.platform_http import HttpLogTransport, VmListClient, VmListUnavailableError
 from camphordrift.platform_log import AppendUnsureError, LogUnavailableError
-from camphordrift.testing import heads_with_invalid_status
+from camphordrift.testing import heads_with_invalid_names, heads_with_invalid_status
 
 pytestmark = pytest.mark.sockets
 
@@ -105,9 +105,15 @@
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
 
+    def test_invalid_names(self) -> None:
+        self.check(heads_with_invalid_names)
+
     def test_invalid_status_on_a_reused_connection(self) -> None:
         self.check_reused_connection(heads_with_invalid_status)
 
+    def test_invalid_names_on_a_reused_connection(self) -> None:
+        self.check_reused_connection(heads_with_invalid_names)
+
 
 class EngineClientTest(testtools.TestCase):
     """Tests of streams, reports and orders."""
@@ -133,6 +139,9 @@
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
 
+    def test_invalid_names(self) -> None:
+        self.check(heads_with_invalid_names)
+
 
 class PlatformServicesTest(testtools.TestCase):
     """Tests of the log service and the list of VMs."""
@@ -154,3 +163,6 @@
 
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
+
+    def test_invalid_names(self) -> None:
+        self.check(heads_with_invalid_names)
--- a/camphordrift/daemons/tests/test_operator_client.py
+++ b/camphordrift/daemons/tests/test_operator_client.py
@@ -9,7 +9,12 @@
 
 from camphordrift.daemons._exit_codes import CommandError, ExitCode
 from camphordrift.daemons._operator_client import VmAccess, request_vm
-from camphordrift.testing import UNBUFFERED_BODY, EarlyReset, heads_with_invalid_status
+from camphordrift.testing import (
+    UNBUFFERED_BODY,
+    EarlyReset,
+    heads_with_invalid_names,
+    heads_with_invalid_status,
+)
 
 
 def http_response(status: int, body: str) -> bytes:
@@ -76,6 +81,11 @@
         for head in heads_with_invalid_status(http_response(409, body)):
             self.check_error(ExitCode.OUTCOME_UNKNOWN, "POST", head)
 
+    def test_outcome_is_unknown_if_the_response_has_an_invalid_name(self) -> None:
+        head = b"HTTP/1.1 200 X\r\nx-other: 1\r\ncontent-length: 2\r\n\r\n"
+        for malformed in heads_with_invalid_names(head):
+            self.check_error(ExitCode.OUTCOME_UNKNOWN, "POST", malformed + b"{}")
+
     def test_outcome_is_unknown_if_the_response_was_reset(self) -> None:
         """The VM resets the connection while the change is being written."""
         response = b"HTTP/1.1 200 OK\r\n\r\n{"
--- a/camphordrift/gateway/tests/test_broken_responses.py
+++ b/camphordrift/gateway/tests/test_broken_responses.py
@@ -23,6 +23,7 @@
 from camphordrift.testing import (
     UNBUFFERED_BODY,
     EarlyReset,
+    heads_with_invalid_names,
     heads_with_invalid_status,
     process_loopback_network,
 )
@@ -152,3 +153,6 @@
 
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
+
+    def test_invalid_names(self) -> None:
+        self.check(heads_with_invalid_names)
--- a/camphordrift/platform/tests/test_odd_store_responses.py
+++ b/camphordrift/platform/tests/test_odd_store_responses.py
@@ -20,7 +20,11 @@
     StoreError,
 )
 from camphordrift.relay.connections import ByteStream
-from camphordrift.testing import heads_with_invalid_status, run_in_virtual_time
+from camphordrift.testing import (
+    heads_with_invalid_names,
+    heads_with_invalid_status,
+    run_in_virtual_time,
+)
 
 OPERATIONS = ("newest", "read", "append")
 
@@ -136,6 +140,9 @@
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
 
+    def test_invalid_names(self) -> None:
+        self.check(heads_with_invalid_names)
+
 
 class PagesTest(testtools.TestCase):
     def test_pages_that_do_not_advance_are_a_store_error(self) -> None:
--- a/camphordrift/relay/tests/test_malformed_heads.py
+++ b/camphordrift/relay/tests/test_malformed_heads.py
@@ -44,7 +44,12 @@
     server,
 )
 from camphordrift.relay.tests.test_tunnels import TIMEOUT, Network, echo, run
-from camphordrift.testing import HttpRequest, handle_requests, heads_with_invalid_status
+from camphordrift.testing import (
+    HttpRequest,
+    handle_requests,
+    heads_with_invalid_names,
+    heads_with_invalid_status,
+)
 
 #: Seconds after which some hundred exchanges count as hanging.
 HANG_TIMEOUT = 120.0
@@ -52,6 +57,9 @@
 #: Tokens of a prompt that needs the memory of several engines.
 LONG_PROMPT = "400000"
 
+#: Number of retries at once that is within the budget of a relay that has just started.
+MAX_RETRIES = 50
+
 CONTENT = events(1, 5)
 
 #: Fields of a sound response, of which each may be malformed.
@@ -111,6 +119,9 @@
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
 
+    def test_invalid_names(self) -> None:
+        self.check(heads_with_invalid_names)
+
 
 class ReusedConnectionTest(testtools.TestCase):
     def check(self, malform: Malform) -> None:
@@ -133,6 +144,9 @@
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
 
+    def test_invalid_names(self) -> None:
+        self.check(heads_with_invalid_names)
+
 
 @pytest.mark.sockets
 class OtherVmTest(testtools.TestCase):
@@ -161,6 +175,9 @@
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
 
+    def test_invalid_names(self) -> None:
+        self.check(heads_with_invalid_names)
+
 
 class SmallRequestTest(testtools.TestCase):
     """Tests of responses to reports, orders and calls to the store."""
@@ -183,6 +200,9 @@
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
 
+    def test_invalid_names(self) -> None:
+        self.check(heads_with_invalid_names)
+
 
 @pytest.mark.sockets
 class CallerTest(testtools.TestCase):
@@ -200,18 +220,20 @@
             await stream.send_all(head.replace(b"a1", attempt.encode()) + CONTENT)
             return False
 
-        async def main() -> None:
+        async def check_some(sent: Sequence[tuple[str, bytes]]) -> None:
             servers = [ScriptedServer(server(n, "office", port=0), respond) for n in range(2)]
             served = replace(route, shares=ONCE.shares)
             async with open_relay(servers, replace(CONFIGURATION, routes=(served,))) as relay:
-                for attempt, head in list(malformed.items()):
+                for attempt, head in sent:
                     response = await relay.send_request(f"{route.path_prefix}x", attempt)
                     self.assertEqual(expected_status, response.status, f"{head!r}: {response}")
                     self.assertTrue(response.complete)
                     if response.status == 200:
                         self.assertEqual(CONTENT, response.body, f"{head!r}")
 
-        trio.run(main)
+        sent = list(malformed.items())
+        for start in range(0, len(sent), MAX_RETRIES):
+            trio.run(check_some, sent[start : start + MAX_RETRIES])
         self.assertEqual({}, malformed)
 
     def check_all_routes(self, malform: Malform) -> None:
@@ -224,6 +246,9 @@
     def test_invalid_status(self) -> None:
         self.check_all_routes(heads_with_invalid_status)
 
+    def test_invalid_names(self) -> None:
+        self.check_all_routes(heads_with_invalid_names)
+
 
 class MalformedReports(ScriptedServer):
     """An engine whose reports have a malformed head."""
@@ -298,5 +323,11 @@
     def test_report_with_invalid_status(self) -> None:
         self.check_report(heads_with_invalid_status)
 
+    def test_report_with_invalid_names(self) -> None:
+        self.check_report(heads_with_invalid_names)
+
     def test_order_with_invalid_status(self) -> None:
         self.check_order(heads_with_invalid_status)
+
+    def test_order_with_invalid_names(self) -> None:
+        self.check_order(heads_with_invalid_names)
--- a/camphordrift/response_checks/_response_head.py
+++ b/camphordrift/response_checks/_response_head.py
@@ -10,9 +10,10 @@
 _STATUSES = range(100, 600)
 _INFORMATIONAL_STATUSES = range(100, 200)
 
-#: The end of a head, and the number of bytes that may precede it at the end of other data.
-_HEAD_END = re.compile(rb"\n\r?\n")
-_PARTIAL_END_SIZE = 2
+#: The end of a head or a line that begins with a blank, whichever comes first; and the maximum
+#: number of bytes of it that may have arrived without the rest.
+_END_OR_BLANK = re.compile(rb"\n(?:\r?\n|(?P<blank>[ \t]))")
+_PARTIAL_SIZE = 2
 
 
 class MalformedHeadError(Exception):
@@ -22,8 +23,11 @@
 class ResponseHeadCheck:
     """Checks what h11 accepts in the head of a response although it is not valid.
 
-    h11 accepts statuses up to 999. Everything else is left to it. Bytes are not kept, as clients
-    limit the size of a head themselves.
+    h11 accepts statuses up to 999. It also appends a line that begins with a blank to the value of
+    the field before it, so that a field whose name was damaged, such as the length of the body,
+    becomes part of another one. RFC 9112, section 5.2, lets a gateway discard such a response.
+    Everything else is left to h11. Bytes are not kept, as clients limit the size of a head
+    themselves.
     """
 
     def __init__(self) -> None:
@@ -47,10 +51,12 @@
                 self._start = (self._start + data)[:_STATUS_LINE_SIZE]
             status = self._status()
             unsearched = self._end + data
-            end = _HEAD_END.search(unsearched)
+            end = _END_OR_BLANK.search(unsearched)
             if end is None:
-                self._end = unsearched[-_PARTIAL_END_SIZE:]
+                self._end = unsearched[-_PARTIAL_SIZE:]
                 return
+            if end["blank"]:
+                raise MalformedHeadError("a line begins with a blank")
             # The response to the request follows an informational one.
             data = unsearched[end.end() :]
             self.expect_response()
--- a/camphordrift/response_checks/tests/test_response_head.py
+++ b/camphordrift/response_checks/tests/test_response_head.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from camphordrift.response_checks import MalformedHeadError, ResponseHeadCheck
-from camphordrift.testing import heads_with_invalid_status
+from camphordrift.testing import heads_with_invalid_names, heads_with_invalid_status
 
 HEAD = b"HTTP/1.1 200 OK\r\nx-first: 1\r\ncontent-length: 5\r\n\r\n"
 INFORMATIONAL = b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"
@@ -38,9 +38,11 @@
     return [data[start:end] for start, end in zip(ends, ends[1:], strict=False)]
 
 
-#: Statuses that h11 takes for one.
-ACCEPTED_BY_H11 = tuple(
-    head for head in heads_with_invalid_status(HEAD) if head[9:12] in (b"600", b"700", b"999")
+#: Malformed heads that h11 accepts.
+ACCEPTED_BY_H11 = (
+    *(head for head in heads_with_invalid_status(HEAD) if head[9:12] in (b"600", b"700", b"999")),
+    *(head for head in heads_with_invalid_names(HEAD) if b"\n " in head or b"\n\t" in head),
+    HEAD.replace(b"\r\ncontent", b"\n\tcontent"),
 )
 
 
--- a/camphordrift/testing/__init__.py
+++ b/camphordrift/testing/__init__.py
@@ -8,7 +8,10 @@
     serve_requests,
 )
 from camphordrift.testing._loopback import process_loopback_network
-from camphordrift.testing._malformed_heads import heads_with_invalid_status
+from camphordrift.testing._malformed_heads import (
+    heads_with_invalid_names,
+    heads_with_invalid_status,
+)
 from camphordrift.testing._virtual_time import run_in_virtual_time
 
 __all__ = [
@@ -17,6 +20,7 @@
     "HttpRequestHandler",
     "UNBUFFERED_BODY",
     "handle_requests",
+    "heads_with_invalid_names",
     "heads_with_invalid_status",
     "process_loopback_network",
     "run_in_virtual_time",
--- a/camphordrift/testing/_malformed_heads.py
+++ b/camphordrift/testing/_malformed_heads.py
@@ -12,3 +12,30 @@
     version, _, rest = head.partition(b" ")
     fields = rest.partition(b"\r\n")[2]
     return [b"%s %s X\r\n%s" % (version, status, fields) for status in _INVALID_STATUSES]
+
+
+#: Bytes that are not allowed in the name of a field.
+_BYTES_OUTSIDE_NAMES = (b" ", b"\t", b"\0", b"\x01", b"\v", b"\r", b"\x7f", b"\xa0", b"/")
+
+
+def heads_with_invalid_names(head: bytes) -> list[bytes]:
+    """Returns a head with a byte that is not allowed in a name before, in and after each name.
+
+    An empty name is not allowed, either. Line feeds are left out, as the head ends or goes on with
+    a valid line after some of them.
+    """
+    start, *fields = head.removesuffix(b"\r\n\r\n").split(b"\r\n")
+    heads = []
+    for number, field in enumerate(fields):
+        name, _, value = field.partition(b":")
+        names = [
+            name[:at] + byte + name[at:] for byte in _BYTES_OUTSIDE_NAMES for at in _places(name)
+        ]
+        for malformed in (*names, b""):
+            lines = [start, *fields[:number], malformed + b":" + value, *fields[number + 1 :]]
+            heads.append(b"\r\n".join(lines) + b"\r\n\r\n")
+    return heads
+
+
+def _places(name: bytes) -> tuple[int, int, int]:
+    return 0, len(name) // 2, len(name)
