Count an append whose response cannot be read as unsure

What callers saw: nothing was reported; found by reading the places that read answers. A log service that had appended, and whose 200 had no length and lacked its end, or was not the expected msgpack, counted as unavailable: the refusal said that nothing was appended. With a body of another shape the error was none that the writer expects, and ended the process.

Cause: the body of an append was decoded by the function that reads use, which raises LogUnavailableError.

Change: whatever decoding the response to an append raises is an AppendUnsureError, so that the writer looks for the records in the log. response_checks names the errors of decoding.

--- a/camphordrift/backend_http/tests/test_malformed_heads.py
+++ b/camphordrift/backend_http/tests/test_malformed_heads.py
@@ -8,13 +8,12 @@
 
 import pytest
 import testtools
-import trio
 
 from camphordrift.backend_http import HttpCall, HttpConnections, HttpEngineClient, HttpResponse
 from camphordrift.backend_http.tests.faulty_servers import (
     WAYS_TO_SEND,
-    Script,
     fetch,
+    responds,
     run_client,
 )
 from camphordrift.backend_servers import (
@@ -59,18 +58,6 @@
             yield malformed + head + body
 
 
-def responds(*responses: bytes) -> Script:
-    """Returns a script that sends one response after each request, and closes the connection."""
-
-    async def serve(stream: trio.SocketStream) -> None:
-        for response in responses:
-            await stream.receive_some(65536)
-            await stream.send_all(response)
-        await stream.aclose()
-
-    return serve
-
-
 class HttpConnectionsTest(testtools.TestCase):
     def check(self, malform: Malform) -> None:
         """Checks that no malformed response is returned."""
--- a/camphordrift/platform_http/_log_transport.py
+++ b/camphordrift/platform_http/_log_transport.py
@@ -15,10 +15,14 @@
     OffsetTruncatedError,
     ReadBatch,
 )
+from camphordrift.response_checks import DECODING_ERRORS
 
 #: Timeout in seconds of one request to the log service.
 LOG_TIMEOUT_SECONDS = 2.0
 
+#: What a body that is not the expected msgpack raises.
+_UNREADABLE = (*DECODING_ERRORS, msgpack.exceptions.UnpackException)
+
 _HEADERS = (("Content-Type", "application/msgpack"),)
 
 
@@ -45,7 +49,10 @@
         except BackendError as error:
             raise AppendUnsureError(str(error)) from error
         _raise_for_append_status(response)
-        return int(_unpack(response)["offset"])
+        try:
+            return int(msgpack.unpackb(response.body)["offset"])
+        except _UNREADABLE as error:
+            raise AppendUnsureError(f"the response cannot be read: {error!r}") from error
 
     async def read(self, stream: str, from_offset: int, max_records: int) -> ReadBatch:
         """Reads up to ``max_records`` records, starting at ``from_offset``."""
