Report bodies that cannot be read as errors that clients expect

What callers saw: nothing was reported; found by reading the places that read answers. A complete response of an engine to a report, an order, a list of holds or cache events whose body was JSON of another shape, or nested too deeply, raised KeyError, TypeError, AttributeError, OverflowError or RecursionError; so did reads of the log, and the list of VMs for the last. The users of these clients catch BackendError and the clients' own errors only, so the task that polls an engine would have ended with the process (from reading the code; not run with processes).

Cause: only errors of the JSON and msgpack decoders were translated, not those of taking fields from the decoded value.

Change: decoding and taking fields are one step, whose errors become StreamBrokenError, LogUnavailableError and VmListUnavailableError.

--- a/camphordrift/backend_http/_engine_client.py
+++ b/camphordrift/backend_http/_engine_client.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncGenerator, AsyncIterator, Callable, Sequence
 from contextlib import aclosing, asynccontextmanager, suppress
 from dataclasses import replace
-from typing import Any, Optional
+from typing import Any, Optional, TypeVar
 
 import trio
 
@@ -36,6 +36,7 @@
     TokenChunk,
 )
 from camphordrift.identifiers import BackendServerId, HoldId, RequestId
+from camphordrift.response_checks import DECODING_ERRORS
 
 #: Timeout in seconds of a control request: one that reads or changes an engine's state without
 #: running a prompt.
@@ -56,6 +57,8 @@
 
 AddressLookup = Callable[[BackendServerId], Optional[str]]
 
+_Decoded = TypeVar("_Decoded")
+
 
 class HttpEngineClient:
     """An :class:`EngineClient` over HTTP.
@@ -129,36 +132,35 @@
 
     async def cancel(self, engine_id: BackendServerId, request_id: RequestId) -> None:
         """Cancels all work of the engine for the request; does nothing if there is none."""
-        await self._control(engine_id, "POST", "/cancel", {"request_id": request_id})
+        await self._control(engine_id, "POST", "/cancel", _ignore, {"request_id": request_id})
 
     async def read_load(self, engine_id: BackendServerId) -> LoadReport:
         """Returns the engine's latest load report."""
-        return decode_load(await self._control(engine_id, "GET", "/load"))
+        return await self._control(engine_id, "GET", "/load", decode_load)
 
     async def read_cache_events(
         self, engine_id: BackendServerId, after_sequence: int
     ) -> CacheEventBatch:
         """Returns the cache events after ``after_sequence`` that the engine still retains."""
         target = f"/cache_events?after={after_sequence}"
-        return decode_cache_events(await self._control(engine_id, "GET", target))
+        return await self._control(engine_id, "GET", target, decode_cache_events)
 
     async def place_hold(self, engine_id: BackendServerId, hold: MemoryHold) -> None:
         """Reserves KV memory, or renews the hold if one with the same id and owner exists."""
-        await self._control(engine_id, "POST", "/holds", encode_hold(hold))
+        await self._control(engine_id, "POST", "/holds", _ignore, encode_hold(hold))
 
     async def release_hold(self, engine_id: BackendServerId, hold_id: HoldId) -> None:
         """Releases a hold; does nothing if the engine has no such hold."""
-        await self._control(engine_id, "POST", "/holds/release", {"hold_id": hold_id})
+        await self._control(engine_id, "POST", "/holds/release", _ignore, {"hold_id": hold_id})
 
     async def list_holds(self, engine_id: BackendServerId) -> tuple[MemoryHold, ...]:
         """Returns all holds of the engine, regardless of their owner."""
-        body = await self._control(engine_id, "GET", "/holds")
-        return tuple(decode_hold(hold) for hold in body["holds"])
+        return await self._control(engine_id, "GET", "/holds", _decode_holds)
 
     async def send_order(self, engine_id: BackendServerId, order: EngineOrder) -> OrderReply:
         """Sends an order to the engine and returns its reply."""
-        return decode_order_reply(
-            await self._control(engine_id, "POST", "/orders", encode_order(order))
+        return await self._control(
+            engine_id, "POST", "/orders", decode_order_reply, encode_order(order)
         )
 
     def _call(
@@ -170,17 +172,24 @@
         return HttpCall(method, base_url, target, body, JSON_HEADERS)
 
     async def _control(
-        self, engine_id: BackendServerId, method: str, target: str, body: Any = None
-    ) -> Any:
+        self,
+        engine_id: BackendServerId,
+        method: str,
+        target: str,
+        decode: Callable[[Any], _Decoded],
+        body: Any = None,
+    ) -> _Decoded:
         content = b"" if body is None else _json_bytes(body)
         call = self._call(engine_id, method, target, content)
         async with self._connections.stream(call, CONTROL_TIMEOUT_SECONDS) as stream:
             await _raise_for_error_status(stream)
             response_body = b"".join([part async for part in stream.parts])
         try:
-            return json.loads(response_body)
-        except ValueError as error:
-            raise StreamBrokenError(f"{target}: the response body is not valid JSON") from error
+            return decode(json.loads(response_body))
+        except DECODING_ERRORS as error:
+            raise StreamBrokenError(
+                f"{target}: the response body cannot be read: {error!r}"
+            ) from error
 
     def _cancel_in_background(self, engine_id: BackendServerId, request_id: RequestId) -> None:
         """Starts a cancel request in a task that the current cancellation does not affect."""
@@ -216,10 +225,18 @@
 def _decode_events(splitter: EventSplitter, part: bytes) -> list[TokenChunk]:
     try:
         return [decode_chunk(event) for event in splitter.feed(part) if event != END_OF_STREAM]
-    except (ValueError, KeyError, TypeError, IndexError, EventTooLongError) as error:
+    except (*DECODING_ERRORS, EventTooLongError) as error:
         raise StreamBrokenError(f"invalid server-sent event: {error!r}") from error
 
 
+def _decode_holds(body: Any) -> tuple[MemoryHold, ...]:
+    return tuple(decode_hold(hold) for hold in body["holds"])
+
+
+def _ignore(body: Any) -> None:
+    """Ignores the body of a response whose status says everything."""
+
+
 def merge_adjacent(chunks: Sequence[TokenChunk]) -> list[TokenChunk]:
     """Merges consecutive chunks of one attempt, so that they are relayed in a single write."""
     merged: list[TokenChunk] = []
--- a/camphordrift/platform_http/_log_transport.py
+++ b/camphordrift/platform_http/_log_transport.py
@@ -62,11 +62,14 @@
             response = await self._connections.fetch(call, LOG_TIMEOUT_SECONDS)
         except BackendError as error:
             raise LogUnavailableError(str(error)) from error
-        if response.status == 410:
-            raise OffsetTruncatedError(int(_unpack(response)["first_offset"]))
-        if response.status != 200:
+        if response.status not in (200, 410):
             raise LogUnavailableError(f"the log service responded with status {response.status}")
-        return _decode_batch(_unpack(response))
+        try:
+            if response.status == 410:
+                raise OffsetTruncatedError(int(msgpack.unpackb(response.body)["first_offset"]))
+            return _decode_batch(msgpack.unpackb(response.body))
+        except _UNREADABLE as error:
+            raise LogUnavailableError(f"the response cannot be read: {error!r}") from error
 
 
 def _raise_for_append_status(response: HttpResponse) -> None:
@@ -81,13 +84,6 @@
             raise AppendUnsureError(f"the log service responded with status {status}")
 
 
-def _unpack(response: HttpResponse) -> Any:
-    try:
-        return msgpack.unpackb(response.body)
-    except (ValueError, msgpack.exceptions.UnpackException) as error:
-        raise LogUnavailableError("the log service's response is not valid msgpack") from error
-
-
 def _decode_batch(body: Any) -> ReadBatch:
     records = tuple(
         LogRecord(int(offset), bytes(payload), float(appended_at))
--- a/camphordrift/platform_http/_vm_list.py
+++ b/camphordrift/platform_http/_vm_list.py
@@ -8,6 +8,7 @@
 from camphordrift.backend_servers import BackendError
 from camphordrift.identifiers import BackendServerId, VmId, ZoneName
 from camphordrift.membership import ListedServer, ListedVm, PlatformList, platform_list
+from camphordrift.response_checks import DECODING_ERRORS
 
 #: Timeout in seconds of one request for the list.
 VM_LIST_TIMEOUT_SECONDS = 2.0
@@ -42,7 +43,7 @@
             raise VmListUnavailableError(f"the VM list responded with status {response.status}")
         try:
             return _decode_entries(json.loads(response.body)["vms"])
-        except (ValueError, KeyError, TypeError) as error:
+        except DECODING_ERRORS as error:
             raise VmListUnavailableError(f"the VM list's response is invalid: {error!r}") from error
 
 
