--- a/camphordrift/backend_http/tests/test_malformed_heads.py
+++ b/camphordrift/backend_http/tests/test_malformed_heads.py
@@ -101,6 +101,10 @@
     def test_invalid_names_on_a_reused_connection(self) -> None:
         self.check_reused_connection(heads_with_invalid_names)
 
+    def test_a_switch_to_another_protocol(self) -> None:
+        response = b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n{}"
+        self.check(lambda head: [response] if head == INFORMATIONAL else [])
+
 
 class EngineClientTest(testtools.TestCase):
     """Tests of streams, reports and orders."""
--- a/camphordrift/relay/tests/test_malformed_heads.py
+++ b/camphordrift/relay/tests/test_malformed_heads.py
@@ -101,6 +101,11 @@
     return [data[position : position + 1] for position in range(len(data))]
 
 
+def closed(response: bytes) -> CutStream:
+    """Returns a connection on which a response arrives, and then the regular end."""
+    return CutStream([response], ConnectionEnd.CLOSED)
+
+
 class AttemptTest(testtools.TestCase):
     """Tests of whole responses, streams and rejections."""
 
@@ -124,6 +129,31 @@
     def test_invalid_names(self) -> None:
         self.check(heads_with_invalid_names)
 
+    def test_invalid_names_after_the_body(self) -> None:
+        """Fields after the last chunk are dropped, but what is no field may be part of the body."""
+        start = CHUNKED + chunk(CONTENT) + b"0\r\n"
+        sums = b"x-sum: 1\r\nx-more: 2\r\n\r\n"
+        malformed = [
+            head.removeprefix(b"\r\n") for head in heads_with_invalid_names(b"\r\n" + sums)
+        ]
+        # Lines that begin with a blank continue a field that is dropped as well.
+        malformed = [
+            fields for fields in malformed if b"\n " not in fields and b"\n\t" not in fields
+        ]
+
+        async def main() -> None:
+            sound = await run_attempt(stream_opener(closed(start + sums)), None)
+            self.assertIsInstance(sound, Answered)
+            for fields in malformed:
+                result = await run_attempt(stream_opener(closed(start + fields)), None)
+                self.assertIsInstance(result, Broken, f"{fields!r}: {result}")
+                sink = RecordingSink()
+                result = await run_attempt(stream_opener(closed(start + fields)), sink)
+                self.assertIsInstance(result, Broken, f"{fields!r}: {result}")
+                self.assertEqual((CONTENT, False), (sink.content, sink.has_ended))
+
+        trio.run(main)
+
 
 class ReusedConnectionTest(testtools.TestCase):
     def check(self, malform: Malform) -> None:
