--- a/camphordrift/backend_http/_gated_backend.py
+++ b/camphordrift/backend_http/_gated_backend.py
@@ -65,14 +65,14 @@
         return self._inner.get_extra_info(info)
 
 
-class GatedBackend(httpcore.AsyncNetworkBackend):
+class GatedBackend(CheckedBackend):
     """Opens connections that call ``authorize`` before their first write.
 
     Use one instance for each request. Connecting and reconnecting need no authorization.
     """
 
     def __init__(self, authorize: AuthorizeSending) -> None:
-        self._inner = CheckedBackend()
+        super().__init__()
         self._authorize = authorize
 
     async def connect_tcp(
@@ -84,9 +84,5 @@
         socket_options: Optional[Iterable[Any]] = None,
     ) -> httpcore.AsyncNetworkStream:
         """Opens a connection without calling ``authorize``."""
-        stream = await self._inner.connect_tcp(host, port, timeout, local_address, socket_options)
+        stream = await super().connect_tcp(host, port, timeout, local_address, socket_options)
         return _GatedStream(stream, self._authorize)
-
-    async def sleep(self, seconds: float) -> None:
-        """Sleeps for ``seconds``, measured by the event loop's clock."""
-        await self._inner.sleep(seconds)
--- a/camphordrift/backend_http/tests/test_malformed_heads.py
+++ b/camphordrift/backend_http/tests/test_malformed_heads.py
@@ -3,7 +3,7 @@
 Guards against such a response that counts as the server's, with whatever its other fields say.
 """
 
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable
 from itertools import product
 
 import pytest
@@ -25,7 +25,12 @@
 from camphordrift.identifiers import BackendServerId, ModelName, RequestId
 from camphordrift.platform_http import HttpLogTransport, VmListClient, VmListUnavailableError
 from camphordrift.platform_log import AppendUnsureError, LogUnavailableError
-from camphordrift.testing import heads_with_invalid_names, heads_with_invalid_status
+from camphordrift.testing import (
+    Malform,
+    heads_with_invalid_names,
+    heads_with_invalid_status,
+    malformed_responses,
+)
 
 pytestmark = pytest.mark.sockets
 
@@ -42,26 +47,11 @@
     (b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n", b""),
 )
 
-INFORMATIONAL = b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\nx-more: 1\r\n\r\n"
-
-#: Returns malformed variants of a head.
-Malform = Callable[[bytes], Sequence[bytes]]
-
-
-def malformed_responses(malform: Malform) -> Iterator[bytes]:
-    """Yields responses with malformed heads, also beside informational responses."""
-    for head, body in RESPONSES:
-        for malformed in malform(head):
-            yield malformed + body
-            yield INFORMATIONAL + malformed + body
-        for malformed in malform(INFORMATIONAL):
-            yield malformed + head + body
-
 
 class HttpConnectionsTest(testtools.TestCase):
     def check(self, malform: Malform) -> None:
         """Checks that no malformed response is returned."""
-        for send, response in product(WAYS_TO_SEND, malformed_responses(malform)):
+        for send, response in product(WAYS_TO_SEND, malformed_responses(malform, RESPONSES)):
 
             async def client(connections: HttpConnections, base_url: str) -> None:
                 call = HttpCall("GET", base_url, "/")
@@ -72,7 +62,7 @@
     def check_reused_connection(self, malform: Malform) -> None:
         """Checks malformed responses that follow a sound one on the same connection."""
         sound = RESPONSES[0][0] + RESPONSES[0][1]
-        for response in malformed_responses(malform):
+        for response in malformed_responses(malform, RESPONSES):
 
             async def client(connections: HttpConnections, base_url: str) -> None:
                 call = HttpCall("GET", base_url, "/")
@@ -102,8 +92,7 @@
         self.check_reused_connection(heads_with_invalid_names)
 
     def test_a_switch_to_another_protocol(self) -> None:
-        response = b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n{}"
-        self.check(lambda head: [response] if head == INFORMATIONAL else [])
+        self.check(lambda head: [b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n{}"])
 
 
 class EngineClientTest(testtools.TestCase):
@@ -124,7 +113,7 @@
             with testtools.ExpectedException(StreamBrokenError):
                 self.fail(f"{await engines.send_order(ENGINE, order)}")
 
-        for response in malformed_responses(malform):
+        for response in malformed_responses(malform, RESPONSES):
             run_client(responds(response), client)
 
     def test_invalid_status(self) -> None:
@@ -149,7 +138,7 @@
             with testtools.ExpectedException(VmListUnavailableError):
                 await VmListClient(connections, base_url).read()
 
-        for response in malformed_responses(malform):
+        for response in malformed_responses(malform, RESPONSES):
             run_client(responds(response), client)
 
     def test_invalid_status(self) -> None:
--- a/camphordrift/gateway/tests/test_broken_responses.py
+++ b/camphordrift/gateway/tests/test_broken_responses.py
@@ -1,7 +1,7 @@
 """Tests of calls to plain services whose servers send broken responses."""
 
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 
 import pytest
 import testtools
@@ -23,6 +23,7 @@
 from camphordrift.testing import (
     UNBUFFERED_BODY,
     EarlyReset,
+    Malform,
     heads_with_invalid_names,
     heads_with_invalid_status,
     process_loopback_network,
@@ -143,7 +144,7 @@
 class MalformedHeadTest(testtools.TestCase):
     """Tests of a server whose response has a head that is not valid HTTP."""
 
-    def check(self, malform: Callable[[bytes], Sequence[bytes]]) -> None:
+    def check(self, malform: Malform) -> None:
         """Checks calls that run once and calls that may be repeated."""
         for head in HEADS:
             for malformed in malform(head):
--- a/camphordrift/platform/tests/test_odd_store_responses.py
+++ b/camphordrift/platform/tests/test_odd_store_responses.py
@@ -2,7 +2,6 @@
 
 import json
 import struct
-from collections.abc import Callable, Sequence
 from itertools import product
 from typing import Optional
 
@@ -21,6 +20,7 @@
 )
 from camphordrift.relay.connections import ByteStream
 from camphordrift.testing import (
+    Malform,
     heads_with_invalid_names,
     heads_with_invalid_status,
     run_in_virtual_time,
@@ -127,7 +127,7 @@
 class MalformedHeadTest(testtools.TestCase):
     """Guards against responses whose head is not valid HTTP and that are read all the same."""
 
-    def check(self, malform: Callable[[bytes], Sequence[bytes]]) -> None:
+    def check(self, malform: Malform) -> None:
         """Checks that each operation fails; a read must not take records for expired, either."""
         for status in ("200 OK", "410 Gone"):
             head, _, body = response_with(page(), status).partition(b"\r\n\r\n")
--- a/camphordrift/relay/connections/_byte_stream.py
+++ b/camphordrift/relay/connections/_byte_stream.py
@@ -95,12 +95,13 @@
         """Returns the next data."""
         try:
             data = await self._stream.receive_some(max_bytes)
-            if not data and self._write_error is not None:
-                raise trio.BrokenResourceError from self._write_error.__cause__
-            return data
         except trio.BrokenResourceError as error:
             _raise_if_path_broke(error)
             raise
+        if not data and self._write_error is not None:
+            _raise_if_path_broke(self._write_error)
+            raise trio.BrokenResourceError(str(self._write_error)) from self._write_error
+        return data
 
     def is_readable(self) -> bool:
         """Returns whether data or the end of the stream has arrived."""
--- a/camphordrift/relay/tests/test_malformed_heads.py
+++ b/camphordrift/relay/tests/test_malformed_heads.py
@@ -3,7 +3,7 @@
 Guards against a caller that gets such a response as the server's.
 """
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import replace
 
 import pytest
@@ -51,9 +51,11 @@
 from camphordrift.relay.tests.test_tunnels import TIMEOUT, Network, echo, run
 from camphordrift.testing import (
     HttpRequest,
+    Malform,
     handle_requests,
     heads_with_invalid_names,
     heads_with_invalid_status,
+    malformed_responses,
 )
 
 #: Seconds after which some hundred exchanges count as hanging.
@@ -72,7 +74,6 @@
 CHUNKED = SUCCESS + b"transfer-encoding: chunked\r\n\r\n"
 UNFRAMED = SUCCESS + b"\r\n"
 REJECTION = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nx-attempt: a1\r\ncontent-length: 0\r\n\r\n"
-INFORMATIONAL = b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\nx-more: 1\r\n\r\n"
 
 #: Heads and bodies of sound responses.
 RESPONSES = (
@@ -82,19 +83,6 @@
     (REJECTION, b""),
 )
 
-#: Returns malformed variants of a head.
-Malform = Callable[[bytes], Sequence[bytes]]
-
-
-def malformed_responses(malform: Malform) -> Iterator[bytes]:
-    """Yields responses with malformed heads, also beside informational responses."""
-    for head, body in RESPONSES:
-        for malformed in malform(head):
-            yield malformed + body
-            yield INFORMATIONAL + malformed + body
-        for malformed in malform(INFORMATIONAL):
-            yield malformed + head + body
-
 
 def single_bytes(data: bytes) -> list[bytes]:
     """Returns data in pieces of one byte."""
@@ -113,7 +101,7 @@
         """Checks that no malformed response is one, however it arrives."""
 
         async def main() -> None:
-            for response in malformed_responses(malform):
+            for response in malformed_responses(malform, RESPONSES):
                 for pieces in ([response], single_bytes(response)):
                     for sink in (None, RecordingSink()):
                         stream = CutStream(pieces, ConnectionEnd.CLOSED)
@@ -160,7 +148,7 @@
         """Checks malformed responses that follow a sound one on the same connection."""
 
         async def main() -> None:
-            for response in malformed_responses(malform):
+            for response in malformed_responses(malform, RESPONSES):
                 sound = WITH_LENGTH.replace(b"a1", b"a0") + CONTENT
                 stream = CutStream([sound, response], ConnectionEnd.CLOSED)
                 stream.has_arrived = False
@@ -196,7 +184,7 @@
                 return await open_tunnel(network.vm, network.server, TIMEOUT)
 
             network.tunnels._connect_directly = connect_server
-            for response in malformed_responses(malform):
+            for response in malformed_responses(malform, RESPONSES):
                 pieces[:] = [response]
                 for sink in (None, RecordingSink()):
                     result = await run_attempt(open_stream, sink)
@@ -219,7 +207,7 @@
         request = SmallRequest(b"GET", b"/report", [(b"host", b"a")])
 
         async def main() -> None:
-            for response in malformed_responses(malform):
+            for response in malformed_responses(malform, RESPONSES):
                 connection = HttpConnection(CutStream([response], ConnectionEnd.CLOSED))
                 try:
                     small = await connection.exchange(request)
--- a/camphordrift/response_checks/_response_head.py
+++ b/camphordrift/response_checks/_response_head.py
@@ -36,8 +36,10 @@
     def expect_response(self) -> None:
         """Expects the head of the response to another request next."""
         self._is_in_head = True
+        #: The beginning of the status line.
         self._start = b""
-        self._end = b""
+        #: The last bytes, which may be the beginning of what is searched for.
+        self._tail = b""
 
     def receive(self, data: bytes) -> None:
         """Checks the next bytes of a response; ignores those that follow its head.
@@ -49,25 +51,31 @@
         while self._is_in_head and data:
             if len(self._start) < _STATUS_LINE_SIZE:
                 self._start = (self._start + data)[:_STATUS_LINE_SIZE]
-            status = self._status()
-            unsearched = self._end + data
-            end = _END_OR_BLANK.search(unsearched)
-            if end is None:
-                self._end = unsearched[-_PARTIAL_SIZE:]
+            status = _checked_status(self._start)
+            searched = self._tail + data
+            found = _END_OR_BLANK.search(searched)
+            if found is None:
+                self._tail = searched[-_PARTIAL_SIZE:]
                 return
-            if end["blank"]:
+            if found["blank"]:
                 raise MalformedHeadError("a line begins with a blank")
             # The response to the request follows an informational one.
-            data = unsearched[end.end() :]
+            data = searched[found.end() :]
             self.expect_response()
             self._is_in_head = status in _INFORMATIONAL_STATUSES
 
-    def _status(self) -> int:
-        """Returns the status; 0 if it has not arrived, or if the line is none, as h11 detects."""
-        line = _STATUS_LINE.match(self._start)
-        if line is None:
-            return 0
-        status = int(line[1])
-        if status not in _STATUSES:
-            raise MalformedHeadError(f"{status} is not a status")
-        return status
+
+def _checked_status(start: bytes) -> int:
+    """Returns the status; 0 if it has not arrived, or if the line is none, which h11 finds.
+
+    Raises:
+        MalformedHeadError: The status is not valid.
+
+    """
+    line = _STATUS_LINE.match(start)
+    if line is None:
+        return 0
+    status = int(line[1])
+    if status not in _STATUSES:
+        raise MalformedHeadError(f"{status} is not a status")
+    return status
--- a/camphordrift/testing/__init__.py
+++ b/camphordrift/testing/__init__.py
@@ -9,8 +9,10 @@
 )
 from camphordrift.testing._loopback import process_loopback_network
 from camphordrift.testing._malformed_heads import (
+    Malform,
     heads_with_invalid_names,
     heads_with_invalid_status,
+    malformed_responses,
 )
 from camphordrift.testing._virtual_time import run_in_virtual_time
 
@@ -18,10 +20,12 @@
     "EarlyReset",
     "HttpRequest",
     "HttpRequestHandler",
+    "Malform",
     "UNBUFFERED_BODY",
     "handle_requests",
     "heads_with_invalid_names",
     "heads_with_invalid_status",
+    "malformed_responses",
     "process_loopback_network",
     "run_in_virtual_time",
     "serve_requests",
--- a/camphordrift/testing/_malformed_heads.py
+++ b/camphordrift/testing/_malformed_heads.py
@@ -1,4 +1,12 @@
-"""Heads of responses that are not valid HTTP, for tests of clients."""
+"""Responses whose head is not valid HTTP, for tests of clients."""
+
+from collections.abc import Callable, Iterable, Iterator, Sequence
+
+#: Returns malformed variants of a head.
+Malform = Callable[[bytes], Sequence[bytes]]
+
+#: An informational response.
+_INFORMATIONAL = b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\nx-more: 1\r\n\r\n"
 
 #: Statuses outside the range that RFC 9110, section 15, defines, and texts that are no status.
 _INVALID_STATUSES = (
@@ -37,5 +45,23 @@
     return heads
 
 
+def malformed_responses(
+    malform: Malform, responses: Iterable[tuple[bytes, bytes]]
+) -> Iterator[bytes]:
+    """Yields responses with malformed heads, also beside informational responses.
+
+    Args:
+        malform: Returns malformed variants of a head.
+        responses: Heads and bodies of sound responses.
+
+    """
+    for head, body in responses:
+        for malformed in malform(head):
+            yield malformed + body
+            yield _INFORMATIONAL + malformed + body
+        for malformed in malform(_INFORMATIONAL):
+            yield malformed + head + body
+
+
 def _places(name: bytes) -> tuple[int, int, int]:
     return 0, len(name) // 2, len(name)
