Let the stand-ins of tests read whole requests before they respond

The stand-in of backend_http's tests read once and closed the connection, which reset it if more of the request was on its way; a test could then pass because of the reset. respond_with, in testing, reads each request first; the tests of gateway and of the operators' client use it as well. The resetting stand-in counts a connection without a request no more as one.

--- a/camphordrift/backend_http/tests/faulty_servers.py
+++ b/camphordrift/backend_http/tests/faulty_servers.py
@@ -52,15 +52,3 @@
 Send = Callable[[HttpConnections, HttpCall], Awaitable[HttpResponse]]
 
 WAYS_TO_SEND: tuple[Send, ...] = (fetch, fetch_gated, read_stream)
-
-
-def responds(*responses: bytes) -> Script:
-    """Returns a script that sends one response after each request, and closes the connection."""
-
-    async def serve(stream: trio.SocketStream) -> None:
-        for response in responses:
-            await stream.receive_some(65536)
-            await stream.send_all(response)
-        await stream.aclose()
-
-    return serve
--- a/camphordrift/backend_http/tests/test_malformed_heads.py
+++ b/camphordrift/backend_http/tests/test_malformed_heads.py
@@ -3,17 +3,17 @@
 Guards against such a response that counts as the server's, with whatever its other fields say.
 """
 
-from collections.abc import Awaitable
+from functools import partial
 from itertools import product
 
 import pytest
 import testtools
 
-from camphordrift.backend_http import HttpCall, HttpConnections, HttpEngineClient, HttpResponse
+from camphordrift.backend_http import HttpCall, HttpConnections, HttpEngineClient
 from camphordrift.backend_http.tests.faulty_servers import (
     WAYS_TO_SEND,
+    Send,
     fetch,
-    responds,
     run_client,
 )
 from camphordrift.backend_servers import (
@@ -30,6 +30,7 @@
     heads_with_invalid_names,
     heads_with_invalid_status,
     malformed_responses,
+    respond_with,
 )
 
 pytestmark = pytest.mark.sockets
@@ -52,32 +53,27 @@
     def check(self, malform: Malform) -> None:
         """Checks that no malformed response is returned."""
         for send, response in product(WAYS_TO_SEND, malformed_responses(malform, RESPONSES)):
-
-            async def client(connections: HttpConnections, base_url: str) -> None:
-                call = HttpCall("GET", base_url, "/")
-                await self.check_broken(send(connections, call), response)  # noqa: B023
-
-            run_client(responds(response), client)
+            run_client(respond_with(response), partial(self.check_broken, send))
 
     def check_reused_connection(self, malform: Malform) -> None:
         """Checks malformed responses that follow a sound one on the same connection."""
-        sound = RESPONSES[0][0] + RESPONSES[0][1]
-        for response in malformed_responses(malform, RESPONSES):
 
-            async def client(connections: HttpConnections, base_url: str) -> None:
-                call = HttpCall("GET", base_url, "/")
-                self.assertEqual(BODY, (await fetch(connections, call)).body)
-                await self.check_broken(fetch(connections, call), response)  # noqa: B023
+        async def client(connections: HttpConnections, base_url: str) -> None:
+            response = await fetch(connections, HttpCall("GET", base_url, "/"))
+            self.assertEqual(BODY, response.body)
+            await self.check_broken(fetch, connections, base_url)
 
-            run_client(responds(sound, response), client)
+        sound = RESPONSES[0][0] + RESPONSES[0][1]
+        for response in malformed_responses(malform, RESPONSES):
+            run_client(respond_with(sound, response), client)
 
-    async def check_broken(self, sending: Awaitable[HttpResponse], response: bytes) -> None:
-        """Checks that sending a call raises an error."""
+    async def check_broken(self, send: Send, connections: HttpConnections, base_url: str) -> None:
+        """Checks that a call raises an error."""
         try:
-            received = await sending
+            response = await send(connections, HttpCall("GET", base_url, "/"))
         except StreamBrokenError:
             return
-        self.fail(f"{response!r}: {received}")
+        self.fail(f"{send.__name__}: {response}")
 
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
@@ -114,7 +110,7 @@
                 self.fail(f"{await engines.send_order(ENGINE, order)}")
 
         for response in malformed_responses(malform, RESPONSES):
-            run_client(responds(response), client)
+            run_client(respond_with(response), client)
 
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
@@ -139,7 +135,7 @@
                 await VmListClient(connections, base_url).read()
 
         for response in malformed_responses(malform, RESPONSES):
-            run_client(responds(response), client)
+            run_client(respond_with(response), client)
 
     def test_invalid_status(self) -> None:
         self.check(heads_with_invalid_status)
--- a/camphordrift/backend_http/tests/test_unreadable_bodies.py
+++ b/camphordrift/backend_http/tests/test_unreadable_bodies.py
@@ -11,7 +11,7 @@
 import testtools
 
 from camphordrift.backend_http import HttpConnections, HttpEngineClient
-from camphordrift.backend_http.tests.faulty_servers import responds, run_client
+from camphordrift.backend_http.tests.faulty_servers import run_client
 from camphordrift.backend_servers import (
     EngineOrder,
     GenerationRequest,
@@ -21,6 +21,7 @@
 from camphordrift.identifiers import BackendServerId, ModelName, RequestId
 from camphordrift.platform_http import HttpLogTransport, VmListClient, VmListUnavailableError
 from camphordrift.platform_log import AppendUnsureError, LogUnavailableError
+from camphordrift.testing import respond_with
 
 pytestmark = pytest.mark.sockets
 
@@ -68,7 +69,7 @@
                 self.fail(f"{await engines.send_order(ENGINE, order)}")
 
         for body in JSON_BODIES:
-            run_client(responds(HEAD + body), client)
+            run_client(respond_with(HEAD + body), client)
 
     def test_events_of_streams(self) -> None:
         request = GenerationRequest(RequestId("r"), 1, ModelName("m"), 1, 1, b"x")
@@ -80,7 +81,7 @@
                     self.fail(f"{[chunk async for chunk in chunks]}")
 
         for body in filter(None, JSON_BODIES):
-            run_client(responds(HEAD + b"data: " + body + b"\n\n"), client)
+            run_client(respond_with(HEAD + b"data: " + body + b"\n\n"), client)
 
 
 class LogTransportTest(testtools.TestCase):
@@ -91,7 +92,7 @@
                 self.fail(f"{await transport.append('claims', [b'x'])}")
 
         for body in MSGPACK_BODIES:
-            run_client(responds(HEAD + body), client)
+            run_client(respond_with(HEAD + body), client)
 
     def test_reads(self) -> None:
         async def client(connections: HttpConnections, base_url: str) -> None:
@@ -101,7 +102,7 @@
 
         expired = HEAD.replace(b"200 OK", b"410 Gone")
         for head, body in product((HEAD, expired), MSGPACK_BODIES):
-            run_client(responds(head + body), client)
+            run_client(respond_with(head + body), client)
 
 
 class VmListTest(testtools.TestCase):
@@ -111,4 +112,4 @@
                 self.fail(f"{await VmListClient(connections, base_url).read()}")
 
         for body in JSON_BODIES:
-            run_client(responds(HEAD + body), client)
+            run_client(respond_with(HEAD + body), client)
--- a/camphordrift/daemons/tests/test_operator_client.py
+++ b/camphordrift/daemons/tests/test_operator_client.py
@@ -14,6 +14,7 @@
     EarlyReset,
     heads_with_invalid_names,
     heads_with_invalid_status,
+    respond_with,
 )
 
 
@@ -75,24 +76,27 @@
         self.assertIn("may have taken effect", line)
 
     def test_outcome_is_unknown_if_the_response_has_no_valid_status(self) -> None:
-        for head in heads_with_invalid_status(http_response(200, "")):
-            self.check_error(ExitCode.OUTCOME_UNKNOWN, "POST", head)
-        body = error_body(5001, "not_run")
-        for head in heads_with_invalid_status(http_response(409, body)):
-            self.check_error(ExitCode.OUTCOME_UNKNOWN, "POST", head)
+        for body in ("{}", error_body(5001, "not_run")):
+            for response in heads_with_invalid_status(http_response(409, body)):
+                self.check_unknown(respond_with(response))
 
     def test_outcome_is_unknown_if_the_response_has_an_invalid_name(self) -> None:
         head = b"HTTP/1.1 200 X\r\nx-other: 1\r\ncontent-length: 2\r\n\r\n"
         for malformed in heads_with_invalid_names(head):
-            self.check_error(ExitCode.OUTCOME_UNKNOWN, "POST", malformed + b"{}")
+            self.check_unknown(respond_with(malformed + b"{}"))
 
     def test_outcome_is_unknown_if_the_response_was_reset(self) -> None:
         """The VM resets the connection while the change is being written."""
         response = b"HTTP/1.1 200 OK\r\n\r\n{"
-        body = {"text": UNBUFFERED_BODY.decode()}
-        error = self.assertRaises(
-            CommandError, request_from_server, EarlyReset(response), "POST", body
-        )
+        self.check_unknown(EarlyReset(response), {"text": UNBUFFERED_BODY.decode()})
+
+    def check_unknown(
+        self,
+        serve: Callable[[trio.SocketStream], Awaitable[None]],
+        body: Mapping[str, Any] = MappingProxyType({}),
+    ) -> None:
+        """Checks that it is unknown whether a change has taken effect."""
+        error = self.assertRaises(CommandError, request_from_server, serve, "POST", body)
         self.assertIs(ExitCode.OUTCOME_UNKNOWN, error.exit_code)
 
 
--- a/camphordrift/gateway/tests/test_broken_responses.py
+++ b/camphordrift/gateway/tests/test_broken_responses.py
@@ -27,6 +27,7 @@
     heads_with_invalid_names,
     heads_with_invalid_status,
     process_loopback_network,
+    respond_with,
 )
 
 pytestmark = pytest.mark.sockets
@@ -66,26 +67,13 @@
 )
 
 
-def responds(head: bytes) -> Script:
-    """Returns a script that reads a long request and responds to it."""
-
-    async def serve(stream: trio.SocketStream) -> None:
-        received = 0
-        while received < len(UNBUFFERED_BODY):
-            received += len(await stream.receive_some(65536))
-        await stream.send_all(head + b"whole")
-        await stream.receive_some(1)
-
-    return serve
-
-
 def run_client(script: Script, client: Client) -> None:
     """Runs a client of a server with a script and of one that responds completely."""
 
     async def main() -> None:
         addresses: dict[BackendServerId, str] = {}
         async with trio.open_nursery() as nursery:
-            for server_id, serve in ((BROKEN, script), (SOUND, responds(HEADS[0]))):
+            for server_id, serve in ((BROKEN, script), (SOUND, respond_with(HEADS[0] + b"whole"))):
                 host = f"{process_loopback_network()}.73"
                 listeners = await trio.open_tcp_listeners(0, host=host)
                 addresses[server_id] = f"http://{host}:{listeners[0].socket.getsockname()[1]}"
@@ -148,8 +136,10 @@
         """Checks calls that run once and calls that may be repeated."""
         for head in HEADS:
             for malformed in malform(head):
-                self.assertIsInstance(dispatch(responds(malformed)), DispatchUnanswered)
-                bodies = call_until_broken(responds(malformed))
+                self.assertIsInstance(
+                    dispatch(respond_with(malformed + b"whole")), DispatchUnanswered
+                )
+                bodies = call_until_broken(respond_with(malformed + b"whole"))
                 self.assertEqual({b"whole"}, set(bodies), f"{malformed!r}")
 
     def test_invalid_status(self) -> None:
--- a/camphordrift/relay/tests/test_early_resets.py
+++ b/camphordrift/relay/tests/test_early_resets.py
@@ -289,8 +289,7 @@
         if self.has_reset:
             await super()._serve(stream)
             return
-        await EarlyReset(UNFRAMED + PART)(stream)
-        self.has_reset = True
+        self.has_reset = await EarlyReset(UNFRAMED + PART).serve(stream)
 
 
 @pytest.mark.sockets
--- a/camphordrift/testing/__init__.py
+++ b/camphordrift/testing/__init__.py
@@ -5,6 +5,7 @@
     HttpRequest,
     HttpRequestHandler,
     handle_requests,
+    respond_with,
     serve_requests,
 )
 from camphordrift.testing._loopback import process_loopback_network
@@ -27,6 +28,7 @@
     "heads_with_invalid_status",
     "malformed_responses",
     "process_loopback_network",
+    "respond_with",
     "run_in_virtual_time",
     "serve_requests",
 ]
--- a/camphordrift/testing/_early_resets.py
+++ b/camphordrift/testing/_early_resets.py
@@ -28,10 +28,19 @@
 
     async def __call__(self, stream: trio.SocketStream) -> None:
         """Serves one connection."""
+        await self.serve(stream)
+
+    async def serve(self, stream: trio.SocketStream) -> bool:
+        """Serves one connection; returns whether there was a request."""
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER)
-        await stream.receive_some(1)
+        try:
+            if not await stream.receive_some(1):
+                return False
+        except trio.BrokenResourceError:
+            return False
         await stream.send_all(self.response)
         if self.ends_first:
             await stream.send_eof()
         await trio.sleep(_RESET_DELAY)
         abort(stream)
+        return True
--- a/camphordrift/testing/_http_requests.py
+++ b/camphordrift/testing/_http_requests.py
@@ -51,6 +51,22 @@
         return
 
 
+def respond_with(*responses: bytes) -> Callable[[trio.SocketStream], Awaitable[None]]:
+    """Returns a script that sends one response after each request, and closes the connection."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        unsent = list(responses)
+
+        async def respond(request: HttpRequest, stream: trio.SocketStream) -> bool:
+            await stream.send_all(unsent.pop(0))
+            return bool(unsent)
+
+        await handle_requests(stream, respond)
+        await stream.aclose()
+
+    return serve
+
+
 async def _next_request(
     protocol: h11.Connection, stream: trio.SocketStream
 ) -> Optional[HttpRequest]:
