Use the network of the tunnel tests in those of early resets, and one type of scripts

Attempts of the tests of early resets run on the server that test_tunnels starts, directly or through its VM, in place of a second listener and nursery; the informational responses come from test_cut_responses. ConnectionScript, in testing, replaces four spellings of one type.

--- a/camphordrift/backend_http/tests/faulty_servers.py
+++ b/camphordrift/backend_http/tests/faulty_servers.py
@@ -6,17 +6,14 @@
 from returns import result
 
 from camphordrift.backend_http import HttpCall, HttpConnections, HttpResponse
-from camphordrift.testing import process_loopback_network
+from camphordrift.testing import ConnectionScript, process_loopback_network
 
 TIMEOUT = 5.0
 
-#: Serves one connection.
-Script = Callable[[trio.SocketStream], Awaitable[None]]
-
 Client = Callable[[HttpConnections, str], Awaitable[None]]
 
 
-def run_client(script: Script, client: Client) -> None:
+def run_client(script: ConnectionScript, client: Client) -> None:
     """Runs a client of a server."""
 
     async def main() -> None:
--- a/camphordrift/daemons/tests/test_operator_client.py
+++ b/camphordrift/daemons/tests/test_operator_client.py
@@ -1,6 +1,6 @@
 """Tests of the operators' client: the request sent, and the exit code for each response."""
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, Optional
 
@@ -11,6 +11,7 @@
 from camphordrift.daemons._operator_client import VmAccess, request_vm
 from camphordrift.testing import (
     UNBUFFERED_BODY,
+    ConnectionScript,
     EarlyReset,
     heads_with_invalid_names,
     heads_with_invalid_status,
@@ -92,7 +93,7 @@
 
     def check_unknown(
         self,
-        serve: Callable[[trio.SocketStream], Awaitable[None]],
+        serve: ConnectionScript,
         body: Mapping[str, Any] = MappingProxyType({}),
     ) -> None:
         """Checks that it is unknown whether a change has taken effect."""
@@ -101,7 +102,7 @@
 
 
 def request_from_server(
-    serve: Callable[[trio.SocketStream], Awaitable[None]],
+    serve: ConnectionScript,
     method: str,
     body: Mapping[str, Any] = MappingProxyType({}),
 ) -> bytes:
--- a/camphordrift/gateway/tests/test_broken_responses.py
+++ b/camphordrift/gateway/tests/test_broken_responses.py
@@ -22,6 +22,7 @@
 from camphordrift.identifiers import AccountId, BackendServerId, RequestId, ServiceName
 from camphordrift.testing import (
     UNBUFFERED_BODY,
+    ConnectionScript,
     EarlyReset,
     Malform,
     heads_with_invalid_names,
@@ -52,14 +53,10 @@
     remaining_seconds=TIMEOUT,
 )
 
-#: Serves one connection.
-Script = Callable[[trio.SocketStream], Awaitable[None]]
-
 Client = Callable[[HttpConnections, ServerSelector], Awaitable[None]]
 
 RESET = EarlyReset(b"HTTP/1.1 200 OK\r\n\r\npart")
 
-
 #: Heads of responses whose body is ``whole``.
 HEADS = (
     b"HTTP/1.1 200 OK\r\nx-other: 1\r\ncontent-length: 5\r\n\r\n",
@@ -67,7 +64,7 @@
 )
 
 
-def run_client(script: Script, client: Client) -> None:
+def run_client(script: ConnectionScript, client: Client) -> None:
     """Runs a client of a server with a script and of one that responds completely."""
 
     async def main() -> None:
@@ -88,7 +85,7 @@
     trio.run(main)
 
 
-def dispatch(script: Script) -> DispatchReply:
+def dispatch(script: ConnectionScript) -> DispatchReply:
     """Returns what becomes of a call that runs at most once."""
     replies: list[DispatchReply] = []
 
@@ -100,7 +97,7 @@
     return replies[0]
 
 
-def call_until_broken(script: Script) -> list[bytes]:
+def call_until_broken(script: ConnectionScript) -> list[bytes]:
     """Returns the bodies that a caller gets up to the first call that the broken server got."""
     contacted = trio.Event()
     bodies: list[bytes] = []
--- a/camphordrift/relay/tests/test_early_resets.py
+++ b/camphordrift/relay/tests/test_early_resets.py
@@ -7,6 +7,7 @@
 
 import errno
 import os
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, Optional, cast
 
@@ -43,13 +44,13 @@
     ScriptedServer,
     server,
 )
+from camphordrift.relay.tests.test_cut_responses import INFORMATIONAL
 from camphordrift.relay.tests.test_tunnels import TIMEOUT, Network, run
 from camphordrift.testing import (
     UNBUFFERED_BODY,
     EarlyReset,
     HttpRequest,
     HttpRequestHandler,
-    process_loopback_network,
 )
 
 #: Seconds after which a client that waits for a failed write counts as hanging.
@@ -62,7 +63,6 @@
 UNFRAMED = HEAD + b"\r\n"
 WITH_LENGTH = HEAD + b"content-length: %d\r\n\r\n" % len(WHOLE)
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
-INFORMATIONAL = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"
 REJECTION = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nx-attempt: a1\r\n\r\n"
 
 
@@ -117,40 +117,24 @@
     return FailedWriteFirst(SocketByteStream(await connect(host, port, timeout)))
 
 
-async def attempt_through(open_stream: OpenStream, sink: Optional[RecordingSink]) -> AttemptResult:
-    """Runs an attempt of a long request."""
-    with trio.fail_after(HANG_TIMEOUT):
-        return await run_attempt_on(ConnectionPool(1.0, open_stream), sink, body=UNBUFFERED_BODY)
-
-
 def attempt(script: EarlyReset, sink: Optional[RecordingSink] = None) -> AttemptResult:
     """Runs an attempt of a long request on a server."""
-    results: list[AttemptResult] = []
-
-    async def main() -> None:
-        host = f"{process_loopback_network()}.71"
-        async with trio.open_nursery() as nursery:
-            (listener,) = await trio.open_tcp_listeners(0, host=host)
-            nursery.start_soon(trio.serve_listeners, script, [listener])
-            port = listener.socket.getsockname()[1]
 
-            async def open_stream(host_: str, port_: int, timeout: float) -> ByteStream:
-                return await open_failing(host, port, timeout)
+    def opener(network: Network) -> OpenStream:
+        async def open_stream(host: str, port: int, timeout: float) -> ByteStream:
+            return await open_failing(network.server.host, network.server.port, timeout)
 
-            results.append(await attempt_through(open_stream, sink))
-            nursery.cancel_scope.cancel()
+        return open_stream
 
-    trio.run(main)
-    return results[0]
+    return _run_attempt(script, sink, opener)
 
 
 def attempt_through_other_vm(
     script: EarlyReset, sink: Optional[RecordingSink] = None
 ) -> AttemptResult:
     """Runs an attempt of a long request on a server, through another VM."""
-    results: list[AttemptResult] = []
 
-    async def scenario(network: Network) -> None:
+    def opener(network: Network) -> OpenStream:
         async def connect_server(address: Address, timeout: float) -> ByteStream:
             return await open_failing(address.host, address.port, timeout)
 
@@ -158,7 +142,19 @@
             return await open_tunnel(network.vm, network.server, TIMEOUT)
 
         network.tunnels._connect_directly = connect_server
-        results.append(await attempt_through(open_stream, sink))
+        return open_stream
+
+    return _run_attempt(script, sink, opener)
+
+
+def _run_attempt(
+    script: EarlyReset, sink: Optional[RecordingSink], opener: Callable[[Network], OpenStream]
+) -> AttemptResult:
+    results: list[AttemptResult] = []
+
+    async def scenario(network: Network) -> None:
+        connections = ConnectionPool(1.0, opener(network))
+        results.append(await run_attempt_on(connections, sink, body=UNBUFFERED_BODY))
 
     run(script, scenario, HANG_TIMEOUT)
     return results[0]
--- a/camphordrift/relay/tests/test_tunnels.py
+++ b/camphordrift/relay/tests/test_tunnels.py
@@ -23,7 +23,7 @@
     TunnelStream,
     open_tunnel,
 )
-from camphordrift.testing import process_loopback_network
+from camphordrift.testing import ConnectionScript, process_loopback_network
 
 pytestmark = pytest.mark.sockets
 
@@ -32,8 +32,6 @@
 #: Larger than all buffers on the way.
 LARGE = b"large" * 1_000_000
 
-ServerScript = Callable[[trio.SocketStream], Awaitable[None]]
-
 
 class Network:
     """A backend server and the VM between it and the test."""
@@ -44,7 +42,7 @@
         self._vm_streams: list[trio.SocketStream] = []
         self.tunnels = TunnelServer(self._is_listed, self._connect)
 
-    async def start(self, script: ServerScript) -> None:
+    async def start(self, script: ConnectionScript) -> None:
         """Starts a server that runs a script on each connection, and the VM."""
         self.server = await self._listen(script)
         self.vm = await self._listen(self._serve_vm)
@@ -54,7 +52,7 @@
         for stream in self._vm_streams:
             stream.socket.close()
 
-    async def _listen(self, script: ServerScript) -> Address:
+    async def _listen(self, script: ConnectionScript) -> Address:
         host = f"{process_loopback_network()}.70"
         listeners = await trio.open_tcp_listeners(0, host=host)
         self._nursery.start_soon(trio.serve_listeners, script, listeners)
@@ -80,7 +78,7 @@
 
 
 def run(
-    script: ServerScript,
+    script: ConnectionScript,
     scenario: Callable[[Network], Awaitable[None]],
     hang_timeout: float = 10.0,
 ) -> None:
--- a/camphordrift/testing/__init__.py
+++ b/camphordrift/testing/__init__.py
@@ -2,6 +2,7 @@
 
 from camphordrift.testing._early_resets import UNBUFFERED_BODY, EarlyReset
 from camphordrift.testing._http_requests import (
+    ConnectionScript,
     HttpRequest,
     HttpRequestHandler,
     handle_requests,
@@ -18,6 +19,7 @@
 from camphordrift.testing._virtual_time import run_in_virtual_time
 
 __all__ = [
+    "ConnectionScript",
     "EarlyReset",
     "HttpRequest",
     "HttpRequestHandler",
--- a/camphordrift/testing/_http_requests.py
+++ b/camphordrift/testing/_http_requests.py
@@ -23,6 +23,10 @@
 HttpRequestHandler = Callable[[HttpRequest, trio.SocketStream], Awaitable[bool]]
 
 
+#: Serves one connection.
+ConnectionScript = Callable[[trio.SocketStream], Awaitable[None]]
+
+
 async def serve_requests(
     host: str,
     port: int,
@@ -51,7 +55,7 @@
         return
 
 
-def respond_with(*responses: bytes) -> Callable[[trio.SocketStream], Awaitable[None]]:
+def respond_with(*responses: bytes) -> ConnectionScript:
     """Returns a script that sends one response after each request, and closes the connection."""
 
     async def serve(stream: trio.SocketStream) -> None:
