--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -214,7 +214,7 @@
     """The platform's store: a keyed log in memory, with the header ``Store-Era``."""
 
     def __init__(self, host: str, record: Record) -> None:
-        self.server = HttpServer(host, self._handle)
+        self.server = HttpServer(host, self.handle)
         self.era = 1
         self._record = record
         self._topics: dict[str, list[_Entry]] = {}
@@ -248,7 +248,8 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _handle(self, request: Message, writer: asyncio.StreamWriter) -> bool:
+    async def handle(self, request: Message, writer: asyncio.StreamWriter) -> bool:
+        """Answers a call."""
         parts = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         topic, era = query["Topic"], self.era
@@ -339,13 +340,17 @@
             "born": self.born,
         }
 
+    def extra_headers(self) -> str:
+        """Returns further headers of all answers, each with its line end."""
+        return ""
+
     async def handle(self, request: Message, writer: asyncio.StreamWriter) -> bool:
         """Answers a request."""
         attempt_id = request.headers.get("camphordrift-attempt-id", "")
         if request.headers.get("camphordrift-expect-instance") != self.id:
             head = (
                 "HTTP/1.1 421 Misdirected Request\r\n"
-                f"Camphordrift-Attempt-Id: {attempt_id}\r\n"
+                f"Camphordrift-Attempt-Id: {attempt_id}\r\n{self.extra_headers()}"
                 "Camphordrift-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             )
             writer.write(head.encode())
@@ -364,7 +369,7 @@
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
             f"Camphordrift-Attempt-Id: {attempt_id}\r\n"
-            f"Camphordrift-Engine-Signature: {self.id}\r\n"
+            f"Camphordrift-Engine-Signature: {self.id}\r\n{self.extra_headers()}"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         writer.write(head.encode() + body)
