--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -147,7 +147,8 @@
             body = await reader.readexactly(int(headers["content-length"]))
         elif until_end:
             body = await reader.read()
-    except (asyncio.IncompleteReadError, ConnectionError):
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        # Ended, also in the middle of a chunk's size line.
         return None
     return Message(first_line, headers, body)
 
