--- a/review/14/case.py
+++ b/review/14/case.py
@@ -29,11 +29,11 @@
 SHARED_PART = "5c1e07a2:40"
 #: Engines, seconds between their crashes, and for how long each one is down.
 ENGINES, CRASH_GAP, DOWN = 6, 0.4, 4.5
-#: Seconds from the first request to the final fault, for which the processes are down then, and from
-#: the return of the machines to the first crash.
+#: Seconds from the first request to the final fault, for which the processes are down then, and
+#: from the return of the machines to the first crash.
 UNTIL_FINAL_FAULT, FINAL_DOWN, UNTIL_CRASHES = 15.0, 1.2, 1.5
-#: Seconds for which requests are judged, from RecoveryS after the machines are back.
-JUDGED = 10.0
+#: Seconds after the return of the machines from which requests are judged, and for which.
+RECOVERY, JUDGED = float(BOUNDS["RecoveryS"]), 10.0
 #: Prompts and look-ups a second, and seconds that a stream lasts.
 PROMPT_RATE, LOOKUP_RATE, STREAM_TIME = 3.0, 0.5, 5.0
 
@@ -158,9 +158,7 @@
             relay.kill()
 
 
-async def play(
-    record: Record, store: Store, servers: list[Backend], relays: list[Relay]
-) -> int:
+async def play(record: Record, store: Store, servers: list[Backend], relays: list[Relay]) -> int:
     """Plays the events; returns the exit code."""
     sent: dict[str, float] = {}
     served: set[str] = set()
@@ -260,8 +258,5 @@
     return 1 if shares[1] < 0.25 else 0
 
 
-RECOVERY = 12.0
-
 if __name__ == "__main__":
-    assert BOUNDS["RecoveryS"] == RECOVERY
     sys.exit(run_case(main, FOLDER))
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -120,9 +120,7 @@
         return self.first_line.split(" ")[1]
 
 
-async def read_message(
-    reader: asyncio.StreamReader, until_end: bool = False
-) -> Optional[Message]:
+async def read_message(reader: asyncio.StreamReader, until_end: bool = False) -> Optional[Message]:
     """Reads an HTTP message; returns ``None`` if the channel ends before a complete one.
 
     Args:
@@ -265,7 +263,9 @@
             content = self._newest(topic)
         else:
             found = await self._read(topic, int(query["From"]), int(query["WaitMs"]) / 1000)
-            status, content = ("410 Gone", b'{"FirstOffset":0}') if found is None else (status, found)
+            status, content = (
+                ("410 Gone", b'{"FirstOffset":0}') if found is None else (status, found)
+            )
         if era != self.era:
             return False
         head = f"HTTP/1.1 {status}\r\nStore-Era: {era}\r\nContent-Length: {len(content)}\r\n\r\n"
@@ -435,7 +435,9 @@
 
     def start(self) -> None:
         """Starts the process."""
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment["CAMPHORDRIFT_SETTINGS"] = str(self._path)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
