--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,8 +1,10 @@
-"""A machine that is added while the store is restored accepts a revoked key."""
+"""Machines in touch go on using servers that are gone, as their leader was cut off for a moment."""
 
 import asyncio
 import sys
+from collections import Counter
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-3"))
@@ -11,6 +13,8 @@
     BOUNDS,
     TROUBLE,
     Backend,
+    HttpServer,
+    Message,
     Record,
     Relay,
     Store,
@@ -20,22 +24,42 @@
     run_heartbeats,
 )
 
-#: Seconds from the acknowledgement of the revocation until the store goes away, for how long it is
-#: away, and the age of its copy when it comes back. The copy is from just before the revocation.
-UNTIL_DRILL, AWAY = 3.4, 2.0
-COPY_AGE = UNTIL_DRILL + AWAY + 0.3
-#: Seconds from the store's return until operator and servers have written again what was lost.
-UNTIL_WRITTEN_AGAIN = 2.0
-#: Seconds from the start of the drill until the new machine is started, with or without the drill.
-UNTIL_ADDED = 0.1
-
 HOST = "shop.example"
 
+#: Seconds for which the leader is cut off from the store, and from then until a server's entry is
+#: removed; seconds for which the server goes on serving, and until the next cut.
+CUT, UNTIL_REMOVED, GOES_ON, GAP = 0.5, 0.05, 6.0, 9.0
+#: Cuts, each followed by the leaving of one server.
+ROUNDS = 5
+#: Requests a second that clients send to each machine.
+RATE = 25.0
+
+
+class StorePath:
+    """The path of one machine to the store, which may be cut with resets."""
+
+    def __init__(self, host: str, store: Store) -> None:
+        self.server = HttpServer(host, self._handle)
+        #: Reads of the servers that the machine made.
+        self.server_reads = 0
+        self._store = store
+
+    async def cut(self, seconds: float) -> None:
+        """Resets all channels and refuses new ones for some seconds."""
+        await self.server.stop()
+        await asyncio.sleep(seconds)
+        await self.server.start()
+
+    async def _handle(self, request: Message, writer: asyncio.StreamWriter) -> bool:
+        query = parse_qs(urlsplit(request.target).query)
+        self.server_reads += query["Topic"] == ["keyed.servers"]
+        return await self._store.handle(request, writer)
+
 
-def configuration(version: int, keys: list[str]) -> dict[str, object]:
-    """Returns a configuration; one tenant has the given keys."""
+def configuration() -> dict[str, object]:
+    """Returns the configuration."""
     return {
-        "Version": version,
+        "Version": 1,
         "Routes": [
             {
                 "Name": "lookup",
@@ -51,28 +75,38 @@
         ],
         "Services": [{"Name": "booking", "MaxConns": 100}],
         "Limits": {},
-        "Tenants": [{"Name": "seller", "ApiKeys": keys}],
     }
 
 
 async def main(record: Record, folder: Path) -> int:
     """Runs the case; returns its exit code."""
-    store_host, *hosts = free_hosts(6)
+    store_host, *hosts = free_hosts(1 + ROUNDS + 3 + 3)
     store = Store(store_host, record)
     await store.start()
     servers = [
         Backend(f"i-{number}", "booking", host, "z1", record)
-        for number, host in enumerate(hosts[:2], 1)
+        for number, host in enumerate(hosts[: ROUNDS + 3], 1)
     ]
     for server in servers:
         await server.server.start()
+    paths = [StorePath(host, store) for host in hosts[ROUNDS + 3 :]]
+    for path in paths:
+        await path.server.start()
     relays = [
-        Relay(f"edge-{number}", host, "z1", store.server.address, folder)
-        for number, host in enumerate(hosts[2:], 1)
+        Relay(f"edge-{number}", path.server.host, "z1", path.server.address, folder)
+        for number, path in enumerate(paths, 1)
     ]
     heartbeats = asyncio.create_task(run_heartbeats(store, servers))
+    store.put("keyed.op", "config", configuration())
     try:
-        return await play(record, store, servers, relays[:2], relays[2])
+        for relay in relays:
+            relay.start()
+        for relay in relays:
+            if not await relay.wait_until_ready(20):
+                record.write(f"{relay.name} did not become ready")
+                return 2
+        await asyncio.sleep(5.0)
+        return await play(record, store, servers, relays, paths)
     finally:
         heartbeats.cancel()
         for relay in relays:
@@ -80,95 +114,83 @@
 
 
 async def play(
-    record: Record, store: Store, servers: list[Backend], relays: list[Relay], added: Relay
+    record: Record,
+    store: Store,
+    servers: list[Backend],
+    relays: list[Relay],
+    paths: list[StorePath],
 ) -> int:
     """Plays the events; returns the exit code."""
-    store.put("keyed.op", "config", configuration(1, ["key-kept", "key-lost"]))
-    record.write("operator: version 1 with key-kept and key-lost is acknowledged")
-    for relay in relays:
-        relay.start()
-    for relay in relays:
-        if not await relay.wait_until_ready(20):
-            record.write(f"{relay.name} did not become ready")
-            return 2
-    await asyncio.sleep(1.0)
-    sent: dict[str, tuple[str, float]] = {}
-
-    async def send(relay: Relay, key: str) -> None:
-        request_id = f"{len(sent):016x}"
-        sent[request_id] = key, record.now()
-        record.write(f"client: sends {request_id} with {key} to {relay.name}")
+    before = [path.server_reads for path in paths]
+    await asyncio.sleep(3.0)
+    reads = [path.server_reads - count for path, count in zip(paths, before, strict=True)]
+    leader = reads.index(max(reads))
+    record.write(f"reads of the servers in 3 s: {reads}; {relays[leader].name} leads")
+    sent_to: dict[str, str] = {}
+    removed_at: dict[str, float] = {}
+    all_servers = list(servers)
+    is_over = False
+
+    async def send(relay: Relay) -> None:
+        request_id = f"{len(sent_to):016x}"
+        sent_to[request_id] = relay.name
         headers = {
             "Host": HOST,
             "Camphordrift-Attempt-Id": request_id,
             "Camphordrift-Deadline-Ms": "4000",
-            "Camphordrift-Credential": key,
         }
-        try:
-            answer = await exchange(relay.host, relay.front, "GET /lookup/1", headers)
-        except OSError as error:
-            record.write(f"client: {request_id} finds no channel: {error.strerror}")
-            return
+        answer = await exchange(relay.host, relay.front, "GET /lookup/1", headers)
         status = "a closed channel" if answer is None else answer.status
-        record.write(f"client: {request_id} gets {status}")
-
-    for relay in relays:
-        await send(relay, "key-lost")
-        await send(relay, "key-kept")
-    if len({run.attempt_id for server in servers for run in server.runs}) != len(sent):
-        record.write("requests with valid keys did not run")
-        return 2
-    store.put("keyed.op", "config", configuration(2, ["key-kept"]))
-    revoked_at = record.now()
-    record.write("operator: version 2 without key-lost is acknowledged")
-    events = asyncio.create_task(play_events(record, store, relays, added, revoked_at))
-    ends_at = revoked_at + UNTIL_DRILL + AWAY + UNTIL_WRITTEN_AGAIN + 3.0
-    while record.now() < ends_at:
+        record.write(f"client: {request_id} to {relay.name} gets {status}")
+
+    async def send_all(relay: Relay) -> None:
         async with asyncio.TaskGroup() as group:
-            for relay in [*relays, added]:
-                if await relay.is_ready():
-                    group.create_task(send(relay, "key-lost"))
-                    group.create_task(send(relay, "key-kept"))
-        await asyncio.sleep(0.2)
-    await events
-    last_sent = revoked_at + BOUNDS["RevokeMs"] / 1000
-    runs = [run for server in servers for run in server.runs]
-    broken = [
-        run.attempt_id
-        for run in runs
-        if sent[run.attempt_id][0] == "key-lost" and sent[run.attempt_id][1] > last_sent
-    ]
-    served_late = [
-        run.attempt_id
-        for run in runs
-        if sent[run.attempt_id][0] == "key-kept" and sent[run.attempt_id][1] > last_sent
+            while not is_over:
+                group.create_task(send(relay))
+                await asyncio.sleep(1 / RATE)
+
+    async def leave(server: Backend) -> None:
+        servers.remove(server)
+        store.put("keyed.servers", server.id, None)
+        removed_at[server.id] = record.now()
+        record.write(f"store: the entry of {server.id} is removed")
+        await asyncio.sleep(GOES_ON)
+        await server.server.stop()
+        record.write(f"{server.id}: exits")
+
+    async def play_rounds() -> None:
+        nonlocal is_over
+        async with asyncio.TaskGroup() as group:
+            for number in range(ROUNDS):
+                if TROUBLE:
+                    record.write(f"{relays[leader].name}: cut off from the store")
+                    await paths[leader].cut(CUT)
+                    record.write(f"{relays[leader].name}: reaches the store again")
+                await asyncio.sleep(UNTIL_REMOVED)
+                group.create_task(leave(all_servers[number]))
+                await asyncio.sleep(GAP)
+        is_over = True
+
+    async with asyncio.TaskGroup() as group:
+        group.create_task(play_rounds())
+        for relay in relays:
+            group.create_task(send_all(relay))
+    bound = BOUNDS["DrainMs"] / 1000
+    late = [
+        (server.id, sent_to[run.attempt_id], run.at - removed_at[server.id])
+        for server in all_servers
+        for run in server.runs
+        if server.id in removed_at and run.at > removed_at[server.id] + bound
     ]
-    record.write(f"requests with key-kept that ran after RevokeMs: {len(served_late)}")
-    if not served_late:
-        return 2
-    for request_id in broken:
-        after = sent[request_id][1] - revoked_at
-        record.write(f"BROKEN: {request_id} with key-lost, sent {after:.2f} s after the ack, ran")
-    return 1 if broken else 0
-
-
-async def play_events(
-    record: Record, store: Store, relays: list[Relay], added: Relay, revoked_at: float
-) -> None:
-    """Adds a machine, and plays the drill of the store around that if there is to be trouble."""
-    await asyncio.sleep(revoked_at + UNTIL_DRILL - record.now())
-    if TROUBLE:
-        await store.go_away()
-    await asyncio.sleep(UNTIL_ADDED)
-    added.start()
-    record.write(f"platform: {added.name} is added")
-    if not TROUBLE:
-        return
-    await asyncio.sleep(AWAY - UNTIL_ADDED)
-    await store.come_back(record.now() - COPY_AGE)
-    await asyncio.sleep(UNTIL_WRITTEN_AGAIN)
-    store.put("keyed.op", "config", configuration(2, ["key-kept"]))
-    record.write("operator: version 2 is written again")
+    in_touch = [item for item in late if item[1] != relays[leader].name]
+    for server_id, count in sorted(Counter(item[0] for item in in_touch).items()):
+        latest = max(after for key, _, after in in_touch if key == server_id)
+        record.write(
+            f"BROKEN: {server_id} gets {count} requests from machines without disruption, "
+            f"later than {bound:g} s after the removal of its entry; the last after {latest:.2f} s"
+        )
+    record.write(f"late requests from machines in touch: {len(in_touch)}, of all: {len(late)}")
+    return 1 if in_touch else 0
 
 
 if __name__ == "__main__":
